--- /dev/null
+++ b/state/result/code.go
@@ -0,0 +1,177 @@
+// Package result defines the numbered result codes that callers and operators
+// receive. docs/RESULT-CODES.md holds the same table; a test compares the two.
+package result
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Code is a numbered result. The thousands digit gives the class: 1 the
+// request is at fault, 2 the system can't serve it now, 3 it was or may have
+// been run without an answer, 4 operator commands, 5 a fault of this program.
+type Code uint32
+
+// Execution says whether the request was run.
+type Execution string
+
+// The three things a caller can be told about its request.
+const (
+	Run     Execution = "run"
+	NotRun  Execution = "not run"
+	Unknown Execution = "unknown"
+)
+
+// Repeat says whether asking again can help.
+type Repeat string
+
+// Advice on asking again.
+const (
+	// RepeatNever means that the same request will get the same answer.
+	RepeatNever Repeat = "never"
+	// RepeatLater means that the request may be sent again after Retry-After.
+	RepeatLater Repeat = "after Retry-After"
+	// RepeatSameKey means that asking with the same idempotency key finds out.
+	RepeatSameKey Repeat = "same key, after Retry-After"
+)
+
+// Result codes. Numbers are never reused.
+const (
+	OK Code = 0
+
+	BadRequest        Code = 1001
+	TooLarge          Code = 1002
+	Unauthenticated   Code = 1003
+	UnknownProgram    Code = 1004
+	ForeignProgram    Code = 1005
+	UnknownModel      Code = 1006
+	ProgramEnded      Code = 1007
+	SequenceOutOfTurn Code = 1008
+	KeyConflict       Code = 1009
+	BudgetExhausted   Code = 1010
+	TurnLimit         Code = 1011
+	DeadlineExceeded  Code = 1012
+	UnknownPath       Code = 1013
+	CallInProgress    Code = 1014
+	ContextTooLong    Code = 1015
+
+	Overloaded         Code = 2001
+	TenantLimit        Code = 2002
+	NoEngine           Code = 2003
+	NoQuorum           Code = 2004
+	Draining           Code = 2005
+	NotReady           Code = 2006
+	HistoryUnavailable Code = 2007
+
+	OutcomeUnknown    Code = 3001
+	OutcomeUnresolved Code = 3002
+	EngineFailed      Code = 3003
+	ProgramStopped    Code = 3004
+
+	SyntaxError          Code = 4001
+	VersionConflict      Code = 4002
+	PlatformUnavailable  Code = 4003
+	CommandUnresolved    Code = 4004
+	UnknownObject        Code = 4005
+	InvalidConfiguration Code = 4006
+	NotInForce           Code = 4007
+
+	Internal Code = 5001
+)
+
+// Info describes one code.
+type Info struct {
+	Code      Code
+	Name      string
+	HTTP      int
+	Execution Execution
+	Repeat    Repeat
+	Meaning   string
+}
+
+// Table lists every code in ascending order.
+var Table = []Info{
+	{OK, "ok", http.StatusOK, Run, RepeatNever, "The request was run and the answer is whole."},
+	{BadRequest, "bad_request", http.StatusBadRequest, NotRun, RepeatNever, "The request is malformed; the message names the field."},
+	{TooLarge, "too_large", http.StatusRequestEntityTooLarge, NotRun, RepeatNever, "The request body exceeds the size limit."},
+	{Unauthenticated, "unauthenticated", http.StatusUnauthorized, NotRun, RepeatNever, "No tenant has the key that was given."},
+	{UnknownProgram, "unknown_program", http.StatusNotFound, NotRun, RepeatNever, "No program has this id."},
+	{ForeignProgram, "foreign_program", http.StatusForbidden, NotRun, RepeatNever, "The program belongs to another tenant."},
+	{UnknownModel, "unknown_model", http.StatusNotFound, NotRun, RepeatNever, "The configuration has no such model or adapter."},
+	{ProgramEnded, "program_ended", http.StatusConflict, NotRun, RepeatNever, "The program has ended; the message gives the reason."},
+	{SequenceOutOfTurn, "sequence_out_of_turn", http.StatusConflict, NotRun, RepeatNever, "The sequence number is not the program's next one."},
+	{KeyConflict, "key_conflict", http.StatusUnprocessableEntity, NotRun, RepeatNever, "The idempotency key was used for a different request."},
+	{BudgetExhausted, "budget_exhausted", http.StatusPaymentRequired, NotRun, RepeatNever, "The request doesn't fit in what is left of the program's budget."},
+	{TurnLimit, "turn_limit", http.StatusConflict, NotRun, RepeatNever, "The program has taken all the turns it may take."},
+	{DeadlineExceeded, "deadline_exceeded", http.StatusGatewayTimeout, NotRun, RepeatLater, "The deadline passed before the request was dispatched."},
+	{UnknownPath, "unknown_path", http.StatusNotFound, NotRun, RepeatNever, "The API has no such path or method."},
+	{CallInProgress, "call_in_progress", http.StatusConflict, NotRun, RepeatLater, "Another call of the same program is still running."},
+	{ContextTooLong, "context_too_long", http.StatusBadRequest, NotRun, RepeatNever, "History, request and answer together exceed the model's context."},
+	{Overloaded, "overloaded", http.StatusTooManyRequests, NotRun, RepeatLater, "The engines can't serve the request in time."},
+	{TenantLimit, "tenant_limit", http.StatusTooManyRequests, NotRun, RepeatLater, "The tenant has reached its limit."},
+	{NoEngine, "no_engine", http.StatusServiceUnavailable, NotRun, RepeatLater, "No engine that serves the model can be reached."},
+	{NoQuorum, "no_quorum", http.StatusServiceUnavailable, NotRun, RepeatLater, "Too few replicas of the program's record answer."},
+	{Draining, "draining", http.StatusServiceUnavailable, NotRun, RepeatLater, "This node is stopping; ask another one."},
+	{NotReady, "not_ready", http.StatusServiceUnavailable, NotRun, RepeatLater, "This node has no configuration or shard map yet."},
+	{HistoryUnavailable, "history_unavailable", http.StatusServiceUnavailable, NotRun, RepeatLater, "Too few replicas of the program's history answer."},
+	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, RepeatNever, "A request that must not be repeated lost its executor after dispatch. Final: it isn't tried again."},
+	{OutcomeUnresolved, "outcome_unresolved", http.StatusServiceUnavailable, Unknown, RepeatSameKey, "The record couldn't be read after a change; the same key finds out."},
+	{EngineFailed, "engine_failed", http.StatusBadGateway, Run, RepeatNever, "Every attempt the call may have failed at an engine. Final."},
+	{ProgramStopped, "program_stopped", http.StatusConflict, Unknown, RepeatNever, "The program was ended while the call was running. Final."},
+	{SyntaxError, "syntax_error", http.StatusBadRequest, NotRun, RepeatNever, "The operator's text can't be parsed; the message gives the column."},
+	{VersionConflict, "version_conflict", http.StatusConflict, NotRun, RepeatNever, "The object has another version; the message gives it and who wrote it."},
+	{PlatformUnavailable, "platform_unavailable", http.StatusServiceUnavailable, NotRun, RepeatLater, "The object API doesn't answer; nothing was changed."},
+	{CommandUnresolved, "command_unresolved", http.StatusServiceUnavailable, Unknown, RepeatSameKey, "The object API's answer was lost and can't be read back; the same command id finds out."},
+	{UnknownObject, "unknown_object", http.StatusNotFound, NotRun, RepeatNever, "No such object."},
+	{InvalidConfiguration, "invalid_configuration", http.StatusUnprocessableEntity, NotRun, RepeatNever, "The configuration fails its checks; the message names the field."},
+	{NotInForce, "not_in_force", http.StatusServiceUnavailable, Unknown, RepeatSameKey, "The object was written but a majority hasn't installed it yet; the same command id finds out."},
+	{Internal, "internal", http.StatusInternalServerError, Unknown, RepeatSameKey, "A fault of this program; the log has the details."},
+}
+
+var byCode = indexTable()
+
+func indexTable() map[Code]Info {
+	index := make(map[Code]Info, len(Table))
+	for _, info := range Table {
+		index[info.Code] = info
+	}
+	return index
+}
+
+// Info returns the description of the code; an unregistered one is Internal.
+func (c Code) Info() Info {
+	info, found := byCode[c]
+	if !found {
+		return byCode[Internal]
+	}
+	return info
+}
+
+// String returns the code's name.
+func (c Code) String() string { return c.Info().Name }
+
+// Error is a failure that a caller or operator is told.
+type Error struct {
+	Code    Code
+	Message string
+	// RetryAfter is when another try makes sense; zero where none does.
+	RetryAfter time.Duration
+}
+
+// Errorf makes an error of the code.
+func Errorf(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// After returns a copy of the error that asks for a pause before another try.
+func (e *Error) After(pause time.Duration) *Error {
+	result := *e
+	result.RetryAfter = pause
+	return &result
+}
+
+// Error gives code, name and message.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%d %s: %s", e.Code, e.Code, e.Message)
+}
