Add a thin engine stand-in and the client of the engine dialect

Cause: the path from a caller to an engine needs an engine that speaks the dialect of docs/ARCHITECTURE.md, and a client of it. Missing: export and import, orders, cache events, most metrics, timing by a model.

--- /dev/null
+++ b/protocol/engineapi/error.go
@@ -0,0 +1,71 @@
+package engineapi
+
+import (
+	"fmt"
+	"time"
+)
+
+// Kind classifies what went wrong at an engine.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Unreachable: no connection, or it broke before any answer.
+	Unreachable Kind = "unreachable"
+	// Refused: the engine explicitly declined the request.
+	Refused Kind = "refused"
+	// Leaving: the engine is draining and takes no new work.
+	Leaving Kind = "leaving"
+	// Full: the engine's queue is full.
+	Full Kind = "full"
+	// NotLoaded: the engine hasn't loaded the model or the adapter, or knows no
+	// such request or context.
+	NotLoaded Kind = "not loaded"
+	// Duplicate: a request with this id is running or was run lately.
+	Duplicate Kind = "duplicate"
+	// Truncated: the answer ended before it was whole.
+	Truncated Kind = "truncated"
+	// Crossed: an answer carried the id of another request.
+	Crossed Kind = "crossed"
+	// Cancelled: the request was cancelled at the engine.
+	Cancelled Kind = "cancelled"
+	// Stale: an order's fence is older than the engine's.
+	Stale Kind = "stale"
+	// Failed: the engine reported a failure, or its answer can't be read.
+	Failed Kind = "failed"
+	// Abandoned: the caller's context ended or its onText failed.
+	Abandoned Kind = "abandoned"
+)
+
+// Error is the error of every method of Client.
+type Error struct {
+	Kind    Kind
+	Address string
+	// Operation is the method and path that were tried.
+	Operation string
+	// Dispatched is false only where the engine certainly didn't take the
+	// request: no connection was made, or the engine explicitly refused it.
+	Dispatched bool
+	// RetryAfter is the engine's advice; zero where it gave none.
+	RetryAfter time.Duration
+	// Fence is the engine's fence where Kind is Stale.
+	Fence   uint64
+	Message string
+	Cause   error
+}
+
+func (e *Error) Error() string {
+	text := fmt.Sprintf("engine %s: %s: %s", e.Address, e.Operation, e.Kind)
+	if e.Message != "" {
+		text += ": " + e.Message
+	}
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/protocol/engineapi/wire.go
@@ -0,0 +1,155 @@
+package engineapi
+
+import "encoding/json"
+
+// ChatRequest is the body of POST /v1/chat/completions.
+type ChatRequest struct {
+	RequestID string            `json:"request_id"`
+	Model     string            `json:"model"`
+	Adapter   string            `json:"adapter,omitempty"`
+	Messages  []json.RawMessage `json:"messages"`
+	Stream    bool              `json:"stream"`
+	MaxTokens uint64            `json:"max_tokens,omitempty"`
+	Hold      string            `json:"hold,omitempty"`
+	Priority  uint32            `json:"priority"`
+}
+
+// ChatChunk is one event of a streamed answer, or a whole answer.
+type ChatChunk struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []ChatChoice `json:"choices"`
+	Usage   *ChatUsage   `json:"usage,omitempty"`
+	Error   *ErrorBody   `json:"error,omitempty"`
+}
+
+// ChatChoice is the only choice of a chunk: Delta in a stream, Message in a
+// whole answer.
+type ChatChoice struct {
+	Index        int          `json:"index"`
+	Delta        *ChatMessage `json:"delta,omitempty"`
+	Message      *ChatMessage `json:"message,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+// ChatMessage is text of the assistant.
+type ChatMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// ChatUsage counts tokens.
+type ChatUsage struct {
+	PromptTokens        uint64              `json:"prompt_tokens"`
+	CompletionTokens    uint64              `json:"completion_tokens"`
+	TotalTokens         uint64              `json:"total_tokens"`
+	PromptTokensDetails PromptTokensDetails `json:"prompt_tokens_details"`
+}
+
+// PromptTokensDetails says how much of the prompt was found in the cache.
+type PromptTokensDetails struct {
+	CachedTokens uint64 `json:"cached_tokens"`
+}
+
+// Types of errors that a status alone doesn't tell apart.
+const (
+	ErrorTypeStale     = "stale_fence"
+	ErrorTypeDuplicate = "duplicate_request"
+)
+
+// Finish reasons of an answer. Only the first two end a whole answer.
+const (
+	FinishStop      = "stop"
+	FinishLength    = "length"
+	FinishCancelled = "cancelled"
+)
+
+// ErrorBody describes a refusal or a failure.
+type ErrorBody struct {
+	Type    string `json:"type"`
+	Message string `json:"message"`
+}
+
+// ErrorAnswer is the body of every answer that isn't a success.
+type ErrorAnswer struct {
+	Error ErrorBody `json:"error"`
+	// Fence is the engine's current fence where an order was refused.
+	Fence uint64 `json:"fence,omitempty"`
+}
+
+// Hold is the context of one program that an engine keeps.
+type Hold struct {
+	Program string `json:"program"`
+	Tokens  uint64 `json:"tokens"`
+}
+
+// HoldList is the answer of GET /v1/holds.
+type HoldList struct {
+	Holds []Hold `json:"holds"`
+}
+
+// CacheEventKind says what happened to cached context.
+type CacheEventKind string
+
+// Kinds of cache events.
+const (
+	CacheStored  CacheEventKind = "stored"
+	CacheEvicted CacheEventKind = "evicted"
+)
+
+// CacheEvent is one line of GET /v1/cache/events. Numbers rise, with gaps where
+// the engine lost events.
+type CacheEvent struct {
+	Number  uint64         `json:"number"`
+	Kind    CacheEventKind `json:"kind"`
+	Program string         `json:"program"`
+	Tokens  uint64         `json:"tokens"`
+}
+
+// ExportRequest is the body of POST /v1/kv/export.
+type ExportRequest struct {
+	Program string `json:"program"`
+}
+
+// Context is exported KV cache. Blob is opaque to everyone but engines.
+type Context struct {
+	Program string `json:"program,omitempty"`
+	Blob    []byte `json:"blob"`
+	Tokens  uint64 `json:"tokens"`
+}
+
+// State is the answer of GET /v1/state.
+type State struct {
+	Engine     string   `json:"engine"`
+	Generation string   `json:"generation"`
+	Role       string   `json:"role"`
+	Models     []string `json:"models"`
+	Adapters   []string `json:"adapters"`
+	Fence      uint64   `json:"fence"`
+	Leaving    bool     `json:"leaving"`
+}
+
+// Action is what an order asks of an engine.
+type Action string
+
+// Actions of an order.
+const (
+	LoadModel     Action = "load_model"
+	UnloadModel   Action = "unload_model"
+	LoadAdapter   Action = "load_adapter"
+	UnloadAdapter Action = "unload_adapter"
+	SetRole       Action = "set_role"
+	Drain         Action = "drain"
+	Undrain       Action = "undrain"
+)
+
+// Order is the body of POST /v1/orders. An engine refuses an order whose fence
+// is older than the newest it has seen.
+type Order struct {
+	Fence   uint64 `json:"fence"`
+	Action  Action `json:"action"`
+	Name    string `json:"name,omitempty"`
+	Version string `json:"version,omitempty"`
+}
