--- /dev/null
+++ b/state/history/example_test.go
@@ -0,0 +1,41 @@
+package history_test
+
+import (
+	"fmt"
+	"slices"
+
+	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/state/history"
+	"github.com/marblering/marblering/state/replica"
+)
+
+// A turn is encoded before it is stored; whoever knows the head reads it back
+// and verifies it.
+func Example() {
+	turn := &statev1.Turn{
+		Program:  "program-1",
+		Sequence: 1,
+		Messages: []byte(`[{"role":"user","content":"Which grind?"}]`),
+		Answer:   []byte(`{"role":"assistant","content":"Medium."}`),
+	}
+	object, digest, err := history.Encode(turn)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	stored := replica.Turn{Program: "program-1", Sequence: 1, Digest: digest, Object: object}
+
+	turns, missing, err := history.Assemble("program-1", digest.Bytes(), slices.Values([]replica.Turn{stored}))
+	fmt.Println(len(turns), len(missing), err)
+
+	messages, err := history.Messages(turns)
+	for _, message := range messages {
+		fmt.Println(string(message))
+	}
+	fmt.Println(history.EstimateTokens(messages), err)
+	// Output:
+	// 1 0 <nil>
+	// {"role":"user","content":"Which grind?"}
+	// {"role":"assistant","content":"Medium."}
+	// 28 <nil>
+}
--- /dev/null
+++ b/state/history/messages.go
@@ -0,0 +1,84 @@
+package history
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/ansel1/merry/v2"
+
+	statev1 "github.com/marblering/marblering/api/state/v1"
+)
+
+// bytesPerToken and tokensPerMessage are the estimate's parameters: English
+// text has about four bytes a token in the usual byte-pair vocabularies, and a
+// chat template adds a few tokens around each message.
+const (
+	bytesPerToken    = 4
+	tokensPerMessage = 4
+)
+
+// EstimateTokens returns the number of tokens that the messages are taken to
+// have before an engine has counted them: a quarter of the bytes of each,
+// rounded up, and four a message. Budgets are reserved by it.
+func EstimateTokens(messages []json.RawMessage) uint64 {
+	var total uint64
+	for _, message := range messages {
+		total += (uint64(len(message)) + bytesPerToken - 1) / bytesPerToken
+		total += tokensPerMessage
+	}
+	return total
+}
+
+// Messages returns the whole conversation of the turns: the messages that the
+// caller added in each, followed by the answer. The result shares the turns'
+// memory and must not be changed.
+func Messages(turns []*statev1.Turn) ([]json.RawMessage, error) {
+	var messages []json.RawMessage
+	for _, turn := range turns {
+		ofTurn, err := turnMessages(turn)
+		if err != nil {
+			return nil, err
+		}
+		messages = append(messages, ofTurn...)
+	}
+	return messages, nil
+}
+
+func turnMessages(turn *statev1.Turn) ([]json.RawMessage, error) {
+	messages, err := splitArray(turn.GetMessages())
+	if err != nil {
+		return nil, merry.Prependf(err, "messages of turn %d of program %q", turn.GetSequence(), turn.GetProgram())
+	}
+	if len(turn.GetAnswer()) > 0 {
+		messages = append(messages, turn.GetAnswer())
+	}
+	return messages, nil
+}
+
+// splitArray returns the elements of a JSON array as parts of its memory.
+func splitArray(array []byte) ([]json.RawMessage, error) {
+	if len(array) == 0 {
+		return nil, nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(array))
+	opening, err := decoder.Token()
+	if err != nil {
+		return nil, merry.Prepend(err, "parsing a JSON array")
+	}
+	if opening != json.Delim('[') {
+		return nil, merry.Errorf("JSON array wanted, found %v", opening)
+	}
+	var elements []json.RawMessage
+	for decoder.More() {
+		var element json.RawMessage
+		if err := decoder.Decode(&element); err != nil {
+			return nil, merry.Prependf(err, "parsing element %d of a JSON array", len(elements))
+		}
+		end := int(decoder.InputOffset())
+		elements = append(elements, array[end-len(element):end:end])
+	}
+	if _, err := decoder.Token(); err != nil {
+		return nil, merry.Prepend(err, "parsing the end of a JSON array")
+	}
+	return elements, nil
+}
