--- /dev/null
+++ b/coordination/execution/perform.go
@@ -0,0 +1,253 @@
+package execution
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/state/program"
+	"github.com/marblering/marblering/state/result"
+)
+
+// cancelTimeout bounds the best-effort cancel of an abandoned request.
+const cancelTimeout = 2 * time.Second
+
+// performAdmitted runs the attempt that the record gave to this executor. An
+// attempt that this process has begun before is never begun again.
+func (e *Executor) performAdmitted(ctx context.Context, current *call, outcome program.AdmitOutcome, choice Choice, tree *statev1.ProgramTree) (Answer, bool, error) {
+	admitted := outcome.Call
+	key := keyOf(current.request.Program, admitted)
+	if !e.attempts.begin(key) {
+		release(choice, current, errNotAdmitted)
+		if err := e.pause(ctx, pollPause); err != nil {
+			return Answer{}, true, unresolved("the answer to call %d is still being stored", admitted.GetSequence())
+		}
+		return Answer{}, false, nil
+	}
+	if admitted.GetEngine() != choice.Engine {
+		// An earlier try of ours was stored after all, with another engine.
+		release(choice, current, errNotAdmitted)
+		return e.replaceAndPerform(ctx, current, admitted, &EngineError{Cause: errNotAdmitted})
+	}
+	answer, err := e.perform(ctx, current, admitted, choice, tree)
+	return answer, true, err
+}
+
+func keyOf(id string, admitted *statev1.Call) attemptKey {
+	return attemptKey{program: id, sequence: admitted.GetSequence(), attempt: admitted.GetAttempt()}
+}
+
+func referenceOf(id string, admitted *statev1.Call) program.AttemptReference {
+	return program.AttemptReference{Program: id, Sequence: admitted.GetSequence(), Attempt: admitted.GetAttempt()}
+}
+
+// perform runs one attempt whose key is begun, and the attempts that follow it.
+func (e *Executor) perform(ctx context.Context, current *call, admitted *statev1.Call, choice Choice, tree *statev1.ProgramTree) (Answer, error) {
+	target := program.Find(tree, current.request.Program)
+	chain, err := e.Turns.Chain(ctx, target.GetId(), target.GetChainHead())
+	if err != nil {
+		release(choice, current, err)
+		return e.giveUp(ctx, current, admitted, result.HistoryUnavailable, false, err)
+	}
+	start := Start{
+		Program:  target.GetId(),
+		Sequence: admitted.GetSequence(),
+		Attempt:  admitted.GetAttempt(),
+		Engine:   choice.Engine,
+		Model:    tree.GetModel(),
+		Reason:   choice.Reason,
+	}
+	answered, err := e.dispatch(ctx, current, start, choice, tree, append(chain.Messages(), current.request.Messages...))
+	if err != nil {
+		answer, _, err := e.replaceAndPerform(ctx, current, admitted, err)
+		return answer, err
+	}
+	turn := &statev1.Turn{
+		Program:       target.GetId(),
+		Sequence:      admitted.GetSequence(),
+		Previous:      target.GetChainHead(),
+		Key:           current.request.Key,
+		RequestDigest: current.digest[:],
+		Messages:      messagesJSON(current.request.Messages),
+		Answer:        answerJSON(answered.Content),
+		FinishReason:  answered.FinishReason,
+		PromptTokens:  answered.Usage.PromptTokens,
+		OutputTokens:  answered.Usage.OutputTokens,
+		CachedTokens:  answered.Usage.CachedTokens,
+		Engine:        choice.Engine,
+		Model:         tree.GetModel(),
+		CreatedUnixMs: e.nowUnixMS(),
+	}
+	return e.settle(ctx, current, admitted, start, turn)
+}
+
+// dispatch sends the attempt to the engine and streams its text to the caller.
+func (e *Executor) dispatch(ctx context.Context, current *call, start Start, choice Choice, tree *statev1.ProgramTree, messages []json.RawMessage) (EngineAnswer, error) {
+	request := EngineRequest{
+		RequestID:    RequestID(start.Program, start.Sequence, start.Attempt),
+		Model:        tree.GetModel(),
+		Adapter:      tree.GetAdapter(),
+		Messages:     messages,
+		OutputTokens: e.outputTokens(current, tree),
+		Priority:     choice.Priority,
+		Hold:         start.Program,
+	}
+	began := e.Now()
+	firstText := time.Duration(0)
+	current.sink.start(start)
+	answered, err := e.Engines.Complete(ctx, choice.Address, request, func(text string) error {
+		if firstText == 0 {
+			firstText = e.Now().Sub(began)
+		}
+		current.sink.text(text)
+		return nil
+	})
+	report := AttemptReport{
+		Program:   start.Program,
+		Usage:     answered.Usage,
+		FirstText: firstText,
+		Total:     e.Now().Sub(began),
+		Err:       err,
+	}
+	var failure *EngineError
+	if errors.As(err, &failure) {
+		report.Leaving = failure.Leaving
+	}
+	choice.Release(report)
+	if err != nil {
+		e.logAttempt(start, choice, err)
+		e.cancel(ctx, choice.Address, request.RequestID, failure)
+	}
+	return answered, err
+}
+
+// cancel asks the engine to stop what it may still be generating.
+func (e *Executor) cancel(ctx context.Context, address, requestID string, failure *EngineError) {
+	if failure != nil && !failure.Dispatched {
+		return
+	}
+	cancelContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	if err := e.Engines.Cancel(cancelContext, address, requestID); err != nil {
+		e.Logger.Debug("cancel failed", zap.String("request", requestID), zap.Error(err))
+	}
+}
+
+func (e *Executor) logAttempt(start Start, choice Choice, err error) {
+	e.Logger.Warn("attempt failed",
+		zap.String("program", start.Program),
+		zap.Uint64("sequence", start.Sequence),
+		zap.Uint32("attempt", start.Attempt),
+		zap.String("engine", choice.Engine),
+		zap.Error(err))
+}
+
+// RequestID names an attempt towards engines.
+func RequestID(id string, sequence uint64, attempt uint32) string {
+	return fmt.Sprintf("%s/%d/%d", id, sequence, attempt)
+}
+
+// replaceAndPerform begins the next attempt after a failed one, at another
+// engine, or ends the call.
+func (e *Executor) replaceAndPerform(ctx context.Context, current *call, failed *statev1.Call, cause error) (Answer, bool, error) {
+	lost := wasDispatched(cause)
+	current.excluded = append(current.excluded, failed.GetEngine())
+	if ctx.Err() != nil {
+		answer, err := e.giveUp(ctx, current, failed, result.EngineFailed, lost, cause)
+		return answer, true, err
+	}
+	tree, err := e.look(ctx, current.request)
+	if err != nil {
+		return Answer{}, true, e.abandon(ctx, current, failed, err)
+	}
+	choice, err := e.choose(ctx, current, tree)
+	if err != nil {
+		answer, err := e.giveUp(ctx, current, failed, exhaustedCode(lost), lost, cause)
+		return answer, true, err
+	}
+	next, tree, err := e.replace(ctx, current, failed, choice, lost)
+	if err != nil {
+		release(choice, current, err)
+		return Answer{}, true, e.abandon(ctx, current, failed, err)
+	}
+	e.attempts.end(keyOf(current.request.Program, failed))
+	if next == nil || !e.owns(next) {
+		release(choice, current, errNotAdmitted)
+		return Answer{}, false, nil
+	}
+	if !e.attempts.begin(keyOf(current.request.Program, next)) {
+		release(choice, current, errNotAdmitted)
+		return Answer{}, false, nil
+	}
+	answer, err := e.perform(ctx, current, next, choice, tree)
+	return answer, true, err
+}
+
+// exhaustedCode is how a call ends where no other engine can be had.
+func exhaustedCode(lost bool) result.Code {
+	if lost {
+		return result.EngineFailed
+	}
+	return result.NoEngine
+}
+
+func wasDispatched(cause error) bool {
+	var failure *EngineError
+	if errors.As(cause, &failure) {
+		return failure.Dispatched
+	}
+	return true
+}
+
+// owns reports whether the record gives the call's current attempt to this
+// executor.
+func (e *Executor) owns(candidate *statev1.Call) bool {
+	return candidate.GetState() == statev1.CallState_CALL_STATE_DISPATCHED && candidate.GetExecutor() == e.Identity
+}
+
+// replace stores the next attempt and returns the call as the record holds it.
+func (e *Executor) replace(ctx context.Context, current *call, failed *statev1.Call, choice Choice, lost bool) (*statev1.Call, *statev1.ProgramTree, error) {
+	reference := referenceOf(current.request.Program, failed)
+	var next *statev1.Call
+	tree, err := e.applyExisting(ctx, current.request.Program, func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
+		next, _ = program.Replace(tree, reference, program.Replacement{
+			Executor:        e.Identity,
+			ExecutorAddress: e.Address,
+			Engine:          choice.Engine,
+			EngineAddress:   choice.Address,
+			Lost:            lost,
+			MaxAttempts:     e.Limits.MaxAttempts,
+			NowUnixMS:       e.nowUnixMS(),
+		})
+		return tree, nil
+	})
+	return next, tree, err
+}
+
+func messagesJSON(messages []json.RawMessage) []byte {
+	// Raw messages were checked to be JSON when the request was read.
+	encoded, err := json.Marshal(messages)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+type assistantMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func answerJSON(content string) []byte {
+	// A struct of two strings always encodes.
+	encoded, err := json.Marshal(assistantMessage{Role: "assistant", Content: content})
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
--- /dev/null
+++ b/coordination/execution/release.go
@@ -0,0 +1,53 @@
+package execution
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/state/program"
+)
+
+// releaseTimeout bounds one try to release a hold.
+const releaseTimeout = 5 * time.Second
+
+// ReleaseHolds asks the engines to let go of what the tree no longer needs and
+// clears the holds whose release was confirmed. What fails is left to the next
+// sweep.
+func (e *Executor) ReleaseHolds(ctx context.Context, tree *statev1.ProgramTree) {
+	for _, hold := range program.ReleasableHolds(tree) {
+		releaseContext, cancel := context.WithTimeout(ctx, releaseTimeout)
+		err := e.releaseHold(releaseContext, hold)
+		cancel()
+		if err != nil {
+			e.Logger.Warn("hold not released", zap.String("program", hold.GetProgram()),
+				zap.String("engine", hold.GetEngine()), zap.Error(err))
+		}
+	}
+}
+
+func (e *Executor) releaseHold(ctx context.Context, hold *statev1.Hold) error {
+	if err := e.Engines.Release(ctx, hold.GetEngineAddress(), hold.GetProgram()); err != nil {
+		return err
+	}
+	_, err := e.applyExisting(ctx, hold.GetProgram(), func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
+		if stillReleasable(tree, hold) {
+			program.ClearHold(tree, hold.GetProgram(), hold.GetEngine())
+		}
+		return tree, nil
+	})
+	return err
+}
+
+// stillReleasable guards against a call that was admitted to the engine while
+// the release was under way: its new hold must not be forgotten.
+func stillReleasable(tree *statev1.ProgramTree, released *statev1.Hold) bool {
+	for _, hold := range program.ReleasableHolds(tree) {
+		if hold.GetProgram() == released.GetProgram() && hold.GetEngine() == released.GetEngine() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/state/program/lifecycle.go
@@ -0,0 +1,176 @@
+package program
+
+import (
+	"fmt"
+	"strings"
+
+	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/state/result"
+)
+
+// Child adds a sub-program below the parent. A repeat of the creation key
+// returns the sub-program that the key made.
+func Child(tree *statev1.ProgramTree, tenant, parent, key string, nowUnixMS int64) (child *statev1.Program, changed bool, err error) {
+	target, err := Access(tree, tenant, parent)
+	if err != nil {
+		return nil, false, err
+	}
+	if existing := findChild(tree, parent, key); existing != nil {
+		return existing, false, nil
+	}
+	if target.GetEnded() {
+		return nil, false, result.Errorf(result.ProgramEnded, "program %q has ended: %s", parent, target.GetEndReason())
+	}
+	if tree.GetChildren() >= maxChildren {
+		return nil, false, result.Errorf(result.TurnLimit, "program %q has its %d sub-programs", tree.GetRoot(), maxChildren)
+	}
+	tree.Children++
+	child = &statev1.Program{
+		Id:           fmt.Sprintf("%s.%d", tree.GetRoot(), tree.GetChildren()),
+		Parent:       parent,
+		NextSequence: 1,
+		CreationKey:  key,
+	}
+	tree.Programs = append(tree.Programs, child)
+	tree.LastActiveUnixMs = nowUnixMS
+	return child, true, nil
+}
+
+func findChild(tree *statev1.ProgramTree, parent, key string) *statev1.Program {
+	if key == "" {
+		return nil
+	}
+	for _, candidate := range tree.GetPrograms() {
+		if candidate.GetParent() == parent && candidate.GetCreationKey() == key {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// End ends the program and its sub-programs. Their running calls end as stopped
+// and are charged in full, since the engine may have spent it.
+func End(tree *statev1.ProgramTree, id, reason string, nowUnixMS int64) (changed bool) {
+	for _, candidate := range tree.GetPrograms() {
+		if candidate.GetEnded() || !descends(tree, candidate, id) {
+			continue
+		}
+		endOne(tree, candidate, reason)
+		changed = true
+	}
+	if changed {
+		tree.LastActiveUnixMs = nowUnixMS
+	}
+	return changed
+}
+
+func endOne(tree *statev1.ProgramTree, target *statev1.Program, reason string) {
+	target.Ended = true
+	target.EndReason = reason
+	if call := Running(target); call != nil {
+		fail(tree, call, result.ProgramStopped, call.GetReserved())
+	}
+}
+
+func descends(tree *statev1.ProgramTree, candidate *statev1.Program, ancestor string) bool {
+	for candidate != nil {
+		if candidate.GetId() == ancestor {
+			return true
+		}
+		candidate = Find(tree, candidate.GetParent())
+	}
+	return false
+}
+
+// Ended reports whether the program with the id has ended. A program that the
+// tree doesn't have counts as ended: nothing may be held for it.
+func Ended(tree *statev1.ProgramTree, id string) bool {
+	target := Find(tree, id)
+	return target == nil || target.GetEnded()
+}
+
+// ClearHold forgets the hold once the engine has confirmed its release.
+func ClearHold(tree *statev1.ProgramTree, id, engine string) (changed bool) {
+	kept := tree.Holds[:0:0]
+	for _, hold := range tree.GetHolds() {
+		if hold.GetProgram() == id && hold.GetEngine() == engine {
+			changed = true
+			continue
+		}
+		kept = append(kept, hold)
+	}
+	tree.Holds = kept
+	return changed
+}
+
+// ReleasableHolds lists the holds of ended programs, and of running ones those
+// at engines other than the one that served the newest call.
+func ReleasableHolds(tree *statev1.ProgramTree) []*statev1.Hold {
+	var releasable []*statev1.Hold
+	for _, hold := range tree.GetHolds() {
+		target := Find(tree, hold.GetProgram())
+		if Ended(tree, hold.GetProgram()) || !inUse(target, hold.GetEngine()) {
+			releasable = append(releasable, hold)
+		}
+	}
+	return releasable
+}
+
+// inUse reports whether the program's newest admitted call named the engine.
+func inUse(target *statev1.Program, engine string) bool {
+	for index := len(target.GetCalls()) - 1; index >= 0; index-- {
+		call := target.GetCalls()[index]
+		if call.GetSequence() != 0 {
+			return call.GetEngine() == engine
+		}
+	}
+	return false
+}
+
+func addHold(tree *statev1.ProgramTree, id, engine, address string) {
+	if engine == "" {
+		return
+	}
+	for _, hold := range tree.GetHolds() {
+		if hold.GetProgram() == id && hold.GetEngine() == engine {
+			hold.EngineAddress = address
+			return
+		}
+	}
+	tree.Holds = append(tree.Holds, &statev1.Hold{Program: id, Engine: engine, EngineAddress: address})
+}
+
+// Idle reports whether the tree has been silent past its idle limit. A call
+// that still runs keeps it awake.
+func Idle(tree *statev1.ProgramTree, nowUnixMS int64) bool {
+	if tree.GetIdleLimitMs() <= 0 || nowUnixMS-tree.GetLastActiveUnixMs() <= tree.GetIdleLimitMs() {
+		return false
+	}
+	for _, candidate := range tree.GetPrograms() {
+		if Running(candidate) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// ValidID reports whether the id can name a program: letters, digits, dashes
+// and dots, at most maxIDLength bytes.
+func ValidID(id string) bool {
+	if id == "" || len(id) > maxIDLength {
+		return false
+	}
+	return strings.IndexFunc(id, forbiddenInID) < 0
+}
+
+const maxIDLength = 128
+
+func forbiddenInID(character rune) bool {
+	switch {
+	case character >= 'a' && character <= 'z', character >= 'A' && character <= 'Z':
+		return false
+	case character >= '0' && character <= '9', character == '-', character == '.':
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/state/program/program.go
@@ -0,0 +1,175 @@
+// Package program is the state machine of a program tree's record: a root
+// program and the sub-programs that share its budget. Every function takes the
+// tree as it stands and changes it in place or leaves it as it was; none does
+// I/O, reads a clock or draws a random number. The caller stores the tree with
+// a compare-and-swap, so that a function may run several times before one of
+// its results is chosen.
+package program
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/state/result"
+)
+
+// Bounds of the record, so that its size doesn't grow with a program's life.
+const (
+	// callWindow is how many final calls a program keeps in full. Older ones
+	// stand in the history and leave an eight-byte hash of their key.
+	callWindow = 4
+	// maxDroppedRefusals bounds the hashes of refused calls a program keeps.
+	maxDroppedRefusals = 256
+	// maxChildren bounds the sub-programs of a tree.
+	maxChildren = 256
+	// DefaultTurnLimit applies where a program names none.
+	DefaultTurnLimit = 1000
+)
+
+// Specification describes a new tree.
+type Specification struct {
+	Root          string
+	Tenant        string
+	Model         string
+	Adapter       string
+	BudgetTokens  uint64
+	Priority      uint32
+	IdleLimitMS   int64
+	TurnLimit     uint32
+	CreatedUnixMS int64
+}
+
+// New makes the record of a new tree.
+func New(specification Specification) *statev1.ProgramTree {
+	turnLimit := specification.TurnLimit
+	if turnLimit == 0 {
+		turnLimit = DefaultTurnLimit
+	}
+	return &statev1.ProgramTree{
+		Root:             specification.Root,
+		Tenant:           specification.Tenant,
+		Model:            specification.Model,
+		Adapter:          specification.Adapter,
+		Budget:           &statev1.Budget{Limit: specification.BudgetTokens},
+		Programs:         []*statev1.Program{{Id: specification.Root, NextSequence: 1}},
+		Priority:         specification.Priority,
+		CreatedUnixMs:    specification.CreatedUnixMS,
+		LastActiveUnixMs: specification.CreatedUnixMS,
+		IdleLimitMs:      specification.IdleLimitMS,
+		TurnLimit:        turnLimit,
+	}
+}
+
+// RootOf returns the root's id of any program's id: the part up to the first
+// dot.
+func RootOf(id string) string {
+	root, _, _ := strings.Cut(id, ".")
+	return root
+}
+
+// Find returns the program of the tree with the id, or nil.
+func Find(tree *statev1.ProgramTree, id string) *statev1.Program {
+	for _, candidate := range tree.GetPrograms() {
+		if candidate.GetId() == id {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// FindCall returns the program's call with the sequence number, or nil where
+// it isn't in the window.
+func FindCall(target *statev1.Program, sequence uint64) *statev1.Call {
+	for _, call := range target.GetCalls() {
+		if call.GetSequence() == sequence {
+			return call
+		}
+	}
+	return nil
+}
+
+// Running returns the program's dispatched call, or nil. There is at most one:
+// the calls of a program run one after the other.
+func Running(target *statev1.Program) *statev1.Call {
+	for _, call := range target.GetCalls() {
+		if call.GetState() == statev1.CallState_CALL_STATE_DISPATCHED {
+			return call
+		}
+	}
+	return nil
+}
+
+// Access returns the program with the id if the tenant owns it.
+func Access(tree *statev1.ProgramTree, tenant, id string) (*statev1.Program, error) {
+	target := Find(tree, id)
+	if target == nil {
+		return nil, result.Errorf(result.UnknownProgram, "no program %q", id)
+	}
+	if tree.GetTenant() != tenant {
+		return nil, result.Errorf(result.ForeignProgram, "program %q belongs to another tenant", id)
+	}
+	return target, nil
+}
+
+func findKey(target *statev1.Program, key string) *statev1.Call {
+	for _, call := range target.GetCalls() {
+		if call.GetKey() == key {
+			return call
+		}
+	}
+	return nil
+}
+
+func keyHash(key string) uint64 { return xxhash.Sum64String(key) }
+
+func wasDropped(target *statev1.Program, key string) bool {
+	hash := keyHash(key)
+	for _, dropped := range target.GetDroppedKeys() {
+		if dropped == hash {
+			return true
+		}
+	}
+	return false
+}
+
+// trimCalls moves final calls beyond the window to the dropped keys.
+func trimCalls(tree *statev1.ProgramTree, target *statev1.Program) {
+	limit := int(tree.GetTurnLimit()) + maxDroppedRefusals
+	for len(target.Calls) > callWindow {
+		index := firstFinal(target)
+		if index < 0 {
+			return
+		}
+		target.DroppedKeys = append(target.DroppedKeys, keyHash(target.Calls[index].GetKey()))
+		target.Calls = append(target.Calls[:index], target.Calls[index+1:]...)
+	}
+	if excess := len(target.DroppedKeys) - limit; excess > 0 {
+		target.DroppedKeys = target.DroppedKeys[excess:]
+	}
+}
+
+func firstFinal(target *statev1.Program) int {
+	for index, call := range target.Calls {
+		if call.GetState() != statev1.CallState_CALL_STATE_DISPATCHED {
+			return index
+		}
+	}
+	return -1
+}
+
+// available is what of the budget is neither reserved nor spent.
+func available(budget *statev1.Budget) uint64 {
+	used := budget.GetReserved() + budget.GetSpent()
+	if used >= budget.GetLimit() {
+		return 0
+	}
+	return budget.GetLimit() - used
+}
+
+// settle ends a reservation and charges what was spent of it.
+func settle(budget *statev1.Budget, reserved, charged uint64) {
+	budget.Reserved -= reserved
+	budget.Spent += charged
+}
