Add the settings of a node, read strictly from file and flags

Cause: a node must learn its addresses, zone, folder and limits before it starts, and a mistake there must start nothing. Ruled out: koanf's own YAML parser, which ignores a second document in silence; decoding through mapstructure, whose errors name Go types and come several at a time. Change: package settings: Settings, Options (one table for keys, flags, defaults and what is allowed), AddFlags, Load.

--- /dev/null
+++ b/settings/decode.go
@@ -0,0 +1,119 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// decode sets the field, a pointer as Option.field returns it, from a value of
+// the file or the text of a flag.
+func decode(field, value any) error {
+	switch target := field.(type) {
+	case *int:
+		return decodeInt(target, value)
+	case *[]netip.AddrPort:
+		return decodeAddresses(target, value)
+	}
+	text, isText := value.(string)
+	if !isText {
+		return merry.Errorf("%s isn't text", describe(value))
+	}
+	return decodeText(field, text)
+}
+
+func decodeText(field any, text string) (err error) {
+	switch target := field.(type) {
+	case *string:
+		*target = text
+	case *netip.AddrPort:
+		*target, err = parseAddress(text)
+	case *time.Duration:
+		*target, err = parseDuration(text)
+	case *ByteSize:
+		*target, err = ParseByteSize(text)
+	default:
+		err = merry.Errorf("settings of type %T can't be read", field)
+	}
+	return err
+}
+
+func decodeInt(target *int, value any) error {
+	switch number := value.(type) {
+	case int:
+		*target = number
+		return nil
+	case string:
+		parsed, err := strconv.Atoi(number)
+		if err == nil {
+			*target = parsed
+			return nil
+		}
+	}
+	return merry.Errorf("%s isn't a whole number", describe(value))
+}
+
+func decodeAddresses(target *[]netip.AddrPort, value any) error {
+	items, err := listItems(value)
+	if err != nil {
+		return err
+	}
+	addresses := make([]netip.AddrPort, 0, len(items))
+	for _, item := range items {
+		address, err := parseAddress(item)
+		if err != nil {
+			return err
+		}
+		if address.Port() == 0 {
+			return merry.Errorf("%q has port 0", item)
+		}
+		addresses = append(addresses, address)
+	}
+	*target = addresses
+	return nil
+}
+
+// listItems returns the items of a list of the file or of a flag.
+func listItems(value any) ([]string, error) {
+	switch list := value.(type) {
+	case []string:
+		return list, nil
+	case []any:
+		items := make([]string, 0, len(list))
+		for _, item := range list {
+			text, isText := item.(string)
+			if !isText {
+				return nil, merry.Errorf("the item %s isn't text", describe(item))
+			}
+			items = append(items, text)
+		}
+		return items, nil
+	}
+	return nil, merry.Errorf("%s isn't a list", describe(value))
+}
+
+func parseAddress(text string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}, merry.Errorf("%q isn't an IP number and port", text)
+	}
+	return address, nil
+}
+
+func parseDuration(text string) (time.Duration, error) {
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, merry.Errorf("%q isn't a duration with a unit", text)
+	}
+	return duration, nil
+}
+
+func describe(value any) string {
+	if value == nil {
+		return "an empty value"
+	}
+	return fmt.Sprintf("%v", value)
+}
--- /dev/null
+++ b/settings/option.go
@@ -0,0 +1,159 @@
+package settings
+
+import "strings"
+
+// Option describes one key of the settings file and the flag of the same name.
+type Option struct {
+	// Key is the key in the file.
+	Key string
+	// Default is the value, as text, where neither file nor flag gives one.
+	// Empty means that there is none.
+	Default string
+	// Allowed says which values are accepted.
+	Allowed string
+	// Usage says what the value is for.
+	Usage string
+
+	// field returns a pointer to the option's field.
+	field func(*Settings) any
+}
+
+// Flag returns the name of the option's flag, without the leading hyphens.
+func (o Option) Flag() string { return strings.ReplaceAll(o.Key, "_", "-") }
+
+// Texts that describe the values of several options.
+const (
+	allowedName    = "1 to 63 lower-case letters, digits and inner hyphens"
+	allowedAddress = "IP number and port such as 10.0.0.5:7100 or [fd00::5]:7100, no host name"
+)
+
+// Options lists every option in the order of the documentation.
+func Options() []Option {
+	options := append(identityOptions(), addressOptions()...)
+	options = append(options, stateOptions()...)
+	options = append(options, limitOptions()...)
+	return append(options, Option{
+		Key: "log_level", Default: "info", Allowed: "debug, info, warn or error",
+		Usage: "least severe level that is logged",
+		field: func(s *Settings) any { return &s.LogLevel },
+	})
+}
+
+func identityOptions() []Option {
+	return []Option{
+		{
+			Key: "name", Allowed: allowedName,
+			Usage: "name of the node, unique in the deployment",
+			field: func(s *Settings) any { return &s.Name },
+		},
+		{
+			Key: "zone", Allowed: allowedName,
+			Usage: "zone whose failure takes this node with it",
+			field: func(s *Settings) any { return &s.Zone },
+		},
+	}
+}
+
+func addressOptions() []Option {
+	return []Option{
+		{
+			Key: "peer_listen", Allowed: allowedAddress,
+			Usage: "address that serves the other nodes",
+			field: func(s *Settings) any { return &s.PeerListen },
+		},
+		{
+			Key: "peer_advertise", Allowed: allowedAddress + "; the number not 0.0.0.0 or [::], the port not 0",
+			Usage: "address told to the other nodes, where it differs from peer_listen",
+			field: func(s *Settings) any { return &s.PeerAdvertise },
+		},
+		{
+			Key: "caller_listen", Allowed: allowedAddress,
+			Usage: "address that serves callers",
+			field: func(s *Settings) any { return &s.CallerListen },
+		},
+		{
+			Key: "operator_listen", Allowed: allowedAddress,
+			Usage: "address that serves operators, /metrics, /healthz and /readyz",
+			field: func(s *Settings) any { return &s.OperatorListen },
+		},
+		{
+			Key: "seeds", Allowed: "list of at most 64 different addresses: " + allowedAddress,
+			Usage: "peers asked for the other nodes at the start",
+			field: func(s *Settings) any { return &s.Seeds },
+		},
+		{
+			Key: "object_api", Allowed: "URL with an IP number such as http://10.0.0.9:7000, no path, no host name",
+			Usage: "base URL of the platform's object API",
+			field: func(s *Settings) any { return &s.ObjectAPI },
+		},
+	}
+}
+
+func stateOptions() []Option {
+	return []Option{
+		{
+			Key: "data_folder", Allowed: "absolute path",
+			Usage: "folder for replica state and history; without it they are kept in memory",
+			field: func(s *Settings) any { return &s.DataFolder },
+		},
+		{
+			Key: "replication_factor", Default: "3", Allowed: "1, 3, 5 or 7",
+			Usage: "replicas of a shard; counts when the first shard map is created",
+			field: func(s *Settings) any { return &s.ReplicationFactor },
+		},
+		{
+			Key: "shards", Default: "64", Allowed: "whole number from 1 to 4096",
+			Usage: "number of shards; counts when the first shard map is created",
+			field: func(s *Settings) any { return &s.Shards },
+		},
+	}
+}
+
+func limitOptions() []Option {
+	return []Option{
+		{
+			Key: "request_size_limit", Default: "8MiB", Allowed: "size with unit from 1KiB to 1GiB; units B, KiB, MiB, GiB",
+			Usage: "largest request body that is read from a caller",
+			field: func(s *Settings) any { return &s.RequestSizeLimit },
+		},
+		{
+			Key: "call_timeout", Default: "10m", Allowed: allowedDuration("1s", "24h"),
+			Usage: "longest a call may take where it gives no deadline",
+			field: func(s *Settings) any { return &s.CallTimeout },
+		},
+		{
+			Key: "engine_timeout", Default: "30s", Allowed: allowedDuration("100ms", "1h"),
+			Usage: "how long an engine may be silent during a call",
+			field: func(s *Settings) any { return &s.EngineTimeout },
+		},
+		{
+			Key: "peer_timeout", Default: "2s", Allowed: allowedDuration("10ms", "1m"),
+			Usage: "limit of one request to another node",
+			field: func(s *Settings) any { return &s.PeerTimeout },
+		},
+		{
+			Key: "object_api_timeout", Default: "5s", Allowed: allowedDuration("10ms", "5m"),
+			Usage: "limit of one request to the object API",
+			field: func(s *Settings) any { return &s.ObjectAPITimeout },
+		},
+		{
+			Key: "heartbeat_interval", Default: "1s", Allowed: allowedDuration("10ms", "1m"),
+			Usage: "pause between two heartbeats to a peer",
+			field: func(s *Settings) any { return &s.HeartbeatInterval },
+		},
+		{
+			Key: "failure_timeout", Default: "5s", Allowed: allowedDuration("50ms", "10m"),
+			Usage: "how long a peer may be silent before it counts as failed; at least twice heartbeat_interval",
+			field: func(s *Settings) any { return &s.FailureTimeout },
+		},
+		{
+			Key: "drain_timeout", Default: "11m", Allowed: allowedDuration("1s", "25h"),
+			Usage: "how long a planned stop waits for calls in flight; at least call_timeout",
+			field: func(s *Settings) any { return &s.DrainTimeout },
+		},
+	}
+}
+
+func allowedDuration(least, most string) string {
+	return "duration with unit from " + least + " to " + most + "; units ms, s, m, h"
+}
