Add the command line of the daemon

Cause: operators need to start a node, check a settings file and see the version, with exit codes that a supervisor can act on. Ruled out: cobra's own printing of errors and usage, which would make several lines of one fault. Exit codes: 0 clean, 2 settings or command line, 1 anything else.

--- /dev/null
+++ b/cmd/marblering/command.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/marblering/marblering/settings"
+	"github.com/marblering/marblering/telemetry"
+)
+
+// Exit codes of the process.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+// usageError is a command line that can't be understood.
+type usageError struct {
+	cause error
+}
+
+// Error says what wasn't understood.
+func (e *usageError) Error() string { return e.cause.Error() }
+
+// execute runs the command line and returns the exit code. Every failure is
+// one line on the standard error stream.
+func execute(ctx context.Context, root *cobra.Command, arguments []string) int {
+	root.SetArgs(arguments)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(root.ErrOrStderr(), "marblering:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var settingsFault *settings.Error
+	var usageFault *usageError
+	if errors.As(err, &settingsFault) || errors.As(err, &usageFault) {
+		return exitSettings
+	}
+	return exitFailure
+}
+
+func newRootCommand(run runNode) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "marblering",
+		Short:         "Scheduler for agent programs",
+		Args:          usage(cobra.NoArgs),
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE:          func(command *cobra.Command, _ []string) error { return command.Help() },
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{cause: err} })
+	root.AddCommand(newServeCommand(run), newConfigCommand(), newVersionCommand())
+	return root
+}
+
+func newServeCommand(run runNode) *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   "serve",
+		Short: "Run this machine's node until SIGTERM or SIGINT",
+		Args:  usage(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			loaded, err := settings.Load(path, command.Flags())
+			if err != nil {
+				return err
+			}
+			return serve(command, run, loaded)
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "", "settings file; flags win over it")
+	settings.AddFlags(command.Flags())
+	return command
+}
+
+func serve(command *cobra.Command, run runNode, loaded settings.Settings) error {
+	level, err := zapcore.ParseLevel(loaded.LogLevel)
+	if err != nil {
+		return err
+	}
+	logger := telemetry.NewLogger(command.ErrOrStderr(), level,
+		zap.String("node", loaded.Name), zap.String("zone", loaded.Zone))
+	return run(command.Context(), loaded, logger)
+}
+
+func newConfigCommand() *cobra.Command {
+	group := &cobra.Command{
+		Use:   "config",
+		Short: "Work with settings files",
+		Args:  usage(cobra.NoArgs),
+		RunE:  func(command *cobra.Command, _ []string) error { return command.Help() },
+	}
+	group.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file and start nothing",
+		Args:  usage(cobra.ExactArgs(1)),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			if _, err := settings.Load(arguments[0], nil); err != nil {
+				return err
+			}
+			fmt.Fprintf(command.OutOrStdout(), "%s: ok\n", arguments[0])
+			return nil
+		},
+	})
+	return group
+}
+
+func newVersionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version of this build",
+		Args:  usage(cobra.NoArgs),
+		Run: func(command *cobra.Command, _ []string) {
+			fmt.Fprintln(command.OutOrStdout(), "marblering", version())
+		},
+	}
+}
+
+// version returns the module's version as the Go tool recorded it.
+func version() string {
+	info, found := debug.ReadBuildInfo()
+	if !found {
+		return "unknown"
+	}
+	return fmt.Sprintf("%s (%s)", info.Main.Version, info.GoVersion)
+}
+
+// usage marks what the check of positional arguments reports.
+func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(command *cobra.Command, arguments []string) error {
+		if err := check(command, arguments); err != nil {
+			return &usageError{cause: err}
+		}
+		return nil
+	}
+}
