Add the choice of an engine as a pure decision

Cause: nodes need to choose an engine per call from lagging loads and late cache events. Ruled out: a decision that reads shared tables while it runs (it couldn't be replayed); scoring the whole fleet (cost grows with it). Refusals are result codes with Retry-After.

--- /dev/null
+++ b/coordination/routing/choose.go
@@ -0,0 +1,145 @@
+package routing
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/marblering/marblering/state/result"
+)
+
+// maxRejected bounds how many rejected engines a decision lists.
+const maxRejected = 16
+
+// noEngineRetry is the pause asked for where no engine can serve a request.
+const noEngineRetry = time.Second
+
+// Choose decides which engine serves the request. The random source is used
+// only to draw among engines of nearly equal cost.
+func Choose(snapshot *Snapshot, request *Request, random *rand.Rand) Decision {
+	kept, rejected := filterEngines(snapshot, request)
+	if len(kept) == 0 {
+		return refuseWithoutEngine(request, rejected)
+	}
+	kept = subset(snapshot.Engines, kept, request, snapshot.subsetSize())
+	candidates := scoreAll(snapshot, request, kept, len(rejected))
+	best := draw(candidates, snapshot.Weights.Tolerance, random)
+	if refusal := shed(snapshot, request, &candidates[best]); refusal != nil {
+		return Decision{Candidates: append(candidates, rejected...), Reason: refusal.Message, Err: refusal}
+	}
+	candidates[0], candidates[best] = candidates[best], candidates[0]
+	return accept(snapshot, request, append(candidates, rejected...))
+}
+
+func filterEngines(snapshot *Snapshot, request *Request) (kept []int, rejected []Candidate) {
+	kept = make([]int, 0, len(snapshot.Engines))
+	for i := range snapshot.Engines {
+		filter := feasible(&snapshot.Engines[i], request)
+		if filter == FilterNone {
+			kept = append(kept, i)
+			continue
+		}
+		if len(rejected) < maxRejected {
+			rejected = append(rejected, Candidate{Engine: snapshot.Engines[i].Name, Rejected: filter, index: i})
+		}
+	}
+	return kept, rejected
+}
+
+func scoreAll(snapshot *Snapshot, request *Request, kept []int, spare int) []Candidate {
+	best := bestCached(snapshot, request)
+	candidates := make([]Candidate, 0, len(kept)+spare)
+	for _, index := range kept {
+		candidates = append(candidates, score(snapshot, request, index, best))
+	}
+	slices.SortFunc(candidates, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.Engine, b.Engine))
+	})
+	return candidates
+}
+
+// bestCached is the engine, feasible or not, that has most of the prompt.
+func bestCached(snapshot *Snapshot, request *Request) Cached {
+	var best Cached
+	for _, cached := range request.CachedOn {
+		tokens := min(cached.Tokens, request.PromptTokens())
+		if tokens > best.Tokens {
+			best = Cached{Engine: cached.Engine, Tokens: tokens}
+		}
+	}
+	return best
+}
+
+// draw picks at random among the candidates whose cost is within the relative
+// tolerance of the least; candidates are sorted by cost.
+func draw(candidates []Candidate, tolerance float64, random *rand.Rand) int {
+	limit := candidates[0].Cost * (1 + tolerance)
+	equal := 1
+	for equal < len(candidates) && candidates[equal].Cost <= limit {
+		equal++
+	}
+	if equal == 1 || random == nil {
+		return 0
+	}
+	return random.IntN(equal)
+}
+
+func accept(snapshot *Snapshot, request *Request, candidates []Candidate) Decision {
+	chosen := &candidates[0]
+	decision := Decision{
+		Engine:     chosen.Engine,
+		Address:    snapshot.Engines[chosen.index].Address,
+		Priority:   Priority(request.Priority, request.AttainedTokens),
+		Expected:   chosen.Latency(),
+		Candidates: candidates,
+		Reason:     explain(chosen),
+		Work: Work{
+			Requests:     1,
+			PromptTokens: request.PromptTokens() - chosen.CachedTokens,
+			OutputTokens: request.OutputTokens,
+		},
+	}
+	if chosen.Source != "" {
+		decision.Transfer = &Transfer{From: chosen.Source, Tokens: chosen.SourceTokens}
+		decision.Work.PromptTokens = request.PromptTokens() - chosen.SourceTokens
+	}
+	return decision
+}
+
+func explain(chosen *Candidate) string {
+	reason := fmt.Sprintf("least cost %.3fs: queue %.3fs, prefill %.3fs with %d tokens cached",
+		chosen.Cost, chosen.Queue, chosen.Prefill, chosen.CachedTokens)
+	if chosen.Source != "" {
+		reason += fmt.Sprintf(", %d tokens moved from %s in %.3fs", chosen.SourceTokens, chosen.Source, chosen.Transfer)
+	}
+	return reason
+}
+
+func refuseWithoutEngine(request *Request, rejected []Candidate) Decision {
+	reason := "no engine is known"
+	if len(rejected) > 0 {
+		reason = fmt.Sprintf("no engine can serve model %q: %s: %s", request.Model, rejected[0].Engine, rejected[0].Rejected)
+	}
+	refusal := result.Errorf(result.NoEngine, "%s", reason).After(noEngineRetry)
+	return Decision{Candidates: rejected, Reason: reason, Err: refusal}
+}
+
+// shed refuses a call that would wait too long or miss its deadline anyway.
+func shed(snapshot *Snapshot, request *Request, best *Candidate) *result.Error {
+	queue := seconds(best.Queue)
+	if snapshot.MaxQueue > 0 && queue > snapshot.MaxQueue {
+		return result.Errorf(result.Overloaded, "the least loaded engine has %s of work ahead, the limit is %s",
+			queue.Round(time.Millisecond), snapshot.MaxQueue).After(queue - snapshot.MaxQueue)
+	}
+	if request.Deadline.IsZero() {
+		return nil
+	}
+	left := request.Deadline.Sub(snapshot.Now)
+	if expected := best.Latency(); expected > left {
+		return result.Errorf(result.DeadlineExceeded, "the answer is expected in %s, the deadline is in %s",
+			expected.Round(time.Millisecond), left.Round(time.Millisecond)).After(queue)
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/routing/snapshot.go
@@ -0,0 +1,139 @@
+package routing
+
+import (
+	"time"
+)
+
+// Roles an engine may have. An engine without a role is general.
+const (
+	RoleGeneral = "general"
+	// RoleStandby engines hold weights but receive no calls.
+	RoleStandby = "standby"
+)
+
+// EngineState is what a node knows of one engine. The load part lags.
+type EngineState struct {
+	Name       string
+	Address    string
+	Zone       string
+	Generation string
+	Role       string
+	Models     []string
+	Adapters   []string
+	// Leaving engines receive no new work.
+	Leaving bool
+	// Ejected engines were found slow or failing and wait for their return.
+	Ejected bool
+
+	// Running and Waiting count requests at the time of the report.
+	Running int
+	Waiting int
+	// OutstandingTokens are the tokens still to be computed, prompt and output,
+	// at the time of the report.
+	OutstandingTokens uint64
+	// ReportedAt is when the engine measured its load; zero for no report.
+	ReportedAt time.Time
+
+	// PrefillSpeed is the engine's prompt throughput in tokens per second.
+	PrefillSpeed float64
+	// DecodeSpeed is the output speed of one request in tokens per second.
+	DecodeSpeed float64
+
+	// CacheLimit and CacheUsed are tokens of context memory; a limit of zero
+	// means unknown.
+	CacheLimit uint64
+	CacheUsed  uint64
+}
+
+// Work is an amount of computing that an engine was given.
+type Work struct {
+	Requests     int
+	PromptTokens uint64
+	OutputTokens uint64
+}
+
+// Pending reports a node's own work at an engine. Ledger implements it.
+type Pending interface {
+	// Pending returns the work still on its way, and the change that a load
+	// report measured at the given time can't show yet.
+	Pending(engine string, reportedAt time.Time) PendingWork
+}
+
+// PendingWork is a node's own work at one engine.
+type PendingWork struct {
+	// InFlight is all own work that hasn't finished.
+	InFlight Work
+	// Added was dispatched after the report and hasn't finished.
+	Added Work
+	// Finished was dispatched before the report and finished after it.
+	Finished Work
+}
+
+// Weights say what a deployment values. Costs are in seconds.
+type Weights struct {
+	// Latency multiplies the expected time of the call.
+	Latency float64
+	// WastedCache multiplies the compute time of tokens that an engine of the
+	// fleet already has and that would be computed again.
+	WastedCache float64
+	// Eviction multiplies the compute time of the tokens that the call would
+	// push out of a full cache.
+	Eviction float64
+	// CrossZone is the cost of serving a call from another zone.
+	CrossZone time.Duration
+	// TransferSpeed is the rate of moving context between engines in tokens per
+	// second; zero forbids transfers.
+	TransferSpeed float64
+	// TransferSetup is the fixed cost of one transfer.
+	TransferSetup time.Duration
+	// Tolerance is the relative difference of cost within which candidates
+	// count as equal and one is drawn at random, so that several nodes with the
+	// same lagging snapshot don't all choose the same engine.
+	Tolerance float64
+}
+
+// LatencyWeights suit a deployment that values short programs most.
+func LatencyWeights() Weights {
+	return Weights{
+		Latency:       1,
+		WastedCache:   0.25,
+		Eviction:      0.25,
+		CrossZone:     2 * time.Millisecond,
+		TransferSetup: 20 * time.Millisecond,
+		Tolerance:     0.02,
+	}
+}
+
+// CacheWeights suit a deployment that values saved computation most.
+func CacheWeights() Weights {
+	weights := LatencyWeights()
+	weights.WastedCache = 2
+	weights.Eviction = 1
+	return weights
+}
+
+// Snapshot is the input of a decision. It is only read, so one snapshot may
+// serve many concurrent decisions.
+type Snapshot struct {
+	Now     time.Time
+	Engines []EngineState
+	Weights Weights
+	// Pending adds the node's own work; nil for none.
+	Pending Pending
+	// SubsetSize bounds how many engines are scored; zero means
+	// DefaultSubsetSize.
+	SubsetSize int
+	// MaxQueue is the longest expected queueing before a call is shed; zero
+	// sheds none.
+	MaxQueue time.Duration
+}
+
+// DefaultSubsetSize is the number of engines scored for one call.
+const DefaultSubsetSize = 16
+
+func (s *Snapshot) subsetSize() int {
+	if s.SubsetSize > 0 {
+		return s.SubsetSize
+	}
+	return DefaultSubsetSize
+}
--- /dev/null
+++ b/coordination/routing/speeds.go
@@ -0,0 +1,84 @@
+package routing
+
+import (
+	"sync"
+	"time"
+)
+
+// speedGain is the weight of a new observation in the moving average.
+const speedGain = 0.2
+
+// Shortest pieces of work a speed is learned from, in tokens; shorter ones
+// measure overheads.
+const (
+	minPrefillSample = 64
+	minDecodeSample  = 8
+)
+
+// Speed is what was learned of one engine; zero means nothing yet.
+type Speed struct {
+	// Prefill and Decode are in tokens per second of one request.
+	Prefill float64
+	Decode  float64
+}
+
+// Observation is what one answer tells of its engine's speed.
+type Observation struct {
+	// ComputedTokens of the prompt were not cached.
+	ComputedTokens uint64
+	// PrefillTime is the time to the first output less the expected queueing.
+	PrefillTime  time.Duration
+	OutputTokens uint64
+	// DecodeTime is the time from the first to the last output.
+	DecodeTime time.Duration
+}
+
+// Speeds learns the speeds of engines by exponentially weighted averages.
+type Speeds struct {
+	mutex   sync.RWMutex
+	engines map[string]Speed
+}
+
+// NewSpeeds makes an empty table.
+func NewSpeeds() *Speeds {
+	return &Speeds{engines: make(map[string]Speed)}
+}
+
+// Observe adds one answer. Samples too short to measure are ignored.
+func (s *Speeds) Observe(engine string, observation Observation) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	speed := s.engines[engine]
+	if observation.ComputedTokens >= minPrefillSample {
+		speed.Prefill = average(speed.Prefill, observation.ComputedTokens, observation.PrefillTime)
+	}
+	if observation.OutputTokens >= minDecodeSample {
+		speed.Decode = average(speed.Decode, observation.OutputTokens, observation.DecodeTime)
+	}
+	s.engines[engine] = speed
+}
+
+// Of returns what was learned of an engine.
+func (s *Speeds) Of(engine string) Speed {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.engines[engine]
+}
+
+// Forget drops an engine that is gone.
+func (s *Speeds) Forget(engine string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.engines, engine)
+}
+
+func average(old float64, tokens uint64, spent time.Duration) float64 {
+	if spent <= 0 {
+		return old
+	}
+	sample := float64(tokens) / spent.Seconds()
+	if old == 0 {
+		return sample
+	}
+	return old + speedGain*(sample-old)
+}
