Add the in-memory replica store

Cause: a node without a data folder needs somewhere to keep the register states and turns of the shards that it replicates. Ruled out: handing out the stored slices, since a caller that changes one would change a promise; every value is copied on the way in and out.

--- /dev/null
+++ b/state/replica/memory.go
@@ -0,0 +1,302 @@
+package replica
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// MaxNameBytes limits register keys, program ids and names of meta values.
+const MaxNameBytes = 1024
+
+// Errors of every Store of this package.
+var (
+	// ErrName is returned for a key, program id or meta name that is empty,
+	// longer than MaxNameBytes or holds a zero byte.
+	ErrName = merry.Sentinel("name can't be stored")
+	// ErrClosed is returned by every method after Close.
+	ErrClosed = merry.Sentinel("replica store is closed")
+)
+
+// Memory is a Store that keeps everything in memory. Whoever uses it must take
+// part under a new incarnation after every start.
+type Memory struct {
+	mutex  sync.RWMutex
+	shards map[uint32]*memoryShard
+	closed bool
+}
+
+type memoryShard struct {
+	registers map[string]Register
+	meta      map[string][]byte
+	// turns holds, for each program, its turns ordered by sequence and digest.
+	turns map[string][]Turn
+}
+
+var _ Store = (*Memory)(nil)
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{shards: make(map[uint32]*memoryShard)}
+}
+
+// LoadRegister returns the zero Register for a key that was never saved.
+func (m *Memory) LoadRegister(shard uint32, key string) (Register, error) {
+	if err := checkName(key); err != nil {
+		return Register{}, err
+	}
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	if m.closed {
+		return Register{}, ErrClosed
+	}
+	return copyRegister(m.read(shard).registers[key]), nil
+}
+
+// SaveRegister replaces the state of the key. An empty Value is kept as nil.
+func (m *Memory) SaveRegister(shard uint32, key string, state Register) error {
+	if err := checkName(key); err != nil {
+		return err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.closed {
+		return ErrClosed
+	}
+	m.write(shard).registers[key] = copyRegister(state)
+	return nil
+}
+
+// EachRegister visits the registers as they were when it was called.
+func (m *Memory) EachRegister(shard uint32, visit func(key string, state Register) error) error {
+	keys, states, err := m.snapshotRegisters(shard)
+	if err != nil {
+		return err
+	}
+	for index, key := range keys {
+		if err := visit(key, copyRegister(states[index])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Memory) snapshotRegisters(shard uint32) ([]string, []Register, error) {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	if m.closed {
+		return nil, nil, ErrClosed
+	}
+	registers := m.read(shard).registers
+	keys := sortedKeys(registers)
+	states := make([]Register, len(keys))
+	for index, key := range keys {
+		states[index] = registers[key]
+	}
+	return keys, states, nil
+}
+
+// PutTurn stores the turn; storing the same program, sequence and digest again
+// replaces it.
+func (m *Memory) PutTurn(shard uint32, turn Turn) error {
+	if err := checkName(turn.Program); err != nil {
+		return err
+	}
+	turn.Object = bytes.Clone(turn.Object)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.closed {
+		return ErrClosed
+	}
+	turns := m.write(shard).turns
+	index, found := slices.BinarySearchFunc(turns[turn.Program], turn, compareTurns)
+	if !found {
+		turns[turn.Program] = slices.Insert(slices.Clone(turns[turn.Program]), index, turn)
+		return nil
+	}
+	replaced := slices.Clone(turns[turn.Program])
+	replaced[index] = turn
+	turns[turn.Program] = replaced
+	return nil
+}
+
+// ReadTurns visits the turns as they were when it was called.
+func (m *Memory) ReadTurns(shard uint32, program string, from uint64, visit func(Turn) error) error {
+	if err := checkName(program); err != nil {
+		return err
+	}
+	m.mutex.RLock()
+	turns, closed := m.read(shard).turns[program], m.closed
+	m.mutex.RUnlock()
+	if closed {
+		return ErrClosed
+	}
+	for _, turn := range turns {
+		if turn.Sequence < from {
+			continue
+		}
+		if err := visit(copyTurn(turn)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// EachTurn visits every turn of the shard, ordered by program, sequence and
+// digest, as they were when it was called.
+func (m *Memory) EachTurn(shard uint32, visit func(Turn) error) error {
+	turns, err := m.snapshotTurns(shard)
+	if err != nil {
+		return err
+	}
+	for _, turn := range turns {
+		if err := visit(copyTurn(turn)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Memory) snapshotTurns(shard uint32) ([]Turn, error) {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	if m.closed {
+		return nil, ErrClosed
+	}
+	var all []Turn
+	programs := m.read(shard).turns
+	for _, program := range sortedKeys(programs) {
+		all = append(all, programs[program]...)
+	}
+	return all, nil
+}
+
+// DropProgram forgets the turns of the program; its register stays.
+func (m *Memory) DropProgram(shard uint32, program string) error {
+	if err := checkName(program); err != nil {
+		return err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.closed {
+		return ErrClosed
+	}
+	delete(m.write(shard).turns, program)
+	return nil
+}
+
+// LoadMeta returns nil for a name that was never saved.
+func (m *Memory) LoadMeta(shard uint32, name string) ([]byte, error) {
+	if err := checkName(name); err != nil {
+		return nil, err
+	}
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	if m.closed {
+		return nil, ErrClosed
+	}
+	return bytes.Clone(m.read(shard).meta[name]), nil
+}
+
+// SaveMeta replaces the value; an empty one removes it.
+func (m *Memory) SaveMeta(shard uint32, name string, value []byte) error {
+	if err := checkName(name); err != nil {
+		return err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.closed {
+		return ErrClosed
+	}
+	if len(value) == 0 {
+		delete(m.write(shard).meta, name)
+		return nil
+	}
+	m.write(shard).meta[name] = bytes.Clone(value)
+	return nil
+}
+
+// DropShard forgets the registers, turns and meta values of the shard.
+func (m *Memory) DropShard(shard uint32) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.closed {
+		return ErrClosed
+	}
+	delete(m.shards, shard)
+	return nil
+}
+
+// Close releases what is kept; the data is gone.
+func (m *Memory) Close() error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.closed = true
+	m.shards = nil
+	return nil
+}
+
+// read returns the shard, or an empty one that isn't kept.
+func (m *Memory) read(shard uint32) *memoryShard {
+	if existing, found := m.shards[shard]; found {
+		return existing
+	}
+	return &memoryShard{}
+}
+
+// write returns the shard and creates it where there is none.
+func (m *Memory) write(shard uint32) *memoryShard {
+	if existing, found := m.shards[shard]; found {
+		return existing
+	}
+	created := &memoryShard{
+		registers: make(map[string]Register),
+		meta:      make(map[string][]byte),
+		turns:     make(map[string][]Turn),
+	}
+	m.shards[shard] = created
+	return created
+}
+
+func checkName(name string) error {
+	if name == "" || len(name) > MaxNameBytes || strings.IndexByte(name, 0) >= 0 {
+		return merry.Errorf("%w: %.64q, want 1 to %d bytes without a zero byte", ErrName, name, MaxNameBytes)
+	}
+	return nil
+}
+
+func copyRegister(state Register) Register {
+	if len(state.Value) == 0 {
+		state.Value = nil
+		return state
+	}
+	state.Value = bytes.Clone(state.Value)
+	return state
+}
+
+func copyTurn(turn Turn) Turn {
+	turn.Object = bytes.Clone(turn.Object)
+	return turn
+}
+
+func compareTurns(a, b Turn) int {
+	if a.Sequence != b.Sequence {
+		if a.Sequence < b.Sequence {
+			return -1
+		}
+		return 1
+	}
+	return bytes.Compare(a.Digest[:], b.Digest[:])
+}
+
+func sortedKeys[V any](entries map[string]V) []string {
+	keys := make([]string, 0, len(entries))
+	for key := range entries {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
