--- /dev/null
+++ b/coordination/fleet/fleet.go
@@ -0,0 +1,271 @@
+// Package fleet keeps what one node knows of the engines and chooses among
+// them: the engines of the configuration, their lagging load, the node's own
+// work, where programs have their context, and who is leaving. The decision
+// itself is routing.Choose, a pure function of the snapshot made here.
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/coordination/routing"
+	"github.com/marblering/marblering/state/program"
+)
+
+// Engine is an engine of the configuration.
+type Engine struct {
+	Name       string
+	Address    string
+	Zone       string
+	Generation string
+	Role       string
+	Models     []string
+	Adapters   []string
+	// Leaving engines receive no new work.
+	Leaving bool
+}
+
+// Load is what an engine reports of itself.
+type Load struct {
+	Running           int
+	Waiting           int
+	OutstandingTokens uint64
+	CacheUsed         uint64
+	CacheLimit        uint64
+	PrefillSpeed      float64
+	DecodeSpeed       float64
+	Leaving           bool
+}
+
+// Reporter asks an engine for its load.
+type Reporter interface {
+	Load(ctx context.Context, address string) (Load, error)
+}
+
+// Options holds what a Fleet is made of.
+type Options struct {
+	Zone     string
+	Reporter Reporter
+	Weights  func() routing.Weights
+	Now      func() time.Time
+	Random   *rand.Rand
+	Logger   *zap.Logger
+	// PollInterval is the pause between two load reports of an engine.
+	PollInterval time.Duration
+	// MaxQueue is the longest expected queueing before a call is shed.
+	MaxQueue time.Duration
+	// OnLeaving is told of an engine that says it takes no more work; nil for
+	// nobody.
+	OnLeaving func(engine string, leaving bool)
+}
+
+// Bounds of a fleet's memory and of its polling.
+const (
+	// maxPolled bounds the engines one node polls, so that the polling of a
+	// large fleet doesn't grow with the product of nodes and engines.
+	maxPolled       = 32
+	pollConcurrency = 8
+	localityLimit   = 20000
+	eventLag        = 5 * time.Second
+	// doubtTime is how long an engine that failed an attempt counts as ejected.
+	doubtTime = 2 * time.Second
+)
+
+// Fleet implements execution.Router.
+type Fleet struct {
+	Options
+	// table is replaced as a whole: a decision reads it without a lock.
+	table    atomic.Pointer[table]
+	writing  sync.Mutex
+	random   sync.Mutex
+	ledger   *routing.Ledger
+	locality *routing.Locality
+	speeds   *routing.Speeds
+	journal  *journal
+}
+
+// table is an immutable list of engines.
+type table struct {
+	engines []engineEntry
+}
+
+type engineEntry struct {
+	Engine
+	load       Load
+	reportedAt time.Time
+	// evidence is set where the engine or a peer said that it is leaving.
+	evidence bool
+	// doubtedUntil ejects an engine for a while after a failed attempt.
+	doubtedUntil time.Time
+}
+
+var _ execution.Router = (*Fleet)(nil)
+
+// New makes a fleet without engines.
+func New(options Options) *Fleet {
+	f := &Fleet{
+		Options:  options,
+		ledger:   routing.NewLedger(),
+		locality: routing.NewLocality(localityLimit, eventLag),
+		speeds:   routing.NewSpeeds(),
+		journal:  newJournal(),
+	}
+	f.table.Store(&table{})
+	return f
+}
+
+// SetEngines replaces the list of engines; what is known of those that stay is
+// kept.
+func (f *Fleet) SetEngines(engines []Engine) {
+	f.update(func(entries []engineEntry) []engineEntry {
+		next := make([]engineEntry, 0, len(engines))
+		for _, engine := range engines {
+			entry := engineEntry{Engine: engine}
+			if index := find(entries, engine.Name); index >= 0 {
+				entry = entries[index]
+				entry.Engine = engine
+			}
+			next = append(next, entry)
+		}
+		for _, former := range entries {
+			if find(next, former.Name) < 0 {
+				f.forget(former.Name)
+			}
+		}
+		return next
+	})
+}
+
+func (f *Fleet) forget(engine string) {
+	f.ledger.Forget(engine)
+	f.locality.ForgetEngine(engine)
+	f.speeds.Forget(engine)
+}
+
+// MarkLeaving takes in evidence, from the engine or from a peer, that the
+// engine takes no more work, or takes work again.
+func (f *Fleet) MarkLeaving(engine string, leaving bool) {
+	f.change(engine, func(entry *engineEntry) { entry.evidence = leaving })
+}
+
+// update replaces the table by what the function makes of a copy.
+func (f *Fleet) update(make func([]engineEntry) []engineEntry) {
+	f.writing.Lock()
+	defer f.writing.Unlock()
+	f.table.Store(&table{engines: make(slices.Clone(f.table.Load().engines))})
+}
+
+func (f *Fleet) change(engine string, change func(*engineEntry)) {
+	f.update(func(entries []engineEntry) []engineEntry {
+		if index := find(entries, engine); index >= 0 {
+			change(&entries[index])
+		}
+		return entries
+	})
+}
+
+func find(entries []engineEntry, name string) int {
+	return slices.IndexFunc(entries, func(entry engineEntry) bool { return entry.Name == name })
+}
+
+// Engines returns the engines as a decision would see them.
+func (f *Fleet) Engines() []routing.EngineState {
+	now := f.Now()
+	entries := f.table.Load().engines
+	states := make([]routing.EngineState, len(entries))
+	for index := range entries {
+		states[index] = f.state(&entries[index], now)
+	}
+	return states
+}
+
+func (f *Fleet) state(entry *engineEntry, now time.Time) routing.EngineState {
+	learned := f.speeds.Of(entry.Name)
+	return routing.EngineState{
+		Name:              entry.Name,
+		Address:           entry.Address,
+		Zone:              entry.Zone,
+		Generation:        entry.Generation,
+		Role:              entry.Role,
+		Models:            entry.Models,
+		Adapters:          entry.Adapters,
+		Leaving:           entry.Leaving || entry.evidence,
+		Ejected:           now.Before(entry.doubtedUntil),
+		Running:           entry.load.Running,
+		Waiting:           entry.load.Waiting,
+		OutstandingTokens: entry.load.OutstandingTokens,
+		ReportedAt:        entry.reportedAt,
+		PrefillSpeed:      firstPositive(learned.Prefill, entry.load.PrefillSpeed),
+		DecodeSpeed:       firstPositive(learned.Decode, entry.load.DecodeSpeed),
+		CacheLimit:        entry.load.CacheLimit,
+		CacheUsed:         entry.load.CacheUsed,
+	}
+}
+
+func firstPositive(values ...float64) float64 {
+	for _, value := range values {
+		if value > 0 {
+			return value
+		}
+	}
+	return 0
+}
+
+// Choose decides which engine serves the attempt and reserves the work.
+func (f *Fleet) Choose(_ context.Context, query execution.Query) (execution.Choice, error) {
+	snapshot := &routing.Snapshot{
+		Now:      f.Now(),
+		Engines:  f.Engines(),
+		Weights:  f.Weights(),
+		Pending:  f.ledger,
+		MaxQueue: f.MaxQueue,
+	}
+	request := &routing.Request{
+		Program:        query.Program,
+		Root:           program.RootOf(query.Program),
+		Tenant:         query.Tenant,
+		Model:          query.Model,
+		Adapter:        query.Adapter,
+		Zone:           f.Zone,
+		HistoryTokens:  query.HistoryTokens,
+		NewTokens:      query.NewTokens,
+		OutputTokens:   query.OutputTokens,
+		AttainedTokens: query.AttainedTokens,
+		Priority:       query.Priority,
+		Deadline:       query.Deadline,
+		CachedOn:       f.cachedOn(query),
+		Excluded:       query.Excluded,
+	}
+	decision := f.decide(snapshot, request)
+	f.journal.add(query.Program, decision, snapshot.Now)
+	if decision.Err != nil {
+		return execution.Choice{}, decision.Err
+	}
+	return f.reserve(query, request, decision), nil
+}
+
+func (f *Fleet) decide(snapshot *routing.Snapshot, request *routing.Request) routing.Decision {
+	f.random.Lock()
+	defer f.random.Unlock()
+	return routing.Choose(snapshot, request, f.Random)
+}
+
+// cachedOn falls back to the record's holds where this node has seen nothing of
+// the program itself, as after a change of nodes.
+func (f *Fleet) cachedOn(query execution.Query) []routing.Cached {
+	cached := f.locality.CachedOn(query.Program)
+	if len(cached) > 0 || query.HistoryTokens == 0 {
+		return cached
+	}
+	for _, engine := range query.HeldBy {
+		cached = append(cached, routing.Cached{Engine: engine, Tokens: query.HistoryTokens})
+	}
+	return cached
+}
--- /dev/null
+++ b/coordination/fleet/reserve.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"errors"
+	"sync/atomic"
+
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/coordination/routing"
+)
+
+// reserve records the decided work until the attempt is over.
+func (f *Fleet) reserve(query execution.Query, request *routing.Request, decision routing.Decision) execution.Choice {
+	name := f.journal.nextName(query.Program)
+	now := f.Now()
+	f.ledger.Reserve(decision.Engine, name, decision.Work, now)
+	f.locality.Dispatched(query.Program, decision.Engine, request.PromptTokens(), now)
+	released := &atomic.Bool{}
+	return execution.Choice{
+		Engine:   decision.Engine,
+		Address:  decision.Address,
+		Priority: int64(decision.Priority),
+		Reason:   decision.Reason,
+		Release: func(report execution.AttemptReport) {
+			if released.CompareAndSwap(false, true) {
+				f.release(decision.Engine, name, report)
+			}
+		},
+	}
+}
+
+// release gives the room back and learns from how the attempt went.
+func (f *Fleet) release(engine, name string, report execution.AttemptReport) {
+	now := f.Now()
+	f.ledger.Release(engine, name, now)
+	if report.Err == nil {
+		f.learn(engine, report)
+		return
+	}
+	var failure *execution.EngineError
+	if !errors.As(report.Err, &failure) {
+		return
+	}
+	f.locality.Lost(report.Program, engine)
+	if report.Leaving {
+		f.MarkLeaving(engine, true)
+		f.tellLeaving(engine, true)
+		return
+	}
+	f.change(engine, func(entry *engineEntry) { entry.doubtedUntil = now.Add(doubtTime) })
+}
+
+func (f *Fleet) tellLeaving(engine string, leaving bool) {
+	if f.OnLeaving != nil {
+		f.OnLeaving(engine, leaving)
+	}
+}
+
+func (f *Fleet) learn(engine string, report execution.AttemptReport) {
+	usage := report.Usage
+	f.locality.Answered(report.Program, engine, usage.PromptTokens+usage.OutputTokens, f.Now())
+	if usage.CachedTokens > usage.PromptTokens || report.FirstText <= 0 {
+		return
+	}
+	f.speeds.Observe(engine, routing.Observation{
+		ComputedTokens: usage.PromptTokens - usage.CachedTokens,
+		PrefillTime:    report.FirstText,
+		OutputTokens:   usage.OutputTokens,
+		DecodeTime:     report.Total - report.FirstText,
+	})
+}
--- /dev/null
+++ b/transport/peer/client.go
@@ -0,0 +1,195 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/marblering/marblering/api/peer/v1"
+	"github.com/marblering/marblering/api/peer/v1/peerv1connect"
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/state/replica"
+)
+
+// Client sends requests to other nodes. It is safe for concurrent use.
+type Client struct {
+	http    *http.Client
+	timeout time.Duration
+}
+
+var (
+	_ register.Transport = (*Client)(nil)
+	_ archive.Replicas   = (*Client)(nil)
+	_ execution.Peers    = (*Client)(nil)
+)
+
+// NewClient makes a client whose requests end after the timeout at the latest.
+func NewClient(httpClient *http.Client, timeout time.Duration) *Client {
+	return &Client{http: httpClient, timeout: timeout}
+}
+
+func (c *Client) replica(address string) peerv1connect.ReplicaServiceClient {
+	return peerv1connect.NewReplicaServiceClient(c.http, "http://"+address)
+}
+
+func (c *Client) node(address string) peerv1connect.NodeServiceClient {
+	return peerv1connect.NewNodeServiceClient(c.http, "http://"+address)
+}
+
+func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, c.timeout)
+}
+
+// Prepare implements register.Transport.
+func (c *Client) Prepare(ctx context.Context, member register.Member, request register.PrepareRequest) (register.PrepareReply, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.replica(member.Address).Prepare(ctx, connect.NewRequest(&peerv1.PrepareRequest{
+		Fence:  fenceToWire(request.Fence),
+		Key:    request.Key,
+		Ballot: ballotToWire(request.Ballot),
+	}))
+	if err != nil {
+		return register.PrepareReply{}, err
+	}
+	message := response.Msg
+	return register.PrepareReply{
+		Refusal:              register.Refusal(message.GetRefusal()),
+		Promised:             ballotFromWire(message.GetPromised()),
+		Accepted:             ballotFromWire(message.GetAccepted()),
+		Value:                message.GetValue(),
+		View:                 ViewFromWire(message.GetView()),
+		ConfigurationVersion: message.GetConfigurationVersion(),
+	}, nil
+}
+
+// Accept implements register.Transport.
+func (c *Client) Accept(ctx context.Context, member register.Member, request register.AcceptRequest) (register.AcceptReply, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.replica(member.Address).Accept(ctx, connect.NewRequest(&peerv1.AcceptRequest{
+		Fence:  fenceToWire(request.Fence),
+		Key:    request.Key,
+		Ballot: ballotToWire(request.Ballot),
+		Value:  request.Value,
+		Next:   ballotToWire(request.Next),
+	}))
+	if err != nil {
+		return register.AcceptReply{}, err
+	}
+	message := response.Msg
+	return register.AcceptReply{
+		Refusal:              register.Refusal(message.GetRefusal()),
+		Promised:             ballotFromWire(message.GetPromised()),
+		View:                 ViewFromWire(message.GetView()),
+		ConfigurationVersion: message.GetConfigurationVersion(),
+	}, nil
+}
+
+// PutTurn implements archive.Replicas.
+func (c *Client) PutTurn(ctx context.Context, member register.Member, fence register.Fence, turn replica.Turn) (archive.Reply, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.replica(member.Address).PutTurn(ctx, connect.NewRequest(&peerv1.PutTurnRequest{
+		Fence:    fenceToWire(fence),
+		Program:  turn.Program,
+		Sequence: turn.Sequence,
+		Digest:   turn.Digest[:],
+		Object:   turn.Object,
+	}))
+	if err != nil {
+		return archive.Reply{}, err
+	}
+	return archive.Reply{
+		Refusal: register.Refusal(response.Msg.GetRefusal()),
+		View:    ViewFromWire(response.Msg.GetView()),
+	}, nil
+}
+
+// ReadTurns implements archive.Replicas.
+func (c *Client) ReadTurns(ctx context.Context, member register.Member, fence register.Fence, program string, from uint64) ([]replica.Turn, archive.Reply, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	stream, err := c.replica(member.Address).ReadTurns(ctx, connect.NewRequest(&peerv1.ReadTurnsRequest{
+		Fence:        fenceToWire(fence),
+		Program:      program,
+		FromSequence: from,
+	}))
+	if err != nil {
+		return nil, archive.Reply{}, err
+	}
+	defer stream.Close()
+	var turns []replica.Turn
+	for stream.Receive() {
+		message := stream.Msg()
+		if message.GetRefusal() != peerv1.Refusal_REFUSAL_UNSPECIFIED {
+			return nil, archive.Reply{
+				Refusal: register.Refusal(message.GetRefusal()),
+				View:    ViewFromWire(message.GetView()),
+			}, nil
+		}
+		turn, err := turnFromWire(message.GetTurn())
+		if err != nil {
+			return nil, archive.Reply{}, err
+		}
+		turns = append(turns, turn)
+	}
+	return turns, archive.Reply{}, stream.Err()
+}
+
+// AttemptStatus implements execution.Peers.
+func (c *Client) AttemptStatus(ctx context.Context, address, executor, program string, sequence uint64, attempt uint32) execution.AttemptState {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.node(address).AttemptStatus(ctx, connect.NewRequest(&peerv1.AttemptStatusRequest{
+		Program:  program,
+		Sequence: sequence,
+		Attempt:  attempt,
+		Executor: executor,
+	}))
+	if err != nil {
+		return execution.AttemptUnreachable
+	}
+	if response.Msg.GetRunning() {
+		return execution.AttemptRunning
+	}
+	return execution.AttemptLost
+}
+
+// Exchange runs one round of gossip with the node at the address.
+func (c *Client) Exchange(ctx context.Context, address string, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.node(address).Exchange(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// FetchConfiguration asks the node at the address for what is newer than the
+// known version.
+func (c *Client) FetchConfiguration(ctx context.Context, address string, request *peerv1.FetchConfigurationRequest) (*peerv1.FetchConfigurationResponse, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.node(address).FetchConfiguration(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// InstallConfiguration gives the node at the address configuration objects.
+func (c *Client) InstallConfiguration(ctx context.Context, address string, request *peerv1.InstallConfigurationRequest) (*peerv1.InstallConfigurationResponse, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.node(address).InstallConfiguration(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
--- /dev/null
+++ b/transport/peer/server.go
@@ -0,0 +1,139 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/marblering/marblering/api/peer/v1"
+	"github.com/marblering/marblering/api/peer/v1/peerv1connect"
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/state/replica"
+)
+
+// maxMessageBytes bounds one message: the largest turn and some room.
+const maxMessageBytes = 20 << 20
+
+// Replica is this node's share of the shards.
+type Replica interface {
+	Prepare(ctx context.Context, request register.PrepareRequest) register.PrepareReply
+	Accept(ctx context.Context, request register.AcceptRequest) register.AcceptReply
+	PutTurn(ctx context.Context, fence register.Fence, turn replica.Turn) archive.Reply
+	ReadTurns(ctx context.Context, fence register.Fence, program string, from uint64, visit func(replica.Turn) error) (archive.Reply, error)
+}
+
+// Node answers what isn't about a shard. The messages are those of the wire:
+// each of them is owned by one coordination package.
+type Node interface {
+	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) *peerv1.ExchangeResponse
+	AttemptStatus(request *peerv1.AttemptStatusRequest) *peerv1.AttemptStatusResponse
+	FetchConfiguration(request *peerv1.FetchConfigurationRequest) *peerv1.FetchConfigurationResponse
+	InstallConfiguration(request *peerv1.InstallConfigurationRequest) (*peerv1.InstallConfigurationResponse, error)
+}
+
+// NewHandler serves the internal protocol.
+func NewHandler(replica Replica, node Node) http.Handler {
+	mux := http.NewServeMux()
+	limit := connect.WithReadMaxBytes(maxMessageBytes)
+	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica}, limit))
+	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, limit))
+	return mux
+}
+
+type replicaServer struct {
+	peerv1connect.UnimplementedReplicaServiceHandler
+	replica Replica
+}
+
+func (s *replicaServer) Prepare(ctx context.Context, request *connect.Request[peerv1.PrepareRequest]) (*connect.Response[peerv1.PrepareResponse], error) {
+	reply := s.replica.Prepare(ctx, register.PrepareRequest{
+		Fence:  fenceFromWire(request.Msg.GetFence()),
+		Key:    request.Msg.GetKey(),
+		Ballot: ballotFromWire(request.Msg.GetBallot()),
+	})
+	return connect.NewResponse(&peerv1.PrepareResponse{
+		Refusal:              peerv1.Refusal(reply.Refusal),
+		Promised:             ballotToWire(reply.Promised),
+		Accepted:             ballotToWire(reply.Accepted),
+		Value:                reply.Value,
+		View:                 ViewToWire(reply.View),
+		ConfigurationVersion: reply.ConfigurationVersion,
+	}), nil
+}
+
+func (s *replicaServer) Accept(ctx context.Context, request *connect.Request[peerv1.AcceptRequest]) (*connect.Response[peerv1.AcceptResponse], error) {
+	reply := s.replica.Accept(ctx, register.AcceptRequest{
+		Fence:  fenceFromWire(request.Msg.GetFence()),
+		Key:    request.Msg.GetKey(),
+		Ballot: ballotFromWire(request.Msg.GetBallot()),
+		Value:  request.Msg.GetValue(),
+		Next:   ballotFromWire(request.Msg.GetNext()),
+	})
+	return connect.NewResponse(&peerv1.AcceptResponse{
+		Refusal:              peerv1.Refusal(reply.Refusal),
+		Promised:             ballotToWire(reply.Promised),
+		View:                 ViewToWire(reply.View),
+		ConfigurationVersion: reply.ConfigurationVersion,
+	}), nil
+}
+
+func (s *replicaServer) PutTurn(ctx context.Context, request *connect.Request[peerv1.PutTurnRequest]) (*connect.Response[peerv1.PutTurnResponse], error) {
+	digest, err := digestFromWire(request.Msg.GetDigest())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	reply := s.replica.PutTurn(ctx, fenceFromWire(request.Msg.GetFence()), replica.Turn{
+		Program:  request.Msg.GetProgram(),
+		Sequence: request.Msg.GetSequence(),
+		Digest:   digest,
+		Object:   request.Msg.GetObject(),
+	})
+	return connect.NewResponse(&peerv1.PutTurnResponse{
+		Refusal: peerv1.Refusal(reply.Refusal),
+		View:    ViewToWire(reply.View),
+	}), nil
+}
+
+func (s *replicaServer) ReadTurns(ctx context.Context, request *connect.Request[peerv1.ReadTurnsRequest], stream *connect.ServerStream[peerv1.ReadTurnsResponse]) error {
+	fence := fenceFromWire(request.Msg.GetFence())
+	reply, err := s.replica.ReadTurns(ctx, fence, request.Msg.GetProgram(), request.Msg.GetFromSequence(), func(turn replica.Turn) error {
+		return stream.Send(&peerv1.ReadTurnsResponse{Turn: turnToWire(turn)})
+	})
+	if err != nil {
+		return err
+	}
+	if reply.Refusal == register.RefusalNone {
+		return nil
+	}
+	return stream.Send(&peerv1.ReadTurnsResponse{
+		Refusal: peerv1.Refusal(reply.Refusal),
+		View:    ViewToWire(reply.View),
+	})
+}
+
+type nodeServer struct {
+	peerv1connect.UnimplementedNodeServiceHandler
+	node Node
+}
+
+func (s *nodeServer) Exchange(ctx context.Context, request *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	return connect.NewResponse(s.node.Exchange(ctx, request.Msg)), nil
+}
+
+func (s *nodeServer) AttemptStatus(_ context.Context, request *connect.Request[peerv1.AttemptStatusRequest]) (*connect.Response[peerv1.AttemptStatusResponse], error) {
+	return connect.NewResponse(s.node.AttemptStatus(request.Msg)), nil
+}
+
+func (s *nodeServer) FetchConfiguration(_ context.Context, request *connect.Request[peerv1.FetchConfigurationRequest]) (*connect.Response[peerv1.FetchConfigurationResponse], error) {
+	return connect.NewResponse(s.node.FetchConfiguration(request.Msg)), nil
+}
+
+func (s *nodeServer) InstallConfiguration(_ context.Context, request *connect.Request[peerv1.InstallConfigurationRequest]) (*connect.Response[peerv1.InstallConfigurationResponse], error) {
+	response, err := s.node.InstallConfiguration(request.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return connect.NewResponse(response), nil
+}
