--- /dev/null
+++ b/protocol/objectapi/errors.go
@@ -0,0 +1,71 @@
+package objectapi
+
+import "fmt"
+
+// Conflict says that the write's condition didn't hold: nothing was done.
+type Conflict struct {
+	// Current is the object as it stands.
+	Current Object
+}
+
+func (e *Conflict) Error() string {
+	return fmt.Sprintf("object %s/%s is at version %d", e.Current.Kind, e.Current.Name, e.Current.Version)
+}
+
+// NotFound says that the object doesn't exist: nothing was done.
+type NotFound struct {
+	Kind string
+	Name string
+}
+
+func (e *NotFound) Error() string {
+	return fmt.Sprintf("object %s/%s doesn't exist", e.Kind, e.Name)
+}
+
+// TooOld says that the store's log no longer reaches back to the revision of a
+// watch: everything must be listed again.
+type TooOld struct {
+	From uint64
+}
+
+func (e *TooOld) Error() string {
+	return fmt.Sprintf("revision %d is too old to watch from", e.From)
+}
+
+// Unavailable says that the request certainly wasn't done: no connection was
+// made, or the object API said that it doesn't serve now.
+type Unavailable struct {
+	Action string
+	Cause  error
+}
+
+func (e *Unavailable) Error() string {
+	return fmt.Sprintf("%s: object API unavailable, nothing done: %v", e.Action, e.Cause)
+}
+
+func (e *Unavailable) Unwrap() error { return e.Cause }
+
+// Unresolved says that the answer was lost: the request may have taken effect,
+// or may yet do so.
+type Unresolved struct {
+	Action string
+	Cause  error
+}
+
+func (e *Unresolved) Error() string {
+	return fmt.Sprintf("%s: answer lost, it may have taken effect: %v", e.Action, e.Cause)
+}
+
+func (e *Unresolved) Unwrap() error { return e.Cause }
+
+// Refused says that the object API found the request at fault: nothing was
+// done, and the same request will be refused again.
+type Refused struct {
+	Action  string
+	Status  int
+	Message string
+}
+
+func (e *Refused) Error() string {
+	return fmt.Sprintf("%s: refused with status %d: %s", e.Action, e.Status, e.Message)
+}
--- /dev/null
+++ b/protocol/objectapi/watch.go
@@ -0,0 +1,87 @@
+package objectapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrSilent ends a watch that got neither an event nor a bookmark for too long:
+// its connection is taken for dead.
+var ErrSilent = merry.Sentinel("the watch was silent for too long")
+
+// Watch calls visit for every event after the revision, in order, until visit
+// or the connection fails or the context ends. It always returns an error:
+// *TooOld where the store's log doesn't reach back to the revision, ErrSilent
+// where nothing came for the duration of silence (0 for no limit).
+func (c *Client) Watch(ctx context.Context, from uint64, silence time.Duration, visit func(Event) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	guard := newSilenceGuard(silence, cancel)
+	defer guard.stop()
+	err := c.watch(ctx, from, guard, visit)
+	if cause := context.Cause(ctx); cause != nil {
+		return merry.Prependf(cause, "watch from revision %d", from)
+	}
+	return err
+}
+
+func (c *Client) watch(ctx context.Context, from uint64, guard *silenceGuard, visit func(Event) error) error {
+	path := fmt.Sprintf("/watch?from=%d", from)
+	action := "read " + path
+	response, err := c.send(ctx, http.MethodGet, path, Condition{}, nil)
+	if err != nil {
+		return &Unavailable{Action: action, Cause: err}
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusGone:
+		return &TooOld{From: from}
+	default:
+		return statusError(action, response, false)
+	}
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var event Event
+		if err := decoder.Decode(&event); err != nil {
+			return &Unavailable{Action: action, Cause: err}
+		}
+		guard.heard()
+		if err := visit(event); err != nil {
+			return err
+		}
+	}
+}
+
+// silenceGuard ends a context when nothing was heard for a while.
+type silenceGuard struct {
+	limit time.Duration
+	timer *time.Timer
+}
+
+func newSilenceGuard(limit time.Duration, cancel context.CancelCauseFunc) *silenceGuard {
+	if limit <= 0 {
+		return &silenceGuard{}
+	}
+	return &silenceGuard{
+		limit: limit,
+		timer: time.AfterFunc(limit, func() { cancel(ErrSilent) }),
+	}
+}
+
+func (g *silenceGuard) heard() {
+	if g.timer != nil {
+		g.timer.Reset(g.limit)
+	}
+}
+
+func (g *silenceGuard) stop() {
+	if g.timer != nil {
+		g.timer.Stop()
+	}
+}
