Add the callers' API: programs and chat completions with SSE

Cause: callers need programs as a resource and calls in the OpenAI dialect, whole and streamed, with codes that say what happened. Ruled out: sending the response header before the first text (an engine that fails before would come as 200); cancelling a call with its caller's connection (its answer would be lost for the repeat). Change: protocol/callerapi checks headers and bodies, naming the field at fault, and answers from an execution.Service. Metrics go to an Observer.

--- /dev/null
+++ b/protocol/callerapi/handler.go
@@ -0,0 +1,191 @@
+// Package callerapi serves the callers' HTTP API: programs as a resource, and
+// their calls in the OpenAI chat-completions dialect, whole or as a stream of
+// server-sent events (WHATWG HTML, "Server-sent events").
+//
+// The package checks requests and writes answers; what a request does is up to
+// an [execution.Service]. A request that fails its checks never reaches the
+// service. A call that has reached it runs to its end also when the caller's
+// connection is lost: the stored answer waits for a repeat of the same
+// idempotency key.
+package callerapi
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/state/result"
+)
+
+// Defaults of the options.
+const (
+	DefaultBodyLimit     = 8 << 20
+	DefaultBodyTimeout   = 30 * time.Second
+	DefaultWriteTimeout  = 30 * time.Second
+	DefaultInFlightLimit = 16384
+	DefaultRetryAfter    = time.Second
+)
+
+// Tenants tells whose key a bearer key is.
+type Tenants interface {
+	// TenantOf returns the name of the tenant that has the key; found is false
+	// where none has. It is called for every request and must not block.
+	TenantOf(apiKey string) (tenant string, found bool)
+}
+
+// Options are the parts and settings of a [Handler]. Service and Tenants are
+// required; a zero value elsewhere takes the default.
+type Options struct {
+	Service execution.Service
+	Tenants Tenants
+	// Logger gets one line a request; nil logs nothing.
+	Logger *zap.Logger
+	// Observer feeds the metrics; nil is none.
+	Observer Observer
+	// Now is the clock of deadlines and durations; nil is time.Now.
+	Now func() time.Time
+	// Random makes the idempotency keys of calls that come without one; nil is
+	// the system's random source. It must be safe for concurrent use.
+	Random io.Reader
+	// BodyLimit is the greatest size of a request body in bytes.
+	BodyLimit int64
+	// BodyTimeout is how long the caller may take to send a body.
+	BodyTimeout time.Duration
+	// WriteTimeout is how long one write may wait for a caller that doesn't
+	// read; after that the connection counts as lost.
+	WriteTimeout time.Duration
+	// InFlightLimit is how many requests are served at one time; more are
+	// refused as overloaded.
+	InFlightLimit int
+	// RetryAfter is the pause that a caller is asked for where an error allows
+	// a repeat and names no pause itself.
+	RetryAfter time.Duration
+}
+
+func (o *Options) setDefaults() {
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Observer == nil {
+		o.Observer = ignoreObservations{}
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Random == nil {
+		o.Random = rand.Reader
+	}
+	if o.BodyLimit == 0 {
+		o.BodyLimit = DefaultBodyLimit
+	}
+	if o.BodyTimeout == 0 {
+		o.BodyTimeout = DefaultBodyTimeout
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = DefaultWriteTimeout
+	}
+	if o.InFlightLimit == 0 {
+		o.InFlightLimit = DefaultInFlightLimit
+	}
+	if o.RetryAfter == 0 {
+		o.RetryAfter = DefaultRetryAfter
+	}
+}
+
+// Handler serves the caller API. It is safe for concurrent use.
+type Handler struct {
+	options  Options
+	routes   *http.ServeMux
+	inFlight *inFlight
+	// running is the context of every call; see Abort.
+	running context.Context
+	abort   context.CancelFunc
+}
+
+var _ http.Handler = (*Handler)(nil)
+
+// New makes a handler.
+func New(options Options) *Handler {
+	options.setDefaults()
+	running, abort := context.WithCancel(context.Background())
+	h := &Handler{
+		options:  options,
+		routes:   http.NewServeMux(),
+		inFlight: newInFlight(options.InFlightLimit),
+		running:  running,
+		abort:    abort,
+	}
+	h.handle("POST /v1/programs", "create_program", h.createProgram)
+	h.handle("GET /v1/programs/{id}", "read_program", h.readProgram)
+	h.handle("DELETE /v1/programs/{id}", "end_program", h.endProgram)
+	h.handle("POST /v1/programs/{id}/children", "create_child", h.createChild)
+	h.handle("POST /v1/programs/{id}/chat/completions", "call", h.call)
+	h.handle("/", "unknown_path", h.unknownPath)
+	return h
+}
+
+// ServeHTTP implements [http.Handler].
+func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	h.routes.ServeHTTP(writer, request)
+}
+
+// Drain refuses every request from now on with [result.Draining]; those in
+// flight go on.
+func (h *Handler) Drain() { h.inFlight.drain() }
+
+// Wait returns once a drained handler has nothing in flight, or with the
+// context's error.
+func (h *Handler) Wait(ctx context.Context) error { return h.inFlight.wait(ctx) }
+
+// InFlight returns the number of requests being served.
+func (h *Handler) InFlight() int { return h.inFlight.current() }
+
+// Abort cancels the context of the calls in flight. It is for a process that
+// must stop before Wait succeeds: the callers are told that the outcome isn't
+// known yet.
+func (h *Handler) Abort() { h.abort() }
+
+// operation serves one kind of request. A returned error is sent to the caller
+// unless the operation has begun to answer.
+type operation func(*exchange) error
+
+func (h *Handler) handle(pattern, name string, serve operation) {
+	h.routes.HandleFunc(pattern, func(writer http.ResponseWriter, request *http.Request) {
+		h.serve(name, serve, writer, request)
+	})
+}
+
+func (h *Handler) serve(name string, serve operation, writer http.ResponseWriter, request *http.Request) {
+	exchange := h.newExchange(name, writer, request)
+	err := h.admit(exchange, serve)
+	if err != nil {
+		exchange.fail(err)
+	}
+	exchange.finish()
+}
+
+func (h *Handler) admit(exchange *exchange, serve operation) error {
+	if err := h.inFlight.enter(); err != nil {
+		exchange.writer.Header().Set("Connection", "close")
+		return err
+	}
+	defer h.inFlight.leave()
+	if exchange.operation != unknownPath {
+		if err := exchange.authenticate(h.options.Tenants); err != nil {
+			return err
+		}
+	}
+	return exchange.protect(serve)
+}
+
+// unknownPath is the operation that needs no key.
+const unknownPath = "unknown_path"
+
+func (h *Handler) unknownPath(exchange *exchange) error {
+	return result.Errorf(result.UnknownPath, "no %s %s here", exchange.request.Method, exchange.request.URL.Path)
+}
--- /dev/null
+++ b/protocol/callerapi/kind.go
@@ -0,0 +1,52 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// kind is the type of a JSON value (RFC 8259, section 3), with its article.
+type kind string
+
+const (
+	kindNull    kind = "null"
+	kindBoolean kind = "a boolean"
+	kindNumber  kind = "a number"
+	kindString  kind = "a string"
+	kindArray   kind = "an array"
+	kindObject  kind = "an object"
+)
+
+// kindOf returns the kind of a syntactically right JSON value.
+func kindOf(raw json.RawMessage) kind {
+	text := strings.TrimLeft(string(raw[:min(len(raw), maxLeadingSpace)]), " \t\r\n")
+	if text == "" {
+		return kindNull
+	}
+	switch text[0] {
+	case '{':
+		return kindObject
+	case '[':
+		return kindArray
+	case '"':
+		return kindString
+	case 't', 'f':
+		return kindBoolean
+	case 'n':
+		return kindNull
+	default:
+		return kindNumber
+	}
+}
+
+// maxLeadingSpace bounds how far kindOf looks for the value's first byte. Only
+// a body can have leading space: members come without.
+const maxLeadingSpace = 64
+
+func oneOf(kinds []kind) string {
+	names := make([]string, len(kinds))
+	for i, kind := range kinds {
+		names[i] = string(kind)
+	}
+	return strings.Join(names, " or ")
+}
--- /dev/null
+++ b/protocol/callerapi/programs.go
@@ -0,0 +1,173 @@
+package callerapi
+
+import (
+	"math"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/state/result"
+)
+
+const (
+	// maxIdleLimit is the longest idle limit that a caller may set.
+	maxIdleLimit = 30 * 24 * time.Hour
+	// maxNameBytes is the greatest length of a model's or adapter's name and of
+	// the reason for an end.
+	maxNameBytes = 256
+	// defaultEndReason is recorded where the caller gives no reason.
+	defaultEndReason = "ended by its caller"
+)
+
+// Program is the JSON form of a program.
+type Program struct {
+	ID             string `json:"id"`
+	Object         string `json:"object"`
+	Parent         string `json:"parent,omitempty"`
+	Tenant         string `json:"tenant"`
+	Model          string `json:"model"`
+	Adapter        string `json:"adapter,omitempty"`
+	Priority       uint32 `json:"priority"`
+	BudgetTokens   uint64 `json:"budget_tokens"`
+	ReservedTokens uint64 `json:"reserved_tokens"`
+	SpentTokens    uint64 `json:"spent_tokens"`
+	NextSequence   uint64 `json:"next_sequence"`
+	Turns          uint64 `json:"turns"`
+	HistoryTokens  uint64 `json:"history_tokens"`
+	Ended          bool   `json:"ended"`
+	EndReason      string `json:"end_reason,omitempty"`
+}
+
+const objectProgram = "program"
+
+func newProgram(view execution.ProgramView) Program {
+	return Program{
+		ID:             view.ID,
+		Object:         objectProgram,
+		Parent:         view.Parent,
+		Tenant:         view.Tenant,
+		Model:          view.Model,
+		Adapter:        view.Adapter,
+		Priority:       view.Priority,
+		BudgetTokens:   view.BudgetTokens,
+		ReservedTokens: view.ReservedTokens,
+		SpentTokens:    view.SpentTokens,
+		NextSequence:   view.NextSequence,
+		Turns:          view.Turns,
+		HistoryTokens:  view.HistoryTokens,
+		Ended:          view.Ended,
+		EndReason:      view.EndReason,
+	}
+}
+
+func (h *Handler) createProgram(e *exchange) error {
+	key, err := parseKey(e.request.Header)
+	if err != nil {
+		return err
+	}
+	e.key = key
+	body, err := e.readBody()
+	if err != nil {
+		return err
+	}
+	request, err := parseProgramRequest(body)
+	if err != nil {
+		return err
+	}
+	request.Tenant = e.tenant
+	request.Key = key
+	view, err := h.options.Service.CreateProgram(h.running, request)
+	return e.answerProgram(http.StatusCreated, view, err)
+}
+
+func parseProgramRequest(body []byte) (execution.ProgramRequest, error) {
+	fields, err := parseBody(body)
+	if err != nil {
+		return execution.ProgramRequest{}, err
+	}
+	fields.refuseOthers("model", "adapter", "budget_tokens", "priority", "idle_limit_ms", "turn_limit")
+	fields.require("model")
+	fields.require("budget_tokens")
+	idle := fields.integer("idle_limit_ms", 1, uint64(maxIdleLimit/time.Millisecond))
+	request := execution.ProgramRequest{
+		Model:        fields.shortText("model"),
+		Adapter:      fields.shortText("adapter"),
+		BudgetTokens: fields.integer("budget_tokens", 1, math.MaxInt64),
+		Priority:     uint32(fields.integer("priority", 0, math.MaxInt32)),
+		IdleLimit:    time.Duration(idle) * time.Millisecond,
+		TurnLimit:    uint32(fields.integer("turn_limit", 1, math.MaxInt32)),
+	}
+	return request, fields.err
+}
+
+// shortText reads a name: not empty where it is given, and of bounded length.
+func (o *object) shortText(name string) string {
+	text := o.text(name)
+	if _, given := o.value(name); given && (text == "" || len(text) > maxNameBytes) {
+		o.fail(name, "1 to %d bytes are wanted, found %d", maxNameBytes, len(text))
+	}
+	return text
+}
+
+func (h *Handler) createChild(e *exchange) error {
+	key, err := parseKey(e.request.Header)
+	if err != nil {
+		return err
+	}
+	e.key = key
+	body, err := e.readBody()
+	if err != nil {
+		return err
+	}
+	if err := parseChildRequest(body); err != nil {
+		return err
+	}
+	view, err := h.options.Service.CreateChild(h.running, execution.ChildRequest{Tenant: e.tenant, Parent: e.program, Key: key})
+	return e.answerProgram(http.StatusCreated, view, err)
+}
+
+// parseChildRequest checks the body of a request for a sub-program, which takes
+// everything from its parent: the body is empty or an object without fields.
+func parseChildRequest(body []byte) error {
+	if len(body) == 0 {
+		return nil
+	}
+	fields, err := parseBody(body)
+	if err != nil {
+		return err
+	}
+	fields.refuseOthers()
+	return fields.err
+}
+
+func (h *Handler) readProgram(e *exchange) error {
+	view, err := h.options.Service.ReadProgram(e.request.Context(), e.tenant, e.program)
+	return e.answerProgram(http.StatusOK, view, err)
+}
+
+func (h *Handler) endProgram(e *exchange) error {
+	reason := e.request.URL.Query().Get("reason")
+	if len(reason) > maxNameBytes {
+		return result.Errorf(result.BadRequest, "query parameter reason: at most %d bytes are wanted, found %d", maxNameBytes, len(reason))
+	}
+	if reason == "" {
+		reason = defaultEndReason
+	}
+	view, err := h.options.Service.EndProgram(h.running, e.tenant, e.program, reason)
+	return e.answerProgram(http.StatusOK, view, err)
+}
+
+func (e *exchange) answerProgram(status int, view execution.ProgramView, err error) error {
+	if err != nil {
+		return err
+	}
+	e.program = view.ID
+	header := e.writer.Header()
+	header.Set(HeaderResult, resultNumber(result.OK))
+	if status == http.StatusCreated {
+		header.Set("Location", "/v1/programs/"+url.PathEscape(view.ID))
+	}
+	e.writeJSON(status, newProgram(view))
+	return nil
+}
--- /dev/null
+++ b/protocol/callerapi/write.go
@@ -0,0 +1,57 @@
+package callerapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// encodeJSON encodes a value without the escapes that only HTML needs.
+func encodeJSON(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(value); err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(buffer.Bytes(), "\n"), nil
+}
+
+// writeJSON answers with a whole JSON body.
+func (e *exchange) writeJSON(status int, value any) {
+	body, err := encodeJSON(value)
+	if err != nil {
+		// The types written here are the package's own; none fails to encode.
+		e.cause = err
+		status = http.StatusInternalServerError
+	}
+	header := e.writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	e.answered = true
+	e.extendWriteDeadline()
+	e.writer.WriteHeader(status)
+	if _, err := e.writer.Write(body); err != nil {
+		e.lost = true
+	}
+}
+
+// extendWriteDeadline bounds how long the next write may wait for the caller.
+// Connections know only the system's clock. A writer without deadlines, as in
+// tests, does without.
+func (e *exchange) extendWriteDeadline() {
+	_ = e.control.SetWriteDeadline(time.Now().Add(e.handler.options.WriteTimeout))
+}
+
+// setStartHeaders tells who serves the call.
+func (e *exchange) setStartHeaders() {
+	header := e.writer.Header()
+	header.Set(HeaderEngine, e.start.Engine)
+	header.Set(HeaderSequence, strconv.FormatUint(e.start.Sequence, 10))
+	header.Set(HeaderAttempt, strconv.FormatUint(uint64(e.start.Attempt), 10))
+	if e.start.Replayed {
+		header.Set(HeaderReplayed, "true")
+	}
+}
