--- /dev/null
+++ b/coordination/limit/bucket.go
@@ -0,0 +1,75 @@
+package limit
+
+import (
+	"time"
+)
+
+// Bucket is a token bucket. It is not safe for concurrent use.
+type Bucket struct {
+	rate   float64
+	burst  float64
+	level  float64
+	filled time.Time
+}
+
+// NewBucket makes an empty bucket that gains rate tokens a second up to burst.
+func NewBucket(rate, burst float64, now time.Time) Bucket {
+	return Bucket{rate: rate, burst: burst, filled: now}
+}
+
+// SetRate changes rate and burst from now on.
+func (b *Bucket) SetRate(rate, burst float64, now time.Time) {
+	b.fill(now)
+	b.rate = rate
+	b.burst = burst
+	b.level = min(b.level, burst)
+}
+
+// Add puts tokens in, up to the burst.
+func (b *Bucket) Add(tokens float64) {
+	b.level = min(b.level+tokens, b.burst)
+}
+
+// Take removes the tokens if the bucket has them all.
+func (b *Bucket) Take(tokens float64, now time.Time) bool {
+	b.fill(now)
+	if b.level < tokens {
+		return false
+	}
+	b.level -= tokens
+	return true
+}
+
+// TakeUpTo removes at most the wanted tokens and returns how many.
+func (b *Bucket) TakeUpTo(tokens float64, now time.Time) float64 {
+	b.fill(now)
+	taken := min(tokens, b.level)
+	b.level -= taken
+	return taken
+}
+
+// Wait is the time until the bucket has the tokens. More than a full bucket is
+// counted as a full one, and a bucket that never fills gives forever.
+func (b *Bucket) Wait(tokens float64, now time.Time) time.Duration {
+	b.fill(now)
+	missing := min(tokens, b.burst) - b.level
+	if missing <= 0 {
+		return 0
+	}
+	if b.rate <= 0 {
+		return forever
+	}
+	return time.Duration(missing / b.rate * float64(time.Second))
+}
+
+// forever is the pause given where nothing is going to change by itself.
+const forever = time.Hour
+
+func (b *Bucket) fill(now time.Time) {
+	elapsed := now.Sub(b.filled)
+	if elapsed <= 0 {
+		return
+	}
+	b.level = min(b.level+b.rate*elapsed.Seconds(), b.burst)
+	b.filled = now
+}
--- /dev/null
+++ b/coordination/limit/retry.go
@@ -0,0 +1,77 @@
+package limit
+
+import (
+	"sync"
+	"time"
+)
+
+// RetryPolicy sizes a retry budget.
+type RetryPolicy struct {
+	// Ratio of retries to first attempts.
+	Ratio float64
+	// MinPerSecond is always allowed, so that little traffic can be retried.
+	MinPerSecond float64
+	// Burst bounds the retries saved up.
+	Burst float64
+}
+
+// DefaultRetryPolicy allows retries to add a tenth to the load.
+func DefaultRetryPolicy() RetryPolicy {
+	return RetryPolicy{Ratio: 0.1, MinPerSecond: 0.5, Burst: 20}
+}
+
+// RetryBudget bounds the retries of a node, and of each of its tenants to half
+// of the node's, so that a failure can't multiply the load. It is the token
+// bucket of Finagle's RetryBudget, as also described in "Site Reliability
+// Engineering" (Beyer et al. 2016), chapter 21.
+type RetryBudget struct {
+	policy RetryPolicy
+
+	mutex   sync.Mutex
+	node    Bucket
+	tenants map[string]*Bucket
+}
+
+// tenantFraction of the node's retries may be used by one tenant.
+const tenantFraction = 0.5
+
+// NewRetryBudget makes a budget.
+func NewRetryBudget(policy RetryPolicy, now time.Time) *RetryBudget {
+	return &RetryBudget{
+		policy:  policy,
+		node:    NewBucket(policy.MinPerSecond, policy.Burst, now),
+		tenants: make(map[string]*Bucket),
+	}
+}
+
+// Attempted records a first attempt, which earns a part of a retry.
+func (r *RetryBudget) Attempted(tenant string, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.node.Add(r.policy.Ratio)
+	r.open(tenant, now).Add(r.policy.Ratio)
+}
+
+// Retry takes one retry; false means that the call must fail instead.
+func (r *RetryBudget) Retry(tenant string, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	own := r.open(tenant, now)
+	if own.Wait(1, now) > 0 {
+		return false
+	}
+	if !r.node.Take(1, now) {
+		return false
+	}
+	return own.Take(1, now)
+}
+
+func (r *RetryBudget) open(tenant string, now time.Time) *Bucket {
+	own, known := r.tenants[tenant]
+	if !known {
+		made := NewBucket(r.policy.MinPerSecond*tenantFraction, r.policy.Burst*tenantFraction, now)
+		own = &made
+		r.tenants[tenant] = own
+	}
+	return own
+}
--- a/coordination/routing/feasible.go
+++ b/coordination/routing/feasible.go
@@ -27,10 +27,10 @@
 
 func servesRole(offered, wanted string) bool {
 	if offered == "" {
-		offered = RoleGeneral
+		offered = RoleMixed
 	}
 	if wanted == "" {
-		wanted = RoleGeneral
+		wanted = RoleMixed
 	}
 	return offered == wanted
 }
--- a/coordination/routing/snapshot.go
+++ b/coordination/routing/snapshot.go
@@ -4,9 +4,9 @@
 	"time"
 )
 
-// Roles an engine may have. An engine without a role is general.
+// Roles an engine may have. An engine without a role is mixed.
 const (
-	RoleGeneral = "general"
+	RoleMixed = "mixed"
 	// RoleStandby engines hold weights but receive no calls.
 	RoleStandby = "standby"
 )
