--- /dev/null
+++ b/node/bootstrap.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/configuration"
+	"github.com/marblering/marblering/coordination/membership"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/protocol/objectapi"
+)
+
+const (
+	bootstrapPause = 200 * time.Millisecond
+	// settleRounds is how many looks in a row must show the same members before
+	// the first shard map is made of them, so that the nodes of a deployment
+	// that starts all at once take part.
+	settleRounds = 5
+)
+
+// bootstrap creates the first shard map, where there is none, and gives its
+// views to the map of this node. Every node runs it; the object API's
+// create-if-absent lets one win. It is a suture service that ends when done.
+type bootstrap struct {
+	platform          *objectapi.Client
+	holder            *configuration.Holder
+	members           func() *membership.Members
+	views             *shard.Map
+	shards            uint32
+	replicationFactor int
+	timeout           time.Duration
+	logger            *zap.Logger
+}
+
+// Serve waits for the shard map or makes it.
+func (b *bootstrap) Serve(ctx context.Context) error {
+	var lastMembers string
+	same := 0
+	for ctx.Err() == nil {
+		if stored, found := b.holder.Current().ShardMap(); found {
+			b.learn(stored)
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		candidates := b.candidates()
+		if names := namesOf(candidates); names == lastMembers {
+			same++
+		} else {
+			lastMembers, same = names, 0
+		}
+		if len(candidates) >= b.replicationFactor && same >= settleRounds {
+			b.create(ctx, candidates)
+		}
+		wait(ctx, bootstrapPause)
+	}
+	return ctx.Err()
+}
+
+func (b *bootstrap) candidates() []shard.Candidate {
+	var candidates []shard.Candidate
+	for _, member := range b.members().Live() {
+		if member.Leaving {
+			continue
+		}
+		candidates = append(candidates, shard.Candidate{
+			Member:        toShardMember(member),
+			HasDataFolder: member.HasDataFolder,
+		})
+	}
+	return candidates
+}
+
+func toShardMember(member membership.Member) register.Member {
+	return register.Member{
+		Node:        member.Node,
+		Incarnation: member.Incarnation,
+		Address:     member.Address,
+		Zone:        member.Zone,
+	}
+}
+
+func namesOf(candidates []shard.Candidate) string {
+	names := ""
+	for _, candidate := range candidates {
+		names += candidate.Member.Incarnation + " "
+	}
+	return names
+}
+
+// create writes the first shard map unless somebody has.
+func (b *bootstrap) create(ctx context.Context, candidates []shard.Candidate) {
+	body, err := b.shardMap(candidates)
+	if err != nil {
+		b.logger.Error("making the shard map", zap.Error(err))
+		return
+	}
+	createContext, cancel := context.WithTimeout(ctx, b.timeout)
+	defer cancel()
+	_, err = b.platform.PutResolved(createContext, string(configuration.KindShardMap), configuration.SingletonName, objectapi.IfAbsent(), body)
+	var conflict *objectapi.Conflict
+	switch {
+	case err == nil:
+		b.logger.Info("shard map created", zap.Uint32("shards", b.shards), zap.Int("nodes", len(candidates)))
+	case errors.As(err, &conflict):
+		b.logger.Info("shard map was created by another node")
+	default:
+		b.logger.Warn("shard map not created", zap.Error(err))
+	}
+}
+
+func (b *bootstrap) shardMap(candidates []shard.Candidate) (json.RawMessage, error) {
+	stored := configuration.ShardMap{
+		Header: configuration.Header{
+			WrittenBy: &configuration.WrittenBy{CommandID: uuid.NewString(), Operator: "bootstrap"},
+		},
+		ShardCount:        b.shards,
+		ReplicationFactor: uint32(b.replicationFactor),
+	}
+	for number := range b.shards {
+		var members []configuration.Member
+		for _, member := range shard.Assign(number, b.replicationFactor, candidates) {
+			members = append(members, configuration.Member(member))
+		}
+		stored.Members = append(stored.Members, members)
+	}
+	body, err := json.Marshal(stored)
+	return body, merry.Prepend(err, "encoding the shard map")
+}
+
+// learn gives the stored first views to the node's map; views of later epochs
+// that it has already stay.
+func (b *bootstrap) learn(stored *configuration.ShardMap) {
+	for number, members := range stored.Members {
+		view := register.View{Shard: uint32(number), Epoch: shard.FirstEpoch}
+		for _, member := range members {
+			view.Members = append(view.Members, register.Member(member))
+		}
+		b.views.Learn(view)
+	}
+}
--- /dev/null
+++ b/node/configuration.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/marblering/marblering/coordination/configuration"
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/coordination/fleet"
+	"github.com/marblering/marblering/coordination/routing"
+	"github.com/marblering/marblering/protocol/callerapi"
+)
+
+// catalog answers questions about the configuration in force. Each answer is
+// read from the newest snapshot.
+type catalog struct {
+	holder *configuration.Holder
+}
+
+var (
+	_ execution.Catalog = catalog{}
+	_ callerapi.Tenants = catalog{}
+)
+
+// Model implements execution.Catalog.
+func (c catalog) Model(name string) (execution.Model, bool) {
+	model, found := c.holder.Current().Model(name)
+	if !found {
+		return execution.Model{}, false
+	}
+	return execution.Model{ContextTokens: model.ContextTokens, OutputTokens: model.DefaultMaxTokens}, true
+}
+
+// Adapter implements execution.Catalog.
+func (c catalog) Adapter(name, model string) bool {
+	adapter, found := c.holder.Current().Adapter(name)
+	return found && adapter.Model == model
+}
+
+// TenantOf implements callerapi.Tenants.
+func (c catalog) TenantOf(apiKey string) (string, bool) {
+	digest := sha256.Sum256([]byte(apiKey))
+	tenant, found := c.holder.Current().TenantByKey(hex.EncodeToString(digest[:]))
+	if !found {
+		return "", false
+	}
+	return tenant.Name, true
+}
+
+// weights gives the deployment's weights of latency and wasted cache.
+func (c catalog) weights() routing.Weights {
+	configured := c.holder.Current().Weights()
+	weights := routing.LatencyWeights()
+	weights.Latency = configured.Latency
+	weights.WastedCache = configured.WastedCache
+	return weights
+}
+
+// fleetEngines are the engines of the configuration as the fleet needs them.
+func (c catalog) fleetEngines() []fleet.Engine {
+	var engines []fleet.Engine
+	for _, engine := range c.holder.Current().Engines() {
+		if engine.Stopped {
+			continue
+		}
+		engines = append(engines, fleet.Engine{
+			Name:       engine.Name,
+			Address:    engine.Address,
+			Zone:       engine.Zone,
+			Generation: engine.Generation,
+			Models:     engine.Models,
+			Adapters:   engine.Adapters,
+			Leaving:    engine.Draining,
+		})
+	}
+	return engines
+}
+
+// engineFollower keeps the fleet's engines at what the configuration says. It
+// is a suture service.
+type engineFollower struct {
+	catalog catalog
+	fleet   *fleet.Fleet
+}
+
+// Serve follows the configuration until the context ends.
+func (f *engineFollower) Serve(ctx context.Context) error {
+	for {
+		changed := f.catalog.holder.Changed()
+		f.fleet.SetEngines(f.catalog.fleetEngines())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/node/engine.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"context"
+	"errors"
+
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/coordination/fleet"
+	"github.com/marblering/marblering/protocol/engineapi"
+)
+
+// engines adapts the client of the engine dialect to call execution and to the
+// view of the fleet.
+type engines struct {
+	client *engineapi.Client
+}
+
+var (
+	_ execution.Engines = engines{}
+	_ fleet.Reporter    = engines{}
+)
+
+// Complete implements execution.Engines.
+func (e engines) Complete(ctx context.Context, address string, request execution.EngineRequest, onText func(string) error) (execution.EngineAnswer, error) {
+	completion, err := e.client.Complete(ctx, address, engineapi.Request{
+		RequestID: request.RequestID,
+		Model:     request.Model,
+		Adapter:   request.Adapter,
+		Messages:  request.Messages,
+		MaxTokens: request.OutputTokens,
+		Hold:      request.Hold,
+		Priority:  uint32(request.Priority),
+	}, onText)
+	if err != nil {
+		return execution.EngineAnswer{}, engineError(err)
+	}
+	return execution.EngineAnswer{
+		Content:      completion.Content,
+		FinishReason: completion.FinishReason,
+		Usage: execution.Usage{
+			PromptTokens: completion.Usage.PromptTokens,
+			OutputTokens: completion.Usage.OutputTokens,
+			CachedTokens: completion.Usage.CachedTokens,
+		},
+	}, nil
+}
+
+// engineError keeps what matters for the next attempt. An error of an unknown
+// type counts as dispatched: the engine may have run the request.
+func engineError(err error) error {
+	var failure *engineapi.Error
+	if !errors.As(err, &failure) {
+		return &execution.EngineError{Dispatched: true, Cause: err}
+	}
+	return &execution.EngineError{
+		Dispatched: failure.Dispatched,
+		Leaving:    failure.Kind == engineapi.Leaving,
+		RetryAfter: failure.RetryAfter,
+		Cause:      err,
+	}
+}
+
+// Cancel implements execution.Engines.
+func (e engines) Cancel(ctx context.Context, address, requestID string) error {
+	return e.client.Cancel(ctx, address, requestID)
+}
+
+// Release implements execution.Engines.
+func (e engines) Release(ctx context.Context, address, program string) error {
+	return e.client.Release(ctx, address, program)
+}
+
+// Load implements fleet.Reporter.
+func (e engines) Load(ctx context.Context, address string) (fleet.Load, error) {
+	state, err := e.client.State(ctx, address)
+	if err != nil {
+		return fleet.Load{}, err
+	}
+	return fleet.Load{
+		Leaving:           state.Leaving,
+	}, nil
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -27,7 +27,7 @@
 // Node answers what isn't about a shard. The messages are those of the wire:
 // each of them is owned by one coordination package.
 type Node interface {
-	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) *peerv1.ExchangeResponse
+	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
 	AttemptStatus(request *peerv1.AttemptStatusRequest) *peerv1.AttemptStatusResponse
 	FetchConfiguration(request *peerv1.FetchConfigurationRequest) *peerv1.FetchConfigurationResponse
 	InstallConfiguration(request *peerv1.InstallConfigurationRequest) (*peerv1.InstallConfigurationResponse, error)
@@ -119,7 +119,11 @@
 }
 
 func (s *nodeServer) Exchange(ctx context.Context, request *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
-	return connect.NewResponse(s.node.Exchange(ctx, request.Msg)), nil
+	response, err := s.node.Exchange(ctx, request.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(response), nil
 }
 
 func (s *nodeServer) AttemptStatus(_ context.Context, request *connect.Request[peerv1.AttemptStatusRequest]) (*connect.Response[peerv1.AttemptStatusResponse], error) {
