--- /dev/null
+++ b/coordination/register/batch.go
@@ -0,0 +1,182 @@
+package register
+
+import (
+	"bytes"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// call is one Apply that waits for its result.
+type call struct {
+	change Change
+	// done is closed once value and err are set.
+	done  chan struct{}
+	value []byte
+	err   error
+
+	mutex sync.Mutex
+	// included is set before a value that contains the change is sent.
+	included  bool
+	abandoned bool
+	finished  bool
+	// leave tells the running batch that the call was abandoned.
+	leave func()
+}
+
+func newCall(change Change) *call {
+	return &call{change: change, done: make(chan struct{})}
+}
+
+// abandon gives the call up and says whether its change may still be applied.
+func (c *call) abandon(cause error) ([]byte, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.finished {
+		return c.value, c.err
+	}
+	c.abandoned = true
+	if c.leave != nil {
+		c.leave()
+	}
+	return nil, c.unresolved(cause)
+}
+
+// unresolved returns the error of a call that ends without a decision.
+func (c *call) unresolved(cause error) error {
+	if c.included {
+		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(cause), merry.AppendMessagef("%v", cause))
+	}
+	return merry.Wrap(ErrNoQuorum, merry.WithCause(cause), merry.AppendMessagef("%v", cause))
+}
+
+// join makes the call part of a batch unless it was abandoned.
+func (c *call) join(leave func()) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.leave = leave
+	return !c.abandoned
+}
+
+// evaluate runs the change, and false where the call was abandoned. A change of
+// the value counts as included from then on, since the value is sent next.
+func (c *call) evaluate(current []byte) (next []byte, refusal error, present bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.abandoned {
+		return current, nil, false
+	}
+	next, refusal = c.change(current)
+	if refusal != nil {
+		return current, refusal, true
+	}
+	if !bytes.Equal(next, current) {
+		c.included = true
+	}
+	return next, nil, true
+}
+
+func (c *call) finish(value []byte, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.finished || c.abandoned {
+		return
+	}
+	c.finished = true
+	c.value = value
+	c.err = err
+	close(c.done)
+}
+
+// fail ends the call without a decision.
+func (c *call) fail(cause error) {
+	c.mutex.Lock()
+	err := c.unresolved(cause)
+	c.mutex.Unlock()
+	c.finish(nil, err)
+}
+
+// callResult is what one evaluation of a batch meant for one call.
+type callResult struct {
+	call  *call
+	value []byte
+	err   error
+}
+
+// batch applies several calls of one register as one change.
+type batch struct {
+	calls []*call
+	// evaluations holds the results of each evaluation, since a retry may find
+	// that an earlier one was chosen.
+	evaluations [][]callResult
+
+	mutex   sync.Mutex
+	present int
+	// empty is closed when every call has been abandoned.
+	empty chan struct{}
+}
+
+func newBatch(calls []*call) *batch {
+	b := &batch{present: len(calls), empty: make(chan struct{})}
+	for _, member := range calls {
+		if member.join(b.leave) {
+			b.calls = append(b.calls, member)
+		} else {
+			b.leave()
+		}
+	}
+	return b
+}
+
+func (b *batch) leave() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.present--
+	if b.present == 0 {
+		close(b.empty)
+	}
+}
+
+// change is the Change of the whole batch: each call works on the value that the
+// one before it left. A refusal of one call doesn't stop the others.
+func (b *batch) change(current []byte) ([]byte, error) {
+	results := make([]callResult, 0, len(b.calls))
+	value := current
+	for _, member := range b.calls {
+		next, refusal, present := member.evaluate(value)
+		if !present {
+			continue
+		}
+		value = next
+		results = append(results, callResult{call: member, value: next, err: refusal})
+	}
+	b.evaluations = append(b.evaluations, results)
+	return value, nil
+}
+
+// finish gives each call the result of the evaluation that was chosen. A call
+// that had left the batch by that evaluation has its answer already.
+func (b *batch) finish(evaluation int) {
+	for _, result := range b.evaluations[evaluation-1] {
+		if result.err != nil {
+			result.call.finish(nil, result.err)
+			continue
+		}
+		result.call.finish(result.value, nil)
+	}
+}
+
+func (b *batch) fail(cause error) {
+	for _, member := range b.calls {
+		member.fail(cause)
+	}
+}
+
+func (b *batch) isEmpty() bool {
+	select {
+	case <-b.empty:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/coordination/register/cache.go
@@ -0,0 +1,61 @@
+package register
+
+import (
+	"container/list"
+	"sync"
+)
+
+// cacheEntry is what a client remembers of a register between two changes.
+type cacheEntry struct {
+	// counter is the highest ballot counter seen.
+	counter uint64
+	// promise was given by members of epoch.
+	epoch   uint64
+	promise Promise
+}
+
+// promiseCache keeps the entries of the registers used last. Forgetting one is
+// safe: a new proposer that starts below gets refused and learns the counter.
+type promiseCache struct {
+	limit int
+
+	mutex   sync.Mutex
+	order   *list.List
+	entries map[registerID]*list.Element
+}
+
+type cacheItem struct {
+	id    registerID
+	entry cacheEntry
+}
+
+func newPromiseCache(limit int) *promiseCache {
+	return &promiseCache{limit: limit, order: list.New(), entries: make(map[registerID]*list.Element)}
+}
+
+// take removes and returns the register's entry, so that a promise is used by
+// one change only.
+func (c *promiseCache) take(id registerID) cacheEntry {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	element, found := c.entries[id]
+	if !found {
+		return cacheEntry{}
+	}
+	delete(c.entries, id)
+	return c.order.Remove(element).(cacheItem).entry
+}
+
+// put remembers the entry as the one used last.
+func (c *promiseCache) put(id registerID, entry cacheEntry) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.limit <= 0 {
+		return
+	}
+	if c.order.Len() >= c.limit {
+		oldest := c.order.Back()
+		delete(c.entries, c.order.Remove(oldest).(cacheItem).id)
+	}
+	c.entries[id] = c.order.PushFront(cacheItem{id: id, entry: entry})
+}
--- /dev/null
+++ b/coordination/register/proposer.go
@@ -0,0 +1,310 @@
+package register
+
+import (
+	"bytes"
+
+	"github.com/marblering/marblering/state/replica"
+)
+
+// Change computes the next value of a register from the current one, which is
+// nil before the first change. An error leaves the register unchanged and is
+// returned to the caller; next equal to current is a read. The package comment
+// says what a change must and must not do.
+type Change func(current []byte) (next []byte, err error)
+
+// Phase is the kind of a proposer's request.
+type Phase uint8
+
+// Phases of a round.
+const (
+	PhaseIdle Phase = iota
+	PhasePrepare
+	PhaseAccept
+)
+
+// Request is what a proposer sends to every member alike.
+type Request struct {
+	Phase  Phase
+	Ballot replica.Ballot
+	// Value and Next are set in PhaseAccept.
+	Value []byte
+	Next  replica.Ballot
+}
+
+// Status says what a proposer waits for.
+type Status uint8
+
+// Statuses of a proposer.
+const (
+	// StatusWaiting: more answers are needed.
+	StatusWaiting Status = iota
+	// StatusSend: Request holds the next request to send to all members.
+	StatusSend
+	// StatusRetry: the round can't succeed; Begin starts another one.
+	StatusRetry
+	// StatusDone: Result holds the result.
+	StatusDone
+)
+
+// Outcome is what became of a change.
+type Outcome uint8
+
+// Outcomes of a change.
+const (
+	// OutcomeNotApplied: no accept with a new value was ever sent.
+	OutcomeNotApplied Outcome = iota
+	// OutcomeUnknown: an accept with a new value was sent; no majority of
+	// answers told whether it was chosen, and it may still be picked up.
+	OutcomeUnknown
+	// OutcomeApplied: the value is chosen, or was read as chosen where the
+	// change left it as it was.
+	OutcomeApplied
+	// OutcomeRefused: the change returned an error on a value that is chosen,
+	// and none of the proposer's own values can be chosen any more.
+	OutcomeRefused
+)
+
+// Promise is a ballot that a majority has promised to this proposer and that
+// was not used yet, with the value that is the highest accepted below it.
+type Promise struct {
+	Ballot replica.Ballot
+	Value  []byte
+}
+
+// Result is the end of a proposer's work.
+type Result struct {
+	Outcome Outcome
+	// Value is the chosen value.
+	Value []byte
+	// Refusal is the change's error where Outcome is OutcomeRefused.
+	Refusal error
+	// Evaluation is the number of the change's call, from one, whose effect or
+	// refusal stands.
+	Evaluation int
+	// Promise lets the next change of this register skip the prepare.
+	Promise Promise
+}
+
+// proposal is a value under way to being chosen.
+type proposal struct {
+	value      []byte
+	evaluation int
+	refusal    error
+	// changed tells a new value from one that was read and is confirmed.
+	changed bool
+}
+
+// Proposer carries one change of one register through as many rounds as it
+// takes. Its caller sends the requests and feeds the answers; a Proposer is not
+// safe for concurrent use.
+type Proposer struct {
+	incarnation string
+	change      Change
+	counter     uint64
+
+	phase       Phase
+	ballot      replica.Ballot
+	next        replica.Ballot
+	answered    []bool
+	granted     int
+	failed      int
+	accepted    replica.Ballot
+	value       []byte
+	uniform     bool
+	current     proposal
+	sent        map[replica.Ballot]proposal
+	evaluations int
+	result      Result
+}
+
+// NewProposer returns a proposer of the change. Incarnation breaks ties between
+// ballots; counter is the highest ballot counter known of the register.
+func NewProposer(incarnation string, counter uint64, change Change) *Proposer {
+	return &Proposer{incarnation: incarnation, counter: counter, change: change}
+}
+
+// Begin starts a round over the given number of members and returns the request
+// to send to each. Answers of earlier rounds are ignored from here on.
+func (p *Proposer) Begin(members int) Request {
+	p.counter++
+	p.ballot = replica.Ballot{Counter: p.counter, Proposer: p.incarnation}
+	p.accepted = replica.Ballot{}
+	p.value = nil
+	p.uniform = true
+	p.startPhase(PhasePrepare, members)
+	return Request{Phase: PhasePrepare, Ballot: p.ballot}
+}
+
+// BeginPromised starts the first round with a promise left by an earlier
+// change, which saves the prepare. The promise must not be used again. Where
+// the change would leave the value as it is, the round prepares after all,
+// since only a majority's answers can tell that the value still stands.
+func (p *Proposer) BeginPromised(members int, promise Promise) Request {
+	p.observe(promise.Ballot)
+	if promise.Ballot.IsZero() {
+		return p.Begin(members)
+	}
+	candidate := p.evaluate(promise.Value)
+	if !candidate.changed {
+		return p.Begin(members)
+	}
+	p.ballot = promise.Ballot
+	p.startPhase(PhaseAccept, members)
+	return p.propose(candidate)
+}
+
+// OnPrepare takes a member's answer to the prepare at the given ballot.
+func (p *Proposer) OnPrepare(ballot replica.Ballot, member int, reply PrepareReply) (Request, Status) {
+	if !p.expects(PhasePrepare, ballot, member) {
+		return Request{}, StatusWaiting
+	}
+	p.answered[member] = true
+	if reply.Refusal != RefusalNone {
+		p.observe(reply.Promised)
+		return Request{}, p.fail()
+	}
+	p.learn(reply.Accepted, reply.Value)
+	p.granted++
+	if p.granted < quorum(len(p.answered)) {
+		return Request{}, StatusWaiting
+	}
+	return p.decide()
+}
+
+// OnAccept takes a member's answer to the accept at the given ballot.
+func (p *Proposer) OnAccept(ballot replica.Ballot, member int, reply AcceptReply) Status {
+	if !p.expects(PhaseAccept, ballot, member) {
+		return StatusWaiting
+	}
+	p.answered[member] = true
+	if reply.Refusal != RefusalNone {
+		p.observe(reply.Promised)
+		return p.fail()
+	}
+	p.granted++
+	if p.granted < quorum(len(p.answered)) {
+		return StatusWaiting
+	}
+	return p.finish(p.current, Promise{Ballot: p.next, Value: p.current.value})
+}
+
+// OnFailure notes that the member will not answer the request of the given
+// phase and ballot.
+func (p *Proposer) OnFailure(phase Phase, ballot replica.Ballot, member int) Status {
+	if !p.expects(phase, ballot, member) {
+		return StatusWaiting
+	}
+	p.answered[member] = true
+	return p.fail()
+}
+
+// Result returns the result so far: final after StatusDone, otherwise what is
+// true when the proposer is given up now.
+func (p *Proposer) Result() Result {
+	if p.result.Outcome == OutcomeNotApplied && len(p.sent) > 0 {
+		return Result{Outcome: OutcomeUnknown}
+	}
+	return p.result
+}
+
+// Counter returns the highest ballot counter seen or used.
+func (p *Proposer) Counter() uint64 { return p.counter }
+
+func (p *Proposer) startPhase(phase Phase, members int) {
+	p.phase = phase
+	p.answered = make([]bool, members)
+	p.granted = 0
+	p.failed = 0
+}
+
+func (p *Proposer) expects(phase Phase, ballot replica.Ballot, member int) bool {
+	return p.phase == phase && p.ballot == ballot && member < len(p.answered) && !p.answered[member]
+}
+
+func (p *Proposer) observe(ballot replica.Ballot) {
+	p.counter = max(p.counter, ballot.Counter)
+}
+
+// learn keeps the highest accepted value and whether all answers agree on it.
+func (p *Proposer) learn(accepted replica.Ballot, value []byte) {
+	if p.granted > 0 && accepted != p.accepted {
+		p.uniform = false
+	}
+	if p.accepted.Less(accepted) {
+		p.accepted = accepted
+		p.value = value
+	}
+}
+
+func (p *Proposer) fail() Status {
+	p.failed++
+	if len(p.answered)-p.failed >= quorum(len(p.answered)) {
+		return StatusWaiting
+	}
+	p.phase = PhaseIdle
+	return StatusRetry
+}
+
+// decide runs once a majority has promised the ballot.
+func (p *Proposer) decide() (Request, Status) {
+	own, found := p.sent[p.accepted]
+	if found {
+		// The proposer's own value is the highest accepted one: finish it
+		// rather than apply the change on top of its own effect.
+		return p.proposeNext(own)
+	}
+	candidate := p.evaluate(p.value)
+	if p.isSettled(candidate) {
+		return Request{}, p.finish(candidate, Promise{Ballot: p.ballot, Value: p.value})
+	}
+	return p.proposeNext(candidate)
+}
+
+// isSettled tells whether the candidate needs no accept round: the value stays
+// as it is, it is chosen because a majority holds it at one ballot, and no value
+// of the proposer's own is left that a later round of another could pick up.
+func (p *Proposer) isSettled(candidate proposal) bool {
+	return !candidate.changed && p.uniform && len(p.sent) == 0
+}
+
+func (p *Proposer) evaluate(current []byte) proposal {
+	p.evaluations++
+	next, refusal := p.change(current)
+	if refusal != nil || bytes.Equal(next, current) {
+		return proposal{value: current, evaluation: p.evaluations, refusal: refusal}
+	}
+	return proposal{value: next, evaluation: p.evaluations, changed: true}
+}
+
+func (p *Proposer) proposeNext(candidate proposal) (Request, Status) {
+	p.startPhase(PhaseAccept, len(p.answered))
+	return p.propose(candidate), StatusSend
+}
+
+func (p *Proposer) propose(candidate proposal) Request {
+	p.current = candidate
+	if candidate.changed {
+		if p.sent == nil {
+			p.sent = make(map[replica.Ballot]proposal, 1)
+		}
+		p.sent[p.ballot] = candidate
+	}
+	p.next = replica.Ballot{Counter: p.ballot.Counter + 1, Proposer: p.incarnation}
+	p.observe(p.next)
+	return Request{Phase: PhaseAccept, Ballot: p.ballot, Value: candidate.value, Next: p.next}
+}
+
+func (p *Proposer) finish(chosen proposal, promise Promise) Status {
+	p.phase = PhaseIdle
+	p.result = Result{
+		Outcome:    OutcomeApplied,
+		Value:      chosen.value,
+		Refusal:    chosen.refusal,
+		Evaluation: chosen.evaluation,
+		Promise:    promise,
+	}
+	if chosen.refusal != nil {
+		p.result.Outcome = OutcomeRefused
+	}
+	return StatusDone
+}
--- /dev/null
+++ b/coordination/register/round.go
@@ -0,0 +1,203 @@
+package register
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/marblering/marblering/state/replica"
+)
+
+// answer is what came back from one member.
+type answer struct {
+	member  int
+	phase   Phase
+	ballot  replica.Ballot
+	prepare PrepareReply
+	accept  AcceptReply
+	err     error
+}
+
+func (a answer) refusal() Refusal {
+	if a.phase == PhasePrepare {
+		return a.prepare.Refusal
+	}
+	return a.accept.Refusal
+}
+
+func (a answer) view() *View {
+	if a.phase == PhasePrepare {
+		return a.prepare.View
+	}
+	return a.accept.View
+}
+
+func (a answer) configurationVersion() uint64 {
+	if a.phase == PhasePrepare {
+		return a.prepare.ConfigurationVersion
+	}
+	return a.accept.ConfigurationVersion
+}
+
+// isUnreachable tells whether the member can't take part at all, as against one
+// that is overtaken or between two epochs.
+func (a answer) isUnreachable() bool {
+	switch a.refusal() {
+	case RefusalIncarnation, RefusalStorage:
+		return true
+	default:
+		return a.err != nil
+	}
+}
+
+// round is one attempt of a batch against one view and one configuration.
+type round struct {
+	client   *Client
+	id       registerID
+	view     View
+	version  uint64
+	proposer *Proposer
+	// abandoned is closed when nobody waits for the result any more.
+	abandoned <-chan struct{}
+
+	answered    int
+	unreachable int
+	newestView  View
+	newest      uint64
+	failure     error
+}
+
+// run drives the proposer from the request until it is done or the round fails.
+func (r *round) run(request Request) Status {
+	for {
+		next, status := r.exchange(request)
+		if status != StatusSend {
+			return status
+		}
+		request = next
+	}
+}
+
+// exchange sends one request to all members and feeds the answers to the
+// proposer until it knows how to go on. Requests to members that are slower than
+// the majority run on without anyone waiting, so that those replicas keep up.
+func (r *round) exchange(request Request) (Request, Status) {
+	answers, expired := r.broadcast(request)
+	r.answered = 0
+	r.unreachable = 0
+	for r.answered < len(r.view.Members) {
+		select {
+		case received := <-answers:
+			r.note(received)
+			next, status := r.feed(received)
+			if status != StatusWaiting {
+				return next, status
+			}
+		case <-expired:
+			r.unreachable += len(r.view.Members) - r.answered
+			r.failure = merry.Errorf("%d of %d members didn't answer within %v",
+				len(r.view.Members)-r.answered, len(r.view.Members), r.client.settings.RequestTimeout)
+			return Request{}, StatusRetry
+		case <-r.abandoned:
+			return Request{}, StatusRetry
+		}
+	}
+	return Request{}, StatusRetry
+}
+
+// broadcast starts one request to each member. Expired is closed when the
+// request timeout ends; the requests are cancelled then.
+func (r *round) broadcast(request Request) (answers <-chan answer, expired <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	timeout := make(chan struct{})
+	stop := r.client.clock.AfterFunc(r.client.settings.RequestTimeout, func() {
+		close(timeout)
+		cancel()
+	})
+	received := make(chan answer, len(r.view.Members))
+	remaining := new(atomic.Int32)
+	remaining.Store(int32(len(r.view.Members)))
+	for index := range r.view.Members {
+		go func() {
+			received <- r.send(ctx, index, request)
+			if remaining.Add(-1) == 0 {
+				stop()
+				cancel()
+			}
+		}()
+	}
+	return received, timeout
+}
+
+func (r *round) send(ctx context.Context, index int, request Request) answer {
+	member := r.view.Members[index]
+	fence := Fence{
+		Shard:                r.id.shard,
+		Epoch:                r.view.Epoch,
+		ConfigurationVersion: r.version,
+		Replica:              member.Incarnation,
+	}
+	result := answer{member: index, phase: request.Phase, ballot: request.Ballot}
+	if request.Phase == PhasePrepare {
+		result.prepare, result.err = r.client.transport.Prepare(ctx, member, PrepareRequest{
+			Fence: fence, Key: r.id.key, Ballot: request.Ballot,
+		})
+		return result
+	}
+	result.accept, result.err = r.client.transport.Accept(ctx, member, AcceptRequest{
+		Fence: fence, Key: r.id.key, Ballot: request.Ballot, Value: request.Value, Next: request.Next,
+	})
+	return result
+}
+
+func (r *round) feed(received answer) (Request, Status) {
+	switch {
+	case received.err != nil:
+		return Request{}, r.proposer.OnFailure(received.phase, received.ballot, received.member)
+	case received.phase == PhasePrepare:
+		return r.proposer.OnPrepare(received.ballot, received.member, received.prepare)
+	default:
+		return Request{}, r.proposer.OnAccept(received.ballot, received.member, received.accept)
+	}
+}
+
+// note keeps what the answer tells beyond the register itself.
+func (r *round) note(received answer) {
+	r.answered++
+	if received.isUnreachable() {
+		r.unreachable++
+	}
+	node := r.view.Members[received.member].Node
+	switch {
+	case received.err != nil:
+		r.failure = merry.Prependf(received.err, "member %s", node)
+		return
+	case received.refusal() != RefusalNone:
+		r.failure = merry.Errorf("member %s refused: %v", node, received.refusal())
+	}
+	if view := received.view(); view != nil && view.Epoch > r.newestView.Epoch {
+		r.newestView = *view
+	}
+	r.newest = max(r.newest, received.configurationVersion())
+}
+
+// hasLostMajority tells whether too few members can take part at all.
+func (r *round) hasLostMajority() bool {
+	return len(r.view.Members)-r.unreachable < r.view.Quorum()
+}
+
+// learn passes on newer views and configurations and tells whether this node
+// knows more than the round did, so that another round makes sense at once.
+func (r *round) learn() bool {
+	views := r.client.views
+	if r.newestView.Epoch > r.view.Epoch {
+		views.Learn(r.newestView)
+	}
+	if r.newest > r.version {
+		ctx, cancel := r.client.limit(r.abandoned)
+		views.LearnConfiguration(ctx, r.newest)
+		cancel()
+	}
+	view, known := views.View(r.id.shard)
+	return known && (view.Epoch > r.view.Epoch || views.ConfigurationVersion() > r.version)
+}
--- /dev/null
+++ b/coordination/register/run.go
@@ -0,0 +1,110 @@
+package register
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// runBatch carries the calls to their results.
+func (c *Client) runBatch(id registerID, calls []*call) {
+	work := newBatch(calls)
+	known := c.cache.take(id)
+	proposer := NewProposer(c.incarnation, known.counter, work.change)
+	epoch, err := c.runRounds(id, work, proposer, known)
+	entry := cacheEntry{counter: proposer.Counter()}
+	if err != nil {
+		work.fail(err)
+		c.cache.put(id, entry)
+		return
+	}
+	result := proposer.Result()
+	entry.epoch = epoch
+	entry.promise = result.Promise
+	c.cache.put(id, entry)
+	work.finish(result.Evaluation)
+}
+
+// runRounds tries rounds until one succeeds, a majority is lost for too long or
+// nobody waits any more. It returns the epoch of the round that succeeded.
+func (c *Client) runRounds(id registerID, work *batch, proposer *Proposer, known cacheEntry) (uint64, error) {
+	lost := 0
+	for failures := 0; ; {
+		attempt, err := c.newRound(id, work, proposer)
+		if err != nil {
+			return 0, err
+		}
+		if attempt.run(attempt.begin(known, failures)) == StatusDone {
+			return attempt.view.Epoch, nil
+		}
+		failures++
+		if attempt.hasLostMajority() {
+			lost++
+		}
+		if lost >= c.settings.Attempts {
+			return 0, attempt.failure
+		}
+		if !attempt.learn() {
+			c.pause(failures, work.empty)
+		}
+		if work.isEmpty() {
+			return 0, merry.New("every caller gave up")
+		}
+	}
+}
+
+// newRound reads the configuration version before the round calls the change,
+// so that the fence never claims a newer configuration than the change saw.
+func (c *Client) newRound(id registerID, work *batch, proposer *Proposer) (*round, error) {
+	version := c.views.ConfigurationVersion()
+	view, found := c.views.View(id.shard)
+	if !found || len(view.Members) == 0 {
+		return nil, merry.Errorf("no replica set of shard %d is known", id.shard)
+	}
+	return &round{
+		client:    c,
+		id:        id,
+		view:      view,
+		version:   version,
+		proposer:  proposer,
+		abandoned: work.empty,
+	}, nil
+}
+
+// begin starts the proposer's round, with the promise of an earlier change where
+// it is of the same epoch: another epoch has other members.
+func (r *round) begin(known cacheEntry, failures int) Request {
+	if failures == 0 && known.epoch == r.view.Epoch {
+		return r.proposer.BeginPromised(len(r.view.Members), known.promise)
+	}
+	return r.proposer.Begin(len(r.view.Members))
+}
+
+// pause waits for the backoff, or until nobody waits any more.
+func (c *Client) pause(failures int, abandoned <-chan struct{}) {
+	elapsed := make(chan struct{})
+	stop := c.clock.AfterFunc(c.backoff(failures), func() { close(elapsed) })
+	select {
+	case <-elapsed:
+	case <-abandoned:
+		stop()
+	}
+}
+
+// limit returns a context that ends with the request timeout or when nobody
+// waits any more.
+func (c *Client) limit(abandoned <-chan struct{}) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := c.clock.AfterFunc(c.settings.RequestTimeout, cancel)
+	go func() {
+		select {
+		case <-abandoned:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
