--- a/coordination/execution/await.go
+++ b/coordination/execution/await.go
@@ -24,7 +24,7 @@
 // awaitSame waits for the same call at another executor, and takes it over once
 // that one has lost it.
 func (e *Executor) awaitSame(ctx context.Context, current *call, running *statev1.Call) (Answer, bool, error) {
-	if !e.lost(ctx, current.request.Program, running) {
+	if !e.Lost(ctx, current.request.Program, running) {
 		if err := e.pause(ctx, pollPause); err != nil {
 			return Answer{}, true, unresolved("call %d is still running at another node", running.GetSequence())
 		}
@@ -36,7 +36,7 @@
 // awaitEarlier waits for the calls before this one. One whose executor is lost
 // is ended after a grace in which its own caller may repeat it.
 func (e *Executor) awaitEarlier(ctx context.Context, current *call, running *statev1.Call) (Answer, bool, error) {
-	if running != nil && e.lost(ctx, current.request.Program, running) {
+	if running != nil && e.Lost(ctx, current.request.Program, running) {
 		if err := e.endAbandoned(ctx, current, running); err != nil {
 			return Answer{}, true, err
 		}
@@ -100,9 +100,9 @@
 
 var errExecutorLost = result.Errorf(result.EngineFailed, "the node that ran the attempt is gone")
 
-// lost reports whether the executor of a dispatched call has lost it. Safety
+// Lost reports whether the executor of a dispatched call has lost it. Safety
 // doesn't rest on the answer: the attempt's number fences off a late result.
-func (e *Executor) lost(ctx context.Context, id string, running *statev1.Call) bool {
+func (e *Executor) Lost(ctx context.Context, id string, running *statev1.Call) bool {
 	if running.GetExecutor() == e.Identity {
 		return !e.attempts.has(keyOf(id, running))
 	}
--- a/state/program/lifecycle.go
+++ b/state/program/lifecycle.go
@@ -174,3 +174,14 @@
 	}
 	return true
 }
+
+// Holds reports whether the record names the engine as a holder of the
+// program's context.
+func Holds(tree *statev1.ProgramTree, id, engine string) bool {
+	for _, hold := range tree.GetHolds() {
+		if hold.GetProgram() == id && hold.GetEngine() == engine {
+			return true
+		}
+	}
+	return false
+}
