Bound the cost of the engine subset and take cache events as engines send them

Cause: sorting a whole fleet took most of a decision; cache events give the prefix that is left, not what was evicted; engines of all roles serve calls. Change: the subset keeps the best-ranked of each zone while it filters; an event's tokens replace what was known; only standby engines are filtered out.

--- a/coordination/routing/choose.go
+++ b/coordination/routing/choose.go
@@ -23,7 +23,6 @@
 	if len(kept) == 0 {
 		return refuseWithoutEngine(request, rejected)
 	}
-	kept = subset(snapshot.Engines, kept, request, snapshot.subsetSize())
 	candidates := scoreAll(snapshot, request, kept, len(rejected))
 	best := draw(candidates, snapshot.Weights.Tolerance, random)
 	if refusal := shed(snapshot, request, &candidates[best]); refusal != nil {
@@ -33,19 +32,22 @@
 	return accept(snapshot, request, append(candidates, rejected...))
 }
 
+// filterEngines returns the subset of the feasible engines and a bounded list
+// of the rejected ones.
 func filterEngines(snapshot *Snapshot, request *Request) (kept []int, rejected []Candidate) {
-	kept = make([]int, 0, len(snapshot.Engines))
+	chosen := newSubset(request, snapshot.subsetSize())
 	for i := range snapshot.Engines {
 		filter := feasible(&snapshot.Engines[i], request)
 		if filter == FilterNone {
-			kept = append(kept, i)
+			engine := &snapshot.Engines[i]
+			chosen.add(i, engine, request.cachedOn(engine.Name) > 0)
 			continue
 		}
 		if len(rejected) < maxRejected {
 			rejected = append(rejected, Candidate{Engine: snapshot.Engines[i].Name, Rejected: filter, index: i})
 		}
 	}
-	return kept, rejected
+	return chosen.engines(), rejected
 }
 
 func scoreAll(snapshot *Snapshot, request *Request, kept []int, spare int) []Candidate {
--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -19,7 +19,6 @@
 	FilterModel    Filter = "model not loaded"
 	FilterAdapter  Filter = "adapter not loaded"
 	FilterMemory   Filter = "context exceeds its memory"
-	FilterSubset   Filter = "outside the subset"
 )
 
 // Transfer asks for context to be moved before the call.
--- a/coordination/routing/feasible.go
+++ b/coordination/routing/feasible.go
@@ -29,10 +29,10 @@
 	if offered == "" {
 		offered = RoleMixed
 	}
-	if wanted == "" {
-		wanted = RoleMixed
+	if offered == RoleStandby {
+		return false
 	}
-	return offered == wanted
+	return wanted == "" || offered == RoleMixed || offered == wanted
 }
 
 func fitsMemory(engine *EngineState, request *Request) bool {
--- a/coordination/routing/locality.go
+++ b/coordination/routing/locality.go
@@ -21,7 +21,8 @@
 	Number  uint64
 	Kind    EventKind
 	Program string
-	Tokens  uint64
+	// Tokens is the length of the prefix that is cached after the event.
+	Tokens uint64
 }
 
 // Locality remembers which engine has how many tokens of which program's
@@ -102,12 +103,15 @@
 	if found && now.Sub(known.exactAt) < l.eventLag {
 		return
 	}
-	switch event.Kind {
-	case EventStored:
-		l.set(event.Program, holding{engine: engine, tokens: event.Tokens, learnedAt: now})
-	case EventEvicted:
-		l.evict(event, engine, known, now)
+	if event.Tokens == 0 {
+		l.remove(event.Program, engine)
+		return
 	}
+	tokens := event.Tokens
+	if found && event.Kind == EventEvicted {
+		tokens = min(tokens, known.tokens)
+	}
+	l.set(event.Program, holding{engine: engine, tokens: tokens, learnedAt: now})
 }
 
 // CachedOn lists the engines believed to have context of the program. What was
@@ -175,16 +179,6 @@
 	return true
 }
 
-func (l *Locality) evict(event Event, engine string, known holding, now time.Time) {
-	if event.Tokens >= known.tokens {
-		l.remove(event.Program, engine)
-		return
-	}
-	known.tokens -= event.Tokens
-	known.learnedAt = now
-	l.set(event.Program, known)
-}
-
 func (l *Locality) find(program, engine string) (holding, bool) {
 	element, found := l.programs[program]
 	if !found {
--- a/coordination/routing/request.go
+++ b/coordination/routing/request.go
@@ -21,7 +21,7 @@
 	Adapter string
 	// Zone is where the deciding node stands.
 	Zone string
-	// Role is the engine role asked for; empty means RoleMixed.
+	// Role is the engine role asked for; empty takes any but RoleStandby.
 	Role string
 	// HistoryTokens were in the program's context before this call.
 	HistoryTokens uint64
--- a/coordination/routing/snapshot.go
+++ b/coordination/routing/snapshot.go
@@ -4,9 +4,12 @@
 	"time"
 )
 
-// Roles an engine may have. An engine without a role is mixed.
+// Roles an engine may have. An engine without a role is mixed. Prefill and
+// decode engines serve any call, but are set up for one part of the work.
 const (
-	RoleMixed = "mixed"
+	RoleMixed   = "mixed"
+	RolePrefill = "prefill"
+	RoleDecode  = "decode"
 	// RoleStandby engines hold weights but receive no calls.
 	RoleStandby = "standby"
 )
--- a/coordination/routing/subset.go
+++ b/coordination/routing/subset.go
@@ -1,51 +1,110 @@
 package routing
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// subset keeps a bounded number of the feasible engines, the same ones for all
-// calls of a program tree, and moves the others to rejected. Engines with
-// cached context are always kept. The rest is chosen by rendezvous hashing
-// weighted with prefill speed (Thaler and Ravishankar 1998; the weighting is
-// that of Schindelhauer and Schomaker 2005), so the loss of an engine changes
-// only the subsets it was in. At most a fair share is taken of each zone
-// before a second pass fills up, so the loss of a zone leaves candidates.
-func subset(engines []EngineState, kept []int, request *Request, size int) []int {
-	if len(kept) <= size {
-		return kept
-	}
-	ranked := rankByHash(engines, kept, request)
-	return spreadOverZones(engines, ranked, size)
+// subset is a bounded choice among the feasible engines, the same one for all
+// calls of a program tree. Engines with cached context are always in it. The
+// rest is chosen by rendezvous hashing weighted with prefill speed (Thaler and
+// Ravishankar 1998; weighted as by Schindelhauer and Schomaker 2005), so the
+// loss of an engine changes only the subsets it was in. Each zone gives at most
+// its equal share before the places left over are filled from all, so that the
+// loss of a zone leaves candidates.
+type subset struct {
+	size  int
+	seed  uint64
+	zones []zoneSubset
+}
+
+// zoneSubset keeps the best-ranked engines of one zone in order.
+type zoneSubset struct {
+	zone   string
+	ranked []rankedEngine
 }
 
-type hashRank struct {
+type rankedEngine struct {
 	index int
 	rank  float64
+	// beyondShare engines come in only where others leave places.
+	beyondShare bool
 }
 
-func rankByHash(engines []EngineState, kept []int, request *Request) []hashRank {
+// expectedZones avoids growing the list of zones in ordinary fleets.
+const expectedZones = 8
+
+func newSubset(request *Request, size int) *subset {
 	root := request.Root
 	if root == "" {
 		root = request.Program
 	}
-	seed := xxhash.Sum64String(root)
-	ranked := make([]hashRank, len(kept))
-	for i, index := range kept {
-		engine := &engines[index]
-		ranked[i] = hashRank{index: index, rank: rendezvousRank(seed, engine)}
-		if request.cachedOn(engine.Name) > 0 {
-			ranked[i].rank = math.Inf(-1)
+	return &subset{size: size, seed: xxhash.Sum64String(root), zones: make([]zoneSubset, 0, expectedZones)}
+}
+
+// add considers a feasible engine.
+func (s *subset) add(index int, engine *EngineState, cached bool) {
+	rank := math.Inf(-1)
+	if !cached {
+		rank = rendezvousRank(s.seed, engine)
+	}
+	s.zone(engine.Zone).add(rankedEngine{index: index, rank: rank}, s.size)
+}
+
+// engines returns the indexes of the chosen engines.
+func (s *subset) engines() []int {
+	share := (s.size + len(s.zones) - 1) / max(len(s.zones), 1)
+	ranked := make([]rankedEngine, 0, len(s.zones)*s.size)
+	for _, zone := range s.zones {
+		for position, entry := range zone.ranked {
+			entry.beyondShare = position >= share && !math.IsInf(entry.rank, -1)
+			ranked = append(ranked, entry)
+		}
+	}
+	if len(ranked) > s.size {
+		slices.SortFunc(ranked, compareRanked)
+	}
+	chosen := make([]int, 0, s.size)
+	for _, entry := range ranked[:min(s.size, len(ranked))] {
+		chosen = append(chosen, entry.index)
+	}
+	return chosen
+}
+
+func (s *subset) zone(name string) *zoneSubset {
+	for i := range s.zones {
+		if s.zones[i].zone == name {
+			return &s.zones[i]
+		}
+	}
+	s.zones = append(s.zones, zoneSubset{zone: name, ranked: make([]rankedEngine, 0, s.size+1)})
+	return &s.zones[len(s.zones)-1]
+}
+
+func (z *zoneSubset) add(entry rankedEngine, size int) {
+	if len(z.ranked) == size && compareRanked(entry, z.ranked[size-1]) >= 0 {
+		return
+	}
+	position, _ := slices.BinarySearchFunc(z.ranked, entry, compareRanked)
+	z.ranked = slices.Insert(z.ranked, position, entry)
+	z.ranked = z.ranked[:min(len(z.ranked), size)]
+}
+
+func compareRanked(a, b rankedEngine) int {
+	switch {
+	case a.beyondShare != b.beyondShare:
+		if b.beyondShare {
+			return -1
 		}
+		return 1
+	case a.rank < b.rank:
+		return -1
+	case a.rank > b.rank:
+		return 1
 	}
-	slices.SortFunc(ranked, func(a, b hashRank) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.index, b.index))
-	})
-	return ranked
+	return a.index - b.index
 }
 
 // rendezvousRank is an exponential variate whose rate is the engine's speed;
@@ -54,7 +113,7 @@
 	hash := mix(seed ^ xxhash.Sum64String(engine.Name))
 	const mantissaBits = 53
 	uniform := (float64(hash>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
-	return -math.Log(uniform) / max(engine.PrefillSpeed, 1)
+	return -math.Log(uniform) / prefillSpeed(engine)
 }
 
 // mix is the finalizer of MurmurHash3.
@@ -66,31 +125,3 @@
 	value ^= value >> 33
 	return value
 }
-
-func spreadOverZones(engines []EngineState, ranked []hashRank, size int) []int {
-	share := zoneShare(engines, ranked, size)
-	taken := make(map[string]int, 8)
-	chosen := make([]int, 0, size)
-	var spare []int
-	for _, entry := range ranked {
-		if len(chosen) == size {
-			return chosen
-		}
-		zone := engines[entry.index].Zone
-		if taken[zone] >= share && !math.IsInf(entry.rank, -1) {
-			spare = append(spare, entry.index)
-			continue
-		}
-		taken[zone]++
-		chosen = append(chosen, entry.index)
-	}
-	return append(chosen, spare[:min(len(spare), size-len(chosen))]...)
-}
-
-func zoneShare(engines []EngineState, ranked []hashRank, size int) int {
-	zones := make(map[string]struct{}, 8)
-	for _, entry := range ranked {
-		zones[engines[entry.index].Zone] = struct{}{}
-	}
-	return (size + len(zones) - 1) / len(zones)
-}
