--- /dev/null
+++ b/state/result/code_test.go
@@ -0,0 +1,152 @@
+package result_test
+
+import (
+	"errors"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/state/result"
+)
+
+// Markers around the table in the documentation.
+const (
+	documentPath = "../../docs/RESULT-CODES.md"
+	tableStart   = "<!-- table: start -->\n"
+	tableEnd     = "<!-- table: end -->\n"
+)
+
+func documentedTable(t *testing.T) string {
+	t.Helper()
+	content, err := os.ReadFile(documentPath)
+	assert.NilError(t, err)
+	_, rest, found := strings.Cut(string(content), tableStart)
+	assert.Assert(t, found, "%s has no %q", documentPath, tableStart)
+	table, _, found := strings.Cut(rest, tableEnd)
+	assert.Assert(t, found, "%s has no %q", documentPath, tableEnd)
+	return table
+}
+
+// codeTable renders result.Table as the documentation must have it.
+func codeTable() string {
+	var table strings.Builder
+	table.WriteString("| code | name | HTTP | request was | ask again | meaning |\n")
+	table.WriteString("| ---: | --- | ---: | --- | --- | --- |\n")
+	for _, info := range result.Table {
+		fmt.Fprintf(&table, "| %d | `%s` | %d | %s | %s | %s |\n",
+			info.Code, info.Name, info.HTTP, info.Execution, info.Repeat, info.Meaning)
+	}
+	return table.String()
+}
+
+func TestDocumentHoldsTheTable(t *testing.T) {
+	assert.Equal(t, documentedTable(t), codeTable())
+}
+
+// TestEveryConstantIsInTheTable reads the constants from the source, since a
+// code that the table lacks would be told to callers as an internal fault.
+func TestEveryConstantIsInTheTable(t *testing.T) {
+	inTable := make(map[string]bool)
+	for _, info := range result.Table {
+		inTable[constantName(info.Name)] = true
+	}
+	constants := codeConstants(t)
+	assert.Equal(t, len(constants), len(result.Table))
+	for _, name := range constants {
+		assert.Assert(t, inTable[strings.ToLower(name)], "%s isn't in the table under that name", name)
+	}
+}
+
+// constantName turns the name in the table into its constant's, in lower case.
+func constantName(name string) string { return strings.ReplaceAll(name, "_", "") }
+
+// codeConstants returns the names of the constants of type Code.
+func codeConstants(t *testing.T) []string {
+	t.Helper()
+	source, err := parser.ParseFile(token.NewFileSet(), "code.go", nil, 0)
+	assert.NilError(t, err)
+	var names []string
+	ast.Inspect(source, func(node ast.Node) bool {
+		spec, isValue := node.(*ast.ValueSpec)
+		if !isValue {
+			return true
+		}
+		if kind, isName := spec.Type.(*ast.Ident); isName && kind.Name == "Code" {
+			names = append(names, spec.Names[0].Name)
+		}
+		return true
+	})
+	return names
+}
+
+// TestTableIsConsistent checks each code against the rules of its columns.
+func TestTableIsConsistent(t *testing.T) {
+	names := make(map[string]bool)
+	previous := -1
+	for _, info := range result.Table {
+		label := fmt.Sprintf("%d %s", info.Code, info.Name)
+		assert.Assert(t, int(info.Code) > previous, "%s is out of order", label)
+		previous = int(info.Code)
+		assert.Assert(t, !names[info.Name], "%s has a name that is used twice", label)
+		names[info.Name] = true
+		assert.Assert(t, http.StatusText(info.HTTP) != "", "%s has no HTTP status", label)
+		assert.Assert(t, strings.HasSuffix(info.Meaning, "."), "%s has no meaning", label)
+		assert.Equal(t, info.Code == result.OK, info.HTTP < http.StatusBadRequest, label)
+		checkAdvice(t, label, info)
+	}
+}
+
+// checkAdvice makes sure that following the advice can't run a request twice.
+func checkAdvice(t *testing.T, label string, info result.Info) {
+	t.Helper()
+	switch info.Execution {
+	case result.Run:
+		assert.Equal(t, info.Repeat, result.RepeatNever, label)
+	case result.NotRun:
+		assert.Assert(t, info.Repeat != result.RepeatSameKey, label)
+	case result.Unknown:
+		assert.Assert(t, info.Repeat != result.RepeatLater, "%s: a new request could run a second time", label)
+	default:
+		t.Errorf("%s: %q isn't one of the three answers", label, info.Execution)
+	}
+	class := info.Code / 1000
+	if class == 1 || class == 2 {
+		assert.Equal(t, info.Execution, result.NotRun, label)
+	}
+	if class == 2 {
+		assert.Equal(t, info.Repeat, result.RepeatLater, label)
+	}
+}
+
+func TestUnregisteredCodeIsInternal(t *testing.T) {
+	assert.Equal(t, result.Code(9999).Info().Code, result.Internal)
+}
+
+func TestAfterLeavesTheErrorAlone(t *testing.T) {
+	original := result.Errorf(result.Overloaded, "%d waiting", 12)
+	delayed := original.After(3 * time.Second)
+	assert.Equal(t, original.RetryAfter, time.Duration(0))
+	assert.Equal(t, delayed.RetryAfter, 3*time.Second)
+	assert.Equal(t, delayed.Code, result.Overloaded)
+}
+
+func ExampleErrorf() {
+	var err error = result.Errorf(result.TenantLimit, "tenant %q has 40 calls running", "night-shift").After(2 * time.Second)
+	var told *result.Error
+	if errors.As(err, &told) {
+		info := told.Code.Info()
+		fmt.Println(told)
+		fmt.Println(info.HTTP, info.Execution, info.Repeat, told.RetryAfter)
+	}
+	// Output:
+	// 2002 tenant_limit: tenant "night-shift" has 40 calls running
+	// 429 not run after Retry-After 2s
+}
