--- a/coordination/execution/perform.go
+++ b/coordination/execution/perform.go
@@ -34,8 +34,7 @@
 		release(choice, current, errNotAdmitted)
 		return e.replaceAndPerform(ctx, current, admitted, &EngineError{Cause: errNotAdmitted})
 	}
-	answer, err := e.perform(ctx, current, admitted, choice, tree)
-	return answer, true, err
+	return e.perform(ctx, current, admitted, choice, tree)
 }
 
 func keyOf(id string, admitted *statev1.Call) attemptKey {
@@ -47,12 +46,14 @@
 }
 
 // perform runs one attempt whose key is begun, and the attempts that follow it.
-func (e *Executor) perform(ctx context.Context, current *call, admitted *statev1.Call, choice Choice, tree *statev1.ProgramTree) (Answer, error) {
+// settled is false where the record must be looked at again.
+func (e *Executor) perform(ctx context.Context, current *call, admitted *statev1.Call, choice Choice, tree *statev1.ProgramTree) (answer Answer, settled bool, err error) {
 	target := program.Find(tree, current.request.Program)
 	chain, err := e.Turns.Chain(ctx, target.GetId(), target.GetChainHead())
 	if err != nil {
 		release(choice, current, err)
-		return e.giveUp(ctx, current, admitted, result.HistoryUnavailable, false, err)
+		answer, err = e.giveUp(ctx, current, admitted, result.HistoryUnavailable, false, err)
+		return answer, true, err
 	}
 	start := Start{
 		Program:  target.GetId(),
@@ -64,8 +65,7 @@
 	}
 	answered, err := e.dispatch(ctx, current, start, choice, tree, append(chain.Messages(), current.request.Messages...))
 	if err != nil {
-		answer, _, err := e.replaceAndPerform(ctx, current, admitted, err)
-		return answer, err
+		return e.replaceAndPerform(ctx, current, admitted, err)
 	}
 	turn := &statev1.Turn{
 		Program:       target.GetId(),
@@ -83,7 +83,8 @@
 		Model:         tree.GetModel(),
 		CreatedUnixMs: e.nowUnixMS(),
 	}
-	return e.settle(ctx, current, admitted, start, turn)
+	answer, err = e.settle(ctx, current, admitted, start, turn)
+	return answer, true, err
 }
 
 // dispatch sends the attempt to the engine and streams its text to the caller.
@@ -184,8 +185,7 @@
 		release(choice, current, errNotAdmitted)
 		return Answer{}, false, nil
 	}
-	answer, err := e.perform(ctx, current, next, choice, tree)
-	return answer, true, err
+	return e.perform(ctx, current, next, choice, tree)
 }
 
 // exhaustedCode is how a call ends where no other engine can be had.
--- /dev/null
+++ b/coordination/execution/takeover_test.go
@@ -0,0 +1,116 @@
+package execution_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/state/result"
+)
+
+// outcome is what one caller was told.
+type outcome struct {
+	answer execution.Answer
+	err    error
+}
+
+// freeze lets node-1 dispatch the call and hangs there until thaw is closed.
+func freeze(t *testing.T, f *fleetOfExecutors, request execution.CallRequest) (frozen <-chan outcome, thaw chan<- struct{}) {
+	t.Helper()
+	hold := make(chan struct{})
+	arrived := make(chan struct{})
+	first := true
+	f.engines.before = func(string, execution.EngineRequest, func(string) error) error {
+		if first {
+			first = false
+			close(arrived)
+			<-hold
+		}
+		return nil
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		answer, err := f.nodes["node-1"].Call(t.Context(), request, &textSink{})
+		done <- outcome{answer: answer, err: err}
+	}()
+	<-arrived
+	return done, hold
+}
+
+func TestFrozenNodeWokenAfterTakeover(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	id := f.program(t, 10000)
+	frozen, thaw := freeze(t, f, callOf(id, "key"))
+	f.gone.Store("node-1", true)
+	taken, err := f.nodes["node-2"].Call(t.Context(), callOf(id, "key"), &textSink{})
+	assert.NilError(t, err)
+	assert.Equal(t, taken.Attempt, uint32(2))
+	close(thaw)
+	woken := <-frozen
+	assert.NilError(t, woken.err)
+	// The late answer of attempt 1 is refused by the record; its caller gets the
+	// stored one.
+	assert.Equal(t, woken.answer.Attempt, uint32(2))
+	assert.Equal(t, woken.answer.Content, taken.Content)
+	assert.Equal(t, f.tree(id).GetPrograms()[0].GetTurns(), uint64(1))
+}
+
+func TestFrozenNodeWithNotRepeatableCall(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	id := f.program(t, 10000)
+	request := callOf(id, "key")
+	request.Repeatable = false
+	frozen, thaw := freeze(t, f, request)
+	f.gone.Store("node-1", true)
+	_, err := f.nodes["node-2"].Call(t.Context(), request, &textSink{})
+	assert.Equal(t, codeOf(t, err), result.OutcomeUnknown)
+	close(thaw)
+	assert.Equal(t, codeOf(t, (<-frozen).err), result.OutcomeUnknown)
+	assert.Equal(t, len(f.engines.seen()), 1)
+}
+
+func TestNextCallEndsALostOne(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	id := f.program(t, 10000)
+	frozen, thaw := freeze(t, f, callOf(id, "lost"))
+	f.gone.Store("node-1", true)
+	next, err := f.nodes["node-2"].Call(t.Context(), callOf(id, "next"), &textSink{})
+	assert.NilError(t, err)
+	assert.Equal(t, next.Sequence, uint64(2))
+	close(thaw)
+	assert.Equal(t, codeOf(t, (<-frozen).err), result.EngineFailed)
+	assert.Equal(t, f.tree(id).GetPrograms()[0].GetTurns(), uint64(1))
+}
+
+func TestCallBehindARunningOneWaitsOrIsRefused(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	id := f.program(t, 10000)
+	running, thaw := freeze(t, f, callOf(id, "first"))
+	late := callOf(id, "second")
+	late.Deadline = time.Now().Add(100 * time.Millisecond)
+	_, err := f.nodes["node-2"].Call(t.Context(), late, &textSink{})
+	assert.Equal(t, codeOf(t, err), result.CallInProgress)
+	close(thaw)
+	assert.NilError(t, (<-running).err)
+	// It was told that it wasn't run: a late duplicate doesn't run either.
+	_, err = f.nodes["node-1"].Call(t.Context(), late, &textSink{})
+	assert.Equal(t, codeOf(t, err), result.CallInProgress)
+	assert.Equal(t, len(f.engines.seen()), 1)
+}
+
+func TestEndedProgramStopsItsCall(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	id := f.program(t, 10000)
+	running, thaw := freeze(t, f, callOf(id, "key"))
+	view, err := f.nodes["node-2"].EndProgram(t.Context(), "tenant", id, "by test")
+	assert.NilError(t, err)
+	assert.Assert(t, view.Ended)
+	close(thaw)
+	assert.Equal(t, codeOf(t, (<-running).err), result.ProgramStopped)
+	assert.NilError(t, f.nodes["node-2"].Drain(t.Context()))
+	assert.Equal(t, len(f.tree(id).GetHolds()), 0)
+	_, err = f.nodes["node-1"].Call(t.Context(), callOf(id, "after"), &textSink{})
+	assert.Equal(t, codeOf(t, err), result.ProgramEnded)
+}
--- a/node/engine.go
+++ b/node/engine.go
@@ -77,6 +77,6 @@
 		return fleet.Load{}, err
 	}
 	return fleet.Load{
-		Leaving:           state.Leaving,
+		Leaving: state.Leaving,
 	}, nil
 }
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,342 @@
+// Package node builds one daemon of the coordination parts: the suture tree,
+// the listeners and the wiring between them.
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/configuration"
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/coordination/fleet"
+	"github.com/marblering/marblering/coordination/membership"
+	"github.com/marblering/marblering/coordination/record"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/protocol/callerapi"
+	"github.com/marblering/marblering/protocol/engineapi"
+	"github.com/marblering/marblering/protocol/objectapi"
+	"github.com/marblering/marblering/settings"
+	"github.com/marblering/marblering/state/history"
+	"github.com/marblering/marblering/state/program"
+	"github.com/marblering/marblering/state/replica"
+	"github.com/marblering/marblering/telemetry"
+	"github.com/marblering/marblering/transport/peer"
+)
+
+// Sizes and intervals that are no matter of settings.
+const (
+	recentTrees       = 10000
+	historyCacheBytes = 32 << 20
+	pollInterval      = 500 * time.Millisecond
+	sweepInterval     = 2 * time.Second
+	// maxQueue is the longest expected queueing before a call is shed.
+	maxQueue         = 2 * time.Minute
+	idlePeerSockets  = 8
+	peerIdleTimeout  = 90 * time.Second
+	shutdownTimeout  = 5 * time.Second
+	departureTimeout = 2 * time.Second
+)
+
+// Node is one running daemon.
+type Node struct {
+	settings   settings.Settings
+	logger     *zap.Logger
+	identity   string
+	holder     *configuration.Holder
+	views      *shard.Map
+	store      replica.Store
+	replica    *shard.Replica
+	membership *membership.Service
+	records    *record.Store
+	fleet      *fleet.Fleet
+	executor   *execution.Executor
+	callers    *callerapi.Handler
+	readiness  *telemetry.Readiness
+	metrics    *prometheus.Registry
+	random     *rand.Rand
+
+	peerListener     *listener
+	callerListener   *listener
+	operatorListener *listener
+
+	stop    context.CancelFunc
+	stopped <-chan error
+}
+
+// Run runs a node until the context ends, then drains it.
+func Run(ctx context.Context, loaded settings.Settings, logger *zap.Logger) error {
+	n, err := Start(loaded, logger)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return n.Drain()
+	case err := <-n.stopped:
+		return err
+	}
+}
+
+// Start builds the node and starts its services.
+func Start(loaded settings.Settings, logger *zap.Logger) (*Node, error) {
+	n := &Node{
+		settings:  loaded,
+		logger:    logger,
+		holder:    configuration.NewHolder(),
+		readiness: telemetry.NewReadiness(),
+		metrics:   telemetry.NewRegistry(),
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	if err := n.open(); err != nil {
+		return nil, err
+	}
+	services, err := n.build()
+	if err != nil {
+		return nil, errors.Join(err, n.store.Close())
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	supervisor := suture.New("node", suture.Spec{EventHook: n.logEvent})
+	for _, service := range services {
+		supervisor.Add(service)
+	}
+	n.stop = stop
+	n.stopped = supervisor.ServeBackground(ctx)
+	logger.Info("started",
+		zap.String("identity", n.identity),
+		zap.String("peer_address", n.PeerAddress()),
+		zap.String("caller_address", n.CallerAddress()),
+		zap.String("operator_address", n.OperatorAddress()))
+	return n, nil
+}
+
+func (n *Node) logEvent(event suture.Event) {
+	n.logger.Warn("supervisor", zap.String("event", event.String()))
+}
+
+// PeerAddress is where other nodes reach this one.
+func (n *Node) PeerAddress() string {
+	if n.settings.PeerAdvertise.IsValid() {
+		return n.settings.PeerAdvertise.String()
+	}
+	return n.peerListener.address()
+}
+
+// CallerAddress is where the caller API listens.
+func (n *Node) CallerAddress() string { return n.callerListener.address() }
+
+// OperatorAddress is where operators, metrics and health are served.
+func (n *Node) OperatorAddress() string { return n.operatorListener.address() }
+
+// open opens the replica store and names this life of the node.
+func (n *Node) open() error {
+	incarnation := uuid.NewString()
+	n.store = replica.NewMemory()
+	if n.settings.DataFolder != "" {
+		disk, err := replica.OpenDisk(n.settings.DataFolder)
+		if err != nil {
+			return err
+		}
+		n.store = disk
+		incarnation = disk.Incarnation()
+	}
+	n.identity = incarnation + identitySeparator + uuid.NewString()
+	n.views = shard.NewMap(uint32(n.settings.Shards))
+	n.replica = shard.NewReplica(incarnation, n.store, n.views)
+	return nil
+}
+
+// build makes the parts and returns the services to supervise. Listeners come
+// first: their addresses are part of what the node says of itself.
+func (n *Node) build() ([]suture.Service, error) {
+	peerMux, callerMux := &lateHandler{}, &lateHandler{}
+	if err := n.openListeners(peerMux, callerMux); err != nil {
+		return nil, err
+	}
+	peers := peer.NewClient(newHTTPClient(), n.settings.PeerTimeout)
+	platform := objectapi.NewClient(n.settings.ObjectAPI, newHTTPClient()).Named(n.settings.Name)
+	engineClient := engineapi.NewClient(newHTTPClient())
+	n.buildMembership(peers)
+	n.buildExecution(peers, engineClient)
+	n.callers = callerapi.New(callerapi.Options{
+		Service:   n.executor,
+		Tenants:   catalog{n.holder},
+		Logger:    n.logger,
+		BodyLimit: int64(n.settings.RequestSizeLimit),
+	})
+	peerMux.set(peer.NewHandler(n.replica, &peerNode{
+		identity:   n.identity,
+		membership: n.membership,
+		executor:   n.executor,
+		holder:     n.holder,
+	}))
+	callerMux.set(n.callers)
+	n.readiness.Add("configuration", n.checkConfiguration)
+	n.readiness.Add("shards", n.checkShards)
+	return []suture.Service{
+		n.peerListener, n.callerListener, n.operatorListener,
+		n.membership,
+		n.fleet,
+		&configurationWatch{platform: platform, holder: n.holder, logger: n.logger, timeout: n.settings.ObjectAPITimeout},
+		&engineFollower{catalog: catalog{n.holder}, fleet: n.fleet},
+		&bootstrap{
+			platform: platform, holder: n.holder, members: n.membership.Members, views: n.views,
+			shards: uint32(n.settings.Shards), replicationFactor: n.settings.ReplicationFactor,
+			timeout: n.settings.ObjectAPITimeout, logger: n.logger,
+		},
+		&sweep{
+			interval: sweepInterval, records: n.records, executor: n.executor, fleet: n.fleet,
+			engines: engineClient, roots: n.replica.EachRoot, mine: n.prefers, now: time.Now, logger: n.logger,
+		},
+	}, nil
+}
+
+func (n *Node) openListeners(peers, callers http.Handler) error {
+	var err error
+	if n.peerListener, err = listen("peers", n.settings.PeerListen, peers); err != nil {
+		return err
+	}
+	if n.callerListener, err = listen("callers", n.settings.CallerListen, callers); err != nil {
+		return errors.Join(err, n.peerListener.socket.Close())
+	}
+	operators := telemetry.NewHandler(n.metrics, n.readiness)
+	if n.operatorListener, err = listen("operators", n.settings.OperatorListen, operators); err != nil {
+		return errors.Join(err, n.peerListener.socket.Close(), n.callerListener.socket.Close())
+	}
+	return nil
+}
+
+func (n *Node) buildMembership(peers *peer.Client) {
+	now := time.Now()
+	identity := membership.Identity{
+		Node:          n.settings.Name,
+		Incarnation:   n.replica.Incarnation(),
+		Address:       n.PeerAddress(),
+		CallerAddress: n.CallerAddress(),
+		Zone:          n.settings.Zone,
+		HasDataFolder: n.settings.DataFolder != "",
+		Started:       now,
+	}
+	gossip := membership.New(membership.DefaultSettings(), identity, addresses(n.settings.Seeds), n.random, now)
+	n.membership = membership.NewService(gossip, membership.Options{
+		Exchanger:            peers,
+		Now:                  time.Now,
+		Logger:               n.logger,
+		ConfigurationVersion: n.holder.Version,
+		Observe:              n.observeMembership,
+	})
+}
+
+func addresses(ports []netip.AddrPort) []string {
+	var texts []string
+	for _, port := range ports {
+		texts = append(texts, port.String())
+	}
+	return texts
+}
+
+// observeMembership passes evidence about engines on to the fleet.
+func (n *Node) observeMembership(event membership.Event) {
+	if event.Kind == membership.EngineChanged {
+		n.fleet.MarkLeaving(event.Engine, event.EngineLeaving)
+	}
+}
+
+func (n *Node) buildExecution(peers *peer.Client, engineClient *engineapi.Client) {
+	views := &shardViews{Map: n.views, holder: n.holder}
+	client := register.NewClient(n.identity, peers, views, register.SystemClock{}, n.newRandom(), register.DefaultSettings())
+	n.records = record.NewStore(client, n.views.Locate, recentTrees)
+	turns := archive.New(peers, views, n.views.Locate, history.NewCache(historyCacheBytes))
+	n.fleet = fleet.New(fleet.Options{
+		Zone:         n.settings.Zone,
+		Reporter:     engines{engineClient},
+		Weights:      catalog{n.holder}.weights,
+		Now:          time.Now,
+		Random:       n.newRandom(),
+		Logger:       n.logger,
+		PollInterval: pollInterval,
+		MaxQueue:     maxQueue,
+		OnLeaving:    n.engineLeaving,
+	})
+	limits := execution.DefaultLimits
+	limits.CallTimeout = n.settings.CallTimeout
+	n.executor = execution.New(execution.Options{
+		Identity: n.identity,
+		Address:  n.PeerAddress(),
+		Records:  n.records,
+		Turns:    turns,
+		Router:   n.fleet,
+		Engines:  engines{engineClient},
+		Peers:    peers,
+		Liveness: liveness{n.membership.Members},
+		Catalog:  catalog{n.holder},
+		Logger:   n.logger,
+		Now:      time.Now,
+		Random:   n.newRandom(),
+		Limits:   limits,
+	})
+}
+
+// newRandom makes an independent source; each part guards its own.
+func (n *Node) newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// engineLeaving spreads what this node saw of an engine.
+func (n *Node) engineLeaving(engine string, leaving bool) {
+	n.membership.ObserveEngine(membership.EngineReport{Engine: engine, Leaving: leaving, Asked: time.Now()})
+}
+
+// prefers reports whether this node is the one of the live nodes that should
+// look after the key.
+func (n *Node) prefers(key string) bool {
+	best, bestScore := "", uint64(0)
+	for _, member := range n.membership.Members().Live() {
+		score := program.Affinity(member.Node, key)
+		if best == "" || score > bestScore {
+			best, bestScore = member.Node, score
+		}
+	}
+	return best == n.settings.Name
+}
+
+var (
+	errNoConfiguration = errors.New("no configuration yet")
+	errNoShards        = errors.New("no shard map yet")
+)
+
+func (n *Node) checkConfiguration(context.Context) error {
+	if n.holder.Version() == 0 {
+		return errNoConfiguration
+	}
+	return nil
+}
+
+func (n *Node) checkShards(context.Context) error {
+	if _, found := n.views.View(0); !found {
+		return errNoShards
+	}
+	return nil
+}
+
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: idlePeerSockets,
+		IdleConnTimeout:     peerIdleTimeout,
+	}}
+}
+
+// Name is the node's name in the settings.
+func (n *Node) Name() string { return n.settings.Name }
+
+// Explain returns the last routing decisions that this node made for the
+// program, oldest first.
+func (n *Node) Explain(id string) []fleet.Explained { return n.fleet.Explain(id) }
--- a/state/program/program.go
+++ b/state/program/program.go
@@ -173,3 +173,7 @@
 	budget.Reserved -= reserved
 	budget.Spent += charged
 }
+
+// Affinity scores a node for a key by rendezvous hashing (Thaler, Ravishankar,
+// 1998): the live node with the highest score is the one to look after it.
+func Affinity(node, key string) uint64 { return xxhash.Sum64String(node + "\x00" + key) }
