Serve the whole engine dialect from the core

Cause: the thin stand-in took a fixed time per token and lacked orders, KV export and import, cache events, load and faults. Ruled out: a second model of time in the server. It drives the same Core that the experiments drive, in scaled real time. GET /v1/state additionally has "zone", "versions" and "loading". The tokens of a cache event are what is cached after it, so that a lost event does no lasting harm.

--- a/lab/engine/answer.go
+++ b/lab/engine/answer.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -19,8 +20,7 @@
 	bytesPerToken = 4
 	// messageEnd terminates each rendered message.
 	messageEnd = '\x03'
-	// answerPrefix opens the assistant's message in the rendered prompt. With it
-	// a prompt and its answer together are a prefix of the next turn's prompt.
+	// answerPrefix opens an assistant's message, and ends every prompt.
 	answerPrefix = "assistant\n"
 	// quotedRunes is how much of the last user message an answer repeats.
 	quotedRunes = 24
@@ -78,6 +78,33 @@
 	return nil
 }
 
+// segments divides a prompt into the runs of tokens that the cache shares: a
+// message is one run, except that the assistant's role and text are two. So the
+// answer to a prompt is a run of its own, and the prompt, the answer and the
+// next message make the next turn's prompt.
+func segments(messages []json.RawMessage) []Segment {
+	var path []Segment
+	for _, raw := range messages {
+		var rendered bytes.Buffer
+		if renderMessage(&rendered, raw) != nil {
+			continue
+		}
+		text := rendered.Bytes()[:rendered.Len()-1]
+		if rest, ok := bytes.CutPrefix(text, []byte(answerPrefix)); ok {
+			path = append(path, segmentOf([]byte(answerPrefix)))
+			text = rest
+		}
+		if len(text) > 0 {
+			path = append(path, segmentOf(text))
+		}
+	}
+	return append(path, segmentOf([]byte(answerPrefix)))
+}
+
+func segmentOf(text []byte) Segment {
+	return Segment{ID: xxhash.Sum64(text), Tokens: tokensOf(len(text))}
+}
+
 // ChainDigest is the SHA-256 of the rendered messages in hexadecimal. It is
 // what the ledger records for a completion.
 func ChainDigest(messages []json.RawMessage) (string, error) {
@@ -93,17 +120,18 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// PromptTokens counts the tokens of a prompt as the stand-in does.
-func PromptTokens(messages []json.RawMessage) (uint64, error) {
-	rendered, err := render(messages)
-	if err != nil {
-		return 0, err
+// PromptTokens counts the tokens of a prompt as the stand-in does. They are
+// never more than a quarter of the bytes of the messages' JSON, rounded up.
+func PromptTokens(messages []json.RawMessage) uint64 {
+	total := 0
+	for _, segment := range segments(messages) {
+		total += segment.Tokens
 	}
-	return tokensOf(len(rendered) + len(answerPrefix)), nil
+	return uint64(total)
 }
 
-func tokensOf(size int) uint64 {
-	return uint64((size + bytesPerToken - 1) / bytesPerToken)
+func tokensOf(size int) int {
+	return (size + bytesPerToken - 1) / bytesPerToken
 }
 
 // ExpectedAnswer returns the text every engine with this seed gives to these
@@ -150,7 +178,7 @@
 	if maxTokens == 0 {
 		maxTokens = DefaultMaxTokens
 	}
-	if tokensOf(len(text)) <= maxTokens {
+	if uint64(tokensOf(len(text))) <= maxTokens {
 		return text
 	}
 	return text[:maxTokens*bytesPerToken]
--- a/lab/engine/completions.go
+++ b/lab/engine/completions.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"math"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -12,165 +12,179 @@
 	"github.com/marblering/marblering/protocol/engineapi"
 )
 
-const (
-	// maxBody limits a request body, in bytes.
-	maxBody = 64 << 20
-	// tokenTime is how long one output token takes.
-	tokenTime = 10 * time.Millisecond
-)
+// maxBody limits a request body, in bytes.
+const maxBody = 64 << 20
 
 // complete serves POST /v1/chat/completions.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
 	var request engineapi.ChatRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&request); err != nil {
-		status := http.StatusBadRequest
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		refuse(w, status, "bad_request", "the body can't be read: "+err.Error())
+	if !readBody(w, r, &request) {
 		return
 	}
 	rendered, err := render(request.Messages)
 	if err != nil || len(request.Messages) == 0 || request.RequestID == "" {
-		refuse(w, http.StatusBadRequest, "bad_request", "want request_id and messages that are objects")
+		refuse(w, http.StatusBadRequest, typeBadRequest, "want a request_id and messages that are objects")
+		return
+	}
+	answer, err := s.admit(request, rendered)
+	if err != nil {
+		s.refuseCore(w, err)
 		return
 	}
+	if request.Stream {
+		s.writeStream(w, r, answer, 0)
+		return
+	}
+	s.writeWhole(w, r, answer)
+}
+
+// readBody decodes a JSON body, or answers why it can't.
+func readBody(w http.ResponseWriter, r *http.Request, body any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(body)
+	if err == nil {
+		return true
+	}
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	refuse(w, status, typeBadRequest, "the body can't be read: "+err.Error())
+	return false
+}
+
+// admit gives a request to the core.
+func (s *Server) admit(request engineapi.ChatRequest, rendered []byte) (*stream, error) {
+	whole := answerText(s.options.Seed, rendered, request.Messages)
+	answer := &stream{
+		id:      request.RequestID,
+		model:   request.Model,
+		hold:    request.Hold,
+		created: s.options.Clock().UTC(),
+		text:    limitTokens(whole, request.MaxTokens),
+		changed: make(chan struct{}),
+	}
+	answer.cut = len(answer.text) < len(whole)
 	entry := ledger.Entry{
-		Time:         s.options.Clock().UTC(),
+		Time:         answer.created,
 		Kind:         ledger.Completion,
 		RequestID:    request.RequestID,
 		Program:      request.Hold,
 		Digest:       digestOf(rendered),
 		Messages:     len(request.Messages),
-		PromptTokens: tokensOf(len(rendered) + len(answerPrefix)),
+		PromptTokens: PromptTokens(request.Messages),
 		Outcome:      ledger.Running,
 	}
-	answer, refused := s.admit(request, rendered, &entry)
-	if refused != 0 {
-		refuseStatus(w, refused, request)
-		return
-	}
-	if request.Stream {
-		s.writeStream(w, r, answer, 0)
-		return
-	}
-	s.writeWhole(w, r, answer)
+	var err error
+	s.change(func() { err = s.submit(request, answer, entry) })
+	return answer, err
 }
 
-// admit starts a request, or returns the status of its refusal.
-func (s *Server) admit(request engineapi.ChatRequest, rendered []byte, entry *ledger.Entry) (*stream, int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	status := s.refusalOf(request)
-	if status != 0 {
+func (s *Server) submit(request engineapi.ChatRequest, answer *stream, entry ledger.Entry) error {
+	err := s.submitCore(request, answer)
+	if err != nil {
 		entry.Outcome = ledger.Refused
-		entry.Status = status
-		s.ledger.Append(*entry)
-		return nil, status
+		entry.Status = statusOf(err)
+		s.ledger.Append(entry)
+		return err
 	}
-	text := answerText(s.options.Seed, rendered, request.Messages)
-	answer := newStream(request.RequestID, request.Model, text, entry.Time)
-	answer.ledgerNumber = s.ledger.Append(*entry)
+	answer.faults = s.faultsFor()
+	answer.ledgerNumber = s.ledger.Append(entry)
 	s.requests[request.RequestID] = answer
-	s.running.Add(1)
-	go s.generate(answer, request, entry.PromptTokens)
-	return answer, 0
+	s.live[s.lastID] = answer
+	return nil
 }
 
-func (s *Server) refusalOf(request engineapi.ChatRequest) int {
-	switch {
-	case s.requests[request.RequestID] != nil:
-		return http.StatusConflict
-	case s.state.Leaving || s.context.Err() != nil:
-		return http.StatusServiceUnavailable
-	case !slices.Contains(s.state.Models, request.Model):
-		return http.StatusNotFound
-	case request.Adapter != "" && !slices.Contains(s.state.Adapters, request.Adapter):
-		return http.StatusNotFound
+func (s *Server) submitCore(request engineapi.ChatRequest, answer *stream) error {
+	if s.requests[request.RequestID] != nil {
+		return &Refusal{Reason: InUse}
+	}
+	if s.context.Err() != nil {
+		return &Refusal{Reason: IsLeaving, RetryAfter: leavingRetry}
 	}
-	return 0
+	output := segmentOf([]byte(answer.text))
+	s.lastID++
+	return s.core.Submit(s.instant(), Request{
+		ID:           s.lastID,
+		Program:      request.Hold,
+		Model:        request.Model,
+		Adapter:      request.Adapter,
+		Path:         segments(request.Messages),
+		OutputID:     output.ID,
+		OutputTokens: output.Tokens,
+		Priority:     request.Priority,
+		Hold:         request.Hold != "",
+	})
 }
 
-// generate produces the answer one token at a time.
-func (s *Server) generate(answer *stream, request engineapi.ChatRequest, promptTokens uint64) {
-	defer s.running.Done()
-	text := limitTokens(answer.text, request.MaxTokens)
-	reason := engineapi.FinishStop
-	if len(text) < len(answer.text) {
-		reason = engineapi.FinishLength
-	}
-	ticker := time.NewTicker(max(time.Microsecond, time.Duration(float64(tokenTime)/s.options.TimeScale)))
-	defer ticker.Stop()
-	var produced uint64
-	for start := 0; start < len(text); start += bytesPerToken {
-		select {
-		case <-s.context.Done():
-			s.end(answer, request, "", promptTokens, produced)
-			return
-		case <-ticker.C:
-		}
-		if answer.from(0).ended() {
-			return
-		}
-		produced++
-		piece := text[start:min(start+bytesPerToken, len(text))]
-		answer.change(func() { answer.chunks = append(answer.chunks, piece) })
-	}
-	s.end(answer, request, reason, promptTokens, produced)
+// refuseCore answers with the refusal of the core.
+func (s *Server) refuseCore(w http.ResponseWriter, err error) {
+	refusal, ok := err.(*Refusal)
+	if !ok {
+		refuse(w, http.StatusInternalServerError, typeFailed, err.Error())
+		return
+	}
+	if refusal.RetryAfter > 0 {
+		seconds := math.Ceil(refusal.RetryAfter.Seconds() / s.options.TimeScale)
+		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(seconds))))
+	}
+	writeJSON(w, statusOf(err), engineapi.ErrorAnswer{
+		Error: engineapi.ErrorBody{Type: errorTypes[refusal.Reason], Message: refusal.Error()},
+		Fence: refusal.Fence,
+	})
 }
 
-// end records the end of a request; an empty reason is the engine's own end.
-func (s *Server) end(answer *stream, request engineapi.ChatRequest, reason string, promptTokens, produced uint64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if request.Hold != "" && reason != "" {
-		s.holds[request.Hold] = promptTokens + produced
-	}
-	s.ended = append(s.ended, answer.id)
-	if len(s.ended) > recentRequests {
-		delete(s.requests, s.ended[0])
-		s.ended = s.ended[1:]
-	}
-	s.ledger.Update(answer.ledgerNumber, func(entry *ledger.Entry) {
-		entry.OutputTokens = produced
-		entry.Outcome = ledger.Done
-		if reason == "" {
-			entry.Outcome = ledger.Failed
-		}
-	})
-	answer.change(func() {
-		if reason == "" {
-			answer.failure = "the engine stopped"
-			return
-		}
-		answer.finishReason = reason
-		answer.usage = engineapi.ChatUsage{
-			PromptTokens:     promptTokens,
-			CompletionTokens: produced,
-			TotalTokens:      promptTokens + produced,
-		}
-	})
+var errorTypes = map[Reason]string{
+	IsLeaving: typeLeaving,
+	IsFull:    typeFull,
+	NotLoaded: typeNotLoaded,
+	InUse:     engineapi.ErrorTypeDuplicate,
+	TooLarge:  typeTooLarge,
+	Invalid:   typeBadRequest,
+	NotHeld:   typeNotHeld,
+	OldFence:  engineapi.ErrorTypeStale,
 }
 
-func refuseStatus(w http.ResponseWriter, status int, request engineapi.ChatRequest) {
-	switch status {
-	case http.StatusConflict:
-		refuse(w, status, engineapi.ErrorTypeDuplicate, "request "+strconv.Quote(request.RequestID)+" is running or was run lately")
-	case http.StatusNotFound:
-		refuse(w, status, "not_loaded", "model "+strconv.Quote(request.Model)+" with adapter "+strconv.Quote(request.Adapter)+" isn't loaded")
-	default:
-		w.Header().Set("Retry-After", "1")
-		refuse(w, status, "leaving", "the engine takes no new requests")
+func statusOf(err error) int {
+	refusal, ok := err.(*Refusal)
+	if !ok {
+		return http.StatusInternalServerError
+	}
+	switch refusal.Reason {
+	case IsLeaving:
+		return http.StatusServiceUnavailable
+	case IsFull:
+		return http.StatusTooManyRequests
+	case NotLoaded, NotHeld:
+		return http.StatusNotFound
+	case InUse, OldFence:
+		return http.StatusConflict
 	}
+	return http.StatusBadRequest
 }
 
-func refuse(w http.ResponseWriter, status int, errorType, text string) {
-	writeJSON(w, status, engineapi.ErrorAnswer{Error: engineapi.ErrorBody{Type: errorType, Message: text}})
+// record adds a ledger entry for a request that has ended already.
+func (s *Server) record(kind ledger.Kind, entry ledger.Entry, err error) {
+	entry.Time = s.options.Clock().UTC()
+	entry.Kind = kind
+	entry.Outcome = ledger.Done
+	if err != nil {
+		entry.Outcome = ledger.Refused
+		entry.Status = statusOf(err)
+	}
+	s.ledger.Append(entry)
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+// pause waits for a time of the engine's, or until the reader has gone.
+func (s *Server) pause(r *http.Request, length time.Duration) error {
+	timer := time.NewTimer(time.Duration(float64(length) / s.options.TimeScale))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-r.Context().Done():
+		return r.Context().Err()
+	case <-s.context.Done():
+		return s.context.Err()
+	}
 }
--- a/lab/engine/management.go
+++ b/lab/engine/management.go
@@ -1,115 +1,149 @@
 package engine
 
 import (
-	"fmt"
+	"encoding/json"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 
 	"github.com/marblering/marblering/lab/ledger"
 	"github.com/marblering/marblering/protocol/engineapi"
 )
 
-func (s *Server) find(id string) *stream {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.requests[id]
-}
-
-// record adds a ledger entry for a request that has ended already.
-func (s *Server) record(kind ledger.Kind, requestID, program string, outcome ledger.Outcome) {
-	s.ledger.Append(ledger.Entry{
-		Time:      s.options.Clock().UTC(),
-		Kind:      kind,
-		RequestID: requestID,
-		Program:   program,
-		Outcome:   outcome,
+// listHolds serves GET /v1/holds.
+func (s *Server) listHolds(w http.ResponseWriter, _ *http.Request) {
+	list := engineapi.HoldList{Holds: []engineapi.Hold{}}
+	s.change(func() {
+		for _, held := range s.core.Holds(s.instant()) {
+			list.Holds = append(list.Holds, engineapi.Hold{Program: held.Program, Tokens: uint64(held.Tokens)})
+		}
 	})
+	writeJSON(w, http.StatusOK, list)
 }
 
-// resume serves GET /v1/requests/{id}?from=N.
-func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
-	id := r.PathValue("id")
-	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 31)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, "bad_request", "from: want the number of a chunk")
-		return
-	}
-	answer := s.find(id)
-	if answer == nil {
-		s.record(ledger.Resume, id, "", ledger.Refused)
-		refuse(w, http.StatusNotFound, "unknown_request", "no request "+strconv.Quote(id))
+// release serves DELETE /v1/holds/{program}.
+func (s *Server) release(w http.ResponseWriter, r *http.Request) {
+	program := r.PathValue("program")
+	refused := false
+	s.change(func() {
+		refused = s.faults.RefuseReleases
+		if !refused {
+			s.core.Release(s.instant(), program)
+		}
+	})
+	entry := ledger.Entry{Program: program}
+	if refused {
+		s.record(ledger.Release, entry, &Refusal{Reason: Invalid})
+		refuse(w, http.StatusInternalServerError, typeFailed, "the release failed")
 		return
 	}
-	s.record(ledger.Resume, id, "", ledger.Done)
-	s.writeStream(w, r, answer, int(from))
+	s.record(ledger.Release, entry, nil)
+	w.WriteHeader(http.StatusOK)
 }
 
-// cancelRequest serves POST /v1/requests/{id}/cancel.
-func (s *Server) cancelRequest(w http.ResponseWriter, r *http.Request) {
-	id := r.PathValue("id")
-	answer := s.find(id)
-	if answer == nil {
-		s.record(ledger.Cancel, id, "", ledger.Refused)
-		refuse(w, http.StatusNotFound, "unknown_request", "no request "+strconv.Quote(id))
-		return
-	}
-	s.record(ledger.Cancel, id, "", ledger.Done)
-	answer.change(func() {
-		if answer.finishReason != "" || answer.failure != "" {
+// cacheEvents serves GET /v1/cache/events?after=N.
+func (s *Server) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after := uint64(0)
+	if text := r.URL.Query().Get("after"); text != "" {
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			refuse(w, http.StatusBadRequest, typeBadRequest, "after: want the number of an event")
 			return
 		}
-		answer.finishReason = engineapi.FinishCancelled
-		s.ledger.Update(answer.ledgerNumber, func(entry *ledger.Entry) {
-			entry.OutputTokens = uint64(len(answer.chunks))
-			entry.Outcome = ledger.Cancelled
+		after = number
+	}
+	var events []CacheEvent
+	s.change(func() { events = s.core.CacheEvents(s.instant(), after) })
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	encoder := json.NewEncoder(w)
+	for _, event := range events {
+		kind := engineapi.CacheStored
+		if event.Kind == CacheEvicted {
+			kind = engineapi.CacheEvicted
+		}
+		_ = encoder.Encode(engineapi.CacheEvent{
+			Number:  event.Number,
+			Kind:    kind,
+			Program: event.Program,
+			Tokens:  uint64(event.Tokens),
 		})
-	})
-	w.WriteHeader(http.StatusOK)
+	}
 }
 
-// listHolds serves GET /v1/holds.
-func (s *Server) listHolds(w http.ResponseWriter, _ *http.Request) {
-	s.mutex.Lock()
-	list := engineapi.HoldList{Holds: make([]engineapi.Hold, 0, len(s.holds))}
-	for program, tokens := range s.holds {
-		list.Holds = append(list.Holds, engineapi.Hold{Program: program, Tokens: tokens})
+// readState serves GET /v1/state.
+func (s *Server) readState(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.state())
+}
+
+func (s *Server) state() engineapi.State {
+	var status Status
+	s.change(func() { status = s.core.Status(s.instant()) })
+	state := engineapi.State{
+		Engine:     s.options.Name,
+		Generation: s.core.options.Generation.Name,
+		Zone:       s.options.Zone,
+		Role:       string(status.Role),
+		Models:     names(status.Models),
+		Adapters:   names(status.Adapters),
+		Versions:   versions(status.Models, status.Adapters),
+		Loading:    versions(status.Loading),
+		Fence:      status.Fence,
+		Leaving:    status.Leaving,
 	}
-	s.mutex.Unlock()
-	slices.SortFunc(list.Holds, func(a, b engineapi.Hold) int { return strings.Compare(a.Program, b.Program) })
-	writeJSON(w, http.StatusOK, list)
+	return state
 }
 
-// release serves DELETE /v1/holds/{program}.
-func (s *Server) release(w http.ResponseWriter, r *http.Request) {
-	program := r.PathValue("program")
-	s.mutex.Lock()
-	delete(s.holds, program)
-	s.mutex.Unlock()
-	s.record(ledger.Release, "", program, ledger.Done)
-	w.WriteHeader(http.StatusOK)
+func names(list []Loaded) []string {
+	names := make([]string, 0, len(list))
+	for _, item := range list {
+		names = append(names, item.Name)
+	}
+	return names
 }
 
-// readState serves GET /v1/state.
-func (s *Server) readState(w http.ResponseWriter, _ *http.Request) {
-	s.mutex.Lock()
-	state := s.state
-	state.Models = slices.Clone(state.Models)
-	state.Adapters = slices.Clone(state.Adapters)
-	s.mutex.Unlock()
-	writeJSON(w, http.StatusOK, state)
+func versions(lists ...[]Loaded) []engineapi.Version {
+	versions := []engineapi.Version{}
+	for _, list := range lists {
+		for _, item := range list {
+			versions = append(versions, engineapi.Version{Name: item.Name, Version: item.Version})
+		}
+	}
+	return versions
+}
+
+var orderActions = map[engineapi.Action]OrderAction{
+	engineapi.LoadModel:     LoadModel,
+	engineapi.UnloadModel:   UnloadModel,
+	engineapi.LoadAdapter:   LoadAdapter,
+	engineapi.UnloadAdapter: UnloadAdapter,
+	engineapi.SetRole:       SetRole,
+	engineapi.Drain:         Drain,
+	engineapi.Undrain:       Undrain,
 }
 
-// metrics serves GET /metrics.
-func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
-	s.mutex.Lock()
-	running := len(s.requests) - len(s.ended)
-	var held uint64
-	for _, tokens := range s.holds {
-		held += tokens
+// order serves POST /v1/orders.
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var wanted engineapi.Order
+	if !readBody(w, r, &wanted) {
+		return
+	}
+	action, known := orderActions[wanted.Action]
+	if !known {
+		refuse(w, http.StatusBadRequest, typeBadRequest, "unknown action "+strconv.Quote(string(wanted.Action)))
+		return
+	}
+	if wanted.Version == "" {
+		wanted.Version = defaultVersion
+	}
+	order := Order{Fence: wanted.Fence, Action: action, Item: Loaded{Name: wanted.Name, Version: wanted.Version}}
+	if action == SetRole {
+		order.Role = Role(wanted.Name)
+	}
+	var err error
+	s.change(func() { err = s.core.Order(s.instant(), order) })
+	s.record(ledger.Order, ledger.Entry{Name: string(wanted.Action) + " " + wanted.Name}, err)
+	if err != nil {
+		s.refuseCore(w, err)
+		return
 	}
-	s.mutex.Unlock()
-	fmt.Fprintf(w, "# TYPE engine_running_requests gauge\nengine_running_requests %d\n", running)
-	fmt.Fprintf(w, "# TYPE engine_cache_used_tokens gauge\nengine_cache_used_tokens %d\n", held)
+	writeJSON(w, http.StatusOK, s.state())
 }
--- a/lab/engine/server_test.go
+++ b/lab/engine/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,14 +18,21 @@
 const seed = 7
 
 var question = []json.RawMessage{
-	json.RawMessage(`{"role":"system","content":"be brief"}`),
+	json.RawMessage(`{"role":"system","content":"be brief and answer in Dutch, with the date of the next roast"}`),
 	json.RawMessage(`{"role":"user","content":"change my grind, please"}`),
 }
 
+var client = engineapi.NewClient(http.DefaultClient)
+
 // start runs an engine on a free loopback port.
-func start(t *testing.T) (*engine.Server, string) {
+func start(t *testing.T, options engine.Options) (*engine.Server, string) {
 	t.Helper()
-	server := engine.New(engine.Options{Name: "e1", Models: []string{"m"}, Seed: seed, TimeScale: 1000})
+	options.Models = []string{"m@1"}
+	options.Seed = seed
+	if options.TimeScale == 0 {
+		options.TimeScale = 1000
+	}
+	server := engine.New(options)
 	listener := httptest.NewServer(server)
 	t.Cleanup(func() {
 		server.Close()
@@ -33,12 +41,22 @@
 	return server, listener.URL
 }
 
+func request(id string, messages []json.RawMessage) engineapi.Request {
+	return engineapi.Request{RequestID: id, Model: "m", Messages: messages}
+}
+
+func kindOf(err error) engineapi.Kind {
+	var failure *engineapi.Error
+	if errors.As(err, &failure) {
+		return failure.Kind
+	}
+	return ""
+}
+
 func TestCompletionIsWholeAndRecorded(t *testing.T) {
-	server, address := start(t)
-	client := engineapi.NewClient(http.DefaultClient)
+	server, address := start(t, engine.Options{})
 	var streamed strings.Builder
-	request := engineapi.Request{RequestID: "r1", Model: "m", Messages: question, Hold: "p1"}
-	answer, err := client.Complete(t.Context(), address, request, func(text string) error {
+	answer, err := client.Complete(t.Context(), address, request("a/b", question), func(text string) error {
 		streamed.WriteString(text)
 		return nil
 	})
@@ -46,47 +64,192 @@
 	assert.Equal(t, answer.Content, engine.ExpectedAnswer(seed, question, 0))
 	assert.Equal(t, streamed.String(), answer.Content)
 	assert.Equal(t, answer.FinishReason, engineapi.FinishStop)
-	tokens, err := engine.PromptTokens(question)
-	assert.NilError(t, err)
-	assert.Equal(t, answer.Usage.PromptTokens, tokens)
+	assert.Equal(t, answer.Usage.PromptTokens, engine.PromptTokens(question))
 
-	resumed, err := client.Resume(t.Context(), address, "r1", 3, nil)
+	resumed, err := client.Resume(t.Context(), address, "a/b", 3, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, resumed.Content, answer.Content[12:])
+	assert.Equal(t, resumed.Chunks, answer.Chunks)
+
+	entry := server.Ledger().After(0)[0]
+	digest, err := engine.ChainDigest(question)
+	assert.NilError(t, err)
+	assert.Equal(t, entry.Digest, digest)
+	assert.Equal(t, entry.Outcome, ledger.Done)
+	assert.Equal(t, entry.OutputTokens, answer.Usage.OutputTokens)
+}
+
+func TestMaxTokensCutsTheAnswer(t *testing.T) {
+	_, address := start(t, engine.Options{})
+	short := request("r1", question)
+	short.MaxTokens = 5
+	answer, err := client.Complete(t.Context(), address, short, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Content, engine.ExpectedAnswer(seed, question, 5))
+	assert.Equal(t, answer.FinishReason, engineapi.FinishLength)
+	assert.Equal(t, answer.Usage.OutputTokens, uint64(5))
+}
+
+func TestNextTurnFindsItsContext(t *testing.T) {
+	_, address := start(t, engine.Options{})
+	first := request("r1", question)
+	first.Hold = "p1"
+	answer, err := client.Complete(t.Context(), address, first, nil)
+	assert.NilError(t, err)
+
+	said, err := json.Marshal(engineapi.ChatMessage{Role: "assistant", Content: answer.Content})
+	assert.NilError(t, err)
+	longer := append(question[:2:2], said, json.RawMessage(`{"role":"user","content":"and pause it"}`))
+	second := request("r2", longer)
+	second.Hold = "p1"
+	next, err := client.Complete(t.Context(), address, second, nil)
+	assert.NilError(t, err)
+	kept := answer.Usage.PromptTokens + answer.Usage.OutputTokens
+	assert.Equal(t, next.Usage.CachedTokens, kept/engine.BlockTokens*engine.BlockTokens)
 
 	holds, err := client.Holds(t.Context(), address)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, holds, []engineapi.Hold{{Program: "p1", Tokens: tokens + answer.Usage.OutputTokens}})
+	kept = next.Usage.PromptTokens + next.Usage.OutputTokens
+	assert.DeepEqual(t, holds, []engineapi.Hold{{Program: "p1", Tokens: kept / engine.BlockTokens * engine.BlockTokens}})
 	assert.NilError(t, client.Release(t.Context(), address, "p1"))
 	holds, err = client.Holds(t.Context(), address)
 	assert.NilError(t, err)
 	assert.Equal(t, len(holds), 0)
+}
 
-	entry := server.Ledger().After(0)[0]
-	digest, err := engine.ChainDigest(question)
+func TestRefusals(t *testing.T) {
+	server, address := start(t, engine.Options{MemoryTokens: 512})
+	long := []json.RawMessage{json.RawMessage(`{"role":"user","content":"` + strings.Repeat("x", 4096) + `"}`)}
+	other := request("r2", question)
+	other.Model = "other"
+	adapted := request("r2", question)
+	adapted.Adapter = "none"
+	_, err := client.Complete(t.Context(), address, request("r1", question), nil)
 	assert.NilError(t, err)
-	assert.Equal(t, entry.Digest, digest)
-	assert.Equal(t, entry.Outcome, ledger.Done)
+
+	for _, test := range []struct {
+		request    engineapi.Request
+		kind       engineapi.Kind
+		dispatched bool
+		drain      bool
+	}{
+		{request: request("r1", question), kind: engineapi.Duplicate, dispatched: true},
+		{request: other, kind: engineapi.NotLoaded},
+		{request: adapted, kind: engineapi.NotLoaded},
+		{request: request("", question), kind: engineapi.Refused},
+		{request: request("r2", nil), kind: engineapi.Refused},
+		{request: request("r2", long), kind: engineapi.Refused},
+		{request: request("r2", question), kind: engineapi.Leaving, drain: true},
+	} {
+		if test.drain {
+			server.Drain()
+		}
+		_, err := client.Complete(t.Context(), address, test.request, nil)
+		var failure *engineapi.Error
+		assert.Assert(t, errors.As(err, &failure))
+		assert.Equal(t, failure.Kind, test.kind)
+		assert.Equal(t, failure.Dispatched, test.dispatched)
+		assert.Equal(t, failure.RetryAfter > 0, test.drain)
+	}
+	completed := 0
+	for _, entry := range server.Ledger().After(0) {
+		if entry.Outcome == ledger.Done {
+			completed++
+		}
+	}
+	assert.Equal(t, completed, 1)
 }
 
-func TestRefusals(t *testing.T) {
-	server, address := start(t)
-	client := engineapi.NewClient(http.DefaultClient)
-	send := func(id, model string) *engineapi.Error {
-		_, err := client.Complete(t.Context(), address, engineapi.Request{RequestID: id, Model: model, Messages: question}, nil)
-		failure, _ := err.(*engineapi.Error)
-		return failure
+func TestFaultsNeverPassAsWholeAnswers(t *testing.T) {
+	three := 3
+	for _, test := range []struct {
+		name   string
+		faults engine.Faults
+		kind   engineapi.Kind
+		text   bool
+	}{
+		{"drop", engine.Faults{DropAfterChunks: &three}, engineapi.Truncated, true},
+		{"end", engine.Faults{EndAfterChunks: &three}, engineapi.Truncated, true},
+		{"cross", engine.Faults{CrossIDs: true}, engineapi.Crossed, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			server, address := start(t, engine.Options{})
+			test.faults.Answers = 1
+			server.SetFaults(test.faults)
+			partial, err := client.Complete(t.Context(), address, request("r1", question), nil)
+			assert.Equal(t, kindOf(err), test.kind)
+			whole := engine.ExpectedAnswer(seed, question, 0)
+			if test.text {
+				assert.Equal(t, partial.Content, whole[:12])
+			}
+			next, err := client.Complete(t.Context(), address, request("r2", question), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, next.Content, whole)
+		})
 	}
-	assert.Assert(t, send("r1", "m") == nil)
-	duplicate := send("r1", "m")
-	assert.Equal(t, duplicate.Kind, engineapi.Duplicate)
-	assert.Assert(t, duplicate.Dispatched)
-	missing := send("r2", "other")
-	assert.Equal(t, missing.Kind, engineapi.NotLoaded)
-	assert.Assert(t, !missing.Dispatched)
-	server.Drain()
-	leaving := send("r3", "m")
-	assert.Equal(t, leaving.Kind, engineapi.Leaving)
-	assert.Assert(t, !leaving.Dispatched)
-	assert.Assert(t, leaving.RetryAfter > 0)
+}
+
+func TestHangingAnswerIsCancelled(t *testing.T) {
+	server, address := start(t, engine.Options{})
+	response, err := http.Post(address+"/control/faults", "application/json", strings.NewReader(`{"hang_after_chunks":1}`))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	patience := errors.New("out of patience")
+	_, err = client.Complete(t.Context(), address, request("r1", question), func(string) error { return patience })
+	assert.ErrorIs(t, err, patience)
+	assert.Equal(t, kindOf(err), engineapi.Abandoned)
+	assert.NilError(t, client.Cancel(t.Context(), address, "r1"))
+	assert.Equal(t, kindOf(client.Cancel(t.Context(), address, "r2")), engineapi.NotLoaded)
+	assert.Assert(t, server.Ledger().After(0)[0].Outcome != ledger.Failed)
+}
+
+func TestRefusedReleaseIsAnError(t *testing.T) {
+	server, address := start(t, engine.Options{})
+	server.SetFaults(engine.Faults{RefuseReleases: true})
+	assert.Equal(t, kindOf(client.Release(t.Context(), address, "p1")), engineapi.Failed)
+	server.SetFaults(engine.Faults{})
+	assert.NilError(t, client.Release(t.Context(), address, "p1"))
+}
+
+func TestContextMovesToAnotherEngine(t *testing.T) {
+	_, from := start(t, engine.Options{})
+	_, to := start(t, engine.Options{})
+	held := request("r1", question)
+	held.Hold = "p1"
+	_, err := client.Complete(t.Context(), from, held, nil)
+	assert.NilError(t, err)
+	exported, err := client.Export(t.Context(), from, "p1")
+	assert.NilError(t, err)
+	assert.NilError(t, client.Import(t.Context(), to, exported))
+	answer, err := client.Complete(t.Context(), to, held, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, answer.Usage.CachedTokens > 0)
+	_, err = client.Export(t.Context(), from, "p2")
+	assert.Equal(t, kindOf(err), engineapi.NotLoaded)
+}
+
+func TestOrdersAreFenced(t *testing.T) {
+	_, address := start(t, engine.Options{})
+	state, err := client.Order(t.Context(), address, engineapi.Order{Fence: 5, Action: engineapi.SetRole, Name: "decode"})
+	assert.NilError(t, err)
+	assert.Equal(t, state.Role, "decode")
+	_, err = client.Order(t.Context(), address, engineapi.Order{Fence: 4, Action: engineapi.Drain})
+	var failure *engineapi.Error
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Equal(t, failure.Kind, engineapi.Stale)
+	assert.Equal(t, failure.Fence, uint64(5))
+	state, err = client.State(t.Context(), address)
+	assert.NilError(t, err)
+	assert.Assert(t, !state.Leaving)
+	assert.DeepEqual(t, state.Versions, []engineapi.Version{{Name: "m", Version: "1"}})
+}
+
+func TestLoadIsReported(t *testing.T) {
+	_, address := start(t, engine.Options{})
+	load, err := client.Load(t.Context(), address)
+	assert.NilError(t, err)
+	generation, _ := engine.FindGeneration("")
+	assert.Equal(t, load.CacheLimitTokens, float64(generation.MemoryTokens))
+	assert.Equal(t, load.PrefillTokensPerSecond, generation.PrefillRate*1000)
 }
--- a/lab/engine/sse.go
+++ b/lab/engine/sse.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 
 	"github.com/marblering/marblering/protocol/engineapi"
 )
@@ -14,55 +13,67 @@
 func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, answer *stream, next int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
-	controller := http.NewResponseController(w)
 	w.WriteHeader(http.StatusOK)
-	_ = controller.Flush()
-	for {
-		seen := answer.from(next)
-		for _, text := range seen.chunks {
-			writeEvent(w, answer.textChunk(text))
-			next++
-		}
-		if seen.ended() {
-			answer.writeEnd(w, seen)
+	controller := http.NewResponseController(w)
+	for controller.Flush() == nil {
+		status, changed := answer.now()
+		if !s.writeChunks(w, r, answer, &next, status.chunks) {
 			return
 		}
-		if controller.Flush() != nil {
+		if status.ended() {
+			s.writeEnd(w, answer, status)
 			return
 		}
+		_ = controller.Flush()
 		select {
-		case <-seen.changed:
+		case <-changed:
 		case <-r.Context().Done():
 			return
 		}
 	}
 }
 
+// writeChunks sends the chunks up to a number, and reports false where a fault
+// ends the answer.
+func (s *Server) writeChunks(w http.ResponseWriter, r *http.Request, answer *stream, next *int, end int) bool {
+	for {
+		if atFault(answer.faults, *next) {
+			_ = http.NewResponseController(w).Flush()
+			return !s.misbehave(r, answer.faults, *next)
+		}
+		if *next >= end {
+			return true
+		}
+		delta := engineapi.ChatMessage{Role: "assistant", Content: answer.chunkText(*next)}
+		writeEvent(w, s.chunk(answer, engineapi.ChatChoice{Delta: &delta}))
+		*next++
+	}
+}
+
+func atFault(faults Faults, chunks int) bool {
+	return reached(faults.DropAfterChunks, chunks) || reached(faults.EndAfterChunks, chunks) ||
+		reached(faults.HangAfterChunks, chunks)
+}
+
 // writeEnd sends the last chunk and the terminator, or the failure.
-func (s *stream) writeEnd(w http.ResponseWriter, seen view) {
-	if seen.failure != "" {
-		writeEvent(w, engineapi.ChatChunk{
-			ID:    s.id,
-			Error: &engineapi.ErrorBody{Type: "failed", Message: seen.failure},
-		})
+func (s *Server) writeEnd(w http.ResponseWriter, answer *stream, status progress) {
+	if status.failure != "" {
+		failure := engineapi.ErrorBody{Type: typeFailed, Message: status.failure}
+		writeEvent(w, engineapi.ChatChunk{ID: answer.id, Error: &failure})
 		return
 	}
-	last := s.chunk(engineapi.ChatChoice{Delta: &engineapi.ChatMessage{}, FinishReason: &seen.finishReason})
-	last.Usage = &seen.usage
+	last := s.chunk(answer, engineapi.ChatChoice{Delta: &engineapi.ChatMessage{}, FinishReason: &status.finishReason})
+	last.Usage = &status.usage
 	writeEvent(w, last)
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-func (s *stream) textChunk(text string) engineapi.ChatChunk {
-	return s.chunk(engineapi.ChatChoice{Delta: &engineapi.ChatMessage{Role: "assistant", Content: text}})
-}
-
-func (s *stream) chunk(choice engineapi.ChatChoice) engineapi.ChatChunk {
+func (s *Server) chunk(answer *stream, choice engineapi.ChatChoice) engineapi.ChatChunk {
 	return engineapi.ChatChunk{
-		ID:      s.id,
+		ID:      s.crossedID(answer),
 		Object:  "chat.completion.chunk",
-		Created: s.created.Unix(),
-		Model:   s.model,
+		Created: answer.created.Unix(),
+		Model:   answer.model,
 		Choices: []engineapi.ChatChoice{choice},
 	}
 }
@@ -77,24 +88,26 @@
 
 // writeWhole waits for the end of an answer and sends it in one piece.
 func (s *Server) writeWhole(w http.ResponseWriter, r *http.Request, answer *stream) {
-	seen := answer.from(0)
-	for !seen.ended() {
+	status, changed := answer.now()
+	for !status.ended() {
 		select {
-		case <-seen.changed:
+		case <-changed:
 		case <-r.Context().Done():
 			return
 		}
-		seen = answer.from(0)
+		status, changed = answer.now()
+	}
+	if atFault(answer.faults, status.chunks) {
+		s.misbehave(r, answer.faults, status.chunks)
+		return
 	}
-	if seen.failure != "" {
-		refuse(w, http.StatusInternalServerError, "failed", seen.failure)
+	if status.failure != "" {
+		refuse(w, http.StatusInternalServerError, typeFailed, status.failure)
 		return
 	}
-	whole := answer.chunk(engineapi.ChatChoice{
-		Message:      &engineapi.ChatMessage{Role: "assistant", Content: strings.Join(seen.chunks, "")},
-		FinishReason: &seen.finishReason,
-	})
+	message := engineapi.ChatMessage{Role: "assistant", Content: answer.text[:min(len(answer.text), status.chunks*bytesPerToken)]}
+	whole := s.chunk(answer, engineapi.ChatChoice{Message: &message, FinishReason: &status.finishReason})
 	whole.Object = "chat.completion"
-	whole.Usage = &seen.usage
+	whole.Usage = &status.usage
 	writeJSON(w, http.StatusOK, whole)
 }
--- a/lab/engine/stream.go
+++ b/lab/engine/stream.go
@@ -8,60 +8,56 @@
 )
 
 // stream is the answer of one request while it is produced. Readers follow it
-// from any chunk, so that a broken connection can be resumed.
+// from any chunk, so that a broken connection can be resumed. Chunk number N is
+// the token with that number.
 type stream struct {
 	id      string
 	model   string
+	hold    string
 	created time.Time
+	faults  Faults
 	// ledgerNumber is the request's entry in the ledger.
 	ledgerNumber uint64
-	text         string
+	// text is the whole answer and whether max_tokens cut it.
+	text string
+	cut  bool
 
-	mutex        sync.Mutex
-	chunks       []string
+	mutex  sync.Mutex
+	status progress
+	// changed is closed and replaced at every change.
+	changed chan struct{}
+}
+
+// progress is how far an answer has come.
+type progress struct {
+	chunks       int
 	finishReason string
 	failure      string
 	usage        engineapi.ChatUsage
-	// changed is closed and replaced at every change.
-	changed chan struct{}
 }
 
-func newStream(id, model, text string, created time.Time) *stream {
-	return &stream{id: id, model: model, text: text, created: created, changed: make(chan struct{})}
+func (p progress) ended() bool {
+	return p.finishReason != "" || p.failure != ""
 }
 
-// change applies a change and wakes the readers.
-func (s *stream) change(apply func()) {
+// advance records progress and wakes the readers.
+func (s *stream) advance(status progress) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	apply()
+	s.status = status
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// view is what a reader sees of a stream.
-type view struct {
-	chunks       []string
-	finishReason string
-	failure      string
-	usage        engineapi.ChatUsage
-	changed      <-chan struct{}
-}
-
-func (v view) ended() bool {
-	return v.finishReason != "" || v.failure != ""
-}
-
-// from returns the chunks from a number on.
-func (s *stream) from(number int) view {
+// now returns the progress and a channel that is closed at the next change.
+func (s *stream) now() (progress, <-chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	number = min(number, len(s.chunks))
-	return view{
-		chunks:       s.chunks[number:len(s.chunks):len(s.chunks)],
-		finishReason: s.finishReason,
-		failure:      s.failure,
-		usage:        s.usage,
-		changed:      s.changed,
-	}
+	return s.status, s.changed
+}
+
+// chunkText returns the text of a chunk.
+func (s *stream) chunkText(number int) string {
+	start := number * bytesPerToken
+	return s.text[start:min(start+bytesPerToken, len(s.text))]
 }
--- a/protocol/engineapi/management.go
+++ b/protocol/engineapi/management.go
@@ -22,8 +22,8 @@
 	return list.Holds, err
 }
 
-// Release ends the hold of a program and forgets its context. It succeeds once
-// nothing is held, also when nothing was.
+// Release ends the hold of a program. It succeeds once nothing is held, also
+// when nothing was. What was held may stay cached until its memory is needed.
 func (c *Client) Release(ctx context.Context, address, program string) error {
 	return c.exchange(ctx, address, http.MethodDelete, "/v1/holds/"+url.PathEscape(program), nil, nil)
 }
--- a/protocol/engineapi/wire.go
+++ b/protocol/engineapi/wire.go
@@ -100,7 +100,8 @@
 )
 
 // CacheEvent is one line of GET /v1/cache/events. Numbers rise, with gaps where
-// the engine lost events.
+// the engine lost events. Tokens is the length of the program's context that is
+// cached after the event, so that a lost event does no lasting harm.
 type CacheEvent struct {
 	Number  uint64         `json:"number"`
 	Kind    CacheEventKind `json:"kind"`
@@ -120,15 +121,26 @@
 	Tokens  uint64 `json:"tokens"`
 }
 
+// Version names a version of a model or adapter.
+type Version struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+}
+
 // State is the answer of GET /v1/state.
 type State struct {
 	Engine     string   `json:"engine"`
 	Generation string   `json:"generation"`
+	Zone       string   `json:"zone,omitempty"`
 	Role       string   `json:"role"`
 	Models     []string `json:"models"`
 	Adapters   []string `json:"adapters"`
-	Fence      uint64   `json:"fence"`
-	Leaving    bool     `json:"leaving"`
+	// Versions has the version of each model and adapter that is loaded.
+	Versions []Version `json:"versions"`
+	// Loading is what is on its way.
+	Loading []Version `json:"loading"`
+	Fence   uint64    `json:"fence"`
+	Leaving bool      `json:"leaving"`
 }
 
 // Action is what an order asks of an engine.
@@ -146,7 +158,8 @@
 )
 
 // Order is the body of POST /v1/orders. An engine refuses an order whose fence
-// is older than the newest it has seen.
+// is older than the newest it has seen. For SetRole, Name is "mixed", "prefill"
+// or "decode".
 type Order struct {
 	Fence   uint64 `json:"fence"`
 	Action  Action `json:"action"`
