--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -126,6 +126,20 @@
 	}
 }
 
+func TestRequiredOptions(t *testing.T) {
+	for _, option := range settings.Options() {
+		_, err := settings.Load(writeFile(t, replaceKeys(complete, option.Key+":")), nil)
+		assert.ErrorContains(t, err, option.Key+": an empty value")
+
+		_, err = settings.Load(writeFile(t, withoutKey(complete, option.Key)), nil)
+		if option.Required {
+			assert.ErrorContains(t, err, option.Key+": missing")
+			continue
+		}
+		assert.NilError(t, err)
+	}
+}
+
 func TestUnreadableFile(t *testing.T) {
 	cases := map[string]string{
 		"broken YAML":   "name: [",
@@ -151,15 +165,19 @@
 		` (allowed: IP number and port such as 10.0.0.5:7100 or [fd00::5]:7100, no host name)`)
 }
 
-// replaceKeys returns the content without the lines whose keys the extra
-// content sets, followed by the extra content.
+// replaceKeys returns the content without the line whose key the extra content
+// sets, followed by the extra content.
 func replaceKeys(content, extra string) string {
 	key, _, _ := strings.Cut(extra, ":")
+	return withoutKey(content, key) + extra + "\n"
+}
+
+func withoutKey(content, key string) string {
 	kept := make([]string, 0)
 	for line := range strings.Lines(content) {
 		if !strings.HasPrefix(line, key+":") {
 			kept = append(kept, line)
 		}
 	}
-	return strings.Join(kept, "") + extra + "\n"
+	return strings.Join(kept, "")
 }
--- a/settings/option.go
+++ b/settings/option.go
@@ -7,8 +7,10 @@
 	// Key is the key in the file.
 	Key string
 	// Default is the value, as text, where neither file nor flag gives one.
-	// Empty means that there is none.
+	// Empty means that there is none: the option may be left out or is required.
 	Default string
+	// Required tells that the option has no default and must be given.
+	Required bool
 	// Allowed says which values are accepted.
 	Allowed string
 	// Usage says what the value is for.
@@ -42,12 +44,12 @@
 func identityOptions() []Option {
 	return []Option{
 		{
-			Key: "name", Allowed: allowedName,
+			Key: "name", Required: true, Allowed: allowedName,
 			Usage: "name of the node, unique in the deployment",
 			field: func(s *Settings) any { return &s.Name },
 		},
 		{
-			Key: "zone", Allowed: allowedName,
+			Key: "zone", Required: true, Allowed: allowedName,
 			Usage: "zone whose failure takes this node with it",
 			field: func(s *Settings) any { return &s.Zone },
 		},
@@ -57,7 +59,7 @@
 func addressOptions() []Option {
 	return []Option{
 		{
-			Key: "peer_listen", Allowed: allowedAddress,
+			Key: "peer_listen", Required: true, Allowed: allowedAddress,
 			Usage: "address that serves the other nodes",
 			field: func(s *Settings) any { return &s.PeerListen },
 		},
@@ -67,12 +69,12 @@
 			field: func(s *Settings) any { return &s.PeerAdvertise },
 		},
 		{
-			Key: "caller_listen", Allowed: allowedAddress,
+			Key: "caller_listen", Required: true, Allowed: allowedAddress,
 			Usage: "address that serves callers",
 			field: func(s *Settings) any { return &s.CallerListen },
 		},
 		{
-			Key: "operator_listen", Allowed: allowedAddress,
+			Key: "operator_listen", Required: true, Allowed: allowedAddress,
 			Usage: "address that serves operators, /metrics, /healthz and /readyz",
 			field: func(s *Settings) any { return &s.OperatorListen },
 		},
@@ -82,7 +84,7 @@
 			field: func(s *Settings) any { return &s.Seeds },
 		},
 		{
-			Key: "object_api", Allowed: "URL with an IP number such as http://10.0.0.9:7000, no path, no host name",
+			Key: "object_api", Required: true, Allowed: "URL with an IP number such as http://10.0.0.9:7000, no path, no host name",
 			Usage: "base URL of the platform's object API",
 			field: func(s *Settings) any { return &s.ObjectAPI },
 		},
