Test the command line as a process

Cause: exit codes, the one line of a fault and the reaction to signals are promises to supervisors, which only a process can show. Ruled out: building the command in the test: the test binary plays the command, which is faster and covered by the race detector. Change: tests of config check, version, bad settings, flags and commands, SIGTERM and SIGINT, and of the mapping from errors to exit codes. Conclusion: each fault gives its exit code and one line, nothing on the standard output.

--- /dev/null
+++ b/cmd/marblering/main_test.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/settings"
+)
+
+// runAsMain makes the test binary behave as the command: that is the process
+// the tests start, without building a second one.
+const runAsMain = "MARBLERING_TEST_MAIN"
+
+func TestMain(m *testing.M) {
+	switch os.Getenv(runAsMain) {
+	case "":
+		os.Exit(m.Run())
+	case "main":
+		main()
+	default:
+		os.Exit(runUntilSignal(announceAndWait))
+	}
+}
+
+// announceAndWait stands for a node that runs until it is told to stop.
+func announceAndWait(ctx context.Context, _ settings.Settings, logger *zap.Logger) error {
+	logger.Info("started")
+	<-ctx.Done()
+	logger.Info("stopped")
+	return nil
+}
+
+func command(mode string, arguments ...string) *exec.Cmd {
+	process := exec.Command(os.Args[0], arguments...)
+	process.Env = append(os.Environ(), runAsMain+"="+mode)
+	return process
+}
+
+// outcome is what a finished process left.
+type outcome struct {
+	exit     int
+	out, log string
+}
+
+func runToEnd(t *testing.T, arguments ...string) outcome {
+	t.Helper()
+	process := command("main", arguments...)
+	var out, log bytes.Buffer
+	process.Stdout, process.Stderr = &out, &log
+	if err := process.Run(); err != nil {
+		var exited *exec.ExitError
+		assert.Assert(t, errors.As(err, &exited), "%v", err)
+	}
+	return outcome{process.ProcessState.ExitCode(), out.String(), log.String()}
+}
+
+func TestCommandLine(t *testing.T) {
+	folder := t.TempDir()
+	unknown := filepath.Join(folder, "unknown.yaml")
+	assert.NilError(t, os.WriteFile(unknown, []byte("name: a\nzoen: b\n"), 0o600))
+	example := filepath.Join("..", "..", "docs", "examples", "node.yaml")
+	cases := []struct {
+		name      string
+		arguments []string
+		exit      int
+		out, log  string
+	}{
+		{"example", []string{"config", "check", example}, exitOK, example + ": ok\n", ""},
+		{"version", []string{"version"}, exitOK, "marblering ", ""},
+		{"help", nil, exitOK, "Usage:", ""},
+		{"unknown key", []string{"config", "check", unknown}, exitSettings, "", unknown + ": zoen: unknown key (allowed: name, zone,"},
+		{"no file", []string{"config", "check", filepath.Join(folder, "none.yaml")}, exitSettings, "", "no such file"},
+		{"no argument", []string{"config", "check"}, exitSettings, "", "accepts 1 arg(s)"},
+		{"unknown command", []string{"sevre"}, exitSettings, "", `unknown command "sevre"`},
+		{"unknown flag", []string{"serve", "--zoen=b"}, exitSettings, "", "unknown flag: --zoen"},
+		{"serve with a bad file", []string{"serve", "--settings", unknown}, exitSettings, "", "zoen: unknown key"},
+		{"serve with a bad flag", []string{"serve", "--settings", example, "--peer-timeout=2"}, exitSettings, "", "flag --peer-timeout: peer_timeout: "},
+		{"serve without settings", []string{"serve"}, exitSettings, "", "flags: name: missing"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := runToEnd(t, c.arguments...)
+			assert.Equal(t, got.exit, c.exit, got.log)
+			assert.Assert(t, strings.Contains(got.out, c.out), got.out)
+			assert.Assert(t, strings.Contains(got.log, c.log), got.log)
+			if c.exit != exitOK {
+				assert.Equal(t, got.out, "")
+				assert.Equal(t, strings.Count(got.log, "\n"), 1, got.log)
+			}
+		})
+	}
+}
+
+// TestSignalStopsServe starts a process that serves until it is told to stop.
+func TestSignalStopsServe(t *testing.T) {
+	for _, stop := range []os.Signal{syscall.SIGTERM, os.Interrupt} {
+		process := command("wait", "serve", "--settings", filepath.Join("..", "..", "docs", "examples", "node.yaml"))
+		log, err := process.StderrPipe()
+		assert.NilError(t, err)
+		assert.NilError(t, process.Start())
+		lines := bufio.NewScanner(log)
+		assert.Assert(t, lines.Scan())
+		assert.Assert(t, strings.HasSuffix(lines.Text(), "level=info event=started node=hall-a-1 zone=hall-a"), lines.Text())
+		assert.NilError(t, process.Process.Signal(stop))
+		assert.Assert(t, lines.Scan())
+		assert.Assert(t, strings.Contains(lines.Text(), "event=stopped"), lines.Text())
+		assert.NilError(t, process.Wait())
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	cases := []struct {
+		err  error
+		want int
+	}{
+		{&settings.Error{Source: "f"}, exitSettings},
+		{merry.Prepend(&settings.Error{Source: "f"}, "starting"), exitSettings},
+		{&usageError{cause: merry.New("x")}, exitSettings},
+		{merry.New("the port is taken"), exitFailure},
+	}
+	for _, c := range cases {
+		assert.Equal(t, exitCode(c.err), c.want, "%v", c.err)
+	}
+}
