--- a/api/generate.sh
+++ b/api/generate.sh
@@ -11,3 +11,4 @@
   --go_out="$out" --go_opt=module=github.com/marblering/marblering \
   --connect-go_out="$out" --connect-go_opt=module=github.com/marblering/marblering \
   api/state/v1/state.proto api/peer/v1/peer.proto
+gofmt -w "$out/api"
