Serve the thin path: caller, node, engine and back, over replicated records

Cause: nothing served a request end to end yet. Ruled out: waiting for reconfiguration; replica sets are those of the first shard map for now, and a data folder is refused by name.

--- a/cmd/marblering-lab/command.go
+++ b/cmd/marblering-lab/command.go
@@ -66,7 +66,7 @@
 	flags := command.Flags()
 	flags.StringVar(&address, "listen", "127.0.0.1:0", "IP:port to listen on")
 	flags.StringVar(&options.Name, "name", "engine", "name of the engine")
-	flags.StringVar(&options.Generation, "generation", "g1", "hardware generation")
+	flags.StringVar(&options.Generation, "generation", engine.DefaultGeneration, "hardware generation")
 	flags.StringVar(&options.Zone, "zone", "zone-1", "zone")
 	flags.StringSliceVar(&options.Models, "models", []string{"demo-model"}, "models that are loaded")
 	flags.StringSliceVar(&options.Adapters, "adapters", nil, "adapters that are loaded")
--- a/cmd/marblering/main.go
+++ b/cmd/marblering/main.go
@@ -8,9 +8,9 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"github.com/marblering/marblering/node"
 	"github.com/marblering/marblering/settings"
 )
 
@@ -18,10 +18,7 @@
 type runNode func(ctx context.Context, loaded settings.Settings, logger *zap.Logger) error
 
 func main() {
-	var run runNode = func(context.Context, settings.Settings, *zap.Logger) error {
-		return merry.New("this build has no node")
-	}
-	os.Exit(runUntilSignal(run))
+	os.Exit(runUntilSignal(node.Run))
 }
 
 // runUntilSignal cancels the command at the first SIGTERM or SIGINT; a second
--- a/coordination/execution/executor.go
+++ b/coordination/execution/executor.go
@@ -17,7 +17,7 @@
 // Change turns a tree into its successor. It gets its own copy, nil where no
 // tree exists, and may run several times. Returning the tree unchanged is a
 // read; an error leaves the record as it is.
-type Change func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error)
+type Change = func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error)
 
 // Records is the replicated store of program trees.
 type Records interface {
--- a/coordination/record/record.go
+++ b/coordination/record/record.go
@@ -10,12 +10,13 @@
 	"google.golang.org/protobuf/proto"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/register"
 )
 
 // Register changes the value of a register by compare-and-swap;
 // register.Client is one.
 type Register interface {
-	Apply(ctx context.Context, shard uint32, key string, change func(current []byte) ([]byte, error)) ([]byte, error)
+	Apply(ctx context.Context, shard uint32, key string, change register.Change) ([]byte, error)
 }
 
 // Locator says which shard a root program's record is in.
@@ -23,21 +24,21 @@
 
 // Store reads and changes program trees.
 type Store struct {
-	register Register
-	locate   Locator
-	recent   *recentTrees
+	registers Register
+	locate    Locator
+	recent    *recentTrees
 }
 
 // NewStore makes a store that remembers up to recentLimit trees as hints.
-func NewStore(register Register, locate Locator, recentLimit int) *Store {
-	return &Store{register: register, locate: locate, recent: newRecentTrees(recentLimit)}
+func NewStore(registers Register, locate Locator, recentLimit int) *Store {
+	return &Store{registers: registers, locate: locate, recent: newRecentTrees(recentLimit)}
 }
 
 // Apply replaces the root's tree by the result of the change and returns it.
 // The change gets a copy of its own, nil where no tree exists, and may be called
 // several times.
 func (s *Store) Apply(ctx context.Context, root string, change func(*statev1.ProgramTree) (*statev1.ProgramTree, error)) (*statev1.ProgramTree, error) {
-	value, err := s.register.Apply(ctx, s.locate(root), root, func(current []byte) ([]byte, error) {
+	value, err := s.registers.Apply(ctx, s.locate(root), root, func(current []byte) ([]byte, error) {
 		return changeEncoded(root, current, change)
 	})
 	if err != nil {
--- /dev/null
+++ b/coordination/shard/map.go
@@ -0,0 +1,76 @@
+// Package shard groups registers and history turns into shards and keeps each
+// shard's replica set: which members it has in which epoch, what a member
+// answers, and how one set is followed by the next.
+package shard
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/state/program"
+)
+
+// FirstEpoch is the epoch of the sets in the first shard map.
+const FirstEpoch uint64 = 1
+
+// Map holds the newest view of each shard that a node knows. Readers take no
+// lock (read-copy-update); a view is only replaced by one of a later epoch.
+type Map struct {
+	count   uint32
+	writing sync.Mutex
+	views   atomic.Pointer[[]register.View]
+}
+
+// NewMap makes a map of so many shards, without a view yet.
+func NewMap(count uint32) *Map {
+	m := &Map{count: count}
+	views := make([]register.View, count)
+	m.views.Store(&views)
+	return m
+}
+
+// Count returns the number of shards.
+func (m *Map) Count() uint32 { return m.count }
+
+// Locate returns the shard of a program, which is that of its root.
+func (m *Map) Locate(id string) uint32 {
+	return uint32(xxhash.Sum64String(program.RootOf(id)) % uint64(m.count))
+}
+
+// View returns the newest view of the shard; found is false before the first.
+func (m *Map) View(shard uint32) (view register.View, found bool) {
+	views := *m.views.Load()
+	if int(shard) >= len(views) {
+		return register.View{}, false
+	}
+	view = views[shard]
+	return view, view.Epoch != 0
+}
+
+// Learn takes in a view if it is newer than the one of the map.
+func (m *Map) Learn(view register.View) {
+	m.writing.Lock()
+	defer m.writing.Unlock()
+	views := *m.views.Load()
+	if view.Shard >= m.count || view.Epoch <= views[view.Shard].Epoch {
+		return
+	}
+	next := make([]register.View, len(views))
+	copy(next, views)
+	next[view.Shard] = view
+	m.views.Store(&next)
+}
+
+// Digest is equal at two nodes that know the same epochs.
+func (m *Map) Digest() uint64 {
+	digest := xxhash.New()
+	for _, view := range *m.views.Load() {
+		// A digest's Write never fails.
+		_, _ = digest.WriteString(strconv.FormatUint(view.Epoch, 10) + ",")
+	}
+	return digest.Sum64()
+}
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -75,7 +75,7 @@
 	for index := range engineCount {
 		stand := engine.New(engine.Options{
 			Name:       engineName(index),
-			Generation: "g1",
+			Generation: engine.DefaultGeneration,
 			Zone:       zoneName(index),
 			Models:     []string{modelName},
 			Seed:       engineSeed,
@@ -121,7 +121,7 @@
 	}
 	for index, server := range s.engines {
 		err := put(ctx, client, configuration.KindEngine, engineName(index), configuration.Engine{
-			Address: server.URL, Zone: zoneName(index), Generation: "g1", Pool: poolName,
+			Address: server.URL, Zone: zoneName(index), Generation: engine.DefaultGeneration, Pool: poolName,
 			Models: []string{modelName}, Role: configuration.RoleMixed,
 		})
 		if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -143,16 +143,11 @@
 	incarnation := uuid.NewString()
 	n.store = replica.NewMemory()
 	if n.settings.DataFolder != "" {
-		disk, err := replica.OpenDisk(n.settings.DataFolder)
-		if err != nil {
-			return err
-		}
-		n.store = disk
-		incarnation = disk.Incarnation()
+		return errNoDisk
 	}
 	n.identity = incarnation + identitySeparator + uuid.NewString()
 	n.views = shard.NewMap(uint32(n.settings.Shards))
-	n.replica = shard.NewReplica(incarnation, n.store, n.views)
+	n.replica = shard.NewReplica(incarnation, n.store, n.views, n.holder.Version)
 	return nil
 }
 
@@ -310,6 +305,7 @@
 
 var (
 	errNoConfiguration = errors.New("no configuration yet")
+	errNoDisk          = errors.New("data_folder: this version keeps replicas in memory only")
 	errNoShards        = errors.New("no shard map yet")
 )
 
