--- a/node/engine.go
+++ b/node/engine.go
@@ -76,7 +76,18 @@
 	if err != nil {
 		return fleet.Load{}, err
 	}
+	load, err := e.client.Load(ctx, address)
+	if err != nil {
+		return fleet.Load{}, err
+	}
 	return fleet.Load{
-		Leaving: state.Leaving,
+		Running:           int(load.RunningRequests),
+		Waiting:           int(load.WaitingRequests),
+		OutstandingTokens: uint64(load.OutstandingTokens),
+		CacheUsed:         uint64(load.CacheUsedTokens),
+		CacheLimit:        uint64(load.CacheLimitTokens),
+		PrefillSpeed:      load.PrefillTokensPerSecond,
+		DecodeSpeed:       load.DecodeTokensPerSecond,
+		Leaving:           state.Leaving,
 	}, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -28,7 +28,6 @@
 	"github.com/marblering/marblering/protocol/objectapi"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/state/history"
-	"github.com/marblering/marblering/state/program"
 	"github.com/marblering/marblering/state/replica"
 	"github.com/marblering/marblering/telemetry"
 	"github.com/marblering/marblering/transport/peer"
@@ -183,6 +182,10 @@
 		n.membership,
 		n.fleet,
 		&configurationWatch{platform: platform, holder: n.holder, logger: n.logger, timeout: n.settings.ObjectAPITimeout},
+		&machineWatch{
+			platform: platform, membership: n.membership, reads: n.reads,
+			timeout: n.settings.ObjectAPITimeout, logger: n.logger,
+		},
 		&engineFollower{catalog: catalog{n.holder}, fleet: n.fleet},
 		&bootstrap{
 			platform: platform, holder: n.holder, members: n.membership.Members, views: n.views,
@@ -290,19 +293,6 @@
 	n.membership.ObserveEngine(membership.EngineReport{Engine: engine, Leaving: leaving, Asked: time.Now()})
 }
 
-// prefers reports whether this node is the one of the live nodes that should
-// look after the key.
-func (n *Node) prefers(key string) bool {
-	best, bestScore := "", uint64(0)
-	for _, member := range n.membership.Members().Live() {
-		score := program.Affinity(member.Node, key)
-		if best == "" || score > bestScore {
-			best, bestScore = member.Node, score
-		}
-	}
-	return best == n.settings.Name
-}
-
 var (
 	errNoConfiguration = errors.New("no configuration yet")
 	errNoDisk          = errors.New("data_folder: this version keeps replicas in memory only")
