--- /dev/null
+++ b/coordination/fleet/fleet_test.go
@@ -0,0 +1,121 @@
+package fleet_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/coordination/fleet"
+	"github.com/marblering/marblering/coordination/routing"
+	"github.com/marblering/marblering/state/result"
+)
+
+type silentReporter struct{}
+
+func (silentReporter) Load(context.Context, string) (fleet.Load, error) {
+	return fleet.Load{}, errors.New("no report")
+}
+
+func newFleet(leaving func(string, bool)) *fleet.Fleet {
+	now := time.Unix(1000, 0)
+	f := fleet.New(fleet.Options{
+		Zone: "zone-1", Reporter: silentReporter{}, Weights: routing.LatencyWeights,
+		Now: func() time.Time { return now }, Random: rand.New(rand.NewPCG(1, 2)), Logger: zap.NewNop(),
+		PollInterval: time.Second, OnLeaving: leaving,
+	})
+	var engines []fleet.Engine
+	for index := range 3 {
+		engines = append(engines, fleet.Engine{
+			Name: fmt.Sprintf("engine-%d", index), Address: fmt.Sprintf("http://127.0.0.1:%d", index),
+			Zone: "zone-1", Models: []string{"model"},
+		})
+	}
+	f.SetEngines(engines)
+	return f
+}
+
+var call = execution.Query{Program: "p-1", Model: "model", NewTokens: 100, OutputTokens: 10}
+
+func TestLeavingEngineGetsNoWork(t *testing.T) {
+	f := newFleet(nil)
+	f.MarkLeaving("engine-0", true)
+	f.MarkLeaving("engine-2", true)
+	for range 20 {
+		choice, err := f.Choose(t.Context(), call)
+		assert.NilError(t, err)
+		assert.Equal(t, choice.Engine, "engine-1")
+	}
+	f.MarkLeaving("engine-1", true)
+	_, err := f.Choose(t.Context(), call)
+	var refusal *result.Error
+	assert.Assert(t, errors.As(err, &refusal))
+	assert.Assert(t, refusal.RetryAfter > 0)
+}
+
+func TestEngineThatSaysItLeavesIsMarkedAtOnce(t *testing.T) {
+	var told []string
+	f := newFleet(func(engine string, leaving bool) { told = append(told, fmt.Sprint(engine, leaving)) })
+	choice, err := f.Choose(t.Context(), call)
+	assert.NilError(t, err)
+	choice.Release(execution.AttemptReport{
+		Program: "p-1", Leaving: true, Err: &execution.EngineError{Leaving: true, Cause: errors.New("503")},
+	})
+	assert.DeepEqual(t, told, []string{choice.Engine + "true"})
+	for range 20 {
+		next, err := f.Choose(t.Context(), call)
+		assert.NilError(t, err)
+		assert.Assert(t, next.Engine != choice.Engine)
+	}
+}
+
+func TestConcurrentCallsSpread(t *testing.T) {
+	f := newFleet(nil)
+	used := map[string]int{}
+	for index := range 30 {
+		query := call
+		query.Program = fmt.Sprintf("p-%d", index)
+		choice, err := f.Choose(t.Context(), query)
+		assert.NilError(t, err)
+		used[choice.Engine]++
+	}
+	for index := range 3 {
+		assert.Assert(t, used[fmt.Sprintf("engine-%d", index)] >= 5, "%v", used)
+	}
+}
+
+func TestNextTurnReturnsToItsContext(t *testing.T) {
+	f := newFleet(nil)
+	choice, err := f.Choose(t.Context(), call)
+	assert.NilError(t, err)
+	choice.Release(execution.AttemptReport{Program: "p-1", Usage: execution.Usage{PromptTokens: 5000, OutputTokens: 10}})
+	next := call
+	next.HistoryTokens = 5010
+	for range 5 {
+		again, err := f.Choose(t.Context(), next)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Engine, choice.Engine)
+		again.Release(execution.AttemptReport{Program: "p-1", Err: context.Canceled})
+	}
+	// Another node knows the program's holds from its record only.
+	other := newFleet(nil)
+	next.HeldBy = []string{choice.Engine}
+	again, err := other.Choose(t.Context(), next)
+	assert.NilError(t, err)
+	assert.Equal(t, again.Engine, choice.Engine)
+	assert.Equal(t, len(other.Explain("p-1")), 1)
+}
+
+func TestEngineTakenFromTheConfigurationIsForgotten(t *testing.T) {
+	f := newFleet(nil)
+	f.SetEngines(nil)
+	_, err := f.Choose(t.Context(), call)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(f.Engines()), 0)
+}
