Measure what a turn costs beyond the engine's own time

Cause: latency, requests and bytes of a turn were unknown. Change: peer metrics, lab/deployment (taken out of the demo), lab/measure and marblering-lab measure turns.

--- a/cmd/marblering-lab/command.go
+++ b/cmd/marblering-lab/command.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/marblering/marblering/lab/demo"
+	"github.com/marblering/marblering/lab/deployment"
 	"github.com/marblering/marblering/lab/engine"
 	"github.com/marblering/marblering/lab/objectstore"
 	"github.com/marblering/marblering/telemetry"
@@ -28,7 +29,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(newDemoCommand(), newEngineCommand(), newObjectStoreCommand())
+	root.AddCommand(newDemoCommand(), newEngineCommand(), newObjectStoreCommand(), newMeasureCommand())
 	return root
 }
 
@@ -68,7 +69,7 @@
 	flags.StringVar(&options.Name, "name", "engine", "name of the engine")
 	flags.StringVar(&options.Generation, "generation", engine.DefaultGeneration, "hardware generation")
 	flags.StringVar(&options.Zone, "zone", "zone-1", "zone")
-	flags.StringSliceVar(&options.Models, "models", []string{"demo-model"}, "models that are loaded")
+	flags.StringSliceVar(&options.Models, "models", []string{deployment.ModelName}, "models that are loaded")
 	flags.StringSliceVar(&options.Adapters, "adapters", nil, "adapters that are loaded")
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the answers")
 	flags.Float64Var(&options.TimeScale, "time-scale", 1, "seconds of the engine in one real second")
--- a/lab/demo/converse.go
+++ b/lab/demo/converse.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"github.com/marblering/marblering/lab/deployment"
 	"github.com/marblering/marblering/protocol/callerapi"
 )
 
@@ -38,30 +39,30 @@
 
 // converse creates a program and runs its turns, each through another node. The
 // caller sends its new message only; the system adds the history.
-func (s *system) converse(ctx context.Context, out io.Writer) error {
+func converse(ctx context.Context, out io.Writer, system *deployment.Deployment) error {
 	var created callerapi.Program
-	_, err := post(ctx, s.url(0, "/v1/programs"), programRequest{Model: modelName, BudgetTokens: budgetTokens}, &created)
+	_, err := post(ctx, url(system, 0, "/v1/programs"), programRequest{Model: deployment.ModelName, BudgetTokens: budgetTokens}, &created)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "program %s with a budget of %d tokens\n", created.ID, created.BudgetTokens)
 	for index, text := range turns {
-		if err := s.turn(ctx, out, created.ID, index, text); err != nil {
+		if err := turn(ctx, out, system, created.ID, index, text); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *system) url(index int, path string) string {
-	return "http://" + s.nodes[index%len(s.nodes)].CallerAddress() + path
+func url(system *deployment.Deployment, index int, path string) string {
+	return "http://" + system.Nodes[index%len(system.Nodes)].CallerAddress() + path
 }
 
-func (s *system) turn(ctx context.Context, out io.Writer, id string, index int, text string) error {
+func turn(ctx context.Context, out io.Writer, system *deployment.Deployment, id string, index int, text string) error {
 	var answer completion
 	path := "/v1/programs/" + id + "/chat/completions"
-	request := completionRequest{Model: modelName, Messages: []message{{Role: "user", Content: text}}}
-	header, err := post(ctx, s.url(index, path), request, &answer)
+	request := completionRequest{Model: deployment.ModelName, Messages: []message{{Role: "user", Content: text}}}
+	header, err := post(ctx, url(system, index, path), request, &answer)
 	if err != nil {
 		return err
 	}
@@ -69,7 +70,7 @@
 	if len(answer.Choices) > 0 {
 		content = answer.Choices[0].Message.Content
 	}
-	serving := s.nodes[index%len(s.nodes)]
+	serving := system.Nodes[index%len(system.Nodes)]
 	fmt.Fprintf(out, "\nturn %d at %s\n  user:      %s\n  assistant: %s\n", index+1, serving.Name(), text, content)
 	fmt.Fprintf(out, "  served by %s (prompt %d tokens, %d of them cached; answer %d tokens)\n",
 		header.Get(callerapi.HeaderEngine), answer.Usage.PromptTokens, answer.Usage.Details.CachedTokens,
--- /dev/null
+++ b/lab/deployment/deployment.go
@@ -0,0 +1,248 @@
+// Package deployment starts a whole system in one process on loopback: an
+// object API, engines and nodes. The demo, the measurements and tests use it.
+package deployment
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/spf13/pflag"
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/configuration"
+	"github.com/marblering/marblering/lab/engine"
+	"github.com/marblering/marblering/lab/objectstore"
+	"github.com/marblering/marblering/node"
+	"github.com/marblering/marblering/protocol/objectapi"
+	"github.com/marblering/marblering/settings"
+)
+
+// Names of the objects that every deployment has.
+const (
+	ModelName  = "model-1"
+	PoolName   = "pool-1"
+	TenantName = "tenant-1"
+	// APIKey is the key of the tenant.
+	APIKey = "key-1"
+)
+
+const (
+	loopback     = "127.0.0.1:0"
+	readyPause   = 50 * time.Millisecond
+	modelContext = 400000
+	modelOutput  = 64
+)
+
+// Options describe a deployment.
+type Options struct {
+	Zones   int
+	Nodes   int
+	Engines int
+	Shards  int
+	// Generations are dealt to the engines in turn; empty means the default.
+	Generations []string
+	Seed        uint64
+	// TimeScale is how many seconds of an engine pass in one real second.
+	TimeScale float64
+	// DataFolders gives each node a folder for its replicas; empty keeps them
+	// in memory.
+	DataFolders []string
+	Logger      *zap.Logger
+}
+
+// Deployment is a running system.
+type Deployment struct {
+	Platform string
+	// EngineAddresses are the base URLs of the engines.
+	EngineAddresses []string
+	Nodes           []*node.Node
+
+	options  Options
+	shutdown []func() error
+}
+
+// Start starts the system and waits until every node is ready. On an error
+// nothing is left running.
+func Start(ctx context.Context, options Options) (*Deployment, error) {
+	d := &Deployment{options: options}
+	if err := d.start(ctx); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	d.Platform = d.serve(objectstore.New(objectstore.Options{Seed: d.options.Seed})).URL
+	for index := range d.options.Engines {
+		stand := engine.New(engine.Options{
+			Name:       EngineName(index),
+			Generation: d.generation(index),
+			Zone:       d.zone(index),
+			Models:     []string{ModelName},
+			Seed:       d.options.Seed,
+			TimeScale:  d.options.TimeScale,
+		})
+		d.shutdown = append(d.shutdown, func() error { stand.Close(); return nil })
+		d.EngineAddresses = append(d.EngineAddresses, d.serve(stand).URL)
+	}
+	if err := d.configure(ctx); err != nil {
+		return err
+	}
+	return d.startNodes(ctx)
+}
+
+// serve listens on loopback; the server is closed before what was started
+// ahead of it.
+func (d *Deployment) serve(handler http.Handler) *httptest.Server {
+	server := httptest.NewServer(handler)
+	d.shutdown = append(d.shutdown, func() error {
+		server.CloseClientConnections()
+		server.Close()
+		return nil
+	})
+	return server
+}
+
+// EngineName names the engine of the index, counted from zero.
+func EngineName(index int) string { return fmt.Sprintf("engine-%d", index+1) }
+
+func (d *Deployment) zone(index int) string { return fmt.Sprintf("zone-%d", index%d.options.Zones+1) }
+
+func (d *Deployment) generation(index int) string {
+	if len(d.options.Generations) == 0 {
+		return engine.DefaultGeneration
+	}
+	return d.options.Generations[index%len(d.options.Generations)]
+}
+
+// configure writes the objects that the nodes need.
+func (d *Deployment) configure(ctx context.Context) error {
+	digest := sha256.Sum256([]byte(APIKey))
+	var zones []string
+	for index := range d.options.Zones {
+		zones = append(zones, d.zone(index))
+	}
+	err := errors.Join(
+		d.put(ctx, configuration.KindModel, ModelName, configuration.Model{
+			ContextTokens: modelContext, DefaultMaxTokens: modelOutput,
+		}),
+		d.put(ctx, configuration.KindTenant, TenantName, configuration.Tenant{
+			APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1,
+		}),
+		d.put(ctx, configuration.KindPool, PoolName, configuration.Pool{
+			Zones: zones, Models: []string{ModelName}, Roles: []configuration.Role{configuration.RoleMixed},
+		}),
+	)
+	for index, address := range d.EngineAddresses {
+		err = errors.Join(err, d.put(ctx, configuration.KindEngine, EngineName(index), configuration.Engine{
+			Address: address, Zone: d.zone(index), Generation: d.generation(index), Pool: PoolName,
+			Models: []string{ModelName}, Role: configuration.RoleMixed,
+		}))
+	}
+	return err
+}
+
+func (d *Deployment) put(ctx context.Context, kind configuration.Kind, name string, body any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return merry.Prependf(err, "encoding %s %s", kind, name)
+	}
+	client := objectapi.NewClient(d.Platform, http.DefaultClient)
+	_, err = client.Put(ctx, string(kind), name, objectapi.IfAbsent(), encoded)
+	return merry.Prependf(err, "writing %s %s", kind, name)
+}
+
+func (d *Deployment) startNodes(ctx context.Context) error {
+	for index := range d.options.Nodes {
+		loaded, err := d.nodeSettings(index)
+		if err != nil {
+			return err
+		}
+		started, err := node.Start(loaded, d.options.Logger.With(zap.String("node", loaded.Name)))
+		if err != nil {
+			return merry.Prependf(err, "starting %s", loaded.Name)
+		}
+		d.Nodes = append(d.Nodes, started)
+		d.shutdown = append(d.shutdown, started.Drain)
+	}
+	for _, started := range d.Nodes {
+		if err := awaitReady(ctx, started.OperatorAddress()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// nodeSettings are those of one node, as flags would give them.
+func (d *Deployment) nodeSettings(index int) (settings.Settings, error) {
+	flags := pflag.NewFlagSet("node", pflag.ContinueOnError)
+	settings.AddFlags(flags)
+	arguments := []string{
+		"--name", fmt.Sprintf("node-%d", index+1),
+		"--zone", d.zone(index),
+		"--peer-listen", loopback,
+		"--caller-listen", loopback,
+		"--operator-listen", loopback,
+		"--object-api", d.Platform,
+		"--shards", fmt.Sprint(d.options.Shards),
+	}
+	var seeds []string
+	for _, started := range d.Nodes {
+		seeds = append(seeds, started.PeerAddress())
+	}
+	if len(seeds) > 0 {
+		arguments = append(arguments, "--seeds", strings.Join(seeds, ","))
+	}
+	if index < len(d.options.DataFolders) {
+		arguments = append(arguments, "--data-folder", d.options.DataFolders[index])
+	}
+	if err := flags.Parse(arguments); err != nil {
+		return settings.Settings{}, err
+	}
+	return settings.Load("", flags)
+}
+
+func awaitReady(ctx context.Context, address string) error {
+	for {
+		if ready(ctx, address) {
+			return nil
+		}
+		select {
+		case <-time.After(readyPause):
+		case <-ctx.Done():
+			return merry.Prependf(ctx.Err(), "waiting for the node at %s", address)
+		}
+	}
+}
+
+func ready(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Close stops everything in the reverse order of its start.
+func (d *Deployment) Close() error {
+	var failures []error
+	for index := len(d.shutdown) - 1; index >= 0; index-- {
+		failures = append(failures, d.shutdown[index]())
+	}
+	d.shutdown = nil
+	return errors.Join(failures...)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -157,7 +157,8 @@
 	if err := n.openListeners(peerMux, callerMux); err != nil {
 		return nil, err
 	}
-	peers := peer.NewClient(newHTTPClient(), n.settings.PeerTimeout)
+	peerMetrics := peer.NewMetrics(n.metrics)
+	peers := peer.NewClient(newHTTPClient(), n.settings.PeerTimeout, peerMetrics)
 	platform := objectapi.NewClient(n.settings.ObjectAPI, newHTTPClient()).Named(n.settings.Name)
 	engineClient := engineapi.NewClient(newHTTPClient())
 	n.buildMembership(peers)
@@ -173,7 +174,7 @@
 		membership: n.membership,
 		executor:   n.executor,
 		holder:     n.holder,
-	}))
+	}, peerMetrics))
 	callerMux.set(n.callers)
 	n.readiness.Add("configuration", n.checkConfiguration)
 	n.readiness.Add("shards", n.checkShards)
@@ -326,3 +327,6 @@
 // Explain returns the last routing decisions that this node made for the
 // program, oldest first.
 func (n *Node) Explain(id string) []fleet.Explained { return n.fleet.Explain(id) }
+
+// Metrics gathers what /metrics serves.
+func (n *Node) Metrics() prometheus.Gatherer { return n.metrics }
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -19,6 +19,7 @@
 type Client struct {
 	http    *http.Client
 	timeout time.Duration
+	options []connect.ClientOption
 }
 
 var (
@@ -28,16 +29,20 @@
 )
 
 // NewClient makes a client whose requests end after the timeout at the latest.
-func NewClient(httpClient *http.Client, timeout time.Duration) *Client {
-	return &Client{http: httpClient, timeout: timeout}
+func NewClient(httpClient *http.Client, timeout time.Duration, metrics *Metrics) *Client {
+	return &Client{
+		http:    httpClient,
+		timeout: timeout,
+		options: []connect.ClientOption{connect.WithInterceptors(metrics)},
+	}
 }
 
 func (c *Client) replica(address string) peerv1connect.ReplicaServiceClient {
-	return peerv1connect.NewReplicaServiceClient(c.http, "http://"+address)
+	return peerv1connect.NewReplicaServiceClient(c.http, "http://"+address, c.options...)
 }
 
 func (c *Client) node(address string) peerv1connect.NodeServiceClient {
-	return peerv1connect.NewNodeServiceClient(c.http, "http://"+address)
+	return peerv1connect.NewNodeServiceClient(c.http, "http://"+address, c.options...)
 }
 
 func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
--- /dev/null
+++ b/transport/peer/metrics.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+)
+
+// Metrics counts what one node sends to and receives from its peers. Bytes are
+// those of the messages, without HTTP headers.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	sent     *prometheus.CounterVec
+	received *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics of the internal protocol.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	labels := []string{"side", "procedure"}
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marblering_peer_requests_total", Help: "Requests between nodes, by side and procedure.",
+		}, labels),
+		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marblering_peer_sent_bytes_total", Help: "Bytes of messages sent to peers.",
+		}, labels),
+		received: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marblering_peer_received_bytes_total", Help: "Bytes of messages received from peers.",
+		}, labels),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "marblering_peer_request_seconds", Help: "Time of a request between nodes.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
+		}, labels),
+	}
+	registerer.MustRegister(m.requests, m.sent, m.received, m.seconds)
+	return m
+}
+
+const (
+	sideClient = "client"
+	sideServer = "server"
+)
+
+// WrapUnary implements connect.Interceptor.
+func (m *Metrics) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+		began := time.Now()
+		response, err := next(ctx, request)
+		side, procedure := sideServer, request.Spec().Procedure
+		if request.Spec().IsClient {
+			side = sideClient
+		}
+		m.requests.WithLabelValues(side, procedure).Inc()
+		m.seconds.WithLabelValues(side, procedure).Observe(time.Since(began).Seconds())
+		outgoing, incoming := size(request.Any()), 0
+		if err == nil {
+			incoming = size(response.Any())
+		}
+		if side == sideServer {
+			outgoing, incoming = incoming, outgoing
+		}
+		m.sent.WithLabelValues(side, procedure).Add(float64(outgoing))
+		m.received.WithLabelValues(side, procedure).Add(float64(incoming))
+		return response, err
+	}
+}
+
+// WrapStreamingClient implements connect.Interceptor.
+func (m *Metrics) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
+		m.requests.WithLabelValues(sideClient, spec.Procedure).Inc()
+		return &countedClient{StreamingClientConn: next(ctx, spec), metrics: m}
+	}
+}
+
+// WrapStreamingHandler implements connect.Interceptor.
+func (m *Metrics) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return func(ctx context.Context, stream connect.StreamingHandlerConn) error {
+		m.requests.WithLabelValues(sideServer, stream.Spec().Procedure).Inc()
+		return next(ctx, &countedHandler{StreamingHandlerConn: stream, metrics: m})
+	}
+}
+
+type countedClient struct {
+	connect.StreamingClientConn
+	metrics *Metrics
+}
+
+// Send implements connect.StreamingClientConn.
+func (c *countedClient) Send(message any) error {
+	c.metrics.sent.WithLabelValues(sideClient, c.Spec().Procedure).Add(float64(size(message)))
+	return c.StreamingClientConn.Send(message)
+}
+
+// Receive implements connect.StreamingClientConn.
+func (c *countedClient) Receive(message any) error {
+	err := c.StreamingClientConn.Receive(message)
+	if err == nil {
+		c.metrics.received.WithLabelValues(sideClient, c.Spec().Procedure).Add(float64(size(message)))
+	}
+	return err
+}
+
+type countedHandler struct {
+	connect.StreamingHandlerConn
+	metrics *Metrics
+}
+
+// Send implements connect.StreamingHandlerConn.
+func (c *countedHandler) Send(message any) error {
+	c.metrics.sent.WithLabelValues(sideServer, c.Spec().Procedure).Add(float64(size(message)))
+	return c.StreamingHandlerConn.Send(message)
+}
+
+// Receive implements connect.StreamingHandlerConn.
+func (c *countedHandler) Receive(message any) error {
+	err := c.StreamingHandlerConn.Receive(message)
+	if err == nil {
+		c.metrics.received.WithLabelValues(sideServer, c.Spec().Procedure).Add(float64(size(message)))
+	}
+	return err
+}
+
+func size(message any) int {
+	encoded, ok := message.(proto.Message)
+	if !ok {
+		return 0
+	}
+	return proto.Size(encoded)
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -34,11 +34,14 @@
 }
 
 // NewHandler serves the internal protocol.
-func NewHandler(replica Replica, node Node) http.Handler {
+func NewHandler(replica Replica, node Node, metrics *Metrics) http.Handler {
 	mux := http.NewServeMux()
-	limit := connect.WithReadMaxBytes(maxMessageBytes)
-	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica}, limit))
-	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, limit))
+	options := []connect.HandlerOption{
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithInterceptors(metrics),
+	}
+	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica}, options...))
+	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, options...))
 	return mux
 }
 
