--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -43,6 +43,8 @@
 	Transfer float64
 	// Network is the cost of crossing zones.
 	Network float64
+	// Interference is the time that the call adds to those running there.
+	Interference float64
 	// WastedCache is the computing of tokens that another engine has.
 	WastedCache float64
 	// Eviction is the computing of what would be pushed out of the cache.
--- a/coordination/routing/locality.go
+++ b/coordination/routing/locality.go
@@ -36,13 +36,25 @@
 	eventLag time.Duration
 	programs map[string]*list.Element
 	recent   *list.List
-	engines  map[string]eventCursor
+	engines  map[string]*engineEvents
 }
 
-type eventCursor struct {
-	last uint64
-	// gapAt is when events were last found missing.
-	gapAt time.Time
+// engineEvents is what a Locality keeps of an engine's cache events.
+type engineEvents struct {
+	last     uint64
+	seen     float64
+	evicted  float64
+	missed   float64
+	holdings int
+}
+
+// missedEvictions estimates how many evictions were among the missing events,
+// assuming that they are like those seen.
+func (e *engineEvents) missedEvictions() float64 {
+	if e.seen == 0 {
+		return 0
+	}
+	return e.missed * e.evicted / e.seen
 }
 
 type programLocality struct {
@@ -55,8 +67,9 @@
 	tokens uint64
 	// exactAt is when an own answer last confirmed the tokens.
 	exactAt time.Time
-	// learnedAt is when anything last changed the entry.
-	learnedAt time.Time
+	// missedBefore are the evictions that were missed before the tokens were
+	// learned.
+	missedBefore float64
 }
 
 // NewLocality makes a map of at most limit programs. Events are taken to be up
@@ -68,7 +81,7 @@
 		eventLag: eventLag,
 		programs: make(map[string]*list.Element),
 		recent:   list.New(),
-		engines:  make(map[string]eventCursor),
+		engines:  make(map[string]*engineEvents),
 	}
 }
 
@@ -76,7 +89,7 @@
 func (l *Locality) Dispatched(program, engine string, promptTokens uint64, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.set(program, holding{engine: engine, tokens: promptTokens, exactAt: now, learnedAt: now})
+	l.set(program, holding{engine: engine, tokens: promptTokens, exactAt: now})
 }
 
 // Answered records the context an engine has after an answer: the whole prompt
@@ -96,7 +109,7 @@
 func (l *Locality) Observe(engine string, event Event, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.advance(engine, event.Number, now) {
+	if !l.advance(engine, event) {
 		return
 	}
 	known, found := l.find(event.Program, engine)
@@ -111,34 +124,58 @@
 	if found && event.Kind == EventEvicted {
 		tokens = min(tokens, known.tokens)
 	}
-	l.set(event.Program, holding{engine: engine, tokens: tokens, learnedAt: now})
+	l.set(event.Program, holding{engine: engine, tokens: tokens})
 }
 
-// CachedOn lists the engines believed to have context of the program. What was
-// learned before a gap in an engine's events counts half: the eviction may
-// have been in the gap.
-func (l *Locality) CachedOn(program string) []Cached {
+// CachedOn lists the engines believed to have context of the program, or of one
+// of the other keys, such as a prompt prefix that programs share; where they
+// have several, the longest counts. Events that are missing since an entry was
+// learned lower its tokens by the chance that one of them evicted it.
+func (l *Locality) CachedOn(program string, others ...string) []Cached {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	element, found := l.programs[program]
+	cached := l.collect(nil, program)
+	for _, key := range others {
+		cached = l.collect(cached, key)
+	}
+	return cached
+}
+
+func (l *Locality) collect(cached []Cached, key string) []Cached {
+	element, found := l.programs[key]
 	if !found {
-		return nil
+		return cached
 	}
 	l.recent.MoveToFront(element)
-	holdings := element.Value.(*programLocality).holdings
-	cached := make([]Cached, 0, len(holdings))
-	for _, known := range holdings {
-		tokens := known.tokens
-		if l.engines[known.engine].gapAt.After(known.learnedAt) {
-			tokens /= 2
-		}
-		if tokens > 0 {
-			cached = append(cached, Cached{Engine: known.engine, Tokens: tokens})
-		}
+	for _, known := range element.Value.(*programLocality).holdings {
+		cached = longest(cached, Cached{Engine: known.engine, Tokens: l.expected(&known)})
 	}
 	return cached
 }
 
+// expected are the tokens of an entry times the chance that they are still
+// there, if each missed eviction hit any of the engine's entries alike.
+func (l *Locality) expected(known *holding) uint64 {
+	events := l.engines[known.engine]
+	missed := events.missedEvictions() - known.missedBefore
+	chance := 1 - missed/float64(max(events.holdings, 1))
+	return uint64(float64(known.tokens) * min(max(chance, 0), 1))
+}
+
+// longest adds an entry, or raises the one of the same engine.
+func longest(cached []Cached, added Cached) []Cached {
+	if added.Tokens == 0 {
+		return cached
+	}
+	for i := range cached {
+		if cached[i].Engine == added.Engine {
+			cached[i].Tokens = max(cached[i].Tokens, added.Tokens)
+			return cached
+		}
+	}
+	return append(cached, added)
+}
+
 // Forget drops a program that has ended.
 func (l *Locality) Forget(program string) {
 	l.mutex.Lock()
@@ -152,10 +189,10 @@
 func (l *Locality) ForgetEngine(engine string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	delete(l.engines, engine)
 	for program := range l.programs {
 		l.remove(program, engine)
 	}
+	delete(l.engines, engine)
 }
 
 // Len returns the number of programs.
@@ -165,20 +202,33 @@
 	return len(l.programs)
 }
 
-// advance notes gaps and says whether the event is new.
-func (l *Locality) advance(engine string, number uint64, now time.Time) bool {
-	cursor, known := l.engines[engine]
-	if known && number <= cursor.last {
+// advance counts the event and those missing before it, and says whether it is
+// new.
+func (l *Locality) advance(engine string, event Event) bool {
+	events := l.open(engine)
+	if events.seen > 0 && event.Number <= events.last {
 		return false
 	}
-	if known && number > cursor.last+1 {
-		cursor.gapAt = now
+	if events.seen > 0 {
+		events.missed += float64(event.Number - events.last - 1)
+	}
+	events.last = event.Number
+	events.seen++
+	if event.Kind == EventEvicted {
+		events.evicted++
 	}
-	cursor.last = number
-	l.engines[engine] = cursor
 	return true
 }
 
+func (l *Locality) open(engine string) *engineEvents {
+	events, known := l.engines[engine]
+	if !known {
+		events = &engineEvents{}
+		l.engines[engine] = events
+	}
+	return events
+}
+
 func (l *Locality) find(program, engine string) (holding, bool) {
 	element, found := l.programs[program]
 	if !found {
@@ -200,6 +250,8 @@
 		l.trim()
 	}
 	l.recent.MoveToFront(element)
+	events := l.open(added.engine)
+	added.missedBefore = events.missedEvictions()
 	entry := element.Value.(*programLocality)
 	for i := range entry.holdings {
 		if entry.holdings[i].engine == added.engine {
@@ -208,6 +260,7 @@
 		}
 	}
 	entry.holdings = append(entry.holdings, added)
+	events.holdings++
 }
 
 func (l *Locality) remove(program, engine string) {
@@ -216,9 +269,12 @@
 		return
 	}
 	entry := element.Value.(*programLocality)
-	entry.holdings = slices.DeleteFunc(entry.holdings, func(known holding) bool {
-		return known.engine == engine
-	})
+	position := slices.IndexFunc(entry.holdings, func(known holding) bool { return known.engine == engine })
+	if position < 0 {
+		return
+	}
+	entry.holdings = slices.Delete(entry.holdings, position, position+1)
+	l.open(engine).holdings--
 	if len(entry.holdings) == 0 {
 		l.drop(element)
 	}
@@ -232,5 +288,9 @@
 
 func (l *Locality) drop(element *list.Element) {
 	l.recent.Remove(element)
-	delete(l.programs, element.Value.(*programLocality).program)
+	entry := element.Value.(*programLocality)
+	delete(l.programs, entry.program)
+	for _, known := range entry.holdings {
+		l.open(known.engine).holdings--
+	}
 }
--- a/coordination/routing/rank.go
+++ b/coordination/routing/rank.go
@@ -17,12 +17,14 @@
 	weights := &snapshot.Weights
 	speed := prefillSpeed(engine)
 	cached := request.cachedOn(engine.Name)
+	load := estimateLoad(snapshot, engine)
 	candidate := Candidate{Engine: engine.Name, CachedTokens: cached, index: index}
-	candidate.Queue = expectedQueue(snapshot, engine)
 	candidate.Prefill = float64(request.PromptTokens()-cached) / speed
-	candidate.Decode = float64(request.OutputTokens) / decodeSpeed(engine)
+	candidate.Decode = decodeTime(engine, request.OutputTokens, load.running+1)
+	candidate.Queue = load.promptTokens/speed + slotWait(engine, &load, candidate.Decode)
 	candidate.Network = networkCost(weights, request, engine)
 	considerTransfer(&candidate, weights, request, best, speed)
+	candidate.Interference = interference(engine, request, &load, candidate.Prefill)
 	candidate.WastedCache = wastedCache(&candidate, best, speed)
 	candidate.Eviction = evictionCost(engine, request, cached, speed)
 	candidate.Cost = weightedCost(weights, &candidate)
@@ -32,6 +34,7 @@
 func weightedCost(weights *Weights, candidate *Candidate) float64 {
 	latency := candidate.Queue + candidate.Prefill + candidate.Decode + candidate.Transfer + candidate.Network
 	return weights.Latency*latency +
+		weights.Interference*candidate.Interference +
 		weights.WastedCache*candidate.WastedCache +
 		weights.Eviction*candidate.Eviction
 }
@@ -43,31 +46,78 @@
 	return defaultPrefillSpeed
 }
 
-func decodeSpeed(engine *EngineState) float64 {
+// decodeTime is the time of an answer among the given number of requests.
+func decodeTime(engine *EngineState, outputTokens uint64, running float64) float64 {
+	return float64(outputTokens) * stepTime(engine, running)
+}
+
+func stepTime(engine *EngineState, running float64) float64 {
+	if engine.Step.Base > 0 {
+		return engine.Step.Base + engine.Step.PerRequest*running
+	}
 	if engine.DecodeSpeed > 0 {
-		return engine.DecodeSpeed
+		return 1 / engine.DecodeSpeed
 	}
-	return defaultDecodeSpeed
+	return 1.0 / defaultDecodeSpeed
 }
 
-// expectedQueue estimates the seconds until the engine starts on a new prompt:
-// the reported backlog less what it has computed since, corrected by the own
-// work that the report can't show, and never less than the own prompts in
-// flight.
-func expectedQueue(snapshot *Snapshot, engine *EngineState) float64 {
-	speed := prefillSpeed(engine)
-	backlog := 0.0
+// interference is the time that the running requests lose together: all of them
+// while the prompt is computed, and a little in each step of the answer.
+func interference(engine *EngineState, request *Request, load *load, prefill float64) float64 {
+	return load.running * (prefill + float64(request.OutputTokens)*engine.Step.PerRequest)
+}
+
+// slotWait is the time until a request that is beyond the engine's batch gets
+// a place in it, if all answers take as long as this one.
+func slotWait(engine *EngineState, load *load, decode float64) float64 {
+	places := float64(engine.MaxRunning)
+	if places == 0 || load.requests < places {
+		return 0
+	}
+	return (load.requests - places + 1) * decode / places
+}
+
+// load is what an engine is believed to have in hand now.
+type load struct {
+	// requests are running and waiting ones, running the former alone.
+	requests float64
+	running  float64
+	// promptTokens are still to be computed.
+	promptTokens float64
+}
+
+// estimateLoad corrects the reported load by what the engine has computed
+// since and by the own work that the report can't show. It is never less than
+// the own work in flight.
+func estimateLoad(snapshot *Snapshot, engine *EngineState) load {
+	var own PendingWork
+	if snapshot.Pending != nil {
+		own = snapshot.Pending.Pending(engine.Name, engine.ReportedAt)
+	}
+	var estimate load
 	if !engine.ReportedAt.IsZero() {
 		age := max(snapshot.Now.Sub(engine.ReportedAt), time.Duration(0)).Seconds()
-		backlog = float64(engine.OutstandingTokens) - age*speed
+		estimate.promptTokens = reportedPrompt(engine) - age*prefillSpeed(engine)
+		estimate.requests = float64(engine.Running + engine.Waiting)
 	}
-	if snapshot.Pending == nil {
-		return max(backlog, 0) / speed
+	estimate.promptTokens = max(estimate.promptTokens-float64(own.Finished.PromptTokens), 0)
+	estimate.promptTokens = max(estimate.promptTokens+float64(own.Added.PromptTokens), float64(own.InFlight.PromptTokens))
+	estimate.requests = max(estimate.requests-float64(own.Finished.Requests), 0)
+	estimate.requests = max(estimate.requests+float64(own.Added.Requests), float64(own.InFlight.Requests))
+	estimate.running = estimate.requests
+	if engine.MaxRunning > 0 {
+		estimate.running = min(estimate.running, float64(engine.MaxRunning))
 	}
-	own := snapshot.Pending.Pending(engine.Name, engine.ReportedAt)
-	backlog = max(backlog-float64(own.Finished.PromptTokens), 0)
-	backlog += float64(own.Added.PromptTokens)
-	return max(backlog, float64(own.InFlight.PromptTokens)) / speed
+	return estimate
+}
+
+// typicalOutputLeft is what a request in hand has still to produce on average,
+// in tokens: engines report prompt and output in one sum.
+const typicalOutputLeft = 60
+
+func reportedPrompt(engine *EngineState) float64 {
+	output := typicalOutputLeft * float64(engine.Running+engine.Waiting)
+	return max(float64(engine.OutstandingTokens)-output, 0)
 }
 
 func networkCost(weights *Weights, request *Request, engine *EngineState) float64 {
--- a/coordination/routing/snapshot.go
+++ b/coordination/routing/snapshot.go
@@ -39,8 +39,14 @@
 
 	// PrefillSpeed is the engine's prompt throughput in tokens per second.
 	PrefillSpeed float64
-	// DecodeSpeed is the output speed of one request in tokens per second.
+	// DecodeSpeed is the output speed of one request in tokens per second, for
+	// engines of which no step times were learned.
 	DecodeSpeed float64
+	// Step is the learned time of an output token; see Speeds.
+	Step StepTime
+	// MaxRunning is the greatest number of requests that run at once; zero
+	// means unknown.
+	MaxRunning int
 
 	// CacheLimit and CacheUsed are tokens of context memory; a limit of zero
 	// means unknown.
@@ -82,6 +88,10 @@
 	// Eviction multiplies the compute time of the tokens that the call would
 	// push out of a full cache.
 	Eviction float64
+	// Interference multiplies the time that the call adds to the calls already
+	// running on the engine. One makes the sum of all latencies least, zero the
+	// call's own.
+	Interference float64
 	// CrossZone is the cost of serving a call from another zone.
 	CrossZone time.Duration
 	// TransferSpeed is the rate of moving context between engines in tokens per
@@ -101,6 +111,7 @@
 		Latency:       1,
 		WastedCache:   0.25,
 		Eviction:      0.25,
+		Interference:  1,
 		CrossZone:     2 * time.Millisecond,
 		TransferSetup: 20 * time.Millisecond,
 		Tolerance:     0.02,
--- a/coordination/routing/speeds.go
+++ b/coordination/routing/speeds.go
@@ -20,6 +20,16 @@
 	// Prefill and Decode are in tokens per second of one request.
 	Prefill float64
 	Decode  float64
+	// Step is the time of an output token by the number of requests.
+	Step StepTime
+}
+
+// StepTime is the time in seconds that one output token of a request takes:
+// Base + PerRequest * the requests that run beside it. A Base of zero means
+// that nothing was learned.
+type StepTime struct {
+	Base       float64
+	PerRequest float64
 }
 
 // Observation is what one answer tells of its engine's speed.
@@ -31,38 +41,59 @@
 	OutputTokens uint64
 	// DecodeTime is the time from the first to the last output.
 	DecodeTime time.Duration
+	// Running is the number of requests on the engine in that time, this one
+	// included.
+	Running int
 }
 
-// Speeds learns the speeds of engines by exponentially weighted averages.
+// Speeds learns the speeds of engines: exponentially weighted averages of
+// prefill and decode, and a regression of the step time on the number of
+// requests.
 type Speeds struct {
 	mutex   sync.RWMutex
-	engines map[string]Speed
+	engines map[string]*learnedSpeed
+}
+
+type learnedSpeed struct {
+	speed Speed
+	steps regression
 }
 
 // NewSpeeds makes an empty table.
 func NewSpeeds() *Speeds {
-	return &Speeds{engines: make(map[string]Speed)}
+	return &Speeds{engines: make(map[string]*learnedSpeed)}
 }
 
 // Observe adds one answer. Samples too short to measure are ignored.
 func (s *Speeds) Observe(engine string, observation Observation) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	speed := s.engines[engine]
+	learned, known := s.engines[engine]
+	if !known {
+		learned = &learnedSpeed{}
+		s.engines[engine] = learned
+	}
+	speed := &learned.speed
 	if observation.ComputedTokens >= minPrefillSample {
 		speed.Prefill = average(speed.Prefill, observation.ComputedTokens, observation.PrefillTime)
 	}
-	if observation.OutputTokens >= minDecodeSample {
-		speed.Decode = average(speed.Decode, observation.OutputTokens, observation.DecodeTime)
+	if observation.OutputTokens < minDecodeSample || observation.DecodeTime <= 0 {
+		return
 	}
-	s.engines[engine] = speed
+	speed.Decode = average(speed.Decode, observation.OutputTokens, observation.DecodeTime)
+	learned.steps.add(float64(observation.Running), observation.DecodeTime.Seconds()/float64(observation.OutputTokens))
+	speed.Step = learned.steps.fit()
 }
 
 // Of returns what was learned of an engine.
 func (s *Speeds) Of(engine string) Speed {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
-	return s.engines[engine]
+	learned, known := s.engines[engine]
+	if !known {
+		return Speed{}
+	}
+	return learned.speed
 }
 
 // Forget drops an engine that is gone.
