Keep the error of a bad setting on one line whatever the value

Cause: a property search over arbitrary values found that a line break in a value broke the error's one line (name: "\r"). Ruled out: quoting at each place that makes a problem text; keys and file names can hold such characters too, so the error itself escapes them. Change: settings.Error escapes what can't be printed; values are quoted. Conclusion: every refused setting is one line that names source and key.

--- a/settings/check.go
+++ b/settings/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/netip"
 	"net/url"
 	"path/filepath"
@@ -45,7 +44,7 @@
 	if failure.Tag() == "required" {
 		return l.fault(option, "missing")
 	}
-	return l.fault(option, fmt.Sprintf("%v isn't allowed", failure.Value()))
+	return l.fault(option, describe(failure.Value())+" isn't allowed")
 }
 
 func optionOf(key string) Option {
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -111,9 +111,13 @@
 	return duration, nil
 }
 
+// describe writes a value for an error, text in quotes.
 func describe(value any) string {
-	if value == nil {
+	switch shown := value.(type) {
+	case nil:
 		return "an empty value"
+	case string:
+		return strconv.Quote(shown)
 	}
-	return fmt.Sprintf("%v", value)
+	return fmt.Sprint(value)
 }
--- a/settings/error.go
+++ b/settings/error.go
@@ -1,6 +1,11 @@
 package settings
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"unicode"
+)
 
 // Error is the one fault that kept settings from being accepted.
 type Error struct {
@@ -14,7 +19,8 @@
 	Allowed string
 }
 
-// Error gives source, key, problem and what is allowed, on one line.
+// Error gives source, key, problem and what is allowed, on one line: any of
+// them may hold text of the user with line breaks or escape sequences.
 func (e *Error) Error() string {
 	text := e.Source + ": "
 	if e.Key != "" {
@@ -24,5 +30,18 @@
 	if e.Allowed != "" {
 		text += fmt.Sprintf(" (allowed: %s)", e.Allowed)
 	}
-	return text
+	return escapeControls(text)
+}
+
+// escapeControls writes what can't be printed as in a Go string.
+func escapeControls(text string) string {
+	var escaped strings.Builder
+	for _, character := range text {
+		if unicode.IsPrint(character) {
+			escaped.WriteRune(character)
+			continue
+		}
+		escaped.WriteString(strings.Trim(strconv.QuoteRune(character), "'"))
+	}
+	return escaped.String()
 }
