--- /dev/null
+++ b/test/document/document.go
@@ -0,0 +1,86 @@
+// Package document reads the project's pages, so that its tests can hold them
+// against the code.
+package document
+
+import (
+	"io/fs"
+	"path/filepath"
+	"regexp"
+	"strings"
+)
+
+// Pages returns the paths of all Markdown pages below the root.
+func Pages(root string) ([]string, error) {
+	var pages []string
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && entry.Name() == ".git" {
+			return filepath.SkipDir
+		}
+		if filepath.Ext(path) == ".md" {
+			pages = append(pages, path)
+		}
+		return nil
+	})
+	return pages, err
+}
+
+// Links returns the targets of the page's links to files, without anchors.
+func Links(page string) []string {
+	var links []string
+	for _, match := range regexp.MustCompile(`\]\(([^)\s]+)\)`).FindAllStringSubmatch(page, -1) {
+		target, _, _ := strings.Cut(match[1], "#")
+		if target != "" && !strings.Contains(target, "://") {
+			links = append(links, target)
+		}
+	}
+	return links
+}
+
+// Proof is one row of the page of proofs.
+type Proof struct {
+	Number  string
+	Promise string
+	// Tests are the tests that the row names; none where it isn't proved.
+	Tests []TestName
+}
+
+// TestName names a test function by its package's folder.
+type TestName struct {
+	Folder   string
+	Function string
+}
+
+// Proofs returns the rows of the table of proofs.
+func Proofs(page string) []Proof {
+	var proofs []Proof
+	for line := range strings.Lines(page) {
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		number := strings.TrimSpace(cells[0])
+		if len(cells) != proofColumns || !regexp.MustCompile(`^\d+$`).MatchString(number) {
+			continue
+		}
+		proofs = append(proofs, Proof{
+			Number:  number,
+			Promise: strings.TrimSpace(cells[1]),
+			Tests:   testNames(cells[testColumn]),
+		})
+	}
+	return proofs
+}
+
+// Columns of the table of proofs.
+const (
+	proofColumns = 6
+	testColumn   = 3
+)
+
+func testNames(cell string) []TestName {
+	var names []TestName
+	for _, match := range regexp.MustCompile("`([a-z0-9/_]+)\\.((?:Test|Fuzz|Example)\\w*)`").FindAllStringSubmatch(cell, -1) {
+		names = append(names, TestName{Folder: match[1], Function: match[2]})
+	}
+	return names
+}
