Print each package as its tests end

Cause: the whole run was silent until the last package had finished, which looks like a hang to whoever waits for it. Ruled out: a shell pipe between go test and the report, which hides the exit code of go test from the report. The last line is still the counts. Conclusion: the verdict is unchanged; progress is visible.

--- a/test/report/event.go
+++ b/test/report/event.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"regexp"
 	"strings"
@@ -29,17 +30,9 @@
 	output string
 }
 
-// packageResult is the outcome of one package.
-type packageResult struct {
-	name    string
-	action  string
-	seconds float64
-}
-
 // outcome is everything that one run of the tests reported.
 type outcome struct {
-	packages []packageResult
-	tests    []testResult
+	tests []testResult
 	// crashed lists packages that ended before their tests were done.
 	crashed []testResult
 }
@@ -53,7 +46,8 @@
 
 // collector gathers events until their test or package ends.
 type collector struct {
-	outcome outcome
+	outcome  outcome
+	progress io.Writer
 	// output by test name, or by package for what no test printed.
 	output map[string]*strings.Builder
 	// running holds the top-level tests that have started and not ended.
@@ -62,8 +56,10 @@
 	failedTests map[string]int
 }
 
-func readEvents(events io.Reader) (outcome, error) {
+// readEvents gathers the events and prints each package as it ends.
+func readEvents(events io.Reader, progress io.Writer) (outcome, error) {
 	collected := collector{
+		progress:    progress,
 		output:      make(map[string]*strings.Builder),
 		running:     make(map[string]bool),
 		failedTests: make(map[string]int),
@@ -130,7 +126,7 @@
 }
 
 func (c *collector) endPackage(next event) {
-	c.outcome.packages = append(c.outcome.packages, packageResult{next.Package, next.Action, next.Elapsed})
+	fmt.Fprintf(c.progress, "%s %s %.1fs\n", next.Action, shortName(next.Package), next.Elapsed)
 	if next.Action != actionFail {
 		return
 	}
--- a/test/report/report_test.go
+++ b/test/report/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -28,26 +29,26 @@
 		events string
 		known  string
 		status int
-		exit   int
+		fails  bool
 		want   []string
 	}{
-		{"all pass", onePass + packagePass, "", 0, 0, []string{"1 passed, 0 failed"}},
-		{"one fails", onePass + oneFail + packageFail, "", 1, 1, []string{"boom", "FAULT: p.TestB failed", "1 passed, 1 failed"}},
-		{"known one fails", onePass + oneFail + packageFail, line, 1, 0,
+		{"all pass", onePass + packagePass, "", 0, false, []string{"1 passed, 0 failed"}},
+		{"one fails", onePass + oneFail + packageFail, "", 1, true, []string{"boom", "FAULT: p.TestB failed", "1 passed, 1 failed"}},
+		{"known one fails", onePass + oneFail + packageFail, line, 1, false,
 			[]string{"known failing: p.TestB: the engine, sometimes, drops it (#3)", "1 passed, 1 failed"}},
-		{"known one passes", strings.ReplaceAll(onePass, "TestA", "TestB") + packagePass, line, 0, 0,
+		{"known one passes", strings.ReplaceAll(onePass, "TestA", "TestB") + packagePass, line, 0, false,
 			[]string{"passes, strike it off KNOWN-RED.txt: p.TestB", "1 passed, 0 failed"}},
-		{"known one is gone", onePass + packagePass, line, 0, 1, []string{"which wasn't run"}},
-		{"known one is skipped", onePass + strings.ReplaceAll(oneSkip, "TestC", "TestB") + packagePass, line, 0, 1, []string{"which was skipped"}},
-		{"known one ends the process", onePass + oneFail + packageDies, line, 1, 1, []string{"FAULT: p failed outside", "1 passed, 2 failed"}},
-		{"another is unfinished", `{"Action":"run","Package":"p","Test":"TestD"}` + oneFail + packageFail, line, 1, 1, []string{"FAULT: p failed outside"}},
-		{"build fails", buildFails, "", 1, 1, []string{"undefined: x", "FAULT: p failed outside", "0 passed, 1 failed"}},
-		{"skip is shown", onePass + oneSkip + packagePass, "", 0, 0, []string{"skipped: p.TestC", "1 passed, 0 failed"}},
-		{"nothing run", "", "", 0, 1, []string{"FAULT: no test was run"}},
-		{"unexplained exit code", onePass + packagePass, "", 2, 1, []string{"go test exited with 2"}},
-		{"broken events", "{", "", 0, 1, []string{"reading the events"}},
-		{"list too long", onePass + packagePass, strings.Repeat(line, 4), 0, 1, []string{"lists 4 tests; allowed are 3"}},
-		{"list without cause", onePass + packagePass, "p.TestB\n", 0, 1, []string{"isn't"}},
+		{"known one is gone", onePass + packagePass, line, 0, true, []string{"which wasn't run"}},
+		{"known one is skipped", onePass + strings.ReplaceAll(oneSkip, "TestC", "TestB") + packagePass, line, 0, true, []string{"which was skipped"}},
+		{"known one ends the process", onePass + oneFail + packageDies, line, 1, true, []string{"FAULT: p failed outside", "1 passed, 2 failed"}},
+		{"another is unfinished", `{"Action":"run","Package":"p","Test":"TestD"}` + oneFail + packageFail, line, 1, true, []string{"FAULT: p failed outside"}},
+		{"build fails", buildFails, "", 1, true, []string{"undefined: x", "FAULT: p failed outside", "0 passed, 1 failed"}},
+		{"skip is shown", onePass + oneSkip + packagePass, "", 0, false, []string{"skipped: p.TestC", "1 passed, 0 failed"}},
+		{"nothing run", "", "", 0, true, []string{"FAULT: no test was run"}},
+		{"unexplained exit code", onePass + packagePass, "", 2, true, []string{"go test exited with 2"}},
+		{"broken events", "{", "", 0, true, []string{"reading the events"}},
+		{"list too long", onePass + packagePass, strings.Repeat(line, 4), 0, true, []string{"lists 4 tests; allowed are 3"}},
+		{"list without cause", onePass + packagePass, "p.TestB\n", 0, true, []string{"isn't"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -56,11 +57,22 @@
 				assert.NilError(t, os.WriteFile(path, []byte(c.known), 0o600))
 			}
 			var out strings.Builder
-			exit := run(strings.NewReader(c.events), &out, path, c.status)
-			assert.Equal(t, exit, c.exit, out.String())
+			err := run(emit(t, c.events, c.status), &out, path)
+			assert.Equal(t, err != nil, c.fails, out.String())
+			if err != nil {
+				fmt.Fprintln(&out, err)
+			}
 			for _, want := range c.want {
 				assert.Assert(t, strings.Contains(out.String(), want), fmt.Sprintf("want %q in:\n%s", want, &out))
 			}
 		})
 	}
 }
+
+// emit is a command that prints the events and exits with the status.
+func emit(t *testing.T, events string, status int) *exec.Cmd {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "events")
+	assert.NilError(t, os.WriteFile(path, []byte(events), 0o600))
+	return exec.Command("sh", "-c", fmt.Sprintf("cat %q; exit %d", path, status))
+}
--- a/test/report/verdict.go
+++ b/test/report/verdict.go
@@ -72,9 +72,6 @@
 }
 
 func writeReport(out io.Writer, o outcome, v verdict) {
-	for _, result := range o.packages {
-		fmt.Fprintf(out, "%s %s %.1fs\n", result.action, shortName(result.name), result.seconds)
-	}
 	for _, result := range append(o.tests, o.crashed...) {
 		if result.action == actionFail {
 			fmt.Fprintf(out, "--- output of %s\n%s", shortName(result.name), result.output)
