Use msg for the text of a log line and point to the help of flags

Cause: parts log a field named event, so that a line had the key twice; an unknown flag was refused without a word on what is allowed. Ruled out: renaming the fields of all parts: event is a fair name for them. Change: the text of a line is msg; errors of flags name the help. Conclusion: the keys that telemetry itself writes are time, level, msg and logger.

--- a/cmd/marblering/command.go
+++ b/cmd/marblering/command.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"runtime/debug"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -59,7 +60,9 @@
 		SilenceUsage:  true,
 		RunE:          func(command *cobra.Command, _ []string) error { return command.Help() },
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{cause: err} })
+	root.SetFlagErrorFunc(func(command *cobra.Command, err error) error {
+		return &usageError{cause: merry.Appendf(err, "see %s --help", command.CommandPath())}
+	})
 	root.AddCommand(newServeCommand(run), newConfigCommand(), newVersionCommand())
 	return root
 }
--- a/cmd/marblering/main_test.go
+++ b/cmd/marblering/main_test.go
@@ -84,7 +84,7 @@
 		{"no file", []string{"config", "check", filepath.Join(folder, "none.yaml")}, exitSettings, "", "no such file"},
 		{"no argument", []string{"config", "check"}, exitSettings, "", "accepts 1 arg(s)"},
 		{"unknown command", []string{"sevre"}, exitSettings, "", `unknown command "sevre"`},
-		{"unknown flag", []string{"serve", "--zoen=b"}, exitSettings, "", "unknown flag: --zoen"},
+		{"unknown flag", []string{"serve", "--zoen=b"}, exitSettings, "", "unknown flag: --zoen: see marblering serve --help"},
 		{"serve with a bad file", []string{"serve", "--settings", unknown}, exitSettings, "", "zoen: unknown key"},
 		{"serve with a bad flag", []string{"serve", "--settings", example, "--peer-timeout=2"}, exitSettings, "", "flag --peer-timeout: peer_timeout: "},
 		{"serve without settings", []string{"serve"}, exitSettings, "", "flags: name: missing"},
@@ -112,10 +112,10 @@
 		assert.NilError(t, process.Start())
 		lines := bufio.NewScanner(log)
 		assert.Assert(t, lines.Scan())
-		assert.Assert(t, strings.HasSuffix(lines.Text(), "level=info event=started node=hall-a-1 zone=hall-a"), lines.Text())
+		assert.Assert(t, strings.HasSuffix(lines.Text(), "level=info msg=started node=hall-a-1 zone=hall-a"), lines.Text())
 		assert.NilError(t, process.Process.Signal(stop))
 		assert.Assert(t, lines.Scan())
-		assert.Assert(t, strings.Contains(lines.Text(), "event=stopped"), lines.Text())
+		assert.Assert(t, strings.Contains(lines.Text(), "msg=stopped"), lines.Text())
 		assert.NilError(t, process.Wait())
 	}
 }
--- a/telemetry/logger.go
+++ b/telemetry/logger.go
@@ -14,7 +14,7 @@
 const (
 	timeKey    = "time"
 	levelKey   = "level"
-	messageKey = "event"
+	messageKey = "msg"
 	nameKey    = "logger"
 )
 
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -37,7 +37,7 @@
 			line := out.String()
 			assert.Equal(t, strings.Count(line, "\n"), 1, line)
 			assert.Assert(t, strings.HasSuffix(line, "\n"))
-			assert.Assert(t, strings.Contains(line, ` level=info event="call finished" node=n1`), line)
+			assert.Assert(t, strings.Contains(line, ` level=info msg="call finished" node=n1`), line)
 			assert.Assert(t, strings.Contains(line, c.want), line)
 		})
 	}
