Keep tenants, engines and retries within limits over all nodes

Cause: the limits of coordination/limit were wired to nothing, and a failed engine was passed over for a fixed two seconds only. Change: node/limits.go (admission points, pools of tenants' rates, retry budget; Grant joins the peer protocol), the fleet asks an engine's admission point, sheds early and ejects by outlier detection; a tenant's refusal is recorded before it is told. Advice on repeats says that a refused call needs a new key, so the example of state/result says so too. Conclusion: limits hold at one owner a name; the owner is a hint, its silence lets calls go on.

--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -63,6 +63,8 @@
 	NodeServiceReserveProcedure = "/marblering.peer.v1.NodeService/Reserve"
 	// NodeServiceReleaseProcedure is the fully-qualified name of the NodeService's Release RPC.
 	NodeServiceReleaseProcedure = "/marblering.peer.v1.NodeService/Release"
+	// NodeServiceGrantProcedure is the fully-qualified name of the NodeService's Grant RPC.
+	NodeServiceGrantProcedure = "/marblering.peer.v1.NodeService/Grant"
 	// NodeServiceFetchConfigurationProcedure is the fully-qualified name of the NodeService's
 	// FetchConfiguration RPC.
 	NodeServiceFetchConfigurationProcedure = "/marblering.peer.v1.NodeService/FetchConfiguration"
@@ -329,6 +331,7 @@
 	AttemptStatus(context.Context, *connect.Request[v1.AttemptStatusRequest]) (*connect.Response[v1.AttemptStatusResponse], error)
 	Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error)
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
+	Grant(context.Context, *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error)
 	FetchConfiguration(context.Context, *connect.Request[v1.FetchConfigurationRequest]) (*connect.Response[v1.FetchConfigurationResponse], error)
 	InstallConfiguration(context.Context, *connect.Request[v1.InstallConfigurationRequest]) (*connect.Response[v1.InstallConfigurationResponse], error)
 }
@@ -368,6 +371,12 @@
 			connect.WithSchema(nodeServiceMethods.ByName("Release")),
 			connect.WithClientOptions(opts...),
 		),
+		grant: connect.NewClient[v1.GrantRequest, v1.GrantResponse](
+			httpClient,
+			baseURL+NodeServiceGrantProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("Grant")),
+			connect.WithClientOptions(opts...),
+		),
 		fetchConfiguration: connect.NewClient[v1.FetchConfigurationRequest, v1.FetchConfigurationResponse](
 			httpClient,
 			baseURL+NodeServiceFetchConfigurationProcedure,
@@ -389,6 +398,7 @@
 	attemptStatus        *connect.Client[v1.AttemptStatusRequest, v1.AttemptStatusResponse]
 	reserve              *connect.Client[v1.ReserveRequest, v1.ReserveResponse]
 	release              *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
+	grant                *connect.Client[v1.GrantRequest, v1.GrantResponse]
 	fetchConfiguration   *connect.Client[v1.FetchConfigurationRequest, v1.FetchConfigurationResponse]
 	installConfiguration *connect.Client[v1.InstallConfigurationRequest, v1.InstallConfigurationResponse]
 }
@@ -413,6 +423,11 @@
 	return c.release.CallUnary(ctx, req)
 }
 
+// Grant calls marblering.peer.v1.NodeService.Grant.
+func (c *nodeServiceClient) Grant(ctx context.Context, req *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error) {
+	return c.grant.CallUnary(ctx, req)
+}
+
 // FetchConfiguration calls marblering.peer.v1.NodeService.FetchConfiguration.
 func (c *nodeServiceClient) FetchConfiguration(ctx context.Context, req *connect.Request[v1.FetchConfigurationRequest]) (*connect.Response[v1.FetchConfigurationResponse], error) {
 	return c.fetchConfiguration.CallUnary(ctx, req)
@@ -429,6 +444,7 @@
 	AttemptStatus(context.Context, *connect.Request[v1.AttemptStatusRequest]) (*connect.Response[v1.AttemptStatusResponse], error)
 	Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error)
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
+	Grant(context.Context, *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error)
 	FetchConfiguration(context.Context, *connect.Request[v1.FetchConfigurationRequest]) (*connect.Response[v1.FetchConfigurationResponse], error)
 	InstallConfiguration(context.Context, *connect.Request[v1.InstallConfigurationRequest]) (*connect.Response[v1.InstallConfigurationResponse], error)
 }
@@ -464,6 +480,12 @@
 		connect.WithSchema(nodeServiceMethods.ByName("Release")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceGrantHandler := connect.NewUnaryHandler(
+		NodeServiceGrantProcedure,
+		svc.Grant,
+		connect.WithSchema(nodeServiceMethods.ByName("Grant")),
+		connect.WithHandlerOptions(opts...),
+	)
 	nodeServiceFetchConfigurationHandler := connect.NewUnaryHandler(
 		NodeServiceFetchConfigurationProcedure,
 		svc.FetchConfiguration,
@@ -486,6 +508,8 @@
 			nodeServiceReserveHandler.ServeHTTP(w, r)
 		case NodeServiceReleaseProcedure:
 			nodeServiceReleaseHandler.ServeHTTP(w, r)
+		case NodeServiceGrantProcedure:
+			nodeServiceGrantHandler.ServeHTTP(w, r)
 		case NodeServiceFetchConfigurationProcedure:
 			nodeServiceFetchConfigurationHandler.ServeHTTP(w, r)
 		case NodeServiceInstallConfigurationProcedure:
@@ -515,6 +539,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.NodeService.Release is not implemented"))
 }
 
+func (UnimplementedNodeServiceHandler) Grant(context.Context, *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.NodeService.Grant is not implemented"))
+}
+
 func (UnimplementedNodeServiceHandler) FetchConfiguration(context.Context, *connect.Request[v1.FetchConfigurationRequest]) (*connect.Response[v1.FetchConfigurationResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.NodeService.FetchConfiguration is not implemented"))
 }
--- a/coordination/execution/call.go
+++ b/coordination/execution/call.go
@@ -22,6 +22,8 @@
 	// newTokens bounds the tokens of the new messages from above.
 	newTokens uint64
 	excluded  []string
+	// leave gives back the room that the tenant's limits granted; nil before.
+	leave func()
 }
 
 // Call runs the call or finds out what became of it.
@@ -42,6 +44,9 @@
 	callContext, cancel := context.WithDeadline(ctx, current.deadline)
 	defer cancel()
 	answer, err := e.run(callContext, current)
+	if current.leave != nil {
+		current.leave()
+	}
 	e.flights.land(key, joined, answer, err)
 	return answer, err
 }
@@ -124,11 +129,7 @@
 	if err != nil {
 		return program.AdmitOutcome{}, Choice{}, nil, err
 	}
-	choice, err := e.choose(ctx, current, tree)
-	var refusal *result.Error
-	if err != nil && !errors.As(err, &refusal) {
-		refusal = result.Errorf(result.NoEngine, "choosing an engine: %v", err).After(noQuorumRetry)
-	}
+	choice, refusal := e.place(ctx, current, tree)
 	request := e.admitRequest(current, tree, choice)
 	var outcome program.AdmitOutcome
 	tree, err = e.applyExisting(ctx, current.request.Program, func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
@@ -148,6 +149,24 @@
 	return outcome, choice, tree, nil
 }
 
+// place asks the tenant's limits for room, once a call, then chooses an engine.
+func (e *Executor) place(ctx context.Context, current *call, tree *statev1.ProgramTree) (Choice, *result.Error) {
+	if current.leave == nil {
+		name := current.request.Program + "/" + current.request.Key
+		leave, pause := e.Limiter.Enter(ctx, current.request.Tenant, name, current.newTokens+e.outputTokens(current, tree))
+		if pause > 0 {
+			return Choice{}, result.Errorf(result.TenantLimit, "tenant %q has reached its limit", current.request.Tenant).After(pause)
+		}
+		current.leave = leave
+	}
+	choice, err := e.choose(ctx, current, tree)
+	var refusal *result.Error
+	if err != nil && !errors.As(err, &refusal) {
+		refusal = result.Errorf(result.NoEngine, "choosing an engine: %v", err).After(noQuorumRetry)
+	}
+	return choice, refusal
+}
+
 func release(choice Choice, current *call, err error) {
 	if choice.Release != nil {
 		choice.Release(AttemptReport{Program: current.request.Program, Err: err})
--- a/coordination/execution/call_test.go
+++ b/coordination/execution/call_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -211,3 +212,19 @@
 	assert.Assert(t, answer.Content != "")
 	assert.Equal(t, len(f.engines.seen()), 1)
 }
+
+func TestTenantLimitIsRecordedBeforeItIsTold(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	id := f.program(t, 10000)
+	f.pause = 3 * time.Second
+	_, err := f.nodes["node-1"].Call(t.Context(), callOf(id, "key"), &textSink{})
+	assert.Equal(t, codeOf(t, err), result.TenantLimit)
+	var told *result.Error
+	assert.Assert(t, errors.As(err, &told))
+	assert.Equal(t, told.RetryAfter, 3*time.Second)
+	// A late duplicate doesn't run although there is room now.
+	f.pause = 0
+	_, err = f.nodes["node-2"].Call(t.Context(), callOf(id, "key"), &textSink{})
+	assert.Equal(t, codeOf(t, err), result.TenantLimit)
+	assert.Equal(t, len(f.engines.seen()), 0)
+}
--- a/coordination/execution/executor.go
+++ b/coordination/execution/executor.go
@@ -81,6 +81,15 @@
 	Leaving bool
 }
 
+// Limiter keeps tenants within their limits over all nodes.
+type Limiter interface {
+	// Enter asks for room for one call; a positive pause refuses it, else leave
+	// gives the room back.
+	Enter(ctx context.Context, tenant, call string, tokens uint64) (leave func(), pause time.Duration)
+	// Retry reports whether the tenant's call may be tried again at an engine.
+	Retry(tenant string) bool
+}
+
 // Router chooses engines. It returns a *result.Error where none has room.
 type Router interface {
 	Choose(ctx context.Context, query Query) (Choice, error)
@@ -173,6 +182,7 @@
 	Records  Records
 	Turns    Turns
 	Router   Router
+	Limiter  Limiter
 	Engines  Engines
 	Peers    Peers
 	Liveness Liveness
--- a/coordination/execution/fake_test.go
+++ b/coordination/execution/fake_test.go
@@ -166,6 +166,14 @@
 	return slices.Clone(s.requests)
 }
 
+// openLimiter refuses nothing unless pause is set.
+type openLimiter struct{ pause *time.Duration }
+
+func (o openLimiter) Enter(context.Context, string, string, uint64) (func(), time.Duration) {
+	return func() {}, *o.pause
+}
+func (openLimiter) Retry(string) bool { return true }
+
 type anyCatalog struct{}
 
 func (anyCatalog) Model(string) (execution.Model, bool) {
@@ -180,6 +188,8 @@
 	engines *scriptedEngines
 	nodes   map[string]*execution.Executor
 	gone    sync.Map
+	// pause is what the tenant's limits answer.
+	pause time.Duration
 }
 
 func newFleetOfExecutors(identities ...string) *fleetOfExecutors {
@@ -195,7 +205,7 @@
 		limits.CallTimeout = 20 * time.Second
 		f.nodes[identity] = execution.New(execution.Options{
 			Identity: identity, Address: identity, Records: f.records, Turns: f.turns,
-			Router: fixedRouter{[]string{"engine-1", "engine-2", "engine-3"}}, Engines: f.engines,
+			Router: fixedRouter{[]string{"engine-1", "engine-2", "engine-3"}}, Limiter: openLimiter{&f.pause}, Engines: f.engines,
 			Peers: f, Liveness: f, Catalog: anyCatalog{}, Logger: zap.NewNop(), Now: time.Now,
 			Random: rand.New(rand.NewPCG(1, uint64(index))), Limits: limits,
 		})
--- a/coordination/execution/perform.go
+++ b/coordination/execution/perform.go
@@ -158,7 +158,7 @@
 func (e *Executor) replaceAndPerform(ctx context.Context, current *call, failed *statev1.Call, cause error) (Answer, bool, error) {
 	lost := wasDispatched(cause)
 	current.excluded = append(current.excluded, failed.GetEngine())
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || (lost && !e.Limiter.Retry(current.request.Tenant)) {
 		answer, err := e.giveUp(ctx, current, failed, result.EngineFailed, lost, cause)
 		return answer, true, err
 	}
--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -15,8 +15,10 @@
 	"go.uber.org/zap"
 
 	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/routing"
 	"github.com/marblering/marblering/state/program"
+	"github.com/marblering/marblering/state/result"
 )
 
 // Engine is an engine of the configuration.
@@ -49,10 +51,20 @@
 	Load(ctx context.Context, address string) (Load, error)
 }
 
+// Admitter asks an engine's admission point, which counts exactly what the
+// engine has outstanding from all nodes.
+type Admitter interface {
+	Admit(ctx context.Context, engine, request string, promptTokens, outputTokens uint64, deadline time.Time) (admitted bool, retryAfter time.Duration)
+	Leave(engine, request string)
+	// SetCapacity says what an engine may have outstanding.
+	SetCapacity(engine string, capacity limit.Capacity)
+}
+
 // Options holds what a Fleet is made of.
 type Options struct {
 	Zone     string
 	Reporter Reporter
+	Admitter Admitter
 	Weights  func() routing.Weights
 	Now      func() time.Time
 	Random   *rand.Rand
@@ -74,8 +86,10 @@
 	pollConcurrency = 8
 	localityLimit   = 20000
 	eventLag        = 5 * time.Second
-	// doubtTime is how long an engine that failed an attempt counts as ejected.
-	doubtTime = 2 * time.Second
+	// probeTimeout is how long a claim to probe an ejected engine stands.
+	probeTimeout = 2 * time.Second
+	// maxRefusals bounds the admission points asked for one attempt.
+	maxRefusals = 4
 )
 
 // Fleet implements execution.Router.
@@ -88,6 +102,8 @@
 	ledger   *routing.Ledger
 	locality *routing.Locality
 	speeds   *routing.Speeds
+	ejector  *limit.Ejector
+	shedder  *limit.Shedder
 	journal  *journal
 }
 
@@ -102,8 +118,6 @@
 	reportedAt time.Time
 	// evidence is set where the engine or a peer said that it is leaving.
 	evidence bool
-	// doubtedUntil ejects an engine for a while after a failed attempt.
-	doubtedUntil time.Time
 }
 
 var _ execution.Router = (*Fleet)(nil)
@@ -115,6 +129,8 @@
 		ledger:   routing.NewLedger(),
 		locality: routing.NewLocality(localityLimit, eventLag),
 		speeds:   routing.NewSpeeds(),
+		ejector:  limit.NewEjector(limit.DefaultEjectionPolicy()),
+		shedder:  limit.NewShedder(limit.DefaultShedPolicy()),
 		journal:  newJournal(),
 	}
 	f.table.Store(&table{})
@@ -147,6 +163,7 @@
 	f.ledger.Forget(engine)
 	f.locality.ForgetEngine(engine)
 	f.speeds.Forget(engine)
+	f.ejector.Forget(engine)
 }
 
 // MarkLeaving takes in evidence, from the engine or from a peer, that the
@@ -197,7 +214,7 @@
 		Models:            entry.Models,
 		Adapters:          entry.Adapters,
 		Leaving:           entry.Leaving || entry.evidence,
-		Ejected:           now.Before(entry.doubtedUntil),
+		Ejected:           f.ejector.Health(entry.Name, now) != limit.Healthy,
 		Running:           entry.load.Running,
 		Waiting:           entry.load.Waiting,
 		OutstandingTokens: entry.load.OutstandingTokens,
@@ -218,16 +235,87 @@
 	return 0
 }
 
-// Choose decides which engine serves the attempt and reserves the work.
-func (f *Fleet) Choose(_ context.Context, query execution.Query) (execution.Choice, error) {
-	snapshot := &routing.Snapshot{
+// Choose decides which engine serves the attempt and reserves the work. An
+// engine whose admission point refuses is passed over for the next best.
+func (f *Fleet) Choose(ctx context.Context, query execution.Query) (execution.Choice, error) {
+	request := f.request(query)
+	var refusal *result.Error
+	for range maxRefusals {
+		snapshot := f.snapshot()
+		decision := f.decide(snapshot, request)
+		f.journal.add(query.Program, decision, snapshot.Now)
+		if decision.Err != nil {
+			if refusal != nil {
+				return execution.Choice{}, refusal
+			}
+			return execution.Choice{}, decision.Err
+		}
+		if pause := f.shed(query, decision, snapshot.Now); pause > 0 {
+			return execution.Choice{}, overloaded(pause)
+		}
+		name := f.journal.nextName(query.Program)
+		admitted, retryAfter := f.Admitter.Admit(ctx, decision.Engine, name, query.HistoryTokens+query.NewTokens, query.OutputTokens, query.Deadline)
+		if admitted {
+			return f.reserve(query, request, decision, name), nil
+		}
+		refusal = overloaded(retryAfter)
+		request.Excluded = append(request.Excluded, decision.Engine)
+	}
+	return execution.Choice{}, refusal
+}
+
+func overloaded(pause time.Duration) *result.Error {
+	return result.Errorf(result.Overloaded, "the engines have no room for the call").After(max(pause, time.Second))
+}
+
+// shed refuses a call early where the queues are long; programs that have begun
+// go on for longer than new ones are let in.
+func (f *Fleet) shed(query execution.Query, decision routing.Decision, now time.Time) time.Duration {
+	best := decision.Candidates[0]
+	scored := 0
+	for _, candidate := range decision.Candidates {
+		if candidate.Rejected == routing.FilterNone {
+			scored++
+		}
+	}
+	f.random.Lock()
+	defer f.random.Unlock()
+	return f.shedder.Admit(limit.Demand{
+		Begun:         query.HistoryTokens > 0,
+		ExpectedQueue: seconds(best.Queue),
+		Service:       seconds(best.Prefill + best.Decode),
+		Engines:       scored,
+	}, f.Random, now)
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+func (f *Fleet) snapshot() *routing.Snapshot {
+	return &routing.Snapshot{
 		Now:      f.Now(),
-		Engines:  f.Engines(),
+		Engines:  f.probedEngines(),
 		Weights:  f.Weights(),
 		Pending:  f.ledger,
 		MaxQueue: f.MaxQueue,
 	}
-	request := &routing.Request{
+}
+
+// probedEngines are the engines for one decision: an ejected engine whose time
+// is over takes part where this decision may claim its probe.
+func (f *Fleet) probedEngines() []routing.EngineState {
+	states := f.Engines()
+	now := f.Now()
+	for index := range states {
+		state := &states[index]
+		if state.Ejected && f.ejector.Health(state.Name, now) == limit.Probed {
+			state.Ejected = !f.ejector.Probe(state.Name, probeTimeout, now)
+		}
+	}
+	return states
+}
+
+func (f *Fleet) request(query execution.Query) *routing.Request {
+	return &routing.Request{
 		Program:        query.Program,
 		Root:           program.RootOf(query.Program),
 		Tenant:         query.Tenant,
@@ -241,14 +329,8 @@
 		Priority:       query.Priority,
 		Deadline:       query.Deadline,
 		CachedOn:       f.cachedOn(query),
-		Excluded:       query.Excluded,
-	}
-	decision := f.decide(snapshot, request)
-	f.journal.add(query.Program, decision, snapshot.Now)
-	if decision.Err != nil {
-		return execution.Choice{}, decision.Err
+		Excluded:       slices.Clone(query.Excluded),
 	}
-	return f.reserve(query, request, decision), nil
 }
 
 func (f *Fleet) decide(snapshot *routing.Snapshot, request *routing.Request) routing.Decision {
--- a/coordination/fleet/fleet_test.go
+++ b/coordination/fleet/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/marblering/marblering/coordination/execution"
 	"github.com/marblering/marblering/coordination/fleet"
+	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/routing"
 	"github.com/marblering/marblering/state/result"
 )
@@ -23,10 +24,19 @@
 	return fleet.Load{}, errors.New("no report")
 }
 
+// openAdmitter admits everything but at the engines named full.
+type openAdmitter struct{ full map[string]bool }
+
+func (o openAdmitter) Admit(_ context.Context, engine, _ string, _, _ uint64, _ time.Time) (bool, time.Duration) {
+	return !o.full[engine], 5 * time.Second
+}
+func (openAdmitter) Leave(string, string)               {}
+func (openAdmitter) SetCapacity(string, limit.Capacity) {}
+
 func newFleet(leaving func(string, bool)) *fleet.Fleet {
 	now := time.Unix(1000, 0)
 	f := fleet.New(fleet.Options{
-		Zone: "zone-1", Reporter: silentReporter{}, Weights: routing.LatencyWeights,
+		Zone: "zone-1", Reporter: silentReporter{}, Admitter: openAdmitter{map[string]bool{}}, Weights: routing.LatencyWeights,
 		Now: func() time.Time { return now }, Random: rand.New(rand.NewPCG(1, 2)), Logger: zap.NewNop(),
 		PollInterval: time.Second, OnLeaving: leaving,
 	})
@@ -119,3 +129,20 @@
 	assert.Assert(t, err != nil)
 	assert.Equal(t, len(f.Engines()), 0)
 }
+
+func TestFullEngineIsPassedOver(t *testing.T) {
+	f := newFleet(nil)
+	full := map[string]bool{"engine-0": true, "engine-1": true}
+	f.Admitter = openAdmitter{full}
+	for range 10 {
+		choice, err := f.Choose(t.Context(), call)
+		assert.NilError(t, err)
+		assert.Equal(t, choice.Engine, "engine-2")
+	}
+	full["engine-2"] = true
+	_, err := f.Choose(t.Context(), call)
+	var refusal *result.Error
+	assert.Assert(t, errors.As(err, &refusal))
+	assert.Equal(t, refusal.Code, result.Overloaded)
+	assert.Equal(t, refusal.RetryAfter, 5*time.Second)
+}
--- a/coordination/fleet/poll.go
+++ b/coordination/fleet/poll.go
@@ -8,6 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/marblering/marblering/coordination/limit"
 )
 
 // Serve polls the engines until the context ends. It is a suture service.
@@ -83,6 +85,10 @@
 		entry.reportedAt = now
 		entry.evidence = load.Leaving
 	})
+	f.Admitter.SetCapacity(engine.Name, limit.Capacity{
+		MaxTokens:       load.CacheLimit,
+		TokensPerSecond: load.PrefillSpeed,
+	})
 	if changed {
 		f.tellLeaving(engine.Name, load.Leaving)
 	}
--- a/coordination/fleet/reserve.go
+++ b/coordination/fleet/reserve.go
@@ -5,12 +5,12 @@
 	"sync/atomic"
 
 	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/routing"
 )
 
 // reserve records the decided work until the attempt is over.
-func (f *Fleet) reserve(query execution.Query, request *routing.Request, decision routing.Decision) execution.Choice {
-	name := f.journal.nextName(query.Program)
+func (f *Fleet) reserve(query execution.Query, request *routing.Request, decision routing.Decision, name string) execution.Choice {
 	now := f.Now()
 	f.ledger.Reserve(decision.Engine, name, decision.Work, now)
 	f.locality.Dispatched(query.Program, decision.Engine, request.PromptTokens(), now)
@@ -22,18 +22,21 @@
 		Reason:   decision.Reason,
 		Release: func(report execution.AttemptReport) {
 			if released.CompareAndSwap(false, true) {
-				f.release(decision.Engine, name, report)
+				f.release(decision, name, report)
 			}
 		},
 	}
 }
 
 // release gives the room back and learns from how the attempt went.
-func (f *Fleet) release(engine, name string, report execution.AttemptReport) {
+func (f *Fleet) release(decision routing.Decision, name string, report execution.AttemptReport) {
 	now := f.Now()
+	engine := decision.Engine
 	f.ledger.Release(engine, name, now)
+	f.Admitter.Leave(engine, name)
 	if report.Err == nil {
 		f.learn(engine, report)
+		f.ejector.Observe(engine, limit.Outcome{Expected: decision.Expected, Took: report.Total}, now)
 		return
 	}
 	var failure *execution.EngineError
@@ -46,7 +49,7 @@
 		f.tellLeaving(engine, true)
 		return
 	}
-	f.change(engine, func(entry *engineEntry) { entry.doubtedUntil = now.Add(doubtTime) })
+	f.ejector.Observe(engine, limit.Outcome{Failed: true, Expected: decision.Expected, Took: report.Total}, now)
 }
 
 func (f *Fleet) tellLeaving(engine string, leaving bool) {
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	records    *record.Store
 	fleet      *fleet.Fleet
 	executor   *execution.Executor
+	limits     *limits
 	callers    *callerapi.Handler
 	readiness  *telemetry.Readiness
 	metrics    *prometheus.Registry
@@ -174,6 +175,7 @@
 		membership: n.membership,
 		executor:   n.executor,
 		holder:     n.holder,
+		limits:     n.limits,
 	}, peerMetrics))
 	callerMux.set(n.callers)
 	n.readiness.Add("configuration", n.checkConfiguration)
@@ -182,6 +184,7 @@
 		n.peerListener, n.callerListener, n.operatorListener,
 		n.membership,
 		n.fleet,
+		n.limits,
 		&configurationWatch{platform: platform, holder: n.holder, logger: n.logger, timeout: n.settings.ObjectAPITimeout},
 		&machineWatch{
 			platform: platform, membership: n.membership, reads: n.reads,
@@ -256,6 +259,7 @@
 	client := register.NewClient(n.identity, peers, views, register.SystemClock{}, n.newRandom(), register.DefaultSettings())
 	n.records = record.NewStore(client, n.views.Locate, recentTrees)
 	turns := archive.New(peers, views, n.views.Locate, history.NewCache(historyCacheBytes))
+	n.limits = newLimits(n.holder, peers, n.owner, n.logger)
 	n.fleet = fleet.New(fleet.Options{
 		Zone:         n.settings.Zone,
 		Reporter:     engines{engineClient},
@@ -263,6 +267,7 @@
 		Now:          time.Now,
 		Random:       n.newRandom(),
 		Logger:       n.logger,
+		Admitter:     n.limits,
 		PollInterval: pollInterval,
 		MaxQueue:     maxQueue,
 		OnLeaving:    n.engineLeaving,
@@ -275,6 +280,7 @@
 		Records:  n.records,
 		Turns:    turns,
 		Router:   n.fleet,
+		Limiter:  n.limits,
 		Engines:  engines{engineClient},
 		Peers:    peers,
 		Liveness: liveness{n.membership.Members},
--- a/node/peer.go
+++ b/node/peer.go
@@ -33,6 +33,7 @@
 	membership *membership.Service
 	executor   *execution.Executor
 	holder     *configuration.Holder
+	limits     *limits
 }
 
 var _ peer.Node = (*peerNode)(nil)
--- a/node/preference.go
+++ b/node/preference.go
@@ -14,6 +14,17 @@
 	return len(ranked) > 0 && ranked[0] == n.settings.Name
 }
 
+// owner returns where the node is reached that should look after the name.
+func (n *Node) owner(name string) (address string, local bool) {
+	members := n.membership.Members()
+	ranked := rank(members.Live(), name)
+	if len(ranked) == 0 || ranked[0] == n.settings.Name {
+		return "", true
+	}
+	member, _ := members.Node(ranked[0])
+	return member.Address, false
+}
+
 // reads reports whether this node is one of the few of its zone that should
 // read the object API for the key.
 func (n *Node) reads(key string) bool {
--- a/state/result/code.go
+++ b/state/result/code.go
@@ -30,8 +30,9 @@
 const (
 	// RepeatNever means that the same request will get the same answer.
 	RepeatNever Repeat = "never"
-	// RepeatLater means that the request may be sent again after Retry-After.
-	RepeatLater Repeat = "after Retry-After"
+	// RepeatLater means that the request may be sent again after Retry-After,
+	// under a new idempotency key: the old one stands for the refusal.
+	RepeatLater Repeat = "new key, after Retry-After"
 	// RepeatSameKey means that asking with the same idempotency key finds out.
 	RepeatSameKey Repeat = "same key, after Retry-After"
 )
--- a/state/result/code_test.go
+++ b/state/result/code_test.go
@@ -148,5 +148,5 @@
 	}
 	// Output:
 	// 2002 tenant_limit: tenant "night-shift" has 40 calls running
-	// 429 not run after Retry-After 2s
+	// 429 not run new key, after Retry-After 2s
 }
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -198,3 +198,33 @@
 	}
 	return response.Msg, nil
 }
+
+// Reserve asks the admission point at the address for room.
+func (c *Client) Reserve(ctx context.Context, address string, request *peerv1.ReserveRequest) (*peerv1.ReserveResponse, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.node(address).Reserve(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// Release gives room back to the admission point at the address.
+func (c *Client) Release(ctx context.Context, address string, request *peerv1.ReleaseRequest) error {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	_, err := c.node(address).Release(ctx, connect.NewRequest(request))
+	return err
+}
+
+// Grant asks the node at the address for a slice of a tenant's rate.
+func (c *Client) Grant(ctx context.Context, address string, request *peerv1.GrantRequest) (*peerv1.GrantResponse, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.node(address).Grant(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -29,6 +29,9 @@
 type Node interface {
 	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
 	AttemptStatus(request *peerv1.AttemptStatusRequest) *peerv1.AttemptStatusResponse
+	Reserve(request *peerv1.ReserveRequest) *peerv1.ReserveResponse
+	Release(request *peerv1.ReleaseRequest) *peerv1.ReleaseResponse
+	Grant(request *peerv1.GrantRequest) *peerv1.GrantResponse
 	FetchConfiguration(request *peerv1.FetchConfigurationRequest) *peerv1.FetchConfigurationResponse
 	InstallConfiguration(request *peerv1.InstallConfigurationRequest) (*peerv1.InstallConfigurationResponse, error)
 }
@@ -133,6 +136,18 @@
 	return connect.NewResponse(s.node.AttemptStatus(request.Msg)), nil
 }
 
+func (s *nodeServer) Reserve(_ context.Context, request *connect.Request[peerv1.ReserveRequest]) (*connect.Response[peerv1.ReserveResponse], error) {
+	return connect.NewResponse(s.node.Reserve(request.Msg)), nil
+}
+
+func (s *nodeServer) Release(_ context.Context, request *connect.Request[peerv1.ReleaseRequest]) (*connect.Response[peerv1.ReleaseResponse], error) {
+	return connect.NewResponse(s.node.Release(request.Msg)), nil
+}
+
+func (s *nodeServer) Grant(_ context.Context, request *connect.Request[peerv1.GrantRequest]) (*connect.Response[peerv1.GrantResponse], error) {
+	return connect.NewResponse(s.node.Grant(request.Msg)), nil
+}
+
 func (s *nodeServer) FetchConfiguration(_ context.Context, request *connect.Request[peerv1.FetchConfigurationRequest]) (*connect.Response[peerv1.FetchConfigurationResponse], error) {
 	return connect.NewResponse(s.node.FetchConfiguration(request.Msg)), nil
 }
