Describe the engine stand-in and check its options

Cause: the choices behind the stand-in weren't written down, and an unknown generation was found only by a panic. Ruled out: checking options in the command alone; tests build engines too.

--- a/lab/engine/core_behaviour_test.go
+++ b/lab/engine/core_behaviour_test.go
@@ -72,6 +72,31 @@
 	assert.Assert(t, last < 8*alone)
 }
 
+// TestRolesMoveTimeBetweenPrefillAndDecode decodes beside a prompt that takes
+// longer.
+func TestRolesMoveTimeBetweenPrefillAndDecode(t *testing.T) {
+	run := func(role Role) (firstToken, decoded time.Duration) {
+		c := NewCore(CoreOptions{Generation: generations[2], Models: testModels})
+		assert.NilError(t, c.Order(0, Order{Action: SetRole, Role: role}))
+		assert.NilError(t, c.Submit(0, prompt(1, 1, 60)))
+		assert.NilError(t, c.Submit(0, prompt(2, 200_000, 1)))
+		for _, event := range finish(c) {
+			switch {
+			case event.ID == 1 && event.Kind == Finished:
+				decoded = event.At
+			case event.ID == 2 && event.Kind == FirstToken:
+				firstToken = event.At
+			}
+		}
+		return firstToken, decoded
+	}
+	mixedFirst, mixedDecoded := run(RoleMixed)
+	prefillFirst, prefillDecoded := run(RolePrefill)
+	decodeFirst, decodeDecoded := run(RoleDecode)
+	assert.Assert(t, prefillFirst < mixedFirst && mixedFirst < decodeFirst)
+	assert.Assert(t, decodeDecoded < mixedDecoded && mixedDecoded < prefillDecoded)
+}
+
 func TestPriorityIsServedFirst(t *testing.T) {
 	generation := generations[2]
 	generation.MaxBatch = 1
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -12,52 +11,9 @@
 	"github.com/marblering/marblering/lab/ledger"
 )
 
-const (
-	// recentRequests is how many ended requests can still be resumed, and are
-	// known as duplicates.
-	recentRequests = 4096
-	// DefaultLoadDuration is how long a load takes at an engine without a
-	// weight store, in the engine's time.
-	DefaultLoadDuration = 2 * time.Second
-	// defaultVersion is the version of what is loaded without naming one.
-	defaultVersion = "default"
-)
-
-// Options describe one engine.
-type Options struct {
-	Name string
-	// Generation names one of Generations; empty is DefaultGeneration. New
-	// panics on an unknown one.
-	Generation string
-	Zone       string
-	// Models and Adapters are loaded from the start, each "name" or
-	// "name@version".
-	Models   []string
-	Adapters []string
-	// Seed decides the text of the answers; engines of one fleet share it.
-	Seed uint64
-	// TimeScale is how many seconds of the engine pass in one real second;
-	// zero is 1.
-	TimeScale float64
-	// Clock gives the wall time of ledger entries and answers; nil is time.Now.
-	Clock func() time.Time
-	// MemoryTokens is the room for KV cache; zero is the generation's.
-	MemoryTokens int
-	// MaxWaiting, LoadLag, CacheEventDelay and CacheEventLoss are as in
-	// CoreOptions, in the engine's time.
-	MaxWaiting      int
-	LoadLag         time.Duration
-	CacheEventDelay time.Duration
-	CacheEventLoss  float64
-	// WeightStore is the base URL of the weight store; where it is empty, a
-	// load takes DefaultLoadDuration.
-	WeightStore string
-	// HTTPClient fetches weights; nil is http.DefaultClient.
-	HTTPClient *http.Client
-	// LedgerLimit is how many ledger entries are kept; zero is the ledger's
-	// default.
-	LedgerLimit int
-}
+// recentRequests is how many ended requests can still be resumed, and are known
+// as duplicates.
+const recentRequests = 4096
 
 // Server is an engine behind HTTP. It drives a Core in scaled real time.
 type Server struct {
@@ -84,17 +40,13 @@
 	faults   Faults
 }
 
-// New returns a running engine. Close ends it.
+// New returns a running engine. Close ends it. It panics where Options.Check
+// finds a fault.
 func New(options Options) *Server {
-	if options.Clock == nil {
-		options.Clock = time.Now
-	}
-	if options.TimeScale <= 0 {
-		options.TimeScale = 1
-	}
-	if options.HTTPClient == nil {
-		options.HTTPClient = http.DefaultClient
+	if err := options.Check(); err != nil {
+		panic(err)
 	}
+	options.setDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	server := &Server{
 		options:  options,
@@ -116,43 +68,6 @@
 	return server
 }
 
-func newServerCore(options Options) *Core {
-	generation, ok := FindGeneration(options.Generation)
-	if !ok {
-		panic("engine: unknown generation " + options.Generation)
-	}
-	if options.MemoryTokens > 0 {
-		generation.MemoryTokens = options.MemoryTokens
-	}
-	coreOptions := CoreOptions{
-		Generation:      generation,
-		Models:          loadedOf(options.Models),
-		Adapters:        loadedOf(options.Adapters),
-		MaxWaiting:      options.MaxWaiting,
-		LoadLag:         options.LoadLag,
-		CacheEventDelay: options.CacheEventDelay,
-		CacheEventLoss:  options.CacheEventLoss,
-		Seed:            options.Seed,
-	}
-	if options.WeightStore == "" {
-		coreOptions.LoadDuration = func(time.Duration, Loaded) time.Duration { return DefaultLoadDuration }
-	}
-	return NewCore(coreOptions)
-}
-
-// loadedOf reads a list of "name" and "name@version".
-func loadedOf(names []string) []Loaded {
-	list := make([]Loaded, 0, len(names))
-	for _, name := range names {
-		name, version, found := strings.Cut(name, "@")
-		if !found {
-			version = defaultVersion
-		}
-		list = append(list, Loaded{Name: name, Version: version})
-	}
-	return list
-}
-
 // ServeHTTP serves the engine dialect, the ledger and the control of faults.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mux.ServeHTTP(w, r)
--- a/lab/engine/server_test.go
+++ b/lab/engine/server_test.go
@@ -82,6 +82,76 @@
 	assert.Equal(t, entry.OutputTokens, answer.Usage.OutputTokens)
 }
 
+func TestOptionsAreChecked(t *testing.T) {
+	for _, test := range []struct {
+		options engine.Options
+		want    string
+	}{
+		{engine.Options{Generation: "gen9"}, "unknown generation"},
+		{engine.Options{TimeScale: -1}, "time scale"},
+		{engine.Options{CacheEventLoss: 2}, "cache event loss"},
+		{engine.Options{LoadLag: -1}, "negative"},
+		{engine.Options{Models: []string{"@1"}}, "no name"},
+	} {
+		assert.ErrorContains(t, test.options.Check(), test.want)
+	}
+	assert.NilError(t, engine.Options{Generation: "gen1", Models: []string{"m", "n@2"}}.Check())
+}
+
+func TestWholeAnswerAndBadBodies(t *testing.T) {
+	server, address := start(t, engine.Options{})
+	whole := `{"request_id":"r1","model":"m","messages":[{"role":"user","content":"hello"}]}`
+	for _, test := range []struct {
+		body   string
+		status int
+	}{
+		{"", http.StatusBadRequest},
+		{"[]", http.StatusBadRequest},
+		{`{"request_id":"r1","model":"m","messages":[5]}`, http.StatusBadRequest},
+		{`{"request_id":1}`, http.StatusBadRequest},
+		{whole, http.StatusOK},
+		{whole, http.StatusConflict},
+	} {
+		response, err := http.Post(address+"/v1/chat/completions", "application/json", strings.NewReader(test.body))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, test.status, "%s", test.body)
+		var answer engineapi.ChatChunk
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&answer))
+		assert.NilError(t, response.Body.Close())
+		if test.status != http.StatusOK {
+			assert.Assert(t, answer.Error.Message != "")
+			continue
+		}
+		assert.Equal(t, answer.ID, "r1")
+		messages := []json.RawMessage{json.RawMessage(`{"role":"user","content":"hello"}`)}
+		assert.Equal(t, answer.Choices[0].Message.Content, engine.ExpectedAnswer(seed, messages, 0))
+		assert.Equal(t, *answer.Choices[0].FinishReason, engineapi.FinishStop)
+	}
+	assert.Equal(t, len(server.Ledger().After(0)), 2)
+}
+
+func TestCacheEventsAreServed(t *testing.T) {
+	_, address := start(t, engine.Options{})
+	held := request("r1", question)
+	held.Hold = "p1"
+	answer, err := client.Complete(t.Context(), address, held, nil)
+	assert.NilError(t, err)
+	var events []engineapi.CacheEvent
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		events, err = client.CacheEvents(t.Context(), address, 0)
+		assert.NilError(t, err)
+		if len(events) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no cache events yet")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
+	tokens := (answer.Usage.PromptTokens + answer.Usage.OutputTokens) / engine.BlockTokens * engine.BlockTokens
+	assert.DeepEqual(t, events, []engineapi.CacheEvent{{Number: 1, Kind: engineapi.CacheStored, Program: "p1", Tokens: tokens}})
+	events, err = client.CacheEvents(t.Context(), address, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, len(events), 0)
+}
+
 func TestMaxTokensCutsTheAnswer(t *testing.T) {
 	_, address := start(t, engine.Options{})
 	short := request("r1", question)
