--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -43,12 +43,14 @@
 	CacheLimit        uint64
 	PrefillSpeed      float64
 	DecodeSpeed       float64
-	Leaving           bool
 }
 
-// Reporter asks an engine for its load.
+// Reporter asks an engine about itself.
 type Reporter interface {
+	// Load returns the engine's load report, which lags.
 	Load(ctx context.Context, address string) (Load, error)
+	// Leaving reports whether the engine takes no more work.
+	Leaving(ctx context.Context, address string) (bool, error)
 }
 
 // Admitter asks an engine's admission point, which counts exactly what the
@@ -69,7 +71,9 @@
 	Now      func() time.Time
 	Random   *rand.Rand
 	Logger   *zap.Logger
-	// PollInterval is the pause between two load reports of an engine.
+	// Owns reports whether this node is the one that polls the engine.
+	Owns func(engine string) bool
+	// PollInterval is the pause between two polls of an owned engine.
 	PollInterval time.Duration
 	// MaxQueue is the longest expected queueing before a call is shed.
 	MaxQueue time.Duration
@@ -78,14 +82,10 @@
 	OnLeaving func(engine string, leaving bool)
 }
 
-// Bounds of a fleet's memory and of its polling.
+// Bounds of a fleet's memory.
 const (
-	// maxPolled bounds the engines one node polls, so that the polling of a
-	// large fleet doesn't grow with the product of nodes and engines.
-	maxPolled       = 32
-	pollConcurrency = 8
-	localityLimit   = 20000
-	eventLag        = 5 * time.Second
+	localityLimit = 20000
+	eventLag      = 5 * time.Second
 	// probeTimeout is how long a claim to probe an ejected engine stands.
 	probeTimeout = 2 * time.Second
 	// maxRefusals bounds the admission points asked for one attempt.
--- a/coordination/fleet/fleet_test.go
+++ b/coordination/fleet/fleet_test.go
@@ -20,6 +20,10 @@
 
 type silentReporter struct{}
 
+func (silentReporter) Leaving(context.Context, string) (bool, error) {
+	return false, errors.New("no report")
+}
+
 func (silentReporter) Load(context.Context, string) (fleet.Load, error) {
 	return fleet.Load{}, errors.New("no report")
 }
@@ -38,7 +42,7 @@
 	f := fleet.New(fleet.Options{
 		Zone: "zone-1", Reporter: silentReporter{}, Admitter: openAdmitter{map[string]bool{}}, Weights: routing.LatencyWeights,
 		Now: func() time.Time { return now }, Random: rand.New(rand.NewPCG(1, 2)), Logger: zap.NewNop(),
-		PollInterval: time.Second, OnLeaving: leaving,
+		PollInterval: time.Second, Owns: func(string) bool { return true }, OnLeaving: leaving,
 	})
 	var engines []fleet.Engine
 	for index := range 3 {
--- a/coordination/fleet/poll.go
+++ b/coordination/fleet/poll.go
@@ -12,12 +12,28 @@
 	"github.com/marblering/marblering/coordination/limit"
 )
 
+// Polling is bounded by a node's control budget, not by the number of engines.
+// Each engine has one owner among the nodes, which asks it often; its word that
+// it leaves reaches the others by gossip, its load by the admission point. Of
+// the engines of others a node samples a bounded number, slowly, so that its
+// first choice among them isn't blind.
+const (
+	// loadEvery is after how many state polls an owner reads the load too.
+	loadEvery = 4
+	// sampleEvery is after how many intervals one engine of another owner is
+	// asked for its load.
+	sampleEvery = 1
+	// maxSampled bounds the engines of others that a node samples.
+	maxSampled      = 32
+	pollConcurrency = 8
+)
+
 // Serve polls the engines until the context ends. It is a suture service.
 func (f *Fleet) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(f.PollInterval)
 	defer ticker.Stop()
-	for {
-		f.pollAll(ctx)
+	for round := 0; ; round++ {
+		f.pollRound(ctx, round)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -26,27 +42,38 @@
 	}
 }
 
-// pollAll asks a bounded number of engines for their load: all of a small
-// fleet, else those of the own zone first and a fixed sample of the others.
-func (f *Fleet) pollAll(ctx context.Context) {
+// pollRound asks every owned engine whether it leaves, some of them for their
+// load, and one engine of another owner.
+func (f *Fleet) pollRound(ctx context.Context, round int) {
+	owned, sampled := f.partition()
 	group, groupContext := errgroup.WithContext(ctx)
 	group.SetLimit(pollConcurrency)
-	for _, entry := range f.polled() {
-		group.Go(func() error {
-			f.poll(groupContext, entry.Engine)
-			return nil
-		})
+	for index, engine := range owned {
+		withLoad := (round+index)%loadEvery == 0
+		group.Go(func() error { return f.poll(groupContext, engine, withLoad) })
 	}
-	// The functions never fail: one engine's silence is no reason to stop.
+	if len(sampled) > 0 && round%sampleEvery == 0 {
+		engine := sampled[(round/sampleEvery)%len(sampled)]
+		group.Go(func() error { return f.poll(groupContext, engine, true) })
+	}
+	// poll reports no errors: one engine's silence is no reason to stop.
 	_ = group.Wait()
 }
 
-func (f *Fleet) polled() []engineEntry {
-	entries := slices.Clone(f.table.Load().engines)
-	if len(entries) <= maxPolled {
-		return entries
+// partition divides the engines into those this node owns and a bounded, fixed
+// sample of the others, those of its own zone first.
+func (f *Fleet) partition() (owned, sampled []Engine) {
+	for _, entry := range f.table.Load().engines {
+		if f.Owns(entry.Name) {
+			owned = append(owned, entry.Engine)
+		} else {
+			sampled = append(sampled, entry.Engine)
+		}
 	}
-	slices.SortFunc(entries, func(left, right engineEntry) int {
+	if len(sampled) <= maxSampled {
+		return owned, sampled
+	}
+	slices.SortFunc(sampled, func(left, right Engine) int {
 		if (left.Zone == f.Zone) != (right.Zone == f.Zone) {
 			if left.Zone == f.Zone {
 				return -1
@@ -55,7 +82,7 @@
 		}
 		return compareHash(f.Zone+left.Name, f.Zone+right.Name)
 	})
-	return entries[:maxPolled]
+	return owned, sampled[:maxSampled]
 }
 
 func compareHash(left, right string) int {
@@ -69,27 +96,46 @@
 	return 0
 }
 
-func (f *Fleet) poll(ctx context.Context, engine Engine) {
-	pollContext, cancel := context.WithTimeout(ctx, f.PollInterval)
+func (f *Fleet) poll(ctx context.Context, engine Engine, withLoad bool) error {
+	ctx, cancel := context.WithTimeout(ctx, f.PollInterval)
 	defer cancel()
-	load, err := f.Reporter.Load(pollContext, engine.Address)
+	leaving, err := f.Reporter.Leaving(ctx, engine.Address)
+	if err != nil {
+		f.Logger.Debug("engine silent", zap.String("engine", engine.Name), zap.Error(err))
+		return nil
+	}
+	f.takeLeaving(engine.Name, leaving)
+	if !withLoad {
+		return nil
+	}
+	load, err := f.Reporter.Load(ctx, engine.Address)
 	if err != nil {
 		f.Logger.Debug("no load report", zap.String("engine", engine.Name), zap.Error(err))
+		return nil
+	}
+	f.takeLoad(engine.Name, load)
+	return nil
+}
+
+// takeLeaving takes in the engine's own word.
+func (f *Fleet) takeLeaving(engine string, leaving bool) {
+	entries := f.table.Load().engines
+	index := find(entries, engine)
+	if index < 0 || entries[index].evidence == leaving {
 		return
 	}
+	f.MarkLeaving(engine, leaving)
+	f.tellLeaving(engine, leaving)
+}
+
+func (f *Fleet) takeLoad(engine string, load Load) {
 	now := f.Now()
-	changed := false
-	f.change(engine.Name, func(entry *engineEntry) {
-		changed = entry.evidence != load.Leaving
+	f.change(engine, func(entry *engineEntry) {
 		entry.load = load
 		entry.reportedAt = now
-		entry.evidence = load.Leaving
 	})
-	f.Admitter.SetCapacity(engine.Name, limit.Capacity{
+	f.Admitter.SetCapacity(engine, limit.Capacity{
 		MaxTokens:       load.CacheLimit,
 		TokensPerSecond: load.PrefillSpeed,
 	})
-	if changed {
-		f.tellLeaving(engine.Name, load.Leaving)
-	}
 }
--- a/coordination/record/record.go
+++ b/coordination/record/record.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tree, err := decode(root, value)
+	tree, err := Decode(root, value)
 	if err != nil {
 		return nil, err
 	}
@@ -57,7 +57,7 @@
 func (s *Store) Recent(root string) *statev1.ProgramTree { return s.recent.get(root) }
 
 func changeEncoded(root string, current []byte, change func(*statev1.ProgramTree) (*statev1.ProgramTree, error)) ([]byte, error) {
-	tree, err := decode(root, current)
+	tree, err := Decode(root, current)
 	if err != nil {
 		return nil, err
 	}
@@ -71,8 +71,9 @@
 	return encode(next)
 }
 
-// decode returns nil for a register that was never written.
-func decode(root string, value []byte) (*statev1.ProgramTree, error) {
+// Decode reads the value of a root's register; nil for one that was never
+// written.
+func Decode(root string, value []byte) (*statev1.ProgramTree, error) {
 	if len(value) == 0 {
 		return nil, nil
 	}
--- a/coordination/shard/replica.go
+++ b/coordination/shard/replica.go
@@ -125,13 +125,11 @@
 	return archive.Reply{}, r.store.ReadTurns(fence.Shard, id, from, visit)
 }
 
-// EachRoot visits the root programs whose records this replica holds.
-func (r *Replica) EachRoot(visit func(root string) error) error {
-	for shard := range r.views.Count() {
-		err := r.store.EachRegister(shard, func(key string, _ replica.Register) error { return visit(key) })
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+// EachRecord visits the values of the shard's registers as this replica has
+// accepted them. They may be out of date, or undecided: a hint only.
+func (r *Replica) EachRecord(shard uint32, visit func(root string, value []byte) error) error {
+	return r.store.EachRegister(shard, func(key string, state replica.Register) error { return visit(key, state.Value) })
 }
+
+// Shards returns the number of shards.
+func (r *Replica) Shards() uint32 { return r.views.Count() }
--- a/node/engine.go
+++ b/node/engine.go
@@ -70,12 +70,14 @@
 	return e.client.Release(ctx, address, program)
 }
 
+// Leaving implements fleet.Reporter.
+func (e engines) Leaving(ctx context.Context, address string) (bool, error) {
+	state, err := e.client.State(ctx, address)
+	return state.Leaving, err
+}
+
 // Load implements fleet.Reporter.
 func (e engines) Load(ctx context.Context, address string) (fleet.Load, error) {
-	state, err := e.client.State(ctx, address)
-	if err != nil {
-		return fleet.Load{}, err
-	}
 	load, err := e.client.Load(ctx, address)
 	if err != nil {
 		return fleet.Load{}, err
@@ -88,6 +90,5 @@
 		CacheLimit:        uint64(load.CacheLimitTokens),
 		PrefillSpeed:      load.PrefillTokensPerSecond,
 		DecodeSpeed:       load.DecodeTokensPerSecond,
-		Leaving:           state.Leaving,
 	}, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -37,7 +37,7 @@
 const (
 	recentTrees       = 10000
 	historyCacheBytes = 32 << 20
-	pollInterval      = 500 * time.Millisecond
+	pollInterval      = time.Second
 	sweepInterval     = 2 * time.Second
 	// maxQueue is the longest expected queueing before a call is shed.
 	maxQueue         = 2 * time.Minute
@@ -198,7 +198,7 @@
 		},
 		&sweep{
 			interval: sweepInterval, records: n.records, executor: n.executor, fleet: n.fleet,
-			engines: engineClient, roots: n.replica.EachRoot, mine: n.prefers, now: time.Now, logger: n.logger,
+			engines: engineClient, replica: n.replica, mine: n.prefers, now: time.Now, logger: n.logger,
 		},
 	}, nil
 }
@@ -268,6 +268,7 @@
 		Random:       n.newRandom(),
 		Logger:       n.logger,
 		Admitter:     n.limits,
+		Owns:         n.prefers,
 		PollInterval: pollInterval,
 		MaxQueue:     maxQueue,
 		OnLeaving:    n.engineLeaving,
--- a/node/preference.go
+++ b/node/preference.go
@@ -10,19 +10,24 @@
 // prefers reports whether this node is the one of the live nodes that should
 // look after the key. Nothing that must hold rests on it.
 func (n *Node) prefers(key string) bool {
-	ranked := rank(n.membership.Members().Live(), key)
-	return len(ranked) > 0 && ranked[0] == n.settings.Name
+	_, local := n.owner(key)
+	return local
 }
 
 // owner returns where the node is reached that should look after the name.
 func (n *Node) owner(name string) (address string, local bool) {
-	members := n.membership.Members()
-	ranked := rank(members.Live(), name)
-	if len(ranked) == 0 || ranked[0] == n.settings.Name {
+	var best membership.Member
+	bestScore := uint64(0)
+	for _, member := range n.membership.Members().Live() {
+		score := program.Affinity(member.Node, name)
+		if best.Node == "" || score > bestScore {
+			best, bestScore = member, score
+		}
+	}
+	if best.Node == "" || best.Node == n.settings.Name {
 		return "", true
 	}
-	member, _ := members.Node(ranked[0])
-	return member.Address, false
+	return best.Address, false
 }
 
 // reads reports whether this node is one of the few of its zone that should
--- a/node/sweep.go
+++ b/node/sweep.go
@@ -11,6 +11,8 @@
 	"github.com/marblering/marblering/coordination/execution"
 	"github.com/marblering/marblering/coordination/fleet"
 	"github.com/marblering/marblering/coordination/record"
+	"github.com/marblering/marblering/coordination/routing"
+	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/protocol/engineapi"
 	"github.com/marblering/marblering/state/program"
 )
@@ -18,6 +20,8 @@
 const (
 	// idleReason is why the sweep ends a program.
 	idleReason = "idle limit"
+	// roundsOfAPass is how many rounds a pass over all records takes.
+	roundsOfAPass = 5
 	// sweepTimeout bounds the work on one program or engine.
 	sweepTimeout = 10 * time.Second
 )
@@ -34,8 +38,8 @@
 	executor *execution.Executor
 	fleet    *fleet.Fleet
 	engines  *engineapi.Client
-	// roots visits the records that this node replicates.
-	roots func(visit func(root string) error) error
+	// replica has this node's copies of records.
+	replica *shard.Replica
 	// mine reports whether this node should look after the key; a hint that
 	// spreads the work.
 	mine   func(key string) bool
@@ -47,29 +51,37 @@
 func (s *sweep) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(s.interval)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ticker.C:
-			s.sweepRecords(ctx)
-			s.sweepEngines(ctx)
+			s.sweepRecords(ctx, round)
+			s.sweepNextEngine(ctx, round)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-func (s *sweep) sweepRecords(ctx context.Context) {
-	var mine []string
-	err := s.roots(func(root string) error {
-		if s.mine(root) {
-			mine = append(mine, root)
+// sweepRecords looks at this node's copies of a part of the records and takes
+// up those that seem to need something. A pass over all of them takes
+// roundsOfAPass rounds, so that an idle program costs next to nothing.
+func (s *sweep) sweepRecords(ctx context.Context, round int) {
+	var due []string
+	for number := range s.replica.Shards() {
+		if int(number)%roundsOfAPass != round%roundsOfAPass {
+			continue
+		}
+		err := s.replica.EachRecord(number, func(root string, value []byte) error {
+			if s.mine(root) && s.seemsDue(root, value) {
+				due = append(due, root)
+			}
+			return ctx.Err()
+		})
+		if err != nil {
+			s.logger.Warn("sweep of records", zap.Uint32("shard", number), zap.Error(err))
 		}
-		return ctx.Err()
-	})
-	if err != nil {
-		s.logger.Warn("sweep of records", zap.Error(err))
 	}
-	for _, root := range mine {
+	for _, root := range due {
 		if ctx.Err() != nil {
 			return
 		}
@@ -77,6 +89,16 @@
 	}
 }
 
+// seemsDue judges by this node's copy, which may be out of date.
+func (s *sweep) seemsDue(root string, value []byte) bool {
+	tree, err := record.Decode(root, value)
+	if err != nil || tree == nil {
+		return false
+	}
+	now := s.now().UnixMilli()
+	return program.Due(tree, now)
+}
+
 // sweepRecord ends an idle tree and releases what the tree no longer needs.
 func (s *sweep) sweepRecord(ctx context.Context, root string) {
 	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
@@ -114,13 +136,19 @@
 	}
 }
 
-// sweepEngines compares what engines hold with the records.
-func (s *sweep) sweepEngines(ctx context.Context) {
+// sweepNextEngine compares what one of the engines that this node looks after
+// holds with the records; the engines take turns.
+func (s *sweep) sweepNextEngine(ctx context.Context, round int) {
+	var mine []routing.EngineState
 	for _, engine := range s.fleet.Engines() {
-		if s.mine(engine.Name) && ctx.Err() == nil {
-			s.sweepEngine(ctx, engine.Name, engine.Address)
+		if s.mine(engine.Name) {
+			mine = append(mine, engine)
 		}
 	}
+	if len(mine) > 0 {
+		engine := mine[round%len(mine)]
+		s.sweepEngine(ctx, engine.Name, engine.Address)
+	}
 }
 
 func (s *sweep) sweepEngine(ctx context.Context, engine, address string) {
--- a/state/program/lifecycle.go
+++ b/state/program/lifecycle.go
@@ -154,6 +154,25 @@
 	return true
 }
 
+// Due reports whether the tree needs something that no caller will ask for: it
+// is past its idle limit, a call has outlived its deadline, or a hold can be
+// released.
+func Due(tree *statev1.ProgramTree, nowUnixMS int64) bool {
+	if len(ReleasableHolds(tree)) > 0 || idleAndOpen(tree, nowUnixMS) {
+		return true
+	}
+	for _, candidate := range tree.GetPrograms() {
+		if call := Running(candidate); call != nil && nowUnixMS > call.GetDeadlineUnixMs() {
+			return true
+		}
+	}
+	return false
+}
+
+func idleAndOpen(tree *statev1.ProgramTree, nowUnixMS int64) bool {
+	return Idle(tree, nowUnixMS) && !Ended(tree, tree.GetRoot())
+}
+
 // ValidID reports whether the id can name a program: letters, digits, dashes
 // and dots, at most maxIDLength bytes.
 func ValidID(id string) bool {
