Count the bytes on a node's sockets, bound an engine's silence

Cause: message sizes leave out headers; a frozen engine held a call until its deadline; heartbeat_interval, failure_timeout and engine_timeout had no effect.

--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -56,7 +56,18 @@
 	// DataFolders gives each node a folder for its replicas; empty keeps them
 	// in memory.
 	DataFolders []string
-	Logger      *zap.Logger
+	// Hollow are engines that run elsewhere: they are only configured.
+	Hollow []HollowEngine
+	// Tenants are configured beside TenantName.
+	Tenants int
+	Logger  *zap.Logger
+}
+
+// HollowEngine is an engine that the deployment doesn't start.
+type HollowEngine struct {
+	Name    string
+	Address string
+	Zone    string
 }
 
 // Deployment is a running system.
@@ -148,6 +159,19 @@
 			Models: []string{ModelName}, Role: configuration.RoleMixed,
 		}))
 	}
+	for _, hollow := range d.options.Hollow {
+		err = errors.Join(err, d.put(ctx, configuration.KindEngine, hollow.Name, configuration.Engine{
+			Address: hollow.Address, Zone: hollow.Zone, Generation: engine.DefaultGeneration, Pool: PoolName,
+			Models: []string{ModelName}, Role: configuration.RoleMixed,
+		}))
+	}
+	for index := range d.options.Tenants {
+		name := fmt.Sprintf("extra-%d", index)
+		digest := sha256.Sum256([]byte(name))
+		err = errors.Join(err, d.put(ctx, configuration.KindTenant, name, configuration.Tenant{
+			APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1,
+		}))
+	}
 	return err
 }
 
--- a/node/engine.go
+++ b/node/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/marblering/marblering/coordination/execution"
 	"github.com/marblering/marblering/coordination/fleet"
@@ -13,8 +14,13 @@
 // view of the fleet.
 type engines struct {
 	client *engineapi.Client
+	// silence is how long an engine may send nothing during a call.
+	silence time.Duration
 }
 
+// errSilent ends an attempt whose engine has sent nothing for too long.
+var errSilent = errors.New("the engine was silent for too long")
+
 var (
 	_ execution.Engines = engines{}
 	_ fleet.Reporter    = engines{}
@@ -22,6 +28,10 @@
 
 // Complete implements execution.Engines.
 func (e engines) Complete(ctx context.Context, address string, request execution.EngineRequest, onText func(string) error) (execution.EngineAnswer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(e.silence, func() { cancel(errSilent) })
+	defer watchdog.Stop()
 	completion, err := e.client.Complete(ctx, address, engineapi.Request{
 		RequestID: request.RequestID,
 		Model:     request.Model,
@@ -30,7 +40,10 @@
 		MaxTokens: request.OutputTokens,
 		Hold:      request.Hold,
 		Priority:  uint32(request.Priority),
-	}, onText)
+	}, func(text string) error {
+		watchdog.Reset(e.silence)
+		return onText(text)
+	})
 	if err != nil {
 		return execution.EngineAnswer{}, engineError(err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -41,8 +41,6 @@
 	sweepInterval     = 2 * time.Second
 	// maxQueue is the longest expected queueing before a call is shed.
 	maxQueue         = 2 * time.Minute
-	idlePeerSockets  = 8
-	peerIdleTimeout  = 90 * time.Second
 	shutdownTimeout  = 5 * time.Second
 	departureTimeout = 2 * time.Second
 )
@@ -65,6 +63,7 @@
 	readiness  *telemetry.Readiness
 	metrics    *prometheus.Registry
 	random     *rand.Rand
+	wire       *wire
 
 	peerListener     *listener
 	callerListener   *listener
@@ -98,6 +97,7 @@
 		metrics:   telemetry.NewRegistry(),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	n.wire = newWire(n.metrics)
 	if err := n.open(); err != nil {
 		return nil, err
 	}
@@ -159,9 +159,9 @@
 		return nil, err
 	}
 	peerMetrics := peer.NewMetrics(n.metrics)
-	peers := peer.NewClient(newHTTPClient(), n.settings.PeerTimeout, peerMetrics)
-	platform := objectapi.NewClient(n.settings.ObjectAPI, newHTTPClient()).Named(n.settings.Name)
-	engineClient := engineapi.NewClient(newHTTPClient())
+	peers := peer.NewClient(n.wire.client(wirePeer), n.settings.PeerTimeout, peerMetrics)
+	platform := objectapi.NewClient(n.settings.ObjectAPI, n.wire.client(wirePlatform)).Named(n.settings.Name)
+	engineClient := engineapi.NewClient(n.wire.client(wireEngine))
 	n.buildMembership(peers)
 	n.buildExecution(peers, engineClient)
 	n.callers = callerapi.New(callerapi.Options{
@@ -211,6 +211,8 @@
 	if n.callerListener, err = listen("callers", n.settings.CallerListen, callers); err != nil {
 		return errors.Join(err, n.peerListener.socket.Close())
 	}
+	n.peerListener.socket = &countedListener{Listener: n.peerListener.socket, wire: n.wire, end: wirePeer}
+	n.callerListener.socket = &countedListener{Listener: n.callerListener.socket, wire: n.wire, end: wireCaller}
 	operators := telemetry.NewHandler(n.metrics, n.readiness)
 	if n.operatorListener, err = listen("operators", n.settings.OperatorListen, operators); err != nil {
 		return errors.Join(err, n.peerListener.socket.Close(), n.callerListener.socket.Close())
@@ -229,7 +231,7 @@
 		HasDataFolder: n.settings.DataFolder != "",
 		Started:       now,
 	}
-	gossip := membership.New(membership.DefaultSettings(), identity, addresses(n.settings.Seeds), n.random, now)
+	gossip := membership.New(n.membershipSettings(), identity, addresses(n.settings.Seeds), n.random, now)
 	n.membership = membership.NewService(gossip, membership.Options{
 		Exchanger:            peers,
 		Now:                  time.Now,
@@ -239,6 +241,18 @@
 	})
 }
 
+// exchangesPerHeartbeat is how many exchanges a node begins a heartbeat.
+const exchangesPerHeartbeat = 3
+
+// membershipSettings derives the protocol's intervals from the node's settings.
+func (n *Node) membershipSettings() membership.Settings {
+	derived := membership.DefaultSettings()
+	derived.ExchangeInterval = n.settings.HeartbeatInterval / exchangesPerHeartbeat
+	derived.ExchangeTimeout = n.settings.HeartbeatInterval
+	derived.SuspicionTime = n.settings.FailureTimeout - n.settings.HeartbeatInterval
+	return derived
+}
+
 func addresses(ports []netip.AddrPort) []string {
 	var texts []string
 	for _, port := range ports {
@@ -262,7 +276,7 @@
 	n.limits = newLimits(n.holder, peers, n.owner, n.logger)
 	n.fleet = fleet.New(fleet.Options{
 		Zone:         n.settings.Zone,
-		Reporter:     engines{engineClient},
+		Reporter:     engines{client: engineClient, silence: n.settings.EngineTimeout},
 		Weights:      catalog{n.holder}.weights,
 		Now:          time.Now,
 		Random:       n.newRandom(),
@@ -282,7 +296,7 @@
 		Turns:    turns,
 		Router:   n.fleet,
 		Limiter:  n.limits,
-		Engines:  engines{engineClient},
+		Engines:  engines{client: engineClient, silence: n.settings.EngineTimeout},
 		Peers:    peers,
 		Liveness: liveness{n.membership.Members},
 		Catalog:  catalog{n.holder},
@@ -321,13 +335,6 @@
 	return nil
 }
 
-func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: idlePeerSockets,
-		IdleConnTimeout:     peerIdleTimeout,
-	}}
-}
-
 // Name is the node's name in the settings.
 func (n *Node) Name() string { return n.settings.Name }
 
