Test that the last block of a cached prompt is computed

Cause: removing that rule from the cache went unnoticed by the tests. Ruled out: leaving it to the property test, which doesn't look at cached tokens. Change: one test. Conclusion: the rule is held.

--- a/lab/engine/core_behaviour_test.go
+++ b/lab/engine/core_behaviour_test.go
@@ -129,6 +129,16 @@
 	assert.Equal(t, finishedOf(finish(c))[0].Usage.CachedTokens, 96)
 }
 
+// TestLastBlockOfAPromptIsComputed repeats a prompt that is cached as a whole:
+// its last token has to be computed to get the first one of the answer.
+func TestLastBlockOfAPromptIsComputed(t *testing.T) {
+	c := newTestCore(1024)
+	for _, cached := range []int{0, 80} {
+		assert.NilError(t, c.Submit(c.now, prompt(1, 96, 8)))
+		assert.Equal(t, finishedOf(finish(c))[0].Usage.CachedTokens, cached)
+	}
+}
+
 func TestHeldContextOutlivesOthers(t *testing.T) {
 	c := newTestCore(64 * BlockTokens)
 	for id := uint64(1); id <= 6; id++ {
