Add the disk replica store: synced writes, verified as a whole at the start

Cause: a replica with a data folder has to keep its promises over a restart, and must never serve a file that is torn or damaged. Ruled out: trusting bbolt with a damaged file. It follows page numbers without bounds (faults, endless recursion) and falls back to the meta page before the last, which would serve an old state; checksums of single values don't show an entry that is missing. Ruled out too: its list of free pages on disk, which can contradict the tree. Change: replica.OpenDisk walks the file itself before bbolt opens it, checks each entry, the order of the keys, both meta pages, and a count and digest over all entries. Damage sets the file aside as replica.db.corrupt-N and the store starts empty under a new incarnation. Registers and meta values are mirrored in memory; waiting writes share one transaction. Conclusion: property test of both stores, bit flips, cuts, every byte of the page heads and a removed entry pass with -race.

--- /dev/null
+++ b/state/replica/boltfile.go
@@ -0,0 +1,312 @@
+package replica
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// The file format of bbolt, as far as it is needed to walk a file whose every
+// byte may be wrong. bbolt itself follows page numbers without bounds, which
+// on a damaged file ends in a fault or an endless recursion, and falls back to
+// the meta page before the last where the last is damaged, which would serve
+// an old state. Source: the types Page, Meta and InBucket of go.etcd.io/bbolt
+// version 1.5, format version 2.
+const (
+	boltMagic          = 0xED0CDAED
+	boltVersion        = 2
+	boltPageHeader     = 16
+	boltMetaBytes      = 64
+	boltElementBytes   = 16
+	boltBucketHeader   = 16
+	boltBranchPage     = 0x01
+	boltLeafPage       = 0x02
+	boltMetaPage       = 0x04
+	boltBucketEntry    = 0x01
+	boltMinPageBytes   = 512
+	boltMaxPageBytes   = 1 << 16
+	boltMetaPages      = 2
+	boltNoFreelistPage = ^uint64(0)
+)
+
+// boltFile walks the entries of a bbolt file.
+type boltFile struct {
+	source    io.ReaderAt
+	size      uint64
+	pageBytes uint64
+	root      uint64
+	// pages is the number of pages in use; a larger page number is wrong.
+	pages   uint64
+	reached map[uint64]bool
+}
+
+type boltMeta struct {
+	pageBytes, root, freelist, pages, transaction uint64
+}
+
+type boltPage struct {
+	flags, count uint16
+	body         []byte
+}
+
+type boltElement struct {
+	flags      uint32
+	child      uint64
+	key, value []byte
+}
+
+func openBoltFile(source io.ReaderAt, size int64) (*boltFile, error) {
+	if size < boltMetaPages*boltMinPageBytes {
+		return nil, damaged("the file has only %d bytes", size)
+	}
+	file := &boltFile{source: source, size: uint64(size), reached: make(map[uint64]bool)}
+	first, err := file.readMeta(0)
+	if err != nil {
+		return nil, err
+	}
+	second, err := file.readMeta(first.pageBytes)
+	if err != nil {
+		return nil, err
+	}
+	return file, file.useNewest(first, second)
+}
+
+// useNewest demands that both meta pages are whole and stem from successive
+// transactions. A torn write of a meta page can't be told from damage to a
+// newer one, so it counts as damage too.
+func (f *boltFile) useNewest(first, second boltMeta) error {
+	newest, older := first, second
+	if second.transaction > first.transaction {
+		newest, older = second, first
+	}
+	if newest.transaction != older.transaction+1 || first.pageBytes != second.pageBytes {
+		return damaged("the meta pages are of transactions %d and %d", first.transaction, second.transaction)
+	}
+	if newest.freelist != boltNoFreelistPage {
+		return damaged("the file has a list of free pages")
+	}
+	if newest.pages > f.size/newest.pageBytes {
+		return damaged("the file has %d bytes, %d pages are in use", f.size, newest.pages)
+	}
+	f.pageBytes, f.root, f.pages = newest.pageBytes, newest.root, newest.pages
+	return nil
+}
+
+func (f *boltFile) readMeta(offset uint64) (boltMeta, error) {
+	raw, err := f.read(offset, boltPageHeader+boltMetaBytes)
+	if err != nil {
+		return boltMeta{}, err
+	}
+	fields := raw[boltPageHeader:]
+	sum := fnv.New64a()
+	_, _ = sum.Write(fields[:boltMetaBytes-8])
+	whole := binary.NativeEndian.Uint16(raw[8:]) == boltMetaPage &&
+		binary.NativeEndian.Uint32(fields) == boltMagic &&
+		binary.NativeEndian.Uint32(fields[4:]) == boltVersion &&
+		binary.NativeEndian.Uint64(fields[boltMetaBytes-8:]) == sum.Sum64()
+	meta := boltMeta{
+		pageBytes:   uint64(binary.NativeEndian.Uint32(fields[8:])),
+		root:        binary.NativeEndian.Uint64(fields[16:]),
+		freelist:    binary.NativeEndian.Uint64(fields[32:]),
+		pages:       binary.NativeEndian.Uint64(fields[40:]),
+		transaction: binary.NativeEndian.Uint64(fields[48:]),
+	}
+	if !whole || meta.pageBytes < boltMinPageBytes || meta.pageBytes > boltMaxPageBytes {
+		return boltMeta{}, damaged("the meta page at byte %d", offset)
+	}
+	return meta, nil
+}
+
+// each visits the entries of the named top-level bucket. Keys and values are
+// only valid during the visit.
+func (f *boltFile) each(bucket []byte, visit func(key, value []byte) error) error {
+	found := 0
+	err := f.eachInPage(f.root, keyRange{}, func(element boltElement) error {
+		if element.flags != boltBucketEntry || !bytes.Equal(element.key, bucket) {
+			return damaged("unexpected bucket %q", element.key)
+		}
+		found++
+		return f.eachInBucket(element.value, visit)
+	})
+	if err != nil {
+		return err
+	}
+	if found != 1 {
+		return damaged("%d buckets %q", found, bucket)
+	}
+	return nil
+}
+
+func (f *boltFile) eachInBucket(value []byte, visit func(key, value []byte) error) error {
+	if len(value) < boltBucketHeader {
+		return damaged("a bucket of %d bytes", len(value))
+	}
+	onEntry := func(element boltElement) error {
+		if element.flags != 0 {
+			return damaged("a bucket inside the bucket")
+		}
+		return visit(element.key, element.value)
+	}
+	root := binary.NativeEndian.Uint64(value)
+	if root != 0 {
+		return f.eachInPage(root, keyRange{}, onEntry)
+	}
+	page, err := parseBoltPage(value[boltBucketHeader:])
+	if err != nil {
+		return err
+	}
+	if page.flags != boltLeafPage {
+		return damaged("an inline bucket without a leaf page")
+	}
+	return eachElement(page, keyRange{}, onEntry)
+}
+
+func (f *boltFile) eachInPage(number uint64, limits keyRange, visit func(boltElement) error) error {
+	page, err := f.readPage(number)
+	if err != nil {
+		return err
+	}
+	if page.flags == boltLeafPage {
+		return eachElement(page, limits, visit)
+	}
+	children, err := page.children(limits)
+	if err != nil {
+		return err
+	}
+	for index, child := range children {
+		below := keyRange{from: child.key, to: limits.to}
+		if index+1 < len(children) {
+			below.to = children[index+1].key
+		}
+		if err := f.eachInPage(child.child, below, visit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p boltPage) children(limits keyRange) ([]boltElement, error) {
+	var children []boltElement
+	err := eachElement(p, limits, func(element boltElement) error {
+		children = append(children, element)
+		return nil
+	})
+	return children, err
+}
+
+// readPage reads a tree page with its overflow pages. Each page may be reached
+// once, so the walk ends on every file.
+func (f *boltFile) readPage(number uint64) (boltPage, error) {
+	if number < boltMetaPages || number >= f.pages || f.reached[number] {
+		return boltPage{}, damaged("page %d of %d is out of range or used twice", number, f.pages)
+	}
+	raw, err := f.read(number*f.pageBytes, boltPageHeader)
+	if err != nil {
+		return boltPage{}, err
+	}
+	overflow := uint64(binary.NativeEndian.Uint32(raw[12:]))
+	if binary.NativeEndian.Uint64(raw) != number || overflow >= f.pages-number {
+		return boltPage{}, damaged("the head of page %d", number)
+	}
+	for part := number; part <= number+overflow; part++ {
+		if f.reached[part] {
+			return boltPage{}, damaged("page %d is used twice", part)
+		}
+		f.reached[part] = true
+	}
+	raw, err = f.read(number*f.pageBytes, (1+overflow)*f.pageBytes)
+	if err != nil {
+		return boltPage{}, err
+	}
+	return parseBoltPage(raw)
+}
+
+func parseBoltPage(raw []byte) (boltPage, error) {
+	if len(raw) < boltPageHeader {
+		return boltPage{}, damaged("a page of %d bytes", len(raw))
+	}
+	page := boltPage{
+		flags: binary.NativeEndian.Uint16(raw[8:]),
+		count: binary.NativeEndian.Uint16(raw[10:]),
+		body:  raw[boltPageHeader:],
+	}
+	if page.flags != boltLeafPage && page.flags != boltBranchPage {
+		return boltPage{}, damaged("a page of type %#x", page.flags)
+	}
+	if int(page.count)*boltElementBytes > len(page.body) {
+		return boltPage{}, damaged("a page with %d elements", page.count)
+	}
+	return page, nil
+}
+
+// keyRange holds the keys from the first up to but not including the last;
+// nil is no limit.
+type keyRange struct{ from, to []byte }
+
+func (r keyRange) holds(key []byte) bool {
+	return bytes.Compare(key, r.from) >= 0 && (r.to == nil || bytes.Compare(key, r.to) < 0)
+}
+
+// eachElement visits the elements of one page and demands ascending keys
+// within the limits, as a lookup could otherwise miss one.
+func eachElement(page boltPage, limits keyRange, visit func(boltElement) error) error {
+	var previous []byte
+	for index := 0; index < int(page.count); index++ {
+		element, err := page.element(index)
+		if err != nil {
+			return err
+		}
+		ascending := index == 0 || bytes.Compare(previous, element.key) < 0
+		if !ascending || !limits.holds(element.key) {
+			return damaged("key %q is out of order", element.key)
+		}
+		previous = element.key
+		if err := visit(element); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p boltPage) element(index int) (boltElement, error) {
+	start := index * boltElementBytes
+	raw := p.body[start : start+boltElementBytes]
+	var element boltElement
+	var position, keyBytes, valueBytes uint64
+	if p.flags == boltLeafPage {
+		element.flags = binary.NativeEndian.Uint32(raw)
+		position = uint64(binary.NativeEndian.Uint32(raw[4:]))
+		keyBytes = uint64(binary.NativeEndian.Uint32(raw[8:]))
+		valueBytes = uint64(binary.NativeEndian.Uint32(raw[12:]))
+	} else {
+		position = uint64(binary.NativeEndian.Uint32(raw))
+		keyBytes = uint64(binary.NativeEndian.Uint32(raw[4:]))
+		element.child = binary.NativeEndian.Uint64(raw[8:])
+	}
+	from := uint64(start) + position
+	if from+keyBytes+valueBytes > uint64(len(p.body)) {
+		return boltElement{}, damaged("element %d points out of its page", index)
+	}
+	element.key = p.body[from : from+keyBytes]
+	element.value = p.body[from+keyBytes : from+keyBytes+valueBytes]
+	return element, nil
+}
+
+func (f *boltFile) read(offset, length uint64) ([]byte, error) {
+	if offset+length > f.size {
+		return nil, damaged("the file ends at byte %d, %d are needed", f.size, offset+length)
+	}
+	buffer := make([]byte, length)
+	if _, err := f.source.ReadAt(buffer, int64(offset)); err != nil {
+		return nil, merry.Prependf(err, "read %d bytes at %d", length, offset)
+	}
+	return buffer, nil
+}
+
+func damaged(format string, arguments ...any) error {
+	return merry.Errorf("%w: %s", ErrCorrupt, fmt.Sprintf(format, arguments...))
+}
--- /dev/null
+++ b/state/replica/corruption_test.go
@@ -0,0 +1,160 @@
+package replica
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/bbolt"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// writeSample fills a folder with entries of each kind, some larger than a
+// page, and returns its contents.
+func writeSample(t *testing.T, folder string) ([]string, string) {
+	t.Helper()
+	disk := openTestDisk(t, folder)
+	for shard := range uint32(testShards) {
+		for index, name := range testNames {
+			ballot := Ballot{Counter: uint64(index + 1), Proposer: "node/1"}
+			value := bytes.Repeat([]byte(name), 400)
+			assert.NilError(t, disk.SaveRegister(shard, name, Register{Promised: ballot, Accepted: ballot, Value: value}))
+			assert.NilError(t, disk.SaveMeta(shard, name, []byte("meta")))
+			assert.NilError(t, disk.PutTurn(shard, Turn{Program: name, Sequence: 2, Object: bytes.Repeat(value, 3)}))
+		}
+	}
+	want, err := readAll(disk)
+	assert.NilError(t, err)
+	assert.NilError(t, disk.Close())
+	return want, disk.Incarnation()
+}
+
+// assertCorrectOrEmpty opens a folder whose file may be damaged: the store
+// serves exactly what was written under its incarnation, or is empty under a
+// new one and names the file that was set aside.
+func assertCorrectOrEmpty(t assert.TestingT, folder string, want []string, incarnation string) bool {
+	disk, err := OpenDisk(folder)
+	assert.NilError(t, err)
+	defer disk.Close()
+	got, err := readAll(disk)
+	assert.NilError(t, err)
+	if disk.Damage() == nil {
+		assert.Equal(t, disk.Incarnation(), incarnation)
+		assert.DeepEqual(t, got, want)
+		return true
+	}
+	assert.ErrorIs(t, disk.Damage(), ErrCorrupt)
+	assert.Assert(t, strings.Contains(disk.Damage().Error(), "replica.db.corrupt-1"), disk.Damage())
+	assert.Assert(t, disk.Incarnation() != incarnation)
+	assert.Assert(t, !strings.Contains(strings.Join(got, "\n"), "each"), "%v", got)
+	_, err = os.Stat(filepath.Join(folder, "replica.db.corrupt-1"))
+	assert.NilError(t, err)
+	return false
+}
+
+// TestDamagedFileIsNeverServed flips bits and cuts or lengthens the file at
+// random places.
+func TestDamagedFileIsNeverServed(t *testing.T) {
+	sample := t.TempDir()
+	want, incarnation := writeSample(t, sample)
+	whole, err := os.ReadFile(filepath.Join(sample, dataFileName))
+	assert.NilError(t, err)
+	rapid.Check(t, func(rt *rapid.T) {
+		damaged := bytes.Clone(whole)
+		for range rapid.IntRange(1, 3).Draw(rt, "flips") {
+			position := rapid.IntRange(0, len(damaged)-1).Draw(rt, "position")
+			damaged[position] ^= rapid.ByteRange(1, 255).Draw(rt, "bits")
+		}
+		if rapid.IntRange(0, 3).Draw(rt, "cut") == 0 {
+			damaged = damaged[:rapid.IntRange(0, len(damaged)).Draw(rt, "length")]
+		}
+		folder, err := os.MkdirTemp(sample, "damaged")
+		assert.NilError(rt, err)
+		assert.NilError(rt, os.WriteFile(filepath.Join(folder, dataFileName), damaged, fileMode))
+		assertCorrectOrEmpty(rt, folder, want, incarnation)
+	})
+}
+
+// TestStructureDamage changes each byte of the page heads and of the first
+// elements, where bbolt has no checksum of its own.
+func TestStructureDamage(t *testing.T) {
+	sample := t.TempDir()
+	writeSample(t, sample)
+	whole, err := os.ReadFile(filepath.Join(sample, dataFileName))
+	assert.NilError(t, err)
+	want, err := verifiedEntries(whole)
+	assert.NilError(t, err)
+	pageBytes := int(binary.NativeEndian.Uint32(whole[boltPageHeader+8:]))
+	detected := 0
+	for page := 0; page*pageBytes < len(whole); page++ {
+		for offset := range boltPageHeader + boltMetaBytes {
+			damaged := bytes.Clone(whole)
+			damaged[page*pageBytes+offset] ^= 0x11
+			got, err := verifiedEntries(damaged)
+			if err == nil {
+				assert.Equal(t, got, want, "page %d offset %d", page, offset)
+				continue
+			}
+			assert.ErrorIs(t, err, ErrCorrupt)
+			detected++
+		}
+	}
+	assert.Assert(t, detected >= 2*boltMetaBytes, "only %d changes were detected", detected)
+}
+
+func verifiedEntries(raw []byte) (string, error) {
+	var all strings.Builder
+	_, err := verifyData(bytes.NewReader(raw), int64(len(raw)), func(key, payload []byte) error {
+		fmt.Fprintf(&all, "%q %x\n", key, xxhash.Sum64(payload))
+		return nil
+	})
+	return all.String(), err
+}
+
+// TestLostEntryIsDetected removes an entry from a file that stays whole
+// otherwise: no checksum of an entry shows that.
+func TestLostEntryIsDetected(t *testing.T) {
+	folder := t.TempDir()
+	_, incarnation := writeSample(t, folder)
+	database, err := bbolt.Open(filepath.Join(folder, dataFileName), fileMode, &bbolt.Options{NoFreelistSync: true})
+	assert.NilError(t, err)
+	assert.NilError(t, database.Update(func(transaction *bbolt.Tx) error {
+		return transaction.Bucket(dataBucket).Delete(registerKey(1, "a"))
+	}))
+	assert.NilError(t, database.Close())
+	assert.Assert(t, !assertCorrectOrEmpty(t, folder, nil, incarnation))
+}
+
+// TestOtherFormatIsLeftAlone demands that a newer file isn't set aside.
+func TestOtherFormatIsLeftAlone(t *testing.T) {
+	folder := t.TempDir()
+	writeSample(t, folder)
+	path := filepath.Join(folder, dataFileName)
+	database, err := bbolt.Open(path, fileMode, &bbolt.Options{NoFreelistSync: true})
+	assert.NilError(t, err)
+	assert.NilError(t, database.Update(func(transaction *bbolt.Tx) error {
+		newer := header{format: FormatVersion + 1, incarnation: "x"}
+		return transaction.Bucket(dataBucket).Put(headerKey(), seal(headerKey(), newer.encode()))
+	}))
+	assert.NilError(t, database.Close())
+	before, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	_, err = OpenDisk(folder)
+	assert.ErrorIs(t, err, ErrFormat)
+	after, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(before, after))
+}
+
+func TestFolderInUseIsRefused(t *testing.T) {
+	folder := t.TempDir()
+	openTestDisk(t, folder)
+	_, err := OpenDisk(folder)
+	assert.ErrorIs(t, err, ErrLocked)
+}
--- a/state/replica/memory.go
+++ b/state/replica/memory.go
@@ -105,7 +105,7 @@
 	if err := checkName(turn.Program); err != nil {
 		return err
 	}
-	turn.Object = bytes.Clone(turn.Object)
+	turn = copyTurn(turn)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.closed {
@@ -278,6 +278,10 @@
 }
 
 func copyTurn(turn Turn) Turn {
+	if len(turn.Object) == 0 {
+		turn.Object = nil
+		return turn
+	}
 	turn.Object = bytes.Clone(turn.Object)
 	return turn
 }
--- /dev/null
+++ b/state/replica/store_test.go
@@ -0,0 +1,155 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const testShards = 2
+
+var testNames = []string{"a", "a.1", "b", "bb"}
+
+// readAll lists everything that a store holds for the shards and names of the
+// tests, one line an item; bytes are shown by their hash.
+func readAll(store Store) ([]string, error) {
+	var lines []string
+	list := func(parts ...any) { lines = append(lines, fmt.Sprint(parts...)) }
+	for shard := range uint32(testShards) {
+		for _, name := range testNames {
+			meta, metaErr := store.LoadMeta(shard, name)
+			state, registerErr := store.LoadRegister(shard, name)
+			rangeErr := store.ReadTurns(shard, name, 2, func(turn Turn) error {
+				list("from 2 ", shard, turn.Program, turn.Sequence, turn.Digest, xxhash.Sum64(turn.Object))
+				return nil
+			})
+			if err := errors.Join(metaErr, registerErr, rangeErr); err != nil {
+				return nil, err
+			}
+			list("meta ", shard, name, meta)
+			list("register ", shard, name, state.Promised, state.Accepted, state.Value == nil, xxhash.Sum64(state.Value))
+		}
+		registersErr := store.EachRegister(shard, func(key string, state Register) error {
+			list("each register ", shard, key, state.Promised, state.Accepted, xxhash.Sum64(state.Value))
+			return nil
+		})
+		turnsErr := store.EachTurn(shard, func(turn Turn) error {
+			list("each turn ", shard, turn.Program, turn.Sequence, turn.Digest, xxhash.Sum64(turn.Object))
+			return nil
+		})
+		if err := errors.Join(registersErr, turnsErr); err != nil {
+			return nil, err
+		}
+	}
+	return lines, nil
+}
+
+// randomWrite draws one change; it is applied to each of the stores alike.
+func randomWrite(t *rapid.T) func(Store) error {
+	shard := rapid.Uint32Range(0, testShards-1).Draw(t, "shard")
+	name := rapid.SampledFrom(testNames).Draw(t, "name")
+	bytes := rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "bytes")
+	number := rapid.Uint64Range(0, 3).Draw(t, "number")
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0:
+		return func(s Store) error { return s.DropProgram(shard, name) }
+	case 1:
+		return func(s Store) error { return s.DropShard(shard) }
+	case 2, 3:
+		return func(s Store) error { return s.SaveMeta(shard, name, bytes) }
+	case 4, 5, 6:
+		turn := Turn{Program: name, Sequence: number, Digest: [32]byte{byte(number), byte(len(bytes))}, Object: bytes}
+		return func(s Store) error { return s.PutTurn(shard, turn) }
+	default:
+		state := Register{Promised: Ballot{Counter: number + 1, Proposer: "p"}, Accepted: Ballot{Counter: number}, Value: bytes}
+		return func(s Store) error { return s.SaveRegister(shard, name, state) }
+	}
+}
+
+func openTestDisk(t testing.TB, folder string) *Disk {
+	t.Helper()
+	disk, err := OpenDisk(folder)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = disk.Close() })
+	return disk
+}
+
+// TestStoresBehaveAlike applies the same random changes to both stores, with
+// restarts of the disk store in between.
+func TestStoresBehaveAlike(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		folder, err := os.MkdirTemp(t.TempDir(), "store")
+		assert.NilError(rt, err)
+		memory, disk := NewMemory(), openTestDisk(t, folder)
+		incarnation := disk.Incarnation()
+		for range rapid.IntRange(1, 25).Draw(rt, "writes") {
+			write := randomWrite(rt)
+			assert.NilError(rt, write(memory))
+			assert.NilError(rt, write(disk))
+			if rapid.IntRange(0, 6).Draw(rt, "restart") == 0 {
+				assert.NilError(rt, disk.Close())
+				disk = openTestDisk(t, folder)
+			}
+		}
+		want, err := readAll(memory)
+		assert.NilError(rt, err)
+		got, err := readAll(disk)
+		assert.NilError(rt, err)
+		assert.DeepEqual(rt, got, want)
+		assert.Equal(rt, disk.Incarnation(), incarnation)
+		assert.NilError(rt, disk.Damage())
+		assert.NilError(rt, disk.Close())
+	})
+}
+
+func TestNamesAreChecked(t *testing.T) {
+	long := string(make([]byte, MaxNameBytes+1))
+	stores := map[string]Store{"memory": NewMemory(), "disk": openTestDisk(t, t.TempDir())}
+	for kind, store := range stores {
+		for _, name := range []string{"", "a\x00b", long} {
+			assert.ErrorIs(t, store.SaveRegister(1, name, Register{}), ErrName, kind)
+			assert.ErrorIs(t, store.SaveMeta(1, name, nil), ErrName, kind)
+			assert.ErrorIs(t, store.PutTurn(1, Turn{Program: name}), ErrName, kind)
+		}
+	}
+}
+
+func TestClosedStoreRefuses(t *testing.T) {
+	stores := map[string]Store{"memory": NewMemory(), "disk": openTestDisk(t, t.TempDir())}
+	for kind, store := range stores {
+		assert.NilError(t, store.Close(), kind)
+		assert.ErrorIs(t, store.SaveMeta(1, "a", []byte("x")), ErrClosed, kind)
+		_, err := store.LoadRegister(1, "a")
+		assert.ErrorIs(t, err, ErrClosed, kind)
+		assert.ErrorIs(t, store.EachTurn(1, nil), ErrClosed, kind)
+		assert.NilError(t, store.Close(), kind)
+	}
+}
+
+func TestConcurrentWritesShareSyncs(t *testing.T) {
+	disk := openTestDisk(t, t.TempDir())
+	const writers, writesEach = 16, 8
+	var group sync.WaitGroup
+	for index := range writers {
+		group.Go(func() {
+			for number := range uint64(writesEach) {
+				state := Register{Promised: Ballot{Counter: number + 1}}
+				assert.Check(t, disk.SaveRegister(1, fmt.Sprint("key-", index), state))
+			}
+		})
+	}
+	group.Wait()
+	count := 0
+	assert.NilError(t, disk.EachRegister(1, func(_ string, state Register) error {
+		assert.Equal(t, state.Promised.Counter, uint64(writesEach))
+		count++
+		return nil
+	}))
+	assert.Equal(t, count, writers)
+}
--- /dev/null
+++ b/state/replica/turns.go
@@ -0,0 +1,101 @@
+package replica
+
+import (
+	"bytes"
+	"runtime/debug"
+
+	"github.com/ansel1/merry/v2"
+	"go.etcd.io/bbolt"
+)
+
+// maxReadBytes limits what one read transaction copies.
+const maxReadBytes = 1 << 20
+
+// ReadTurns visits the turns in order of sequence; turns that are stored while
+// it runs may be among them.
+func (d *Disk) ReadTurns(shard uint32, program string, from uint64, visit func(Turn) error) error {
+	if err := checkName(program); err != nil {
+		return err
+	}
+	return d.eachTurn(programPrefix(shard, program), turnStart(shard, program, from), visit)
+}
+
+// EachTurn visits every turn of the shard, ordered by program, sequence and
+// digest; turns that are stored while it runs may be among them.
+func (d *Disk) EachTurn(shard uint32, visit func(Turn) error) error {
+	prefix := kindPrefix(kindTurn, shard)
+	return d.eachTurn(prefix, prefix, visit)
+}
+
+// eachTurn visits outside of the read transactions, so that a visitor may
+// write to the store.
+func (d *Disk) eachTurn(prefix, start []byte, visit func(Turn) error) error {
+	for start != nil {
+		turns, next, err := d.readChunk(prefix, start)
+		if err != nil {
+			return err
+		}
+		for _, turn := range turns {
+			if err := visit(turn); err != nil {
+				return err
+			}
+		}
+		start = next
+	}
+	return nil
+}
+
+// readChunk returns turns from the start on and the key at which to go on, nil
+// at the end.
+func (d *Disk) readChunk(prefix, start []byte) (turns []Turn, next []byte, err error) {
+	read := func(transaction *bbolt.Tx) error {
+		size := 0
+		cursor := transaction.Bucket(dataBucket).Cursor()
+		for key, sealed := cursor.Seek(start); bytes.HasPrefix(key, prefix); key, sealed = cursor.Next() {
+			if size >= maxReadBytes {
+				next = bytes.Clone(key)
+				return nil
+			}
+			turn, err := openTurn(key, sealed)
+			if err != nil {
+				return merry.Prepend(err, d.database.Path())
+			}
+			turns = append(turns, turn)
+			size += len(key) + len(sealed)
+		}
+		return nil
+	}
+	err = guard(func() error { return d.view(read) })
+	return turns, next, err
+}
+
+func (d *Disk) view(read func(*bbolt.Tx) error) error {
+	d.writer.mutex.RLock()
+	stopped := d.writer.stopped
+	d.writer.mutex.RUnlock()
+	if stopped {
+		return ErrClosed
+	}
+	return d.database.View(read)
+}
+
+func openTurn(key, sealed []byte) (Turn, error) {
+	object, err := unseal(key, sealed)
+	if err != nil {
+		return Turn{}, err
+	}
+	return decodeTurn(key, object)
+}
+
+// guard turns the panics of bbolt on damaged pages, and faults of the mapped
+// file, into ErrCorrupt.
+func guard(access func() error) (err error) {
+	previous := debug.SetPanicOnFault(true)
+	defer debug.SetPanicOnFault(previous)
+	defer func() {
+		if problem := recover(); problem != nil {
+			err = merry.Errorf("%w: %v", ErrCorrupt, problem)
+		}
+	}()
+	return access()
+}
