--- /dev/null
+++ b/lab/experiment/marblering.go
@@ -0,0 +1,199 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/routing"
+	"github.com/marblering/marblering/lab/engine"
+)
+
+// marblering is the policy of the nodes.
+type marblering struct {
+	weights routing.Weights
+	nodes   []marbleringNode
+}
+
+// marbleringNode is what one node keeps beside its tables.
+type marbleringNode struct {
+	shedder *limit.Shedder
+	ejector *limit.Ejector
+	engines []routing.EngineState
+	// batches are the greatest numbers of running requests seen while others
+	// waited.
+	batches []int
+}
+
+func batchLimit(state *routing.EngineState) int {
+	if state.Waiting == 0 {
+		return 0
+	}
+	return state.Running
+}
+
+func newMarblering(weights routing.Weights) func(*simulation) policy {
+	return func(s *simulation) policy {
+		p := &marblering{weights: weights}
+		for range s.nodes {
+			p.nodes = append(p.nodes, marbleringNode{
+				shedder: limit.NewShedder(limit.DefaultShedPolicy()),
+				ejector: limit.NewEjector(limit.DefaultEjectionPolicy()),
+				engines: make([]routing.EngineState, len(s.engines)),
+				batches: make([]int, len(s.engines)),
+			})
+		}
+		return p
+	}
+}
+
+func (p *marblering) choose(s *simulation, n *simNode, c *call) choice {
+	now := s.wall(s.schedule.now)
+	snapshot := p.snapshot(n, now)
+	request := newRequest(n, c)
+	decision := routing.Choose(snapshot, request, n.random)
+	if decision.Err != nil {
+		return refuse(decision.Err.RetryAfter)
+	}
+	if pause := p.shed(n, c, &decision, now); pause > 0 {
+		return refuse(pause)
+	}
+	chosen := choice{
+		engine:   s.engineIndex(decision.Engine),
+		source:   noEngine,
+		priority: decision.Priority,
+		hold:     true,
+		work:     decision.Work,
+		expected: decision.Expected,
+	}
+	if decision.Transfer != nil {
+		chosen.source = s.engineIndex(decision.Transfer.From)
+	}
+	return chosen
+}
+
+// snapshot is what the node knows of the engines. Their learned speeds take the
+// place of reported ones.
+func (p *marblering) snapshot(n *simNode, now time.Time) *routing.Snapshot {
+	own := &p.nodes[n.index]
+	engines := own.engines[:0]
+	for i, state := range n.states {
+		if !n.reachable[i] {
+			continue
+		}
+		state.Ejected = !p.mayUse(own, state.Name, now)
+		state.Step = n.speeds.Of(state.Name).Step
+		own.batches[i] = max(own.batches[i], batchLimit(&state))
+		state.MaxRunning = own.batches[i]
+		engines = append(engines, state)
+	}
+	return &routing.Snapshot{Now: now, Engines: engines, Weights: p.weights, Pending: n.ledger}
+}
+
+func (p *marblering) mayUse(own *marbleringNode, name string, now time.Time) bool {
+	return own.ejector.Health(name, now) == limit.Healthy
+}
+
+func newRequest(n *simNode, c *call) *routing.Request {
+	root := c.program.tree
+	return &routing.Request{
+		Program:        c.program.id,
+		Root:           root.id,
+		Tenant:         root.script.tenant,
+		Model:          modelName,
+		Zone:           n.zone,
+		HistoryTokens:  uint64(c.prompt - c.step.newTokens),
+		NewTokens:      uint64(c.step.newTokens),
+		OutputTokens:   expectedOutput,
+		AttainedTokens: uint64(root.attained),
+		CachedOn:       n.locality.CachedOn(c.program.id, prefixKey(c.path)),
+		Excluded:       c.tried,
+	}
+}
+
+// shed refuses calls of new programs while the wait is long.
+func (p *marblering) shed(n *simNode, c *call, decision *routing.Decision, now time.Time) time.Duration {
+	best := &decision.Candidates[0]
+	demand := limit.Demand{
+		Begun:         c.program.tree.calls > 1,
+		ExpectedQueue: seconds(best.Queue),
+		Service:       seconds(best.Prefill + best.Decode),
+		Engines:       len(n.states),
+	}
+	return p.nodes[n.index].shedder.Admit(demand, n.random, now)
+}
+
+func (p *marblering) finished(s *simulation, a *attempt, usage engine.Usage) {
+	s.releaseAll(a.call.program, a.engine.index)
+}
+
+func (p *marblering) closed(*simulation, *attempt) {}
+
+func (p *marblering) failed(s *simulation, a *attempt) {}
+
+func (p *marblering) paused(*simulation, *program) {}
+
+func (p *marblering) ended(s *simulation, ended *program) {
+	s.home(ended.tree).locality.Forget(ended.id)
+}
+
+// engineIndex finds an engine by its name.
+func (s *simulation) engineIndex(name string) int {
+	for i := range s.deployment.Engines {
+		if s.deployment.Engines[i].Name == name {
+			return i
+		}
+	}
+	return noEngine
+}
+
+// transfer moves context to the attempt's engine before the call.
+func (s *simulation) transfer(a *attempt) {
+	source := s.engines[a.choice.source]
+	if !source.alive || s.cutOff(source.spec.Zone, a.engine.spec.Zone) {
+		s.deliver(a)
+		return
+	}
+	exported, took, err := source.core.Export(s.schedule.now, a.call.program.id)
+	source.touch()
+	if err != nil {
+		s.deliver(a)
+		return
+	}
+	s.schedule.after(took+s.deployment.delay(source.spec.Zone, a.engine.spec.Zone), func() { s.startImport(a, exported) })
+}
+
+func (s *simulation) startImport(a *attempt, exported engine.Export) {
+	if a.over || !a.engine.alive || a.engine.life != a.life {
+		s.deliver(a)
+		return
+	}
+	s.lastAttempt++
+	err := a.engine.core.Import(s.schedule.now, s.lastAttempt, a.call.program.id, exported)
+	if err == nil {
+		s.transfers[s.lastAttempt] = a
+	}
+	a.engine.touch()
+	if err != nil {
+		s.deliver(a)
+	}
+}
+
+// imported sends the call for which context was moved.
+func (s *simulation) imported(e *simEngine, event engine.Event) {
+	a := s.transfers[event.ID]
+	if a == nil {
+		return
+	}
+	delete(s.transfers, event.ID)
+	p := a.call.program
+	tokens := event.Usage.PromptTokens
+	s.report.transfers++
+	s.report.transferredTokens += tokens
+	if p.ended {
+		e.core.Release(s.schedule.now, p.id)
+		e.touch()
+		return
+	}
+	p.holders[e.index] = &hold{engine: e, life: e.life, tokens: tokens, since: s.schedule.now}
+	s.deliver(a)
+}
