--- a/lab/engine/server_test.go
+++ b/lab/engine/server_test.go
@@ -7,11 +7,14 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/marblering/marblering/lab/engine"
 	"github.com/marblering/marblering/lab/ledger"
+	"github.com/marblering/marblering/lab/weightstore"
 	"github.com/marblering/marblering/protocol/engineapi"
 )
 
@@ -79,6 +82,76 @@
 	assert.Equal(t, entry.OutputTokens, answer.Usage.OutputTokens)
 }
 
+func TestOptionsAreChecked(t *testing.T) {
+	for _, test := range []struct {
+		options engine.Options
+		want    string
+	}{
+		{engine.Options{Generation: "gen9"}, "unknown generation"},
+		{engine.Options{TimeScale: -1}, "time scale"},
+		{engine.Options{CacheEventLoss: 2}, "cache event loss"},
+		{engine.Options{LoadLag: -1}, "negative"},
+		{engine.Options{Models: []string{"@1"}}, "no name"},
+	} {
+		assert.ErrorContains(t, test.options.Check(), test.want)
+	}
+	assert.NilError(t, engine.Options{Generation: "gen1", Models: []string{"m", "n@2"}}.Check())
+}
+
+func TestWholeAnswerAndBadBodies(t *testing.T) {
+	server, address := start(t, engine.Options{})
+	whole := `{"request_id":"r1","model":"m","messages":[{"role":"user","content":"hello"}]}`
+	for _, test := range []struct {
+		body   string
+		status int
+	}{
+		{"", http.StatusBadRequest},
+		{"[]", http.StatusBadRequest},
+		{`{"request_id":"r1","model":"m","messages":[5]}`, http.StatusBadRequest},
+		{`{"request_id":1}`, http.StatusBadRequest},
+		{whole, http.StatusOK},
+		{whole, http.StatusConflict},
+	} {
+		response, err := http.Post(address+"/v1/chat/completions", "application/json", strings.NewReader(test.body))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, test.status, "%s", test.body)
+		var answer engineapi.ChatChunk
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&answer))
+		assert.NilError(t, response.Body.Close())
+		if test.status != http.StatusOK {
+			assert.Assert(t, answer.Error.Message != "")
+			continue
+		}
+		assert.Equal(t, answer.ID, "r1")
+		messages := []json.RawMessage{json.RawMessage(`{"role":"user","content":"hello"}`)}
+		assert.Equal(t, answer.Choices[0].Message.Content, engine.ExpectedAnswer(seed, messages, 0))
+		assert.Equal(t, *answer.Choices[0].FinishReason, engineapi.FinishStop)
+	}
+	assert.Equal(t, len(server.Ledger().After(0)), 2)
+}
+
+func TestCacheEventsAreServed(t *testing.T) {
+	_, address := start(t, engine.Options{})
+	held := request("r1", question)
+	held.Hold = "p1"
+	answer, err := client.Complete(t.Context(), address, held, nil)
+	assert.NilError(t, err)
+	var events []engineapi.CacheEvent
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		events, err = client.CacheEvents(t.Context(), address, 0)
+		assert.NilError(t, err)
+		if len(events) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no cache events yet")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
+	tokens := (answer.Usage.PromptTokens + answer.Usage.OutputTokens) / engine.BlockTokens * engine.BlockTokens
+	assert.DeepEqual(t, events, []engineapi.CacheEvent{{Number: 1, Kind: engineapi.CacheStored, Program: "p1", Tokens: tokens}})
+	events, err = client.CacheEvents(t.Context(), address, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, len(events), 0)
+}
+
 func TestMaxTokensCutsTheAnswer(t *testing.T) {
 	_, address := start(t, engine.Options{})
 	short := request("r1", question)
@@ -170,6 +243,7 @@
 	}{
 		{"drop", engine.Faults{DropAfterChunks: &three}, engineapi.Truncated, true},
 		{"end", engine.Faults{EndAfterChunks: &three}, engineapi.Truncated, true},
+		{"repeat", engine.Faults{RepeatChunk: &three}, engineapi.Crossed, false},
 		{"cross", engine.Faults{CrossIDs: true}, engineapi.Crossed, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -190,7 +264,7 @@
 }
 
 func TestHangingAnswerIsCancelled(t *testing.T) {
-	server, address := start(t, engine.Options{})
+	server, address := start(t, engine.Options{TimeScale: 0.1})
 	response, err := http.Post(address+"/control/faults", "application/json", strings.NewReader(`{"hang_after_chunks":1}`))
 	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
@@ -200,8 +274,22 @@
 	assert.ErrorIs(t, err, patience)
 	assert.Equal(t, kindOf(err), engineapi.Abandoned)
 	assert.NilError(t, client.Cancel(t.Context(), address, "r1"))
+	partial, err := client.Resume(t.Context(), address, "r1", 0, nil)
+	assert.Equal(t, kindOf(err), engineapi.Cancelled)
+	assert.Assert(t, strings.HasPrefix(engine.ExpectedAnswer(seed, question, 0), partial.Content))
+	assert.Equal(t, server.Ledger().After(0)[0].Outcome, ledger.Cancelled)
 	assert.Equal(t, kindOf(client.Cancel(t.Context(), address, "r2")), engineapi.NotLoaded)
-	assert.Assert(t, server.Ledger().After(0)[0].Outcome != ledger.Failed)
+}
+
+func TestDroppedAnswerIsResumed(t *testing.T) {
+	server, address := start(t, engine.Options{})
+	three := 3
+	server.SetFaults(engine.Faults{DropAfterChunks: &three})
+	partial, err := client.Complete(t.Context(), address, request("r1", question), nil)
+	assert.Equal(t, kindOf(err), engineapi.Truncated)
+	rest, err := client.Resume(t.Context(), address, "r1", partial.Chunks, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, partial.Content+rest.Content, engine.ExpectedAnswer(seed, question, 0))
 }
 
 func TestRefusedReleaseIsAnError(t *testing.T) {
@@ -245,6 +333,66 @@
 	assert.DeepEqual(t, state.Versions, []engineapi.Version{{Name: "m", Version: "1"}})
 }
 
+func TestWeightsAreFetchedFromTheStore(t *testing.T) {
+	store := weightstore.New(weightstore.Options{Size: 100_000})
+	weights := httptest.NewServer(store)
+	defer weights.Close()
+	_, address := start(t, engine.Options{WeightStore: weights.URL})
+	order := engineapi.Order{Fence: 1, Action: engineapi.LoadAdapter, Name: "a", Version: "3"}
+	settled := func() engineapi.State {
+		_, err := client.Order(t.Context(), address, order)
+		assert.NilError(t, err)
+		var state engineapi.State
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			state, err = client.State(t.Context(), address)
+			assert.NilError(t, err)
+			if len(state.Loading) == 0 {
+				return poll.Success()
+			}
+			return poll.Continue("loading %v", state.Loading)
+		}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
+		return state
+	}
+	store.SetFaults(weightstore.Faults{DropAfterBytes: 1})
+	assert.Equal(t, len(settled().Adapters), 0)
+	store.SetFaults(weightstore.Faults{})
+	assert.DeepEqual(t, settled().Adapters, []string{"a"})
+	adapted := request("r1", question)
+	adapted.Adapter = "a"
+	_, err := client.Complete(t.Context(), address, adapted, nil)
+	assert.NilError(t, err)
+}
+
+func TestDrainCutsNoAnswer(t *testing.T) {
+	server, address := start(t, engine.Options{TimeScale: 10})
+	answer, err := client.Complete(t.Context(), address, request("r1", question), func(string) error {
+		server.Drain()
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Content, engine.ExpectedAnswer(seed, question, 0))
+}
+
+func TestClosedEngineEndsItsAnswers(t *testing.T) {
+	server, address := start(t, engine.Options{TimeScale: 0.01})
+	arrived := make(chan error)
+	go func() {
+		_, err := client.Complete(t.Context(), address, request("r1", question), nil)
+		arrived <- err
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(server.Ledger().After(0)) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the request hasn't arrived")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
+	server.Close()
+	assert.Equal(t, kindOf(<-arrived), engineapi.Failed)
+	assert.Equal(t, server.Ledger().After(0)[0].Outcome, ledger.Failed)
+	_, err := client.Complete(t.Context(), address, request("r2", question), nil)
+	assert.Equal(t, kindOf(err), engineapi.Leaving)
+}
+
 func TestLoadIsReported(t *testing.T) {
 	_, address := start(t, engine.Options{})
 	load, err := client.Load(t.Context(), address)
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -29,16 +29,22 @@
 type Node interface {
 	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
 	AttemptStatus(request *peerv1.AttemptStatusRequest) *peerv1.AttemptStatusResponse
+	Reserve(request *peerv1.ReserveRequest) *peerv1.ReserveResponse
+	Release(request *peerv1.ReleaseRequest) *peerv1.ReleaseResponse
+	Grant(request *peerv1.GrantRequest) *peerv1.GrantResponse
 	FetchConfiguration(request *peerv1.FetchConfigurationRequest) *peerv1.FetchConfigurationResponse
 	InstallConfiguration(request *peerv1.InstallConfigurationRequest) (*peerv1.InstallConfigurationResponse, error)
 }
 
 // NewHandler serves the internal protocol.
-func NewHandler(replica Replica, node Node) http.Handler {
+func NewHandler(replica Replica, node Node, metrics *Metrics) http.Handler {
 	mux := http.NewServeMux()
-	limit := connect.WithReadMaxBytes(maxMessageBytes)
-	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica}, limit))
-	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, limit))
+	options := []connect.HandlerOption{
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithInterceptors(metrics),
+	}
+	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica}, options...))
+	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, options...))
 	return mux
 }
 
@@ -130,6 +136,18 @@
 	return connect.NewResponse(s.node.AttemptStatus(request.Msg)), nil
 }
 
+func (s *nodeServer) Reserve(_ context.Context, request *connect.Request[peerv1.ReserveRequest]) (*connect.Response[peerv1.ReserveResponse], error) {
+	return connect.NewResponse(s.node.Reserve(request.Msg)), nil
+}
+
+func (s *nodeServer) Release(_ context.Context, request *connect.Request[peerv1.ReleaseRequest]) (*connect.Response[peerv1.ReleaseResponse], error) {
+	return connect.NewResponse(s.node.Release(request.Msg)), nil
+}
+
+func (s *nodeServer) Grant(_ context.Context, request *connect.Request[peerv1.GrantRequest]) (*connect.Response[peerv1.GrantResponse], error) {
+	return connect.NewResponse(s.node.Grant(request.Msg)), nil
+}
+
 func (s *nodeServer) FetchConfiguration(_ context.Context, request *connect.Request[peerv1.FetchConfigurationRequest]) (*connect.Response[peerv1.FetchConfigurationResponse], error) {
 	return connect.NewResponse(s.node.FetchConfiguration(request.Msg)), nil
 }
