Compute a prompt where it disturbs least and move its context

Change: a candidate is scored in three ways: direct, context moved from the best-provided engine, or the prompt computed on the engine where that costs least, its running requests' loss included, and moved.

--- a/coordination/routing/choose.go
+++ b/coordination/routing/choose.go
@@ -51,10 +51,10 @@
 }
 
 func scoreAll(snapshot *Snapshot, request *Request, kept []int, spare int) []Candidate {
-	best := bestCached(snapshot, request)
+	ranking := newRanking(snapshot, request, kept)
 	candidates := make([]Candidate, 0, len(kept)+spare)
-	for _, index := range kept {
-		candidates = append(candidates, score(snapshot, request, index, best))
+	for position := range kept {
+		candidates = append(candidates, ranking.score(position))
 	}
 	slices.SortFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.Engine, b.Engine))
@@ -63,7 +63,7 @@
 }
 
 // bestCached is the engine, feasible or not, that has most of the prompt.
-func bestCached(snapshot *Snapshot, request *Request) Cached {
+func bestCached(request *Request) Cached {
 	var best Cached
 	for _, cached := range request.CachedOn {
 		tokens := min(cached.Tokens, request.PromptTokens())
@@ -98,22 +98,41 @@
 		Candidates: candidates,
 		Reason:     explain(chosen),
 		Work: Work{
-			Requests:     1,
-			PromptTokens: request.PromptTokens() - chosen.CachedTokens,
-			OutputTokens: request.OutputTokens,
+			Requests:      1,
+			PromptTokens:  request.PromptTokens() - chosen.CachedTokens,
+			OutputTokens:  request.OutputTokens,
+			ContextTokens: request.PromptTokens() + request.OutputTokens - chosen.CachedTokens,
 		},
 	}
 	if chosen.Source != "" {
-		decision.Transfer = &Transfer{From: chosen.Source, Tokens: chosen.SourceTokens}
+		decision.Transfer = newTransfer(snapshot, request, chosen)
 		decision.Work.PromptTokens = request.PromptTokens() - chosen.SourceTokens
 	}
 	return decision
 }
 
+func newTransfer(snapshot *Snapshot, request *Request, chosen *Candidate) *Transfer {
+	transfer := &Transfer{From: chosen.Source, Tokens: chosen.SourceTokens, Prefill: chosen.RemotePrefill}
+	for i := range snapshot.Engines {
+		if snapshot.Engines[i].Name == chosen.Source {
+			transfer.Address = snapshot.Engines[i].Address
+		}
+	}
+	if transfer.Prefill {
+		cached := request.cachedOn(chosen.Source)
+		computed := request.PromptTokens() - cached
+		transfer.Work = Work{Requests: 1, PromptTokens: computed, OutputTokens: 1, ContextTokens: computed}
+	}
+	return transfer
+}
+
 func explain(chosen *Candidate) string {
 	reason := fmt.Sprintf("least cost %.3fs: queue %.3fs, prefill %.3fs with %d tokens cached",
 		chosen.Cost, chosen.Queue, chosen.Prefill, chosen.CachedTokens)
-	if chosen.Source != "" {
+	switch {
+	case chosen.RemotePrefill:
+		reason += fmt.Sprintf(", prompt computed on %s and moved in %.3fs", chosen.Source, chosen.Transfer)
+	case chosen.Source != "":
 		reason += fmt.Sprintf(", %d tokens moved from %s in %.3fs", chosen.SourceTokens, chosen.Source, chosen.Transfer)
 	}
 	return reason
--- a/coordination/routing/choose_test.go
+++ b/coordination/routing/choose_test.go
@@ -141,7 +141,7 @@
 	request.CachedOn = []routing.Cached{{Engine: "engine-000", Tokens: 4000}}
 	decision := routing.Choose(snapshot, request, newRandom())
 	assert.Equal(t, decision.Engine, "engine-001")
-	assert.DeepEqual(t, decision.Transfer, &routing.Transfer{From: "engine-000", Tokens: 4000})
+	assert.DeepEqual(t, decision.Transfer, &routing.Transfer{From: "engine-000", Address: fleet[0].Address, Tokens: 4000})
 	assert.Equal(t, decision.Work.PromptTokens, uint64(200))
 }
 
--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -23,8 +23,15 @@
 
 // Transfer asks for context to be moved before the call.
 type Transfer struct {
-	From   string
-	Tokens uint64
+	From    string
+	Address string
+	Tokens  uint64
+	// Prefill is set where the source has to compute the prompt first: it is
+	// sent the request with a limit of one output token and a hold.
+	Prefill bool
+	// Work is what the source computes for that; to be reserved like the
+	// decision's own.
+	Work Work
 }
 
 // Candidate is an engine that was considered. The parts of its cost are in
@@ -57,6 +64,8 @@
 	Source string
 	// SourceTokens would be moved from it.
 	SourceTokens uint64
+	// RemotePrefill is set where the source computes the prompt first.
+	RemotePrefill bool
 
 	index int
 }
--- a/coordination/routing/ledger.go
+++ b/coordination/routing/ledger.go
@@ -127,14 +127,17 @@
 		}
 		pending.Added = addWork(pending.Added, entry.work)
 	}
+	pending.NewContext = pending.Added.ContextTokens
 	for i := len(e.finished) - 1; i >= 0; i-- {
 		entry := &e.finished[i]
 		if !entry.finished.After(reportedAt) {
 			break
 		}
-		if !entry.dispatched.After(reportedAt) {
-			pending.Finished = addWork(pending.Finished, entry.work)
+		if entry.dispatched.After(reportedAt) {
+			pending.NewContext += entry.work.ContextTokens
+			continue
 		}
+		pending.Finished = addWork(pending.Finished, entry.work)
 	}
 	return pending
 }
@@ -149,16 +152,18 @@
 
 func addWork(a, b Work) Work {
 	return Work{
-		Requests:     a.Requests + b.Requests,
-		PromptTokens: a.PromptTokens + b.PromptTokens,
-		OutputTokens: a.OutputTokens + b.OutputTokens,
+		Requests:      a.Requests + b.Requests,
+		PromptTokens:  a.PromptTokens + b.PromptTokens,
+		OutputTokens:  a.OutputTokens + b.OutputTokens,
+		ContextTokens: a.ContextTokens + b.ContextTokens,
 	}
 }
 
 func subtractWork(a, b Work) Work {
 	return Work{
-		Requests:     a.Requests - b.Requests,
-		PromptTokens: a.PromptTokens - b.PromptTokens,
-		OutputTokens: a.OutputTokens - b.OutputTokens,
+		Requests:      a.Requests - b.Requests,
+		PromptTokens:  a.PromptTokens - b.PromptTokens,
+		OutputTokens:  a.OutputTokens - b.OutputTokens,
+		ContextTokens: a.ContextTokens - b.ContextTokens,
 	}
 }
--- a/coordination/routing/rank.go
+++ b/coordination/routing/rank.go
@@ -11,26 +11,70 @@
 	defaultDecodeSpeed  = 30
 )
 
-// score fills in the cost of serving the request on the engine.
-func score(snapshot *Snapshot, request *Request, index int, best Cached) Candidate {
-	engine := &snapshot.Engines[index]
-	weights := &snapshot.Weights
+// ranking scores the engines of a subset for one request.
+type ranking struct {
+	snapshot *Snapshot
+	request  *Request
+	indexes  []int
+	loads    []load
+	// best is the engine, feasible or not, that has most of the prompt.
+	best Cached
+	// remote is where the prompt would be computed for other engines.
+	remote remotePrefill
+}
+
+func newRanking(snapshot *Snapshot, request *Request, indexes []int) *ranking {
+	r := &ranking{snapshot: snapshot, request: request, indexes: indexes}
+	r.loads = make([]load, len(indexes))
+	for i, index := range indexes {
+		r.loads[i] = estimateLoad(snapshot, &snapshot.Engines[index])
+	}
+	r.best = bestCached(request)
+	r.remote = r.findRemotePrefill()
+	return r
+}
+
+// score works out the cost of serving the request on an engine, in the
+// cheapest of three ways: the engine computes what it hasn't cached; context is
+// moved there from the engine that has most of it; or another engine computes
+// the prompt and its context is moved.
+func (r *ranking) score(position int) Candidate {
+	engine := &r.snapshot.Engines[r.indexes[position]]
+	busy := &r.loads[position]
+	cached := r.request.cachedOn(engine.Name)
+	candidate := Candidate{Engine: engine.Name, CachedTokens: cached, index: r.indexes[position]}
+	candidate.Decode = decodeTime(engine, r.request.OutputTokens, busy.running+1)
+	candidate.Network = networkCost(&r.snapshot.Weights, r.request, engine)
+	candidate.Eviction = evictionCost(engine, r.request, cached, busy)
+	cheapest := r.direct(candidate, engine, busy)
+	for _, way := range [...]func(Candidate, *EngineState, *load) (Candidate, bool){r.moved, r.remotely} {
+		other, possible := way(candidate, engine, busy)
+		if possible && other.Cost < cheapest.Cost {
+			cheapest = other
+		}
+	}
+	return cheapest
+}
+
+// direct computes on the engine what it hasn't cached.
+func (r *ranking) direct(candidate Candidate, engine *EngineState, load *load) Candidate {
 	speed := prefillSpeed(engine)
-	cached := request.cachedOn(engine.Name)
-	load := estimateLoad(snapshot, engine)
-	candidate := Candidate{Engine: engine.Name, CachedTokens: cached, index: index}
-	candidate.Prefill = float64(request.PromptTokens()-cached) / speed
-	candidate.Decode = decodeTime(engine, request.OutputTokens, load.running+1)
-	candidate.Queue = load.promptTokens/speed + slotWait(engine, &load, candidate.Decode)
-	candidate.Network = networkCost(weights, request, engine)
-	considerTransfer(&candidate, weights, request, best, speed)
-	candidate.Interference = interference(engine, request, &load, candidate.Prefill)
-	candidate.WastedCache = wastedCache(&candidate, best, speed)
-	candidate.Eviction = evictionCost(engine, request, cached, speed)
-	candidate.Cost = weightedCost(weights, &candidate)
+	candidate.Prefill = float64(r.request.PromptTokens()-candidate.CachedTokens) / speed
+	candidate.Queue = load.promptTokens/speed + slotWait(engine, load, candidate.Decode)
+	candidate.Interference = interference(engine, r.request, load, candidate.Prefill)
+	candidate.WastedCache = r.wasted(candidate.CachedTokens, speed)
+	candidate.Cost = weightedCost(&r.snapshot.Weights, &candidate)
 	return candidate
 }
 
+// wasted is the computing of tokens that the best-provided engine has.
+func (r *ranking) wasted(cached uint64, speed float64) float64 {
+	if r.best.Tokens <= cached {
+		return 0
+	}
+	return float64(r.best.Tokens-cached) / speed
+}
+
 func weightedCost(weights *Weights, candidate *Candidate) float64 {
 	latency := candidate.Queue + candidate.Prefill + candidate.Decode + candidate.Transfer + candidate.Network
 	return weights.Latency*latency +
@@ -84,6 +128,8 @@
 	running  float64
 	// promptTokens are still to be computed.
 	promptTokens float64
+	// memory is the context memory in use, in tokens.
+	memory uint64
 }
 
 // estimateLoad corrects the reported load by what the engine has computed
@@ -104,6 +150,7 @@
 	estimate.promptTokens = max(estimate.promptTokens+float64(own.Added.PromptTokens), float64(own.InFlight.PromptTokens))
 	estimate.requests = max(estimate.requests-float64(own.Finished.Requests), 0)
 	estimate.requests = max(estimate.requests+float64(own.Added.Requests), float64(own.InFlight.Requests))
+	estimate.memory = engine.CacheUsed + own.NewContext
 	estimate.running = estimate.requests
 	if engine.MaxRunning > 0 {
 		estimate.running = min(estimate.running, float64(engine.MaxRunning))
@@ -127,39 +174,22 @@
 	return weights.CrossZone.Seconds()
 }
 
-// considerTransfer moves context instead of computing it where that is faster.
-func considerTransfer(candidate *Candidate, weights *Weights, request *Request, best Cached, speed float64) {
-	if weights.TransferSpeed <= 0 || best.Tokens <= candidate.CachedTokens {
-		return
-	}
-	transfer := weights.TransferSetup.Seconds() + float64(best.Tokens)/weights.TransferSpeed
-	prefill := float64(request.PromptTokens()-best.Tokens) / speed
-	if transfer+prefill >= candidate.Prefill {
-		return
-	}
-	candidate.Source = best.Engine
-	candidate.SourceTokens = best.Tokens
-	candidate.Transfer = transfer
-	candidate.Prefill = prefill
-}
-
-// wastedCache is the computing of tokens that the best-provided engine has.
-func wastedCache(candidate *Candidate, best Cached, speed float64) float64 {
-	if candidate.Source != "" || best.Tokens <= candidate.CachedTokens {
-		return 0
-	}
-	return float64(best.Tokens-candidate.CachedTokens) / speed
-}
+// memoryReserve is the part of an engine's memory, one in so many, that is kept
+// for the growth of contexts and for what a lagging report doesn't show.
+const memoryReserve = 8
 
-// evictionCost is the computing of the tokens that don't fit beside what the
-// engine has cached.
-func evictionCost(engine *EngineState, request *Request, cached uint64, speed float64) float64 {
+// evictionCost is what computing the tokens again costs that don't fit beside
+// what the engine has cached: the time itself, and that which the running
+// requests lose by it.
+func evictionCost(engine *EngineState, request *Request, cached uint64, load *load) float64 {
 	if engine.CacheLimit == 0 {
 		return 0
 	}
-	needed := engine.CacheUsed + request.PromptTokens() + request.OutputTokens - cached
-	if needed <= engine.CacheLimit {
+	needed := load.memory + request.PromptTokens() + request.OutputTokens - cached
+	room := engine.CacheLimit - engine.CacheLimit/memoryReserve
+	if needed <= room {
 		return 0
 	}
-	return float64(needed-engine.CacheLimit) / speed
+	added := request.PromptTokens() + request.OutputTokens - cached
+	return float64(min(needed-room, added)) / prefillSpeed(engine) * (1 + load.running)
 }
--- a/coordination/routing/snapshot.go
+++ b/coordination/routing/snapshot.go
@@ -44,6 +44,9 @@
 	DecodeSpeed float64
 	// Step is the learned time of an output token; see Speeds.
 	Step StepTime
+	// TransferSpeed is the rate at which the engine exports or imports context
+	// in tokens per second; zero takes that of the weights.
+	TransferSpeed float64
 	// MaxRunning is the greatest number of requests that run at once; zero
 	// means unknown.
 	MaxRunning int
@@ -59,6 +62,8 @@
 	Requests     int
 	PromptTokens uint64
 	OutputTokens uint64
+	// ContextTokens of memory are taken beyond what is cached.
+	ContextTokens uint64
 }
 
 // Pending reports a node's own work at an engine. Ledger implements it.
@@ -76,6 +81,9 @@
 	Added Work
 	// Finished was dispatched before the report and finished after it.
 	Finished Work
+	// NewContext are the tokens of memory taken by all work that was dispatched
+	// after the report, finished or not.
+	NewContext uint64
 }
 
 // Weights say what a deployment values. Costs are in seconds.
@@ -94,8 +102,9 @@
 	Interference float64
 	// CrossZone is the cost of serving a call from another zone.
 	CrossZone time.Duration
-	// TransferSpeed is the rate of moving context between engines in tokens per
-	// second; zero forbids transfers.
+	// TransferSpeed is the rate of exporting or importing context in tokens per
+	// second, for engines whose own isn't known; zero forbids transfers to and
+	// from them.
 	TransferSpeed float64
 	// TransferSetup is the fixed cost of one transfer.
 	TransferSetup time.Duration
--- a/lab/experiment/call.go
+++ b/lab/experiment/call.go
@@ -36,6 +36,10 @@
 	// bestElsewhere is the most that any other engine had cached.
 	bestElsewhere int
 	firstToken    time.Duration
+	// stage computes the prompt elsewhere; prepare is set in such a stage and
+	// names the attempt it serves.
+	stage   *attempt
+	prepare *attempt
 	// beside is the number of requests at the engine, as the node believed when
 	// the first token came.
 	beside int
@@ -136,7 +140,7 @@
 	}
 	a.bestElsewhere = s.bestCached(a.call, e)
 	p := a.call.program
-	refusal := e.core.Submit(s.schedule.now, engine.Request{
+	request := engine.Request{
 		ID:           a.id,
 		Program:      p.id,
 		Model:        modelName,
@@ -145,7 +149,11 @@
 		OutputTokens: a.call.step.outputTokens,
 		Priority:     a.choice.priority,
 		Hold:         a.choice.hold,
-	})
+	}
+	if a.prepare != nil {
+		request.OutputTokens = 1
+	}
+	refusal := e.core.Submit(s.schedule.now, request)
 	if refusal == nil {
 		e.attempts[a.id] = a
 	}
@@ -162,6 +170,10 @@
 	}
 	s.report.engineRefusals++
 	s.close(a)
+	if a.prepare != nil {
+		s.prepared(a, true)
+		return
+	}
 	a.call.tried = append(a.call.tried, a.engine.spec.Name)
 	s.decide(a.call)
 }
@@ -176,6 +188,10 @@
 	a.node.locality.Lost(a.call.program.id, a.engine.spec.Name)
 	s.policy.failed(s, a)
 	s.close(a)
+	if a.prepare != nil {
+		s.prepared(a, true)
+		return
+	}
 	a.call.retries++
 	s.schedule.after(retryPause, func() { s.decide(a.call) })
 }
@@ -204,11 +220,17 @@
 		if a.over {
 			return
 		}
-		if event.Kind == engine.FirstToken {
+		switch {
+		case a.prepare != nil && event.Kind == engine.Finished:
+			s.close(a)
+			s.prepared(a, false)
+		case a.prepare != nil:
+			a.node.ledger.Prefilled(a.engine.spec.Name, a.name())
+		case event.Kind == engine.FirstToken:
 			s.firstToken(a, event.Usage)
-			return
+		default:
+			s.finish(a, event.Usage)
 		}
-		s.finish(a, event.Usage)
 	})
 }
 
@@ -266,6 +288,10 @@
 	if a := c.current; a != nil && !a.over {
 		s.close(a)
 		s.cancel(a)
+		if a.stage != nil && !a.stage.over {
+			s.close(a.stage)
+			s.cancel(a.stage)
+		}
 	}
 }
 
--- a/lab/experiment/hold.go
+++ b/lab/experiment/hold.go
@@ -14,6 +14,8 @@
 	life   int
 	tokens int
 	since  time.Duration
+	// used is set once a call or a transfer found the context.
+	used bool
 }
 
 // held notes that an engine keeps the context of an answered call.
@@ -24,7 +26,10 @@
 		a.engine.touch()
 		return
 	}
-	tokens := pathTokens(a.call.path) + a.call.step.outputTokens
+	tokens := pathTokens(a.call.path)
+	if a.prepare == nil {
+		tokens += a.call.step.outputTokens
+	}
 	p.holders[a.engine.index] = &hold{engine: a.engine, life: a.engine.life, tokens: tokens, since: s.schedule.now}
 }
 
@@ -32,11 +37,11 @@
 func (s *simulation) reused(a *attempt, usage engine.Usage) {
 	p := a.call.program
 	if h := p.holders[a.engine.index]; h != nil && usage.CachedTokens > a.call.path[0].Tokens {
-		delete(p.holders, a.engine.index)
+		h.used = true
 	}
 }
 
-// release ends a hold that wasn't used again.
+// release ends a hold.
 func (s *simulation) release(p *program, index int) {
 	h := p.holders[index]
 	if h == nil {
@@ -46,7 +51,9 @@
 	if !h.engine.alive || h.engine.life != h.life {
 		return
 	}
-	s.report.unusedHold(h, s.schedule.now)
+	if !h.used {
+		s.report.unusedHold(h, s.schedule.now)
+	}
 	h.engine.core.Release(s.schedule.now, p.id)
 	h.engine.touch()
 }
--- a/lab/experiment/marblering.go
+++ b/lab/experiment/marblering.go
@@ -67,6 +67,8 @@
 	}
 	if decision.Transfer != nil {
 		chosen.source = s.engineIndex(decision.Transfer.From)
+		chosen.prefill = decision.Transfer.Prefill
+		chosen.prefillWork = decision.Transfer.Work
 	}
 	return chosen
 }
@@ -145,55 +147,3 @@
 	}
 	return noEngine
 }
-
-// transfer moves context to the attempt's engine before the call.
-func (s *simulation) transfer(a *attempt) {
-	source := s.engines[a.choice.source]
-	if !source.alive || s.cutOff(source.spec.Zone, a.engine.spec.Zone) {
-		s.deliver(a)
-		return
-	}
-	exported, took, err := source.core.Export(s.schedule.now, a.call.program.id)
-	source.touch()
-	if err != nil {
-		s.deliver(a)
-		return
-	}
-	s.schedule.after(took+s.deployment.delay(source.spec.Zone, a.engine.spec.Zone), func() { s.startImport(a, exported) })
-}
-
-func (s *simulation) startImport(a *attempt, exported engine.Export) {
-	if a.over || !a.engine.alive || a.engine.life != a.life {
-		s.deliver(a)
-		return
-	}
-	s.lastAttempt++
-	err := a.engine.core.Import(s.schedule.now, s.lastAttempt, a.call.program.id, exported)
-	if err == nil {
-		s.transfers[s.lastAttempt] = a
-	}
-	a.engine.touch()
-	if err != nil {
-		s.deliver(a)
-	}
-}
-
-// imported sends the call for which context was moved.
-func (s *simulation) imported(e *simEngine, event engine.Event) {
-	a := s.transfers[event.ID]
-	if a == nil {
-		return
-	}
-	delete(s.transfers, event.ID)
-	p := a.call.program
-	tokens := event.Usage.PromptTokens
-	s.report.transfers++
-	s.report.transferredTokens += tokens
-	if p.ended {
-		e.core.Release(s.schedule.now, p.id)
-		e.touch()
-		return
-	}
-	p.holders[e.index] = &hold{engine: e, life: e.life, tokens: tokens, since: s.schedule.now}
-	s.deliver(a)
-}
--- a/lab/experiment/node.go
+++ b/lab/experiment/node.go
@@ -96,6 +96,7 @@
 		ReportedAt:        n.simulation.wall(load.Sampled),
 		PrefillSpeed:      load.PrefillRate,
 		DecodeSpeed:       load.DecodeRate,
+		TransferSpeed:     e.spec.Generation.TransferRate,
 		CacheLimit:        uint64(load.CacheLimitTokens),
 		CacheUsed:         uint64(load.CacheUsedTokens),
 	}
--- a/lab/experiment/policy.go
+++ b/lab/experiment/policy.go
@@ -18,6 +18,10 @@
 	retryAfter time.Duration
 	priority   uint32
 	hold       bool
+	// prefill is set where the source has to compute the prompt first; its work
+	// is booked as well.
+	prefill     bool
+	prefillWork routing.Work
 	// work is booked in the node's ledger until the call ends.
 	work     routing.Work
 	expected time.Duration
--- a/lab/experiment/recorder.go
+++ b/lab/experiment/recorder.go
@@ -27,6 +27,7 @@
 	failures          int
 	transfers         int
 	transferredTokens int
+	failedTransfers   int
 	limited           int
 }
 
@@ -124,6 +125,7 @@
 		Failures:               r.failures,
 		Transfers:              r.transfers,
 		TransferredTokens:      r.transferredTokens,
+		FailedTransfers:        r.failedTransfers,
 	}
 	for _, measured := range r.trees {
 		if !measured.failed {
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -44,6 +44,7 @@
 	Failures          int `json:"failures"`
 	Transfers         int `json:"transfers"`
 	TransferredTokens int `json:"transferred_tokens"`
+	FailedTransfers   int `json:"failed_transfers"`
 }
 
 // Percentiles of a distribution, in seconds.
--- a/lab/experiment/truth.go
+++ b/lab/experiment/truth.go
@@ -41,6 +41,13 @@
 	c.programs[program] = wholeBlocks(pathTokens(path))
 }
 
+// imported notes that context of a program has arrived.
+func (c *cacheTruth) imported(program string, path []engine.Segment, tokens int) {
+	c.opened[program] = path[0]
+	c.prefixes[path[0].ID] = wholeBlocks(path[0].Tokens)
+	c.programs[program] = wholeBlocks(tokens)
+}
+
 // has returns how many tokens of a prompt are cached. The last token is always
 // computed, so a whole prompt is never cached.
 func (c *cacheTruth) has(program string, path []engine.Segment) int {
