--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -19,7 +19,6 @@
 	FilterModel    Filter = "model not loaded"
 	FilterAdapter  Filter = "adapter not loaded"
 	FilterMemory   Filter = "context exceeds its memory"
-	FilterSubset   Filter = "outside the subset"
 )
 
 // Transfer asks for context to be moved before the call.
@@ -44,6 +43,8 @@
 	Transfer float64
 	// Network is the cost of crossing zones.
 	Network float64
+	// Interference is the time that the call adds to those running there.
+	Interference float64
 	// WastedCache is the computing of tokens that another engine has.
 	WastedCache float64
 	// Eviction is the computing of what would be pushed out of the cache.
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -80,13 +80,13 @@
 		{"unknown key", "zoen: hall-a", "zoen", "unknown key"},
 		{"nested key", "data_folder:\n  path: /x", "data_folder.path", "unknown key"},
 		{"host name", "seeds: [hall-a:7100]", "seeds", `"hall-a:7100" isn't an IP number and port`},
-		{"host name in the URL", "object_api: http://store:7000", "object_api", "http://store:7000 isn't allowed"},
-		{"URL with a path", "object_api: http://127.0.0.1:7000/api", "object_api", "http://127.0.0.1:7000/api isn't allowed"},
-		{"URL without a port", "object_api: http://127.0.0.1", "object_api", "http://127.0.0.1 isn't allowed"},
+		{"host name in the URL", "object_api: http://store:7000", "object_api", `"http://store:7000" isn't allowed`},
+		{"URL with a path", "object_api: http://127.0.0.1:7000/api", "object_api", `"http://127.0.0.1:7000/api" isn't allowed`},
+		{"URL without a port", "object_api: http://127.0.0.1", "object_api", `"http://127.0.0.1" isn't allowed`},
 		{"no port", "peer_listen: 127.0.0.1", "peer_listen", `"127.0.0.1" isn't an IP number and port`},
 		{"seed with port 0", "seeds: ['127.0.0.1:0']", "seeds", `"127.0.0.1:0" has port 0`},
 		{"seed twice", "seeds: ['127.0.0.1:1', '127.0.0.1:1']", "seeds", "[127.0.0.1:1 127.0.0.1:1] isn't allowed"},
-		{"seeds aren't a list", "seeds: 127.0.0.1:1", "seeds", "127.0.0.1:1 isn't a list"},
+		{"seeds aren't a list", "seeds: 127.0.0.1:1", "seeds", `"127.0.0.1:1" isn't a list`},
 		{"number without unit", "call_timeout: 30", "call_timeout", "30 isn't text"},
 		{"text without unit", "call_timeout: '30'", "call_timeout", `"30" isn't a duration with a unit`},
 		{"unknown duration unit", "call_timeout: 1d", "call_timeout", `"1d" isn't a duration with a unit`},
@@ -102,9 +102,9 @@
 		{"no shards", "shards: 0", "shards", "0 isn't allowed"},
 		{"empty value", "zone:", "zone", "an empty value isn't text"},
 		{"empty text", "zone: ''", "zone", "missing"},
-		{"upper case", "zone: Hall", "zone", "Hall isn't allowed"},
-		{"relative path", "data_folder: data", "data_folder", "data isn't allowed"},
-		{"unknown level", "log_level: verbose", "log_level", "verbose isn't allowed"},
+		{"upper case", "zone: Hall", "zone", `"Hall" isn't allowed`},
+		{"relative path", "data_folder: data", "data_folder", `"data" isn't allowed`},
+		{"unknown level", "log_level: verbose", "log_level", `"verbose" isn't allowed`},
 		{"listeners collide", "caller_listen: 127.0.0.1:7100", "caller_listen", "127.0.0.1:7100 contradicts peer_listen, which is 127.0.0.1:7100"},
 		{"wildcard collides", "operator_listen: 0.0.0.0:7100", "operator_listen", "0.0.0.0:7100 contradicts peer_listen, which is 127.0.0.1:7100"},
 		{"peers can't reach it", "peer_listen: 0.0.0.0:7100", "peer_advertise", "missing, while peer_listen is 0.0.0.0:7100, which peers can't reach"},
@@ -126,6 +126,20 @@
 	}
 }
 
+func TestRequiredOptions(t *testing.T) {
+	for _, option := range settings.Options() {
+		_, err := settings.Load(writeFile(t, replaceKeys(complete, option.Key+":")), nil)
+		assert.ErrorContains(t, err, option.Key+": an empty value")
+
+		_, err = settings.Load(writeFile(t, withoutKey(complete, option.Key)), nil)
+		if option.Required {
+			assert.ErrorContains(t, err, option.Key+": missing")
+			continue
+		}
+		assert.NilError(t, err)
+	}
+}
+
 func TestUnreadableFile(t *testing.T) {
 	cases := map[string]string{
 		"broken YAML":   "name: [",
@@ -151,15 +165,19 @@
 		` (allowed: IP number and port such as 10.0.0.5:7100 or [fd00::5]:7100, no host name)`)
 }
 
-// replaceKeys returns the content without the lines whose keys the extra
-// content sets, followed by the extra content.
+// replaceKeys returns the content without the line whose key the extra content
+// sets, followed by the extra content.
 func replaceKeys(content, extra string) string {
 	key, _, _ := strings.Cut(extra, ":")
+	return withoutKey(content, key) + extra + "\n"
+}
+
+func withoutKey(content, key string) string {
 	kept := make([]string, 0)
 	for line := range strings.Lines(content) {
 		if !strings.HasPrefix(line, key+":") {
 			kept = append(kept, line)
 		}
 	}
-	return strings.Join(kept, "") + extra + "\n"
+	return strings.Join(kept, "")
 }
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -20,6 +20,7 @@
 type Replica interface {
 	Prepare(ctx context.Context, request register.PrepareRequest) register.PrepareReply
 	Accept(ctx context.Context, request register.AcceptRequest) register.AcceptReply
+	Peek(fence register.Fence, key string) ([]byte, register.Refusal)
 	PutTurn(ctx context.Context, fence register.Fence, turn replica.Turn) archive.Reply
 	ReadTurns(ctx context.Context, fence register.Fence, program string, from uint64, visit func(replica.Turn) error) (archive.Reply, error)
 }
@@ -27,18 +28,24 @@
 // Node answers what isn't about a shard. The messages are those of the wire:
 // each of them is owned by one coordination package.
 type Node interface {
-	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) *peerv1.ExchangeResponse
+	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
 	AttemptStatus(request *peerv1.AttemptStatusRequest) *peerv1.AttemptStatusResponse
+	Reserve(request *peerv1.ReserveRequest) *peerv1.ReserveResponse
+	Release(request *peerv1.ReleaseRequest) *peerv1.ReleaseResponse
+	Grant(request *peerv1.GrantRequest) *peerv1.GrantResponse
 	FetchConfiguration(request *peerv1.FetchConfigurationRequest) *peerv1.FetchConfigurationResponse
 	InstallConfiguration(request *peerv1.InstallConfigurationRequest) (*peerv1.InstallConfigurationResponse, error)
 }
 
 // NewHandler serves the internal protocol.
-func NewHandler(replica Replica, node Node) http.Handler {
+func NewHandler(replica Replica, node Node, metrics *Metrics) http.Handler {
 	mux := http.NewServeMux()
-	limit := connect.WithReadMaxBytes(maxMessageBytes)
-	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica}, limit))
-	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, limit))
+	options := []connect.HandlerOption{
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithInterceptors(metrics),
+	}
+	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica}, options...))
+	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, options...))
 	return mux
 }
 
@@ -79,6 +86,11 @@
 	}), nil
 }
 
+func (s *replicaServer) Peek(_ context.Context, request *connect.Request[peerv1.PeekRequest]) (*connect.Response[peerv1.PeekResponse], error) {
+	value, refusal := s.replica.Peek(fenceFromWire(request.Msg.GetFence()), request.Msg.GetKey())
+	return connect.NewResponse(&peerv1.PeekResponse{Refusal: peerv1.Refusal(refusal), Value: value}), nil
+}
+
 func (s *replicaServer) PutTurn(ctx context.Context, request *connect.Request[peerv1.PutTurnRequest]) (*connect.Response[peerv1.PutTurnResponse], error) {
 	digest, err := digestFromWire(request.Msg.GetDigest())
 	if err != nil {
@@ -119,13 +131,29 @@
 }
 
 func (s *nodeServer) Exchange(ctx context.Context, request *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
-	return connect.NewResponse(s.node.Exchange(ctx, request.Msg)), nil
+	response, err := s.node.Exchange(ctx, request.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(response), nil
 }
 
 func (s *nodeServer) AttemptStatus(_ context.Context, request *connect.Request[peerv1.AttemptStatusRequest]) (*connect.Response[peerv1.AttemptStatusResponse], error) {
 	return connect.NewResponse(s.node.AttemptStatus(request.Msg)), nil
 }
 
+func (s *nodeServer) Reserve(_ context.Context, request *connect.Request[peerv1.ReserveRequest]) (*connect.Response[peerv1.ReserveResponse], error) {
+	return connect.NewResponse(s.node.Reserve(request.Msg)), nil
+}
+
+func (s *nodeServer) Release(_ context.Context, request *connect.Request[peerv1.ReleaseRequest]) (*connect.Response[peerv1.ReleaseResponse], error) {
+	return connect.NewResponse(s.node.Release(request.Msg)), nil
+}
+
+func (s *nodeServer) Grant(_ context.Context, request *connect.Request[peerv1.GrantRequest]) (*connect.Response[peerv1.GrantResponse], error) {
+	return connect.NewResponse(s.node.Grant(request.Msg)), nil
+}
+
 func (s *nodeServer) FetchConfiguration(_ context.Context, request *connect.Request[peerv1.FetchConfigurationRequest]) (*connect.Response[peerv1.FetchConfigurationResponse], error) {
 	return connect.NewResponse(s.node.FetchConfiguration(request.Msg)), nil
 }
