--- a/state/history/chain.go
+++ b/state/history/chain.go
@@ -96,6 +96,15 @@
 	return c.digest.Bytes()
 }
 
+// Newest returns the last turn; nil for the empty history. It must not be
+// changed.
+func (c *Chain) Newest() *statev1.Turn {
+	if c == nil {
+		return nil
+	}
+	return c.turn
+}
+
 // Len returns the number of turns.
 func (c *Chain) Len() int {
 	if c == nil {
--- a/state/history/messages.go
+++ b/state/history/messages.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 
 	"github.com/ansel1/merry/v2"
 
@@ -80,5 +82,8 @@
 	if _, err := decoder.Token(); err != nil {
 		return nil, merry.Prepend(err, "parsing the end of a JSON array")
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, merry.Errorf("there is more data after a JSON array, at byte %d", decoder.InputOffset())
+	}
 	return elements, nil
 }
