--- a/protocol/callerapi/observer.go
+++ b/protocol/callerapi/observer.go
@@ -22,7 +22,8 @@
 	ConnectionLost bool
 }
 
-// Observer gets one observation a request. It must not block.
+// Observer gets one observation a request; [NewMetrics] makes the usual one. It
+// must not block.
 type Observer interface {
 	Observe(Observation)
 }
