Share a budget of polls between own engines and samples of others

Cause: at 50 nodes with 110 engines the samples of others alone cost 4.8 kB/s. Change: a load report counts three polls of a budget of ten a round; a round is 1.5 s.

--- a/coordination/fleet/poll.go
+++ b/coordination/fleet/poll.go
@@ -20,9 +20,12 @@
 const (
 	// loadEvery is after how many state polls an owner reads the load too.
 	loadEvery = 4
-	// sampleEvery is after how many intervals one engine of another owner is
-	// asked for its load.
-	sampleEvery = 1
+	// pollBudget is how many polls a node sends in a round. What its own engines
+	// leave of it goes to load reports of others, at least one a round: in a small
+	// fleet a node samples them all quickly.
+	pollBudget = 10
+	// loadCost is how many polls of the state a load report counts for, by bytes.
+	loadCost = 3
 	// maxSampled bounds the engines of others that a node samples.
 	maxSampled      = 32
 	pollConcurrency = 8
@@ -42,8 +45,19 @@
 	}
 }
 
+// take returns up to count engines, so that successive rounds go through the
+// list in turn.
+func take(engines []Engine, round, count int) []Engine {
+	count = min(count, len(engines))
+	taken := make([]Engine, 0, count)
+	for index := range count {
+		taken = append(taken, engines[(round*count+index)%len(engines)])
+	}
+	return taken
+}
+
 // pollRound asks every owned engine whether it leaves, some of them for their
-// load, and one engine of another owner.
+// load, and a few engines of other owners for theirs.
 func (f *Fleet) pollRound(ctx context.Context, round int) {
 	owned, sampled := f.partition()
 	group, groupContext := errgroup.WithContext(ctx)
@@ -52,9 +66,8 @@
 		withLoad := (round+index)%loadEvery == 0
 		group.Go(func() error { return f.poll(groupContext, engine, withLoad) })
 	}
-	if len(sampled) > 0 && round%sampleEvery == 0 {
-		engine := sampled[(round/sampleEvery)%len(sampled)]
-		group.Go(func() error { return f.poll(groupContext, engine, true) })
+	for _, engine := range take(sampled, round, max(1, (pollBudget-len(owned))/loadCost)) {
+		group.Go(func() error { return f.pollLoad(groupContext, engine) })
 	}
 	// poll reports no errors: one engine's silence is no reason to stop.
 	_ = group.Wait()
@@ -108,6 +121,12 @@
 	if !withLoad {
 		return nil
 	}
+	return f.pollLoad(ctx, engine)
+}
+
+func (f *Fleet) pollLoad(ctx context.Context, engine Engine) error {
+	ctx, cancel := context.WithTimeout(ctx, f.PollInterval)
+	defer cancel()
 	load, err := f.Reporter.Load(ctx, engine.Address)
 	if err != nil {
 		f.Logger.Debug("no load report", zap.String("engine", engine.Name), zap.Error(err))
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -40,6 +40,8 @@
 	readyPause   = 50 * time.Millisecond
 	modelContext = 400000
 	modelOutput  = 64
+	// maxSeeds is how many of the first nodes the others are told of.
+	maxSeeds = 3
 )
 
 // Options describe a deployment.
@@ -220,7 +222,7 @@
 		"--shards", fmt.Sprint(d.options.Shards),
 	}
 	var seeds []string
-	for _, started := range d.Nodes {
+	for _, started := range d.Nodes[:min(maxSeeds, len(d.Nodes))] {
 		seeds = append(seeds, started.PeerAddress())
 	}
 	if len(seeds) > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -37,7 +37,7 @@
 const (
 	recentTrees       = 10000
 	historyCacheBytes = 32 << 20
-	pollInterval      = time.Second
+	pollInterval      = 1500 * time.Millisecond
 	sweepInterval     = 2 * time.Second
 	// maxQueue is the longest expected queueing before a call is shed.
 	maxQueue         = 2 * time.Minute
