Keep replicas in the data folder where a node has one

Cause: data_folder was refused by name until the disk store landed. Change: the node opens the disk store; its incarnation lives with its data.

--- a/node/node.go
+++ b/node/node.go
@@ -143,7 +143,15 @@
 	incarnation := uuid.NewString()
 	n.store = replica.NewMemory()
 	if n.settings.DataFolder != "" {
-		return errNoDisk
+		disk, err := replica.OpenDisk(n.settings.DataFolder)
+		if err != nil {
+			return err
+		}
+		if damage := disk.Damage(); damage != nil {
+			n.logger.Error("replica data was damaged and is set aside", zap.Error(damage))
+		}
+		n.store = disk
+		incarnation = disk.Incarnation()
 	}
 	n.identity = incarnation + identitySeparator + uuid.NewString()
 	n.views = shard.NewMap(uint32(n.settings.Shards))
@@ -322,7 +330,6 @@
 
 var (
 	errNoConfiguration = errors.New("no configuration yet")
-	errNoDisk          = errors.New("data_folder: this version keeps replicas in memory only")
 	errNoShards        = errors.New("no shard map yet")
 )
 
