--- a/coordination/configuration/snapshot.go
+++ b/coordination/configuration/snapshot.go
@@ -1,9 +1,6 @@
 package configuration
 
-import (
-	"maps"
-	"slices"
-)
+import "slices"
 
 // Snapshot is a valid configuration as a whole. It is immutable: what its
 // methods return is shared and must not be changed. The nil Snapshot is empty
@@ -15,15 +12,29 @@
 	tenantByKey map[string]*Tenant
 	// engines are ordered by name.
 	engines []*Engine
+	// removed are the newest removals, oldest first.
+	removed []removal
+	// removedAfter is the version after which removed misses none.
+	removedAfter uint64
 }
 
 // entry is one object of a snapshot, as stored and typed.
 type entry struct {
 	object Object
 	spec   Spec
+	// since is the version of the snapshot that first had this state. It can be
+	// greater than the object's own version.
+	since uint64
 }
 
-// Version is the store-wide revision up to which the snapshot knows the store.
+// removal is an object that was taken out.
+type removal struct {
+	object Object
+	since  uint64
+}
+
+// Version is the store-wide revision whose configuration the snapshot is. Of
+// revisions between which no configuration changed it may be any.
 func (s *Snapshot) Version() uint64 {
 	if s == nil {
 		return 0
@@ -31,18 +42,19 @@
 	return s.version
 }
 
-// Objects returns the objects newer than the version, ordered by key.
+// Objects returns the objects that changed after the version, ordered by key;
+// all where it is 0.
 func (s *Snapshot) Objects(after uint64) []Object {
-	var objects []Object
 	if s == nil {
 		return nil
 	}
+	var objects []Object
 	for _, entry := range s.entries {
-		if entry.object.Version > after {
+		if entry.since > after {
 			objects = append(objects, entry.object)
 		}
 	}
-	slices.SortFunc(objects, func(a, b Object) int { return a.Key.compare(b.Key) })
+	sortByKey(objects)
 	return objects
 }
 
@@ -162,84 +174,6 @@
 	return result
 }
 
-// Apply returns a new snapshot at the version with the objects put in or taken
-// out. Objects of other kinds and objects that aren't newer than what the
-// snapshot has are left out. The whole is checked: on an error, of type
-// Faults, there is no new snapshot.
-func (s *Snapshot) Apply(version uint64, objects []Object) (*Snapshot, error) {
-	next, faults := s.with(version, objects)
-	faults = append(faults, next.validate()...)
-	if len(faults) > 0 {
-		return nil, faults
-	}
-	return next, nil
-}
-
-// with builds the next snapshot without a check across objects.
-func (s *Snapshot) with(version uint64, objects []Object) (*Snapshot, Faults) {
-	next := &Snapshot{version: max(s.Version(), version), entries: make(map[Key]entry)}
-	if s != nil {
-		next.entries = maps.Clone(s.entries)
-	}
-	var faults Faults
-	for _, object := range objects {
-		faults = append(faults, next.put(object)...)
-	}
-	next.index()
-	return next, faults
-}
-
-// put sets one object while the snapshot is being built.
-func (s *Snapshot) put(object Object) Faults {
-	if !object.Kind.Known() || object.Version < s.entries[object.Key].object.Version {
-		return nil
-	}
-	if object.Deleted {
-		delete(s.entries, object.Key)
-		return nil
-	}
-	spec, err := Decode(object)
-	if err != nil {
-		return err.(Faults)
-	}
-	s.entries[object.Key] = entry{object: object, spec: spec}
-	return nil
-}
-
-// index fills in what is derived from the entries.
-func (s *Snapshot) index() {
-	s.tenantByKey = make(map[string]*Tenant)
-	for _, tenant := range s.Tenants() {
-		for _, digest := range tenant.APIKeySHA256 {
-			s.addTenantKey(digest, tenant)
-		}
-	}
-	s.engines = all[*Engine](s)
-}
-
-// addTenantKey gives a key that two tenants claim to the one written first, so
-// that the later one is found at fault.
-func (s *Snapshot) addTenantKey(digest string, tenant *Tenant) {
-	owner, taken := s.tenantByKey[digest]
-	if taken && s.tenantVersion(owner) <= s.tenantVersion(tenant) {
-		return
-	}
-	s.tenantByKey[digest] = tenant
-}
-
-func (s *Snapshot) tenantVersion(tenant *Tenant) uint64 {
-	return s.entries[Key{Kind: KindTenant, Name: tenant.Name}].object.Version
-}
-
-// validate checks every object among the others, in order of key.
-func (s *Snapshot) validate() Faults {
-	keys := slices.SortedFunc(maps.Keys(s.entries), Key.compare)
-	var faults Faults
-	for _, key := range keys {
-		entry := s.entries[key]
-		c := &checker{object: entry.object}
-		entry.spec.checkReferences(c, s)
-		faults = append(faults, c.faults...)
-	}
-	return faults
+func sortByKey(objects []Object) {
+	slices.SortFunc(objects, func(a, b Object) int { return a.Key.compare(b.Key) })
 }
