--- /dev/null
+++ b/coordination/register/bench_test.go
@@ -0,0 +1,79 @@
+package register_test
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"testing"
+
+	"github.com/marblering/marblering/coordination/register"
+)
+
+// recordSize is the assumed size of a register's value, in bytes.
+const recordSize = 2048
+
+var errRefusedByChange = errors.New("refused by the change")
+
+// rewrite returns a new value of the recordSize on each call.
+func rewrite(current []byte) ([]byte, error) {
+	next := make([]byte, recordSize)
+	copy(next, current)
+	binary.LittleEndian.PutUint64(next, binary.LittleEndian.Uint64(next)+1)
+	return next, nil
+}
+
+// BenchmarkApply measures changes over a transport without latency. Requests
+// counts the requests to all three members and value-B the bytes of values that
+// they and their answers carry, both for one change.
+func BenchmarkApply(b *testing.B) {
+	for _, test := range []struct {
+		name      string
+		change    register.Change
+		proposers int
+		parallel  int
+	}{
+		{name: "steady", change: rewrite, proposers: 1},
+		{name: "proposer changes each time", change: rewrite, proposers: 2},
+		{name: "read", change: func(current []byte) ([]byte, error) { return current, nil }, proposers: 1},
+		{name: "refused", change: func([]byte) ([]byte, error) { return nil, errRefusedByChange }, proposers: 1},
+		{name: "64 callers at a time", change: rewrite, proposers: 1, parallel: 64},
+	} {
+		b.Run(test.name, func(b *testing.B) {
+			cluster := newMemoryCluster("a", "b", "c")
+			var clients []*register.Client
+			for number := range test.proposers {
+				clients = append(clients, newTestClient(string(rune('a'+number)), cluster))
+			}
+			_, err := clients[0].Apply(context.Background(), 0, "key", rewrite)
+			if err != nil {
+				b.Fatal(err)
+			}
+			prepares, accepts, valueBytes := cluster.counts()
+			b.ReportAllocs()
+			b.ResetTimer()
+			if test.parallel > 0 {
+				b.SetParallelism(test.parallel)
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						applyOnce(b, clients[0], test.change)
+					}
+				})
+			} else {
+				for number := range b.N {
+					applyOnce(b, clients[number%len(clients)], test.change)
+				}
+			}
+			b.StopTimer()
+			prepared, accepted, carried := cluster.counts()
+			b.ReportMetric(float64(prepared-prepares+accepted-accepts)/float64(b.N), "requests/op")
+			b.ReportMetric(float64(carried-valueBytes)/float64(b.N), "value-B/op")
+		})
+	}
+}
+
+func applyOnce(b *testing.B, client *register.Client, change register.Change) {
+	_, err := client.Apply(context.Background(), 0, "key", change)
+	if err != nil && !errors.Is(err, errRefusedByChange) {
+		b.Error(err)
+	}
+}
--- a/coordination/register/cluster_test.go
+++ b/coordination/register/cluster_test.go
@@ -2,58 +2,66 @@
 
 import (
 	"context"
+	"errors"
+	"math"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/state/replica"
 )
 
+var errLost = errors.New("connection lost")
+
 // memoryMember is a replica in memory, reached without a network.
 type memoryMember struct {
-	mutex     sync.Mutex
-	fence     register.Fence
 	registers map[string]replica.Register
-	// failure is returned instead of an answer; with dropAnswer only after the
-	// request had its effect.
-	failure    error
+	// failures is how many answers are still to fail; with dropAnswer they fail
+	// only after the request had its effect.
+	failures   int
 	dropAnswer bool
-	accepts    int
-	prepares   int
 }
 
 // memoryCluster is a Transport and the Views of one shard.
 type memoryCluster struct {
-	mutex   sync.Mutex
-	view    register.View
-	version uint64
-	members map[string]*memoryMember
-	learned []uint64
+	mutex    sync.Mutex
+	members  map[string]*memoryMember
+	known    register.View
+	current  register.View
+	version  uint64
+	newest   uint64
+	prepares int
+	accepts  int
+	bytes    int
+	// lossPercent of the requests and of the answers are lost at random.
+	lossPercent int
+	random      *rand.Rand
 }
 
 func newMemoryCluster(names ...string) *memoryCluster {
-	c := &memoryCluster{view: register.View{Epoch: 1}, members: make(map[string]*memoryMember)}
+	c := &memoryCluster{
+		members: make(map[string]*memoryMember),
+		known:   register.View{Epoch: 1},
+		random:  rand.New(rand.NewPCG(1, 2)),
+	}
 	for _, name := range names {
-		c.view.Members = append(c.view.Members, register.Member{Node: name, Incarnation: name + "-1"})
-		c.members[name] = &memoryMember{
-			fence:     register.Fence{Epoch: 1, Replica: name + "-1"},
-			registers: make(map[string]replica.Register),
-		}
+		c.known.Members = append(c.known.Members, register.Member{Node: name, Incarnation: name + "-1"})
+		c.members[name] = &memoryMember{registers: make(map[string]replica.Register)}
 	}
+	c.current = c.known
 	return c
 }
 
 func (c *memoryCluster) View(uint32) (register.View, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.view, true
+	return c.known, true
 }
 
 func (c *memoryCluster) Learn(view register.View) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if view.Epoch > c.view.Epoch {
-		c.view = view
-	}
+	c.known = view
 }
 
 func (c *memoryCluster) ConfigurationVersion() uint64 {
@@ -66,67 +74,110 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.version = max(c.version, version)
-	c.learned = append(c.learned, version)
 }
 
-func (m *memoryMember) check(fence register.Fence) register.Refusal {
+// beginEpoch lets the members know an epoch and a configuration that the
+// clients have not heard of.
+func (c *memoryCluster) beginEpoch(epoch, configuration uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.current.Epoch = epoch
+	c.newest = configuration
+}
+
+func (c *memoryCluster) check(fence register.Fence) register.Refusal {
 	switch {
-	case fence.Replica != m.fence.Replica:
-		return register.RefusalIncarnation
-	case fence.Epoch != m.fence.Epoch:
+	case fence.Epoch != c.current.Epoch:
 		return register.RefusalEpoch
-	case fence.ConfigurationVersion < m.fence.ConfigurationVersion:
+	case fence.ConfigurationVersion < c.newest:
 		return register.RefusalConfiguration
 	}
 	return register.RefusalNone
 }
 
+func (c *memoryCluster) isLost() bool {
+	return c.lossPercent > 0 && c.random.IntN(100) < c.lossPercent
+}
+
+// loss returns the failures before and after the effect of a request.
+func (c *memoryCluster) loss(m *memoryMember) (before, after bool) {
+	before, after = c.isLost(), c.isLost()
+	if m.failures > 0 {
+		m.failures--
+		before = before || !m.dropAnswer
+		after = true
+	}
+	return before, after
+}
+
 func (c *memoryCluster) Prepare(_ context.Context, member register.Member, request register.PrepareRequest) (register.PrepareReply, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	m := c.members[member.Node]
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.prepares++
-	if m.failure != nil && !m.dropAnswer {
-		return register.PrepareReply{}, m.failure
+	c.prepares++
+	before, after := c.loss(m)
+	if before {
+		return register.PrepareReply{}, errLost
 	}
-	if refusal := m.check(request.Fence); refusal != register.RefusalNone {
-		return register.PrepareReply{Refusal: refusal, ConfigurationVersion: m.fence.ConfigurationVersion}, nil
+	if refusal := c.check(request.Fence); refusal != register.RefusalNone {
+		return register.PrepareReply{Refusal: refusal, View: &c.current, ConfigurationVersion: c.newest}, nil
 	}
 	state, reply := register.Acceptor{}.Prepare(m.registers[request.Key], request.Ballot)
 	m.registers[request.Key] = state
-	return reply, m.failure
+	c.bytes += len(reply.Value)
+	if after {
+		return register.PrepareReply{}, errLost
+	}
+	return reply, nil
 }
 
 func (c *memoryCluster) Accept(_ context.Context, member register.Member, request register.AcceptRequest) (register.AcceptReply, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	m := c.members[member.Node]
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.accepts++
-	if m.failure != nil && !m.dropAnswer {
-		return register.AcceptReply{}, m.failure
+	c.accepts++
+	c.bytes += len(request.Value)
+	before, after := c.loss(m)
+	if before {
+		return register.AcceptReply{}, errLost
 	}
-	if refusal := m.check(request.Fence); refusal != register.RefusalNone {
-		return register.AcceptReply{Refusal: refusal, ConfigurationVersion: m.fence.ConfigurationVersion}, nil
+	if refusal := c.check(request.Fence); refusal != register.RefusalNone {
+		return register.AcceptReply{Refusal: refusal, View: &c.current, ConfigurationVersion: c.newest}, nil
 	}
 	state, reply := register.Acceptor{}.Accept(m.registers[request.Key], request.Ballot, request.Value, request.Next)
 	m.registers[request.Key] = state
-	return reply, m.failure
+	if after {
+		return register.AcceptReply{}, errLost
+	}
+	return reply, nil
+}
+
+func (c *memoryCluster) setLoss(percent int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lossPercent = percent
 }
 
-func (m *memoryMember) setFailure(failure error, dropAnswer bool) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.failure = failure
-	m.dropAnswer = dropAnswer
+// setFailure lets the named members fail for good.
+func (c *memoryCluster) setFailure(dropAnswer bool, names ...string) {
+	c.fail(math.MaxInt, dropAnswer, names)
 }
 
-// counts returns the requests that reached the members.
-func (c *memoryCluster) counts() (prepares, accepts int) {
-	for _, m := range c.members {
-		m.mutex.Lock()
-		prepares += m.prepares
-		accepts += m.accepts
-		m.mutex.Unlock()
+// dropAnswers loses the next answers of the named members.
+func (c *memoryCluster) dropAnswers(count int, names ...string) { c.fail(count, true, names) }
+
+func (c *memoryCluster) fail(count int, dropAnswer bool, names []string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, name := range names {
+		c.members[name].failures = count
+		c.members[name].dropAnswer = dropAnswer
 	}
-	return prepares, accepts
+}
+
+// counts returns the requests sent and the bytes of values carried so far.
+func (c *memoryCluster) counts() (prepares, accepts, bytes int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.prepares, c.accepts, c.bytes
 }
--- a/coordination/register/round.go
+++ b/coordination/register/round.go
@@ -60,6 +60,10 @@
 	// abandoned is closed when nobody waits for the result any more.
 	abandoned <-chan struct{}
 
+	// fromPromise is set where the round began with a kept promise. When it
+	// fails, another node has most likely made the change before this one and
+	// is not at work any more, so that there is no duel to wait out.
+	fromPromise bool
 	answered    int
 	unreachable int
 	newestView  View
--- a/coordination/register/run.go
+++ b/coordination/register/run.go
@@ -44,7 +44,7 @@
 		if lost >= c.settings.Attempts {
 			return 0, attempt.failure
 		}
-		if !attempt.learn() {
+		if !attempt.learn() && !attempt.fromPromise {
 			c.pause(failures, work.empty)
 		}
 		if work.isEmpty() {
@@ -75,6 +75,7 @@
 // it is of the same epoch: another epoch has other members.
 func (r *round) begin(known cacheEntry, failures int) Request {
 	if failures == 0 && known.epoch == r.view.Epoch {
+		r.fromPromise = !known.promise.Ballot.IsZero()
 		return r.proposer.BeginPromised(len(r.view.Members), known.promise)
 	}
 	return r.proposer.Begin(len(r.view.Members))
