Change replica sets: decide, seal, install, open, by any driver

Cause: a replica set had to stay as it was created; a node that was lost for good was never replaced, and a replica served whatever view its node had heard of, sealed or not. Ruled out: telling nodes of a view when it is decided, since who knows only the new epoch can't finish the change; a stored open flag alone, since a sealed member that restarts would forget what it had served; dropping the data of a former member as soon as the view opens, since a slower member may need it; waiting for the driver to bring in members that it didn't reach. Change: Replica keeps view, previous view, newest open view and data epoch for each shard, stored before they take effect. Driver copies turns ahead, decides the successor in a register of the old members, seals a majority, has the new members install from a majority of sealed ones, opens. Replica lists unfinished changes and holds the configuration version durably. A copied value's ballot is marked, as members may have copied different majorities and a value on some of them need not have been decided.

--- /dev/null
+++ b/coordination/shard/decision.go
@@ -0,0 +1,48 @@
+package shard
+
+import (
+	"context"
+	"sync"
+
+	"github.com/marblering/marblering/coordination/register"
+)
+
+// decisionViews are the views of a client that decides about one epoch: the
+// members stay those of the epoch, and a newer view ends the work.
+type decisionViews struct {
+	current register.View
+	moved   func()
+
+	mutex   sync.Mutex
+	learned register.View
+}
+
+var _ register.Views = (*decisionViews)(nil)
+
+// View implements register.Views.
+func (d *decisionViews) View(uint32) (register.View, bool) { return d.current, true }
+
+// Learn implements register.Views.
+func (d *decisionViews) Learn(view register.View) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if view.Epoch <= d.current.Epoch || view.Epoch <= d.learned.Epoch {
+		return
+	}
+	d.learned = view
+	d.moved()
+}
+
+// ConfigurationVersion implements register.Views; replicas don't compare it for
+// these registers.
+func (d *decisionViews) ConfigurationVersion() uint64 { return 0 }
+
+// LearnConfiguration implements register.Views.
+func (d *decisionViews) LearnConfiguration(context.Context, uint64) {}
+
+// next returns the newest view that a member named.
+func (d *decisionViews) next() register.View {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.learned
+}
--- /dev/null
+++ b/coordination/shard/driver.go
@@ -0,0 +1,247 @@
+package shard
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/register"
+)
+
+// ErrNoMajority means that too few members answered for a step. The shard stays
+// as far as it came; driving it again goes on from there.
+var ErrNoMajority = merry.Sentinel("shard: no majority of the members answered")
+
+// Driver carries shards from one epoch to the next. Any number of drivers may
+// work on one shard; one that stops half way is finished by the next.
+type Driver struct {
+	incarnation string
+	members     Members
+	views       *Map
+	clock       register.Clock
+	settings    register.Settings
+	logger      *zap.Logger
+
+	randomMutex sync.Mutex
+	random      *rand.Rand
+}
+
+// NewDriver makes a driver that decides under the given incarnation's ballots
+// and learns the views that it opens. Random is used under a lock.
+func NewDriver(incarnation string, members Members, views *Map, clock register.Clock, random *rand.Rand, settings register.Settings, logger *zap.Logger) *Driver {
+	return &Driver{
+		incarnation: incarnation,
+		members:     members,
+		views:       views,
+		clock:       clock,
+		random:      random,
+		settings:    settings,
+		logger:      logger,
+	}
+}
+
+// Drive ends the epoch of the current view and opens the next one with the
+// wanted members, or with those that another driver got decided; without wanted
+// members it only finishes what another driver began. It returns the
+// view that it opened, or a newer one that it found open. Members that are
+// slower than the majority are waited for until ctx ends.
+func (d *Driver) Drive(ctx context.Context, current register.View, wanted []register.Member) (register.View, error) {
+	if newest, found := d.views.View(current.Shard); found && newest.Epoch > current.Epoch {
+		return newest, nil
+	}
+	proposed := register.View{Shard: current.Shard, Epoch: current.Epoch + 1, Members: wanted}
+	successor, err := d.choose(ctx, current, proposed)
+	if err != nil {
+		return register.View{}, merry.Prependf(err, "decide epoch %d of shard %d", proposed.Epoch, current.Shard)
+	}
+	if successor.Epoch > proposed.Epoch {
+		d.views.Learn(successor)
+		return successor, nil
+	}
+	if err := d.seal(ctx, current, successor); err != nil {
+		return register.View{}, merry.Prependf(err, "seal epoch %d of shard %d", current.Epoch, current.Shard)
+	}
+	if err := d.installAndOpen(ctx, current, successor); err != nil {
+		return register.View{}, merry.Prependf(err, "install epoch %d of shard %d", successor.Epoch, current.Shard)
+	}
+	return successor, nil
+}
+
+// choose returns the successor view. Where the wanted members can't take part,
+// it proposes nothing and only finds out what another driver got decided.
+func (d *Driver) choose(ctx context.Context, current, proposed register.View) (register.View, error) {
+	if len(proposed.Members) == 0 {
+		return d.decide(ctx, current, nil)
+	}
+	encoded, err := json.Marshal(proposed)
+	if err != nil {
+		return register.View{}, merry.Prepend(err, "encode view")
+	}
+	unable := d.copyAhead(ctx, current, proposed)
+	if unable == nil {
+		return d.decide(ctx, current, encoded)
+	}
+	decided, err := d.decide(ctx, current, nil)
+	if errors.Is(err, errUndecided) {
+		return register.View{}, merry.Prepend(unable, "copy turns ahead")
+	}
+	return decided, err
+}
+
+// errUndecided is returned by a decision register that is only read.
+var errUndecided = merry.Sentinel("shard: no successor is decided")
+
+// copyAhead has the new members copy turns while the old ones still serve, so
+// that little is left once they are sealed. Each of them must answer: a set that
+// is decided with a member that is gone has no reserve left.
+func (d *Driver) copyAhead(ctx context.Context, current, proposed register.View) error {
+	request := InstallRequest{Previous: current, Successor: proposed, TurnsOnly: true}
+	var group errgroup.Group
+	for _, member := range proposed.Members {
+		if slices.Contains(current.Members, member) {
+			continue
+		}
+		group.Go(func() error {
+			reply, err := d.members.Install(ctx, member, request)
+			if err == nil && reply.Refusal == register.RefusalNotReady {
+				// The old members may have been sealed by another driver.
+				return nil
+			}
+			return merry.Prependf(failure(reply, err), "node %s", member.Node)
+		})
+	}
+	return group.Wait()
+}
+
+// decide has the members of the current epoch agree on the encoded view, nil to
+// propose none, and returns the one that they agreed on. A newer epoch than the
+// next is returned where a member says that it is open.
+func (d *Driver) decide(ctx context.Context, current register.View, encoded []byte) (register.View, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	views := &decisionViews{current: current, moved: cancel}
+	client := register.NewClient(d.incarnation, d.members, views, d.clock, d.newRandom(), d.settings)
+	decided, err := client.Apply(ctx, current.Shard, successorKey(current.Epoch), func(found []byte) ([]byte, error) {
+		switch {
+		case found != nil:
+			return found, nil
+		case encoded == nil:
+			return nil, errUndecided
+		}
+		return encoded, nil
+	})
+	if next := views.next(); next.Epoch > current.Epoch {
+		// A member says that its epoch has ended: the decision has been made.
+		return next, nil
+	}
+	if err != nil {
+		return register.View{}, err
+	}
+	var view register.View
+	err = json.Unmarshal(decided, &view)
+	return view, merry.Prepend(err, "decode view")
+}
+
+func (d *Driver) newRandom() *rand.Rand {
+	d.randomMutex.Lock()
+	defer d.randomMutex.Unlock()
+	return rand.New(rand.NewPCG(d.random.Uint64(), d.random.Uint64()))
+}
+
+// seal ends the current epoch at a majority of its members.
+func (d *Driver) seal(ctx context.Context, current, successor register.View) error {
+	return d.onMajority(ctx, current.Members, func(ctx context.Context, member register.Member) error {
+		request := SealRequest{Fence: fenceOf(current, member), Successor: successor}
+		reply, err := d.members.Seal(ctx, member, request)
+		return failure(reply, err)
+	})
+}
+
+// installAndOpen has every member of the successor copy the shard, opens it once
+// a majority has and goes on to open the others as they come.
+func (d *Driver) installAndOpen(ctx context.Context, current, successor register.View) error {
+	request := InstallRequest{Previous: current, Successor: successor}
+	installed := make(chan installation, len(successor.Members))
+	for _, member := range successor.Members {
+		go func() {
+			reply, err := d.members.Install(ctx, member, request)
+			installed <- installation{member: member, reply: reply, err: failure(reply, err)}
+		}()
+	}
+	var ready []register.Member
+	var last error
+	isOpen := false
+	for range successor.Members {
+		result := <-installed
+		if result.err != nil {
+			last = merry.Prependf(result.err, "node %s", result.member.Node)
+			if view := result.reply.View; view != nil && view.Epoch >= successor.Epoch {
+				isOpen = true
+				d.views.Learn(*view)
+			}
+			continue
+		}
+		ready = append(ready, result.member)
+		if len(ready) >= successor.Quorum() {
+			isOpen = true
+			d.views.Learn(successor)
+			d.open(ctx, successor, ready)
+		}
+	}
+	if !isOpen {
+		return merry.Wrap(ErrNoMajority, merry.AppendMessagef("%d of %d members installed: %v",
+			len(ready), len(successor.Members), last))
+	}
+	d.logger.Info("shard opened", zap.Uint32("shard", successor.Shard), zap.Uint64("epoch", successor.Epoch),
+		zap.Int("installed", len(ready)), zap.Int("members", len(successor.Members)))
+	return nil
+}
+
+type installation struct {
+	member register.Member
+	reply  archive.Reply
+	err    error
+}
+
+// open tells the members that the view may be served. A member that isn't
+// reached learns the view from others.
+func (d *Driver) open(ctx context.Context, view register.View, members []register.Member) {
+	for _, member := range members {
+		reply, err := d.members.Open(ctx, member, OpenRequest{View: view})
+		if err := failure(reply, err); err != nil {
+			d.logger.Info("member not opened", zap.Uint32("shard", view.Shard), zap.Uint64("epoch", view.Epoch),
+				zap.String("node", member.Node), zap.Error(err))
+		}
+	}
+}
+
+// onMajority runs the step at all members at once and returns when a majority
+// has done it or can't any more.
+func (d *Driver) onMajority(ctx context.Context, members []register.Member, step func(context.Context, register.Member) error) error {
+	needed := register.View{Members: members}.Quorum()
+	results := make(chan error, len(members))
+	for _, member := range members {
+		go func() { results <- merry.Prependf(step(ctx, member), "node %s", member.Node) }()
+	}
+	done := 0
+	var last error
+	for range members {
+		if err := <-results; err != nil {
+			last = err
+			continue
+		}
+		done++
+		if done == needed {
+			return nil
+		}
+	}
+	return merry.Wrap(ErrNoMajority, merry.AppendMessagef("%d of %d: %v", done, len(members), last))
+}
--- /dev/null
+++ b/coordination/shard/listing.go
@@ -0,0 +1,131 @@
+package shard
+
+import (
+	"context"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/state/replica"
+)
+
+// listing is what one member of the previous view holds: its registers, and
+// the turns by name.
+type listing struct {
+	member    register.Member
+	registers map[string]replica.Register
+	turns     map[TurnReference]struct{}
+}
+
+// holding returns those of the turns that the member listed.
+func (l *listing) holding(turns map[TurnReference]struct{}) []TurnReference {
+	var held []TurnReference
+	for reference := range turns {
+		if _, found := l.turns[reference]; found {
+			held = append(held, reference)
+		}
+	}
+	return held
+}
+
+// list reads the listings of a majority of the previous members.
+func (i *Installer) list(ctx context.Context, request InstallRequest) ([]*listing, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	members := request.Previous.Members
+	type result struct {
+		listing *listing
+		err     error
+	}
+	results := make(chan result, len(members))
+	for _, member := range members {
+		go func() {
+			listed, err := i.listMember(ctx, request, member)
+			results <- result{listing: listed, err: err}
+		}()
+	}
+	var listings []*listing
+	var last error
+	for range members {
+		received := <-results
+		if received.err != nil {
+			last = received.err
+			continue
+		}
+		listings = append(listings, received.listing)
+		if len(listings) == request.Previous.Quorum() {
+			return listings, nil
+		}
+	}
+	return nil, merry.Prependf(last, "%d of %d members of epoch %d can be copied, a majority is needed",
+		len(listings), len(members), request.Previous.Epoch)
+}
+
+func (i *Installer) listMember(ctx context.Context, request InstallRequest, member register.Member) (*listing, error) {
+	listed := &listing{
+		member:    member,
+		registers: make(map[string]replica.Register),
+		turns:     make(map[TurnReference]struct{}),
+	}
+	pull := PullRequest{Fence: fenceOf(request.Previous, member), TurnsOnly: request.TurnsOnly, OmitObjects: true}
+	reply, err := i.pull(ctx, member, pull, func(item PullItem) error {
+		if item.Turn != nil {
+			listed.turns[referenceOf(*item.Turn)] = struct{}{}
+		}
+		if item.Register != nil {
+			listed.registers[item.Register.Key] = item.Register.State
+		}
+		return ctx.Err()
+	})
+	if err := failure(reply, err); err != nil {
+		return nil, merry.Prependf(err, "list shard %d of node %s", request.Previous.Shard, member.Node)
+	}
+	return listed, nil
+}
+
+// pull reads from a member, from this replica without a connection.
+func (i *Installer) pull(ctx context.Context, member register.Member, request PullRequest, visit func(PullItem) error) (archive.Reply, error) {
+	if member.Incarnation == i.replica.incarnation {
+		return i.replica.Pull(ctx, request, visit)
+	}
+	return i.source.Pull(ctx, member, request, visit)
+}
+
+func fenceOf(view register.View, member register.Member) register.Fence {
+	return register.Fence{Shard: view.Shard, Epoch: view.Epoch, Replica: member.Incarnation}
+}
+
+// failure makes a refusal an error.
+func failure(reply archive.Reply, err error) error {
+	if err != nil {
+		return err
+	}
+	if reply.Refusal != register.RefusalNone {
+		return merry.Errorf("refused: %s", reply.Refusal)
+	}
+	return nil
+}
+
+// inheritedSeparator parts the proposer of a ballot from the incarnation that
+// inherited the value. It sorts before every character of a proposer's name, so
+// that the order of ballots stays what it was.
+const inheritedSeparator = "\x00"
+
+// inherit marks an accepted value as copied from an earlier epoch. Members may
+// have copied from different majorities, so a value that some of them hold at
+// one ballot need not be one that was ever decided, although it looks so. The
+// mark makes the ballot differ at each member, and a proposer has the value
+// accepted anew before it relies on it.
+func inherit(state replica.Register, incarnation string) replica.Register {
+	if state.Accepted.IsZero() {
+		return state
+	}
+	proposer, _, _ := strings.Cut(state.Accepted.Proposer, inheritedSeparator)
+	state.Accepted.Proposer = proposer + inheritedSeparator + incarnation
+	if state.Promised.Less(state.Accepted) {
+		state.Promised = state.Accepted
+	}
+	return state
+}
--- a/coordination/shard/map.go
+++ b/coordination/shard/map.go
@@ -1,6 +1,3 @@
-// Package shard groups registers and history turns into shards and keeps each
-// shard's replica set: which members it has in which epoch, what a member
-// answers, and how one set is followed by the next.
 package shard
 
 import (
@@ -51,8 +48,12 @@
 	return view, view.Epoch != 0
 }
 
-// Learn takes in a view if it is newer than the one of the map.
+// Learn takes in a view if it is newer than the one of the map. Only a view
+// that is open may be given: see the package comment.
 func (m *Map) Learn(view register.View) {
+	if view.Epoch <= m.Epoch(view.Shard) || len(view.Members) == 0 {
+		return
+	}
 	m.writing.Lock()
 	defer m.writing.Unlock()
 	views := *m.views.Load()
@@ -65,6 +66,23 @@
 	m.views.Store(&next)
 }
 
+// Epoch returns the newest known epoch of the shard, zero for none.
+func (m *Map) Epoch(shard uint32) uint64 {
+	view, _ := m.View(shard)
+	return view.Epoch
+}
+
+// Views returns the known views in order of their shards.
+func (m *Map) Views() []register.View {
+	var known []register.View
+	for _, view := range *m.views.Load() {
+		if view.Epoch != 0 {
+			known = append(known, view)
+		}
+	}
+	return known
+}
+
 // Digest is equal at two nodes that know the same epochs.
 func (m *Map) Digest() uint64 {
 	digest := xxhash.New()
--- /dev/null
+++ b/coordination/shard/network_test.go
@@ -0,0 +1,221 @@
+package shard_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/state/replica"
+)
+
+var errLost = errors.New("message lost")
+
+// process is one life of a node.
+type process struct {
+	member    register.Member
+	store     *replica.Memory
+	views     *shard.Map
+	replica   *shard.Replica
+	installer *shard.Installer
+	// ctx ends with the process.
+	ctx  context.Context
+	kill context.CancelFunc
+}
+
+// network runs nodes in memory. Requests take random time, so that they
+// overtake each other, and some are lost, answered in vain or doubled.
+type network struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	// trouble is the share of the messages that are lost.
+	trouble   float64
+	processes map[string]*process
+	// frozenUntil holds back requests and answers of a node.
+	frozenUntil map[string]time.Time
+	lives       int
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{
+		random:      rand.New(rand.NewPCG(seed, 0)),
+		processes:   make(map[string]*process),
+		frozenUntil: make(map[string]time.Time),
+	}
+}
+
+// start begins a life of the node. With a store it keeps incarnation and data.
+func (n *network) start(node, zone string, kept *process) *process {
+	n.lives++
+	next := &process{
+		member: register.Member{Node: node, Incarnation: fmt.Sprintf("%s-%d", node, n.lives), Address: node, Zone: zone},
+		store:  replica.NewMemory(),
+		views:  shard.NewMap(1),
+	}
+	if kept != nil {
+		next.member, next.store = kept.member, kept.store
+	}
+	next.ctx, next.kill = context.WithCancel(context.Background())
+	next.replica = shard.NewReplica(next.member.Incarnation, next.store, next.views, func() uint64 { return 0 })
+	next.installer = shard.NewInstaller(next.replica, link{n, node}, zap.NewNop())
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if previous := n.processes[node]; previous != nil {
+		previous.kill()
+	}
+	n.processes[node] = next
+	return next
+}
+
+func (n *network) process(node string) *process {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.processes[node]
+}
+
+func (n *network) names() []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	var names []string
+	for name := range n.processes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (n *network) chance(share float64) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.random.Float64() < share
+}
+
+func (n *network) pick(count int) int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.random.IntN(count)
+}
+
+func (n *network) freeze(node string, length time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.frozenUntil[node] = time.Now().Add(length)
+}
+
+// calm ends all trouble.
+func (n *network) calm() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.trouble = 0
+	clear(n.frozenUntil)
+}
+
+// travel takes the time of one message, and longer while a node is frozen.
+func (n *network) travel(ctx context.Context, nodes ...string) error {
+	n.mutex.Lock()
+	delay := time.Duration(1+n.random.IntN(20_000)) * time.Microsecond
+	isLost := n.random.Float64() < n.trouble
+	for _, node := range nodes {
+		delay = max(delay, time.Until(n.frozenUntil[node]))
+	}
+	n.mutex.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if isLost {
+		return errLost
+	}
+	return nil
+}
+
+// link is the network as one node sees it.
+type link struct {
+	network *network
+	node    string
+}
+
+var (
+	_ shard.Members = link{}
+	_ shard.Source  = link{}
+)
+
+// call carries one request and its answer.
+func call[Reply any](ctx context.Context, l link, to register.Member, handle func(context.Context, *process) Reply) (Reply, error) {
+	var none Reply
+	if err := l.network.travel(ctx, l.node, to.Node); err != nil {
+		return none, err
+	}
+	target := l.network.process(to.Address)
+	if l.network.chance(l.network.trouble) {
+		go func() {
+			if l.network.travel(target.ctx, to.Node) == nil {
+				handle(target.ctx, target)
+			}
+		}()
+	}
+	reply := handle(target.ctx, target)
+	if target.ctx.Err() != nil {
+		return none, errLost
+	}
+	return reply, l.network.travel(ctx, l.node, to.Node)
+}
+
+func (l link) Prepare(ctx context.Context, to register.Member, request register.PrepareRequest) (register.PrepareReply, error) {
+	return call(ctx, l, to, func(ctx context.Context, p *process) register.PrepareReply { return p.replica.Prepare(ctx, request) })
+}
+
+func (l link) Accept(ctx context.Context, to register.Member, request register.AcceptRequest) (register.AcceptReply, error) {
+	return call(ctx, l, to, func(ctx context.Context, p *process) register.AcceptReply { return p.replica.Accept(ctx, request) })
+}
+
+func (l link) PutTurn(ctx context.Context, to register.Member, fence register.Fence, turn replica.Turn) (archive.Reply, error) {
+	return call(ctx, l, to, func(ctx context.Context, p *process) archive.Reply { return p.replica.PutTurn(ctx, fence, turn) })
+}
+
+func (l link) Seal(ctx context.Context, to register.Member, request shard.SealRequest) (archive.Reply, error) {
+	return call(ctx, l, to, func(ctx context.Context, p *process) archive.Reply { return p.replica.Seal(ctx, request) })
+}
+
+func (l link) Install(ctx context.Context, to register.Member, request shard.InstallRequest) (archive.Reply, error) {
+	return call(ctx, l, to, func(ctx context.Context, p *process) archive.Reply { return p.installer.Install(ctx, request) })
+}
+
+func (l link) Open(ctx context.Context, to register.Member, request shard.OpenRequest) (archive.Reply, error) {
+	return call(ctx, l, to, func(ctx context.Context, p *process) archive.Reply { return p.replica.Open(ctx, request) })
+}
+
+// pullResult is everything that one pull sent.
+type pullResult struct {
+	reply archive.Reply
+	items []shard.PullItem
+	err   error
+}
+
+func (l link) Pull(ctx context.Context, to register.Member, request shard.PullRequest, visit func(shard.PullItem) error) (archive.Reply, error) {
+	result, err := call(ctx, l, to, func(ctx context.Context, p *process) (result pullResult) {
+		result.reply, result.err = p.replica.Pull(ctx, request, func(item shard.PullItem) error {
+			result.items = append(result.items, item)
+			return nil
+		})
+		return result
+	})
+	if err = errors.Join(err, result.err); err != nil {
+		return archive.Reply{}, err
+	}
+	for _, item := range result.items {
+		if err := visit(item); err != nil {
+			return archive.Reply{}, err
+		}
+	}
+	return result.reply, nil
+}
--- a/coordination/shard/replica.go
+++ b/coordination/shard/replica.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"sync"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/marblering/marblering/coordination/archive"
@@ -22,93 +24,148 @@
 	configuration func() uint64
 	acceptor      register.Acceptor
 	locks         [stripes]sync.Mutex
+
+	// requests is held for reading while a request is answered.
+	requests sync.RWMutex
+	// heldVersion is the configuration version in the store; durable is set
+	// once it was read.
+	heldVersion uint64
+	durable     bool
+
+	partsMutex sync.RWMutex
+	parts      map[uint32]*part
 }
 
 // NewReplica makes the replica of one incarnation. The function gives the
 // configuration version that the node knows.
 func NewReplica(incarnation string, store replica.Store, views *Map, configuration func() uint64) *Replica {
-	return &Replica{incarnation: incarnation, store: store, views: views, configuration: configuration}
+	return &Replica{
+		incarnation:   incarnation,
+		store:         store,
+		views:         views,
+		configuration: configuration,
+		parts:         make(map[uint32]*part),
+	}
 }
 
 // Incarnation names the life of the node whose promises this replica keeps.
 func (r *Replica) Incarnation() string { return r.incarnation }
 
-func (r *Replica) lock(key string) *sync.Mutex {
-	return &r.locks[xxhash.Sum64String(key)%stripes]
+// Shards returns the number of shards.
+func (r *Replica) Shards() uint32 { return r.views.Count() }
+
+// part returns the replica's part in the shard.
+func (r *Replica) part(shard uint32) (*part, error) {
+	if shard >= r.views.Count() {
+		return nil, merry.Errorf("shard %d of %d", shard, r.views.Count())
+	}
+	r.partsMutex.RLock()
+	found := r.parts[shard]
+	r.partsMutex.RUnlock()
+	if found != nil {
+		return found, nil
+	}
+	r.partsMutex.Lock()
+	defer r.partsMutex.Unlock()
+	if r.parts[shard] == nil {
+		r.parts[shard] = newPart()
+	}
+	return r.parts[shard], nil
+}
+
+func (r *Replica) lock(shard uint32, key string) *sync.Mutex {
+	return &r.locks[(xxhash.Sum64String(key)+uint64(shard))%stripes]
 }
 
-// check compares a request's fence with what this replica is and knows.
-func (r *Replica) check(fence register.Fence) (register.Refusal, *register.View) {
-	if fence.Replica != r.incarnation {
-		return register.RefusalIncarnation, nil
-	}
-	view, known := r.views.View(fence.Shard)
-	switch {
-	case !known:
-		return register.RefusalNotReady, nil
-	case view.Epoch > fence.Epoch:
-		return register.RefusalEpoch, &view
-	case view.Epoch < fence.Epoch:
-		return register.RefusalNotReady, nil
-	}
-	return register.RefusalNone, nil
+// verdict is the part of a reply that doesn't depend on the kind of request.
+type verdict struct {
+	refusal register.Refusal
+	view    *register.View
+	version uint64
 }
 
 // Prepare answers a prepare request.
 func (r *Replica) Prepare(_ context.Context, request register.PrepareRequest) register.PrepareReply {
-	lock := r.lock(request.Key)
-	lock.Lock()
-	defer lock.Unlock()
-	known := r.configuration()
-	if refusal, view := r.check(request.Fence); refusal != register.RefusalNone {
-		return register.PrepareReply{Refusal: refusal, View: view, ConfigurationVersion: known}
+	var reply register.PrepareReply
+	result := r.vote(request.Fence, request.Key, func(current replica.Register) (replica.Register, register.Refusal) {
+		var next replica.Register
+		next, reply = r.acceptor.Prepare(current, request.Ballot)
+		return next, reply.Refusal
+	})
+	if result.refusal != register.RefusalNone {
+		reply = register.PrepareReply{Refusal: result.refusal, Promised: reply.Promised, View: result.view}
 	}
-	if request.Fence.ConfigurationVersion < known {
-		return register.PrepareReply{Refusal: register.RefusalConfiguration, ConfigurationVersion: known}
+	reply.ConfigurationVersion = result.version
+	return reply
+}
+
+// Accept answers an accept request.
+func (r *Replica) Accept(_ context.Context, request register.AcceptRequest) register.AcceptReply {
+	var reply register.AcceptReply
+	result := r.vote(request.Fence, request.Key, func(current replica.Register) (replica.Register, register.Refusal) {
+		var next replica.Register
+		next, reply = r.acceptor.Accept(current, request.Ballot, request.Value, request.Next)
+		return next, reply.Refusal
+	})
+	if result.refusal != register.RefusalNone {
+		reply = register.AcceptReply{Refusal: result.refusal, Promised: reply.Promised, View: result.view}
 	}
-	state, err := r.store.LoadRegister(request.Fence.Shard, request.Key)
+	reply.ConfigurationVersion = result.version
+	return reply
+}
+
+type decision func(current replica.Register) (next replica.Register, refusal register.Refusal)
+
+// vote checks the fence, loads the register, decides and stores the outcome as
+// one step.
+func (r *Replica) vote(fence register.Fence, key string, decide decision) verdict {
+	r.requests.RLock()
+	defer r.requests.RUnlock()
+	version, err := r.version()
 	if err != nil {
-		return register.PrepareReply{Refusal: register.RefusalStorage, ConfigurationVersion: known}
+		return verdict{refusal: register.RefusalStorage}
 	}
-	next, reply := r.acceptor.Prepare(state, request.Ballot)
-	reply.ConfigurationVersion = known
-	if reply.Refusal == register.RefusalNone {
-		if err := r.store.SaveRegister(request.Fence.Shard, request.Key, next); err != nil {
-			return register.PrepareReply{Refusal: register.RefusalStorage, ConfigurationVersion: known}
-		}
+	current, err := r.current(fence.Shard)
+	if err != nil {
+		return verdict{refusal: register.RefusalStorage, version: version}
 	}
-	return reply
+	defer current.mutex.RUnlock()
+	if refusal, view := r.check(current.state, fence, key); refusal != register.RefusalNone {
+		return verdict{refusal: refusal, view: view, version: version}
+	}
+	// Who the members are doesn't depend on the configuration.
+	if fence.ConfigurationVersion < version && !isSuccessorKey(key) {
+		return verdict{refusal: register.RefusalConfiguration, version: version}
+	}
+	return verdict{refusal: r.decide(fence.Shard, key, decide), version: version}
 }
 
-// Accept answers an accept request.
-func (r *Replica) Accept(_ context.Context, request register.AcceptRequest) register.AcceptReply {
-	lock := r.lock(request.Key)
+func (r *Replica) decide(shard uint32, key string, decide decision) register.Refusal {
+	lock := r.lock(shard, key)
 	lock.Lock()
 	defer lock.Unlock()
-	known := r.configuration()
-	if refusal, view := r.check(request.Fence); refusal != register.RefusalNone {
-		return register.AcceptReply{Refusal: refusal, View: view, ConfigurationVersion: known}
-	}
-	if request.Fence.ConfigurationVersion < known {
-		return register.AcceptReply{Refusal: register.RefusalConfiguration, ConfigurationVersion: known}
-	}
-	state, err := r.store.LoadRegister(request.Fence.Shard, request.Key)
+	state, err := r.store.LoadRegister(shard, key)
 	if err != nil {
-		return register.AcceptReply{Refusal: register.RefusalStorage, ConfigurationVersion: known}
+		return register.RefusalStorage
 	}
-	next, reply := r.acceptor.Accept(state, request.Ballot, request.Value, request.Next)
-	reply.ConfigurationVersion = known
-	if reply.Refusal == register.RefusalNone {
-		if err := r.store.SaveRegister(request.Fence.Shard, request.Key, next); err != nil {
-			return register.AcceptReply{Refusal: register.RefusalStorage, ConfigurationVersion: known}
-		}
+	next, refusal := decide(state)
+	if refusal != register.RefusalNone {
+		return refusal
 	}
-	return reply
+	if err := r.store.SaveRegister(shard, key, next); err != nil {
+		return register.RefusalStorage
+	}
+	return register.RefusalNone
 }
 
 // PutTurn stores a turn.
 func (r *Replica) PutTurn(_ context.Context, fence register.Fence, turn replica.Turn) archive.Reply {
-	if refusal, view := r.check(fence); refusal != register.RefusalNone {
+	current, err := r.current(fence.Shard)
+	if err != nil {
+		return archive.Reply{Refusal: register.RefusalStorage}
+	}
+	defer current.mutex.RUnlock()
+	if refusal, view := r.check(current.state, fence, turn.Program); refusal != register.RefusalNone {
 		return archive.Reply{Refusal: refusal, View: view}
 	}
 	if err := r.store.PutTurn(fence.Shard, turn); err != nil {
@@ -119,7 +176,13 @@
 
 // ReadTurns visits the program's turns from the given sequence on.
 func (r *Replica) ReadTurns(_ context.Context, fence register.Fence, id string, from uint64, visit func(replica.Turn) error) (archive.Reply, error) {
-	if refusal, view := r.check(fence); refusal != register.RefusalNone {
+	current, err := r.current(fence.Shard)
+	if err != nil {
+		return archive.Reply{Refusal: register.RefusalStorage}, nil
+	}
+	refusal, view := r.check(current.state, fence, id)
+	current.mutex.RUnlock()
+	if refusal != register.RefusalNone {
 		return archive.Reply{Refusal: refusal, View: view}, nil
 	}
 	return archive.Reply{}, r.store.ReadTurns(fence.Shard, id, from, visit)
@@ -128,8 +191,59 @@
 // EachRecord visits the values of the shard's registers as this replica has
 // accepted them. They may be out of date, or undecided: a hint only.
 func (r *Replica) EachRecord(shard uint32, visit func(root string, value []byte) error) error {
-	return r.store.EachRegister(shard, func(key string, state replica.Register) error { return visit(key, state.Value) })
+	return r.store.EachRegister(shard, func(key string, state replica.Register) error {
+		if isSuccessorKey(key) {
+			return nil
+		}
+		return visit(key, state.Value)
+	})
 }
 
-// Shards returns the number of shards.
-func (r *Replica) Shards() uint32 { return r.views.Count() }
+// version returns the newest configuration version that the replica knows,
+// which is what it held before a restart at least.
+func (r *Replica) version() (uint64, error) {
+	held, err := r.held()
+	return max(held, r.configuration()), err
+}
+
+func (r *Replica) held() (uint64, error) {
+	r.partsMutex.RLock()
+	held, durable := r.heldVersion, r.durable
+	r.partsMutex.RUnlock()
+	if durable {
+		return held, nil
+	}
+	raw, err := r.store.LoadMeta(nodeShard, configurationVersionName)
+	if err != nil {
+		return 0, merry.Prepend(err, "load configuration version")
+	}
+	if len(raw) == 8 {
+		held = binary.BigEndian.Uint64(raw)
+	}
+	r.partsMutex.Lock()
+	defer r.partsMutex.Unlock()
+	r.durable = true
+	r.heldVersion = max(r.heldVersion, held)
+	return r.heldVersion, nil
+}
+
+// HoldConfiguration makes the configuration version durable and waits for the
+// requests that were let in under an older one. When it returns, no change that
+// was decided under an older version is granted by this replica any more, also
+// after a restart with its data.
+func (r *Replica) HoldConfiguration() error {
+	version, err := r.version()
+	if err != nil {
+		return err
+	}
+	raw := binary.BigEndian.AppendUint64(nil, version)
+	if err := r.store.SaveMeta(nodeShard, configurationVersionName, raw); err != nil {
+		return merry.Prependf(err, "save configuration version %d", version)
+	}
+	r.partsMutex.Lock()
+	r.heldVersion = max(r.heldVersion, version)
+	r.partsMutex.Unlock()
+	r.requests.Lock()
+	defer r.requests.Unlock()
+	return nil
+}
--- /dev/null
+++ b/coordination/shard/state.go
@@ -0,0 +1,85 @@
+package shard
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/state/replica"
+)
+
+// nodeShard is the shard number under which a replica keeps what must outlive
+// the data of the shards. No real shard has this number.
+const nodeShard uint32 = math.MaxUint32
+
+const (
+	stateNamePrefix          = "shard-"
+	configurationVersionName = "configuration-version"
+)
+
+// state is what a replica remembers of its part in one shard. It is stored as
+// JSON.
+type state struct {
+	// View is the newest decided view that the replica was told of; the epochs
+	// before it have ended here.
+	View register.View
+	// Previous is the view that View followed here.
+	Previous register.View
+	// Opened is the newest view that the replica knew to be open.
+	Opened register.View
+	// DataEpoch is the newest epoch whose data the replica holds; zero for none.
+	DataEpoch uint64
+}
+
+// isInstalled reports whether the replica holds the data of its view.
+func (s state) isInstalled() bool {
+	return s.View.Epoch > 0 && s.DataEpoch == s.View.Epoch
+}
+
+// isOpen reports whether the replica may serve its view.
+func (s state) isOpen() bool {
+	return s.isInstalled() && s.Opened.Epoch == s.View.Epoch
+}
+
+// followedBy returns the state after the decision of a newer view.
+func (s state) followedBy(view register.View) state {
+	s.Previous = s.View
+	s.View = view
+	return s
+}
+
+// successorOf returns the view that followed the epoch, or nil where the
+// replica doesn't know it.
+func (s state) successorOf(epoch uint64) *register.View {
+	for _, view := range []register.View{s.View, s.Previous} {
+		if view.Epoch == epoch+1 {
+			return &view
+		}
+	}
+	return nil
+}
+
+func stateName(shard uint32) string {
+	return stateNamePrefix + strconv.FormatUint(uint64(shard), 10)
+}
+
+func saveState(store replica.Store, shard uint32, current state) error {
+	encoded, err := json.Marshal(current)
+	if err != nil {
+		return merry.Prependf(err, "encode state of shard %d", shard)
+	}
+	return merry.Prependf(store.SaveMeta(nodeShard, stateName(shard), encoded), "save state of shard %d", shard)
+}
+
+func loadState(store replica.Store, shard uint32) (state, error) {
+	var loaded state
+	encoded, err := store.LoadMeta(nodeShard, stateName(shard))
+	if err != nil || encoded == nil {
+		return loaded, merry.Prependf(err, "load state of shard %d", shard)
+	}
+	err = json.Unmarshal(encoded, &loaded)
+	return loaded, merry.Prependf(err, "decode state of shard %d", shard)
+}
