--- a/coordination/shard/replica.go
+++ b/coordination/shard/replica.go
@@ -176,16 +176,34 @@
 
 // ReadTurns visits the program's turns from the given sequence on.
 func (r *Replica) ReadTurns(_ context.Context, fence register.Fence, id string, from uint64, visit func(replica.Turn) error) (archive.Reply, error) {
+	if refusal, view := r.admit(fence, id); refusal != register.RefusalNone {
+		return archive.Reply{Refusal: refusal, View: view}, nil
+	}
+	return archive.Reply{}, r.store.ReadTurns(fence.Shard, id, from, visit)
+}
+
+// admit checks the fence of a request that may go on after the epoch has ended,
+// as reading what doesn't change.
+func (r *Replica) admit(fence register.Fence, key string) (register.Refusal, *register.View) {
 	current, err := r.current(fence.Shard)
 	if err != nil {
-		return archive.Reply{Refusal: register.RefusalStorage}, nil
+		return register.RefusalStorage, nil
 	}
-	refusal, view := r.check(current.state, fence, id)
-	current.mutex.RUnlock()
-	if refusal != register.RefusalNone {
-		return archive.Reply{Refusal: refusal, View: view}, nil
+	defer current.mutex.RUnlock()
+	return r.check(current.state, fence, key)
+}
+
+// Peek returns the value that this replica accepted last: a hint, since it may
+// be out of date or undecided.
+func (r *Replica) Peek(fence register.Fence, key string) ([]byte, register.Refusal) {
+	if refusal, _ := r.admit(fence, key); refusal != register.RefusalNone {
+		return nil, refusal
 	}
-	return archive.Reply{}, r.store.ReadTurns(fence.Shard, id, from, visit)
+	state, err := r.store.LoadRegister(fence.Shard, key)
+	if err != nil {
+		return nil, register.RefusalStorage
+	}
+	return state.Value, register.RefusalNone
 }
 
 // EachRecord visits the values of the shard's registers as this replica has
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -40,6 +40,8 @@
 	readyPause   = 50 * time.Millisecond
 	modelContext = 400000
 	modelOutput  = 64
+	// maxSeeds is how many of the first nodes the others are told of.
+	maxSeeds = 3
 )
 
 // Options describe a deployment.
@@ -56,7 +58,18 @@
 	// DataFolders gives each node a folder for its replicas; empty keeps them
 	// in memory.
 	DataFolders []string
-	Logger      *zap.Logger
+	// Hollow are engines that run elsewhere: they are only configured.
+	Hollow []HollowEngine
+	// Tenants are configured beside TenantName.
+	Tenants int
+	Logger  *zap.Logger
+}
+
+// HollowEngine is an engine that the deployment doesn't start.
+type HollowEngine struct {
+	Name    string
+	Address string
+	Zone    string
 }
 
 // Deployment is a running system.
@@ -148,6 +161,19 @@
 			Models: []string{ModelName}, Role: configuration.RoleMixed,
 		}))
 	}
+	for _, hollow := range d.options.Hollow {
+		err = errors.Join(err, d.put(ctx, configuration.KindEngine, hollow.Name, configuration.Engine{
+			Address: hollow.Address, Zone: hollow.Zone, Generation: engine.DefaultGeneration, Pool: PoolName,
+			Models: []string{ModelName}, Role: configuration.RoleMixed,
+		}))
+	}
+	for index := range d.options.Tenants {
+		name := fmt.Sprintf("extra-%d", index)
+		digest := sha256.Sum256([]byte(name))
+		err = errors.Join(err, d.put(ctx, configuration.KindTenant, name, configuration.Tenant{
+			APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1,
+		}))
+	}
 	return err
 }
 
@@ -196,7 +222,7 @@
 		"--shards", fmt.Sprint(d.options.Shards),
 	}
 	var seeds []string
-	for _, started := range d.Nodes {
+	for _, started := range d.Nodes[:min(maxSeeds, len(d.Nodes))] {
 		seeds = append(seeds, started.PeerAddress())
 	}
 	if len(seeds) > 0 {
