Shed new programs by stretch and memory, in a short line

Cause: above capacity too many programs were let in; calls got slow without a queue, since batches grew and contexts were evicted, and programs were given up half way. Change: ShedPolicy has MaxStretch (expected time over that on idle engines), MaxMemory, MaxLine and Away; decisions report Unloaded and MemoryUse; Speeds keeps the step time of the idle engine. Callers in the lab give up at once where Retry-After exceeds their patience.

--- a/coordination/limit/limit_test.go
+++ b/coordination/limit/limit_test.go
@@ -168,16 +168,19 @@
 }
 
 func TestShedderPrefersBegunProgramsAndSpreadsReturns(t *testing.T) {
-	shedder := limit.NewShedder(limit.ShedPolicy{MaxQueueNew: time.Second, MaxQueue: 10 * time.Second})
+	shedder := limit.NewShedder(limit.ShedPolicy{MaxStretch: 2, MaxQueue: 10 * time.Second, MaxLine: 4 * time.Second, Away: time.Minute})
 	random := rand.New(rand.NewPCG(1, 2))
-	demand := limit.Demand{ExpectedQueue: 3 * time.Second, Service: 4 * time.Second, Engines: 4}
-	for i := 1; i <= 3; i++ {
-		assert.Equal(t, shedder.Admit(demand, random, testTime), time.Duration(2+i)*time.Second)
+	demand := limit.Demand{Expected: 10 * time.Second, Unloaded: 4 * time.Second, Service: 4 * time.Second, Engines: 4}
+	pauses := []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, time.Minute, time.Minute}
+	for _, want := range pauses {
+		assert.Equal(t, shedder.Admit(demand, random, testTime), want)
 	}
 	demand.Begun = true
 	assert.Equal(t, shedder.Admit(demand, random, testTime), time.Duration(0))
 	demand.ExpectedQueue = 11 * time.Second
 	assert.Assert(t, shedder.Admit(demand, random, testTime) > 0)
+	light := limit.Demand{Expected: 8 * time.Second, Unloaded: 4 * time.Second, Engines: 4}
+	assert.Equal(t, shedder.Admit(light, random, testTime), time.Duration(0))
 }
 
 func TestDeadlineTravels(t *testing.T) {
--- a/coordination/limit/shed.go
+++ b/coordination/limit/shed.go
@@ -8,21 +8,46 @@
 
 // ShedPolicy says when calls are shed.
 type ShedPolicy struct {
-	// MaxQueueNew is the expected queueing above which a call that starts a new
-	// program is shed. Programs that have begun go on: shedding them would
-	// throw away what they have computed.
+	// MaxStretch is the expected time of a call, as a multiple of its time on
+	// idle engines, above which a call that starts a new program is shed.
+	// Programs that have begun go on: shedding them would throw away what they
+	// have computed.
+	MaxStretch float64
+	// MaxMemory is the share of the engines' context memory in use above which
+	// such a call is shed too: contexts grow, and once those of paused programs
+	// are evicted everything is computed again.
+	MaxMemory float64
+	// MaxQueueNew is the expected queueing above which such a call is shed, and
+	// MaxQueue that above which every call is.
 	MaxQueueNew time.Duration
-	// MaxQueue is the expected queueing above which every call is shed.
-	MaxQueue time.Duration
+	MaxQueue    time.Duration
+	// MaxLine is the longest pause given to calls that are to come back in turn.
+	// Beyond it they are sent away for Away, so that callers who can't wait that
+	// long stop asking and those in line find room.
+	MaxLine time.Duration
+	Away    time.Duration
 	// Spread is the relative jitter of the pauses given.
 	Spread float64
 }
 
-// DefaultShedPolicy keeps the queue of accepted programs short.
+// DefaultShedPolicy admits programs while calls take at most three times as
+// long as on idle engines.
 func DefaultShedPolicy() ShedPolicy {
-	return ShedPolicy{MaxQueueNew: 2 * time.Second, MaxQueue: 30 * time.Second, Spread: 0.2}
+	return ShedPolicy{
+		MaxStretch:  3,
+		MaxMemory:   0.97,
+		MaxQueueNew: 10 * time.Second,
+		MaxQueue:    30 * time.Second,
+		MaxLine:     5 * time.Second,
+		Away:        time.Minute,
+		Spread:      0.2,
+	}
 }
 
+// memoryPause is the pause of the first in line for memory. When memory is
+// freed depends on users and tools, so nothing better is known.
+const memoryPause = time.Second
+
 // Demand is a call that asks to be let in.
 type Demand struct {
 	// Begun is set where the program was served before.
@@ -31,6 +56,12 @@
 	ExpectedQueue time.Duration
 	// Service is the engine time the call needs.
 	Service time.Duration
+	// Expected is the time of the call as things are, Unloaded that on idle
+	// engines; zero where these aren't known.
+	Expected time.Duration
+	Unloaded time.Duration
+	// MemoryUse is the share of the engines' context memory in use.
+	MemoryUse float64
 	// Engines that can serve it.
 	Engines int
 }
@@ -53,26 +84,49 @@
 // Admit returns zero where the call may go on, else the pause after which
 // another try makes sense.
 func (s *Shedder) Admit(demand Demand, random *rand.Rand, now time.Time) time.Duration {
-	limit := s.policy.MaxQueueNew
-	if demand.Begun {
-		limit = s.policy.MaxQueue
-	}
-	if limit <= 0 || demand.ExpectedQueue <= limit {
+	excess := s.excess(&demand)
+	if excess <= 0 {
 		return 0
 	}
-	pause := s.promise(demand, demand.ExpectedQueue-limit, now)
+	pause := s.promise(&demand, excess, now)
 	jitter := 1 + s.policy.Spread*random.Float64()
 	return max(time.Duration(float64(pause)*jitter), minRetryAfter)
 }
 
+// excess is by how much the expected times exceed their limits.
+func (s *Shedder) excess(demand *Demand) time.Duration {
+	var excess time.Duration
+	if s.policy.MaxQueue > 0 {
+		excess = max(demand.ExpectedQueue-s.policy.MaxQueue, 0)
+	}
+	if demand.Begun {
+		return excess
+	}
+	if s.policy.MaxQueueNew > 0 {
+		excess = max(excess, demand.ExpectedQueue-s.policy.MaxQueueNew)
+	}
+	if s.policy.MaxMemory > 0 && demand.MemoryUse > s.policy.MaxMemory {
+		excess = max(excess, memoryPause)
+	}
+	if s.policy.MaxStretch > 0 && demand.Unloaded > 0 {
+		longest := time.Duration(s.policy.MaxStretch * float64(demand.Unloaded))
+		excess = max(excess, demand.Expected-longest)
+	}
+	return excess
+}
+
 // promise gives the next place in the line of refused calls.
-func (s *Shedder) promise(demand Demand, excess time.Duration, now time.Time) time.Duration {
+func (s *Shedder) promise(demand *Demand, excess time.Duration, now time.Time) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	earliest := now.Add(excess)
 	if s.promised.Before(earliest) {
 		s.promised = earliest
 	}
+	pause := s.promised.Sub(now)
+	if s.policy.MaxLine > 0 && pause > s.policy.MaxLine {
+		return max(pause, s.policy.Away)
+	}
 	s.promised = s.promised.Add(demand.Service / time.Duration(max(demand.Engines, 1)))
-	return s.promised.Sub(now)
+	return pause
 }
--- a/coordination/routing/choose.go
+++ b/coordination/routing/choose.go
@@ -23,13 +23,17 @@
 	if len(kept) == 0 {
 		return refuseWithoutEngine(request, rejected)
 	}
-	candidates := scoreAll(snapshot, request, kept, len(rejected))
+	ranking := newRanking(snapshot, request, kept)
+	candidates := ranking.scoreAll(len(rejected))
 	best := draw(candidates, snapshot.Weights.Tolerance, random)
 	if refusal := shed(snapshot, request, &candidates[best]); refusal != nil {
 		return Decision{Candidates: append(candidates, rejected...), Reason: refusal.Message, Err: refusal}
 	}
 	candidates[0], candidates[best] = candidates[best], candidates[0]
-	return accept(snapshot, request, append(candidates, rejected...))
+	decision := accept(snapshot, request, append(candidates, rejected...))
+	decision.Unloaded = seconds(ranking.unloaded())
+	decision.MemoryUse = ranking.memoryUse()
+	return decision
 }
 
 // filterEngines returns the subset of the feasible engines and a bounded list
@@ -50,11 +54,11 @@
 	return chosen.engines(), rejected
 }
 
-func scoreAll(snapshot *Snapshot, request *Request, kept []int, spare int) []Candidate {
-	ranking := newRanking(snapshot, request, kept)
-	candidates := make([]Candidate, 0, len(kept)+spare)
-	for position := range kept {
-		candidates = append(candidates, ranking.score(position))
+// scoreAll scores the subset, best first, and leaves room for rejected engines.
+func (r *ranking) scoreAll(spare int) []Candidate {
+	candidates := make([]Candidate, 0, len(r.indexes)+spare)
+	for position := range r.indexes {
+		candidates = append(candidates, r.score(position))
 	}
 	slices.SortFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.Engine, b.Engine))
--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -86,6 +86,11 @@
 	Transfer *Transfer
 	// Expected is the time from dispatch to the whole answer.
 	Expected time.Duration
+	// Unloaded is what that would be on the best engine if all were idle.
+	Unloaded time.Duration
+	// MemoryUse is the share of the scored engines' context memory that is in
+	// use; zero where no limit is known.
+	MemoryUse float64
 	// Work is what the engine is going to compute.
 	Work Work
 	// Candidates are the scored engines, best first, then a bounded number of
--- a/coordination/routing/locality_test.go
+++ b/coordination/routing/locality_test.go
@@ -141,7 +141,7 @@
 		speeds.Observe("e", routing.Observation{ComputedTokens: tokens, PrefillTime: time.Second, OutputTokens: 20, DecodeTime: time.Second})
 	}
 	observe(4000)
-	assert.Equal(t, speeds.Of("e"), routing.Speed{Prefill: 4000, Decode: 20, Step: routing.StepTime{Base: 0.05}})
+	assert.Equal(t, speeds.Of("e"), routing.Speed{Prefill: 4000, Decode: 20, Step: routing.StepTime{Base: 0.05}, IdleStep: 0.05})
 	for range 30 {
 		observe(1000)
 	}
--- a/coordination/routing/rank.go
+++ b/coordination/routing/rank.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 )
 
@@ -67,6 +68,36 @@
 	return candidate
 }
 
+// unloaded is the least time the call would take on an idle engine, in seconds.
+func (r *ranking) unloaded() float64 {
+	least := math.Inf(1)
+	for _, index := range r.indexes {
+		engine := &r.snapshot.Engines[index]
+		step := engine.IdleStep
+		if step == 0 {
+			step = stepTime(engine, 1)
+		}
+		computed := r.request.PromptTokens() - r.request.cachedOn(engine.Name)
+		took := float64(computed)/prefillSpeed(engine) + float64(r.request.OutputTokens)*step
+		least = min(least, took)
+	}
+	return least
+}
+
+// memoryUse is the share of the subset's context memory that is in use.
+func (r *ranking) memoryUse() float64 {
+	var used, limit uint64
+	for i, index := range r.indexes {
+		engine := &r.snapshot.Engines[index]
+		used += min(r.loads[i].memory, engine.CacheLimit)
+		limit += engine.CacheLimit
+	}
+	if limit == 0 {
+		return 0
+	}
+	return float64(used) / float64(limit)
+}
+
 // wasted is the computing of tokens that the best-provided engine has.
 func (r *ranking) wasted(cached uint64, speed float64) float64 {
 	if r.best.Tokens <= cached {
--- a/coordination/routing/snapshot.go
+++ b/coordination/routing/snapshot.go
@@ -44,6 +44,8 @@
 	DecodeSpeed float64
 	// Step is the learned time of an output token; see Speeds.
 	Step StepTime
+	// IdleStep is the learned time of an output token on the idle engine.
+	IdleStep float64
 	// TransferSpeed is the rate at which the engine exports or imports context
 	// in tokens per second; zero takes that of the weights.
 	TransferSpeed float64
--- a/coordination/routing/speeds.go
+++ b/coordination/routing/speeds.go
@@ -22,8 +22,15 @@
 	Decode  float64
 	// Step is the time of an output token by the number of requests.
 	Step StepTime
+	// IdleStep is the time of an output token on the idle engine, in seconds:
+	// the least that was seen, forgotten slowly.
+	IdleStep float64
 }
 
+// idleStepGrowth is the factor by which the least step time seen is raised with
+// each sample, so that an engine that got slower for good is noticed.
+const idleStepGrowth = 1.001
+
 // StepTime is the time in seconds that one output token of a request takes:
 // Base + PerRequest * the requests that run beside it. A Base of zero means
 // that nothing was learned.
@@ -81,8 +88,14 @@
 		return
 	}
 	speed.Decode = average(speed.Decode, observation.OutputTokens, observation.DecodeTime)
-	learned.steps.add(float64(observation.Running), observation.DecodeTime.Seconds()/float64(observation.OutputTokens))
+	step := observation.DecodeTime.Seconds() / float64(observation.OutputTokens)
+	learned.steps.add(float64(observation.Running), step)
 	speed.Step = learned.steps.fit()
+	if speed.IdleStep == 0 || step < speed.IdleStep {
+		speed.IdleStep = step
+	} else {
+		speed.IdleStep *= idleStepGrowth
+	}
 }
 
 // Of returns what was learned of an engine.
--- a/lab/experiment/call.go
+++ b/lab/experiment/call.go
@@ -78,19 +78,36 @@
 	chosen := s.policy.choose(s, node, c)
 	s.report.decisions++
 	if chosen.engine < 0 {
-		c.tried = nil
-		s.report.refusals++
-		s.schedule.after(max(chosen.retryAfter, time.Millisecond), func() { s.decide(c) })
+		s.comeBack(c, max(chosen.retryAfter, time.Millisecond))
 		return
 	}
 	s.send(c, node, chosen)
 }
 
+// comeBack lets the caller of a refused call ask again after the pause it was
+// given, or give up at once where that would be too late.
+func (s *simulation) comeBack(c *call, pause time.Duration) {
+	c.tried = nil
+	s.report.refusals++
+	if s.spent(c)+pause >= s.workload.deadline {
+		if !c.program.tree.ended {
+			s.giveUp(c.program.tree)
+		}
+		return
+	}
+	s.schedule.after(pause, func() { s.decide(c) })
+}
+
+// spent is the time that calls of the tree have taken so far.
+func (s *simulation) spent(c *call) time.Duration {
+	busy := c.program.tree.busy
+	return append(busy[:len(busy):len(busy)], interval{c.issued, s.schedule.now}).union()
+}
+
 // pastDeadline gives a tree up whose calls have taken too long.
 func (s *simulation) pastDeadline(c *call) bool {
 	root := c.program.tree
-	spent := append(root.busy[:len(root.busy):len(root.busy)], interval{c.issued, s.schedule.now})
-	if spent.union() < s.workload.deadline {
+	if s.spent(c) < s.workload.deadline {
 		return false
 	}
 	if !root.ended {
--- a/lab/experiment/marblering.go
+++ b/lab/experiment/marblering.go
@@ -83,7 +83,9 @@
 			continue
 		}
 		state.Ejected = !p.mayUse(own, state.Name, now)
-		state.Step = n.speeds.Of(state.Name).Step
+		learned := n.speeds.Of(state.Name)
+		state.Step = learned.Step
+		state.IdleStep = learned.IdleStep
 		own.batches[i] = max(own.batches[i], batchLimit(&state))
 		state.MaxRunning = own.batches[i]
 		engines = append(engines, state)
@@ -114,11 +116,13 @@
 
 // shed refuses calls of new programs while the wait is long.
 func (p *marblering) shed(n *simNode, c *call, decision *routing.Decision, now time.Time) time.Duration {
-	best := &decision.Candidates[0]
 	demand := limit.Demand{
 		Begun:         c.program.tree.calls > 1,
-		ExpectedQueue: seconds(best.Queue),
-		Service:       seconds(best.Prefill + best.Decode),
+		ExpectedQueue: seconds(decision.Candidates[0].Queue),
+		Expected:      decision.Expected,
+		Unloaded:      decision.Unloaded,
+		Service:       decision.Unloaded,
+		MemoryUse:     decision.MemoryUse,
 		Engines:       len(n.states),
 	}
 	return p.nodes[n.index].shedder.Admit(demand, n.random, now)
