Make large fleets complete and test membership in virtual time

Cause: 350 nodes that all started at once didn't know each other within two minutes: joins waited behind each other, and nodes that missed the same join took their equal digests for completeness. Ruled out: a larger budget of bytes; most of what was sent was known already. Change: digests carry the number of live nodes, a node that lacks much gets a full copy at once, differences are timed for each pair of nodes, and a change heard from another node is sent less often. Full copies carry withdrawn evidence: without it a withdrawal made during a cut was lost (found by the model test).

--- a/coordination/membership/evidence.go
+++ b/coordination/membership/evidence.go
@@ -27,6 +27,11 @@
 	observer string
 }
 
+// shared reports whether all nodes write the same entry.
+func (k evidenceKey) shared() bool {
+	return k.observer == ObserverEngine || k.observer == ObserverMachineList
+}
+
 type evidence struct {
 	fact  *peerv1.EngineEvidence
 	heard time.Time
@@ -150,7 +155,7 @@
 
 func (g *Gossip) spreadEvidence(key evidenceKey, fact *peerv1.EngineEvidence) {
 	level := priorityEjected
-	if key.observer == ObserverEngine || key.observer == ObserverMachineList {
+	if key.shared() {
 		level = priorityLeaving
 	}
 	if fact.GetLeaving() {
--- a/coordination/membership/fleet_test.go
+++ b/coordination/membership/fleet_test.go
@@ -1,42 +1,280 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 )
 
+// Times in these tests are virtual: they are the same at every run.
+const (
+	leavingLimit = 3 * time.Second
+	deathLimit   = 10 * time.Second
+	healLimit    = 60 * time.Second
+	joinLimit    = 60 * time.Second
+	// trafficLimit is a third of what all of a node's control may use, in
+	// bytes a second.
+	trafficLimit = 3000
+)
+
+// newFleet starts a fleet in which everyone knows everyone.
+func newFleet(size int) *simulation {
+	s := newSimulation(uint64(size), size, min(size, 13))
+	for _, node := range s.nodes {
+		for _, other := range s.nodes {
+			node.gossip.merge(s.now, other.gossip.self.status(), fromCopy)
+		}
+		node.gossip.settled = true
+		node.gossip.finish()
+	}
+	s.run(2 * time.Second)
+	return s
+}
+
+func TestStartOfAllAtOnce(t *testing.T) {
+	s := newSimulation(1, 60, 13)
+	took, ok := s.runUntil(joinLimit, s.complete)
+	assert.Assert(t, ok)
+	t.Logf("all know all after %v", took)
+	assert.Equal(t, s.suspects, 0)
+}
+
+func (s *simulation) leavingEverywhere(name string) func() bool {
+	return func() bool {
+		return s.everyone(func(m *Members) bool {
+			member, found := m.Node(name)
+			return found && member.Leaving
+		})
+	}
+}
+
+func (s *simulation) engineLeavingEverywhere(engine string) func() bool {
+	return func() bool {
+		return s.everyone(func(m *Members) bool { return m.EngineLeaving(engine) })
+	}
+}
+
+func (s *simulation) goneEverywhere(incarnation string) func() bool {
+	return func() bool {
+		return s.everyone(func(m *Members) bool { return m.Gone(incarnation) })
+	}
+}
+
 func TestFleet(t *testing.T) {
-	for _, size := range []int{3, 12} {
-		s := newSimulation(1, size, min(size, 13))
-		joined, ok := s.runUntil(2*time.Minute, s.complete)
-		assert.Assert(t, ok, "a fleet of %d is complete", size)
-		t.Logf("%d nodes: complete after %v", size, joined)
-		s.run(20 * time.Second)
-
-		s.resetTraffic()
-		s.run(20 * time.Second)
-		mean, highest := s.traffic(20 * time.Second)
-		t.Logf("%d nodes: idle %0.f B/s mean, %0.f highest", size, mean, highest)
-
-		leaving := s.nodes[0]
-		s.act(leaving, func(g *Gossip) { g.SetLeaving(true) })
-		took, ok := s.runUntil(10*time.Second, func() bool {
-			return s.everyone(func(m *Members) bool {
-				member, _ := m.Node(leaving.identity.Node)
-				return member.Leaving
-			})
+	for _, size := range []int{3, 12, 350} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			s := newFleet(size)
+			checkIdle(t, s)
+			for _, loss := range []float64{0, 0.05} {
+				s.loss = loss
+				checkLeaving(t, s)
+			}
+			s.loss = 0
+			checkDeath(t, s)
+		})
+	}
+}
+
+func checkIdle(t *testing.T, s *simulation) {
+	s.resetTraffic()
+	s.run(20 * time.Second)
+	_, highest := s.traffic(20 * time.Second)
+	assert.Assert(t, highest < trafficLimit, "%.0f B/s", highest)
+	assert.Equal(t, s.suspects, 0)
+}
+
+// checkLeaving has each kind of first sign appear at one node.
+func checkLeaving(t *testing.T, s *simulation) {
+	node := s.nodes[2]
+	s.act(node, func(g *Gossip) { g.SetLeaving(true) })
+	took, ok := s.runUntil(leavingLimit, s.leavingEverywhere(node.identity.Node))
+	assert.Assert(t, ok, "a node's own mark")
+	t.Logf("loss %v: a node's own mark is everywhere after %v", s.loss, took)
+	s.act(node, func(g *Gossip) { g.SetLeaving(false) })
+
+	machine := s.nodes[1].identity.Node
+	s.act(s.nodes[0], func(g *Gossip) {
+		g.ObserveMachines(s.now, []Machine{{Name: machine, Leaving: true}})
+	})
+	took, ok = s.runUntil(leavingLimit, s.leavingEverywhere(machine))
+	assert.Assert(t, ok, "the machine list's mark")
+	t.Logf("loss %v: the machine list's mark is everywhere after %v", s.loss, took)
+	s.act(s.nodes[0], func(g *Gossip) {
+		g.ObserveMachines(s.now, []Machine{{Name: machine}})
+	})
+
+	engine := fmt.Sprintf("engine-%v", s.loss)
+	s.act(s.nodes[0], func(g *Gossip) {
+		g.ObserveEngine(s.now, EngineReport{Engine: engine, Leaving: true, Asked: s.now})
+	})
+	took, ok = s.runUntil(leavingLimit, s.engineLeavingEverywhere(engine))
+	assert.Assert(t, ok, "an engine's answer")
+	t.Logf("loss %v: an engine's answer is everywhere after %v", s.loss, took)
+	s.run(10 * time.Second)
+}
+
+func checkDeath(t *testing.T, s *simulation) {
+	dead := s.nodes[1]
+	dead.running = false
+	s.resetTraffic()
+	took, ok := s.runUntil(deathLimit, s.goneEverywhere(dead.identity.Incarnation))
+	assert.Assert(t, ok)
+	t.Logf("a death is known everywhere after %v", took)
+	others := 0
+	for _, node := range s.nodes {
+		others += node.gone
+	}
+	assert.Equal(t, others, len(s.nodes)-1, "nobody else was declared gone")
+}
+
+func TestLossKillsNobody(t *testing.T) {
+	s := newFleet(20)
+	s.loss = 0.1
+	s.run(5 * time.Minute)
+	t.Logf("%d suspicions in %d node minutes", s.suspects, 5*len(s.nodes))
+	assert.Assert(t, s.suspects > 0)
+	for _, node := range s.nodes {
+		assert.Equal(t, node.gone, 0)
+	}
+}
+
+func TestCutHeals(t *testing.T) {
+	s := newFleet(50)
+	cut := map[string]bool{"zone-00": true, "zone-01": true, "zone-02": true}
+	s.cut = cut
+	s.run(20 * time.Second)
+	for _, node := range s.nodes {
+		for _, member := range node.gossip.Members().Live() {
+			assert.Equal(t, cut[member.Zone], cut[node.identity.Zone], "no node of the other side is alive")
+		}
+	}
+	inside := s.nodes[0]
+	assert.Assert(t, cut[inside.identity.Zone])
+	s.act(inside, func(g *Gossip) { g.SetLeaving(true) })
+	s.run(leavingLimit)
+	for _, node := range s.nodes {
+		member, _ := node.gossip.Members().Node(inside.identity.Node)
+		assert.Equal(t, member.Leaving, cut[node.identity.Zone])
+	}
+	s.cut = nil
+	took, ok := s.runUntil(healLimit, func() bool {
+		return s.complete() && s.leavingEverywhere(inside.identity.Node)()
+	})
+	assert.Assert(t, ok)
+	t.Logf("all views are complete %v after the cut healed", took)
+}
+
+func TestRestartSupersedesAtOnce(t *testing.T) {
+	s := newFleet(12)
+	node := s.nodes[4]
+	first := node.identity.Incarnation
+	s.start(node)
+	assert.Assert(t, node.identity.Incarnation != first)
+	_, ok := s.runUntil(leavingLimit, func() bool {
+		return s.everyone(func(m *Members) bool {
+			member, _ := m.Node(node.identity.Node)
+			return member.Incarnation == node.identity.Incarnation && !m.Alive(first)
 		})
-		assert.Assert(t, ok, "the leaving mark reaches %d nodes", size)
-		t.Logf("%d nodes: leaving took %v", size, took)
+	})
+	assert.Assert(t, ok)
+	assert.Assert(t, s.nodes[0].gossip.Members().Gone(first))
+	s.run(DefaultSettings().SettleTime)
+	assert.Assert(t, s.goneEverywhere(first)(), "also at the node itself, which never heard of it")
+}
+
+// A node with a data folder keeps its incarnation over a restart.
+func TestRestartOfSameIncarnation(t *testing.T) {
+	s := newFleet(12)
+	node := s.nodes[4]
+	node.running = false
+	s.run(deathLimit)
+	incarnation := node.identity.Incarnation
+	assert.Assert(t, s.goneEverywhere(incarnation)())
+	s.restart(node, incarnation)
+	_, ok := s.runUntil(leavingLimit, func() bool {
+		return s.everyone(func(m *Members) bool { return m.Alive(incarnation) && !m.Gone(incarnation) })
+	})
+	assert.Assert(t, ok)
+}
+
+func TestNodeRefutesItsDeath(t *testing.T) {
+	s := newFleet(12)
+	accused, accuser := s.nodes[4], s.nodes[5]
+	s.act(accuser, func(g *Gossip) {
+		g.declareGone(s.now, g.records[accused.identity.Node])
+		g.finish()
+	})
+	assert.Assert(t, accuser.gossip.Members().Gone(accused.identity.Incarnation))
+	s.run(deathLimit)
+	assert.Assert(t, s.everyone(func(m *Members) bool { return m.Alive(accused.identity.Incarnation) }))
+}
+
+func TestDepartureIsKnownAtOnce(t *testing.T) {
+	s := newFleet(12)
+	node := s.nodes[4]
+	for _, exchange := range node.gossip.Depart(s.now) {
+		s.send(node, exchange)
+	}
+	assert.Equal(t, len(node.gossip.Step(s.now)), 0)
+	_, ok := s.runUntil(leavingLimit, s.goneEverywhere(node.identity.Incarnation))
+	assert.Assert(t, ok)
+}
+
+// A process that stood still finds its exchanges timed out and its suspicions
+// overdue. It must not take that for the death of the others.
+func TestPausedNodeAccusesNobody(t *testing.T) {
+	s := newFleet(12)
+	paused := s.nodes[4]
+	gossip := paused.gossip
+	s.act(paused, func(g *Gossip) { g.suspect(s.now, g.records[s.nodes[5].identity.Node]) })
+	paused.running = false
+	s.run(time.Minute)
+	paused.running = true
+	s.tick(paused, gossip)
+	s.run(20 * time.Second)
+	for _, node := range s.nodes {
+		accused := node != paused && node.gone != 1 || node == paused && node.gone != 0
+		assert.Assert(t, !accused, "%s saw %d deaths", node.identity.Node, node.gone)
+	}
+	assert.Assert(t, s.complete())
+}
+
+func TestStalledMachineListCannotWithdrawOthersEvidence(t *testing.T) {
+	s := newFleet(12)
+	first, lagging := s.nodes[0], s.nodes[1]
+	name := s.nodes[2].identity.Node
+	s.act(first, func(g *Gossip) { g.ObserveMachines(s.now, []Machine{{Name: name, Leaving: true}}) })
+	s.run(leavingLimit)
+	s.act(lagging, func(g *Gossip) { g.ObserveMachines(s.now, []Machine{{Name: name}}) })
+	s.run(leavingLimit)
+	assert.Assert(t, s.leavingEverywhere(name)())
+	s.run(2 * time.Minute)
+	s.act(lagging, func(g *Gossip) { g.ObserveMachines(s.now, []Machine{{Name: name}}) })
+	s.run(leavingLimit)
+	assert.Assert(t, s.everyone(func(m *Members) bool {
+		member, _ := m.Node(name)
+		return !member.Leaving
+	}), "past the lag, the list's word counts again")
+}
 
-		dead := s.nodes[1]
-		dead.running = false
-		took, ok = s.runUntil(60*time.Second, func() bool {
-			return s.everyone(func(m *Members) bool { return m.Gone(dead.identity.Incarnation) })
+func TestOldStateCannotWithdrawAnEnginesRefusal(t *testing.T) {
+	s := newFleet(3)
+	node := s.nodes[0]
+	asked := s.now
+	s.run(time.Second)
+	report := func(leaving bool, asked time.Time) {
+		s.act(node, func(g *Gossip) {
+			g.ObserveEngine(s.now, EngineReport{Engine: "engine-1", Leaving: leaving, Asked: asked})
 		})
-		assert.Assert(t, ok, "the death is known at %d nodes", size)
-		t.Logf("%d nodes: death took %v", size, took)
 	}
+	report(true, s.now)
+	report(false, asked)
+	assert.Assert(t, node.gossip.Members().EngineLeaving("engine-1"))
+	s.run(time.Second)
+	report(false, s.now)
+	assert.Assert(t, !node.gossip.Members().EngineLeaving("engine-1"))
+	s.run(leavingLimit)
+	assert.Assert(t, s.everyone(func(m *Members) bool { return !m.EngineLeaving("engine-1") }))
 }
--- a/coordination/membership/gossip.go
+++ b/coordination/membership/gossip.go
@@ -59,7 +59,6 @@
 	nextContact   time.Time
 	nextPrune     time.Time
 	lastStep      time.Time
-	lastEqual     time.Time
 	firstContact  time.Time
 	settled       bool
 
@@ -95,7 +94,6 @@
 		suspects:       map[string]*record{},
 		inFlight:       map[string]time.Time{},
 		nextPrune:      now.Add(pruneInterval),
-		lastEqual:      now,
 		extraExchanges: rate.NewLimiter(rate.Limit(settings.ExtraExchangesPerSecond), extraExchangeBurst),
 		updateBytes:    rate.NewLimiter(rate.Limit(settings.UpdateBytesPerSecond), updateByteBurst),
 		syncBytes:      rate.NewLimiter(rate.Limit(settings.SyncBytesPerSecond), syncByteBurst),
@@ -203,10 +201,11 @@
 	g.self.beat(now)
 	g.noteContact(now)
 	sender := request.GetSender()
-	stranger := g.isStranger(sender)
+	wasGone := g.believesGone(sender)
 	g.merge(now, sender, fromNode)
 	answers := g.absorb(now, request.GetNodes(), request.GetEngines(), sender.GetNode())
-	nodes, engines := g.appendix(now, stranger, answers)
+	copyNeeded := wasGone || g.lacksMuch(now, sender, request.GetNodes())
+	nodes, engines := g.appendix(now, copyNeeded, answers)
 	g.finish()
 	return &peerv1.ExchangeResponse{
 		Nodes:                nodes,
@@ -215,11 +214,43 @@
 	}
 }
 
-// isStranger reports whether the sender can't be assumed to know the fleet:
-// it is new here, or was believed gone.
-func (g *Gossip) isStranger(sender *peerv1.NodeStatus) bool {
+// believesGone reports whether the sender's very life was taken for gone: it
+// comes from the other side of a cut, whose nodes it knows and this one doesn't.
+func (g *Gossip) believesGone(sender *peerv1.NodeStatus) bool {
 	known := g.records[sender.GetNode()]
-	return known == nil || known.gone() || compareLives(sender, known.status) > 0
+	return known != nil && known.gone() && compareLives(sender, known.status) == 0
+}
+
+// lacksMuch reports whether the asker needs a full copy: it has just begun, or
+// its table has differed from this one at every exchange for so long that no
+// change under way explains it.
+func (g *Gossip) lacksMuch(now time.Time, sender *peerv1.NodeStatus, nodes []*peerv1.NodeStatus) bool {
+	known := g.records[sender.GetNode()]
+	if known == nil || len(nodes) == 0 || !isDigest(nodes[0]) {
+		return false
+	}
+	if nodes[0].GetHeartbeat() == g.tableDigest() {
+		known.differsSince = time.Time{}
+		return false
+	}
+	if known.differsSince.IsZero() {
+		known.differsSince = now
+	}
+	theirs := int(nodes[0].GetStartedUnixMs())
+	ours := len(g.records) + 1
+	if theirs < ours-ours/8-1 {
+		return true
+	}
+	if now.Sub(known.differsSince) < g.settings.SyncDelay {
+		return false
+	}
+	if theirs > ours {
+		// The asker knows more: have it answer an exchange of this node.
+		g.requestProbe(sender.GetNode())
+		return false
+	}
+	known.differsSince = now
+	return true
 }
 
 // absorb merges what a message carries and returns the answers to its
@@ -234,7 +265,7 @@
 	for position, status := range nodes {
 		switch {
 		case isDigest(status):
-			g.compareDigest(now, status.GetHeartbeat())
+			continue
 		case position == 0 && asker == "":
 			g.merge(now, status, fromNode)
 		case isQuestion(status):
@@ -251,12 +282,6 @@
 	return answers
 }
 
-func (g *Gossip) compareDigest(now time.Time, digest uint64) {
-	if digest == g.tableDigest() {
-		g.lastEqual = now
-	}
-}
-
 func (g *Gossip) noteContact(now time.Time) {
 	if g.firstContact.IsZero() {
 		g.firstContact = now
--- a/coordination/membership/message.go
+++ b/coordination/membership/message.go
@@ -16,7 +16,7 @@
 	g.inFlight[target.Address] = now
 	request := &peerv1.ExchangeRequest{
 		Sender:               g.self.status(),
-		Nodes:                []*peerv1.NodeStatus{digestStatus(g.tableDigest())},
+		Nodes:                []*peerv1.NodeStatus{g.digestStatus()},
 		ConfigurationVersion: g.self.configurationVersion,
 	}
 	request.Nodes = append(request.Nodes, g.questions()...)
@@ -28,13 +28,11 @@
 
 // appendix is what a response carries beside the versions: the own status, the
 // digest, answers, and either the waiting changes or a full copy.
-func (g *Gossip) appendix(now time.Time, stranger bool, answers []*peerv1.NodeStatus) ([]*peerv1.NodeStatus, []*peerv1.EngineEvidence) {
-	nodes := []*peerv1.NodeStatus{g.self.status(), digestStatus(g.tableDigest())}
-	differs := now.Sub(g.lastEqual) >= g.settings.SyncDelay
-	if stranger || differs {
+func (g *Gossip) appendix(now time.Time, copyNeeded bool, answers []*peerv1.NodeStatus) ([]*peerv1.NodeStatus, []*peerv1.EngineEvidence) {
+	nodes := []*peerv1.NodeStatus{g.self.status(), g.digestStatus()}
+	if copyNeeded {
 		copied, engines, allowed := g.fullCopy(now)
 		if allowed {
-			g.lastEqual = now
 			return append(nodes, copied...), engines
 		}
 	}
@@ -103,8 +101,9 @@
 		nodes = append(nodes, status)
 		size += proto.Size(status) + listOverhead
 	}
-	for _, entry := range g.evidence {
-		if entry.fact.GetLeaving() {
+	for key, entry := range g.evidence {
+		// What was withdrawn goes along: the receiver may still believe it.
+		if key.shared() {
 			engines = append(engines, entry.fact)
 			size += proto.Size(entry.fact) + listOverhead
 		}
--- /dev/null
+++ b/coordination/membership/model_test.go
@@ -0,0 +1,182 @@
+package membership
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// model is what a fleet that was left alone must agree on.
+type model struct {
+	simulation *simulation
+	ended      []string
+	leaving    map[string]bool
+	engines    map[string]bool
+}
+
+// quiet is how long after the last disturbance all views must agree.
+const quiet = 3 * time.Minute
+
+// TestMain fixes rapid's seed, so that every run has the same verdict; flags on
+// the command line come later and win.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "80", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func TestViewsAgreeAfterAnyDisturbance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(3, 9).Draw(t, "nodes")
+		m := &model{
+			simulation: newSimulation(rapid.Uint64().Draw(t, "seed"), size, 3),
+			leaving:    map[string]bool{},
+			engines:    map[string]bool{},
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			m.disturb(t)
+			pause := rapid.IntRange(0, 15_000).Draw(t, "pause")
+			m.simulation.run(time.Duration(pause) * time.Millisecond)
+		}
+		m.repair()
+		m.simulation.run(quiet)
+		m.check(t)
+	})
+}
+
+func (m *model) disturb(t *rapid.T) {
+	s := m.simulation
+	node := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")]
+	switch rapid.SampledFrom([]string{"kill", "restart", "return", "leave", "stay", "engine", "cut", "heal", "loss"}).Draw(t, "action") {
+	case "kill":
+		node.running = false
+		m.forget(node)
+	case "restart":
+		m.ended = append(m.ended, node.identity.Incarnation)
+		m.forget(node)
+		s.start(node)
+	case "return":
+		m.forget(node)
+		s.restart(node, node.identity.Incarnation)
+	case "leave":
+		m.setLeaving(node, true)
+	case "stay":
+		m.setLeaving(node, false)
+	case "engine":
+		m.setEngine(node, rapid.Bool().Draw(t, "leaving"))
+	case "cut":
+		s.cut = map[string]bool{node.identity.Zone: true}
+	case "heal":
+		s.cut = nil
+	case "loss":
+		s.loss = rapid.Float64Range(0, 0.3).Draw(t, "rate")
+	}
+}
+
+// forget drops what only the node was sure to know.
+func (m *model) forget(node *simulated) {
+	delete(m.leaving, node.identity.Node)
+	delete(m.engines, engineOf(node))
+}
+
+func engineOf(node *simulated) string { return "engine-of-" + node.identity.Node }
+
+func (m *model) setLeaving(node *simulated, leaving bool) {
+	if !node.running {
+		return
+	}
+	m.leaving[node.identity.Node] = leaving
+	m.simulation.act(node, func(g *Gossip) { g.SetLeaving(leaving) })
+}
+
+// setEngine has the node see the engine's own word. Each engine has one observer,
+// so that its last word is the last one there is, unless it restarted in
+// between: then it may not know that there is something to withdraw.
+func (m *model) setEngine(node *simulated, leaving bool) {
+	if !node.running {
+		return
+	}
+	s := m.simulation
+	s.run(time.Millisecond)
+	if !leaving && !node.gossip.Members().EngineLeaving(engineOf(node)) {
+		delete(m.engines, engineOf(node))
+		return
+	}
+	m.engines[engineOf(node)] = leaving
+	s.act(node, func(g *Gossip) {
+		g.ObserveEngine(s.now, EngineReport{Engine: engineOf(node), Leaving: leaving, Asked: s.now})
+	})
+}
+
+// repair ends all disturbances; nodes that don't run have ended. The first node
+// is a seed: nodes that never met can't find each other without any.
+func (m *model) repair() {
+	s := m.simulation
+	s.cut = nil
+	s.loss = 0
+	if !s.nodes[0].running {
+		m.ended = append(m.ended, s.nodes[0].identity.Incarnation)
+		s.start(s.nodes[0])
+	}
+	for _, node := range s.nodes {
+		if !node.running {
+			m.ended = append(m.ended, node.identity.Incarnation)
+		}
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	var running []string
+	for _, node := range m.simulation.nodes {
+		if node.running {
+			running = append(running, node.identity.Node)
+		}
+	}
+	slices.Sort(running)
+	for _, node := range m.simulation.nodes {
+		if node.running {
+			m.checkView(t, node, running)
+		}
+	}
+}
+
+func (m *model) firstRunning() *simulated {
+	for _, node := range m.simulation.nodes {
+		if node.running {
+			return node
+		}
+	}
+	return nil
+}
+
+func (m *model) checkView(t *rapid.T, node *simulated, running []string) {
+	members := node.gossip.Members()
+	var live []string
+	for _, member := range members.Live() {
+		live = append(live, member.Node)
+		assert.Equal(t, member.Leaving, m.leaving[member.Node], "%s at %s", member.Node, node.identity.Node)
+		assert.Equal(t, member.State, Alive)
+	}
+	assert.DeepEqual(t, live, running)
+	for _, incarnation := range m.ended {
+		assert.Assert(t, !members.Alive(incarnation), "%s at %s", incarnation, node.identity.Node)
+		// A node that never met another can't tell.
+		if members.Settled() {
+			assert.Assert(t, members.Gone(incarnation), "%s at %s", incarnation, node.identity.Node)
+		}
+	}
+	for engine, leaving := range m.engines {
+		assert.Equal(t, members.EngineLeaving(engine), leaving, "%s at %s", engine, node.identity.Node)
+	}
+	first := m.firstRunning().gossip.Members()
+	assert.DeepEqual(t, members.LeavingEngines(), first.LeavingEngines())
+}
--- a/coordination/membership/queue.go
+++ b/coordination/membership/queue.go
@@ -58,6 +58,16 @@
 	})
 }
 
+// heard takes note that another node is spreading the same change, so that less
+// of it is left to do here. Urgent changes are sent in full measure.
+func (q *updateQueue) heard(subject subject) {
+	for position := range q.updates {
+		if q.updates[position].subject == subject && q.updates[position].priority != priorityLeaving {
+			q.updates[position].sendsLeft -= heardSends
+		}
+	}
+}
+
 // take visits the changes in order. visit reports whether it sent the change
 // and whether it can send more.
 func (q *updateQueue) take(visit func(subject) (sent, more bool)) {
--- a/coordination/membership/service.go
+++ b/coordination/membership/service.go
@@ -260,7 +260,12 @@
 			zap.Bool("leaving", event.EngineLeaving))
 		return
 	}
-	s.options.Logger.Info("membership",
+	// A lost message is enough for a suspicion.
+	level := zap.InfoLevel
+	if event.Kind == Suspected {
+		level = zap.DebugLevel
+	}
+	s.options.Logger.Log(level, "membership",
 		zap.String("event", event.Kind.String()),
 		zap.String("node", event.Member.Node),
 		zap.String("incarnation", event.Member.Incarnation),
--- a/coordination/membership/settings.go
+++ b/coordination/membership/settings.go
@@ -52,6 +52,7 @@
 	fullCopyStatuses    = 24
 	fullCopySends       = 4
 	sendsPerLogarithm   = 2
+	heardSends          = 2
 	goneHeartbeatMargin = 3
 
 	heartbeatInterval = time.Second
--- a/coordination/membership/simulation_test.go
+++ b/coordination/membership/simulation_test.go
@@ -24,6 +24,8 @@
 	latency  time.Duration
 	cut      map[string]bool
 	suspects int
+	// encode runs every message through its encoding.
+	encode bool
 }
 
 type simulated struct {
@@ -91,7 +93,11 @@
 
 // start begins a new incarnation.
 func (s *simulation) start(node *simulated) {
-	node.identity.Incarnation = fmt.Sprintf("%016x", s.random.Uint64())
+	s.restart(node, fmt.Sprintf("%016x", s.random.Uint64()))
+}
+
+func (s *simulation) restart(node *simulated, incarnation string) {
+	node.identity.Incarnation = incarnation
 	node.identity.Started = s.now
 	node.running = true
 	seeds := []string{address(0), address(1), address(2)}
@@ -176,9 +182,15 @@
 		return
 	}
 	to.count(request)
+	if s.encode {
+		request = encoded(request, &peerv1.ExchangeRequest{})
+	}
 	var response *peerv1.ExchangeResponse
 	s.act(to, func(g *Gossip) { response = g.Answer(s.now, request) })
 	to.count(response)
+	if s.encode {
+		response = encoded(response, &peerv1.ExchangeResponse{})
+	}
 	if !s.passes(to, from) {
 		return
 	}
--- a/coordination/membership/status.go
+++ b/coordination/membership/status.go
@@ -15,7 +15,8 @@
 //   - a question: node, incarnation and heartbeat only. The sender suspects
 //     the node and asks for proof of a later heartbeat;
 //   - a digest: no node name; heartbeat carries the digest of the sender's
-//     table. Equal digests mean equal tables.
+//     table and started_unix_ms the number of its live nodes. Equal digests
+//     mean equal tables.
 
 func isDigest(status *peerv1.NodeStatus) bool {
 	return status.GetNode() == ""
@@ -25,8 +26,11 @@
 	return status.GetAddress() == "" && !status.GetGone()
 }
 
-func digestStatus(digest uint64) *peerv1.NodeStatus {
-	return &peerv1.NodeStatus{Heartbeat: digest}
+func (g *Gossip) digestStatus() *peerv1.NodeStatus {
+	return &peerv1.NodeStatus{
+		Heartbeat:     g.tableDigest(),
+		StartedUnixMs: int64(len(g.members.Load().live)),
+	}
 }
 
 func questionAbout(status *peerv1.NodeStatus, heartbeat uint64) *peerv1.NodeStatus {
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -20,6 +20,9 @@
 	lastProbe time.Time
 	goneSince time.Time
 	suspicion *suspicion
+	// differsSince is when its table began to differ from this node's at every
+	// exchange; zero while they are equal.
+	differsSince time.Time
 }
 
 func (r *record) gone() bool { return r.status.GetGone() }
@@ -60,7 +63,7 @@
 		return
 	}
 	if status.GetNode() == g.self.identity.Node {
-		g.answerClaim(status)
+		g.answerClaim(now, status)
 		return
 	}
 	known := g.records[status.GetNode()]
@@ -68,6 +71,9 @@
 		g.insert(now, status, from)
 		return
 	}
+	if from == fromUpdate && !isNews(known.status, status) {
+		g.queue.heard(subject{node: status.GetNode()})
+	}
 	if supersedes(status, known.status) {
 		g.replace(now, known, status, from)
 	} else if status.GetGone() && !known.gone() {
@@ -163,11 +169,14 @@
 
 // answerClaim refutes what others say of this node where it would override the
 // node's own word.
-func (g *Gossip) answerClaim(claim *peerv1.NodeStatus) {
+func (g *Gossip) answerClaim(now time.Time, claim *peerv1.NodeStatus) {
+	foreign := claim.GetIncarnation() != g.self.identity.Incarnation
 	if g.self.gone || !supersedes(claim, g.self.status()) {
+		if foreign {
+			g.bury(now, claim.GetIncarnation())
+		}
 		return
 	}
-	foreign := claim.GetIncarnation() != g.self.identity.Incarnation
 	if foreign {
 		if _, found := g.refuted[claim.GetIncarnation()]; found {
 			// Another process runs under this node's name and insists.
@@ -182,7 +191,11 @@
 	}
 }
 
+// bury remembers an incarnation that another one of its node replaced.
 func (g *Gossip) bury(now time.Time, incarnation string) {
+	if _, found := g.buried[incarnation]; !found {
+		g.stale = true
+	}
 	g.buried[incarnation] = now
 }
 
