--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -41,6 +41,8 @@
 	ReplicaServicePrepareProcedure = "/marblering.peer.v1.ReplicaService/Prepare"
 	// ReplicaServiceAcceptProcedure is the fully-qualified name of the ReplicaService's Accept RPC.
 	ReplicaServiceAcceptProcedure = "/marblering.peer.v1.ReplicaService/Accept"
+	// ReplicaServicePeekProcedure is the fully-qualified name of the ReplicaService's Peek RPC.
+	ReplicaServicePeekProcedure = "/marblering.peer.v1.ReplicaService/Peek"
 	// ReplicaServicePutTurnProcedure is the fully-qualified name of the ReplicaService's PutTurn RPC.
 	ReplicaServicePutTurnProcedure = "/marblering.peer.v1.ReplicaService/PutTurn"
 	// ReplicaServiceReadTurnsProcedure is the fully-qualified name of the ReplicaService's ReadTurns
@@ -63,6 +65,8 @@
 	NodeServiceReserveProcedure = "/marblering.peer.v1.NodeService/Reserve"
 	// NodeServiceReleaseProcedure is the fully-qualified name of the NodeService's Release RPC.
 	NodeServiceReleaseProcedure = "/marblering.peer.v1.NodeService/Release"
+	// NodeServiceGrantProcedure is the fully-qualified name of the NodeService's Grant RPC.
+	NodeServiceGrantProcedure = "/marblering.peer.v1.NodeService/Grant"
 	// NodeServiceFetchConfigurationProcedure is the fully-qualified name of the NodeService's
 	// FetchConfiguration RPC.
 	NodeServiceFetchConfigurationProcedure = "/marblering.peer.v1.NodeService/FetchConfiguration"
@@ -75,6 +79,7 @@
 type ReplicaServiceClient interface {
 	Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error)
 	Accept(context.Context, *connect.Request[v1.AcceptRequest]) (*connect.Response[v1.AcceptResponse], error)
+	Peek(context.Context, *connect.Request[v1.PeekRequest]) (*connect.Response[v1.PeekResponse], error)
 	PutTurn(context.Context, *connect.Request[v1.PutTurnRequest]) (*connect.Response[v1.PutTurnResponse], error)
 	ReadTurns(context.Context, *connect.Request[v1.ReadTurnsRequest]) (*connect.ServerStreamForClient[v1.ReadTurnsResponse], error)
 	Seal(context.Context, *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error)
@@ -106,6 +111,12 @@
 			connect.WithSchema(replicaServiceMethods.ByName("Accept")),
 			connect.WithClientOptions(opts...),
 		),
+		peek: connect.NewClient[v1.PeekRequest, v1.PeekResponse](
+			httpClient,
+			baseURL+ReplicaServicePeekProcedure,
+			connect.WithSchema(replicaServiceMethods.ByName("Peek")),
+			connect.WithClientOptions(opts...),
+		),
 		putTurn: connect.NewClient[v1.PutTurnRequest, v1.PutTurnResponse](
 			httpClient,
 			baseURL+ReplicaServicePutTurnProcedure,
@@ -149,6 +160,7 @@
 type replicaServiceClient struct {
 	prepare   *connect.Client[v1.PrepareRequest, v1.PrepareResponse]
 	accept    *connect.Client[v1.AcceptRequest, v1.AcceptResponse]
+	peek      *connect.Client[v1.PeekRequest, v1.PeekResponse]
 	putTurn   *connect.Client[v1.PutTurnRequest, v1.PutTurnResponse]
 	readTurns *connect.Client[v1.ReadTurnsRequest, v1.ReadTurnsResponse]
 	seal      *connect.Client[v1.SealRequest, v1.SealResponse]
@@ -167,6 +179,11 @@
 	return c.accept.CallUnary(ctx, req)
 }
 
+// Peek calls marblering.peer.v1.ReplicaService.Peek.
+func (c *replicaServiceClient) Peek(ctx context.Context, req *connect.Request[v1.PeekRequest]) (*connect.Response[v1.PeekResponse], error) {
+	return c.peek.CallUnary(ctx, req)
+}
+
 // PutTurn calls marblering.peer.v1.ReplicaService.PutTurn.
 func (c *replicaServiceClient) PutTurn(ctx context.Context, req *connect.Request[v1.PutTurnRequest]) (*connect.Response[v1.PutTurnResponse], error) {
 	return c.putTurn.CallUnary(ctx, req)
@@ -201,6 +218,7 @@
 type ReplicaServiceHandler interface {
 	Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error)
 	Accept(context.Context, *connect.Request[v1.AcceptRequest]) (*connect.Response[v1.AcceptResponse], error)
+	Peek(context.Context, *connect.Request[v1.PeekRequest]) (*connect.Response[v1.PeekResponse], error)
 	PutTurn(context.Context, *connect.Request[v1.PutTurnRequest]) (*connect.Response[v1.PutTurnResponse], error)
 	ReadTurns(context.Context, *connect.Request[v1.ReadTurnsRequest], *connect.ServerStream[v1.ReadTurnsResponse]) error
 	Seal(context.Context, *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error)
@@ -228,6 +246,12 @@
 		connect.WithSchema(replicaServiceMethods.ByName("Accept")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaServicePeekHandler := connect.NewUnaryHandler(
+		ReplicaServicePeekProcedure,
+		svc.Peek,
+		connect.WithSchema(replicaServiceMethods.ByName("Peek")),
+		connect.WithHandlerOptions(opts...),
+	)
 	replicaServicePutTurnHandler := connect.NewUnaryHandler(
 		ReplicaServicePutTurnProcedure,
 		svc.PutTurn,
@@ -270,6 +294,8 @@
 			replicaServicePrepareHandler.ServeHTTP(w, r)
 		case ReplicaServiceAcceptProcedure:
 			replicaServiceAcceptHandler.ServeHTTP(w, r)
+		case ReplicaServicePeekProcedure:
+			replicaServicePeekHandler.ServeHTTP(w, r)
 		case ReplicaServicePutTurnProcedure:
 			replicaServicePutTurnHandler.ServeHTTP(w, r)
 		case ReplicaServiceReadTurnsProcedure:
@@ -299,6 +325,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.Accept is not implemented"))
 }
 
+func (UnimplementedReplicaServiceHandler) Peek(context.Context, *connect.Request[v1.PeekRequest]) (*connect.Response[v1.PeekResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.Peek is not implemented"))
+}
+
 func (UnimplementedReplicaServiceHandler) PutTurn(context.Context, *connect.Request[v1.PutTurnRequest]) (*connect.Response[v1.PutTurnResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.PutTurn is not implemented"))
 }
@@ -329,6 +359,7 @@
 	AttemptStatus(context.Context, *connect.Request[v1.AttemptStatusRequest]) (*connect.Response[v1.AttemptStatusResponse], error)
 	Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error)
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
+	Grant(context.Context, *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error)
 	FetchConfiguration(context.Context, *connect.Request[v1.FetchConfigurationRequest]) (*connect.Response[v1.FetchConfigurationResponse], error)
 	InstallConfiguration(context.Context, *connect.Request[v1.InstallConfigurationRequest]) (*connect.Response[v1.InstallConfigurationResponse], error)
 }
@@ -368,6 +399,12 @@
 			connect.WithSchema(nodeServiceMethods.ByName("Release")),
 			connect.WithClientOptions(opts...),
 		),
+		grant: connect.NewClient[v1.GrantRequest, v1.GrantResponse](
+			httpClient,
+			baseURL+NodeServiceGrantProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("Grant")),
+			connect.WithClientOptions(opts...),
+		),
 		fetchConfiguration: connect.NewClient[v1.FetchConfigurationRequest, v1.FetchConfigurationResponse](
 			httpClient,
 			baseURL+NodeServiceFetchConfigurationProcedure,
@@ -389,6 +426,7 @@
 	attemptStatus        *connect.Client[v1.AttemptStatusRequest, v1.AttemptStatusResponse]
 	reserve              *connect.Client[v1.ReserveRequest, v1.ReserveResponse]
 	release              *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
+	grant                *connect.Client[v1.GrantRequest, v1.GrantResponse]
 	fetchConfiguration   *connect.Client[v1.FetchConfigurationRequest, v1.FetchConfigurationResponse]
 	installConfiguration *connect.Client[v1.InstallConfigurationRequest, v1.InstallConfigurationResponse]
 }
@@ -413,6 +451,11 @@
 	return c.release.CallUnary(ctx, req)
 }
 
+// Grant calls marblering.peer.v1.NodeService.Grant.
+func (c *nodeServiceClient) Grant(ctx context.Context, req *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error) {
+	return c.grant.CallUnary(ctx, req)
+}
+
 // FetchConfiguration calls marblering.peer.v1.NodeService.FetchConfiguration.
 func (c *nodeServiceClient) FetchConfiguration(ctx context.Context, req *connect.Request[v1.FetchConfigurationRequest]) (*connect.Response[v1.FetchConfigurationResponse], error) {
 	return c.fetchConfiguration.CallUnary(ctx, req)
@@ -429,6 +472,7 @@
 	AttemptStatus(context.Context, *connect.Request[v1.AttemptStatusRequest]) (*connect.Response[v1.AttemptStatusResponse], error)
 	Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.Response[v1.ReserveResponse], error)
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
+	Grant(context.Context, *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error)
 	FetchConfiguration(context.Context, *connect.Request[v1.FetchConfigurationRequest]) (*connect.Response[v1.FetchConfigurationResponse], error)
 	InstallConfiguration(context.Context, *connect.Request[v1.InstallConfigurationRequest]) (*connect.Response[v1.InstallConfigurationResponse], error)
 }
@@ -464,6 +508,12 @@
 		connect.WithSchema(nodeServiceMethods.ByName("Release")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceGrantHandler := connect.NewUnaryHandler(
+		NodeServiceGrantProcedure,
+		svc.Grant,
+		connect.WithSchema(nodeServiceMethods.ByName("Grant")),
+		connect.WithHandlerOptions(opts...),
+	)
 	nodeServiceFetchConfigurationHandler := connect.NewUnaryHandler(
 		NodeServiceFetchConfigurationProcedure,
 		svc.FetchConfiguration,
@@ -486,6 +536,8 @@
 			nodeServiceReserveHandler.ServeHTTP(w, r)
 		case NodeServiceReleaseProcedure:
 			nodeServiceReleaseHandler.ServeHTTP(w, r)
+		case NodeServiceGrantProcedure:
+			nodeServiceGrantHandler.ServeHTTP(w, r)
 		case NodeServiceFetchConfigurationProcedure:
 			nodeServiceFetchConfigurationHandler.ServeHTTP(w, r)
 		case NodeServiceInstallConfigurationProcedure:
@@ -515,6 +567,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.NodeService.Release is not implemented"))
 }
 
+func (UnimplementedNodeServiceHandler) Grant(context.Context, *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.NodeService.Grant is not implemented"))
+}
+
 func (UnimplementedNodeServiceHandler) FetchConfiguration(context.Context, *connect.Request[v1.FetchConfigurationRequest]) (*connect.Response[v1.FetchConfigurationResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.NodeService.FetchConfiguration is not implemented"))
 }
--- a/coordination/record/record.go
+++ b/coordination/record/record.go
@@ -10,12 +10,13 @@
 	"google.golang.org/protobuf/proto"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/register"
 )
 
 // Register changes the value of a register by compare-and-swap;
 // register.Client is one.
 type Register interface {
-	Apply(ctx context.Context, shard uint32, key string, change func(current []byte) ([]byte, error)) ([]byte, error)
+	Apply(ctx context.Context, shard uint32, key string, change register.Change) ([]byte, error)
 }
 
 // Locator says which shard a root program's record is in.
@@ -23,27 +24,27 @@
 
 // Store reads and changes program trees.
 type Store struct {
-	register Register
-	locate   Locator
-	recent   *recentTrees
+	registers Register
+	locate    Locator
+	recent    *recentTrees
 }
 
 // NewStore makes a store that remembers up to recentLimit trees as hints.
-func NewStore(register Register, locate Locator, recentLimit int) *Store {
-	return &Store{register: register, locate: locate, recent: newRecentTrees(recentLimit)}
+func NewStore(registers Register, locate Locator, recentLimit int) *Store {
+	return &Store{registers: registers, locate: locate, recent: newRecentTrees(recentLimit)}
 }
 
 // Apply replaces the root's tree by the result of the change and returns it.
 // The change gets a copy of its own, nil where no tree exists, and may be called
 // several times.
 func (s *Store) Apply(ctx context.Context, root string, change func(*statev1.ProgramTree) (*statev1.ProgramTree, error)) (*statev1.ProgramTree, error) {
-	value, err := s.register.Apply(ctx, s.locate(root), root, func(current []byte) ([]byte, error) {
+	value, err := s.registers.Apply(ctx, s.locate(root), root, func(current []byte) ([]byte, error) {
 		return changeEncoded(root, current, change)
 	})
 	if err != nil {
 		return nil, err
 	}
-	tree, err := decode(root, value)
+	tree, err := Decode(root, value)
 	if err != nil {
 		return nil, err
 	}
@@ -56,7 +57,7 @@
 func (s *Store) Recent(root string) *statev1.ProgramTree { return s.recent.get(root) }
 
 func changeEncoded(root string, current []byte, change func(*statev1.ProgramTree) (*statev1.ProgramTree, error)) ([]byte, error) {
-	tree, err := decode(root, current)
+	tree, err := Decode(root, current)
 	if err != nil {
 		return nil, err
 	}
@@ -70,8 +71,9 @@
 	return encode(next)
 }
 
-// decode returns nil for a register that was never written.
-func decode(root string, value []byte) (*statev1.ProgramTree, error) {
+// Decode reads the value of a root's register; nil for one that was never
+// written.
+func Decode(root string, value []byte) (*statev1.ProgramTree, error) {
 	if len(value) == 0 {
 		return nil, nil
 	}
--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -19,13 +19,19 @@
 	FilterModel    Filter = "model not loaded"
 	FilterAdapter  Filter = "adapter not loaded"
 	FilterMemory   Filter = "context exceeds its memory"
-	FilterSubset   Filter = "outside the subset"
 )
 
 // Transfer asks for context to be moved before the call.
 type Transfer struct {
-	From   string
-	Tokens uint64
+	From    string
+	Address string
+	Tokens  uint64
+	// Prefill is set where the source has to compute the prompt first: it is
+	// sent the request with a limit of one output token and a hold.
+	Prefill bool
+	// Work is what the source computes for that; to be reserved like the
+	// decision's own.
+	Work Work
 }
 
 // Candidate is an engine that was considered. The parts of its cost are in
@@ -44,6 +50,8 @@
 	Transfer float64
 	// Network is the cost of crossing zones.
 	Network float64
+	// Interference is the time that the call adds to those running there.
+	Interference float64
 	// WastedCache is the computing of tokens that another engine has.
 	WastedCache float64
 	// Eviction is the computing of what would be pushed out of the cache.
@@ -56,6 +64,8 @@
 	Source string
 	// SourceTokens would be moved from it.
 	SourceTokens uint64
+	// RemotePrefill is set where the source computes the prompt first.
+	RemotePrefill bool
 
 	index int
 }
--- a/coordination/routing/snapshot.go
+++ b/coordination/routing/snapshot.go
@@ -4,9 +4,12 @@
 	"time"
 )
 
-// Roles an engine may have. An engine without a role is mixed.
+// Roles an engine may have. An engine without a role is mixed. Prefill and
+// decode engines serve any call, but are set up for one part of the work.
 const (
-	RoleMixed = "mixed"
+	RoleMixed   = "mixed"
+	RolePrefill = "prefill"
+	RoleDecode  = "decode"
 	// RoleStandby engines hold weights but receive no calls.
 	RoleStandby = "standby"
 )
@@ -36,8 +39,17 @@
 
 	// PrefillSpeed is the engine's prompt throughput in tokens per second.
 	PrefillSpeed float64
-	// DecodeSpeed is the output speed of one request in tokens per second.
+	// DecodeSpeed is the output speed of one request in tokens per second, for
+	// engines of which no step times were learned.
 	DecodeSpeed float64
+	// Step is the learned time of an output token; see Speeds.
+	Step StepTime
+	// TransferSpeed is the rate at which the engine exports or imports context
+	// in tokens per second; zero takes that of the weights.
+	TransferSpeed float64
+	// MaxRunning is the greatest number of requests that run at once; zero
+	// means unknown.
+	MaxRunning int
 
 	// CacheLimit and CacheUsed are tokens of context memory; a limit of zero
 	// means unknown.
@@ -50,6 +62,8 @@
 	Requests     int
 	PromptTokens uint64
 	OutputTokens uint64
+	// ContextTokens of memory are taken beyond what is cached.
+	ContextTokens uint64
 }
 
 // Pending reports a node's own work at an engine. Ledger implements it.
@@ -67,6 +81,9 @@
 	Added Work
 	// Finished was dispatched before the report and finished after it.
 	Finished Work
+	// NewContext are the tokens of memory taken by all work that was dispatched
+	// after the report, finished or not.
+	NewContext uint64
 }
 
 // Weights say what a deployment values. Costs are in seconds.
@@ -79,10 +96,15 @@
 	// Eviction multiplies the compute time of the tokens that the call would
 	// push out of a full cache.
 	Eviction float64
+	// Interference multiplies the time that the call adds to the calls already
+	// running on the engine. One makes the sum of all latencies least, zero the
+	// call's own.
+	Interference float64
 	// CrossZone is the cost of serving a call from another zone.
 	CrossZone time.Duration
-	// TransferSpeed is the rate of moving context between engines in tokens per
-	// second; zero forbids transfers.
+	// TransferSpeed is the rate of exporting or importing context in tokens per
+	// second, for engines whose own isn't known; zero forbids transfers to and
+	// from them.
 	TransferSpeed float64
 	// TransferSetup is the fixed cost of one transfer.
 	TransferSetup time.Duration
@@ -98,6 +120,7 @@
 		Latency:       1,
 		WastedCache:   0.25,
 		Eviction:      0.25,
+		Interference:  1,
 		CrossZone:     2 * time.Millisecond,
 		TransferSetup: 20 * time.Millisecond,
 		Tolerance:     0.02,
--- a/lab/engine/sse.go
+++ b/lab/engine/sse.go
@@ -4,97 +4,135 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 
 	"github.com/marblering/marblering/protocol/engineapi"
 )
 
-// writeStream sends the chunks from a number on as server-sent events, until
-// the answer has ended or the reader has gone.
-func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, answer *stream, next int) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Cache-Control", "no-cache")
-	controller := http.NewResponseController(w)
-	w.WriteHeader(http.StatusOK)
-	_ = controller.Flush()
-	for {
-		seen := answer.from(next)
-		for _, text := range seen.chunks {
-			writeEvent(w, answer.textChunk(text))
-			next++
-		}
-		if seen.ended() {
-			answer.writeEnd(w, seen)
+// reader is one connection that follows an answer.
+type reader struct {
+	server  *Server
+	answer  *stream
+	writer  http.ResponseWriter
+	request *http.Request
+	// faults hit this connection. A connection that resumes an answer has none.
+	faults Faults
+	// next is the number of the chunk to send next.
+	next int
+}
+
+// follow sends the chunks from next on as server-sent events, until the answer
+// has ended or the reader has gone.
+func (c *reader) follow() {
+	c.writer.Header().Set("Content-Type", "text/event-stream")
+	c.writer.Header().Set("Cache-Control", "no-cache")
+	c.writer.WriteHeader(http.StatusOK)
+	for c.flush() == nil {
+		status, changed := c.answer.now()
+		if !c.writeChunks(status.chunks) {
 			return
 		}
-		if controller.Flush() != nil {
+		if status.ended() {
+			c.writeEnd(status)
 			return
 		}
+		_ = c.flush()
 		select {
-		case <-seen.changed:
-		case <-r.Context().Done():
+		case <-changed:
+		case <-c.request.Context().Done():
 			return
 		}
 	}
 }
 
-// writeEnd sends the last chunk and the terminator, or the failure.
-func (s *stream) writeEnd(w http.ResponseWriter, seen view) {
-	if seen.failure != "" {
-		writeEvent(w, engineapi.ChatChunk{
-			ID:    s.id,
-			Error: &engineapi.ErrorBody{Type: "failed", Message: seen.failure},
-		})
-		return
+func (c *reader) flush() error {
+	return http.NewResponseController(c.writer).Flush()
+}
+
+// writeChunks sends the chunks up to a number, and reports false where a fault
+// ends the answer.
+func (c *reader) writeChunks(end int) bool {
+	for {
+		if c.atFault(c.next) {
+			_ = c.flush()
+			c.misbehave(c.next)
+			return false
+		}
+		if c.next >= end {
+			return true
+		}
+		c.writeChunk(c.next)
+		if reached(c.faults.RepeatChunk, c.next) {
+			c.writeChunk(c.next)
+		}
+		c.next++
 	}
-	last := s.chunk(engineapi.ChatChoice{Delta: &engineapi.ChatMessage{}, FinishReason: &seen.finishReason})
-	last.Usage = &seen.usage
-	writeEvent(w, last)
-	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-func (s *stream) textChunk(text string) engineapi.ChatChunk {
-	return s.chunk(engineapi.ChatChoice{Delta: &engineapi.ChatMessage{Role: "assistant", Content: text}})
+// writeChunk sends one token.
+func (c *reader) writeChunk(number int) {
+	delta := engineapi.ChatMessage{Role: "assistant", Content: c.answer.chunkText(number)}
+	c.writeEvent(number, c.chunk(engineapi.ChatChoice{Delta: &delta}))
+}
+
+// writeEnd sends the last chunk and the terminator, or the failure.
+func (c *reader) writeEnd(status progress) {
+	if status.failure != "" {
+		failure := engineapi.ErrorBody{Type: typeFailed, Message: status.failure}
+		c.writeEvent(status.chunks, engineapi.ChatChunk{ID: c.answer.id, Error: &failure})
+		return
+	}
+	last := c.chunk(engineapi.ChatChoice{Delta: &engineapi.ChatMessage{}, FinishReason: &status.finishReason})
+	last.Usage = &status.usage
+	c.writeEvent(status.chunks, last)
+	fmt.Fprint(c.writer, "data: [DONE]\n\n")
 }
 
-func (s *stream) chunk(choice engineapi.ChatChoice) engineapi.ChatChunk {
+func (c *reader) chunk(choice engineapi.ChatChoice) engineapi.ChatChunk {
+	id := c.answer.id
+	if c.faults.CrossIDs {
+		id = c.server.crossedID(c.answer)
+	}
 	return engineapi.ChatChunk{
-		ID:      s.id,
+		ID:      id,
 		Object:  "chat.completion.chunk",
-		Created: s.created.Unix(),
-		Model:   s.model,
+		Created: c.answer.created.Unix(),
+		Model:   c.answer.model,
 		Choices: []engineapi.ChatChoice{choice},
 	}
 }
 
-func writeEvent(w http.ResponseWriter, chunk engineapi.ChatChunk) {
+// writeEvent sends a chunk as an event whose id is the chunk's number.
+func (c *reader) writeEvent(number int, chunk engineapi.ChatChunk) {
 	encoded, err := json.Marshal(chunk)
 	if err != nil {
 		return
 	}
-	fmt.Fprintf(w, "data: %s\n\n", encoded)
+	fmt.Fprintf(c.writer, "id: %d\ndata: %s\n\n", number, encoded)
 }
 
-// writeWhole waits for the end of an answer and sends it in one piece.
-func (s *Server) writeWhole(w http.ResponseWriter, r *http.Request, answer *stream) {
-	seen := answer.from(0)
-	for !seen.ended() {
+// sendWhole waits for the end of the answer and sends it in one piece.
+func (c *reader) sendWhole() {
+	status, changed := c.answer.now()
+	for !status.ended() {
 		select {
-		case <-seen.changed:
-		case <-r.Context().Done():
+		case <-changed:
+		case <-c.request.Context().Done():
 			return
 		}
-		seen = answer.from(0)
+		status, changed = c.answer.now()
+	}
+	if c.atFault(status.chunks) {
+		c.misbehave(status.chunks)
+		return
 	}
-	if seen.failure != "" {
-		refuse(w, http.StatusInternalServerError, "failed", seen.failure)
+	if status.failure != "" {
+		refuse(c.writer, http.StatusInternalServerError, typeFailed, status.failure)
 		return
 	}
-	whole := answer.chunk(engineapi.ChatChoice{
-		Message:      &engineapi.ChatMessage{Role: "assistant", Content: strings.Join(seen.chunks, "")},
-		FinishReason: &seen.finishReason,
-	})
+	size := min(len(c.answer.text), status.chunks*bytesPerToken)
+	message := engineapi.ChatMessage{Role: "assistant", Content: c.answer.text[:size]}
+	whole := c.chunk(engineapi.ChatChoice{Message: &message, FinishReason: &status.finishReason})
 	whole.Object = "chat.completion"
-	whole.Usage = &seen.usage
-	writeJSON(w, http.StatusOK, whole)
+	whole.Usage = &status.usage
+	writeJSON(c.writer, http.StatusOK, whole)
 }
--- /dev/null
+++ b/node/sweep.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/execution"
+	"github.com/marblering/marblering/coordination/record"
+	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/state/program"
+)
+
+const (
+	// idleReason is why the sweep ends a program.
+	idleReason = "idle limit"
+	// roundsOfAPass is how many rounds a pass over all records takes.
+	roundsOfAPass = 5
+	// sweepTimeout bounds the work on one program or engine.
+	sweepTimeout = 10 * time.Second
+)
+
+// errKeepTree leaves a record as it is.
+var errKeepTree = errors.New("nothing to change")
+
+// sweep looks after what nobody asks for any more: programs past their idle
+// limit, calls whose executor is gone, and holds that weren't released. It is a
+// suture service.
+type sweep struct {
+	interval time.Duration
+	records  *record.Store
+	executor *execution.Executor
+	holds    *holdSweep
+	// replica has this node's copies of records.
+	replica *shard.Replica
+	// mine reports whether this node should look after the key; a hint that
+	// spreads the work.
+	mine   func(key string) bool
+	now    func() time.Time
+	logger *zap.Logger
+}
+
+// Serve sweeps until the context ends.
+func (s *sweep) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(s.interval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ticker.C:
+			s.sweepRecords(ctx, round)
+			s.holds.sweepNext(ctx, round)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// sweepRecords looks at this node's copies of a part of the records and takes
+// up those that seem to need something. A pass over all of them takes
+// roundsOfAPass rounds, so that an idle program costs next to nothing.
+func (s *sweep) sweepRecords(ctx context.Context, round int) {
+	var due []string
+	for number := range s.replica.Shards() {
+		if int(number)%roundsOfAPass != round%roundsOfAPass {
+			continue
+		}
+		err := s.replica.EachRecord(number, func(root string, value []byte) error {
+			if s.mine(root) && s.seemsDue(root, value) {
+				due = append(due, root)
+			}
+			return ctx.Err()
+		})
+		if err != nil {
+			s.logger.Warn("sweep of records", zap.Uint32("shard", number), zap.Error(err))
+		}
+	}
+	for _, root := range due {
+		if ctx.Err() != nil {
+			return
+		}
+		s.sweepRecord(ctx, root)
+	}
+}
+
+// seemsDue judges by this node's copy, which may be out of date.
+func (s *sweep) seemsDue(root string, value []byte) bool {
+	tree, err := record.Decode(root, value)
+	if err != nil || tree == nil {
+		return false
+	}
+	now := s.now().UnixMilli()
+	return program.Due(tree, now)
+}
+
+// sweepRecord ends an idle tree and releases what the tree no longer needs.
+func (s *sweep) sweepRecord(ctx context.Context, root string) {
+	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
+	defer cancel()
+	tree, err := s.records.Apply(ctx, root, func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
+		if tree == nil {
+			return nil, errKeepTree
+		}
+		now := s.now().UnixMilli()
+		if program.Idle(tree, now) {
+			program.End(tree, root, idleReason, now)
+		}
+		return tree, nil
+	})
+	if err != nil {
+		return
+	}
+	s.endLost(ctx, tree)
+	s.executor.ReleaseHolds(ctx, tree)
+}
+
+// endLost ends calls whose executor is gone and whose deadline has passed, so
+// that nobody waits for their callers.
+func (s *sweep) endLost(ctx context.Context, tree *statev1.ProgramTree) {
+	for _, candidate := range tree.GetPrograms() {
+		running := program.Running(candidate)
+		if running == nil || s.now().UnixMilli() <= running.GetDeadlineUnixMs() {
+			continue
+		}
+		if s.executor.Lost(ctx, candidate.GetId(), running) {
+			if err := s.executor.EndLost(ctx, candidate.GetId(), running); err != nil {
+				s.logger.Warn("ending a lost call", zap.String("program", candidate.GetId()), zap.Error(err))
+			}
+		}
+	}
+}
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -19,6 +19,7 @@
 type Client struct {
 	http    *http.Client
 	timeout time.Duration
+	options []connect.ClientOption
 }
 
 var (
@@ -28,16 +29,20 @@
 )
 
 // NewClient makes a client whose requests end after the timeout at the latest.
-func NewClient(httpClient *http.Client, timeout time.Duration) *Client {
-	return &Client{http: httpClient, timeout: timeout}
+func NewClient(httpClient *http.Client, timeout time.Duration, metrics *Metrics) *Client {
+	return &Client{
+		http:    httpClient,
+		timeout: timeout,
+		options: []connect.ClientOption{connect.WithInterceptors(metrics)},
+	}
 }
 
 func (c *Client) replica(address string) peerv1connect.ReplicaServiceClient {
-	return peerv1connect.NewReplicaServiceClient(c.http, "http://"+address)
+	return peerv1connect.NewReplicaServiceClient(c.http, "http://"+address, c.options...)
 }
 
 func (c *Client) node(address string) peerv1connect.NodeServiceClient {
-	return peerv1connect.NewNodeServiceClient(c.http, "http://"+address)
+	return peerv1connect.NewNodeServiceClient(c.http, "http://"+address, c.options...)
 }
 
 func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -193,3 +198,47 @@
 	}
 	return response.Msg, nil
 }
+
+// Reserve asks the admission point at the address for room.
+func (c *Client) Reserve(ctx context.Context, address string, request *peerv1.ReserveRequest) (*peerv1.ReserveResponse, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.node(address).Reserve(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// Release gives room back to the admission point at the address.
+func (c *Client) Release(ctx context.Context, address string, request *peerv1.ReleaseRequest) error {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	_, err := c.node(address).Release(ctx, connect.NewRequest(request))
+	return err
+}
+
+// Grant asks the node at the address for a slice of a tenant's rate.
+func (c *Client) Grant(ctx context.Context, address string, request *peerv1.GrantRequest) (*peerv1.GrantResponse, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.node(address).Grant(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// Peek asks one replica for its copy of a register, a hint.
+func (c *Client) Peek(ctx context.Context, member register.Member, fence register.Fence, key string) ([]byte, register.Refusal, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.replica(member.Address).Peek(ctx, connect.NewRequest(&peerv1.PeekRequest{
+		Fence: fenceToWire(fence),
+		Key:   key,
+	}))
+	if err != nil {
+		return nil, register.RefusalNone, err
+	}
+	return response.Msg.GetValue(), register.Refusal(response.Msg.GetRefusal()), nil
+}
