Add the operators' language, its HTTP API, client and command line

Cause: operators need to ask what runs where and why, and to change capacity without overwriting each other. Ruled out: JSON requests by hand (no queries), SQL (far larger than needed). Change: a grammar by participle; seven tables with where, order by and limit; explain; commands with an expected version and a command id; a backend interface for the node; POST /v1/operator; a client that finds out lost outcomes by the same command id; query and prompt commands. Conclusion: works against a stand-in of the node; the node's backend is still to be written.

--- /dev/null
+++ b/protocol/operator/backend.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/marblering/marblering/coordination/configuration"
+)
+
+// Hint narrows what rows are asked for; rows beyond it may be left out and may
+// also be returned.
+type Hint struct {
+	// Program is the id of the only program of interest; empty for all.
+	Program string
+	// Tenant is the only tenant of interest; empty for all.
+	Tenant string
+}
+
+// Tables are what the node knows of the system. A row that can't be had, such
+// as that of a shard without a quorum, is left out and named in Incomplete.
+type Tables interface {
+	Programs(ctx context.Context, hint Hint) (Listing[ProgramRow], error)
+	Calls(ctx context.Context, hint Hint) (Listing[CallRow], error)
+	Engines(ctx context.Context) (Listing[EngineRow], error)
+	Pools(ctx context.Context) (Listing[PoolRow], error)
+	Nodes(ctx context.Context) (Listing[NodeRow], error)
+	Shards(ctx context.Context) (Listing[ShardRow], error)
+	Configuration(ctx context.Context) (Listing[ConfigurationRow], error)
+	// Decisions returns the recent choices of engines for the program by all
+	// nodes that answer, oldest first.
+	Decisions(ctx context.Context, program string) (Listing[Decision], error)
+}
+
+// Change is one command on one object of the configuration.
+type Change struct {
+	configuration.Key
+	// Expected is the version that the object must have; 0 where it must not
+	// exist.
+	Expected uint64
+	// Body is the object's new body; unused for a removal.
+	Body []byte
+	// Remove takes the object out.
+	Remove    bool
+	CommandID string
+	Operator  string
+	// Again is set where the command may have been asked for before.
+	Again bool
+}
+
+// Accepted says that a change is in force.
+type Accepted struct {
+	// Version of the object.
+	Version uint64
+	// ConfigurationVersion is the version that was installed.
+	ConfigurationVersion uint64
+	// Repeated is set where an earlier try of the command wrote the object.
+	Repeated bool
+}
+
+// Changes carries out commands.
+type Changes interface {
+	// Object returns an object as the object API holds it now, and whether it
+	// exists. A failure is of type *result.Error.
+	Object(ctx context.Context, key configuration.Key) (configuration.Object, bool, error)
+	// Accept checks a change, writes it where the object has the expected
+	// version and puts it in force. A failure is of type *result.Error.
+	Accept(ctx context.Context, change Change) (Accepted, error)
+	// EndProgram ends a program of any tenant; ending an ended one does
+	// nothing. A failure is of type *result.Error.
+	EndProgram(ctx context.Context, program, reason string) error
+}
+
+// Backend is what a node offers to the interpreter.
+type Backend interface {
+	Tables
+	Changes
+}
--- /dev/null
+++ b/protocol/operator/interpreter.go
@@ -0,0 +1,298 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/configuration"
+	"github.com/marblering/marblering/state/result"
+)
+
+// Options are what an Interpreter needs; all are required.
+type Options struct {
+	Backend Backend
+	Logger  *zap.Logger
+	// NewCommandID makes an id that no other command has.
+	NewCommandID func() string
+	Now          func() time.Time
+}
+
+// Interpreter runs statements. It is safe for concurrent use.
+type Interpreter struct {
+	options Options
+	parser  *Parser
+	tables  []*table
+}
+
+// NewInterpreter makes an interpreter.
+func NewInterpreter(options Options) *Interpreter {
+	return &Interpreter{options: options, parser: NewParser(), tables: allTables()}
+}
+
+// Run runs one statement. Errors are of type *SyntaxError or *result.Error.
+func (i *Interpreter) Run(ctx context.Context, request Request) (Answer, error) {
+	statement, err := i.parser.Parse(request.Text)
+	if err != nil {
+		return Answer{}, err
+	}
+	switch {
+	case statement.Command != nil:
+		return i.command(ctx, request, statement.Command)
+	case statement.Explain != nil:
+		return i.explain(ctx, request, statement.Explain)
+	default:
+		return i.query(ctx, request, statement.Query)
+	}
+}
+
+func (i *Interpreter) query(ctx context.Context, request Request, query *Query) (Answer, error) {
+	plan, err := planQuery(request.Text, query, i.tables)
+	if err != nil {
+		return Answer{}, err
+	}
+	answer, err := i.rows(ctx, plan)
+	if err != nil {
+		return Answer{}, err
+	}
+	return Answer{Table: answer}, nil
+}
+
+func (i *Interpreter) rows(ctx context.Context, plan *plannedQuery) (*TableAnswer, error) {
+	listing, err := plan.table.fetch(ctx, i.options.Backend, plan.hint)
+	if err != nil {
+		return nil, err
+	}
+	return &TableAnswer{
+		Name:       plan.table.name,
+		Columns:    plan.table.columns,
+		Rows:       plan.evaluate(listing.Rows),
+		Incomplete: listing.Incomplete,
+	}, nil
+}
+
+// command runs a command and records who gave it and what became of it.
+func (i *Interpreter) command(ctx context.Context, request Request, command *Command) (Answer, error) {
+	plan, err := planCommand(request.Text, command)
+	if err != nil {
+		return Answer{}, err
+	}
+	order, err := i.order(request, plan)
+	if err != nil {
+		return Answer{}, err
+	}
+	started := i.options.Now()
+	answer, err := i.carryOut(ctx, plan, order)
+	i.record(request, order, started, answer, err)
+	if err != nil {
+		return Answer{}, err
+	}
+	return Answer{Command: &answer}, nil
+}
+
+// order is who gives a command under which id.
+type order struct {
+	operator  string
+	commandID string
+	again     bool
+}
+
+func (i *Interpreter) order(request Request, plan *plannedCommand) (order, error) {
+	if request.Operator == "" {
+		return order{}, result.Errorf(result.BadRequest, "field operator: a command needs to say who gives it")
+	}
+	id := plan.commandID
+	if id != "" && request.CommandID != "" && id != request.CommandID {
+		return order{}, result.Errorf(result.BadRequest, "field command_id: %q isn't the command id of the text, %q", request.CommandID, id)
+	}
+	if id == "" {
+		id = request.CommandID
+	}
+	if id == "" {
+		return order{operator: request.Operator, commandID: i.options.NewCommandID()}, nil
+	}
+	again := request.Again == nil || *request.Again
+	return order{operator: request.Operator, commandID: id, again: again}, nil
+}
+
+func (i *Interpreter) carryOut(ctx context.Context, plan *plannedCommand, order order) (CommandAnswer, error) {
+	answer := CommandAnswer{CommandID: order.commandID, Operator: order.operator, Verb: plan.verb}
+	if plan.program != "" {
+		answer.Subject = programSubject + "/" + plan.program
+		return answer, i.options.Backend.EndProgram(ctx, plan.program, endReason(plan, order))
+	}
+	answer.Subject = plan.key.String()
+	change, err := i.change(ctx, plan, order)
+	if err != nil {
+		return answer, err
+	}
+	accepted, err := i.options.Backend.Accept(ctx, change)
+	answer.Version = accepted.Version
+	answer.ConfigurationVersion = accepted.ConfigurationVersion
+	answer.Repeated = accepted.Repeated
+	return answer, err
+}
+
+func endReason(plan *plannedCommand, order order) string {
+	reason := "stopped by operator " + order.operator + ", command " + order.commandID
+	if plan.reason != "" {
+		reason += ": " + plan.reason
+	}
+	return reason
+}
+
+// change builds the object's new body from the one at the expected version.
+func (i *Interpreter) change(ctx context.Context, plan *plannedCommand, order order) (Change, error) {
+	change := Change{
+		Key:       plan.key,
+		Expected:  plan.expected,
+		Remove:    plan.rule.remove,
+		CommandID: order.commandID,
+		Operator:  order.operator,
+		Again:     order.again,
+	}
+	object, exists, err := i.options.Backend.Object(ctx, plan.key)
+	if err != nil {
+		return change, unknownIfAgain(order, err)
+	}
+	repeat := wroteBefore(object.Body, order.commandID)
+	if !repeat {
+		if err := i.compare(ctx, plan, object, exists); err != nil {
+			return change, err
+		}
+	}
+	if plan.rule.remove {
+		return change, nil
+	}
+	current := object.Body
+	if !exists {
+		current = nil
+	}
+	change.Body, err = plan.body(current)
+	if err != nil {
+		return change, result.Errorf(result.InvalidConfiguration, "%s: the stored body isn't a JSON object: %v", plan.key, err)
+	}
+	return change, nil
+}
+
+// unknownIfAgain keeps a repeat from saying "not done" of an earlier try.
+func unknownIfAgain(order order, err error) error {
+	var failure *result.Error
+	if !order.again || !errors.As(err, &failure) || failure.Code != result.PlatformUnavailable {
+		return err
+	}
+	return result.Errorf(result.CommandUnresolved,
+		"an earlier try of command %s may have been done; this one failed: %s", order.commandID, failure.Message).After(failure.RetryAfter)
+}
+
+// compare refuses a command whose operator looked at another version.
+func (i *Interpreter) compare(ctx context.Context, plan *plannedCommand, object configuration.Object, exists bool) error {
+	version := object.Version
+	if !exists {
+		version = 0
+	}
+	switch {
+	case version == plan.expected && exists:
+		return nil
+	case version == plan.expected:
+		return i.checkNode(ctx, plan)
+	case !exists:
+		return result.Errorf(result.UnknownObject, "%s: there is no such object", plan.key)
+	}
+	mark := writtenBy(object.Body)
+	if mark.CommandID == "" {
+		return result.Errorf(result.VersionConflict, "%s is at version %d, not %d; it was written without a command id",
+			plan.key, version, plan.expected)
+	}
+	return result.Errorf(result.VersionConflict, "%s is at version %d, not %d; it was written by command %s of operator %s",
+		plan.key, version, plan.expected, mark.CommandID, mark.Operator)
+}
+
+// checkNode refuses orders for a node that nobody knows: its object is made by
+// the first order.
+func (i *Interpreter) checkNode(ctx context.Context, plan *plannedCommand) error {
+	if plan.key.Kind != configuration.KindNode {
+		return nil
+	}
+	nodes, err := i.options.Backend.Nodes(ctx)
+	if err != nil {
+		return err
+	}
+	for _, node := range nodes.Rows {
+		if node.Name == plan.key.Name {
+			return nil
+		}
+	}
+	return result.Errorf(result.UnknownObject, "%s: no such node is known", plan.key)
+}
+
+// writtenBy reads which command wrote a body.
+func writtenBy(body json.RawMessage) configuration.WrittenBy {
+	var header struct {
+		WrittenBy configuration.WrittenBy `json:"written_by"`
+	}
+	// A body that can't be read names no command; Accept reports what it is.
+	_ = json.Unmarshal(body, &header)
+	return header.WrittenBy
+}
+
+func wroteBefore(body json.RawMessage, commandID string) bool {
+	mark := writtenBy(body)
+	if mark.CommandID == commandID {
+		return true
+	}
+	for _, previous := range mark.Previous {
+		if previous == commandID {
+			return true
+		}
+	}
+	return false
+}
+
+func (i *Interpreter) record(request Request, order order, started time.Time, answer CommandAnswer, err error) {
+	code := result.OK
+	message := ""
+	if err != nil {
+		failure := asResult(err)
+		code, message = failure.Code, failure.Message
+	}
+	i.options.Logger.Info("operator command",
+		zap.String("operator", order.operator),
+		zap.String("command_id", order.commandID),
+		zap.String("text", oneLine(request.Text)),
+		zap.String("subject", answer.Subject),
+		zap.Uint64("version", answer.Version),
+		zap.Bool("repeated", answer.Repeated),
+		zap.Uint32("result", uint32(code)),
+		zap.String("result_name", code.String()),
+		zap.String("message", message),
+		zap.Float64("took_seconds", i.options.Now().Sub(started).Seconds()))
+}
+
+// asResult returns what the operator is told of an error. The text of an
+// unexpected one stays in the log.
+func asResult(err error) *result.Error {
+	var failure *result.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return result.Errorf(result.CommandUnresolved, "this node stopped waiting for the outcome; the same command id finds out")
+	}
+	return result.Errorf(result.Internal, "a fault of this program; the log has the details")
+}
+
+// splitCall reads the id of a call.
+func splitCall(source string, word *Word) (program string, sequence uint64, err error) {
+	program, number, found := strings.Cut(word.Text, "/")
+	sequence, parseError := strconv.ParseUint(number, 10, 64)
+	if !found || program == "" || parseError != nil {
+		return "", 0, faultAt(source, word, "%q isn't a call; allowed: PROGRAM/SEQUENCE", word.Text)
+	}
+	return program, sequence, nil
+}
