--- a/coordination/membership/settings.go
+++ b/coordination/membership/settings.go
@@ -54,6 +54,7 @@
 	sendsPerLogarithm   = 2
 	heardSends          = 2
 	goneHeartbeatMargin = 3
+	minimumProbes       = 4
 
 	heartbeatInterval = time.Second
 	stallTime         = 2 * time.Second
@@ -95,6 +96,8 @@
 	setDefault(&s.ExtraExchangesPerSecond, defaults.ExtraExchangesPerSecond)
 	setDefault(&s.UpdateBytesPerSecond, defaults.UpdateBytesPerSecond)
 	setDefault(&s.SyncBytesPerSecond, defaults.SyncBytesPerSecond)
+	// A suspected node gets several chances, however short its time.
+	s.AskInterval = min(s.AskInterval, s.SuspicionTime/minimumProbes)
 	return s
 }
 
