Take operators' changes through the configuration's acceptor

Cause: the operators' language had its own type of a change; the acceptor now exists. Change: the backend takes configuration.Change and reads objects as configuration.Platform does; rows of configuration, pools and decisions are made from the coordination packages' own types; explain call says where a node's choices don't name their call. Conclusion: the node can hand its acceptor and its platform to the interpreter as they are.

--- a/protocol/operator/backend.go
+++ b/protocol/operator/backend.go
@@ -30,40 +30,14 @@
 	Decisions(ctx context.Context, program string) (Listing[Decision], error)
 }
 
-// Change is one command on one object of the configuration.
-type Change struct {
-	configuration.Key
-	// Expected is the version that the object must have; 0 where it must not
-	// exist.
-	Expected uint64
-	// Body is the object's new body; unused for a removal.
-	Body []byte
-	// Remove takes the object out.
-	Remove    bool
-	CommandID string
-	Operator  string
-	// Again is set where the command may have been asked for before.
-	Again bool
-}
-
-// Accepted says that a change is in force.
-type Accepted struct {
-	// Version of the object.
-	Version uint64
-	// ConfigurationVersion is the version that was installed.
-	ConfigurationVersion uint64
-	// Repeated is set where an earlier try of the command wrote the object.
-	Repeated bool
-}
-
 // Changes carries out commands.
 type Changes interface {
-	// Object returns an object as the object API holds it now, and whether it
-	// exists. A failure is of type *result.Error.
-	Object(ctx context.Context, key configuration.Key) (configuration.Object, bool, error)
+	// Get returns an object as the object API holds it now; one that doesn't
+	// exist as Deleted. It is that of configuration.Platform.
+	Get(ctx context.Context, key configuration.Key) (configuration.Object, error)
 	// Accept checks a change, writes it where the object has the expected
-	// version and puts it in force. A failure is of type *result.Error.
-	Accept(ctx context.Context, change Change) (Accepted, error)
+	// version and puts it in force. It is that of configuration.Acceptor.
+	Accept(ctx context.Context, change configuration.Change) (configuration.Accepted, error)
 	// EndProgram ends a program of any tenant; ending an ended one does
 	// nothing. A failure is of type *result.Error.
 	EndProgram(ctx context.Context, program, reason string) error
--- a/protocol/operator/explain.go
+++ b/protocol/operator/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 
 	"github.com/marblering/marblering/state/result"
@@ -50,8 +51,20 @@
 		return nil, notFound(calls, "no call %q is remembered; the programs' records keep recent calls only", word.Text)
 	}
 	answer := &ExplanationAnswer{Call: calls, Incomplete: calls.Incomplete}
-	ofCall := func(decision Decision) bool { return decision.Sequence == sequence }
-	return answer, i.addDecisions(ctx, answer, program, ofCall)
+	unnamed := 0
+	ofCall := func(decision Decision) bool {
+		if decision.Sequence == 0 {
+			unnamed++
+		}
+		return decision.Sequence == sequence
+	}
+	if err := i.addDecisions(ctx, answer, program, ofCall); err != nil {
+		return nil, err
+	}
+	if unnamed > 0 && answer.Incomplete == "" {
+		answer.Incomplete = fmt.Sprintf("%d choices of the program don't say for which call they were; explain program %s shows them", unnamed, program)
+	}
+	return answer, nil
 }
 
 // only returns the rows of a table whose column has the value.
--- a/protocol/operator/fake_test.go
+++ b/protocol/operator/fake_test.go
@@ -101,51 +101,55 @@
 func (b *backend) Decisions(context.Context, string) (operator.Listing[operator.Decision], error) {
 	return operator.Listing[operator.Decision]{Rows: []operator.Decision{
 		{Node: "n1", Sequence: 1, Attempt: 1, Engine: "e1", Reason: "cached"},
+		{Node: "n2", Engine: "e1", Reason: "of an unknown call"},
 		{Node: "n1", Sequence: 2, Attempt: 1, Engine: "e2", Reason: "shorter queue", Candidates: []operator.Candidate{
 			{Engine: "e2", Cost: 1.5, Queue: 0.5}, {Engine: "e1", Rejected: "leaving"},
 		}},
 	}}, nil
 }
 
-func (b *backend) Object(_ context.Context, key configuration.Key) (configuration.Object, bool, error) {
+func (b *backend) Get(_ context.Context, key configuration.Key) (configuration.Object, error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.down {
-		return configuration.Object{}, false, result.Errorf(result.PlatformUnavailable, "no answer")
+		return configuration.Object{}, configuration.ErrUnavailable
 	}
 	object, found := b.objects[key]
-	return object, found, nil
+	if !found {
+		return configuration.Object{Key: key, Deleted: true}, nil
+	}
+	return object, nil
 }
 
 // Accept does what coordination/configuration does, for one node.
-func (b *backend) Accept(_ context.Context, change operator.Change) (operator.Accepted, error) {
+func (b *backend) Accept(_ context.Context, change configuration.Change) (configuration.Accepted, error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.down {
-		return operator.Accepted{}, result.Errorf(result.PlatformUnavailable, "no answer")
+		return configuration.Accepted{}, result.Errorf(result.PlatformUnavailable, "no answer")
 	}
 	object := b.objects[change.Key]
-	mark := commandsOf(object.Body)
-	if slices.Contains(mark, change.CommandID) {
-		return operator.Accepted{Version: object.Version, ConfigurationVersion: b.version, Repeated: true}, nil
+	mark := configuration.Writer(object.Body)
+	if mark.Includes(change.CommandID) {
+		return configuration.Accepted{Version: object.Version, ConfigurationVersion: b.version, Repeated: true}, nil
 	}
 	if object.Version != change.Expected {
-		return operator.Accepted{}, result.Errorf(result.VersionConflict, "%s is at version %d, written by command %s", change.Key, object.Version, mark)
+		return configuration.Accepted{}, result.Errorf(result.VersionConflict, "%s is at version %d, written by command %s", change.Key, object.Version, mark.CommandID)
 	}
 	if change.Remove {
 		delete(b.objects, change.Key)
-		return operator.Accepted{ConfigurationVersion: b.version}, nil
+		return configuration.Accepted{ConfigurationVersion: b.version}, nil
 	}
-	body := mark.stamp(change)
+	body := stamp(change, mark)
 	if _, err := configuration.Decode(configuration.Object{Key: change.Key, Version: 1, Body: body}); err != nil {
-		return operator.Accepted{}, result.Errorf(result.InvalidConfiguration, "%v", err)
+		return configuration.Accepted{}, result.Errorf(result.InvalidConfiguration, "%v", err)
 	}
 	version := b.put(change.Kind, change.Name, string(body))
 	if b.loseAnswers > 0 {
 		b.loseAnswers--
-		return operator.Accepted{}, result.Errorf(result.CommandUnresolved, "the answer was lost")
+		return configuration.Accepted{}, result.Errorf(result.CommandUnresolved, "the answer was lost")
 	}
-	return operator.Accepted{Version: version, ConfigurationVersion: version}, nil
+	return configuration.Accepted{Version: version, ConfigurationVersion: version}, nil
 }
 
 func (b *backend) EndProgram(_ context.Context, program, reason string) error {
@@ -155,24 +159,17 @@
 	return nil
 }
 
-// commands are the ids that wrote an object, newest first.
-type commands []string
-
-func commandsOf(body json.RawMessage) commands {
-	var header configuration.Header
-	_ = json.Unmarshal(body, &header)
-	if header.WrittenBy == nil {
-		return nil
-	}
-	return append(commands{header.WrittenBy.CommandID}, header.WrittenBy.Previous...)
-}
-
-func (c commands) stamp(change operator.Change) json.RawMessage {
+// stamp adds the mark of the command that writes after the one before.
+func stamp(change configuration.Change, before configuration.WrittenBy) json.RawMessage {
 	fields := map[string]any{}
 	if err := json.Unmarshal(change.Body, &fields); err != nil {
 		panic(err)
 	}
-	fields["written_by"] = configuration.WrittenBy{CommandID: change.CommandID, Operator: change.Operator, Previous: c}
+	mark := configuration.WrittenBy{CommandID: change.CommandID, Operator: change.Operator}
+	if before.CommandID != "" {
+		mark.Previous = append([]string{before.CommandID}, before.Previous...)
+	}
+	fields["written_by"] = mark
 	body, err := json.Marshal(fields)
 	if err != nil {
 		panic(err)
--- a/protocol/operator/http_test.go
+++ b/protocol/operator/http_test.go
@@ -14,13 +14,10 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
-	"github.com/marblering/marblering/coordination/configuration"
 	"github.com/marblering/marblering/protocol/operator"
 	"github.com/marblering/marblering/state/result"
 )
 
-func configurationKind(name string) configuration.Kind { return configuration.Kind(name) }
-
 func fixedTime() time.Time { return time.Unix(0, 0) }
 
 func serve(t *testing.T, b *backend) *httptest.Server {
--- a/protocol/operator/interpreter.go
+++ b/protocol/operator/interpreter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"strconv"
 	"strings"
@@ -23,6 +22,9 @@
 	Now          func() time.Time
 }
 
+// retryAfter is advised where the object API can't be read.
+const retryAfter = 2 * time.Second
+
 // Interpreter runs statements. It is safe for concurrent use.
 type Interpreter struct {
 	options Options
@@ -147,8 +149,8 @@
 }
 
 // change builds the object's new body from the one at the expected version.
-func (i *Interpreter) change(ctx context.Context, plan *plannedCommand, order order) (Change, error) {
-	change := Change{
+func (i *Interpreter) change(ctx context.Context, plan *plannedCommand, order order) (configuration.Change, error) {
+	change := configuration.Change{
 		Key:       plan.key,
 		Expected:  plan.expected,
 		Remove:    plan.rule.remove,
@@ -156,55 +158,54 @@
 		Operator:  order.operator,
 		Again:     order.again,
 	}
-	object, exists, err := i.options.Backend.Object(ctx, plan.key)
+	object, err := i.options.Backend.Get(ctx, plan.key)
 	if err != nil {
-		return change, unknownIfAgain(order, err)
+		return change, unreadable(plan, order, err)
 	}
-	repeat := wroteBefore(object.Body, order.commandID)
+	repeat := configuration.Writer(object.Body).Includes(order.commandID)
 	if !repeat {
-		if err := i.compare(ctx, plan, object, exists); err != nil {
+		if err := i.compare(ctx, plan, object); err != nil {
 			return change, err
 		}
 	}
 	if plan.rule.remove {
 		return change, nil
 	}
-	current := object.Body
-	if !exists {
-		current = nil
+	if object.Deleted {
+		object.Body = nil
 	}
-	change.Body, err = plan.body(current)
+	change.Body, err = plan.body(object.Body)
 	if err != nil {
 		return change, result.Errorf(result.InvalidConfiguration, "%s: the stored body isn't a JSON object: %v", plan.key, err)
 	}
 	return change, nil
 }
 
-// unknownIfAgain keeps a repeat from saying "not done" of an earlier try.
-func unknownIfAgain(order order, err error) error {
-	var failure *result.Error
-	if !order.again || !errors.As(err, &failure) || failure.Code != result.PlatformUnavailable {
-		return err
-	}
-	return result.Errorf(result.CommandUnresolved,
-		"an earlier try of command %s may have been done; this one failed: %s", order.commandID, failure.Message).After(failure.RetryAfter)
+// unreadable says what a command came to whose object can't be read: a repeat
+// can't say "not done" of an earlier try.
+func unreadable(plan *plannedCommand, order order, err error) error {
+	if order.again {
+		return result.Errorf(result.CommandUnresolved,
+			"an earlier try of command %s may have been done; this one can't read %s: %v", order.commandID, plan.key, err).After(retryAfter)
+	}
+	return result.Errorf(result.PlatformUnavailable, "nothing was changed: can't read %s: %v", plan.key, err).After(retryAfter)
 }
 
 // compare refuses a command whose operator looked at another version.
-func (i *Interpreter) compare(ctx context.Context, plan *plannedCommand, object configuration.Object, exists bool) error {
+func (i *Interpreter) compare(ctx context.Context, plan *plannedCommand, object configuration.Object) error {
 	version := object.Version
-	if !exists {
+	if object.Deleted {
 		version = 0
 	}
 	switch {
-	case version == plan.expected && exists:
+	case version == plan.expected && !object.Deleted:
 		return nil
 	case version == plan.expected:
 		return i.checkNode(ctx, plan)
-	case !exists:
+	case object.Deleted:
 		return result.Errorf(result.UnknownObject, "%s: there is no such object", plan.key)
 	}
-	mark := writtenBy(object.Body)
+	mark := configuration.Writer(object.Body)
 	if mark.CommandID == "" {
 		return result.Errorf(result.VersionConflict, "%s is at version %d, not %d; it was written without a command id",
 			plan.key, version, plan.expected)
@@ -231,29 +232,6 @@
 	return result.Errorf(result.UnknownObject, "%s: no such node is known", plan.key)
 }
 
-// writtenBy reads which command wrote a body.
-func writtenBy(body json.RawMessage) configuration.WrittenBy {
-	var header struct {
-		WrittenBy configuration.WrittenBy `json:"written_by"`
-	}
-	// A body that can't be read names no command; Accept reports what it is.
-	_ = json.Unmarshal(body, &header)
-	return header.WrittenBy
-}
-
-func wroteBefore(body json.RawMessage, commandID string) bool {
-	mark := writtenBy(body)
-	if mark.CommandID == commandID {
-		return true
-	}
-	for _, previous := range mark.Previous {
-		if previous == commandID {
-			return true
-		}
-	}
-	return false
-}
-
 func (i *Interpreter) record(request Request, order order, started time.Time, answer CommandAnswer, err error) {
 	code := result.OK
 	message := ""
--- a/protocol/operator/render.go
+++ b/protocol/operator/render.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -119,15 +120,31 @@
 	fmt.Fprintf(writer, "\n%s  node %s  call %d attempt %d  engine %s: %s\n",
 		decision.At.UTC().Format(time.RFC3339Nano), decision.Node, decision.Sequence, decision.Attempt, engine, decision.Reason)
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "ENGINE\tCOST\tQUEUE\tPREFILL\tDECODE\tTRANSFER\tNETWORK\tWASTED\tCACHED\tREJECTED\t")
+	fmt.Fprintln(table, strings.Join(candidateColumns(), "\t")+"\t")
 	for _, candidate := range decision.Candidates {
-		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%s\t\n",
-			candidate.Engine, candidate.Cost, candidate.Queue, candidate.Prefill, candidate.Decode, candidate.Transfer,
-			candidate.Network, candidate.WastedCache, candidate.CachedTokens, orDash(candidate.Rejected))
+		fmt.Fprintln(table, strings.Join(candidateCells(candidate), "\t")+"\t")
 	}
 	return table.Flush()
 }
 
+func candidateColumns() []string {
+	return []string{
+		"ENGINE", "COST", "QUEUE", "PREFILL", "DECODE", "TRANSFER", "NETWORK",
+		"INTERFERENCE", "WASTED", "EVICTION", "CACHED", "SOURCE", "REJECTED",
+	}
+}
+
+func candidateCells(candidate Candidate) []string {
+	cells := []string{candidate.Engine}
+	for _, part := range []float64{
+		candidate.Cost, candidate.Queue, candidate.Prefill, candidate.Decode, candidate.Transfer, candidate.Network,
+		candidate.Interference, candidate.WastedCache, candidate.Eviction,
+	} {
+		cells = append(cells, strconv.FormatFloat(part, 'f', 3, 64))
+	}
+	return append(cells, strconv.FormatUint(candidate.CachedTokens, 10), orDash(candidate.Source), orDash(candidate.Rejected))
+}
+
 func orDash(text string) string {
 	if text == "" {
 		return "-"
--- a/protocol/operator/rows.go
+++ b/protocol/operator/rows.go
@@ -158,16 +158,21 @@
 	Decode       float64 `json:"decode_seconds"`
 	Transfer     float64 `json:"transfer_seconds"`
 	Network      float64 `json:"network_seconds"`
+	Interference float64 `json:"interference_seconds"`
 	WastedCache  float64 `json:"wasted_cache_seconds"`
+	Eviction     float64 `json:"eviction_seconds"`
 	CachedTokens uint64  `json:"cached_tokens"`
+	// Source is the engine to move context from; empty without a transfer.
+	Source string `json:"source,omitempty"`
 }
 
 // Decision is one choice of an engine.
 type Decision struct {
-	At       time.Time `json:"at"`
-	Node     string    `json:"node"`
-	Sequence uint64    `json:"sequence,omitempty"`
-	Attempt  uint32    `json:"attempt,omitempty"`
+	At   time.Time `json:"at"`
+	Node string    `json:"node"`
+	// Sequence is the call's; 0 where the node doesn't remember it.
+	Sequence uint64 `json:"sequence,omitempty"`
+	Attempt  uint32 `json:"attempt,omitempty"`
 	// Engine is empty where none could be chosen.
 	Engine     string      `json:"engine"`
 	Reason     string      `json:"reason"`
