--- a/protocol/callerapi/completion.go
+++ b/protocol/callerapi/completion.go
@@ -4,85 +4,94 @@
 	"github.com/marblering/marblering/coordination/execution"
 )
 
+// StreamEnd is the data of the event that ends a whole streamed answer.
+const StreamEnd = "[DONE]"
+
 // Object types of the OpenAI dialect.
 const (
 	objectCompletion = "chat.completion"
 	objectChunk      = "chat.completion.chunk"
 )
 
-// completion is a whole answer in the OpenAI dialect.
-type completion struct {
+// Completion is a whole answer in the OpenAI dialect.
+type Completion struct {
 	ID      string             `json:"id"`
 	Object  string             `json:"object"`
 	Created int64              `json:"created"`
 	Model   string             `json:"model"`
-	Choices []completionChoice `json:"choices"`
-	Usage   usage              `json:"usage"`
+	Choices []CompletionChoice `json:"choices"`
+	Usage   Usage              `json:"usage"`
 }
 
-type completionChoice struct {
-	Index        int               `json:"index"`
-	Message      completionMessage `json:"message"`
-	FinishReason string            `json:"finish_reason"`
+// CompletionChoice is the only choice of an answer.
+type CompletionChoice struct {
+	Index        int     `json:"index"`
+	Message      Message `json:"message"`
+	FinishReason string  `json:"finish_reason"`
 }
 
-type completionMessage struct {
+// Message is a message of text.
+type Message struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
 }
 
-type usage struct {
+// Usage counts the tokens of a call.
+type Usage struct {
 	PromptTokens        uint64             `json:"prompt_tokens"`
 	CompletionTokens    uint64             `json:"completion_tokens"`
 	TotalTokens         uint64             `json:"total_tokens"`
-	PromptTokensDetails promptTokenDetails `json:"prompt_tokens_details"`
+	PromptTokensDetails PromptTokenDetails `json:"prompt_tokens_details"`
 }
 
-type promptTokenDetails struct {
+// PromptTokenDetails tells how much of a prompt the engine had cached.
+type PromptTokenDetails struct {
 	CachedTokens uint64 `json:"cached_tokens"`
 }
 
-// chunk is one part of a streamed answer.
-type chunk struct {
+// Chunk is one part of a streamed answer.
+type Chunk struct {
 	ID      string        `json:"id"`
 	Object  string        `json:"object"`
 	Created int64         `json:"created"`
 	Model   string        `json:"model"`
-	Choices []chunkChoice `json:"choices"`
-	Usage   *usage        `json:"usage,omitempty"`
+	Choices []ChunkChoice `json:"choices"`
+	Usage   *Usage        `json:"usage,omitempty"`
 }
 
-type chunkChoice struct {
+// ChunkChoice is the only choice of a chunk; the last chunk may have none.
+type ChunkChoice struct {
 	Index int        `json:"index"`
-	Delta chunkDelta `json:"delta"`
+	Delta ChunkDelta `json:"delta"`
 	// FinishReason is null in all chunks but the last.
 	FinishReason *string `json:"finish_reason"`
 }
 
-type chunkDelta struct {
+// ChunkDelta is what a chunk adds.
+type ChunkDelta struct {
 	Role    string  `json:"role,omitempty"`
 	Content *string `json:"content,omitempty"`
 }
 
-func newCompletion(answer execution.Answer) completion {
-	return completion{
+func newCompletion(answer execution.Answer) Completion {
+	return Completion{
 		ID:      completionID(answer.Start),
 		Object:  objectCompletion,
 		Created: answer.Created.Unix(),
 		Model:   answer.Model,
-		Choices: []completionChoice{{
-			Message:      completionMessage{Role: roleAssistant, Content: answer.Content},
+		Choices: []CompletionChoice{{
+			Message:      Message{Role: roleAssistant, Content: answer.Content},
 			FinishReason: answer.FinishReason,
 		}},
 		Usage: newUsage(answer.Usage),
 	}
 }
 
-func newUsage(counted execution.Usage) usage {
-	return usage{
+func newUsage(counted execution.Usage) Usage {
+	return Usage{
 		PromptTokens:        counted.PromptTokens,
 		CompletionTokens:    counted.OutputTokens,
 		TotalTokens:         counted.PromptTokens + counted.OutputTokens,
-		PromptTokensDetails: promptTokenDetails{CachedTokens: counted.CachedTokens},
+		PromptTokensDetails: PromptTokenDetails{CachedTokens: counted.CachedTokens},
 	}
 }
--- a/protocol/callerapi/failure.go
+++ b/protocol/callerapi/failure.go
@@ -18,6 +18,8 @@
 	HeaderDeadline   = "Marblering-Deadline-Ms"
 	HeaderEngine     = "Marblering-Engine"
 	HeaderAttempt    = "Marblering-Attempt"
+	// HeaderReason says in one line why the engine was chosen.
+	HeaderReason = "Marblering-Reason"
 	// HeaderResult carries the number of the result code. A streamed answer has
 	// it as a trailer (RFC 9110, section 6.5), since the result is known only
 	// at the end.
--- a/protocol/callerapi/stream.go
+++ b/protocol/callerapi/stream.go
@@ -17,9 +17,13 @@
 	eventStart = "data: "
 	eventError = "event: error\ndata: "
 	eventEnd   = "\n\n"
-	eventDone  = "data: [DONE]\n\n"
+	eventDone  = eventStart + StreamEnd + eventEnd
 )
 
+// chunkTextBytes bounds the text of one event: some client libraries take no
+// line of more than 64 KiB, and JSON may double the size of a text.
+const chunkTextBytes = 16 << 10
+
 var (
 	errConnectionLost = merry.Sentinel("the caller's connection is lost")
 	errStreamClosed   = merry.Sentinel("the call is over; its stream takes no more text")
@@ -102,7 +106,7 @@
 	}
 	reason := answer.FinishReason
 	counted := newUsage(answer.Usage)
-	last := s.newChunk(chunkChoice{FinishReason: &reason})
+	last := s.newChunk(ChunkChoice{FinishReason: &reason})
 	if !s.includeUsage {
 		last.Usage = &counted
 	}
@@ -137,11 +141,18 @@
 	if err := s.begin(); err != nil {
 		return err
 	}
-	if text == "" {
-		return nil
+	for text != "" {
+		part := text
+		if len(part) > chunkTextBytes {
+			part = completeRunes(part[:chunkTextBytes])
+		}
+		if err := s.sendChunk(s.newChunk(ChunkChoice{Delta: ChunkDelta{Content: &part}})); err != nil {
+			return err
+		}
+		s.sent += len(part)
+		text = text[len(part):]
 	}
-	s.sent += len(text)
-	return s.sendChunk(s.newChunk(chunkChoice{Delta: chunkDelta{Content: &text}}))
+	return nil
 }
 
 // begin writes the header and the chunk that names the role.
@@ -159,14 +170,14 @@
 	s.created = s.exchange.handler.options.Now().Unix()
 	s.exchange.writer.WriteHeader(http.StatusOK)
 	empty := ""
-	return s.sendChunk(s.newChunk(chunkChoice{Delta: chunkDelta{Role: roleAssistant, Content: &empty}}))
+	return s.sendChunk(s.newChunk(ChunkChoice{Delta: ChunkDelta{Role: roleAssistant, Content: &empty}}))
 }
 
-func (s *stream) newChunk(choices ...chunkChoice) chunk {
+func (s *stream) newChunk(choices ...ChunkChoice) Chunk {
 	if choices == nil {
-		choices = []chunkChoice{}
+		choices = []ChunkChoice{}
 	}
-	return chunk{
+	return Chunk{
 		ID:      completionID(s.exchange.start),
 		Object:  objectChunk,
 		Created: s.created,
@@ -175,7 +186,7 @@
 	}
 }
 
-func (s *stream) sendChunk(part chunk) error {
+func (s *stream) sendChunk(part Chunk) error {
 	encoded, err := encodeJSON(part)
 	if err != nil {
 		return merry.Prepend(err, "encoding a chunk")
--- a/protocol/callerapi/write.go
+++ b/protocol/callerapi/write.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -51,7 +52,25 @@
 	header.Set(HeaderEngine, e.start.Engine)
 	header.Set(HeaderSequence, strconv.FormatUint(e.start.Sequence, 10))
 	header.Set(HeaderAttempt, strconv.FormatUint(uint64(e.start.Attempt), 10))
+	if e.start.Reason != "" {
+		header.Set(HeaderReason, headerText(e.start.Reason))
+	}
 	if e.start.Replayed {
 		header.Set(HeaderReplayed, "true")
 	}
 }
+
+// maxHeaderText is the greatest length of a text in a header.
+const maxHeaderText = 512
+
+// headerText returns the text as far as a header can carry it: visible ASCII
+// and spaces (RFC 9110, section 5.5).
+func headerText(text string) string {
+	visible := strings.Map(func(char rune) rune {
+		if char < ' ' || char > '~' {
+			return '?'
+		}
+		return char
+	}, text)
+	return visible[:min(len(visible), maxHeaderText)]
+}
