Run the integration tests through proxies between all processes

Cause: the integration tests had no way to cut, stall or lose what passes between two processes, and their engines all gave the same answers, so that a mix of two engines' answers would have passed. Ruled out: the harness's proxy for the links between nodes. It reads HTTP/1.1 requests; nodes speak HTTP/2, and a cut of one node's own connections needs to tell who opened them. Change: test/integration/partition proxies TCP unread and finds the process that opened a connection, so that one source can be cut off. A node logs where it really listens for peers, which differs from what it advertises.

--- a/node/node.go
+++ b/node/node.go
@@ -115,6 +115,7 @@
 	logger.Info("started",
 		zap.String("identity", n.identity),
 		zap.String("peer_address", n.PeerAddress()),
+		zap.String("peer_listen", n.peerListener.address()),
 		zap.String("caller_address", n.CallerAddress()),
 		zap.String("operator_address", n.OperatorAddress()))
 	return n, nil
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -1,135 +1,215 @@
 package integration
 
 import (
-	"bufio"
-	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/marblering/marblering/coordination/configuration"
+	"github.com/marblering/marblering/lab/engine"
 	"github.com/marblering/marblering/lab/ledger"
-	"github.com/marblering/marblering/protocol/objectapi"
+	"github.com/marblering/marblering/lab/objectstore"
+	"github.com/marblering/marblering/protocol/engineapi"
+	"github.com/marblering/marblering/test/harness"
+	"github.com/marblering/marblering/test/integration/partition"
 )
 
 const (
-	apiKey     = "test-key"
-	otherKey   = "other-key"
-	modelName  = "model"
-	engineSeed = 7
+	apiKey    = "test-key"
+	otherKey  = "other-key"
+	modelName = "model"
+	// firstSeed is the seed of the first engine's answers. Each engine has
+	// another, so that a mix of two engines' answers can't pass for either.
+	firstSeed = 7
+	// maxTokens is the longest answer of a call that names no limit.
+	maxTokens = 64
 )
 
-// system is a deployment of separate processes.
+// layout describes a deployment. There is one node in each zone.
+type layout struct {
+	zones   int
+	engines int
+	// flags are added to every node's arguments.
+	flags []string
+	// timeScale is how many seconds of an engine pass in one; zero is
+	// defaultTimeScale.
+	timeScale float64
+}
+
+const defaultTimeScale = 50
+
+// system is a deployment of separate processes. Every connection to a node's
+// peer address, an engine or the platform passes through a proxy.
 type system struct {
+	layout
+	network  *partition.Network
+	store    *harness.Process
 	platform string
-	engines  []string
+	engines  []*standIn
 	nodes    []*serving
 }
 
+// standIn is one engine.
+type standIn struct {
+	*harness.Process
+	name string
+	// address is the engine itself, for the test's own questions.
+	address string
+	// requests has the faults of single requests.
+	requests *harness.Proxy
+	// links has the faults of connections.
+	links *partition.Proxy
+}
+
+// serving is one node.
 type serving struct {
-	*process
+	*harness.Process
+	name      string
+	zone      string
 	callers   string
-	peers     string
 	operators string
+	links     *partition.Proxy
+	platform  *harness.Proxy
 }
 
-// newSystem starts an object API, engines and one node in each zone.
-func newSystem(t *testing.T, zones, engines int) *system {
+// newSystem starts an object API, engines and nodes, and waits until every node
+// is ready. It ends with the test.
+func newSystem(t *testing.T, wanted layout) *system {
 	t.Helper()
-	s := &system{}
-	store := start(t, "objectstore", "marblering-lab", "objectstore")
-	s.platform = "http://" + store.await(t, "address")
-	for index := range engines {
-		stand := start(t, fmt.Sprintf("engine-%d", index+1), "marblering-lab", "engine",
-			"--name", fmt.Sprintf("engine-%d", index+1), "--models", modelName,
-			"--seed", fmt.Sprint(engineSeed), "--time-scale", "50")
-		s.engines = append(s.engines, "http://"+stand.await(t, "address"))
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
+	if wanted.timeScale == 0 {
+		wanted.timeScale = defaultTimeScale
+	}
+	s := &system{layout: wanted, network: new(partition.Network)}
+	t.Cleanup(s.network.Close)
+	s.store = harness.Start(t, command("objectstore", "marblering-lab", "objectstore"))
+	s.platform = s.store.WaitValue(t, "address")
+	for index := range wanted.engines {
+		s.startEngine(t, index)
 	}
-	s.configure(t, zones)
-	for index := range zones {
+	s.configure(t)
+	for index := range wanted.zones {
 		s.startNode(t, index)
 	}
 	for _, node := range s.nodes {
-		eventually(t, func() bool { return status(node.operators+"/readyz") == http.StatusOK }, "a node is not ready")
+		node.WaitHTTP(t, node.operators+"/readyz")
 	}
 	return s
 }
 
+func command(name, binary string, arguments ...string) harness.Command {
+	return harness.Command{Name: name, Path: filepath.Join(binaries, binary), Arguments: arguments}
+}
+
+func (s *system) startEngine(t *testing.T, index int) {
+	t.Helper()
+	name := fmt.Sprintf("engine-%d", index+1)
+	process := harness.Start(t, command(name, "marblering-lab", "engine", "--name", name, "--models", modelName,
+		"--seed", fmt.Sprint(seedOf(index)), "--time-scale", fmt.Sprint(s.timeScale)))
+	address := process.WaitValue(t, "address")
+	stand := &standIn{Process: process, name: name, address: "http://" + address, requests: harness.StartProxy(t)}
+	stand.requests.SetTarget(address)
+	stand.links = s.link(t, stand.requests.Address())
+	s.engines = append(s.engines, stand)
+}
+
+func seedOf(engine int) uint64 { return firstSeed + uint64(engine) }
+
+func (s *system) link(t *testing.T, target string) *partition.Proxy {
+	t.Helper()
+	proxy, err := s.network.Proxy()
+	assert.NilError(t, err)
+	if target != "" {
+		proxy.SetTarget(target)
+	}
+	return proxy
+}
+
+// startNode starts the node of a zone, or starts it again.
 func (s *system) startNode(t *testing.T, index int) {
 	t.Helper()
-	name := fmt.Sprintf("node-%d", index+1)
+	node := &serving{name: fmt.Sprintf("node-%d", index+1), zone: zoneName(index)}
+	if index < len(s.nodes) {
+		node.links, node.platform = s.nodes[index].links, s.nodes[index].platform
+	} else {
+		node.links, node.platform = s.link(t, ""), harness.StartProxy(t)
+		node.platform.SetTarget(s.platform)
+		s.nodes = append(s.nodes, node)
+	}
 	arguments := []string{
-		"serve", "--name", name, "--zone", zoneName(index), "--object-api", s.platform, "--shards", "4",
-		"--peer-listen", "127.0.0.1:0", "--caller-listen", "127.0.0.1:0", "--operator-listen", "127.0.0.1:0",
+		"serve", "--name", node.name, "--zone", node.zone,
+		"--object-api", "http://" + node.platform.Address(), "--shards", "4",
+		"--peer-listen", "127.0.0.1:0", "--peer-advertise", node.links.Address(),
+		"--caller-listen", "127.0.0.1:0", "--operator-listen", "127.0.0.1:0",
 	}
-	for _, node := range s.nodes {
-		arguments = append(arguments, "--seeds", node.peers)
+	for other, seed := range s.nodes {
+		if other != index {
+			arguments = append(arguments, "--seeds", seed.links.Address())
+		}
 	}
-	started := start(t, name, "marblering", arguments...)
-	s.nodes = append(s.nodes, &serving{
-		process:   started,
-		peers:     started.await(t, "peer_address"),
-		callers:   "http://" + started.await(t, "caller_address"),
-		operators: "http://" + started.await(t, "operator_address"),
-	})
+	node.Process = harness.Start(t, command(node.name, "marblering", append(arguments, s.flags...)...))
+	node.links.SetTarget(node.WaitValue(t, "peer_listen"))
+	node.callers = "http://" + node.WaitValue(t, "caller_address")
+	node.operators = "http://" + node.WaitValue(t, "operator_address")
+	s.nodes[index] = node
 }
 
 func zoneName(index int) string { return fmt.Sprintf("zone-%d", index+1) }
 
-func (s *system) configure(t *testing.T, zones int) {
+func (s *system) configure(t *testing.T) {
 	t.Helper()
 	var names []string
-	for index := range zones {
+	for index := range s.zones {
 		names = append(names, zoneName(index))
 	}
-	s.put(t, configuration.KindModel, modelName, configuration.Model{ContextTokens: 100000, DefaultMaxTokens: 64})
+	s.put(t, configuration.KindModel, modelName, configuration.Model{ContextTokens: 100000, DefaultMaxTokens: maxTokens})
 	s.put(t, configuration.KindTenant, "tenant", configuration.Tenant{APIKeySHA256: []string{digest(apiKey)}, Weight: 1})
 	s.put(t, configuration.KindTenant, "other", configuration.Tenant{APIKeySHA256: []string{digest(otherKey)}, Weight: 1})
 	s.put(t, configuration.KindPool, "pool", configuration.Pool{
 		Zones: names, Models: []string{modelName}, Roles: []configuration.Role{configuration.RoleMixed},
 	})
-	for index, address := range s.engines {
-		s.put(t, configuration.KindEngine, fmt.Sprintf("engine-%d", index+1), configuration.Engine{
-			Address: address, Zone: zoneName(index % zones), Generation: "gen3", Pool: "pool",
-			Models: []string{modelName}, Role: configuration.RoleMixed,
-		})
+	for index := range s.engines {
+		s.put(t, configuration.KindEngine, s.engines[index].name, s.engineObject(index))
 	}
 }
 
-func digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
+func (s *system) engineObject(index int) configuration.Engine {
+	return configuration.Engine{
+		Address: "http://" + s.engines[index].links.Address(), Zone: zoneName(index % s.zones), Generation: "gen3",
+		Pool: "pool", Models: []string{modelName}, Role: configuration.RoleMixed,
+	}
 }
 
-func (s *system) put(t *testing.T, kind configuration.Kind, name string, body any) {
+// setFaults makes the engine do something wrong.
+func (e *standIn) setFaults(t *testing.T, faults engine.Faults) {
 	t.Helper()
-	encoded, err := json.Marshal(body)
-	assert.NilError(t, err)
-	client := objectapi.NewClient(s.platform, http.DefaultClient)
-	_, err = client.Put(t.Context(), string(kind), name, objectapi.IfAbsent(), encoded)
-	assert.NilError(t, err)
+	control(t, e.address+"/control/faults", faults)
 }
 
-func status(url string) int {
-	response, err := http.Get(url)
-	if err != nil {
-		return 0
-	}
-	_ = response.Body.Close()
-	return response.StatusCode
+// setPlatformFaults makes the platform do something wrong.
+func (s *system) setPlatformFaults(t *testing.T, faults objectstore.Faults) {
+	t.Helper()
+	control(t, "http://"+s.platform+"/control/faults", faults)
+}
+
+func control(t *testing.T, url string, body any) {
+	t.Helper()
+	response, err := http.Post(url, "application/json", strings.NewReader(string(encode(t, body))))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
 
-// ledger returns the completions that reached the engine.
-func (s *system) ledger(t *testing.T, engine int) []ledger.Entry {
+// ledger returns what reached the engine, in order.
+func (e *standIn) ledger(t *testing.T) []ledger.Entry {
 	t.Helper()
-	response, err := http.Get(s.engines[engine] + "/ledger")
+	response, err := http.Get(e.address + "/ledger")
 	assert.NilError(t, err)
 	defer response.Body.Close()
 	var entries []ledger.Entry
@@ -141,66 +221,14 @@
 	return entries
 }
 
-// post sends JSON to a node with the tenant's key.
-func post(t *testing.T, url string, body any, headers ...string) *http.Response {
-	t.Helper()
-	encoded, err := json.Marshal(body)
-	assert.NilError(t, err)
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader(encoded))
-	assert.NilError(t, err)
-	request.Header.Set("Authorization", "Bearer "+apiKey)
-	for index := 0; index+1 < len(headers); index += 2 {
-		request.Header.Set(headers[index], headers[index+1])
-	}
-	response, err := http.DefaultClient.Do(request)
-	assert.NilError(t, err)
-	return response
-}
-
-// createProgram creates a program at the node and returns its id.
-func (s *system) createProgram(t *testing.T, node int, budget uint64) string {
+// holds returns the programs whose context the engine holds.
+func (e *standIn) holds(t *testing.T) []string {
 	t.Helper()
-	response := post(t, s.nodes[node].callers+"/v1/programs", map[string]any{"model": modelName, "budget_tokens": budget})
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
+	held, err := engineapi.NewClient(http.DefaultClient).Holds(t.Context(), e.address)
 	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode/100, 2, "%s", content)
-	var created struct{ ID string }
-	assert.NilError(t, json.Unmarshal(content, &created))
-	return created.ID
-}
-
-// stream sends one streamed call and returns the text and whether the stream
-// ended as whole.
-func (s *system) stream(t *testing.T, node int, id, text string, headers ...string) (content string, whole bool) {
-	t.Helper()
-	response := post(t, s.nodes[node].callers+"/v1/programs/"+id+"/chat/completions", map[string]any{
-		"model": modelName, "stream": true, "messages": []any{userMessage(text)},
-	}, headers...)
-	defer response.Body.Close()
-	var answer strings.Builder
-	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
-		data, found := strings.CutPrefix(lines.Text(), "data:")
-		if !found {
-			continue
-		}
-		if strings.TrimSpace(data) == "[DONE]" {
-			return answer.String(), true
-		}
-		var chunk struct {
-			Choices []struct{ Delta struct{ Content string } }
-		}
-		assert.NilError(t, json.Unmarshal([]byte(data), &chunk))
-		for _, choice := range chunk.Choices {
-			answer.WriteString(choice.Delta.Content)
-		}
+	var programs []string
+	for _, hold := range held {
+		programs = append(programs, hold.Program)
 	}
-	return answer.String(), false
-}
-
-func userMessage(text string) any {
-	return struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	}{"user", text}
+	return programs
 }
