Refuse callers until a node is ready, tell of a drain at once, add metrics

Cause: a node without configuration told callers 1003, that their key is wrong; /readyz stayed 200 while a node drained; a platform that was down cost a warning every 200 ms at each node; only the traffic between nodes was counted. Ruled out: readiness by the caller API itself, which would have to know of shards and configuration. Closing a node twice is harmless. The page of metrics is held to the node's registry.

--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -60,7 +60,12 @@
 	Hollow []HollowEngine
 	// Tenants are configured beside TenantName.
 	Tenants int
-	Logger  *zap.Logger
+	// TenantLimits are those of TenantName.
+	TenantLimits configuration.TenantLimits
+	// Limits hold for all tenants; nil writes no object, so that the defaults
+	// hold.
+	Limits *configuration.Limits
+	Logger *zap.Logger
 }
 
 // HollowEngine is an engine that the deployment doesn't start.
@@ -75,6 +80,7 @@
 	Platform string
 	// EngineAddresses are the base URLs of the engines.
 	EngineAddresses []string
+	Engines         []*engine.Server
 	Nodes           []*node.Node
 
 	options  Options
@@ -103,6 +109,7 @@
 			TimeScale:  d.options.TimeScale,
 		})
 		d.shutdown = append(d.shutdown, func() error { stand.Close(); return nil })
+		d.Engines = append(d.Engines, stand)
 		d.EngineAddresses = append(d.EngineAddresses, d.serve(stand).URL)
 	}
 	if err := d.configure(ctx); err != nil {
@@ -147,12 +154,15 @@
 			ContextTokens: modelContext, DefaultMaxTokens: modelOutput,
 		}),
 		d.put(ctx, configuration.KindTenant, TenantName, configuration.Tenant{
-			APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1,
+			APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1, Limits: d.options.TenantLimits,
 		}),
 		d.put(ctx, configuration.KindPool, PoolName, configuration.Pool{
 			Zones: zones, Models: []string{ModelName}, Roles: []configuration.Role{configuration.RoleMixed},
 		}),
 	)
+	if d.options.Limits != nil {
+		err = errors.Join(err, d.put(ctx, configuration.KindLimits, configuration.SingletonName, d.options.Limits))
+	}
 	for index, address := range d.EngineAddresses {
 		err = errors.Join(err, d.put(ctx, configuration.KindEngine, EngineName(index), configuration.Engine{
 			Address: address, Zone: d.zone(index), Generation: d.generation(index), Pool: PoolName,
@@ -176,13 +186,32 @@
 }
 
 func (d *Deployment) put(ctx context.Context, kind configuration.Kind, name string, body any) error {
+	_, err := d.write(ctx, kind, name, objectapi.IfAbsent(), body)
+	return err
+}
+
+// Replace writes a new body of an object that exists and returns the version
+// that a node's configuration must reach for it to be in force there.
+func (d *Deployment) Replace(ctx context.Context, kind configuration.Kind, name string, body any) (version uint64, err error) {
+	client := objectapi.NewClient(d.Platform, http.DefaultClient)
+	current, err := client.Get(ctx, string(kind), name)
+	if err != nil {
+		return 0, merry.Prependf(err, "reading %s %s", kind, name)
+	}
+	return d.write(ctx, kind, name, objectapi.IfVersion(current.Version), body)
+}
+
+func (d *Deployment) write(ctx context.Context, kind configuration.Kind, name string, condition objectapi.Condition, body any) (version uint64, err error) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
-		return merry.Prependf(err, "encoding %s %s", kind, name)
+		return 0, merry.Prependf(err, "encoding %s %s", kind, name)
 	}
 	client := objectapi.NewClient(d.Platform, http.DefaultClient)
-	_, err = client.Put(ctx, string(kind), name, objectapi.IfAbsent(), encoded)
-	return merry.Prependf(err, "writing %s %s", kind, name)
+	written, err := client.Put(ctx, string(kind), name, condition, encoded)
+	if err != nil {
+		return 0, merry.Prependf(err, "writing %s %s", kind, name)
+	}
+	return written.Version, nil
 }
 
 func (d *Deployment) startNodes(ctx context.Context) error {
@@ -206,16 +235,11 @@
 	return nil
 }
 
-// nodeSettings are those of one node, as flags would give them.
+// nodeSettings are those of one node.
 func (d *Deployment) nodeSettings(index int) (settings.Settings, error) {
-	flags := pflag.NewFlagSet("node", pflag.ContinueOnError)
-	settings.AddFlags(flags)
 	arguments := []string{
 		"--name", fmt.Sprintf("node-%d", index+1),
 		"--zone", d.zone(index),
-		"--peer-listen", loopback,
-		"--caller-listen", loopback,
-		"--operator-listen", loopback,
 		"--object-api", d.Platform,
 		"--shards", fmt.Sprint(d.options.Shards),
 	}
@@ -229,7 +253,20 @@
 	if index < len(d.options.DataFolders) {
 		arguments = append(arguments, "--data-folder", d.options.DataFolders[index])
 	}
-	if err := flags.Parse(arguments); err != nil {
+	return Settings(arguments...)
+}
+
+// Settings are those of a node with the flags, which listens on free ports of
+// loopback where they don't say otherwise.
+func Settings(arguments ...string) (settings.Settings, error) {
+	flags := pflag.NewFlagSet("node", pflag.ContinueOnError)
+	settings.AddFlags(flags)
+	listeners := []string{
+		"--peer-listen", loopback,
+		"--caller-listen", loopback,
+		"--operator-listen", loopback,
+	}
+	if err := flags.Parse(append(listeners, arguments...)); err != nil {
 		return settings.Settings{}, err
 	}
 	return settings.Load("", flags)
--- a/node/drain.go
+++ b/node/drain.go
@@ -16,6 +16,7 @@
 // they would, the peers learn that this node leaves, and only then the services
 // stop.
 func (n *Node) Drain() error {
+	n.draining.Store(true)
 	n.logger.Info("draining", zap.Int("in_flight", n.callers.InFlight()))
 	n.membership.SetLeaving(true)
 	n.callers.Drain()
@@ -26,11 +27,15 @@
 	return errors.Join(err, n.Close())
 }
 
-// Close stops the services at once, as a crash would.
+// Close stops the services at once, as a crash would. A node that has stopped
+// stays so.
 func (n *Node) Close() error {
-	n.stop()
-	<-n.stopped
-	return n.store.Close()
+	n.closing.Do(func() {
+		n.stop()
+		<-n.stopped
+		n.closed = n.store.Close()
+	})
+	return n.closed
 }
 
 // lateHandler is a handler that is set after its server has been opened. Until
--- a/node/engine.go
+++ b/node/engine.go
@@ -15,7 +15,8 @@
 type engines struct {
 	client *engineapi.Client
 	// silence is how long an engine may send nothing during a call.
-	silence time.Duration
+	silence     time.Duration
+	instruments *instruments
 }
 
 // errSilent ends an attempt whose engine has sent nothing for too long.
@@ -45,8 +46,11 @@
 		return onText(text)
 	})
 	if err != nil {
-		return execution.EngineAnswer{}, engineError(err)
+		failure := engineError(err)
+		e.instruments.attempts.WithLabelValues(attemptOutcome(failure)).Inc()
+		return execution.EngineAnswer{}, failure
 	}
+	e.instruments.attempts.WithLabelValues(attemptOutcome(nil)).Inc()
 	return execution.EngineAnswer{
 		Content:      completion.Content,
 		FinishReason: completion.FinishReason,
--- a/node/holds.go
+++ b/node/holds.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
@@ -36,6 +37,8 @@
 	now     func() time.Time
 	random  *rand.Rand
 	logger  *zap.Logger
+	// released counts the holds that were let go.
+	released prometheus.Counter
 	// verified says when a hold of an engine was last found to be wanted.
 	verified map[string]map[string]time.Time
 }
@@ -117,5 +120,8 @@
 
 func (h *holdSweep) release(ctx context.Context, engine routing.EngineState, id string) {
 	err := h.engines.Release(ctx, engine.Address, id)
+	if err == nil {
+		h.released.Inc()
+	}
 	h.logger.Info("released a left-over hold", zap.String("engine", engine.Name), zap.String("program", id), zap.Error(err))
 }
--- a/node/limits.go
+++ b/node/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,8 +43,9 @@
 	peers     *peer.Client
 	// owner returns the address of the node that looks after the name; local is
 	// set where it is this one.
-	owner  func(name string) (address string, local bool)
-	logger *zap.Logger
+	owner       func(name string) (address string, local bool)
+	logger      *zap.Logger
+	instruments *instruments
 	// release sends what is given back without holding up a call.
 	release chan releaseTask
 }
@@ -58,17 +60,18 @@
 	_ fleet.Admitter    = (*limits)(nil)
 )
 
-func newLimits(holder *configuration.Holder, peers *peer.Client, owner func(string) (string, bool), logger *zap.Logger) *limits {
+func newLimits(holder *configuration.Holder, peers *peer.Client, owner func(string) (string, bool), logger *zap.Logger, instruments *instruments) *limits {
 	return &limits{
-		holder:    holder,
-		admission: limit.NewAdmission(reservationLifetime),
-		pool:      limit.NewPool(sliceLifetime),
-		share:     limit.NewShare(1),
-		retries:   limit.NewRetryBudget(limit.DefaultRetryPolicy(), time.Now()),
-		peers:     peers,
-		owner:     owner,
-		logger:    logger,
-		release:   make(chan releaseTask, releaseQueue),
+		holder:      holder,
+		admission:   limit.NewAdmission(reservationLifetime),
+		pool:        limit.NewPool(sliceLifetime),
+		share:       limit.NewShare(1),
+		retries:     limit.NewRetryBudget(limit.DefaultRetryPolicy(), time.Now()),
+		peers:       peers,
+		owner:       owner,
+		logger:      logger,
+		instruments: instruments,
+		release:     make(chan releaseTask, releaseQueue),
 	}
 }
 
@@ -92,6 +95,7 @@
 		return func() {}, 0
 	}
 	if pause := l.useRate(ctx, configured, tokens); pause > 0 {
+		l.refused(limitTokenRate)
 		return nil, pause
 	}
 	if configured.Limits.MaxConcurrentCalls == 0 {
@@ -99,6 +103,7 @@
 	}
 	verdict := l.reserve(ctx, limit.Reservation{Engine: tenantPrefix + tenant, RequestID: call, PromptTokens: tokens})
 	if !verdict.Admitted {
+		l.refused(limitConcurrentCalls)
 		return nil, max(verdict.RetryAfter, time.Second)
 	}
 	return func() { l.queueRelease(tenantPrefix+tenant, call) }, 0
@@ -119,7 +124,17 @@
 }
 
 // Retry implements execution.Limiter.
-func (l *limits) Retry(tenant string) bool { return l.retries.Retry(tenant, time.Now()) }
+func (l *limits) Retry(tenant string) bool {
+	if l.retries.Retry(tenant, time.Now()) {
+		return true
+	}
+	l.refused(limitRetryBudget)
+	return false
+}
+
+func (l *limits) refused(limit string) { l.instruments.refusals.WithLabelValues(limit).Inc() }
+
+func (l *limits) unanswered(limit string) { l.instruments.unanswered.WithLabelValues(limit).Inc() }
 
 // Admit implements fleet.Admitter.
 func (l *limits) Admit(ctx context.Context, engine, request string, promptTokens, outputTokens uint64, deadline time.Time) (admitted bool, retryAfter time.Duration) {
@@ -127,6 +142,9 @@
 		Engine: enginePrefix + engine, RequestID: request,
 		PromptTokens: promptTokens, OutputTokens: outputTokens, Deadline: deadline,
 	})
+	if !verdict.Admitted {
+		l.refused(limitEngine)
+	}
 	return verdict.Admitted, verdict.RetryAfter
 }
 
@@ -155,6 +173,7 @@
 		DeadlineUnixMs: unixMS(reservation.Deadline),
 	})
 	if err != nil {
+		l.unanswered(limitOf(reservation.Engine))
 		l.logger.Debug("admission point silent", zap.String("name", reservation.Engine), zap.Error(err))
 		return limit.Verdict{Admitted: true}
 	}
@@ -165,6 +184,14 @@
 	}
 }
 
+// limitOf names the limit that a name of an admission point stands for.
+func limitOf(name string) string {
+	if strings.HasPrefix(name, tenantPrefix) {
+		return limitConcurrentCalls
+	}
+	return limitEngine
+}
+
 func unixMS(at time.Time) int64 {
 	if at.IsZero() {
 		return 0
@@ -180,10 +207,11 @@
 
 // refreshTenant sets the limits in force of a tenant this node keeps.
 func (l *limits) refreshTenant(name string) {
-	if len(name) <= len(tenantPrefix) || name[:len(tenantPrefix)] != tenantPrefix {
+	tenantName, isTenant := strings.CutPrefix(name, tenantPrefix)
+	if !isTenant {
 		return
 	}
-	tenant, found := l.holder.Current().Tenant(name[len(tenantPrefix):])
+	tenant, found := l.holder.Current().Tenant(tenantName)
 	if !found {
 		return
 	}
@@ -234,6 +262,7 @@
 	defer cancel()
 	response, err := g.limits.peers.Grant(ctx, address, &peerv1.GrantRequest{Name: name, NeededTokens: needed})
 	if err != nil {
+		g.limits.unanswered(limitTokenRate)
 		return limit.Slice{}, false
 	}
 	return limit.Slice{
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -64,6 +66,10 @@
 	metrics    *prometheus.Registry
 	random     *rand.Rand
 	wire       *wire
+	// instruments count what the parts don't count themselves.
+	instruments *instruments
+	// draining is set from the first moment of a planned stop.
+	draining atomic.Bool
 
 	peerListener     *listener
 	callerListener   *listener
@@ -71,6 +77,8 @@
 
 	stop    context.CancelFunc
 	stopped <-chan error
+	closing sync.Once
+	closed  error
 }
 
 // Run runs a node until the context ends, then drains it.
@@ -98,6 +106,8 @@
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.wire = newWire(n.metrics)
+	n.instruments = newInstruments(n.metrics)
+	n.metrics.MustRegister(newGauges(n))
 	if err := n.open(); err != nil {
 		return nil, err
 	}
@@ -169,6 +179,7 @@
 		Tenants:   catalog{n.holder},
 		Logger:    n.logger,
 		BodyLimit: int64(n.settings.RequestSizeLimit),
+		Observer:  n.instruments,
 	})
 	peerMux.set(peer.NewHandler(n.replica, &peerNode{
 		identity:   n.identity,
@@ -177,15 +188,17 @@
 		holder:     n.holder,
 		limits:     n.limits,
 	}, peerMetrics))
-	callerMux.set(n.callers)
-	n.readiness.Add("configuration", n.checkConfiguration)
-	n.readiness.Add("shards", n.checkShards)
+	callerMux.set(&callerGate{handler: n.callers, ready: n.knowsDeployment, observer: n.instruments})
+	n.addReadinessChecks()
 	return []suture.Service{
 		n.peerListener, n.callerListener, n.operatorListener,
 		n.membership,
 		n.fleet,
 		n.limits,
-		&configurationWatch{platform: platform, holder: n.holder, logger: n.logger, timeout: n.settings.ObjectAPITimeout},
+		&configurationWatch{
+			platform: platform, holder: n.holder, logger: n.logger, timeout: n.settings.ObjectAPITimeout,
+			pauses: backoff{first: watchPauseFirst, most: watchPauseMost, random: n.newRandom()},
+		},
 		&machineWatch{
 			platform: platform, membership: n.membership, reads: n.reads,
 			timeout: n.settings.ObjectAPITimeout, logger: n.logger,
@@ -198,10 +211,11 @@
 		},
 		&sweep{
 			interval: sweepInterval, records: n.records, executor: n.executor, replica: n.replica,
-			mine: n.prefers, now: time.Now, logger: n.logger,
+			mine: n.prefers, now: time.Now, logger: n.logger, instruments: n.instruments,
 			holds: &holdSweep{
 				records: n.records, fleet: n.fleet, engines: engineClient, peers: peers, views: &shardViews{n.views, n.holder},
 				locate: n.views.Locate, mine: n.prefers, now: time.Now, random: n.newRandom(), logger: n.logger,
+				released: n.instruments.releasedHolds,
 				verified: make(map[string]map[string]time.Time),
 			},
 		},
@@ -278,10 +292,10 @@
 	client := register.NewClient(n.identity, peers, views, register.SystemClock{}, n.newRandom(), register.DefaultSettings())
 	n.records = record.NewStore(client, n.views.Locate, recentTrees)
 	turns := archive.New(peers, views, n.views.Locate, history.NewCache(historyCacheBytes))
-	n.limits = newLimits(n.holder, peers, n.owner, n.logger)
+	n.limits = newLimits(n.holder, peers, n.owner, n.logger, n.instruments)
 	n.fleet = fleet.New(fleet.Options{
 		Zone:         n.settings.Zone,
-		Reporter:     engines{client: engineClient, silence: n.settings.EngineTimeout},
+		Reporter:     engines{client: engineClient, silence: n.settings.EngineTimeout, instruments: n.instruments},
 		Weights:      catalog{n.holder}.weights,
 		Now:          time.Now,
 		Random:       n.newRandom(),
@@ -297,13 +311,13 @@
 	n.executor = execution.New(execution.Options{
 		Identity: n.identity,
 		Address:  n.PeerAddress(),
-		Records:  n.records,
+		Records:  observedRecords{n.records, n.instruments},
 		Turns:    turns,
-		Router:   n.fleet,
+		Router:   observedRouter{n.fleet, n.instruments},
 		Limiter:  n.limits,
-		Engines:  engines{client: engineClient, silence: n.settings.EngineTimeout},
-		Peers:    peers,
-		Liveness: liveness{n.membership.Members},
+		Engines:  engines{client: engineClient, silence: n.settings.EngineTimeout, instruments: n.instruments},
+		Peers:    observedPeers{peers, n.instruments},
+		Liveness: observedLiveness{liveness{n.membership.Members}, n.instruments},
 		Catalog:  catalog{n.holder},
 		Logger:   n.logger,
 		Now:      time.Now,
@@ -320,25 +334,7 @@
 	n.membership.ObserveEngine(membership.EngineReport{Engine: engine, Leaving: leaving, Asked: time.Now()})
 }
 
-var (
-	errNoConfiguration = errors.New("no configuration yet")
-	errNoDisk          = errors.New("data_folder: this version keeps replicas in memory only")
-	errNoShards        = errors.New("no shard map yet")
-)
-
-func (n *Node) checkConfiguration(context.Context) error {
-	if n.holder.Version() == 0 {
-		return errNoConfiguration
-	}
-	return nil
-}
-
-func (n *Node) checkShards(context.Context) error {
-	if _, found := n.views.View(0); !found {
-		return errNoShards
-	}
-	return nil
-}
+var errNoDisk = errors.New("data_folder: this version keeps replicas in memory only")
 
 // Name is the node's name in the settings.
 func (n *Node) Name() string { return n.settings.Name }
--- /dev/null
+++ b/node/readiness.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"context"
+	"errors"
+)
+
+// Names of the checks of /readyz, in the order they are reported.
+const (
+	checkNameConfiguration = "configuration"
+	checkNameShards        = "shards"
+	checkNameServing       = "serving"
+)
+
+var (
+	errNoConfiguration = errors.New("no configuration yet")
+	errNoShards        = errors.New("no shard map yet")
+	errDraining        = errors.New("draining")
+)
+
+func (n *Node) addReadinessChecks() {
+	n.readiness.Add(checkNameConfiguration, n.checkConfiguration)
+	n.readiness.Add(checkNameShards, n.checkShards)
+	n.readiness.Add(checkNameServing, n.checkServing)
+}
+
+func (n *Node) checkConfiguration(context.Context) error {
+	if n.holder.Version() == 0 {
+		return errNoConfiguration
+	}
+	return nil
+}
+
+func (n *Node) checkShards(context.Context) error {
+	if _, found := n.views.View(0); !found {
+		return errNoShards
+	}
+	return nil
+}
+
+func (n *Node) checkServing(context.Context) error {
+	if n.draining.Load() {
+		return errDraining
+	}
+	return nil
+}
+
+// knowsDeployment returns what a node that starts still waits for before it can
+// serve callers.
+func (n *Node) knowsDeployment() error {
+	ctx := context.Background()
+	if err := n.checkConfiguration(ctx); err != nil {
+		return err
+	}
+	return n.checkShards(ctx)
+}
--- a/node/sweep.go
+++ b/node/sweep.go
@@ -38,9 +38,10 @@
 	replica *shard.Replica
 	// mine reports whether this node should look after the key; a hint that
 	// spreads the work.
-	mine   func(key string) bool
-	now    func() time.Time
-	logger *zap.Logger
+	mine        func(key string) bool
+	now         func() time.Time
+	logger      *zap.Logger
+	instruments *instruments
 }
 
 // Serve sweeps until the context ends.
@@ -91,27 +92,29 @@
 	if err != nil || tree == nil {
 		return false
 	}
-	now := s.now().UnixMilli()
-	return program.Due(tree, now)
+	return program.Due(tree, s.now().UnixMilli())
 }
 
 // sweepRecord ends an idle tree and releases what the tree no longer needs.
 func (s *sweep) sweepRecord(ctx context.Context, root string) {
 	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
 	defer cancel()
+	s.instruments.sweptRecords.Inc()
+	ended := false
 	tree, err := s.records.Apply(ctx, root, func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
 		if tree == nil {
 			return nil, errKeepTree
 		}
 		now := s.now().UnixMilli()
-		if program.Idle(tree, now) {
-			program.End(tree, root, idleReason, now)
-		}
+		ended = program.Idle(tree, now) && program.End(tree, root, idleReason, now)
 		return tree, nil
 	})
 	if err != nil {
 		return
 	}
+	if ended {
+		s.instruments.endedPrograms.Inc()
+	}
 	s.endLost(ctx, tree)
 	s.executor.ReleaseHolds(ctx, tree)
 }
@@ -127,7 +130,9 @@
 		if s.executor.Lost(ctx, candidate.GetId(), running) {
 			if err := s.executor.EndLost(ctx, candidate.GetId(), running); err != nil {
 				s.logger.Warn("ending a lost call", zap.String("program", candidate.GetId()), zap.Error(err))
+				continue
 			}
+			s.instruments.endedCalls.Inc()
 		}
 	}
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -14,8 +14,9 @@
 const (
 	// watchSilence ends a watch whose connection is taken for dead.
 	watchSilence = 15 * time.Second
-	// watchPause is the pause before a failed watch is begun again.
-	watchPause = 200 * time.Millisecond
+	// The pauses before a failed watch is begun again grow from first to most.
+	watchPauseFirst = 200 * time.Millisecond
+	watchPauseMost  = 5 * time.Second
 )
 
 // configurationWatch follows the object API. It is a suture service.
@@ -24,6 +25,9 @@
 	holder   *configuration.Holder
 	logger   *zap.Logger
 	timeout  time.Duration
+	pauses   backoff
+	// failing is set from the first failure to the next success.
+	failing bool
 }
 
 // Serve lists and watches until the context ends.
@@ -31,18 +35,38 @@
 	for ctx.Err() == nil {
 		err := w.follow(ctx)
 		if ctx.Err() == nil {
-			w.logger.Warn("configuration watch ended", zap.Error(err))
-			wait(ctx, watchPause)
+			w.noteFailure(err)
+			wait(ctx, w.pauses.next())
 		}
 	}
 	return ctx.Err()
 }
 
+// noteFailure logs the first failure in a row; the tries that follow say
+// nothing new.
+func (w *configurationWatch) noteFailure(err error) {
+	if w.failing {
+		w.logger.Debug("configuration watch fails still", zap.Error(err))
+		return
+	}
+	w.failing = true
+	w.logger.Warn("configuration watch ended", zap.Error(err))
+}
+
+func (w *configurationWatch) noteSuccess() {
+	if w.failing {
+		w.logger.Info("configuration watch resumed", zap.Uint64("version", w.holder.Version()))
+	}
+	w.failing = false
+	w.pauses.reset()
+}
+
 func (w *configurationWatch) follow(ctx context.Context) error {
 	if err := w.list(ctx); err != nil {
 		return err
 	}
 	return w.platform.Watch(ctx, w.holder.Version(), watchSilence, func(event objectapi.Event) error {
+		w.noteSuccess()
 		if event.Object == nil {
 			return nil
 		}
