Put the limits object in force: request size, deadline, turns and idle time

Cause: max_request_bytes, default_deadline, default_turn_limit and default_idle_limit were checked and stored but read by nobody; a program that named no idle limit was never ended. Ruled out: storing the default idle limit with each program, since a change would then miss the programs that exist. The stricter of object and settings rules. A creation can be repeated after the default turn limit has changed.

--- a/node/configuration.go
+++ b/node/configuration.go
@@ -57,6 +57,12 @@
 	return weights
 }
 
+// limits are the limits that hold for all tenants.
+func (c catalog) limits() configuration.Limits { return c.holder.Current().Limits() }
+
+// bodyLimit is the greatest size of a caller's request body in bytes.
+func (c catalog) bodyLimit() int64 { return int64(c.limits().MaxRequestBytes) }
+
 // fleetEngines are the engines of the configuration as the fleet needs them.
 func (c catalog) fleetEngines() []fleet.Engine {
 	var engines []fleet.Engine
--- a/node/gate.go
+++ b/node/gate.go
@@ -22,14 +22,17 @@
 
 // callerGate stands before the caller API. It refuses every request until the
 // node knows the tenants and the shards, so that a key that isn't known yet
-// isn't called wrong.
+// isn't called wrong; then it keeps bodies within the configured limit.
 type callerGate struct {
 	handler http.Handler
 	// ready returns what the node still waits for, or nil. It isn't asked again
 	// after that: a configuration never reverts.
-	ready    func() error
-	observer callerapi.Observer
-	open     atomic.Bool
+	ready func() error
+	// bodyLimit is the greatest size of a body in bytes by the configuration in
+	// force; the caller API has the limit of the settings.
+	bodyLimit func() int64
+	observer  callerapi.Observer
+	open      atomic.Bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -41,6 +44,12 @@
 		}
 		g.open.Store(true)
 	}
+	limit := g.bodyLimit()
+	if request.ContentLength > limit {
+		g.refuse(writer, result.Errorf(result.TooLarge, "the body has %d bytes of at most %d", request.ContentLength, limit))
+		return
+	}
+	request.Body = http.MaxBytesReader(writer, request.Body, limit)
 	g.handler.ServeHTTP(writer, request)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -175,7 +175,7 @@
 	n.buildMembership(peers)
 	n.buildExecution(peers, engineClient)
 	n.callers = callerapi.New(callerapi.Options{
-		Service:   n.executor,
+		Service:   configuredService{Service: n.executor, limits: catalog{n.holder}.limits, now: time.Now},
 		Tenants:   catalog{n.holder},
 		Logger:    n.logger,
 		BodyLimit: int64(n.settings.RequestSizeLimit),
@@ -188,7 +188,12 @@
 		holder:     n.holder,
 		limits:     n.limits,
 	}, peerMetrics))
-	callerMux.set(&callerGate{handler: n.callers, ready: n.knowsDeployment, observer: n.instruments})
+	callerMux.set(&callerGate{
+		handler:   n.callers,
+		ready:     n.knowsDeployment,
+		bodyLimit: catalog{n.holder}.bodyLimit,
+		observer:  n.instruments,
+	})
 	n.addReadinessChecks()
 	return []suture.Service{
 		n.peerListener, n.callerListener, n.operatorListener,
@@ -211,7 +216,7 @@
 		},
 		&sweep{
 			interval: sweepInterval, records: n.records, executor: n.executor, replica: n.replica,
-			mine: n.prefers, now: time.Now, logger: n.logger, instruments: n.instruments,
+			mine: n.prefers, now: time.Now, defaults: catalog{n.holder}.limits, logger: n.logger, instruments: n.instruments,
 			holds: &holdSweep{
 				records: n.records, fleet: n.fleet, engines: engineClient, peers: peers, views: &shardViews{n.views, n.holder},
 				locate: n.views.Locate, mine: n.prefers, now: time.Now, random: n.newRandom(), logger: n.logger,
@@ -311,7 +316,7 @@
 	n.executor = execution.New(execution.Options{
 		Identity: n.identity,
 		Address:  n.PeerAddress(),
-		Records:  observedRecords{n.records, n.instruments},
+		Records:  creationRecords{observedRecords{n.records, n.instruments}},
 		Turns:    turns,
 		Router:   observedRouter{n.fleet, n.instruments},
 		Limiter:  n.limits,
--- a/node/sweep.go
+++ b/node/sweep.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/configuration"
 	"github.com/marblering/marblering/coordination/execution"
 	"github.com/marblering/marblering/coordination/record"
 	"github.com/marblering/marblering/coordination/shard"
@@ -38,8 +39,10 @@
 	replica *shard.Replica
 	// mine reports whether this node should look after the key; a hint that
 	// spreads the work.
-	mine        func(key string) bool
-	now         func() time.Time
+	mine func(key string) bool
+	now  func() time.Time
+	// defaults are the limits of programs that name none.
+	defaults    func() configuration.Limits
 	logger      *zap.Logger
 	instruments *instruments
 }
@@ -92,9 +95,25 @@
 	if err != nil || tree == nil {
 		return false
 	}
+	s.setIdleLimit(tree)
 	return program.Due(tree, s.now().UnixMilli())
 }
 
+// setIdleLimit gives a tree that names no idle limit the default in force.
+func (s *sweep) setIdleLimit(tree *statev1.ProgramTree) {
+	if tree.GetIdleLimitMs() == 0 {
+		tree.IdleLimitMs = s.defaults().DefaultIdleLimit.Std().Milliseconds()
+	}
+}
+
+// idle leaves the tree as it is, so that the default isn't stored with it.
+func (s *sweep) idle(tree *statev1.ProgramTree, nowUnixMS int64) bool {
+	own := tree.GetIdleLimitMs()
+	defer func() { tree.IdleLimitMs = own }()
+	s.setIdleLimit(tree)
+	return program.Idle(tree, nowUnixMS)
+}
+
 // sweepRecord ends an idle tree and releases what the tree no longer needs.
 func (s *sweep) sweepRecord(ctx context.Context, root string) {
 	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
@@ -106,7 +125,7 @@
 			return nil, errKeepTree
 		}
 		now := s.now().UnixMilli()
-		ended = program.Idle(tree, now) && program.End(tree, root, idleReason, now)
+		ended = s.idle(tree, now) && program.End(tree, root, idleReason, now)
 		return tree, nil
 	})
 	if err != nil {
--- a/settings/option.go
+++ b/settings/option.go
@@ -115,12 +115,12 @@
 	return []Option{
 		{
 			Key: "request_size_limit", Default: "8MiB", Allowed: "size with unit from 1KiB to 1GiB; units B, KiB, MiB, GiB",
-			Usage: "largest request body that is read from a caller",
+			Usage: "largest request body that is read from a caller; the limits object may set less",
 			field: func(s *Settings) any { return &s.RequestSizeLimit },
 		},
 		{
 			Key: "call_timeout", Default: "10m", Allowed: allowedDuration("1s", "24h"),
-			Usage: "longest a call may take where it gives no deadline",
+			Usage: "longest a call may take, whatever its deadline; the limits object may set less for calls without one",
 			field: func(s *Settings) any { return &s.CallTimeout },
 		},
 		{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,7 +41,7 @@
 
 	// RequestSizeLimit is the largest request body the caller API reads.
 	RequestSizeLimit ByteSize `koanf:"request_size_limit" validate:"min=1024,max=1073741824"`
-	// CallTimeout is the longest a call may take when it gives no deadline.
+	// CallTimeout is the longest a call may take, whatever its deadline.
 	CallTimeout time.Duration `koanf:"call_timeout" validate:"min=1s,max=24h"`
 	// EngineTimeout is how long an engine may be silent during a call.
 	EngineTimeout time.Duration `koanf:"engine_timeout" validate:"min=100ms,max=1h"`
