Share one address among more hollow engines

Cause: at 350 nodes the sockets to hollow engines alone would pass 20,000. Change: 800 hollow engines a listener.

--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -10,7 +10,7 @@
 
 // enginesPerListener is how many hollow engines share one address, so that the
 // run's sockets stay within a process's limit.
-const enginesPerListener = 200
+const enginesPerListener = 800
 
 // hollowEngines are engines that answer what a node's control asks and run
 // nothing.
