Keep the configuration by the agent, with few readers a zone

Cause: every node listed and watched the object API by itself, so that the readers grew with the fleet, a node forgot its version over a restart, and an installation was answered without the replica's hold on older versions.

Ruled out: a field of the wire protocol for a complete installation isn't needed, since only a complete update builds on version 0. Objects that are stored but not in force travel with a mark before their kind; leaving them out would let two nodes differ at the same version.

Change: node/control.go runs coordination/configuration's Agent over the object API, the internal protocol and membership; a data folder keeps the version in force. The agent takes a Hold function, which it calls before it acknowledges an installation, its own among them; the node gives the replica's HoldConfiguration. The agent logs a failing watch once, as the plain watch did.

New: an installation is held before it is acknowledged; updates keep their meaning on the wire.

Conclusion: go test -race passes for ./coordination/configuration and ./test/integration. The answer to an installation doesn't tell the digest of the shard epochs: the wire has no field for it yet.

--- a/coordination/configuration/agent.go
+++ b/coordination/configuration/agent.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 )
 
@@ -20,8 +21,12 @@
 	Holder   *Holder
 	// Archive may be nil: the node then forgets its configuration when it ends.
 	Archive Archive
-	Logger  *zap.Logger
-	Random  *rand.Rand
+	// Hold is called before an installation is acknowledged. When it returns,
+	// nothing that this node grants rests on an older version than the one in
+	// force, also after a restart. Nil where the node grants nothing.
+	Hold   func() error
+	Logger *zap.Logger
+	Random *rand.Rand
 	// Now is the clock; nil means time.Now.
 	Now      func() time.Time
 	Settings Settings
@@ -36,6 +41,7 @@
 	members  Members
 	holder   *Holder
 	archive  Archive
+	hold     func() error
 	logger   *zap.Logger
 	now      func() time.Time
 	settings Settings
@@ -49,6 +55,8 @@
 	// any peer; zero where there is one.
 	coldSince time.Time
 	stopRead  context.CancelFunc
+	// readFails is set from a failure of the watch to the next answer.
+	readFails bool
 }
 
 // NewAgent makes an Agent with what the archive holds.
@@ -56,6 +64,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Hold == nil {
+		options.Hold = func() error { return nil }
+	}
 	settings := options.Settings.withDefaults()
 	a := &Agent{
 		platform: options.Platform,
@@ -63,6 +74,7 @@
 		members:  options.Members,
 		holder:   options.Holder,
 		archive:  options.Archive,
+		hold:     options.Hold,
 		logger:   options.Logger,
 		now:      options.Now,
 		settings: settings,
@@ -174,13 +186,34 @@
 	err := a.followStore(ctx, func() bool { return false })
 	a.mutex.Lock()
 	a.planner.readEnded(a.now())
-	a.mutex.Unlock()
 	if ctx.Err() == nil {
-		a.logger.Warn("configuration_watch_ended", zap.Error(err))
+		a.noteReadFailure(err)
 	}
+	a.mutex.Unlock()
 	a.wakeUp()
 }
 
+// noteReadFailure logs the first failure in a row; the tries that follow say
+// nothing new. The caller holds the mutex.
+func (a *Agent) noteReadFailure(err error) {
+	if a.readFails {
+		a.logger.Debug("configuration_watch_fails_still", zap.Error(err))
+		return
+	}
+	a.readFails = true
+	a.logger.Warn("configuration_watch_ended", zap.Error(err))
+}
+
+// noteReadProgress is called when the object API has answered. The caller holds
+// the mutex.
+func (a *Agent) noteReadProgress() {
+	a.planner.readProgressed()
+	if a.readFails {
+		a.logger.Info("configuration_watch_resumed", zap.Uint64("version", a.replica.snapshot.Version()))
+	}
+	a.readFails = false
+}
+
 // fetch asks a peer for what is newer.
 func (a *Agent) fetch(ctx context.Context, peer Peer) {
 	known := a.holder.Version()
@@ -224,11 +257,19 @@
 	if result == verdictNeedsMore {
 		a.LearnVersion(update.Version)
 	}
+	if err != nil {
+		return InstallResult{}, err
+	}
+	// Read before the hold, which may be of a later version already.
+	installed := a.holder.Version()
+	if err := a.hold(); err != nil {
+		return InstallResult{}, merry.Prependf(err, "hold configuration version %d", installed)
+	}
 	return InstallResult{
-		Version:      a.holder.Version(),
+		Version:      installed,
 		Incarnation:  a.members.Self().Incarnation,
 		ShardsDigest: a.members.ReplicaSets().Digest,
-	}, err
+	}, nil
 }
 
 // LearnVersion is told that the version exists somewhere; the agent then looks
--- a/coordination/configuration/learn.go
+++ b/coordination/configuration/learn.go
@@ -63,7 +63,7 @@
 		return err
 	}
 	return a.learn(func(r *replica) error {
-		a.planner.readProgressed()
+		a.noteReadProgress()
 		switch r.learnList(list, a.mayRepair()) {
 		case verdictStale:
 			return merry.Errorf("the object API listed revision %d, older than what is known here, %d", list.Revision, r.watchFrom())
@@ -76,7 +76,7 @@
 
 func (a *Agent) learnEvent(event Event) error {
 	return a.learn(func(r *replica) error {
-		a.planner.readProgressed()
+		a.noteReadProgress()
 		r.learnEvent(event)
 		return nil
 	})
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/configuration"
+	"github.com/marblering/marblering/coordination/membership"
+	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/protocol/objectapi"
+	"github.com/marblering/marblering/transport/peer"
+)
+
+// buildControl makes the agent that keeps the configuration in force at this
+// node, and the acceptor of operators' changes.
+func (n *Node) buildControl(platform *objectapi.Client, peers *peer.Client) error {
+	options := configuration.AgentOptions{
+		Platform: objectapi.NewPlatform(platform, watchSilence),
+		Peers:    &configurationPeers{client: peers},
+		Members:  n.control,
+		Holder:   n.holder,
+		Logger:   n.logger,
+		Random:   n.newRandom(),
+		Hold:     n.replica.HoldConfiguration,
+		Settings: configuration.Settings{
+			ReadersPerZone: readersPerZone,
+			PeerTimeout:    n.settings.PeerTimeout,
+			StoreTimeout:   n.settings.ObjectAPITimeout,
+		},
+	}
+	if n.settings.DataFolder != "" {
+		options.Archive = configuration.NewFileArchive(n.settings.DataFolder)
+	}
+	agent, err := configuration.NewAgent(options)
+	if err != nil {
+		return err
+	}
+	n.agent = agent
+	n.acceptor = configuration.NewAcceptor(configuration.AcceptorOptions{Agent: agent})
+	return nil
+}
+
+// configurationSeen is told by membership that the node at the address has a
+// later configuration.
+func (n *Node) configurationSeen(address string, version uint64) {
+	n.control.heard(address, version)
+	n.agent.LearnVersion(version)
+}
+
+// controlMembers implements configuration.Members by membership and the shard
+// map.
+type controlMembers struct {
+	self    configuration.Member
+	members func() *membership.Members
+	views   *shard.Map
+
+	mutex sync.Mutex
+	// versions holds the configuration version last heard from each address.
+	versions map[string]uint64
+}
+
+var _ configuration.Members = (*controlMembers)(nil)
+
+func newControlMembers(self configuration.Member, members func() *membership.Members, views *shard.Map) *controlMembers {
+	return &controlMembers{self: self, members: members, views: views, versions: make(map[string]uint64)}
+}
+
+// heard notes the version of the node at the address.
+func (c *controlMembers) heard(address string, version uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.versions[address] = max(c.versions[address], version)
+}
+
+// Self implements configuration.Members.
+func (c *controlMembers) Self() configuration.Peer {
+	member, _ := c.members().Node(c.self.Node)
+	return configuration.Peer{Member: c.self, Leaving: member.Leaving}
+}
+
+// Live implements configuration.Members. What was heard from addresses that
+// have gone is forgotten.
+func (c *controlMembers) Live() []configuration.Peer {
+	live := c.members().Live()
+	peers := make([]configuration.Peer, 0, len(live))
+	versions := make(map[string]uint64, len(live))
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, member := range live {
+		version, found := c.versions[member.Address]
+		if found {
+			versions[member.Address] = version
+		}
+		peers = append(peers, configuration.Peer{
+			Member:  configuration.Member(toShardMember(member)),
+			Leaving: member.Leaving,
+			Version: version,
+		})
+	}
+	c.versions = versions
+	return peers
+}
+
+// ReplicaSets implements configuration.Members.
+func (c *controlMembers) ReplicaSets() configuration.ReplicaSets {
+	sets := configuration.ReplicaSets{Digest: c.views.Digest()}
+	for _, view := range c.views.Views() {
+		set := configuration.ReplicaSet{Shard: view.Shard}
+		for _, member := range view.Members {
+			set.Members = append(set.Members, configuration.Member(member))
+		}
+		sets.Sets = append(sets.Sets, set)
+	}
+	return sets
+}
+
+// configurationAnnouncer tells the peers of each new version at once. It is a
+// suture service.
+type configurationAnnouncer struct {
+	holder     *configuration.Holder
+	membership *membership.Service
+	logger     *zap.Logger
+}
+
+// Serve follows the configuration until the context ends.
+func (a *configurationAnnouncer) Serve(ctx context.Context) error {
+	for {
+		changed := a.holder.Changed()
+		a.membership.ConfigurationChanged()
+		a.logger.Debug("configuration announced", zap.Uint64("version", a.holder.Version()))
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/node/machines.go
+++ b/node/machines.go
@@ -16,6 +16,8 @@
 	// readersPerZone bounds the nodes of a zone that read the object API; the
 	// others learn from them.
 	readersPerZone = 2
+	// watchSilence ends a watch whose connection is taken for dead.
+	watchSilence = 15 * time.Second
 	// machinesKey makes the choice of readers independent of other choices.
 	machinesKey = "machine list"
 )
@@ -58,3 +60,13 @@
 	}
 	w.membership.ObserveMachines(machines)
 }
+
+// wait sleeps or returns early when the context ends.
+func wait(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,9 @@
 	logger     *zap.Logger
 	identity   string
 	holder     *configuration.Holder
+	agent      *configuration.Agent
+	acceptor   *configuration.Acceptor
+	control    *controlMembers
 	views      *shard.Map
 	store      replica.Store
 	replica    *shard.Replica
@@ -182,6 +185,9 @@
 	platform := objectapi.NewClient(n.settings.ObjectAPI, n.wire.client(wirePlatform)).Named(n.settings.Name)
 	engineClient := engineapi.NewClient(n.wire.client(wireEngine))
 	n.buildMembership(peers)
+	if err := n.buildControl(platform, peers); err != nil {
+		return nil, errors.Join(err, n.closeListeners())
+	}
 	n.buildExecution(peers, engineClient)
 	n.callers = callerapi.New(callerapi.Options{
 		Service:   configuredService{Service: n.executor, limits: catalog{n.holder}.limits, now: time.Now},
@@ -194,7 +200,7 @@
 		identity:   n.identity,
 		membership: n.membership,
 		executor:   n.executor,
-		holder:     n.holder,
+		agent:      n.agent,
 		limits:     n.limits,
 	}, peerMetrics))
 	callerMux.set(&callerGate{
@@ -209,10 +215,8 @@
 		n.membership,
 		n.fleet,
 		n.limits,
-		&configurationWatch{
-			platform: platform, holder: n.holder, logger: n.logger, timeout: n.settings.ObjectAPITimeout,
-			pauses: backoff{first: watchPauseFirst, most: watchPauseMost, random: n.newRandom()},
-		},
+		n.agent,
+		&configurationAnnouncer{holder: n.holder, membership: n.membership, logger: n.logger},
 		&machineWatch{
 			platform: platform, membership: n.membership, reads: n.reads,
 			timeout: n.settings.ObjectAPITimeout, logger: n.logger,
@@ -253,6 +257,11 @@
 	return nil
 }
 
+// closeListeners closes the listeners of a node that can't start.
+func (n *Node) closeListeners() error {
+	return errors.Join(n.peerListener.socket.Close(), n.callerListener.socket.Close(), n.operatorListener.socket.Close())
+}
+
 func (n *Node) buildMembership(peers *peer.Client) {
 	now := time.Now()
 	identity := membership.Identity{
@@ -270,8 +279,15 @@
 		Now:                  time.Now,
 		Logger:               n.logger,
 		ConfigurationVersion: n.holder.Version,
+		ConfigurationSeen:    n.configurationSeen,
 		Observe:              n.observeMembership,
 	})
+	n.control = newControlMembers(configuration.Member{
+		Node:        identity.Node,
+		Incarnation: identity.Incarnation,
+		Address:     identity.Address,
+		Zone:        identity.Zone,
+	}, n.membership.Members, n.views)
 }
 
 // exchangesPerHeartbeat is how many exchanges a node begins a heartbeat.
--- a/node/peer.go
+++ b/node/peer.go
@@ -32,7 +32,7 @@
 	identity   string
 	membership *membership.Service
 	executor   *execution.Executor
-	holder     *configuration.Holder
+	agent      *configuration.Agent
 	limits     *limits
 }
 
@@ -55,45 +55,19 @@
 
 // FetchConfiguration implements peer.Node.
 func (p *peerNode) FetchConfiguration(request *peerv1.FetchConfigurationRequest) *peerv1.FetchConfigurationResponse {
-	snapshot := p.holder.Current()
-	response := &peerv1.FetchConfigurationResponse{Version: snapshot.Version()}
-	for _, object := range snapshot.Objects(request.GetKnownVersion()) {
-		response.Objects = append(response.Objects, objectToWire(object))
+	update := p.agent.Fetch(request.GetKnownVersion())
+	return &peerv1.FetchConfigurationResponse{
+		Version:  update.Version,
+		Objects:  objectsToWire(update),
+		Complete: update.Complete,
 	}
-	return response
 }
 
 // InstallConfiguration implements peer.Node.
 func (p *peerNode) InstallConfiguration(request *peerv1.InstallConfigurationRequest) (*peerv1.InstallConfigurationResponse, error) {
-	var objects []configuration.Object
-	for _, object := range request.GetObjects() {
-		objects = append(objects, objectFromWire(object))
-	}
-	if request.GetBaseVersion() <= p.holder.Version() {
-		next, err := p.holder.Current().Apply(request.GetVersion(), objects)
-		if err != nil {
-			return nil, err
-		}
-		p.holder.Move(next)
-	}
-	return &peerv1.InstallConfigurationResponse{Version: p.holder.Version(), Incarnation: p.identity}, nil
-}
-
-func objectToWire(object configuration.Object) *peerv1.ConfigurationObject {
-	return &peerv1.ConfigurationObject{
-		Kind:    string(object.Kind),
-		Name:    object.Name,
-		Version: object.Version,
-		Body:    object.Body,
-		Deleted: object.Deleted,
-	}
-}
-
-func objectFromWire(object *peerv1.ConfigurationObject) configuration.Object {
-	return configuration.Object{
-		Key:     configuration.Key{Kind: configuration.Kind(object.GetKind()), Name: object.GetName()},
-		Version: object.GetVersion(),
-		Body:    object.GetBody(),
-		Deleted: object.GetDeleted(),
+	installed, err := p.agent.Install(installFromWire(request))
+	if err != nil {
+		return nil, err
 	}
+	return &peerv1.InstallConfigurationResponse{Version: installed.Version, Incarnation: installed.Incarnation}, nil
 }
