Carry the change of replica sets between nodes

Cause: the driver and installer of coordination/shard had no transport and nodes didn't learn of later epochs. Change: Seal, Pull, Install and Open over the peer protocol; views travel with the exchanges of membership. Conclusion: what is missing is the service that decides which sets to change.

--- a/node/node.go
+++ b/node/node.go
@@ -56,6 +56,7 @@
 	views      *shard.Map
 	store      replica.Store
 	replica    *shard.Replica
+	installer  *shard.Installer
 	membership *membership.Service
 	records    *record.Store
 	fleet      *fleet.Fleet
@@ -181,6 +182,7 @@
 	peers := peer.NewClient(n.wire.client(wirePeer), n.settings.PeerTimeout, peerMetrics)
 	platform := objectapi.NewClient(n.settings.ObjectAPI, n.wire.client(wirePlatform)).Named(n.settings.Name)
 	engineClient := engineapi.NewClient(n.wire.client(wireEngine))
+	n.installer = shard.NewInstaller(n.replica, peers, n.logger)
 	n.buildMembership(peers)
 	n.buildExecution(peers, engineClient)
 	n.callers = callerapi.New(callerapi.Options{
@@ -190,7 +192,7 @@
 		BodyLimit: int64(n.settings.RequestSizeLimit),
 		Observer:  n.instruments,
 	})
-	peerMux.set(peer.NewHandler(n.replica, &peerNode{
+	peerMux.set(peer.NewHandler(n.replica, n.installer, &peerNode{
 		identity:   n.identity,
 		membership: n.membership,
 		executor:   n.executor,
@@ -269,6 +271,7 @@
 		Exchanger:            peers,
 		Now:                  time.Now,
 		Logger:               n.logger,
+		Shards:               &shardGossip{views: n.views},
 		ConfigurationVersion: n.holder.Version,
 		Observe:              n.observeMembership,
 	})
--- a/transport/peer/convert.go
+++ b/transport/peer/convert.go
@@ -11,6 +11,8 @@
 	"github.com/marblering/marblering/state/replica"
 )
 
+var errNoView = merry.New("the request names no shard view")
+
 func fenceToWire(fence register.Fence) *peerv1.Fence {
 	return &peerv1.Fence{
 		Shard:                fence.Shard,
--- /dev/null
+++ b/transport/peer/reconfigure.go
@@ -0,0 +1,194 @@
+package peer
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/marblering/marblering/api/peer/v1"
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/state/replica"
+)
+
+var (
+	_ shard.Members = (*Client)(nil)
+	_ shard.Source  = (*Client)(nil)
+)
+
+func reply(refusal peerv1.Refusal, view *peerv1.ShardView) archive.Reply {
+	return archive.Reply{Refusal: register.Refusal(refusal), View: ViewFromWire(view)}
+}
+
+// Seal implements shard.Members.
+func (c *Client) Seal(ctx context.Context, member register.Member, request shard.SealRequest) (archive.Reply, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.replica(member.Address).Seal(ctx, connect.NewRequest(&peerv1.SealRequest{
+		Fence:     fenceToWire(request.Fence),
+		Successor: ViewToWire(&request.Successor),
+	}))
+	if err != nil {
+		return archive.Reply{}, err
+	}
+	return reply(response.Msg.GetRefusal(), response.Msg.GetView()), nil
+}
+
+// Install implements shard.Members. Copying a shard takes long, so only the
+// caller's context bounds it.
+func (c *Client) Install(ctx context.Context, member register.Member, request shard.InstallRequest) (archive.Reply, error) {
+	response, err := c.replica(member.Address).Install(ctx, connect.NewRequest(&peerv1.InstallRequest{
+		Previous:  ViewToWire(&request.Previous),
+		Successor: ViewToWire(&request.Successor),
+		TurnsOnly: request.TurnsOnly,
+	}))
+	if err != nil {
+		return archive.Reply{}, err
+	}
+	return reply(response.Msg.GetRefusal(), response.Msg.GetView()), nil
+}
+
+// Open implements shard.Members.
+func (c *Client) Open(ctx context.Context, member register.Member, request shard.OpenRequest) (archive.Reply, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.replica(member.Address).Open(ctx, connect.NewRequest(&peerv1.OpenRequest{
+		View: ViewToWire(&request.View),
+	}))
+	if err != nil {
+		return archive.Reply{}, err
+	}
+	return reply(response.Msg.GetRefusal(), response.Msg.GetView()), nil
+}
+
+// Pull implements shard.Source. Only the caller's context bounds it.
+func (c *Client) Pull(ctx context.Context, member register.Member, request shard.PullRequest, visit func(shard.PullItem) error) (archive.Reply, error) {
+	wire := &peerv1.PullRequest{
+		Fence:       fenceToWire(request.Fence),
+		TurnsOnly:   request.TurnsOnly,
+		OmitObjects: request.OmitObjects,
+	}
+	for _, wanted := range request.Wanted {
+		wire.Wanted = append(wire.Wanted, &peerv1.TurnReference{
+			Program: wanted.Program, Sequence: wanted.Sequence, Digest: wanted.Digest[:],
+		})
+	}
+	stream, err := c.replica(member.Address).Pull(ctx, connect.NewRequest(wire))
+	if err != nil {
+		return archive.Reply{}, err
+	}
+	defer stream.Close()
+	for stream.Receive() {
+		message := stream.Msg()
+		if message.GetRefusal() != peerv1.Refusal_REFUSAL_UNSPECIFIED {
+			return reply(message.GetRefusal(), message.GetView()), nil
+		}
+		item, err := itemFromWire(message)
+		if err != nil {
+			return archive.Reply{}, err
+		}
+		if err := visit(item); err != nil {
+			return archive.Reply{}, err
+		}
+	}
+	return archive.Reply{}, stream.Err()
+}
+
+func itemFromWire(message *peerv1.PullResponse) (shard.PullItem, error) {
+	if stored := message.GetRegister(); stored != nil {
+		return shard.PullItem{Register: &shard.RegisterState{
+			Key: stored.GetKey(),
+			State: replica.Register{
+				Promised: ballotFromWire(stored.GetPromised()),
+				Accepted: ballotFromWire(stored.GetAccepted()),
+				Value:    stored.GetValue(),
+			},
+		}}, nil
+	}
+	turn, err := turnFromWire(message.GetTurn())
+	return shard.PullItem{Turn: &turn}, err
+}
+
+func itemToWire(item shard.PullItem) *peerv1.PullResponse {
+	if item.Register == nil {
+		return &peerv1.PullResponse{Turn: turnToWire(*item.Turn)}
+	}
+	return &peerv1.PullResponse{Register: &peerv1.RegisterState{
+		Key:      item.Register.Key,
+		Promised: ballotToWire(item.Register.State.Promised),
+		Accepted: ballotToWire(item.Register.State.Accepted),
+		Value:    item.Register.State.Value,
+	}}
+}
+
+func (s *replicaServer) Seal(ctx context.Context, request *connect.Request[peerv1.SealRequest]) (*connect.Response[peerv1.SealResponse], error) {
+	successor := ViewFromWire(request.Msg.GetSuccessor())
+	if successor == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errNoView)
+	}
+	answer := s.replica.Seal(ctx, shard.SealRequest{
+		Fence:     fenceFromWire(request.Msg.GetFence()),
+		Successor: *successor,
+	})
+	return connect.NewResponse(&peerv1.SealResponse{
+		Refusal: peerv1.Refusal(answer.Refusal),
+		View:    ViewToWire(answer.View),
+	}), nil
+}
+
+func (s *replicaServer) Install(ctx context.Context, request *connect.Request[peerv1.InstallRequest]) (*connect.Response[peerv1.InstallResponse], error) {
+	previous := ViewFromWire(request.Msg.GetPrevious())
+	successor := ViewFromWire(request.Msg.GetSuccessor())
+	if previous == nil || successor == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errNoView)
+	}
+	answer := s.installer.Install(ctx, shard.InstallRequest{
+		Previous:  *previous,
+		Successor: *successor,
+		TurnsOnly: request.Msg.GetTurnsOnly(),
+	})
+	return connect.NewResponse(&peerv1.InstallResponse{
+		Refusal: peerv1.Refusal(answer.Refusal),
+		View:    ViewToWire(answer.View),
+	}), nil
+}
+
+func (s *replicaServer) Open(ctx context.Context, request *connect.Request[peerv1.OpenRequest]) (*connect.Response[peerv1.OpenResponse], error) {
+	view := ViewFromWire(request.Msg.GetView())
+	if view == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errNoView)
+	}
+	answer := s.replica.Open(ctx, shard.OpenRequest{View: *view})
+	return connect.NewResponse(&peerv1.OpenResponse{
+		Refusal: peerv1.Refusal(answer.Refusal),
+		View:    ViewToWire(answer.View),
+	}), nil
+}
+
+func (s *replicaServer) Pull(ctx context.Context, request *connect.Request[peerv1.PullRequest], stream *connect.ServerStream[peerv1.PullResponse]) error {
+	pull := shard.PullRequest{
+		Fence:       fenceFromWire(request.Msg.GetFence()),
+		TurnsOnly:   request.Msg.GetTurnsOnly(),
+		OmitObjects: request.Msg.GetOmitObjects(),
+	}
+	for _, wanted := range request.Msg.GetWanted() {
+		digest, err := digestFromWire(wanted.GetDigest())
+		if err != nil {
+			return connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		pull.Wanted = append(pull.Wanted, shard.TurnReference{
+			Program: wanted.GetProgram(), Sequence: wanted.GetSequence(), Digest: digest,
+		})
+	}
+	answer, err := s.replica.Pull(ctx, pull, func(item shard.PullItem) error {
+		return stream.Send(itemToWire(item))
+	})
+	if err != nil || answer.Refusal == register.RefusalNone {
+		return err
+	}
+	return stream.Send(&peerv1.PullResponse{
+		Refusal: peerv1.Refusal(answer.Refusal),
+		View:    ViewToWire(answer.View),
+	})
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/marblering/marblering/api/peer/v1/peerv1connect"
 	"github.com/marblering/marblering/coordination/archive"
 	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/state/replica"
 )
 
@@ -23,6 +24,14 @@
 	Peek(fence register.Fence, key string) ([]byte, register.Refusal)
 	PutTurn(ctx context.Context, fence register.Fence, turn replica.Turn) archive.Reply
 	ReadTurns(ctx context.Context, fence register.Fence, program string, from uint64, visit func(replica.Turn) error) (archive.Reply, error)
+	Seal(ctx context.Context, request shard.SealRequest) archive.Reply
+	Open(ctx context.Context, request shard.OpenRequest) archive.Reply
+	Pull(ctx context.Context, request shard.PullRequest, visit func(shard.PullItem) error) (archive.Reply, error)
+}
+
+// Installer copies shards to this node's replica.
+type Installer interface {
+	Install(ctx context.Context, request shard.InstallRequest) archive.Reply
 }
 
 // Node answers what isn't about a shard. The messages are those of the wire:
@@ -38,20 +47,21 @@
 }
 
 // NewHandler serves the internal protocol.
-func NewHandler(replica Replica, node Node, metrics *Metrics) http.Handler {
+func NewHandler(replica Replica, installer Installer, node Node, metrics *Metrics) http.Handler {
 	mux := http.NewServeMux()
 	options := []connect.HandlerOption{
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithInterceptors(metrics),
 	}
-	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica}, options...))
+	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica, installer: installer}, options...))
 	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, options...))
 	return mux
 }
 
 type replicaServer struct {
 	peerv1connect.UnimplementedReplicaServiceHandler
-	replica Replica
+	replica   Replica
+	installer Installer
 }
 
 func (s *replicaServer) Prepare(ctx context.Context, request *connect.Request[peerv1.PrepareRequest]) (*connect.Response[peerv1.PrepareResponse], error) {
