Write the last answers before a drained node stops

Cause: a request counts as served when its handler returns, but net/http writes the buffered answer after that. A drain that closed the server at once cut the answer now and then: TestDrainOrder failed in one run of two of the package with "EOF". Ruled out: counting in the handler; it can't see the server's writes. Change: a drain takes no more connections and waits for those with an answer under way (http.Server.Shutdown), within the drain's limit.

--- a/node/drain.go
+++ b/node/drain.go
@@ -22,7 +22,7 @@
 	n.callers.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout)
 	defer cancel()
-	err := errors.Join(n.callers.Wait(ctx), n.executor.Drain(ctx))
+	err := errors.Join(n.callers.Wait(ctx), n.executor.Drain(ctx), n.callerListener.finish(ctx))
 	n.logger.Info("drained", zap.Error(err))
 	return errors.Join(err, n.Close())
 }
--- a/node/listen.go
+++ b/node/listen.go
@@ -53,5 +53,11 @@
 	return err
 }
 
+// finish takes no more connections and waits until the answers under way have
+// been written: a handler returns before its answer has left the server.
+func (l *listener) finish(ctx context.Context) error {
+	return merry.Prependf(l.server.Shutdown(ctx), "finishing the answers to %s", l.name)
+}
+
 // String names the service in the supervisor's messages.
 func (l *listener) String() string { return "listener " + l.name }
--- /dev/null
+++ b/node/listen_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// heldListener holds what the server writes until nobody can connect any more.
+type heldListener struct {
+	net.Listener
+	written atomic.Bool
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	return &heldConnection{connection, l}, err
+}
+
+type heldConnection struct {
+	net.Conn
+	listener *heldListener
+}
+
+func (c *heldConnection) Write(piece []byte) (int, error) {
+	for {
+		probe, err := net.Dial("tcp", c.listener.Addr().String())
+		if err != nil {
+			break
+		}
+		_ = probe.Close()
+		time.Sleep(time.Millisecond)
+	}
+	count, err := c.Conn.Write(piece)
+	c.listener.written.Store(err == nil)
+	return count, err
+}
+
+// TestFinishWaitsForAnswers has an answer leave the server only after its
+// handler has returned and the listener is closed.
+func TestFinishWaitsForAnswers(t *testing.T) {
+	returned := make(chan struct{})
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		defer close(returned)
+		_, _ = writer.Write([]byte("whole"))
+	})
+	server, err := listen("callers", netip.MustParseAddrPort("127.0.0.1:0"), handler)
+	assert.NilError(t, err)
+	held := &heldListener{Listener: server.socket}
+	server.socket = held
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(t.Context()) }()
+	answers := make(chan string, 1)
+	go func() {
+		response, err := http.Get("http://" + server.address())
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		answers <- string(body)
+	}()
+	<-returned
+	assert.NilError(t, server.finish(t.Context()))
+	assert.Assert(t, held.written.Load())
+	assert.NilError(t, server.server.Close())
+	assert.Equal(t, <-answers, "whole")
+}
