--- a/coordination/register/bench_test.go
+++ b/coordination/register/bench_test.go
@@ -6,6 +6,9 @@
 	"errors"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/marblering/marblering/api/peer/v1"
 	"github.com/marblering/marblering/coordination/register"
 )
 
@@ -77,3 +80,21 @@
 		b.Error(err)
 	}
 }
+
+// BenchmarkEncodedSize reports the encoded sizes of the messages of one member
+// for a value of recordSize, without the headers of the transport.
+func BenchmarkEncodedSize(b *testing.B) {
+	const incarnation = "node-1-0123456789abcdef"
+	key := "program/0123456789abcdef0123456789abcdef"
+	fence := &peerv1.Fence{Shard: 200, Epoch: 3, ConfigurationVersion: 1000, Replica: incarnation}
+	first := &peerv1.Ballot{Counter: 1000, Proposer: incarnation}
+	value := make([]byte, recordSize)
+	for unit, message := range map[string]proto.Message{
+		"prepare-request-B":  &peerv1.PrepareRequest{Fence: fence, Key: key, Ballot: first},
+		"prepare-response-B": &peerv1.PrepareResponse{Accepted: first, Value: value, ConfigurationVersion: 1000},
+		"accept-request-B":   &peerv1.AcceptRequest{Fence: fence, Key: key, Ballot: first, Value: value, Next: first},
+		"accept-response-B":  &peerv1.AcceptResponse{ConfigurationVersion: 1000},
+	} {
+		b.ReportMetric(float64(proto.Size(message)), unit)
+	}
+}
