--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -54,6 +56,7 @@
 	views      *shard.Map
 	store      replica.Store
 	replica    *shard.Replica
+	installer  *shard.Installer
 	membership *membership.Service
 	records    *record.Store
 	fleet      *fleet.Fleet
@@ -64,6 +67,10 @@
 	metrics    *prometheus.Registry
 	random     *rand.Rand
 	wire       *wire
+	// instruments count what the parts don't count themselves.
+	instruments *instruments
+	// draining is set from the first moment of a planned stop.
+	draining atomic.Bool
 
 	peerListener     *listener
 	callerListener   *listener
@@ -71,6 +78,8 @@
 
 	stop    context.CancelFunc
 	stopped <-chan error
+	closing sync.Once
+	closed  error
 }
 
 // Run runs a node until the context ends, then drains it.
@@ -98,6 +107,8 @@
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.wire = newWire(n.metrics)
+	n.instruments = newInstruments(n.metrics)
+	n.metrics.MustRegister(newGauges(n))
 	if err := n.open(); err != nil {
 		return nil, err
 	}
@@ -115,6 +126,7 @@
 	logger.Info("started",
 		zap.String("identity", n.identity),
 		zap.String("peer_address", n.PeerAddress()),
+		zap.String("peer_listen", n.peerListener.address()),
 		zap.String("caller_address", n.CallerAddress()),
 		zap.String("operator_address", n.OperatorAddress()))
 	return n, nil
@@ -170,30 +182,39 @@
 	peers := peer.NewClient(n.wire.client(wirePeer), n.settings.PeerTimeout, peerMetrics)
 	platform := objectapi.NewClient(n.settings.ObjectAPI, n.wire.client(wirePlatform)).Named(n.settings.Name)
 	engineClient := engineapi.NewClient(n.wire.client(wireEngine))
+	n.installer = shard.NewInstaller(n.replica, peers, n.logger)
 	n.buildMembership(peers)
 	n.buildExecution(peers, engineClient)
 	n.callers = callerapi.New(callerapi.Options{
-		Service:   n.executor,
+		Service:   configuredService{Service: n.executor, limits: catalog{n.holder}.limits, now: time.Now},
 		Tenants:   catalog{n.holder},
 		Logger:    n.logger,
 		BodyLimit: int64(n.settings.RequestSizeLimit),
+		Observer:  n.instruments,
 	})
-	peerMux.set(peer.NewHandler(n.replica, &peerNode{
+	peerMux.set(peer.NewHandler(n.replica, n.installer, &peerNode{
 		identity:   n.identity,
 		membership: n.membership,
 		executor:   n.executor,
 		holder:     n.holder,
 		limits:     n.limits,
 	}, peerMetrics))
-	callerMux.set(n.callers)
-	n.readiness.Add("configuration", n.checkConfiguration)
-	n.readiness.Add("shards", n.checkShards)
+	callerMux.set(&callerGate{
+		handler:   n.callers,
+		ready:     n.knowsDeployment,
+		bodyLimit: catalog{n.holder}.bodyLimit,
+		observer:  n.instruments,
+	})
+	n.addReadinessChecks()
 	return []suture.Service{
 		n.peerListener, n.callerListener, n.operatorListener,
 		n.membership,
 		n.fleet,
 		n.limits,
-		&configurationWatch{platform: platform, holder: n.holder, logger: n.logger, timeout: n.settings.ObjectAPITimeout},
+		&configurationWatch{
+			platform: platform, holder: n.holder, logger: n.logger, timeout: n.settings.ObjectAPITimeout,
+			pauses: backoff{first: watchPauseFirst, most: watchPauseMost, random: n.newRandom()},
+		},
 		&machineWatch{
 			platform: platform, membership: n.membership, reads: n.reads,
 			timeout: n.settings.ObjectAPITimeout, logger: n.logger,
@@ -206,10 +227,11 @@
 		},
 		&sweep{
 			interval: sweepInterval, records: n.records, executor: n.executor, replica: n.replica,
-			mine: n.prefers, now: time.Now, logger: n.logger,
+			mine: n.prefers, now: time.Now, defaults: catalog{n.holder}.limits, logger: n.logger, instruments: n.instruments,
 			holds: &holdSweep{
 				records: n.records, fleet: n.fleet, engines: engineClient, peers: peers, views: &shardViews{n.views, n.holder},
 				locate: n.views.Locate, mine: n.prefers, now: time.Now, random: n.newRandom(), logger: n.logger,
+				released: n.instruments.releasedHolds,
 				verified: make(map[string]map[string]time.Time),
 			},
 		},
@@ -249,6 +271,7 @@
 		Exchanger:            peers,
 		Now:                  time.Now,
 		Logger:               n.logger,
+		Shards:               &shardGossip{views: n.views},
 		ConfigurationVersion: n.holder.Version,
 		Observe:              n.observeMembership,
 	})
@@ -286,10 +309,10 @@
 	client := register.NewClient(n.identity, peers, views, register.SystemClock{}, n.newRandom(), register.DefaultSettings())
 	n.records = record.NewStore(client, n.views.Locate, recentTrees)
 	turns := archive.New(peers, views, n.views.Locate, history.NewCache(historyCacheBytes))
-	n.limits = newLimits(n.holder, peers, n.owner, n.logger)
+	n.limits = newLimits(n.holder, peers, n.owner, n.logger, n.instruments)
 	n.fleet = fleet.New(fleet.Options{
 		Zone:         n.settings.Zone,
-		Reporter:     engines{client: engineClient, silence: n.settings.EngineTimeout},
+		Reporter:     engines{client: engineClient, silence: n.settings.EngineTimeout, instruments: n.instruments},
 		Weights:      catalog{n.holder}.weights,
 		Now:          time.Now,
 		Random:       n.newRandom(),
@@ -305,13 +328,13 @@
 	n.executor = execution.New(execution.Options{
 		Identity: n.identity,
 		Address:  n.PeerAddress(),
-		Records:  n.records,
+		Records:  creationRecords{observedRecords{n.records, n.instruments}},
 		Turns:    turns,
-		Router:   n.fleet,
+		Router:   observedRouter{n.fleet, n.instruments},
 		Limiter:  n.limits,
-		Engines:  engines{client: engineClient, silence: n.settings.EngineTimeout},
-		Peers:    peers,
-		Liveness: liveness{n.membership.Members},
+		Engines:  engines{client: engineClient, silence: n.settings.EngineTimeout, instruments: n.instruments},
+		Peers:    observedPeers{peers, n.instruments},
+		Liveness: observedLiveness{liveness{n.membership.Members}, n.instruments},
 		Catalog:  catalog{n.holder},
 		Logger:   n.logger,
 		Now:      time.Now,
@@ -328,25 +351,6 @@
 	n.membership.ObserveEngine(membership.EngineReport{Engine: engine, Leaving: leaving, Asked: time.Now()})
 }
 
-var (
-	errNoConfiguration = errors.New("no configuration yet")
-	errNoShards        = errors.New("no shard map yet")
-)
-
-func (n *Node) checkConfiguration(context.Context) error {
-	if n.holder.Version() == 0 {
-		return errNoConfiguration
-	}
-	return nil
-}
-
-func (n *Node) checkShards(context.Context) error {
-	if _, found := n.views.View(0); !found {
-		return errNoShards
-	}
-	return nil
-}
-
 // Name is the node's name in the settings.
 func (n *Node) Name() string { return n.settings.Name }
 
--- a/node/sweep.go
+++ b/node/sweep.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/configuration"
 	"github.com/marblering/marblering/coordination/execution"
 	"github.com/marblering/marblering/coordination/record"
 	"github.com/marblering/marblering/coordination/shard"
@@ -38,9 +39,12 @@
 	replica *shard.Replica
 	// mine reports whether this node should look after the key; a hint that
 	// spreads the work.
-	mine   func(key string) bool
-	now    func() time.Time
-	logger *zap.Logger
+	mine func(key string) bool
+	now  func() time.Time
+	// defaults are the limits of programs that name none.
+	defaults    func() configuration.Limits
+	logger      *zap.Logger
+	instruments *instruments
 }
 
 // Serve sweeps until the context ends.
@@ -91,27 +95,45 @@
 	if err != nil || tree == nil {
 		return false
 	}
-	now := s.now().UnixMilli()
-	return program.Due(tree, now)
+	s.setIdleLimit(tree)
+	return program.Due(tree, s.now().UnixMilli())
+}
+
+// setIdleLimit gives a tree that names no idle limit the default in force.
+func (s *sweep) setIdleLimit(tree *statev1.ProgramTree) {
+	if tree.GetIdleLimitMs() == 0 {
+		tree.IdleLimitMs = s.defaults().DefaultIdleLimit.Std().Milliseconds()
+	}
+}
+
+// idle leaves the tree as it is, so that the default isn't stored with it.
+func (s *sweep) idle(tree *statev1.ProgramTree, nowUnixMS int64) bool {
+	own := tree.GetIdleLimitMs()
+	defer func() { tree.IdleLimitMs = own }()
+	s.setIdleLimit(tree)
+	return program.Idle(tree, nowUnixMS)
 }
 
 // sweepRecord ends an idle tree and releases what the tree no longer needs.
 func (s *sweep) sweepRecord(ctx context.Context, root string) {
 	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
 	defer cancel()
+	s.instruments.sweptRecords.Inc()
+	ended := false
 	tree, err := s.records.Apply(ctx, root, func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
 		if tree == nil {
 			return nil, errKeepTree
 		}
 		now := s.now().UnixMilli()
-		if program.Idle(tree, now) {
-			program.End(tree, root, idleReason, now)
-		}
+		ended = s.idle(tree, now) && program.End(tree, root, idleReason, now)
 		return tree, nil
 	})
 	if err != nil {
 		return
 	}
+	if ended {
+		s.instruments.endedPrograms.Inc()
+	}
 	s.endLost(ctx, tree)
 	s.executor.ReleaseHolds(ctx, tree)
 }
@@ -127,7 +149,9 @@
 		if s.executor.Lost(ctx, candidate.GetId(), running) {
 			if err := s.executor.EndLost(ctx, candidate.GetId(), running); err != nil {
 				s.logger.Warn("ending a lost call", zap.String("program", candidate.GetId()), zap.Error(err))
+				continue
 			}
+			s.instruments.endedCalls.Inc()
 		}
 	}
 }
