Try the proxy's cut with a request under way

Cause: the test of the cut passed also when connections at hand were spared, because the next request was reset anyway. Change: the test cuts while the server still works on the request. It replaces one that sent a second request after the cut, and is stricter.

--- a/test/harness/proxy_test.go
+++ b/test/harness/proxy_test.go
@@ -26,6 +26,9 @@
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		body, _ := io.ReadAll(request.Body)
 		served.Add(1)
+		if request.URL.Path == "/endless" {
+			<-request.Context().Done()
+		}
 		_, _ = io.WriteString(writer, answerText+string(body))
 	}))
 	proxy := harness.StartProxy(t)
@@ -92,13 +95,15 @@
 }
 
 func TestCutResetsConnectionsAtHand(t *testing.T) {
-	proxy, client, _ := setup(t)
-	answer, err := post(t.Context(), client, proxy, "/")
-	assert.NilError(t, err)
-	assert.Equal(t, answer, answerText+".")
+	proxy, client, served := setup(t)
+	result := make(chan error, 1)
+	go func() {
+		_, err := post(t.Context(), client, proxy, "/endless")
+		result <- err
+	}()
+	harness.Eventually(t, func() (bool, string) { return served.Load() == 1, "the request didn't come" })
 	proxy.SetFault(harness.Fault{Mode: harness.Cut})
-	_, err = post(t.Context(), client, proxy, "/")
-	assert.Assert(t, err != nil)
+	assert.Assert(t, <-result != nil)
 }
 
 func TestHalfOpen(t *testing.T) {
