--- a/coordination/register/simulation_test.go
+++ b/coordination/register/simulation_test.go
@@ -12,12 +12,10 @@
 )
 
 const (
-	replicationFactor = 3
-	majority          = 2
-	nodeCount         = 5
-	proposerCount     = 3
+	nodeCount     = 7
+	proposerCount = 3
 	// poolLimit bounds the messages under way; the oldest are lost first.
-	poolLimit = 40
+	poolLimit = 60
 )
 
 // epochState is what a node holds of one epoch.
@@ -70,6 +68,8 @@
 	nodes  [nodeCount]*simulatedNode
 	epochs []epoch
 	newest int
+	// size is the number of members of each epoch.
+	size int
 	// down is the node that is paused or cut off; nodeCount stands for none.
 	down    int
 	slots   [proposerCount]*slot
@@ -84,6 +84,7 @@
 		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)),
 		events: drawEvents(t),
 		down:   nodeCount,
+		size:   rapid.SampledFrom([]int{3, 4, 5}).Draw(t, "members"),
 	}
 	for number := range w.nodes {
 		w.nodes[number] = &simulatedNode{epochs: make(map[int]*epochState)}
@@ -93,13 +94,15 @@
 		// took over the data folder and with it the incarnation.
 		w.slots[number] = &slot{incarnation: string(rune('a' + number/2))}
 	}
-	w.epochs = []epoch{{nodes: []int{0, 1, 2}, incarnations: make([]int, replicationFactor)}}
+	w.epochs = []epoch{{nodes: w.random.Perm(nodeCount)[:w.size], incarnations: make([]int, w.size)}}
 	for _, number := range w.epochs[0].nodes {
 		w.nodes[number].epochs[0] = &epochState{}
 	}
 	return w
 }
 
+func (w *world) majority() int { return w.size/2 + 1 }
+
 func (w *world) pick(count int) int { return w.random.IntN(count) }
 
 // event is a kind of step, with how often it happens in proportion to others.
@@ -158,7 +161,7 @@
 // last majority of an epoch, without which nothing more could happen.
 func (w *world) forget(node *simulatedNode) {
 	for number := w.newest; number < len(w.epochs); number++ {
-		if node.epochs[number] != nil && w.holders(number) <= majority {
+		if node.epochs[number] != nil && w.holders(number) <= w.majority() {
 			return
 		}
 	}
@@ -179,7 +182,7 @@
 	if s.promised != s.epoch {
 		promise = register.Promise{}
 	}
-	w.send(s, s.proposer.BeginPromised(replicationFactor, promise))
+	w.send(s, s.proposer.BeginPromised(w.size, promise))
 }
 
 func (w *world) retry(s *slot) {
@@ -187,11 +190,11 @@
 		return
 	}
 	s.epoch = w.newest
-	w.send(s, s.proposer.Begin(replicationFactor))
+	w.send(s, s.proposer.Begin(w.size))
 }
 
 func (w *world) send(s *slot, request register.Request) {
-	for member := range replicationFactor {
+	for member := range w.size {
 		w.pool = append(w.pool, message{
 			proposer: s.proposer, slot: s, request: request, epoch: s.epoch, member: member,
 			incarnation: w.epochs[s.epoch].incarnations[member],
@@ -286,20 +289,20 @@
 		return
 	}
 	sealed := w.sealedStates(w.newest)
-	if len(sealed) < majority || w.pick(3) == 0 {
-		w.seal(w.pick(replicationFactor))
+	if len(sealed) < w.majority() || w.pick(3) == 0 {
+		w.seal(w.pick(w.size))
 	} else {
 		// Each new member may have copied from another majority.
 		w.random.Shuffle(len(sealed), func(i, j int) { sealed[i], sealed[j] = sealed[j], sealed[i] })
-		w.install(w.pick(replicationFactor), sealed[:majority])
+		w.install(w.pick(w.size), sealed[:w.majority()])
 	}
-	if w.holders(last) >= majority {
+	if w.holders(last) >= w.majority() {
 		w.newest = last
 	}
 }
 
 func (w *world) chooseMembers() {
-	numbers := w.random.Perm(nodeCount)[:replicationFactor]
+	numbers := w.random.Perm(nodeCount)[:w.size]
 	chosen := epoch{nodes: numbers}
 	for _, number := range numbers {
 		chosen.incarnations = append(chosen.incarnations, w.nodes[number].incarnation)
@@ -324,7 +327,7 @@
 
 func (w *world) sealedStates(number int) []replica.Register {
 	var sealed []replica.Register
-	for member := range replicationFactor {
+	for member := range w.size {
 		if state := w.state(number, member); state != nil && state.sealed {
 			sealed = append(sealed, state.register)
 		}
@@ -343,7 +346,7 @@
 // holders counts the members that hold the epoch.
 func (w *world) holders(number int) int {
 	count := 0
-	for member := range replicationFactor {
+	for member := range w.size {
 		if w.state(number, member) != nil {
 			count++
 		}
