--- a/node/node.go
+++ b/node/node.go
@@ -185,12 +185,13 @@
 	n.installer = shard.NewInstaller(n.replica, peers, n.logger)
 	n.buildMembership(peers)
 	n.buildExecution(peers, engineClient)
+	callerMetrics := callerapi.NewMetrics(n.metrics)
 	n.callers = callerapi.New(callerapi.Options{
 		Service:   configuredService{Service: n.executor, limits: catalog{n.holder}.limits, now: time.Now},
 		Tenants:   catalog{n.holder},
 		Logger:    n.logger,
 		BodyLimit: int64(n.settings.RequestSizeLimit),
-		Observer:  n.instruments,
+		Observer:  callerMetrics,
 	})
 	peerMux.set(peer.NewHandler(n.replica, n.installer, &peerNode{
 		identity:   n.identity,
@@ -203,7 +204,7 @@
 		handler:   n.callers,
 		ready:     n.knowsDeployment,
 		bodyLimit: catalog{n.holder}.bodyLimit,
-		observer:  n.instruments,
+		observer:  callerMetrics,
 	})
 	n.addReadinessChecks()
 	return []suture.Service{
