Serve the operators' language at every node

Cause: operators had no way to see or change a running system. Ruled out: counting an engine as drained by the last load report, which lags; by this node's copies of records alone, which may be old; or once no program holds context there, which may take as long as a program idles. Change: the operator listener takes statements; marblering query and prompt send them. The tables come from this node's configuration, membership, shard views and copies of records; one program is read from a quorum. An engine that drains is asked what it has left, and is drained once that is nothing and no record has a call dispatched to it. A node ordered to drain refuses callers, isn't ready and tells its peers. The fleet gets the engines' roles. The log messages of the watch are again those that the operations page names. Tests with separate processes: a drain by the command line during a stream; two racing commands of which one wins; lost answers and a repeat at each node; a platform outage between a command's write and its answer; a node that is cut off while a drain is accepted. Conclusion: go test -race passes for ./node, ./cmd/marblering, ./protocol/operator, ./coordination/configuration and ./test/... . Choices of engines are those of the asked node only; "incomplete" says so. Calls are counted in the asked node's copies, so in a fleet where it hasn't all shards a drained engine is shown with that said.

--- a/cmd/marblering/command.go
+++ b/cmd/marblering/command.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/marblering/marblering/protocol/operator"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/telemetry"
 )
@@ -64,6 +65,7 @@
 		return &usageError{cause: merry.Appendf(err, "see %s --help", command.CommandPath())}
 	})
 	root.AddCommand(newServeCommand(run), newConfigCommand(), newVersionCommand())
+	root.AddCommand(operatorCommands()...)
 	return root
 }
 
@@ -138,6 +140,15 @@
 	return fmt.Sprintf("%s (%s)", info.Main.Version, info.GoVersion)
 }
 
+// operatorCommands ask a running node.
+func operatorCommands() []*cobra.Command {
+	commands := operator.Commands()
+	for _, command := range commands {
+		command.Args = usage(command.Args)
+	}
+	return commands
+}
+
 // usage marks what the check of positional arguments reports.
 func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
 	return func(command *cobra.Command, arguments []string) error {
--- a/coordination/configuration/agent.go
+++ b/coordination/configuration/agent.go
@@ -197,11 +197,11 @@
 // nothing new. The caller holds the mutex.
 func (a *Agent) noteReadFailure(err error) {
 	if a.readFails {
-		a.logger.Debug("configuration_watch_fails_still", zap.Error(err))
+		a.logger.Debug("configuration watch fails still", zap.Error(err))
 		return
 	}
 	a.readFails = true
-	a.logger.Warn("configuration_watch_ended", zap.Error(err))
+	a.logger.Warn("configuration watch ended", zap.Error(err))
 }
 
 // noteReadProgress is called when the object API has answered. The caller holds
@@ -209,7 +209,7 @@
 func (a *Agent) noteReadProgress() {
 	a.planner.readProgressed()
 	if a.readFails {
-		a.logger.Info("configuration_watch_resumed", zap.Uint64("version", a.replica.snapshot.Version()))
+		a.logger.Info("configuration watch resumed", zap.Uint64("version", a.replica.snapshot.Version()))
 	}
 	a.readFails = false
 }
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -75,6 +75,7 @@
 			Address:    engine.Address,
 			Zone:       engine.Zone,
 			Generation: engine.Generation,
+			Role:       string(engine.Role),
 			Models:     engine.Models,
 			Adapters:   engine.Adapters,
 			Leaving:    engine.Draining,
--- a/node/gate.go
+++ b/node/gate.go
@@ -16,18 +16,23 @@
 	// notReadyRetry is the pause that a caller is asked for by a node that has
 	// no configuration or shard map yet: about the time that a start takes.
 	notReadyRetry = 2 * time.Second
+	// drainingRetry is the pause before a caller asks another node, or this one.
+	drainingRetry = time.Second
 	// operationGate is how the metrics name a request that the gate refused.
 	operationGate = "gate"
 )
 
 // callerGate stands before the caller API. It refuses every request until the
 // node knows the tenants and the shards, so that a key that isn't known yet
-// isn't called wrong; then it keeps bodies within the configured limit.
+// isn't called wrong; then it refuses while the node is ordered to drain, and
+// keeps bodies within the configured limit.
 type callerGate struct {
 	handler http.Handler
 	// ready returns what the node still waits for, or nil. It isn't asked again
 	// after that: a configuration never reverts.
 	ready func() error
+	// draining tells whether an operator ordered this node to take no requests.
+	draining func() bool
 	// bodyLimit is the greatest size of a body in bytes by the configuration in
 	// force; the caller API has the limit of the settings.
 	bodyLimit func() int64
@@ -44,6 +49,10 @@
 		}
 		g.open.Store(true)
 	}
+	if g.draining() {
+		g.refuse(writer, result.Errorf(result.Draining, "this node drains by an operator's order").After(drainingRetry))
+		return
+	}
 	limit := g.bodyLimit()
 	if request.ContentLength > limit {
 		g.refuse(writer, result.Errorf(result.TooLarge, "the body has %d bytes of at most %d", request.ContentLength, limit))
--- a/node/node.go
+++ b/node/node.go
@@ -177,8 +177,8 @@
 // build makes the parts and returns the services to supervise. Listeners come
 // first: their addresses are part of what the node says of itself.
 func (n *Node) build() ([]suture.Service, error) {
-	peerMux, callerMux := &lateHandler{}, &lateHandler{}
-	if err := n.openListeners(peerMux, callerMux); err != nil {
+	peerMux, callerMux, statements := &lateHandler{}, &lateHandler{}, &lateHandler{}
+	if err := n.openListeners(peerMux, callerMux, operatorMux(n.monitoring(), statements)); err != nil {
 		return nil, err
 	}
 	peerMetrics := peer.NewMetrics(n.metrics)
@@ -209,9 +209,11 @@
 	callerMux.set(&callerGate{
 		handler:   n.callers,
 		ready:     n.knowsDeployment,
+		draining:  n.isOrderedToDrain,
 		bodyLimit: catalog{n.holder}.bodyLimit,
 		observer:  callerMetrics,
 	})
+	statements.set(n.operatorHandler(platform, n.newEngines(engineClient)))
 	n.addReadinessChecks()
 	return []suture.Service{
 		n.peerListener, n.callerListener, n.operatorListener,
@@ -219,6 +221,7 @@
 		n.fleet,
 		n.limits,
 		n.agent,
+		&orderFollower{node: n},
 		&configurationAnnouncer{holder: n.holder, membership: n.membership, logger: n.logger},
 		&machineWatch{
 			platform: platform, membership: n.membership, reads: n.reads,
@@ -243,7 +246,7 @@
 	}, nil
 }
 
-func (n *Node) openListeners(peers, callers http.Handler) error {
+func (n *Node) openListeners(peers, callers, operators http.Handler) error {
 	var err error
 	if n.peerListener, err = listen("peers", n.settings.PeerListen, peers); err != nil {
 		return err
@@ -253,7 +256,6 @@
 	}
 	n.peerListener.socket = &countedListener{Listener: n.peerListener.socket, wire: n.wire, end: wirePeer}
 	n.callerListener.socket = &countedListener{Listener: n.callerListener.socket, wire: n.wire, end: wireCaller}
-	operators := telemetry.NewHandler(n.metrics, n.readiness)
 	if n.operatorListener, err = listen("operators", n.settings.OperatorListen, operators); err != nil {
 		return errors.Join(err, n.peerListener.socket.Close(), n.callerListener.socket.Close())
 	}
@@ -329,7 +331,7 @@
 	n.limits = newLimits(n.holder, peers, n.owner, n.logger, n.instruments)
 	n.fleet = fleet.New(fleet.Options{
 		Zone:         n.settings.Zone,
-		Reporter:     engines{client: engineClient, silence: n.settings.EngineTimeout, instruments: n.instruments},
+		Reporter:     n.newEngines(engineClient),
 		Weights:      catalog{n.holder}.weights,
 		Now:          time.Now,
 		Random:       n.newRandom(),
@@ -349,7 +351,7 @@
 		Turns:    turns,
 		Router:   observedRouter{n.fleet, n.instruments},
 		Limiter:  n.limits,
-		Engines:  engines{client: engineClient, silence: n.settings.EngineTimeout, instruments: n.instruments},
+		Engines:  n.newEngines(engineClient),
 		Peers:    observedPeers{peers, n.instruments},
 		Liveness: observedLiveness{liveness{n.membership.Members}, n.instruments},
 		Catalog:  catalog{n.holder},
@@ -360,6 +362,13 @@
 	})
 }
 
+func (n *Node) newEngines(client *engineapi.Client) engines {
+	return engines{
+		client:  client,
+		silence: n.settings.EngineTimeout, instruments: n.instruments,
+	}
+}
+
 // newRandom makes an independent source; each part guards its own.
 func (n *Node) newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
--- /dev/null
+++ b/node/operatornodes.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"context"
+
+	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/configuration"
+	"github.com/marblering/marblering/coordination/membership"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/protocol/operator"
+	"github.com/marblering/marblering/state/program"
+)
+
+// Nodes implements operator.Tables. Calls are counted by this node's copies of
+// records; configuration versions are those last heard, 0 for none.
+func (b *operatorBackend) Nodes(ctx context.Context) (operator.Listing[operator.NodeRow], error) {
+	trees, incomplete, err := b.copies(ctx, func(tree *statev1.ProgramTree) bool { return dispatchedTo(tree, "") })
+	listing := operator.Listing[operator.NodeRow]{Incomplete: incomplete}
+	if incomplete != "" {
+		listing.Incomplete = "calls: " + incomplete
+	}
+	calls := b.callsByNode(trees)
+	versions := b.heardVersions()
+	shards := b.shardsByIncarnation()
+	members := b.node.membership.Members()
+	for _, member := range members.All() {
+		if ordered, found := b.node.holder.Current().Node(member.Node); found && ordered.Draining && calls[member.Node] > 0 {
+			calls[member.Node] = b.decidedCalls(ctx, trees, member.Node)
+		}
+		listing.Rows = append(listing.Rows, operator.NodeRow{
+			Name:                 member.Node,
+			Zone:                 member.Zone,
+			State:                b.nodeState(member, calls[member.Node]),
+			Incarnation:          member.Incarnation,
+			Address:              member.Address,
+			DataFolder:           member.HasDataFolder,
+			ConfigurationVersion: versions[member.Node],
+			Calls:                calls[member.Node],
+			Shards:               shards[member.Incarnation],
+			Age:                  b.now().Sub(member.Started),
+			Version:              b.version(configuration.KindNode, member.Node),
+		})
+	}
+	return listing, err
+}
+
+func (b *operatorBackend) callsByNode(trees []*statev1.ProgramTree) map[string]int {
+	calls := make(map[string]int)
+	for _, tree := range trees {
+		for _, member := range tree.GetPrograms() {
+			if running := program.Running(member); running != nil {
+				calls[b.executorNode(running)]++
+			}
+		}
+	}
+	return calls
+}
+
+// decidedCalls counts the calls that the node runs among the copied trees, as a
+// quorum has them: a copy may be old.
+func (b *operatorBackend) decidedCalls(ctx context.Context, copied []*statev1.ProgramTree, node string) int {
+	calls := 0
+	for _, tree := range copied {
+		if b.callsByNode([]*statev1.ProgramTree{tree})[node] == 0 {
+			continue
+		}
+		decided, err := b.readTree(ctx, tree.GetRoot())
+		if err != nil {
+			decided = tree
+		}
+		calls += b.callsByNode([]*statev1.ProgramTree{decided})[node]
+	}
+	return calls
+}
+
+func (b *operatorBackend) heardVersions() map[string]uint64 {
+	versions := make(map[string]uint64)
+	for _, peer := range b.node.control.Live() {
+		versions[peer.Node] = peer.Version
+	}
+	versions[b.node.settings.Name] = b.node.holder.Version()
+	return versions
+}
+
+func (b *operatorBackend) shardsByIncarnation() map[string]int {
+	shards := make(map[string]int)
+	for _, view := range b.node.views.Views() {
+		for _, member := range view.Members {
+			shards[member.Incarnation]++
+		}
+	}
+	return shards
+}
+
+func (b *operatorBackend) nodeState(member membership.Member, calls int) string {
+	ordered, found := b.node.holder.Current().Node(member.Node)
+	switch {
+	case member.State == membership.Gone:
+		return operator.StateGone
+	case found && ordered.Draining && calls == 0 && member.Leaving:
+		return operator.StateDrained
+	case found && ordered.Draining:
+		return operator.StateDraining
+	case member.Leaving:
+		return operator.StateLeaving
+	case member.State == membership.Suspect:
+		return operator.StateSuspect
+	}
+	return operator.StateServing
+}
+
+// Shards implements operator.Tables. Programs are counted where this node has a
+// replica.
+func (b *operatorBackend) Shards(context.Context) (operator.Listing[operator.ShardRow], error) {
+	var listing operator.Listing[operator.ShardRow]
+	for _, view := range b.node.views.Views() {
+		row, err := b.shardRow(view)
+		if err != nil {
+			return listing, err
+		}
+		listing.Rows = append(listing.Rows, row)
+	}
+	if b.node.replicatedShards() < len(listing.Rows) {
+		listing.Incomplete = "programs of shards without a replica at node " + b.node.settings.Name
+	}
+	return listing, nil
+}
+
+func (b *operatorBackend) shardRow(view register.View) (operator.ShardRow, error) {
+	row := operator.ShardRow{Shard: view.Shard, Epoch: view.Epoch}
+	members := b.node.membership.Members()
+	for _, member := range view.Members {
+		row.Replicas = append(row.Replicas, member.Node)
+		row.Zones = append(row.Zones, member.Zone)
+		if members.Alive(member.Incarnation) {
+			row.LiveReplicas++
+		}
+	}
+	err := b.node.replica.EachRecord(view.Shard, func(string, []byte) error {
+		row.Programs++
+		return nil
+	})
+	return row, err
+}
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -39,7 +39,7 @@
 }
 
 func (n *Node) checkServing(context.Context) error {
-	if n.draining.Load() {
+	if n.isLeaving() {
 		return errDraining
 	}
 	return nil
--- a/test/integration/configuration_test.go
+++ b/test/integration/configuration_test.go
@@ -5,12 +5,15 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/marblering/marblering/coordination/configuration"
 	"github.com/marblering/marblering/protocol/objectapi"
+	"github.com/marblering/marblering/test/harness"
+	"github.com/marblering/marblering/test/integration/partition"
 )
 
 func digest(key string) string {
@@ -44,3 +47,34 @@
 	_, err = s.objects().Put(t.Context(), string(kind), name, objectapi.IfVersion(current.Version), encode(t, body))
 	assert.NilError(t, err)
 }
+
+// configurationAt returns the version of the configuration in force at a node.
+func (s *system) configurationAt(t *testing.T, node int) uint64 {
+	t.Helper()
+	text := s.cell(t, node, "configuration", "nodes where name = "+s.nodes[node].name)
+	version, err := strconv.ParseUint(text, 10, 64)
+	assert.NilError(t, err)
+	return version
+}
+
+// cutOff cuts the node off from its peers and the platform, in both directions.
+func (s *system) cutOff(t *testing.T, node int) {
+	t.Helper()
+	s.nodes[node].platform.SetFault(harness.Fault{Mode: harness.Cut})
+	for index, peer := range s.nodes {
+		if index == node {
+			assert.NilError(t, peer.links.Set(partition.Fault{Kind: partition.Cut}))
+			continue
+		}
+		assert.NilError(t, peer.links.SetFor(s.nodes[node].name, partition.Fault{Kind: partition.Cut}))
+	}
+}
+
+// heal ends what cutOff began.
+func (s *system) heal(t *testing.T, node int) {
+	t.Helper()
+	s.nodes[node].platform.Heal()
+	for _, peer := range s.nodes {
+		assert.NilError(t, peer.links.Heal())
+	}
+}
