Look at the configuration again before an attempt is sent

Cause: a node that was paused while a drain was accepted still sent new work to the drained engine. A replica refused its change under the old version, as it should; the node learned the new one and proposed the same change again, with the engine chosen before. Ruled out: another choice inside the change of the record, which runs while the register's round waits. An engine that drains isn't marked as one that says it leaves: the mark would outlast the order. Change: the engine's adapter asks the configuration in force just before it sends. The grant came from a quorum after the node learned every accepted version, so what was accepted before the grant is seen; the attempt then goes to another engine. One granted before the acceptance stands in the record as dispatched, and the engine isn't shown as drained until it has ended.

--- a/node/configuration.go
+++ b/node/configuration.go
@@ -84,6 +84,16 @@
 	return engines
 }
 
+// takesWork tells whether the engine at the address is to get new work.
+func (c catalog) takesWork(address string) bool {
+	for _, engine := range c.holder.Current().Engines() {
+		if engine.Address == address {
+			return !engine.Draining && !engine.Stopped
+		}
+	}
+	return false
+}
+
 // engineFollower keeps the fleet's engines at what the configuration says. It
 // is a suture service.
 type engineFollower struct {
--- a/node/engine.go
+++ b/node/engine.go
@@ -14,11 +14,17 @@
 // view of the fleet.
 type engines struct {
 	client *engineapi.Client
+	// takesWork tells whether the configuration in force gives new work to the
+	// engine at the address.
+	takesWork func(address string) bool
 	// silence is how long an engine may send nothing during a call.
 	silence     time.Duration
 	instruments *instruments
 }
 
+// errWithdrawn keeps an attempt from an engine that drains or is out of use.
+var errWithdrawn = errors.New("the configuration in force gives this engine no new work")
+
 // errSilent ends an attempt whose engine has sent nothing for too long.
 var errSilent = errors.New("the engine was silent for too long")
 
@@ -27,8 +33,13 @@
 	_ fleet.Reporter    = engines{}
 )
 
-// Complete implements execution.Engines.
+// Complete implements execution.Engines. The engine was chosen before a quorum
+// granted the attempt, perhaps under an older configuration; by now this node
+// has every version that was accepted before the grant, so it looks again.
 func (e engines) Complete(ctx context.Context, address string, request execution.EngineRequest, onText func(string) error) (execution.EngineAnswer, error) {
+	if !e.takesWork(address) {
+		return execution.EngineAnswer{}, &execution.EngineError{Cause: errWithdrawn}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(e.silence, func() { cancel(errSilent) })
--- a/node/node.go
+++ b/node/node.go
@@ -364,7 +364,7 @@
 
 func (n *Node) newEngines(client *engineapi.Client) engines {
 	return engines{
-		client:  client,
+		client: client, takesWork: catalog{n.holder}.takesWork,
 		silence: n.settings.EngineTimeout, instruments: n.instruments,
 	}
 }
--- a/test/integration/operator_test.go
+++ b/test/integration/operator_test.go
@@ -167,6 +167,37 @@
 	assert.Equal(t, s.cell(t, 2, "operator", "configuration where name = "+drained.name), operatorName)
 }
 
+// TestPausedNodeSendsNothingToADrainedEngine stops a node's process, drains an
+// engine elsewhere, and has the node find calls at once when it goes on.
+func TestPausedNodeSendsNothingToADrainedEngine(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, layout{zones: 3, engines: 2})
+	const paused = 2
+	var told []*conversation
+	for range 12 {
+		told = append(told, newConversation(s.createProgram(t, paused, 100000)))
+	}
+	s.nodes[paused].Pause(t)
+	drained := s.engines[0]
+	s.command(t, 0, "drain engine %s expect version %s", drained.name, s.versionOf(t, 0, "engine", drained.name))
+	taken := len(drained.ledger(t))
+	var waiting []<-chan outcome
+	for _, one := range told {
+		waiting = append(waiting, s.begin(t, paused, request{program: one.program, key: "first", text: "hello"}))
+	}
+	s.nodes[paused].Resume()
+	for index, one := range told {
+		first := <-waiting[index]
+		r := request{program: one.program, key: "first", text: "hello"}
+		if !first.whole {
+			first = s.answered(t, paused, r)
+		}
+		assert.Equal(t, first.engine, s.engines[1].name)
+		one.answer(t, s, r, first)
+	}
+	assert.Equal(t, len(drained.ledger(t)), taken)
+}
+
 // TestRacingCommandsHaveOneWinner gives two commands for the same version at two
 // nodes.
 func TestRacingCommandsHaveOneWinner(t *testing.T) {
