Keep replica sets whole while nodes come and go

Cause: a set kept the members of the first shard map for ever; a node without a data folder that restarted was lost to it, and after two restarts nothing answered. Ruled out: keeping the incarnation over a restart without data, since a replica that has forgotten its promises must not vote. Change: the planner and maintainer of coordination/shard run as a service of the node; a planned stop waits until others have taken its replicas over, or until its sets keep a majority without it; a started node is ready only once it has seen every set whole. Conclusion: a conversation outlives every process that took its turns.

--- a/coordination/fleet/poll.go
+++ b/coordination/fleet/poll.go
@@ -28,7 +28,7 @@
 	loadCost = 3
 	// maxSampled bounds the engines of others that a node samples.
 	maxSampled      = 32
-	pollConcurrency = 8
+	pollConcurrency = 4
 )
 
 // Serve polls the engines until the context ends. It is a suture service.
--- a/coordination/shard/driver.go
+++ b/coordination/shard/driver.go
@@ -57,12 +57,26 @@
 	if newest, found := d.views.View(current.Shard); found && newest.Epoch > current.Epoch {
 		return newest, nil
 	}
-	proposed := register.View{Shard: current.Shard, Epoch: current.Epoch + 1, Members: wanted}
-	successor, err := d.choose(ctx, current, proposed)
+	successor, err := d.choose(ctx, current, wanted)
 	if err != nil {
-		return register.View{}, merry.Prependf(err, "decide epoch %d of shard %d", proposed.Epoch, current.Shard)
+		return register.View{}, merry.Prependf(err, "decide what follows epoch %d of shard %d", current.Epoch, current.Shard)
 	}
-	if successor.Epoch > proposed.Epoch {
+	return d.follow(ctx, current, successor)
+}
+
+// Refresh gives the shard a new epoch with the same members, which brings in
+// one that doesn't hold the current epoch's data and can't copy it any more.
+func (d *Driver) Refresh(ctx context.Context, current register.View) (register.View, error) {
+	successor, err := d.propose(ctx, current, current.Members)
+	if err != nil {
+		return register.View{}, merry.Prependf(err, "decide to refresh epoch %d of shard %d", current.Epoch, current.Shard)
+	}
+	return d.follow(ctx, current, successor)
+}
+
+// follow carries out the decision about the successor.
+func (d *Driver) follow(ctx context.Context, current, successor register.View) (register.View, error) {
+	if successor.Epoch > current.Epoch+1 {
 		d.views.Learn(successor)
 		return successor, nil
 	}
@@ -77,17 +91,14 @@
 
 // choose returns the successor view. Where the wanted members can't take part,
 // it proposes nothing and only finds out what another driver got decided.
-func (d *Driver) choose(ctx context.Context, current, proposed register.View) (register.View, error) {
-	if len(proposed.Members) == 0 {
+func (d *Driver) choose(ctx context.Context, current register.View, wanted []register.Member) (register.View, error) {
+	if len(wanted) == 0 {
 		return d.decide(ctx, current, nil)
 	}
-	encoded, err := json.Marshal(proposed)
-	if err != nil {
-		return register.View{}, merry.Prepend(err, "encode view")
-	}
+	proposed := register.View{Shard: current.Shard, Epoch: current.Epoch + 1, Members: wanted}
 	unable := d.copyAhead(ctx, current, proposed)
 	if unable == nil {
-		return d.decide(ctx, current, encoded)
+		return d.propose(ctx, current, wanted)
 	}
 	decided, err := d.decide(ctx, current, nil)
 	if errors.Is(err, errUndecided) {
@@ -96,31 +107,50 @@
 	return decided, err
 }
 
-// errUndecided is returned by a decision register that is only read.
-var errUndecided = merry.Sentinel("shard: no successor is decided")
+// propose has the wanted members decided, or others that were proposed before.
+func (d *Driver) propose(ctx context.Context, current register.View, wanted []register.Member) (register.View, error) {
+	encoded, err := json.Marshal(register.View{Shard: current.Shard, Epoch: current.Epoch + 1, Members: wanted})
+	if err != nil {
+		return register.View{}, merry.Prepend(err, "encode view")
+	}
+	return d.decide(ctx, current, encoded)
+}
 
 // copyAhead has the new members copy turns while the old ones still serve, so
-// that little is left once they are sealed. Each of them must answer: a set that
-// is decided with a member that is gone has no reserve left.
+// that little is left once they are sealed. Each new member must answer, since a
+// set that is decided with a member that is gone has no reserve left. No old
+// member may still be copying the current epoch: what it copies from would be
+// out of reach once that epoch has ended.
 func (d *Driver) copyAhead(ctx context.Context, current, proposed register.View) error {
 	request := InstallRequest{Previous: current, Successor: proposed, TurnsOnly: true}
+	asking, stop := context.WithCancel(ctx)
+	defer stop()
+	defer d.clock.AfterFunc(d.settings.RequestTimeout, stop)()
 	var group errgroup.Group
+	for _, member := range current.Members {
+		group.Go(func() error {
+			reply, err := d.members.Install(asking, member, request)
+			if err == nil && reply.Refusal == register.RefusalNotReady {
+				return merry.Errorf("node %s doesn't hold epoch %d yet", member.Node, current.Epoch)
+			}
+			return nil
+		})
+	}
 	for _, member := range proposed.Members {
 		if slices.Contains(current.Members, member) {
 			continue
 		}
 		group.Go(func() error {
 			reply, err := d.members.Install(ctx, member, request)
-			if err == nil && reply.Refusal == register.RefusalNotReady {
-				// The old members may have been sealed by another driver.
-				return nil
-			}
 			return merry.Prependf(failure(reply, err), "node %s", member.Node)
 		})
 	}
 	return group.Wait()
 }
 
+// errUndecided is returned by a decision register that is only read.
+var errUndecided = merry.Sentinel("shard: no successor is decided")
+
 // decide has the members of the current epoch agree on the encoded view, nil to
 // propose none, and returns the one that they agreed on. A newer epoch than the
 // next is returned where a member says that it is open.
--- a/coordination/shard/installer.go
+++ b/coordination/shard/installer.go
@@ -38,7 +38,8 @@
 // returns once the copy has reached the medium. It may be repeated.
 func (i *Installer) Install(ctx context.Context, request InstallRequest) archive.Reply {
 	shard := request.Successor.Shard
-	if !i.replica.isMember(request.Successor) {
+	isAsked := i.replica.isMember(request.Successor) || request.TurnsOnly && i.replica.isMember(request.Previous)
+	if !isAsked {
 		return archive.Reply{Refusal: register.RefusalIncarnation, View: i.replica.openView(shard)}
 	}
 	if request.Previous.Epoch+1 != request.Successor.Epoch || request.Previous.Shard != shard {
@@ -50,7 +51,7 @@
 	}
 	defer release()
 	if request.TurnsOnly {
-		return i.report(request, i.copyShard(ctx, request))
+		return i.copyAhead(ctx, request)
 	}
 	// The previous epoch ends here at the latest. A replica that has been told
 	// of a newer view by now may still be needed as a source of this one.
@@ -67,6 +68,18 @@
 	return i.report(request, i.replica.finishInstall(request.Successor))
 }
 
+// copyAhead copies turns, or tells whether the replica holds the previous epoch
+// already.
+func (i *Installer) copyAhead(ctx context.Context, request InstallRequest) archive.Reply {
+	if !i.replica.isMember(request.Previous) {
+		return i.report(request, i.copyShard(ctx, request))
+	}
+	if !i.replica.holds(request.Previous) {
+		return archive.Reply{Refusal: register.RefusalNotReady}
+	}
+	return archive.Reply{}
+}
+
 // CatchUp installs the shards whose data this replica should hold and doesn't,
 // since it was slower than the majority or wasn't reached when the epoch opened.
 // Until then the set lives on what the majority holds.
--- /dev/null
+++ b/coordination/shard/plan.go
@@ -0,0 +1,277 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/state/program"
+)
+
+// Node is what the membership says of one node.
+type Node struct {
+	Member        register.Member
+	HasDataFolder bool
+	// Leaving is set from the announcement of a planned stop.
+	Leaving bool
+	// GoneSince is when the node stopped answering; zero while it answers.
+	GoneSince time.Time
+}
+
+// Situation is a snapshot of what one node knows.
+type Situation struct {
+	Now time.Time
+	// WatchedSince is when this node began to watch the others: a node that it
+	// has never heard of counts as gone since then.
+	WatchedSince time.Time
+	Views        []register.View
+	Nodes        []Node
+}
+
+// PlanSettings limits what a plan does.
+type PlanSettings struct {
+	// Factor is the wanted number of members of a set.
+	Factor int
+	// GoneAfter is how long a node must have been gone before its replicas are
+	// replaced, so that a short cut or a restart with data moves nothing.
+	GoneAfter time.Duration
+	// Moves limits the moves of one plan.
+	Moves int
+}
+
+// Reason says why a set gets other members.
+type Reason string
+
+// Reasons in the order of their urgency.
+const (
+	ReasonForgotten Reason = "a member has begun a new incarnation"
+	ReasonGone      Reason = "a member is gone"
+	ReasonLeaving   Reason = "a member is leaving"
+	ReasonMoved     Reason = "a member has another address"
+	ReasonTooFew    Reason = "the set is smaller than the replication factor"
+	ReasonZones     Reason = "the set can be spread over more zones"
+)
+
+var urgency = []Reason{ReasonForgotten, ReasonGone, ReasonLeaving, ReasonMoved, ReasonTooFew, ReasonZones}
+
+// Move is one wanted change of a replica set.
+type Move struct {
+	View    register.View
+	Members []register.Member
+	Reason  Reason
+	// Driver is the node that should drive the move: a hint.
+	Driver string
+}
+
+// LostSet is a set that can't decide anything, since a majority of its members
+// doesn't answer. It is never begun anew from empty.
+type LostSet struct {
+	View register.View
+	// Forgotten counts the members whose incarnation has ended, which can't
+	// come back; Gone those that may.
+	Forgotten int
+	Gone      int
+}
+
+// IsFinal tells whether no return of nodes can bring the set back.
+func (l LostSet) IsFinal() bool { return len(l.View.Members)-l.Forgotten < l.View.Quorum() }
+
+// Outcome is what a plan decides.
+type Outcome struct {
+	Moves []Move
+	Lost  []LostSet
+}
+
+// Plan decides which sets need other members. It is a pure function; nodes that
+// know the same make the same plan.
+func Plan(situation Situation, settings PlanSettings) Outcome {
+	p := planner{situation: situation, settings: settings, nodes: make(map[string]Node)}
+	for _, node := range situation.Nodes {
+		p.nodes[node.Member.Node] = node
+	}
+	var outcome Outcome
+	for _, view := range situation.Views {
+		judged := p.judge(view)
+		if answering(judged) < view.Quorum() {
+			outcome.Lost = append(outcome.Lost, lostSet(view, judged))
+			continue
+		}
+		if move, isNeeded := p.move(view, judged); isNeeded {
+			outcome.Moves = append(outcome.Moves, move)
+		}
+	}
+	slices.SortStableFunc(outcome.Moves, func(a, b Move) int {
+		return cmp.Compare(slices.Index(urgency, a.Reason), slices.Index(urgency, b.Reason))
+	})
+	outcome.Moves = outcome.Moves[:min(len(outcome.Moves), settings.Moves)]
+	return outcome
+}
+
+type planner struct {
+	situation Situation
+	settings  PlanSettings
+	nodes     map[string]Node
+}
+
+// judgement is what is known of one member.
+type judgement struct {
+	member register.Member
+	// reason to replace the member; empty to keep it.
+	reason Reason
+	// answers is set while the incarnation of the member answers.
+	answers bool
+}
+
+func (p planner) judge(view register.View) []judgement {
+	judged := make([]judgement, len(view.Members))
+	for index, member := range view.Members {
+		judged[index] = p.judgeMember(member)
+	}
+	return judged
+}
+
+func (p planner) judgeMember(member register.Member) judgement {
+	node, isKnown := p.nodes[member.Node]
+	goneSince := node.GoneSince
+	if !isKnown {
+		goneSince = p.situation.WatchedSince
+	}
+	judged := judgement{member: member, answers: goneSince.IsZero()}
+	switch {
+	case isKnown && node.Member.Incarnation != member.Incarnation:
+		judged.reason, judged.answers = ReasonForgotten, false
+	case !goneSince.IsZero() && p.situation.Now.Sub(goneSince) >= p.settings.GoneAfter:
+		judged.reason = ReasonGone
+	case !goneSince.IsZero():
+	case node.Leaving:
+		judged.reason = ReasonLeaving
+	case node.Member != member:
+		judged.reason = ReasonMoved
+	}
+	return judged
+}
+
+func answering(judged []judgement) int {
+	count := 0
+	for _, one := range judged {
+		if one.answers {
+			count++
+		}
+	}
+	return count
+}
+
+func lostSet(view register.View, judged []judgement) LostSet {
+	lost := LostSet{View: view}
+	for _, one := range judged {
+		switch {
+		case one.reason == ReasonForgotten:
+			lost.Forgotten++
+		case !one.answers:
+			lost.Gone++
+		}
+	}
+	return lost
+}
+
+// move returns the successor that the set needs, if there is one.
+func (p planner) move(view register.View, judged []judgement) (Move, bool) {
+	reason := p.reason(judged)
+	members := p.successor(view, judged)
+	if reason == "" && answering(judged) == len(view.Members) {
+		members = p.spread(view, members)
+		reason = ReasonZones
+	}
+	if !hasNewMember(view.Members, members) {
+		return Move{}, false
+	}
+	return Move{View: view, Members: members, Reason: reason, Driver: p.driver(view)}, true
+}
+
+func hasNewMember(before, after []register.Member) bool {
+	return slices.ContainsFunc(after, func(member register.Member) bool { return !slices.Contains(before, member) })
+}
+
+// reason returns the most urgent reason.
+func (p planner) reason(judged []judgement) Reason {
+	for _, reason := range urgency {
+		if slices.ContainsFunc(judged, func(one judgement) bool { return one.reason == reason }) {
+			return reason
+		}
+	}
+	if len(judged) < p.settings.Factor {
+		return ReasonTooFew
+	}
+	return ""
+}
+
+// successor keeps the members that stay and fills their number up.
+func (p planner) successor(view register.View, judged []judgement) []register.Member {
+	var kept, replaced []register.Member
+	for _, one := range judged {
+		switch one.reason {
+		case "":
+			kept = append(kept, one.member)
+		case ReasonMoved:
+			kept = append(kept, p.nodes[one.member.Node].Member)
+		default:
+			replaced = append(replaced, one.member)
+		}
+	}
+	filled := fill(view.Shard, p.settings.Factor, kept, p.candidates())
+	if missing := len(view.Members) - len(filled); missing > 0 {
+		// Too few others: a member that is leaving or gone is still better than
+		// none.
+		filled = append(filled, replaced[:missing]...)
+	}
+	return filled
+}
+
+// candidates are the nodes that may become members.
+func (p planner) candidates() []Candidate {
+	var candidates []Candidate
+	for _, node := range p.situation.Nodes {
+		if node.GoneSince.IsZero() && !node.Leaving {
+			candidates = append(candidates, Candidate{Member: node.Member, HasDataFolder: node.HasDataFolder})
+		}
+	}
+	return candidates
+}
+
+// spread replaces one of two members of the same zone where a zone without a
+// member has a candidate.
+func (p planner) spread(view register.View, members []register.Member) []register.Member {
+	for index, member := range members {
+		others := slices.Delete(slices.Clone(members), index, index+1)
+		if !hasZone(others, member.Zone) {
+			continue
+		}
+		filled := fill(view.Shard, len(members), others, p.candidates())
+		if added := filled[len(filled)-1]; !hasZone(members, added.Zone) {
+			return filled
+		}
+	}
+	return members
+}
+
+func hasZone(members []register.Member, zone string) bool {
+	return slices.ContainsFunc(members, func(member register.Member) bool { return member.Zone == zone })
+}
+
+// driver is the answering node with the highest affinity to the change.
+func (p planner) driver(view register.View) string {
+	key := strconv.FormatUint(uint64(view.Shard), 10) + "/" + strconv.FormatUint(view.Epoch, 10)
+	var best string
+	for _, node := range p.situation.Nodes {
+		name := node.Member.Node
+		if !node.GoneSince.IsZero() || node.Leaving {
+			continue
+		}
+		if best == "" || program.Affinity(name, key) > program.Affinity(best, key) {
+			best = name
+		}
+	}
+	return best
+}
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -227,7 +227,7 @@
 			return merry.Prependf(err, "starting %s", loaded.Name)
 		}
 		d.Nodes = append(d.Nodes, started)
-		d.shutdown = append(d.shutdown, started.Drain)
+		d.shutdown = append(d.shutdown, started.Close)
 	}
 	for _, started := range d.Nodes {
 		if err := awaitReady(ctx, started.OperatorAddress()); err != nil {
--- a/node/drain.go
+++ b/node/drain.go
@@ -13,8 +13,8 @@
 )
 
 // Drain is a planned stop: new requests are refused, those in flight end as
-// they would, the peers learn that this node leaves, and only then the services
-// stop.
+// they would, the peers learn that this node leaves and take its replicas over,
+// and only then the services stop.
 func (n *Node) Drain() error {
 	n.draining.Store(true)
 	n.logger.Info("draining", zap.Int("in_flight", n.callers.InFlight()))
@@ -23,6 +23,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout)
 	defer cancel()
 	err := errors.Join(n.callers.Wait(ctx), n.executor.Drain(ctx))
+	n.repair.awaitHandover(ctx, n.replica.Incarnation())
 	n.logger.Info("drained", zap.Error(err))
 	return errors.Join(err, n.Close())
 }
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	store      replica.Store
 	replica    *shard.Replica
 	installer  *shard.Installer
+	repair     *repair
 	membership *membership.Service
 	records    *record.Store
 	fleet      *fleet.Fleet
@@ -171,7 +172,7 @@
 	n.identity = incarnation + identitySeparator + uuid.NewString()
 	n.views = shard.NewMap(uint32(n.settings.Shards))
 	n.replica = shard.NewReplica(incarnation, n.store, n.views, n.holder.Version)
-	return nil
+	return n.replica.Restore()
 }
 
 // build makes the parts and returns the services to supervise. Listeners come
@@ -212,12 +213,15 @@
 		bodyLimit: catalog{n.holder}.bodyLimit,
 		observer:  callerMetrics,
 	})
+	driver := shard.NewDriver(n.identity, peers, n.views, register.SystemClock{}, n.newRandom(), register.DefaultSettings(), n.logger)
+	n.repair = newRepair(n, driver)
 	n.addReadinessChecks()
 	return []suture.Service{
 		n.peerListener, n.callerListener, n.operatorListener,
 		n.membership,
 		n.fleet,
 		n.limits,
+		n.repair,
 		n.agent,
 		&configurationAnnouncer{holder: n.holder, membership: n.membership, logger: n.logger},
 		&machineWatch{
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -9,6 +9,7 @@
 const (
 	checkNameConfiguration = "configuration"
 	checkNameShards        = "shards"
+	checkNameReplicas      = "replicas"
 	checkNameServing       = "serving"
 )
 
@@ -21,6 +22,7 @@
 func (n *Node) addReadinessChecks() {
 	n.readiness.Add(checkNameConfiguration, n.checkConfiguration)
 	n.readiness.Add(checkNameShards, n.checkShards)
+	n.readiness.Add(checkNameReplicas, n.repair.check)
 	n.readiness.Add(checkNameServing, n.checkServing)
 }
 
