--- a/test/integration/configuration_test.go
+++ b/test/integration/configuration_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -44,3 +45,15 @@
 	_, err = s.objects().Put(t.Context(), string(kind), name, objectapi.IfVersion(current.Version), encode(t, body))
 	assert.NilError(t, err)
 }
+
+// putMachine sets the state of a machine in the platform's list.
+func (s *system) putMachine(t *testing.T, name, state string) {
+	t.Helper()
+	body := strings.NewReader(string(encode(t, objectapi.Machine{Name: name, State: state})))
+	made, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+s.platform+"/machines/"+name, body)
+	assert.NilError(t, err)
+	response, err := http.DefaultClient.Do(made)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode/100, 2)
+}
