--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	store      replica.Store
 	replica    *shard.Replica
 	installer  *shard.Installer
+	repair     *repair
 	membership *membership.Service
 	records    *record.Store
 	fleet      *fleet.Fleet
@@ -171,7 +172,7 @@
 	n.identity = incarnation + identitySeparator + uuid.NewString()
 	n.views = shard.NewMap(uint32(n.settings.Shards))
 	n.replica = shard.NewReplica(incarnation, n.store, n.views, n.holder.Version)
-	return nil
+	return n.replica.Restore()
 }
 
 // build makes the parts and returns the services to supervise. Listeners come
@@ -213,6 +214,8 @@
 		bodyLimit: catalog{n.holder}.bodyLimit,
 		observer:  callerMetrics,
 	})
+	driver := shard.NewDriver(n.identity, peers, n.views, register.SystemClock{}, n.newRandom(), register.DefaultSettings(), n.logger)
+	n.repair = newRepair(n, driver)
 	statements.set(n.operatorHandler(platform, n.newEngines(engineClient)))
 	n.addReadinessChecks()
 	return []suture.Service{
@@ -220,6 +223,7 @@
 		n.membership,
 		n.fleet,
 		n.limits,
+		n.repair,
 		n.agent,
 		&orderFollower{node: n},
 		&configurationAnnouncer{holder: n.holder, membership: n.membership, logger: n.logger},
--- a/test/integration/configuration_test.go
+++ b/test/integration/configuration_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -78,3 +79,15 @@
 		assert.NilError(t, peer.links.Heal())
 	}
 }
+
+// putMachine sets the state of a machine in the platform's list.
+func (s *system) putMachine(t *testing.T, name, state string) {
+	t.Helper()
+	body := strings.NewReader(string(encode(t, objectapi.Machine{Name: name, State: state})))
+	made, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+s.platform+"/machines/"+name, body)
+	assert.NilError(t, err)
+	response, err := http.DefaultClient.Do(made)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode/100, 2)
+}
