Have the paused node learn of a drain only by asking

Cause: the test of a paused node passed in one run with the look before sending turned off: a peer's message that had waited told the node of the drain before it chose. Change: platform and peers can't reach the paused node; it can reach its peers.

--- a/test/integration/operator_test.go
+++ b/test/integration/operator_test.go
@@ -20,6 +20,7 @@
 	"github.com/marblering/marblering/protocol/operator"
 	"github.com/marblering/marblering/state/result"
 	"github.com/marblering/marblering/test/harness"
+	"github.com/marblering/marblering/test/integration/partition"
 )
 
 const (
@@ -168,7 +169,8 @@
 }
 
 // TestPausedNodeSendsNothingToADrainedEngine stops a node's process, drains an
-// engine elsewhere, and has the node find calls at once when it goes on.
+// engine elsewhere, and has the node find calls at once when it goes on. Neither
+// the platform nor a peer can tell it of the drain unless it asks.
 func TestPausedNodeSendsNothingToADrainedEngine(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t, layout{zones: 3, engines: 2})
@@ -178,6 +180,8 @@
 		told = append(told, newConversation(s.createProgram(t, paused, 100000)))
 	}
 	s.nodes[paused].Pause(t)
+	s.nodes[paused].platform.SetFault(harness.Fault{Mode: harness.Cut})
+	assert.NilError(t, s.nodes[paused].links.Set(partition.Fault{Kind: partition.Cut}))
 	drained := s.engines[0]
 	s.command(t, 0, "drain engine %s expect version %s", drained.name, s.versionOf(t, 0, "engine", drained.name))
 	taken := len(drained.ledger(t))
