Test a node's drain, and that peers alone heal a cut node

Cause: the order to drain a node had no test, and a cut node could get the new configuration from the platform. Change: a node is ordered to drain while it streams, and the order is taken back; after the cut only the peers are in reach again.

--- a/test/integration/configuration_test.go
+++ b/test/integration/configuration_test.go
@@ -71,10 +71,10 @@
 	}
 }
 
-// heal ends what cutOff began.
-func (s *system) heal(t *testing.T, node int) {
+// healPeers ends what cutOff began between the nodes; the platform stays out of
+// the node's reach.
+func (s *system) healPeers(t *testing.T) {
 	t.Helper()
-	s.nodes[node].platform.Heal()
 	for _, peer := range s.nodes {
 		assert.NilError(t, peer.links.Heal())
 	}
--- a/test/integration/operator_test.go
+++ b/test/integration/operator_test.go
@@ -168,6 +168,43 @@
 	assert.Equal(t, s.cell(t, 2, "operator", "configuration where name = "+drained.name), operatorName)
 }
 
+// TestDrainOfANode orders a node to drain while it streams, and takes the order
+// back.
+func TestDrainOfANode(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, layout{zones: 3, engines: 1})
+	const draining = 0
+	s.slowDown(t, frozen)
+	told := newConversation(s.createProgram(t, draining, 100000))
+	streamed := request{program: told.program, key: "streamed", text: "a long answer"}
+	stream := s.begin(t, draining, streamed)
+	harness.Eventually(t, func() (bool, string) {
+		return len(s.attempts(t, told.program)) == 1, "no engine took the call on"
+	})
+	name := s.nodes[draining].name
+	drained := s.command(t, 1, "drain node %s expect version 0", name)
+	waitForState := func(state string) {
+		for node := range s.nodes {
+			harness.Eventually(t, func() (bool, string) {
+				got := s.cell(t, node, "state", "nodes where name = "+name)
+				return got == state, fmt.Sprintf("%s shows %s as %s, not %s", s.nodes[node].name, name, got, state)
+			})
+		}
+	}
+	waitForState(operator.StateDraining)
+	refused := call(patient(t), s.nodes[draining].callers, request{program: told.program, key: "other", text: "hello"})
+	assert.Equal(t, refused.code(), result.Draining, "%s", refused)
+	assert.Equal(t, len(stream), 0)
+
+	s.slowDown(t, 1)
+	told.answer(t, s, streamed, <-stream)
+	waitForState(operator.StateDrained)
+	s.command(t, 1, "undrain node %s expect version %d", name, drained.Version)
+	waitForState(operator.StateServing)
+	s.nodes[draining].WaitHTTP(t, s.nodes[draining].operators+"/readyz")
+	told.say(t, s, draining, request{key: "after", text: "hello"})
+}
+
 // TestPausedNodeSendsNothingToADrainedEngine stops a node's process, drains an
 // engine elsewhere, and has the node find calls at once when it goes on. Neither
 // the platform nor a peer can tell it of the drain unless it asks.
@@ -303,7 +340,8 @@
 }
 
 // TestCutNodeRefusesTheOldConfiguration accepts a drain while one node is cut
-// off from its peers and the platform, but not from the engines.
+// off from its peers and the platform, but not from the engines. Afterwards only
+// its peers can give it the new configuration.
 func TestCutNodeRefusesTheOldConfiguration(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t, layout{zones: 3, engines: 2})
@@ -323,7 +361,7 @@
 	assert.Equal(t, len(drained.ledger(t)), taken)
 	assert.Equal(t, s.configurationAt(t, cut), before)
 
-	s.heal(t, cut)
+	s.healPeers(t)
 	harness.Eventually(t, func() (bool, string) {
 		got := s.configurationAt(t, cut)
 		assert.Assert(t, got >= before, "version %d reverted to %d", before, got)
