--- a/node/node.go
+++ b/node/node.go
@@ -53,9 +53,13 @@
 	logger     *zap.Logger
 	identity   string
 	holder     *configuration.Holder
+	agent      *configuration.Agent
+	acceptor   *configuration.Acceptor
+	control    *controlMembers
 	views      *shard.Map
 	store      replica.Store
 	replica    *shard.Replica
+	installer  *shard.Installer
 	membership *membership.Service
 	records    *record.Store
 	fleet      *fleet.Fleet
@@ -125,6 +129,7 @@
 	logger.Info("started",
 		zap.String("identity", n.identity),
 		zap.String("peer_address", n.PeerAddress()),
+		zap.String("peer_listen", n.peerListener.address()),
 		zap.String("caller_address", n.CallerAddress()),
 		zap.String("operator_address", n.OperatorAddress()))
 	return n, nil
@@ -180,7 +185,11 @@
 	peers := peer.NewClient(n.wire.client(wirePeer), n.settings.PeerTimeout, peerMetrics)
 	platform := objectapi.NewClient(n.settings.ObjectAPI, n.wire.client(wirePlatform)).Named(n.settings.Name)
 	engineClient := engineapi.NewClient(n.wire.client(wireEngine))
+	n.installer = shard.NewInstaller(n.replica, peers, n.logger)
 	n.buildMembership(peers)
+	if err := n.buildControl(platform, peers); err != nil {
+		return nil, errors.Join(err, n.closeListeners())
+	}
 	n.buildExecution(peers, engineClient)
 	callerMetrics := callerapi.NewMetrics(n.metrics)
 	n.callers = callerapi.New(callerapi.Options{
@@ -190,11 +199,11 @@
 		BodyLimit: int64(n.settings.RequestSizeLimit),
 		Observer:  callerMetrics,
 	})
-	peerMux.set(peer.NewHandler(n.replica, &peerNode{
+	peerMux.set(peer.NewHandler(n.replica, n.installer, &peerNode{
 		identity:   n.identity,
 		membership: n.membership,
 		executor:   n.executor,
-		holder:     n.holder,
+		agent:      n.agent,
 		limits:     n.limits,
 	}, peerMetrics))
 	callerMux.set(&callerGate{
@@ -209,10 +218,8 @@
 		n.membership,
 		n.fleet,
 		n.limits,
-		&configurationWatch{
-			platform: platform, holder: n.holder, logger: n.logger, timeout: n.settings.ObjectAPITimeout,
-			pauses: backoff{first: watchPauseFirst, most: watchPauseMost, random: n.newRandom()},
-		},
+		n.agent,
+		&configurationAnnouncer{holder: n.holder, membership: n.membership, logger: n.logger},
 		&machineWatch{
 			platform: platform, membership: n.membership, reads: n.reads,
 			timeout: n.settings.ObjectAPITimeout, logger: n.logger,
@@ -253,6 +260,11 @@
 	return nil
 }
 
+// closeListeners closes the listeners of a node that can't start.
+func (n *Node) closeListeners() error {
+	return errors.Join(n.peerListener.socket.Close(), n.callerListener.socket.Close(), n.operatorListener.socket.Close())
+}
+
 func (n *Node) buildMembership(peers *peer.Client) {
 	now := time.Now()
 	identity := membership.Identity{
@@ -269,9 +281,17 @@
 		Exchanger:            peers,
 		Now:                  time.Now,
 		Logger:               n.logger,
+		Shards:               &shardGossip{views: n.views},
 		ConfigurationVersion: n.holder.Version,
+		ConfigurationSeen:    n.configurationSeen,
 		Observe:              n.observeMembership,
 	})
+	n.control = newControlMembers(configuration.Member{
+		Node:        identity.Node,
+		Incarnation: identity.Incarnation,
+		Address:     identity.Address,
+		Zone:        identity.Zone,
+	}, n.membership.Members, n.views)
 }
 
 // exchangesPerHeartbeat is how many exchanges a node begins a heartbeat.
