--- a/cmd/marblering-lab/main.go
+++ b/cmd/marblering-lab/main.go
@@ -4,17 +4,20 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 )
 
 func main() {
+	os.Exit(runUntilSignal())
+}
+
+// runUntilSignal cancels the command at the first SIGTERM or SIGINT; a second
+// one ends the process at once.
+func runUntilSignal() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := newRootCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "marblering-lab:", err)
-		os.Exit(1)
-	}
+	context.AfterFunc(ctx, stop)
+	return execute(ctx, newRootCommand(), os.Args[1:])
 }
--- a/cmd/marblering-lab/measure.go
+++ b/cmd/marblering-lab/measure.go
@@ -7,7 +7,12 @@
 )
 
 func newMeasureCommand() *cobra.Command {
-	group := &cobra.Command{Use: "measure", Short: "Measure a deployment in this process"}
+	group := &cobra.Command{
+		Use:   "measure",
+		Short: "Measure a deployment in this process",
+		Args:  noArguments,
+		RunE:  showHelp,
+	}
 	group.AddCommand(newMeasureTurnsCommand())
 	return group
 }
@@ -17,7 +22,7 @@
 	command := &cobra.Command{
 		Use:   "turns",
 		Short: "Measure what a turn costs beyond the engine's own time",
-		Args:  cobra.NoArgs,
+		Args:  noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			return measure.Turns(command.Context(), command.OutOrStdout(), options)
 		},
--- a/cmd/marblering-lab/scale.go
+++ b/cmd/marblering-lab/scale.go
@@ -16,7 +16,7 @@
 	command := &cobra.Command{
 		Use:   "scale",
 		Short: "Measure the control cost of a node: many nodes in this process, hollow engines",
-		Args:  cobra.NoArgs,
+		Args:  noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			var points []scale.Usage
 			for _, count := range nodes {
