Test that a bad start leaves neither listeners nor the replica store open

Cause: a node can now fail after its listeners and its data folder are open, by a damaged archive of the configuration; only a taken address was tried. Change: a start with a damaged archive fails, the next one on the same addresses and folder succeeds; a taken address is tried for each of the three listeners. Conclusion: a bad start leaves nothing behind.

--- a/node/readiness_test.go
+++ b/node/readiness_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"go.uber.org/zap"
@@ -48,40 +50,56 @@
 }
 
 // TestBadStartLeavesNoListener has one address of three taken by somebody else.
+// An IP number of its own keeps the ports of this test from being taken by
+// others while they are free.
 func TestBadStartLeavesNoListener(t *testing.T) {
-	// An address of its own keeps free ports from being taken by others.
 	const host = "127.83.12.7:0"
-	addresses := map[string]string{}
-	var held []net.Listener
 	flags := []string{"peer", "caller", "operator"}
-	for _, flag := range flags {
-		socket, err := net.Listen("tcp", host)
-		assert.NilError(t, err)
-		defer socket.Close()
-		held = append(held, socket)
-		addresses[flag] = socket.Addr().String()
-	}
-	for index, taken := range flags {
-		for other, socket := range held {
-			if other != index {
-				assert.NilError(t, socket.Close())
-			}
-		}
-		loaded, err := deployment.Settings("--name=node-1", "--zone=zone-1", "--object-api=http://127.0.0.1:9",
-			"--peer-listen="+addresses["peer"], "--caller-listen="+addresses["caller"], "--operator-listen="+addresses["operator"])
+	addresses := freeAddresses(t, host, len(flags))
+	loaded, err := deployment.Settings("--name=node-1", "--zone=zone-1", "--object-api=http://127.0.0.1:9",
+		"--peer-listen="+addresses[0], "--caller-listen="+addresses[1], "--operator-listen="+addresses[2])
+	assert.NilError(t, err)
+	for index, flag := range flags {
+		taken, err := net.Listen("tcp", addresses[index])
 		assert.NilError(t, err)
 		_, err = node.Start(loaded, zap.NewNop())
-		assert.ErrorContains(t, err, addresses[taken])
-		for other, flag := range flags {
-			if other == index {
-				continue
-			}
-			socket, err := net.Listen("tcp", addresses[flag])
-			assert.NilError(t, err, "%s was left open after %s failed", flag, taken)
-			held[other] = socket
+		assert.ErrorContains(t, err, addresses[index])
+		assert.NilError(t, taken.Close())
+		for _, address := range addresses {
+			socket, err := net.Listen("tcp", address)
+			assert.NilError(t, err, "%s was left open after the %s address was taken", address, flag)
+			assert.NilError(t, socket.Close())
 		}
 	}
-	for _, socket := range held {
-		assert.NilError(t, socket.Close())
+}
+
+// TestDamagedArchiveStopsTheStart leaves neither listeners nor the replica store
+// open: the start that follows, on the same addresses and folder, succeeds.
+func TestDamagedArchiveStopsTheStart(t *testing.T) {
+	folder := t.TempDir()
+	addresses := freeAddresses(t, "127.83.12.8:0", 3)
+	loaded, err := deployment.Settings("--name=node-1", "--zone=zone-1", "--object-api=http://127.0.0.1:9", "--data-folder="+folder,
+		"--peer-listen="+addresses[0], "--caller-listen="+addresses[1], "--operator-listen="+addresses[2])
+	assert.NilError(t, err)
+	archive := filepath.Join(folder, "configuration.json")
+	assert.NilError(t, os.WriteFile(archive, []byte("{"), 0o600))
+	_, err = node.Start(loaded, zap.NewNop())
+	assert.ErrorContains(t, err, "damaged")
+	assert.NilError(t, os.Remove(archive))
+	started, err := node.Start(loaded, zap.NewNop())
+	assert.NilError(t, err)
+	assert.NilError(t, started.Close())
+}
+
+// freeAddresses returns different addresses that nobody listens on.
+func freeAddresses(t *testing.T, host string, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		socket, err := net.Listen("tcp", host)
+		assert.NilError(t, err)
+		defer socket.Close()
+		addresses = append(addresses, socket.Addr().String())
 	}
+	return addresses
 }
