--- a/test/document/document.go
+++ b/test/document/document.go
@@ -4,8 +4,10 @@
 
 import (
 	"io/fs"
+	"maps"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 )
 
@@ -84,3 +86,45 @@
 	}
 	return names
 }
+
+// Packages returns the folders below the root that have Go files, ordered, without
+// the generated ones.
+func Packages(root string) ([]string, error) {
+	found := make(map[string]bool)
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if filepath.Ext(path) != ".go" {
+			return nil
+		}
+		folder, err := filepath.Rel(root, filepath.Dir(path))
+		if err != nil {
+			return err
+		}
+		folder = filepath.ToSlash(folder)
+		generated := strings.HasPrefix(folder, "api/")
+		if !generated && !strings.Contains(folder, "testdata") {
+			found[folder] = true
+		}
+		return nil
+	})
+	return slices.Sorted(maps.Keys(found)), err
+}
+
+// Column returns the code spans that make up whole cells of one column of the
+// page's tables, counted from 0.
+func Column(page string, column int) []string {
+	var spans []string
+	for line := range strings.Lines(page) {
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		if len(cells) <= column {
+			continue
+		}
+		cell := strings.TrimSpace(cells[column])
+		if match := regexp.MustCompile("^`([^`]+)`$").FindStringSubmatch(cell); match != nil {
+			spans = append(spans, match[1])
+		}
+	}
+	return spans
+}
--- a/test/document/document_test.go
+++ b/test/document/document_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -40,6 +41,17 @@
 	assert.Assert(t, links > 5, "found only %d links", links)
 }
 
+// TestArchitectureNamesThePackages compares the table of packages with those
+// that exist.
+func TestArchitectureNamesThePackages(t *testing.T) {
+	packages, err := document.Packages(root)
+	assert.NilError(t, err)
+	const packageColumn = 1
+	named := document.Column(read(t, filepath.Join(root, "docs", "ARCHITECTURE.md")), packageColumn)
+	slices.Sort(named)
+	assert.DeepEqual(t, named, packages)
+}
+
 // TestProofsNameTests makes sure that a promise is called proved only where a
 // test of that name exists.
 func TestProofsNameTests(t *testing.T) {
