Run the nodes of the scale run in processes of their own and fit its slopes

Cause: a run of 350 nodes in one process ended by too many open files and hung; engines and object API shared the process and were counted as the nodes'. Ruled out: fewer idle connections in the run only, since bytes and processor time would be those of other connections; hollow nodes, since real ones fit. Change: groups of nodes run in child processes that answer over standard input and output; a run that would pass the limit of open files is refused before it starts, each point has a timeout; numbers to vary are lists, with a least-squares line against the one that varies; the highest node, resident memory and the time of a change until it is in force everywhere are measured. Conclusion: the slopes of docs/CAPACITY.md come out of this command.

--- a/cmd/marblering-lab/command.go
+++ b/cmd/marblering-lab/command.go
@@ -29,7 +29,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(newDemoCommand(), newEngineCommand(), newObjectStoreCommand(), newMeasureCommand(), newScaleCommand())
+	root.AddCommand(newDemoCommand(), newEngineCommand(), newObjectStoreCommand(), newMeasureCommand(), newScaleCommand(), newScaleGroupCommand())
 	return root
 }
 
--- a/cmd/marblering-lab/scale.go
+++ b/cmd/marblering-lab/scale.go
@@ -1,44 +1,99 @@
 package main
 
 import (
+	"context"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
 
 	"github.com/marblering/marblering/lab/scale"
 )
 
-// newScaleCommand measures one point for each number of nodes given.
+// scaleRun is a set of points: every combination of what is varied.
+type scaleRun struct {
+	nodes    []int
+	engines  []int
+	tenants  []int
+	programs []int
+	changes  []int
+	fixed    scale.Options
+}
+
+// newScaleCommand measures a point for each combination of the numbers given.
 func newScaleCommand() *cobra.Command {
-	var nodes []int
-	options := scale.Options{Logger: zap.NewNop()}
+	var run scaleRun
 	command := &cobra.Command{
 		Use:   "scale",
-		Short: "Measure the control cost of a node: many nodes in this process, hollow engines",
+		Short: "Measure the control cost of a node: many nodes in a few processes, hollow engines",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			var points []scale.Usage
-			for _, count := range nodes {
-				options.Nodes = count
-				point, err := scale.Measure(command.Context(), options)
-				if err != nil {
-					return err
-				}
-				points = append(points, point)
+			points, err := run.measure(command.Context())
+			// What was measured before a failure is printed all the same.
+			if printed := scale.Print(command.OutOrStdout(), points); printed != nil {
+				return printed
 			}
-			return scale.Print(command.OutOrStdout(), points)
+			if err != nil {
+				return err
+			}
+			return scale.PrintFit(command.OutOrStdout(), points)
 		},
 	}
 	flags := command.Flags()
-	flags.IntSliceVar(&nodes, "nodes", []int{3, 12, 50}, "numbers of nodes, one point each")
-	flags.IntVar(&options.Zones, "zones", 13, "zones")
-	flags.IntVar(&options.Engines, "engines", 0, "hollow engines")
-	flags.IntVar(&options.Tenants, "tenants", 0, "tenants beside the first")
-	flags.IntVar(&options.Shards, "shards", 64, "shards")
-	flags.IntVar(&options.Programs, "programs", 0, "programs of one turn each")
-	flags.IntVar(&options.Changes, "changes", 0, "configuration changes during the window")
-	flags.DurationVar(&options.Settle, "settle", 20*time.Second, "pause before the window")
-	flags.DurationVar(&options.Window, "window", 20*time.Second, "length of the window")
+	flags.IntSliceVar(&run.nodes, "nodes", []int{3, 12, 50}, "numbers of nodes")
+	flags.IntSliceVar(&run.engines, "engines-per-node", []int{0}, "numbers of hollow engines a node")
+	flags.IntSliceVar(&run.tenants, "tenants", []int{0}, "numbers of tenants beside the first")
+	flags.IntSliceVar(&run.programs, "programs", []int{0}, "numbers of programs of one turn each")
+	flags.IntSliceVar(&run.changes, "changes", []int{0}, "numbers of configuration changes during the window")
+	flags.IntVar(&run.fixed.Zones, "zones", 13, "zones")
+	flags.IntVar(&run.fixed.Shards, "shards", 64, "shards")
+	flags.IntVar(&run.fixed.NodesPerProcess, "nodes-per-process", 50, "nodes that share a process, at most")
+	flags.DurationVar(&run.fixed.Settle, "settle", 20*time.Second, "pause before the window")
+	flags.DurationVar(&run.fixed.Window, "window", 20*time.Second, "length of the window")
+	flags.DurationVar(&run.fixed.Timeout, "timeout", 3*time.Minute, "longest time of a point")
 	return command
 }
+
+func (r *scaleRun) measure(ctx context.Context) ([]scale.Usage, error) {
+	var points []scale.Usage
+	for _, options := range r.options() {
+		point, err := scale.Measure(ctx, options)
+		if err != nil {
+			return points, err
+		}
+		points = append(points, point)
+	}
+	return points, nil
+}
+
+func (r *scaleRun) options() []scale.Options {
+	var all []scale.Options
+	for _, nodes := range r.nodes {
+		for _, engines := range r.engines {
+			for _, tenants := range r.tenants {
+				for _, programs := range r.programs {
+					for _, changes := range r.changes {
+						options := r.fixed
+						options.Nodes, options.EnginesPerNode, options.Tenants = nodes, engines, tenants
+						options.Programs, options.Changes = programs, changes
+						all = append(all, options)
+					}
+				}
+			}
+		}
+	}
+	return all
+}
+
+// newScaleGroupCommand is the process that the scale run starts for its nodes.
+func newScaleGroupCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:    scale.GroupCommand,
+		Short:  "Run nodes for the scale run, which talks to this over standard input and output",
+		Args:   cobra.NoArgs,
+		Hidden: true,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return scale.ServeGroup(command.Context(), os.Stdin, os.Stdout)
+		},
+	}
+}
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"time"
 
@@ -46,10 +47,17 @@
 
 // Options describe a deployment.
 type Options struct {
-	Zones   int
-	Nodes   int
-	Engines int
-	Shards  int
+	Zones int
+	Nodes int
+	// Platform is the base URL of an object API that runs elsewhere and is
+	// configured already; empty starts and configures one.
+	Platform string
+	// FirstNode is how many nodes of the same system run elsewhere under the
+	// names before these, and Seeds are addresses of some of them.
+	FirstNode int
+	Seeds     []string
+	Engines   int
+	Shards    int
 	// Generations are dealt to the engines in turn; empty means the default.
 	Generations []string
 	Seed        uint64
@@ -100,6 +108,10 @@
 }
 
 func (d *Deployment) start(ctx context.Context) error {
+	if d.options.Platform != "" {
+		d.Platform = d.options.Platform
+		return d.startNodes(ctx)
+	}
 	d.Platform = d.serve(objectstore.New(objectstore.Options{Seed: d.options.Seed})).URL
 	for index := range d.options.Engines {
 		stand := engine.New(engine.Options{
@@ -218,6 +230,9 @@
 
 func (d *Deployment) startNodes(ctx context.Context) error {
 	for index := range d.options.Nodes {
+		if err := ctx.Err(); err != nil {
+			return merry.Prependf(err, "starting node %d", index+1)
+		}
 		loaded, err := d.nodeSettings(index)
 		if err != nil {
 			return err
@@ -240,12 +255,12 @@
 // nodeSettings are those of one node.
 func (d *Deployment) nodeSettings(index int) (settings.Settings, error) {
 	arguments := []string{
-		"--name", fmt.Sprintf("node-%d", index+1),
-		"--zone", d.zone(index),
+		"--name", fmt.Sprintf("node-%d", d.options.FirstNode+index+1),
+		"--zone", d.zone(d.options.FirstNode + index),
 		"--object-api", d.Platform,
 		"--shards", fmt.Sprint(d.options.Shards),
 	}
-	var seeds []string
+	seeds := slices.Clone(d.options.Seeds)
 	for _, started := range d.Nodes[:min(maxSeeds, len(d.Nodes))] {
 		seeds = append(seeds, started.PeerAddress())
 	}
--- a/lab/scale/program.go
+++ b/lab/scale/program.go
@@ -20,12 +20,12 @@
 )
 
 // createPrograms creates programs of one turn each, spread over the nodes.
-func createPrograms(ctx context.Context, system *deployment.Deployment, count int) error {
+func createPrograms(ctx context.Context, callers []string, count int) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(createConcurrency)
 	for index := range count {
 		group.Go(func() error {
-			address := "http://" + system.Nodes[index%len(system.Nodes)].CallerAddress()
+			address := "http://" + callers[index%len(callers)]
 			return createProgram(ctx, address, index)
 		})
 	}
--- a/lab/scale/sample.go
+++ b/lab/scale/sample.go
@@ -1,42 +1,63 @@
 package scale
 
 import (
+	"bytes"
+	"math"
+	"os"
 	"runtime"
-	"strings"
+	"strconv"
 	"syscall"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/marblering/marblering/lab/deployment"
 )
 
 // sample is what a process full of nodes has used so far.
 type sample struct {
-	at        time.Time
-	processor time.Duration
-	// bytes by other end, both directions, as the nodes count them.
-	bytes map[string]float64
-	// memory is heap in use and stacks after a collection.
-	memory     uint64
-	goroutines int
+	At        time.Time
+	Processor time.Duration
+	// Nodes holds the bytes of each node, as it counts them itself.
+	Nodes []nodeBytes
+	// Memory is heap in use and stacks after a collection, Resident what the
+	// process has of the machine's memory before it.
+	Memory     uint64
+	Resident   uint64
+	Goroutines int
 }
 
-const wireMetric = "marblering_wire_bytes_total"
+// nodeBytes are the bytes of one node by other end, both directions.
+type nodeBytes map[string]float64
+
+// Metrics that are read of the nodes.
+const (
+	wireMetric    = "marblering_wire_bytes_total"
+	versionMetric = "marblering_configuration_version"
+	endLabel      = "end"
+	callerEnd     = "caller"
+)
 
+// takeSample reads the processor time before its own work, so that little of
+// that falls into the window.
 func takeSample(system *deployment.Deployment) (sample, error) {
-	bytes, err := wireBytes(system)
-	if err != nil {
+	taken := sample{At: time.Now(), Processor: processorTime(), Goroutines: runtime.NumGoroutine()}
+	var err error
+	if taken.Resident, err = residentMemory(); err != nil {
 		return sample{}, err
 	}
+	for index := range system.Nodes {
+		counted, err := wireBytes(system, index)
+		if err != nil {
+			return sample{}, err
+		}
+		taken.Nodes = append(taken.Nodes, counted)
+	}
 	runtime.GC()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
-	return sample{
-		at:         time.Now(),
-		processor:  processorTime(),
-		bytes:      bytes,
-		memory:     memory.HeapInuse + memory.StackInuse,
-		goroutines: runtime.NumGoroutine(),
-	}, nil
+	taken.Memory = memory.HeapInuse + memory.StackInuse
+	return taken, nil
 }
 
 func processorTime() time.Duration {
@@ -47,22 +68,34 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-func wireBytes(system *deployment.Deployment) (map[string]float64, error) {
-	total := make(map[string]float64)
-	for _, node := range system.Nodes {
-		families, err := node.Metrics().Gather()
-		if err != nil {
-			return nil, err
+// residentMemory is that of this process in bytes, by proc(5).
+func residentMemory() (uint64, error) {
+	content, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0, merry.Prepend(err, "reading the resident memory")
+	}
+	fields := bytes.Fields(content)
+	if len(fields) < 2 {
+		return 0, merry.Errorf("reading the resident memory: unexpected content %q", content)
+	}
+	pages, err := strconv.ParseUint(string(fields[1]), 10, 64)
+	return pages * uint64(os.Getpagesize()), merry.Prepend(err, "reading the resident memory")
+}
+
+func wireBytes(system *deployment.Deployment, index int) (nodeBytes, error) {
+	families, err := system.Nodes[index].Metrics().Gather()
+	if err != nil {
+		return nil, err
+	}
+	total := make(nodeBytes)
+	for _, family := range families {
+		if family.GetName() != wireMetric {
+			continue
 		}
-		for _, family := range families {
-			if family.GetName() != wireMetric {
-				continue
-			}
-			for _, metric := range family.GetMetric() {
-				for _, label := range metric.GetLabel() {
-					if label.GetName() == "end" {
-						total[label.GetValue()] += metric.GetCounter().GetValue()
-					}
+		for _, metric := range family.GetMetric() {
+			for _, label := range metric.GetLabel() {
+				if label.GetName() == endLabel {
+					total[label.GetValue()] += metric.GetCounter().GetValue()
 				}
 			}
 		}
@@ -70,45 +103,19 @@
 	return total, nil
 }
 
-// Usage is what one node's control used on average over a window.
-type Usage struct {
-	Nodes    int
-	Engines  int
-	Tenants  int
-	Programs int
-	// ChangesPerSecond of the configuration during the window.
-	ChangesPerSecond float64
-	// Core is the share of one processor core; it includes the other end of the
-	// node's requests to engines and to the object API, which run in the same
-	// process here.
-	Core float64
-	// BytesPerSecond by other end, both directions.
-	BytesPerSecond map[string]float64
-	// MemoryMB is the node's part of the process's heap and stacks.
-	MemoryMB   float64
-	Goroutines float64
-}
-
-// TotalBytes is the sum over all other ends.
-func (u Usage) TotalBytes() float64 {
-	total := 0.0
-	for _, bytes := range u.BytesPerSecond {
-		total += bytes
-	}
-	return total
-}
-
-func usageBetween(before, after sample, nodes int) Usage {
-	seconds := after.at.Sub(before.at).Seconds()
-	usage := Usage{
-		Nodes:          nodes,
-		Core:           (after.processor - before.processor).Seconds() / seconds / float64(nodes),
-		BytesPerSecond: make(map[string]float64),
-		MemoryMB:       float64(after.memory) / float64(nodes) / (1 << 20),
-		Goroutines:     float64(after.goroutines) / float64(nodes),
-	}
-	for end, bytes := range after.bytes {
-		usage.BytesPerSecond[strings.TrimSpace(end)] = (bytes - before.bytes[end]) / seconds / float64(nodes)
+// oldestVersion is the oldest configuration version in force at a node.
+func oldestVersion(system *deployment.Deployment) (uint64, error) {
+	oldest := uint64(math.MaxUint64)
+	for _, node := range system.Nodes {
+		families, err := node.Metrics().Gather()
+		if err != nil {
+			return 0, err
+		}
+		for _, family := range families {
+			if family.GetName() == versionMetric {
+				oldest = min(oldest, uint64(family.GetMetric()[0].GetGauge().GetValue()))
+			}
+		}
 	}
-	return usage
+	return oldest, nil
 }
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -1,4 +1,4 @@
-// Package scale runs many nodes in one process beside hollow engines and
+// Package scale runs many nodes in a few processes beside hollow engines and
 // measures what the control of a node costs: processor time, bytes and memory,
 // against the number of nodes, engines, tenants, programs and configuration
 // changes. docs/CAPACITY.md is worked out from its slopes.
@@ -6,28 +6,29 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"text/tabwriter"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
-	"github.com/marblering/marblering/coordination/configuration"
 	"github.com/marblering/marblering/lab/deployment"
-	"github.com/marblering/marblering/protocol/objectapi"
 )
 
 // Options describe one point of a scale run.
 type Options struct {
-	Zones   int
-	Nodes   int
-	Engines int
-	Tenants int
-	Shards  int
+	Zones int
+	Nodes int
+	// NodesPerProcess bounds how many nodes share a process.
+	NodesPerProcess int
+	// EnginesPerNode are hollow.
+	EnginesPerNode int
+	Tenants        int
+	Shards         int
 	// Programs are created, with one turn each, before the window.
 	Programs int
 	// Changes of the configuration during the window, evenly spread.
@@ -35,41 +36,77 @@
 	// Settle is the pause before the window, Window its length.
 	Settle time.Duration
 	Window time.Duration
-	Logger *zap.Logger
+	// Timeout bounds the whole point; then its processes are killed.
+	Timeout time.Duration
 }
 
-// Measure starts the system, lets it settle and measures the window.
-func Measure(ctx context.Context, options Options) (usage Usage, err error) {
-	hollow := startHollowEngines(options.Engines, options.Zones)
+// replicationFactor is that of the nodes' default settings.
+const replicationFactor = 3
+
+// Measure starts the system, lets it settle and measures the window. Nodes run
+// in processes of their own, so that this one's work isn't counted as theirs.
+func Measure(ctx context.Context, options Options) (Usage, error) {
+	return measureWith(ctx, launchProcess, options)
+}
+
+func measureWith(ctx context.Context, launch launcher, options Options) (usage Usage, err error) {
+	if options.NodesPerProcess < replicationFactor {
+		return Usage{}, merry.Errorf("%d nodes a process: the first process needs %d for the shard map",
+			options.NodesPerProcess, replicationFactor)
+	}
+	if err := checkDescriptors(options.Nodes, options.NodesPerProcess); err != nil {
+		return Usage{}, err
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, options.Timeout,
+		merry.Errorf("a point of %d nodes took longer than its timeout of %v", options.Nodes, options.Timeout))
+	defer cancel()
+	usage, err = measurePoint(ctx, launch, options)
+	if cause := context.Cause(ctx); cause != nil {
+		return Usage{}, errors.Join(cause, err)
+	}
+	return usage, err
+}
+
+func measurePoint(ctx context.Context, launch launcher, options Options) (usage Usage, err error) {
+	engines := options.Nodes * options.EnginesPerNode
+	hollow := startHollowEngines(engines, options.Zones)
 	defer hollow.close()
-	system, err := deployment.Start(ctx, deployment.Options{
-		Zones: options.Zones, Nodes: options.Nodes, Engines: realEngines(options), Shards: options.Shards,
-		Seed: 1, TimeScale: 1000, Hollow: hollow.engines, Tenants: options.Tenants, Logger: options.Logger,
+	outside, err := deployment.Start(ctx, deployment.Options{
+		Zones: options.Zones, Engines: realEngines(options), Seed: 1, TimeScale: 1000,
+		Hollow: hollow.engines, Tenants: options.Tenants, Logger: zap.NewNop(),
 	})
 	if err != nil {
 		return Usage{}, err
 	}
-	defer func() { err = errors.Join(err, system.Close()) }()
-	if err := createPrograms(ctx, system, options.Programs); err != nil {
+	defer func() { err = errors.Join(err, outside.Close()) }()
+	groups, err := startGroups(ctx, launch, outside.Platform, options)
+	defer func() { err = errors.Join(err, closeGroups(groups)) }()
+	if err != nil {
+		return Usage{}, err
+	}
+	if err := createPrograms(ctx, callersOf(groups), options.Programs); err != nil {
 		return Usage{}, err
 	}
 	if err := sleep(ctx, options.Settle); err != nil {
 		return Usage{}, err
 	}
-	before, err := takeSample(system)
+	before, err := takeSamples(groups)
 	if err != nil {
 		return Usage{}, err
 	}
-	if err := runWindow(ctx, system, options); err != nil {
+	slowest, err := runWindow(ctx, outside.Platform, groups, options)
+	if err != nil {
 		return Usage{}, err
 	}
-	after, err := takeSample(system)
+	after, err := takeSamples(groups)
 	if err != nil {
 		return Usage{}, err
 	}
 	usage = usageBetween(before, after, options.Nodes)
-	usage.Engines, usage.Tenants, usage.Programs = options.Engines, options.Tenants, options.Programs
+	usage.Engines, usage.Tenants, usage.Programs = engines, options.Tenants, options.Programs
+	usage.Copies = options.Programs * replicationFactor
 	usage.ChangesPerSecond = float64(options.Changes) / options.Window.Seconds()
+	usage.InForceSeconds = slowest.Seconds()
 	return usage, nil
 }
 
@@ -81,61 +118,82 @@
 	return options.Zones
 }
 
-func sleep(ctx context.Context, length time.Duration) error {
-	select {
-	case <-time.After(length):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+// startGroups starts the groups one after the other; those after the first join
+// it. What was started is returned also on an error.
+func startGroups(ctx context.Context, launch launcher, platform string, options Options) ([]*group, error) {
+	var groups []*group
+	var seeds []string
+	for first := 0; first < options.Nodes; first += options.NodesPerProcess {
+		started, peers, err := startGroup(ctx, launch, groupOptions{
+			Platform: platform, Seeds: seeds, First: first,
+			Nodes: min(options.NodesPerProcess, options.Nodes-first),
+			Zones: options.Zones, Shards: options.Shards,
+		})
+		if err != nil {
+			return groups, err
+		}
+		groups = append(groups, started)
+		if len(seeds) == 0 {
+			seeds = peers[:min(maxSeeds, len(peers))]
+		}
 	}
+	return groups, nil
 }
 
-// runWindow waits for the window's length and writes the changes meanwhile.
-func runWindow(ctx context.Context, system *deployment.Deployment, options Options) error {
-	if options.Changes == 0 {
-		return sleep(ctx, options.Window)
-	}
-	client := objectapi.NewClient(system.Platform, http.DefaultClient)
-	pause := options.Window / time.Duration(options.Changes)
-	for number := range options.Changes {
-		if err := changeTenant(ctx, client, number); err != nil {
-			return err
-		}
-		if err := sleep(ctx, pause); err != nil {
-			return err
-		}
+// maxSeeds is how many nodes of the first group the others are told of.
+const maxSeeds = 3
+
+func closeGroups(groups []*group) error {
+	failures := make([]error, len(groups))
+	var closing errgroup.Group
+	for index, started := range groups {
+		closing.Go(func() error {
+			failures[index] = started.close()
+			return nil
+		})
 	}
-	return nil
+	return errors.Join(closing.Wait(), errors.Join(failures...))
 }
 
-// changeTenant writes another weight to the deployment's tenant.
-func changeTenant(ctx context.Context, client *objectapi.Client, number int) error {
-	stored, err := client.Get(ctx, string(configuration.KindTenant), deployment.TenantName)
-	if err != nil {
-		return err
+func callersOf(groups []*group) []string {
+	var callers []string
+	for _, started := range groups {
+		callers = append(callers, started.callers...)
 	}
-	var tenant configuration.Tenant
-	if err := json.Unmarshal(stored.Body, &tenant); err != nil {
-		return err
+	return callers
+}
+
+func takeSamples(groups []*group) ([]sample, error) {
+	samples := make([]sample, len(groups))
+	var taking errgroup.Group
+	for index, started := range groups {
+		taking.Go(func() error {
+			reply, err := started.exchange(groupRequest{Kind: requestSample})
+			samples[index] = reply.Sample
+			return err
+		})
 	}
-	tenant.Weight = float64(number%100 + 1)
-	body, err := json.Marshal(tenant)
-	if err != nil {
-		return err
+	return samples, taking.Wait()
+}
+
+func sleep(ctx context.Context, length time.Duration) error {
+	select {
+	case <-time.After(length):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	_, err = client.Put(ctx, stored.Kind, stored.Name, objectapi.IfVersion(stored.Version), body)
-	return err
 }
 
 // Print writes one row a point.
 func Print(out io.Writer, points []Usage) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "nodes\tengines\ttenants\tprograms\tchanges/s\tcore %\tpeer B/s\tengine B/s\tplatform B/s\tall B/s\tMB\tgoroutines\t")
+	fmt.Fprintln(table, "nodes\tengines\ttenants\tprograms\tchanges/s\tcore %\tpeer B/s\tengine B/s\tplatform B/s\tcontrol B/s\thighest node\tlive MB\tresident MB\tgoroutines\tin force s\t")
 	for _, point := range points {
-		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.0f\t\n",
+		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.0f\t%.2f\t\n",
 			point.Nodes, point.Engines, point.Tenants, point.Programs, point.ChangesPerSecond, 100*point.Core,
 			point.BytesPerSecond["peer"], point.BytesPerSecond["engine"], point.BytesPerSecond["platform"],
-			point.TotalBytes(), point.MemoryMB, point.Goroutines)
+			point.ControlBytes(), point.HighestBytes, point.MemoryMB, point.ResidentMB, point.Goroutines, point.InForceSeconds)
 	}
 	return table.Flush()
 }
