Measure what a turn costs the nodes in a process of their own

Cause: processor time, bytes and disk of a turn against the length of the history were unknown; the time added to the first text was not reported. Ruled out: the existing measurement of turns, whose callers and engines share the nodes' process. Change: marblering-lab measure path runs the nodes in a child process and reports processor time, bytes by other end and disk bytes a turn; measure turns reports what is added to the time to the first text.

--- a/cmd/marblering-lab/measure.go
+++ b/cmd/marblering-lab/measure.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"time"
+
 	"github.com/spf13/cobra"
 
 	"github.com/marblering/marblering/lab/measure"
+	"github.com/marblering/marblering/lab/scale"
 )
 
 func newMeasureCommand() *cobra.Command {
 	group := &cobra.Command{Use: "measure", Short: "Measure a deployment in this process"}
-	group.AddCommand(newMeasureTurnsCommand())
+	group.AddCommand(newMeasureTurnsCommand(), newMeasurePathCommand())
 	return group
 }
 
@@ -37,3 +40,38 @@
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the engines")
 	return command
 }
+
+func newMeasurePathCommand() *cobra.Command {
+	var options scale.TurnOptions
+	var turns []int
+	command := &cobra.Command{
+		Use:   "path",
+		Short: "Measure what a turn costs the nodes, which run in a process of their own",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var points []scale.TurnUsage
+			for _, count := range turns {
+				options.Turns = count
+				point, err := scale.MeasureTurns(command.Context(), options)
+				if err != nil {
+					return err
+				}
+				points = append(points, point)
+			}
+			return scale.PrintTurns(command.OutOrStdout(), points)
+		},
+	}
+	flags := command.Flags()
+	flags.IntVar(&options.Zones, "zones", 3, "zones")
+	flags.IntVar(&options.Nodes, "nodes", 3, "nodes")
+	flags.IntVar(&options.Engines, "engines", 3, "engines")
+	flags.IntVar(&options.Programs, "programs", 8, "programs")
+	flags.IntSliceVar(&turns, "turns", []int{1, 10, 88}, "turns of each program, one point each")
+	flags.IntVar(&options.Concurrency, "concurrency", 4, "programs at a time")
+	flags.IntVar(&options.MessageBytes, "message-bytes", 14000, "length of each user message")
+	flags.Uint64Var(&options.OutputTokens, "output-tokens", 260, "longest answer")
+	flags.Float64Var(&options.TimeScale, "time-scale", 100, "seconds of an engine in one real second")
+	flags.BoolVar(&options.OnDisk, "on-disk", false, "keep replicas in a temporary folder")
+	flags.DurationVar(&options.Timeout, "timeout", 3*time.Minute, "longest time of a point")
+	return command
+}
--- a/lab/measure/turns.go
+++ b/lab/measure/turns.go
@@ -50,9 +50,11 @@
 	direct  *hdrhistogram.Histogram
 	// added is the time through the system less that of the direct call of the
 	// same length right after it.
-	added   *hdrhistogram.Histogram
-	byTurn  map[int]*hdrhistogram.Histogram
-	counted int
+	added *hdrhistogram.Histogram
+	// addedFirst is the same for the time to the first text.
+	addedFirst *hdrhistogram.Histogram
+	byTurn     map[int]*hdrhistogram.Histogram
+	counted    int
 }
 
 // Histograms count microseconds up to a minute with three digits.
@@ -68,13 +70,16 @@
 func newTurnReport() *turnReport {
 	return &turnReport{
 		through: newHistogram(), first: newHistogram(), direct: newHistogram(), added: newHistogram(),
-		byTurn: make(map[int]*hdrhistogram.Histogram),
+		addedFirst: newHistogram(),
+		byTurn:     make(map[int]*hdrhistogram.Histogram),
 	}
 }
 
 type sample struct {
-	turn                   int
-	through, first, direct time.Duration
+	turn           int
+	through, first time.Duration
+	// direct and directFirst are of the direct call.
+	direct, directFirst time.Duration
 }
 
 func (r *turnReport) add(taken sample) error {
@@ -90,6 +95,7 @@
 		r.first.RecordValue(taken.first.Microseconds()),
 		r.direct.RecordValue(taken.direct.Microseconds()),
 		r.added.RecordValue(added.Microseconds()),
+		r.addedFirst.RecordValue(max(taken.first-taken.directFirst, 0).Microseconds()),
 		r.byTurn[taken.turn].RecordValue(added.Microseconds()),
 	)
 }
@@ -175,19 +181,19 @@
 	if err != nil {
 		return err
 	}
-	direct, err := p.directTurn(ctx, turn, text)
+	direct, directFirst, err := p.directTurn(ctx, turn, text)
 	if err != nil {
 		return err
 	}
-	return p.report.add(sample{turn: turn + 1, through: through, first: first, direct: direct})
+	return p.report.add(sample{turn: turn + 1, through: through, first: first, direct: direct, directFirst: directFirst})
 }
 
 // directTurn sends a conversation of the same length to an engine. Its first
 // message differs, so that neither finds the other's context cached.
-func (p *programRunner) directTurn(ctx context.Context, turn int, text string) (time.Duration, error) {
+func (p *programRunner) directTurn(ctx context.Context, turn int, text string) (whole, first time.Duration, err error) {
 	message, err := json.Marshal(chatMessage{Role: "user", Content: "D" + text[1:]})
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	p.chain = append(p.chain, message)
 	client := engineapi.NewClient(http.DefaultClient)
@@ -198,14 +204,19 @@
 		Model:     deployment.ModelName,
 		Messages:  p.chain,
 		MaxTokens: p.options.OutputTokens,
-	}, nil)
-	took := time.Since(began)
+	}, func(string) error {
+		if first == 0 {
+			first = time.Since(began)
+		}
+		return nil
+	})
+	whole = time.Since(began)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	answer, err := json.Marshal(chatMessage{Role: "assistant", Content: completion.Content})
 	p.chain = append(p.chain, answer)
-	return took, err
+	return whole, first, err
 }
 
 // percentiles that are printed of each histogram.
@@ -219,6 +230,7 @@
 	printRow(table, "first text through the system", r.first)
 	printRow(table, "directly at the engine", r.direct)
 	printRow(table, "added a turn", r.added)
+	printRow(table, "added to the first text", r.addedFirst)
 	for _, turn := range []int{1, 2, 10, 88} {
 		if histogram := r.byTurn[turn]; histogram != nil {
 			printRow(table, fmt.Sprintf("added, turn %d", turn), histogram)
--- a/lab/scale/group.go
+++ b/lab/scale/group.go
@@ -21,6 +21,8 @@
 	Nodes  int
 	Zones  int
 	Shards int
+	// DataFolders of the nodes; empty keeps replicas in memory.
+	DataFolders []string
 }
 
 // groupRequestKind says what a group is asked.
@@ -58,7 +60,8 @@
 	}
 	system, err := deployment.Start(ctx, deployment.Options{
 		Platform: options.Platform, Seeds: options.Seeds, FirstNode: options.First,
-		Nodes: options.Nodes, Zones: options.Zones, Shards: options.Shards, Logger: zap.NewNop(),
+		Nodes: options.Nodes, Zones: options.Zones, Shards: options.Shards,
+		DataFolders: options.DataFolders, Logger: zap.NewNop(),
 	})
 	if err != nil {
 		return errors.Join(err, encoder.Encode(groupReply{Failure: err.Error()}))
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -54,6 +54,21 @@
 	assert.Assert(t, usage.HighestBytes >= usage.ControlBytes())
 }
 
+func TestMeasureTurns(t *testing.T) {
+	usage, err := measureTurnsWith(context.Background(), launchHere, TurnOptions{
+		Zones: 3, Nodes: 3, Engines: 1, Programs: 2, Turns: 3, Concurrency: 2, MessageBytes: 4000, OutputTokens: 4,
+		TimeScale: 1000, OnDisk: true, Timeout: time.Minute,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, usage.Processor > 0)
+	// Each turn's message crosses from the caller, and to the engine with those
+	// before it; two copies of it go to other nodes, counted at both ends.
+	assert.Assert(t, usage.Bytes["caller"] > 4000)
+	assert.Assert(t, usage.Bytes["engine"] > 2*4000)
+	assert.Assert(t, usage.Bytes["peer"] > 4000)
+	assert.Assert(t, usage.DiskBytes > 0)
+}
+
 func TestTimeoutEndsTheRun(t *testing.T) {
 	_, err := measureWith(context.Background(), launchSilent, Options{
 		Zones: 3, Nodes: 3, NodesPerProcess: 3, Shards: 1, Timeout: 50 * time.Millisecond,
--- /dev/null
+++ b/lab/scale/turn.go
@@ -0,0 +1,241 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marblering/marblering/lab/deployment"
+	"github.com/marblering/marblering/protocol/callerapi"
+	"github.com/marblering/marblering/protocol/callerapi/client"
+)
+
+// TurnOptions describe one point of the request path's measurement: programs
+// that each send Turns calls of one message, in the whole histories' length.
+type TurnOptions struct {
+	Zones       int
+	Nodes       int
+	Engines     int
+	Programs    int
+	Turns       int
+	Concurrency int
+	// MessageBytes is the length of each user message.
+	MessageBytes int
+	OutputTokens uint64
+	TimeScale    float64
+	// OnDisk keeps the replicas in a temporary folder, which is removed after.
+	OnDisk  bool
+	Timeout time.Duration
+}
+
+// TurnUsage is what one turn cost the nodes, on average.
+type TurnUsage struct {
+	Turns        int
+	MessageBytes int
+	OutputTokens float64
+	// Processor of the nodes; callers, engines and object API run in another
+	// process. It includes the nodes' control in that time.
+	Processor time.Duration
+	// Bytes by other end, both directions, summed over the nodes. Those between
+	// peers are counted at both ends, as each node's link carries them.
+	Bytes nodeBytes
+	// DiskBytes that the replicas' files grew by, over all copies.
+	DiskBytes float64
+	// MemoryKB that the nodes' heaps and stacks grew by.
+	MemoryKB float64
+	// PerSecond is the rate of turns that the run had.
+	PerSecond float64
+}
+
+// MeasureTurns runs the programs and measures the nodes meanwhile.
+func MeasureTurns(ctx context.Context, options TurnOptions) (TurnUsage, error) {
+	return measureTurnsWith(ctx, launchProcess, options)
+}
+
+func measureTurnsWith(ctx context.Context, launch launcher, options TurnOptions) (usage TurnUsage, err error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, options.Timeout,
+		merry.Errorf("the turns took longer than the timeout of %v", options.Timeout))
+	defer cancel()
+	folder, folders, err := dataFolders(options)
+	if err != nil {
+		return TurnUsage{}, err
+	}
+	defer func() { err = errors.Join(err, context.Cause(ctx), os.RemoveAll(folder)) }()
+	outside, err := deployment.Start(ctx, deployment.Options{
+		Zones: options.Zones, Engines: options.Engines, Seed: 1, TimeScale: options.TimeScale, Logger: zap.NewNop(),
+	})
+	if err != nil {
+		return TurnUsage{}, err
+	}
+	defer func() { err = errors.Join(err, outside.Close()) }()
+	nodes, _, err := startGroup(ctx, launch, groupOptions{
+		Platform: outside.Platform, Nodes: options.Nodes, Zones: options.Zones, Shards: turnShards, DataFolders: folders,
+	})
+	if err != nil {
+		return TurnUsage{}, err
+	}
+	defer func() { err = errors.Join(err, nodes.close()) }()
+	return measureLoad(ctx, nodes, options, folder)
+}
+
+const turnShards = 16
+
+// dataFolders makes a folder for each node, or none.
+func dataFolders(options TurnOptions) (folder string, folders []string, err error) {
+	if !options.OnDisk {
+		return "", nil, nil
+	}
+	folder, err = os.MkdirTemp("", "marblering-scale-")
+	if err != nil {
+		return "", nil, merry.Prepend(err, "making a folder for the replicas")
+	}
+	for index := range options.Nodes {
+		folders = append(folders, filepath.Join(folder, fmt.Sprint(index)))
+	}
+	return folder, folders, nil
+}
+
+func measureLoad(ctx context.Context, nodes *group, options TurnOptions, folder string) (TurnUsage, error) {
+	// A first program opens the connections.
+	if err := runTurns(ctx, nodes.callers[0], -1, options); err != nil {
+		return TurnUsage{}, err
+	}
+	diskBefore, err := folderBytes(folder)
+	if err != nil {
+		return TurnUsage{}, err
+	}
+	before, err := nodes.exchange(groupRequest{Kind: requestSample})
+	if err != nil {
+		return TurnUsage{}, err
+	}
+	var running errgroup.Group
+	running.SetLimit(options.Concurrency)
+	for index := range options.Programs {
+		running.Go(func() error {
+			return runTurns(ctx, nodes.callers[index%len(nodes.callers)], index, options)
+		})
+	}
+	if err := running.Wait(); err != nil {
+		return TurnUsage{}, err
+	}
+	after, err := nodes.exchange(groupRequest{Kind: requestSample})
+	if err != nil {
+		return TurnUsage{}, err
+	}
+	diskAfter, err := folderBytes(folder)
+	if err != nil {
+		return TurnUsage{}, err
+	}
+	usage := turnUsage(before.Sample, after.Sample, options)
+	usage.DiskBytes = float64(diskAfter-diskBefore) / float64(options.Programs*options.Turns)
+	return usage, nil
+}
+
+func turnUsage(before, after sample, options TurnOptions) TurnUsage {
+	turns := options.Programs * options.Turns
+	usage := TurnUsage{
+		Turns: options.Turns, MessageBytes: options.MessageBytes, OutputTokens: float64(options.OutputTokens),
+		Processor: (after.Processor - before.Processor) / time.Duration(turns),
+		Bytes:     make(nodeBytes),
+		MemoryKB:  (float64(after.Memory) - float64(before.Memory)) / 1024 / float64(turns),
+		PerSecond: float64(turns) / after.At.Sub(before.At).Seconds(),
+	}
+	for index, counts := range after.Nodes {
+		for end, count := range counts {
+			usage.Bytes[end] += (count - before.Nodes[index][end]) / float64(turns)
+		}
+	}
+	return usage
+}
+
+// runTurns creates a program and streams its calls. Its text depends on the
+// index alone.
+func runTurns(ctx context.Context, address string, index int, options TurnOptions) error {
+	node := client.New("http://"+address, deployment.APIKey, http.DefaultClient)
+	program, err := node.CreateProgram(ctx, client.ProgramSpec{Model: deployment.ModelName, BudgetTokens: programBudget}, "")
+	if err != nil {
+		return merry.Prependf(err, "creating program %d", index)
+	}
+	random := rand.New(rand.NewPCG(1, uint64(index)))
+	for turn := range options.Turns {
+		content := prose(random, options.MessageBytes)
+		_, err := node.Stream(ctx, client.Call{
+			Program:   program.ID,
+			Messages:  []callerapi.Message{{Role: "user", Content: content}},
+			MaxTokens: options.OutputTokens,
+		}, nil)
+		if err != nil {
+			return merry.Prependf(err, "turn %d of program %d", turn+1, index)
+		}
+	}
+	return nil
+}
+
+// Prose is drawn from a vocabulary, so that it compresses about as text does.
+const (
+	vocabularyWords = 4000
+	letters         = "etaoinshrdlucmfwypvbgkjqxz"
+)
+
+func prose(random *rand.Rand, size int) string {
+	vocabulary := rand.New(rand.NewPCG(2, 3))
+	words := make([]string, vocabularyWords)
+	for index := range words {
+		word := make([]byte, 2+vocabulary.IntN(9))
+		for position := range word {
+			word[position] = letters[int(vocabulary.ExpFloat64()*5)%len(letters)]
+		}
+		words[index] = string(word)
+	}
+	var text strings.Builder
+	for text.Len() < size {
+		text.WriteString(words[int(random.ExpFloat64()*500)%len(words)])
+		text.WriteByte(' ')
+	}
+	return text.String()[:size]
+}
+
+// folderBytes are the bytes of all files; zero for no folder.
+func folderBytes(folder string) (int64, error) {
+	if folder == "" {
+		return 0, nil
+	}
+	var total int64
+	err := filepath.WalkDir(folder, func(_ string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		info, err := entry.Info()
+		if err != nil {
+			return err
+		}
+		total += info.Size()
+		return nil
+	})
+	return total, merry.Prepend(err, "measuring the replicas' files")
+}
+
+// PrintTurns writes one row a point.
+func PrintTurns(out io.Writer, points []TurnUsage) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "a turn:\tturns\tmessage B\toutput tokens\tcore ms\tpeer B\tengine B\tcaller B\tdisk B\tlive KB\tturns/s\t")
+	for _, point := range points {
+		fmt.Fprintf(table, "\t%d\t%d\t%.0f\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.1f\t\n",
+			point.Turns, point.MessageBytes, point.OutputTokens, point.Processor.Seconds()*1000,
+			point.Bytes["peer"], point.Bytes["engine"], point.Bytes[callerEnd], point.DiskBytes, point.MemoryKB, point.PerSecond)
+	}
+	return table.Flush()
+}
