Report start bytes, shard map size and real answer lengths of the scale runs

Cause: what a start costs a node, how large the shard map object gets and how many tokens an answer really had weren't reported; a history of 88 turns didn't fit into the default stand-in's memory. Change: columns for them; measure path uses the stand-in with the most memory. Conclusion: go test -race ./lab/scale passes.

--- a/lab/scale/change.go
+++ b/lab/scale/change.go
@@ -84,3 +84,13 @@
 	}
 	return written.Version, nil
 }
+
+// shardMapKB is the size of the object's body.
+func shardMapKB(ctx context.Context, platform string) (float64, error) {
+	client := objectapi.NewClient(platform, http.DefaultClient)
+	stored, err := client.Get(ctx, string(configuration.KindShardMap), configuration.SingletonName)
+	if err != nil {
+		return 0, err
+	}
+	return float64(len(stored.Body)) / 1024, nil
+}
--- a/lab/scale/fit.go
+++ b/lab/scale/fit.go
@@ -70,6 +70,7 @@
 	{"control B/s", Usage.ControlBytes},
 	{"live KB", func(u Usage) float64 { return 1024 * u.MemoryMB }},
 	{"resident KB", func(u Usage) float64 { return 1024 * u.ResidentMB }},
+	{"start KB", func(u Usage) float64 { return u.StartKB }},
 }
 
 // PrintFit writes the slopes of all costs against the one parameter that differs
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -107,7 +107,8 @@
 	usage.Copies = options.Programs * replicationFactor
 	usage.ChangesPerSecond = float64(options.Changes) / options.Window.Seconds()
 	usage.InForceSeconds = slowest.Seconds()
-	return usage, nil
+	usage.ShardMapKB, err = shardMapKB(ctx, outside.Platform)
+	return usage, err
 }
 
 // realEngines serve the programs' turns; without programs none is needed.
@@ -188,12 +189,12 @@
 // Print writes one row a point.
 func Print(out io.Writer, points []Usage) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "nodes\tengines\ttenants\tprograms\tchanges/s\tcore %\tpeer B/s\tengine B/s\tplatform B/s\tcontrol B/s\thighest node\tlive MB\tresident MB\tgoroutines\tin force s\t")
+	fmt.Fprintln(table, "nodes\tengines\ttenants\tprograms\tchanges/s\tcore %\tpeer B/s\tengine B/s\tplatform B/s\tcontrol B/s\thighest node\tlive MB\tresident MB\tgoroutines\tin force s\tstart KB\tshard map KB\t")
 	for _, point := range points {
-		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.0f\t%.2f\t\n",
+		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.0f\t%.2f\t%.1f\t%.1f\t\n",
 			point.Nodes, point.Engines, point.Tenants, point.Programs, point.ChangesPerSecond, 100*point.Core,
 			point.BytesPerSecond["peer"], point.BytesPerSecond["engine"], point.BytesPerSecond["platform"],
-			point.ControlBytes(), point.HighestBytes, point.MemoryMB, point.ResidentMB, point.Goroutines, point.InForceSeconds)
+			point.ControlBytes(), point.HighestBytes, point.MemoryMB, point.ResidentMB, point.Goroutines, point.InForceSeconds, point.StartKB, point.ShardMapKB)
 	}
 	return table.Flush()
 }
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -51,6 +51,7 @@
 	assert.Assert(t, usage.Core > 0)
 	assert.Assert(t, usage.MemoryMB > 0)
 	assert.Assert(t, usage.InForceSeconds > 0)
+	assert.Assert(t, usage.ShardMapKB > 0)
 	assert.Assert(t, usage.HighestBytes >= usage.ControlBytes())
 }
 
--- a/lab/scale/turn.go
+++ b/lab/scale/turn.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
+	"sync/atomic"
 	"text/tabwriter"
 	"time"
 
@@ -45,6 +45,8 @@
 type TurnUsage struct {
 	Turns        int
 	MessageBytes int
+	// OutputTokens that the engine really gave a turn; the first program, which
+	// isn't measured otherwise, is included.
 	OutputTokens float64
 	// Processor of the nodes; callers, engines and object API run in another
 	// process. It includes the nodes' control in that time.
@@ -75,7 +77,7 @@
 	}
 	defer func() { err = errors.Join(err, context.Cause(ctx), os.RemoveAll(folder)) }()
 	outside, err := deployment.Start(ctx, deployment.Options{
-		Zones: options.Zones, Engines: options.Engines, Seed: 1, TimeScale: options.TimeScale, Logger: zap.NewNop(),
+		Zones: options.Zones, Engines: options.Engines, Generations: []string{turnGeneration}, Seed: 1, TimeScale: options.TimeScale, Logger: zap.NewNop(),
 	})
 	if err != nil {
 		return TurnUsage{}, err
@@ -91,7 +93,11 @@
 	return measureLoad(ctx, nodes, options, folder)
 }
 
-const turnShards = 16
+const (
+	turnShards = 16
+	// turnGeneration has room for several contexts of 310,000 tokens.
+	turnGeneration = "gen5"
+)
 
 // dataFolders makes a folder for each node, or none.
 func dataFolders(options TurnOptions) (folder string, folders []string, err error) {
@@ -110,7 +116,8 @@
 
 func measureLoad(ctx context.Context, nodes *group, options TurnOptions, folder string) (TurnUsage, error) {
 	// A first program opens the connections.
-	if err := runTurns(ctx, nodes.callers[0], -1, options); err != nil {
+	var tokens atomic.Uint64
+	if err := runTurns(ctx, nodes.callers[0], -1, options, &tokens); err != nil {
 		return TurnUsage{}, err
 	}
 	diskBefore, err := folderBytes(folder)
@@ -125,7 +132,7 @@
 	running.SetLimit(options.Concurrency)
 	for index := range options.Programs {
 		running.Go(func() error {
-			return runTurns(ctx, nodes.callers[index%len(nodes.callers)], index, options)
+			return runTurns(ctx, nodes.callers[index%len(nodes.callers)], index, options, &tokens)
 		})
 	}
 	if err := running.Wait(); err != nil {
@@ -140,6 +147,7 @@
 		return TurnUsage{}, err
 	}
 	usage := turnUsage(before.Sample, after.Sample, options)
+	usage.OutputTokens = float64(tokens.Load()) / float64((options.Programs+1)*options.Turns)
 	usage.DiskBytes = float64(diskAfter-diskBefore) / float64(options.Programs*options.Turns)
 	return usage, nil
 }
@@ -147,7 +155,7 @@
 func turnUsage(before, after sample, options TurnOptions) TurnUsage {
 	turns := options.Programs * options.Turns
 	usage := TurnUsage{
-		Turns: options.Turns, MessageBytes: options.MessageBytes, OutputTokens: float64(options.OutputTokens),
+		Turns: options.Turns, MessageBytes: options.MessageBytes,
 		Processor: (after.Processor - before.Processor) / time.Duration(turns),
 		Bytes:     make(nodeBytes),
 		MemoryKB:  (float64(after.Memory) - float64(before.Memory)) / 1024 / float64(turns),
@@ -161,9 +169,9 @@
 	return usage
 }
 
-// runTurns creates a program and streams its calls. Its text depends on the
-// index alone.
-func runTurns(ctx context.Context, address string, index int, options TurnOptions) error {
+// runTurns creates a program, streams its calls and counts the tokens of their
+// answers. Its text depends on the index alone.
+func runTurns(ctx context.Context, address string, index int, options TurnOptions, tokens *atomic.Uint64) error {
 	node := client.New("http://"+address, deployment.APIKey, http.DefaultClient)
 	program, err := node.CreateProgram(ctx, client.ProgramSpec{Model: deployment.ModelName, BudgetTokens: programBudget}, "")
 	if err != nil {
@@ -172,7 +180,7 @@
 	random := rand.New(rand.NewPCG(1, uint64(index)))
 	for turn := range options.Turns {
 		content := prose(random, options.MessageBytes)
-		_, err := node.Stream(ctx, client.Call{
+		answer, err := node.Stream(ctx, client.Call{
 			Program:   program.ID,
 			Messages:  []callerapi.Message{{Role: "user", Content: content}},
 			MaxTokens: options.OutputTokens,
@@ -180,34 +188,11 @@
 		if err != nil {
 			return merry.Prependf(err, "turn %d of program %d", turn+1, index)
 		}
+		tokens.Add(answer.Usage.CompletionTokens)
 	}
 	return nil
 }
 
-// Prose is drawn from a vocabulary, so that it compresses about as text does.
-const (
-	vocabularyWords = 4000
-	letters         = "etaoinshrdlucmfwypvbgkjqxz"
-)
-
-func prose(random *rand.Rand, size int) string {
-	vocabulary := rand.New(rand.NewPCG(2, 3))
-	words := make([]string, vocabularyWords)
-	for index := range words {
-		word := make([]byte, 2+vocabulary.IntN(9))
-		for position := range word {
-			word[position] = letters[int(vocabulary.ExpFloat64()*5)%len(letters)]
-		}
-		words[index] = string(word)
-	}
-	var text strings.Builder
-	for text.Len() < size {
-		text.WriteString(words[int(random.ExpFloat64()*500)%len(words)])
-		text.WriteByte(' ')
-	}
-	return text.String()[:size]
-}
-
 // folderBytes are the bytes of all files; zero for no folder.
 func folderBytes(folder string) (int64, error) {
 	if folder == "" {
--- a/lab/scale/usage.go
+++ b/lab/scale/usage.go
@@ -25,6 +25,11 @@
 	// InForceSeconds is the longest time from a change's acceptance by the object
 	// API until every node had it; 0 without changes.
 	InForceSeconds float64
+	// StartKB are the bytes of a node from its start to the window, without its
+	// callers'.
+	StartKB float64
+	// ShardMapKB is the size of the object that holds the first replica sets.
+	ShardMapKB float64
 }
 
 // ControlBytes is the sum over all other ends but the callers, per second.
@@ -54,6 +59,7 @@
 		usage.ResidentMB += float64(last.Resident) / megabyte * share
 		usage.Goroutines += float64(last.Goroutines) * share
 		for number, counts := range last.Nodes {
+			usage.StartKB += withoutCallers(first.Nodes[number]) / 1024 * share
 			node := make(nodeBytes)
 			for end, count := range counts {
 				node[end] = (count - first.Nodes[number][end]) / seconds
