--- a/cmd/marblering-lab/command.go
+++ b/cmd/marblering-lab/command.go
@@ -69,6 +69,7 @@
 		newWeightStoreCommand(),
 		newMeasureCommand(),
 		newScaleCommand(),
+		newScaleGroupCommand(),
 		newExperimentCommand(),
 	)
 	return root
