Bring in members that missed an epoch, and let a set lose one at any time

A member that heard of a view by gossip didn't know the view before it, and so had nothing to copy from; a change that began while a member was still copying took its sources away. Ruled out: gossip of old views, which every node would carry for the few that need one; counting on the driver to come back to a member that it didn't reach. Change: a replica that should hold a shard asks the other members which view came before, installs from that one, and asks for a new epoch with the same members where it can't. A second loss before the set is whole isn't survived, and isn't claimed.

--- a/coordination/shard/installer.go
+++ b/coordination/shard/installer.go
@@ -80,15 +80,6 @@
 	return archive.Reply{}
 }
 
-// CatchUp installs the shards whose data this replica should hold and doesn't,
-// since it was slower than the majority or wasn't reached when the epoch opened.
-// Until then the set lives on what the majority holds.
-func (i *Installer) CatchUp(ctx context.Context) {
-	for _, request := range i.replica.missed() {
-		i.Install(ctx, request)
-	}
-}
-
 func (i *Installer) report(request InstallRequest, err error) archive.Reply {
 	if err == nil {
 		return archive.Reply{}
@@ -221,25 +212,6 @@
 	}
 }
 
-// missed returns the installations that this replica still owes. Where it
-// doesn't know the view before, only another change of epoch brings it in.
-func (r *Replica) missed() []InstallRequest {
-	var requests []InstallRequest
-	for shard := range r.views.Count() {
-		p, err := r.current(shard)
-		if err != nil {
-			continue
-		}
-		current := p.state
-		p.mutex.RUnlock()
-		follows := current.Previous.Epoch > 0 && current.Previous.Epoch+1 == current.View.Epoch
-		if follows && r.isMember(current.View) && !current.isInstalled() {
-			requests = append(requests, InstallRequest{Previous: current.Previous, Successor: current.View})
-		}
-	}
-	return requests
-}
-
 // holds tells whether the data of the view is installed here.
 func (r *Replica) holds(view register.View) bool {
 	p, err := r.current(view.Shard)
--- a/coordination/shard/model_test.go
+++ b/coordination/shard/model_test.go
@@ -222,24 +222,43 @@
 	return len(w.process(node).replica.Unfinished()) > 0
 }
 
-// finish has each node do what its replica owes: copy shards that it missed and
-// finish changes of epoch.
+// finish has each node do what its replica owes, as shard.Maintainer does: copy
+// shards that it missed, finish changes of epoch, and ask for a new epoch where
+// it can't copy the shard any more.
 func (w *world) finish(ctx context.Context) {
+	unready := make(map[string]int)
 	for ctx.Err() == nil {
 		time.Sleep(300 * time.Millisecond)
 		for _, node := range w.names() {
+			p := w.process(node)
 			if w.isChanging(node) {
 				w.drive(node, nil, time.Second)
 			}
-			p := w.process(node)
 			w.workers.Go(func() { p.installer.CatchUp(p.ctx) })
+			if len(p.replica.Unready()) == 0 {
+				unready[node] = 0
+				continue
+			}
+			unready[node]++
+			if unready[node] > 3 {
+				w.launch(node, time.Second, func(ctx context.Context, driver *shard.Driver, view register.View) {
+					_, _ = driver.Refresh(ctx, view)
+				})
+			}
 		}
 	}
 }
 
-// drive starts a driver at the node; it dies after the given time, and with the
-// node's process.
+// drive starts a driver at the node.
 func (w *world) drive(node string, wanted []register.Member, life time.Duration) {
+	w.launch(node, life, func(ctx context.Context, driver *shard.Driver, view register.View) {
+		_, _ = driver.Drive(ctx, view, wanted)
+	})
+}
+
+// launch starts a driver at the node; it dies after the given time, and with the
+// node's process.
+func (w *world) launch(node string, life time.Duration, work func(context.Context, *shard.Driver, register.View)) {
 	p := w.process(node)
 	view, found := p.views.View(0)
 	if !found {
@@ -252,7 +271,7 @@
 		defer w.drivers.Add(-1)
 		ctx, cancel := context.WithTimeout(p.ctx, life)
 		defer cancel()
-		_, _ = driver.Drive(ctx, view, wanted)
+		work(ctx, driver, view)
 	})
 }
 
--- /dev/null
+++ b/coordination/shard/plan_test.go
@@ -0,0 +1,162 @@
+package shard_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+)
+
+var planNow = time.Unix(1_000_000, 0)
+
+func planSettings() shard.PlanSettings {
+	return shard.PlanSettings{Factor: 3, GoneAfter: 20 * time.Second, Moves: 2}
+}
+
+// planNodes are two nodes in each of three zones.
+func planNodes() []shard.Node {
+	var nodes []shard.Node
+	for index := range 6 {
+		name := fmt.Sprintf("n%d", index)
+		nodes = append(nodes, shard.Node{
+			Member:        register.Member{Node: name, Incarnation: name + "-1", Address: name, Zone: fmt.Sprintf("z%d", index%3)},
+			HasDataFolder: index < 3,
+		})
+	}
+	return nodes
+}
+
+func planView(nodes []shard.Node, members ...int) register.View {
+	view := register.View{Epoch: 4}
+	for _, index := range members {
+		view.Members = append(view.Members, nodes[index].Member)
+	}
+	return view
+}
+
+func membersOf(members []register.Member) string {
+	var names []string
+	for _, member := range members {
+		names = append(names, member.Incarnation)
+	}
+	slices.Sort(names)
+	return fmt.Sprint(names)
+}
+
+func TestPlan(t *testing.T) {
+	longGone := planNow.Add(-time.Minute)
+	justGone := planNow.Add(-time.Second)
+	cases := []struct {
+		name    string
+		members []int
+		happens func(nodes []shard.Node) []shard.Node
+		reason  shard.Reason
+		want    string
+		lost    bool
+	}{
+		{name: "whole", members: []int{0, 1, 2}},
+		{name: "short cut", members: []int{0, 1, 2}, happens: func(nodes []shard.Node) []shard.Node {
+			nodes[0].GoneSince = justGone
+			return nodes
+		}},
+		{name: "gone", members: []int{0, 1, 2}, reason: shard.ReasonGone, want: "[n1-1 n2-1 n3-1]", happens: func(nodes []shard.Node) []shard.Node {
+			nodes[0].GoneSince = longGone
+			return nodes
+		}},
+		{name: "never heard of", members: []int{0, 1, 2}, reason: shard.ReasonGone, want: "[n1-1 n2-1 n3-1]", happens: func(nodes []shard.Node) []shard.Node {
+			return nodes[1:]
+		}},
+		{name: "forgotten", members: []int{0, 1, 2}, reason: shard.ReasonForgotten, want: "[n0-2 n1-1 n2-1]", happens: func(nodes []shard.Node) []shard.Node {
+			nodes[0].Member.Incarnation = "n0-2"
+			return nodes
+		}},
+		{name: "leaving", members: []int{0, 1, 2}, reason: shard.ReasonLeaving, want: "[n1-1 n2-1 n3-1]", happens: func(nodes []shard.Node) []shard.Node {
+			nodes[0].Leaving = true
+			return nodes
+		}},
+		{name: "leaving without another", members: []int{0, 1, 2}, happens: func(nodes []shard.Node) []shard.Node {
+			nodes[0].Leaving = true
+			return nodes[:3]
+		}},
+		{name: "moved", members: []int{0, 1, 2}, reason: shard.ReasonMoved, want: "[n0-1 n1-1 n2-1]", happens: func(nodes []shard.Node) []shard.Node {
+			nodes[0].Member.Address = "elsewhere"
+			return nodes
+		}},
+		{name: "too few", members: []int{0, 1}, reason: shard.ReasonTooFew, want: "[n0-1 n1-1 n2-1]"},
+		{name: "two in a zone", members: []int{0, 1, 3}, reason: shard.ReasonZones, want: "[n1-1 n2-1 n3-1]"},
+		{name: "majority gone", members: []int{0, 1, 2}, lost: true, happens: func(nodes []shard.Node) []shard.Node {
+			nodes[0].GoneSince, nodes[1].GoneSince = longGone, justGone
+			return nodes
+		}},
+		{name: "majority forgotten", members: []int{0, 1, 2}, lost: true, happens: func(nodes []shard.Node) []shard.Node {
+			nodes[0].Member.Incarnation, nodes[1].Member.Incarnation = "n0-2", "n1-2"
+			return nodes
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			nodes := planNodes()
+			view := planView(nodes, c.members...)
+			if c.happens != nil {
+				nodes = c.happens(nodes)
+			}
+			outcome := shard.Plan(shard.Situation{
+				Now: planNow, WatchedSince: longGone, Views: []register.View{view}, Nodes: nodes,
+			}, planSettings())
+			assert.Equal(t, len(outcome.Lost) == 1, c.lost)
+			if c.want == "" {
+				assert.Equal(t, len(outcome.Moves), 0)
+				return
+			}
+			assert.Equal(t, len(outcome.Moves), 1)
+			assert.Equal(t, outcome.Moves[0].Reason, c.reason)
+			assert.Equal(t, membersOf(outcome.Moves[0].Members), c.want)
+			assert.Assert(t, outcome.Moves[0].Driver != "")
+		})
+	}
+}
+
+// TestPlanSettles applies plans over and over: they end, keep within the bound
+// and never touch a set without a majority.
+func TestPlanSettles(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		nodes := planNodes()
+		var views []register.View
+		for number := range uint32(4) {
+			order := rapid.Permutation([]int{0, 1, 2, 3, 4, 5}).Draw(rt, "order")
+			view := planView(nodes, order[:3]...)
+			view.Shard = number
+			views = append(views, view)
+		}
+		for index := range nodes {
+			switch rapid.IntRange(0, 5).Draw(rt, "state") {
+			case 0:
+				nodes[index].GoneSince = planNow.Add(-time.Minute)
+			case 1:
+				nodes[index].Member.Incarnation += "x"
+			case 2:
+				nodes[index].Leaving = true
+			}
+		}
+		situation := shard.Situation{Now: planNow, WatchedSince: planNow, Views: views, Nodes: nodes}
+		for range 40 {
+			outcome := shard.Plan(situation, planSettings())
+			assert.Assert(rt, len(outcome.Moves) <= planSettings().Moves)
+			if len(outcome.Moves) == 0 {
+				return
+			}
+			for _, move := range outcome.Moves {
+				assert.Assert(rt, len(move.Members) >= len(move.View.Members))
+				views[move.View.Shard].Members = move.Members
+				views[move.View.Shard].Epoch++
+			}
+		}
+		rt.Fatalf("the plans don't end: %+v", views)
+	})
+}
--- a/coordination/shard/sweep.go
+++ b/coordination/shard/sweep.go
@@ -37,7 +37,7 @@
 			TurnsOnly: true,
 			Wanted:    []TurnReference{{Program: probeProgram}},
 		}
-		reply, err := i.source.Pull(ctx, member, probe, func(PullItem) error { return nil })
+		reply, err := i.source.Pull(ctx, member, probe, ignoreItem)
 		if failure(reply, err) != nil {
 			return false
 		}
--- a/coordination/shard/transition.go
+++ b/coordination/shard/transition.go
@@ -92,6 +92,8 @@
 	switch {
 	case request.Fence.Replica != r.incarnation:
 		return archive.Reply{Refusal: register.RefusalIncarnation, View: r.openView(shard)}, nil
+	case request.Fence.Epoch == unknownEpoch:
+		return archive.Reply{Refusal: register.RefusalEpoch, View: &current.Previous}, nil
 	case current.DataEpoch < request.Fence.Epoch, !request.TurnsOnly && !hasEnded:
 		return archive.Reply{Refusal: register.RefusalNotReady}, nil
 	}
