--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/marblering/marblering/coordination/configuration"
 	"github.com/marblering/marblering/lab/ledger"
 	"github.com/marblering/marblering/protocol/engineapi"
+	"github.com/marblering/marblering/state/result"
 	"github.com/marblering/marblering/test/harness"
 )
 
@@ -93,48 +95,26 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			s := newSystem(t, layout{zones: 3, engines: 2, timeScale: 1})
+			// The only engine: without the mark every call would go there.
+			s := newSystem(t, layout{zones: 3, engines: 1, timeScale: 1})
 			opened := s.openStreams(t, 0, 6)
-			engine := s.busiest(t)
 			left := time.Now()
-			c.leave(t, s, engine)
-			s.awaitNoNewWork(t, engine)
-			t.Logf("last new work %v after the first sign", s.lastTaken(t, engine).Sub(left).Round(time.Millisecond))
+			c.leave(t, s, 0)
+			s.awaitNoNewWork(t)
+			t.Logf("last new work %v after the first sign", s.lastTaken(t, 0).Sub(left).Round(time.Millisecond))
 			opened.areWhole(t, s)
-			s.staysQuiet(t, engine)
+			before := s.taken(t, 0)
+			assert.Assert(t, s.everyNodeRefuses(t))
+			assert.Equal(t, s.taken(t, 0), before)
 		})
 	}
 }
 
-// quietRounds of calls must not reach an engine that has left. Both engines are
-// idle by then, so that without the mark some of these calls would go there.
-const quietRounds = 8
-
-func (s *system) staysQuiet(t *testing.T, engine int) {
-	t.Helper()
-	before := s.taken(t, engine)
-	for round := range quietRounds {
-		s.callEveryNode(t, -round-1)
-	}
-	assert.Equal(t, s.taken(t, engine), before)
-}
-
-// awaitNoNewWork sends calls to every node until none of them has given one to
-// the engine for three rounds.
-func (s *system) awaitNoNewWork(t *testing.T, engine int) {
+// awaitNoNewWork sends calls to every node until all of them are refused.
+func (s *system) awaitNoNewWork(t *testing.T) {
 	t.Helper()
-	quiet := 0
-	round := 0
 	harness.Eventually(t, func() (bool, string) {
-		round++
-		before := s.taken(t, engine)
-		s.callEveryNode(t, round)
-		if s.taken(t, engine) == before {
-			quiet++
-		} else {
-			quiet = 0
-		}
-		return quiet == 3, fmt.Sprintf("engine %d still gets work in round %d", engine+1, round)
+		return s.everyNodeRefuses(t), "a node still gives work to the engine"
 	})
 }
 
@@ -150,20 +130,6 @@
 	return count
 }
 
-// busiest returns the engine that has taken on the most completions, at least
-// one: an engine without streams would prove nothing.
-func (s *system) busiest(t *testing.T) int {
-	t.Helper()
-	best := 0
-	for engine := range s.engines {
-		if s.taken(t, engine) > s.taken(t, best) {
-			best = engine
-		}
-	}
-	assert.Assert(t, s.taken(t, best) > 0, "no engine has a stream")
-	return best
-}
-
 // lastTaken is when the engine last took on a completion.
 func (s *system) lastTaken(t *testing.T, engine int) time.Time {
 	t.Helper()
@@ -176,19 +142,25 @@
 	return last
 }
 
-// callEveryNode has each node answer two short calls of new programs.
-func (s *system) callEveryNode(t *testing.T, round int) {
+// everyNodeRefuses sends two short calls of new programs to each node and
+// reports whether all were refused for want of an engine.
+func (s *system) everyNodeRefuses(t *testing.T) bool {
 	t.Helper()
 	var group sync.WaitGroup
+	var answered atomic.Int32
 	for node := range s.nodes {
 		for index := range 2 {
 			program := s.createProgram(t, node, 100000)
 			group.Go(func() {
-				s.insist(patient(t), node, request{
-					program: program, key: "only", maxTokens: 2, text: fmt.Sprintf("round %d, call %d", round, index),
+				known := call(patient(t), s.nodes[node].callers, request{
+					program: program, key: "only", maxTokens: 2, text: fmt.Sprintf("call %d", index),
 				})
+				if known.code() != result.NoEngine {
+					answered.Add(1)
+				}
 			})
 		}
 	}
 	group.Wait()
+	return answered.Load() == 0
 }
