Don't take an attempt for lost while it is being stored

Cause: a node that stores an attempt hears of it a moment later than others can read it. A second request with the same key at another node read the attempt, asked its executor, was told that there is none and took it for lost: a call that must not be repeated ended as outcome_unknown though nothing had failed, and another was run twice. A call behind a running one had the same fault: it took the word of one look that the executor was gone, waited, and ended the running call without a second look. Ruled out: asking twice with a pause in between. The time between storing and hearing of it has no bound. Change: an executor announces a call before it stores an attempt of it and answers "running" until it has begun it. Ending an abandoned call needs a second look after its grace. Conclusion: TestStoredAttemptIsNotLost and TestExecutorThatWasOnlySilentKeepsItsCall fail without the change, with outcome_unknown and engine_failed, and pass with it.

--- a/coordination/execution/await.go
+++ b/coordination/execution/await.go
@@ -77,11 +77,15 @@
 	return Answer{}, true, unresolved("the call with key %q is known to another node", current.request.Key)
 }
 
-// endAbandoned ends a lost call of another key, once its grace is over.
+// endAbandoned ends a lost call of another key, once its grace is over. An
+// executor that only seemed to be gone keeps it.
 func (e *Executor) endAbandoned(ctx context.Context, current *call, running *statev1.Call) error {
 	if err := e.pause(ctx, 2*e.Limits.TakeoverGrace); err != nil {
 		return unresolved("call %d has lost its executor", running.GetSequence())
 	}
+	if !e.Lost(ctx, current.request.Program, running) {
+		return nil
+	}
 	return e.EndLost(ctx, current.request.Program, running)
 }
 
@@ -104,7 +108,7 @@
 // doesn't rest on the answer: the attempt's number fences off a late result.
 func (e *Executor) Lost(ctx context.Context, id string, running *statev1.Call) bool {
 	if running.GetExecutor() == e.Identity {
-		return !e.attempts.has(keyOf(id, running))
+		return !e.attempts.isStoring(flightKey{program: id, key: running.GetKey()}) && !e.attempts.has(keyOf(id, running))
 	}
 	if e.Liveness.Gone(running.GetExecutor()) {
 		return true
--- a/coordination/execution/call.go
+++ b/coordination/execution/call.go
@@ -26,6 +26,8 @@
 	leave func()
 }
 
+func (c *call) key() flightKey { return flightKey{program: c.request.Program, key: c.request.Key} }
+
 // Call runs the call or finds out what became of it.
 func (e *Executor) Call(ctx context.Context, request CallRequest, sink Sink) (Answer, error) {
 	digest := requestDigest(request)
@@ -85,14 +87,14 @@
 // run admits the call, waiting for earlier ones, and performs it.
 func (e *Executor) run(ctx context.Context, current *call) (Answer, error) {
 	for {
-		outcome, choice, tree, err := e.enter(ctx, current)
+		found, err := e.enter(ctx, current)
 		if err != nil {
 			return Answer{}, err
 		}
-		if outcome.Kind != program.Admitted && choice.Release != nil {
-			choice.Release(AttemptReport{Program: current.request.Program, Err: errNotAdmitted})
+		if found.outcome.Kind != program.Admitted {
+			release(found.choice, current, errNotAdmitted)
 		}
-		answer, settled, err := e.act(ctx, current, outcome, choice, tree)
+		answer, settled, err := e.act(ctx, current, found)
 		if settled {
 			return answer, err
 		}
@@ -101,17 +103,18 @@
 
 // act does what the record's state of the call asks for; settled is false where
 // the record must be looked at again.
-func (e *Executor) act(ctx context.Context, current *call, outcome program.AdmitOutcome, choice Choice, tree *statev1.ProgramTree) (answer Answer, settled bool, err error) {
+func (e *Executor) act(ctx context.Context, current *call, found entry) (answer Answer, settled bool, err error) {
+	outcome := found.outcome
 	switch outcome.Kind {
 	case program.Admitted:
-		return e.performAdmitted(ctx, current, outcome, choice, tree)
+		return e.performAdmitted(ctx, current, found)
 	case program.Finished:
 		answer, err = e.replay(ctx, current, outcome.Call)
 		return answer, true, err
 	case program.Final:
 		return Answer{}, true, outcome.Refusal
 	case program.Dropped:
-		answer, err = e.replayOld(ctx, current, tree)
+		answer, err = e.replayOld(ctx, current, found.tree)
 		return answer, true, err
 	case program.InProgress:
 		return e.awaitSame(ctx, current, outcome.Call)
@@ -122,31 +125,44 @@
 
 var errNotAdmitted = errors.New("the call was not admitted")
 
+// entry is what the record holds of a call after it was asked to admit it.
+type entry struct {
+	outcome program.AdmitOutcome
+	choice  Choice
+	tree    *statev1.ProgramTree
+	// begun is set where the attempt is this executor's and wasn't begun before.
+	begun bool
+}
+
 // enter chooses an engine and asks the record to admit the call to it. Where no
 // engine can be had the refusal is recorded before it is told.
-func (e *Executor) enter(ctx context.Context, current *call) (program.AdmitOutcome, Choice, *statev1.ProgramTree, error) {
+func (e *Executor) enter(ctx context.Context, current *call) (entry, error) {
 	tree, err := e.look(ctx, current.request)
 	if err != nil {
-		return program.AdmitOutcome{}, Choice{}, nil, err
+		return entry{}, err
 	}
 	choice, refusal := e.place(ctx, current, tree)
 	request := e.admitRequest(current, tree, choice)
-	var outcome program.AdmitOutcome
-	tree, err = e.applyExisting(ctx, current.request.Program, func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
+	defer e.attempts.announce(current.key())()
+	found := entry{choice: choice}
+	found.tree, err = e.applyExisting(ctx, current.request.Program, func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
 		request.NowUnixMS = e.nowUnixMS()
 		var err error
 		if refusal != nil {
-			outcome, err = program.Refuse(tree, request, refusal)
+			found.outcome, err = program.Refuse(tree, request, refusal)
 		} else {
-			outcome, err = program.Admit(tree, request)
+			found.outcome, err = program.Admit(tree, request)
 		}
 		return tree, err
 	})
 	if err != nil {
 		release(choice, current, err)
-		return program.AdmitOutcome{}, Choice{}, nil, err
+		return entry{}, err
+	}
+	if found.outcome.Kind == program.Admitted {
+		found.begun = e.attempts.begin(keyOf(request.Program, found.outcome.Call))
 	}
-	return outcome, choice, tree, nil
+	return found, nil
 }
 
 // place asks the tenant's limits for room, once a call, then chooses an engine.
--- a/coordination/execution/executor.go
+++ b/coordination/execution/executor.go
@@ -231,9 +231,11 @@
 }
 
 // Running reports whether this executor is at work on the attempt; peers ask it
-// before they take a call over.
+// before they take a call over. While an attempt of the program is being stored
+// here it can't be told which one the peer has read of, and the answer is yes.
 func (e *Executor) Running(program string, sequence uint64, attempt uint32) bool {
-	return e.attempts.has(attemptKey{program: program, sequence: sequence, attempt: attempt})
+	return e.attempts.isStoringAny(program) ||
+		e.attempts.has(attemptKey{program: program, sequence: sequence, attempt: attempt})
 }
 
 // Drain waits until every answer that is being stored has been settled, or the
--- a/coordination/execution/fake_test.go
+++ b/coordination/execution/fake_test.go
@@ -30,6 +30,8 @@
 	trees map[string]*statev1.ProgramTree
 	// fault is asked before each change; lost answers apply it and then fail.
 	fault func(applied bool) error
+	// stored runs after each change, before whoever made it hears of it.
+	stored func()
 }
 
 func (m *memoryRecords) Apply(_ context.Context, root string, change execution.Change) (*statev1.ProgramTree, error) {
@@ -46,6 +48,11 @@
 	if err := m.ask(true); err != nil {
 		return nil, err
 	}
+	if m.stored != nil {
+		m.mutex.Unlock()
+		m.stored()
+		m.mutex.Lock()
+	}
 	return clone(next), nil
 }
 
@@ -109,7 +116,7 @@
 // fixedRouter offers engines in order and skips the excluded ones.
 type fixedRouter struct{ names []string }
 
-func (r fixedRouter) Choose(_ context.Context, query execution.Query) (execution.Choice, error) {
+func (r *fixedRouter) Choose(_ context.Context, query execution.Query) (execution.Choice, error) {
 	for _, name := range r.names {
 		if !slices.Contains(query.Excluded, name) {
 			return execution.Choice{Engine: name, Address: name, Release: func(execution.AttemptReport) {}}, nil
@@ -166,13 +173,16 @@
 	return slices.Clone(s.requests)
 }
 
-// openLimiter refuses nothing unless pause is set.
-type openLimiter struct{ pause *time.Duration }
+// openLimiter refuses nothing unless pause or noRetries is set.
+type openLimiter struct {
+	pause     *time.Duration
+	noRetries *bool
+}
 
 func (o openLimiter) Enter(context.Context, string, string, uint64) (func(), time.Duration) {
 	return func() {}, *o.pause
 }
-func (openLimiter) Retry(string) bool { return true }
+func (o openLimiter) Retry(string) bool { return !*o.noRetries }
 
 type anyCatalog struct{}
 
@@ -186,10 +196,16 @@
 	records *memoryRecords
 	turns   *memoryTurns
 	engines *scriptedEngines
+	router  *fixedRouter
 	nodes   map[string]*execution.Executor
 	gone    sync.Map
-	// pause is what the tenant's limits answer.
-	pause time.Duration
+	// pause is what the tenant's limits answer, noRetries what its retry budget.
+	pause     time.Duration
+	noRetries bool
+	// seenGone runs after a look that found a node gone; nil for nothing.
+	seenGone func()
+	// asked is told of each question about an attempt; nil for nobody.
+	asked func()
 }
 
 func newFleetOfExecutors(identities ...string) *fleetOfExecutors {
@@ -197,6 +213,7 @@
 		records: &memoryRecords{trees: map[string]*statev1.ProgramTree{}},
 		turns:   &memoryTurns{turns: map[history.Digest]*statev1.Turn{}},
 		engines: &scriptedEngines{},
+		router:  &fixedRouter{[]string{"engine-1", "engine-2", "engine-3"}},
 		nodes:   map[string]*execution.Executor{},
 	}
 	for index, identity := range identities {
@@ -205,7 +222,7 @@
 		limits.CallTimeout = 20 * time.Second
 		f.nodes[identity] = execution.New(execution.Options{
 			Identity: identity, Address: identity, Records: f.records, Turns: f.turns,
-			Router: fixedRouter{[]string{"engine-1", "engine-2", "engine-3"}}, Limiter: openLimiter{&f.pause}, Engines: f.engines,
+			Router: f.router, Limiter: openLimiter{&f.pause, &f.noRetries}, Engines: f.engines,
 			Peers: f, Liveness: f, Catalog: anyCatalog{}, Logger: zap.NewNop(), Now: time.Now,
 			Random: rand.New(rand.NewPCG(1, uint64(index))), Limits: limits,
 		})
@@ -216,6 +233,9 @@
 // Gone implements execution.Liveness.
 func (f *fleetOfExecutors) Gone(executor string) bool {
 	_, gone := f.gone.Load(executor)
+	if gone && f.seenGone != nil {
+		f.seenGone()
+	}
 	return gone
 }
 
@@ -224,6 +244,9 @@
 	if f.Gone(address) {
 		return execution.AttemptUnreachable
 	}
+	if f.asked != nil {
+		f.asked()
+	}
 	if f.nodes[address].Running(id, sequence, attempt) {
 		return execution.AttemptRunning
 	}
--- a/coordination/execution/flight.go
+++ b/coordination/execution/flight.go
@@ -49,14 +49,55 @@
 	attempt  uint32
 }
 
-// attempts is the set of attempts this process has begun and not yet settled in
-// the record.
+// attempts is what this process has begun and not yet settled in the record:
+// the attempts, and the calls whose next attempt is being stored. The latter
+// count as running, since others may read what was stored before this process
+// has heard of it.
 type attempts struct {
-	mutex sync.Mutex
-	open  map[attemptKey]struct{}
+	mutex   sync.Mutex
+	open    map[attemptKey]struct{}
+	storing map[flightKey]int
 }
 
-func newAttempts() *attempts { return &attempts{open: make(map[attemptKey]struct{})} }
+func newAttempts() *attempts {
+	return &attempts{open: make(map[attemptKey]struct{}), storing: make(map[flightKey]int)}
+}
+
+// announce tells that an attempt of the call may be stored, until the returned
+// function is called.
+func (a *attempts) announce(key flightKey) (done func()) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.storing[key]++
+	return func() {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		a.storing[key]--
+		if a.storing[key] == 0 {
+			delete(a.storing, key)
+		}
+	}
+}
+
+// isStoring reports whether an attempt of the call with the key may be on its
+// way into the record.
+func (a *attempts) isStoring(key flightKey) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.storing[key] > 0
+}
+
+// isStoringAny reports the same of any call of the program.
+func (a *attempts) isStoringAny(program string) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for key := range a.storing {
+		if key.program == program {
+			return true
+		}
+	}
+	return false
+}
 
 // begin adds the attempt; it is false where it is there already.
 func (a *attempts) begin(key attemptKey) bool {
--- a/coordination/execution/perform.go
+++ b/coordination/execution/perform.go
@@ -19,10 +19,10 @@
 
 // performAdmitted runs the attempt that the record gave to this executor. An
 // attempt that this process has begun before is never begun again.
-func (e *Executor) performAdmitted(ctx context.Context, current *call, outcome program.AdmitOutcome, choice Choice, tree *statev1.ProgramTree) (Answer, bool, error) {
-	admitted := outcome.Call
-	key := keyOf(current.request.Program, admitted)
-	if !e.attempts.begin(key) {
+func (e *Executor) performAdmitted(ctx context.Context, current *call, found entry) (Answer, bool, error) {
+	admitted := found.outcome.Call
+	choice := found.choice
+	if !found.begun {
 		release(choice, current, errNotAdmitted)
 		if err := e.pause(ctx, pollPause); err != nil {
 			return Answer{}, true, unresolved("the answer to call %d is still being stored", admitted.GetSequence())
@@ -34,7 +34,7 @@
 		release(choice, current, errNotAdmitted)
 		return e.replaceAndPerform(ctx, current, admitted, &EngineError{Cause: errNotAdmitted})
 	}
-	return e.perform(ctx, current, admitted, choice, tree)
+	return e.perform(ctx, current, admitted, choice, found.tree)
 }
 
 func keyOf(id string, admitted *statev1.Call) attemptKey {
@@ -171,17 +171,13 @@
 		answer, err := e.giveUp(ctx, current, failed, exhaustedCode(lost), lost, cause)
 		return answer, true, err
 	}
-	next, tree, err := e.replace(ctx, current, failed, choice, lost)
+	next, tree, begun, err := e.replace(ctx, current, failed, choice, lost)
 	if err != nil {
 		release(choice, current, err)
 		return Answer{}, true, e.abandon(ctx, current, failed, err)
 	}
 	e.attempts.end(keyOf(current.request.Program, failed))
-	if next == nil || !e.owns(next) {
-		release(choice, current, errNotAdmitted)
-		return Answer{}, false, nil
-	}
-	if !e.attempts.begin(keyOf(current.request.Program, next)) {
+	if !begun {
 		release(choice, current, errNotAdmitted)
 		return Answer{}, false, nil
 	}
@@ -211,10 +207,11 @@
 }
 
 // replace stores the next attempt and returns the call as the record holds it.
-func (e *Executor) replace(ctx context.Context, current *call, failed *statev1.Call, choice Choice, lost bool) (*statev1.Call, *statev1.ProgramTree, error) {
+// begun is set where the next attempt is this executor's to perform.
+func (e *Executor) replace(ctx context.Context, current *call, failed *statev1.Call, choice Choice, lost bool) (next *statev1.Call, tree *statev1.ProgramTree, begun bool, err error) {
 	reference := referenceOf(current.request.Program, failed)
-	var next *statev1.Call
-	tree, err := e.applyExisting(ctx, current.request.Program, func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
+	defer e.attempts.announce(current.key())()
+	tree, err = e.applyExisting(ctx, current.request.Program, func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
 		next, _ = program.Replace(tree, reference, program.Replacement{
 			Executor:        e.Identity,
 			ExecutorAddress: e.Address,
@@ -226,7 +223,10 @@
 		})
 		return tree, nil
 	})
-	return next, tree, err
+	if err != nil || next == nil || !e.owns(next) {
+		return next, tree, false, err
+	}
+	return next, tree, e.attempts.begin(keyOf(current.request.Program, next)), nil
 }
 
 func messagesJSON(messages []json.RawMessage) []byte {
--- a/coordination/execution/takeover_test.go
+++ b/coordination/execution/takeover_test.go
@@ -1,6 +1,8 @@
 package execution_test
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,3 +116,58 @@
 	_, err = f.nodes["node-1"].Call(t.Context(), callOf(id, "after"), &textSink{})
 	assert.Equal(t, codeOf(t, err), result.ProgramEnded)
 }
+
+// TestStoredAttemptIsNotLost lets node-2 read of an attempt before node-1, which
+// stored it, has heard of that.
+func TestStoredAttemptIsNotLost(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	id := f.program(t, 10000)
+	request := callOf(id, "key")
+	request.Repeatable = false
+	asked := make(chan struct{})
+	f.asked = sync.OnceFunc(func() { close(asked) })
+	second := make(chan outcome, 1)
+	var began atomic.Bool
+	f.records.stored = func() {
+		if !began.CompareAndSwap(false, true) {
+			return
+		}
+		go func() {
+			answer, err := f.nodes["node-2"].Call(t.Context(), request, &textSink{})
+			second <- outcome{answer: answer, err: err}
+		}()
+		<-asked
+	}
+	first, err := f.nodes["node-1"].Call(t.Context(), request, &textSink{})
+	assert.NilError(t, err)
+	other := <-second
+	assert.NilError(t, other.err)
+	assert.Equal(t, other.answer.Content, first.Content)
+	assert.Equal(t, len(f.engines.seen()), 1)
+}
+
+// TestExecutorThatWasOnlySilentKeepsItsCall makes a node seem gone for the time
+// of one look.
+func TestExecutorThatWasOnlySilentKeepsItsCall(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	id := f.program(t, 10000)
+	running, thaw := freeze(t, f, callOf(id, "first"))
+	f.gone.Store("node-1", true)
+	f.seenGone = sync.OnceFunc(func() { f.gone.Delete("node-1") })
+	asked := make(chan struct{})
+	f.asked = sync.OnceFunc(func() { close(asked) })
+	next := make(chan outcome, 1)
+	go func() {
+		answer, err := f.nodes["node-2"].Call(t.Context(), callOf(id, "next"), &textSink{})
+		next <- outcome{answer: answer, err: err}
+	}()
+	select {
+	case <-asked:
+	case <-next:
+		t.Error("the next call did not wait for the first")
+	}
+	close(thaw)
+	assert.NilError(t, (<-running).err)
+	assert.NilError(t, (<-next).err)
+	assert.Equal(t, f.tree(id).GetPrograms()[0].GetTurns(), uint64(2))
+}
