Take a call of a lost node over without the retry budget

Cause: a killed node's calls were taken over only as far as the tenant's retry budget reached, which is empty on a node that has served little. The others ended as engine_failed, final, though no engine had failed; and the engine that had served the lost attempt was left out of the choice, so that a fleet of one engine could take over nothing. Ruled out: a larger budget. It keeps failing engines from getting a multiple of the load; a lost node's calls add nothing to what the remaining nodes serve, and each is taken over once a loss. Change: a take-over asks no retry budget and excludes no engine. Conclusion: TestTakeoverNeedsNoRetryBudget fails without the change with engine_failed and passes with it.

--- a/coordination/execution/perform.go
+++ b/coordination/execution/perform.go
@@ -157,8 +157,10 @@
 // engine, or ends the call.
 func (e *Executor) replaceAndPerform(ctx context.Context, current *call, failed *statev1.Call, cause error) (Answer, bool, error) {
 	lost := wasDispatched(cause)
-	current.excluded = append(current.excluded, failed.GetEngine())
-	if ctx.Err() != nil || (lost && !e.Limiter.Retry(current.request.Tenant)) {
+	if !errors.Is(cause, errExecutorLost) {
+		current.excluded = append(current.excluded, failed.GetEngine())
+	}
+	if ctx.Err() != nil || !e.mayRetry(current, cause) {
 		answer, err := e.giveUp(ctx, current, failed, result.EngineFailed, lost, cause)
 		return answer, true, err
 	}
@@ -184,6 +186,16 @@
 	return e.perform(ctx, current, next, choice, tree)
 }
 
+// mayRetry asks the retry budget, which keeps failing engines from getting a
+// multiple of the load. A call whose node was lost has added no load to what
+// the others serve, and is taken over in any case.
+func (e *Executor) mayRetry(current *call, cause error) bool {
+	if !wasDispatched(cause) || errors.Is(cause, errExecutorLost) {
+		return true
+	}
+	return e.Limiter.Retry(current.request.Tenant)
+}
+
 // exhaustedCode is how a call ends where no other engine can be had.
 func exhaustedCode(lost bool) result.Code {
 	if lost {
--- a/coordination/execution/takeover_test.go
+++ b/coordination/execution/takeover_test.go
@@ -146,6 +146,22 @@
 	assert.Equal(t, len(f.engines.seen()), 1)
 }
 
+// TestTakeoverNeedsNoRetryBudget loses a node in a fleet of one engine: the
+// engine has done nothing wrong, and the call adds nothing to its load.
+func TestTakeoverNeedsNoRetryBudget(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	f.noRetries = true
+	f.router.names = []string{"engine-1"}
+	id := f.program(t, 10000)
+	frozen, thaw := freeze(t, f, callOf(id, "key"))
+	f.gone.Store("node-1", true)
+	taken, err := f.nodes["node-2"].Call(t.Context(), callOf(id, "key"), &textSink{})
+	assert.NilError(t, err)
+	assert.Equal(t, taken.Engine, "engine-1")
+	close(thaw)
+	assert.NilError(t, (<-frozen).err)
+}
+
 // TestExecutorThatWasOnlySilentKeepsItsCall makes a node seem gone for the time
 // of one look.
 func TestExecutorThatWasOnlySilentKeepsItsCall(t *testing.T) {
