--- a/node/readiness_test.go
+++ b/node/readiness_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"go.uber.org/zap"
@@ -42,6 +43,12 @@
 	ready := get(started, "/readyz")
 	assert.Equal(t, ready.status, http.StatusServiceUnavailable)
 	assert.Equal(t, string(ready.body), "configuration: no configuration yet\nshards: no shard map yet\nreplicas: replica sets lack members\nserving: ok\n")
+	page, err := os.ReadFile(operationsPage)
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(ready.body)) {
+		name, _, _ := strings.Cut(line, ":")
+		assert.Assert(t, strings.Contains(string(page), "\n| `"+name+"` | "), "the page has no check %s", name)
+	}
 	assert.Equal(t, metric(t, started, "marblering_caller_requests_total", map[string]string{"operation": "gate", "code": "not_ready"}), 3.0)
 
 	setDown(`{"down":false}`)
