--- a/coordination/fleet/reserve.go
+++ b/coordination/fleet/reserve.go
@@ -45,8 +45,7 @@
 	}
 	f.locality.Lost(report.Program, engine)
 	if report.Leaving {
-		f.MarkLeaving(engine, true)
-		f.tellLeaving(engine, true)
+		f.takeLeaving(engine, true)
 		return
 	}
 	f.ejector.Observe(engine, limit.Outcome{Failed: true, Expected: decision.Expected, Took: report.Total}, now)
