--- a/test/integration/configuration_test.go
+++ b/test/integration/configuration_test.go
@@ -49,18 +49,6 @@
 	assert.NilError(t, err)
 }
 
-// putMachine sets the state of a machine in the platform's list.
-func (s *system) putMachine(t *testing.T, name, state string) {
-	t.Helper()
-	body := strings.NewReader(string(encode(t, objectapi.Machine{Name: name, State: state})))
-	made, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+s.platform+"/machines/"+name, body)
-	assert.NilError(t, err)
-	response, err := http.DefaultClient.Do(made)
-	assert.NilError(t, err)
-	assert.NilError(t, response.Body.Close())
-	assert.Equal(t, response.StatusCode/100, 2)
-}
-
 // configurationAt returns the version of the configuration in force at a node.
 func (s *system) configurationAt(t *testing.T, node int) uint64 {
 	t.Helper()
@@ -91,3 +79,15 @@
 		assert.NilError(t, peer.links.Heal())
 	}
 }
+
+// putMachine sets the state of a machine in the platform's list.
+func (s *system) putMachine(t *testing.T, name, state string) {
+	t.Helper()
+	body := strings.NewReader(string(encode(t, objectapi.Machine{Name: name, State: state})))
+	made, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+s.platform+"/machines/"+name, body)
+	assert.NilError(t, err)
+	response, err := http.DefaultClient.Do(made)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode/100, 2)
+}
