Measure what replacing a crashed node's replicas costs

Change: marblering-lab measure repair crashes a node and measures bytes, processor time and time until every set is whole; the other measurement with a load shares its flags.

--- a/lab/scale/group.go
+++ b/lab/scale/group.go
@@ -31,6 +31,9 @@
 const (
 	requestSample  groupRequestKind = "sample"
 	requestVersion groupRequestKind = "version"
+	// requestCrash stops the last node as a crash would.
+	requestCrash  groupRequestKind = "crash"
+	requestCopies groupRequestKind = "copies"
 )
 
 // groupRequest is sent to a group after its options, one at a time.
@@ -48,6 +51,8 @@
 	Sample  sample
 	// Version is the oldest configuration version in force at a node.
 	Version uint64
+	// Copies is how many replicas of shards the nodes keep together.
+	Copies int
 }
 
 // ServeGroup runs the nodes that the first message of the input describes and
@@ -118,6 +123,12 @@
 		reply.Sample, err = takeSample(system)
 	case requestVersion:
 		reply.Version, err = oldestVersion(system)
+	case requestCopies:
+		reply.Copies, err = replicaCopies(system)
+	case requestCrash:
+		last := len(system.Nodes) - 1
+		err = system.Nodes[last].Close()
+		system.Nodes = system.Nodes[:last]
 	default:
 		reply.Failure = "unknown request " + string(request.Kind)
 	}
