--- a/coordination/configuration/acceptor.go
+++ b/coordination/configuration/acceptor.go
@@ -21,13 +21,17 @@
 	Agent *Agent
 	// Sleep pauses; it fails when the context ends first. Nil means a timer.
 	Sleep func(ctx context.Context, pause time.Duration) error
+	// Together runs functions at the same time until all have returned. Nil
+	// means goroutines, up to Settings.Parallel.
+	Together func(functions []func())
 }
 
 // Acceptor carries out operators' changes. Any node may do so at any time; of
 // two that change the same version of an object exactly one wins.
 type Acceptor struct {
-	agent *Agent
-	sleep func(ctx context.Context, pause time.Duration) error
+	agent    *Agent
+	sleep    func(ctx context.Context, pause time.Duration) error
+	together func(functions []func())
 }
 
 // NewAcceptor makes an Acceptor that works through the node's agent.
@@ -35,7 +39,10 @@
 	if options.Sleep == nil {
 		options.Sleep = sleep
 	}
-	return &Acceptor{agent: options.Agent, sleep: options.Sleep}
+	if options.Together == nil {
+		options.Together = together(options.Agent.settings.Parallel)
+	}
+	return &Acceptor{agent: options.Agent, sleep: options.Sleep, together: options.Together}
 }
 
 // Accept checks the change against the whole configuration, writes it where the
--- a/coordination/configuration/install.go
+++ b/coordination/configuration/install.go
@@ -49,13 +49,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var mutex sync.Mutex
-	var group errgroup.Group
-	group.SetLimit(a.agent.settings.Parallel)
+	var asks []func()
 	for _, member := range round.missing() {
-		ask := func() error {
+		asks = append(asks, func() {
 			answer, err := a.agent.installAt(ctx, member, round.version)
 			if err != nil {
-				return nil
+				return
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
@@ -63,15 +62,26 @@
 			if round.done() {
 				cancel()
 			}
-			return nil
-		}
-		if a.agent.settings.Parallel == 1 {
-			_ = ask()
-			continue
+		})
+	}
+	a.together(asks)
+}
+
+// together runs the functions at the same time, up to the limit, until all have
+// returned.
+func together(limit int) func([]func()) {
+	return func(functions []func()) {
+		var group errgroup.Group
+		group.SetLimit(limit)
+		for _, function := range functions {
+			group.Go(func() error {
+				function()
+				return nil
+			})
 		}
-		group.Go(ask)
+		// No function fails: each takes care of its own error.
+		_ = group.Wait()
 	}
-	_ = group.Wait()
 }
 
 // installAt gives a member what it lacks. The first try goes by what the member
--- a/coordination/configuration/planner.go
+++ b/coordination/configuration/planner.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -67,7 +68,7 @@
 	var actions []action
 	actions = append(actions, p.stepRead(now, self, live)...)
 	actions = append(actions, p.stepFetch(now, version, self, peers)...)
-	return append(actions, p.stepRelay(version, peers)...)
+	return append(actions, p.stepRelay(version, self, peers)...)
 }
 
 func (p *planner) stepRead(now time.Time, self Peer, live []Peer) []action {
@@ -121,8 +122,8 @@
 	}
 	isNewer := func(peer Peer) bool { return peer.Version > version }
 	newer := filter(peers, isNewer)
-	if len(newer) == 0 && p.wanted > version {
-		// Somebody has it, but nobody told who.
+	if len(newer) == 0 && (p.wanted > version || version == 0) {
+		// Somebody has it, or may have, but nobody told who.
 		newer = peers
 	}
 	near := filter(newer, func(peer Peer) bool { return peer.Zone == self.Zone })
@@ -145,7 +146,7 @@
 	p.nextFetch = now.Add(p.settings.FetchPause)
 }
 
-func (p *planner) stepRelay(version uint64, peers []Peer) []action {
+func (p *planner) stepRelay(version uint64, self Peer, peers []Peer) []action {
 	if version <= p.relayed {
 		return nil
 	}
@@ -157,12 +158,24 @@
 		return nil
 	}
 	older := filter(peers, func(peer Peer) bool { return peer.Version < version })
-	p.random.Shuffle(len(older), func(a, b int) { older[a], older[b] = older[b], older[a] })
-	older = older[:min(len(older), p.settings.Fanout)]
 	if len(older) == 0 {
 		return nil
 	}
-	return []action{{kind: actionRelay, peers: older, base: base}}
+	return []action{{kind: actionRelay, peers: p.choose(self, older), base: base}}
+}
+
+// choose picks whom to pass on to: the next node by name, so that every node is
+// somebody's choice, and others at random, so that it spreads in few steps.
+func (p *planner) choose(self Peer, peers []Peer) []Peer {
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Node, b.Node) })
+	next, _ := slices.BinarySearchFunc(peers, self.Node, func(peer Peer, node string) int {
+		return cmp.Compare(peer.Node, node)
+	})
+	next %= len(peers)
+	peers[0], peers[next] = peers[next], peers[0]
+	rest := peers[1:]
+	p.random.Shuffle(len(rest), func(a, b int) { rest[a], rest[b] = rest[b], rest[a] })
+	return peers[:min(len(peers), p.settings.Fanout)]
 }
 
 func filter(peers []Peer, keep func(Peer) bool) []Peer {
