--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"time"
 
@@ -46,10 +47,17 @@
 
 // Options describe a deployment.
 type Options struct {
-	Zones   int
-	Nodes   int
-	Engines int
-	Shards  int
+	Zones int
+	Nodes int
+	// Platform is the base URL of an object API that runs elsewhere and is
+	// configured already; empty starts and configures one.
+	Platform string
+	// FirstNode is how many nodes of the same system run elsewhere under the
+	// names before these, and Seeds are addresses of some of them.
+	FirstNode int
+	Seeds     []string
+	Engines   int
+	Shards    int
 	// Generations are dealt to the engines in turn; empty means the default.
 	Generations []string
 	Seed        uint64
@@ -62,7 +70,12 @@
 	Hollow []HollowEngine
 	// Tenants are configured beside TenantName.
 	Tenants int
-	Logger  *zap.Logger
+	// TenantLimits are those of TenantName.
+	TenantLimits configuration.TenantLimits
+	// Limits hold for all tenants; nil writes no object, so that the defaults
+	// hold.
+	Limits *configuration.Limits
+	Logger *zap.Logger
 }
 
 // HollowEngine is an engine that the deployment doesn't start.
@@ -77,6 +90,7 @@
 	Platform string
 	// EngineAddresses are the base URLs of the engines.
 	EngineAddresses []string
+	Engines         []*engine.Server
 	Nodes           []*node.Node
 
 	options  Options
@@ -94,6 +108,10 @@
 }
 
 func (d *Deployment) start(ctx context.Context) error {
+	if d.options.Platform != "" {
+		d.Platform = d.options.Platform
+		return d.startNodes(ctx)
+	}
 	d.Platform = d.serve(objectstore.New(objectstore.Options{Seed: d.options.Seed})).URL
 	for index := range d.options.Engines {
 		stand := engine.New(engine.Options{
@@ -105,6 +123,7 @@
 			TimeScale:  d.options.TimeScale,
 		})
 		d.shutdown = append(d.shutdown, func() error { stand.Close(); return nil })
+		d.Engines = append(d.Engines, stand)
 		d.EngineAddresses = append(d.EngineAddresses, d.serve(stand).URL)
 	}
 	if err := d.configure(ctx); err != nil {
@@ -149,12 +168,15 @@
 			ContextTokens: modelContext, DefaultMaxTokens: modelOutput,
 		}),
 		d.put(ctx, configuration.KindTenant, TenantName, configuration.Tenant{
-			APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1,
+			APIKeySHA256: []string{hex.EncodeToString(digest[:])}, Weight: 1, Limits: d.options.TenantLimits,
 		}),
 		d.put(ctx, configuration.KindPool, PoolName, configuration.Pool{
 			Zones: zones, Models: []string{ModelName}, Roles: []configuration.Role{configuration.RoleMixed},
 		}),
 	)
+	if d.options.Limits != nil {
+		err = errors.Join(err, d.put(ctx, configuration.KindLimits, configuration.SingletonName, d.options.Limits))
+	}
 	for index, address := range d.EngineAddresses {
 		err = errors.Join(err, d.put(ctx, configuration.KindEngine, EngineName(index), configuration.Engine{
 			Address: address, Zone: d.zone(index), Generation: d.generation(index), Pool: PoolName,
@@ -178,17 +200,39 @@
 }
 
 func (d *Deployment) put(ctx context.Context, kind configuration.Kind, name string, body any) error {
+	_, err := d.write(ctx, kind, name, objectapi.IfAbsent(), body)
+	return err
+}
+
+// Replace writes a new body of an object that exists and returns the version
+// that a node's configuration must reach for it to be in force there.
+func (d *Deployment) Replace(ctx context.Context, kind configuration.Kind, name string, body any) (version uint64, err error) {
+	client := objectapi.NewClient(d.Platform, http.DefaultClient)
+	current, err := client.Get(ctx, string(kind), name)
+	if err != nil {
+		return 0, merry.Prependf(err, "reading %s %s", kind, name)
+	}
+	return d.write(ctx, kind, name, objectapi.IfVersion(current.Version), body)
+}
+
+func (d *Deployment) write(ctx context.Context, kind configuration.Kind, name string, condition objectapi.Condition, body any) (version uint64, err error) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
-		return merry.Prependf(err, "encoding %s %s", kind, name)
+		return 0, merry.Prependf(err, "encoding %s %s", kind, name)
 	}
 	client := objectapi.NewClient(d.Platform, http.DefaultClient)
-	_, err = client.Put(ctx, string(kind), name, objectapi.IfAbsent(), encoded)
-	return merry.Prependf(err, "writing %s %s", kind, name)
+	written, err := client.Put(ctx, string(kind), name, condition, encoded)
+	if err != nil {
+		return 0, merry.Prependf(err, "writing %s %s", kind, name)
+	}
+	return written.Version, nil
 }
 
 func (d *Deployment) startNodes(ctx context.Context) error {
 	for index := range d.options.Nodes {
+		if err := ctx.Err(); err != nil {
+			return merry.Prependf(err, "starting node %d", index+1)
+		}
 		loaded, err := d.nodeSettings(index)
 		if err != nil {
 			return err
@@ -198,7 +242,7 @@
 			return merry.Prependf(err, "starting %s", loaded.Name)
 		}
 		d.Nodes = append(d.Nodes, started)
-		d.shutdown = append(d.shutdown, started.Drain)
+		d.shutdown = append(d.shutdown, started.Close)
 	}
 	for _, started := range d.Nodes {
 		if err := awaitReady(ctx, started.OperatorAddress()); err != nil {
@@ -208,20 +252,15 @@
 	return nil
 }
 
-// nodeSettings are those of one node, as flags would give them.
+// nodeSettings are those of one node.
 func (d *Deployment) nodeSettings(index int) (settings.Settings, error) {
-	flags := pflag.NewFlagSet("node", pflag.ContinueOnError)
-	settings.AddFlags(flags)
 	arguments := []string{
-		"--name", fmt.Sprintf("node-%d", index+1),
-		"--zone", d.zone(index),
-		"--peer-listen", loopback,
-		"--caller-listen", loopback,
-		"--operator-listen", loopback,
+		"--name", fmt.Sprintf("node-%d", d.options.FirstNode+index+1),
+		"--zone", d.zone(d.options.FirstNode + index),
 		"--object-api", d.Platform,
 		"--shards", fmt.Sprint(d.options.Shards),
 	}
-	var seeds []string
+	seeds := slices.Clone(d.options.Seeds)
 	for _, started := range d.Nodes[:min(maxSeeds, len(d.Nodes))] {
 		seeds = append(seeds, started.PeerAddress())
 	}
@@ -231,7 +270,20 @@
 	if index < len(d.options.DataFolders) {
 		arguments = append(arguments, "--data-folder", d.options.DataFolders[index])
 	}
-	if err := flags.Parse(arguments); err != nil {
+	return Settings(arguments...)
+}
+
+// Settings are those of a node with the flags, which listens on free ports of
+// loopback where they don't say otherwise.
+func Settings(arguments ...string) (settings.Settings, error) {
+	flags := pflag.NewFlagSet("node", pflag.ContinueOnError)
+	settings.AddFlags(flags)
+	listeners := []string{
+		"--peer-listen", loopback,
+		"--caller-listen", loopback,
+		"--operator-listen", loopback,
+	}
+	if err := flags.Parse(append(listeners, arguments...)); err != nil {
 		return settings.Settings{}, err
 	}
 	return settings.Load("", flags)
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -57,6 +57,12 @@
 	return weights
 }
 
+// limits are the limits that hold for all tenants.
+func (c catalog) limits() configuration.Limits { return c.holder.Current().Limits() }
+
+// bodyLimit is the greatest size of a caller's request body in bytes.
+func (c catalog) bodyLimit() int64 { return int64(c.limits().MaxRequestBytes) }
+
 // fleetEngines are the engines of the configuration as the fleet needs them.
 func (c catalog) fleetEngines() []fleet.Engine {
 	var engines []fleet.Engine
@@ -69,6 +75,7 @@
 			Address:    engine.Address,
 			Zone:       engine.Zone,
 			Generation: engine.Generation,
+			Role:       string(engine.Role),
 			Models:     engine.Models,
 			Adapters:   engine.Adapters,
 			Leaving:    engine.Draining,
@@ -77,6 +84,16 @@
 	return engines
 }
 
+// takesWork tells whether the engine at the address is to get new work.
+func (c catalog) takesWork(address string) bool {
+	for _, engine := range c.holder.Current().Engines() {
+		if engine.Address == address {
+			return !engine.Draining && !engine.Stopped
+		}
+	}
+	return false
+}
+
 // engineFollower keeps the fleet's engines at what the configuration says. It
 // is a suture service.
 type engineFollower struct {
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -51,9 +53,14 @@
 	logger     *zap.Logger
 	identity   string
 	holder     *configuration.Holder
+	agent      *configuration.Agent
+	acceptor   *configuration.Acceptor
+	control    *controlMembers
 	views      *shard.Map
 	store      replica.Store
 	replica    *shard.Replica
+	installer  *shard.Installer
+	repair     *repair
 	membership *membership.Service
 	records    *record.Store
 	fleet      *fleet.Fleet
@@ -64,6 +71,10 @@
 	metrics    *prometheus.Registry
 	random     *rand.Rand
 	wire       *wire
+	// instruments count what the parts don't count themselves.
+	instruments *instruments
+	// draining is set from the first moment of a planned stop.
+	draining atomic.Bool
 
 	peerListener     *listener
 	callerListener   *listener
@@ -71,6 +82,8 @@
 
 	stop    context.CancelFunc
 	stopped <-chan error
+	closing sync.Once
+	closed  error
 }
 
 // Run runs a node until the context ends, then drains it.
@@ -98,6 +111,8 @@
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.wire = newWire(n.metrics)
+	n.instruments = newInstruments(n.metrics)
+	n.metrics.MustRegister(newGauges(n))
 	if err := n.open(); err != nil {
 		return nil, err
 	}
@@ -115,6 +130,7 @@
 	logger.Info("started",
 		zap.String("identity", n.identity),
 		zap.String("peer_address", n.PeerAddress()),
+		zap.String("peer_listen", n.peerListener.address()),
 		zap.String("caller_address", n.CallerAddress()),
 		zap.String("operator_address", n.OperatorAddress()))
 	return n, nil
@@ -156,44 +172,61 @@
 	n.identity = incarnation + identitySeparator + uuid.NewString()
 	n.views = shard.NewMap(uint32(n.settings.Shards))
 	n.replica = shard.NewReplica(incarnation, n.store, n.views, n.holder.Version)
-	return nil
+	return n.replica.Restore()
 }
 
 // build makes the parts and returns the services to supervise. Listeners come
 // first: their addresses are part of what the node says of itself.
 func (n *Node) build() ([]suture.Service, error) {
-	peerMux, callerMux := &lateHandler{}, &lateHandler{}
-	if err := n.openListeners(peerMux, callerMux); err != nil {
+	peerMux, callerMux, statements := &lateHandler{}, &lateHandler{}, &lateHandler{}
+	if err := n.openListeners(peerMux, callerMux, operatorMux(n.monitoring(), statements)); err != nil {
 		return nil, err
 	}
 	peerMetrics := peer.NewMetrics(n.metrics)
 	peers := peer.NewClient(n.wire.client(wirePeer), n.settings.PeerTimeout, peerMetrics)
 	platform := objectapi.NewClient(n.settings.ObjectAPI, n.wire.client(wirePlatform)).Named(n.settings.Name)
 	engineClient := engineapi.NewClient(n.wire.client(wireEngine))
+	n.installer = shard.NewInstaller(n.replica, peers, n.logger)
 	n.buildMembership(peers)
+	if err := n.buildControl(platform, peers); err != nil {
+		return nil, errors.Join(err, n.closeListeners())
+	}
 	n.buildExecution(peers, engineClient)
+	callerMetrics := callerapi.NewMetrics(n.metrics)
 	n.callers = callerapi.New(callerapi.Options{
-		Service:   n.executor,
+		Service:   configuredService{Service: n.executor, limits: catalog{n.holder}.limits, now: time.Now},
 		Tenants:   catalog{n.holder},
 		Logger:    n.logger,
 		BodyLimit: int64(n.settings.RequestSizeLimit),
+		Observer:  callerMetrics,
 	})
-	peerMux.set(peer.NewHandler(n.replica, &peerNode{
+	peerMux.set(peer.NewHandler(n.replica, n.installer, &peerNode{
 		identity:   n.identity,
 		membership: n.membership,
 		executor:   n.executor,
-		holder:     n.holder,
+		agent:      n.agent,
 		limits:     n.limits,
 	}, peerMetrics))
-	callerMux.set(n.callers)
-	n.readiness.Add("configuration", n.checkConfiguration)
-	n.readiness.Add("shards", n.checkShards)
+	callerMux.set(&callerGate{
+		handler:   n.callers,
+		ready:     n.knowsDeployment,
+		draining:  n.isOrderedToDrain,
+		bodyLimit: catalog{n.holder}.bodyLimit,
+		observer:  callerMetrics,
+	})
+	driver := shard.NewDriver(n.identity, peers, n.views, register.SystemClock{}, n.newRandom(), register.DefaultSettings(), n.logger)
+	n.repair = newRepair(n, driver)
+	statements.set(n.operatorHandler(platform, n.newEngines(engineClient)))
+	n.addReadinessChecks()
 	return []suture.Service{
 		n.peerListener, n.callerListener, n.operatorListener,
 		n.membership,
 		n.fleet,
 		n.limits,
-		&configurationWatch{platform: platform, holder: n.holder, logger: n.logger, timeout: n.settings.ObjectAPITimeout},
+		n.repair,
+		n.agent,
+		&orderFollower{node: n},
+		&configurationAnnouncer{holder: n.holder, membership: n.membership, logger: n.logger},
 		&machineWatch{
 			platform: platform, membership: n.membership, reads: n.reads,
 			timeout: n.settings.ObjectAPITimeout, logger: n.logger,
@@ -206,17 +239,18 @@
 		},
 		&sweep{
 			interval: sweepInterval, records: n.records, executor: n.executor, replica: n.replica,
-			mine: n.prefers, now: time.Now, logger: n.logger,
+			mine: n.prefers, now: time.Now, defaults: catalog{n.holder}.limits, logger: n.logger, instruments: n.instruments,
 			holds: &holdSweep{
 				records: n.records, fleet: n.fleet, engines: engineClient, peers: peers, views: &shardViews{n.views, n.holder},
 				locate: n.views.Locate, mine: n.prefers, now: time.Now, random: n.newRandom(), logger: n.logger,
+				released: n.instruments.releasedHolds,
 				verified: make(map[string]map[string]time.Time),
 			},
 		},
 	}, nil
 }
 
-func (n *Node) openListeners(peers, callers http.Handler) error {
+func (n *Node) openListeners(peers, callers, operators http.Handler) error {
 	var err error
 	if n.peerListener, err = listen("peers", n.settings.PeerListen, peers); err != nil {
 		return err
@@ -226,13 +260,17 @@
 	}
 	n.peerListener.socket = &countedListener{Listener: n.peerListener.socket, wire: n.wire, end: wirePeer}
 	n.callerListener.socket = &countedListener{Listener: n.callerListener.socket, wire: n.wire, end: wireCaller}
-	operators := telemetry.NewHandler(n.metrics, n.readiness)
 	if n.operatorListener, err = listen("operators", n.settings.OperatorListen, operators); err != nil {
 		return errors.Join(err, n.peerListener.socket.Close(), n.callerListener.socket.Close())
 	}
 	return nil
 }
 
+// closeListeners closes the listeners of a node that can't start.
+func (n *Node) closeListeners() error {
+	return errors.Join(n.peerListener.socket.Close(), n.callerListener.socket.Close(), n.operatorListener.socket.Close())
+}
+
 func (n *Node) buildMembership(peers *peer.Client) {
 	now := time.Now()
 	identity := membership.Identity{
@@ -249,9 +287,17 @@
 		Exchanger:            peers,
 		Now:                  time.Now,
 		Logger:               n.logger,
+		Shards:               &shardGossip{views: n.views},
 		ConfigurationVersion: n.holder.Version,
+		ConfigurationSeen:    n.configurationSeen,
 		Observe:              n.observeMembership,
 	})
+	n.control = newControlMembers(configuration.Member{
+		Node:        identity.Node,
+		Incarnation: identity.Incarnation,
+		Address:     identity.Address,
+		Zone:        identity.Zone,
+	}, n.membership.Members, n.views)
 }
 
 // exchangesPerHeartbeat is how many exchanges a node begins a heartbeat.
@@ -286,10 +332,10 @@
 	client := register.NewClient(n.identity, peers, views, register.SystemClock{}, n.newRandom(), register.DefaultSettings())
 	n.records = record.NewStore(client, n.views.Locate, recentTrees)
 	turns := archive.New(peers, views, n.views.Locate, history.NewCache(historyCacheBytes))
-	n.limits = newLimits(n.holder, peers, n.owner, n.logger)
+	n.limits = newLimits(n.holder, peers, n.owner, n.logger, n.instruments)
 	n.fleet = fleet.New(fleet.Options{
 		Zone:         n.settings.Zone,
-		Reporter:     engines{client: engineClient, silence: n.settings.EngineTimeout},
+		Reporter:     n.newEngines(engineClient),
 		Weights:      catalog{n.holder}.weights,
 		Now:          time.Now,
 		Random:       n.newRandom(),
@@ -305,13 +351,13 @@
 	n.executor = execution.New(execution.Options{
 		Identity: n.identity,
 		Address:  n.PeerAddress(),
-		Records:  n.records,
+		Records:  creationRecords{observedRecords{n.records, n.instruments}},
 		Turns:    turns,
-		Router:   n.fleet,
+		Router:   observedRouter{n.fleet, n.instruments},
 		Limiter:  n.limits,
-		Engines:  engines{client: engineClient, silence: n.settings.EngineTimeout},
-		Peers:    peers,
-		Liveness: liveness{n.membership.Members},
+		Engines:  n.newEngines(engineClient),
+		Peers:    observedPeers{peers, n.instruments},
+		Liveness: observedLiveness{liveness{n.membership.Members}, n.instruments},
 		Catalog:  catalog{n.holder},
 		Logger:   n.logger,
 		Now:      time.Now,
@@ -320,6 +366,13 @@
 	})
 }
 
+func (n *Node) newEngines(client *engineapi.Client) engines {
+	return engines{
+		client: client, takesWork: catalog{n.holder}.takesWork,
+		silence: n.settings.EngineTimeout, instruments: n.instruments,
+	}
+}
+
 // newRandom makes an independent source; each part guards its own.
 func (n *Node) newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
@@ -328,25 +381,6 @@
 	n.membership.ObserveEngine(membership.EngineReport{Engine: engine, Leaving: leaving, Asked: time.Now()})
 }
 
-var (
-	errNoConfiguration = errors.New("no configuration yet")
-	errNoShards        = errors.New("no shard map yet")
-)
-
-func (n *Node) checkConfiguration(context.Context) error {
-	if n.holder.Version() == 0 {
-		return errNoConfiguration
-	}
-	return nil
-}
-
-func (n *Node) checkShards(context.Context) error {
-	if _, found := n.views.View(0); !found {
-		return errNoShards
-	}
-	return nil
-}
-
 // Name is the node's name in the settings.
 func (n *Node) Name() string { return n.settings.Name }
 
