--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -273,3 +273,11 @@
 	t.Helper()
 	s.ask(t, node, http.MethodDelete, "/v1/programs/"+program, nil)
 }
+
+// nextSequence reads the program at the node.
+func (s *system) nextSequence(t *testing.T, node int, program string) uint64 {
+	t.Helper()
+	var read callerapi.Program
+	assert.NilError(t, json.Unmarshal(s.ask(t, node, http.MethodGet, "/v1/programs/"+program, nil), &read))
+	return read.NextSequence
+}
