Weigh calls by what their program has been through; tune the baselines

Cause: the slowest tenth of incident programs are those with the longest chains of calls; each of their calls took as long as a new program's. Change: a call's time, and the time it takes from the running ones, is weighted by the attained service of its program tree; within a class the program that has attained most goes first, a runaway last. The ledger knows its own part of a load report, so the others' part is what is left. Programs that can't end before their caller gives up are shed; the stretch is four.

--- a/coordination/limit/shed.go
+++ b/coordination/limit/shed.go
@@ -30,11 +30,11 @@
 	Spread float64
 }
 
-// DefaultShedPolicy admits programs while calls take at most three times as
+// DefaultShedPolicy admits programs while calls take at most four times as
 // long as on idle engines.
 func DefaultShedPolicy() ShedPolicy {
 	return ShedPolicy{
-		MaxStretch:  3,
+		MaxStretch:  4,
 		MaxMemory:   0.97,
 		MaxQueueNew: 10 * time.Second,
 		MaxQueue:    30 * time.Second,
@@ -62,6 +62,11 @@
 	Unloaded time.Duration
 	// MemoryUse is the share of the engines' context memory in use.
 	MemoryUse float64
+	// Left is the time until the program's caller gives up, Usual the time that
+	// such programs usually take; zero where these aren't known. A new program
+	// that has less left is shed.
+	Left  time.Duration
+	Usual time.Duration
 	// Engines that can serve it.
 	Engines int
 }
@@ -85,6 +90,9 @@
 // another try makes sense.
 func (s *Shedder) Admit(demand Demand, random *rand.Rand, now time.Time) time.Duration {
 	excess := s.excess(&demand)
+	if demand.tooLate() {
+		return max(s.policy.Away, demand.Left, minRetryAfter)
+	}
 	if excess <= 0 {
 		return 0
 	}
@@ -93,6 +101,11 @@
 	return max(time.Duration(float64(pause)*jitter), minRetryAfter)
 }
 
+// tooLate says whether a new program would be given up before it ends.
+func (d *Demand) tooLate() bool {
+	return !d.Begun && d.Left > 0 && d.Left < d.Usual
+}
+
 // excess is by how much the expected times exceed their limits.
 func (s *Shedder) excess(demand *Demand) time.Duration {
 	var excess time.Duration
--- a/coordination/routing/choose.go
+++ b/coordination/routing/choose.go
@@ -106,6 +106,7 @@
 			PromptTokens:  request.PromptTokens() - chosen.CachedTokens,
 			OutputTokens:  request.OutputTokens,
 			ContextTokens: request.PromptTokens() + request.OutputTokens - chosen.CachedTokens,
+			Urgency:       percent(urgency(&snapshot.Weights, request.AttainedTokens)),
 		},
 	}
 	if chosen.Source != "" {
@@ -125,7 +126,13 @@
 	if transfer.Prefill {
 		cached := request.cachedOn(chosen.Source)
 		computed := request.PromptTokens() - cached
-		transfer.Work = Work{Requests: 1, PromptTokens: computed, OutputTokens: 1, ContextTokens: computed}
+		transfer.Work = Work{
+			Requests:      1,
+			PromptTokens:  computed,
+			OutputTokens:  1,
+			ContextTokens: computed,
+			Urgency:       percent(urgency(&snapshot.Weights, request.AttainedTokens)),
+		}
 	}
 	return transfer
 }
--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -67,7 +67,8 @@
 	// RemotePrefill is set where the source computes the prompt first.
 	RemotePrefill bool
 
-	index int
+	index   int
+	urgency float64
 }
 
 // Latency is the expected time from dispatch to the whole answer.
--- a/coordination/routing/ledger.go
+++ b/coordination/routing/ledger.go
@@ -28,9 +28,27 @@
 	request    string
 	work       Work
 	dispatched time.Time
-	finished   time.Time
+	// prefilled is when the prompt had been computed, finished when the request
+	// ended; zero before that.
+	prefilled time.Time
+	finished  time.Time
 }
 
+// at is the work that the request was at an instant.
+func (e *ledgerEntry) at(instant time.Time) Work {
+	if e.dispatched.After(instant) || passed(e.finished, instant) {
+		return Work{}
+	}
+	work := e.work
+	if passed(e.prefilled, instant) {
+		work.PromptTokens = 0
+	}
+	return work
+}
+
+// passed says whether a time that may not be set lies before an instant.
+func passed(at, instant time.Time) bool { return !at.IsZero() && !at.After(instant) }
+
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{engines: make(map[string]*engineLedger)}
@@ -47,17 +65,17 @@
 
 // Prefilled records that the first output of a request arrived: its prompt is
 // no longer ahead of others.
-func (l *Ledger) Prefilled(engine, request string) {
+func (l *Ledger) Prefilled(engine, request string, now time.Time) {
 	ledger := l.open(engine)
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	for i := range ledger.inFlight {
 		entry := &ledger.inFlight[i]
-		if entry.request != request {
+		if entry.request != request || !entry.prefilled.IsZero() {
 			continue
 		}
 		ledger.total.PromptTokens -= entry.work.PromptTokens
-		entry.work.PromptTokens = 0
+		entry.prefilled = now
 		return
 	}
 }
@@ -72,7 +90,7 @@
 		if entry.request != request {
 			continue
 		}
-		ledger.total = subtractWork(ledger.total, entry.work)
+		ledger.total = subtractWork(ledger.total, entry.at(now))
 		ledger.inFlight = append(ledger.inFlight[:i], ledger.inFlight[i+1:]...)
 		entry.finished = now
 		ledger.finished = append(ledger.finished, entry)
@@ -120,28 +138,24 @@
 
 func (e *engineLedger) pending(reportedAt time.Time) PendingWork {
 	pending := PendingWork{InFlight: e.total}
-	for i := len(e.inFlight) - 1; i >= 0; i-- {
-		entry := &e.inFlight[i]
-		if !entry.dispatched.After(reportedAt) {
-			break
-		}
-		pending.Added = addWork(pending.Added, entry.work)
+	for i := range e.inFlight {
+		pending.add(&e.inFlight[i], reportedAt)
 	}
-	pending.NewContext = pending.Added.ContextTokens
-	for i := len(e.finished) - 1; i >= 0; i-- {
-		entry := &e.finished[i]
-		if !entry.finished.After(reportedAt) {
-			break
-		}
-		if entry.dispatched.After(reportedAt) {
-			pending.NewContext += entry.work.ContextTokens
-			continue
-		}
-		pending.Finished = addWork(pending.Finished, entry.work)
+	for i := len(e.finished) - 1; i >= 0 && e.finished[i].finished.After(reportedAt); i-- {
+		pending.add(&e.finished[i], reportedAt)
 	}
 	return pending
 }
 
+// add takes in an entry that is in flight or finished after the report.
+func (p *PendingWork) add(entry *ledgerEntry, reportedAt time.Time) {
+	if entry.dispatched.After(reportedAt) {
+		p.NewContext += entry.work.ContextTokens
+		return
+	}
+	p.AtReport = addWork(p.AtReport, entry.at(reportedAt))
+}
+
 func (e *engineLedger) dropOld(now time.Time) {
 	old := 0
 	for old < len(e.finished) && now.Sub(e.finished[old].finished) > finishedHorizon {
@@ -156,6 +170,7 @@
 		PromptTokens:  a.PromptTokens + b.PromptTokens,
 		OutputTokens:  a.OutputTokens + b.OutputTokens,
 		ContextTokens: a.ContextTokens + b.ContextTokens,
+		Urgency:       a.Urgency + b.Urgency,
 	}
 }
 
@@ -165,5 +180,6 @@
 		PromptTokens:  a.PromptTokens - b.PromptTokens,
 		OutputTokens:  a.OutputTokens - b.OutputTokens,
 		ContextTokens: a.ContextTokens - b.ContextTokens,
+		Urgency:       a.Urgency - b.Urgency,
 	}
 }
--- a/coordination/routing/rank.go
+++ b/coordination/routing/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 )
 
 // Speeds assumed of an engine that nothing was measured of yet, in tokens per
@@ -22,6 +21,8 @@
 	best Cached
 	// remote is where the prompt would be computed for other engines.
 	remote remotePrefill
+	// urgency is how much a second of this program's time counts.
+	urgency float64
 }
 
 func newRanking(snapshot *Snapshot, request *Request, indexes []int) *ranking {
@@ -31,6 +32,7 @@
 		r.loads[i] = estimateLoad(snapshot, &snapshot.Engines[index])
 	}
 	r.best = bestCached(request)
+	r.urgency = urgency(&snapshot.Weights, request.AttainedTokens)
 	r.remote = r.findRemotePrefill()
 	return r
 }
@@ -43,7 +45,7 @@
 	engine := &r.snapshot.Engines[r.indexes[position]]
 	busy := &r.loads[position]
 	cached := r.request.cachedOn(engine.Name)
-	candidate := Candidate{Engine: engine.Name, CachedTokens: cached, index: r.indexes[position]}
+	candidate := Candidate{Engine: engine.Name, CachedTokens: cached, index: r.indexes[position], urgency: r.urgency}
 	candidate.Decode = decodeTime(engine, r.request.OutputTokens, busy.running+1)
 	candidate.Network = networkCost(&r.snapshot.Weights, r.request, engine)
 	candidate.Eviction = evictionCost(engine, r.request, cached, busy)
@@ -108,7 +110,7 @@
 
 func weightedCost(weights *Weights, candidate *Candidate) float64 {
 	latency := candidate.Queue + candidate.Prefill + candidate.Decode + candidate.Transfer + candidate.Network
-	return weights.Latency*latency +
+	return weights.Latency*candidate.urgency*latency +
 		weights.Interference*candidate.Interference +
 		weights.WastedCache*candidate.WastedCache +
 		weights.Eviction*candidate.Eviction
@@ -139,7 +141,7 @@
 // interference is the time that the running requests lose together: all of them
 // while the prompt is computed, and a little in each step of the answer.
 func interference(engine *EngineState, request *Request, load *load, prefill float64) float64 {
-	return load.running * (prefill + float64(request.OutputTokens)*engine.Step.PerRequest)
+	return load.urgency * (prefill + float64(request.OutputTokens)*engine.Step.PerRequest)
 }
 
 // slotWait is the time until a request that is beyond the engine's batch gets
@@ -157,35 +159,40 @@
 	// requests are running and waiting ones, running the former alone.
 	requests float64
 	running  float64
+	// urgency is the sum of the running requests' urgencies.
+	urgency float64
 	// promptTokens are still to be computed.
 	promptTokens float64
 	// memory is the context memory in use, in tokens.
 	memory uint64
 }
 
-// estimateLoad corrects the reported load by what the engine has computed
-// since and by the own work that the report can't show. It is never less than
-// the own work in flight.
+// estimateLoad adds up the node's own work, which it knows exactly, and that of
+// the others: the reported load without the own part, less what the engine has
+// computed since.
 func estimateLoad(snapshot *Snapshot, engine *EngineState) load {
 	var own PendingWork
 	if snapshot.Pending != nil {
 		own = snapshot.Pending.Pending(engine.Name, engine.ReportedAt)
 	}
-	var estimate load
+	estimate := load{
+		requests:     float64(own.InFlight.Requests),
+		promptTokens: float64(own.InFlight.PromptTokens),
+		memory:       engine.CacheUsed + own.NewContext,
+	}
 	if !engine.ReportedAt.IsZero() {
-		age := max(snapshot.Now.Sub(engine.ReportedAt), time.Duration(0)).Seconds()
-		estimate.promptTokens = reportedPrompt(engine) - age*prefillSpeed(engine)
-		estimate.requests = float64(engine.Running + engine.Waiting)
-	}
-	estimate.promptTokens = max(estimate.promptTokens-float64(own.Finished.PromptTokens), 0)
-	estimate.promptTokens = max(estimate.promptTokens+float64(own.Added.PromptTokens), float64(own.InFlight.PromptTokens))
-	estimate.requests = max(estimate.requests-float64(own.Finished.Requests), 0)
-	estimate.requests = max(estimate.requests+float64(own.Added.Requests), float64(own.InFlight.Requests))
-	estimate.memory = engine.CacheUsed + own.NewContext
+		others := reportedPrompt(engine) - float64(own.AtReport.PromptTokens)
+		estimate.promptTokens += max(others, 0)
+		estimate.requests += float64(max(engine.Running+engine.Waiting-own.AtReport.Requests, 0))
+	}
 	estimate.running = estimate.requests
 	if engine.MaxRunning > 0 {
 		estimate.running = min(estimate.running, float64(engine.MaxRunning))
 	}
+	estimate.urgency = estimate.running
+	if own.InFlight.Requests > 0 {
+		estimate.urgency *= float64(own.InFlight.Urgency) / float64(percent(1)) / float64(own.InFlight.Requests)
+	}
 	return estimate
 }
 
@@ -222,5 +229,5 @@
 		return 0
 	}
 	added := request.PromptTokens() + request.OutputTokens - cached
-	return float64(min(needed-room, added)) / prefillSpeed(engine) * (1 + load.running)
+	return float64(min(needed-room, added)) / prefillSpeed(engine) * (1 + load.urgency)
 }
--- a/coordination/routing/snapshot.go
+++ b/coordination/routing/snapshot.go
@@ -66,23 +66,26 @@
 	OutputTokens uint64
 	// ContextTokens of memory are taken beyond what is cached.
 	ContextTokens uint64
+	// Urgency is the sum of the requests' urgencies in percent; see
+	// Weights.UrgencyTokens.
+	Urgency uint64
 }
 
 // Pending reports a node's own work at an engine. Ledger implements it.
 type Pending interface {
-	// Pending returns the work still on its way, and the change that a load
-	// report measured at the given time can't show yet.
+	// Pending returns the work still on its way, and what of it a load report
+	// measured at the given time shows.
 	Pending(engine string, reportedAt time.Time) PendingWork
 }
 
 // PendingWork is a node's own work at one engine.
 type PendingWork struct {
-	// InFlight is all own work that hasn't finished.
+	// InFlight is all own work that hasn't finished; prompts that have been
+	// computed are left out.
 	InFlight Work
-	// Added was dispatched after the report and hasn't finished.
-	Added Work
-	// Finished was dispatched before the report and finished after it.
-	Finished Work
+	// AtReport is what InFlight was when the report was measured: the part of
+	// the report that is the node's own.
+	AtReport Work
 	// NewContext are the tokens of memory taken by all work that was dispatched
 	// after the report, finished or not.
 	NewContext uint64
@@ -102,6 +105,11 @@
 	// running on the engine. One makes the sum of all latencies least, zero the
 	// call's own.
 	Interference float64
+	// UrgencyTokens makes the time of a program count more the more service its
+	// tree has attained, so that long programs aren't slowed in each of their
+	// calls: an urgency of half at the start that grows by one with each so many
+	// tokens, up to four. Zero counts all alike.
+	UrgencyTokens float64
 	// CrossZone is the cost of serving a call from another zone.
 	CrossZone time.Duration
 	// TransferSpeed is the rate of exporting or importing context in tokens per
@@ -120,9 +128,10 @@
 func LatencyWeights() Weights {
 	return Weights{
 		Latency:       1,
-		WastedCache:   0.25,
+		WastedCache:   2,
 		Eviction:      0.25,
 		Interference:  1,
+		UrgencyTokens: 2000,
 		CrossZone:     2 * time.Millisecond,
 		TransferSetup: 20 * time.Millisecond,
 		Tolerance:     0.02,
@@ -132,8 +141,8 @@
 // CacheWeights suit a deployment that values saved computation most.
 func CacheWeights() Weights {
 	weights := LatencyWeights()
-	weights.WastedCache = 2
 	weights.Eviction = 1
+	weights.UrgencyTokens = 0
 	return weights
 }
 
--- a/coordination/routing/transfer.go
+++ b/coordination/routing/transfer.go
@@ -72,15 +72,17 @@
 			// What is evicted there serves this call only in passing.
 			eviction: evictionCost(engine, r.request, cached, &r.loads[i]),
 		}
-		remote.interference = r.loads[i].running * remote.prefill
-		if cheapest.engine == nil || remote.cost() < cheapest.cost() {
+		remote.interference = r.loads[i].urgency * remote.prefill
+		if cheapest.engine == nil || remote.cost(r.urgency) < cheapest.cost(r.urgency) {
 			cheapest = remote
 		}
 	}
 	return cheapest
 }
 
-func (r *remotePrefill) cost() float64 { return r.queue + r.prefill + r.interference + r.eviction }
+func (r *remotePrefill) cost(urgency float64) float64 {
+	return urgency*(r.queue+r.prefill) + r.interference + r.eviction
+}
 
 // remotely computes the prompt on another engine and brings its context there,
 // so that the prompt doesn't hold up the answers that run there.
--- a/lab/experiment/baseline.go
+++ b/lab/experiment/baseline.go
@@ -99,13 +99,12 @@
 	return best
 }
 
-// outstanding is the number of requests at an engine: the reported ones,
-// corrected by the node's own calls since.
+// outstanding is the number of requests at an engine: the node's own, which it
+// knows, and those of others in the last report.
 func (n *simNode) outstanding(index int) int {
 	state := &n.states[index]
 	own := n.ledger.Pending(state.Name, state.ReportedAt)
-	reported := max(state.Running+state.Waiting-own.Finished.Requests, 0)
-	return max(reported+own.Added.Requests, own.InFlight.Requests)
+	return own.InFlight.Requests + max(state.Running+state.Waiting-own.AtReport.Requests, 0)
 }
 
 // sessionAffinity keeps a program on the engine of its first call, which is the
@@ -114,23 +113,27 @@
 // that one's work ahead.
 type sessionAffinity struct {
 	passive
-	weights []float64
-	engines map[string]int
-	hold    bool
-	// spillFactor was tuned by runs of the experiment, see the design note.
+	weights     []float64
+	engines     map[string]int
 	spillFactor float64
 }
 
-// minSpill is the number of requests up to which an engine never spills.
-const minSpill = 4
+const (
+	// minSpill is the number of requests up to which an engine never spills.
+	minSpill = 4
+	// tunedSpill gave the best latency of the factors tried, from 1.2 to 5, and
+	// without a bound; see docs/design/experiment.md.
+	tunedSpill = 5
+)
 
 func newSessionAffinity(s *simulation) policy {
-	return &sessionAffinity{
-		weights:     capacityWeights(s),
-		engines:     make(map[string]int),
-		hold:        true,
-		spillFactor: 2,
-	}
+	return &sessionAffinity{weights: capacityWeights(s), engines: make(map[string]int), spillFactor: tunedSpill}
+}
+
+// newStrictAffinity makes an affinity that moves no program whose engine can be
+// used.
+func newStrictAffinity(s *simulation) policy {
+	return &sessionAffinity{weights: capacityWeights(s), engines: make(map[string]int), spillFactor: math.Inf(1)}
 }
 
 func (p *sessionAffinity) choose(_ *simulation, n *simNode, c *call) choice {
@@ -143,7 +146,7 @@
 		chosen = least
 		p.engines[c.program.id] = chosen
 	}
-	return choice{engine: chosen, source: noEngine, hold: p.hold, work: fullWork(c)}
+	return choice{engine: chosen, source: noEngine, hold: true, work: fullWork(c)}
 }
 
 func (p *sessionAffinity) spills(n *simNode, own, least int) bool {
--- a/lab/experiment/policies.go
+++ b/lab/experiment/policies.go
@@ -14,12 +14,15 @@
 	RoundRobin       = "round-robin"
 	LeastOutstanding = "least-outstanding"
 	SessionAffinity  = "session-affinity"
+	StrictAffinity   = "strict-affinity"
 )
 
 // PolicyNames lists the policies, baselines first.
 func PolicyNames() []string { return append(baselineNames(), Marblering) }
 
-func baselineNames() []string { return []string{SessionAffinity, LeastOutstanding, RoundRobin} }
+func baselineNames() []string {
+	return []string{SessionAffinity, StrictAffinity, LeastOutstanding, RoundRobin}
+}
 
 // namedPolicy makes a policy for a simulation.
 type namedPolicy struct {
@@ -37,6 +40,8 @@
 		return namedPolicy{name, newLeastOutstanding}, nil
 	case SessionAffinity:
 		return namedPolicy{name, newSessionAffinity}, nil
+	case StrictAffinity:
+		return namedPolicy{name, newStrictAffinity}, nil
 	}
 	return namedPolicy{}, merry.Errorf("policy %q is unknown: known are %s", name, strings.Join(PolicyNames(), ", "))
 }
