--- a/lab/experiment/node.go
+++ b/lab/experiment/node.go
@@ -79,12 +79,14 @@
 	n.reachable[e.index] = true
 	load := e.core.Load(n.simulation.schedule.now)
 	e.touch()
-	n.states[e.index] = n.engineState(e, load)
+	n.states[e.index] = n.engineState(e, load, &n.states[e.index])
 	n.readEvents(e)
 }
 
-func (n *simNode) engineState(e *simEngine, load engine.Load) routing.EngineState {
-	return routing.EngineState{
+// engineState takes in a report. Where an admission point has told of a later
+// load than the report's, that stands.
+func (n *simNode) engineState(e *simEngine, load engine.Load, earlier *routing.EngineState) routing.EngineState {
+	state := routing.EngineState{
 		Name:              e.spec.Name,
 		Zone:              e.spec.Zone,
 		Generation:        e.spec.Generation.Name,
@@ -100,6 +102,13 @@
 		CacheLimit:        uint64(load.CacheLimitTokens),
 		CacheUsed:         uint64(load.CacheUsedTokens),
 	}
+	if earlier.ReportedAt.After(state.ReportedAt) {
+		state.OutstandingTokens = earlier.OutstandingTokens
+		state.Running = earlier.Running
+		state.Waiting = earlier.Waiting
+		state.ReportedAt = earlier.ReportedAt
+	}
+	return state
 }
 
 var modelList = []string{modelName}
--- a/lab/experiment/simulation.go
+++ b/lab/experiment/simulation.go
@@ -27,6 +27,7 @@
 	failedOver  bool
 	lastAttempt uint64
 	transfers   map[uint64]*attempt
+	admission   *limit.Admission
 }
 
 // epoch is the wall time of the simulation's start. Decision packages want
@@ -58,6 +59,7 @@
 		workload:   t.workload,
 		limits:     limit.ProgramLimits{Idle: t.workload.idle, Turns: turnLimit},
 		transfers:  make(map[uint64]*attempt),
+		admission:  limit.NewAdmission(reservationLifetime),
 	}
 	s.report = newRecorder(t)
 	for i, spec := range t.deployment.Engines {
