Revert "Try: refresh loads from admission points before a call is sent"

Change: back to deciding on the node's own books and the lagging reports. Conclusion: admission points stay what they are: they refuse in one trip.

--- a/coordination/routing/rank.go
+++ b/coordination/routing/rank.go
@@ -196,13 +196,6 @@
 	return estimate
 }
 
-// ExpectedPrompt is the time in seconds until an engine has computed the
-// prompts it has in hand, as a decision on the snapshot would estimate it.
-func ExpectedPrompt(snapshot *Snapshot, engine *EngineState) float64 {
-	estimate := estimateLoad(snapshot, engine)
-	return estimate.promptTokens / prefillSpeed(engine)
-}
-
 // typicalOutputLeft is what a request in hand has still to produce on average,
 // in tokens: engines report prompt and output in one sum.
 const typicalOutputLeft = 60
--- a/coordination/routing/snapshot.go
+++ b/coordination/routing/snapshot.go
@@ -59,17 +59,6 @@
 	CacheUsed  uint64
 }
 
-// Refresh takes in what the engine's admission point counted at an instant,
-// which is newer and more exact than the engine's own report: the prompt tokens
-// still to be computed. Requests is the number that the node believes to be
-// there.
-func (e *EngineState) Refresh(promptTokens uint64, requests int, at time.Time) {
-	e.OutstandingTokens = promptTokens + uint64(typicalOutputLeft*requests)
-	e.Running = requests
-	e.Waiting = 0
-	e.ReportedAt = at
-}
-
 // Work is an amount of computing that an engine was given.
 type Work struct {
 	Requests     int
--- a/lab/experiment/call.go
+++ b/lab/experiment/call.go
@@ -21,9 +21,7 @@
 	tried   []string
 	current *attempt
 	retries int
-	// asked counts the admission points asked since the last sending.
-	asked int
-	done  bool
+	done    bool
 }
 
 // attempt is a call at an engine.
@@ -83,10 +81,6 @@
 		s.comeBack(c, max(chosen.retryAfter, time.Millisecond))
 		return
 	}
-	if p, asks := s.policy.(admitter); asks {
-		s.admit(p, c, node, chosen)
-		return
-	}
 	s.send(c, node, chosen)
 }
 
@@ -223,15 +217,6 @@
 func (s *simulation) close(a *attempt) {
 	a.over = true
 	a.node.ledger.Release(a.engine.spec.Name, a.name(), s.wall(s.schedule.now))
-	s.unreserve(a)
-}
-
-// unreserve gives back the room at the admission point.
-func (s *simulation) unreserve(a *attempt) {
-	if a.choice.reserved != "" {
-		s.admission.Release(a.choice.reservedAt, a.choice.reserved)
-		a.choice.reserved = ""
-	}
 }
 
 // reply carries an engine's event to the node.
@@ -256,7 +241,6 @@
 			s.close(a)
 			s.prepared(a, false)
 		case a.prepare != nil:
-			s.unreserve(a.prepare)
 			a.node.ledger.Prefilled(a.engine.spec.Name, a.name(), s.wall(s.schedule.now))
 		case event.Kind == engine.FirstToken:
 			s.firstToken(a, event.Usage)
@@ -268,7 +252,6 @@
 
 func (s *simulation) firstToken(a *attempt, usage engine.Usage) {
 	a.firstToken = s.schedule.now
-	s.unreserve(a)
 	a.beside = a.node.outstanding(a.engine.index)
 	a.node.ledger.Prefilled(a.engine.spec.Name, a.name(), s.wall(s.schedule.now))
 	ideal := a.engine.prefillSeconds(usage.PromptTokens - usage.CachedTokens)
--- a/lab/experiment/marblering.go
+++ b/lab/experiment/marblering.go
@@ -1,7 +1,6 @@
 package experiment
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/marblering/marblering/coordination/limit"
@@ -140,40 +139,6 @@
 	s.releaseAll(a.call.program, a.engine.index)
 }
 
-// reservation asks for room where the prompt is computed.
-func (p *marblering) reservation(s *simulation, c *call, chosen *choice) (int, limit.Reservation) {
-	index := chosen.engine
-	work := chosen.work
-	if chosen.prefill {
-		index = chosen.source
-		work = chosen.prefillWork
-	}
-	s.lastAttempt++
-	return index, limit.Reservation{
-		Engine:       s.engines[index].spec.Name,
-		RequestID:    strconv.FormatUint(s.lastAttempt, 10),
-		PromptTokens: work.PromptTokens,
-	}
-}
-
-// staleSeconds is the wait beyond what the node believed that makes it decide
-// again.
-const staleSeconds = 0.25
-
-// admitted refreshes the node's view of the engine. Where more is ahead than
-// the node believed, it decides again.
-func (p *marblering) admitted(s *simulation, n *simNode, c *call, index int, verdict limit.Verdict) bool {
-	state := &n.states[index]
-	believed := routing.ExpectedPrompt(&routing.Snapshot{Now: s.wall(s.schedule.now), Pending: n.ledger}, state)
-	state.Refresh(verdict.OutstandingTokens, n.outstanding(index), s.wall(s.schedule.now))
-	now := routing.ExpectedPrompt(&routing.Snapshot{Now: s.wall(s.schedule.now), Pending: n.ledger}, state)
-	if !verdict.Admitted {
-		c.tried = append(c.tried, state.Name)
-		return true
-	}
-	return now-believed > staleSeconds
-}
-
 func (p *marblering) failed(s *simulation, a *attempt) {}
 
 func (p *marblering) paused(*simulation, *program) {}
--- a/lab/experiment/node.go
+++ b/lab/experiment/node.go
@@ -79,14 +79,12 @@
 	n.reachable[e.index] = true
 	load := e.core.Load(n.simulation.schedule.now)
 	e.touch()
-	n.states[e.index] = n.engineState(e, load, &n.states[e.index])
+	n.states[e.index] = n.engineState(e, load)
 	n.readEvents(e)
 }
 
-// engineState takes in a report. Where an admission point has told of a later
-// load than the report's, that stands.
-func (n *simNode) engineState(e *simEngine, load engine.Load, earlier *routing.EngineState) routing.EngineState {
-	state := routing.EngineState{
+func (n *simNode) engineState(e *simEngine, load engine.Load) routing.EngineState {
+	return routing.EngineState{
 		Name:              e.spec.Name,
 		Zone:              e.spec.Zone,
 		Generation:        e.spec.Generation.Name,
@@ -102,13 +100,6 @@
 		CacheLimit:        uint64(load.CacheLimitTokens),
 		CacheUsed:         uint64(load.CacheUsedTokens),
 	}
-	if earlier.ReportedAt.After(state.ReportedAt) {
-		state.OutstandingTokens = earlier.OutstandingTokens
-		state.Running = earlier.Running
-		state.Waiting = earlier.Waiting
-		state.ReportedAt = earlier.ReportedAt
-	}
-	return state
 }
 
 var modelList = []string{modelName}
--- a/lab/experiment/policy.go
+++ b/lab/experiment/policy.go
@@ -22,10 +22,6 @@
 	// is booked as well.
 	prefill     bool
 	prefillWork routing.Work
-	// reserved is the request id of the reservation at the admission point of
-	// the engine reservedAt; empty for none.
-	reserved   string
-	reservedAt string
 	// work is booked in the node's ledger until the call ends.
 	work     routing.Work
 	expected time.Duration
--- a/lab/experiment/simulation.go
+++ b/lab/experiment/simulation.go
@@ -27,7 +27,6 @@
 	failedOver  bool
 	lastAttempt uint64
 	transfers   map[uint64]*attempt
-	admission   *limit.Admission
 }
 
 // epoch is the wall time of the simulation's start. Decision packages want
@@ -59,7 +58,6 @@
 		workload:   t.workload,
 		limits:     limit.ProgramLimits{Idle: t.workload.idle, Turns: turnLimit},
 		transfers:  make(map[uint64]*attempt),
-		admission:  limit.NewAdmission(reservationLifetime),
 	}
 	s.report = newRecorder(t)
 	for i, spec := range t.deployment.Engines {
