End a scale run whose nodes would take more than half the memory

Cause: the run of 350 nodes with 3,150 engines and 3,300 tenants grew to 3.1 and 2.5 GB in its first two processes, so that the whole would have taken more than the machine may give. Change: after each process the resident memory is scaled to all nodes and the point refused. Conclusion: 350 nodes at that configuration can't be run here.

--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -134,6 +134,9 @@
 			return groups, err
 		}
 		groups = append(groups, started)
+		if err := checkMemory(groups, options.Nodes); err != nil {
+			return groups, err
+		}
 		if len(seeds) == 0 {
 			seeds = peers[:min(maxSeeds, len(peers))]
 		}
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -113,6 +113,14 @@
 	}
 }
 
+func TestResidentMemory(t *testing.T) {
+	assert.NilError(t, checkResident(1000, 10, 80, 16000))
+	assert.ErrorContains(t, checkResident(1000, 10, 81, 16000), "more than half")
+	machine, err := machineMemory()
+	assert.NilError(t, err)
+	assert.Assert(t, machine > 0)
+}
+
 func TestFit(t *testing.T) {
 	line := fitLine([]float64{0, 1, 2, 3}, []float64{1, 3, 5, 7})
 	assert.Equal(t, line, Fit{Intercept: 1, Slope: 2})
