Measure what programs keep in memory

Cause: the slope of memory a copy of a record came out of resident memory at a loaded machine and was far too uncertain. Change: marblering-lab measure records: live heap after collections, stand-in engines included, so an upper bound.

--- a/cmd/marblering-lab/measure.go
+++ b/cmd/marblering-lab/measure.go
@@ -17,7 +17,7 @@
 		Args:  noArguments,
 		RunE:  showHelp,
 	}
-	group.AddCommand(newMeasureTurnsCommand(), newMeasurePathCommand(), newMeasureRepairCommand())
+	group.AddCommand(newMeasureTurnsCommand(), newMeasurePathCommand(), newMeasureRepairCommand(), newMeasureRecordsCommand())
 	return group
 }
 
@@ -110,3 +110,20 @@
 	command.Flags().IntSliceVar(&turns, "turns", []int{1, 10}, "turns of each program, one point each")
 	return command
 }
+
+func newMeasureRecordsCommand() *cobra.Command {
+	var options measure.RecordOptions
+	command := &cobra.Command{
+		Use:   "records",
+		Short: "Measure the memory that programs keep at the nodes",
+		Args:  noArguments,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return measure.Records(command.Context(), command.OutOrStdout(), options)
+		},
+	}
+	flags := command.Flags()
+	flags.IntVar(&options.Programs, "programs", 600, "programs that are kept open")
+	flags.IntVar(&options.Turns, "turns", 1, "turns of each program")
+	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the engines")
+	return command
+}
