Take a broken stream up again at its engine

Cause: a connection that broke in the middle of an answer lost the attempt: it was charged in full and run again, or ended as unknown where it must not be. Ruled out: a second run; resuming reads what the engine generates anyway. Change: the node resumes a truncated stream, twice at most, before it gives the attempt up. Conclusion: broken connections cost neither budget nor a call that must not be repeated.

--- a/node/engine.go
+++ b/node/engine.go
@@ -44,6 +44,10 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(e.silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
+	passOn := func(text string) error {
+		watchdog.Reset(e.silence)
+		return onText(text)
+	}
 	completion, err := e.client.Complete(ctx, address, engineapi.Request{
 		RequestID: request.RequestID,
 		Model:     request.Model,
@@ -52,10 +56,8 @@
 		MaxTokens: request.OutputTokens,
 		Hold:      request.Hold,
 		Priority:  uint32(request.Priority),
-	}, func(text string) error {
-		watchdog.Reset(e.silence)
-		return onText(text)
-	})
+	}, passOn)
+	completion, err = e.resume(ctx, address, completion, err, passOn)
 	if err != nil {
 		failure := engineError(err)
 		e.instruments.attempts.WithLabelValues(attemptOutcome(failure)).Inc()
@@ -73,6 +75,34 @@
 	}, nil
 }
 
+// maxResumes bounds how often a broken stream is taken up again.
+const maxResumes = 2
+
+// resume takes a stream up again whose connection broke: the engine goes on
+// generating, so that nothing is run or paid for twice, also where the call must
+// not be repeated.
+func (e engines) resume(ctx context.Context, address string, partial engineapi.Completion, err error, onText func(string) error) (engineapi.Completion, error) {
+	for range maxResumes {
+		if !isBroken(err) || ctx.Err() != nil {
+			return partial, err
+		}
+		var rest engineapi.Completion
+		rest, err = e.client.Resume(ctx, address, partial.ID, partial.Chunks, onText)
+		rest.ID = partial.ID
+		rest.Content = partial.Content + rest.Content
+		rest.Chunks = max(rest.Chunks, partial.Chunks)
+		partial = rest
+	}
+	return partial, err
+}
+
+// isBroken reports whether the stream ended before its end although the engine
+// may be at work on the request.
+func isBroken(err error) bool {
+	var failure *engineapi.Error
+	return errors.As(err, &failure) && failure.Kind == engineapi.Truncated
+}
+
 // engineError keeps what matters for the next attempt. An error of an unknown
 // type counts as dispatched: the engine may have run the request.
 func engineError(err error) error {
--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -136,6 +136,8 @@
 		told := s.settle(patient(t), 0, r)
 		assert.Equal(t, told.code(), result.NoEngine, "%s", told)
 		control(t, s.engines[0].address+"/v1/orders", map[string]any{"fence": 1001, "action": "undrain"})
+		// Once the engine serves again, the refused key still doesn't run.
+		s.answered(t, 1, request{program: s.createProgram(t, 1, 100000), key: "k", text: "x"})
 		again := s.settle(patient(t), 1, r)
 		assert.Equal(t, again.code(), result.NoEngine, "%s", again)
 		assert.Equal(t, len(s.attempts(t, r.program)), 0)
