Don't call a request not run whose earlier attempt may have run

Cause: the code of a call that was given up looked at its last attempt only. An attempt that broke off at one engine, followed by refusals of the others, was told as no_engine, "not run"; so was, as history_unavailable, a call taken over from a lost node whose history couldn't be read. A caller who then sent it again under a new key, as told, had it run twice. Ruled out: deriving it from the attempt's number. An attempt that an engine refused before it ran also counts. Change: a call under way keeps whether any of its attempts, here or at a lost executor, may have reached an engine, and says engine_failed then. Conclusion: TestEarlierAttemptThatRanIsNotForgotten and TestHistoryLostAfterAnAttemptRan fail without the change, with "not run", and pass with it.

--- a/coordination/execution/call.go
+++ b/coordination/execution/call.go
@@ -22,6 +22,9 @@
 	// newTokens bounds the tokens of the new messages from above.
 	newTokens uint64
 	excluded  []string
+	// ran is set once an attempt of the call, here or at a lost executor, may
+	// have reached an engine.
+	ran bool
 	// leave gives back the room that the tenant's limits granted; nil before.
 	leave func()
 }
--- a/coordination/execution/call_test.go
+++ b/coordination/execution/call_test.go
@@ -178,6 +178,39 @@
 	assert.Equal(t, len(f.engines.seen()), 2)
 }
 
+// TestEarlierAttemptThatRanIsNotForgotten breaks the first attempt off at its
+// engine and has the other engines refuse the call before they run it.
+func TestEarlierAttemptThatRanIsNotForgotten(t *testing.T) {
+	f := newFleetOfExecutors("node-1")
+	id := f.program(t, 10000)
+	first := true
+	f.engines.before = func(string, execution.EngineRequest, func(string) error) error {
+		dispatched := first
+		first = false
+		return &execution.EngineError{Dispatched: dispatched, Cause: errBroken}
+	}
+	for range 2 {
+		_, err := f.nodes["node-1"].Call(t.Context(), callOf(id, "key"), &textSink{})
+		assert.Equal(t, codeOf(t, err).Info().Execution, result.Run, "%v", err)
+	}
+	assert.Equal(t, len(f.engines.seen()), 3)
+}
+
+// TestHistoryLostAfterAnAttemptRan takes a call over whose first attempt ran,
+// and finds too few replicas of its history.
+func TestHistoryLostAfterAnAttemptRan(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	id := f.program(t, 10000)
+	frozen, thaw := freeze(t, f, callOf(id, "key"))
+	f.gone.Store("node-1", true)
+	f.turns.fault = errBroken
+	_, err := f.nodes["node-2"].Call(t.Context(), callOf(id, "key"), &textSink{})
+	assert.Equal(t, codeOf(t, err).Info().Execution, result.Run, "%v", err)
+	f.turns.fault = nil
+	close(thaw)
+	assert.Equal(t, codeOf(t, (<-frozen).err).Info().Execution, result.Run)
+}
+
 func TestNoQuorumIsNotRun(t *testing.T) {
 	f := newFleetOfExecutors("node-1")
 	id := f.program(t, 10000)
--- a/coordination/execution/fake_test.go
+++ b/coordination/execution/fake_test.go
@@ -79,6 +79,8 @@
 type memoryTurns struct {
 	mutex sync.Mutex
 	turns map[history.Digest]*statev1.Turn
+	// fault is what reading a chain fails with; nil for nothing.
+	fault error
 }
 
 func (m *memoryTurns) Put(_ context.Context, turn *statev1.Turn) ([]byte, error) {
@@ -100,6 +102,9 @@
 }
 
 func (m *memoryTurns) Chain(ctx context.Context, id string, head []byte) (*history.Chain, error) {
+	if m.fault != nil {
+		return nil, m.fault
+	}
 	var turns []*statev1.Turn
 	for digest := head; len(digest) > 0; {
 		turn, err := m.Turn(ctx, id, 0, digest)
--- a/coordination/execution/perform.go
+++ b/coordination/execution/perform.go
@@ -30,7 +30,9 @@
 		return Answer{}, false, nil
 	}
 	if admitted.GetEngine() != choice.Engine {
-		// An earlier try of ours was stored after all, with another engine.
+		// An earlier try of ours was stored after all, with another engine. What
+		// became of the attempts before it isn't known here.
+		current.ran = current.ran || admitted.GetAttempt() > 1
 		release(choice, current, errNotAdmitted)
 		return e.replaceAndPerform(ctx, current, admitted, &EngineError{Cause: errNotAdmitted})
 	}
@@ -52,7 +54,7 @@
 	chain, err := e.Turns.Chain(ctx, target.GetId(), target.GetChainHead())
 	if err != nil {
 		release(choice, current, err)
-		answer, err = e.giveUp(ctx, current, admitted, result.HistoryUnavailable, false, err)
+		answer, err = e.giveUp(ctx, current, admitted, current.notRun(result.HistoryUnavailable), false, err)
 		return answer, true, err
 	}
 	start := Start{
@@ -157,6 +159,7 @@
 // engine, or ends the call.
 func (e *Executor) replaceAndPerform(ctx context.Context, current *call, failed *statev1.Call, cause error) (Answer, bool, error) {
 	lost := wasDispatched(cause)
+	current.ran = current.ran || lost
 	if !errors.Is(cause, errExecutorLost) {
 		current.excluded = append(current.excluded, failed.GetEngine())
 	}
@@ -170,7 +173,7 @@
 	}
 	choice, err := e.choose(ctx, current, tree)
 	if err != nil {
-		answer, err := e.giveUp(ctx, current, failed, exhaustedCode(lost), lost, cause)
+		answer, err := e.giveUp(ctx, current, failed, current.notRun(result.NoEngine), lost, cause)
 		return answer, true, err
 	}
 	next, tree, begun, err := e.replace(ctx, current, failed, choice, lost)
@@ -196,12 +199,13 @@
 	return e.Limiter.Retry(current.request.Tenant)
 }
 
-// exhaustedCode is how a call ends where no other engine can be had.
-func exhaustedCode(lost bool) result.Code {
-	if lost {
+// notRun returns the code, which says that the call was not run, or that the
+// engines failed it where an earlier attempt may have run.
+func (c *call) notRun(code result.Code) result.Code {
+	if c.ran {
 		return result.EngineFailed
 	}
-	return result.NoEngine
+	return code
 }
 
 func wasDispatched(cause error) bool {
