Refuse before any dispatch in the test of refused keys

Cause: with the recording of refusals switched off the test still passed: its call had been dispatched, declined by the leaving engine and failed. Change: an earlier call finds the engine leaving. Conclusion: to be seen failing with refusals not recorded.

--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -132,6 +132,8 @@
 	}
 	t.Run("no engine", func(t *testing.T) {
 		control(t, s.engines[0].address+"/v1/orders", map[string]any{"fence": 1000, "action": "drain"})
+		// The first call finds out; the second is refused before any dispatch.
+		s.settle(patient(t), 0, request{program: s.createProgram(t, 0, 100000), key: "k", text: "x"})
 		r := request{program: s.createProgram(t, 0, 100000), key: "k", text: "x"}
 		told := s.settle(patient(t), 0, r)
 		assert.Equal(t, told.code(), result.NoEngine, "%s", told)
