Have new members of a replica set learn the sealed set's configuration

Cause: a member that joined a set knew only the configuration it happened to have; with it a majority could grant changes decided under an older version than one that the former set's majority had accepted. Found by reading. Ruled out: members that catch up later, which are a minority like any that lags. Change: a node answers an install only after a majority of the former members has told it what they know. The hazard itself wasn't reproduced and has no test yet. Conclusion: the digest of shard epochs in the answer to an installation is still missing.

--- a/node/node.go
+++ b/node/node.go
@@ -200,7 +200,7 @@
 		BodyLimit: int64(n.settings.RequestSizeLimit),
 		Observer:  callerMetrics,
 	})
-	peerMux.set(peer.NewHandler(n.replica, n.installer, &peerNode{
+	peerMux.set(peer.NewHandler(n.replica, n.configuredInstaller(peers), &peerNode{
 		identity:   n.identity,
 		membership: n.membership,
 		executor:   n.executor,
