List turns without their objects, and test what the copies rest on

Cause: while a shard is sealed its new members listed all turns by reading their objects; with 2,000 records of 8 turns that took most of the sealed time. Ruled out: skipping the listing after the copy ahead, as turns go on arriving until the seal. Change: stores may list turns by name (TurnLister), both do; installations wait for 256 writes at a time, as many as one transaction takes. Tests: a value that a minority accepted isn't read as decided after it was copied; a sealed member grants nothing. A change whose beginning view a replica doesn't know is left to those that do.

--- /dev/null
+++ b/coordination/shard/inherit_test.go
@@ -0,0 +1,130 @@
+package shard_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/state/replica"
+)
+
+// partialLink reaches only some nodes.
+type partialLink struct {
+	link
+	reached map[string]bool
+}
+
+func (l partialLink) Prepare(ctx context.Context, to register.Member, request register.PrepareRequest) (register.PrepareReply, error) {
+	if !l.reached[to.Node] {
+		return register.PrepareReply{}, errLost
+	}
+	return l.link.Prepare(ctx, to, request)
+}
+
+func (l partialLink) Accept(ctx context.Context, to register.Member, request register.AcceptRequest) (register.AcceptReply, error) {
+	if !l.reached[to.Node] {
+		return register.AcceptReply{}, errLost
+	}
+	return l.link.Accept(ctx, to, request)
+}
+
+func (l partialLink) Pull(ctx context.Context, to register.Member, request shard.PullRequest, visit func(shard.PullItem) error) (archive.Reply, error) {
+	if !l.reached[to.Node] {
+		return archive.Reply{}, errLost
+	}
+	return l.link.Pull(ctx, to, request, visit)
+}
+
+// TestCopiedValueIsDecidedAnew has two new members copy a value that only a
+// minority of the old ones accepted, and the third a later one that isn't based
+// on it. What a reader of the first two is told must be in what a reader of the
+// others is told afterwards.
+func TestCopiedValueIsDecidedAnew(t *testing.T) {
+	ctx := context.Background()
+	n := newNetwork(1)
+	n.instant = true
+	low, high := replica.Ballot{Counter: 1, Proposer: "p"}, replica.Ballot{Counter: 2, Proposer: "q"}
+	states := []replica.Register{
+		{Promised: low, Accepted: low, Value: []byte("first ")},
+		{Promised: high},
+		{Promised: high, Accepted: high, Value: []byte("second ")},
+	}
+	first, second := register.View{Epoch: shard.FirstEpoch}, register.View{Epoch: shard.FirstEpoch + 1}
+	for index, state := range states {
+		p := n.start(nodeName(index), "zone", nil)
+		assert.NilError(t, p.store.SaveRegister(0, "program", state))
+		first.Members = append(first.Members, p.member)
+		second.Members = append(second.Members, n.start(nodeName(index+3), "zone", nil).member)
+	}
+	for _, member := range first.Members {
+		p := n.process(member.Node)
+		p.views.Learn(first)
+		fence := register.Fence{Epoch: first.Epoch, Replica: member.Incarnation}
+		assert.Equal(t, p.replica.Seal(ctx, shard.SealRequest{Fence: fence, Successor: second}).Refusal, register.RefusalNone)
+	}
+	sources := [][]int{{0, 1}, {0, 1}, {1, 2}}
+	for index, member := range second.Members {
+		p := n.process(member.Node)
+		installer := shard.NewInstaller(p.replica, reaching(n, sources[index]...), zap.NewNop())
+		reply := installer.Install(ctx, shard.InstallRequest{Previous: first, Successor: second})
+		assert.Equal(t, reply.Refusal, register.RefusalNone)
+		assert.Equal(t, p.replica.Open(ctx, shard.OpenRequest{View: second}).Refusal, register.RefusalNone)
+	}
+	before := readThrough(t, second, reaching(n, 3, 4))
+	after := readThrough(t, second, reaching(n, 3, 5))
+	assert.Equal(t, before, after)
+}
+
+func reaching(n *network, nodes ...int) partialLink {
+	reached := make(map[string]bool)
+	for _, node := range nodes {
+		reached[nodeName(node)] = true
+	}
+	return partialLink{link{n, "client"}, reached}
+}
+
+func readThrough(t *testing.T, view register.View, members partialLink) string {
+	t.Helper()
+	views := shard.NewMap(1)
+	views.Learn(view)
+	random := rand.New(rand.NewPCG(1, 1))
+	client := register.NewClient("reader", members, clientViews{views}, register.SystemClock{}, random, register.DefaultSettings())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	value, err := client.Read(ctx, 0, "program")
+	assert.NilError(t, err)
+	return string(value)
+}
+
+// TestSealEndsVotesAndTurns demands that a sealed member grants nothing of the
+// epoch and names the successor only to whoever decides about it.
+func TestSealEndsVotesAndTurns(t *testing.T) {
+	ctx := context.Background()
+	n := newNetwork(1)
+	p := n.start("n0", "zone", nil)
+	first := register.View{Epoch: shard.FirstEpoch, Members: []register.Member{p.member}}
+	next := register.View{Epoch: first.Epoch + 1, Members: []register.Member{p.member}}
+	p.views.Learn(first)
+	fence := register.Fence{Epoch: first.Epoch, Replica: p.member.Incarnation}
+	pull := shard.PullRequest{Fence: fence}
+	reply, err := p.replica.Pull(ctx, pull, func(shard.PullItem) error { return errors.New("nothing to send") })
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Refusal, register.RefusalNotReady, "copied before the seal")
+	assert.Equal(t, p.replica.PutTurn(ctx, fence, replica.Turn{Program: "a"}).Refusal, register.RefusalNone)
+	assert.Equal(t, p.replica.Seal(ctx, shard.SealRequest{Fence: fence, Successor: next}).Refusal, register.RefusalNone)
+	prepare := register.PrepareRequest{Fence: fence, Key: "a", Ballot: replica.Ballot{Counter: 1, Proposer: "p"}}
+	assert.Equal(t, p.replica.Prepare(ctx, prepare).Refusal, register.RefusalSealed)
+	assert.Equal(t, p.replica.PutTurn(ctx, fence, replica.Turn{Program: "a"}).Refusal, register.RefusalSealed)
+	prepare.Key = "!successor-1"
+	told := p.replica.Prepare(ctx, prepare)
+	assert.Equal(t, told.Refusal, register.RefusalSealed)
+	assert.DeepEqual(t, told.View, &next)
+}
--- a/coordination/shard/installer.go
+++ b/coordination/shard/installer.go
@@ -17,7 +17,7 @@
 const (
 	// parallelWrites limits the writes of one installation that wait for the
 	// medium; a disk store syncs those that wait together.
-	parallelWrites = 64
+	parallelWrites = 256
 	// wantedTurns limits the turns that one request asks for.
 	wantedTurns = 128
 )
@@ -165,7 +165,7 @@
 	for _, from := range listings {
 		maps.Copy(missing, from.turns)
 	}
-	err := r.store.EachTurn(shard, func(turn replica.Turn) error {
+	err := r.eachTurnName(shard, func(turn replica.Turn) error {
 		delete(missing, referenceOf(turn))
 		return nil
 	})
--- a/coordination/shard/network_test.go
+++ b/coordination/shard/network_test.go
@@ -22,7 +22,7 @@
 // process is one life of a node.
 type process struct {
 	member    register.Member
-	store     *replica.Memory
+	store     replica.Store
 	views     *shard.Map
 	replica   *shard.Replica
 	installer *shard.Installer
@@ -36,6 +36,12 @@
 type network struct {
 	mutex  sync.Mutex
 	random *rand.Rand
+	// instant leaves out the time that messages take.
+	instant bool
+	// sealedAt is when the first member was sealed, openedAt when the first was
+	// opened; pulledBytes counts the payload of all pulls.
+	sealedAt, openedAt time.Time
+	pulledBytes        int
 	// trouble is the share of the messages that are lost.
 	trouble   float64
 	processes map[string]*process
@@ -120,6 +126,9 @@
 
 // travel takes the time of one message, and longer while a node is frozen.
 func (n *network) travel(ctx context.Context, nodes ...string) error {
+	if n.instant {
+		return ctx.Err()
+	}
 	n.mutex.Lock()
 	delay := time.Duration(1+n.random.IntN(20_000)) * time.Microsecond
 	isLost := n.random.Float64() < n.trouble
@@ -183,6 +192,7 @@
 }
 
 func (l link) Seal(ctx context.Context, to register.Member, request shard.SealRequest) (archive.Reply, error) {
+	l.network.note(&l.network.sealedAt)
 	return call(ctx, l, to, func(ctx context.Context, p *process) archive.Reply { return p.replica.Seal(ctx, request) })
 }
 
@@ -191,9 +201,32 @@
 }
 
 func (l link) Open(ctx context.Context, to register.Member, request shard.OpenRequest) (archive.Reply, error) {
+	l.network.note(&l.network.openedAt)
 	return call(ctx, l, to, func(ctx context.Context, p *process) archive.Reply { return p.replica.Open(ctx, request) })
 }
 
+// note sets the time if it hasn't been set.
+func (n *network) note(moment *time.Time) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if moment.IsZero() {
+		*moment = time.Now()
+	}
+}
+
+func (n *network) count(items []shard.PullItem) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, item := range items {
+		if item.Register != nil {
+			n.pulledBytes += len(item.Register.Key) + len(item.Register.State.Value)
+		}
+		if item.Turn != nil {
+			n.pulledBytes += len(item.Turn.Program) + len(item.Turn.Digest) + len(item.Turn.Object)
+		}
+	}
+}
+
 // pullResult is everything that one pull sent.
 type pullResult struct {
 	reply archive.Reply
@@ -212,6 +245,7 @@
 	if err = errors.Join(err, result.err); err != nil {
 		return archive.Reply{}, err
 	}
+	l.network.count(result.items)
 	for _, item := range result.items {
 		if err := visit(item); err != nil {
 			return archive.Reply{}, err
--- a/coordination/shard/transition.go
+++ b/coordination/shard/transition.go
@@ -105,12 +105,15 @@
 			return archive.Reply{}, err
 		}
 	}
-	return archive.Reply{}, r.store.EachTurn(shard, func(turn replica.Turn) error {
-		if request.OmitObjects {
-			turn.Object = nil
-		}
-		return visit(PullItem{Turn: &turn})
-	})
+	each := r.store.EachTurn
+	if request.OmitObjects {
+		each = r.eachTurnName
+	}
+	return archive.Reply{}, each(shard, func(turn replica.Turn) error { return visit(PullItem{Turn: &turn}) })
+}
+
+func (r *Replica) eachTurnName(shard uint32, visit func(replica.Turn) error) error {
+	return replica.EachTurnName(r.store, shard, visit)
 }
 
 func (r *Replica) pullRegisters(shard uint32, visit func(PullItem) error) error {
@@ -170,6 +173,10 @@
 		}
 		current := p.state
 		p.mutex.RUnlock()
+		if current.Opened.Epoch == 0 {
+			// Others know which view is to be followed.
+			continue
+		}
 		hasEnded := current.Opened.Epoch < current.View.Epoch
 		if hasEnded || r.isChangeProposed(shard, current.View.Epoch) {
 			unfinished = append(unfinished, current.Opened)
--- a/state/replica/store_test.go
+++ b/state/replica/store_test.go
@@ -43,7 +43,11 @@
 			list("each turn ", shard, turn.Program, turn.Sequence, turn.Digest, xxhash.Sum64(turn.Object))
 			return nil
 		})
-		if err := errors.Join(registersErr, turnsErr); err != nil {
+		namesErr := EachTurnName(store, shard, func(turn Turn) error {
+			list("each name ", shard, turn.Program, turn.Sequence, turn.Digest, turn.Object == nil)
+			return nil
+		})
+		if err := errors.Join(registersErr, turnsErr, namesErr); err != nil {
 			return nil, err
 		}
 	}
--- a/state/replica/turns.go
+++ b/state/replica/turns.go
@@ -17,21 +17,24 @@
 	if err := checkName(program); err != nil {
 		return err
 	}
-	return d.eachTurn(programPrefix(shard, program), turnStart(shard, program, from), visit)
+	return d.eachTurn(programPrefix(shard, program), turnStart(shard, program, from), openTurn, visit)
 }
 
 // EachTurn visits every turn of the shard, ordered by program, sequence and
 // digest; turns that are stored while it runs may be among them.
 func (d *Disk) EachTurn(shard uint32, visit func(Turn) error) error {
 	prefix := kindPrefix(kindTurn, shard)
-	return d.eachTurn(prefix, prefix, visit)
+	return d.eachTurn(prefix, prefix, openTurn, visit)
 }
 
+// decodeEntry makes a turn of an entry of the data file.
+type decodeEntry func(key, sealed []byte) (Turn, error)
+
 // eachTurn visits outside of the read transactions, so that a visitor may
 // write to the store.
-func (d *Disk) eachTurn(prefix, start []byte, visit func(Turn) error) error {
+func (d *Disk) eachTurn(prefix, start []byte, decode decodeEntry, visit func(Turn) error) error {
 	for start != nil {
-		turns, next, err := d.readChunk(prefix, start)
+		turns, next, err := d.readChunk(prefix, start, decode)
 		if err != nil {
 			return err
 		}
@@ -47,7 +50,7 @@
 
 // readChunk returns turns from the start on and the key at which to go on, nil
 // at the end.
-func (d *Disk) readChunk(prefix, start []byte) (turns []Turn, next []byte, err error) {
+func (d *Disk) readChunk(prefix, start []byte, decode decodeEntry) (turns []Turn, next []byte, err error) {
 	read := func(transaction *bbolt.Tx) error {
 		size := 0
 		cursor := transaction.Bucket(dataBucket).Cursor()
@@ -56,12 +59,12 @@
 				next = bytes.Clone(key)
 				return nil
 			}
-			turn, err := openTurn(key, sealed)
+			turn, err := decode(key, sealed)
 			if err != nil {
 				return merry.Prepend(err, d.database.Path())
 			}
 			turns = append(turns, turn)
-			size += len(key) + len(sealed)
+			size += len(key) + len(turn.Object)
 		}
 		return nil
 	}
