--- a/coordination/fleet/poll.go
+++ b/coordination/fleet/poll.go
@@ -140,10 +140,10 @@
 func (f *Fleet) takeLeaving(engine string, leaving bool) {
 	entries := f.table.Load().engines
 	index := find(entries, engine)
-	if index < 0 || entries[index].evidence == leaving {
+	if index < 0 || entries[index].ownWord == leaving {
 		return
 	}
-	f.MarkLeaving(engine, leaving)
+	f.change(engine, func(entry *engineEntry) { entry.ownWord = leaving })
 	f.tellLeaving(engine, leaving)
 }
 
