--- a/coordination/configuration/agent.go
+++ b/coordination/configuration/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -143,8 +144,8 @@
 
 // noteCold keeps coldSince.
 func (a *Agent) noteCold(version uint64, self Peer, live []Peer) {
-	hasVersion := func(peer Peer) bool { return peer.Version > 0 }
-	if version > 0 || len(filter(others(self, live), hasVersion)) > 0 {
+	hasVersion := func(peer Peer) bool { return peer.Node != self.Node && peer.Version > 0 }
+	if version > 0 || slices.ContainsFunc(live, hasVersion) {
 		a.coldSince = time.Time{}
 		return
 	}
--- a/coordination/configuration/election.go
+++ b/coordination/configuration/election.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -36,7 +35,5 @@
 
 // others returns the live nodes but this one.
 func others(self Peer, live []Peer) []Peer {
-	return slices.DeleteFunc(slices.Clone(live), func(peer Peer) bool {
-		return peer.Node == self.Node
-	})
+	return filter(live, func(peer Peer) bool { return peer.Node != self.Node })
 }
--- a/coordination/configuration/planner.go
+++ b/coordination/configuration/planner.go
@@ -64,11 +64,10 @@
 
 // step decides what to do now, at the node's version.
 func (p *planner) step(now time.Time, version uint64, self Peer, live []Peer) []action {
-	peers := others(self, live)
 	var actions []action
 	actions = append(actions, p.stepRead(now, self, live)...)
-	actions = append(actions, p.stepFetch(now, version, self, peers)...)
-	return append(actions, p.stepRelay(version, self, peers)...)
+	actions = append(actions, p.stepFetch(now, version, self, live)...)
+	return append(actions, p.stepRelay(version, self, live)...)
 }
 
 func (p *planner) stepRead(now time.Time, self Peer, live []Peer) []action {
@@ -116,15 +115,14 @@
 // want is told that a version exists.
 func (p *planner) want(version uint64) { p.wanted = max(p.wanted, version) }
 
-func (p *planner) stepFetch(now time.Time, version uint64, self Peer, peers []Peer) []action {
+func (p *planner) stepFetch(now time.Time, version uint64, self Peer, live []Peer) []action {
 	if p.fetching || now.Before(p.nextFetch) {
 		return nil
 	}
-	isNewer := func(peer Peer) bool { return peer.Version > version }
-	newer := filter(peers, isNewer)
+	newer := filter(live, func(peer Peer) bool { return peer.Node != self.Node && peer.Version > version })
 	if len(newer) == 0 && (p.wanted > version || version == 0) {
 		// Somebody has it, or may have, but nobody told who.
-		newer = peers
+		newer = others(self, live)
 	}
 	near := filter(newer, func(peer Peer) bool { return peer.Zone == self.Zone })
 	if len(near) > 0 && p.random.IntN(2) == 0 {
@@ -146,7 +144,7 @@
 	p.nextFetch = now.Add(p.settings.FetchPause)
 }
 
-func (p *planner) stepRelay(version uint64, self Peer, peers []Peer) []action {
+func (p *planner) stepRelay(version uint64, self Peer, live []Peer) []action {
 	if version <= p.relayed {
 		return nil
 	}
@@ -157,7 +155,7 @@
 		// may have it already.
 		return nil
 	}
-	older := filter(peers, func(peer Peer) bool { return peer.Version < version })
+	older := filter(live, func(peer Peer) bool { return peer.Node != self.Node && peer.Version < version })
 	if len(older) == 0 {
 		return nil
 	}
@@ -178,6 +176,13 @@
 	return peers[:min(len(peers), p.settings.Fanout)]
 }
 
+// filter returns the peers to keep; it allocates only for these.
 func filter(peers []Peer, keep func(Peer) bool) []Peer {
-	return slices.DeleteFunc(slices.Clone(peers), func(peer Peer) bool { return !keep(peer) })
+	var kept []Peer
+	for _, peer := range peers {
+		if keep(peer) {
+			kept = append(kept, peer)
+		}
+	}
+	return kept
 }
