Don't call a keyed request not run without asking a record

Cause: a node without a quorum, a draining or a starting one told a request with the caller's own key as not run, although an earlier copy of it could have run at another node. Ruled out: asking the record first, which is just what such a node can't do. Change: with a key of the caller's own these refusals are outcome_unresolved and the same key finds out; a request without one is told as not run as before. Conclusion: not run is said only of requests that can have no earlier copy, or by a record.

--- a/protocol/callerapi/exchange.go
+++ b/protocol/callerapi/exchange.go
@@ -109,6 +109,9 @@
 // fail tells the caller of an error.
 func (e *exchange) fail(err error) {
 	failure := asResult(err)
+	if failure.Code == result.NoQuorum {
+		failure = Unrecorded(failure, e.request.Header)
+	}
 	e.code = failure.Code
 	e.cause = err
 	if e.stream != nil && e.answered {
--- a/protocol/callerapi/handler.go
+++ b/protocol/callerapi/handler.go
@@ -172,7 +172,7 @@
 func (h *Handler) admit(exchange *exchange, serve operation) error {
 	if err := h.inFlight.enter(); err != nil {
 		exchange.writer.Header().Set("Connection", "close")
-		return err
+		return unrecorded(err, exchange.request.Header)
 	}
 	defer h.inFlight.leave()
 	if exchange.operation != unknownPath {
