Keep, drop or move context during pauses by its expected return

Cause: at nl-central the engines' memory is full at 0.9x; contexts of programs whose users had left held 240 s of it, and a shared system prompt was asked to be moved, which engines can't do. Change: Returns learns how long programs stay silent and how many never come back; PlanRetention drops what is unlikely to be used, and moves what will be used late from engines short of memory to engines with room, without flapping. Cached tells shared prefixes apart. The line of refused calls is a tenth of a program's usual time; new programs are shed from 96% of memory on.

--- a/coordination/limit/shed.go
+++ b/coordination/limit/shed.go
@@ -21,11 +21,13 @@
 	// MaxQueue that above which every call is.
 	MaxQueueNew time.Duration
 	MaxQueue    time.Duration
-	// MaxLine is the longest pause given to calls that are to come back in turn.
-	// Beyond it they are sent away for Away, so that callers who can't wait that
-	// long stop asking and those in line find room.
-	MaxLine time.Duration
-	Away    time.Duration
+	// MaxLine is the longest pause given to calls that are to come back in turn;
+	// where the usual time of a program is known, LineShare of it is. Beyond it
+	// they are sent away for Away, so that callers who can't wait that long stop
+	// asking and those in line find room.
+	MaxLine   time.Duration
+	LineShare float64
+	Away      time.Duration
 	// Spread is the relative jitter of the pauses given.
 	Spread float64
 }
@@ -35,10 +37,11 @@
 func DefaultShedPolicy() ShedPolicy {
 	return ShedPolicy{
 		MaxStretch:  4,
-		MaxMemory:   0.97,
+		MaxMemory:   0.96,
 		MaxQueueNew: 10 * time.Second,
 		MaxQueue:    30 * time.Second,
 		MaxLine:     5 * time.Second,
+		LineShare:   0.1,
 		Away:        time.Minute,
 		Spread:      0.2,
 	}
@@ -137,9 +140,16 @@
 		s.promised = earliest
 	}
 	pause := s.promised.Sub(now)
-	if s.policy.MaxLine > 0 && pause > s.policy.MaxLine {
+	if longest := s.longestLine(demand); longest > 0 && pause > longest {
 		return max(pause, s.policy.Away)
 	}
 	s.promised = s.promised.Add(demand.Service / time.Duration(max(demand.Engines, 1)))
 	return pause
 }
+
+func (s *Shedder) longestLine(demand *Demand) time.Duration {
+	if s.policy.LineShare > 0 && demand.Usual > 0 {
+		return time.Duration(s.policy.LineShare * float64(demand.Usual))
+	}
+	return s.policy.MaxLine
+}
--- a/coordination/routing/choose.go
+++ b/coordination/routing/choose.go
@@ -67,12 +67,12 @@
 }
 
 // bestCached is the engine, feasible or not, that has most of the prompt.
-func bestCached(request *Request) Cached {
+func bestCached(request *Request, alsoShared bool) Cached {
 	var best Cached
 	for _, cached := range request.CachedOn {
 		tokens := min(cached.Tokens, request.PromptTokens())
-		if tokens > best.Tokens {
-			best = Cached{Engine: cached.Engine, Tokens: tokens}
+		if tokens > best.Tokens && (alsoShared || !cached.Shared) {
+			best = Cached{Engine: cached.Engine, Tokens: tokens, Shared: cached.Shared}
 		}
 	}
 	return best
--- a/coordination/routing/locality.go
+++ b/coordination/routing/locality.go
@@ -134,21 +134,21 @@
 func (l *Locality) CachedOn(program string, others ...string) []Cached {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	cached := l.collect(nil, program)
+	cached := l.collect(nil, program, false)
 	for _, key := range others {
-		cached = l.collect(cached, key)
+		cached = l.collect(cached, key, true)
 	}
 	return cached
 }
 
-func (l *Locality) collect(cached []Cached, key string) []Cached {
+func (l *Locality) collect(cached []Cached, key string, shared bool) []Cached {
 	element, found := l.programs[key]
 	if !found {
 		return cached
 	}
 	l.recent.MoveToFront(element)
 	for _, known := range element.Value.(*programLocality).holdings {
-		cached = longest(cached, Cached{Engine: known.engine, Tokens: l.expected(&known)})
+		cached = longest(cached, Cached{Engine: known.engine, Tokens: l.expected(&known), Shared: shared})
 	}
 	return cached
 }
@@ -168,10 +168,13 @@
 		return cached
 	}
 	for i := range cached {
-		if cached[i].Engine == added.Engine {
-			cached[i].Tokens = max(cached[i].Tokens, added.Tokens)
-			return cached
+		if cached[i].Engine != added.Engine {
+			continue
 		}
+		if added.Tokens > cached[i].Tokens {
+			cached[i] = added
+		}
+		return cached
 	}
 	return append(cached, added)
 }
--- a/coordination/routing/rank.go
+++ b/coordination/routing/rank.go
@@ -19,6 +19,8 @@
 	loads    []load
 	// best is the engine, feasible or not, that has most of the prompt.
 	best Cached
+	// movable is the engine that holds most of it for the program itself.
+	movable Cached
 	// remote is where the prompt would be computed for other engines.
 	remote remotePrefill
 	// urgency is how much a second of this program's time counts.
@@ -31,7 +33,8 @@
 	for i, index := range indexes {
 		r.loads[i] = estimateLoad(snapshot, &snapshot.Engines[index])
 	}
-	r.best = bestCached(request)
+	r.best = bestCached(request, true)
+	r.movable = bestCached(request, false)
 	r.urgency = urgency(&snapshot.Weights, request.AttainedTokens)
 	r.remote = r.findRemotePrefill()
 	return r
--- a/coordination/routing/request.go
+++ b/coordination/routing/request.go
@@ -8,6 +8,9 @@
 type Cached struct {
 	Engine string
 	Tokens uint64
+	// Shared is set where the prefix isn't held for the program itself, such as
+	// a system prompt that many programs have. It can be used, but not moved.
+	Shared bool
 }
 
 // Request is one call to be placed.
--- a/coordination/routing/transfer.go
+++ b/coordination/routing/transfer.go
@@ -24,19 +24,19 @@
 
 // moved brings the context there from the engine that has most of it.
 func (r *ranking) moved(candidate Candidate, engine *EngineState, load *load) (Candidate, bool) {
-	source := r.engine(r.best.Engine)
-	if source == nil || r.best.Tokens <= candidate.CachedTokens || source.Name == engine.Name {
+	source := r.engine(r.movable.Engine)
+	if source == nil || r.movable.Tokens <= candidate.CachedTokens || source.Name == engine.Name {
 		return candidate, false
 	}
-	transfer, possible := transferTime(&r.snapshot.Weights, source, engine, r.best.Tokens)
+	transfer, possible := transferTime(&r.snapshot.Weights, source, engine, r.movable.Tokens)
 	if !possible {
 		return candidate, false
 	}
 	speed := prefillSpeed(engine)
 	candidate.Transfer = transfer
 	candidate.Source = source.Name
-	candidate.SourceTokens = r.best.Tokens
-	candidate.Prefill = float64(r.request.PromptTokens()-r.best.Tokens) / speed
+	candidate.SourceTokens = r.movable.Tokens
+	candidate.Prefill = float64(r.request.PromptTokens()-r.movable.Tokens) / speed
 	candidate.Queue = load.promptTokens/speed + slotWait(engine, load, candidate.Decode)
 	candidate.Interference = interference(engine, r.request, load, candidate.Prefill)
 	candidate.Cost = weightedCost(&r.snapshot.Weights, &candidate)
--- a/lab/experiment/marblering.go
+++ b/lab/experiment/marblering.go
@@ -23,7 +23,8 @@
 	// waited.
 	batches []int
 	// usual is a moving average of the time that calls of a program take.
-	usual time.Duration
+	usual    time.Duration
+	retainer retainer
 }
 
 func batchLimit(state *routing.EngineState) int {
@@ -38,18 +39,23 @@
 		p := &marblering{weights: weights}
 		for range s.nodes {
 			p.nodes = append(p.nodes, marbleringNode{
-				shedder: limit.NewShedder(limit.DefaultShedPolicy()),
-				ejector: limit.NewEjector(limit.DefaultEjectionPolicy()),
-				engines: make([]routing.EngineState, len(s.engines)),
-				batches: make([]int, len(s.engines)),
+				shedder:  limit.NewShedder(limit.DefaultShedPolicy()),
+				ejector:  limit.NewEjector(limit.DefaultEjectionPolicy()),
+				engines:  make([]routing.EngineState, len(s.engines)),
+				batches:  make([]int, len(s.engines)),
+				retainer: retainer{returns: routing.NewReturns()},
 			})
 		}
+		for _, node := range s.nodes {
+			p.startRetention(s, node)
+		}
 		return p
 	}
 }
 
 func (p *marblering) choose(s *simulation, n *simNode, c *call) choice {
 	now := s.wall(s.schedule.now)
+	p.nodes[n.index].retainer.returned(c)
 	snapshot := p.snapshot(n, now)
 	request := newRequest(n, c)
 	decision := routing.Choose(snapshot, request, n.random)
@@ -141,11 +147,15 @@
 
 func (p *marblering) failed(s *simulation, a *attempt) {}
 
-func (p *marblering) paused(*simulation, *program) {}
+func (p *marblering) paused(s *simulation, paused *program) {
+	own := &p.nodes[s.home(paused.tree).index].retainer
+	own.pausing = append(own.pausing, paused)
+}
 
 func (p *marblering) ended(s *simulation, ended *program) {
 	node := s.home(ended.tree)
 	node.locality.Forget(ended.id)
+	p.nodes[node.index].retainer.returns.Left(returnClass(ended), s.schedule.now-ended.lastActive)
 	if ended.id == ended.tree.id && !ended.tree.failed && ended.script.counted() {
 		p.nodes[node.index].learnUsual(ended.tree.busy.union())
 	}
--- a/lab/experiment/program.go
+++ b/lab/experiment/program.go
@@ -41,6 +41,8 @@
 	lastActive time.Duration
 	running    *call
 	ended      bool
+	// returnSeen is set once the end of the newest pause was learned from.
+	returnSeen bool
 	// holders are the engines that were asked to hold the context.
 	holders map[int]*hold
 	onEnd   func()
@@ -86,6 +88,7 @@
 	p.step++
 	p.turns++
 	p.lastActive = s.schedule.now
+	p.returnSeen = false
 	if reason := s.limits.Check(s.activity(p), s.wall(s.schedule.now)); reason != limit.KeepProgram {
 		s.endProgram(p)
 		return
