--- a/node/engine.go
+++ b/node/engine.go
@@ -14,10 +14,17 @@
 // view of the fleet.
 type engines struct {
 	client *engineapi.Client
+	// takesWork tells whether the configuration in force gives new work to the
+	// engine at the address.
+	takesWork func(address string) bool
 	// silence is how long an engine may send nothing during a call.
-	silence time.Duration
+	silence     time.Duration
+	instruments *instruments
 }
 
+// errWithdrawn keeps an attempt from an engine that drains or is out of use.
+var errWithdrawn = errors.New("the configuration in force gives this engine no new work")
+
 // errSilent ends an attempt whose engine has sent nothing for too long.
 var errSilent = errors.New("the engine was silent for too long")
 
@@ -26,12 +33,21 @@
 	_ fleet.Reporter    = engines{}
 )
 
-// Complete implements execution.Engines.
+// Complete implements execution.Engines. The engine was chosen before a quorum
+// granted the attempt, perhaps under an older configuration; by now this node
+// has every version that was accepted before the grant, so it looks again.
 func (e engines) Complete(ctx context.Context, address string, request execution.EngineRequest, onText func(string) error) (execution.EngineAnswer, error) {
+	if !e.takesWork(address) {
+		return execution.EngineAnswer{}, &execution.EngineError{Cause: errWithdrawn}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(e.silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
+	passOn := func(text string) error {
+		watchdog.Reset(e.silence)
+		return onText(text)
+	}
 	completion, err := e.client.Complete(ctx, address, engineapi.Request{
 		RequestID: request.RequestID,
 		Model:     request.Model,
@@ -40,13 +56,14 @@
 		MaxTokens: request.OutputTokens,
 		Hold:      request.Hold,
 		Priority:  uint32(request.Priority),
-	}, func(text string) error {
-		watchdog.Reset(e.silence)
-		return onText(text)
-	})
+	}, passOn)
+	completion, err = e.resume(ctx, address, completion, err, passOn)
 	if err != nil {
-		return execution.EngineAnswer{}, engineError(err)
+		failure := engineError(err)
+		e.instruments.attempts.WithLabelValues(attemptOutcome(failure)).Inc()
+		return execution.EngineAnswer{}, failure
 	}
+	e.instruments.attempts.WithLabelValues(attemptOutcome(nil)).Inc()
 	return execution.EngineAnswer{
 		Content:      completion.Content,
 		FinishReason: completion.FinishReason,
@@ -58,6 +75,34 @@
 	}, nil
 }
 
+// maxResumes bounds how often a broken stream is taken up again.
+const maxResumes = 2
+
+// resume takes a stream up again whose connection broke: the engine goes on
+// generating, so that nothing is run or paid for twice, also where the call must
+// not be repeated.
+func (e engines) resume(ctx context.Context, address string, partial engineapi.Completion, err error, onText func(string) error) (engineapi.Completion, error) {
+	for range maxResumes {
+		if !isBroken(err) || ctx.Err() != nil {
+			return partial, err
+		}
+		var rest engineapi.Completion
+		rest, err = e.client.Resume(ctx, address, partial.ID, partial.Chunks, onText)
+		rest.ID = partial.ID
+		rest.Content = partial.Content + rest.Content
+		rest.Chunks = max(rest.Chunks, partial.Chunks)
+		partial = rest
+	}
+	return partial, err
+}
+
+// isBroken reports whether the stream ended before its end although the engine
+// may be at work on the request.
+func isBroken(err error) bool {
+	var failure *engineapi.Error
+	return errors.As(err, &failure) && failure.Kind == engineapi.Truncated
+}
+
 // engineError keeps what matters for the next attempt. An error of an unknown
 // type counts as dispatched: the engine may have run the request.
 func engineError(err error) error {
--- a/node/listen.go
+++ b/node/listen.go
@@ -28,10 +28,13 @@
 	if err != nil {
 		return nil, merry.Prependf(err, "listening for %s on %s", name, address)
 	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
 	return &listener{
 		name:   name,
 		socket: socket,
-		server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
+		server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: protocols},
 	}, nil
 }
 
@@ -50,5 +53,11 @@
 	return err
 }
 
+// finish takes no more connections and waits until the answers under way have
+// been written: a handler returns before its answer has left the server.
+func (l *listener) finish(ctx context.Context) error {
+	return merry.Prependf(l.server.Shutdown(ctx), "finishing the answers to %s", l.name)
+}
+
 // String names the service in the supervisor's messages.
 func (l *listener) String() string { return "listener " + l.name }
--- a/node/sweep.go
+++ b/node/sweep.go
@@ -8,12 +8,10 @@
 	"go.uber.org/zap"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/configuration"
 	"github.com/marblering/marblering/coordination/execution"
-	"github.com/marblering/marblering/coordination/fleet"
 	"github.com/marblering/marblering/coordination/record"
-	"github.com/marblering/marblering/coordination/routing"
 	"github.com/marblering/marblering/coordination/shard"
-	"github.com/marblering/marblering/protocol/engineapi"
 	"github.com/marblering/marblering/state/program"
 )
 
@@ -30,21 +28,23 @@
 var errKeepTree = errors.New("nothing to change")
 
 // sweep looks after what nobody asks for any more: programs past their idle
-// limit, calls whose executor is gone, holds that weren't released, and memory
-// that engines hold for programs that have ended. It is a suture service.
+// limit, calls whose executor is gone, and holds that weren't released. It is a
+// suture service.
 type sweep struct {
 	interval time.Duration
 	records  *record.Store
 	executor *execution.Executor
-	fleet    *fleet.Fleet
-	engines  *engineapi.Client
+	holds    *holdSweep
 	// replica has this node's copies of records.
 	replica *shard.Replica
 	// mine reports whether this node should look after the key; a hint that
 	// spreads the work.
-	mine   func(key string) bool
-	now    func() time.Time
-	logger *zap.Logger
+	mine func(key string) bool
+	now  func() time.Time
+	// defaults are the limits of programs that name none.
+	defaults    func() configuration.Limits
+	logger      *zap.Logger
+	instruments *instruments
 }
 
 // Serve sweeps until the context ends.
@@ -55,7 +55,7 @@
 		select {
 		case <-ticker.C:
 			s.sweepRecords(ctx, round)
-			s.sweepNextEngine(ctx, round)
+			s.holds.sweepNext(ctx, round)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -95,27 +95,45 @@
 	if err != nil || tree == nil {
 		return false
 	}
-	now := s.now().UnixMilli()
-	return program.Due(tree, now)
+	s.setIdleLimit(tree)
+	return program.Due(tree, s.now().UnixMilli())
+}
+
+// setIdleLimit gives a tree that names no idle limit the default in force.
+func (s *sweep) setIdleLimit(tree *statev1.ProgramTree) {
+	if tree.GetIdleLimitMs() == 0 {
+		tree.IdleLimitMs = s.defaults().DefaultIdleLimit.Std().Milliseconds()
+	}
+}
+
+// idle leaves the tree as it is, so that the default isn't stored with it.
+func (s *sweep) idle(tree *statev1.ProgramTree, nowUnixMS int64) bool {
+	own := tree.GetIdleLimitMs()
+	defer func() { tree.IdleLimitMs = own }()
+	s.setIdleLimit(tree)
+	return program.Idle(tree, nowUnixMS)
 }
 
 // sweepRecord ends an idle tree and releases what the tree no longer needs.
 func (s *sweep) sweepRecord(ctx context.Context, root string) {
 	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
 	defer cancel()
+	s.instruments.sweptRecords.Inc()
+	ended := false
 	tree, err := s.records.Apply(ctx, root, func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
 		if tree == nil {
 			return nil, errKeepTree
 		}
 		now := s.now().UnixMilli()
-		if program.Idle(tree, now) {
-			program.End(tree, root, idleReason, now)
-		}
+		ended = s.idle(tree, now) && program.End(tree, root, idleReason, now)
 		return tree, nil
 	})
 	if err != nil {
 		return
 	}
+	if ended {
+		s.instruments.endedPrograms.Inc()
+	}
 	s.endLost(ctx, tree)
 	s.executor.ReleaseHolds(ctx, tree)
 }
@@ -131,53 +149,9 @@
 		if s.executor.Lost(ctx, candidate.GetId(), running) {
 			if err := s.executor.EndLost(ctx, candidate.GetId(), running); err != nil {
 				s.logger.Warn("ending a lost call", zap.String("program", candidate.GetId()), zap.Error(err))
+				continue
 			}
+			s.instruments.endedCalls.Inc()
 		}
 	}
 }
-
-// sweepNextEngine compares what one of the engines that this node looks after
-// holds with the records; the engines take turns.
-func (s *sweep) sweepNextEngine(ctx context.Context, round int) {
-	var mine []routing.EngineState
-	for _, engine := range s.fleet.Engines() {
-		if s.mine(engine.Name) {
-			mine = append(mine, engine)
-		}
-	}
-	if len(mine) > 0 {
-		engine := mine[round%len(mine)]
-		s.sweepEngine(ctx, engine.Name, engine.Address)
-	}
-}
-
-func (s *sweep) sweepEngine(ctx context.Context, engine, address string) {
-	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
-	defer cancel()
-	holds, err := s.engines.Holds(ctx, address)
-	if err != nil {
-		s.logger.Debug("no list of holds", zap.String("engine", engine), zap.Error(err))
-		return
-	}
-	for _, hold := range holds {
-		if s.unwanted(ctx, hold.Program, engine) {
-			s.release(ctx, engine, address, hold.Program)
-		}
-	}
-}
-
-// unwanted reads the record: the hold of a program that has ended, or that the
-// record doesn't know at this engine, is to go. Only a decided read may say so.
-func (s *sweep) unwanted(ctx context.Context, id, engine string) bool {
-	unwanted := false
-	_, err := s.records.Apply(ctx, program.RootOf(id), func(tree *statev1.ProgramTree) (*statev1.ProgramTree, error) {
-		unwanted = tree == nil || program.Ended(tree, id) || !program.Holds(tree, id, engine)
-		return tree, nil
-	})
-	return err == nil && unwanted
-}
-
-func (s *sweep) release(ctx context.Context, engine, address, id string) {
-	err := s.engines.Release(ctx, address, id)
-	s.logger.Info("released a left-over hold", zap.String("engine", engine), zap.String("program", id), zap.Error(err))
-}
