Cut the cost of the subset's ranking

Cause: at 800 engines a sixth of a decision was one math.Log an engine. Ruled out: caching hashes in the engine states (callers would have to keep them right). Change: a short series in place of math.Log; no ranks where all engines fit into the subset.

--- a/coordination/routing/choose.go
+++ b/coordination/routing/choose.go
@@ -39,7 +39,7 @@
 // filterEngines returns the subset of the feasible engines and a bounded list
 // of the rejected ones.
 func filterEngines(snapshot *Snapshot, request *Request) (kept []int, rejected []Candidate) {
-	chosen := newSubset(request, snapshot.subsetSize())
+	chosen := newSubset(request, snapshot.subsetSize(), len(snapshot.Engines))
 	for i := range snapshot.Engines {
 		filter := feasible(&snapshot.Engines[i], request)
 		if filter == FilterNone {
--- a/coordination/routing/subset.go
+++ b/coordination/routing/subset.go
@@ -15,9 +15,11 @@
 // its equal share before the places left over are filled from all, so that the
 // loss of a zone leaves candidates.
 type subset struct {
-	size  int
-	seed  uint64
-	zones []zoneSubset
+	size int
+	seed uint64
+	// rankNeeded is unset where all engines fit into the subset anyway.
+	rankNeeded bool
+	zones      []zoneSubset
 }
 
 // zoneSubset keeps the best-ranked engines of one zone in order.
@@ -36,18 +38,23 @@
 // expectedZones avoids growing the list of zones in ordinary fleets.
 const expectedZones = 8
 
-func newSubset(request *Request, size int) *subset {
+func newSubset(request *Request, size, engines int) *subset {
 	root := request.Root
 	if root == "" {
 		root = request.Program
 	}
-	return &subset{size: size, seed: xxhash.Sum64String(root), zones: make([]zoneSubset, 0, expectedZones)}
+	return &subset{
+		size:       size,
+		seed:       xxhash.Sum64String(root),
+		rankNeeded: engines > size,
+		zones:      make([]zoneSubset, 0, expectedZones),
+	}
 }
 
 // add considers a feasible engine.
 func (s *subset) add(index int, engine *EngineState, cached bool) {
 	rank := math.Inf(-1)
-	if !cached {
+	if !cached && s.rankNeeded {
 		rank = rendezvousRank(s.seed, engine)
 	}
 	s.zone(engine.Zone).add(rankedEngine{index: index, rank: rank}, s.size)
@@ -113,7 +120,24 @@
 	hash := mix(seed ^ xxhash.Sum64String(engine.Name))
 	const mantissaBits = 53
 	uniform := (float64(hash>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
-	return -math.Log(uniform) / prefillSpeed(engine)
+	return -logarithm(uniform) / prefillSpeed(engine)
+}
+
+// logarithm is the natural logarithm of a positive number to about four digits,
+// which is enough to rank by and takes a fraction of the time of math.Log. The
+// fraction's part is the series of the inverse hyperbolic tangent.
+func logarithm(number float64) float64 {
+	const (
+		mantissaBits = 52
+		exponentBias = 1023
+		mantissaMask = 1<<mantissaBits - 1
+	)
+	bits := math.Float64bits(number)
+	exponent := float64(int(bits>>mantissaBits) - exponentBias)
+	mantissa := math.Float64frombits(bits&mantissaMask | exponentBias<<mantissaBits)
+	ratio := (mantissa - 1) / (mantissa + 1)
+	square := ratio * ratio
+	return exponent*math.Ln2 + 2*ratio*(1+square*(1.0/3+square*(1.0/5+square/7)))
 }
 
 // mix is the finalizer of MurmurHash3.
