--- a/cmd/marblering-lab/measure.go
+++ b/cmd/marblering-lab/measure.go
@@ -11,8 +11,13 @@
 )
 
 func newMeasureCommand() *cobra.Command {
-	group := &cobra.Command{Use: "measure", Short: "Measure a deployment in this process"}
-	group.AddCommand(newMeasureTurnsCommand(), newMeasurePathCommand(), newMeasureRepairCommand())
+	group := &cobra.Command{
+		Use:   "measure",
+		Short: "Measure a deployment in this process",
+		Args:  noArguments,
+		RunE:  showHelp,
+	}
+	group.AddCommand(newMeasureTurnsCommand(), newMeasurePathCommand(), newMeasureRepairCommand(), newMeasureRecordsCommand())
 	return group
 }
 
@@ -21,7 +26,7 @@
 	command := &cobra.Command{
 		Use:   "turns",
 		Short: "Measure what a turn costs beyond the engine's own time",
-		Args:  cobra.NoArgs,
+		Args:  noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			return measure.Turns(command.Context(), command.OutOrStdout(), options)
 		},
@@ -48,7 +53,7 @@
 	command := &cobra.Command{
 		Use:   "path",
 		Short: "Measure what a turn costs the nodes, which run in a process of their own",
-		Args:  cobra.NoArgs,
+		Args:  noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			var points []scale.TurnUsage
 			for _, count := range turns {
@@ -87,7 +92,7 @@
 	command := &cobra.Command{
 		Use:   "repair",
 		Short: "Measure what the others spend to replace the replicas of a node that crashed",
-		Args:  cobra.NoArgs,
+		Args:  noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			var points []scale.RepairUsage
 			for _, count := range turns {
@@ -105,3 +110,20 @@
 	command.Flags().IntSliceVar(&turns, "turns", []int{1, 10}, "turns of each program, one point each")
 	return command
 }
+
+func newMeasureRecordsCommand() *cobra.Command {
+	var options measure.RecordOptions
+	command := &cobra.Command{
+		Use:   "records",
+		Short: "Measure the memory that programs keep at the nodes",
+		Args:  noArguments,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return measure.Records(command.Context(), command.OutOrStdout(), options)
+		},
+	}
+	flags := command.Flags()
+	flags.IntVar(&options.Programs, "programs", 600, "programs that are kept open")
+	flags.IntVar(&options.Turns, "turns", 1, "turns of each program")
+	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the engines")
+	return command
+}
--- a/cmd/marblering-lab/scale.go
+++ b/cmd/marblering-lab/scale.go
@@ -26,7 +26,7 @@
 	command := &cobra.Command{
 		Use:   "scale",
 		Short: "Measure the control cost of a node: many nodes in a few processes, hollow engines",
-		Args:  cobra.NoArgs,
+		Args:  noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			points, err := run.measure(command.Context())
 			// What was measured before a failure is printed all the same.
@@ -90,7 +90,7 @@
 	return &cobra.Command{
 		Use:    scale.GroupCommand,
 		Short:  "Run nodes for the scale run, which talks to this over standard input and output",
-		Args:   cobra.NoArgs,
+		Args:   noArguments,
 		Hidden: true,
 		RunE: func(command *cobra.Command, _ []string) error {
 			return scale.ServeGroup(command.Context(), os.Stdin, os.Stdout)
--- a/coordination/configuration/agent.go
+++ b/coordination/configuration/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -143,8 +144,8 @@
 
 // noteCold keeps coldSince.
 func (a *Agent) noteCold(version uint64, self Peer, live []Peer) {
-	hasVersion := func(peer Peer) bool { return peer.Version > 0 }
-	if version > 0 || len(filter(others(self, live), hasVersion)) > 0 {
+	hasVersion := func(peer Peer) bool { return peer.Node != self.Node && peer.Version > 0 }
+	if version > 0 || slices.ContainsFunc(live, hasVersion) {
 		a.coldSince = time.Time{}
 		return
 	}
@@ -197,11 +198,11 @@
 // nothing new. The caller holds the mutex.
 func (a *Agent) noteReadFailure(err error) {
 	if a.readFails {
-		a.logger.Debug("configuration_watch_fails_still", zap.Error(err))
+		a.logger.Debug("configuration watch fails still", zap.Error(err))
 		return
 	}
 	a.readFails = true
-	a.logger.Warn("configuration_watch_ended", zap.Error(err))
+	a.logger.Warn("configuration watch ended", zap.Error(err))
 }
 
 // noteReadProgress is called when the object API has answered. The caller holds
@@ -209,7 +210,7 @@
 func (a *Agent) noteReadProgress() {
 	a.planner.readProgressed()
 	if a.readFails {
-		a.logger.Info("configuration_watch_resumed", zap.Uint64("version", a.replica.snapshot.Version()))
+		a.logger.Info("configuration watch resumed", zap.Uint64("version", a.replica.snapshot.Version()))
 	}
 	a.readFails = false
 }
--- a/coordination/configuration/planner.go
+++ b/coordination/configuration/planner.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -63,11 +64,10 @@
 
 // step decides what to do now, at the node's version.
 func (p *planner) step(now time.Time, version uint64, self Peer, live []Peer) []action {
-	peers := others(self, live)
 	var actions []action
 	actions = append(actions, p.stepRead(now, self, live)...)
-	actions = append(actions, p.stepFetch(now, version, self, peers)...)
-	return append(actions, p.stepRelay(version, peers)...)
+	actions = append(actions, p.stepFetch(now, version, self, live)...)
+	return append(actions, p.stepRelay(version, self, live)...)
 }
 
 func (p *planner) stepRead(now time.Time, self Peer, live []Peer) []action {
@@ -115,15 +115,14 @@
 // want is told that a version exists.
 func (p *planner) want(version uint64) { p.wanted = max(p.wanted, version) }
 
-func (p *planner) stepFetch(now time.Time, version uint64, self Peer, peers []Peer) []action {
+func (p *planner) stepFetch(now time.Time, version uint64, self Peer, live []Peer) []action {
 	if p.fetching || now.Before(p.nextFetch) {
 		return nil
 	}
-	isNewer := func(peer Peer) bool { return peer.Version > version }
-	newer := filter(peers, isNewer)
-	if len(newer) == 0 && p.wanted > version {
-		// Somebody has it, but nobody told who.
-		newer = peers
+	newer := filter(live, func(peer Peer) bool { return peer.Node != self.Node && peer.Version > version })
+	if len(newer) == 0 && (p.wanted > version || version == 0) {
+		// Somebody has it, or may have, but nobody told who.
+		newer = others(self, live)
 	}
 	near := filter(newer, func(peer Peer) bool { return peer.Zone == self.Zone })
 	if len(near) > 0 && p.random.IntN(2) == 0 {
@@ -145,7 +144,7 @@
 	p.nextFetch = now.Add(p.settings.FetchPause)
 }
 
-func (p *planner) stepRelay(version uint64, peers []Peer) []action {
+func (p *planner) stepRelay(version uint64, self Peer, live []Peer) []action {
 	if version <= p.relayed {
 		return nil
 	}
@@ -156,15 +155,34 @@
 		// may have it already.
 		return nil
 	}
-	older := filter(peers, func(peer Peer) bool { return peer.Version < version })
-	p.random.Shuffle(len(older), func(a, b int) { older[a], older[b] = older[b], older[a] })
-	older = older[:min(len(older), p.settings.Fanout)]
+	older := filter(live, func(peer Peer) bool { return peer.Node != self.Node && peer.Version < version })
 	if len(older) == 0 {
 		return nil
 	}
-	return []action{{kind: actionRelay, peers: older, base: base}}
+	return []action{{kind: actionRelay, peers: p.choose(self, older), base: base}}
 }
 
+// choose picks whom to pass on to: the next node by name, so that every node is
+// somebody's choice, and others at random, so that it spreads in few steps.
+func (p *planner) choose(self Peer, peers []Peer) []Peer {
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Node, b.Node) })
+	next, _ := slices.BinarySearchFunc(peers, self.Node, func(peer Peer, node string) int {
+		return cmp.Compare(peer.Node, node)
+	})
+	next %= len(peers)
+	peers[0], peers[next] = peers[next], peers[0]
+	rest := peers[1:]
+	p.random.Shuffle(len(rest), func(a, b int) { rest[a], rest[b] = rest[b], rest[a] })
+	return peers[:min(len(peers), p.settings.Fanout)]
+}
+
+// filter returns the peers to keep; it allocates only for these.
 func filter(peers []Peer, keep func(Peer) bool) []Peer {
-	return slices.DeleteFunc(slices.Clone(peers), func(peer Peer) bool { return !keep(peer) })
+	var kept []Peer
+	for _, peer := range peers {
+		if keep(peer) {
+			kept = append(kept, peer)
+		}
+	}
+	return kept
 }
--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -116,7 +116,11 @@
 	Engine
 	load       Load
 	reportedAt time.Time
-	// evidence is set where the engine or a peer said that it is leaving.
+	// ownWord is what the engine itself said last about leaving.
+	ownWord bool
+	// evidence is set where membership says that the engine is leaving: a peer
+	// or the platform's machine list said so. The engine's own word doesn't
+	// withdraw it.
 	evidence bool
 }
 
@@ -166,8 +170,8 @@
 	f.ejector.Forget(engine)
 }
 
-// MarkLeaving takes in evidence, from the engine or from a peer, that the
-// engine takes no more work, or takes work again.
+// MarkLeaving takes in what membership says of the engine: that it takes no more
+// work, or takes work again.
 func (f *Fleet) MarkLeaving(engine string, leaving bool) {
 	f.change(engine, func(entry *engineEntry) { entry.evidence = leaving })
 }
@@ -213,7 +217,7 @@
 		Role:              entry.Role,
 		Models:            entry.Models,
 		Adapters:          entry.Adapters,
-		Leaving:           entry.Leaving || entry.evidence,
+		Leaving:           entry.Leaving || entry.ownWord || entry.evidence,
 		Ejected:           f.ejector.Health(entry.Name, now) != limit.Healthy,
 		Running:           entry.load.Running,
 		Waiting:           entry.load.Waiting,
--- a/coordination/fleet/fleet_test.go
+++ b/coordination/fleet/fleet_test.go
@@ -150,3 +150,21 @@
 	assert.Equal(t, refusal.Code, result.Overloaded)
 	assert.Equal(t, refusal.RetryAfter, 5*time.Second)
 }
+
+// statingReporter is an engine that says it isn't leaving.
+type statingReporter struct{ silentReporter }
+
+func (statingReporter) Leaving(context.Context, string) (bool, error) { return false, nil }
+
+func TestOwnWordDoesNotWithdrawWhatOthersSay(t *testing.T) {
+	f := newFleet(nil)
+	f.Reporter = statingReporter{}
+	f.PollInterval = time.Millisecond
+	f.MarkLeaving("engine-0", true)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, f.Serve(ctx), context.DeadlineExceeded)
+	for _, engine := range f.Engines() {
+		assert.Equal(t, engine.Leaving, engine.Name == "engine-0")
+	}
+}
--- a/node/drain.go
+++ b/node/drain.go
@@ -24,6 +24,7 @@
 	defer cancel()
 	err := errors.Join(n.callers.Wait(ctx), n.executor.Drain(ctx))
 	n.repair.awaitHandover(ctx, n.replica.Incarnation())
+	err = errors.Join(err, n.callerListener.finish(ctx))
 	n.logger.Info("drained", zap.Error(err))
 	return errors.Join(err, n.Close())
 }
