--- a/coordination/shard/inherit_test.go
+++ b/coordination/shard/inherit_test.go
@@ -76,6 +76,9 @@
 		installer := shard.NewInstaller(p.replica, reaching(n, sources[index]...), zap.NewNop())
 		reply := installer.Install(ctx, shard.InstallRequest{Previous: first, Successor: second})
 		assert.Equal(t, reply.Refusal, register.RefusalNone)
+		copied, err := p.store.LoadRegister(0, "program")
+		assert.NilError(t, err)
+		assert.Assert(t, !copied.Promised.Less(high), "%s forgot the highest promise of its sources", member.Node)
 		assert.Equal(t, p.replica.Open(ctx, shard.OpenRequest{View: second}).Refusal, register.RefusalNone)
 	}
 	before := readThrough(t, second, reaching(n, 3, 4))
@@ -83,6 +86,38 @@
 	assert.Equal(t, before, after)
 }
 
+// TestInstallKeepsWhatIsNewer has a new member install that holds a register at
+// a higher ballot than its sources do, from an epoch that they were told of late.
+func TestInstallKeepsWhatIsNewer(t *testing.T) {
+	ctx := context.Background()
+	n := newNetwork(1)
+	n.instant = true
+	var members []register.Member
+	for index := range 4 {
+		p := n.start(nodeName(index), "zone", nil)
+		ballot := replica.Ballot{Counter: uint64(index + 1), Proposer: "p"}
+		state := replica.Register{Promised: ballot, Accepted: ballot, Value: []byte(p.member.Node)}
+		assert.NilError(t, p.store.SaveRegister(0, "program", state))
+		members = append(members, p.member)
+	}
+	first := register.View{Epoch: shard.FirstEpoch, Members: members[:3]}
+	second := register.View{Epoch: first.Epoch + 1, Members: members[1:]}
+	for _, member := range first.Members {
+		n.process(member.Node).views.Learn(first)
+		fence := register.Fence{Epoch: first.Epoch, Replica: member.Incarnation}
+		reply := n.process(member.Node).replica.Seal(ctx, shard.SealRequest{Fence: fence, Successor: second})
+		assert.Equal(t, reply.Refusal, register.RefusalNone)
+	}
+	newest := n.process(nodeName(3))
+	installer := shard.NewInstaller(newest.replica, reaching(n, 0, 1), zap.NewNop())
+	reply := installer.Install(ctx, shard.InstallRequest{Previous: first, Successor: second})
+	assert.Equal(t, reply.Refusal, register.RefusalNone)
+	kept, err := newest.store.LoadRegister(0, "program")
+	assert.NilError(t, err)
+	assert.Equal(t, string(kept.Value), newest.member.Node)
+	assert.Equal(t, kept.Accepted.Counter, uint64(4))
+}
+
 func reaching(n *network, nodes ...int) partialLink {
 	reached := make(map[string]bool)
 	for _, node := range nodes {
--- a/coordination/shard/plan.go
+++ b/coordination/shard/plan.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
-	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/state/program"
 )
@@ -84,8 +86,12 @@
 	Lost  []LostSet
 }
 
+// planSlot is how long the order of moves and their drivers stay as they are. A
+// move that can't be done, or a driver that can't do it, then gives way.
+const planSlot = 30 * time.Second
+
 // Plan decides which sets need other members. It is a pure function; nodes that
-// know the same make the same plan.
+// know the same at about the same time make the same plan.
 func Plan(situation Situation, settings PlanSettings) Outcome {
 	p := planner{situation: situation, settings: settings, nodes: make(map[string]Node)}
 	for _, node := range situation.Nodes {
@@ -103,7 +109,10 @@
 		}
 	}
 	slices.SortStableFunc(outcome.Moves, func(a, b Move) int {
-		return cmp.Compare(slices.Index(urgency, a.Reason), slices.Index(urgency, b.Reason))
+		return cmp.Or(
+			cmp.Compare(slices.Index(urgency, a.Reason), slices.Index(urgency, b.Reason)),
+			cmp.Compare(xxhash.Sum64String(p.slotKey(a.View)), xxhash.Sum64String(p.slotKey(b.View))),
+		)
 	})
 	outcome.Moves = outcome.Moves[:min(len(outcome.Moves), settings.Moves)]
 	return outcome
@@ -260,9 +269,15 @@
 	return slices.ContainsFunc(members, func(member register.Member) bool { return member.Zone == zone })
 }
 
+// slotKey names a change of the set within the present slot.
+func (p planner) slotKey(view register.View) string {
+	slot := p.situation.Now.Unix() / int64(planSlot/time.Second)
+	return fmt.Sprintf("%d/%d/%d", view.Shard, view.Epoch, slot)
+}
+
 // driver is the answering node with the highest affinity to the change.
 func (p planner) driver(view register.View) string {
-	key := strconv.FormatUint(uint64(view.Shard), 10) + "/" + strconv.FormatUint(view.Epoch, 10)
+	key := p.slotKey(view)
 	var best string
 	for _, node := range p.situation.Nodes {
 		name := node.Member.Node
--- a/coordination/shard/plan_test.go
+++ b/coordination/shard/plan_test.go
@@ -122,6 +122,29 @@
 	}
 }
 
+// TestPlanGivesWay has one more set to mend than moves are allowed: each gets its
+// turn although none of the moves is ever done.
+func TestPlanGivesWay(t *testing.T) {
+	nodes := planNodes()
+	nodes[0].GoneSince = planNow.Add(-time.Hour)
+	situation := shard.Situation{Now: planNow, WatchedSince: planNow, Nodes: nodes}
+	for number := range uint32(planSettings().Moves + 1) {
+		view := planView(nodes, 0, 1, 2)
+		view.Shard = number
+		situation.Views = append(situation.Views, view)
+	}
+	planned, drivers := make(map[uint32]bool), make(map[string]bool)
+	for range 50 {
+		for _, move := range shard.Plan(situation, planSettings()).Moves {
+			planned[move.View.Shard] = true
+			drivers[move.Driver] = true
+		}
+		situation.Now = situation.Now.Add(time.Minute)
+	}
+	assert.Equal(t, len(planned), len(situation.Views))
+	assert.Assert(t, len(drivers) > 1)
+}
+
 // TestPlanSettles applies plans over and over: they end, keep within the bound
 // and never touch a set without a majority.
 func TestPlanSettles(t *testing.T) {
