Test that a failed write stops the later ones

Cause: nothing showed that a store whose medium fails refuses from then on. Ruled out: nothing else weighed. Change: the test closes the file under the store. Conclusion: later writes return ErrFailed, reads give what was last synced.

--- a/state/replica/store_test.go
+++ b/state/replica/store_test.go
@@ -157,3 +157,16 @@
 	}))
 	assert.Equal(t, count, writers)
 }
+
+// TestFailedWriteStopsLaterOnes takes the file away from under the store.
+func TestFailedWriteStopsLaterOnes(t *testing.T) {
+	disk := openTestDisk(t, t.TempDir())
+	before := Register{Promised: Ballot{Counter: 1, Proposer: "p"}}
+	assert.NilError(t, disk.SaveRegister(1, "a", before))
+	assert.NilError(t, disk.database.Close())
+	assert.ErrorIs(t, disk.SaveRegister(1, "a", Register{Promised: Ballot{Counter: 2, Proposer: "p"}}), ErrFailed)
+	assert.ErrorIs(t, disk.PutTurn(1, Turn{Program: "a"}), ErrFailed)
+	after, err := disk.LoadRegister(1, "a")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, after, before)
+}
