--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -52,6 +53,8 @@
 	platform string
 	engines  []*standIn
 	nodes    []*serving
+	// created counts the programs, whose keys are made of it.
+	created atomic.Int64
 }
 
 // standIn is one engine.
