--- a/coordination/configuration/acceptor.go
+++ b/coordination/configuration/acceptor.go
@@ -128,9 +128,13 @@
 	}
 	snapshot := a.agent.holder.Current()
 	object := change.object(max(current.Version, snapshot.Version()) + 1)
-	if _, err := snapshot.Apply(object.Version, []Object{object}); err != nil {
+	next, err := snapshot.Apply(object.Version, []Object{object})
+	if err != nil {
 		return result.Errorf(result.InvalidConfiguration, "%v", err)
 	}
+	if faults := checkMinimum(change.Key, snapshot, next); len(faults) > 0 {
+		return result.Errorf(result.InvalidConfiguration, "%v", faults)
+	}
 	return nil
 }
 
--- a/coordination/configuration/snapshot_test.go
+++ b/coordination/configuration/snapshot_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -120,3 +122,46 @@
 	assert.ErrorIs(t, err, context.Canceled)
 	assert.Assert(t, strings.Contains(err.Error(), "version 6, have 5"))
 }
+
+func TestMinimumOfAPool(t *testing.T) {
+	engine := Key{KindEngine, "e1"}
+	before := mustApply(t, 1, fixture())
+	cases := []struct {
+		name    string
+		change  Object
+		refused bool
+	}{
+		{"drain", Object{Body: json.RawMessage(strings.Replace(fixture()[engine], "{", `{"draining":true,`, 1))}, true},
+		{"stop", Object{Body: json.RawMessage(strings.Replace(fixture()[engine], "{", `{"stopped":true,`, 1))}, true},
+		{"remove", Object{Deleted: true}, true},
+		{"leave", Object{Body: json.RawMessage(fixture()[engine])}, false},
+	}
+	for _, test := range cases {
+		test.change.Key, test.change.Version = engine, 2
+		after, err := before.Apply(2, []Object{test.change})
+		assert.NilError(t, err)
+		assert.Equal(t, len(checkMinimum(engine, before, after)) > 0, test.refused, test.name)
+	}
+	raised := fixture()
+	raised[Key{KindPool, "main"}] = strings.Replace(raised[Key{KindPool, "main"}], `s":1`, `s":5`, 1)
+	assert.Equal(t, len(checkMinimum(engine, before, mustApply(t, 2, raised))), 0)
+}
+
+// TestOperatorsPageExamples holds the examples of the operators' page valid as a
+// whole, one for each kind.
+func TestOperatorsPageExamples(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/configuration.md")
+	assert.NilError(t, err)
+	examples := regexp.MustCompile("(?s)### `([a-z_]+)`[^#]*?```json\n(.*?)```").FindAllStringSubmatch(string(page), -1)
+	bodies := make(map[Key]string)
+	for _, example := range examples {
+		kind := Kind(example[1])
+		name := map[Kind]string{KindModel: "small", KindPool: "main", KindAdapter: "tickets"}[kind]
+		if name == "" {
+			name = SingletonName
+		}
+		bodies[Key{kind, name}] = example[2]
+	}
+	assert.Equal(t, len(bodies), len(Kinds()))
+	mustApply(t, 1, bodies)
+}
--- a/coordination/configuration/spec.go
+++ b/coordination/configuration/spec.go
@@ -88,8 +88,8 @@
 	Zones  []string `json:"zones"`
 	Models []string `json:"models"`
 	Roles  []Role   `json:"roles"`
-	// MinimumEngines is how many engines of the pool must stay: a drain that
-	// would leave fewer is refused.
+	// MinimumEngines is how many engines of the pool must stay: a command that
+	// takes one and would leave fewer is refused.
 	MinimumEngines uint32 `json:"minimum_engines"`
 }
 
