Feed the ejector in the lab, keep the comparison as a file, mend the plot

Cause: the lab drove no ejection; legend and labels of the plot overlapped; the default comparison stood only in code. Ruled out: nothing.

--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -103,6 +103,12 @@
 	}
 }
 
+func TestComparisonFileHoldsTheDefaults(t *testing.T) {
+	config, err := experiment.LoadConfig("comparison.yaml")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, config, experiment.DefaultConfig())
+}
+
 func TestCommandWritesTheReport(t *testing.T) {
 	folder := t.TempDir()
 	file := filepath.Join(folder, "small.yaml")
--- a/lab/experiment/marblering.go
+++ b/lab/experiment/marblering.go
@@ -101,8 +101,17 @@
 	return &routing.Snapshot{Now: now, Engines: engines, Weights: p.weights, Pending: n.ledger}
 }
 
+// probeTimeout is how long a claim to probe an ejected engine stands.
+const probeTimeout = 2 * time.Second
+
 func (p *marblering) mayUse(own *marbleringNode, name string, now time.Time) bool {
-	return own.ejector.Health(name, now) == limit.Healthy
+	switch own.ejector.Health(name, now) {
+	case limit.Ejected:
+		return false
+	case limit.Probed:
+		return own.ejector.Probe(name, probeTimeout, now)
+	}
+	return true
 }
 
 func newRequest(n *simNode, c *call) *routing.Request {
@@ -143,9 +152,17 @@
 
 func (p *marblering) finished(s *simulation, a *attempt, usage engine.Usage) {
 	s.releaseAll(a.call.program, a.engine.index)
+	p.observe(s, a, limit.Outcome{Expected: a.choice.expected, Took: s.schedule.now - a.sent})
 }
 
-func (p *marblering) failed(s *simulation, a *attempt) {}
+func (p *marblering) failed(s *simulation, a *attempt) {
+	p.observe(s, a, limit.Outcome{Failed: true})
+}
+
+func (p *marblering) observe(s *simulation, a *attempt, outcome limit.Outcome) {
+	ejector := p.nodes[a.node.index].ejector
+	ejector.Observe(a.engine.spec.Name, outcome, s.wall(s.schedule.now))
+}
 
 func (p *marblering) paused(s *simulation, paused *program) {
 	own := &p.nodes[s.home(paused.tree).index].retainer
--- a/lab/experiment/plot.go
+++ b/lab/experiment/plot.go
@@ -15,10 +15,13 @@
 
 // Sizes of the plot.
 const (
-	chartWidth  = 16 * vg.Centimeter
-	chartHeight = 8 * vg.Centimeter
-	barWidth    = 9 * vg.Length(1)
+	chartWidth  = 22 * vg.Centimeter
+	chartHeight = 9 * vg.Centimeter
+	barWidth    = 11 * vg.Length(1)
 	chartPad    = 4 * vg.Millimeter
+	// legendRoom is the height of a chart in relation to its highest bar, so
+	// that the legend stands above the bars.
+	legendRoom = 1.5
 )
 
 // chart is one diagram of a deployment: a value of each result.
@@ -29,7 +32,9 @@
 
 var charts = [...]chart{
 	{"program latency p95 [s]", func(r *Result) float64 { return r.Latency.P95 }},
-	{"wasted cache [million tokens]", func(r *Result) float64 { return float64(r.WastedTokens) / million }},
+	{"prompt tokens computed again [million]", func(r *Result) float64 {
+		return float64(r.WastedTokens+r.EvictedTokens) / million
+	}},
 	{"goodput [programs/s]", func(r *Result) float64 { return r.Goodput }},
 }
 
@@ -46,7 +51,16 @@
 func (r *Report) WritePNG(w io.Writer) error {
 	columns := len(r.Capacities)
 	canvas := vgimg.New(chartWidth*vg.Length(columns), chartHeight*vg.Length(len(charts)))
-	tiles := draw.Tiles{Rows: len(charts), Cols: columns, PadX: chartPad, PadY: chartPad}
+	tiles := draw.Tiles{
+		Rows:      len(charts),
+		Cols:      columns,
+		PadX:      chartPad,
+		PadY:      chartPad,
+		PadTop:    chartPad,
+		PadBottom: chartPad,
+		PadLeft:   chartPad,
+		PadRight:  chartPad,
+	}
 	drawing := draw.New(canvas)
 	for column, capacity := range r.Capacities {
 		for row, chart := range charts {
@@ -79,6 +93,7 @@
 	}
 	drawn.NominalX(scenarios...)
 	drawn.Y.Min = 0
+	drawn.Y.Max *= legendRoom
 	return drawn, nil
 }
 
