--- a/coordination/shard/plan_test.go
+++ b/coordination/shard/plan_test.go
@@ -122,6 +122,29 @@
 	}
 }
 
+// TestPlanGivesWay has one more set to mend than moves are allowed: each gets its
+// turn although none of the moves is ever done.
+func TestPlanGivesWay(t *testing.T) {
+	nodes := planNodes()
+	nodes[0].GoneSince = planNow.Add(-time.Hour)
+	situation := shard.Situation{Now: planNow, WatchedSince: planNow, Nodes: nodes}
+	for number := range uint32(planSettings().Moves + 1) {
+		view := planView(nodes, 0, 1, 2)
+		view.Shard = number
+		situation.Views = append(situation.Views, view)
+	}
+	planned, drivers := make(map[uint32]bool), make(map[string]bool)
+	for range 50 {
+		for _, move := range shard.Plan(situation, planSettings()).Moves {
+			planned[move.View.Shard] = true
+			drivers[move.Driver] = true
+		}
+		situation.Now = situation.Now.Add(time.Minute)
+	}
+	assert.Equal(t, len(planned), len(situation.Views))
+	assert.Assert(t, len(drivers) > 1)
+}
+
 // TestPlanSettles applies plans over and over: they end, keep within the bound
 // and never touch a set without a majority.
 func TestPlanSettles(t *testing.T) {
@@ -160,3 +183,30 @@
 		rt.Fatalf("the plans don't end: %+v", views)
 	})
 }
+
+// BenchmarkPlan plans for whole sets: what every node does each second.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ nodes, shards int }{{13, 64}, {100, 512}, {350, 512}} {
+		b.Run(fmt.Sprintf("nodes=%d/shards=%d", size.nodes, size.shards), func(b *testing.B) {
+			situation := shard.Situation{Now: time.Unix(1000, 0), WatchedSince: time.Unix(0, 0)}
+			var candidates []shard.Candidate
+			for index := range size.nodes {
+				member := register.Member{
+					Node: fmt.Sprintf("node-%d", index), Incarnation: fmt.Sprintf("life-%d", index), Zone: fmt.Sprintf("zone-%d", index%13),
+				}
+				candidates = append(candidates, shard.Candidate{Member: member})
+				situation.Nodes = append(situation.Nodes, shard.Node{Member: member})
+			}
+			for number := range size.shards {
+				members := shard.Assign(uint32(number), 3, candidates)
+				situation.Views = append(situation.Views, register.View{Shard: uint32(number), Epoch: 1, Members: members})
+			}
+			b.ResetTimer()
+			for range b.N {
+				if outcome := shard.Plan(situation, shard.PlanSettings{Factor: 3, GoneAfter: time.Second, Moves: 8}); len(outcome.Moves) != 0 {
+					b.Fatal("whole sets need no moves")
+				}
+			}
+		})
+	}
+}
