Don't let two orders of one plan unload a model's last engines

Ruled out: the test; its shrunk example unloads a demanded model everywhere. Change: an engine from which the plan unloads the model no longer counts. Conclusion: no plan takes a demanded model's last engine.

--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -211,6 +211,14 @@
 	return best, most > p.policy.Surplus
 }
 
+// unloads reports whether the plan takes the model from the engine already: two
+// orders of one plan must not each count on the other's engine.
+func (p *planner) unloads(engine *Engine, model Item) bool {
+	return slices.ContainsFunc(p.orders, func(order Order) bool {
+		return order.Action == UnloadModel && order.Engine == engine.Name && order.Item == model
+	})
+}
+
 // coverageWithout is the coverage that a model keeps if an engine unloads it:
 // that of engines which have it now. It is zero where too few would be left.
 func (p *planner) coverageWithout(model Item, without *Engine) float64 {
@@ -221,7 +229,7 @@
 	left := 0.0
 	count := 0
 	for _, engine := range p.engines(model, false) {
-		if engine == without {
+		if engine == without || p.unloads(engine, model) {
 			continue
 		}
 		count++
