Never begin an attempt again whose outcome couldn't be recorded

Cause: an attempt that failed at its engine, or whose answer couldn't be stored, while the record had no quorum was forgotten by its executor; the same key at the same node began it again, so that a call that must not be repeated ran twice. Ruled out: the record, which still held the attempt as dispatched. Change: the executor keeps such attempts as lost; who asks next takes them over like those of a node that is gone. Conclusion: at most once holds at one node too, where the quorum comes and goes.

--- a/coordination/execution/call_test.go
+++ b/coordination/execution/call_test.go
@@ -261,3 +261,23 @@
 	assert.Equal(t, codeOf(t, err), result.TenantLimit)
 	assert.Equal(t, len(f.engines.seen()), 0)
 }
+
+func TestAttemptWhoseFailureIsNotRecordedIsNeverBegunAgain(t *testing.T) {
+	f := newFleetOfExecutors("node-1", "node-2")
+	id := f.program(t, 10000)
+	f.engines.before = func(string, execution.EngineRequest, func(string) error) error {
+		f.records.setFault(func(bool) error { return register.ErrNoQuorum })
+		return &execution.EngineError{Dispatched: true, Cause: errBroken}
+	}
+	request := callOf(id, "key")
+	request.Repeatable = false
+	_, err := f.nodes["node-1"].Call(t.Context(), request, &textSink{})
+	assert.Equal(t, codeOf(t, err), result.OutcomeUnresolved)
+	f.records.setFault(nil)
+	f.engines.before = nil
+	for _, node := range []string{"node-1", "node-2"} {
+		_, err := f.nodes[node].Call(t.Context(), request, &textSink{})
+		assert.Equal(t, codeOf(t, err), result.OutcomeUnknown)
+	}
+	assert.Equal(t, len(f.engines.seen()), 1)
+}
--- a/coordination/execution/fake_test.go
+++ b/coordination/execution/fake_test.go
@@ -301,3 +301,10 @@
 	s.text.WriteString(text)
 	return nil
 }
+
+// setFault sets what is asked before each change; nil is no fault.
+func (m *memoryRecords) setFault(fault func(applied bool) error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.fault = fault
+}
--- a/coordination/execution/flight.go
+++ b/coordination/execution/flight.go
@@ -54,13 +54,20 @@
 // count as running, since others may read what was stored before this process
 // has heard of it.
 type attempts struct {
-	mutex   sync.Mutex
-	open    map[attemptKey]struct{}
+	mutex sync.Mutex
+	open  map[attemptKey]struct{}
+	// lost are attempts that were begun here and whose outcome couldn't be
+	// recorded. They are never begun again: who asks next takes them over as lost.
+	lost    map[attemptKey]struct{}
 	storing map[flightKey]int
 }
 
 func newAttempts() *attempts {
-	return &attempts{open: make(map[attemptKey]struct{}), storing: make(map[flightKey]int)}
+	return &attempts{
+		open:    make(map[attemptKey]struct{}),
+		lost:    make(map[attemptKey]struct{}),
+		storing: make(map[flightKey]int),
+	}
 }
 
 // announce tells that an attempt of the call may be stored, until the returned
@@ -99,21 +106,41 @@
 	return false
 }
 
-// begin adds the attempt; it is false where it is there already.
+// begin adds the attempt; it is false where it was begun before.
 func (a *attempts) begin(key attemptKey) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if _, found := a.open[key]; found {
+	_, running := a.open[key]
+	_, lost := a.lost[key]
+	if running || lost {
 		return false
 	}
 	a.open[key] = struct{}{}
 	return true
 }
 
+// end forgets an attempt whose outcome is in the record.
 func (a *attempts) end(key attemptKey) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	delete(a.open, key)
+	delete(a.lost, key)
+}
+
+// lose keeps an attempt that no longer runs and whose outcome isn't in the
+// record.
+func (a *attempts) lose(key attemptKey) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	delete(a.open, key)
+	a.lost[key] = struct{}{}
+}
+
+func (a *attempts) isLost(key attemptKey) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	_, found := a.lost[key]
+	return found
 }
 
 func (a *attempts) has(key attemptKey) bool {
--- a/coordination/execution/perform.go
+++ b/coordination/execution/perform.go
@@ -22,6 +22,10 @@
 func (e *Executor) performAdmitted(ctx context.Context, current *call, found entry) (Answer, bool, error) {
 	admitted := found.outcome.Call
 	choice := found.choice
+	if !found.begun && e.attempts.isLost(keyOf(current.request.Program, admitted)) {
+		release(choice, current, errNotAdmitted)
+		return e.replaceAndPerform(ctx, current, admitted, &EngineError{Dispatched: true, Cause: errExecutorLost})
+	}
 	if !found.begun {
 		release(choice, current, errNotAdmitted)
 		if err := e.pause(ctx, pollPause); err != nil {
--- a/coordination/execution/settle.go
+++ b/coordination/execution/settle.go
@@ -30,8 +30,12 @@
 	go func() {
 		defer e.settling.Done()
 		defer cancel()
-		defer e.attempts.end(keyOf(current.request.Program, admitted))
 		call, err := e.store(background, admitted, address, turn)
+		if err == nil {
+			e.attempts.end(keyOf(current.request.Program, admitted))
+		} else {
+			e.attempts.lose(keyOf(current.request.Program, admitted))
+		}
 		outcome <- settled{call: call, err: err}
 	}()
 	patience := time.NewTimer(settlePatience)
@@ -175,8 +179,8 @@
 }
 
 // abandon leaves the attempt to whoever asks next: it no longer counts as
-// running here.
+// running here, and is never begun again.
 func (e *Executor) abandon(_ context.Context, current *call, failed *statev1.Call, err error) error {
-	e.attempts.end(keyOf(current.request.Program, failed))
+	e.attempts.lose(keyOf(current.request.Program, failed))
 	return unresolved("the outcome of call %d could not be recorded: %v", failed.GetSequence(), err)
 }
