--- a/node/holds.go
+++ b/node/holds.go
@@ -33,7 +33,7 @@
 	peers   *peer.Client
 	views   register.Views
 	locate  func(root string) uint32
-	mine    func(key string) bool
+	owns    func(engine string) bool
 	now     func() time.Time
 	random  *rand.Rand
 	logger  *zap.Logger
@@ -47,7 +47,7 @@
 func (h *holdSweep) sweepNext(ctx context.Context, round int) {
 	var mine []routing.EngineState
 	for _, engine := range h.fleet.Engines() {
-		if h.mine(engine.Name) {
+		if h.owns(engine.Name) {
 			mine = append(mine, engine)
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,7 @@
 	fleet      *fleet.Fleet
 	executor   *execution.Executor
 	limits     *limits
+	ownership  ownership
 	callers    *callerapi.Handler
 	readiness  *telemetry.Readiness
 	metrics    *prometheus.Registry
@@ -242,7 +243,7 @@
 			mine: n.prefers, now: time.Now, defaults: catalog{n.holder}.limits, logger: n.logger, instruments: n.instruments,
 			holds: &holdSweep{
 				records: n.records, fleet: n.fleet, engines: engineClient, peers: peers, views: &shardViews{n.views, n.holder},
-				locate: n.views.Locate, mine: n.prefers, now: time.Now, random: n.newRandom(), logger: n.logger,
+				locate: n.views.Locate, owns: n.ownsEngine, now: time.Now, random: n.newRandom(), logger: n.logger,
 				released: n.instruments.releasedHolds,
 				verified: make(map[string]map[string]time.Time),
 			},
@@ -341,7 +342,7 @@
 		Random:       n.newRandom(),
 		Logger:       n.logger,
 		Admitter:     n.limits,
-		Owns:         n.prefers,
+		Owns:         n.ownsEngine,
 		PollInterval: pollInterval,
 		MaxQueue:     maxQueue,
 		OnLeaving:    n.engineLeaving,
