--- /dev/null
+++ b/coordination/follow/follower.go
@@ -0,0 +1,198 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// ErrHistoryGone is what a Source returns where it no longer has the changes
+// since the revision that was asked for.
+var ErrHistoryGone = errors.New("the store's history is gone")
+
+// Source is one kind of objects in a store.
+type Source interface {
+	// List returns every object. It must be linearizable.
+	List(ctx context.Context) (Snapshot, error)
+	// Watch returns the changes since a revision as soon as there are any, and
+	// none after about the wait.
+	Watch(ctx context.Context, from int64, wait time.Duration) (Changes, error)
+}
+
+// Settings are the bounds of a follower's calls.
+type Settings struct {
+	// ListTimeout bounds one listing.
+	ListTimeout time.Duration
+	// WatchWait is how long the store may hold a call without changes.
+	WatchWait time.Duration
+	// WatchSlack is how much longer than WatchWait an answer may take. Both
+	// together bound how long a silent store goes unnoticed.
+	WatchSlack time.Duration
+	// MinPause and MaxPause bound the pause after a failed call, which doubles
+	// from one to the other.
+	MinPause time.Duration
+	MaxPause time.Duration
+}
+
+// DefaultSettings notice a silent store within three seconds.
+func DefaultSettings() Settings {
+	return Settings{
+		ListTimeout: 1500 * time.Millisecond,
+		WatchWait:   2 * time.Second,
+		WatchSlack:  700 * time.Millisecond,
+		MinPause:    50 * time.Millisecond,
+		MaxPause:    400 * time.Millisecond,
+	}
+}
+
+// Options are the parts of a Follower.
+type Options struct {
+	// Name stands in log lines.
+	Name     string
+	Source   Source
+	Settings Settings
+	// Apply is called with the whole view after each change of it, from one
+	// goroutine only.
+	Apply  func(Snapshot)
+	Logger *zap.Logger
+	Now    func() time.Time
+}
+
+// Follower keeps the view of one kind of objects. It is a suture service.
+type Follower struct {
+	options Options
+	view    view
+	// heard is when the store last answered, in nanoseconds of the Unix epoch;
+	// zero for never.
+	heard atomic.Int64
+	// lost is set while the store doesn't answer.
+	lost bool
+	// relist is set where the view may have missed changes.
+	relist bool
+}
+
+// New makes a follower that knows nothing yet.
+func New(options Options) *Follower {
+	return &Follower{options: options, relist: true}
+}
+
+// String names the service in the supervisor's messages.
+func (f *Follower) String() string { return "follower of " + f.options.Name }
+
+// Age is how long ago the store last answered; ok is false before the first
+// answer.
+func (f *Follower) Age() (age time.Duration, ok bool) {
+	heard := f.heard.Load()
+	if heard == 0 {
+		return 0, false
+	}
+	return f.options.Now().Sub(time.Unix(0, heard)), true
+}
+
+// Serve follows the objects until the context ends.
+func (f *Follower) Serve(ctx context.Context) error {
+	pause := f.options.Settings.MinPause
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			pause = f.options.Settings.MinPause
+			continue
+		}
+		f.failed(err)
+		if !sleep(ctx, jitter(pause)) {
+			break
+		}
+		pause = min(2*pause, f.options.Settings.MaxPause)
+	}
+	return ctx.Err()
+}
+
+// step makes one call to the store.
+func (f *Follower) step(ctx context.Context) error {
+	if f.relist {
+		return f.list(ctx)
+	}
+	return f.watch(ctx)
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, f.options.Settings.ListTimeout)
+	defer cancel()
+	snapshot, err := f.options.Source.List(bounded)
+	if err != nil {
+		return err
+	}
+	f.heardFromStore()
+	if !f.view.replace(snapshot) {
+		f.options.Logger.Warn("old listing refused", zap.String("objects", f.options.Name),
+			zap.Int64("revision", snapshot.At), zap.Int64("known_revision", f.view.at))
+		return errors.New("the listing is older than what is known")
+	}
+	f.relist = false
+	f.options.Logger.Info("objects listed", zap.String("objects", f.options.Name),
+		zap.Int64("revision", snapshot.At), zap.Int("count", len(snapshot.Objects)))
+	f.options.Apply(f.view.snapshot())
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	settings := f.options.Settings
+	bounded, cancel := context.WithTimeout(ctx, settings.WatchWait+settings.WatchSlack)
+	defer cancel()
+	changes, err := f.options.Source.Watch(bounded, f.view.at, settings.WatchWait)
+	if errors.Is(err, ErrHistoryGone) {
+		f.options.Logger.Info("history gone", zap.String("objects", f.options.Name), zap.Int64("revision", f.view.at))
+		f.relist = true
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.heardFromStore()
+	if f.view.change(changes) {
+		f.options.Apply(f.view.snapshot())
+	}
+	return nil
+}
+
+// failed notes that a call failed. A lost answer may have held changes, so the
+// next call is a listing.
+func (f *Follower) failed(err error) {
+	f.relist = true
+	if f.lost {
+		return
+	}
+	f.lost = true
+	f.options.Logger.Warn("store lost", zap.String("objects", f.options.Name),
+		zap.Int64("revision", f.view.at), zap.Error(err))
+}
+
+func (f *Follower) heardFromStore() {
+	f.heard.Store(f.options.Now().UnixNano())
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.options.Logger.Info("store regained", zap.String("objects", f.options.Name), zap.Int64("revision", f.view.at))
+}
+
+// jitter spreads the calls of nodes that failed at the same moment.
+func jitter(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause)
+}
+
+// sleep returns false where the context ended first.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/coordination/follow/view.go
@@ -0,0 +1,93 @@
+package follow
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Object is one object of the store.
+type Object struct {
+	Name string
+	// Revision is the store's revision of the object's last change.
+	Revision int64
+	// Spec is the object's content, undecoded.
+	Spec []byte
+}
+
+// Snapshot is every object of one kind at one revision of the store.
+type Snapshot struct {
+	Objects []Object
+	At      int64
+}
+
+// Event is one change.
+type Event struct {
+	Object Object
+	// Gone tells that the object was removed.
+	Gone bool
+}
+
+// Changes are the events between two revisions.
+type Changes struct {
+	Events []Event
+	// At is the revision from which to go on.
+	At int64
+}
+
+// view is the copy of the objects. It has no threads and no I/O.
+type view struct {
+	objects map[string]Object
+	at      int64
+	known   bool
+}
+
+// replace takes a snapshot in. One that is older than what is known, such as an
+// answer that was held up on its way, is refused.
+func (v *view) replace(snapshot Snapshot) bool {
+	if v.known && snapshot.At < v.at {
+		return false
+	}
+	v.objects = make(map[string]Object, len(snapshot.Objects))
+	for _, object := range snapshot.Objects {
+		v.objects[object.Name] = object
+	}
+	v.at = snapshot.At
+	v.known = true
+	return true
+}
+
+// change takes changes in and tells whether any object differs from before.
+func (v *view) change(changes Changes) bool {
+	changed := false
+	for _, event := range changes.Events {
+		changed = v.changeOne(event) || changed
+	}
+	v.at = max(v.at, changes.At)
+	return changed
+}
+
+func (v *view) changeOne(event Event) bool {
+	known, exists := v.objects[event.Object.Name]
+	if exists && event.Object.Revision < known.Revision {
+		return false
+	}
+	if event.Gone {
+		delete(v.objects, event.Object.Name)
+		return exists
+	}
+	if exists && event.Object.Revision == known.Revision {
+		return false
+	}
+	v.objects[event.Object.Name] = event.Object
+	return true
+}
+
+// snapshot copies the view, in the order of names.
+func (v *view) snapshot() Snapshot {
+	objects := make([]Object, 0, len(v.objects))
+	for _, object := range v.objects {
+		objects = append(objects, object)
+	}
+	slices.SortFunc(objects, func(a, b Object) int { return cmp.Compare(a.Name, b.Name) })
+	return Snapshot{Objects: objects, At: v.at}
+}
--- /dev/null
+++ b/coordination/routetable/table.go
@@ -0,0 +1,103 @@
+package routetable
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+)
+
+// Table answers which route a request takes. It is only read.
+type Table struct {
+	configuration Configuration
+	// hosts lists each host's routes, the longest prefix first.
+	hosts map[string][]*Route
+}
+
+// NewTable checks the configuration and builds its table.
+func NewTable(configuration Configuration) (*Table, error) {
+	if err := configuration.check(); err != nil {
+		return nil, err
+	}
+	table := &Table{configuration: configuration, hosts: make(map[string][]*Route)}
+	for index := range configuration.Routes {
+		route := &configuration.Routes[index]
+		host := strings.ToLower(route.Host)
+		table.hosts[host] = append(table.hosts[host], route)
+	}
+	for _, routes := range table.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	return table, nil
+}
+
+// Version is that of the configuration.
+func (t *Table) Version() int64 { return t.configuration.Version }
+
+// Limits are those of the configuration.
+func (t *Table) Limits() Limits { return t.configuration.Limits }
+
+// Routes is how many routes the table has.
+func (t *Table) Routes() int { return len(t.configuration.Routes) }
+
+// Match returns the route of the host whose prefix begins the path and is the
+// longest. The path is as it was sent, still escaped and without a query.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, route := range t.hosts[hostName(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// hostName strips the port and folds the case.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// Pick returns the service for a request, given a number from 0 (included) to 1
+// (excluded) that is drawn for it. Requests that belong together bring the same
+// number and so stay with one service.
+func (r *Route) Pick(draw float64) string {
+	total := 0.0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	rest := draw * total
+	for _, target := range r.Targets {
+		if rest < target.Weight {
+			return target.Service
+		}
+		rest -= target.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Holder publishes the newest table. Reading takes no lock.
+type Holder struct {
+	current atomic.Pointer[Table]
+	mutex   sync.Mutex
+}
+
+// Table returns the table in force; nil before the first.
+func (h *Holder) Table() *Table { return h.current.Load() }
+
+// Install puts the table in force unless its version is older than, or the same
+// as, the one in force, and tells whether it did.
+func (h *Holder) Install(table *Table) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if current := h.current.Load(); current != nil && table.Version() <= current.Version() {
+		return false
+	}
+	h.current.Store(table)
+	return true
+}
--- /dev/null
+++ b/node/gateway/apply.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/follow"
+	"github.com/marblering/marblering/coordination/routetable"
+)
+
+var (
+	errNoConfiguration = errors.New("no configuration yet")
+	errNoInstances     = errors.New("the instances aren't listed yet")
+	errDraining        = errors.New("draining")
+)
+
+// applyConfiguration puts a newer configuration in force. One that can't be
+// used changes nothing.
+func (g *Gateway) applyConfiguration(snapshot follow.Snapshot) {
+	decoded, found, err := g.parts.DecodeConfiguration(snapshot)
+	if !found && err == nil {
+		return
+	}
+	var table *routetable.Table
+	if err == nil {
+		table, err = routetable.NewTable(decoded)
+	}
+	if err != nil {
+		g.logger.Error("configuration refused", zap.Int64("revision", snapshot.At), zap.Error(err))
+		return
+	}
+	if !g.tables.Install(table) {
+		return
+	}
+	g.callers.limit(table.Limits())
+	g.logger.Info("configuration in force", zap.Int64("version", table.Version()),
+		zap.Int64("revision", snapshot.At), zap.Int("routes", table.Routes()))
+}
+
+// applyInstances replaces the instances that requests are sent to.
+func (g *Gateway) applyInstances(snapshot follow.Snapshot) {
+	instances := make([]backend.Instance, 0, len(snapshot.Objects))
+	for _, object := range snapshot.Objects {
+		instance, err := g.parts.DecodeInstance(object)
+		if err != nil {
+			g.logger.Error("instance refused", zap.String("instance", object.Name), zap.Error(err))
+			continue
+		}
+		instances = append(instances, instance)
+	}
+	gone := g.backends.Replace(instances)
+	for _, instance := range gone {
+		g.upstream.Forget(instance)
+	}
+	g.listed.Store(true)
+	known, leaving := g.backends.Count()
+	g.logger.Info("instances changed", zap.Int64("revision", snapshot.At),
+		zap.Int("known", known), zap.Int("leaving", leaving), zap.Strings("gone", gone))
+}
+
+func (g *Gateway) checkConfiguration(context.Context) error {
+	if g.tables.Table() == nil {
+		return errNoConfiguration
+	}
+	return nil
+}
+
+func (g *Gateway) checkInstances(context.Context) error {
+	if !g.listed.Load() {
+		return errNoInstances
+	}
+	return nil
+}
+
+func (g *Gateway) checkServing(context.Context) error {
+	if g.draining.Load() {
+		return errDraining
+	}
+	return nil
+}
+
+func (g *Gateway) registerGauges() {
+	gauge := func(name, help string, value func() float64) {
+		g.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("marblering_gateway_in_flight_requests", "Requests under way.",
+		func() float64 { return float64(g.relay.InFlight()) })
+	gauge("marblering_gateway_configuration_version", "Version of the configuration in force.", g.versionInForce)
+	gauge("marblering_gateway_instances", "Instances known.", func() float64 {
+		known, _ := g.backends.Count()
+		return float64(known)
+	})
+	g.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "marblering_gateway_dials_total", Help: "Connections made to back ends.",
+	}, func() float64 { return float64(g.upstream.Dials()) }))
+}
+
+func (g *Gateway) versionInForce() float64 {
+	table := g.tables.Table()
+	if table == nil {
+		return 0
+	}
+	return float64(table.Version())
+}
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/follow"
+	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/routetable"
+	"github.com/marblering/marblering/settings"
+	"github.com/marblering/marblering/telemetry"
+	"github.com/marblering/marblering/transport/relay"
+	"github.com/marblering/marblering/transport/upstream"
+)
+
+// Parts are what differs between deployments.
+type Parts struct {
+	Dialect relay.Dialect
+	// IDHeader is the header in which back ends repeat a request's id.
+	IDHeader string
+	// Configuration and Instances are the objects to follow.
+	Configuration follow.Source
+	Instances     follow.Source
+	// DecodeConfiguration finds the configuration among its objects; found is
+	// false where there is none yet.
+	DecodeConfiguration func(follow.Snapshot) (configuration routetable.Configuration, found bool, err error)
+	// DecodeInstance reads one instance.
+	DecodeInstance func(follow.Object) (backend.Instance, error)
+}
+
+const (
+	maxInFlight = 2000
+	// watchSlack is how much longer than its wait a held call may take.
+	watchSlack = 700 * time.Millisecond
+	// idleSweep is the pause between two looks at the kept connections.
+	idleSweep = time.Second
+	// memoryPart of the limit is where the garbage collector works harder.
+	memoryPart = 0.8
+)
+
+// Gateway is one running daemon.
+type Gateway struct {
+	settings settings.Gateway
+	parts    Parts
+	logger   *zap.Logger
+
+	tables        *routetable.Holder
+	backends      *backend.Pool
+	upstream      *upstream.Client
+	relay         *relay.Handler
+	configuration *follow.Follower
+	instances     *follow.Follower
+	callers       *callerServer
+	operators     *operatorServer
+	metrics       *prometheus.Registry
+	// listed is set once the instances are known.
+	listed   atomic.Bool
+	draining atomic.Bool
+}
+
+// Run runs a gateway until the context ends, then drains it.
+func Run(ctx context.Context, loaded settings.Gateway, parts Parts, logger *zap.Logger) error {
+	debug.SetMemoryLimit(int64(memoryPart * float64(loaded.MemoryLimit)))
+	g := newGateway(loaded, parts, logger)
+	if err := g.listen(); err != nil {
+		return err
+	}
+	services, stop := context.WithCancel(context.Background())
+	defer stop()
+	supervisor := suture.New("gateway", suture.Spec{EventHook: g.logEvent})
+	for _, service := range []suture.Service{g.configuration, g.instances, g.callers, g.operators, idleCloser{g.upstream}} {
+		supervisor.Add(service)
+	}
+	stopped := supervisor.ServeBackground(services)
+	logger.Info("started", zap.Stringer("caller_address", g.callers.address()),
+		zap.Stringer("operator_address", g.operators.address()), zap.String("store", loaded.StoreURL))
+	select {
+	case <-ctx.Done():
+		g.drain()
+		return nil
+	case err := <-stopped:
+		return err
+	}
+}
+
+func newGateway(loaded settings.Gateway, parts Parts, logger *zap.Logger) *Gateway {
+	g := &Gateway{
+		settings: loaded, parts: parts, logger: logger,
+		tables:   &routetable.Holder{},
+		backends: backend.NewPool(loaded.Zone, backend.EjectionPolicy(), time.Now),
+		metrics:  telemetry.NewRegistry(),
+	}
+	bounds := upstream.DefaultSettings()
+	bounds.IDHeader = parts.IDHeader
+	g.upstream = upstream.NewClient(bounds, time.Now)
+	g.configuration = g.newFollower("configuration", parts.Configuration, g.applyConfiguration)
+	g.instances = g.newFollower("instances", parts.Instances, g.applyInstances)
+	g.relay = relay.New(relay.Options{
+		Tables: g.tables, Backends: g.backends, Exchanger: g.upstream, Dialect: parts.Dialect,
+		Certain: g.isCertain, Draining: g.draining.Load, MaxInFlight: maxInFlight, Gone: g.instanceGone,
+		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
+		Metrics: relay.NewMetrics(g.metrics), Logger: logger, Now: time.Now,
+	})
+	g.registerGauges()
+	return g
+}
+
+func (g *Gateway) newFollower(name string, source follow.Source, apply func(follow.Snapshot)) *follow.Follower {
+	bounds := follow.DefaultSettings()
+	bounds.WatchWait = g.settings.ApplyLimit
+	bounds.WatchSlack = watchSlack
+	return follow.New(follow.Options{
+		Name: name, Source: source, Settings: bounds, Apply: apply, Logger: g.logger, Now: time.Now,
+	})
+}
+
+func (g *Gateway) listen() (err error) {
+	if g.callers, err = listenCallers(g.settings.CallerListen, g.relay, g.logger); err != nil {
+		return err
+	}
+	g.operators, err = listenOperators(g.settings.OperatorListen, g.operatorHandler())
+	return err
+}
+
+func (g *Gateway) operatorHandler() http.Handler {
+	readiness := telemetry.NewReadiness()
+	readiness.Add("configuration", g.checkConfiguration)
+	readiness.Add("instances", g.checkInstances)
+	readiness.Add("serving", g.checkServing)
+	return telemetry.NewHandlerAt(g.settings.ReadyPath, g.metrics, readiness)
+}
+
+// isCertain tells whether the configuration in force is surely the newest but
+// for what changed within the time of one held call.
+func (g *Gateway) isCertain() bool {
+	age, heard := g.configuration.Age()
+	return heard && age < g.settings.ApplyLimit+2*watchSlack
+}
+
+// instanceGone leaves an instance out whose address another has; the store will
+// say so later.
+func (g *Gateway) instanceGone(instance string) {
+	g.upstream.Forget(instance)
+	g.logger.Info("instance lost its address", zap.String("instance", instance))
+}
+
+func (g *Gateway) logEvent(event suture.Event) {
+	g.logger.Warn("supervisor", zap.String("event", event.String()))
+}
+
+// idleCloser closes connections that have rested too long.
+type idleCloser struct {
+	client *upstream.Client
+}
+
+// String names the service in the supervisor's messages.
+func (idleCloser) String() string { return "closer of idle connections" }
+
+// Serve implements suture.Service.
+func (c idleCloser) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			c.client.CloseIdle()
+		}
+	}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -15,15 +15,8 @@
 // before it counts as failed: one lost packet must not be a failure.
 const failureHeartbeats = 2
 
-func (l *loader) check(loaded Settings) error {
-	if err := l.checkFields(loaded); err != nil {
-		return err
-	}
-	return l.checkPairs(loaded)
-}
-
 // checkFields applies the validate tags and reports the first field that fails.
-func (l *loader) checkFields(loaded Settings) error {
+func (l *loader[T]) checkFields(loaded T) error {
 	validate, err := newValidator()
 	if err != nil {
 		return &Error{Source: l.path, Problem: err.Error()}
@@ -39,21 +32,21 @@
 	return nil
 }
 
-func (l *loader) fieldFault(failure validator.FieldError) error {
-	option := optionOf(failure.Field())
+func (l *loader[T]) fieldFault(failure validator.FieldError) error {
+	option := l.option(failure.Field())
 	if failure.Tag() == "required" {
 		return l.fault(option, "missing")
 	}
 	return l.fault(option, describe(failure.Value())+" isn't allowed")
 }
 
-func optionOf(key string) Option {
-	for _, option := range Options() {
+func (l *loader[T]) option(key string) OptionOf[T] {
+	for _, option := range l.options {
 		if option.Key == key {
 			return option
 		}
 	}
-	return Option{Key: key}
+	return OptionOf[T]{Key: key}
 }
 
 func newValidator() (*validator.Validate, error) {
@@ -65,6 +58,7 @@
 		"name":          validName(),
 		"base_url":      validBaseURL,
 		"absolute_path": validAbsolutePath,
+		"url_path":      validURLPath,
 	}
 	for tag, check := range checks {
 		if err := validate.RegisterValidation(tag, check); err != nil {
@@ -98,3 +92,10 @@
 func validAbsolutePath(field validator.FieldLevel) bool {
 	return filepath.IsAbs(field.Field().String())
 }
+
+// validURLPath accepts a path without characters that a URL would escape.
+func validURLPath(field validator.FieldLevel) bool {
+	text := field.Field().String()
+	parsed, err := url.Parse(text)
+	return err == nil && text != "" && text[0] == '/' && *parsed == url.URL{Path: text}
+}
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,104 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/spf13/pflag"
+)
+
+// Gateway are the settings of a gateway. LoadGateway returns them complete and
+// checked. GatewayOptions describes each key.
+type Gateway struct {
+	// Name is the node's name, unique in the deployment.
+	Name string `koanf:"name" validate:"required,name"`
+	// Zone is the zone whose failure takes this node with it.
+	Zone string `koanf:"zone" validate:"required,name"`
+	// CallerListen serves callers.
+	CallerListen netip.AddrPort `koanf:"caller_listen" validate:"required"`
+	// OperatorListen serves /metrics, /healthz and readiness.
+	OperatorListen netip.AddrPort `koanf:"operator_listen" validate:"required"`
+	// ReadyPath answers 200 while the gateway can serve.
+	ReadyPath string `koanf:"ready_path" validate:"url_path"`
+	// StoreURL is the base URL of the store of configuration and back ends.
+	StoreURL string `koanf:"store_url" validate:"required,base_url"`
+	// ApplyLimit is the time in which a new configuration must be in force.
+	ApplyLimit time.Duration `koanf:"apply_limit" validate:"min=100ms,max=1m"`
+	// DrainTimeout is how long a planned stop may take.
+	DrainTimeout time.Duration `koanf:"drain_timeout" validate:"min=1s,max=25h"`
+	// MemoryLimit is what the process may use.
+	MemoryLimit ByteSize `koanf:"memory_limit" validate:"min=16777216"`
+	// LogLevel is the least severe level that is logged.
+	LogLevel string `koanf:"log_level" validate:"oneof=debug info warn error"`
+}
+
+// LoadGateway reads and checks a gateway's settings as Load does a node's.
+func LoadGateway(path string, flags *pflag.FlagSet) (Gateway, error) {
+	return newLoader(path, flags, GatewayOptions()).load(checkGatewayPairs)
+}
+
+// checkGatewayPairs refuses one address for both listeners.
+func checkGatewayPairs(l *loader[Gateway], loaded Gateway) error {
+	if collide(loaded.CallerListen, loaded.OperatorListen) {
+		problem := fmt.Sprintf("%v contradicts caller_listen, which is %v", loaded.OperatorListen, loaded.CallerListen)
+		return l.fault(l.option("operator_listen"), problem)
+	}
+	return nil
+}
+
+// GatewayOptions lists every option in the order of the documentation.
+func GatewayOptions() []OptionOf[Gateway] {
+	return []OptionOf[Gateway]{
+		{
+			Key: "name", Required: true, Allowed: allowedName,
+			Usage: usageName,
+			field: func(s *Gateway) any { return &s.Name },
+		},
+		{
+			Key: "zone", Required: true, Allowed: allowedName,
+			Usage: usageZone,
+			field: func(s *Gateway) any { return &s.Zone },
+		},
+		{
+			Key: "caller_listen", Required: true, Allowed: allowedAddress,
+			Usage: "address that serves callers",
+			field: func(s *Gateway) any { return &s.CallerListen },
+		},
+		{
+			Key: "operator_listen", Required: true, Allowed: allowedAddress,
+			Usage: "address that serves /metrics, /healthz and readiness",
+			field: func(s *Gateway) any { return &s.OperatorListen },
+		},
+		{
+			Key: "ready_path", Default: "/readyz", Allowed: "path that begins with a slash",
+			Usage: "path that answers 200 while the gateway can serve, otherwise 503",
+			field: func(s *Gateway) any { return &s.ReadyPath },
+		},
+		{
+			Key: "store_url", Required: true, Allowed: "URL with an IP number such as http://10.0.0.9:7000, no path, no host name",
+			Usage: "base URL of the store of configuration and back ends",
+			field: func(s *Gateway) any { return &s.StoreURL },
+		},
+		{
+			Key: "apply_limit", Default: "2s", Allowed: allowedDuration("100ms", "1m"),
+			Usage: "time in which a new configuration must be in force; bounds how long a silent store goes unnoticed",
+			field: func(s *Gateway) any { return &s.ApplyLimit },
+		},
+		{
+			Key: "drain_timeout", Default: "8s", Allowed: allowedDuration("1s", "25h"),
+			Usage: "how long a planned stop may take; then the process is killed",
+			field: func(s *Gateway) any { return &s.DrainTimeout },
+		},
+		{
+			Key: "memory_limit", Default: "256MiB", Allowed: allowedMemory,
+			Usage: usageMemory,
+			field: func(s *Gateway) any { return &s.MemoryLimit },
+		},
+		{
+			Key: "log_level", Default: "info", Allowed: allowedLogLevel,
+			Usage: usageLogLevel,
+			field: func(s *Gateway) any { return &s.LogLevel },
+		},
+	}
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -17,11 +17,20 @@
 	flagSource = "flags"
 )
 
-// AddFlags adds one flag for each option.
-func AddFlags(flags *pflag.FlagSet) {
-	for _, option := range Options() {
+// AddFlags adds one flag for each option of a node.
+func AddFlags(flags *pflag.FlagSet) { addFlags(flags, Options()) }
+
+// AddGatewayFlags adds one flag for each option of a gateway.
+func AddGatewayFlags(flags *pflag.FlagSet) { addFlags(flags, GatewayOptions()) }
+
+// AddStorageFlags adds one flag for each option of a storage node.
+func AddStorageFlags(flags *pflag.FlagSet) { addFlags(flags, StorageOptions()) }
+
+func addFlags[T any](flags *pflag.FlagSet, options []OptionOf[T]) {
+	for _, option := range options {
 		usage := option.Usage + "; " + option.Allowed
-		if _, isList := option.field(&Settings{}).(*[]netip.AddrPort); isList {
+		var none T
+		if _, isList := option.field(&none).(*[]netip.AddrPort); isList {
 			flags.StringSlice(option.Flag(), nil, usage)
 			continue
 		}
@@ -33,27 +42,43 @@
 // the whole. An empty path reads flags only; nil flags read the file only.
 // Every error is an *Error.
 func Load(path string, flags *pflag.FlagSet) (Settings, error) {
-	loader := loader{path: path, flags: flags, values: koanf.New(keyDelimiter)}
-	if err := loader.read(); err != nil {
-		return Settings{}, err
-	}
-	loaded, err := loader.decode()
+	loader := newLoader(path, flags, Options())
+	return loader.load(checkPairs)
+}
+
+// loader reads one settings file and flags into a T.
+type loader[T any] struct {
+	path    string
+	flags   *pflag.FlagSet
+	options []OptionOf[T]
+	values  *koanf.Koanf
+}
+
+func newLoader[T any](path string, flags *pflag.FlagSet, options []OptionOf[T]) *loader[T] {
+	return &loader[T]{path: path, flags: flags, options: options, values: koanf.New(keyDelimiter)}
+}
+
+// load reads and checks everything; checkPairs refuses values that contradict
+// each other.
+func (l *loader[T]) load(checkPairs func(*loader[T], T) error) (T, error) {
+	var none T
+	if err := l.read(); err != nil {
+		return none, err
+	}
+	loaded, err := l.decode()
 	if err != nil {
-		return Settings{}, err
+		return none, err
 	}
-	if err := loader.check(loaded); err != nil {
-		return Settings{}, err
+	if err := l.checkFields(loaded); err != nil {
+		return none, err
+	}
+	if err := checkPairs(l, loaded); err != nil {
+		return none, err
 	}
 	return loaded, nil
 }
 
-type loader struct {
-	path   string
-	flags  *pflag.FlagSet
-	values *koanf.Koanf
-}
-
-func (l *loader) read() error {
+func (l *loader[T]) read() error {
 	if l.path != "" {
 		err := l.values.Load(file.Provider(l.path), strictYAML{})
 		if err != nil {
@@ -75,8 +100,8 @@
 
 // flagValue returns the key and value of an option's flag, and an empty key
 // for flags that aren't options.
-func (l *loader) flagValue(flag *pflag.Flag) (string, any) {
-	for _, option := range Options() {
+func (l *loader[T]) flagValue(flag *pflag.Flag) (string, any) {
+	for _, option := range l.options {
 		if option.Flag() == flag.Name {
 			return option.Key, posflag.FlagVal(l.flags, flag)
 		}
@@ -84,10 +109,10 @@
 	return "", nil
 }
 
-func (l *loader) refuseUnknownKeys() error {
+func (l *loader[T]) refuseUnknownKeys() error {
 	known := make(map[string]bool)
 	names := make([]string, 0)
-	for _, option := range Options() {
+	for _, option := range l.options {
 		known[option.Key] = true
 		names = append(names, option.Key)
 	}
@@ -101,17 +126,18 @@
 	return nil
 }
 
-func (l *loader) decode() (Settings, error) {
-	var loaded Settings
-	for _, option := range Options() {
+func (l *loader[T]) decode() (T, error) {
+	var loaded T
+	for _, option := range l.options {
 		if err := l.decodeOption(&loaded, option); err != nil {
-			return Settings{}, err
+			var none T
+			return none, err
 		}
 	}
 	return loaded, nil
 }
 
-func (l *loader) decodeOption(loaded *Settings, option Option) error {
+func (l *loader[T]) decodeOption(loaded *T, option OptionOf[T]) error {
 	var value any
 	switch {
 	case l.values.Exists(option.Key):
@@ -128,11 +154,11 @@
 }
 
 // fault makes the error of one option and names where its value came from.
-func (l *loader) fault(option Option, problem string) *Error {
+func (l *loader[T]) fault(option OptionOf[T], problem string) *Error {
 	return &Error{Source: l.source(option), Key: option.Key, Problem: problem, Allowed: option.Allowed}
 }
 
-func (l *loader) source(option Option) string {
+func (l *loader[T]) source(option OptionOf[T]) string {
 	if l.flags != nil && l.flags.Changed(option.Flag()) {
 		return "flag --" + option.Flag()
 	}
--- a/settings/option.go
+++ b/settings/option.go
@@ -2,8 +2,12 @@
 
 import "strings"
 
-// Option describes one key of the settings file and the flag of the same name.
-type Option struct {
+// Option describes one key of a node's settings file and the flag of the same
+// name.
+type Option = OptionOf[Settings]
+
+// OptionOf describes one key of a settings file that is read into a T.
+type OptionOf[T any] struct {
 	// Key is the key in the file.
 	Key string
 	// Default is the value, as text, where neither file nor flag gives one.
@@ -17,16 +21,22 @@
 	Usage string
 
 	// field returns a pointer to the option's field.
-	field func(*Settings) any
+	field func(*T) any
 }
 
 // Flag returns the name of the option's flag, without the leading hyphens.
-func (o Option) Flag() string { return strings.ReplaceAll(o.Key, "_", "-") }
+func (o OptionOf[T]) Flag() string { return strings.ReplaceAll(o.Key, "_", "-") }
 
 // Texts that describe the values of several options.
 const (
-	allowedName    = "1 to 63 lower-case letters, digits and inner hyphens"
-	allowedAddress = "IP number and port such as 10.0.0.5:7100 or [fd00::5]:7100, no host name"
+	allowedName     = "1 to 63 lower-case letters, digits and inner hyphens"
+	allowedLogLevel = "debug, info, warn or error"
+	allowedMemory   = "size with unit from 16MiB; units B, KiB, MiB, GiB"
+	usageName       = "name of the node, unique in the deployment"
+	usageZone       = "zone whose failure takes this node with it"
+	usageMemory     = "memory that the process may use"
+	usageLogLevel   = "least severe level that is logged"
+	allowedAddress  = "IP number and port such as 10.0.0.5:7100 or [fd00::5]:7100, no host name"
 )
 
 // Options lists every option in the order of the documentation.
@@ -35,8 +45,8 @@
 	options = append(options, stateOptions()...)
 	options = append(options, limitOptions()...)
 	return append(options, Option{
-		Key: "log_level", Default: "info", Allowed: "debug, info, warn or error",
-		Usage: "least severe level that is logged",
+		Key: "log_level", Default: "info", Allowed: allowedLogLevel,
+		Usage: usageLogLevel,
 		field: func(s *Settings) any { return &s.LogLevel },
 	})
 }
@@ -45,12 +55,12 @@
 	return []Option{
 		{
 			Key: "name", Required: true, Allowed: allowedName,
-			Usage: "name of the node, unique in the deployment",
+			Usage: usageName,
 			field: func(s *Settings) any { return &s.Name },
 		},
 		{
 			Key: "zone", Required: true, Allowed: allowedName,
-			Usage: "zone whose failure takes this node with it",
+			Usage: usageZone,
 			field: func(s *Settings) any { return &s.Zone },
 		},
 	}
--- a/settings/pair.go
+++ b/settings/pair.go
@@ -13,14 +13,14 @@
 
 // checkPairs refuses values that are allowed by themselves but contradict each
 // other.
-func (l *loader) checkPairs(loaded Settings) error {
-	checks := []func(Settings) error{
-		l.checkAdvertise,
-		l.checkListeners,
-		l.checkTimeouts,
+func checkPairs(l *loader[Settings], loaded Settings) error {
+	checks := []func(*loader[Settings], Settings) error{
+		checkAdvertise,
+		checkListeners,
+		checkTimeouts,
 	}
 	for _, check := range checks {
-		if err := check(loaded); err != nil {
+		if err := check(l, loaded); err != nil {
 			return err
 		}
 	}
@@ -28,8 +28,8 @@
 }
 
 // checkAdvertise makes sure that peers are told an address they can reach.
-func (l *loader) checkAdvertise(loaded Settings) error {
-	option := optionOf("peer_advertise")
+func checkAdvertise(l *loader[Settings], loaded Settings) error {
+	option := l.option("peer_advertise")
 	advertised := loaded.PeerAdvertise
 	if !advertised.IsValid() {
 		if loaded.PeerListen.Addr().IsUnspecified() {
@@ -44,7 +44,7 @@
 }
 
 // checkListeners refuses one address for two listeners.
-func (l *loader) checkListeners(loaded Settings) error {
+func checkListeners(l *loader[Settings], loaded Settings) error {
 	listeners := []listener{
 		{"peer_listen", loaded.PeerListen},
 		{"caller_listen", loaded.CallerListen},
@@ -54,7 +54,7 @@
 		for _, earlier := range listeners[:i] {
 			if collide(earlier.address, later.address) {
 				problem := fmt.Sprintf("%v contradicts %s, which is %v", later.address, earlier.key, earlier.address)
-				return l.fault(optionOf(later.key), problem)
+				return l.fault(l.option(later.key), problem)
 			}
 		}
 	}
@@ -70,14 +70,14 @@
 	return first.Addr() == second.Addr() || first.Addr().IsUnspecified() || second.Addr().IsUnspecified()
 }
 
-func (l *loader) checkTimeouts(loaded Settings) error {
+func checkTimeouts(l *loader[Settings], loaded Settings) error {
 	if loaded.FailureTimeout < failureHeartbeats*loaded.HeartbeatInterval {
 		problem := fmt.Sprintf("%v is less than twice heartbeat_interval, which is %v", loaded.FailureTimeout, loaded.HeartbeatInterval)
-		return l.fault(optionOf("failure_timeout"), problem)
+		return l.fault(l.option("failure_timeout"), problem)
 	}
 	if loaded.DrainTimeout < loaded.CallTimeout {
 		problem := fmt.Sprintf("%v is less than call_timeout, which is %v", loaded.DrainTimeout, loaded.CallTimeout)
-		return l.fault(optionOf("drain_timeout"), problem)
+		return l.fault(l.option("drain_timeout"), problem)
 	}
 	return nil
 }
--- a/state/result/code.go
+++ b/state/result/code.go
@@ -56,6 +56,9 @@
 	UnknownPath       Code = 1013
 	CallInProgress    Code = 1014
 	ContextTooLong    Code = 1015
+	UnknownRoute      Code = 1016
+	HeaderTooLarge    Code = 1017
+	BodyTimeout       Code = 1018
 
 	Overloaded         Code = 2001
 	TenantLimit        Code = 2002
@@ -64,11 +67,16 @@
 	Draining           Code = 2005
 	NotReady           Code = 2006
 	HistoryUnavailable Code = 2007
+	BackendBusy        Code = 2008
+	NoBackend          Code = 2009
 
 	OutcomeUnknown    Code = 3001
 	OutcomeUnresolved Code = 3002
 	EngineFailed      Code = 3003
 	ProgramStopped    Code = 3004
+	BackendFailed     Code = 3005
+	BackendTimeout    Code = 3006
+	ClientGone        Code = 3007
 
 	SyntaxError          Code = 4001
 	VersionConflict      Code = 4002
@@ -109,6 +117,9 @@
 	{UnknownPath, "unknown_path", http.StatusNotFound, NotRun, RepeatNever, "The API has no such path or method."},
 	{CallInProgress, "call_in_progress", http.StatusConflict, NotRun, RepeatLater, "Another call of the same program is still running."},
 	{ContextTooLong, "context_too_long", http.StatusBadRequest, NotRun, RepeatNever, "History, request and answer together exceed the model's context."},
+	{UnknownRoute, "unknown_route", http.StatusNotFound, NotRun, RepeatNever, "The configuration in force has no route for this host and path."},
+	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, NotRun, RepeatNever, "The request's header exceeds the size limit."},
+	{BodyTimeout, "body_timeout", http.StatusRequestTimeout, NotRun, RepeatLater, "The request's body didn't arrive in time."},
 	{Overloaded, "overloaded", http.StatusTooManyRequests, NotRun, RepeatLater, "The engines can't serve the request in time."},
 	{TenantLimit, "tenant_limit", http.StatusTooManyRequests, NotRun, RepeatLater, "The tenant has reached its limit."},
 	{NoEngine, "no_engine", http.StatusServiceUnavailable, NotRun, RepeatLater, "No engine that serves the model can be reached."},
@@ -116,10 +127,15 @@
 	{Draining, "draining", http.StatusServiceUnavailable, NotRun, RepeatLater, "This node is stopping; ask another one."},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, NotRun, RepeatLater, "This node has no configuration or shard map yet."},
 	{HistoryUnavailable, "history_unavailable", http.StatusServiceUnavailable, NotRun, RepeatLater, "Too few replicas of the program's history answer."},
+	{BackendBusy, "backend_busy", http.StatusServiceUnavailable, NotRun, RepeatLater, "Every back end that was asked refused the request."},
+	{NoBackend, "no_backend", http.StatusServiceUnavailable, NotRun, RepeatLater, "No back end of the service can be reached."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, RepeatNever, "A request that must not be repeated lost its executor after dispatch. Final: it isn't tried again."},
 	{OutcomeUnresolved, "outcome_unresolved", http.StatusServiceUnavailable, Unknown, RepeatSameKey, "The record couldn't be read after a change; the same key finds out."},
 	{EngineFailed, "engine_failed", http.StatusBadGateway, Run, RepeatNever, "Every attempt the call may have failed at an engine. Final."},
 	{ProgramStopped, "program_stopped", http.StatusConflict, Unknown, RepeatNever, "The program was ended while the call was running. Final."},
+	{BackendFailed, "backend_failed", http.StatusBadGateway, Unknown, RepeatNever, "The request was sent to a back end and there is no whole answer."},
+	{BackendTimeout, "backend_timeout", http.StatusGatewayTimeout, Unknown, RepeatNever, "The time of the request or of its route is over."},
+	{ClientGone, "client_gone", http.StatusBadGateway, Unknown, RepeatNever, "The caller closed the connection; the code is only logged."},
 	{SyntaxError, "syntax_error", http.StatusBadRequest, NotRun, RepeatNever, "The operator's text can't be parsed; the message gives the column."},
 	{VersionConflict, "version_conflict", http.StatusConflict, NotRun, RepeatNever, "The object has another version; the message gives it and who wrote it."},
 	{PlatformUnavailable, "platform_unavailable", http.StatusServiceUnavailable, NotRun, RepeatLater, "The object API doesn't answer; nothing was changed."},
--- a/telemetry/handler.go
+++ b/telemetry/handler.go
@@ -27,10 +27,15 @@
 //   - /healthz: 200 as long as the process answers;
 //   - /readyz: 200 when every check passes, otherwise 503; one line a check.
 func NewHandler(metrics prometheus.Gatherer, readiness *Readiness) http.Handler {
+	return NewHandlerAt(ReadyPath, metrics, readiness)
+}
+
+// NewHandlerAt is NewHandler with another path for the readiness.
+func NewHandlerAt(readyPath string, metrics prometheus.Gatherer, readiness *Readiness) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+MetricsPath, promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET "+HealthPath, serveHealth)
-	mux.Handle("GET "+ReadyPath, readyHandler{readiness: readiness})
+	mux.Handle("GET "+readyPath, readyHandler{readiness: readiness})
 	return mux
 }
 
--- a/telemetry/logger.go
+++ b/telemetry/logger.go
@@ -21,7 +21,7 @@
 // NewLogger returns a logger that writes one line of key=value pairs an event,
 // with the fields on every line. Times are in UTC, durations in seconds.
 // Writes are serialized, so that w need not be safe for concurrent use.
-func NewLogger(w io.Writer, level zapcore.Level, fields ...zap.Field) *zap.Logger {
+func NewLogger(w io.Writer, level zapcore.LevelEnabler, fields ...zap.Field) *zap.Logger {
 	config := zapcore.EncoderConfig{
 		TimeKey:        timeKey,
 		LevelKey:       levelKey,
--- a/test/imports/imports.go
+++ b/test/imports/imports.go
@@ -23,6 +23,9 @@
 	Protocol
 	Transport
 	Node
+	// Platform translates between the product and the users' platform. Commands
+	// alone import it.
+	Platform
 	Command
 	// Bench packages (lab, test) import anything; nothing imports them but the
 	// lab's command and tests.
@@ -51,6 +54,8 @@
 		return Transport
 	case "node":
 		return Node
+	case "platform":
+		return Platform
 	case "cmd":
 		return Command
 	case "lab", "test":
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -46,6 +46,10 @@
 		{"cmd/marblering", "lab/engine", false, false},
 		{"cmd/marblering-lab", "lab/engine", false, true},
 		{"lab/engine", "node", false, true},
+		{"node", "platform", false, false},
+		{"transport/relay", "platform", false, false},
+		{"platform", "node/gateway", false, true},
+		{"cmd/marblering", "platform", false, true},
 		{"stateless", "state/result", false, false},
 		{"node", "apiary", false, false},
 	}
--- /dev/null
+++ b/transport/relay/answer.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/state/result"
+)
+
+// failureBody is the JSON body of this node's own answers, in the form of
+// docs/RESULT-CODES.md.
+type failureBody struct {
+	Error failureDetail `json:"error"`
+}
+
+type failureDetail struct {
+	Code      result.Code      `json:"code"`
+	Type      string           `json:"type"`
+	Message   string           `json:"message"`
+	Execution result.Execution `json:"execution"`
+	Repeat    result.Repeat    `json:"repeat"`
+}
+
+// fail gives this node's own answer. It never carries a back end's header.
+func (c *call) fail(failure *result.Error) {
+	info := failure.Code.Info()
+	c.code = failure.Code
+	header := c.writer.Header()
+	clear(header)
+	header.Set("Content-Type", "application/json")
+	if failure.RetryAfter > 0 {
+		header.Set("Retry-After", retryAfter(failure.RetryAfter))
+	}
+	body, err := json.Marshal(failureBody{Error: failureDetail{
+		Code: failure.Code, Type: info.Name, Message: failure.Message,
+		Execution: info.Execution, Repeat: info.Repeat,
+	}})
+	if err != nil {
+		body = nil
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	c.begin(info.HTTP)
+	_, _ = c.writer.Write(body)
+}
+
+// retryAfter spreads the return of clients that were refused together. Seconds
+// may have fractions.
+func retryAfter(pause time.Duration) string {
+	spread := pause/2 + rand.N(pause)
+	return strconv.FormatFloat(spread.Seconds(), 'f', 3, 64)
+}
+
+// abort breaks the caller's connection: what was written must not look whole.
+func (c *call) abort(code result.Code) {
+	c.code = code
+	panic(http.ErrAbortHandler)
+}
+
+// report writes the line and the figures of the request.
+func (c *call) report() {
+	took := c.handler.options.Now().Sub(c.arrived)
+	c.handler.options.Metrics.observe(c, took)
+	fields := []zap.Field{
+		zap.String("request", c.facts.ID), zap.String("key", c.facts.Key),
+		zap.String("route", c.routeName()), zap.Int64("configuration", c.version),
+		zap.Int("status", c.status), zap.Uint32("code", uint32(c.code)),
+		zap.Strings("instances", c.tried), zap.Int("sends", c.sends),
+		zap.Duration("first_byte", c.firstByte), zap.Duration("took", took),
+	}
+	if c.code == result.OK {
+		c.handler.options.Logger.Debug("answered", fields...)
+		return
+	}
+	c.handler.options.Logger.Info("not answered", fields...)
+}
+
+func (c *call) routeName() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Name
+}
--- /dev/null
+++ b/transport/relay/call.go
@@ -0,0 +1,222 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/routetable"
+	"github.com/marblering/marblering/state/result"
+	"github.com/marblering/marblering/transport/upstream"
+)
+
+const (
+	// retryPause is what a refused client is asked to wait, give or take half.
+	retryPause = 150 * time.Millisecond
+	// startPause is what it is asked to wait for a node that is starting.
+	startPause = 400 * time.Millisecond
+	// maxDetours bounds the instances that were tried without being sent the
+	// request: unreachable ones and those whose address another has.
+	maxDetours = 4
+)
+
+// call is one request under way.
+type call struct {
+	handler  *Handler
+	writer   http.ResponseWriter
+	request  *http.Request
+	arrived  time.Time
+	deadline time.Time
+	version  int64
+	facts    Facts
+	route    *routetable.Route
+	body     []byte
+
+	// tried are the instances that were chosen so far, sends of which were sent
+	// the request, detours of which were not.
+	tried   []string
+	sends   int
+	detours int
+	// mayHaveRun tells that a back end may have run the request.
+	mayHaveRun bool
+	// began tells that the head of the answer was written, lastEvent the id of
+	// the last event that was passed on.
+	began     bool
+	lastEvent string
+	status    int
+	code      result.Code
+	firstByte time.Duration
+}
+
+// outcome is how one attempt ended.
+type outcome int
+
+const (
+	// delivered: the answer was passed on whole.
+	delivered outcome = iota
+	// unreached: the request wasn't sent.
+	unreached
+	// refused: a back end promised that it didn't run the request.
+	refused
+	// lost: the request was sent and there is no whole answer.
+	lost
+	// abandoned: the client is gone, or its time is over.
+	abandoned
+)
+
+// run tries back ends until the request is answered or given up.
+func (c *call) run(ctx context.Context) {
+	c.handler.options.Retries.Attempted(c.route.Name, c.handler.options.Now())
+	for {
+		choice, err := c.handler.options.Backends.Acquire(backend.Query{
+			Service: c.route.Pick(backend.Draw(c.facts.Key)), Key: c.facts.Key, Tried: c.tried,
+		})
+		if err != nil {
+			c.giveUp(ctx, unreached, err)
+			return
+		}
+		ended, cause := c.attempt(ctx, choice)
+		if ended == delivered {
+			return
+		}
+		if !c.mayTryAgain(ctx, ended) {
+			c.giveUp(ctx, ended, cause)
+			return
+		}
+		c.logRetry(choice, ended, cause)
+	}
+}
+
+// attempt sends the request to one instance.
+func (c *call) attempt(ctx context.Context, choice *backend.Choice) (outcome, error) {
+	c.tried = append(c.tried, choice.Instance.ID)
+	ended, cause := c.exchange(ctx, choice)
+	if ctx.Err() != nil && ended != delivered {
+		ended = abandoned
+	}
+	choice.Release(verdictOf(ended))
+	switch ended {
+	case unreached:
+		c.detours++
+	case lost:
+		c.sends++
+		c.mayHaveRun = true
+	case refused:
+		c.sends++
+	}
+	return ended, cause
+}
+
+// verdictOf says what an attempt showed of the instance. A refusal is a sign of
+// load, not of a fault.
+func verdictOf(ended outcome) backend.Verdict {
+	switch ended {
+	case delivered:
+		return backend.Good
+	case unreached, lost:
+		return backend.Bad
+	}
+	return backend.Neutral
+}
+
+func (c *call) exchange(ctx context.Context, choice *backend.Choice) (outcome, error) {
+	answer, err := c.handler.options.Exchanger.Do(ctx, c.upstreamRequest(choice))
+	if err != nil {
+		return outcomeOf(err), err
+	}
+	switch c.handler.options.Dialect.Judge(answer) {
+	case Refused:
+		drain(answer)
+		return refused, errRefused
+	case Misdirected:
+		drain(answer)
+		c.handler.options.Gone(choice.Instance.ID)
+		return unreached, errMisdirected
+	case Improper:
+		answer.CloseBody()
+		return lost, errImproper
+	}
+	return c.deliver(answer)
+}
+
+var (
+	errRefused     = errors.New("the back end refused the request")
+	errMisdirected = errors.New("another instance has the address")
+	errImproper    = errors.New("the answer isn't one of a back end")
+)
+
+func outcomeOf(err error) outcome {
+	var failure *upstream.Error
+	if errors.As(err, &failure) && !failure.Sent {
+		return unreached
+	}
+	return lost
+}
+
+func (c *call) upstreamRequest(choice *backend.Choice) *upstream.Request {
+	header := endToEnd(c.request.Header)
+	c.handler.options.Dialect.Write(header, Attempt{
+		Remaining: c.deadline.Sub(c.handler.options.Now()),
+		Instance:  choice.Instance.ID,
+		LastEvent: c.lastEvent,
+	})
+	return &upstream.Request{
+		Address: choice.Instance.Address, Instance: choice.Instance.ID,
+		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host,
+		Header: header, Body: c.body, ID: c.facts.ID,
+	}
+}
+
+// mayTryAgain says whether another instance may be sent the request.
+func (c *call) mayTryAgain(ctx context.Context, ended outcome) bool {
+	if ended == abandoned || ctx.Err() != nil {
+		return false
+	}
+	if ended == unreached {
+		return c.detours <= maxDetours
+	}
+	if ended == lost && !c.route.Repeatable() {
+		return false
+	}
+	if c.began && !c.route.Resumable {
+		return false
+	}
+	return c.sends < c.route.Attempts && c.handler.options.Retries.Retry(c.route.Name, c.handler.options.Now())
+}
+
+// giveUp answers a request that has no answer.
+func (c *call) giveUp(ctx context.Context, ended outcome, cause error) {
+	switch {
+	case c.request.Context().Err() != nil:
+		c.abort(result.ClientGone)
+	case c.began:
+		c.abort(result.BackendFailed)
+	case ctx.Err() != nil:
+		c.fail(result.Errorf(result.BackendTimeout, "no answer within %s", c.deadline.Sub(c.arrived)))
+	case c.mayHaveRun:
+		c.fail(result.Errorf(result.BackendFailed, "%v", cause))
+	case ended == refused:
+		c.fail(result.Errorf(result.BackendBusy, "%v", cause).After(retryPause))
+	default:
+		c.fail(result.Errorf(result.NoBackend, "%v", cause).After(retryPause))
+	}
+}
+
+func (c *call) logRetry(choice *backend.Choice, ended outcome, cause error) {
+	c.handler.options.Metrics.retries.Inc()
+	c.handler.options.Logger.Info("trying another back end",
+		zap.String("request", c.facts.ID), zap.String("route", c.route.Name),
+		zap.String("instance", choice.Instance.ID), zap.String("address", choice.Instance.Address),
+		zap.Int64("outstanding", choice.Outstanding), zap.Int("sends", c.sends),
+		zap.Bool("refused", ended == refused), zap.Bool("began", c.began), zap.Error(cause))
+}
+
+// RetryPolicy bounds the repeats of a gateway to a fifth of its requests.
+func RetryPolicy() limit.RetryPolicy {
+	return limit.RetryPolicy{Ratio: 0.2, MinPerSecond: 4, Burst: 40}
+}
--- /dev/null
+++ b/transport/relay/handler.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/routetable"
+	"github.com/marblering/marblering/state/result"
+)
+
+// Options are the parts of a Handler.
+type Options struct {
+	Tables    *routetable.Holder
+	Backends  Backends
+	Exchanger Exchanger
+	Dialect   Dialect
+	// Certain tells whether the table in force is known to be the newest, so
+	// that a missing route is really none.
+	Certain func() bool
+	// Draining tells that the node is being stopped: each answer then ends its
+	// connection.
+	Draining func() bool
+	// MaxInFlight bounds the requests under way.
+	MaxInFlight int64
+	// Gone is told an instance that another has taken the address of.
+	Gone    func(instance string)
+	Retries *limit.RetryBudget
+	Metrics *Metrics
+	Logger  *zap.Logger
+	Now     func() time.Time
+}
+
+// Handler is the http.Handler of a gateway's callers.
+type Handler struct {
+	options  Options
+	inFlight atomic.Int64
+}
+
+// New makes a handler.
+func New(options Options) *Handler { return &Handler{options: options} }
+
+// InFlight is how many requests are under way.
+func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	arrived := h.options.Now()
+	underWay := h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	current := &call{handler: h, writer: writer, request: request, arrived: arrived}
+	defer current.report()
+	if underWay > h.options.MaxInFlight {
+		current.fail(result.Errorf(result.Overloaded, "%d requests are under way", underWay).After(retryPause))
+		return
+	}
+	if failure := current.prepare(); failure != nil {
+		current.fail(failure)
+		return
+	}
+	ctx, cancel := context.WithDeadline(request.Context(), current.deadline)
+	defer cancel()
+	current.run(ctx)
+}
+
+// prepare finds the route and reads the whole request.
+func (c *call) prepare() *result.Error {
+	options := &c.handler.options
+	table := options.Tables.Table()
+	if table == nil {
+		return result.Errorf(result.NotReady, "no configuration yet").After(startPause)
+	}
+	c.version = table.Version()
+	limits := table.Limits()
+	if limits.HeaderBytes > 0 && headerBytes(c.request) > limits.HeaderBytes {
+		return result.Errorf(result.HeaderTooLarge, "the limit is %d bytes", limits.HeaderBytes)
+	}
+	facts, failure := options.Dialect.Read(c.request)
+	if failure != nil {
+		return failure
+	}
+	c.facts = facts
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	route, found := table.Match(c.request.Host, path)
+	if !found {
+		return c.noRoute()
+	}
+	c.setRoute(route)
+	return c.readBody(limits)
+}
+
+// noRoute refuses for good only where no newer configuration can be in force.
+func (c *call) noRoute() *result.Error {
+	if c.handler.options.Certain() {
+		return result.Errorf(result.UnknownRoute, "version %d has no route for this host and path", c.version)
+	}
+	return result.Errorf(result.NotReady, "the configuration may be out of date").After(retryPause)
+}
+
+func (c *call) setRoute(route *routetable.Route) {
+	c.route = route
+	total := route.Timeout
+	if c.facts.Remaining > 0 {
+		total = min(total, c.facts.Remaining)
+	}
+	c.deadline = c.arrived.Add(total)
+}
--- /dev/null
+++ b/transport/relay/header.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+)
+
+// connectionHeaders concern one connection only (RFC 9110, section 7.6.1), or
+// are set anew for each message.
+func connectionHeaders() []string {
+	return []string{
+		"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+	}
+}
+
+// endToEnd copies the fields that are meant for the other end.
+func endToEnd(header http.Header) http.Header {
+	copied := header.Clone()
+	for _, line := range header.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			copied.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders() {
+		copied.Del(name)
+	}
+	return copied
+}
+
+// headerBytes is about the size of a request's head as it was received.
+func headerBytes(request *http.Request) int64 {
+	const separators = len(": \r\n")
+	size := len(request.Method) + len(request.RequestURI) + len(request.Host)
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return int64(size)
+}
+
+// setAnswerHeader passes the fields of a back end's answer on. Fields that the
+// server would add by itself are kept out where the back end didn't set them.
+func setAnswerHeader(target, source http.Header) {
+	for name, values := range endToEnd(source) {
+		target[name] = values
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, set := target[name]; !set {
+			target[name] = nil
+		}
+	}
+}
--- /dev/null
+++ b/transport/relay/metrics.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics count what a Handler does.
+type Metrics struct {
+	requests  *prometheus.CounterVec
+	retries   prometheus.Counter
+	firstByte *prometheus.HistogramVec
+	duration  *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	buckets := []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4}
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marblering_gateway_requests_total",
+			Help: "Requests by kind of route and result code.",
+		}, []string{"kind", "code"}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "marblering_gateway_retries_total",
+			Help: "Requests that were sent to another back end.",
+		}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "marblering_gateway_first_byte_seconds",
+			Help: "Time from a request's arrival to the head of its answer.", Buckets: buckets,
+		}, []string{"kind"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "marblering_gateway_request_seconds",
+			Help: "Time from a request's arrival to the end of its answer.", Buckets: buckets,
+		}, []string{"kind"}),
+	}
+	registry.MustRegister(m.requests, m.retries, m.firstByte, m.duration)
+	return m
+}
+
+func (m *Metrics) observe(c *call, took time.Duration) {
+	kind := "none"
+	if c.route != nil {
+		kind = c.route.Kind.String()
+	}
+	m.requests.WithLabelValues(kind, strconv.Itoa(int(c.code))).Inc()
+	m.duration.WithLabelValues(kind).Observe(took.Seconds())
+	if c.firstByte > 0 {
+		m.firstByte.WithLabelValues(kind).Observe(c.firstByte.Seconds())
+	}
+}
--- /dev/null
+++ b/transport/upstream/connection.go
@@ -0,0 +1,97 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	writeBufferBytes = 8 << 10
+	readBufferBytes  = 8 << 10
+	// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which the syscall package
+	// lacks.
+	tcpUserTimeout = 0x12
+)
+
+// connection is one connection to an instance. One exchange uses it at a time.
+type connection struct {
+	socket   *net.TCPConn
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	restedAt time.Time
+	// restLimit is how long the back end lets the connection rest.
+	restLimit time.Duration
+}
+
+func dial(ctx context.Context, address string, settings Settings) (*connection, error) {
+	dialer := net.Dialer{Timeout: settings.DialTimeout, KeepAlive: -1, Control: boundUnacknowledged(settings)}
+	socket, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{
+		socket:    socket.(*net.TCPConn),
+		reader:    bufio.NewReaderSize(socket, readBufferBytes),
+		writer:    bufio.NewWriterSize(socket, writeBufferBytes),
+		restLimit: settings.IdleTimeout,
+	}, nil
+}
+
+// boundUnacknowledged sets TCP_USER_TIMEOUT, without which a connection to a
+// machine that went dark hangs.
+func boundUnacknowledged(settings Settings) func(network, address string, raw syscall.RawConn) error {
+	milliseconds := int(settings.UnacknowledgedTimeout.Milliseconds())
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failure error
+		err := raw.Control(func(descriptor uintptr) {
+			failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, milliseconds)
+		})
+		if err != nil {
+			return err
+		}
+		return failure
+	}
+}
+
+// isFresh tells whether a connection that rested can take another request: the
+// back end has neither closed it nor sent bytes that nobody asked for.
+func (c *connection) isFresh(now time.Time) bool {
+	if now.Sub(c.restedAt) >= c.restLimit || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	fresh := false
+	var peeked [1]byte
+	err = raw.Read(func(descriptor uintptr) bool {
+		_, _, failure := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		fresh = failure == syscall.EAGAIN
+		return true
+	})
+	return err == nil && fresh
+}
+
+// noteKeepAlive takes over the time after which the back end closes a resting
+// connection. A part of it is left for the way.
+func (c *connection) noteKeepAlive(header http.Header, settings Settings) {
+	const usablePart = 0.6
+	for _, item := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
+		seconds, err := strconv.Atoi(value)
+		if name != "timeout" || err != nil {
+			continue
+		}
+		told := time.Duration(usablePart * float64(seconds) * float64(time.Second))
+		c.restLimit = min(settings.IdleTimeout, told)
+	}
+}
+
+func (c *connection) close() { _ = c.socket.Close() }
--- /dev/null
+++ b/transport/upstream/exchange.go
@@ -0,0 +1,180 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// maxForeignAnswers is how many answers to earlier requests are skipped on
+	// a connection before it is given up.
+	maxForeignAnswers = 2
+	// maxForeignBytes bounds the body of a skipped answer.
+	maxForeignBytes = 1 << 20
+	// inlineBody is the largest body that is written before the answer is
+	// read. A longer one is written beside the reading: the back end may answer
+	// before it has read all.
+	inlineBody = 4 << 10
+)
+
+// Answer is a back end's answer. Its body must be read to its end or closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Close tells that the back end ends the connection after this answer.
+	Close bool
+
+	exchange *exchange
+	body     io.ReadCloser
+}
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	client     *Client
+	endpoint   endpoint
+	connection *connection
+	// written is closed once the request was sent or sending it failed.
+	written  chan struct{}
+	writeErr error
+	// stop ends the watch of the request's context.
+	stop func() bool
+	// skipped tells that answers to other requests came first.
+	skipped bool
+	once    sync.Once
+}
+
+// Do sends the request and returns the head of its answer. The context bounds
+// the whole exchange, the answer's body included. Every error is an *Error.
+func (c *Client) Do(ctx context.Context, request *Request) (*Answer, error) {
+	to := endpoint{address: request.Address, instance: request.Instance}
+	opened, err := c.connect(ctx, to)
+	if err != nil {
+		return nil, &Error{Stage: StageDial, Cause: err}
+	}
+	current := &exchange{client: c, endpoint: to, connection: opened, written: make(chan struct{})}
+	current.stop = context.AfterFunc(ctx, opened.close)
+	if deadline, bounded := ctx.Deadline(); bounded {
+		_ = opened.socket.SetDeadline(deadline)
+	} else {
+		_ = opened.socket.SetDeadline(time.Time{})
+	}
+	answer, err := current.run(request)
+	if err != nil {
+		current.abandon()
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (e *exchange) run(request *Request) (*Answer, error) {
+	if len(request.Body) > inlineBody {
+		go e.send(request)
+	} else if e.send(request); e.writeErr != nil {
+		return nil, &Error{Sent: true, Stage: StageWrite, Cause: e.writeErr}
+	}
+	for range maxForeignAnswers + 1 {
+		answer, matches, err := e.receive(request)
+		if err != nil {
+			return nil, err
+		}
+		if matches {
+			return answer, nil
+		}
+		e.skipped = true
+	}
+	return nil, &Error{Sent: true, Stage: StageHead, Cause: errForeignAnswers}
+}
+
+func (e *exchange) send(request *Request) {
+	e.writeErr = request.write(e.connection.writer)
+	close(e.written)
+}
+
+// receive reads the head of the next answer. One that belongs to another
+// request is read to its end and dropped.
+func (e *exchange) receive(request *Request) (answer *Answer, matches bool, err error) {
+	response, err := e.readHead(request)
+	if err != nil {
+		return nil, false, &Error{Sent: true, Stage: StageHead, Cause: err}
+	}
+	id := response.Header.Get(e.client.settings.IDHeader)
+	if id == "" {
+		return nil, false, &Error{Sent: true, Stage: StageHead, Cause: errNoID}
+	}
+	if id != request.ID {
+		if _, err := io.CopyN(io.Discard, response.Body, maxForeignBytes); err != io.EOF {
+			return nil, false, &Error{Sent: true, Stage: StageBody, Cause: errForeignAnswers}
+		}
+		return nil, false, nil
+	}
+	e.connection.noteKeepAlive(response.Header, e.client.settings)
+	return &Answer{
+		Status: response.StatusCode, Header: response.Header,
+		Close:    response.Close || hasCloseDelimitedBody(response),
+		exchange: e, body: response.Body,
+	}, true, nil
+}
+
+// readHead reads past the interim answers (1xx).
+func (e *exchange) readHead(request *Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(e.connection.reader, &http.Request{Method: request.Method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+// hasCloseDelimitedBody tells that only the connection's end ends the body.
+func hasCloseDelimitedBody(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// abandon closes the connection; the back end sees its client gone.
+func (e *exchange) abandon() {
+	e.once.Do(func() {
+		e.stop()
+		e.connection.close()
+	})
+}
+
+// finish keeps the connection for another request if nothing speaks against it.
+func (e *exchange) finish(closing bool) {
+	e.once.Do(func() {
+		stillOpen := e.stop()
+		if closing || e.skipped || !stillOpen || !e.wasWritten() || e.connection.reader.Buffered() > 0 {
+			e.connection.close()
+			return
+		}
+		_ = e.connection.socket.SetDeadline(time.Time{})
+		e.client.keep(e.endpoint, e.connection)
+	})
+}
+
+func (e *exchange) wasWritten() bool {
+	select {
+	case <-e.written:
+		return e.writeErr == nil
+	default:
+		return false
+	}
+}
+
+// Read reads the body. The error is io.EOF only after the whole body.
+func (a *Answer) Read(buffer []byte) (int, error) {
+	count, err := a.body.Read(buffer)
+	if err == io.EOF {
+		a.exchange.finish(a.Close)
+	}
+	return count, err
+}
+
+// Close gives up what is left of the answer. The back end sees its client gone
+// unless the body was read to its end.
+func (a *Answer) CloseBody() { a.exchange.abandon() }
--- /dev/null
+++ b/transport/upstream/request.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Request is one request for a back end.
+type Request struct {
+	// Address is the back end's IP number and port.
+	Address string
+	// Instance names the start of the back end that connections belong to:
+	// another start at the same address gets connections of its own.
+	Instance string
+	Method   string
+	// Target is the request target as it was received, still escaped.
+	Target string
+	Host   string
+	// Header has no fields that concern one connection only.
+	Header http.Header
+	Body   []byte
+	// ID is the request's id, which the answer must repeat in IDHeader.
+	ID string
+}
+
+// write sends the request in one piece where it fits the writer's buffer.
+func (r *Request) write(writer *bufio.Writer) error {
+	fmt.Fprintf(writer, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	if err := r.Header.Write(writer); err != nil {
+		return err
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		writer.WriteString("Content-Length: ")
+		writer.WriteString(strconv.Itoa(len(r.Body)))
+		writer.WriteString("\r\n")
+	}
+	writer.WriteString("\r\n")
+	writer.Write(r.Body)
+	return writer.Flush()
+}
+
+// Settings are the bounds of a Client.
+type Settings struct {
+	// IDHeader is the header in which an answer repeats its request's id.
+	IDHeader string
+	// DialTimeout bounds the making of a connection.
+	DialTimeout time.Duration
+	// UnacknowledgedTimeout is how long sent bytes may stay unacknowledged by
+	// the peer's machine (TCP_USER_TIMEOUT).
+	UnacknowledgedTimeout time.Duration
+	// IdleTimeout is how long a connection rests before it is closed, where
+	// the back end names no shorter time.
+	IdleTimeout time.Duration
+	// MaxIdle is how many resting connections are kept for an instance.
+	MaxIdle int
+}
+
+// DefaultSettings suit back ends that are a few milliseconds away. IDHeader is
+// left to the deployment.
+func DefaultSettings() Settings {
+	return Settings{
+		DialTimeout:           700 * time.Millisecond,
+		UnacknowledgedTimeout: 1500 * time.Millisecond,
+		IdleTimeout:           4 * time.Second,
+		MaxIdle:               16,
+	}
+}
