Keep draining when SIGHUP or another SIGTERM comes

Ruled out: the time of the drain, which was 8 s; a closing of the server. Change: both handlers stay until the process ends; only a second SIGINT ends it at once. TestSignalsDuringADrainDontEndIt failed first.

--- a/cmd/marblering/gateway.go
+++ b/cmd/marblering/gateway.go
@@ -48,6 +48,6 @@
 		logLevel: func(s *settings.Gateway) *string { return &s.LogLevel },
 		current:  loaded, level: adjustable, logger: logger,
 	}
-	go reload.run(command.Context())
+	go reload.run()
 	return gateway.Run(command.Context(), loaded, platform.Parts(loaded.StoreURL), logger)
 }
--- a/cmd/marblering/main.go
+++ b/cmd/marblering/main.go
@@ -21,11 +21,22 @@
 	os.Exit(runUntilSignal(node.Run))
 }
 
-// runUntilSignal cancels the command at the first SIGTERM or SIGINT; a second
-// one ends the process at once.
+// runUntilSignal cancels the command at the first SIGTERM or SIGINT. Further
+// SIGTERMs change nothing, since a drain is under way; a further SIGINT ends the
+// process at once.
 func runUntilSignal(run runNode) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	context.AfterFunc(ctx, stop)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		cancel()
+		for received := range signals {
+			if received == os.Interrupt {
+				os.Exit(exitFailure)
+			}
+		}
+	}()
 	return execute(ctx, newRootCommand(run), os.Args[1:])
 }
--- a/cmd/marblering/main_test.go
+++ b/cmd/marblering/main_test.go
@@ -134,3 +134,34 @@
 		assert.Equal(t, exitCode(c.err), c.want, "%v", c.err)
 	}
 }
+
+// TestSignalsDuringADrainDontEndIt sends a gateway that is draining the signals
+// that a platform may still send.
+func TestSignalsDuringADrainDontEndIt(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "gateway.yaml")
+	content := "name: edge-1\nzone: a\ncaller_listen: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\n" +
+		"store_url: http://127.0.0.1:1\ndrain_timeout: 1s\n"
+	assert.NilError(t, os.WriteFile(file, []byte(content), 0o600))
+	process := command("main", "gateway", "--settings", file)
+	log, err := process.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, process.Start())
+	lines := bufio.NewScanner(log)
+	scanTo(t, lines, "msg=started")
+	assert.NilError(t, process.Process.Signal(syscall.SIGTERM))
+	scanTo(t, lines, "msg=draining")
+	assert.NilError(t, process.Process.Signal(syscall.SIGHUP))
+	assert.NilError(t, process.Process.Signal(syscall.SIGTERM))
+	scanTo(t, lines, "msg=stopped")
+	assert.NilError(t, process.Wait())
+}
+
+func scanTo(t *testing.T, lines *bufio.Scanner, text string) {
+	t.Helper()
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), text) {
+			return
+		}
+	}
+	t.Fatalf("the process ended without %q in its log", text)
+}
--- a/cmd/marblering/reload.go
+++ b/cmd/marblering/reload.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -29,17 +28,13 @@
 	logger   *zap.Logger
 }
 
-func (r *reloader[T]) run(ctx context.Context) {
+// run never returns: a SIGHUP during a drain must not end the process, which is
+// what the signal does where nobody waits for it.
+func (r *reloader[T]) run() {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			r.reload()
-		}
+	for range hangups {
+		r.reload()
 	}
 }
 
--- a/cmd/marblering/storage.go
+++ b/cmd/marblering/storage.go
@@ -47,6 +47,6 @@
 		logLevel: func(s *settings.Storage) *string { return &s.LogLevel },
 		current:  loaded, level: adjustable, logger: logger,
 	}
-	go reload.run(command.Context())
+	go reload.run()
 	return storage.Run(command.Context(), loaded, logger)
 }
