Test the gateway against stand-ins of the platform's store and runners

Cause: the thin path had no tests of its own, and three faults were found by writing them: the retry budget began empty, so that a gateway that had just started repeated nothing; a promise without the request's id was taken for a lost answer; the ejector counted only instances that had answered, so that the first failing one was never left out. Ruled out: a larger rate of the retry budget, which would let a lasting failure multiply the load.

--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -56,6 +56,9 @@
 	previous := p.current.Load()
 	next := newSet(instances, previous)
 	p.current.Store(next)
+	for id := range next.byID {
+		p.ejector.Know(id)
+	}
 	for id := range previous.byID {
 		if _, stays := next.byID[id]; !stays {
 			p.ejector.Forget(id)
--- /dev/null
+++ b/coordination/follow/follower_test.go
@@ -0,0 +1,169 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// script answers calls one after the other, and then holds them.
+type script struct {
+	steps []func() (Snapshot, Changes, error)
+	calls []string
+}
+
+func (s *script) next(ctx context.Context, call string) (Snapshot, Changes, error) {
+	s.calls = append(s.calls, call)
+	if len(s.steps) == 0 {
+		<-ctx.Done()
+		return Snapshot{}, Changes{}, ctx.Err()
+	}
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	return step()
+}
+
+func (s *script) List(ctx context.Context) (Snapshot, error) {
+	snapshot, _, err := s.next(ctx, "list")
+	return snapshot, err
+}
+
+func (s *script) Watch(ctx context.Context, from int64, _ time.Duration) (Changes, error) {
+	_, changes, err := s.next(ctx, fmt.Sprint("watch ", from))
+	return changes, err
+}
+
+func listed(at int64, objects ...Object) func() (Snapshot, Changes, error) {
+	return func() (Snapshot, Changes, error) { return Snapshot{Objects: objects, At: at}, Changes{}, nil }
+}
+
+func changed(at int64, events ...Event) func() (Snapshot, Changes, error) {
+	return func() (Snapshot, Changes, error) { return Snapshot{}, Changes{Events: events, At: at}, nil }
+}
+
+func failed(err error) func() (Snapshot, Changes, error) {
+	return func() (Snapshot, Changes, error) { return Snapshot{}, Changes{}, err }
+}
+
+// follow runs the script to its end and returns the names after each change.
+func follow(steps ...func() (Snapshot, Changes, error)) (calls []string, seen [][]string) {
+	source := &script{steps: steps}
+	ctx, cancel := context.WithCancel(context.Background())
+	settings := Settings{ListTimeout: time.Minute, WatchWait: time.Minute, WatchSlack: time.Minute, MinPause: 1, MaxPause: 1}
+	follower := New(Options{
+		Name: "things", Source: source, Settings: settings, Logger: zap.NewNop(), Now: time.Now,
+		Apply: func(snapshot Snapshot) {
+			var names []string
+			for _, object := range snapshot.Objects {
+				names = append(names, fmt.Sprint(object.Name, object.Revision))
+			}
+			seen = append(seen, names)
+		},
+	})
+	for len(source.steps) > 0 {
+		if err := follower.step(ctx); err != nil {
+			follower.failed(err)
+		}
+	}
+	cancel()
+	_ = follower.Serve(ctx)
+	return source.calls, seen
+}
+
+func object(name string, revision int64) Object { return Object{Name: name, Revision: revision} }
+
+func Example() {
+	calls, seen := follow(
+		listed(5, object("a", 3)),
+		changed(7, Event{Object: object("b", 7)}),
+		changed(9, Event{Object: object("a", 9), Gone: true}),
+	)
+	fmt.Println(calls)
+	fmt.Println(seen)
+	// Output:
+	// [list watch 5 watch 7]
+	// [[a3] [a3 b7] [b7]]
+}
+
+func TestFailureListsAgain(t *testing.T) {
+	for name, err := range map[string]error{"cut": errors.New("cut"), "history gone": ErrHistoryGone} {
+		calls, seen := follow(listed(5, object("a", 3)), failed(err), listed(9, object("b", 8)), changed(10))
+		assert.DeepEqual(t, calls, []string{"list", "watch 5", "list", "watch 9"})
+		assert.Assert(t, slices.EqualFunc(seen, [][]string{{"a3"}, {"b8"}}, slices.Equal), "%s: %v", name, seen)
+	}
+}
+
+// TestOldListingIsRefused, such as one that was held up on its way.
+func TestOldListingIsRefused(t *testing.T) {
+	_, seen := follow(listed(5, object("a", 5)), failed(errors.New("cut")), listed(4, object("a", 2)), listed(6, object("a", 5)))
+	assert.DeepEqual(t, seen, [][]string{{"a5"}, {"a5"}})
+}
+
+func TestOldOrRepeatedEventChangesNothing(t *testing.T) {
+	_, seen := follow(listed(5, object("a", 5)),
+		changed(6, Event{Object: object("a", 4)}, Event{Object: object("a", 5)}, Event{Object: object("a", 4), Gone: true}),
+		changed(7, Event{Object: object("none", 7), Gone: true}),
+		changed(8, Event{Object: object("a", 8)}))
+	assert.DeepEqual(t, seen, [][]string{{"a5"}, {"a8"}})
+}
+
+// TestSilentStoreIsNoticed: each call has its own bound.
+func TestSilentStoreIsNoticed(t *testing.T) {
+	source := &script{steps: []func() (Snapshot, Changes, error){listed(5)}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	settings := Settings{ListTimeout: 1, WatchWait: 1, WatchSlack: 1, MinPause: 1, MaxPause: 1}
+	follower := New(Options{Source: source, Settings: settings, Logger: zap.NewNop(), Now: time.Now, Apply: func(Snapshot) {}})
+	assert.NilError(t, follower.step(ctx))
+	assert.ErrorIs(t, follower.step(ctx), context.DeadlineExceeded)
+	age, heard := follower.Age()
+	assert.Assert(t, heard && age >= 0)
+}
+
+// TestViewIsTheNewest gives a view the changes of a store late, doubled and mixed
+// with listings, and compares with the store.
+func TestViewIsTheNewest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []Event
+		state := make(map[string]Object)
+		revision := int64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			revision++
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			_, exists := state[name]
+			gone := exists && rapid.Bool().Draw(t, "gone")
+			history = append(history, Event{Object: object(name, revision), Gone: gone})
+			state[name] = object(name, revision)
+			if gone {
+				delete(state, name)
+			}
+		}
+		var followed view
+		followed.replace(Snapshot{At: 0})
+		for from := 0; from < len(history); {
+			again := rapid.IntRange(0, from).Draw(t, "again")
+			to := rapid.IntRange(from+1, len(history)).Draw(t, "to")
+			followed.change(Changes{Events: history[again:to], At: int64(to)})
+			from = to
+		}
+		var want []Object
+		for _, known := range state {
+			want = append(want, known)
+		}
+		slices.SortFunc(want, func(a, b Object) int { return int(a.Name[0]) - int(b.Name[0]) })
+		got := followed.snapshot()
+		assert.Equal(t, got.At, revision)
+		assert.Equal(t, len(got.Objects), len(want))
+		for index := range want {
+			assert.Equal(t, got.Objects[index].Name, want[index].Name)
+			assert.Equal(t, got.Objects[index].Revision, want[index].Revision)
+		}
+	})
+}
--- a/coordination/limit/ejection.go
+++ b/coordination/limit/ejection.go
@@ -141,6 +141,14 @@
 	return true
 }
 
+// Know counts an engine among the others before any of its calls has ended, so
+// that the part that may be out at once is one of the whole fleet.
+func (e *Ejector) Know(engine string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.open(engine)
+}
+
 // Forget drops an engine that is gone.
 func (e *Ejector) Forget(engine string) {
 	e.mutex.Lock()
--- a/coordination/limit/retry.go
+++ b/coordination/limit/retry.go
@@ -13,6 +13,8 @@
 	MinPerSecond float64
 	// Burst bounds the retries saved up.
 	Burst float64
+	// Saved is how many retries are saved up at the start.
+	Saved float64
 }
 
 // DefaultRetryPolicy allows retries to add a tenth to the load.
@@ -37,11 +39,13 @@
 
 // NewRetryBudget makes a budget.
 func NewRetryBudget(policy RetryPolicy, now time.Time) *RetryBudget {
-	return &RetryBudget{
+	budget := &RetryBudget{
 		policy:  policy,
 		node:    NewBucket(policy.MinPerSecond, policy.Burst, now),
 		tenants: make(map[string]*Bucket),
 	}
+	budget.node.Add(policy.Saved)
+	return budget
 }
 
 // Attempted records a first attempt, which earns a part of a retry.
@@ -70,6 +74,7 @@
 	own, known := r.tenants[tenant]
 	if !known {
 		made := NewBucket(r.policy.MinPerSecond*tenantFraction, r.policy.Burst*tenantFraction, now)
+		made.Add(r.policy.Saved)
 		own = &made
 		r.tenants[tenant] = own
 	}
--- /dev/null
+++ b/coordination/routetable/table_test.go
@@ -0,0 +1,124 @@
+package routetable_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/marblering/marblering/coordination/routetable"
+)
+
+func route(name, prefix string) routetable.Route {
+	return routetable.Route{
+		Name: name, Host: "shop.example", PathPrefix: prefix, Timeout: time.Second, Attempts: 1,
+		Targets: []routetable.Target{{Service: "app", Weight: 1}},
+	}
+}
+
+func table(t require, version int64, routes ...routetable.Route) *routetable.Table {
+	made, err := routetable.NewTable(routetable.Configuration{Version: version, Services: []string{"app"}, Routes: routes})
+	assert.NilError(t, err)
+	return made
+}
+
+// require is what tests and property checks have in common.
+type require interface {
+	Helper()
+	Log(...any)
+	FailNow()
+	Fail()
+}
+
+func Example() {
+	made, err := routetable.NewTable(routetable.Configuration{
+		Version: 1, Services: []string{"app"},
+		Routes: []routetable.Route{route("all", "/"), route("cart", "/cart/")},
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	var holder routetable.Holder
+	holder.Install(made)
+	found, _ := holder.Table().Match("Shop.Example:80", "/cart/7")
+	fmt.Println(found.Name)
+	// Output: cart
+}
+
+func TestMatch(t *testing.T) {
+	made := table(t, 1, route("a", "/a/"), route("ab", "/a/b/"), route("c", "/c/"))
+	for path, want := range map[string]string{
+		"/a/": "a", "/a/x": "a", "/a/b": "a", "/a/b/": "ab", "/a/b/c": "ab", "/c/x": "c", "/c": "", "/": "", "/A/x": "",
+	} {
+		found, ok := made.Match("shop.example", path)
+		assert.Equal(t, ok, want != "", path)
+		if ok {
+			assert.Equal(t, found.Name, want, path)
+		}
+	}
+	_, ok := made.Match("other.example", "/a/x")
+	assert.Assert(t, !ok)
+}
+
+// TestMatchIsTheLongestPrefix compares with a search through all routes.
+func TestMatchIsTheLongestPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		segment := rapid.SampledFrom([]string{"a/", "b/", "ab/"})
+		var routes []routetable.Route
+		for index, parts := range rapid.SliceOfN(rapid.SliceOfN(segment, 0, 3), 1, 6).Draw(t, "routes") {
+			routes = append(routes, route(fmt.Sprint(index), "/"+strings.Join(parts, "")))
+		}
+		path := "/" + strings.Join(rapid.SliceOfN(segment, 0, 4).Draw(t, "path"), "")
+		longest := -1
+		for _, candidate := range routes {
+			if strings.HasPrefix(path, candidate.PathPrefix) {
+				longest = max(longest, len(candidate.PathPrefix))
+			}
+		}
+		found, ok := table(t, 1, routes...).Match("shop.example", path)
+		assert.Equal(t, ok, longest >= 0)
+		if ok {
+			assert.Equal(t, len(found.PathPrefix), longest)
+		}
+	})
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	var holder routetable.Holder
+	assert.Assert(t, holder.Table() == nil)
+	assert.Assert(t, holder.Install(table(t, 5)))
+	assert.Assert(t, !holder.Install(table(t, 4)))
+	assert.Assert(t, !holder.Install(table(t, 5)))
+	assert.Equal(t, holder.Table().Version(), int64(5))
+	assert.Assert(t, holder.Install(table(t, 9)))
+}
+
+func TestCheck(t *testing.T) {
+	cases := map[string]func(*routetable.Configuration){
+		"version 0":            func(c *routetable.Configuration) { c.Version = 0 },
+		"no host":              func(c *routetable.Configuration) { c.Routes[0].Host = "" },
+		"path prefix \"/a\"":   func(c *routetable.Configuration) { c.Routes[0].PathPrefix = "/a" },
+		"timeout 0s":           func(c *routetable.Configuration) { c.Routes[0].Timeout = 0 },
+		"0 attempts":           func(c *routetable.Configuration) { c.Routes[0].Attempts = 0 },
+		"no service":           func(c *routetable.Configuration) { c.Routes[0].Targets = nil },
+		"unknown service":      func(c *routetable.Configuration) { c.Services = nil },
+		"weight -1 of service": func(c *routetable.Configuration) { c.Routes[0].Targets[0].Weight = -1 },
+	}
+	for want, breakIt := range cases {
+		configuration := routetable.Configuration{Version: 1, Services: []string{"app"}, Routes: []routetable.Route{route("r", "/a/")}}
+		breakIt(&configuration)
+		_, err := routetable.NewTable(configuration)
+		assert.ErrorContains(t, err, want)
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	split := routetable.Route{Targets: []routetable.Target{{Service: "a", Weight: 90}, {Service: "none"}, {Service: "b", Weight: 10}}}
+	for draw, want := range map[float64]string{0: "a", 0.89: "a", 0.9: "b", 0.999: "b"} {
+		assert.Equal(t, split.Pick(draw), want)
+	}
+}
--- /dev/null
+++ b/lab/runner/runner.go
@@ -0,0 +1,262 @@
+// Package runner is a stand-in of a runner of the users' platform: it answers
+// plain requests and streams, notes what it ran, and misbehaves as it is told.
+package runner
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Headers of the platform that runners read or write.
+const (
+	HeaderID          = "X-Request-Id"
+	HeaderExpect      = "X-Expect-Instance"
+	HeaderNotExecuted = "X-Not-Executed"
+	HeaderSeal        = "X-Response-Seal"
+	HeaderLastEvent   = "Last-Event-Id"
+)
+
+// Fault is how a runner treats a request.
+type Fault int
+
+// Faults.
+const (
+	// None answers properly.
+	None Fault = iota
+	// Refuse promises that the request wasn't run.
+	Refuse
+	// LoseAnswer runs the request and closes the connection.
+	LoseAnswer
+	// CutAnswer breaks off in the middle of an answer.
+	CutAnswer
+	// Garbage answers with bytes that aren't HTTP.
+	Garbage
+	// ForeignFirst sends an answer to another request before the right one.
+	ForeignFirst
+	// Surplus sends another answer after the right one.
+	Surplus
+	// NoSeal leaves the signature out.
+	NoSeal
+	// FalsePromise answers 503 without saying that nothing was run.
+	FalsePromise
+	// Hang runs the request and never answers.
+	Hang
+	// EarlyAnswer answers before it has read the body.
+	EarlyAnswer
+	// Unframed answers without a length; the connection's end ends the answer.
+	Unframed
+)
+
+// Run is one request that was run.
+type Run struct {
+	ID        string
+	Method    string
+	Target    string
+	Header    http.Header
+	Body      string
+	LastEvent string
+}
+
+// Runner is one start of a runner.
+type Runner struct {
+	// Instance is its id, Address where it listens.
+	Instance string
+	Address  string
+	// Events is how many events a stream has; zero answers plainly.
+	Events int
+
+	server *http.Server
+
+	mutex sync.Mutex
+	fault Fault
+	// times is how many requests the fault hits; negative for all.
+	times int
+	runs  []Run
+	// left counts requests whose client left while they ran.
+	left int
+}
+
+// Start runs a runner on a free loopback port until Close.
+func Start(instance string, events int) (*Runner, error) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Runner{Instance: instance, Address: socket.Addr().String(), Events: events}
+	r.server = &http.Server{Handler: r}
+	go func() { _ = r.server.Serve(socket) }()
+	return r, nil
+}
+
+// Close ends the runner and its connections.
+func (r *Runner) Close() { _ = r.server.Close() }
+
+// SetFault treats the next requests so; a negative number means all.
+func (r *Runner) SetFault(fault Fault, times int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.fault, r.times = fault, times
+}
+
+// Runs returns what was run so far.
+func (r *Runner) Runs() []Run {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+// ForgetRuns empties the list of what was run.
+func (r *Runner) ForgetRuns() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.runs = nil
+}
+
+// Left is how many requests lost their client while they ran.
+func (r *Runner) Left() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.left
+}
+
+// ServeHTTP serves one request.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if expected := request.Header.Get(HeaderExpect); expected != "" && expected != r.Instance {
+		w.Header().Set("X-Instance-Id", r.Instance)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	fault := r.takeFault()
+	w.Header().Set(HeaderID, request.Header.Get(HeaderID))
+	if fault == Refuse {
+		w.Header().Set(HeaderNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if fault == EarlyAnswer {
+		r.answerRaw(w, "HTTP/1.1 200 OK\r\n"+r.head(request)+"Content-Length: 2\r\n\r\nok")
+		return
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	r.note(request, string(body))
+	r.answer(w, request, fault)
+}
+
+func (r *Runner) takeFault() Fault {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.times == 0 {
+		return None
+	}
+	if r.times > 0 {
+		r.times--
+	}
+	return r.fault
+}
+
+func (r *Runner) note(request *http.Request, body string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.runs = append(r.runs, Run{
+		ID: request.Header.Get(HeaderID), Method: request.Method, Target: request.RequestURI,
+		Header: request.Header.Clone(), Body: body, LastEvent: request.Header.Get(HeaderLastEvent),
+	})
+}
+
+func (r *Runner) head(request *http.Request) string {
+	return fmt.Sprintf("%s: %s\r\n%s: %s\r\n", HeaderID, request.Header.Get(HeaderID), HeaderSeal, r.Instance)
+}
+
+func (r *Runner) answer(w http.ResponseWriter, request *http.Request, fault Fault) {
+	switch fault {
+	case LoseAnswer:
+		panic(http.ErrAbortHandler)
+	case Garbage:
+		r.answerRaw(w, "these bytes are no answer\r\n\r\n")
+		return
+	case Hang:
+		<-request.Context().Done()
+		r.mutex.Lock()
+		r.left++
+		r.mutex.Unlock()
+		return
+	case FalsePromise:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case ForeignFirst:
+		foreign := "HTTP/1.1 200 OK\r\n" + HeaderID + ": another\r\n" + HeaderSeal + ": x\r\nContent-Length: 5\r\n\r\nwrong"
+		r.answerRaw(w, foreign+"HTTP/1.1 200 OK\r\n"+r.head(request)+"Content-Length: 2\r\n\r\nok")
+		return
+	case Surplus:
+		own := "HTTP/1.1 200 OK\r\n" + r.head(request) + "Content-Length: 2\r\n\r\nok"
+		r.answerRaw(w, own+own)
+		return
+	case Unframed:
+		r.answerRaw(w, "HTTP/1.1 200 OK\r\n"+r.head(request)+"\r\nok")
+		return
+	}
+	if fault != NoSeal {
+		w.Header().Set(HeaderSeal, r.Instance)
+	}
+	if r.Events > 0 {
+		r.stream(w, request, fault)
+		return
+	}
+	r.plain(w, fault)
+}
+
+func (r *Runner) plain(w http.ResponseWriter, fault Fault) {
+	if fault == CutAnswer {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("half"))
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write([]byte("ok"))
+}
+
+// stream sends events from the one after Last-Event-Id on.
+func (r *Runner) stream(w http.ResponseWriter, request *http.Request, fault Fault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	first := 1
+	if last, err := strconv.Atoi(request.Header.Get(HeaderLastEvent)); err == nil {
+		first = last + 1
+	}
+	for number := first; number <= r.Events; number++ {
+		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number)
+		if fault == CutAnswer && number == first+r.Events/2 {
+			_, _ = w.Write([]byte(text[:len(text)/2]))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte(text))
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// answerRaw writes bytes past the server and closes the connection a moment
+// after, so that a client may use it once more before.
+func (r *Runner) answerRaw(w http.ResponseWriter, raw string) {
+	const lingering = 20 * time.Millisecond
+	connection, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	writer := bufio.NewWriter(connection)
+	_, _ = writer.WriteString(raw)
+	_ = writer.Flush()
+	_ = buffered
+	if strings.Contains(raw, "Content-Length") {
+		time.Sleep(lingering)
+	}
+	_ = connection.Close()
+}
--- a/node/gateway/drain.go
+++ b/node/gateway/drain.go
@@ -15,10 +15,11 @@
 	reservedPart = 0.08
 )
 
-// drain ends the gateway without cutting an answer: it calls itself not ready,
+// Drain ends the gateway without cutting an answer: it calls itself not ready,
 // serves on while callers still come, then takes no more connections and waits
 // for what is under way.
-func (g *Gateway) drain() {
+func (g *Gateway) Drain() {
+	defer g.stop()
 	began := time.Now()
 	g.draining.Store(true)
 	g.logger.Info("draining", zap.Int64("in_flight", g.relay.InFlight()), zap.Duration("limit", g.settings.DrainTimeout))
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -64,33 +64,51 @@
 	// listed is set once the instances are known.
 	listed   atomic.Bool
 	draining atomic.Bool
+
+	stop    context.CancelFunc
+	stopped <-chan error
 }
 
 // Run runs a gateway until the context ends, then drains it.
 func Run(ctx context.Context, loaded settings.Gateway, parts Parts, logger *zap.Logger) error {
 	debug.SetMemoryLimit(int64(memoryPart * float64(loaded.MemoryLimit)))
+	g, err := Start(loaded, parts, logger)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		g.Drain()
+		return nil
+	case err := <-g.stopped:
+		return err
+	}
+}
+
+// Start opens the listeners and starts the services.
+func Start(loaded settings.Gateway, parts Parts, logger *zap.Logger) (*Gateway, error) {
 	g := newGateway(loaded, parts, logger)
 	if err := g.listen(); err != nil {
-		return err
+		return nil, err
 	}
 	services, stop := context.WithCancel(context.Background())
-	defer stop()
 	supervisor := suture.New("gateway", suture.Spec{EventHook: g.logEvent})
 	for _, service := range []suture.Service{g.configuration, g.instances, g.callers, g.operators, idleCloser{g.upstream}} {
 		supervisor.Add(service)
 	}
-	stopped := supervisor.ServeBackground(services)
-	logger.Info("started", zap.Stringer("caller_address", g.callers.address()),
-		zap.Stringer("operator_address", g.operators.address()), zap.String("store", loaded.StoreURL))
-	select {
-	case <-ctx.Done():
-		g.drain()
-		return nil
-	case err := <-stopped:
-		return err
-	}
+	g.stop = stop
+	g.stopped = supervisor.ServeBackground(services)
+	logger.Info("started", zap.String("caller_address", g.CallerAddress()),
+		zap.String("operator_address", g.OperatorAddress()), zap.String("store", loaded.StoreURL))
+	return g, nil
 }
 
+// CallerAddress is where callers are served.
+func (g *Gateway) CallerAddress() string { return g.callers.address().String() }
+
+// OperatorAddress is where operators are served.
+func (g *Gateway) OperatorAddress() string { return g.operators.address().String() }
+
 func newGateway(loaded settings.Gateway, parts Parts, logger *zap.Logger) *Gateway {
 	g := &Gateway{
 		settings: loaded, parts: parts, logger: logger,
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -216,7 +216,8 @@
 		zap.Bool("refused", ended == refused), zap.Bool("began", c.began), zap.Error(cause))
 }
 
-// RetryPolicy bounds the repeats of a gateway to a fifth of its requests.
+// RetryPolicy bounds the repeats of a gateway to a fifth of its requests, and
+// lets one that has just started repeat some.
 func RetryPolicy() limit.RetryPolicy {
-	return limit.RetryPolicy{Ratio: 0.2, MinPerSecond: 4, Burst: 40}
+	return limit.RetryPolicy{Ratio: 0.2, MinPerSecond: 4, Burst: 40, Saved: 20}
 }
--- a/transport/upstream/error.go
+++ b/transport/upstream/error.go
@@ -32,7 +32,4 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
-var (
-	errForeignAnswers = errors.New("too many answers to other requests")
-	errNoID           = errors.New("the answer names no request")
-)
+var errForeignAnswers = errors.New("too many answers to other requests")
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -24,8 +24,12 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Close tells that the back end ends the connection after this answer.
-	Close bool
+	// Named tells that the answer repeats the request's id. One that names no
+	// request may belong to another one.
+	Named bool
+
+	// closing tells that the back end ends the connection after this answer.
+	closing bool
 
 	exchange *exchange
 	body     io.ReadCloser
@@ -101,10 +105,7 @@
 		return nil, false, &Error{Sent: true, Stage: StageHead, Cause: err}
 	}
 	id := response.Header.Get(e.client.settings.IDHeader)
-	if id == "" {
-		return nil, false, &Error{Sent: true, Stage: StageHead, Cause: errNoID}
-	}
-	if id != request.ID {
+	if id != "" && id != request.ID {
 		if _, err := io.CopyN(io.Discard, response.Body, maxForeignBytes); err != io.EOF {
 			return nil, false, &Error{Sent: true, Stage: StageBody, Cause: errForeignAnswers}
 		}
@@ -113,7 +114,8 @@
 	e.connection.noteKeepAlive(response.Header, e.client.settings)
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header,
-		Close:    response.Close || hasCloseDelimitedBody(response),
+		Named:    id != "",
+		closing:  response.Close || hasCloseDelimitedBody(response),
 		exchange: e, body: response.Body,
 	}, true, nil
 }
@@ -170,11 +172,11 @@
 func (a *Answer) Read(buffer []byte) (int, error) {
 	count, err := a.body.Read(buffer)
 	if err == io.EOF {
-		a.exchange.finish(a.Close)
+		a.exchange.finish(a.closing)
 	}
 	return count, err
 }
 
-// Close gives up what is left of the answer. The back end sees its client gone
+// CloseBody gives up what is left of the answer. The back end sees its client gone
 // unless the body was read to its end.
 func (a *Answer) CloseBody() { a.exchange.abandon() }
