Propose no replica set with a member that doesn't answer

Cause: a member that was still copying an epoch and frozen at the time was kept for the next one; losing the memory of one other member then left the shard without a majority. Ruled out: asking again until the member answers, as another choice of members may not need it. Change: members that stay must answer before they are proposed again, as new ones had to.

--- a/coordination/shard/driver.go
+++ b/coordination/shard/driver.go
@@ -117,8 +117,8 @@
 }
 
 // copyAhead has the new members copy turns while the old ones still serve, so
-// that little is left once they are sealed. Each new member must answer, since a
-// set that is decided with a member that is gone has no reserve left. No old
+// that little is left once they are sealed. Each wanted member must answer, since
+// a set that is decided with a member that is gone has no reserve left. No old
 // member may still be copying the current epoch: what it copies from would be
 // out of reach once that epoch has ended.
 func (d *Driver) copyAhead(ctx context.Context, current, proposed register.View) error {
@@ -130,8 +130,11 @@
 	for _, member := range current.Members {
 		group.Go(func() error {
 			reply, err := d.members.Install(asking, member, request)
-			if err == nil && reply.Refusal == register.RefusalNotReady {
+			switch {
+			case err == nil && reply.Refusal == register.RefusalNotReady:
 				return merry.Errorf("node %s doesn't hold epoch %d yet", member.Node, current.Epoch)
+			case slices.Contains(proposed.Members, member):
+				return merry.Prependf(failure(reply, err), "node %s", member.Node)
 			}
 			return nil
 		})
