--- a/cmd/marblering/gateway.go
+++ b/cmd/marblering/gateway.go
@@ -49,5 +49,5 @@
 		current:  loaded, level: adjustable, logger: logger,
 	}
 	go reload.run()
-	return gateway.Run(command.Context(), loaded, platform.Parts(loaded.StoreURL), logger)
+	return gateway.Run(command.Context(), loaded, platform.GatewayParts(loaded.StoreURL), logger)
 }
--- a/cmd/marblering/storage.go
+++ b/cmd/marblering/storage.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/marblering/marblering/node/storage"
+	"github.com/marblering/marblering/platform"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/telemetry"
 )
@@ -48,5 +49,5 @@
 		current:  loaded, level: adjustable, logger: logger,
 	}
 	go reload.run()
-	return storage.Run(command.Context(), loaded, logger)
+	return storage.Run(command.Context(), loaded, platform.StorageParts(loaded.StoreURL), logger)
 }
--- /dev/null
+++ b/coordination/directory/keeper.go
@@ -0,0 +1,168 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/follow"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+)
+
+const (
+	// lookInterval is the longest pause between two looks at the situation.
+	lookInterval = 250 * time.Millisecond
+	// writeTimeout bounds one write to the store.
+	writeTimeout = 1500 * time.Millisecond
+	// writePause follows a write, so that its effect comes back first.
+	writePause = 600 * time.Millisecond
+)
+
+// Keeper does one storage node's share of the directory. It is a suture service;
+// followers feed it.
+type Keeper struct {
+	self     register.Member
+	objects  Objects
+	views    func() *shard.Map
+	settings Settings
+	now      func() time.Time
+	logger   *zap.Logger
+
+	mutex     sync.Mutex
+	situation Situation
+	revisions map[string]int64
+	changed   chan struct{}
+}
+
+// NewKeeper makes a keeper. Views returns the node's map, nil before the sets
+// are known.
+func NewKeeper(self register.Member, objects Objects, views func() *shard.Map, settings Settings, now func() time.Time, logger *zap.Logger) *Keeper {
+	return &Keeper{
+		self: self, objects: objects, views: views, settings: settings, now: now, logger: logger,
+		situation: Situation{Self: self}, changed: make(chan struct{}, 1),
+	}
+}
+
+// String names the service in the supervisor's messages.
+func (k *Keeper) String() string { return "keeper of the directory" }
+
+// ApplyNodes takes in the announced storage nodes.
+func (k *Keeper) ApplyNodes(snapshot follow.Snapshot) {
+	nodes, revisions := DecodeNodes(snapshot)
+	k.mutex.Lock()
+	k.situation.Nodes, k.revisions = nodes, revisions
+	k.situation.NodesKnown = true
+	k.situation.NodesChanged = k.now()
+	k.mutex.Unlock()
+	k.wake()
+}
+
+// ApplySets takes in the published sets.
+func (k *Keeper) ApplySets(snapshot follow.Snapshot) {
+	published, found, err := DecodeSets(snapshot)
+	if err != nil {
+		k.logger.Error("replica sets refused", zap.Int64("revision", snapshot.At), zap.Error(err))
+		return
+	}
+	k.mutex.Lock()
+	k.situation.SetsKnown = true
+	k.situation.Published = nil
+	if found {
+		k.situation.Published = &published
+	}
+	k.mutex.Unlock()
+	k.wake()
+}
+
+func (k *Keeper) wake() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Serve acts until the context ends.
+func (k *Keeper) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := lookInterval
+		if k.act(ctx) {
+			// Nodes that saw the same don't write at the same moment.
+			pause = writePause/2 + rand.N(writePause)
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-k.changed:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+	return ctx.Err()
+}
+
+// act does what the plan says and tells whether it wrote.
+func (k *Keeper) act(ctx context.Context) bool {
+	situation, revision := k.snapshot()
+	action, sets := Plan(situation, k.settings)
+	if action == None {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	var err error
+	switch action {
+	case Announce:
+		err = k.announce(ctx, revision)
+	case Found:
+		err = k.write(sets, func(spec []byte) error { return k.objects.Create(ctx, KindSets, SetsName, spec) })
+	case Publish:
+		err = k.write(sets, func(spec []byte) error {
+			return k.objects.Replace(ctx, KindSets, SetsName, spec, situation.Published.Revision)
+		})
+	}
+	k.logger.Info("directory written", zap.Int("action", int(action)), zap.Int("nodes", len(situation.Nodes)),
+		zap.Int("views", len(sets.Views)), zap.Error(err))
+	return true
+}
+
+func (k *Keeper) snapshot() (Situation, int64) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	situation := k.situation
+	situation.Now = k.now()
+	if views := k.views(); views != nil {
+		situation.Views = views.Views()
+	}
+	return situation, k.revisions[k.self.Node]
+}
+
+// announce replaces what an earlier life of this node announced.
+func (k *Keeper) announce(ctx context.Context, revision int64) error {
+	spec, err := json.Marshal(Node{Member: k.self})
+	if err != nil {
+		return err
+	}
+	if revision != 0 {
+		return k.objects.Replace(ctx, KindNodes, k.self.Node, spec, revision)
+	}
+	err = k.objects.Create(ctx, KindNodes, k.self.Node, spec)
+	if errors.Is(err, ErrExists) {
+		return nil
+	}
+	return err
+}
+
+func (k *Keeper) write(sets Sets, write func(spec []byte) error) error {
+	spec, err := json.Marshal(sets)
+	if err != nil {
+		return err
+	}
+	return write(spec)
+}
--- a/coordination/follow/view.go
+++ b/coordination/follow/view.go
@@ -12,6 +12,8 @@
 	Revision int64
 	// Spec is the object's content, undecoded.
 	Spec []byte
+	// Status is what was reported of it, undecoded; empty for nothing.
+	Status []byte
 }
 
 // Snapshot is every object of one kind at one revision of the store.
--- a/coordination/routetable/configuration.go
+++ b/coordination/routetable/configuration.go
@@ -74,6 +74,14 @@
 // Repeatable tells whether a request may run again after it may have run.
 func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
 
+// Service is a pool of back ends that do the same work.
+type Service struct {
+	Name string
+	// TokensPerEvent is how many tokens one event of a stream stands for; zero
+	// for back ends that generate none.
+	TokensPerEvent uint64
+}
+
 // Limits bound what a client may send and how long it may take.
 type Limits struct {
 	// HeaderBytes and BodyBytes are the largest sizes taken; zero for no limit.
@@ -90,7 +98,7 @@
 	// Version rises with each change and never falls.
 	Version  int64
 	Routes   []Route
-	Services []string
+	Services []Service
 	Limits   Limits
 }
 
@@ -101,7 +109,7 @@
 	}
 	services := make(map[string]bool, len(c.Services))
 	for _, service := range c.Services {
-		services[service] = true
+		services[service.Name] = true
 	}
 	for index := range c.Routes {
 		if err := c.Routes[index].check(services); err != nil {
--- a/coordination/routetable/table.go
+++ b/coordination/routetable/table.go
@@ -44,6 +44,16 @@
 // Routes is how many routes the table has.
 func (t *Table) Routes() int { return len(t.configuration.Routes) }
 
+// Service returns the service of the name; a zero one where there is none.
+func (t *Table) Service(name string) Service {
+	for _, service := range t.configuration.Services {
+		if service.Name == name {
+			return service
+		}
+	}
+	return Service{}
+}
+
 // Match returns the route of the host whose prefix begins the path and is the
 // longest. The path is as it was sent, still escaped and without a query.
 func (t *Table) Match(host, path string) (*Route, bool) {
--- a/coordination/routetable/table_test.go
+++ b/coordination/routetable/table_test.go
@@ -20,7 +20,7 @@
 }
 
 func table(t require, version int64, routes ...routetable.Route) *routetable.Table {
-	made, err := routetable.NewTable(routetable.Configuration{Version: version, Services: []string{"app"}, Routes: routes})
+	made, err := routetable.NewTable(routetable.Configuration{Version: version, Services: []routetable.Service{{Name: "app"}}, Routes: routes})
 	assert.NilError(t, err)
 	return made
 }
@@ -35,7 +35,7 @@
 
 func Example() {
 	made, err := routetable.NewTable(routetable.Configuration{
-		Version: 1, Services: []string{"app"},
+		Version: 1, Services: []routetable.Service{{Name: "app"}},
 		Routes: []routetable.Route{route("all", "/"), route("cart", "/cart/")},
 	})
 	if err != nil {
@@ -109,7 +109,7 @@
 		"weight -1 of service": func(c *routetable.Configuration) { c.Routes[0].Targets[0].Weight = -1 },
 	}
 	for want, breakIt := range cases {
-		configuration := routetable.Configuration{Version: 1, Services: []string{"app"}, Routes: []routetable.Route{route("r", "/a/")}}
+		configuration := routetable.Configuration{Version: 1, Services: []routetable.Service{{Name: "app"}}, Routes: []routetable.Route{route("r", "/a/")}}
 		breakIt(&configuration)
 		_, err := routetable.NewTable(configuration)
 		assert.ErrorContains(t, err, want)
--- a/coordination/shard/plan.go
+++ b/coordination/shard/plan.go
@@ -20,6 +20,8 @@
 	Leaving bool
 	// GoneSince is when the node stopped answering; zero while it answers.
 	GoneSince time.Time
+	// Started is when this incarnation's process began.
+	Started time.Time
 }
 
 // Situation is a snapshot of what one node knows.
@@ -39,6 +41,10 @@
 	// GoneAfter is how long a node must have been gone before its replicas are
 	// replaced, so that a short cut or a restart with data moves nothing.
 	GoneAfter time.Duration
+	// ReplacedAfter is the same where a node stands ready that began shortly
+	// before the member stopped answering, or later: it is there to replace it.
+	// Zero makes no difference of it.
+	ReplacedAfter time.Duration
 	// Moves limits the moves of one plan.
 	Moves int
 }
@@ -86,6 +92,10 @@
 	Lost  []LostSet
 }
 
+// plannedOverlap is how long before a member stops answering the node that
+// replaces it may have begun.
+const plannedOverlap = 10 * time.Second
+
 // planSlot is how long the order of moves and their drivers stay as they are. A
 // move that can't be done, or a driver that can't do it, then gives way.
 const planSlot = 30 * time.Second
@@ -154,7 +164,7 @@
 	switch {
 	case isKnown && node.Member.Incarnation != member.Incarnation:
 		judged.reason, judged.answers = ReasonForgotten, false
-	case !goneSince.IsZero() && p.situation.Now.Sub(goneSince) >= p.settings.GoneAfter:
+	case !goneSince.IsZero() && p.situation.Now.Sub(goneSince) >= p.patience(goneSince):
 		judged.reason = ReasonGone
 	case !goneSince.IsZero():
 	case node.Leaving:
@@ -165,6 +175,29 @@
 	return judged
 }
 
+// patience is how long a member may be gone before it is replaced.
+func (p planner) patience(goneSince time.Time) time.Duration {
+	if p.settings.ReplacedAfter == 0 {
+		return p.settings.GoneAfter
+	}
+	for _, node := range p.situation.Nodes {
+		isReady := node.GoneSince.IsZero() && !node.Leaving
+		if isReady && !p.isMemberAnywhere(node.Member) && node.Started.After(goneSince.Add(-plannedOverlap)) {
+			return p.settings.ReplacedAfter
+		}
+	}
+	return p.settings.GoneAfter
+}
+
+// isMemberAnywhere tells whether the node replicates any shard.
+func (p planner) isMemberAnywhere(member register.Member) bool {
+	return slices.ContainsFunc(p.situation.Views, func(view register.View) bool {
+		return slices.ContainsFunc(view.Members, func(other register.Member) bool {
+			return other.Incarnation == member.Incarnation
+		})
+	})
+}
+
 func answering(judged []judgement) int {
 	count := 0
 	for _, one := range judged {
--- a/coordination/shard/sweep.go
+++ b/coordination/shard/sweep.go
@@ -19,7 +19,7 @@
 		if err != nil {
 			return err
 		}
-		if !unneeded || !i.allHold(ctx, view) {
+		if !unneeded || !i.AllHold(ctx, view) {
 			continue
 		}
 		if err := i.replica.drop(view); err != nil {
@@ -29,8 +29,8 @@
 	return nil
 }
 
-// allHold asks the members whether they hold the data of the view.
-func (i *Installer) allHold(ctx context.Context, view register.View) bool {
+// AllHold asks the members whether they hold the data of the view.
+func (i *Installer) AllHold(ctx context.Context, view register.View) bool {
 	for _, member := range view.Members {
 		probe := PullRequest{
 			Fence:     fenceOf(view, member),
--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -79,6 +79,7 @@
 	// times is how many requests the fault hits; negative for all.
 	times int
 	runs  []Run
+	early []string
 	// left counts requests whose client left while they ran.
 	left int
 }
@@ -141,7 +142,7 @@
 		return
 	}
 	if fault == EarlyAnswer {
-		r.answerRaw(w, "HTTP/1.1 200 OK\r\n"+r.head(request)+"Content-Length: 2\r\n\r\nok")
+		r.answerEarly(w, request)
 		return
 	}
 	body, err := io.ReadAll(request.Body)
@@ -152,6 +153,31 @@
 	r.answer(w, request, fault)
 }
 
+// answerEarly answers and then reads on, keeping the connection.
+func (r *Runner) answerEarly(w http.ResponseWriter, request *http.Request) {
+	controller := http.NewResponseController(w)
+	if err := controller.EnableFullDuplex(); err != nil {
+		panic(err)
+	}
+	w.Header().Set(HeaderSeal, r.Instance)
+	w.Header().Set("Content-Length", "2")
+	_, _ = w.Write([]byte("ok"))
+	_ = controller.Flush()
+	body, err := io.ReadAll(request.Body)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if err == nil {
+		r.early = append(r.early, string(body))
+	}
+}
+
+// ReadAfterAnswer returns the bodies that were read whole after an early answer.
+func (r *Runner) ReadAfterAnswer() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]string(nil), r.early...)
+}
+
 func (r *Runner) takeFault() Fault {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -13,6 +13,7 @@
 	"github.com/marblering/marblering/coordination/configuration"
 	"github.com/marblering/marblering/coordination/membership"
 	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/repair"
 	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/protocol/objectapi"
 )
@@ -78,22 +79,13 @@
 			continue
 		}
 		candidates = append(candidates, shard.Candidate{
-			Member:        toShardMember(member),
+			Member:        repair.Member(member),
 			HasDataFolder: member.HasDataFolder,
 		})
 	}
 	return candidates
 }
 
-func toShardMember(member membership.Member) register.Member {
-	return register.Member{
-		Node:        member.Node,
-		Incarnation: member.Incarnation,
-		Address:     member.Address,
-		Zone:        member.Zone,
-	}
-}
-
 func namesOf(candidates []shard.Candidate) string {
 	names := ""
 	for _, candidate := range candidates {
--- a/node/control.go
+++ b/node/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/marblering/marblering/coordination/configuration"
 	"github.com/marblering/marblering/coordination/membership"
+	"github.com/marblering/marblering/coordination/repair"
 	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/protocol/objectapi"
 	"github.com/marblering/marblering/transport/peer"
@@ -94,7 +95,7 @@
 			versions[member.Address] = version
 		}
 		peers = append(peers, configuration.Peer{
-			Member:  configuration.Member(toShardMember(member)),
+			Member:  configuration.Member(repair.Member(member)),
 			Leaving: member.Leaving,
 			Version: version,
 		})
--- a/node/drain.go
+++ b/node/drain.go
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout)
 	defer cancel()
 	err := errors.Join(n.callers.Wait(ctx), n.executor.Drain(ctx))
-	n.repair.awaitHandover(ctx, n.replica.Incarnation())
+	n.repair.AwaitHandover(ctx, n.replica.Incarnation())
 	err = errors.Join(err, n.callerListener.finish(ctx))
 	n.logger.Info("drained", zap.Error(err))
 	return errors.Join(err, n.Close())
--- a/node/gateway/drain.go
+++ b/node/gateway/drain.go
@@ -28,6 +28,7 @@
 	bounded, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	err := g.callers.shutdown(bounded)
+	g.state.budgets.Flush(bounded)
 	g.logger.Info("stopped", zap.Int64("in_flight", g.relay.InFlight()),
 		zap.Duration("took", time.Since(began)), zap.Error(err))
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -29,6 +29,9 @@
 	// Configuration and Instances are the objects to follow.
 	Configuration follow.Source
 	Instances     follow.Source
+	// Sets are the replica sets of the storage nodes, as package directory
+	// publishes them.
+	Sets follow.Source
 	// DecodeConfiguration finds the configuration among its objects; found is
 	// false where there is none yet.
 	DecodeConfiguration func(follow.Snapshot) (configuration routetable.Configuration, found bool, err error)
@@ -40,6 +43,8 @@
 	maxInFlight = 2000
 	// watchSlack is how much longer than its wait a held call may take.
 	watchSlack = 700 * time.Millisecond
+	// seldomWait is how long the store may hold a call about what changes seldom.
+	seldomWait = 20 * time.Second
 	// idleSweep is the pause between two looks at the kept connections.
 	idleSweep = time.Second
 	// memoryPart of the limit is where the garbage collector works harder.
@@ -58,6 +63,8 @@
 	relay         *relay.Handler
 	configuration *follow.Follower
 	instances     *follow.Follower
+	sets          *follow.Follower
+	state         *state
 	callers       *callerServer
 	operators     *operatorServer
 	metrics       *prometheus.Registry
@@ -87,13 +94,16 @@
 
 // Start opens the listeners and starts the services.
 func Start(loaded settings.Gateway, parts Parts, logger *zap.Logger) (*Gateway, error) {
-	g := newGateway(loaded, parts, logger)
+	g, err := newGateway(loaded, parts, logger)
+	if err != nil {
+		return nil, err
+	}
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
 	services, stop := context.WithCancel(context.Background())
 	supervisor := suture.New("gateway", suture.Spec{EventHook: g.logEvent})
-	for _, service := range []suture.Service{g.configuration, g.instances, g.callers, g.operators, idleCloser{g.upstream}} {
+	for _, service := range []suture.Service{g.configuration, g.instances, g.sets, g.callers, g.operators, idleCloser{g.upstream}} {
 		supervisor.Add(service)
 	}
 	g.stop = stop
@@ -109,7 +119,7 @@
 // OperatorAddress is where operators are served.
 func (g *Gateway) OperatorAddress() string { return g.operators.address().String() }
 
-func newGateway(loaded settings.Gateway, parts Parts, logger *zap.Logger) *Gateway {
+func newGateway(loaded settings.Gateway, parts Parts, logger *zap.Logger) (*Gateway, error) {
 	g := &Gateway{
 		settings: loaded, parts: parts, logger: logger,
 		tables:   &routetable.Holder{},
@@ -121,14 +131,29 @@
 	g.upstream = upstream.NewClient(bounds, time.Now)
 	g.configuration = g.newFollower("configuration", parts.Configuration, g.applyConfiguration)
 	g.instances = g.newFollower("instances", parts.Instances, g.applyInstances)
+	var err error
+	if g.state, err = newState(loaded, g.metrics, logger); err != nil {
+		return nil, err
+	}
+	g.sets = g.newSeldomFollower("replica sets", parts.Sets, g.state.lookup.Apply)
 	g.relay = relay.New(relay.Options{
 		Tables: g.tables, Backends: g.backends, Exchanger: g.upstream, Dialect: parts.Dialect,
-		Certain: g.isCertain, Draining: g.draining.Load, MaxInFlight: maxInFlight, Gone: g.instanceGone,
+		Turns: g.state.conversations, Certain: g.isCertain, Draining: g.draining.Load, MaxInFlight: maxInFlight, Gone: g.instanceGone,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
 		Metrics: relay.NewMetrics(g.metrics), Logger: logger, Now: time.Now,
 	})
 	g.registerGauges()
-	return g
+	return g, nil
+}
+
+// newSeldomFollower follows what changes seldom, and where a late change costs
+// nothing: replicas say themselves when a set has changed.
+func (g *Gateway) newSeldomFollower(name string, source follow.Source, apply func(follow.Snapshot)) *follow.Follower {
+	bounds := follow.DefaultSettings()
+	bounds.WatchWait = seldomWait
+	return follow.New(follow.Options{
+		Name: name, Source: source, Settings: bounds, Apply: apply, Logger: g.logger, Now: time.Now,
+	})
 }
 
 func (g *Gateway) newFollower(name string, source follow.Source, apply func(follow.Snapshot)) *follow.Follower {
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/marblering/marblering/coordination/membership"
 	"github.com/marblering/marblering/coordination/record"
 	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/repair"
 	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/protocol/callerapi"
 	"github.com/marblering/marblering/protocol/engineapi"
@@ -60,7 +61,7 @@
 	store      replica.Store
 	replica    *shard.Replica
 	installer  *shard.Installer
-	repair     *repair
+	repair     *repair.Service
 	membership *membership.Service
 	records    *record.Store
 	fleet      *fleet.Fleet
@@ -288,7 +289,7 @@
 		Exchanger:            peers,
 		Now:                  time.Now,
 		Logger:               n.logger,
-		Shards:               &shardGossip{views: n.views},
+		Shards:               peer.NewViewGossip(n.views),
 		ConfigurationVersion: n.holder.Version,
 		ConfigurationSeen:    n.configurationSeen,
 		Observe:              n.observeMembership,
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -22,7 +22,7 @@
 func (n *Node) addReadinessChecks() {
 	n.readiness.Add(checkNameConfiguration, n.checkConfiguration)
 	n.readiness.Add(checkNameShards, n.checkShards)
-	n.readiness.Add(checkNameReplicas, n.repair.check)
+	n.readiness.Add(checkNameReplicas, n.repair.Check)
 	n.readiness.Add(checkNameServing, n.checkServing)
 }
 
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -1,34 +1,92 @@
-// Package storage builds the daemon of a machine with a disk. So far it opens
-// the replica store of its data folder and reports on it; no gateway writes to
-// it yet (docs/design/platform.md says what is to come).
+// Package storage builds the daemon of a machine with a disk: it keeps replicas
+// of the programs' records and turns, finds the other storage nodes through the
+// directory and gossip, and keeps the replica sets whole. What the store of a
+// deployment looks like is given to it as Parts.
 package storage
 
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"github.com/marblering/marblering/coordination/directory"
+	"github.com/marblering/marblering/coordination/follow"
+	"github.com/marblering/marblering/coordination/membership"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/repair"
+	"github.com/marblering/marblering/coordination/retirement"
+	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/state/replica"
 	"github.com/marblering/marblering/telemetry"
+	"github.com/marblering/marblering/transport/peer"
 )
 
+// Parts are what differs between deployments.
+type Parts struct {
+	// Objects and the sources are the directory's.
+	Objects directory.Objects
+	Nodes   follow.Source
+	Sets    follow.Source
+	// Retirements are the orders to empty storage nodes.
+	Retirements      follow.Source
+	DecodeRetirement func(follow.Object) (retirement.Order, error)
+	Reporter         retirement.Reporter
+}
+
 const (
 	// memoryPart of the limit is where the garbage collector works harder.
 	memoryPart    = 0.8
 	headerTimeout = 10 * time.Second
+	peerTimeout   = 2 * time.Second
+	// watchWait is how long the store may hold a call about what changes seldom.
+	watchWait = 10 * time.Second
+	// repairInterval is the pause between two rounds of repair.
+	repairInterval = 400 * time.Millisecond
+	// goneAfter and replacedAfter are how long a member may be gone before its
+	// replicas are replaced, without and with a node that stands in for it.
+	goneAfter     = 20 * time.Second
+	replacedAfter = 500 * time.Millisecond
+	movesAtOnce   = 8
+	// settle and patience say when the first sets are founded.
+	settle   = 800 * time.Millisecond
+	patience = 6 * time.Second
 )
 
+// Node is one running storage node.
+type Node struct {
+	settings settings.Storage
+	parts    Parts
+	logger   *zap.Logger
+
+	store      *replica.Disk
+	views      *shard.Map
+	replica    *shard.Replica
+	installer  *shard.Installer
+	membership *membership.Service
+	repair     *repair.Service
+	keeper     *directory.Keeper
+	lookup     *directory.Lookup
+	retirement *retirement.Service
+	metrics    *prometheus.Registry
+	peers      *peer.Client
+	self       register.Member
+}
+
 // Run runs a storage node until the context ends.
-func Run(ctx context.Context, loaded settings.Storage, logger *zap.Logger) error {
+func Run(ctx context.Context, loaded settings.Storage, parts Parts, logger *zap.Logger) error {
 	debug.SetMemoryLimit(int64(memoryPart * float64(loaded.MemoryLimit)))
+	began := time.Now()
 	store, err := replica.OpenDisk(loaded.DataFolder)
 	if err != nil {
 		return err
@@ -36,16 +94,19 @@
 	if damage := store.Damage(); damage != nil {
 		logger.Error("replica data was damaged and is set aside", zap.Error(damage))
 	}
-	socket, err := net.Listen("tcp", loaded.OperatorListen.String())
+	n := &Node{settings: loaded, parts: parts, logger: logger, store: store, metrics: telemetry.NewRegistry()}
+	services, err := n.build()
 	if err != nil {
-		return errors.Join(merry.Prependf(err, "listening for operators"), store.Close())
+		return errors.Join(err, store.Close())
 	}
 	supervisor := suture.New("storage", suture.Spec{EventHook: func(event suture.Event) {
 		logger.Warn("supervisor", zap.String("event", event.String()))
 	}})
-	handler := telemetry.NewHandler(telemetry.NewRegistry(), telemetry.NewReadiness())
-	supervisor.Add(&operatorServer{socket: socket, server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}})
-	logger.Info("started", zap.String("incarnation", store.Incarnation()), zap.Stringer("operator_address", socket.Addr()))
+	for _, service := range services {
+		supervisor.Add(service)
+	}
+	logger.Info("started", zap.String("incarnation", store.Incarnation()), zap.String("peer_address", n.self.Address),
+		zap.Int("sets_known", len(n.views.Views())), zap.Duration("opening_took", time.Since(began)))
 	stopped := supervisor.ServeBackground(ctx)
 	<-ctx.Done()
 	<-stopped
@@ -54,20 +115,170 @@
 	return err
 }
 
-// operatorServer serves operators.
-type operatorServer struct {
+// build makes the parts and returns the services to supervise.
+func (n *Node) build() ([]suture.Service, error) {
+	n.self = register.Member{
+		Node: n.settings.Name, Incarnation: n.store.Incarnation(),
+		Address: n.settings.PeerListen.String(), Zone: n.settings.Zone,
+	}
+	n.views = shard.NewMap(uint32(n.settings.Shards))
+	n.replica = shard.NewReplica(n.self.Incarnation, n.store, n.views, func() uint64 { return 0 })
+	if err := n.replica.Restore(); err != nil {
+		return nil, err
+	}
+	peerMetrics := peer.NewMetrics(n.metrics)
+	n.peers = peer.NewClient(peer.NewHTTPClient(), peerTimeout, peerMetrics)
+	n.installer = shard.NewInstaller(n.replica, n.peers, n.logger)
+	n.buildMembership()
+	n.buildRepair()
+	n.buildDirectory()
+	peers, err := listen("peers", n.settings.PeerListen.String(),
+		peer.NewHTTPServer(peer.NewStorageHandler(n.replica, n.installer, n.membership, peerMetrics)))
+	if err != nil {
+		return nil, err
+	}
+	operators, err := listen("operators", n.settings.OperatorListen.String(), n.operatorServer())
+	if err != nil {
+		return nil, errors.Join(err, peers.socket.Close())
+	}
+	return []suture.Service{
+		peers, operators, n.membership, n.repair, n.keeper, n.retirement,
+		n.follower("storage nodes", n.parts.Nodes, n.applyNodes),
+		n.follower("replica sets", n.parts.Sets, n.applySets),
+		n.follower("retirements", n.parts.Retirements, n.retirement.Decode(n.parts.DecodeRetirement)),
+	}, nil
+}
+
+func (n *Node) buildMembership() {
+	now := time.Now()
+	identity := membership.Identity{
+		Node: n.self.Node, Incarnation: n.self.Incarnation, Address: n.self.Address, Zone: n.self.Zone,
+		HasDataFolder: true, Started: now,
+	}
+	gossip := membership.New(gossipSettings(), identity, n.knownAddresses(), newRandom(), now)
+	n.membership = membership.NewService(gossip, membership.Options{
+		Exchanger: n.peers, Now: time.Now, Logger: n.logger, Shards: peer.NewViewGossip(n.views),
+	})
+}
+
+// gossipSettings notice a failed node within two seconds: storage nodes are few.
+func gossipSettings() membership.Settings {
+	derived := membership.DefaultSettings()
+	derived.ExchangeInterval = 300 * time.Millisecond
+	derived.ExchangeTimeout = 500 * time.Millisecond
+	derived.SuspicionTime = 900 * time.Millisecond
+	derived.ContactInterval = time.Second
+	derived.SyncDelay = time.Second
+	derived.SettleTime = 3 * time.Second
+	return derived
+}
+
+// knownAddresses are those of the sets that were on the disk.
+func (n *Node) knownAddresses() []string {
+	var addresses []string
+	for _, view := range n.views.Views() {
+		for _, member := range view.Members {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+func (n *Node) buildRepair() {
+	plan := shard.PlanSettings{
+		Factor: n.settings.ReplicationFactor(), GoneAfter: goneAfter, ReplacedAfter: replacedAfter, Moves: movesAtOnce,
+	}
+	driver := shard.NewDriver(n.self.Incarnation+"/"+uuid.NewString(), n.peers, n.views, register.SystemClock{},
+		newRandom(), register.DefaultSettings(), n.logger)
+	n.repair = repair.New(repair.Options{
+		Maintainer: shard.NewMaintainer(n.self.Node, n.replica, n.installer, driver, plan, n.logger),
+		Views:      n.views, Members: n.membership.Members, Settings: plan,
+		Interval: repairInterval, Now: time.Now, Logger: n.logger,
+	})
+}
+
+func (n *Node) buildDirectory() {
+	founding := directory.Settings{
+		Shards: uint32(n.settings.Shards), Factor: n.settings.ReplicationFactor(), Settle: settle, Patience: patience,
+	}
+	views := func() *shard.Map { return n.views }
+	n.keeper = directory.NewKeeper(n.self, n.parts.Objects, views, founding, time.Now, n.logger)
+	n.lookup = directory.NewLookup(n.views, n.logger)
+	n.retirement = retirement.New(retirement.Options{
+		Node: n.self.Node, Incarnation: n.self.Incarnation, Sets: heldSets{n.views, n.installer},
+		SetLeaving: n.membership.SetLeaving, Reporter: n.parts.Reporter, Logger: n.logger,
+	})
+}
+
+// heldSets implements retirement.Sets.
+type heldSets struct {
+	views     *shard.Map
+	installer *shard.Installer
+}
+
+// Views implements retirement.Sets.
+func (s heldSets) Views() []register.View { return s.views.Views() }
+
+// Holds implements retirement.Sets.
+func (s heldSets) Holds(ctx context.Context, view register.View) bool {
+	return s.installer.AllHold(ctx, view)
+}
+
+func (n *Node) follower(name string, source follow.Source, apply func(follow.Snapshot)) *follow.Follower {
+	bounds := follow.DefaultSettings()
+	bounds.WatchWait = watchWait
+	return follow.New(follow.Options{
+		Name: name, Source: source, Settings: bounds, Apply: apply, Logger: n.logger, Now: time.Now,
+	})
+}
+
+func (n *Node) applyNodes(snapshot follow.Snapshot) {
+	nodes, _ := directory.DecodeNodes(snapshot)
+	addresses := n.knownAddresses()
+	for _, node := range nodes {
+		addresses = append(addresses, node.Address)
+	}
+	n.membership.SetSeeds(addresses)
+	n.keeper.ApplyNodes(snapshot)
+}
+
+func (n *Node) applySets(snapshot follow.Snapshot) {
+	n.lookup.Apply(snapshot)
+	n.keeper.ApplySets(snapshot)
+}
+
+func (n *Node) operatorServer() *http.Server {
+	readiness := telemetry.NewReadiness()
+	readiness.Add("replicas", n.repair.Check)
+	return &http.Server{Handler: telemetry.NewHandler(n.metrics, readiness), ReadHeaderTimeout: headerTimeout}
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// server is one HTTP server of the node. It is a suture service; the socket is
+// opened before the service starts.
+type server struct {
+	name   string
 	socket net.Listener
-	server *http.Server
+	http   *http.Server
+}
+
+func listen(name, address string, served *http.Server) (*server, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, merry.Prependf(err, "listening for %s on %s", name, address)
+	}
+	return &server{name: name, socket: socket, http: served}, nil
 }
 
 // String names the service in the supervisor's messages.
-func (s *operatorServer) String() string { return "listener of operators" }
+func (s *server) String() string { return "listener of " + s.name }
 
 // Serve implements suture.Service.
-func (s *operatorServer) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+func (s *server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
-	err := s.server.Serve(s.socket)
+	err := s.http.Serve(s.socket)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return ctx.Err()
--- a/node/wire.go
+++ b/node/wire.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/marblering/marblering/transport/peer"
 )
 
 // wire counts the bytes that really cross the sockets of one node, headers
@@ -29,9 +31,6 @@
 	idleConnectionsPerHost = 8
 	idleConnectionTimeout  = 90 * time.Second
 	dialTimeout            = 5 * time.Second
-	// peerPingTimeout is how long a connection between nodes may be silent
-	// before a ping, and how long the ping may take.
-	peerPingTimeout = 2 * time.Second
 )
 
 func newWire(registerer prometheus.Registerer) *wire {
@@ -69,24 +68,11 @@
 		IdleConnTimeout:     idleConnectionTimeout,
 	}
 	if end == wirePeer {
-		usePeerProtocols(transport)
+		peer.UseProtocols(transport)
 	}
 	return &http.Client{Transport: transport}
 }
 
-// usePeerProtocols makes requests between nodes go over HTTP/2 without TLS
-// (RFC 9113, prior knowledge): its header compression matters, since control
-// messages are shorter than their headers. A silent connection is pinged, so
-// that a half-open one is given up.
-func usePeerProtocols(transport *http.Transport) {
-	transport.Protocols = &http.Protocols{}
-	transport.Protocols.SetUnencryptedHTTP2(true)
-	transport.HTTP2 = &http.HTTP2Config{
-		SendPingTimeout: peerPingTimeout,
-		PingTimeout:     peerPingTimeout,
-	}
-}
-
 type countedConn struct {
 	net.Conn
 	in  prometheus.Counter
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -76,7 +76,7 @@
 			field: func(s *Gateway) any { return &s.ReadyPath },
 		},
 		{
-			Key: "store_url", Required: true, Allowed: "URL with an IP number such as http://10.0.0.9:7000, no path, no host name",
+			Key: "store_url", Required: true, Allowed: allowedStoreURL,
 			Usage: "base URL of the store of configuration and back ends",
 			field: func(s *Gateway) any { return &s.StoreURL },
 		},
--- a/settings/option.go
+++ b/settings/option.go
@@ -32,6 +32,7 @@
 	allowedName     = "1 to 63 lower-case letters, digits and inner hyphens"
 	allowedLogLevel = "debug, info, warn or error"
 	allowedMemory   = "size with unit from 16MiB; units B, KiB, MiB, GiB"
+	allowedStoreURL = "URL with an IP number such as http://10.0.0.9:7000, no path, no host name"
 	usageName       = "name of the node, unique in the deployment"
 	usageZone       = "zone whose failure takes this node with it"
 	usageMemory     = "memory that the process may use"
--- a/settings/storage.go
+++ b/settings/storage.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 
 	"github.com/spf13/pflag"
@@ -13,8 +14,16 @@
 	Name string `koanf:"name" validate:"required,name"`
 	// Zone is the zone whose failure takes this node with it.
 	Zone string `koanf:"zone" validate:"required,name"`
+	// PeerListen is where gateways and other storage nodes reach this one.
+	PeerListen netip.AddrPort `koanf:"peer_listen" validate:"required"`
 	// OperatorListen serves /metrics, /healthz and /readyz.
 	OperatorListen netip.AddrPort `koanf:"operator_listen" validate:"required"`
+	// StoreURL is the base URL of the store of the directory.
+	StoreURL string `koanf:"store_url" validate:"required,base_url"`
+	// Losses is how many storage nodes may be lost at once.
+	Losses int `koanf:"losses" validate:"min=0,max=3"`
+	// Shards is the number of shards; it counts when the sets are founded.
+	Shards int `koanf:"shards" validate:"min=1,max=4096"`
 	// DataFolder keeps the node's replica state.
 	DataFolder string `koanf:"data_folder" validate:"required,absolute_path"`
 	// MemoryLimit is what the process may use.
@@ -23,10 +32,22 @@
 	LogLevel string `koanf:"log_level" validate:"oneof=debug info warn error"`
 }
 
+// ReplicationFactor is the number of members of a replica set: a majority must
+// be left after the losses.
+func (s Storage) ReplicationFactor() int { return 2*s.Losses + 1 }
+
 // LoadStorage reads and checks a storage node's settings as Load does a node's.
 func LoadStorage(path string, flags *pflag.FlagSet) (Storage, error) {
-	none := func(*loader[Storage], Storage) error { return nil }
-	return newLoader(path, flags, StorageOptions()).load(none)
+	return newLoader(path, flags, StorageOptions()).load(checkStoragePairs)
+}
+
+// checkStoragePairs refuses one address for both listeners.
+func checkStoragePairs(l *loader[Storage], loaded Storage) error {
+	if collide(loaded.PeerListen, loaded.OperatorListen) {
+		problem := fmt.Sprintf("%v contradicts peer_listen, which is %v", loaded.OperatorListen, loaded.PeerListen)
+		return l.fault(l.option("operator_listen"), problem)
+	}
+	return nil
 }
 
 // StorageOptions lists every option in the order of the documentation.
@@ -40,11 +61,31 @@
 			Key: "zone", Required: true, Allowed: allowedName, Usage: usageZone,
 			field: func(s *Storage) any { return &s.Zone },
 		},
+		{
+			Key: "peer_listen", Required: true, Allowed: allowedAddress,
+			Usage: "address that serves gateways and other storage nodes",
+			field: func(s *Storage) any { return &s.PeerListen },
+		},
 		{
 			Key: "operator_listen", Required: true, Allowed: allowedAddress,
 			Usage: "address that serves /metrics, /healthz and /readyz",
 			field: func(s *Storage) any { return &s.OperatorListen },
 		},
+		{
+			Key: "store_url", Required: true, Allowed: allowedStoreURL,
+			Usage: "base URL of the store in which storage nodes find each other",
+			field: func(s *Storage) any { return &s.StoreURL },
+		},
+		{
+			Key: "losses", Default: "1", Allowed: "whole number from 0 to 3",
+			Usage: "how many storage nodes may be lost at once; a replica set has twice as many members and one",
+			field: func(s *Storage) any { return &s.Losses },
+		},
+		{
+			Key: "shards", Default: "4", Allowed: "whole number from 1 to 4096",
+			Usage: "number of shards; counts when the replica sets are founded",
+			field: func(s *Storage) any { return &s.Shards },
+		},
 		{
 			Key: "data_folder", Required: true, Allowed: "absolute path",
 			Usage: "folder for replica state",
--- a/state/result/code.go
+++ b/state/result/code.go
@@ -59,6 +59,7 @@
 	UnknownRoute      Code = 1016
 	HeaderTooLarge    Code = 1017
 	BodyTimeout       Code = 1018
+	UnknownTurn       Code = 1019
 
 	Overloaded         Code = 2001
 	TenantLimit        Code = 2002
@@ -120,6 +121,7 @@
 	{UnknownRoute, "unknown_route", http.StatusNotFound, NotRun, RepeatNever, "The configuration in force has no route for this host and path."},
 	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, NotRun, RepeatNever, "The request's header exceeds the size limit."},
 	{BodyTimeout, "body_timeout", http.StatusRequestTimeout, NotRun, RepeatLater, "The request's body didn't arrive in time."},
+	{UnknownTurn, "unknown_turn", http.StatusNotFound, NotRun, RepeatNever, "The turn that this one goes on from isn't kept."},
 	{Overloaded, "overloaded", http.StatusTooManyRequests, NotRun, RepeatLater, "The engines can't serve the request in time."},
 	{TenantLimit, "tenant_limit", http.StatusTooManyRequests, NotRun, RepeatLater, "The tenant has reached its limit."},
 	{NoEngine, "no_engine", http.StatusServiceUnavailable, NotRun, RepeatLater, "No engine that serves the model can be reached."},
--- a/test/imports/imports.go
+++ b/test/imports/imports.go
@@ -76,7 +76,7 @@
 	case target == Bench:
 		return inTest || within(from, labCommand)
 	case target == Support:
-		return source == Node || source == Command
+		return source == Node || source == Command || source == Platform && inTest
 	case source == Shared || source == Support:
 		return false
 	}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -37,7 +37,7 @@
 // Node answers what isn't about a shard. The messages are those of the wire:
 // each of them is owned by one coordination package.
 type Node interface {
-	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
+	Exchanger
 	AttemptStatus(request *peerv1.AttemptStatusRequest) *peerv1.AttemptStatusResponse
 	Reserve(request *peerv1.ReserveRequest) *peerv1.ReserveResponse
 	Release(request *peerv1.ReleaseRequest) *peerv1.ReleaseResponse
@@ -49,15 +49,52 @@
 // NewHandler serves the internal protocol.
 func NewHandler(replica Replica, installer Installer, node Node, metrics *Metrics) http.Handler {
 	mux := http.NewServeMux()
-	options := []connect.HandlerOption{
+	options := handlerOptions(metrics)
+	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica, installer: installer}, options...))
+	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, options...))
+	return mux
+}
+
+func handlerOptions(metrics *Metrics) []connect.HandlerOption {
+	return []connect.HandlerOption{
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithInterceptors(metrics),
 	}
+}
+
+// Exchanger answers exchanges of membership.
+type Exchanger interface {
+	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
+}
+
+// NewStorageHandler serves what a node that only keeps replicas has to: requests
+// to its replica, and the exchanges of membership.
+func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, metrics *Metrics) http.Handler {
+	mux := http.NewServeMux()
+	options := handlerOptions(metrics)
 	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica, installer: installer}, options...))
-	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, options...))
+	mux.Handle(peerv1connect.NewNodeServiceHandler(&exchangeServer{membership: membership}, options...))
 	return mux
 }
 
+// exchangeServer answers nothing but exchanges.
+type exchangeServer struct {
+	peerv1connect.UnimplementedNodeServiceHandler
+	membership Exchanger
+}
+
+func (s *exchangeServer) Exchange(ctx context.Context, request *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	return exchange(ctx, s.membership, request)
+}
+
+func exchange(ctx context.Context, membership Exchanger, request *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	response, err := membership.Exchange(ctx, request.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(response), nil
+}
+
 type replicaServer struct {
 	peerv1connect.UnimplementedReplicaServiceHandler
 	replica   Replica
@@ -141,11 +178,7 @@
 }
 
 func (s *nodeServer) Exchange(ctx context.Context, request *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
-	response, err := s.node.Exchange(ctx, request.Msg)
-	if err != nil {
-		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
-	}
-	return connect.NewResponse(response), nil
+	return exchange(ctx, s.node, request)
 }
 
 func (s *nodeServer) AttemptStatus(_ context.Context, request *connect.Request[peerv1.AttemptStatusRequest]) (*connect.Response[peerv1.AttemptStatusResponse], error) {
--- a/node/shards.go
+++ b/transport/peer/viewgossip.go
@@ -1,4 +1,4 @@
-package node
+package peer
 
 import (
 	"sync"
@@ -6,28 +6,30 @@
 	peerv1 "github.com/marblering/marblering/api/peer/v1"
 	"github.com/marblering/marblering/coordination/membership"
 	"github.com/marblering/marblering/coordination/shard"
-	"github.com/marblering/marblering/transport/peer"
 )
 
-// shardGossip passes the views of shards on with the exchanges of membership.
-type shardGossip struct {
+// ViewGossip passes the views of shards on with the exchanges of membership.
+type ViewGossip struct {
 	views *shard.Map
 	mutex sync.Mutex
 	next  int
 }
 
-var _ membership.ShardViews = (*shardGossip)(nil)
+// NewViewGossip makes the gossip of the views of one node.
+func NewViewGossip(views *shard.Map) *ViewGossip { return &ViewGossip{views: views} }
+
+var _ membership.ShardViews = (*ViewGossip)(nil)
 
 // Digest implements membership.ShardViews.
-func (g *shardGossip) Digest() uint64 { return g.views.Digest() }
+func (g *ViewGossip) Digest() uint64 { return g.views.Digest() }
 
 // Outgoing implements membership.ShardViews. Views of the first epoch are known
 // from the configuration; the others take turns where they don't all fit.
-func (g *shardGossip) Outgoing(limit int) []*peerv1.ShardView {
+func (g *ViewGossip) Outgoing(limit int) []*peerv1.ShardView {
 	var moved []*peerv1.ShardView
 	for _, view := range g.views.Views() {
 		if view.Epoch > shard.FirstEpoch {
-			moved = append(moved, peer.ViewToWire(&view))
+			moved = append(moved, ViewToWire(&view))
 		}
 	}
 	if len(moved) <= limit {
@@ -44,8 +46,8 @@
 }
 
 // Merge implements membership.ShardViews.
-func (g *shardGossip) Merge(views []*peerv1.ShardView) {
+func (g *ViewGossip) Merge(views []*peerv1.ShardView) {
 	for _, view := range views {
-		g.views.Learn(*peer.ViewFromWire(view))
+		g.views.Learn(*ViewFromWire(view))
 	}
 }
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/conversation"
 	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/routetable"
 	"github.com/marblering/marblering/state/result"
@@ -35,7 +36,10 @@
 	version  int64
 	facts    Facts
 	route    *routetable.Route
-	body     []byte
+	// body is what back ends get: the request's own, or that of its turn.
+	body []byte
+	// turn is set for turns of programs whose state is kept.
+	turn *conversation.Turn
 
 	// tried are the instances that were chosen so far, sends of which were sent
 	// the request, detours of which were not.
@@ -65,6 +69,8 @@
 	refused
 	// lost: the request was sent and there is no whole answer.
 	lost
+	// unstored: the answer came whole, but its turn can't be kept.
+	unstored
 	// abandoned: the client is gone, or its time is over.
 	abandoned
 )
@@ -103,7 +109,7 @@
 	switch ended {
 	case unreached:
 		c.detours++
-	case lost:
+	case lost, unstored:
 		c.sends++
 		c.mayHaveRun = true
 	case refused:
@@ -116,7 +122,7 @@
 // load, not of a fault.
 func verdictOf(ended outcome) backend.Verdict {
 	switch ended {
-	case delivered:
+	case delivered, unstored:
 		return backend.Good
 	case unreached, lost:
 		return backend.Bad
@@ -141,7 +147,7 @@
 		answer.CloseBody()
 		return lost, errImproper
 	}
-	return c.deliver(answer)
+	return c.deliver(ctx, answer)
 }
 
 var (
@@ -174,7 +180,7 @@
 
 // mayTryAgain says whether another instance may be sent the request.
 func (c *call) mayTryAgain(ctx context.Context, ended outcome) bool {
-	if ended == abandoned || ctx.Err() != nil {
+	if ended == abandoned || ended == unstored || ctx.Err() != nil {
 		return false
 	}
 	if ended == unreached {
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"mime"
@@ -22,10 +23,10 @@
 )
 
 // deliver passes a proper answer on.
-func (c *call) deliver(answer *upstream.Answer) (outcome, error) {
+func (c *call) deliver(ctx context.Context, answer *upstream.Answer) (outcome, error) {
 	defer answer.CloseBody()
 	if isEventStream(answer) {
-		return c.deliverEvents(answer)
+		return c.deliverEvents(ctx, answer)
 	}
 	if c.began {
 		return lost, errNotResumed
@@ -85,13 +86,13 @@
 
 // deliverEvents passes whole events on as they come. The head follows with the
 // first of them, so that a stream that breaks before can still be replaced.
-func (c *call) deliverEvents(answer *upstream.Answer) (outcome, error) {
+func (c *call) deliverEvents(ctx context.Context, answer *upstream.Answer) (outcome, error) {
 	events := newEventReader(answer)
 	controller := http.NewResponseController(c.writer)
 	for {
 		event, err := events.next()
 		if err == io.EOF {
-			return c.endStream(answer)
+			return c.endStream(ctx, answer)
 		}
 		if err != nil {
 			return lost, err
@@ -100,6 +101,7 @@
 			continue
 		}
 		c.beginStream(answer)
+		c.countEvent(event)
 		if _, err := c.writer.Write(event.raw); err != nil {
 			return abandoned, err
 		}
@@ -112,8 +114,12 @@
 	}
 }
 
-// endStream also passes the head of a stream without events on.
-func (c *call) endStream(answer *upstream.Answer) (outcome, error) {
+// endStream stores the turn, if it is one, and also passes the head of a stream
+// without events on. A turn that can't be stored doesn't end as whole.
+func (c *call) endStream(ctx context.Context, answer *upstream.Answer) (outcome, error) {
+	if err := c.completeTurn(ctx); err != nil {
+		return unstored, err
+	}
 	c.beginStream(answer)
 	return delivered, nil
 }
--- a/transport/relay/dialect.go
+++ b/transport/relay/dialect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/conversation"
 	"github.com/marblering/marblering/state/result"
 	"github.com/marblering/marblering/transport/upstream"
 )
@@ -22,6 +23,15 @@
 	// LastEvent is the id of the last event that the client has of a stream
 	// that broke; empty for none.
 	LastEvent string
+	// Program is the program that the request is a turn or call of; empty for
+	// none.
+	Program string
+	// Previous is the turn that this one goes on from; empty for none.
+	Previous string
+	// Budget is what all turns of the program may generate, in tokens; zero for
+	// no bound. MostTokens is the most that this turn may.
+	Budget     uint64
+	MostTokens uint64
 }
 
 // Attempt is what a back end is told beside the request itself.
@@ -65,6 +75,11 @@
 	Acquire(query backend.Query) (*backend.Choice, error)
 }
 
+// Turns prepares turns of programs. conversation.Service implements it.
+type Turns interface {
+	Begin(ctx context.Context, request conversation.Request) (*conversation.Turn, *result.Error)
+}
+
 // Exchanger sends one request. upstream.Client implements it.
 type Exchanger interface {
 	Do(ctx context.Context, request *upstream.Request) (*upstream.Answer, error)
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -20,6 +20,7 @@
 	Backends  Backends
 	Exchanger Exchanger
 	Dialect   Dialect
+	Turns     Turns
 	// Certain tells whether the table in force is known to be the newest, so
 	// that a missing route is really none.
 	Certain func() bool
@@ -65,6 +66,11 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), current.deadline)
 	defer cancel()
+	if failure := current.beginTurn(ctx, h.options.Tables.Table()); failure != nil {
+		current.fail(failure)
+		return
+	}
+	defer current.endTurn()
 	current.run(ctx)
 }
 
--- /dev/null
+++ b/transport/relay/turn.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/conversation"
+	"github.com/marblering/marblering/coordination/routetable"
+	"github.com/marblering/marblering/state/result"
+)
+
+// beginTurn prepares a request that is a turn of a program: what came before is
+// put in front of its body, and what it may generate is reserved.
+func (c *call) beginTurn(ctx context.Context, table *routetable.Table) *result.Error {
+	if c.route.Kind != routetable.Stream || c.facts.Budget == 0 && !c.route.Retained {
+		return nil
+	}
+	if c.route.Retained && c.facts.LastEvent != "" {
+		// The part of the answer that the client has isn't known here, so that
+		// the turn could not be kept whole.
+		return result.Errorf(result.HistoryUnavailable, "a retained turn begins at its start").After(retryPause)
+	}
+	service := table.Service(c.route.Pick(backend.Draw(c.facts.Key)))
+	turn, failure := c.handler.options.Turns.Begin(ctx, conversation.Request{
+		ID: c.facts.ID, Program: c.facts.Program, Previous: c.facts.Previous,
+		Budget: c.facts.Budget, Most: c.facts.MostTokens, TokensPerEvent: service.TokensPerEvent,
+		Retained: c.route.Retained, Retention: c.route.Retention, Input: c.body,
+	})
+	if failure != nil {
+		return failure
+	}
+	c.turn = turn
+	c.body = turn.Body()
+	return nil
+}
+
+// countEvent tells the turn of an event before it is handed out.
+func (c *call) countEvent(passed event) {
+	if c.turn == nil {
+		return
+	}
+	if data, found := passed.data(); found {
+		c.turn.Event(data)
+	}
+}
+
+// completeTurn stores the turn. The answer ends as a whole one only afterwards.
+func (c *call) completeTurn(ctx context.Context) error {
+	if c.turn == nil {
+		return nil
+	}
+	return c.turn.Complete(ctx)
+}
+
+func (c *call) endTurn() {
+	if c.turn != nil {
+		c.turn.End()
+	}
+}
+
+// data returns the content of the event's data fields, joined by line feeds
+// (WHATWG HTML, section 9.2.6).
+func (e event) data() (data []byte, found bool) {
+	for line := range bytes.Lines(e.raw) {
+		value, isData := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("data:"))
+		if !isData {
+			continue
+		}
+		if found {
+			data = append(data, '\n')
+		}
+		data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
+		found = true
+	}
+	return data, found
+}
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -9,14 +9,13 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/marblering/marblering/transport/socket"
 )
 
 const (
 	writeBufferBytes = 8 << 10
 	readBufferBytes  = 8 << 10
-	// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which the syscall package
-	// lacks.
-	tcpUserTimeout = 0x12
 )
 
 // connection is one connection to an instance. One exchange uses it at a time.
@@ -30,35 +29,19 @@
 }
 
 func dial(ctx context.Context, address string, settings Settings) (*connection, error) {
-	dialer := net.Dialer{Timeout: settings.DialTimeout, KeepAlive: -1, Control: boundUnacknowledged(settings)}
-	socket, err := dialer.DialContext(ctx, "tcp", address)
+	dialer := socket.Dialer(settings.DialTimeout, settings.UnacknowledgedTimeout)
+	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	return &connection{
-		socket:    socket.(*net.TCPConn),
-		reader:    bufio.NewReaderSize(socket, readBufferBytes),
-		writer:    bufio.NewWriterSize(socket, writeBufferBytes),
+		socket:    opened.(*net.TCPConn),
+		reader:    bufio.NewReaderSize(opened, readBufferBytes),
+		writer:    bufio.NewWriterSize(opened, writeBufferBytes),
 		restLimit: settings.IdleTimeout,
 	}, nil
 }
 
-// boundUnacknowledged sets TCP_USER_TIMEOUT, without which a connection to a
-// machine that went dark hangs.
-func boundUnacknowledged(settings Settings) func(network, address string, raw syscall.RawConn) error {
-	milliseconds := int(settings.UnacknowledgedTimeout.Milliseconds())
-	return func(_, _ string, raw syscall.RawConn) error {
-		var failure error
-		err := raw.Control(func(descriptor uintptr) {
-			failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, milliseconds)
-		})
-		if err != nil {
-			return err
-		}
-		return failure
-	}
-}
-
 // isFresh tells whether a connection that rested can take another request: the
 // back end has neither closed it nor sent bytes that nobody asked for.
 func (c *connection) isFresh(now time.Time) bool {
