--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -23,6 +23,8 @@
 const _ = connect.IsAtLeastVersion1_13_0
 
 const (
+	// BudgetServiceName is the fully-qualified name of the BudgetService service.
+	BudgetServiceName = "marblering.peer.v1.BudgetService"
 	// ReplicaServiceName is the fully-qualified name of the ReplicaService service.
 	ReplicaServiceName = "marblering.peer.v1.ReplicaService"
 	// NodeServiceName is the fully-qualified name of the NodeService service.
@@ -37,6 +39,10 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// BudgetServiceReserveProcedure is the fully-qualified name of the BudgetService's Reserve RPC.
+	BudgetServiceReserveProcedure = "/marblering.peer.v1.BudgetService/Reserve"
+	// BudgetServiceEndProcedure is the fully-qualified name of the BudgetService's End RPC.
+	BudgetServiceEndProcedure = "/marblering.peer.v1.BudgetService/End"
 	// ReplicaServicePrepareProcedure is the fully-qualified name of the ReplicaService's Prepare RPC.
 	ReplicaServicePrepareProcedure = "/marblering.peer.v1.ReplicaService/Prepare"
 	// ReplicaServiceAcceptProcedure is the fully-qualified name of the ReplicaService's Accept RPC.
@@ -48,6 +54,8 @@
 	// ReplicaServiceReadTurnsProcedure is the fully-qualified name of the ReplicaService's ReadTurns
 	// RPC.
 	ReplicaServiceReadTurnsProcedure = "/marblering.peer.v1.ReplicaService/ReadTurns"
+	// ReplicaServiceReadManyProcedure is the fully-qualified name of the ReplicaService's ReadMany RPC.
+	ReplicaServiceReadManyProcedure = "/marblering.peer.v1.ReplicaService/ReadMany"
 	// ReplicaServiceSealProcedure is the fully-qualified name of the ReplicaService's Seal RPC.
 	ReplicaServiceSealProcedure = "/marblering.peer.v1.ReplicaService/Seal"
 	// ReplicaServicePullProcedure is the fully-qualified name of the ReplicaService's Pull RPC.
@@ -75,6 +83,102 @@
 	NodeServiceInstallConfigurationProcedure = "/marblering.peer.v1.NodeService/InstallConfiguration"
 )
 
+// BudgetServiceClient is a client for the marblering.peer.v1.BudgetService service.
+type BudgetServiceClient interface {
+	Reserve(context.Context, *connect.Request[v1.ReserveTokensRequest]) (*connect.Response[v1.ReserveTokensResponse], error)
+	End(context.Context, *connect.Request[v1.EndTurnsRequest]) (*connect.Response[v1.EndTurnsResponse], error)
+}
+
+// NewBudgetServiceClient constructs a client for the marblering.peer.v1.BudgetService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewBudgetServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) BudgetServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	budgetServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("BudgetService").Methods()
+	return &budgetServiceClient{
+		reserve: connect.NewClient[v1.ReserveTokensRequest, v1.ReserveTokensResponse](
+			httpClient,
+			baseURL+BudgetServiceReserveProcedure,
+			connect.WithSchema(budgetServiceMethods.ByName("Reserve")),
+			connect.WithClientOptions(opts...),
+		),
+		end: connect.NewClient[v1.EndTurnsRequest, v1.EndTurnsResponse](
+			httpClient,
+			baseURL+BudgetServiceEndProcedure,
+			connect.WithSchema(budgetServiceMethods.ByName("End")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// budgetServiceClient implements BudgetServiceClient.
+type budgetServiceClient struct {
+	reserve *connect.Client[v1.ReserveTokensRequest, v1.ReserveTokensResponse]
+	end     *connect.Client[v1.EndTurnsRequest, v1.EndTurnsResponse]
+}
+
+// Reserve calls marblering.peer.v1.BudgetService.Reserve.
+func (c *budgetServiceClient) Reserve(ctx context.Context, req *connect.Request[v1.ReserveTokensRequest]) (*connect.Response[v1.ReserveTokensResponse], error) {
+	return c.reserve.CallUnary(ctx, req)
+}
+
+// End calls marblering.peer.v1.BudgetService.End.
+func (c *budgetServiceClient) End(ctx context.Context, req *connect.Request[v1.EndTurnsRequest]) (*connect.Response[v1.EndTurnsResponse], error) {
+	return c.end.CallUnary(ctx, req)
+}
+
+// BudgetServiceHandler is an implementation of the marblering.peer.v1.BudgetService service.
+type BudgetServiceHandler interface {
+	Reserve(context.Context, *connect.Request[v1.ReserveTokensRequest]) (*connect.Response[v1.ReserveTokensResponse], error)
+	End(context.Context, *connect.Request[v1.EndTurnsRequest]) (*connect.Response[v1.EndTurnsResponse], error)
+}
+
+// NewBudgetServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewBudgetServiceHandler(svc BudgetServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	budgetServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("BudgetService").Methods()
+	budgetServiceReserveHandler := connect.NewUnaryHandler(
+		BudgetServiceReserveProcedure,
+		svc.Reserve,
+		connect.WithSchema(budgetServiceMethods.ByName("Reserve")),
+		connect.WithHandlerOptions(opts...),
+	)
+	budgetServiceEndHandler := connect.NewUnaryHandler(
+		BudgetServiceEndProcedure,
+		svc.End,
+		connect.WithSchema(budgetServiceMethods.ByName("End")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/marblering.peer.v1.BudgetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case BudgetServiceReserveProcedure:
+			budgetServiceReserveHandler.ServeHTTP(w, r)
+		case BudgetServiceEndProcedure:
+			budgetServiceEndHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedBudgetServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedBudgetServiceHandler struct{}
+
+func (UnimplementedBudgetServiceHandler) Reserve(context.Context, *connect.Request[v1.ReserveTokensRequest]) (*connect.Response[v1.ReserveTokensResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.BudgetService.Reserve is not implemented"))
+}
+
+func (UnimplementedBudgetServiceHandler) End(context.Context, *connect.Request[v1.EndTurnsRequest]) (*connect.Response[v1.EndTurnsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.BudgetService.End is not implemented"))
+}
+
 // ReplicaServiceClient is a client for the marblering.peer.v1.ReplicaService service.
 type ReplicaServiceClient interface {
 	Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error)
@@ -82,6 +186,7 @@
 	Peek(context.Context, *connect.Request[v1.PeekRequest]) (*connect.Response[v1.PeekResponse], error)
 	PutTurn(context.Context, *connect.Request[v1.PutTurnRequest]) (*connect.Response[v1.PutTurnResponse], error)
 	ReadTurns(context.Context, *connect.Request[v1.ReadTurnsRequest]) (*connect.ServerStreamForClient[v1.ReadTurnsResponse], error)
+	ReadMany(context.Context, *connect.Request[v1.ReadManyRequest]) (*connect.Response[v1.ReadManyResponse], error)
 	Seal(context.Context, *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error)
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.ServerStreamForClient[v1.PullResponse], error)
 	Install(context.Context, *connect.Request[v1.InstallRequest]) (*connect.Response[v1.InstallResponse], error)
@@ -129,6 +234,12 @@
 			connect.WithSchema(replicaServiceMethods.ByName("ReadTurns")),
 			connect.WithClientOptions(opts...),
 		),
+		readMany: connect.NewClient[v1.ReadManyRequest, v1.ReadManyResponse](
+			httpClient,
+			baseURL+ReplicaServiceReadManyProcedure,
+			connect.WithSchema(replicaServiceMethods.ByName("ReadMany")),
+			connect.WithClientOptions(opts...),
+		),
 		seal: connect.NewClient[v1.SealRequest, v1.SealResponse](
 			httpClient,
 			baseURL+ReplicaServiceSealProcedure,
@@ -163,6 +274,7 @@
 	peek      *connect.Client[v1.PeekRequest, v1.PeekResponse]
 	putTurn   *connect.Client[v1.PutTurnRequest, v1.PutTurnResponse]
 	readTurns *connect.Client[v1.ReadTurnsRequest, v1.ReadTurnsResponse]
+	readMany  *connect.Client[v1.ReadManyRequest, v1.ReadManyResponse]
 	seal      *connect.Client[v1.SealRequest, v1.SealResponse]
 	pull      *connect.Client[v1.PullRequest, v1.PullResponse]
 	install   *connect.Client[v1.InstallRequest, v1.InstallResponse]
@@ -194,6 +306,11 @@
 	return c.readTurns.CallServerStream(ctx, req)
 }
 
+// ReadMany calls marblering.peer.v1.ReplicaService.ReadMany.
+func (c *replicaServiceClient) ReadMany(ctx context.Context, req *connect.Request[v1.ReadManyRequest]) (*connect.Response[v1.ReadManyResponse], error) {
+	return c.readMany.CallUnary(ctx, req)
+}
+
 // Seal calls marblering.peer.v1.ReplicaService.Seal.
 func (c *replicaServiceClient) Seal(ctx context.Context, req *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error) {
 	return c.seal.CallUnary(ctx, req)
@@ -221,6 +338,7 @@
 	Peek(context.Context, *connect.Request[v1.PeekRequest]) (*connect.Response[v1.PeekResponse], error)
 	PutTurn(context.Context, *connect.Request[v1.PutTurnRequest]) (*connect.Response[v1.PutTurnResponse], error)
 	ReadTurns(context.Context, *connect.Request[v1.ReadTurnsRequest], *connect.ServerStream[v1.ReadTurnsResponse]) error
+	ReadMany(context.Context, *connect.Request[v1.ReadManyRequest]) (*connect.Response[v1.ReadManyResponse], error)
 	Seal(context.Context, *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error)
 	Pull(context.Context, *connect.Request[v1.PullRequest], *connect.ServerStream[v1.PullResponse]) error
 	Install(context.Context, *connect.Request[v1.InstallRequest]) (*connect.Response[v1.InstallResponse], error)
@@ -264,6 +382,12 @@
 		connect.WithSchema(replicaServiceMethods.ByName("ReadTurns")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaServiceReadManyHandler := connect.NewUnaryHandler(
+		ReplicaServiceReadManyProcedure,
+		svc.ReadMany,
+		connect.WithSchema(replicaServiceMethods.ByName("ReadMany")),
+		connect.WithHandlerOptions(opts...),
+	)
 	replicaServiceSealHandler := connect.NewUnaryHandler(
 		ReplicaServiceSealProcedure,
 		svc.Seal,
@@ -300,6 +424,8 @@
 			replicaServicePutTurnHandler.ServeHTTP(w, r)
 		case ReplicaServiceReadTurnsProcedure:
 			replicaServiceReadTurnsHandler.ServeHTTP(w, r)
+		case ReplicaServiceReadManyProcedure:
+			replicaServiceReadManyHandler.ServeHTTP(w, r)
 		case ReplicaServiceSealProcedure:
 			replicaServiceSealHandler.ServeHTTP(w, r)
 		case ReplicaServicePullProcedure:
@@ -337,6 +463,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.ReadTurns is not implemented"))
 }
 
+func (UnimplementedReplicaServiceHandler) ReadMany(context.Context, *connect.Request[v1.ReadManyRequest]) (*connect.Response[v1.ReadManyResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.ReadMany is not implemented"))
+}
+
 func (UnimplementedReplicaServiceHandler) Seal(context.Context, *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.Seal is not implemented"))
 }
--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/coordination/turnstore"
 	"github.com/marblering/marblering/state/budget"
 	"github.com/marblering/marblering/state/result"
@@ -18,14 +19,14 @@
 
 // Turns stores whole turns. turnstore.Store is one.
 type Turns interface {
-	Put(ctx context.Context, whole *statev1.RetainedTurn) error
-	Line(ctx context.Context, id string) ([]*statev1.RetainedTurn, error)
+	Put(ctx context.Context, program string, whole *statev1.RetainedTurn) error
+	Line(ctx context.Context, program, id string) ([]*statev1.RetainedTurn, error)
 }
 
-// Budgets counts tokens. tokenbudget.Ledger is one.
+// Budgets counts tokens. tokenbudget.Client is one.
 type Budgets interface {
-	Reserve(ctx context.Context, program string, limit uint64, wanted budget.Reservation) error
-	Settle(program string, settlement budget.Settlement)
+	Reserve(ctx context.Context, wanted tokenbudget.Reservation) error
+	End(ended tokenbudget.Ended)
 }
 
 const (
@@ -33,6 +34,8 @@
 	stateTimeout = 800 * time.Millisecond
 	// retryPause is what a refused client is asked to wait.
 	retryPause = 200 * time.Millisecond
+	// reservedPause is the same where another gateway has to give a reserve back.
+	reservedPause = 400 * time.Millisecond
 )
 
 // Service begins turns. It is safe for concurrent use.
@@ -64,6 +67,8 @@
 	// in front of its input.
 	Retained  bool
 	Retention time.Duration
+	// Timeout is how long the turn may take at the utmost.
+	Timeout time.Duration
 	// Input is the body of the request.
 	Input []byte
 }
@@ -96,7 +101,7 @@
 }
 
 func (t *Turn) readLine(ctx context.Context) *result.Error {
-	line, err := t.service.turns.Line(ctx, t.request.Previous)
+	line, err := t.service.turns.Line(ctx, t.request.Program, t.request.Previous)
 	if errors.Is(err, turnstore.ErrUnknown) {
 		t.service.logger.Info("turn unknown", zap.String("request", t.request.ID),
 			zap.String("program", t.request.Program), zap.String("previous", t.request.Previous), zap.Error(err))
@@ -113,14 +118,16 @@
 	if t.request.Budget == 0 {
 		return nil
 	}
-	wanted := budget.Reservation{Turn: t.request.ID, Tokens: t.request.Most}
-	err := t.service.budgets.Reserve(ctx, t.request.Program, t.request.Budget, wanted)
-	if errors.Is(err, budget.ErrSpent) {
+	err := t.service.budgets.Reserve(ctx, tokenbudget.Reservation{
+		Program: t.request.Program, Turn: t.request.ID, Limit: t.request.Budget,
+		Most: t.request.Most, Lifetime: t.request.Timeout,
+	})
+	switch {
+	case errors.Is(err, budget.ErrSpent):
 		return result.Errorf(result.BudgetExhausted, "%v", err)
-	}
-	if err != nil {
-		// The reservation may have been made.
-		t.service.budgets.Settle(t.request.Program, budget.Settlement{Turn: t.request.ID})
+	case errors.Is(err, budget.ErrReserved):
+		return result.Errorf(result.BudgetReserved, "%v", err).After(reservedPause)
+	case err != nil:
 		return result.Errorf(result.NoQuorum, "%v", err).After(retryPause)
 	}
 	t.reserved = true
@@ -164,7 +171,7 @@
 	for _, before := range t.line {
 		ancestors = append(ancestors, before.GetId())
 	}
-	return t.service.turns.Put(ctx, &statev1.RetainedTurn{
+	return t.service.turns.Put(ctx, t.request.Program, &statev1.RetainedTurn{
 		Id: t.request.ID, Ancestors: ancestors, Input: t.request.Input, Output: t.output,
 		RetentionMs: t.request.Retention.Milliseconds(),
 	})
@@ -176,7 +183,7 @@
 		return
 	}
 	t.reserved = false
-	t.service.budgets.Settle(t.request.Program, budget.Settlement{
-		Turn: t.request.ID, Tokens: t.events * t.request.TokensPerEvent,
+	t.service.budgets.End(tokenbudget.Ended{
+		Program: t.request.Program, Turn: t.request.ID, HandedOut: t.events * t.request.TokensPerEvent,
 	})
 }
--- a/coordination/directory/lookup.go
+++ b/coordination/directory/lookup.go
@@ -83,6 +83,14 @@
 	return 0
 }
 
+// Shards is the number of shards; zero before the sets were founded.
+func (l *Lookup) Shards() uint32 {
+	if views := l.views.Load(); views != nil {
+		return views.Count()
+	}
+	return 0
+}
+
 // ConfigurationVersion implements register.Views. What is kept here doesn't
 // depend on the configuration.
 func (l *Lookup) ConfigurationVersion() uint64 { return 0 }
--- /dev/null
+++ b/coordination/tokenbudget/client.go
@@ -0,0 +1,206 @@
+package tokenbudget
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/register"
+)
+
+// ErrUnavailable means that no host could reach the program's record.
+var ErrUnavailable = errors.New("no host of the program's budget answers")
+
+// Hosts sends requests to the hosts. peer.Client is one. Reserve returns what
+// the host answered, or an error that says nothing about what it did.
+type Hosts interface {
+	Reserve(ctx context.Context, address string, wanted Reservation, ended []Ended) error
+	End(ctx context.Context, address string, ended []Ended) error
+}
+
+// Views gives the replica sets.
+type Views interface {
+	View(shard uint32) (register.View, bool)
+	Locate(program string) uint32
+}
+
+const (
+	// tryTimeout bounds one request to one host.
+	tryTimeout = 350 * time.Millisecond
+	// avoidTime is how long a host that failed is asked last.
+	avoidTime = 2 * time.Second
+	// endDelay is how long an ended turn waits for the next reservation at its
+	// host, which takes it along.
+	endDelay = 300 * time.Millisecond
+	// endTries bounds the tries to tell a host of ended turns. It charges turns
+	// that it isn't told of with their most.
+	endTries = 5
+	// lifetimeSlack is added to a turn's time, for clocks that differ in speed.
+	lifetimeSlack = 5 * time.Second
+)
+
+// Client lets a gateway's turns begin at the hosts of their programs. It is safe
+// for concurrent use.
+type Client struct {
+	hosts  Hosts
+	views  Views
+	now    func() time.Time
+	logger *zap.Logger
+
+	mutex sync.Mutex
+	// hostOf is where each turn under way was reserved.
+	hostOf map[string]string
+	// ended are the turns that their hosts weren't told of yet.
+	ended map[string][]Ended
+	// failed is when a host failed last.
+	failed map[string]time.Time
+}
+
+// NewClient makes a client without turns.
+func NewClient(hosts Hosts, views Views, now func() time.Time, logger *zap.Logger) *Client {
+	return &Client{
+		hosts: hosts, views: views, now: now, logger: logger,
+		hostOf: make(map[string]string), ended: make(map[string][]Ended), failed: make(map[string]time.Time),
+	}
+}
+
+// Reserve asks the program's hosts one after the other until one decides. After
+// success, End must be called.
+func (c *Client) Reserve(ctx context.Context, wanted Reservation) error {
+	view, known := c.views.View(c.views.Locate(wanted.Program))
+	if !known {
+		return merry.Prepend(ErrUnavailable, "no replica set is known")
+	}
+	wanted.Lifetime += lifetimeSlack
+	var last error
+	for _, address := range c.order(view, wanted.Program) {
+		err := c.try(ctx, address, wanted)
+		if err == nil || IsRefusal(err) {
+			return err
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return merry.Wrap(ErrUnavailable, merry.WithCause(last), merry.AppendMessagef("%v", last))
+}
+
+func (c *Client) try(ctx context.Context, address string, wanted Reservation) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	along := c.takeEnded(address)
+	err := c.hosts.Reserve(ctx, address, wanted, along)
+	if err == nil {
+		c.mutex.Lock()
+		c.hostOf[wanted.Turn] = address
+		c.mutex.Unlock()
+		return nil
+	}
+	if IsRefusal(err) {
+		return err
+	}
+	c.mutex.Lock()
+	c.failed[address] = c.now()
+	c.mutex.Unlock()
+	c.logger.Info("budget host failed", zap.String("address", address), zap.String("program", wanted.Program),
+		zap.String("turn", wanted.Turn), zap.Error(err))
+	// It may have reserved all the same, and may not have taken in the rest.
+	c.tell(address, append(along, Ended{Program: wanted.Program, Turn: wanted.Turn}))
+	return err
+}
+
+// order puts the members in the program's order, those that failed lately last.
+func (c *Client) order(view register.View, program string) []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	members := slices.Clone(view.Members)
+	rank := func(member register.Member) uint64 { return xxhash.Sum64String(member.Node + "/" + program) }
+	slices.SortFunc(members, func(a, b register.Member) int {
+		if first, second := c.isAvoided(a.Address), c.isAvoided(b.Address); first != second {
+			if first {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(rank(b), rank(a))
+	})
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
+func (c *Client) isAvoided(address string) bool {
+	failed, found := c.failed[address]
+	return found && c.now().Sub(failed) < avoidTime
+}
+
+// End tells the turn's host what it has handed out. It doesn't wait.
+func (c *Client) End(ended Ended) {
+	c.mutex.Lock()
+	address, found := c.hostOf[ended.Turn]
+	delete(c.hostOf, ended.Turn)
+	c.mutex.Unlock()
+	if found {
+		c.tell(address, []Ended{ended})
+	}
+}
+
+// tell keeps ended turns for the next reservation at their host, and sees to it
+// that they are told without one.
+func (c *Client) tell(address string, ended []Ended) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	waiting := len(c.ended[address]) > 0
+	c.ended[address] = append(c.ended[address], ended...)
+	if !waiting {
+		time.AfterFunc(endDelay, func() { c.tellAlone(address) })
+	}
+}
+
+func (c *Client) takeEnded(address string) []Ended {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	ended := c.ended[address]
+	delete(c.ended, address)
+	return ended
+}
+
+func (c *Client) tellAlone(address string) {
+	ended := c.takeEnded(address)
+	if len(ended) == 0 {
+		return
+	}
+	for range endTries {
+		ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
+		err := c.hosts.End(ctx, address, ended)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(endDelay)
+	}
+	c.logger.Warn("budget host not told of ended turns", zap.String("address", address), zap.Int("turns", len(ended)))
+}
+
+// Flush tells all hosts of ended turns, until the context ends.
+func (c *Client) Flush(ctx context.Context) {
+	c.mutex.Lock()
+	pending := c.ended
+	c.ended = make(map[string][]Ended)
+	c.mutex.Unlock()
+	for address, ended := range pending {
+		if err := c.hosts.End(ctx, address, ended); err != nil {
+			c.logger.Warn("budget host not told of ended turns", zap.String("address", address), zap.Error(err))
+		}
+	}
+}
--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -1,12 +1,15 @@
 // Package tokenbudget holds the turns of programs to their budgets over all
 // gateways. Each program's record is a quorum register, so that turns which
 // enter through different gateways at once are counted together, also after
-// restarts of any of them.
+// restarts of any of them. The hosts of a program are the members of its
+// replica set; the one that is asked reserves for some turns ahead, so that most
+// turns begin without a round of the register.
 package tokenbudget
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -24,153 +27,258 @@
 
 // Settings are the bounds of a Ledger.
 type Settings struct {
-	// SettleDelay is how long a settlement waits for the program's next turn,
-	// which then takes it along.
-	SettleDelay time.Duration
-	// SettleTimeout bounds one try to settle alone.
-	SettleTimeout time.Duration
-	// SettlePause follows a try that failed.
-	SettlePause time.Duration
-	// SettleTries bounds the tries. What can't be settled stays charged at its
-	// most.
-	SettleTries int
-}
-
-// DefaultSettings settle well within a second of a turn's end.
+	// IdleTime without a turn ends a program's account here, which gives its
+	// reserve back.
+	IdleTime time.Duration
+	// ReleaseTimeout bounds one try to give a reserve back, ReleasePause follows
+	// one that failed and ReleaseTries bounds them. What can't be given back
+	// stays charged.
+	ReleaseTimeout time.Duration
+	ReleasePause   time.Duration
+	ReleaseTries   int
+}
+
+// DefaultSettings give reserves back about a second after a program's last turn.
 func DefaultSettings() Settings {
 	return Settings{
-		SettleDelay: 250 * time.Millisecond, SettleTimeout: 2 * time.Second,
-		SettlePause: 300 * time.Millisecond, SettleTries: 20,
+		IdleTime: 700 * time.Millisecond, ReleaseTimeout: 2 * time.Second,
+		ReleasePause: 300 * time.Millisecond, ReleaseTries: 20,
 	}
 }
 
-// Ledger reserves and settles. It is safe for concurrent use.
+// Ledger lets turns begin and counts what they generate. It is safe for
+// concurrent use.
 type Ledger struct {
+	holder    string
 	registers Register
 	locate    func(program string) uint32
 	settings  Settings
 	logger    *zap.Logger
 
-	mutex   sync.Mutex
-	pending map[string][]budget.Settlement
-	running sync.WaitGroup
+	mutex    sync.Mutex
+	accounts map[string]*account
+	opened   uint64
+	// flushing is set once no account waits for its idle time any more.
+	flushing bool
 }
 
-// New makes a ledger that has nothing to settle.
-func New(registers Register, locate func(program string) uint32, settings Settings, logger *zap.Logger) *Ledger {
+// New makes a ledger of the named holder, which must be unique over all lives of
+// all gateways.
+func New(holder string, registers Register, locate func(program string) uint32, settings Settings, logger *zap.Logger) *Ledger {
 	return &Ledger{
-		registers: registers, locate: locate, settings: settings, logger: logger,
-		pending: make(map[string][]budget.Settlement),
+		holder: holder, registers: registers, locate: locate, settings: settings, logger: logger,
+		accounts: make(map[string]*account),
 	}
 }
 
-// Reserve lets a turn of the program begin, or returns budget.ErrSpent, or an
-// error that says that the record can't be reached. A turn that was reserved, or
-// may have been, must be settled.
-func (l *Ledger) Reserve(ctx context.Context, program string, limit uint64, wanted budget.Reservation) error {
-	settled := l.take(program)
-	err := l.apply(ctx, program, func(record *statev1.TokenBudget) error {
-		budget.Settle(record, settled)
-		return budget.Reserve(record, limit, wanted)
-	})
+// account is one program's part at this gateway. The ledger's mutex guards it,
+// and drawing is held by whoever changes the record.
+type account struct {
+	holder  string
+	drawing chan struct{}
+	// spent is what ended turns have generated, underWay the most that turns
+	// under way may, and reserved what may be handed out without asking.
+	spent    uint64
+	underWay uint64
+	reserved uint64
+	// users are the turns that are under way or want to begin.
+	users int
+	timer *time.Timer
+}
+
+// Reserve lets a turn of the program begin that generates the most given at the
+// utmost. It returns budget.ErrSpent, budget.ErrReserved, or an error that says
+// that the record can't be reached. After success, End must be called.
+func (l *Ledger) Reserve(ctx context.Context, program string, limit, most uint64) error {
+	current := l.open(program)
+	err := l.begin(ctx, program, current, limit, most)
 	if err != nil {
-		// The change may have been made or not; settling twice is harmless.
-		l.putBack(program, settled)
+		l.leave(program, current)
 	}
 	return err
 }
 
-// Settle ends a turn's reservation by what it handed out. It doesn't wait.
-func (l *Ledger) Settle(program string, settlement budget.Settlement) {
-	l.putBack(program, []budget.Settlement{settlement})
+// End counts what the turn has handed out.
+func (l *Ledger) End(program string, most, handedOut uint64) {
+	l.mutex.Lock()
+	current := l.accounts[program]
+	if current != nil {
+		current.underWay -= min(most, current.underWay)
+		current.spent += handedOut
+		current.reserved -= min(handedOut, current.reserved)
+	}
+	l.mutex.Unlock()
+	if current != nil {
+		l.leave(program, current)
+	}
 }
 
-// Flush waits until everything is settled, or the context ends.
-func (l *Ledger) Flush(ctx context.Context) {
-	settled := make(chan struct{})
-	go func() {
-		l.running.Wait()
-		close(settled)
-	}()
+// open returns the program's account and keeps it from being released.
+func (l *Ledger) open(program string) *account {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	current := l.accounts[program]
+	if current == nil {
+		l.opened++
+		current = &account{holder: fmt.Sprintf("%s#%d", l.holder, l.opened), drawing: make(chan struct{}, 1)}
+		l.accounts[program] = current
+	}
+	current.users++
+	if current.timer != nil {
+		current.timer.Stop()
+	}
+	return current
+}
+
+// leave ends one use. The last one starts the idle time.
+func (l *Ledger) leave(program string, current *account) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	current.users--
+	if current.users > 0 {
+		return
+	}
+	idle := l.settings.IdleTime
+	if l.flushing {
+		idle = 0
+	}
+	current.timer = time.AfterFunc(idle, func() { l.release(program, current) })
+}
+
+// begin takes the turn out of the reserve, or draws more first.
+func (l *Ledger) begin(ctx context.Context, program string, current *account, limit, most uint64) error {
 	select {
-	case <-settled:
+	case current.drawing <- struct{}{}:
 	case <-ctx.Done():
+		return ctx.Err()
 	}
+	defer func() { <-current.drawing }()
+	if l.takeReserved(current, most) {
+		return nil
+	}
+	return l.draw(ctx, program, current, limit, most)
 }
 
-// take removes the program's settlements, to be made with its next change.
-func (l *Ledger) take(program string) []budget.Settlement {
+func (l *Ledger) takeReserved(current *account, most uint64) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	settled := l.pending[program]
-	delete(l.pending, program)
-	return settled
+	if current.reserved < current.underWay+most {
+		return false
+	}
+	current.underWay += most
+	return true
 }
 
-// putBack keeps settlements for the program's next turn, and sees to it that
-// they are made without one.
-func (l *Ledger) putBack(program string, settled []budget.Settlement) {
-	if len(settled) == 0 {
-		return
+// draw asks the record for a reserve that covers the turn. Turns may end
+// meanwhile; none begins.
+func (l *Ledger) draw(ctx context.Context, program string, current *account, limit, most uint64) error {
+	l.mutex.Lock()
+	wish := budget.Draw{Holder: current.holder, Spent: current.spent, UnderWay: current.underWay, Turn: most}
+	l.mutex.Unlock()
+	var granted uint64
+	var refusal error
+	err := l.apply(ctx, program, func(record *statev1.TokenBudget) {
+		refusal = budget.Reserve(record, limit, wish)
+		granted = budget.Reserved(record, current.holder)
+	})
+	if err != nil {
+		// The record has the old reserve or a larger one.
+		return err
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	_, isWaiting := l.pending[program]
-	l.pending[program] = append(l.pending[program], settled...)
-	if !isWaiting {
-		l.running.Add(1)
-		time.AfterFunc(l.settings.SettleDelay, func() {
-			defer l.running.Done()
-			l.settleAlone(program)
-		})
-	}
-}
-
-// settleAlone makes the settlements that no turn took along.
-func (l *Ledger) settleAlone(program string) {
-	for range l.settings.SettleTries {
-		settled := l.take(program)
-		if len(settled) == 0 {
+	// Turns that ended meanwhile have used a part of it.
+	current.reserved = granted - min(granted, current.spent-wish.Spent)
+	if refusal != nil {
+		return refusal
+	}
+	current.underWay += most
+	return nil
+}
+
+// release gives the account's reserve back and forgets it, unless another turn
+// came.
+func (l *Ledger) release(program string, current *account) {
+	for range l.settings.ReleaseTries {
+		if !l.mayRelease(program, current) {
 			return
 		}
-		if l.tryToSettle(program, settled) == nil {
+		if l.tryToRelease(program, current) == nil {
 			return
 		}
-		l.mutex.Lock()
-		l.pending[program] = append(l.pending[program], settled...)
-		l.mutex.Unlock()
-		time.Sleep(l.settings.SettlePause)
+		time.Sleep(l.settings.ReleasePause)
+	}
+	l.logger.Warn("reserve not given back", zap.String("program", program), zap.Uint64("reserved", current.reserved))
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if current.users == 0 && l.accounts[program] == current {
+		delete(l.accounts, program)
+	}
+}
+
+// mayRelease takes the account out of use: a turn that comes now opens another.
+func (l *Ledger) mayRelease(program string, current *account) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if current.users > 0 {
+		return false
 	}
-	lost := l.take(program)
-	l.logger.Warn("turns stay charged at their most", zap.String("program", program), zap.Int("turns", len(lost)))
+	if l.accounts[program] == current {
+		delete(l.accounts, program)
+	}
+	return true
 }
 
-func (l *Ledger) tryToSettle(program string, settled []budget.Settlement) error {
-	ctx, cancel := context.WithTimeout(context.Background(), l.settings.SettleTimeout)
+func (l *Ledger) tryToRelease(program string, current *account) error {
+	ctx, cancel := context.WithTimeout(context.Background(), l.settings.ReleaseTimeout)
 	defer cancel()
-	return l.apply(ctx, program, func(record *statev1.TokenBudget) error {
-		budget.Settle(record, settled)
-		return nil
+	return l.apply(ctx, program, func(record *statev1.TokenBudget) {
+		budget.Release(record, current.holder, current.spent)
 	})
 }
 
 // apply makes one change of the program's record. The change may be called
 // several times, each time with a record of its own.
-func (l *Ledger) apply(ctx context.Context, program string, change func(*statev1.TokenBudget) error) error {
-	var refusal error
+func (l *Ledger) apply(ctx context.Context, program string, change func(*statev1.TokenBudget)) error {
 	_, err := l.registers.Apply(ctx, l.locate(program), program, func(current []byte) ([]byte, error) {
 		record, err := budget.Decode(program, current)
 		if err != nil {
 			return nil, err
 		}
-		if refusal = change(record); refusal != nil && !errors.Is(refusal, budget.ErrSpent) {
-			return nil, refusal
-		}
-		// Settlements that came with a refused turn are kept.
+		change(record)
 		return budget.Encode(record)
 	})
-	if err != nil {
-		return err
+	return err
+}
+
+// Flush gives all reserves back that no turn needs, and waits until that is done
+// or the context ends.
+func (l *Ledger) Flush(ctx context.Context) {
+	l.mutex.Lock()
+	l.flushing = true
+	idle := make(map[string]*account)
+	for program, current := range l.accounts {
+		if current.users == 0 && current.timer != nil && current.timer.Stop() {
+			idle[program] = current
+		}
 	}
-	return refusal
+	l.mutex.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var releasing sync.WaitGroup
+		for program, current := range idle {
+			releasing.Go(func() { l.release(program, current) })
+		}
+		releasing.Wait()
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// IsRefusal tells an answer about the budget from a failure to reach it.
+func IsRefusal(err error) bool {
+	return errors.Is(err, budget.ErrSpent) || errors.Is(err, budget.ErrReserved)
 }
--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -29,14 +30,15 @@
 // Replicas talks to the members of a replica set. peer.Client is one.
 type Replicas interface {
 	PutTurn(ctx context.Context, member register.Member, fence register.Fence, stored replica.Turn) (archive.Reply, error)
-	ReadTurns(ctx context.Context, member register.Member, fence register.Fence, program string, from uint64) ([]replica.Turn, archive.Reply, error)
+	ReadMany(ctx context.Context, member register.Member, fence register.Fence, ids []string) ([]replica.Turn, archive.Reply, error)
 }
 
 // Views gives the replica sets. shard.Map is one.
 type Views interface {
 	View(shard uint32) (register.View, bool)
 	Learn(view register.View)
-	Locate(id string) uint32
+	Locate(program string) uint32
+	Shards() uint32
 }
 
 const (
@@ -68,17 +70,17 @@
 	return &Store{zone: zone, replicas: replicas, views: views, codec: codec, cache: newCache(cacheBytes)}, nil
 }
 
-// Put stores the turn on a quorum, trying until the context ends.
-func (s *Store) Put(ctx context.Context, whole *statev1.RetainedTurn) error {
+// Put stores a turn of the program on a quorum, trying until the context ends.
+func (s *Store) Put(ctx context.Context, program string, whole *statev1.RetainedTurn) error {
 	object, digest, err := s.codec.Encode(whole)
 	if err != nil {
 		return err
 	}
 	stored := replica.Turn{Program: whole.GetId(), Sequence: sequence, Digest: digest, Object: object}
-	err = s.untilQuorum(ctx, whole.GetId(), func(ctx context.Context, member register.Member, fence register.Fence) (bool, archive.Reply, error) {
+	err = s.untilQuorum(ctx, s.views.Locate(program), func(ctx context.Context, member register.Member, fence register.Fence) (bool, archive.Reply, error) {
 		reply, err := s.replicas.PutTurn(ctx, member, fence, stored)
 		return false, reply, err
-	})
+	}, quorumFirst)
 	if err != nil {
 		return merry.Prependf(err, "storing turn %q", whole.GetId())
 	}
@@ -86,78 +88,121 @@
 	return nil
 }
 
-// Line returns the turn with the id and all before it, oldest first.
-func (s *Store) Line(ctx context.Context, id string) ([]*statev1.RetainedTurn, error) {
-	last, err := s.get(ctx, id)
+// Line returns the turn with the id and all before it, oldest first. They are
+// looked for where turns of the program are kept, and then everywhere: another
+// program may have begun the line.
+func (s *Store) Line(ctx context.Context, program, id string) ([]*statev1.RetainedTurn, error) {
+	found, err := s.find(ctx, program, []string{id})
 	if err != nil {
 		return nil, err
 	}
-	line := make([]*statev1.RetainedTurn, len(last.GetAncestors()), len(last.GetAncestors())+1)
-	failures := make(chan error, len(line))
-	for index, ancestor := range last.GetAncestors() {
-		go func() {
-			found, err := s.get(ctx, ancestor)
-			line[index] = found
-			failures <- err
-		}()
-	}
-	for range last.GetAncestors() {
-		err = errors.Join(err, <-failures)
-	}
+	last := found[0]
+	ancestors, err := s.find(ctx, program, last.GetAncestors())
 	if err != nil {
 		return nil, merry.Prependf(err, "the line of turn %q", id)
 	}
-	return append(line, last), nil
+	return append(ancestors, last), nil
 }
 
-func (s *Store) get(ctx context.Context, id string) (*statev1.RetainedTurn, error) {
-	if known, found := s.cache.get(id); found {
-		return known, nil
+// find returns the turns in the order of their ids.
+func (s *Store) find(ctx context.Context, program string, ids []string) ([]*statev1.RetainedTurn, error) {
+	turns := make([]*statev1.RetainedTurn, len(ids))
+	missing := s.fromCache(ids, turns)
+	if len(missing) > 0 {
+		if err := s.read(ctx, s.views.Locate(program), ids, turns, missing); err != nil {
+			return nil, err
+		}
 	}
-	err := s.untilQuorum(ctx, id, func(ctx context.Context, member register.Member, fence register.Fence) (bool, archive.Reply, error) {
-		turns, reply, err := s.replicas.ReadTurns(ctx, member, fence, id, 0)
-		if err != nil || len(turns) == 0 {
-			return false, reply, err
+	for shard := uint32(0); shard < s.views.Shards(); shard++ {
+		if missing = s.fromCache(ids, turns); len(missing) == 0 {
+			break
 		}
-		// A copy that can't be read says nothing about what others have.
-		decoded, err := s.decodeAny(id, turns)
-		if err == nil {
-			s.cache.put(decoded)
+		if shard == s.views.Locate(program) {
+			continue
+		}
+		if err := s.read(ctx, shard, ids, turns, missing); err != nil {
+			return nil, err
 		}
-		return err == nil, reply, err
-	})
-	if err != nil {
-		return nil, err
 	}
-	whole, found := s.cache.get(id)
-	if !found {
-		return nil, merry.Prependf(ErrUnknown, "turn %q", id)
+	if missing = s.fromCache(ids, turns); len(missing) > 0 {
+		return nil, merry.Prependf(ErrUnknown, "turn %q", missing[0])
 	}
-	return whole, nil
+	return turns, nil
 }
 
-// decodeAny returns the first turn that can be read.
-func (s *Store) decodeAny(id string, turns []replica.Turn) (whole *statev1.RetainedTurn, err error) {
-	for _, stored := range turns {
-		if whole, err = s.codec.Decode(id, stored.Object, stored.Digest); err == nil {
-			return whole, nil
+// fromCache fills in the turns that are remembered and returns the ids of those
+// that are still missing.
+func (s *Store) fromCache(ids []string, turns []*statev1.RetainedTurn) (missing []string) {
+	for index, id := range ids {
+		if turns[index] == nil {
+			turns[index], _ = s.cache.get(id)
+		}
+		if turns[index] == nil {
+			missing = append(missing, id)
 		}
 	}
-	return nil, err
+	return missing
+}
+
+// read asks the members of one shard, the nearest alone first, and fills in what
+// they have of the missing turns. Without error, what isn't filled in isn't kept
+// in the shard.
+func (s *Store) read(ctx context.Context, shard uint32, ids []string, turns []*statev1.RetainedTurn, missing []string) error {
+	var mutex sync.Mutex
+	found := make(map[string]*statev1.RetainedTurn, len(missing))
+	err := s.untilQuorum(ctx, shard, func(ctx context.Context, member register.Member, fence register.Fence) (bool, archive.Reply, error) {
+		stored, reply, err := s.replicas.ReadMany(ctx, member, fence, missing)
+		if err != nil {
+			return false, reply, err
+		}
+		for _, one := range stored {
+			// A copy that can't be read says nothing about what others have.
+			whole, err := s.codec.Decode(one.Program, one.Object, one.Digest)
+			if err != nil {
+				return false, reply, err
+			}
+			mutex.Lock()
+			found[whole.GetId()] = whole
+			mutex.Unlock()
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		return len(found) == len(missing), reply, nil
+	}, nearestOnly)
+	mutex.Lock()
+	defer mutex.Unlock()
+	for _, whole := range found {
+		s.cache.put(whole)
+	}
+	// What was found also stays where the cache has no room.
+	for index, id := range ids {
+		if turns[index] == nil {
+			turns[index] = found[id]
+		}
+	}
+	return err
 }
 
 // action is one request to one member. It tells whether its answer suffices by
 // itself.
 type action func(ctx context.Context, member register.Member, fence register.Fence) (suffices bool, reply archive.Reply, err error)
 
+// fanOut says how many members of a view are asked at first.
+type fanOut func(view register.View) int
+
+// quorumFirst suits writes, which need a quorum; nearestOnly reads, of which one
+// answer mostly suffices.
+func quorumFirst(view register.View) int { return view.Quorum() }
+func nearestOnly(register.View) int      { return 1 }
+
 // untilQuorum repeats rounds until a quorum granted the action, or one answer
 // sufficed, or the context ends.
-func (s *Store) untilQuorum(ctx context.Context, id string, act action) error {
+func (s *Store) untilQuorum(ctx context.Context, shard uint32, act action, first fanOut) error {
 	last := error(ErrUnavailable)
 	for {
-		view, known := s.views.View(s.views.Locate(id))
+		view, known := s.views.View(shard)
 		if known {
-			if last = s.round(ctx, view, act); last == nil {
+			if last = s.round(ctx, view, act, first(view)); last == nil {
 				return nil
 			}
 		}
@@ -177,9 +222,10 @@
 	err      error
 }
 
-// round asks a quorum of the members, those of this node's zone first, and the
-// others once one of them fails or is slow: bytes between zones are dear.
-func (s *Store) round(ctx context.Context, view register.View, act action) error {
+// round asks as many members as the first fan-out says, those of this node's zone
+// first, and others once these don't suffice, fail or are slow: bytes between
+// zones are dear.
+func (s *Store) round(ctx context.Context, view register.View, act action, first int) error {
 	members := s.preferred(view.Members)
 	results := make(chan result, len(members))
 	asked := 0
@@ -190,7 +236,7 @@
 			go func() { results <- s.perform(ctx, view, member, act) }()
 		}
 	}
-	ask(view.Quorum())
+	ask(first)
 	hedge := time.NewTimer(hedgeDelay)
 	defer hedge.Stop()
 	granted, failed := 0, 0
@@ -211,6 +257,7 @@
 			if answered.suffices {
 				return nil
 			}
+			ask(view.Quorum() - asked)
 		case <-hedge.C:
 			ask(len(members))
 		case <-ctx.Done():
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -26,6 +26,7 @@
 	"github.com/marblering/marblering/coordination/repair"
 	"github.com/marblering/marblering/coordination/retirement"
 	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/state/replica"
 	"github.com/marblering/marblering/telemetry"
@@ -49,6 +50,10 @@
 	memoryPart    = 0.8
 	headerTimeout = 10 * time.Second
 	peerTimeout   = 2 * time.Second
+	// registerTimeout bounds one request of a register's round.
+	registerTimeout = 400 * time.Millisecond
+	// flushTimeout bounds the return of reserves at a planned stop.
+	flushTimeout = time.Second
 	// watchWait is how long the store may hold a call about what changes seldom.
 	watchWait = 10 * time.Second
 	// repairInterval is the pause between two rounds of repair.
@@ -78,6 +83,8 @@
 	keeper     *directory.Keeper
 	lookup     *directory.Lookup
 	retirement *retirement.Service
+	ledger     *tokenbudget.Ledger
+	budgets    *tokenbudget.Host
 	metrics    *prometheus.Registry
 	peers      *peer.Client
 	self       register.Member
@@ -107,14 +114,25 @@
 	}
 	logger.Info("started", zap.String("incarnation", store.Incarnation()), zap.String("peer_address", n.self.Address),
 		zap.Int("sets_known", len(n.views.Views())), zap.Duration("opening_took", time.Since(began)))
-	stopped := supervisor.ServeBackground(ctx)
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	stopped := supervisor.ServeBackground(running)
 	<-ctx.Done()
+	n.flush()
+	stop()
 	<-stopped
 	err = store.Close()
 	logger.Info("stopped", zap.Error(err))
 	return err
 }
 
+// flush gives reserves back while the other nodes still hear this one.
+func (n *Node) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	n.ledger.Flush(ctx)
+}
+
 // build makes the parts and returns the services to supervise.
 func (n *Node) build() ([]suture.Service, error) {
 	n.self = register.Member{
@@ -132,8 +150,9 @@
 	n.buildMembership()
 	n.buildRepair()
 	n.buildDirectory()
+	n.buildBudgets()
 	peers, err := listen("peers", n.settings.PeerListen.String(),
-		peer.NewHTTPServer(peer.NewStorageHandler(n.replica, n.installer, n.membership, peerMetrics)))
+		peer.NewHTTPServer(peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, peerMetrics)))
 	if err != nil {
 		return nil, err
 	}
@@ -142,7 +161,7 @@
 		return nil, errors.Join(err, peers.socket.Close())
 	}
 	return []suture.Service{
-		peers, operators, n.membership, n.repair, n.keeper, n.retirement,
+		peers, operators, n.membership, n.repair, n.keeper, n.retirement, n.budgets,
 		n.follower("storage nodes", n.parts.Nodes, n.applyNodes),
 		n.follower("replica sets", n.parts.Sets, n.applySets),
 		n.follower("retirements", n.parts.Retirements, n.retirement.Decode(n.parts.DecodeRetirement)),
@@ -210,6 +229,18 @@
 	})
 }
 
+// buildBudgets makes this node a host of the budgets of programs. Each life is
+// another holder and proposer.
+func (n *Node) buildBudgets() {
+	life := n.self.Node + "/" + uuid.NewString()
+	bounds := register.DefaultSettings()
+	bounds.RequestTimeout = registerTimeout
+	transport := peer.NewLocalTransport(n.self.Incarnation, n.replica, n.peers)
+	registers := register.NewClient(life, transport, n.lookup, register.SystemClock{}, newRandom(), bounds)
+	n.ledger = tokenbudget.New(life, registers, n.views.Locate, tokenbudget.DefaultSettings(), n.logger)
+	n.budgets = tokenbudget.NewHost(n.ledger, time.Now)
+}
+
 // heldSets implements retirement.Sets.
 type heldSets struct {
 	views     *shard.Map
--- a/state/budget/budget.go
+++ b/state/budget/budget.go
@@ -1,7 +1,7 @@
-// Package budget decides what the turns of one program may generate. A turn
-// reserves the most that it may generate before it is sent out, and is settled
-// by what it really generated. Functions are pure; whoever keeps the record
-// makes each change of it atomic.
+// Package budget decides what the turns of one program may generate. Each
+// gateway that serves turns of the program holds a part of the budget: what its
+// turns have generated, and a reserve for turns under way and some to come.
+// Functions are pure; whoever keeps the record makes each change of it atomic.
 package budget
 
 import (
@@ -13,56 +13,97 @@
 	statev1 "github.com/marblering/marblering/api/state/v1"
 )
 
-// ErrSpent means that nothing is left of the program's budget, counting turns
-// that are under way at their most.
-var ErrSpent = errors.New("the program's budget is spent")
+var (
+	// ErrSpent means that nothing is left of the program's budget.
+	ErrSpent = errors.New("the program's budget is spent")
+	// ErrReserved means that nothing is left unless a holder gives a part of its
+	// reserve back.
+	ErrReserved = errors.New("the rest of the program's budget is reserved elsewhere")
+)
+
+const (
+	// aheadTurns is how many turns beyond the one that asks a holder may reserve.
+	aheadTurns = 3
+	// aheadShare of what is left is the most that is reserved ahead, so that
+	// reserves never keep a program from what it has.
+	aheadShare = 4
+)
 
-// Reservation is a turn that may generate tokens.
-type Reservation struct {
-	// Turn is unique over all turns and attempts.
-	Turn string
-	// Tokens is the most that the turn may generate.
-	Tokens uint64
+// Draw is one holder's wish.
+type Draw struct {
+	Holder string
+	// Spent is what the holder's ended turns have generated in all, UnderWay the
+	// most that its turns under way may generate.
+	Spent    uint64
+	UnderWay uint64
+	// Turn is the most that the turn may generate that wants to begin.
+	Turn uint64
 }
 
-// Settlement ends a reservation.
-type Settlement struct {
-	Turn string
-	// Tokens is what was handed out.
-	Tokens uint64
+// Reserve takes the holder's spending in and gives it a reserve for its turns
+// under way and the one that wants to begin, and for some more where plenty is
+// left. It lets a turn begin while anything is left, so that what is generated
+// in all stays below the limit and the most of one turn. A refused draw still
+// takes the spending in. Repeating a draw changes nothing.
+func Reserve(record *statev1.TokenBudget, limit uint64, draw Draw) error {
+	record.Limit = lowest(record.GetLimit(), limit)
+	own := holderOf(record, draw.Holder)
+	own.Spent = draw.Spent
+	own.Reserved = draw.UnderWay
+	committed := Committed(record)
+	if committed >= record.Limit {
+		if committed-othersReserved(record, own) < record.Limit {
+			return ErrReserved
+		}
+		return ErrSpent
+	}
+	own.Reserved += draw.Turn
+	own.Reserved += ahead(record.Limit-committed, draw.Turn)
+	return nil
 }
 
-// Settle takes settlements in. One whose turn isn't reserved was taken in
-// before, or its reservation never came to be, and changes nothing.
-func Settle(record *statev1.TokenBudget, settlements []Settlement) {
-	for _, settlement := range settlements {
-		kept := record.Reservations[:0]
-		for _, reservation := range record.Reservations {
-			if reservation.GetTurn() != settlement.Turn {
-				kept = append(kept, reservation)
-				continue
-			}
-			record.Spent += settlement.Tokens
+// ahead is a whole number of turns, since a part of one lets none begin.
+func ahead(left, turn uint64) uint64 {
+	if turn == 0 || left <= turn {
+		return 0
+	}
+	return min(aheadTurns, (left-turn)/aheadShare/turn) * turn
+}
+
+// Release ends a holder for good: what it spent is kept, its reserve is given
+// back. A holder that isn't listed has been released before, or never drew.
+func Release(record *statev1.TokenBudget, name string, spent uint64) {
+	kept := record.Holders[:0]
+	for _, holder := range record.GetHolders() {
+		if holder.GetHolder() != name {
+			kept = append(kept, holder)
+			continue
 		}
-		record.Reservations = kept
+		record.Settled += spent
 	}
+	record.Holders = kept
 }
 
-// Reserve adds the reservation, unless the budget is spent. It lets a turn begin
-// while anything is left, so that what is generated in all stays below the limit
-// and the most of one turn. A turn that is reserved already stays so.
-func Reserve(record *statev1.TokenBudget, limit uint64, wanted Reservation) error {
-	for _, reservation := range record.GetReservations() {
-		if reservation.GetTurn() == wanted.Turn {
-			return nil
+// holderOf returns the holder's part, a new one where it has none.
+func holderOf(record *statev1.TokenBudget, name string) *statev1.TokenHolder {
+	for _, holder := range record.GetHolders() {
+		if holder.GetHolder() == name {
+			return holder
 		}
 	}
-	record.Limit = lowest(record.GetLimit(), limit)
-	if Committed(record) >= record.Limit {
-		return ErrSpent
+	added := &statev1.TokenHolder{Holder: name}
+	record.Holders = append(record.Holders, added)
+	return added
+}
+
+func othersReserved(record *statev1.TokenBudget, own *statev1.TokenHolder) uint64 {
+	var reserved uint64
+	for _, holder := range record.GetHolders() {
+		if holder != own {
+			reserved += holder.GetReserved()
+		}
 	}
-	record.Reservations = append(record.Reservations, &statev1.TokenReservation{Turn: wanted.Turn, Tokens: wanted.Tokens})
-	return nil
+	return reserved
 }
 
 // lowest keeps the first limit that was named, or a lower one.
@@ -73,15 +114,20 @@
 	return min(known, named)
 }
 
-// Committed is what was generated, and what turns under way may still generate.
+// Committed is what was generated and what may still be without asking.
 func Committed(record *statev1.TokenBudget) uint64 {
-	committed := record.GetSpent()
-	for _, reservation := range record.GetReservations() {
-		committed += reservation.GetTokens()
+	committed := record.GetSettled()
+	for _, holder := range record.GetHolders() {
+		committed += holder.GetSpent() + holder.GetReserved()
 	}
 	return committed
 }
 
+// Reserved is what the holder may hand out beyond what it has spent.
+func Reserved(record *statev1.TokenBudget, name string) uint64 {
+	return holderOf(record, name).GetReserved()
+}
+
 // Decode reads the record of a program; nil bytes are one without turns.
 func Decode(program string, encoded []byte) (*statev1.TokenBudget, error) {
 	record := &statev1.TokenBudget{Program: program}
--- /dev/null
+++ b/state/budget/budget_test.go
@@ -0,0 +1,126 @@
+package budget_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/state/budget"
+)
+
+func Example() {
+	record, _ := budget.Decode("program", nil)
+	fmt.Println(budget.Reserve(record, 100, budget.Draw{Holder: "a", Turn: 60}))
+	fmt.Println(budget.Reserve(record, 100, budget.Draw{Holder: "b", Turn: 60}))
+	fmt.Println(budget.Reserve(record, 100, budget.Draw{Holder: "c", Turn: 60}))
+	budget.Release(record, "a", 50)
+	budget.Release(record, "b", 50)
+	fmt.Println(budget.Reserve(record, 100, budget.Draw{Holder: "c", Turn: 60}))
+	// Output:
+	// <nil>
+	// <nil>
+	// the rest of the program's budget is reserved elsewhere
+	// the program's budget is spent
+}
+
+// gateway is one holder as a ledger keeps it.
+type gateway struct {
+	name            string
+	spent, underWay uint64
+	reserved        uint64
+	turns           []uint64
+}
+
+// TestLimitHolds lets gateways serve turns of one program in any order, some of
+// which vanish, and bounds what all of them hand out.
+func TestLimitHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Uint64Range(1, 5000).Draw(t, "limit")
+		most := rapid.Uint64Range(1, 600).Draw(t, "most")
+		record := &statev1.TokenBudget{Program: "p"}
+		gateways := make([]*gateway, rapid.IntRange(1, 4).Draw(t, "gateways"))
+		for index := range gateways {
+			gateways[index] = &gateway{name: fmt.Sprint("g", index)}
+		}
+		var handedOut uint64
+		for step := range 40 {
+			g := rapid.SampledFrom(gateways).Draw(t, "gateway")
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0, 1:
+				begin(t, record, g, limit, most)
+			case 2:
+				if len(g.turns) > 0 {
+					used := rapid.Uint64Range(0, g.turns[0]).Draw(t, "used")
+					handedOut += used
+					g.spent += used
+					g.underWay -= g.turns[0]
+					g.reserved -= min(g.reserved, used)
+					g.turns = g.turns[1:]
+				}
+			case 3:
+				if g.underWay == 0 {
+					budget.Release(record, g.name, g.spent)
+					budget.Release(record, g.name, g.spent)
+					*g = gateway{name: fmt.Sprint(g.name, "+", step)}
+				}
+			case 4:
+				// It dies in the middle of its turns, which may have handed out all
+				// that they were allowed; another life takes its place.
+				handedOut += g.underWay
+				*g = gateway{name: fmt.Sprint(g.name, "+", step)}
+			}
+		}
+		for _, g := range gateways {
+			handedOut += g.underWay
+		}
+		assert.Assert(t, handedOut < limit+most, "%d handed out of %d and %d", handedOut, limit, most)
+	})
+}
+
+// begin starts a turn from the reserve, or asks for more.
+func begin(t *rapid.T, record *statev1.TokenBudget, g *gateway, limit, most uint64) {
+	if g.reserved < g.underWay+most {
+		draw := budget.Draw{Holder: g.name, Spent: g.spent, UnderWay: g.underWay, Turn: most}
+		if budget.Reserve(record, limit, draw) != nil {
+			g.reserved = g.underWay
+			return
+		}
+		assert.NilError(t, budget.Reserve(record, limit, draw), "a repeated draw is the same")
+		g.reserved = budget.Reserved(record, g.name)
+	}
+	g.turns = append(g.turns, most)
+	g.underWay += most
+}
+
+// TestReservesNeverKeepFromATurn: what is reserved ahead is given only while much
+// is left.
+func TestReservesNeverKeepFromATurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Uint64Range(1, 10_000).Draw(t, "limit")
+		most := rapid.Uint64Range(1, 600).Draw(t, "most")
+		record := &statev1.TokenBudget{Program: "p"}
+		var needed uint64
+		for holder := range rapid.IntRange(1, 5).Draw(t, "holders") {
+			if needed >= limit {
+				return
+			}
+			err := budget.Reserve(record, limit, budget.Draw{Holder: fmt.Sprint(holder), Turn: most})
+			if needed+most <= limit/4 {
+				assert.NilError(t, err)
+			}
+			needed += most
+		}
+	})
+}
+
+func TestDecodeRefusesAnotherProgramsRecord(t *testing.T) {
+	encoded, err := budget.Encode(&statev1.TokenBudget{Program: "a"})
+	assert.NilError(t, err)
+	_, err = budget.Decode("b", encoded)
+	assert.ErrorContains(t, err, `is that of "a"`)
+	_, err = budget.Decode("a", []byte{0xff})
+	assert.Assert(t, err != nil)
+}
--- /dev/null
+++ b/transport/peer/budget.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/ansel1/merry/v2"
+
+	peerv1 "github.com/marblering/marblering/api/peer/v1"
+	"github.com/marblering/marblering/api/peer/v1/peerv1connect"
+	"github.com/marblering/marblering/coordination/tokenbudget"
+	"github.com/marblering/marblering/state/budget"
+)
+
+// BudgetHost serves budgets. tokenbudget.Host is one.
+type BudgetHost interface {
+	Reserve(ctx context.Context, wanted tokenbudget.Reservation) error
+	End(ended []tokenbudget.Ended)
+}
+
+type budgetServer struct {
+	peerv1connect.UnimplementedBudgetServiceHandler
+	host BudgetHost
+}
+
+func (s *budgetServer) Reserve(ctx context.Context, request *connect.Request[peerv1.ReserveTokensRequest]) (*connect.Response[peerv1.ReserveTokensResponse], error) {
+	message := request.Msg
+	s.host.End(endedFromWire(message.GetEnded()))
+	err := s.host.Reserve(ctx, tokenbudget.Reservation{
+		Program: message.GetProgram(), Turn: message.GetTurn(), Limit: message.GetLimit(), Most: message.GetMost(),
+		Lifetime: time.Duration(message.GetLifetimeMs()) * time.Millisecond,
+	})
+	response := &peerv1.ReserveTokensResponse{Verdict: verdictOf(err)}
+	if err != nil {
+		response.Reason = err.Error()
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (s *budgetServer) End(_ context.Context, request *connect.Request[peerv1.EndTurnsRequest]) (*connect.Response[peerv1.EndTurnsResponse], error) {
+	s.host.End(endedFromWire(request.Msg.GetEnded()))
+	return connect.NewResponse(&peerv1.EndTurnsResponse{}), nil
+}
+
+func verdictOf(err error) peerv1.ReserveVerdict {
+	switch {
+	case err == nil:
+		return peerv1.ReserveVerdict_RESERVE_VERDICT_GRANTED
+	case errors.Is(err, budget.ErrSpent):
+		return peerv1.ReserveVerdict_RESERVE_VERDICT_SPENT
+	case errors.Is(err, budget.ErrReserved):
+		return peerv1.ReserveVerdict_RESERVE_VERDICT_RESERVED
+	}
+	return peerv1.ReserveVerdict_RESERVE_VERDICT_UNAVAILABLE
+}
+
+// BudgetClient implements tokenbudget.Hosts.
+type BudgetClient struct {
+	client *Client
+}
+
+// Budgets returns the client of the budget service.
+func (c *Client) Budgets() BudgetClient { return BudgetClient{client: c} }
+
+var _ tokenbudget.Hosts = BudgetClient{}
+
+// Reserve implements tokenbudget.Hosts.
+func (b BudgetClient) Reserve(ctx context.Context, address string, wanted tokenbudget.Reservation, ended []tokenbudget.Ended) error {
+	response, err := b.client.stubs(address).budget.Reserve(ctx, connect.NewRequest(&peerv1.ReserveTokensRequest{
+		Program: wanted.Program, Turn: wanted.Turn, Limit: wanted.Limit, Most: wanted.Most,
+		LifetimeMs: wanted.Lifetime.Milliseconds(), Ended: endedToWire(ended),
+	}))
+	if err != nil {
+		return err
+	}
+	switch response.Msg.GetVerdict() {
+	case peerv1.ReserveVerdict_RESERVE_VERDICT_GRANTED:
+		return nil
+	case peerv1.ReserveVerdict_RESERVE_VERDICT_SPENT:
+		return budget.ErrSpent
+	case peerv1.ReserveVerdict_RESERVE_VERDICT_RESERVED:
+		return budget.ErrReserved
+	}
+	return merry.Errorf("the host can't reach the record: %s", response.Msg.GetReason())
+}
+
+// End implements tokenbudget.Hosts.
+func (b BudgetClient) End(ctx context.Context, address string, ended []tokenbudget.Ended) error {
+	_, err := b.client.stubs(address).budget.End(ctx, connect.NewRequest(&peerv1.EndTurnsRequest{Ended: endedToWire(ended)}))
+	return err
+}
+
+func endedToWire(ended []tokenbudget.Ended) []*peerv1.EndedTurn {
+	converted := make([]*peerv1.EndedTurn, 0, len(ended))
+	for _, one := range ended {
+		converted = append(converted, &peerv1.EndedTurn{Program: one.Program, Turn: one.Turn, HandedOut: one.HandedOut})
+	}
+	return converted
+}
+
+func endedFromWire(ended []*peerv1.EndedTurn) []tokenbudget.Ended {
+	converted := make([]tokenbudget.Ended, 0, len(ended))
+	for _, one := range ended {
+		converted = append(converted, tokenbudget.Ended{Program: one.GetProgram(), Turn: one.GetTurn(), HandedOut: one.GetHandedOut()})
+	}
+	return converted
+}
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -23,6 +25,9 @@
 	http    *http.Client
 	timeout time.Duration
 	options []connect.ClientOption
+	// known maps addresses to *stubs; count is about how many there are.
+	known sync.Map
+	count atomic.Int64
 }
 
 var (
@@ -46,12 +51,10 @@
 }
 
 func (c *Client) replica(address string) peerv1connect.ReplicaServiceClient {
-	return peerv1connect.NewReplicaServiceClient(c.http, "http://"+address, c.options...)
+	return c.stubs(address).replica
 }
 
-func (c *Client) node(address string) peerv1connect.NodeServiceClient {
-	return peerv1connect.NewNodeServiceClient(c.http, "http://"+address, c.options...)
-}
+func (c *Client) node(address string) peerv1connect.NodeServiceClient { return c.stubs(address).node }
 
 func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, c.timeout)
@@ -250,3 +253,24 @@
 	}
 	return response.Msg.GetValue(), register.Refusal(response.Msg.GetRefusal()), nil
 }
+
+// ReadMany implements turnstore.Replicas.
+func (c *Client) ReadMany(ctx context.Context, member register.Member, fence register.Fence, programs []string) ([]replica.Turn, archive.Reply, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	response, err := c.replica(member.Address).ReadMany(ctx, connect.NewRequest(&peerv1.ReadManyRequest{
+		Fence: fenceToWire(fence), Programs: programs,
+	}))
+	if err != nil {
+		return nil, archive.Reply{}, err
+	}
+	var turns []replica.Turn
+	for _, stored := range response.Msg.GetTurns() {
+		turn, err := turnFromWire(stored)
+		if err != nil {
+			return nil, archive.Reply{}, err
+		}
+		turns = append(turns, turn)
+	}
+	return turns, reply(response.Msg.GetRefusal(), response.Msg.GetView()), nil
+}
--- /dev/null
+++ b/transport/peer/local.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/marblering/marblering/coordination/register"
+)
+
+// LocalReplica answers for this node's replica.
+type LocalReplica interface {
+	Prepare(ctx context.Context, request register.PrepareRequest) register.PrepareReply
+	Accept(ctx context.Context, request register.AcceptRequest) register.AcceptReply
+}
+
+// LocalTransport reaches this node's replica without the network.
+type LocalTransport struct {
+	incarnation string
+	replica     LocalReplica
+	remote      register.Transport
+}
+
+// NewLocalTransport makes a transport for the node of the incarnation.
+func NewLocalTransport(incarnation string, replica LocalReplica, remote register.Transport) *LocalTransport {
+	return &LocalTransport{incarnation: incarnation, replica: replica, remote: remote}
+}
+
+// Prepare implements register.Transport.
+func (t *LocalTransport) Prepare(ctx context.Context, member register.Member, request register.PrepareRequest) (register.PrepareReply, error) {
+	if member.Incarnation == t.incarnation {
+		return t.replica.Prepare(ctx, request), nil
+	}
+	return t.remote.Prepare(ctx, member, request)
+}
+
+// Accept implements register.Transport.
+func (t *LocalTransport) Accept(ctx context.Context, member register.Member, request register.AcceptRequest) (register.AcceptReply, error) {
+	if member.Incarnation == t.incarnation {
+		return t.replica.Accept(ctx, request), nil
+	}
+	return t.remote.Accept(ctx, member, request)
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -62,18 +62,39 @@
 	}
 }
 
+func (s *replicaServer) ReadMany(ctx context.Context, request *connect.Request[peerv1.ReadManyRequest]) (*connect.Response[peerv1.ReadManyResponse], error) {
+	fence := fenceFromWire(request.Msg.GetFence())
+	response := &peerv1.ReadManyResponse{}
+	for _, program := range request.Msg.GetPrograms() {
+		reply, err := s.replica.ReadTurns(ctx, fence, program, 0, func(turn replica.Turn) error {
+			response.Turns = append(response.Turns, turnToWire(turn))
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+		if reply.Refusal != register.RefusalNone {
+			return connect.NewResponse(&peerv1.ReadManyResponse{
+				Refusal: peerv1.Refusal(reply.Refusal), View: ViewToWire(reply.View),
+			}), nil
+		}
+	}
+	return connect.NewResponse(response), nil
+}
+
 // Exchanger answers exchanges of membership.
 type Exchanger interface {
 	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
 }
 
 // NewStorageHandler serves what a node that only keeps replicas has to: requests
-// to its replica, and the exchanges of membership.
-func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, metrics *Metrics) http.Handler {
+// to its replica, the exchanges of membership, and the budgets of programs.
+func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, budgets BudgetHost, metrics *Metrics) http.Handler {
 	mux := http.NewServeMux()
 	options := handlerOptions(metrics)
 	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica, installer: installer}, options...))
 	mux.Handle(peerv1connect.NewNodeServiceHandler(&exchangeServer{membership: membership}, options...))
+	mux.Handle(peerv1connect.NewBudgetServiceHandler(&budgetServer{host: budgets}, options...))
 	return mux
 }
 
