Replace a gone member in every shard once a node stands in

Change: the set itself is asked. TestNodeThatStandsIn failed first. A set that has lost its majority is logged when that changes, not each round. A rest of a budget that stays reserved elsewhere for 1.5 s is told as spent: TestBudget found it reserved for good by hosts that had ended.

--- a/coordination/shard/maintainer.go
+++ b/coordination/shard/maintainer.go
@@ -21,6 +21,8 @@
 	// is at work on it has had the time between two rounds.
 	unfinished map[uint32]uint64
 	unready    map[uint32]uint64
+	// lost are the sets that were reported as lost in the round before.
+	lost map[uint32]lostKey
 }
 
 // NewMaintainer makes the maintainer of the named node.
@@ -62,12 +64,31 @@
 	if err := m.installer.Sweep(ctx); err != nil {
 		m.logger.Warn("shards not swept", zap.Error(err))
 	}
-	for _, lost := range outcome.Lost {
+	m.reportLost(outcome.Lost)
+	return outcome
+}
+
+// reportLost writes a line for each set that is lost in another way than at the
+// round before.
+func (m *Maintainer) reportLost(sets []LostSet) {
+	lostBefore := m.lost
+	m.lost = make(map[uint32]lostKey, len(sets))
+	for _, lost := range sets {
+		key := lostKey{epoch: lost.View.Epoch, gone: lost.Gone, forgotten: lost.Forgotten}
+		m.lost[lost.View.Shard] = key
+		if lostBefore[lost.View.Shard] == key {
+			continue
+		}
 		m.logger.Error("replica set has lost its majority", zap.Uint32("shard", lost.View.Shard),
 			zap.Uint64("epoch", lost.View.Epoch), zap.Int("gone", lost.Gone), zap.Int("forgotten", lost.Forgotten),
 			zap.Bool("final", lost.IsFinal()))
 	}
-	return outcome
+}
+
+// lostKey is what is reported of a set that has lost its majority.
+type lostKey struct {
+	epoch           uint64
+	gone, forgotten int
 }
 
 func (m *Maintainer) drive(ctx context.Context, view register.View, wanted []register.Member, reason string) error {
--- a/coordination/shard/plan.go
+++ b/coordination/shard/plan.go
@@ -149,12 +149,12 @@
 func (p planner) judge(view register.View) []judgement {
 	judged := make([]judgement, len(view.Members))
 	for index, member := range view.Members {
-		judged[index] = p.judgeMember(member)
+		judged[index] = p.judgeMember(view, member)
 	}
 	return judged
 }
 
-func (p planner) judgeMember(member register.Member) judgement {
+func (p planner) judgeMember(view register.View, member register.Member) judgement {
 	node, isKnown := p.nodes[member.Node]
 	goneSince := node.GoneSince
 	if !isKnown {
@@ -164,7 +164,7 @@
 	switch {
 	case isKnown && node.Member.Incarnation != member.Incarnation:
 		judged.reason, judged.answers = ReasonForgotten, false
-	case !goneSince.IsZero() && p.situation.Now.Sub(goneSince) >= p.patience(goneSince):
+	case !goneSince.IsZero() && p.situation.Now.Sub(goneSince) >= p.patience(view, goneSince):
 		judged.reason = ReasonGone
 	case !goneSince.IsZero():
 	case node.Leaving:
@@ -175,29 +175,20 @@
 	return judged
 }
 
-// patience is how long a member may be gone before it is replaced.
-func (p planner) patience(goneSince time.Time) time.Duration {
+// patience is how long a member of the set may be gone before it is replaced.
+func (p planner) patience(view register.View, goneSince time.Time) time.Duration {
 	if p.settings.ReplacedAfter == 0 {
 		return p.settings.GoneAfter
 	}
 	for _, node := range p.situation.Nodes {
 		isReady := node.GoneSince.IsZero() && !node.Leaving
-		if isReady && !p.isMemberAnywhere(node.Member) && node.Started.After(goneSince.Add(-plannedOverlap)) {
+		if isReady && !hasNode(view.Members, node.Member.Node) && node.Started.After(goneSince.Add(-plannedOverlap)) {
 			return p.settings.ReplacedAfter
 		}
 	}
 	return p.settings.GoneAfter
 }
 
-// isMemberAnywhere tells whether the node replicates any shard.
-func (p planner) isMemberAnywhere(member register.Member) bool {
-	return slices.ContainsFunc(p.situation.Views, func(view register.View) bool {
-		return slices.ContainsFunc(view.Members, func(other register.Member) bool {
-			return other.Incarnation == member.Incarnation
-		})
-	})
-}
-
 func answering(judged []judgement) int {
 	count := 0
 	for _, one := range judged {
--- /dev/null
+++ b/coordination/shard/standin_test.go
@@ -0,0 +1,37 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+)
+
+// TestNodeThatStandsIn replaces a gone member soon, in every shard: also in those
+// whose turn comes after it has joined another one.
+func TestNodeThatStandsIn(t *testing.T) {
+	settings := planSettings()
+	settings.ReplacedAfter = time.Second
+	nodes := planNodes()[:4]
+	for index := range nodes {
+		nodes[index].Started = planNow.Add(-time.Hour)
+	}
+	nodes[0].GoneSince = planNow.Add(-2 * time.Second)
+	moved, waiting := planView(nodes, 1, 2, 3), planView(nodes, 0, 1, 2)
+	waiting.Shard = 1
+	plan := func() []shard.Move {
+		situation := shard.Situation{Now: planNow, Views: []register.View{moved, waiting}, Nodes: nodes}
+		return shard.Plan(situation, settings).Moves
+	}
+	assert.Equal(t, len(plan()), 0, "a node that was there all along doesn't hurry the move")
+	nodes[3].Started = planNow.Add(-time.Second)
+	moves := plan()
+	assert.Equal(t, len(moves), 1)
+	assert.Equal(t, moves[0].View.Shard, uint32(1))
+	assert.Equal(t, membersOf(moves[0].Members), "[n1-1 n2-1 n3-1]")
+	nodes[0].GoneSince = planNow.Add(-settings.ReplacedAfter / 2)
+	assert.Equal(t, len(plan()), 0, "a short absence moves nothing")
+}
--- a/coordination/tokenbudget/host.go
+++ b/coordination/tokenbudget/host.go
@@ -2,12 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
+
+	"github.com/marblering/marblering/state/budget"
 )
 
-// expiryInterval is the pause between two looks for turns that never ended.
-const expiryInterval = time.Second
+const (
+	// expiryInterval is the pause between two looks for turns that never ended.
+	expiryInterval = time.Second
+	// reservedPatience is how long another host has to give a reserve back.
+	reservedPatience = 1500 * time.Millisecond
+	// reservedMemory is how long a refusal is remembered.
+	reservedMemory = time.Minute
+)
 
 // Reservation is a turn that wants to begin.
 type Reservation struct {
@@ -37,6 +46,8 @@
 
 	mutex sync.Mutex
 	turns map[string]hosted
+	// reservedSince is since when a program's rest has been reserved elsewhere.
+	reservedSince map[string]time.Time
 }
 
 // hosted is one turn under way.
@@ -48,7 +59,7 @@
 
 // NewHost makes a host without turns.
 func NewHost(ledger *Ledger, now func() time.Time) *Host {
-	return &Host{ledger: ledger, now: now, turns: make(map[string]hosted)}
+	return &Host{ledger: ledger, now: now, turns: make(map[string]hosted), reservedSince: make(map[string]time.Time)}
 }
 
 // String names the service in the supervisor's messages.
@@ -61,9 +72,10 @@
 		return nil
 	}
 	if err := h.ledger.Reserve(ctx, wanted.Program, wanted.Limit, wanted.Most); err != nil {
-		return err
+		return h.judgeRefusal(wanted.Program, err)
 	}
 	h.mutex.Lock()
+	delete(h.reservedSince, wanted.Program)
 	_, doubled := h.turns[wanted.Turn]
 	if !doubled {
 		h.turns[wanted.Turn] = hosted{program: wanted.Program, most: wanted.Most, expires: h.now().Add(wanted.Lifetime)}
@@ -75,6 +87,27 @@
 	return nil
 }
 
+// judgeRefusal tells a rest that is reserved elsewhere as spent once another host
+// had the time to give it back: that host has ended, or its turns are still under
+// way.
+func (h *Host) judgeRefusal(program string, refusal error) error {
+	if !errors.Is(refusal, budget.ErrReserved) {
+		return refusal
+	}
+	now := h.now()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	since, known := h.reservedSince[program]
+	if !known {
+		h.reservedSince[program] = now
+		return refusal
+	}
+	if now.Sub(since) < reservedPatience {
+		return refusal
+	}
+	return budget.ErrSpent
+}
+
 func (h *Host) isUnderWay(turn string) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -113,6 +146,11 @@
 	now := h.now()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	for program, since := range h.reservedSince {
+		if now.Sub(since) > reservedMemory {
+			delete(h.reservedSince, program)
+		}
+	}
 	var expired []Ended
 	for id, turn := range h.turns {
 		if now.After(turn.expires) {
--- /dev/null
+++ b/coordination/tokenbudget/host_test.go
@@ -0,0 +1,182 @@
+package tokenbudget_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/tokenbudget"
+	"github.com/marblering/marblering/state/budget"
+	"github.com/marblering/marblering/test/harness"
+)
+
+// network carries requests to hosts by their addresses.
+type network struct {
+	mutex sync.Mutex
+	hosts map[string]*tokenbudget.Host
+	// down hosts don't answer; lossy ones act and lose the answer.
+	down, lossy map[string]bool
+	asked       []string
+}
+
+func (n *network) host(address string) (*tokenbudget.Host, bool, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.asked = append(n.asked, address)
+	if n.down[address] {
+		return nil, false, errLost
+	}
+	return n.hosts[address], n.lossy[address], nil
+}
+
+func (n *network) Reserve(ctx context.Context, address string, wanted tokenbudget.Reservation, ended []tokenbudget.Ended) error {
+	host, lossy, err := n.host(address)
+	if err != nil {
+		return err
+	}
+	host.End(ended)
+	err = host.Reserve(ctx, wanted)
+	if lossy {
+		return errLost
+	}
+	return err
+}
+
+func (n *network) End(_ context.Context, address string, ended []tokenbudget.Ended) error {
+	host, _, err := n.host(address)
+	if err == nil {
+		host.End(ended)
+	}
+	return err
+}
+
+type oneView struct{ members []register.Member }
+
+func (v oneView) View(uint32) (register.View, bool) {
+	return register.View{Epoch: 1, Members: v.members}, len(v.members) > 0
+}
+func (oneView) Locate(string) uint32 { return 0 }
+
+func newNetwork(shared *sharedRegister, count int) (*network, oneView) {
+	carried := &network{hosts: make(map[string]*tokenbudget.Host), down: make(map[string]bool), lossy: make(map[string]bool)}
+	var view oneView
+	for index := range count {
+		name := fmt.Sprint("host", index)
+		carried.hosts[name] = tokenbudget.NewHost(newLedger(name, shared), time.Now)
+		view.members = append(view.members, register.Member{Node: name, Address: name})
+	}
+	return carried, view
+}
+
+func newClient(carried *network, view oneView) *tokenbudget.Client {
+	return tokenbudget.NewClient(carried, view, time.Now, zap.NewNop())
+}
+
+func turnOf(id string) tokenbudget.Reservation {
+	return tokenbudget.Reservation{Program: "p", Turn: id, Limit: 1000, Most: 100, Lifetime: time.Minute}
+}
+
+// TestClientsAskTheSameHost while it answers.
+func TestClientsAskTheSameHost(t *testing.T) {
+	carried, view := newNetwork(newRegister(), 3)
+	for index := range 4 {
+		client := newClient(carried, view)
+		assert.NilError(t, client.Reserve(context.Background(), turnOf(fmt.Sprint(index))))
+	}
+	for _, address := range carried.asked {
+		assert.Equal(t, address, carried.asked[0])
+	}
+}
+
+// TestNextHostDecidesWhereOneFails, and what the failed one may have reserved is
+// ended there.
+func TestNextHostDecidesWhereOneFails(t *testing.T) {
+	for _, lossy := range []bool{false, true} {
+		shared := newRegister()
+		carried, view := newNetwork(shared, 3)
+		client := newClient(carried, view)
+		assert.NilError(t, client.Reserve(context.Background(), turnOf("first")))
+		home := carried.asked[0]
+		client.End(tokenbudget.Ended{Program: "p", Turn: "first", HandedOut: 100})
+		client.Flush(context.Background())
+		carried.down[home], carried.lossy[home] = !lossy, lossy
+		assert.NilError(t, client.Reserve(context.Background(), turnOf("second")))
+		assert.Assert(t, carried.asked[len(carried.asked)-1] != home)
+		carried.down[home], carried.lossy[home] = false, false
+		client.Flush(context.Background())
+		assert.NilError(t, client.Reserve(context.Background(), turnOf("third")))
+		assert.Assert(t, carried.asked[len(carried.asked)-1] != home, "a host that failed is asked last for a while")
+	}
+}
+
+func TestNoHostAnswers(t *testing.T) {
+	carried, view := newNetwork(newRegister(), 2)
+	carried.down["host0"], carried.down["host1"] = true, true
+	assert.ErrorIs(t, newClient(carried, view).Reserve(context.Background(), turnOf("t")), tokenbudget.ErrUnavailable)
+	assert.ErrorIs(t, newClient(carried, oneView{}).Reserve(context.Background(), turnOf("t")), tokenbudget.ErrUnavailable)
+}
+
+// TestSpentIsFinal: no other host is asked.
+func TestSpentIsFinal(t *testing.T) {
+	carried, view := newNetwork(newRegister(), 3)
+	client := newClient(carried, view)
+	wanted := turnOf("t")
+	wanted.Limit, wanted.Most = 50, 50
+	assert.NilError(t, client.Reserve(context.Background(), wanted))
+	client.End(tokenbudget.Ended{Program: "p", Turn: "t", HandedOut: 50})
+	client.Flush(context.Background())
+	wanted.Turn = "u"
+	before := len(carried.asked)
+	assert.ErrorIs(t, client.Reserve(context.Background(), wanted), budget.ErrSpent)
+	assert.Equal(t, len(carried.asked), before+1)
+}
+
+// TestEndedTurnsAreToldWithoutAnotherTurn.
+func TestEndedTurnsAreToldWithoutAnotherTurn(t *testing.T) {
+	shared := newRegister()
+	carried, view := newNetwork(shared, 1)
+	client := newClient(carried, view)
+	wanted := turnOf("t")
+	wanted.Limit = 100
+	assert.NilError(t, client.Reserve(context.Background(), wanted))
+	client.End(tokenbudget.Ended{Program: "p", Turn: "t", HandedOut: 10})
+	wanted.Turn = "u"
+	harness.Eventually(t, func() (bool, string) {
+		// The host itself knows once that 90 are left.
+		other := newClient(carried, view)
+		return other.Reserve(context.Background(), wanted) == nil, "the first turn isn't ended"
+	})
+}
+
+// TestTurnThatNeverEndsIsChargedWithItsMost once its time is over.
+func TestTurnThatNeverEndsIsChargedWithItsMost(t *testing.T) {
+	shared := newRegister()
+	now := time.Now()
+	var mutex sync.Mutex
+	host := tokenbudget.NewHost(newLedger("host", shared), func() time.Time {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return now
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = host.Serve(ctx) }()
+	wanted := turnOf("t")
+	wanted.Limit = 100
+	assert.NilError(t, host.Reserve(ctx, wanted))
+	assert.NilError(t, host.Reserve(ctx, wanted), "a repeated reservation is the same turn")
+	mutex.Lock()
+	now = now.Add(2 * time.Minute)
+	mutex.Unlock()
+	wanted.Turn = "u"
+	harness.Eventually(t, func() (bool, string) {
+		err := host.Reserve(ctx, wanted)
+		return err == budget.ErrSpent, fmt.Sprint(err)
+	})
+}
--- /dev/null
+++ b/coordination/tokenbudget/ledger_test.go
@@ -0,0 +1,176 @@
+package tokenbudget_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/tokenbudget"
+	"github.com/marblering/marblering/state/budget"
+	"github.com/marblering/marblering/test/harness"
+)
+
+var errLost = errors.New("the answer was lost")
+
+// sharedRegister is one register that all ledgers change. It may lose answers
+// after a change, or refuse to change.
+type sharedRegister struct {
+	mutex   sync.Mutex
+	values  map[string][]byte
+	changes int
+	// lose makes the next changes and loses their answers, fail doesn't make
+	// them.
+	lose, fail int
+}
+
+func newRegister() *sharedRegister { return &sharedRegister{values: make(map[string][]byte)} }
+
+func (r *sharedRegister) Apply(_ context.Context, _ uint32, key string, change register.Change) ([]byte, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.fail > 0 {
+		r.fail--
+		return nil, register.ErrNoQuorum
+	}
+	next, err := change(r.values[key])
+	if err != nil {
+		return nil, err
+	}
+	// A change may be called again on what it made itself.
+	if next, err = change(next); err != nil {
+		return nil, err
+	}
+	r.values[key] = next
+	r.changes++
+	if r.lose > 0 {
+		r.lose--
+		return nil, errLost
+	}
+	return next, nil
+}
+
+func (r *sharedRegister) committed(t *testing.T, program string) uint64 {
+	t.Helper()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	record, err := budget.Decode(program, r.values[program])
+	assert.NilError(t, err)
+	return budget.Committed(record)
+}
+
+func newLedger(holder string, shared *sharedRegister) *tokenbudget.Ledger {
+	settings := tokenbudget.Settings{IdleTime: time.Hour, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, ReleaseTries: 50}
+	return tokenbudget.New(holder, shared, func(string) uint32 { return 0 }, settings, zap.NewNop())
+}
+
+func Example() {
+	ledger := newLedger("host", newRegister())
+	ctx := context.Background()
+	fmt.Println(ledger.Reserve(ctx, "program", 100, 60))
+	ledger.End("program", 60, 60)
+	fmt.Println(ledger.Reserve(ctx, "program", 100, 60))
+	ledger.End("program", 60, 60)
+	fmt.Println(ledger.Reserve(ctx, "program", 100, 60))
+	// Output:
+	// <nil>
+	// <nil>
+	// the program's budget is spent
+}
+
+// TestBudgetHoldsOverHosts lets hosts serve turns of one program while answers of
+// its record are lost and hosts vanish.
+func TestBudgetHoldsOverHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shared := newRegister()
+		limit := rapid.Uint64Range(1, 6000).Draw(t, "limit")
+		most := rapid.Uint64Range(1, 600).Draw(t, "most")
+		hosts := []*tokenbudget.Ledger{newLedger("a", shared), newLedger("b", shared)}
+		underWay := make([]int, len(hosts))
+		var handedOut uint64
+		for step := range 60 {
+			index := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1:
+				if hosts[index].Reserve(context.Background(), "p", limit, most) == nil {
+					underWay[index]++
+				}
+			case 2, 3:
+				if underWay[index] > 0 {
+					underWay[index]--
+					used := rapid.Uint64Range(0, most).Draw(t, "used")
+					handedOut += used
+					hosts[index].End("p", most, used)
+				}
+			case 4:
+				shared.lose = rapid.IntRange(0, 1).Draw(t, "lose")
+				shared.fail = rapid.IntRange(0, 1).Draw(t, "fail")
+			case 5:
+				handedOut += uint64(underWay[index]) * most
+				underWay[index] = 0
+				hosts[index] = newLedger(fmt.Sprint("life", step), shared)
+			}
+		}
+		for _, count := range underWay {
+			handedOut += uint64(count) * most
+		}
+		assert.Assert(t, handedOut < limit+most, "%d handed out of %d and %d", handedOut, limit, most)
+	})
+}
+
+// TestReserveIsGivenBack after the program's last turn, also where the record
+// can't be reached at first.
+func TestReserveIsGivenBack(t *testing.T) {
+	shared := newRegister()
+	settings := tokenbudget.Settings{IdleTime: time.Millisecond, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, ReleaseTries: 50}
+	ledger := tokenbudget.New("host", shared, func(string) uint32 { return 0 }, settings, zap.NewNop())
+	assert.NilError(t, ledger.Reserve(context.Background(), "p", 10_000, 100))
+	assert.Equal(t, shared.committed(t, "p"), uint64(400), "the turn and three more")
+	shared.mutex.Lock()
+	shared.fail = 3
+	shared.mutex.Unlock()
+	ledger.End("p", 100, 70)
+	harness.Eventually(t, func() (bool, string) {
+		committed := shared.committed(t, "p")
+		return committed == 70, fmt.Sprintf("%d are committed, 70 are spent", committed)
+	})
+}
+
+// TestFlush gives reserves back at a planned stop.
+func TestFlush(t *testing.T) {
+	shared := newRegister()
+	ledger := newLedger("host", shared)
+	assert.NilError(t, ledger.Reserve(context.Background(), "p", 10_000, 100))
+	ledger.End("p", 100, 100)
+	ledger.Flush(context.Background())
+	assert.Equal(t, shared.committed(t, "p"), uint64(100))
+}
+
+// TestMostTurnsBeginWithoutAsking.
+func TestMostTurnsBeginWithoutAsking(t *testing.T) {
+	shared := newRegister()
+	ledger := newLedger("host", shared)
+	for range 12 {
+		assert.NilError(t, ledger.Reserve(context.Background(), "p", 100_000, 500))
+		ledger.End("p", 500, 250)
+	}
+	assert.Assert(t, shared.changes <= 3, "%d changes for 12 turns", shared.changes)
+}
+
+// TestReservedElsewhere isn't told as spent.
+func TestReservedElsewhere(t *testing.T) {
+	shared := newRegister()
+	first, second := newLedger("a", shared), newLedger("b", shared)
+	assert.NilError(t, first.Reserve(context.Background(), "p", 100, 100))
+	assert.ErrorIs(t, second.Reserve(context.Background(), "p", 100, 100), budget.ErrReserved)
+	first.End("p", 100, 100)
+	first.Flush(context.Background())
+	assert.ErrorIs(t, second.Reserve(context.Background(), "p", 100, 100), budget.ErrSpent)
+}
--- /dev/null
+++ b/coordination/turnstore/store_test.go
@@ -0,0 +1,186 @@
+package turnstore_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/coordination/turnstore"
+	"github.com/marblering/marblering/state/replica"
+)
+
+var errDown = errors.New("no answer")
+
+// members are replicas in memory, one a zone.
+type members struct {
+	mutex  sync.Mutex
+	turns  map[string]map[string]replica.Turn
+	down   map[string]bool
+	writes int
+	reads  []string
+}
+
+func (m *members) PutTurn(_ context.Context, member register.Member, _ register.Fence, stored replica.Turn) (archive.Reply, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.down[member.Node] {
+		return archive.Reply{}, errDown
+	}
+	m.writes++
+	m.turns[member.Node][stored.Program] = stored
+	return archive.Reply{}, nil
+}
+
+func (m *members) ReadMany(_ context.Context, member register.Member, _ register.Fence, ids []string) ([]replica.Turn, archive.Reply, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.down[member.Node] {
+		return nil, archive.Reply{}, errDown
+	}
+	m.reads = append(m.reads, member.Node)
+	var found []replica.Turn
+	for _, id := range ids {
+		if stored, exists := m.turns[member.Node][id]; exists {
+			found = append(found, stored)
+		}
+	}
+	return found, archive.Reply{}, nil
+}
+
+// views adapts a shard.Map.
+type views struct{ *shard.Map }
+
+func (v views) Shards() uint32 { return v.Count() }
+
+func newMembers(shards uint32) (*members, views) {
+	m := &members{turns: make(map[string]map[string]replica.Turn), down: make(map[string]bool)}
+	known := shard.NewMap(shards)
+	var all []register.Member
+	for index := range 3 {
+		name := fmt.Sprint("m", index)
+		m.turns[name] = make(map[string]replica.Turn)
+		all = append(all, register.Member{Node: name, Zone: fmt.Sprint("z", index), Incarnation: name})
+	}
+	for number := range shards {
+		known.Learn(register.View{Shard: number, Epoch: 1, Members: all})
+	}
+	return m, views{known}
+}
+
+func newStore(t require, zone string, m *members, v views) *turnstore.Store {
+	store, err := turnstore.New(zone, m, v, 1<<20)
+	assert.NilError(t, err)
+	return store
+}
+
+type require interface {
+	Helper()
+	Log(...any)
+	FailNow()
+	Fail()
+}
+
+func short() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), 200*time.Millisecond)
+}
+
+func Example() {
+	m, v := newMembers(1)
+	writer, _ := turnstore.New("z0", m, v, 1<<20)
+	reader, _ := turnstore.New("z1", m, v, 1<<20)
+	ctx := context.Background()
+	_ = writer.Put(ctx, "p", &statev1.RetainedTurn{Id: "a", Input: []byte("question")})
+	_ = writer.Put(ctx, "p", &statev1.RetainedTurn{Id: "b", Ancestors: []string{"a"}})
+	line, err := reader.Line(ctx, "p", "b")
+	fmt.Println(len(line), line[0].GetId(), line[1].GetId(), err)
+	// Output: 2 a b <nil>
+}
+
+// TestLineSurvivesAnyLoss: whichever member is lost, and whichever gateway asks,
+// a stored line is found whole.
+func TestLineSurvivesAnyLoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, v := newMembers(3)
+		writer := newStore(t, rapid.SampledFrom([]string{"z0", "z1", "z2", "none"}).Draw(t, "writer"), m, v)
+		var ancestors []string
+		for index := range rapid.IntRange(1, 6).Draw(t, "turns") {
+			id := fmt.Sprint("turn", index)
+			program := rapid.SampledFrom([]string{"p", "q"}).Draw(t, "program")
+			assert.NilError(t, writer.Put(context.Background(), program, &statev1.RetainedTurn{
+				Id: id, Ancestors: append([]string(nil), ancestors...), Input: []byte(id), Output: bytes.Repeat([]byte("x"), index),
+			}))
+			ancestors = append(ancestors, id)
+		}
+		assert.Equal(t, m.writes, 2*len(ancestors), "two copies of three members")
+		lost := fmt.Sprint("m", rapid.IntRange(0, 2).Draw(t, "lost"))
+		// A replica that lost its memory is another incarnation and refuses.
+		m.down[lost] = true
+		reader := newStore(t, "z1", m, v)
+		line, err := reader.Line(context.Background(), "p", ancestors[len(ancestors)-1])
+		assert.NilError(t, err)
+		for index, whole := range line {
+			assert.Equal(t, whole.GetId(), ancestors[index])
+			assert.Equal(t, len(whole.GetOutput()), index)
+		}
+	})
+}
+
+// TestUnknownOnlyIfSure: without a quorum a missing turn isn't denied.
+func TestUnknownOnlyIfSure(t *testing.T) {
+	m, v := newMembers(2)
+	store := newStore(t, "z0", m, v)
+	_, err := store.Line(context.Background(), "p", "none")
+	assert.ErrorIs(t, err, turnstore.ErrUnknown)
+	m.down["m1"] = true
+	_, err = store.Line(context.Background(), "p", "none")
+	assert.ErrorIs(t, err, turnstore.ErrUnknown, "two of three are sure")
+	m.down["m0"] = true
+	ctx, cancel := short()
+	defer cancel()
+	_, err = store.Line(ctx, "p", "none")
+	assert.ErrorIs(t, err, turnstore.ErrUnavailable)
+}
+
+// TestPutNeedsAQuorum and asks the others where the preferred ones fail.
+func TestPutNeedsAQuorum(t *testing.T) {
+	m, v := newMembers(1)
+	store := newStore(t, "z0", m, v)
+	m.down["m0"] = true
+	assert.NilError(t, store.Put(context.Background(), "p", &statev1.RetainedTurn{Id: "a"}))
+	m.down["m1"] = true
+	ctx, cancel := short()
+	defer cancel()
+	assert.ErrorIs(t, store.Put(ctx, "p", &statev1.RetainedTurn{Id: "b"}), turnstore.ErrUnavailable)
+}
+
+// TestNearestIsAskedFirst, and alone where it has the turn.
+func TestNearestIsAskedFirst(t *testing.T) {
+	m, v := newMembers(1)
+	assert.NilError(t, newStore(t, "z2", m, v).Put(context.Background(), "p", &statev1.RetainedTurn{Id: "a"}))
+	_, err := newStore(t, "z2", m, v).Line(context.Background(), "p", "a")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, m.reads, []string{"m2"})
+}
+
+// TestDamagedCopyIsNoAnswer: another member's copy is read instead.
+func TestDamagedCopyIsNoAnswer(t *testing.T) {
+	m, v := newMembers(1)
+	assert.NilError(t, newStore(t, "z0", m, v).Put(context.Background(), "p", &statev1.RetainedTurn{Id: "a", Input: []byte("right")}))
+	damaged := m.turns["m0"]["a"]
+	damaged.Object = append([]byte{1}, damaged.Object...)
+	m.turns["m0"]["a"] = damaged
+	line, err := newStore(t, "z0", m, v).Line(context.Background(), "p", "a")
+	assert.NilError(t, err)
+	assert.Equal(t, string(line[0].GetInput()), "right")
+}
