Prefer the own zone's instances, hold the store's calls longer, restart on a full disk

Ruled out: a single held call for both kinds, which the store doesn't have; going on after a failed write, since what the disk holds isn't known then. Change: instances of the own zone first until this node has half of an instance's capacity there; held calls of 3.5 s (what the bounds allow) and 150 ms of gathering after changes; a storage node opens and verifies its data anew after a refused write.

--- a/cmd/marblering/command.go
+++ b/cmd/marblering/command.go
@@ -105,21 +105,45 @@
 		Args:  usage(cobra.NoArgs),
 		RunE:  func(command *cobra.Command, _ []string) error { return command.Help() },
 	}
-	group.AddCommand(&cobra.Command{
+	var role string
+	check := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a settings file and start nothing",
 		Args:  usage(cobra.ExactArgs(1)),
 		RunE: func(command *cobra.Command, arguments []string) error {
-			if _, err := settings.Load(arguments[0], nil); err != nil {
+			if err := checkSettings(role, arguments[0]); err != nil {
 				return err
 			}
 			fmt.Fprintf(command.OutOrStdout(), "%s: ok\n", arguments[0])
 			return nil
 		},
-	})
+	}
+	check.Flags().StringVar(&role, "role", roleNode, "whose settings these are: node, gateway or storage")
+	group.AddCommand(check)
 	return group
 }
 
+// Roles whose settings can be checked.
+const (
+	roleNode    = "node"
+	roleGateway = "gateway"
+	roleStorage = "storage"
+)
+
+func checkSettings(role, path string) (err error) {
+	switch role {
+	case roleNode:
+		_, err = settings.Load(path, nil)
+	case roleGateway:
+		_, err = settings.LoadGateway(path, nil)
+	case roleStorage:
+		_, err = settings.LoadStorage(path, nil)
+	default:
+		err = &usageError{cause: merry.Errorf("unknown role %q (allowed: node, gateway, storage)", role)}
+	}
+	return err
+}
+
 func newVersionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "version",
--- a/coordination/backend/choose.go
+++ b/coordination/backend/choose.go
@@ -16,6 +16,29 @@
 	boundSlack  = 2
 )
 
+// localShare of an instance's capacity is what this node sends to it before
+// instances of other zones are used as well.
+const localShare = 0.5
+
+// chooseNear prefers the instances of the zone: bytes between zones cost time and
+// money. Where the best of them has much of this node's work already, all zones
+// share it.
+func chooseNear(candidates []*member, zone, key string) (chosen *member, preferred bool) {
+	local := make([]*member, 0, len(candidates))
+	for _, candidate := range candidates {
+		if candidate.Zone == zone {
+			local = append(local, candidate)
+		}
+	}
+	if len(local) > 0 && len(local) < len(candidates) {
+		chosen, preferred = choose(local, key)
+		if float64(chosen.load.outstanding.Load()) < localShare*float64(chosen.Capacity) {
+			return chosen, preferred
+		}
+	}
+	return choose(candidates, key)
+}
+
 // choose returns the instance for the key, and whether it is the key's first.
 // Without a key it is the least loaded one.
 func choose(candidates []*member, key string) (chosen *member, preferred bool) {
--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -111,7 +111,7 @@
 	if len(candidates) == 0 {
 		return nil, ErrNone
 	}
-	chosen, preferred := choose(candidates, query.Key)
+	chosen, preferred := chooseNear(candidates, p.zone, query.Key)
 	outstanding := chosen.load.outstanding.Add(1) - 1
 	return &Choice{
 		Instance: chosen.Instance, Preferred: preferred, Outstanding: outstanding,
--- a/coordination/follow/follower.go
+++ b/coordination/follow/follower.go
@@ -32,6 +32,9 @@
 	// WatchSlack is how much longer than WatchWait an answer may take. Both
 	// together bound how long a silent store goes unnoticed.
 	WatchSlack time.Duration
+	// Gather is the pause after changes, so that those that follow soon come in
+	// one answer.
+	Gather time.Duration
 	// MinPause and MaxPause bound the pause after a failed call, which doubles
 	// from one to the other.
 	MinPause time.Duration
@@ -44,6 +47,7 @@
 		ListTimeout: 1500 * time.Millisecond,
 		WatchWait:   2 * time.Second,
 		WatchSlack:  700 * time.Millisecond,
+		Gather:      150 * time.Millisecond,
 		MinPause:    50 * time.Millisecond,
 		MaxPause:    400 * time.Millisecond,
 	}
@@ -155,6 +159,7 @@
 	f.heardFromStore()
 	if f.view.change(changes) {
 		f.options.Apply(f.view.snapshot())
+		sleep(ctx, settings.Gather)
 	}
 	return nil
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -45,6 +45,8 @@
 	watchSlack = 700 * time.Millisecond
 	// seldomWait is how long the store may hold a call about what changes seldom.
 	seldomWait = 20 * time.Second
+	// relistTime is left for a listing after a held call that wasn't answered.
+	relistTime = 800 * time.Millisecond
 	// idleSweep is the pause between two looks at the kept connections.
 	idleSweep = time.Second
 	// memoryPart of the limit is where the garbage collector works harder.
@@ -158,7 +160,7 @@
 
 func (g *Gateway) newFollower(name string, source follow.Source, apply func(follow.Snapshot)) *follow.Follower {
 	bounds := follow.DefaultSettings()
-	bounds.WatchWait = g.settings.ApplyLimit
+	bounds.WatchWait = g.watchWait()
 	bounds.WatchSlack = watchSlack
 	return follow.New(follow.Options{
 		Name: name, Source: source, Settings: bounds, Apply: apply, Logger: g.logger, Now: time.Now,
@@ -185,7 +187,13 @@
 // for what changed within the time of one held call.
 func (g *Gateway) isCertain() bool {
 	age, heard := g.configuration.Age()
-	return heard && age < g.settings.ApplyLimit+2*watchSlack
+	return heard && age < g.watchWait()+2*watchSlack
+}
+
+// watchWait is how long the store may hold a call: a store that went silent then
+// is noticed, and listed anew, before a configuration must be in force.
+func (g *Gateway) watchWait() time.Duration {
+	return max(g.settings.ApplyLimit/2, g.settings.ApplyLimit+g.settings.UndisturbedTime-watchSlack-relistTime)
 }
 
 // instanceGone leaves an instance out whose address another has; the store will
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -54,6 +54,10 @@
 	registerTimeout = 400 * time.Millisecond
 	// flushTimeout bounds the return of reserves at a planned stop.
 	flushTimeout = time.Second
+	// failureInterval is the pause between two looks at the store, restartPause
+	// the one before it is opened anew.
+	failureInterval = 250 * time.Millisecond
+	restartPause    = 700 * time.Millisecond
 	// watchWait is how long the store may hold a call about what changes seldom.
 	watchWait = 10 * time.Second
 	// repairInterval is the pause between two rounds of repair.
@@ -90,9 +94,32 @@
 	self       register.Member
 }
 
-// Run runs a storage node until the context ends.
+// errStoreFailed ends one run of the node whose disk refused a write.
+var errStoreFailed = errors.New("the replica store takes no writes any more")
+
+// Run runs a storage node until the context ends. Where its disk refuses a write,
+// it opens and verifies the data anew, as after a restart, until the disk takes
+// writes again.
 func Run(ctx context.Context, loaded settings.Storage, parts Parts, logger *zap.Logger) error {
 	debug.SetMemoryLimit(int64(memoryPart * float64(loaded.MemoryLimit)))
+	for {
+		err := runOnce(ctx, loaded, parts, logger)
+		if !errors.Is(err, errStoreFailed) {
+			return err
+		}
+		logger.Error("starting anew", zap.Error(err))
+		timer := time.NewTimer(restartPause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		}
+	}
+}
+
+// runOnce runs the node until the context ends or its store has failed.
+func runOnce(ctx context.Context, loaded settings.Storage, parts Parts, logger *zap.Logger) error {
 	began := time.Now()
 	store, err := replica.OpenDisk(loaded.DataFolder)
 	if err != nil {
@@ -117,15 +144,33 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	stopped := supervisor.ServeBackground(running)
-	<-ctx.Done()
-	n.flush()
+	failure := n.await(ctx)
+	if failure == nil {
+		n.flush()
+	}
 	stop()
 	<-stopped
-	err = store.Close()
+	err = errors.Join(failure, store.Close())
 	logger.Info("stopped", zap.Error(err))
 	return err
 }
 
+// await returns nil when the context ends, and an error once the store failed.
+func (n *Node) await(ctx context.Context) error {
+	ticker := time.NewTicker(failureInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if failure := n.store.Failure(); failure != nil {
+				return merry.Wrap(errStoreFailed, merry.WithCause(failure), merry.AppendMessagef("%v", failure))
+			}
+		}
+	}
+}
+
 // flush gives reserves back while the other nodes still hear this one.
 func (n *Node) flush() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
--- a/settings/document_test.go
+++ b/settings/document_test.go
@@ -15,15 +15,15 @@
 const (
 	documentPath = "../docs/OPERATIONS.md"
 	examplePath  = "../docs/examples/node.yaml"
-	tableStart   = "<!-- settings: start -->\n"
-	tableEnd     = "<!-- settings: end -->\n"
+	tableStart   = "<!-- %s: start -->\n"
+	tableEnd     = "<!-- %s: end -->\n"
 )
 
 // settingsTable renders the options as the documentation must have them.
-func settingsTable() string {
+func settingsTable[T any](options []settings.OptionOf[T]) string {
 	var table strings.Builder
 	table.WriteString("| key | default | allowed | for |\n| --- | --- | --- | --- |\n")
-	for _, option := range settings.Options() {
+	for _, option := range options {
 		fallback := "none"
 		switch {
 		case option.Required:
@@ -37,13 +37,20 @@
 }
 
 func TestDocumentHoldsTheSettings(t *testing.T) {
+	tables := map[string]string{
+		"settings":         settingsTable(settings.Options()),
+		"gateway settings": settingsTable(settings.GatewayOptions()),
+		"storage settings": settingsTable(settings.StorageOptions()),
+	}
 	content, err := os.ReadFile(documentPath)
 	assert.NilError(t, err)
-	_, rest, found := strings.Cut(string(content), tableStart)
-	assert.Assert(t, found)
-	table, _, found := strings.Cut(rest, tableEnd)
-	assert.Assert(t, found)
-	assert.Equal(t, table, settingsTable())
+	for name, want := range tables {
+		_, rest, found := strings.Cut(string(content), fmt.Sprintf(tableStart, name))
+		assert.Assert(t, found, name)
+		table, _, found := strings.Cut(rest, fmt.Sprintf(tableEnd, name))
+		assert.Assert(t, found, name)
+		assert.Equal(t, table, want)
+	}
 }
 
 // TestExampleFile checks the example as it stands and with its commented keys
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -25,6 +25,9 @@
 	StoreURL string `koanf:"store_url" validate:"required,base_url"`
 	// ApplyLimit is the time in which a new configuration must be in force.
 	ApplyLimit time.Duration `koanf:"apply_limit" validate:"min=100ms,max=1m"`
+	// UndisturbedTime is how long the store must have answered before ApplyLimit
+	// binds.
+	UndisturbedTime time.Duration `koanf:"undisturbed_time" validate:"min=0s,max=1m"`
 	// DrainTimeout is how long a planned stop may take.
 	DrainTimeout time.Duration `koanf:"drain_timeout" validate:"min=1s,max=25h"`
 	// MemoryLimit is what the process may use.
@@ -82,9 +85,14 @@
 		},
 		{
 			Key: "apply_limit", Default: "2s", Allowed: allowedDuration("100ms", "1m"),
-			Usage: "time in which a new configuration must be in force; bounds how long a silent store goes unnoticed",
+			Usage: "time in which a new configuration must be in force",
 			field: func(s *Gateway) any { return &s.ApplyLimit },
 		},
+		{
+			Key: "undisturbed_time", Default: "0s", Allowed: allowedDuration("0s", "1m"),
+			Usage: "how long the store must have answered before apply_limit binds; both together bound how long a silent store may go unnoticed",
+			field: func(s *Gateway) any { return &s.UndisturbedTime },
+		},
 		{
 			Key: "drain_timeout", Default: "8s", Allowed: allowedDuration("1s", "25h"),
 			Usage: "how long a planned stop may take; then the process is killed",
--- /dev/null
+++ b/settings/roles_test.go
@@ -0,0 +1,69 @@
+package settings_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/settings"
+)
+
+// gaps are what a platform fills the templates of deploy/ with.
+var gaps = map[string]string{
+	"node_name": "edge-lozenets-1", "zone": "lozenets", "ip": "10.1.0.40", "data_dir": "/data/my-storage",
+	"listen.frontend": "10.1.0.38:8149", "listen.ready": "10.1.0.38:8141", "platform.address": "10.200.1.7:8142",
+	"bounds.config_apply_ms": "2000", "bounds.contact_ms": "3000", "bounds.grace_s": "8", "limits.memory_mb": "284",
+	"port_range.0": "7380", "port_range.1": "7395", "fault_tolerance.machines": "1",
+}
+
+// fill fills a template in and fails on a gap that no platform fills.
+func fill(t *testing.T, path string) string {
+	t.Helper()
+	content, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	return regexp.MustCompile(`{{([^}]*)}}`).ReplaceAllStringFunc(string(content), func(gap string) string {
+		value, known := gaps[strings.Trim(gap, "{}")]
+		assert.Assert(t, known, "%s: gap %s", path, gap)
+		return value
+	})
+}
+
+func TestTemplates(t *testing.T) {
+	gateway, err := settings.LoadGateway(writeFile(t, fill(t, "../deploy/gateway.yaml")), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, gateway.ReadyPath, "/ready")
+	assert.Equal(t, gateway.StoreURL, "http://10.200.1.7:8142")
+	storage, err := settings.LoadStorage(writeFile(t, fill(t, "../deploy/storage.yaml")), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, storage.ReplicationFactor(), 3)
+}
+
+// TestRolesRefuse gives each role one setting that it can't take.
+func TestRolesRefuse(t *testing.T) {
+	gateway := fill(t, "../deploy/gateway.yaml")
+	storage := fill(t, "../deploy/storage.yaml")
+	cases := []struct{ name, old, now, want string }{
+		{"unknown key", "ready_path:", "raedy_path:", "raedy_path: unknown key"},
+		{"no unit", "apply_limit: 2000ms", "apply_limit: 2000", "apply_limit: "},
+		{"host name", "http://10.200.1.7:8142", "http://store:8142", "store_url: "},
+		{"path", "ready_path: /ready", "ready_path: ready", "ready_path: "},
+		{"little memory", "memory_limit: 284MiB", "memory_limit: 1MiB", "memory_limit: "},
+		{"one address twice", "10.1.0.38:8141", "10.1.0.38:8149", "contradicts caller_listen"},
+	}
+	for _, c := range cases {
+		_, err := settings.LoadGateway(writeFile(t, strings.Replace(gateway, c.old, c.now, 1)), nil)
+		assert.ErrorContains(t, err, c.want, c.name)
+	}
+	for name, change := range map[string][3]string{
+		"relative folder":   {"/data/my-storage", "data", "data_folder: "},
+		"too many losses":   {"losses: 1", "losses: 9", "losses: "},
+		"no shard":          {"shards: 4", "shards: 0", "shards: "},
+		"one address twice": {"10.1.0.40:7395", "10.1.0.40:7380", "contradicts peer_listen"},
+	} {
+		_, err := settings.LoadStorage(writeFile(t, strings.Replace(storage, change[0], change[1], 1)), nil)
+		assert.ErrorContains(t, err, change[2], name)
+	}
+}
--- a/state/replica/disk.go
+++ b/state/replica/disk.go
@@ -180,6 +180,15 @@
 // where it was moved; nil where nothing was wrong.
 func (d *Disk) Damage() error { return d.damage }
 
+// Failure returns why the store takes no writes any more; nil while it does. What
+// the disk holds isn't known then: only opening the folder again tells.
+func (d *Disk) Failure() error {
+	if failure := d.writer.failed.Load(); failure != nil {
+		return *failure
+	}
+	return nil
+}
+
 // LoadRegister returns the zero Register for a key that was never saved.
 func (d *Disk) LoadRegister(shard uint32, key string) (Register, error) {
 	return d.mirror.LoadRegister(shard, key)
--- a/state/replica/writer.go
+++ b/state/replica/writer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"sync"
+	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
 	"go.etcd.io/bbolt"
@@ -31,6 +32,8 @@
 	mirror   *Memory
 	changes  chan change
 	failure  error
+	// failed is the failure for other goroutines.
+	failed   atomic.Pointer[error]
 	finished chan struct{}
 
 	mutex   sync.RWMutex
@@ -115,8 +118,7 @@
 		})
 	})
 	if err != nil {
-		w.failure = merry.Errorf("%w: %w", ErrFailed, err)
-		return w.failure
+		return w.fail(merry.Errorf("%w: %w", ErrFailed, err))
 	}
 	w.header = updated
 	for _, applied := range pending {
@@ -124,13 +126,18 @@
 			continue
 		}
 		if err := applied.mirror(w.mirror); err != nil {
-			w.failure = merry.Errorf("%w: in memory: %w", ErrFailed, err)
-			return w.failure
+			return w.fail(merry.Errorf("%w: in memory: %w", ErrFailed, err))
 		}
 	}
 	return nil
 }
 
+func (w *writer) fail(failure error) error {
+	w.failure = failure
+	w.failed.Store(&failure)
+	return failure
+}
+
 func applyAll(transaction *bbolt.Tx, updated *header, pending []change) error {
 	b := &batch{bucket: transaction.Bucket(dataBucket), header: updated}
 	for _, wanted := range pending {
