Look for a turn only once the replica sets are known

Change: the search begins once the sets are known and keeps the home it found. TestSetsThatBecomeKnownLate failed first; the fake replicas now keep shards apart.

--- a/cmd/marblering/gateway.go
+++ b/cmd/marblering/gateway.go
@@ -41,7 +41,9 @@
 		return err
 	}
 	adjustable := zap.NewAtomicLevelAt(level)
-	logger := telemetry.NewLogger(command.OutOrStdout(), adjustable,
+	lines := telemetry.NewAsyncWriter(command.OutOrStdout(), logRoom)
+	defer lines.Close()
+	logger := telemetry.NewLogger(lines, adjustable,
 		zap.String("node", loaded.Name), zap.String("zone", loaded.Zone))
 	reload := reloader[settings.Gateway]{
 		load:     func() (settings.Gateway, error) { return settings.LoadGateway(path, command.Flags()) },
--- a/cmd/marblering/reload.go
+++ b/cmd/marblering/reload.go
@@ -13,6 +13,9 @@
 // settingsVariable names the settings file where no flag does.
 const settingsVariable = "MARBLERING_SETTINGS"
 
+// logRoom is how many log lines may wait to be written.
+const logRoom = 2048
+
 func addSettingsFlag(command *cobra.Command, path *string) {
 	command.Flags().StringVar(path, "settings", "", "settings file (default: $"+settingsVariable+"); flags win over it")
 }
--- a/cmd/marblering/storage.go
+++ b/cmd/marblering/storage.go
@@ -41,7 +41,9 @@
 		return err
 	}
 	adjustable := zap.NewAtomicLevelAt(level)
-	logger := telemetry.NewLogger(command.OutOrStdout(), adjustable,
+	lines := telemetry.NewAsyncWriter(command.OutOrStdout(), logRoom)
+	defer lines.Close()
+	logger := telemetry.NewLogger(lines, adjustable,
 		zap.String("node", loaded.Name), zap.String("zone", loaded.Zone))
 	reload := reloader[settings.Storage]{
 		load:     func() (settings.Storage, error) { return settings.LoadStorage(path, command.Flags()) },
--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -77,6 +77,9 @@
 		return err
 	}
 	stored := replica.Turn{Program: whole.GetId(), Sequence: sequence, Digest: digest, Object: object}
+	if err := s.awaitSets(ctx); err != nil {
+		return err
+	}
 	err = s.untilQuorum(ctx, s.views.Locate(program), func(ctx context.Context, member register.Member, fence register.Fence) (bool, archive.Reply, error) {
 		reply, err := s.replicas.PutTurn(ctx, member, fence, stored)
 		return false, reply, err
@@ -92,24 +95,44 @@
 // looked for where turns of the program are kept, and then everywhere: another
 // program may have begun the line.
 func (s *Store) Line(ctx context.Context, program, id string) ([]*statev1.RetainedTurn, error) {
-	found, err := s.find(ctx, program, []string{id})
+	if err := s.awaitSets(ctx); err != nil {
+		return nil, err
+	}
+	home := s.views.Locate(program)
+	found, err := s.find(ctx, home, []string{id})
 	if err != nil {
 		return nil, err
 	}
 	last := found[0]
-	ancestors, err := s.find(ctx, program, last.GetAncestors())
+	ancestors, err := s.find(ctx, home, last.GetAncestors())
 	if err != nil {
 		return nil, merry.Prependf(err, "the line of turn %q", id)
 	}
 	return append(ancestors, last), nil
 }
 
-// find returns the turns in the order of their ids.
-func (s *Store) find(ctx context.Context, program string, ids []string) ([]*statev1.RetainedTurn, error) {
+// awaitSets waits until the replica sets are known: before, nothing can be said
+// of where a turn is kept.
+func (s *Store) awaitSets(ctx context.Context) error {
+	for s.views.Shards() == 0 {
+		timer := time.NewTimer(roundPause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return merry.Prepend(ErrUnavailable, "no replica set is known")
+		}
+	}
+	return nil
+}
+
+// find returns the turns in the order of their ids, looking in the home shard
+// first.
+func (s *Store) find(ctx context.Context, home uint32, ids []string) ([]*statev1.RetainedTurn, error) {
 	turns := make([]*statev1.RetainedTurn, len(ids))
 	missing := s.fromCache(ids, turns)
 	if len(missing) > 0 {
-		if err := s.read(ctx, s.views.Locate(program), ids, turns, missing); err != nil {
+		if err := s.read(ctx, home, ids, turns, missing); err != nil {
 			return nil, err
 		}
 	}
@@ -117,7 +140,7 @@
 		if missing = s.fromCache(ids, turns); len(missing) == 0 {
 			break
 		}
-		if shard == s.views.Locate(program) {
+		if shard == home {
 			continue
 		}
 		if err := s.read(ctx, shard, ids, turns, missing); err != nil {
--- a/coordination/turnstore/store_test.go
+++ b/coordination/turnstore/store_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,18 +32,21 @@
 	reads  []string
 }
 
-func (m *members) PutTurn(_ context.Context, member register.Member, _ register.Fence, stored replica.Turn) (archive.Reply, error) {
+// place is the name of a turn within its shard.
+func place(fence register.Fence, id string) string { return fmt.Sprintf("%d/%s", fence.Shard, id) }
+
+func (m *members) PutTurn(_ context.Context, member register.Member, fence register.Fence, stored replica.Turn) (archive.Reply, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.down[member.Node] {
 		return archive.Reply{}, errDown
 	}
 	m.writes++
-	m.turns[member.Node][stored.Program] = stored
+	m.turns[member.Node][place(fence, stored.Program)] = stored
 	return archive.Reply{}, nil
 }
 
-func (m *members) ReadMany(_ context.Context, member register.Member, _ register.Fence, ids []string) ([]replica.Turn, archive.Reply, error) {
+func (m *members) ReadMany(_ context.Context, member register.Member, fence register.Fence, ids []string) ([]replica.Turn, archive.Reply, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.down[member.Node] {
@@ -51,7 +55,7 @@
 	m.reads = append(m.reads, member.Node)
 	var found []replica.Turn
 	for _, id := range ids {
-		if stored, exists := m.turns[member.Node][id]; exists {
+		if stored, exists := m.turns[member.Node][place(fence, id)]; exists {
 			found = append(found, stored)
 		}
 	}
@@ -177,10 +181,55 @@
 func TestDamagedCopyIsNoAnswer(t *testing.T) {
 	m, v := newMembers(1)
 	assert.NilError(t, newStore(t, "z0", m, v).Put(context.Background(), "p", &statev1.RetainedTurn{Id: "a", Input: []byte("right")}))
-	damaged := m.turns["m0"]["a"]
+	damaged := m.turns["m0"]["0/a"]
 	damaged.Object = append([]byte{1}, damaged.Object...)
-	m.turns["m0"]["a"] = damaged
+	m.turns["m0"]["0/a"] = damaged
 	line, err := newStore(t, "z0", m, v).Line(context.Background(), "p", "a")
 	assert.NilError(t, err)
 	assert.Equal(t, string(line[0].GetInput()), "right")
 }
+
+// lateViews knows the sets only once it was asked for one, as a gateway does that
+// starts while requests come.
+type lateViews struct {
+	views
+	known *atomic.Bool
+}
+
+func (v lateViews) Shards() uint32 {
+	if !v.known.Load() {
+		return 0
+	}
+	return v.views.Shards()
+}
+
+func (v lateViews) Locate(program string) uint32 {
+	if !v.known.Load() {
+		return 0
+	}
+	return v.views.Locate(program)
+}
+
+func (v lateViews) View(number uint32) (register.View, bool) {
+	if !v.known.Swap(true) {
+		return register.View{}, false
+	}
+	return v.views.View(number)
+}
+
+// TestSetsThatBecomeKnownLate: where a turn is kept is found out only once the
+// sets are known.
+func TestSetsThatBecomeKnownLate(t *testing.T) {
+	for index := range 16 {
+		program := fmt.Sprint("program", index)
+		m, v := newMembers(8)
+		assert.NilError(t, newStore(t, "z0", m, v).Put(context.Background(), program, &statev1.RetainedTurn{Id: "a"}))
+		late := lateViews{views: v, known: &atomic.Bool{}}
+		reader, err := turnstore.New("z0", m, late, 1<<20)
+		assert.NilError(t, err)
+		time.AfterFunc(20*time.Millisecond, func() { late.known.Store(true) })
+		line, err := reader.Line(context.Background(), program, "a")
+		assert.NilError(t, err, program)
+		assert.Equal(t, len(line), 1)
+	}
+}
--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -80,6 +80,7 @@
 	times int
 	runs  []Run
 	early []string
+	pause time.Duration
 	// left counts requests whose client left while they ran.
 	left int
 }
@@ -113,6 +114,13 @@
 	return append([]Run(nil), r.runs...)
 }
 
+// SetPause makes a pause before each event of a stream.
+func (r *Runner) SetPause(pause time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.pause = pause
+}
+
 // ForgetRuns empties the list of what was run.
 func (r *Runner) ForgetRuns() {
 	r.mutex.Lock()
@@ -253,6 +261,9 @@
 // stream sends events from the one after Last-Event-Id on.
 func (r *Runner) stream(w http.ResponseWriter, request *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	r.mutex.Lock()
+	pause := r.pause
+	r.mutex.Unlock()
 	first := 1
 	if last, err := strconv.Atoi(request.Header.Get(HeaderLastEvent)); err == nil {
 		first = last + 1
@@ -264,6 +275,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		time.Sleep(pause)
 		_, _ = w.Write([]byte(text))
 		_ = http.NewResponseController(w).Flush()
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -47,6 +47,11 @@
 	seldomWait = 20 * time.Second
 	// relistTime is left for a listing after a held call that wasn't answered.
 	relistTime = 800 * time.Millisecond
+	// failureLines and answerLines bound the log lines a second about requests
+	// that failed and that were answered, burstLines what both may save up.
+	failureLines = 200
+	answerLines  = 10
+	burstLines   = 100
 	// idleSweep is the pause between two looks at the kept connections.
 	idleSweep = time.Second
 	// memoryPart of the limit is where the garbage collector works harder.
@@ -142,7 +147,8 @@
 		Tables: g.tables, Backends: g.backends, Exchanger: g.upstream, Dialect: parts.Dialect,
 		Turns: g.state.conversations, Certain: g.isCertain, Draining: g.draining.Load, MaxInFlight: maxInFlight, Gone: g.instanceGone,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
-		Metrics: relay.NewMetrics(g.metrics), Logger: logger, Now: time.Now,
+		Metrics: relay.NewMetrics(g.metrics), Now: time.Now,
+		Logger: telemetry.Limited(logger, failureLines, burstLines), Answered: telemetry.Limited(logger, answerLines, burstLines),
 	})
 	g.registerGauges()
 	return g, nil
--- /dev/null
+++ b/telemetry/bounded_test.go
@@ -0,0 +1,63 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/telemetry"
+)
+
+// stuckWriter takes nothing until it is let go.
+type stuckWriter struct {
+	free  chan struct{}
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (w *stuckWriter) Write(line []byte) (int, error) {
+	<-w.free
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.text.Write(line)
+}
+
+// TestAsyncWriterNeverBlocks: lines beyond its room are dropped and counted, the
+// others are written in order.
+func TestAsyncWriterNeverBlocks(t *testing.T) {
+	target := &stuckWriter{free: make(chan struct{})}
+	writer := telemetry.NewAsyncWriter(target, 3)
+	for range 10 {
+		_, err := writer.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, writer.Dropped() >= 6, "%d dropped", writer.Dropped())
+	close(target.free)
+	writer.Close()
+	written := strings.Count(target.text.String(), "line\n")
+	assert.Equal(t, uint64(written)+writer.Dropped(), uint64(10))
+}
+
+// TestLimitedTellsWhatItDropped, and leaves other loggers alone.
+func TestLimitedTellsWhatItDropped(t *testing.T) {
+	var text bytes.Buffer
+	logger := telemetry.NewLogger(&text, zapcore.InfoLevel)
+	limited := telemetry.Limited(logger, 0.000001, 2).With(zap.String("part", "a"))
+	for range 5 {
+		limited.Info("often")
+	}
+	logger.Info("rare")
+	assert.Equal(t, strings.Count(text.String(), "msg=often"), 2)
+	assert.Equal(t, strings.Count(text.String(), "msg=rare"), 1)
+	text.Reset()
+	quick := telemetry.Limited(logger, 1e9, 1)
+	for range 1000 {
+		quick.Info("often")
+	}
+	assert.Assert(t, strings.Count(text.String(), "msg=often") > 0)
+}
--- a/transport/relay/answer.go
+++ b/transport/relay/answer.go
@@ -30,6 +30,7 @@
 func (c *call) fail(failure *result.Error) {
 	info := failure.Code.Info()
 	c.code = failure.Code
+	c.reason = failure.Message
 	header := c.writer.Header()
 	clear(header)
 	header.Set("Content-Type", "application/json")
@@ -56,8 +57,9 @@
 }
 
 // abort breaks the caller's connection: what was written must not look whole.
-func (c *call) abort(code result.Code) {
+func (c *call) abort(code result.Code, cause error) {
 	c.code = code
+	c.reason = cause.Error()
 	panic(http.ErrAbortHandler)
 }
 
@@ -70,13 +72,21 @@
 		zap.String("route", c.routeName()), zap.Int64("configuration", c.version),
 		zap.Int("status", c.status), zap.Uint32("code", uint32(c.code)),
 		zap.Strings("instances", c.tried), zap.Int("sends", c.sends),
-		zap.Duration("first_byte", c.firstByte), zap.Duration("took", took),
+		zap.Duration("first_byte", c.firstByte), zap.Duration("took", took), zap.Duration("allowed", c.allowed()),
 	}
 	if c.code == result.OK {
-		c.handler.options.Logger.Debug("answered", fields...)
+		c.handler.options.Answered.Info("answered", fields...)
 		return
 	}
-	c.handler.options.Logger.Info("not answered", fields...)
+	c.handler.options.Logger.Info("not answered", append(fields, zap.String("reason", c.reason))...)
+}
+
+// allowed is the time that the request had.
+func (c *call) allowed() time.Duration {
+	if c.deadline.IsZero() {
+		return 0
+	}
+	return c.deadline.Sub(c.arrived)
 }
 
 func (c *call) routeName() string {
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -54,6 +54,7 @@
 	lastEvent string
 	status    int
 	code      result.Code
+	reason    string
 	firstByte time.Duration
 }
 
@@ -199,9 +200,9 @@
 func (c *call) giveUp(ctx context.Context, ended outcome, cause error) {
 	switch {
 	case c.request.Context().Err() != nil:
-		c.abort(result.ClientGone)
+		c.abort(result.ClientGone, context.Canceled)
 	case c.began:
-		c.abort(result.BackendFailed)
+		c.abort(result.BackendFailed, cause)
 	case ctx.Err() != nil:
 		c.fail(result.Errorf(result.BackendTimeout, "no answer within %s", c.deadline.Sub(c.arrived)))
 	case c.mayHaveRun:
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -33,8 +33,11 @@
 	Gone    func(instance string)
 	Retries *limit.RetryBudget
 	Metrics *Metrics
-	Logger  *zap.Logger
-	Now     func() time.Time
+	// Logger takes a line for each failed request and each repeat, Answered one
+	// for each request that was answered; both should be bounded.
+	Logger   *zap.Logger
+	Answered *zap.Logger
+	Now      func() time.Time
 }
 
 // Handler is the http.Handler of a gateway's callers.
