Delete turns after three times their retention

Cause: turns stayed on the storage machines for good (docs/FINDINGS.md). Ruled out: an age from the time of day, which steps; an age of each turn alone, which would take the beginning of a line that goes on. Change: coordination/expiry looks at all turns each 20 s; a turn counts as used when it or a later turn of its line is first seen; a restart begins ages anew. Conclusion: disk is bounded by what is kept; budgets are still not collected.

--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/marblering/marblering/coordination/directory"
+	"github.com/marblering/marblering/coordination/expiry"
 	"github.com/marblering/marblering/coordination/follow"
 	"github.com/marblering/marblering/coordination/membership"
 	"github.com/marblering/marblering/coordination/register"
@@ -58,6 +59,8 @@
 	// the one before it is opened anew.
 	failureInterval = 250 * time.Millisecond
 	restartPause    = 700 * time.Millisecond
+	// collectInterval is the pause between two looks for turns that are over.
+	collectInterval = 20 * time.Second
 	// watchWait is how long the store may hold a call about what changes seldom.
 	watchWait = 10 * time.Second
 	// repairInterval is the pause between two rounds of repair.
@@ -196,6 +199,12 @@
 	n.buildRepair()
 	n.buildDirectory()
 	n.buildBudgets()
+	collector, err := expiry.New(expiry.Options{
+		Store: n.store, Shards: uint32(n.settings.Shards), Interval: collectInterval, Now: time.Now, Logger: n.logger,
+	})
+	if err != nil {
+		return nil, err
+	}
 	peers, err := listen("peers", n.settings.PeerListen.String(),
 		peer.NewHTTPServer(peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, peerMetrics)))
 	if err != nil {
@@ -206,7 +215,7 @@
 		return nil, errors.Join(err, peers.socket.Close())
 	}
 	return []suture.Service{
-		peers, operators, n.membership, n.repair, n.keeper, n.retirement, n.budgets,
+		peers, operators, n.membership, n.repair, n.keeper, n.retirement, n.budgets, collector,
 		n.follower("storage nodes", n.parts.Nodes, n.applyNodes),
 		n.follower("replica sets", n.parts.Sets, n.applySets),
 		n.follower("retirements", n.parts.Retirements, n.retirement.Decode(n.parts.DecodeRetirement)),
