--- a/coordination/tokenbudget/client.go
+++ b/coordination/tokenbudget/client.go
@@ -42,6 +42,10 @@
 	// endTries bounds the tries to tell a host of ended turns. It charges turns
 	// that it isn't told of with their most.
 	endTries = 5
+	// failuresToClose in a row, each at all hosts of a shard, close the shard for
+	// closedTime: requests are then refused at once.
+	failuresToClose = 3
+	closedTime      = 250 * time.Millisecond
 	// lifetimeSlack is added to a turn's time, for clocks that differ in speed.
 	lifetimeSlack = 5 * time.Second
 )
@@ -61,6 +65,14 @@
 	ended map[string][]Ended
 	// failed is when a host failed last.
 	failed map[string]time.Time
+	// shards are those whose hosts all failed lately.
+	shards map[uint32]shardFailures
+}
+
+// shardFailures counts reservations in a row that no host of a shard decided.
+type shardFailures struct {
+	count int
+	last  time.Time
 }
 
 // NewClient makes a client without turns.
@@ -68,21 +80,27 @@
 	return &Client{
 		hosts: hosts, views: views, now: now, logger: logger,
 		hostOf: make(map[string]string), ended: make(map[string][]Ended), failed: make(map[string]time.Time),
+		shards: make(map[uint32]shardFailures),
 	}
 }
 
 // Reserve asks the program's hosts one after the other until one decides. After
 // success, End must be called.
 func (c *Client) Reserve(ctx context.Context, wanted Reservation) error {
-	view, known := c.views.View(c.views.Locate(wanted.Program))
+	shard := c.views.Locate(wanted.Program)
+	view, known := c.views.View(shard)
 	if !known {
 		return merry.Prepend(ErrUnavailable, "no replica set is known")
 	}
+	if c.isClosed(shard) {
+		return merry.Prependf(ErrUnavailable, "shard %d was out of reach a moment ago", shard)
+	}
 	wanted.Lifetime += lifetimeSlack
 	var last error
 	for _, address := range c.order(view, wanted.Program) {
 		err := c.try(ctx, address, wanted)
 		if err == nil || IsRefusal(err) {
+			c.noteShard(shard, true)
 			return err
 		}
 		last = err
@@ -90,9 +108,29 @@
 			break
 		}
 	}
+	c.noteShard(shard, false)
 	return merry.Wrap(ErrUnavailable, merry.WithCause(last), merry.AppendMessagef("%v", last))
 }
 
+// isClosed tells that no host of the shard decided anything lately, so that a
+// request would only wait.
+func (c *Client) isClosed(shard uint32) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	failures := c.shards[shard]
+	return failures.count >= failuresToClose && c.now().Sub(failures.last) < closedTime
+}
+
+func (c *Client) noteShard(shard uint32, decided bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if decided {
+		delete(c.shards, shard)
+		return
+	}
+	c.shards[shard] = shardFailures{count: c.shards[shard].count + 1, last: c.now()}
+}
+
 func (c *Client) try(ctx context.Context, address string, wanted Reservation) error {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
--- a/coordination/tokenbudget/host_test.go
+++ b/coordination/tokenbudget/host_test.go
@@ -56,6 +56,13 @@
 	return err
 }
 
+// count is how often any host was asked for a reservation.
+func (n *network) count() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return len(n.asked)
+}
+
 type oneView struct{ members []register.Member }
 
 func (v oneView) View(uint32) (register.View, bool) {
@@ -122,6 +129,22 @@
 	assert.ErrorIs(t, newClient(carried, oneView{}).Reserve(context.Background(), turnOf("t")), tokenbudget.ErrUnavailable)
 }
 
+// TestShardOutOfReachIsRefusedAtOnce after some tries, and asked again soon.
+func TestShardOutOfReachIsRefusedAtOnce(t *testing.T) {
+	carried, view := newNetwork(newRegister(), 2)
+	carried.down["host0"], carried.down["host1"] = true, true
+	now := time.Now()
+	client := tokenbudget.NewClient(carried, view, func() time.Time { return now }, zap.NewNop())
+	for range 10 {
+		assert.ErrorIs(t, client.Reserve(context.Background(), turnOf("t")), tokenbudget.ErrUnavailable)
+	}
+	assert.Equal(t, carried.count(), 6, "three tries at two hosts")
+	carried.down["host0"], carried.down["host1"] = false, false
+	now = now.Add(time.Second)
+	assert.NilError(t, client.Reserve(context.Background(), turnOf("t")))
+	assert.NilError(t, client.Reserve(context.Background(), turnOf("u")))
+}
+
 // TestSpentIsFinal: no other host is asked.
 func TestSpentIsFinal(t *testing.T) {
 	carried, view := newNetwork(newRegister(), 3)
--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// releasesAtOnce bounds the returns of reserves that are under way.
+const releasesAtOnce = 16
+
 // Ledger lets turns begin and counts what they generate. It is safe for
 // concurrent use.
 type Ledger struct {
@@ -55,6 +58,10 @@
 	settings  Settings
 	logger    *zap.Logger
 
+	// releasing bounds the returns of reserves that are under way: while the
+	// record can't be reached, many accounts become idle.
+	releasing chan struct{}
+
 	mutex    sync.Mutex
 	accounts map[string]*account
 	opened   uint64
@@ -67,7 +74,7 @@
 func New(holder string, registers Register, locate func(program string) uint32, settings Settings, logger *zap.Logger) *Ledger {
 	return &Ledger{
 		holder: holder, registers: registers, locate: locate, settings: settings, logger: logger,
-		accounts: make(map[string]*account),
+		accounts: make(map[string]*account), releasing: make(chan struct{}, releasesAtOnce),
 	}
 }
 
@@ -230,6 +237,8 @@
 }
 
 func (l *Ledger) tryToRelease(program string, current *account) error {
+	l.releasing <- struct{}{}
+	defer func() { <-l.releasing }()
 	ctx, cancel := context.WithTimeout(context.Background(), l.settings.ReleaseTimeout)
 	defer cancel()
 	return l.apply(ctx, program, func(record *statev1.TokenBudget) {
--- a/coordination/tokenbudget/ledger_test.go
+++ b/coordination/tokenbudget/ledger_test.go
@@ -174,3 +174,40 @@
 	first.Flush(context.Background())
 	assert.ErrorIs(t, second.Reserve(context.Background(), "p", 100, 100), budget.ErrSpent)
 }
+
+// slowRegister is one that can't be reached: each try takes its time.
+type slowRegister struct {
+	mutex        sync.Mutex
+	running      int
+	most, failed int
+}
+
+func (r *slowRegister) Apply(ctx context.Context, _ uint32, _ string, _ register.Change) ([]byte, error) {
+	r.mutex.Lock()
+	r.running++
+	r.most = max(r.most, r.running)
+	r.mutex.Unlock()
+	time.Sleep(time.Millisecond)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.running--
+	r.failed++
+	return nil, register.ErrNoQuorum
+}
+
+// TestFewReleasesAtOnce while the record can't be reached.
+func TestFewReleasesAtOnce(t *testing.T) {
+	unreachable := &slowRegister{}
+	settings := tokenbudget.Settings{IdleTime: time.Millisecond, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, ReleaseTries: 3}
+	ledger := tokenbudget.New("host", unreachable, func(string) uint32 { return 0 }, settings, zap.NewNop())
+	const programs = 200
+	for index := range programs {
+		_ = ledger.Reserve(context.Background(), fmt.Sprint(index), 100, 10)
+	}
+	harness.Eventually(t, func() (bool, string) {
+		unreachable.mutex.Lock()
+		defer unreachable.mutex.Unlock()
+		return unreachable.failed >= programs*(1+settings.ReleaseTries), fmt.Sprintf("%d tries", unreachable.failed)
+	})
+	assert.Assert(t, unreachable.most <= 17, "%d tries at once", unreachable.most)
+}
--- a/test/document/document.go
+++ b/test/document/document.go
@@ -67,7 +67,7 @@
 		proofs = append(proofs, Proof{
 			Number:  number,
 			Promise: strings.TrimSpace(cells[1]),
-			Tests:   testNames(cells[testColumn]),
+			Tests:   TestNames(cells[testColumn]),
 		})
 	}
 	return proofs
@@ -79,7 +79,8 @@
 	testColumn   = 3
 )
 
-func testNames(cell string) []TestName {
+// TestNames returns the tests that a text names, as `folder.Function`.
+func TestNames(cell string) []TestName {
 	var names []TestName
 	for _, match := range regexp.MustCompile("`([a-z0-9/_]+)\\.((?:Test|Fuzz|Example)\\w*)`").FindAllStringSubmatch(cell, -1) {
 		names = append(names, TestName{Folder: match[1], Function: match[2]})
--- a/test/document/document_test.go
+++ b/test/document/document_test.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// TestEveryNamedTestExists holds for the whole page, also below the promises.
+func TestEveryNamedTestExists(t *testing.T) {
+	names := document.TestNames(read(t, filepath.Join(root, "docs", "PROOFS.md")))
+	assert.Assert(t, len(names) > 30, "found only %d names", len(names))
+	for _, name := range names {
+		assert.Assert(t, declares(t, name), "%s has no %s", name.Folder, name.Function)
+	}
+}
+
 // declares reports whether a test file of the folder declares the function.
 func declares(t *testing.T, name document.TestName) bool {
 	t.Helper()
--- a/transport/peer/protocol.go
+++ b/transport/peer/protocol.go
@@ -21,7 +21,7 @@
 func NewHTTPClient() *http.Client {
 	transport := &http.Transport{DialContext: socket.Dialer(dialTimeout, unacknowledgedTimeout).DialContext}
 	UseProtocols(transport)
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: newBoundedTransport(transport)}
 }
 
 // NewHTTPServer returns a server for the handler of this package.
