Open every HTTP listener in one place

Cause: the same supervised listener stood in node, node/gateway and node/storage. Ruled out: nothing. Change: transport/listener, with the test that stood in node. Conclusion: behaviour is the same.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/marblering/marblering/coordination/routetable"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/telemetry"
+	"github.com/marblering/marblering/transport/listener"
 	"github.com/marblering/marblering/transport/relay"
 	"github.com/marblering/marblering/transport/upstream"
 )
@@ -73,7 +74,7 @@
 	sets          *follow.Follower
 	state         *state
 	callers       *callerServer
-	operators     *operatorServer
+	operators     *listener.Listener
 	metrics       *prometheus.Registry
 	// listed is set once the instances are known.
 	listed   atomic.Bool
@@ -124,7 +125,7 @@
 func (g *Gateway) CallerAddress() string { return g.callers.address().String() }
 
 // OperatorAddress is where operators are served.
-func (g *Gateway) OperatorAddress() string { return g.operators.address().String() }
+func (g *Gateway) OperatorAddress() string { return g.operators.Address() }
 
 func newGateway(loaded settings.Gateway, parts Parts, logger *zap.Logger) (*Gateway, error) {
 	g := &Gateway{
@@ -177,7 +178,8 @@
 	if g.callers, err = listenCallers(g.settings.CallerListen, g.relay, g.logger); err != nil {
 		return err
 	}
-	g.operators, err = listenOperators(g.settings.OperatorListen, g.operatorHandler())
+	operators := &http.Server{Handler: g.operatorHandler(), ReadHeaderTimeout: listener.HeaderTimeout}
+	g.operators, err = listener.Open("operators", g.settings.OperatorListen.String(), operators)
 	return err
 }
 
--- a/node/gateway/listen.go
+++ b/node/gateway/listen.go
@@ -160,34 +160,3 @@
 
 // Addr implements net.Listener.
 func (f *feed) Addr() net.Addr { return f.at }
-
-// operatorServer serves operators.
-type operatorServer struct {
-	socket net.Listener
-	server *http.Server
-}
-
-func listenOperators(address netip.AddrPort, handler http.Handler) (*operatorServer, error) {
-	socket, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, merry.Prependf(err, "listening for operators on %s", address)
-	}
-	return &operatorServer{socket: socket, server: &http.Server{Handler: handler, ReadHeaderTimeout: firstHeaderTimeout}}, nil
-}
-
-func (s *operatorServer) address() net.Addr { return s.socket.Addr() }
-
-// String names the service in the supervisor's messages.
-func (s *operatorServer) String() string { return "listener of operators" }
-
-// Serve implements suture.Service.
-func (s *operatorServer) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
-	defer stop()
-	err := s.server.Serve(s.socket)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	return err
-}
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/marblering/marblering/state/history"
 	"github.com/marblering/marblering/state/replica"
 	"github.com/marblering/marblering/telemetry"
+	"github.com/marblering/marblering/transport/listener"
 	"github.com/marblering/marblering/transport/peer"
 )
 
@@ -78,9 +79,9 @@
 	// draining is set from the first moment of a planned stop.
 	draining atomic.Bool
 
-	peerListener     *listener
-	callerListener   *listener
-	operatorListener *listener
+	peerListener     *listener.Listener
+	callerListener   *listener.Listener
+	operatorListener *listener.Listener
 
 	stop    context.CancelFunc
 	stopped <-chan error
@@ -132,7 +133,7 @@
 	logger.Info("started",
 		zap.String("identity", n.identity),
 		zap.String("peer_address", n.PeerAddress()),
-		zap.String("peer_listen", n.peerListener.address()),
+		zap.String("peer_listen", n.peerListener.Address()),
 		zap.String("caller_address", n.CallerAddress()),
 		zap.String("operator_address", n.OperatorAddress()))
 	return n, nil
@@ -147,14 +148,14 @@
 	if n.settings.PeerAdvertise.IsValid() {
 		return n.settings.PeerAdvertise.String()
 	}
-	return n.peerListener.address()
+	return n.peerListener.Address()
 }
 
 // CallerAddress is where the caller API listens.
-func (n *Node) CallerAddress() string { return n.callerListener.address() }
+func (n *Node) CallerAddress() string { return n.callerListener.Address() }
 
 // OperatorAddress is where operators, metrics and health are served.
-func (n *Node) OperatorAddress() string { return n.operatorListener.address() }
+func (n *Node) OperatorAddress() string { return n.operatorListener.Address() }
 
 // open opens the replica store and names this life of the node.
 func (n *Node) open() error {
@@ -258,19 +259,19 @@
 		return err
 	}
 	if n.callerListener, err = listen("callers", n.settings.CallerListen, callers); err != nil {
-		return errors.Join(err, n.peerListener.socket.Close())
+		return errors.Join(err, n.peerListener.Socket.Close())
 	}
-	n.peerListener.socket = &countedListener{Listener: n.peerListener.socket, wire: n.wire, end: wirePeer}
-	n.callerListener.socket = &countedListener{Listener: n.callerListener.socket, wire: n.wire, end: wireCaller}
+	n.peerListener.Socket = &countedListener{Listener: n.peerListener.Socket, wire: n.wire, end: wirePeer}
+	n.callerListener.Socket = &countedListener{Listener: n.callerListener.Socket, wire: n.wire, end: wireCaller}
 	if n.operatorListener, err = listen("operators", n.settings.OperatorListen, operators); err != nil {
-		return errors.Join(err, n.peerListener.socket.Close(), n.callerListener.socket.Close())
+		return errors.Join(err, n.peerListener.Socket.Close(), n.callerListener.Socket.Close())
 	}
 	return nil
 }
 
 // closeListeners closes the listeners of a node that can't start.
 func (n *Node) closeListeners() error {
-	return errors.Join(n.peerListener.socket.Close(), n.callerListener.socket.Close(), n.operatorListener.socket.Close())
+	return errors.Join(n.peerListener.Socket.Close(), n.callerListener.Socket.Close(), n.operatorListener.Socket.Close())
 }
 
 func (n *Node) buildMembership(peers *peer.Client) {
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -31,6 +30,7 @@
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/state/replica"
 	"github.com/marblering/marblering/telemetry"
+	"github.com/marblering/marblering/transport/listener"
 	"github.com/marblering/marblering/transport/peer"
 )
 
@@ -48,9 +48,8 @@
 
 const (
 	// memoryPart of the limit is where the garbage collector works harder.
-	memoryPart    = 0.8
-	headerTimeout = 10 * time.Second
-	peerTimeout   = 2 * time.Second
+	memoryPart  = 0.8
+	peerTimeout = 2 * time.Second
 	// registerTimeout bounds one request of a register's round.
 	registerTimeout = 400 * time.Millisecond
 	// flushTimeout bounds the return of reserves at a planned stop.
@@ -205,14 +204,14 @@
 	if err != nil {
 		return nil, err
 	}
-	peers, err := listen("peers", n.settings.PeerListen.String(),
+	peers, err := listener.Open("peers", n.settings.PeerListen.String(),
 		peer.NewHTTPServer(peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, peerMetrics)))
 	if err != nil {
 		return nil, err
 	}
-	operators, err := listen("operators", n.settings.OperatorListen.String(), n.operatorServer())
+	operators, err := listener.Open("operators", n.settings.OperatorListen.String(), n.operatorServer())
 	if err != nil {
-		return nil, errors.Join(err, peers.socket.Close())
+		return nil, errors.Join(err, peers.Socket.Close())
 	}
 	return []suture.Service{
 		peers, operators, n.membership, n.repair, n.keeper, n.retirement, n.budgets, collector,
@@ -335,38 +334,7 @@
 func (n *Node) operatorServer() *http.Server {
 	readiness := telemetry.NewReadiness()
 	readiness.Add("replicas", n.repair.Check)
-	return &http.Server{Handler: telemetry.NewHandler(n.metrics, readiness), ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: telemetry.NewHandler(n.metrics, readiness), ReadHeaderTimeout: listener.HeaderTimeout}
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-
-// server is one HTTP server of the node. It is a suture service; the socket is
-// opened before the service starts.
-type server struct {
-	name   string
-	socket net.Listener
-	http   *http.Server
-}
-
-func listen(name, address string, served *http.Server) (*server, error) {
-	socket, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, merry.Prependf(err, "listening for %s on %s", name, address)
-	}
-	return &server{name: name, socket: socket, http: served}, nil
-}
-
-// String names the service in the supervisor's messages.
-func (s *server) String() string { return "listener of " + s.name }
-
-// Serve implements suture.Service.
-func (s *server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
-	defer stop()
-	err := s.http.Serve(s.socket)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	return err
-}
--- a/node/listen_test.go
+++ b/transport/listener/listener_test.go
@@ -1,15 +1,16 @@
-package node
+package listener_test
 
 import (
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/transport/listener"
 )
 
 // heldListener holds what the server writes until nobody can connect any more.
@@ -50,15 +51,16 @@
 		defer close(returned)
 		_, _ = writer.Write([]byte("whole"))
 	})
-	server, err := listen("callers", netip.MustParseAddrPort("127.0.0.1:0"), handler)
+	served := &http.Server{Handler: handler}
+	server, err := listener.Open("callers", "127.0.0.1:0", served)
 	assert.NilError(t, err)
-	held := &heldListener{Listener: server.socket}
-	server.socket = held
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(t.Context()) }()
+	held := &heldListener{Listener: server.Socket}
+	server.Socket = held
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(t.Context()) }()
 	answers := make(chan string, 1)
 	go func() {
-		response, err := http.Get("http://" + server.address())
+		response, err := http.Get("http://" + server.Address())
 		if err != nil {
 			answers <- err.Error()
 			return
@@ -68,8 +70,8 @@
 		answers <- string(body)
 	}()
 	<-returned
-	assert.NilError(t, server.finish(t.Context()))
+	assert.NilError(t, server.Finish(t.Context()))
 	assert.Assert(t, held.written.Load())
-	assert.NilError(t, server.server.Close())
+	assert.NilError(t, served.Close())
 	assert.Equal(t, <-answers, "whole")
 }
--- a/transport/peer/protocol.go
+++ b/transport/peer/protocol.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/marblering/marblering/transport/listener"
 	"github.com/marblering/marblering/transport/socket"
 )
 
@@ -24,17 +25,14 @@
 	return &http.Client{Transport: newBoundedTransport(transport)}
 }
 
-// NewHTTPServer returns a server for the handler of this package.
+// NewHTTPServer returns a server that speaks HTTP/1.1 and HTTP/2 without TLS.
 func NewHTTPServer(handler http.Handler) *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: protocols}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: listener.HeaderTimeout, Protocols: protocols}
 }
 
-// headerTimeout bounds how long a peer may take to send its headers.
-const headerTimeout = 10 * time.Second
-
 // UseProtocols makes requests between nodes go over HTTP/2 without TLS
 // (RFC 9113, prior knowledge): its header compression matters, since control
 // messages are shorter than their headers. A silent connection is pinged, so
