--- a/cmd/marblering/reload.go
+++ b/cmd/marblering/reload.go
@@ -5,7 +5,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -13,13 +12,6 @@
 // settingsVariable names the settings file where no flag does.
 const settingsVariable = "MARBLERING_SETTINGS"
 
-// logRoom is how many log lines may wait to be written.
-const logRoom = 2048
-
-func addSettingsFlag(command *cobra.Command, path *string) {
-	command.Flags().StringVar(path, "settings", "", "settings file (default: $"+settingsVariable+"); flags win over it")
-}
-
 // reloader reads the settings again at each SIGHUP. The log level takes effect
 // at once; everything else at the next start, which the line says.
 type reloader[T comparable] struct {
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -16,27 +16,45 @@
 type AsyncWriter struct {
 	lines   chan []byte
 	dropped atomic.Uint64
+	closing chan struct{}
 	done    chan struct{}
 	once    sync.Once
 }
 
 // NewAsyncWriter makes a writer with room for so many lines.
 func NewAsyncWriter(target io.Writer, room int) *AsyncWriter {
-	w := &AsyncWriter{lines: make(chan []byte, room), done: make(chan struct{})}
+	w := &AsyncWriter{lines: make(chan []byte, room), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run(target)
 	return w
 }
 
 func (w *AsyncWriter) run(target io.Writer) {
 	defer close(w.done)
-	for line := range w.lines {
-		// Nobody can be told that the log can't be written.
-		_, _ = target.Write(line)
+	for {
+		select {
+		case line := <-w.lines:
+			// Nobody can be told that the log can't be written.
+			_, _ = target.Write(line)
+		case <-w.closing:
+			w.writeRest(target)
+			return
+		}
 	}
 }
 
-// Write implements io.Writer. It never blocks and must not be called after
-// Close.
+// writeRest writes what waits now.
+func (w *AsyncWriter) writeRest(target io.Writer) {
+	for {
+		select {
+		case line := <-w.lines:
+			_, _ = target.Write(line)
+		default:
+			return
+		}
+	}
+}
+
+// Write implements io.Writer. It never blocks; lines after Close are lost.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	copied := append([]byte(nil), line...)
 	select {
@@ -53,7 +71,7 @@
 // Close writes what waits, for a second at the utmost.
 func (w *AsyncWriter) Close() {
 	const patience = time.Second
-	w.once.Do(func() { close(w.lines) })
+	w.once.Do(func() { close(w.closing) })
 	select {
 	case <-w.done:
 	case <-time.After(patience):
--- a/telemetry/bounded_test.go
+++ b/telemetry/bounded_test.go
@@ -39,6 +39,8 @@
 	assert.Assert(t, writer.Dropped() >= 6, "%d dropped", writer.Dropped())
 	close(target.free)
 	writer.Close()
+	_, err := writer.Write([]byte("too late"))
+	assert.NilError(t, err)
 	written := strings.Count(target.text.String(), "line\n")
 	assert.Equal(t, uint64(written)+writer.Dropped(), uint64(10))
 }
