--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -110,6 +110,9 @@
 	return p.command.ProcessState.ExitCode()
 }
 
+// PID is the id of the process.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // HasEnded tells whether the process has ended.
 func (p *Process) HasEnded() bool {
 	select {
