Tell a request whose time is over as such at the very deadline

Ruled out: the runner's own end (it hangs in that test), the load: the order of the two timers decides, and the new test fails without any. TestTimeIsOverBeforeTheContextSaysSo failed first.

--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -103,7 +103,7 @@
 func (c *call) attempt(ctx context.Context, choice *backend.Choice) (outcome, error) {
 	c.tried = append(c.tried, choice.Instance.ID)
 	ended, cause := c.exchange(ctx, choice)
-	if ctx.Err() != nil && ended != delivered {
+	if c.isOver(ctx) && ended != delivered {
 		ended = abandoned
 	}
 	choice.Release(verdictOf(ended))
@@ -119,6 +119,12 @@
 	return ended, cause
 }
 
+// isOver tells that the client is gone or that the request's time is over. A
+// connection may notice the deadline a moment before the context does.
+func (c *call) isOver(ctx context.Context) bool {
+	return ctx.Err() != nil || !c.handler.options.Now().Before(c.deadline)
+}
+
 // verdictOf says what an attempt showed of the instance. A refusal is a sign of
 // load, not of a fault.
 func verdictOf(ended outcome) backend.Verdict {
@@ -181,7 +187,7 @@
 
 // mayTryAgain says whether another instance may be sent the request.
 func (c *call) mayTryAgain(ctx context.Context, ended outcome) bool {
-	if ended == abandoned || ended == unstored || ctx.Err() != nil {
+	if ended == abandoned || ended == unstored || c.isOver(ctx) {
 		return false
 	}
 	if ended == unreached {
@@ -203,7 +209,7 @@
 		c.abort(result.ClientGone, context.Canceled)
 	case c.began:
 		c.abort(result.BackendFailed, cause)
-	case ctx.Err() != nil:
+	case c.isOver(ctx):
 		c.fail(result.Errorf(result.BackendTimeout, "no answer within %s", c.deadline.Sub(c.arrived)))
 	case c.mayHaveRun:
 		c.fail(result.Errorf(result.BackendFailed, "%v", cause))
--- /dev/null
+++ b/transport/relay/deadline_test.go
@@ -0,0 +1,77 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/routetable"
+	"github.com/marblering/marblering/state/result"
+	"github.com/marblering/marblering/transport/relay"
+	"github.com/marblering/marblering/transport/upstream"
+)
+
+// plainDialect reads nothing of a request.
+type plainDialect struct{}
+
+func (plainDialect) Read(*http.Request) (relay.Facts, *result.Error) {
+	return relay.Facts{ID: "id"}, nil
+}
+func (plainDialect) Write(http.Header, relay.Attempt)       {}
+func (plainDialect) Judge(*upstream.Answer) relay.Judgement { return relay.Proper }
+
+// brokenExchanger loses every answer and counts the tries.
+type brokenExchanger struct {
+	tries atomic.Int64
+	after func()
+}
+
+func (e *brokenExchanger) Do(context.Context, *upstream.Request) (*upstream.Answer, error) {
+	e.tries.Add(1)
+	e.after()
+	return nil, &upstream.Error{Sent: true, Stage: upstream.StageHead, Cause: context.DeadlineExceeded}
+}
+
+// TestTimeIsOverBeforeTheContextSaysSo: a connection notices the deadline a moment
+// before the request's context does. The answer is that of a request whose time is
+// over, and no other back end is tried.
+func TestTimeIsOverBeforeTheContextSaysSo(t *testing.T) {
+	for name, kind := range map[string]routetable.Kind{"safe": routetable.Safe, "unsafe": routetable.Unsafe} {
+		table, err := routetable.NewTable(routetable.Configuration{
+			Version: 1, Services: []routetable.Service{{Name: "app"}},
+			Routes: []routetable.Route{{
+				Name: "r", Host: "shop.example", PathPrefix: "/", Kind: kind, Timeout: time.Minute, Attempts: 3,
+				Targets: []routetable.Target{{Service: "app", Weight: 1}},
+			}},
+		})
+		assert.NilError(t, err)
+		tables := &routetable.Holder{}
+		tables.Install(table)
+		pool := backend.NewPool("a", backend.EjectionPolicy(), time.Now)
+		pool.Replace([]backend.Instance{{ID: "i-1", Service: "app"}, {ID: "i-2", Service: "app"}})
+		var passed atomic.Int64
+		exchanger := &brokenExchanger{after: func() { passed.Store(int64(time.Minute)) }}
+		handler := relay.New(relay.Options{
+			Tables: tables, Backends: pool, Exchanger: exchanger, Dialect: plainDialect{},
+			Certain: func() bool { return true }, Draining: func() bool { return false }, MaxInFlight: 10,
+			Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
+			Metrics: relay.NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(), Answered: zap.NewNop(),
+			Now: func() time.Time { return time.Now().Add(time.Duration(passed.Load())) },
+		})
+		request := httptest.NewRequest(http.MethodGet, "/x", nil)
+		request.Host = "shop.example"
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		assert.Equal(t, recorder.Code, http.StatusGatewayTimeout, name)
+		assert.Equal(t, exchanger.tries.Load(), int64(1), name)
+	}
+}
