Say what a gateway does about an instance that lost its address

Cause: the comment promised that the instance is left out at once; only its resting connections are closed, and the pool leaves it out after repeated answers. Change: the comment.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -204,8 +204,8 @@
 	return max(g.settings.ApplyLimit/2, g.settings.ApplyLimit+g.settings.UndisturbedTime-watchSlack-relistTime)
 }
 
-// instanceGone leaves an instance out whose address another has; the store will
-// say so later.
+// instanceGone closes what rests of an instance whose address another has. The
+// pool leaves it out once such answers have repeated, or the store says so.
 func (g *Gateway) instanceGone(instance string) {
 	g.upstream.Forget(instance)
 	g.logger.Info("instance lost its address", zap.String("instance", instance))
