Leave out runners that are slow or silent compared with the others

Cause: an attempt that was given up at its deadline said nothing of its instance, and the ejector's comparison of waits was never fed. A runner that hung, turned slow or failed half of its requests kept the programs whose context it had. The ejector also judged all services together, so that failures of a large service could use up, or stretch, what may be left out of a small one.

Change: Choice.Release takes how the request ended (Answered, Broken, Waited, Unjudged). Each service has its own ejector and the usual wait of each route; waits are compared with it, a single one counting at most twice what makes an instance slow. Errors of the instance's own count by their share. An instance that says nothing about a request for four usual waits is passed over until it does, unless most are silent. Usual waits and the retry budgets of routes are forgotten after a minute without requests (package recent).

--- /dev/null
+++ b/coordination/backend/health.go
@@ -0,0 +1,92 @@
+package backend
+
+import (
+	"sync"
+	"time"
+
+	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/recent"
+)
+
+const (
+	// usualGain is the weight of a new wait in the usual one.
+	usualGain = 0.05
+	// usualClamp bounds what one wait may say: so many times the usual.
+	usualClamp = 4
+	// patienceFactor times the usual wait is how long an instance may say
+	// nothing before it counts as stalled, but never less than minPatience, and
+	// firstPatience where nothing is known yet.
+	patienceFactor = 4
+	minPatience    = 250 * time.Millisecond
+	firstPatience  = time.Second
+	// usualIdle is how long the usual wait of a route without requests is kept.
+	usualIdle = time.Minute
+)
+
+// health judges the instances of one service against each other. What is
+// usual follows the service as a whole: where all instances are slow, the
+// service is overloaded and none of them is at fault.
+type health struct {
+	ejector *limit.Ejector
+
+	mutex sync.Mutex
+	usual *recent.Map[time.Duration]
+}
+
+func newHealth(policy limit.EjectionPolicy) *health {
+	unknown := func(time.Time) time.Duration { return 0 }
+	return &health{ejector: limit.NewEjector(policy), usual: recent.New(usualIdle, unknown)}
+}
+
+// patience is how long an instance may say nothing about a request of the route.
+func (h *health) patience(route string, now time.Time) time.Duration {
+	h.mutex.Lock()
+	usual := *h.usual.Get(route, now)
+	h.mutex.Unlock()
+	if usual == 0 {
+		return firstPatience
+	}
+	return max(patienceFactor*usual, minPatience)
+}
+
+// expect returns the usual wait of the route and takes a new one in.
+func (h *health) expect(route string, wait time.Duration, now time.Time) time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	usual := h.usual.Get(route, now)
+	before := *usual
+	if before == 0 {
+		*usual = wait
+		return wait
+	}
+	*usual += time.Duration(usualGain * float64(min(wait, usualClamp*before)-before))
+	return before
+}
+
+// observe takes in how a request of the route ended.
+func (h *health) observe(instance, route string, ending Ending, now time.Time) limit.EngineHealth {
+	switch e := ending.(type) {
+	case Answered:
+		outcome := limit.Outcome{Failed: e.Faulty, Took: e.Wait}
+		if !e.Faulty {
+			outcome.Expected = h.expect(route, e.Wait, now)
+		}
+		return h.ejector.Observe(instance, outcome, now)
+	case Broken:
+		return h.ejector.Observe(instance, limit.Outcome{Failed: true}, now)
+	case Waited:
+		return h.observeWait(instance, route, e.Wait, now)
+	case Unjudged:
+	}
+	return h.ejector.Health(instance, now)
+}
+
+// observeWait takes in that the answer would have taken longer. A client that
+// leaves before the usual time says nothing.
+func (h *health) observeWait(instance, route string, wait time.Duration, now time.Time) limit.EngineHealth {
+	if wait < h.patience(route, now)/patienceFactor {
+		return h.ejector.Health(instance, now)
+	}
+	expected := h.expect(route, wait, now)
+	return h.ejector.Observe(instance, limit.Outcome{Expected: expected, Took: wait}, now)
+}
--- a/coordination/backend/instance.go
+++ b/coordination/backend/instance.go
@@ -3,7 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"sync/atomic"
+
+	"github.com/marblering/marblering/coordination/limit"
 )
 
 // Instance is one start of a back end process.
@@ -28,30 +29,47 @@
 	hash uint64
 }
 
-// load counts this node's requests at one instance. It outlives the sets.
-type load struct {
-	outstanding atomic.Int64
-}
-
 // set is an immutable collection of instances.
 type set struct {
-	services map[string][]*member
+	services map[string]*service
 	byID     map[string]*member
 }
 
-func newSet(instances []Instance, previous *set) *set {
-	next := &set{services: make(map[string][]*member), byID: make(map[string]*member, len(instances))}
+// service is the instances of one service; its health outlives the sets.
+type service struct {
+	members []*member
+	health  *health
+}
+
+func newSet(instances []Instance, previous *set, policy limit.EjectionPolicy) *set {
+	next := &set{services: make(map[string]*service), byID: make(map[string]*member, len(instances))}
 	for _, instance := range instances {
 		joined := &member{Instance: instance, load: previous.loadOf(instance.ID), hash: hashText(instance.ID)}
 		next.byID[instance.ID] = joined
-		next.services[instance.Service] = append(next.services[instance.Service], joined)
+		of := next.services[instance.Service]
+		if of == nil {
+			of = &service{health: previous.healthOf(instance.Service, policy)}
+			next.services[instance.Service] = of
+		}
+		of.members = append(of.members, joined)
+		of.health.ejector.Know(instance.ID)
 	}
-	for _, members := range next.services {
-		slices.SortFunc(members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
+	for _, of := range next.services {
+		slices.SortFunc(of.members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	return next
 }
 
+// healthOf keeps the judgement of a service that was known before.
+func (s *set) healthOf(name string, policy limit.EjectionPolicy) *health {
+	if s != nil {
+		if known, found := s.services[name]; found {
+			return known.health
+		}
+	}
+	return newHealth(policy)
+}
+
 // loadOf keeps the counter of an instance that was known before.
 func (s *set) loadOf(id string) *load {
 	if s != nil {
--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -19,9 +19,9 @@
 // Pool chooses instances and counts this node's work at them. It is safe for
 // concurrent use.
 type Pool struct {
-	zone    string
-	now     func() time.Time
-	ejector *limit.Ejector
+	zone   string
+	now    func() time.Time
+	policy limit.EjectionPolicy
 
 	current atomic.Pointer[set]
 	mutex   sync.Mutex
@@ -29,8 +29,8 @@
 
 // NewPool makes a pool for a node of the zone that knows no instance.
 func NewPool(zone string, policy limit.EjectionPolicy, now func() time.Time) *Pool {
-	pool := &Pool{zone: zone, now: now, ejector: limit.NewEjector(policy)}
-	pool.current.Store(newSet(nil, nil))
+	pool := &Pool{zone: zone, now: now, policy: policy}
+	pool.current.Store(newSet(nil, nil, policy))
 	return pool
 }
 
@@ -40,7 +40,8 @@
 	return limit.EjectionPolicy{
 		SlowFactor:  4,
 		Failures:    3,
-		MinSamples:  8,
+		FaultShare:  0.4,
+		MinSamples:  4,
 		BaseTime:    time.Second,
 		MaxTime:     8 * time.Second,
 		MaxFraction: 0.5,
@@ -54,14 +55,11 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	previous := p.current.Load()
-	next := newSet(instances, previous)
+	next := newSet(instances, previous, p.policy)
 	p.current.Store(next)
-	for id := range next.byID {
-		p.ejector.Know(id)
-	}
-	for id := range previous.byID {
+	for id, was := range previous.byID {
 		if _, stays := next.byID[id]; !stays {
-			p.ejector.Forget(id)
+			previous.services[was.Service].health.ejector.Forget(id)
 			gone = append(gone, id)
 		}
 	}
@@ -83,6 +81,8 @@
 // Query describes a request to be placed.
 type Query struct {
 	Service string
+	// Route names the kind of work, so that like is compared with like.
+	Route string
 	// Key names the context that the request shares with others, such as its
 	// program; empty for none.
 	Key string
@@ -100,38 +100,65 @@
 
 	pool     *Pool
 	load     *load
+	health   *health
+	route    string
+	began    time.Time
+	patience time.Duration
+	// heard is when the instance last gave a sign of the request, in
+	// nanoseconds since 1970.
+	heard    atomic.Int64
 	released atomic.Bool
 }
 
 // Acquire chooses an instance and counts the request there.
 func (p *Pool) Acquire(query Query) (*Choice, error) {
 	now := p.now()
-	members := p.current.Load().services[query.Service]
-	candidates := p.usable(members, query.Tried, now)
+	of, ok := p.current.Load().services[query.Service]
+	if !ok {
+		return nil, ErrNone
+	}
+	candidates := of.usable(query.Tried, now)
 	if len(candidates) == 0 {
 		return nil, ErrNone
 	}
-	chosen, preferred := chooseNear(candidates, p.zone, query.Key)
-	outstanding := chosen.load.outstanding.Add(1) - 1
-	return &Choice{
-		Instance: chosen.Instance, Preferred: preferred, Outstanding: outstanding,
-		pool: p, load: chosen.load,
-	}, nil
+	chosen, preferred := p.choose(candidates, query.Key, now)
+	c := &Choice{
+		Instance: chosen.Instance, Preferred: preferred, Outstanding: chosen.load.outstanding.Load(),
+		pool: p, load: chosen.load, health: of.health,
+		route: query.Route, began: now, patience: of.health.patience(query.Route, now),
+	}
+	c.heard.Store(now.UnixNano())
+	c.load.add(c)
+	return c, nil
+}
+
+// choose looks at stalls only where the first choice has one: mostly none has.
+func (p *Pool) choose(candidates []*member, key string, now time.Time) (chosen *member, preferred bool) {
+	chosen, preferred = chooseNear(candidates, p.zone, key)
+	if !chosen.load.stalled(now) {
+		return chosen, preferred
+	}
+	rest := responsive(candidates, now)
+	if len(rest) == len(candidates) {
+		return chosen, preferred
+	}
+	chosen, _ = chooseNear(rest, p.zone, key)
+	return chosen, false
 }
 
 // usable returns the instances that may get new work. Where all of them are
 // ejected, these are better than none.
-func (p *Pool) usable(members []*member, tried []string, now time.Time) []*member {
+func (s *service) usable(tried []string, now time.Time) []*member {
 	var healthy, ejected []*member
-	for _, member := range members {
+	for _, member := range s.members {
 		if member.Leaving || contains(tried, member.ID) {
 			continue
 		}
-		switch p.ejector.Health(member.ID, now) {
+		switch s.health.ejector.Health(member.ID, now) {
 		case limit.Healthy:
 			healthy = append(healthy, member)
 		case limit.Probed:
-			if p.ejector.Probe(member.ID, probeTimeout, now) {
+			if s.health.ejector.Probe(member.ID, probeTimeout, now) {
 				return append(healthy[:0], member)
 			}
 			ejected = append(ejected, member)
@@ -145,31 +172,18 @@
 	return healthy
 }
 
-// Verdict is what a request showed of its instance.
-type Verdict int
-
-// Verdicts.
-const (
-	// Neutral says nothing, such as a request that its client gave up.
-	Neutral Verdict = iota
-	// Good is a proper answer.
-	Good
-	// Bad is silence, a broken connection or an answer that isn't one.
-	Bad
-)
+// Heard notes that something of the answer came.
+func (c *Choice) Heard() { c.heard.Store(c.pool.now().UnixNano()) }
 
 // Release ends the request's place. Only the first call counts. It returns the
 // instance's health after it.
-func (c *Choice) Release(verdict Verdict) limit.EngineHealth {
+func (c *Choice) Release(ending Ending) limit.EngineHealth {
 	now := c.pool.now()
 	if c.released.Swap(true) {
-		return c.pool.ejector.Health(c.Instance.ID, now)
-	}
-	c.load.outstanding.Add(-1)
-	if verdict == Neutral {
-		return c.pool.ejector.Health(c.Instance.ID, now)
+		return c.health.ejector.Health(c.Instance.ID, now)
 	}
-	return c.pool.ejector.Observe(c.Instance.ID, limit.Outcome{Failed: verdict == Bad}, now)
+	c.load.remove(c)
+	return c.health.observe(c.Instance.ID, c.route, ending, now)
 }
 
 func contains(ids []string, id string) bool {
--- a/coordination/backend/pool_test.go
+++ b/coordination/backend/pool_test.go
@@ -29,7 +29,7 @@
 func Example() {
 	pool := newPool(newClock(), 3)
 	first, _ := pool.Acquire(backend.Query{Service: "app", Key: "program"})
-	first.Release(backend.Good)
+	first.Release(backend.Answered{})
 	second, _ := pool.Acquire(backend.Query{Service: "app", Key: "program"})
 	fmt.Println(first.Instance.ID == second.Instance.ID, second.Preferred)
 	// Output: true true
@@ -95,7 +95,7 @@
 	fail := func() {
 		choice, err := pool.Acquire(backend.Query{Service: "app", Tried: []string{"i1", "i2"}})
 		assert.NilError(t, err)
-		choice.Release(backend.Bad)
+		choice.Release(backend.Broken{})
 	}
 	for range 3 {
 		fail()
@@ -104,7 +104,7 @@
 		choice, err := pool.Acquire(backend.Query{Service: "app"})
 		assert.NilError(t, err)
 		assert.Assert(t, choice.Instance.ID != "i0")
-		choice.Release(backend.Good)
+		choice.Release(backend.Answered{})
 	}
 	at.now = at.now.Add(1100 * time.Millisecond)
 	probe, err := pool.Acquire(backend.Query{Service: "app"})
@@ -113,7 +113,7 @@
 	other, err := pool.Acquire(backend.Query{Service: "app"})
 	assert.NilError(t, err)
 	assert.Assert(t, other.Instance.ID != "i0", "only one at a time")
-	assert.Equal(t, probe.Release(backend.Good), limit.Probed)
+	assert.Equal(t, probe.Release(backend.Answered{}), limit.Probed)
 }
 
 // TestAllEjected: instances that fail are better than none.
@@ -122,7 +122,7 @@
 	for range 5 {
 		choice, err := pool.Acquire(backend.Query{Service: "app"})
 		assert.NilError(t, err)
-		choice.Release(backend.Bad)
+		choice.Release(backend.Broken{})
 	}
 }
 
@@ -130,8 +130,8 @@
 	pool := newPool(newClock(), 1)
 	choice, err := pool.Acquire(backend.Query{Service: "app"})
 	assert.NilError(t, err)
-	choice.Release(backend.Neutral)
-	choice.Release(backend.Neutral)
+	choice.Release(backend.Unjudged{})
+	choice.Release(backend.Unjudged{})
 	next, err := pool.Acquire(backend.Query{Service: "app"})
 	assert.NilError(t, err)
 	assert.Equal(t, next.Outstanding, int64(0))
--- /dev/null
+++ b/coordination/backend/stall.go
@@ -0,0 +1,61 @@
+package backend
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// load is this node's work at one instance. It outlives the sets.
+type load struct {
+	outstanding atomic.Int64
+
+	mutex   sync.Mutex
+	waiting map[*Choice]struct{}
+}
+
+func (l *load) add(c *Choice) {
+	l.outstanding.Add(1)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.waiting == nil {
+		l.waiting = map[*Choice]struct{}{}
+	}
+	l.waiting[c] = struct{}{}
+}
+
+func (l *load) remove(c *Choice) {
+	l.outstanding.Add(-1)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.waiting, c)
+}
+
+// stalled tells that a request of this node has waited too long for a sign of
+// the instance.
+func (l *load) stalled(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for c := range l.waiting {
+		if now.Sub(time.Unix(0, c.heard.Load())) > c.patience {
+			return true
+		}
+	}
+	return false
+}
+
+// responsive returns the candidates that aren't stalled, or all of them where
+// most are stalled: these are overloaded, and leaving them out would only move
+// the load on.
+func responsive(candidates []*member, now time.Time) []*member {
+	var rest []*member
+	for _, m := range candidates {
+		if !m.load.stalled(now) {
+			rest = append(rest, m)
+		}
+	}
+	if 2*len(rest) < len(candidates) {
+		return candidates
+	}
+	return rest
+}
--- a/coordination/limit/ejection.go
+++ b/coordination/limit/ejection.go
@@ -13,6 +13,9 @@
 	SlowFactor float64
 	// Failures in a row after which an engine is ejected.
 	Failures int
+	// FaultShare of the calls, as a moving average, at which an engine is
+	// ejected; zero for none.
+	FaultShare float64
 	// MinSamples of an engine are needed before it is called slow.
 	MinSamples int
 	// BaseTime of an ejection; it doubles with each one that follows soon.
@@ -64,7 +67,7 @@
 	Took time.Duration
 }
 
-// slownessGain is the weight of a new sample in an engine's moving average.
+// slownessGain is the weight of a new sample in an engine's moving averages.
 const slownessGain = 0.2
 
 // Ejector finds engines that are slow or failing compared with the others
@@ -79,6 +82,8 @@
 type engineHealth struct {
 	slowness  float64
 	samples   int
+	faults    float64
+	ended     int
 	failures  int
 	ejections int
 	health    EngineHealth
@@ -99,7 +104,7 @@
 	defer e.mutex.Unlock()
 	health := e.open(engine)
 	health.advance(now)
-	health.add(outcome)
+	health.add(outcome, e.policy.SlowFactor)
 	if health.health == Probed {
 		e.probed(health, outcome, now)
 		return health.health
@@ -169,6 +174,9 @@
 	if health.failures >= e.policy.Failures {
 		return true
 	}
+	if e.policy.FaultShare > 0 && health.ended >= e.policy.MinSamples && health.faults >= e.policy.FaultShare {
+		return true
+	}
 	if health.samples < e.policy.MinSamples {
 		return false
 	}
@@ -240,16 +248,21 @@
 	}
 }
 
-func (h *engineHealth) add(outcome Outcome) {
+// add takes in one outcome. A single call says at most twice what makes an
+// engine slow, so that it takes several to eject one.
+func (h *engineHealth) add(outcome Outcome, slowFactor float64) {
+	h.ended++
 	if outcome.Failed {
 		h.failures++
+		h.faults += slownessGain * (1 - h.faults)
 		return
 	}
 	h.failures = 0
+	h.faults -= slownessGain * h.faults
 	if outcome.Expected <= 0 {
 		return
 	}
-	ratio := outcome.Took.Seconds() / outcome.Expected.Seconds()
+	ratio := min(outcome.Took.Seconds()/outcome.Expected.Seconds(), 2*slowFactor)
 	h.samples++
 	if h.samples == 1 {
 		h.slowness = ratio
--- a/coordination/limit/retry.go
+++ b/coordination/limit/retry.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/marblering/marblering/coordination/recent"
 )
 
 // RetryPolicy sizes a retry budget.
@@ -31,36 +33,45 @@
 
 	mutex   sync.Mutex
 	node    Bucket
-	tenants map[string]*Bucket
+	tenants *recent.Map[Bucket]
 }
 
 // tenantFraction of the node's retries may be used by one tenant.
 const tenantFraction = 0.5
 
+// tenantIdle is how long the budget of a tenant without calls is kept.
+const tenantIdle = time.Minute
+
 // NewRetryBudget makes a budget.
 func NewRetryBudget(policy RetryPolicy, now time.Time) *RetryBudget {
 	budget := &RetryBudget{
-		policy:  policy,
-		node:    NewBucket(policy.MinPerSecond, policy.Burst, now),
-		tenants: make(map[string]*Bucket),
+		policy: policy,
+		node:   NewBucket(policy.MinPerSecond, policy.Burst, now),
 	}
+	budget.tenants = recent.New(tenantIdle, budget.newTenant)
 	budget.node.Add(policy.Saved)
 	return budget
 }
 
+func (r *RetryBudget) newTenant(now time.Time) Bucket {
+	made := NewBucket(r.policy.MinPerSecond*tenantFraction, r.policy.Burst*tenantFraction, now)
+	made.Add(r.policy.Saved)
+	return made
+}
+
 // Attempted records a first attempt, which earns a part of a retry.
 func (r *RetryBudget) Attempted(tenant string, now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.node.Add(r.policy.Ratio)
-	r.open(tenant, now).Add(r.policy.Ratio)
+	r.tenants.Get(tenant, now).Add(r.policy.Ratio)
 }
 
 // Retry takes one retry; false means that the call must fail instead.
 func (r *RetryBudget) Retry(tenant string, now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	own := r.open(tenant, now)
+	own := r.tenants.Get(tenant, now)
 	if own.Wait(1, now) > 0 {
 		return false
 	}
@@ -69,14 +80,3 @@
 	}
 	return own.Take(1, now)
 }
-
-func (r *RetryBudget) open(tenant string, now time.Time) *Bucket {
-	own, known := r.tenants[tenant]
-	if !known {
-		made := NewBucket(r.policy.MinPerSecond*tenantFraction, r.policy.Burst*tenantFraction, now)
-		made.Add(r.policy.Saved)
-		own = &made
-		r.tenants[tenant] = own
-	}
-	return own
-}
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -81,13 +81,13 @@
 	c.handler.options.Retries.Attempted(c.route.Name, c.handler.options.Now())
 	for {
 		choice, err := c.handler.options.Backends.Acquire(backend.Query{
-			Service: c.route.Pick(backend.Draw(c.facts.Key)), Key: c.facts.Key, Tried: c.tried,
+			Service: c.route.Pick(backend.Draw(c.facts.Key)), Route: c.route.Name, Key: c.facts.Key, Tried: c.tried,
 		})
 		if err != nil {
 			c.giveUp(ctx, unreached, err)
 			return
 		}
-		ended, cause := c.attempt(ctx, choice)
+		ended, cause := c.try(ctx, choice)
 		if ended == delivered {
 			return
 		}
@@ -99,14 +99,15 @@
 	}
 }
 
-// attempt sends the request to one instance.
-func (c *call) attempt(ctx context.Context, choice *backend.Choice) (outcome, error) {
+// try sends the request to one instance.
+func (c *call) try(ctx context.Context, choice *backend.Choice) (outcome, error) {
 	c.tried = append(c.tried, choice.Instance.ID)
-	ended, cause := c.exchange(ctx, choice)
+	tried := &trial{choice: choice, began: c.handler.options.Now()}
+	ended, cause := c.exchange(ctx, tried)
 	if c.isOver(ctx) && ended != delivered {
 		ended = abandoned
 	}
-	choice.Release(verdictOf(ended))
+	choice.Release(tried.ending(ended, c.handler.options.Now()))
 	switch ended {
 	case unreached:
 		c.detours++
@@ -125,20 +126,8 @@
 	return ctx.Err() != nil || !c.handler.options.Now().Before(c.deadline)
 }
 
-// verdictOf says what an attempt showed of the instance. A refusal is a sign of
-// load, not of a fault.
-func verdictOf(ended outcome) backend.Verdict {
-	switch ended {
-	case delivered, unstored:
-		return backend.Good
-	case unreached, lost:
-		return backend.Bad
-	}
-	return backend.Neutral
-}
-
-func (c *call) exchange(ctx context.Context, choice *backend.Choice) (outcome, error) {
-	answer, err := c.handler.options.Exchanger.Do(ctx, c.upstreamRequest(choice))
+func (c *call) exchange(ctx context.Context, tried *trial) (outcome, error) {
+	answer, err := c.handler.options.Exchanger.Do(ctx, c.upstreamRequest(tried.choice))
 	if err != nil {
 		return outcomeOf(err), err
 	}
@@ -148,13 +137,13 @@
 		return refused, errRefused
 	case Misdirected:
 		drain(answer)
-		c.handler.options.Gone(choice.Instance.ID)
+		c.handler.options.Gone(tried.choice.Instance.ID)
 		return unreached, errMisdirected
 	case Improper:
 		answer.CloseBody()
 		return lost, errImproper
 	}
-	return c.deliver(ctx, answer)
+	return c.deliver(ctx, answer, tried)
 }
 
 var (
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -23,15 +23,15 @@
 )
 
 // deliver passes a proper answer on.
-func (c *call) deliver(ctx context.Context, answer *upstream.Answer) (outcome, error) {
+func (c *call) deliver(ctx context.Context, answer *upstream.Answer, tried *trial) (outcome, error) {
 	defer answer.CloseBody()
 	if isEventStream(answer) {
-		return c.deliverEvents(ctx, answer)
+		return c.deliverEvents(ctx, answer, tried)
 	}
 	if c.began {
 		return lost, errNotResumed
 	}
-	return c.deliverWhole(answer)
+	return c.deliverWhole(answer, tried)
 }
 
 var (
@@ -45,11 +45,13 @@
 }
 
 // deliverWhole passes a plain answer on once all of it has arrived.
-func (c *call) deliverWhole(answer *upstream.Answer) (outcome, error) {
+func (c *call) deliverWhole(answer *upstream.Answer, tried *trial) (outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(answer, bufferedAnswer+1))
 	if err != nil {
 		return lost, err
 	}
+	tried.status = answer.Status
+	tried.heard(c.handler.options.Now())
 	if len(body) > bufferedAnswer {
 		return c.deliverLarge(answer, body)
 	}
@@ -86,7 +88,7 @@
 
 // deliverEvents passes whole events on as they come. The head follows with the
 // first of them, so that a stream that breaks before can still be replaced.
-func (c *call) deliverEvents(ctx context.Context, answer *upstream.Answer) (outcome, error) {
+func (c *call) deliverEvents(ctx context.Context, answer *upstream.Answer, tried *trial) (outcome, error) {
 	events := newEventReader(answer)
 	controller := http.NewResponseController(c.writer)
 	for {
@@ -97,6 +99,7 @@
 		if err != nil {
 			return lost, err
 		}
+		tried.heard(c.handler.options.Now())
 		if event.isOld(c.lastEvent) {
 			continue
 		}
