Take targets in absolute form; leave out an instance that lost its address

Cause: RequestURI of a request in absolute form holds scheme and authority, which matched no route; and an instance whose address another one answered at got requests until three such answers.

Change: relay passes the origin form on, byte for byte. Pool.Gone leaves an instance out from the first sign on, as a last resort only; its id never returns.

--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -66,6 +66,14 @@
 	return gone
 }
 
+// Gone says that another instance was found at the address of this one, which
+// then gets new work only where nothing else is left.
+func (p *Pool) Gone(id string) {
+	if known, found := p.current.Load().byID[id]; found {
+		known.load.gone.Store(true)
+	}
+}
+
 // Count returns how many instances of all services are known, and how many of
 // these are leaving.
 func (p *Pool) Count() (known, leaving int) {
@@ -154,6 +162,10 @@
 		if member.Leaving || contains(tried, member.ID) {
 			continue
 		}
+		if member.load.gone.Load() {
+			ejected = append(ejected, member)
+			continue
+		}
 		switch s.health.ejector.Health(member.ID, now) {
 		case limit.Healthy:
 			healthy = append(healthy, member)
--- a/coordination/backend/pool_test.go
+++ b/coordination/backend/pool_test.go
@@ -136,3 +136,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, next.Outstanding, int64(0))
 }
+
+// TestGoneInstance gets nothing new from the first sign on, as long as others
+// are there.
+func TestGoneInstance(t *testing.T) {
+	pool := newPool(newClock(), 2)
+	pool.Gone("i0")
+	pool.Gone("unknown")
+	for i := range 50 {
+		c, err := pool.Acquire(backend.Query{Service: "app", Key: fmt.Sprint(i)})
+		assert.NilError(t, err)
+		assert.Equal(t, c.Instance.ID, "i1")
+	}
+	_, err := pool.Acquire(backend.Query{Service: "app", Tried: []string{"i1"}})
+	assert.NilError(t, err, "the last resort")
+}
--- a/coordination/backend/stall.go
+++ b/coordination/backend/stall.go
@@ -9,6 +9,8 @@
 // load is this node's work at one instance. It outlives the sets.
 type load struct {
 	outstanding atomic.Int64
+	// gone is set once another instance was found at the address.
+	gone atomic.Bool
 
 	mutex   sync.Mutex
 	waiting map[*Choice]struct{}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -204,9 +204,10 @@
 	return max(g.settings.ApplyLimit/2, g.settings.ApplyLimit+g.settings.UndisturbedTime-watchSlack-relistTime)
 }
 
-// instanceGone closes what rests of an instance whose address another has. The
-// pool leaves it out once such answers have repeated, or the store says so.
+// instanceGone leaves an instance out whose address another has, and closes its
+// connections. Its id doesn't come back: each start has its own.
 func (g *Gateway) instanceGone(instance string) {
+	g.backends.Gone(instance)
 	g.upstream.Forget(instance)
 	g.logger.Info("instance lost its address", zap.String("instance", instance))
 }
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -36,6 +36,8 @@
 	version  int64
 	facts    Facts
 	route    *routetable.Route
+	// target is the path and query, byte for byte as they came.
+	target string
 	// body is what back ends get: the request's own, or that of its turn.
 	body []byte
 	// turn is set for turns of programs whose state is kept.
@@ -169,7 +171,7 @@
 	})
 	return &upstream.Request{
 		Address: choice.Instance.Address, Instance: choice.Instance.ID,
-		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host,
+		Method: c.request.Method, Target: c.target, Host: c.request.Host,
 		Header: header, Body: c.body, ID: c.facts.ID,
 	}
 }
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -94,7 +94,8 @@
 		return failure
 	}
 	c.facts = facts
-	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	c.target = originForm(c.request.RequestURI)
+	path, _, _ := strings.Cut(c.target, "?")
 	route, found := table.Match(c.request.Host, path)
 	if !found {
 		return c.noRoute()
--- a/transport/relay/header.go
+++ b/transport/relay/header.go
@@ -28,6 +28,24 @@
 	return copied
 }
 
+// originForm drops scheme and authority from a target in absolute form, which
+// servers have to take (RFC 9112, section 3.2.2). Path and query stay as they
+// are.
+func originForm(target string) string {
+	_, rest, ok := strings.Cut(target, "://")
+	if !ok || strings.HasPrefix(target, "/") {
+		return target
+	}
+	start := strings.IndexAny(rest, "/?")
+	switch {
+	case start < 0:
+		return "/"
+	case rest[start] == '?':
+		return "/" + rest[start:]
+	}
+	return rest[start:]
+}
+
 // headerBytes is about the size of a request's head as it was received.
 func headerBytes(request *http.Request) int64 {
 	const separators = len(": \r\n")
