Let requests that nobody waits for leave a slow replica

Cause: a replica holds one of 256 locks over the synced write of a register. Requests for the same lock queued there without end, also once their callers had given up: stacks of a storage node of the larger sovk site showed up to 1,167 prepare requests in one lock. They kept the shard's read lock, so that sealing it timed out, and wrote what nobody wanted any more.

Ruled out: the installation as what held the lock (it was in the stacks for one second of ten); the disk (syncs of 1 ms).

Change: the locks are channels that a request stops waiting for when its context ends; it is then refused and changes nothing. A turn that nobody waits for is not written either.

--- a/coordination/shard/replica.go
+++ b/coordination/shard/replica.go
@@ -6,16 +6,12 @@
 	"sync"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/marblering/marblering/coordination/archive"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/state/replica"
 )
 
-// stripes is the number of locks that the registers share.
-const stripes = 256
-
 // Replica is one node's share of the shards. It is safe for concurrent use.
 type Replica struct {
 	incarnation   string
@@ -23,7 +19,7 @@
 	views         *Map
 	configuration func() uint64
 	acceptor      register.Acceptor
-	locks         [stripes]sync.Mutex
+	locks         *stripes
 
 	// requests is held for reading while a request is answered.
 	requests sync.RWMutex
@@ -44,6 +40,7 @@
 		store:         store,
 		views:         views,
 		configuration: configuration,
+		locks:         newStripes(),
 		parts:         make(map[uint32]*part),
 	}
 }
@@ -73,10 +70,6 @@
 	return r.parts[shard], nil
 }
 
-func (r *Replica) lock(shard uint32, key string) *sync.Mutex {
-	return &r.locks[(xxhash.Sum64String(key)+uint64(shard))%stripes]
-}
-
 // verdict is the part of a reply that doesn't depend on the kind of request.
 type verdict struct {
 	refusal register.Refusal
@@ -85,9 +78,9 @@
 }
 
 // Prepare answers a prepare request.
-func (r *Replica) Prepare(_ context.Context, request register.PrepareRequest) register.PrepareReply {
+func (r *Replica) Prepare(ctx context.Context, request register.PrepareRequest) register.PrepareReply {
 	var reply register.PrepareReply
-	result := r.vote(request.Fence, request.Key, func(current replica.Register) (replica.Register, register.Refusal) {
+	result := r.vote(ctx, request.Fence, request.Key, func(current replica.Register) (replica.Register, register.Refusal) {
 		var next replica.Register
 		next, reply = r.acceptor.Prepare(current, request.Ballot)
 		return next, reply.Refusal
@@ -100,9 +93,9 @@
 }
 
 // Accept answers an accept request.
-func (r *Replica) Accept(_ context.Context, request register.AcceptRequest) register.AcceptReply {
+func (r *Replica) Accept(ctx context.Context, request register.AcceptRequest) register.AcceptReply {
 	var reply register.AcceptReply
-	result := r.vote(request.Fence, request.Key, func(current replica.Register) (replica.Register, register.Refusal) {
+	result := r.vote(ctx, request.Fence, request.Key, func(current replica.Register) (replica.Register, register.Refusal) {
 		var next replica.Register
 		next, reply = r.acceptor.Accept(current, request.Ballot, request.Value, request.Next)
 		return next, reply.Refusal
@@ -117,8 +110,8 @@
 type decision func(current replica.Register) (next replica.Register, refusal register.Refusal)
 
 // vote checks the fence, loads the register, decides and stores the outcome as
-// one step.
-func (r *Replica) vote(fence register.Fence, key string, decide decision) verdict {
+// one step. A request whose caller has given up is refused and changes nothing.
+func (r *Replica) vote(ctx context.Context, fence register.Fence, key string, decide decision) verdict {
 	r.requests.RLock()
 	defer r.requests.RUnlock()
 	version, err := r.version()
@@ -137,13 +130,15 @@
 	if fence.ConfigurationVersion < version && !isSuccessorKey(key) {
 		return verdict{refusal: register.RefusalConfiguration, version: version}
 	}
-	return verdict{refusal: r.decide(fence.Shard, key, decide), version: version}
+	return verdict{refusal: r.decide(ctx, fence.Shard, key, decide), version: version}
 }
 
-func (r *Replica) decide(shard uint32, key string, decide decision) register.Refusal {
-	lock := r.lock(shard, key)
-	lock.Lock()
-	defer lock.Unlock()
+func (r *Replica) decide(ctx context.Context, shard uint32, key string, decide decision) register.Refusal {
+	unlock, held := r.locks.lock(ctx, shard, key)
+	if !held {
+		return register.RefusalNotReady
+	}
+	defer unlock()
 	state, err := r.store.LoadRegister(shard, key)
 	if err != nil {
 		return register.RefusalStorage
@@ -158,8 +153,8 @@
 	return register.RefusalNone
 }
 
-// PutTurn stores a turn.
-func (r *Replica) PutTurn(_ context.Context, fence register.Fence, turn replica.Turn) archive.Reply {
+// PutTurn stores a turn, unless its caller has given up meanwhile.
+func (r *Replica) PutTurn(ctx context.Context, fence register.Fence, turn replica.Turn) archive.Reply {
 	current, err := r.current(fence.Shard)
 	if err != nil {
 		return archive.Reply{Refusal: register.RefusalStorage}
@@ -168,6 +163,9 @@
 	if refusal, view := r.check(current.state, fence, turn.Program); refusal != register.RefusalNone {
 		return archive.Reply{Refusal: refusal, View: view}
 	}
+	if ctx.Err() != nil {
+		return archive.Reply{Refusal: register.RefusalNotReady}
+	}
 	if err := r.store.PutTurn(fence.Shard, turn); err != nil {
 		return archive.Reply{Refusal: register.RefusalStorage}
 	}
