Balance replica sets over the nodes

Cause: the members of each set were chosen by rendezvous order alone, one a zone.

Ruled out: more shards, which would make chance fairer but cost more reconfigurations for each lost disk.

Change: among zones within their part the node in the fewest sets is chosen, at founding and in repairs, moves planned together included. A zone may hold so many members as a set may lose, (factor - 1) / 2 and one at least: with five members two of one zone, so that zones with few nodes don't stand in every set. Sets of three are spread as before.

TestRepairBalances failed before (one node took all four sets).

--- a/coordination/directory/plan.go
+++ b/coordination/directory/plan.go
@@ -78,10 +78,8 @@
 		candidates = append(candidates, shard.Candidate{Member: node, HasDataFolder: true})
 	}
 	sets := Sets{Shards: settings.Shards}
-	for number := range settings.Shards {
-		sets.Views = append(sets.Views, register.View{
-			Shard: number, Epoch: shard.FirstEpoch, Members: shard.Assign(number, settings.Factor, candidates),
-		})
+	for number, members := range shard.AssignAll(settings.Shards, settings.Factor, candidates) {
+		sets.Views = append(sets.Views, register.View{Shard: uint32(number), Epoch: shard.FirstEpoch, Members: members})
 	}
 	return sets
 }
--- a/coordination/shard/assign.go
+++ b/coordination/shard/assign.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 
@@ -14,63 +15,91 @@
 	HasDataFolder bool
 }
 
-// Assign chooses the members of a shard: one replica a zone where zones allow,
-// nodes with a data folder first, spread by rendezvous hashing.
-func Assign(shard uint32, factor int, candidates []Candidate) []register.Member {
-	return fill(shard, factor, nil, candidates)
+// AssignAll chooses the first members of all shards: as many of a zone as a set
+// may lose at most, nodes with a data folder first, then those in the fewest
+// sets.
+func AssignAll(shards uint32, factor int, candidates []Candidate) [][]register.Member {
+	sets := make(setCounts)
+	all := make([][]register.Member, 0, shards)
+	for shard := range shards {
+		members := fill(shard, factor, nil, candidates, sets)
+		sets.count(nil, members)
+		all = append(all, members)
+	}
+	return all
 }
 
-// fill adds candidates to the members that stay until there are enough: always
-// one of a zone that has the fewest members.
-func fill(shard uint32, factor int, kept []register.Member, candidates []Candidate) []register.Member {
+// setCounts is in how many sets each node is, by its name.
+type setCounts map[string]int
+
+// count takes in that a set gets other members.
+func (s setCounts) count(before, after []register.Member) {
+	for _, member := range before {
+		s[member.Node]--
+	}
+	for _, member := range after {
+		s[member.Node]++
+	}
+}
+
+// zoneLimit is how many members of a set may stand in one zone: so many that
+// the others are still a majority without them, and one at least.
+func zoneLimit(factor int) int { return max((factor-1)/2, 1) }
+
+// fill adds candidates to the members that stay until there are enough.
+func fill(shard uint32, factor int, kept []register.Member, candidates []Candidate, sets setCounts) []register.Member {
 	members := slices.Clone(kept)
 	if len(members) >= factor {
 		// The usual case, for every set of every node each second: nothing to
 		// order.
 		return members
 	}
-	key := strconv.FormatUint(uint64(shard), 10)
-	perZone := make(map[string]int)
+	f := filler{key: strconv.FormatUint(uint64(shard), 10), limit: zoneLimit(factor), sets: sets, zones: make(map[string]int)}
 	for _, member := range members {
-		perZone[member.Zone]++
+		f.zones[member.Zone]++
 	}
-	ordered := slices.DeleteFunc(slices.Clone(candidates), func(candidate Candidate) bool {
-		return hasNode(members, candidate.Member.Node)
-	})
-	slices.SortFunc(ordered, func(left, right Candidate) int { return compareCandidates(key, left, right) })
-	for len(members) < factor && len(ordered) > 0 {
-		best := 0
-		for index, candidate := range ordered {
-			if perZone[candidate.Member.Zone] < perZone[ordered[best].Member.Zone] {
-				best = index
-			}
-		}
-		chosen := ordered[best].Member
-		perZone[chosen.Zone]++
+	rest := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return hasNode(members, c.Member.Node) })
+	for len(members) < factor && len(rest) > 0 {
+		chosen := slices.MinFunc(rest, f.compare).Member
+		f.zones[chosen.Zone]++
 		members = append(members, chosen)
-		ordered = slices.Delete(ordered, best, best+1)
+		rest = slices.DeleteFunc(rest, func(c Candidate) bool { return c.Member.Node == chosen.Node })
 	}
 	return members
 }
 
-func hasNode(members []register.Member, node string) bool {
-	return slices.ContainsFunc(members, func(member register.Member) bool { return member.Node == node })
+// filler ranks the candidates of one set.
+type filler struct {
+	key   string
+	limit int
+	sets  setCounts
+	// zones counts the set's members so far.
+	zones map[string]int
 }
 
-func compareCandidates(key string, left, right Candidate) int {
-	if left.HasDataFolder != right.HasDataFolder {
-		if left.HasDataFolder {
-			return -1
-		}
-		return 1
-	}
-	leftScore := program.Affinity(left.Member.Node, key)
-	rightScore := program.Affinity(right.Member.Node, key)
-	switch {
-	case leftScore > rightScore:
-		return -1
-	case leftScore < rightScore:
+// compare puts the better candidate first. Zones within the limit are equal: a
+// zone with few nodes would otherwise stand in every set, and all of its nodes'
+// work would be that of the whole system.
+func (f filler) compare(a, b Candidate) int {
+	return cmp.Or(
+		cmp.Compare(f.excess(a), f.excess(b)),
+		-cmp.Compare(dataFolders(a), dataFolders(b)),
+		cmp.Compare(f.sets[a.Member.Node], f.sets[b.Member.Node]),
+		cmp.Compare(f.zones[a.Member.Zone], f.zones[b.Member.Zone]),
+		-cmp.Compare(program.Affinity(a.Member.Node, f.key), program.Affinity(b.Member.Node, f.key)),
+	)
+}
+
+// excess is by how much the candidate would put its zone over the limit.
+func (f filler) excess(c Candidate) int { return max(f.zones[c.Member.Zone]+1-f.limit, 0) }
+
+func dataFolders(c Candidate) int {
+	if c.HasDataFolder {
 		return 1
 	}
 	return 0
 }
+
+func hasNode(members []register.Member, node string) bool {
+	return slices.ContainsFunc(members, func(member register.Member) bool { return member.Node == node })
+}
--- a/coordination/shard/plan.go
+++ b/coordination/shard/plan.go
@@ -103,7 +103,10 @@
 // Plan decides which sets need other members. It is a pure function; nodes that
 // know the same at about the same time make the same plan.
 func Plan(situation Situation, settings PlanSettings) Outcome {
-	p := planner{situation: situation, settings: settings, nodes: make(map[string]Node)}
+	p := planner{situation: situation, settings: settings, nodes: make(map[string]Node), sets: make(setCounts)}
+	for _, view := range situation.Views {
+		p.sets.count(nil, view.Members)
+	}
 	for _, node := range situation.Nodes {
 		p.nodes[node.Member.Node] = node
 	}
@@ -116,6 +119,7 @@
 			continue
 		}
 		if move, isNeeded := p.move(view, judged); isNeeded {
+			p.sets.count(view.Members, move.Members)
 			outcome.Moves = append(outcome.Moves, move)
 		}
 	}
@@ -135,6 +139,8 @@
 	nodes     map[string]Node
 	// usable are the nodes that may become members.
 	usable []Candidate
+	// sets counts the sets of each node, the moves planned so far included.
+	sets setCounts
 }
 
 // judgement is what is known of one member.
@@ -256,7 +262,7 @@
 			replaced = append(replaced, one.member)
 		}
 	}
-	filled := fill(view.Shard, p.settings.Factor, kept, p.usable)
+	filled := fill(view.Shard, p.settings.Factor, kept, p.usable, p.sets)
 	if missing := len(view.Members) - len(filled); missing > 0 {
 		// Too few others: a member that is leaving or gone is still better than
 		// none.
@@ -276,24 +282,30 @@
 	return candidates
 }
 
-// spread replaces one of two members of the same zone where a zone without a
-// member has a candidate.
+// spread replaces a member of a zone that has more than its part where another
+// zone has a candidate.
 func (p planner) spread(view register.View, members []register.Member) []register.Member {
 	for index, member := range members {
-		others := slices.Delete(slices.Clone(members), index, index+1)
-		if !hasZone(others, member.Zone) {
+		if inZone(members, member.Zone) <= zoneLimit(len(members)) {
 			continue
 		}
-		filled := fill(view.Shard, len(members), others, p.usable)
-		if added := filled[len(filled)-1]; !hasZone(members, added.Zone) {
+		others := slices.Delete(slices.Clone(members), index, index+1)
+		filled := fill(view.Shard, len(members), others, p.usable, p.sets)
+		if added := filled[len(filled)-1]; inZone(others, added.Zone) < zoneLimit(len(members)) {
 			return filled
 		}
 	}
 	return members
 }
 
-func hasZone(members []register.Member, zone string) bool {
-	return slices.ContainsFunc(members, func(member register.Member) bool { return member.Zone == zone })
+func inZone(members []register.Member, zone string) int {
+	count := 0
+	for _, member := range members {
+		if member.Zone == zone {
+			count++
+		}
+	}
+	return count
 }
 
 // slotKey names a change of the set within the present slot.
--- a/coordination/shard/plan_test.go
+++ b/coordination/shard/plan_test.go
@@ -184,6 +184,74 @@
 	})
 }
 
+// TestAssignAllBalances: no node stands in more sets than its part, rounded up,
+// as far as the zones allow, and no zone holds a majority of a set where there
+// are three zones or more.
+func TestAssignAllBalances(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		zones := rapid.IntRange(3, 6).Draw(rt, "zones")
+		factor := rapid.SampledFrom([]int{3, 5}).Draw(rt, "factor")
+		shards := rapid.IntRange(1, 16).Draw(rt, "shards")
+		var candidates []shard.Candidate
+		usable := 0
+		for zone := range zones {
+			nodes := rapid.IntRange(1, 3).Draw(rt, "nodes")
+			usable += min(nodes, (factor-1)/2)
+			for range nodes {
+				name := fmt.Sprint("n", len(candidates))
+				candidates = append(candidates, shard.Candidate{Member: register.Member{Node: name, Incarnation: name, Zone: fmt.Sprint("z", zone)}})
+			}
+		}
+		if usable < factor {
+			rt.Skip("too few nodes for the limit of a zone")
+		}
+		sets := map[string]int{}
+		for _, members := range shard.AssignAll(uint32(shards), factor, candidates) {
+			assert.Equal(rt, len(members), factor)
+			perZone := map[string]int{}
+			for _, member := range members {
+				sets[member.Node]++
+				perZone[member.Zone]++
+			}
+			for zone, count := range perZone {
+				assert.Assert(rt, 2*count < factor, "zone %s has %d of %d", zone, count, factor)
+			}
+		}
+		if factor == 5 && len(candidates) >= 8 && zones >= 5 {
+			fair := (shards*factor + len(candidates) - 1) / len(candidates)
+			for node, count := range sets {
+				assert.Assert(rt, count <= fair+1, "%s is in %d sets, %d would be fair: %v", node, count, fair, sets)
+			}
+		}
+	})
+}
+
+// TestRepairBalances: the sets of a node that leaves go to several others.
+func TestRepairBalances(t *testing.T) {
+	nodes := planNodes()
+	nodes = append(nodes, nodes[0])
+	nodes[6].Member = register.Member{Node: "n6", Incarnation: "n6-1", Address: "n6", Zone: "z0"}
+	nodes[3].HasDataFolder = true
+	nodes[0].Leaving = true
+	situation := shard.Situation{Now: planNow, WatchedSince: planNow, Nodes: nodes}
+	for number := range uint32(4) {
+		view := planView(nodes, 0, 1, 2)
+		view.Shard = number
+		situation.Views = append(situation.Views, view)
+	}
+	settings := planSettings()
+	settings.Moves = 4
+	joined := map[string]int{}
+	for _, move := range shard.Plan(situation, settings).Moves {
+		for _, member := range move.Members {
+			if !slices.Contains(move.View.Members, member) {
+				joined[member.Node]++
+			}
+		}
+	}
+	assert.DeepEqual(t, joined, map[string]int{"n3": 2, "n6": 2})
+}
+
 // BenchmarkPlan plans for whole sets: what every node does each second.
 func BenchmarkPlan(b *testing.B) {
 	for _, size := range []struct{ nodes, shards int }{{13, 64}, {100, 512}, {350, 512}} {
@@ -197,8 +265,7 @@
 				candidates = append(candidates, shard.Candidate{Member: member})
 				situation.Nodes = append(situation.Nodes, shard.Node{Member: member})
 			}
-			for number := range size.shards {
-				members := shard.Assign(uint32(number), 3, candidates)
+			for number, members := range shard.AssignAll(uint32(size.shards), 3, candidates) {
 				situation.Views = append(situation.Views, register.View{Shard: uint32(number), Epoch: 1, Members: members})
 			}
 			b.ResetTimer()
--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -144,9 +144,9 @@
 		ShardCount:        b.shards,
 		ReplicationFactor: uint32(b.replicationFactor),
 	}
-	for number := range b.shards {
+	for _, assigned := range shard.AssignAll(b.shards, b.replicationFactor, candidates) {
 		var members []configuration.Member
-		for _, member := range shard.Assign(number, b.replicationFactor, candidates) {
+		for _, member := range assigned {
 			members = append(members, configuration.Member(member))
 		}
 		stored.Members = append(stored.Members, members)
