Bound the changes of budgets by how they end

Cause: once storage nodes were over their share of a core, each draw of a budget took longer than its 350 ms.

Ruled out: a fixed bound (64 at once is still 0.85 s of work on these machines, and too little on others); the copies as the lasting cause (the overload went on long after them).

--- a/coordination/recent/recent.go
+++ b/coordination/recent/recent.go
@@ -31,6 +31,12 @@
 // Len is how many values are held.
 func (m *Map[V]) Len() int { return len(m.entries) }
 
+// Has tells whether the key's value is held.
+func (m *Map[V]) Has(key string) bool {
+	_, ok := m.entries[key]
+	return ok
+}
+
 // Get returns the value of the key, made anew where it isn't known.
 func (m *Map[V]) Get(key string, now time.Time) *V {
 	e, ok := m.entries[key]
--- a/coordination/recent/recent_test.go
+++ b/coordination/recent/recent_test.go
@@ -32,4 +32,6 @@
 		assert.Assert(t, counts.Len() <= 200, "%d names are held", counts.Len())
 	}
 	assert.Equal(t, *counts.Get("stays", now), 10_000)
+	assert.Assert(t, counts.Has("stays"))
+	assert.Assert(t, !counts.Has("0"))
 }
--- a/coordination/tokenbudget/client.go
+++ b/coordination/tokenbudget/client.go
@@ -12,12 +12,17 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/marblering/marblering/coordination/recent"
 	"github.com/marblering/marblering/coordination/register"
 )
 
 // ErrUnavailable means that no host could reach the program's record.
 var ErrUnavailable = errors.New("no host of the program's budget answers")
 
+// ErrOverloaded means that the host has too many records to ask for already. It
+// reserved nothing.
+var ErrOverloaded = errors.New("the budget's host is overloaded")
+
 // Hosts sends requests to the hosts. peer.Client is one. Reserve returns what
 // the host answered, or an error that says nothing about what it did.
 type Hosts interface {
@@ -42,10 +47,12 @@
 	// endTries bounds the tries to tell a host of ended turns. It charges turns
 	// that it isn't told of with their most.
 	endTries = 5
-	// failuresToClose in a row, each at all hosts of a shard, close the shard for
-	// closedTime: requests are then refused at once.
-	failuresToClose = 3
-	closedTime      = 250 * time.Millisecond
+	// slowTries bounds the hosts that one reservation waits for in vain. Hosts
+	// that are slow together are overloaded, and asking all of them would make
+	// that worse.
+	slowTries = 2
+	// runningTime is how long after its last turn a program counts as running.
+	runningTime = 10 * time.Second
 	// lifetimeSlack is added to a turn's time, for clocks that differ in speed.
 	lifetimeSlack = 5 * time.Second
 )
@@ -65,14 +72,13 @@
 	ended map[string][]Ended
 	// failed is when a host failed last.
 	failed map[string]time.Time
-	// shards are those whose hosts all failed lately.
-	shards map[uint32]shardFailures
-}
-
-// shardFailures counts reservations in a row that no host of a shard decided.
-type shardFailures struct {
-	count int
-	last  time.Time
+	// breakers are those of the shards whose hosts failed lately, crowded those
+	// of the shards whose hosts have too much to do for programs that begin.
+	breakers map[uint32]*breaker
+	crowded  map[uint32]*breaker
+	// running are the programs that a turn began of here lately. They go first:
+	// one that ends in its middle has used what it has used for nothing.
+	running *recent.Map[struct{}]
 }
 
 // NewClient makes a client without turns.
@@ -80,55 +86,85 @@
 	return &Client{
 		hosts: hosts, views: views, now: now, logger: logger,
 		hostOf: make(map[string]string), ended: make(map[string][]Ended), failed: make(map[string]time.Time),
-		shards: make(map[uint32]shardFailures),
+		breakers: make(map[uint32]*breaker), crowded: make(map[uint32]*breaker),
+		running: recent.New(runningTime, func(time.Time) struct{} { return struct{}{} }),
 	}
 }
 
-// Reserve asks the program's hosts one after the other until one decides. After
-// success, End must be called.
+// Reserve asks the program's hosts one after the other until one decides. It
+// returns a refusal of the budget, ErrUnavailable or ErrOverloaded. After success,
+// End must be called.
 func (c *Client) Reserve(ctx context.Context, wanted Reservation) error {
 	shard := c.views.Locate(wanted.Program)
 	view, known := c.views.View(shard)
 	if !known {
 		return merry.Prepend(ErrUnavailable, "no replica set is known")
 	}
-	if c.isClosed(shard) {
+	isRunning := c.isRunning(wanted.Program)
+	if !isRunning && !c.mayTry(c.crowded, shard) {
+		return merry.Prependf(ErrOverloaded, "shard %d takes no new programs for a moment", shard)
+	}
+	if !c.mayTry(c.breakers, shard) {
 		return merry.Prependf(ErrUnavailable, "shard %d was out of reach a moment ago", shard)
 	}
 	wanted.Lifetime += lifetimeSlack
 	var last error
+	slow := 0
 	for _, address := range c.order(view, wanted.Program) {
+		began := c.now()
 		err := c.try(ctx, address, wanted)
 		if err == nil || IsRefusal(err) {
-			c.noteShard(shard, true)
+			c.note(c.breakers, shard, true)
+			if !isRunning {
+				c.note(c.crowded, shard, true)
+			}
+			return err
+		}
+		if errors.Is(err, ErrOverloaded) {
+			// The shard isn't out of reach: turns within a reserve begin all the
+			// same.
+			c.note(c.crowded, shard, false)
 			return err
 		}
 		last = err
 		if ctx.Err() != nil {
 			break
 		}
+		if c.now().Sub(began) >= tryTimeout/2 {
+			slow++
+		}
+		if slow >= slowTries {
+			break
+		}
 	}
-	c.noteShard(shard, false)
+	c.note(c.breakers, shard, false)
 	return merry.Wrap(ErrUnavailable, merry.WithCause(last), merry.AppendMessagef("%v", last))
 }
 
-// isClosed tells that no host of the shard decided anything lately, so that a
+// mayTry says no where the shard's hosts decided nothing lately, so that a
 // request would only wait.
-func (c *Client) isClosed(shard uint32) bool {
+func (c *Client) mayTry(breakers map[uint32]*breaker, shard uint32) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	failures := c.shards[shard]
-	return failures.count >= failuresToClose && c.now().Sub(failures.last) < closedTime
+	known := breakers[shard]
+	return known == nil || known.allow(c.now())
 }
 
-func (c *Client) noteShard(shard uint32, decided bool) {
+func (c *Client) isRunning(program string) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if decided {
-		delete(c.shards, shard)
-		return
+	return c.running.Has(program)
+}
+
+func (c *Client) note(breakers map[uint32]*breaker, shard uint32, decided bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	known := breakers[shard]
+	if known == nil {
+		known = &breaker{}
+		breakers[shard] = known
 	}
-	c.shards[shard] = shardFailures{count: c.shards[shard].count + 1, last: c.now()}
+	known.note(decided, c.now())
 }
 
 func (c *Client) try(ctx context.Context, address string, wanted Reservation) error {
@@ -139,10 +175,11 @@
 	if err == nil {
 		c.mutex.Lock()
 		c.hostOf[wanted.Turn] = address
+		c.running.Get(wanted.Program, c.now())
 		c.mutex.Unlock()
 		return nil
 	}
-	if IsRefusal(err) {
+	if IsRefusal(err) || errors.Is(err, ErrOverloaded) {
 		return err
 	}
 	c.mutex.Lock()
--- a/coordination/tokenbudget/host_test.go
+++ b/coordination/tokenbudget/host_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/state/budget"
@@ -23,12 +25,19 @@
 	// down hosts don't answer; lossy ones act and lose the answer.
 	down, lossy map[string]bool
 	asked       []string
+	// reservations counts the requests that were no ends.
+	reservations int
+	// onAsk is called for each request.
+	onAsk func(address string)
 }
 
 func (n *network) host(address string) (*tokenbudget.Host, bool, error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.asked = append(n.asked, address)
+	if n.onAsk != nil {
+		n.onAsk(address)
+	}
 	if n.down[address] {
 		return nil, false, errLost
 	}
@@ -36,6 +45,9 @@
 }
 
 func (n *network) Reserve(ctx context.Context, address string, wanted tokenbudget.Reservation, ended []tokenbudget.Ended) error {
+	n.mutex.Lock()
+	n.reservations++
+	n.mutex.Unlock()
 	host, lossy, err := n.host(address)
 	if err != nil {
 		return err
@@ -60,7 +72,7 @@
 func (n *network) count() int {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return len(n.asked)
+	return n.reservations
 }
 
 type oneView struct{ members []register.Member }
@@ -145,6 +157,93 @@
 	assert.NilError(t, client.Reserve(context.Background(), turnOf("u")))
 }
 
+// TestClosedShardIsTriedByOneRequest: when its time is over, a single request
+// tries it, and each failed trial closes it for longer.
+func TestClosedShardIsTriedByOneRequest(t *testing.T) {
+	carried, view := newNetwork(newRegister(), 2)
+	carried.down["host0"], carried.down["host1"] = true, true
+	now := time.Now()
+	client := tokenbudget.NewClient(carried, view, func() time.Time { return now }, zap.NewNop())
+	ask := func(times int) int {
+		before := carried.count()
+		for i := range times {
+			assert.ErrorIs(t, client.Reserve(context.Background(), turnOf(fmt.Sprint("t", i))), tokenbudget.ErrUnavailable)
+		}
+		return carried.count() - before
+	}
+	ask(3)
+	for range 20 {
+		now = now.Add(300 * time.Millisecond)
+		ask(50)
+	}
+	assert.Assert(t, carried.count() <= 2*(3+7), "%d requests to hosts in 6 s", carried.count())
+	carried.down["host0"], carried.down["host1"] = false, false
+	now = now.Add(2 * time.Second)
+	assert.NilError(t, client.Reserve(context.Background(), turnOf("t")))
+	assert.NilError(t, client.Reserve(context.Background(), turnOf("u")), "open again")
+}
+
+// TestFewSlowHostsAreWaitedFor: hosts that are slow together are overloaded.
+func TestFewSlowHostsAreWaitedFor(t *testing.T) {
+	carried, view := newNetwork(newRegister(), 5)
+	now := time.Now()
+	carried.onAsk = func(string) { now = now.Add(350 * time.Millisecond) }
+	for i := range 5 {
+		carried.down[fmt.Sprint("host", i)] = true
+	}
+	client := tokenbudget.NewClient(carried, view, func() time.Time { return now }, zap.NewNop())
+	assert.ErrorIs(t, client.Reserve(context.Background(), turnOf("t")), tokenbudget.ErrUnavailable)
+	assert.Equal(t, carried.count(), 2)
+	carried.onAsk = nil
+	assert.ErrorIs(t, client.Reserve(context.Background(), turnOf("u")), tokenbudget.ErrUnavailable)
+	assert.Equal(t, carried.count(), 7, "those that fail at once cost nothing")
+}
+
+// hangingRegister answers nothing until its caller gives up.
+type hangingRegister struct{ asked atomic.Int64 }
+
+func (r *hangingRegister) Apply(ctx context.Context, _ uint32, _ string, _ register.Change) ([]byte, error) {
+	r.asked.Add(1)
+	<-ctx.Done()
+	return nil, register.ErrNoQuorum
+}
+
+// TestOverloadedHostIsNotPassedOn: its requests would only overload the next. For
+// a moment no new program asks, while those that run go on.
+func TestOverloadedHostIsNotPassedOn(t *testing.T) {
+	carried, view := newNetwork(newRegister(), 5)
+	hanging := &hangingRegister{}
+	settings := tokenbudget.DefaultSettings()
+	settings.Draws = limit.AdaptivePolicy{Start: 2, Min: 2, Max: 2}
+	host := tokenbudget.NewHost(tokenbudget.New("host", hanging, oneView{}.Locate, settings, time.Now, zap.NewNop()), time.Now)
+	client := newClient(carried, view)
+	assert.NilError(t, client.Reserve(context.Background(), turnOf("before")))
+	for address := range carried.hosts {
+		carried.hosts[address] = host
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range 2 {
+		wanted := turnOf(fmt.Sprint("t", i))
+		wanted.Program = fmt.Sprint("p", i)
+		go func() { _ = host.Reserve(ctx, wanted) }()
+	}
+	harness.Eventually(t, func() (bool, string) { return hanging.asked.Load() == 2, "no draw is under way" })
+	before := carried.count()
+	assert.ErrorIs(t, client.Reserve(ctx, turnOf("t")), tokenbudget.ErrOverloaded)
+	assert.Equal(t, carried.count(), before+1)
+	fresh := turnOf("u")
+	fresh.Program = "fresh"
+	for range 5 {
+		assert.ErrorIs(t, client.Reserve(ctx, fresh), tokenbudget.ErrOverloaded)
+	}
+	assert.Equal(t, carried.count(), before+3, "three in a row close the shard for new programs")
+	for range 5 {
+		assert.ErrorIs(t, client.Reserve(ctx, turnOf("t")), tokenbudget.ErrOverloaded)
+	}
+	assert.Equal(t, carried.count(), before+8, "running programs are asked for")
+}
+
 // TestSpentIsFinal: no other host is asked.
 func TestSpentIsFinal(t *testing.T) {
 	carried, view := newNetwork(newRegister(), 3)
--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -13,9 +13,11 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/state/budget"
 )
@@ -31,21 +33,28 @@
 	// reserve back.
 	IdleTime time.Duration
 	// ReleaseTimeout bounds one try to give a reserve back, ReleasePause follows
-	// one that failed and ReleaseTries bounds them. What can't be given back
-	// stays charged.
+	// the first that failed and grows with each, and ReleaseTries bounds them.
+	// What can't be given back stays charged.
 	ReleaseTimeout time.Duration
 	ReleasePause   time.Duration
 	ReleaseTries   int
+	// Draws bounds the changes of records under way: more would only make each
+	// other late.
+	Draws limit.AdaptivePolicy
 }
 
 // DefaultSettings give reserves back about a second after a program's last turn.
 func DefaultSettings() Settings {
 	return Settings{
 		IdleTime: 700 * time.Millisecond, ReleaseTimeout: 2 * time.Second,
-		ReleasePause: 300 * time.Millisecond, ReleaseTries: 20,
+		ReleasePause: 300 * time.Millisecond, ReleaseTries: 10, Draws: limit.DefaultAdaptivePolicy(),
 	}
 }
 
+// longestRelease times the first pause is the longest between two tries to give
+// a reserve back.
+const longestRelease = 16
+
 // releasesAtOnce bounds the returns of reserves that are under way.
 const releasesAtOnce = 16
 
@@ -61,6 +70,7 @@
 	// releasing bounds the returns of reserves that are under way: while the
 	// record can't be reached, many accounts become idle.
 	releasing chan struct{}
+	draws     *limit.Adaptive
 
 	mutex    sync.Mutex
 	accounts map[string]*account
@@ -71,10 +81,11 @@
 
 // New makes a ledger of the named holder, which must be unique over all lives of
 // all gateways.
-func New(holder string, registers Register, locate func(program string) uint32, settings Settings, logger *zap.Logger) *Ledger {
+func New(holder string, registers Register, locate func(program string) uint32, settings Settings, now func() time.Time, logger *zap.Logger) *Ledger {
 	return &Ledger{
 		holder: holder, registers: registers, locate: locate, settings: settings, logger: logger,
 		accounts: make(map[string]*account), releasing: make(chan struct{}, releasesAtOnce),
+		draws: limit.NewAdaptive(settings.Draws, now),
 	}
 }
 
@@ -206,6 +217,7 @@
 // release gives the account's reserve back and forgets it, unless another turn
 // came.
 func (l *Ledger) release(program string, current *account) {
+	pause := l.settings.ReleasePause
 	for range l.settings.ReleaseTries {
 		if !l.mayRelease(program, current) {
 			return
@@ -213,7 +225,8 @@
 		if l.tryToRelease(program, current) == nil {
 			return
 		}
-		time.Sleep(l.settings.ReleasePause)
+		time.Sleep(pause)
+		pause = min(2*pause, longestRelease*l.settings.ReleasePause)
 	}
 	l.logger.Warn("reserve not given back", zap.String("program", program), zap.Uint64("reserved", current.reserved))
 	l.mutex.Lock()
@@ -249,6 +262,9 @@
 // apply makes one change of the program's record. The change may be called
 // several times, each time with a record of its own.
 func (l *Ledger) apply(ctx context.Context, program string, change func(*statev1.TokenBudget)) error {
+	if !l.draws.Begin() {
+		return merry.Wrap(ErrOverloaded, merry.AppendMessagef("%d changes of budgets are under way", l.draws.Limit()))
+	}
 	_, err := l.registers.Apply(ctx, l.locate(program), program, func(current []byte) ([]byte, error) {
 		record, err := budget.Decode(program, current)
 		if err != nil {
@@ -257,6 +273,7 @@
 		change(record)
 		return budget.Encode(record)
 	})
+	l.draws.End(err != nil)
 	return err
 }
 
--- a/coordination/tokenbudget/ledger_test.go
+++ b/coordination/tokenbudget/ledger_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/state/budget"
@@ -67,8 +68,8 @@
 }
 
 func newLedger(holder string, shared *sharedRegister) *tokenbudget.Ledger {
-	settings := tokenbudget.Settings{IdleTime: time.Hour, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, ReleaseTries: 50}
-	return tokenbudget.New(holder, shared, func(string) uint32 { return 0 }, settings, zap.NewNop())
+	settings := tokenbudget.Settings{IdleTime: time.Hour, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, ReleaseTries: 50, Draws: limit.DefaultAdaptivePolicy()}
+	return tokenbudget.New(holder, shared, func(string) uint32 { return 0 }, settings, time.Now, zap.NewNop())
 }
 
 func Example() {
@@ -129,8 +130,8 @@
 // can't be reached at first.
 func TestReserveIsGivenBack(t *testing.T) {
 	shared := newRegister()
-	settings := tokenbudget.Settings{IdleTime: time.Millisecond, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, ReleaseTries: 50}
-	ledger := tokenbudget.New("host", shared, func(string) uint32 { return 0 }, settings, zap.NewNop())
+	settings := tokenbudget.Settings{IdleTime: time.Millisecond, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, ReleaseTries: 50, Draws: limit.DefaultAdaptivePolicy()}
+	ledger := tokenbudget.New("host", shared, func(string) uint32 { return 0 }, settings, time.Now, zap.NewNop())
 	assert.NilError(t, ledger.Reserve(context.Background(), "p", 10_000, 100))
 	assert.Equal(t, shared.committed(t, "p"), uint64(400), "the turn and three more")
 	shared.mutex.Lock()
@@ -198,8 +199,8 @@
 // TestFewReleasesAtOnce while the record can't be reached.
 func TestFewReleasesAtOnce(t *testing.T) {
 	unreachable := &slowRegister{}
-	settings := tokenbudget.Settings{IdleTime: time.Millisecond, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, ReleaseTries: 3}
-	ledger := tokenbudget.New("host", unreachable, func(string) uint32 { return 0 }, settings, zap.NewNop())
+	settings := tokenbudget.Settings{IdleTime: time.Millisecond, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, ReleaseTries: 3, Draws: limit.AdaptivePolicy{Start: 1000, Min: 1000, Max: 1000}}
+	ledger := tokenbudget.New("host", unreachable, func(string) uint32 { return 0 }, settings, time.Now, zap.NewNop())
 	const programs = 200
 	for index := range programs {
 		_ = ledger.Reserve(context.Background(), fmt.Sprint(index), 100, 10)
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -290,7 +290,7 @@
 	bounds.RequestTimeout = registerTimeout
 	transport := peer.NewLocalTransport(n.self.Incarnation, n.replica, n.peers)
 	registers := register.NewClient(life, transport, n.lookup, register.SystemClock{}, newRandom(), bounds)
-	n.ledger = tokenbudget.New(life, registers, n.views.Locate, tokenbudget.DefaultSettings(), n.logger)
+	n.ledger = tokenbudget.New(life, registers, n.views.Locate, tokenbudget.DefaultSettings(), time.Now, n.logger)
 	n.budgets = tokenbudget.NewHost(n.ledger, time.Now)
 }
 
--- a/transport/peer/budget.go
+++ b/transport/peer/budget.go
@@ -52,6 +52,8 @@
 		return peerv1.ReserveVerdict_RESERVE_VERDICT_SPENT
 	case errors.Is(err, budget.ErrReserved):
 		return peerv1.ReserveVerdict_RESERVE_VERDICT_RESERVED
+	case errors.Is(err, tokenbudget.ErrOverloaded):
+		return peerv1.ReserveVerdict_RESERVE_VERDICT_OVERLOADED
 	}
 	return peerv1.ReserveVerdict_RESERVE_VERDICT_UNAVAILABLE
 }
@@ -82,6 +84,8 @@
 		return budget.ErrSpent
 	case peerv1.ReserveVerdict_RESERVE_VERDICT_RESERVED:
 		return budget.ErrReserved
+	case peerv1.ReserveVerdict_RESERVE_VERDICT_OVERLOADED:
+		return merry.Wrap(tokenbudget.ErrOverloaded, merry.AppendMessage(response.Msg.GetReason()))
 	}
 	return merry.Errorf("the host can't reach the record: %s", response.Msg.GetReason())
 }
