Pass over a budget host that is cut off instead of calling it overloaded

Cause: the bound on changes of budgets shrinks while none succeeds, also at a storage node that is cut off from the others.

Ruled out: slow runners left out (refusals named the host).

Change: a holder that has changed no record for half a second while its bound is used up answers that it can't reach the record; the next host is asked.

--- a/coordination/shard/stripe_test.go
+++ b/coordination/shard/stripe_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync/atomic"
 	"testing"
 
@@ -61,5 +60,5 @@
 		Fence: register.Fence{Epoch: shard.FirstEpoch, Replica: "a/1"}, Successor: register.View{Epoch: shard.FirstEpoch + 1, Members: view.Members},
 	})
 	assert.Equal(t, sealed.Refusal, register.RefusalNone)
-	assert.Equal(t, disk.saves.Load(), int64(1), fmt.Sprint("only the first request was still waited for"))
+	assert.Equal(t, disk.saves.Load(), int64(1), "only the first request was still waited for")
 }
--- a/coordination/tokenbudget/host_test.go
+++ b/coordination/tokenbudget/host_test.go
@@ -200,9 +200,17 @@
 }
 
 // hangingRegister answers nothing until its caller gives up.
-type hangingRegister struct{ asked atomic.Int64 }
+type hangingRegister struct {
+	asked atomic.Int64
+	// sharedRegister answers for the programs that are served.
+	*sharedRegister
+	served string
+}
 
-func (r *hangingRegister) Apply(ctx context.Context, _ uint32, _ string, _ register.Change) ([]byte, error) {
+func (r *hangingRegister) Apply(ctx context.Context, shard uint32, key string, change register.Change) ([]byte, error) {
+	if key == r.served {
+		return r.sharedRegister.Apply(ctx, shard, key, change)
+	}
 	r.asked.Add(1)
 	<-ctx.Done()
 	return nil, register.ErrNoQuorum
@@ -212,10 +220,12 @@
 // a moment no new program asks, while those that run go on.
 func TestOverloadedHostIsNotPassedOn(t *testing.T) {
 	carried, view := newNetwork(newRegister(), 5)
-	hanging := &hangingRegister{}
+	hanging := &hangingRegister{sharedRegister: newRegister(), served: "served"}
 	settings := tokenbudget.DefaultSettings()
 	settings.Draws = limit.AdaptivePolicy{Start: 2, Min: 2, Max: 2}
-	host := tokenbudget.NewHost(tokenbudget.New("host", hanging, oneView{}.Locate, settings, time.Now, zap.NewNop()), time.Now)
+	fixed := time.Now()
+	clock := func() time.Time { return fixed }
+	host := tokenbudget.NewHost(tokenbudget.New("host", hanging, oneView{}.Locate, settings, clock, zap.NewNop()), time.Now)
 	client := newClient(carried, view)
 	assert.NilError(t, client.Reserve(context.Background(), turnOf("before")))
 	for address := range carried.hosts {
@@ -223,6 +233,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	assert.NilError(t, host.Reserve(ctx, tokenbudget.Reservation{Program: "served", Turn: "s", Limit: 10, Most: 1}))
 	for i := range 2 {
 		wanted := turnOf(fmt.Sprint("t", i))
 		wanted.Program = fmt.Sprint("p", i)
@@ -244,6 +255,25 @@
 	assert.Equal(t, carried.count(), before+8, "running programs are asked for")
 }
 
+// TestCutOffHostIsPassedOver: a host that can change no record refuses at once
+// after some time, and the next one decides.
+func TestCutOffHostIsPassedOver(t *testing.T) {
+	carried, view := newNetwork(newRegister(), 3)
+	client := newClient(carried, view)
+	assert.NilError(t, client.Reserve(context.Background(), turnOf("t")))
+	first := carried.asked[0]
+	settings := tokenbudget.DefaultSettings()
+	settings.Draws = limit.AdaptivePolicy{Start: 1, Min: 1, Max: 1}
+	hanging := &hangingRegister{}
+	carried.hosts[first] = tokenbudget.NewHost(tokenbudget.New("cut", hanging, oneView{}.Locate, settings, time.Now, zap.NewNop()), time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = carried.hosts[first].Reserve(ctx, turnOf("waits")) }()
+	harness.Eventually(t, func() (bool, string) { return hanging.asked.Load() == 1, "no draw is under way" })
+	assert.NilError(t, client.Reserve(ctx, turnOf("u")))
+	assert.Equal(t, carried.count(), 3, "the host that is cut off and the next")
+}
+
 // TestSpentIsFinal: no other host is asked.
 func TestSpentIsFinal(t *testing.T) {
 	carried, view := newNetwork(newRegister(), 3)
--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -55,6 +56,10 @@
 // a reserve back.
 const longestRelease = 16
 
+// cutOffAfter is how long no record may have been changed, while changes end in
+// vain, before this holder counts as cut off rather than overloaded.
+const cutOffAfter = 500 * time.Millisecond
+
 // releasesAtOnce bounds the returns of reserves that are under way.
 const releasesAtOnce = 16
 
@@ -71,6 +76,9 @@
 	// record can't be reached, many accounts become idle.
 	releasing chan struct{}
 	draws     *limit.Adaptive
+	now       func() time.Time
+	// decided is when a record was last changed, in nanoseconds since 1970.
+	decided atomic.Int64
 
 	mutex    sync.Mutex
 	accounts map[string]*account
@@ -85,7 +93,7 @@
 	return &Ledger{
 		holder: holder, registers: registers, locate: locate, settings: settings, logger: logger,
 		accounts: make(map[string]*account), releasing: make(chan struct{}, releasesAtOnce),
-		draws: limit.NewAdaptive(settings.Draws, now),
+		draws: limit.NewAdaptive(settings.Draws, now), now: now,
 	}
 }
 
@@ -263,7 +271,7 @@
 // several times, each time with a record of its own.
 func (l *Ledger) apply(ctx context.Context, program string, change func(*statev1.TokenBudget)) error {
 	if !l.draws.Begin() {
-		return merry.Wrap(ErrOverloaded, merry.AppendMessagef("%d changes of budgets are under way", l.draws.Limit()))
+		return l.refuse()
 	}
 	_, err := l.registers.Apply(ctx, l.locate(program), program, func(current []byte) ([]byte, error) {
 		record, err := budget.Decode(program, current)
@@ -274,9 +282,22 @@
 		return budget.Encode(record)
 	})
 	l.draws.End(err != nil)
+	if err == nil {
+		l.decided.Store(l.now().UnixNano())
+	}
 	return err
 }
 
+// refuse says why a change of a record can't begin: a holder that changes others
+// has too much to do; one that changes none is cut off, and others may do better.
+func (l *Ledger) refuse() error {
+	idle := l.now().Sub(time.Unix(0, l.decided.Load()))
+	if idle > cutOffAfter {
+		return merry.Errorf("no record was changed for %s", idle)
+	}
+	return merry.Wrap(ErrOverloaded, merry.AppendMessagef("%d changes of budgets are under way", l.draws.Limit()))
+}
+
 // Flush gives all reserves back that no turn needs, and waits until that is done
 // or the context ends.
 func (l *Ledger) Flush(ctx context.Context) {
