Explain a request from logs; log instances that are left out

Cause: whoever looks for what became of a request greps its id in the logs of all processes and orders the lines by hand. And the ejection of an instance, which decides where requests go, left no line.

Change: marblering explain LOGFILE... ID prints the lines that name the id in the order of time, what the same nodes decided meanwhile, and what the result code means (package telemetry/logfile reads logs back). A gateway writes one line for each ejection, with what decided it, and counts them.

--- a/cmd/marblering/command.go
+++ b/cmd/marblering/command.go
@@ -64,7 +64,7 @@
 	root.SetFlagErrorFunc(func(command *cobra.Command, err error) error {
 		return &usageError{cause: merry.Appendf(err, "see %s --help", command.CommandPath())}
 	})
-	root.AddCommand(newServeCommand(run), newGatewayCommand(), newStorageCommand(), newConfigCommand(), newVersionCommand())
+	root.AddCommand(newServeCommand(run), newGatewayCommand(), newStorageCommand(), newConfigCommand(), newExplainCommand(), newVersionCommand())
 	root.AddCommand(operatorCommands()...)
 	return root
 }
--- a/cmd/marblering/main_test.go
+++ b/cmd/marblering/main_test.go
@@ -71,12 +71,19 @@
 	unknown := filepath.Join(folder, "unknown.yaml")
 	assert.NilError(t, os.WriteFile(unknown, []byte("name: a\nzoen: b\n"), 0o600))
 	example := filepath.Join("..", "..", "docs", "examples", "node.yaml")
+	log := filepath.Join(folder, "gateway.log")
+	assert.NilError(t, os.WriteFile(log, []byte(
+		"time=2026-05-22T10:00:02Z level=info msg=\"not answered\" node=edge-1 request=r1 code=1008 reason=why took=0.5\n"), 0o600))
 	cases := []struct {
 		name      string
 		arguments []string
 		exit      int
 		out, log  string
 	}{
+		{"explain", []string{"explain", log, log, "r1"}, exitOK, `not answered  request="r1" code="1008" reason="why" took="0.5"`, ""},
+		{"explain an unknown id", []string{"explain", log, "r2"}, exitFailure, "", `no line names "r2"`},
+		{"explain without a log", []string{"explain", "r2"}, exitSettings, "", "requires at least 2 arg(s)"},
+		{"explain a missing log", []string{"explain", filepath.Join(folder, "none.log"), "r2"}, exitFailure, "", "no such file"},
 		{"example", []string{"config", "check", example}, exitOK, example + ": ok\n", ""},
 		{"version", []string{"version"}, exitOK, "marblering ", ""},
 		{"help", nil, exitOK, "Usage:", ""},
--- a/coordination/backend/health_test.go
+++ b/coordination/backend/health_test.go
@@ -61,6 +61,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			pool := newPool(newClock(), 4)
+			var ejected []string
+			pool.OnEjected(func(instance backend.Instance, _ backend.Ending) { ejected = append(ejected, instance.ID) })
 			serve(t, pool, 4, 10, usually)
 			assert.Assert(t, chosen(t, pool)["i2"] > 0)
 			serve(t, pool, 4, 5, func(instance string, round int) backend.Ending {
@@ -70,6 +72,7 @@
 				return usually(instance, round)
 			})
 			assert.Equal(t, chosen(t, pool)["i2"], 0)
+			assert.DeepEqual(t, ejected, []string{"i2"})
 		})
 	}
 }
--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -22,6 +22,8 @@
 	zone   string
 	now    func() time.Time
 	policy limit.EjectionPolicy
+	// ejected is told of each instance that is left out from now on.
+	ejected func(Instance, Ending)
 
 	current atomic.Pointer[set]
 	mutex   sync.Mutex
@@ -29,7 +31,7 @@
 
 // NewPool makes a pool for a node of the zone that knows no instance.
 func NewPool(zone string, policy limit.EjectionPolicy, now func() time.Time) *Pool {
-	pool := &Pool{zone: zone, now: now, policy: policy}
+	pool := &Pool{zone: zone, now: now, policy: policy, ejected: func(Instance, Ending) {}}
 	pool.current.Store(newSet(nil, nil, policy))
 	return pool
 }
@@ -74,6 +76,10 @@
 	}
 }
 
+// OnEjected sets what is told of each instance that is left out, and of the
+// request that decided it. It is to be called before the pool is used.
+func (p *Pool) OnEjected(tell func(Instance, Ending)) { p.ejected = tell }
+
 // Count returns how many instances of all services are known, and how many of
 // these are leaving.
 func (p *Pool) Count() (known, leaving int) {
@@ -195,7 +201,12 @@
 		return c.health.ejector.Health(c.Instance.ID, now)
 	}
 	c.load.remove(c)
-	return c.health.observe(c.Instance.ID, c.route, ending, now)
+	before := c.health.ejector.Health(c.Instance.ID, now)
+	after := c.health.observe(c.Instance.ID, c.route, ending, now)
+	if before != limit.Ejected && after == limit.Ejected {
+		c.pool.ejected(c.Instance, ending)
+	}
+	return after
 }
 
 func contains(ids []string, id string) bool {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -76,6 +76,7 @@
 	callers       *callerServer
 	operators     *listener.Listener
 	metrics       *prometheus.Registry
+	ejections     prometheus.Counter
 	// listed is set once the instances are known.
 	listed   atomic.Bool
 	draining atomic.Bool
@@ -133,7 +134,11 @@
 		tables:   &routetable.Holder{},
 		backends: backend.NewPool(loaded.Zone, backend.EjectionPolicy(), time.Now),
 		metrics:  telemetry.NewRegistry(),
+		ejections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "marblering_gateway_ejections_total", Help: "Instances left out for a while.",
+		}),
 	}
+	g.backends.OnEjected(g.instanceEjected)
 	bounds := upstream.DefaultSettings()
 	bounds.IDHeader = parts.IDHeader
 	g.upstream = upstream.NewClient(bounds, time.Now)
@@ -212,6 +217,23 @@
 	g.logger.Info("instance lost its address", zap.String("instance", instance))
 }
 
+// instanceEjected says which request was the last of those that had an instance
+// left out for a while.
+func (g *Gateway) instanceEjected(instance backend.Instance, ending backend.Ending) {
+	fields := []zap.Field{zap.String("instance", instance.ID), zap.String("service", instance.Service), zap.String("address", instance.Address)}
+	switch e := ending.(type) {
+	case backend.Answered:
+		fields = append(fields, zap.String("last", "answered"), zap.Duration("wait", e.Wait), zap.Bool("faulty", e.Faulty))
+	case backend.Broken:
+		fields = append(fields, zap.String("last", "broken"))
+	case backend.Waited:
+		fields = append(fields, zap.String("last", "given up"), zap.Duration("wait", e.Wait))
+	case backend.Unjudged:
+	}
+	g.ejections.Inc()
+	g.logger.Info("instance ejected", fields...)
+}
+
 func (g *Gateway) logEvent(event suture.Event) {
 	g.logger.Warn("supervisor", zap.String("event", event.String()))
 }
