--- a/coordination/archive/archive.go
+++ b/coordination/archive/archive.go
@@ -13,6 +13,7 @@
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
 	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/state/history"
 	"github.com/marblering/marblering/state/program"
 	"github.com/marblering/marblering/state/replica"
@@ -155,7 +156,7 @@
 			return nil, merry.Prependf(ErrIncomplete, "program %q, %d turns from %d replicas", id, len(found), answered)
 		}
 		lastErr = err
-		if round+1 < rounds && pause(ctx) != nil {
+		if round+1 < rounds && sleep.For(ctx, roundPause) != nil {
 			break
 		}
 	}
@@ -221,7 +222,7 @@
 		if lastErr = a.once(ctx, view, action); lastErr == nil {
 			return nil
 		}
-		if round+1 < rounds && pause(ctx) != nil {
+		if round+1 < rounds && sleep.For(ctx, roundPause) != nil {
 			break
 		}
 	}
@@ -260,14 +261,3 @@
 func noQuorum(cause error, format string, args ...any) error {
 	return merry.Wrap(ErrNoQuorum, merry.WithCause(cause), merry.AppendMessagef(format+": %v", append(args, cause)...))
 }
-
-func pause(ctx context.Context) error {
-	timer := time.NewTimer(roundPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/coordination/configuration/acceptor.go
+++ b/coordination/configuration/acceptor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/state/result"
 )
 
@@ -37,7 +38,7 @@
 // NewAcceptor makes an Acceptor that works through the node's agent.
 func NewAcceptor(options AcceptorOptions) *Acceptor {
 	if options.Sleep == nil {
-		options.Sleep = sleep
+		options.Sleep = sleep.For
 	}
 	if options.Together == nil {
 		options.Together = together(options.Agent.settings.Parallel)
@@ -206,14 +207,3 @@
 	err.Message = key.String() + " was written but isn't known to be in force: " + err.Message
 	return err.After(retryAfter)
 }
-
-func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/coordination/execution/executor.go
+++ b/coordination/execution/executor.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/state/history"
 	"github.com/marblering/marblering/state/result"
 )
@@ -265,14 +266,7 @@
 
 // pause sleeps or returns the context's error.
 func (e *Executor) pause(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(e.jitter(length))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return sleep.For(ctx, e.jitter(length))
 }
 
 // unresolvedRetry is when asking with the same key makes sense again.
--- a/coordination/follow/follower.go
+++ b/coordination/follow/follower.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/sleep"
 )
 
 // ErrHistoryGone is what a Source returns where it no longer has the changes
@@ -107,7 +109,7 @@
 			continue
 		}
 		f.failed(err)
-		if !sleep(ctx, jitter(pause)) {
+		if sleep.For(ctx, jitter(pause)) != nil {
 			break
 		}
 		pause = min(2*pause, f.options.Settings.MaxPause)
@@ -159,7 +161,7 @@
 	f.heardFromStore()
 	if f.view.change(changes) {
 		f.options.Apply(f.view.snapshot())
-		sleep(ctx, settings.Gather)
+		_ = sleep.For(ctx, settings.Gather)
 	}
 	return nil
 }
@@ -189,15 +191,3 @@
 func jitter(pause time.Duration) time.Duration {
 	return pause/2 + rand.N(pause)
 }
-
-// sleep returns false where the context ended first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/coordination/repair/repair.go
+++ b/coordination/repair/repair.go
@@ -14,6 +14,7 @@
 	"github.com/marblering/marblering/coordination/membership"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/coordination/sleep"
 )
 
 const (
@@ -136,7 +137,7 @@
 			return
 		}
 		r.options.Logger.Debug("waiting for the handover of replicas", zap.Int("sets", waiting))
-		pause(ctx, handoverPause)
+		_ = sleep.For(ctx, handoverPause)
 	}
 	r.options.Logger.Warn("stopping with replicas that nobody took over", zap.Int("sets", r.heldBack(incarnation)))
 }
@@ -188,12 +189,3 @@
 		Zone:        member.Zone,
 	}
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -16,6 +16,7 @@
 	statev1 "github.com/marblering/marblering/api/state/v1"
 	"github.com/marblering/marblering/coordination/archive"
 	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/state/replica"
 	"github.com/marblering/marblering/state/turn"
 )
@@ -115,11 +116,7 @@
 // of where a turn is kept.
 func (s *Store) awaitSets(ctx context.Context) error {
 	for s.views.Shards() == 0 {
-		timer := time.NewTimer(roundPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if sleep.For(ctx, roundPause) != nil {
 			return merry.Prepend(ErrUnavailable, "no replica set is known")
 		}
 	}
@@ -229,11 +226,7 @@
 				return nil
 			}
 		}
-		timer := time.NewTimer(roundPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if sleep.For(ctx, roundPause) != nil {
 			return merry.Wrap(ErrUnavailable, merry.WithCause(last), merry.AppendMessagef("%v", last))
 		}
 	}
--- a/lab/scale/change.go
+++ b/lab/scale/change.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marblering/marblering/coordination/configuration"
+	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/lab/deployment"
 	"github.com/marblering/marblering/protocol/objectapi"
 )
@@ -20,7 +21,7 @@
 // returns the longest time until a change was in force at every node.
 func runWindow(ctx context.Context, platform string, groups []*group, options Options) (slowest time.Duration, err error) {
 	if options.Changes == 0 {
-		return 0, sleep(ctx, options.Window)
+		return 0, sleep.For(ctx, options.Window)
 	}
 	client := objectapi.NewClient(platform, http.DefaultClient)
 	ticker := time.NewTicker(options.Window / time.Duration(options.Changes))
@@ -54,7 +55,7 @@
 				if err != nil || reply.Version >= version {
 					return err
 				}
-				if err := sleep(ctx, versionPause); err != nil {
+				if err := sleep.For(ctx, versionPause); err != nil {
 					return err
 				}
 			}
--- a/lab/scale/repair.go
+++ b/lab/scale/repair.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/lab/deployment"
 )
 
@@ -79,7 +80,7 @@
 	if err != nil {
 		return RepairUsage{}, err
 	}
-	if err := sleep(ctx, idleWindow); err != nil {
+	if err := sleep.For(ctx, idleWindow); err != nil {
 		return RepairUsage{}, err
 	}
 	before, err := nodes.exchange(groupRequest{Kind: requestSample})
@@ -102,7 +103,7 @@
 		return RepairUsage{}, err
 	}
 	whole := time.Since(crashed)
-	if err := sleep(ctx, repairTail); err != nil {
+	if err := sleep.For(ctx, repairTail); err != nil {
 		return RepairUsage{}, err
 	}
 	after, err := nodes.exchange(groupRequest{Kind: requestSample})
@@ -121,7 +122,7 @@
 		if err != nil || reply.Copies >= wanted {
 			return err
 		}
-		if err := sleep(ctx, copiesPause); err != nil {
+		if err := sleep.For(ctx, copiesPause); err != nil {
 			return err
 		}
 	}
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/lab/deployment"
 )
 
@@ -87,7 +88,7 @@
 	if err := createPrograms(ctx, callersOf(groups), options.Programs); err != nil {
 		return Usage{}, err
 	}
-	if err := sleep(ctx, options.Settle); err != nil {
+	if err := sleep.For(ctx, options.Settle); err != nil {
 		return Usage{}, err
 	}
 	before, err := takeSamples(groups)
@@ -180,15 +181,6 @@
 	return samples, taking.Wait()
 }
 
-func sleep(ctx context.Context, length time.Duration) error {
-	select {
-	case <-time.After(length):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Print writes one row a point.
 func Print(out io.Writer, points []Usage) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
--- a/node/machines.go
+++ b/node/machines.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/marblering/marblering/coordination/membership"
+	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/protocol/objectapi"
 )
 
@@ -38,7 +39,7 @@
 		if w.reads(machinesKey) {
 			w.read(ctx)
 		}
-		wait(ctx, machinesInterval)
+		_ = sleep.For(ctx, machinesInterval)
 	}
 	return ctx.Err()
 }
@@ -60,13 +61,3 @@
 	}
 	w.membership.ObserveMachines(machines)
 }
-
-// wait sleeps or returns early when the context ends.
-func wait(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -26,6 +26,7 @@
 	"github.com/marblering/marblering/coordination/repair"
 	"github.com/marblering/marblering/coordination/retirement"
 	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/state/replica"
@@ -110,11 +111,7 @@
 			return err
 		}
 		logger.Error("starting anew", zap.Error(err))
-		timer := time.NewTimer(restartPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if sleep.For(ctx, restartPause) != nil {
 			return nil
 		}
 	}
--- a/protocol/objectapi/resolve.go
+++ b/protocol/objectapi/resolve.go
@@ -6,6 +6,8 @@
 	"errors"
 	"slices"
 	"time"
+
+	"github.com/marblering/marblering/coordination/sleep"
 )
 
 // WrittenBy marks a body with the command that wrote it, so that a command
@@ -66,7 +68,7 @@
 			// Whoever removed the object removed the mark with it.
 			return Object{}, lost
 		}
-		if !sleep(ctx, pause) {
+		if sleep.For(ctx, pause) != nil {
 			return Object{}, lost
 		}
 	}
@@ -85,14 +87,3 @@
 	}
 	return Object{}, conflict
 }
-
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/protocol/operator/commandline.go
+++ b/protocol/operator/commandline.go
@@ -13,6 +13,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
 	"github.com/spf13/cobra"
+
+	"github.com/marblering/marblering/coordination/sleep"
 )
 
 // Defaults of the command line.
@@ -92,18 +94,7 @@
 		HTTP:         &http.Client{},
 		NewCommandID: uuid.NewString,
 		Attempts:     defaultAttempts,
-		Sleep:        sleep,
-	}
-}
-
-func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+		Sleep:        sleep.For,
 	}
 }
 
