Skip the prepare of a new program's budget

Cause: the first change of a register costs two rounds, ten requests between five storage nodes, since the proposer has to learn that nothing was accepted before. A budget is a new register for each program, so that this is most of what a program costs the storage nodes; on the larger sovk site it is what overloads them.

Ruled out: reserving for more turns at once (programs are short); not giving reserves back (a host that fails would keep them from the program); a designated proposer without a quorum of all (two lives of it would choose two values).

Change: Proposer.BeginFresh sends the first value at counter 0, below all prepared ballots, and counts it as chosen once all members have accepted it; otherwise an ordinary round follows. A majority at counter 0 is never taken for a choice, and an own ballot there only for an own value if it is equal.

The reconfiguration model lets half of its clients use it, and restart in the same incarnation.

--- a/coordination/register/client.go
+++ b/coordination/register/client.go
@@ -61,6 +61,10 @@
 	CachedRegisters int
 	// Batch limits the queued changes that share one round.
 	Batch int
+	// FreshPatience is how long all members have to accept the first change of a
+	// register without a prepare (Proposer.BeginFresh); zero for never. It suits
+	// registers that are many, mostly new, and changed by one node first.
+	FreshPatience time.Duration
 }
 
 // DefaultSettings returns settings for members a few milliseconds apart.
@@ -91,6 +95,7 @@
 	mutex  sync.Mutex
 	queues map[registerID][]*call
 	cache  *promiseCache
+	fresh  *freshGate
 }
 
 // registerID names a register.
@@ -111,6 +116,7 @@
 		random:      random,
 		queues:      make(map[registerID][]*call),
 		cache:       newPromiseCache(settings.CachedRegisters),
+		fresh:       newFreshGate(settings, clock),
 	}
 }
 
--- a/coordination/register/client_test.go
+++ b/coordination/register/client_test.go
@@ -228,3 +228,113 @@
 		})
 	}
 }
+
+// newFreshClient makes a client that skips the prepare of new registers.
+func newFreshClient(incarnation string, cluster *memoryCluster) *register.Client {
+	settings := register.DefaultSettings()
+	settings.BackoffBase = time.Microsecond
+	settings.FreshPatience = time.Minute
+	return register.NewClient(incarnation, cluster, cluster, register.SystemClock{}, rand.New(rand.NewPCG(1, 1)), settings)
+}
+
+// TestFreshChangeTakesOneRoundTrip, and the one after it as well.
+func TestFreshChangeTakesOneRoundTrip(t *testing.T) {
+	cluster := newMemoryCluster("a", "b", "c")
+	client := newFreshClient("client", cluster)
+	for want := range 3 {
+		value, err := client.Apply(context.Background(), 0, "key", increment)
+		assert.NilError(t, err)
+		assert.Equal(t, string(value), strconv.Itoa(want+1))
+	}
+	prepares, _, _ := cluster.counts()
+	assert.Equal(t, prepares, 0)
+	value, err := newTestClient("reader", cluster).Read(context.Background(), 0, "key")
+	assert.NilError(t, err)
+	assert.Equal(t, string(value), "3")
+}
+
+// TestFreshChangeOfAKnownRegister is made on the value that stands, and other
+// registers still skip the prepare.
+func TestFreshChangeOfAKnownRegister(t *testing.T) {
+	cluster := newMemoryCluster("a", "b", "c")
+	_, err := newFreshClient("first", cluster).Apply(context.Background(), 0, "key", increment)
+	assert.NilError(t, err)
+	second := newFreshClient("second", cluster)
+	value, err := second.Apply(context.Background(), 0, "key", increment)
+	assert.NilError(t, err)
+	assert.Equal(t, string(value), "2")
+	before, _, _ := cluster.counts()
+	_, err = second.Apply(context.Background(), 0, "other", increment)
+	assert.NilError(t, err)
+	after, _, _ := cluster.counts()
+	assert.Equal(t, after, before)
+}
+
+// TestLostMemberEndsFreshChanges: where not all members accept, the change is
+// made by a majority, and the next ones begin with a prepare at once.
+func TestLostMemberEndsFreshChanges(t *testing.T) {
+	for name, dropAnswer := range map[string]bool{"lost": false, "answers lost": true} {
+		t.Run(name, func(t *testing.T) {
+			cluster := newMemoryCluster("a", "b", "c")
+			cluster.setFailure(dropAnswer, "c")
+			client := newFreshClient("client", cluster)
+			for i := range 5 {
+				value, err := client.Apply(context.Background(), 0, fmt.Sprint("key", i), increment)
+				assert.NilError(t, err)
+				assert.Equal(t, string(value), "1")
+			}
+			prepares, _, _ := cluster.counts()
+			assert.Assert(t, prepares >= 5*2, "%d prepares: each key begins with one", prepares)
+		})
+	}
+}
+
+// TestSilentMemberCostsOnePatience: the way without a prepare is closed by the
+// first change that waited for it.
+func TestSilentMemberCostsOnePatience(t *testing.T) {
+	cluster := newMemoryCluster("a", "b", "c")
+	transport := &silentMember{memoryCluster: cluster, silent: "c"}
+	settings := register.DefaultSettings()
+	settings.FreshPatience = 5 * time.Millisecond
+	client := register.NewClient("client", transport, cluster, shortClock{}, rand.New(rand.NewPCG(1, 1)), settings)
+	for i := range 5 {
+		value, err := client.Apply(context.Background(), 0, fmt.Sprint("key", i), increment)
+		assert.NilError(t, err)
+		assert.Equal(t, string(value), "1")
+	}
+	prepares, accepts, _ := cluster.counts()
+	assert.Assert(t, prepares >= 5*2 && accepts <= 6*2, "%d prepares, %d accepts", prepares, accepts)
+}
+
+// shortClock never ends pauses of a second and more, so that a slow machine
+// changes nothing.
+type shortClock struct{ register.SystemClock }
+
+func (c shortClock) AfterFunc(delay time.Duration, f func()) (stop func() bool) {
+	if delay >= time.Second {
+		return func() bool { return true }
+	}
+	return c.SystemClock.AfterFunc(delay, f)
+}
+
+// silentMember lets requests to one member wait until they are given up.
+type silentMember struct {
+	*memoryCluster
+	silent string
+}
+
+func (s *silentMember) Prepare(ctx context.Context, member register.Member, request register.PrepareRequest) (register.PrepareReply, error) {
+	if member.Node == s.silent {
+		<-ctx.Done()
+		return register.PrepareReply{}, ctx.Err()
+	}
+	return s.memoryCluster.Prepare(ctx, member, request)
+}
+
+func (s *silentMember) Accept(ctx context.Context, member register.Member, request register.AcceptRequest) (register.AcceptReply, error) {
+	if member.Node == s.silent {
+		<-ctx.Done()
+		return register.AcceptReply{}, ctx.Err()
+	}
+	return s.memoryCluster.Accept(ctx, member, request)
+}
--- a/coordination/register/proposer.go
+++ b/coordination/register/proposer.go
@@ -22,6 +22,10 @@
 	PhaseAccept
 )
 
+// freshCounter is the counter of the ballots that are used without a prepare.
+// Prepared ones begin above it.
+const freshCounter = 0
+
 // Request is what a proposer sends to every member alike.
 type Request struct {
 	Phase  Phase
@@ -102,10 +106,12 @@
 	change      Change
 	counter     uint64
 
-	phase       Phase
-	ballot      replica.Ballot
-	next        replica.Ballot
-	answered    []bool
+	phase    Phase
+	ballot   replica.Ballot
+	next     replica.Ballot
+	answered []bool
+	// needed is how many members have to grant the request.
+	needed      int
 	granted     int
 	failed      int
 	accepted    replica.Ballot
@@ -153,6 +159,27 @@
 	return p.propose(candidate)
 }
 
+// BeginFresh starts the first round of a register that has most likely never
+// been changed, which saves the prepare: the value goes out at the lowest ballot
+// of the proposer, below all that are ever prepared. Members accept it only
+// where they hold nothing. Proposers may do so at once, so that, unlike at other
+// ballots, a majority proves nothing: the value is chosen once all members have
+// accepted it (the fast round of L. Lamport, "Fast Paxos", 2006, with a quorum of
+// all). Where any member refuses or is silent, Begin starts an ordinary round.
+func (p *Proposer) BeginFresh(members int) Request {
+	if p.counter > 0 {
+		return p.Begin(members)
+	}
+	candidate := p.evaluate(nil)
+	if !candidate.changed {
+		return p.Begin(members)
+	}
+	p.ballot = replica.Ballot{Counter: freshCounter, Proposer: p.incarnation}
+	p.startPhase(PhaseAccept, members)
+	p.needed = members
+	return p.propose(candidate)
+}
+
 // OnPrepare takes a member's answer to the prepare at the given ballot.
 func (p *Proposer) OnPrepare(ballot replica.Ballot, member int, reply PrepareReply) (Request, Status) {
 	if !p.expects(PhasePrepare, ballot, member) {
@@ -165,7 +192,7 @@
 	}
 	p.learn(reply.Accepted, reply.Value)
 	p.granted++
-	if p.granted < quorum(len(p.answered)) {
+	if p.granted < p.needed {
 		return Request{}, StatusWaiting
 	}
 	return p.decide()
@@ -182,7 +209,7 @@
 		return p.fail()
 	}
 	p.granted++
-	if p.granted < quorum(len(p.answered)) {
+	if p.granted < p.needed {
 		return StatusWaiting
 	}
 	return p.finish(p.current, Promise{Ballot: p.next, Value: p.current.value})
@@ -213,6 +240,7 @@
 func (p *Proposer) startPhase(phase Phase, members int) {
 	p.phase = phase
 	p.answered = make([]bool, members)
+	p.needed = quorum(members)
 	p.granted = 0
 	p.failed = 0
 }
@@ -238,7 +266,7 @@
 
 func (p *Proposer) fail() Status {
 	p.failed++
-	if len(p.answered)-p.failed >= quorum(len(p.answered)) {
+	if len(p.answered)-p.failed >= p.needed {
 		return StatusWaiting
 	}
 	p.phase = PhaseIdle
@@ -248,9 +276,10 @@
 // decide runs once a majority has promised the ballot.
 func (p *Proposer) decide() (Request, Status) {
 	own, found := p.sent[p.accepted]
-	if found {
+	if found && bytes.Equal(own.value, p.value) {
 		// The proposer's own value is the highest accepted one: finish it
-		// rather than apply the change on top of its own effect.
+		// rather than apply the change on top of its own effect. At the lowest
+		// ballot another life of this proposer may have sent another value.
 		return p.proposeNext(own)
 	}
 	candidate := p.evaluate(p.value)
@@ -262,9 +291,11 @@
 
 // isSettled tells whether the candidate needs no accept round: the value stays
 // as it is, it is chosen because a majority holds it at one ballot, and no value
-// of the proposer's own is left that a later round of another could pick up.
+// of the proposer's own is left that a later round of another could pick up. A
+// majority at the lowest ballots doesn't tell that a value is chosen.
 func (p *Proposer) isSettled(candidate proposal) bool {
-	return !candidate.changed && p.uniform && len(p.sent) == 0
+	isFresh := p.accepted.Counter == freshCounter && !p.accepted.IsZero()
+	return !candidate.changed && p.uniform && !isFresh && len(p.sent) == 0
 }
 
 func (p *Proposer) evaluate(current []byte) proposal {
--- a/coordination/register/round.go
+++ b/coordination/register/round.go
@@ -64,6 +64,9 @@
 	// fails, another node has most likely made the change before this one and
 	// is not at work any more, so that there is no duel to wait out.
 	fromPromise bool
+	// isFresh is set where the round began without a prepare and without a
+	// promise; all members must answer then.
+	isFresh     bool
 	answered    int
 	unreachable int
 	newestView  View
@@ -87,6 +90,11 @@
 // the majority run on without anyone waiting, so that those replicas keep up.
 func (r *round) exchange(request Request) (Request, Status) {
 	answers, expired := r.broadcast(request)
+	if r.isFresh {
+		late := make(chan struct{})
+		defer r.client.clock.AfterFunc(r.client.fresh.patience, func() { close(late) })()
+		expired = late
+	}
 	r.answered = 0
 	r.unreachable = 0
 	for r.answered < len(r.view.Members) {
@@ -98,6 +106,11 @@
 				return next, status
 			}
 		case <-expired:
+			if r.isFresh {
+				// The others may well be a majority.
+				r.client.fresh.close(r.id.shard)
+				return Request{}, StatusRetry
+			}
 			r.unreachable += len(r.view.Members) - r.answered
 			r.failure = merry.Errorf("%d of %d members didn't answer within %v",
 				len(r.view.Members)-r.answered, len(r.view.Members), r.client.settings.RequestTimeout)
--- a/coordination/register/run.go
+++ b/coordination/register/run.go
@@ -44,7 +44,10 @@
 		if lost >= c.settings.Attempts {
 			return 0, attempt.failure
 		}
-		if !attempt.learn() && !attempt.fromPromise {
+		if attempt.isFresh {
+			attempt.judgeFresh()
+		}
+		if !attempt.learn() && !attempt.fromPromise && !attempt.isFresh {
 			c.pause(failures, work.empty)
 		}
 		if work.isEmpty() {
@@ -78,9 +81,22 @@
 		r.fromPromise = !known.promise.Ballot.IsZero()
 		return r.proposer.BeginPromised(len(r.view.Members), known.promise)
 	}
+	if failures == 0 && known.counter == 0 && r.client.fresh.isOpen(r.id.shard) {
+		request := r.proposer.BeginFresh(len(r.view.Members))
+		r.isFresh = request.Phase == PhaseAccept
+		return request
+	}
 	return r.proposer.Begin(len(r.view.Members))
 }
 
+// judgeFresh closes the way without a prepare where a member can't be reached.
+// One that holds the register already says nothing of other registers.
+func (r *round) judgeFresh() {
+	if r.unreachable > 0 {
+		r.client.fresh.close(r.id.shard)
+	}
+}
+
 // pause waits for the backoff, or until nobody waits any more.
 func (c *Client) pause(failures int, abandoned <-chan struct{}) {
 	elapsed := make(chan struct{})
--- a/coordination/register/simulation_test.go
+++ b/coordination/register/simulation_test.go
@@ -68,6 +68,8 @@
 	nodes  [nodeCount]*simulatedNode
 	epochs []epoch
 	newest int
+	// fresh lets proposers that know nothing of the register skip the prepare.
+	fresh bool
 	// size is the number of members of each epoch.
 	size int
 	// down is the node that is paused or cut off; nodeCount stands for none.
@@ -84,6 +86,7 @@
 		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)),
 		events: drawEvents(t),
 		down:   nodeCount,
+		fresh:  rapid.Bool().Draw(t, "fresh"),
 		size:   rapid.SampledFrom([]int{3, 4, 5}).Draw(t, "members"),
 	}
 	for number := range w.nodes {
@@ -123,6 +126,7 @@
 		{name: "restart", weight: 3, run: (*world).restart},
 		{name: "pause", weight: 2, run: func(w *world, _ *slot) { w.down = w.pick(nodeCount + 1) }},
 		{name: "forget", weight: 3, run: func(w *world, _ *slot) { w.forget(w.nodes[w.pick(nodeCount)]) }},
+		{name: "fresh", weight: 3, run: func(w *world, _ *slot) { w.fresh = !w.fresh }},
 		{name: "reconfigure", weight: 10, run: func(w *world, _ *slot) { w.reconfigure() }},
 	}
 	for index := range events {
@@ -182,6 +186,10 @@
 	if s.promised != s.epoch {
 		promise = register.Promise{}
 	}
+	if w.fresh && promise.Ballot.IsZero() {
+		w.send(s, s.proposer.BeginFresh(w.size))
+		return
+	}
 	w.send(s, s.proposer.BeginPromised(w.size, promise))
 }
 
--- a/coordination/shard/model_test.go
+++ b/coordination/shard/model_test.go
@@ -109,8 +109,19 @@
 	random := rand.New(rand.NewPCG(uint64(number), 1))
 	node := fmt.Sprintf("client-%d", number)
 	backoff := rand.New(rand.NewPCG(uint64(number), 2))
-	client := register.NewClient(node, link{w.network, node}, clientViews{views}, register.SystemClock{}, backoff, settings())
+	chosen := settings()
+	if number%2 == 1 {
+		chosen.FreshPatience = 30 * time.Millisecond
+	}
+	start := func() *register.Client {
+		return register.NewClient(node, link{w.network, node}, clientViews{views}, register.SystemClock{}, backoff, chosen)
+	}
+	client := start()
 	for count := 0; ctx.Err() == nil; count++ {
+		if random.IntN(12) == 0 {
+			// A restart in the same incarnation, without the ballots used before.
+			client = start()
+		}
 		asked := input{key: key(random.IntN(modelKeys))}
 		if random.IntN(3) > 0 {
 			asked.tag = fmt.Sprintf("%d-%d.", number, count)
