--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -26,7 +26,7 @@
 type Process struct {
 	Command Command
 	command *exec.Cmd
-	output  output
+	output  Output
 	ended   chan struct{}
 }
 
--- a/test/harness/wait.go
+++ b/test/harness/wait.go
@@ -31,27 +31,28 @@
 	}
 }
 
-// output keeps what a process writes.
-type output struct {
+// Output keeps what a process writes. It is safe for concurrent use.
+type Output struct {
 	mutex sync.Mutex
 	text  strings.Builder
 }
 
 // Write implements io.Writer.
-func (o *output) Write(piece []byte) (int, error) {
+func (o *Output) Write(piece []byte) (int, error) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	return o.text.Write(piece)
 }
 
-func (o *output) String() string {
+// String returns what was written so far.
+func (o *Output) String() string {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	return o.text.String()
 }
 
 // value returns the first value of the field key=value in whole lines.
-func (o *output) value(key string) (string, bool) {
+func (o *Output) value(key string) (string, bool) {
 	for line := range strings.Lines(o.String()) {
 		for _, field := range strings.Fields(line) {
 			value, found := strings.CutPrefix(field, key+"=")
