--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -53,9 +53,6 @@
 	peerTimeout = 2 * time.Second
 	// registerTimeout bounds one request of a register's round.
 	registerTimeout = 400 * time.Millisecond
-	// freshPatience is how long all members have to take a new program's first
-	// change without being asked before.
-	freshPatience = 60 * time.Millisecond
 	// flushTimeout bounds the return of reserves at a planned stop.
 	flushTimeout = time.Second
 	// failureInterval is the pause between two looks at the store, restartPause
@@ -288,7 +285,6 @@
 	life := n.self.Node + "/" + uuid.NewString()
 	bounds := register.DefaultSettings()
 	bounds.RequestTimeout = registerTimeout
-	bounds.FreshPatience = freshPatience
 	transport := peer.NewLocalTransport(n.self.Incarnation, n.replica, n.peers)
 	registers := register.NewClient(life, transport, n.lookup, register.SystemClock{}, newRandom(), bounds)
 	n.ledger = tokenbudget.New(life, registers, n.views.Locate, tokenbudget.DefaultSettings(), time.Now, n.logger)
