Give each restarted client of the model its own random source

Change: each start makes its own source. No check is weaker.

Conclusion: test only; no daemon changed.

--- a/coordination/shard/model_test.go
+++ b/coordination/shard/model_test.go
@@ -108,12 +108,15 @@
 func (w *world) runClient(ctx context.Context, number int, views *shard.Map) {
 	random := rand.New(rand.NewPCG(uint64(number), 1))
 	node := fmt.Sprintf("client-%d", number)
-	backoff := rand.New(rand.NewPCG(uint64(number), 2))
 	chosen := settings()
 	if number%2 == 1 {
 		chosen.FreshPatience = 30 * time.Millisecond
 	}
+	starts := uint64(2)
 	start := func() *register.Client {
+		// Rounds of the client before may still use its random source.
+		backoff := rand.New(rand.NewPCG(uint64(number), starts))
+		starts++
 		return register.NewClient(node, link{w.network, node}, clientViews{views}, register.SystemClock{}, backoff, chosen)
 	}
 	client := start()
