--- a/cmd/marblering/explain.go
+++ b/cmd/marblering/explain.go
@@ -57,13 +57,13 @@
 	if len(story.Lines) == 0 {
 		return merry.Errorf("no line names %q", id)
 	}
-	print(command.OutOrStdout(), story)
+	printStory(command.OutOrStdout(), story)
 	return nil
 }
 
-// print writes the story, with times relative to its first line, and the meaning
+// printStory writes the story, with times relative to its first line, and the meaning
 // of its result code.
-func print(w io.Writer, story logfile.Story) {
+func printStory(w io.Writer, story logfile.Story) {
 	start := story.Lines[0].Time
 	for _, l := range story.Lines {
 		printLine(w, start, l)
--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -116,7 +116,6 @@
 	load     *load
 	health   *health
 	route    string
-	began    time.Time
 	patience time.Duration
 	// heard is when the instance last gave a sign of the request, in
 	// nanoseconds since 1970.
@@ -139,7 +138,7 @@
 	c := &Choice{
 		Instance: chosen.Instance, Preferred: preferred, Outstanding: chosen.load.outstanding.Load(),
 		pool: p, load: chosen.load, health: of.health,
-		route: query.Route, began: now, patience: of.health.patience(query.Route, now),
+		route: query.Route, patience: of.health.patience(query.Route, now),
 	}
 	c.heard.Store(now.UnixNano())
 	c.load.add(c)
