Plan the best replica set that can be had now

The planner filled a set that lacks candidates up with any replaced member, in the order of the set: one that is gone could be named while one that is leaving but alive could have stayed, and every attempt then ended with that member's silence (108 in 20 s). The old incarnation of a wiped machine could be named beside its new one: the address answers for both, so the set opened with two disks that counted as three.

Ruled out: the membership (the node that stood in had joined), the store (back for 20 s), the copy (it never began).

Change: members that are gone or forgotten are never named; a silent one's place stays empty until it is back or gone, and wishes (leaving, zones) wait for it; a leaving one stays while nobody can stand in. A view that names a node twice is refused by the driver before it proposes it and by replicas that are to seal, install or open it.

--- a/coordination/register/message.go
+++ b/coordination/register/message.go
@@ -1,6 +1,10 @@
 package register
 
-import "github.com/marblering/marblering/state/replica"
+import (
+	"github.com/ansel1/merry/v2"
+
+	"github.com/marblering/marblering/state/replica"
+)
 
 // Refusal says why a replica refused a request. The numbers are those of
 // marblering.peer.v1.Refusal.
@@ -53,6 +57,22 @@
 	Members []Member
 }
 
+// ErrRepeatedMember means that a view counts one node, or one replica, twice.
+var ErrRepeatedMember = merry.Sentinel("register: a view names a node twice")
+
+// Validate refuses a view that counts one node twice, such as its old and its new
+// incarnation: a majority of such a view may be a minority of the disks.
+func (v View) Validate() error {
+	for index, member := range v.Members {
+		for _, earlier := range v.Members[:index] {
+			if member.Node == earlier.Node || member.Incarnation == earlier.Incarnation {
+				return merry.Wrap(ErrRepeatedMember, merry.AppendMessagef("%s in epoch %d of shard %d", member.Node, v.Epoch, v.Shard))
+			}
+		}
+	}
+	return nil
+}
+
 // Quorum returns the size of a majority of the members.
 func (v View) Quorum() int { return quorum(len(v.Members)) }
 
--- a/coordination/shard/driver.go
+++ b/coordination/shard/driver.go
@@ -96,6 +96,9 @@
 		return d.decide(ctx, current, nil)
 	}
 	proposed := register.View{Shard: current.Shard, Epoch: current.Epoch + 1, Members: wanted}
+	if err := proposed.Validate(); err != nil {
+		return register.View{}, err
+	}
 	unable := d.copyAhead(ctx, current, proposed)
 	if unable == nil {
 		return d.propose(ctx, current, wanted)
--- a/coordination/shard/plan.go
+++ b/coordination/shard/plan.go
@@ -222,11 +222,11 @@
 func (p planner) move(view register.View, judged []judgement) (Move, bool) {
 	reason := p.reason(judged)
 	members := p.successor(view, judged)
-	if reason == "" && answering(judged) == len(view.Members) {
+	if reason == "" {
 		members = p.spread(view, members)
 		reason = ReasonZones
 	}
-	if !hasNewMember(view.Members, members) {
+	if canWait(reason) && silent(judged) > 0 || !hasNewMember(view.Members, members) {
 		return Move{}, false
 	}
 	return Move{View: view, Members: members, Reason: reason, Driver: p.driver(view)}, true
@@ -249,28 +249,44 @@
 	return ""
 }
 
-// successor keeps the members that stay and fills their number up.
+// successor is the best set that can be had now. Each of its members answers,
+// since a set that names one that doesn't is never proposed. One that is gone or
+// another incarnation is replaced; the place of one that is only silent stays
+// empty until it comes back or is gone; one that is leaving stays while nobody
+// can stand in for it.
 func (p planner) successor(view register.View, judged []judgement) []register.Member {
-	var kept, replaced []register.Member
+	var kept, leaving []register.Member
 	for _, one := range judged {
-		switch one.reason {
-		case "":
-			kept = append(kept, one.member)
-		case ReasonMoved:
+		switch {
+		case !one.answers:
+		case one.reason == ReasonLeaving:
+			leaving = append(leaving, one.member)
+		case one.reason == ReasonMoved:
 			kept = append(kept, p.nodes[one.member.Node].Member)
 		default:
-			replaced = append(replaced, one.member)
+			kept = append(kept, one.member)
 		}
 	}
-	filled := fill(view.Shard, p.settings.Factor, kept, p.usable, p.sets)
-	if missing := len(view.Members) - len(filled); missing > 0 {
-		// Too few others: a member that is leaving or gone is still better than
-		// none.
-		filled = append(filled, replaced[:missing]...)
+	filled := fill(view.Shard, p.settings.Factor-silent(judged), kept, p.usable, p.sets)
+	missing := max(len(view.Members)-silent(judged)-len(filled), 0)
+	return append(filled, leaving[:min(missing, len(leaving))]...)
+}
+
+// silent counts the members that don't answer and may still come back.
+func silent(judged []judgement) int {
+	count := 0
+	for _, one := range judged {
+		if !one.answers && one.reason == "" {
+			count++
+		}
 	}
-	return filled
+	return count
 }
 
+// canWait tells a change that is only wished for: to leave a silent member out
+// for it would cost more than it is worth.
+func canWait(reason Reason) bool { return reason == ReasonLeaving || reason == ReasonZones }
+
 // candidates are the nodes that may become members.
 func (p planner) candidates() []Candidate {
 	var candidates []Candidate
--- /dev/null
+++ b/coordination/shard/repeated_test.go
@@ -0,0 +1,39 @@
+package shard
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/state/replica"
+)
+
+// TestNoViewCountsANodeTwice: neither driver nor replica takes part in a view in
+// which a node's old and new incarnation would count as two disks.
+func TestNoViewCountsANodeTwice(t *testing.T) {
+	old, begun := register.Member{Node: "a", Incarnation: "a-1"}, register.Member{Node: "a", Incarnation: "a-2"}
+	other, third := register.Member{Node: "b", Incarnation: "b-1"}, register.Member{Node: "c", Incarnation: "c-1"}
+	current := register.View{Epoch: FirstEpoch, Members: []register.Member{old, other, third}}
+	repeated := register.View{Epoch: FirstEpoch + 1, Members: []register.Member{begun, old, other}}
+	assert.ErrorIs(t, repeated.Validate(), register.ErrRepeatedMember)
+	assert.NilError(t, current.Validate())
+
+	members := &silentMembers{registers: make(map[string]replica.Register)}
+	driver := NewDriver("driver", members, NewMap(1), register.SystemClock{}, rand.New(rand.NewPCG(1, 1)), register.DefaultSettings(), zap.NewNop())
+	_, err := driver.Drive(context.Background(), current, repeated.Members)
+	assert.ErrorIs(t, err, register.ErrRepeatedMember)
+	assert.Assert(t, !members.proposed)
+
+	local := NewReplica(begun.Incarnation, replica.NewMemory(), NewMap(1), func() uint64 { return 0 })
+	installer := NewInstaller(local, nil, zap.NewNop())
+	installed := installer.Install(context.Background(), InstallRequest{Previous: current, Successor: repeated})
+	assert.Equal(t, installed.Refusal, register.RefusalEpoch)
+	opened := local.Open(context.Background(), OpenRequest{View: repeated})
+	assert.Equal(t, opened.Refusal, register.RefusalEpoch)
+	sealed := local.Seal(context.Background(), SealRequest{Fence: fenceOf(current, begun), Successor: repeated})
+	assert.Equal(t, sealed.Refusal, register.RefusalEpoch)
+}
--- a/coordination/shard/transition.go
+++ b/coordination/shard/transition.go
@@ -28,6 +28,9 @@
 // WasFirst tells that this replica is a member of the first epoch, which began
 // empty, so that a member that has never heard of it holds its data.
 func (r *Replica) advance(view register.View, wasFirst bool) archive.Reply {
+	if view.Validate() != nil {
+		return archive.Reply{Refusal: register.RefusalEpoch}
+	}
 	p, err := r.current(view.Shard)
 	if err != nil {
 		return archive.Reply{Refusal: register.RefusalStorage}
@@ -63,6 +66,8 @@
 	p.mutex.RUnlock()
 	isFirst := request.View.Epoch == FirstEpoch && current.View.Epoch == 0
 	switch {
+	case request.View.Validate() != nil:
+		return archive.Reply{Refusal: register.RefusalEpoch}
 	case !r.isMember(request.View):
 		return archive.Reply{Refusal: register.RefusalIncarnation}
 	case current.View.Epoch > request.View.Epoch:
