Begin with what storage nodes mirrored while the store is away

Change: storage nodes follow configuration and instances as well and keep them and the sets on their disks; gateways ask the seeds while their followers hear nothing.

--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -29,6 +29,8 @@
 	ReplicaServiceName = "marblering.peer.v1.ReplicaService"
 	// NodeServiceName is the fully-qualified name of the NodeService service.
 	NodeServiceName = "marblering.peer.v1.NodeService"
+	// MirrorServiceName is the fully-qualified name of the MirrorService service.
+	MirrorServiceName = "marblering.peer.v1.MirrorService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -81,6 +83,9 @@
 	// NodeServiceInstallConfigurationProcedure is the fully-qualified name of the NodeService's
 	// InstallConfiguration RPC.
 	NodeServiceInstallConfigurationProcedure = "/marblering.peer.v1.NodeService/InstallConfiguration"
+	// MirrorServiceFetchMirrorProcedure is the fully-qualified name of the MirrorService's FetchMirror
+	// RPC.
+	MirrorServiceFetchMirrorProcedure = "/marblering.peer.v1.MirrorService/FetchMirror"
 )
 
 // BudgetServiceClient is a client for the marblering.peer.v1.BudgetService service.
@@ -708,3 +713,73 @@
 func (UnimplementedNodeServiceHandler) InstallConfiguration(context.Context, *connect.Request[v1.InstallConfigurationRequest]) (*connect.Response[v1.InstallConfigurationResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.NodeService.InstallConfiguration is not implemented"))
 }
+
+// MirrorServiceClient is a client for the marblering.peer.v1.MirrorService service.
+type MirrorServiceClient interface {
+	FetchMirror(context.Context, *connect.Request[v1.FetchMirrorRequest]) (*connect.Response[v1.FetchMirrorResponse], error)
+}
+
+// NewMirrorServiceClient constructs a client for the marblering.peer.v1.MirrorService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewMirrorServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) MirrorServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	mirrorServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("MirrorService").Methods()
+	return &mirrorServiceClient{
+		fetchMirror: connect.NewClient[v1.FetchMirrorRequest, v1.FetchMirrorResponse](
+			httpClient,
+			baseURL+MirrorServiceFetchMirrorProcedure,
+			connect.WithSchema(mirrorServiceMethods.ByName("FetchMirror")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// mirrorServiceClient implements MirrorServiceClient.
+type mirrorServiceClient struct {
+	fetchMirror *connect.Client[v1.FetchMirrorRequest, v1.FetchMirrorResponse]
+}
+
+// FetchMirror calls marblering.peer.v1.MirrorService.FetchMirror.
+func (c *mirrorServiceClient) FetchMirror(ctx context.Context, req *connect.Request[v1.FetchMirrorRequest]) (*connect.Response[v1.FetchMirrorResponse], error) {
+	return c.fetchMirror.CallUnary(ctx, req)
+}
+
+// MirrorServiceHandler is an implementation of the marblering.peer.v1.MirrorService service.
+type MirrorServiceHandler interface {
+	FetchMirror(context.Context, *connect.Request[v1.FetchMirrorRequest]) (*connect.Response[v1.FetchMirrorResponse], error)
+}
+
+// NewMirrorServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewMirrorServiceHandler(svc MirrorServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	mirrorServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("MirrorService").Methods()
+	mirrorServiceFetchMirrorHandler := connect.NewUnaryHandler(
+		MirrorServiceFetchMirrorProcedure,
+		svc.FetchMirror,
+		connect.WithSchema(mirrorServiceMethods.ByName("FetchMirror")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/marblering.peer.v1.MirrorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case MirrorServiceFetchMirrorProcedure:
+			mirrorServiceFetchMirrorHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedMirrorServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedMirrorServiceHandler struct{}
+
+func (UnimplementedMirrorServiceHandler) FetchMirror(context.Context, *connect.Request[v1.FetchMirrorRequest]) (*connect.Response[v1.FetchMirrorResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.MirrorService.FetchMirror is not implemented"))
+}
--- a/cmd/marblering/reload.go
+++ b/cmd/marblering/reload.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 
 	"go.uber.org/zap"
@@ -14,7 +15,7 @@
 
 // reloader reads the settings again at each SIGHUP. The log level takes effect
 // at once; everything else at the next start, which the line says.
-type reloader[T comparable] struct {
+type reloader[T any] struct {
 	load func() (T, error)
 	// logLevel points to the level in the settings.
 	logLevel func(*T) *string
@@ -48,5 +49,5 @@
 	r.level.SetLevel(level)
 	immediate := r.current
 	*r.logLevel(&immediate) = *r.logLevel(&loaded)
-	r.logger.Info("settings reloaded", zap.Stringer("log_level", level), zap.Bool("rest_at_next_start", immediate != loaded))
+	r.logger.Info("settings reloaded", zap.Stringer("log_level", level), zap.Bool("rest_at_next_start", !reflect.DeepEqual(immediate, loaded)))
 }
--- a/cmd/marblering/role.go
+++ b/cmd/marblering/role.go
@@ -20,7 +20,7 @@
 const logRoom = 2048
 
 // role is a daemon with settings of its own.
-type role[T comparable] struct {
+type role[T any] struct {
 	name     string
 	short    string
 	addFlags func(flags *pflag.FlagSet)
@@ -60,7 +60,7 @@
 	})
 }
 
-func newRoleCommand[T comparable](wanted role[T]) *cobra.Command {
+func newRoleCommand[T any](wanted role[T]) *cobra.Command {
 	var path string
 	command := &cobra.Command{
 		Use:   wanted.name,
--- a/coordination/follow/follower.go
+++ b/coordination/follow/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,8 +62,8 @@
 	Name     string
 	Source   Source
 	Settings Settings
-	// Apply is called with the whole view after each change of it, from one
-	// goroutine only.
+	// Apply is called with the whole view after each change of it, one call at
+	// a time.
 	Apply  func(Snapshot)
 	Logger *zap.Logger
 	Now    func() time.Time
@@ -71,12 +72,14 @@
 // Follower keeps the view of one kind of objects. It is a suture service.
 type Follower struct {
 	options Options
-	view    view
+	// mutex guards the view, and is held while it is applied.
+	mutex sync.Mutex
+	view  view
 	// heard is when the store last answered, in nanoseconds of the Unix epoch;
 	// zero for never.
 	heard atomic.Int64
 	// lost is set while the store doesn't answer.
-	lost bool
+	lost atomic.Bool
 	// relist is set where the view may have missed changes.
 	relist bool
 }
@@ -133,25 +136,66 @@
 		return err
 	}
 	f.heardFromStore()
-	if !f.view.replace(snapshot) {
+	if !f.take(snapshot) {
 		f.options.Logger.Warn("old listing refused", zap.String("objects", f.options.Name),
-			zap.Int64("revision", snapshot.At), zap.Int64("known_revision", f.view.at))
+			zap.Int64("revision", snapshot.At), zap.Int64("known_revision", f.revision()))
 		return errors.New("the listing is older than what is known")
 	}
 	f.relist = false
 	f.options.Logger.Info("objects listed", zap.String("objects", f.options.Name),
 		zap.Int64("revision", snapshot.At), zap.Int("count", len(snapshot.Objects)))
-	f.options.Apply(f.view.snapshot())
 	return nil
 }
 
+// take replaces the view and applies it, unless the snapshot is older.
+func (f *Follower) take(snapshot Snapshot) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !f.view.replace(snapshot) {
+		return false
+	}
+	f.options.Apply(f.view.snapshot())
+	return true
+}
+
+// Offer takes in a snapshot that another node had from the store, if it is newer
+// than what is known, and tells whether it did. It says nothing about whether the
+// store has changed since.
+func (f *Follower) Offer(snapshot Snapshot) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.view.known && snapshot.At <= f.view.at {
+		return false
+	}
+	f.view.replace(snapshot)
+	f.options.Apply(f.view.snapshot())
+	return true
+}
+
+// IsLost tells that the last call to the store failed.
+func (f *Follower) IsLost() bool { return f.lost.Load() }
+
+// IsKnown tells that any snapshot was taken in.
+func (f *Follower) IsKnown() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.view.known
+}
+
+// revision is that of the view.
+func (f *Follower) revision() int64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.view.at
+}
+
 func (f *Follower) watch(ctx context.Context) error {
 	settings := f.options.Settings
 	bounded, cancel := context.WithTimeout(ctx, settings.WatchWait+settings.WatchSlack)
 	defer cancel()
-	changes, err := f.options.Source.Watch(bounded, f.view.at, settings.WatchWait)
+	changes, err := f.options.Source.Watch(bounded, f.revision(), settings.WatchWait)
 	if errors.Is(err, ErrHistoryGone) {
-		f.options.Logger.Info("history gone", zap.String("objects", f.options.Name), zap.Int64("revision", f.view.at))
+		f.options.Logger.Info("history gone", zap.String("objects", f.options.Name), zap.Int64("revision", f.revision()))
 		f.relist = true
 		return nil
 	}
@@ -159,32 +203,40 @@
 		return err
 	}
 	f.heardFromStore()
-	if f.view.change(changes) {
-		f.options.Apply(f.view.snapshot())
+	if f.change(changes) {
 		_ = sleep.For(ctx, settings.Gather)
 	}
 	return nil
 }
 
+// change takes changes in and tells whether they were any.
+func (f *Follower) change(changes Changes) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !f.view.change(changes) {
+		return false
+	}
+	f.options.Apply(f.view.snapshot())
+	return true
+}
+
 // failed notes that a call failed. A lost answer may have held changes, so the
 // next call is a listing.
 func (f *Follower) failed(err error) {
 	f.relist = true
-	if f.lost {
+	if f.lost.Swap(true) {
 		return
 	}
-	f.lost = true
 	f.options.Logger.Warn("store lost", zap.String("objects", f.options.Name),
-		zap.Int64("revision", f.view.at), zap.Error(err))
+		zap.Int64("revision", f.revision()), zap.Error(err))
 }
 
 func (f *Follower) heardFromStore() {
 	f.heard.Store(f.options.Now().UnixNano())
-	if !f.lost {
+	if !f.lost.Swap(false) {
 		return
 	}
-	f.lost = false
-	f.options.Logger.Info("store regained", zap.String("objects", f.options.Name), zap.Int64("revision", f.view.at))
+	f.options.Logger.Info("store regained", zap.String("objects", f.options.Name), zap.Int64("revision", f.revision()))
 }
 
 // jitter spreads the calls of nodes that failed at the same moment.
--- /dev/null
+++ b/coordination/mirror/holder.go
@@ -0,0 +1,158 @@
+package mirror
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/follow"
+	"github.com/marblering/marblering/coordination/sleep"
+)
+
+const (
+	// mediumShard is the shard number under which copies are kept: the last but
+	// one, the last being that of the replica's own state.
+	mediumShard uint32 = 1<<32 - 2
+	namePrefix         = "mirror-"
+	// savePause lies between two writes, so that a burst of changes is one.
+	savePause = 500 * time.Millisecond
+)
+
+// Kinds that are mirrored.
+const (
+	KindConfiguration = "configuration"
+	KindInstances     = "instances"
+	KindSets          = "replica sets"
+)
+
+// Kinds lists them.
+func Kinds() []string { return []string{KindConfiguration, KindInstances, KindSets} }
+
+// Copy is one kind of objects as the store had them.
+type Copy struct {
+	Kind     string
+	Snapshot follow.Snapshot
+	// Heard is when the store last confirmed the snapshot; zero where that was
+	// in an earlier life of the holder.
+	Heard time.Time
+}
+
+// Medium keeps small values. replica.Store is one.
+type Medium interface {
+	SaveMeta(shard uint32, name string, value []byte) error
+	LoadMeta(shard uint32, name string) ([]byte, error)
+}
+
+// Holder keeps copies. It is a suture service and safe for concurrent use.
+type Holder struct {
+	medium Medium
+	now    func() time.Time
+	logger *zap.Logger
+
+	mutex   sync.Mutex
+	copies  map[string]Copy
+	unsaved map[string]bool
+	changed chan struct{}
+}
+
+// NewHolder makes a holder of the kinds, with the copies that the medium has.
+func NewHolder(kinds []string, medium Medium, now func() time.Time, logger *zap.Logger) (*Holder, error) {
+	h := &Holder{
+		medium: medium, now: now, logger: logger,
+		copies: make(map[string]Copy), unsaved: make(map[string]bool), changed: make(chan struct{}, 1),
+	}
+	for _, kind := range kinds {
+		encoded, err := medium.LoadMeta(mediumShard, namePrefix+kind)
+		if err != nil {
+			return nil, merry.Prependf(err, "load the copy of %s", kind)
+		}
+		if encoded == nil {
+			continue
+		}
+		kept := Copy{Kind: kind}
+		if err := json.Unmarshal(encoded, &kept.Snapshot); err != nil {
+			logger.Warn("mirrored objects can't be read", zap.String("objects", kind), zap.Error(err))
+			continue
+		}
+		h.copies[kind] = kept
+		logger.Info("mirrored objects loaded", zap.String("objects", kind),
+			zap.Int64("revision", kept.Snapshot.At), zap.Int("count", len(kept.Snapshot.Objects)))
+	}
+	return h, nil
+}
+
+// Keep takes in what the store had. An older snapshot changes nothing.
+func (h *Holder) Keep(kind string, snapshot follow.Snapshot) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if snapshot.At < h.copies[kind].Snapshot.At {
+		return
+	}
+	h.copies[kind] = Copy{Kind: kind, Snapshot: snapshot, Heard: h.now()}
+	h.unsaved[kind] = true
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Copies returns what is kept, in the order of kinds.
+func (h *Holder) Copies() []Copy {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	copies := make([]Copy, 0, len(h.copies))
+	for _, kept := range h.copies {
+		copies = append(copies, kept)
+	}
+	slices.SortFunc(copies, func(a, b Copy) int { return strings.Compare(a.Kind, b.Kind) })
+	return copies
+}
+
+// String names the service in the supervisor's messages.
+func (h *Holder) String() string { return "holder of mirrored objects" }
+
+// Serve writes changes to the medium until the context ends.
+func (h *Holder) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-h.changed:
+			h.save()
+		}
+		if sleep.For(ctx, savePause) != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+func (h *Holder) save() {
+	for _, kept := range h.takeUnsaved() {
+		encoded, err := json.Marshal(kept.Snapshot)
+		if err == nil {
+			err = h.medium.SaveMeta(mediumShard, namePrefix+kept.Kind, encoded)
+		}
+		if err != nil {
+			// A disk that takes no writes has the node start anew; the copy in
+			// memory serves on.
+			h.logger.Warn("mirrored objects not saved", zap.String("objects", kept.Kind), zap.Error(err))
+		}
+	}
+}
+
+func (h *Holder) takeUnsaved() []Copy {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var unsaved []Copy
+	for kind := range h.unsaved {
+		unsaved = append(unsaved, h.copies[kind])
+	}
+	clear(h.unsaved)
+	return unsaved
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/marblering/marblering/coordination/backend"
 	"github.com/marblering/marblering/coordination/follow"
 	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/mirror"
 	"github.com/marblering/marblering/coordination/routetable"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/telemetry"
@@ -112,7 +113,7 @@
 	}
 	services, stop := context.WithCancel(context.Background())
 	supervisor := suture.New("gateway", suture.Spec{EventHook: g.logEvent})
-	for _, service := range []suture.Service{g.configuration, g.instances, g.sets, g.callers, g.operators, idleCloser{g.upstream}} {
+	for _, service := range []suture.Service{g.configuration, g.instances, g.sets, g.mirrored(), g.callers, g.operators, idleCloser{g.upstream}} {
 		supervisor.Add(service)
 	}
 	g.stop = stop
@@ -160,6 +161,15 @@
 	return g, nil
 }
 
+// mirrored asks storage nodes for what they had from the store while it is out of
+// reach of this node.
+func (g *Gateway) mirrored() *mirror.Reader {
+	followers := map[string]mirror.Follower{
+		mirror.KindConfiguration: g.configuration, mirror.KindInstances: g.instances, mirror.KindSets: g.sets,
+	}
+	return mirror.NewReader(g.settings.Seeds, g.state.peers, followers, time.Now, g.logger)
+}
+
 // newSeldomFollower follows what changes seldom, and where a late change costs
 // nothing: replicas say themselves when a set has changed.
 func (g *Gateway) newSeldomFollower(name string, source follow.Source, apply func(follow.Snapshot)) *follow.Follower {
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -25,6 +25,7 @@
 // storage nodes keep.
 type state struct {
 	lookup        *directory.Lookup
+	peers         *peer.Client
 	budgets       *tokenbudget.Client
 	conversations *conversation.Service
 }
@@ -37,5 +38,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &state{lookup: lookup, budgets: budgets, conversations: conversation.New(turns, budgets, logger)}, nil
+	return &state{lookup: lookup, peers: peers, budgets: budgets, conversations: conversation.New(turns, budgets, logger)}, nil
 }
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -22,6 +22,7 @@
 	"github.com/marblering/marblering/coordination/expiry"
 	"github.com/marblering/marblering/coordination/follow"
 	"github.com/marblering/marblering/coordination/membership"
+	"github.com/marblering/marblering/coordination/mirror"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/repair"
 	"github.com/marblering/marblering/coordination/retirement"
@@ -41,6 +42,10 @@
 	Objects directory.Objects
 	Nodes   follow.Source
 	Sets    follow.Source
+	// Configuration and Instances are mirrored for gateways that can't reach
+	// the store.
+	Configuration follow.Source
+	Instances     follow.Source
 	// Retirements are the orders to empty storage nodes.
 	Retirements      follow.Source
 	DecodeRetirement func(follow.Object) (retirement.Order, error)
@@ -63,6 +68,10 @@
 	collectInterval = 20 * time.Second
 	// watchWait is how long the store may hold a call about what changes seldom.
 	watchWait = 10 * time.Second
+	// mirrorWait is the same for what is only mirrored, and mirrorGather the
+	// pause after a change of it.
+	mirrorWait   = 20 * time.Second
+	mirrorGather = 500 * time.Millisecond
 	// repairInterval is the pause between two rounds of repair.
 	repairInterval = 400 * time.Millisecond
 	// goneAfter and replacedAfter are how long a member may be gone before its
@@ -92,6 +101,7 @@
 	retirement *retirement.Service
 	ledger     *tokenbudget.Ledger
 	budgets    *tokenbudget.Host
+	mirror     *mirror.Holder
 	metrics    *prometheus.Registry
 	peers      *peer.Client
 	self       register.Member
@@ -201,8 +211,12 @@
 	if err != nil {
 		return nil, err
 	}
+	n.mirror, err = mirror.NewHolder(mirror.Kinds(), n.store, time.Now, n.logger)
+	if err != nil {
+		return nil, err
+	}
 	peers, err := listener.Open("peers", n.settings.PeerListen.String(),
-		peer.NewHTTPServer(peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, peerMetrics)))
+		peer.NewHTTPServer(peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, n.mirror, peerMetrics)))
 	if err != nil {
 		return nil, err
 	}
@@ -211,10 +225,12 @@
 		return nil, errors.Join(err, peers.Socket.Close())
 	}
 	return []suture.Service{
-		peers, operators, n.membership, n.repair, n.keeper, n.retirement, n.budgets, collector,
+		peers, operators, n.membership, n.repair, n.keeper, n.retirement, n.budgets, collector, n.mirror,
 		n.follower("storage nodes", n.parts.Nodes, n.applyNodes),
 		n.follower("replica sets", n.parts.Sets, n.applySets),
 		n.follower("retirements", n.parts.Retirements, n.retirement.Decode(n.parts.DecodeRetirement)),
+		n.mirroring(mirror.KindConfiguration, n.parts.Configuration),
+		n.mirroring(mirror.KindInstances, n.parts.Instances),
 	}, nil
 }
 
@@ -242,9 +258,12 @@
 	return derived
 }
 
-// knownAddresses are those of the sets that were on the disk.
+// knownAddresses are those of the sets that were on the disk, and the seeds.
 func (n *Node) knownAddresses() []string {
 	var addresses []string
+	for _, seed := range n.settings.Seeds {
+		addresses = append(addresses, seed.String())
+	}
 	for _, view := range n.views.Views() {
 		for _, member := range view.Members {
 			addresses = append(addresses, member.Address)
@@ -313,6 +332,16 @@
 	})
 }
 
+// mirroring follows what this node only keeps for others.
+func (n *Node) mirroring(kind string, source follow.Source) *follow.Follower {
+	bounds := follow.DefaultSettings()
+	bounds.WatchWait, bounds.Gather = mirrorWait, mirrorGather
+	return follow.New(follow.Options{
+		Name: kind, Source: source, Settings: bounds, Logger: n.logger, Now: time.Now,
+		Apply: func(snapshot follow.Snapshot) { n.mirror.Keep(kind, snapshot) },
+	})
+}
+
 func (n *Node) applyNodes(snapshot follow.Snapshot) {
 	nodes, _ := directory.DecodeNodes(snapshot)
 	addresses := n.knownAddresses()
@@ -326,6 +355,7 @@
 func (n *Node) applySets(snapshot follow.Snapshot) {
 	n.lookup.Apply(snapshot)
 	n.keeper.ApplySets(snapshot)
+	n.mirror.Keep(mirror.KindSets, snapshot)
 }
 
 func (n *Node) operatorServer() *http.Server {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -23,6 +23,9 @@
 	ReadyPath string `koanf:"ready_path" validate:"url_path"`
 	// StoreURL is the base URL of the store of configuration and back ends.
 	StoreURL string `koanf:"store_url" validate:"required,base_url"`
+	// Seeds are peer addresses of storage nodes, which are asked while the store
+	// is out of reach.
+	Seeds []netip.AddrPort `koanf:"seeds" validate:"max=64"`
 	// ApplyLimit is the time in which a new configuration must be in force.
 	ApplyLimit time.Duration `koanf:"apply_limit" validate:"min=100ms,max=1m"`
 	// UndisturbedTime is how long the store must have answered before ApplyLimit
@@ -83,6 +86,11 @@
 			Usage: "base URL of the store of configuration and back ends",
 			field: func(s *Gateway) any { return &s.StoreURL },
 		},
+		{
+			Key: "seeds", Allowed: allowedSeeds,
+			Usage: "peer addresses of some storage nodes, asked for what they had from the store while it is out of reach",
+			field: func(s *Gateway) any { return &s.Seeds },
+		},
 		{
 			Key: "apply_limit", Default: "2s", Allowed: allowedDuration("100ms", "1m"),
 			Usage: "time in which a new configuration must be in force",
--- a/settings/option.go
+++ b/settings/option.go
@@ -38,6 +38,7 @@
 	usageMemory     = "memory that the process may use"
 	usageLogLevel   = "least severe level that is logged"
 	allowedAddress  = "IP number and port such as 10.0.0.5:7100 or [fd00::5]:7100, no host name"
+	allowedSeeds    = "list of at most 64 addresses: " + allowedAddress
 )
 
 // Options lists every option in the order of the documentation.
--- a/settings/roles_test.go
+++ b/settings/roles_test.go
@@ -16,7 +16,27 @@
 	"node_name": "edge-lozenets-1", "zone": "lozenets", "ip": "10.1.0.40", "data_dir": "/data/my-storage",
 	"listen.frontend": "10.1.0.38:8149", "listen.ready": "10.1.0.38:8141", "platform.address": "10.200.1.7:8142",
 	"bounds.config_apply_ms": "2000", "bounds.contact_ms": "3000", "bounds.grace_s": "8", "limits.memory_mb": "284",
-	"port_range.0": "7380", "port_range.1": "7395", "fault_tolerance.machines": "1",
+	"listen.control": "10.1.0.40:7380", "port_range.1": "7395", "fault_tolerance.machines": "1",
+}
+
+// seeds are what the section of that name stands once for.
+var seeds = []string{"10.1.0.40:7380", "10.2.0.41:7380", "10.3.0.6:7380"}
+
+// fillSeeds writes the section {{#seeds}}..{{/seeds}} out: {{.}} is the entry, and
+// {{,}} a comma except after the last.
+func fillSeeds(template string) string {
+	return regexp.MustCompile(`{{#seeds}}(.*?){{/seeds}}`).ReplaceAllStringFunc(template, func(section string) string {
+		entry := strings.TrimSuffix(strings.TrimPrefix(section, "{{#seeds}}"), "{{/seeds}}")
+		var filled strings.Builder
+		for i, seed := range seeds {
+			comma := ","
+			if i == len(seeds)-1 {
+				comma = ""
+			}
+			filled.WriteString(strings.NewReplacer("{{.}}", seed, "{{,}}", comma).Replace(entry))
+		}
+		return filled.String()
+	})
 }
 
 // fill fills a template in and fails on a gap that no platform fills.
@@ -24,7 +44,7 @@
 	t.Helper()
 	content, err := os.ReadFile(path)
 	assert.NilError(t, err)
-	return regexp.MustCompile(`{{([^}]*)}}`).ReplaceAllStringFunc(string(content), func(gap string) string {
+	return regexp.MustCompile(`{{([^}]*)}}`).ReplaceAllStringFunc(fillSeeds(string(content)), func(gap string) string {
 		value, known := gaps[strings.Trim(gap, "{}")]
 		assert.Assert(t, known, "%s: gap %s", path, gap)
 		return value
@@ -36,9 +56,11 @@
 	assert.NilError(t, err)
 	assert.Equal(t, gateway.ReadyPath, "/ready")
 	assert.Equal(t, gateway.StoreURL, "http://10.200.1.7:8142")
+	assert.Equal(t, len(gateway.Seeds), len(seeds))
 	storage, err := settings.LoadStorage(writeFile(t, fill(t, "../deploy/storage.yaml")), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, storage.ReplicationFactor(), 3)
+	assert.Equal(t, storage.Seeds[2].String(), seeds[2])
 }
 
 // TestRolesRefuse gives each role one setting that it can't take.
@@ -50,6 +72,7 @@
 		{"no unit", "apply_limit: 2000ms", "apply_limit: 2000", "apply_limit: "},
 		{"host name", "http://10.200.1.7:8142", "http://store:8142", "store_url: "},
 		{"path", "ready_path: /ready", "ready_path: ready", "ready_path: "},
+		{"seed without a port", "10.3.0.6:7380", "10.3.0.6", "seeds: "},
 		{"little memory", "memory_limit: 284MiB", "memory_limit: 1MiB", "memory_limit: "},
 		{"one address twice", "10.1.0.38:8141", "10.1.0.38:8149", "contradicts caller_listen"},
 	}
--- a/settings/storage.go
+++ b/settings/storage.go
@@ -20,6 +20,8 @@
 	OperatorListen netip.AddrPort `koanf:"operator_listen" validate:"required"`
 	// StoreURL is the base URL of the store of the directory.
 	StoreURL string `koanf:"store_url" validate:"required,base_url"`
+	// Seeds are peer addresses of other storage nodes.
+	Seeds []netip.AddrPort `koanf:"seeds" validate:"max=64"`
 	// Losses is how many storage nodes may be lost at once.
 	Losses int `koanf:"losses" validate:"min=0,max=3"`
 	// Shards is the number of shards; it counts when the sets are founded.
@@ -76,6 +78,11 @@
 			Usage: "base URL of the store in which storage nodes find each other",
 			field: func(s *Storage) any { return &s.StoreURL },
 		},
+		{
+			Key: "seeds", Allowed: allowedSeeds,
+			Usage: "peer addresses of some storage nodes, through which this one finds the others while the store is out of reach",
+			field: func(s *Storage) any { return &s.Seeds },
+		},
 		{
 			Key: "losses", Default: "1", Allowed: "whole number from 0 to 3",
 			Usage: "how many storage nodes may be lost at once; a replica set has twice as many members and one",
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -88,13 +88,15 @@
 }
 
 // NewStorageHandler serves what a node that only keeps replicas has to: requests
-// to its replica, the exchanges of membership, and the budgets of programs.
-func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, budgets BudgetHost, metrics *Metrics) http.Handler {
+// to its replica, the exchanges of membership, the budgets of programs, and what
+// it has mirrored of the store.
+func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, budgets BudgetHost, mirrored Mirror, metrics *Metrics) http.Handler {
 	mux := http.NewServeMux()
 	options := handlerOptions(metrics)
 	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica, installer: installer}, options...))
 	mux.Handle(peerv1connect.NewNodeServiceHandler(&exchangeServer{membership: membership}, options...))
 	mux.Handle(peerv1connect.NewBudgetServiceHandler(&budgetServer{host: budgets}, options...))
+	mux.Handle(peerv1connect.NewMirrorServiceHandler(&mirrorServer{mirror: mirrored}, options...))
 	return mux
 }
 
--- a/transport/peer/stub.go
+++ b/transport/peer/stub.go
@@ -10,6 +10,7 @@
 	replica peerv1connect.ReplicaServiceClient
 	node    peerv1connect.NodeServiceClient
 	budget  peerv1connect.BudgetServiceClient
+	mirror  peerv1connect.MirrorServiceClient
 }
 
 // maxStubs bounds the addresses that are remembered.
@@ -24,6 +25,7 @@
 		replica: peerv1connect.NewReplicaServiceClient(c.http, base, c.options...),
 		node:    peerv1connect.NewNodeServiceClient(c.http, base, c.options...),
 		budget:  peerv1connect.NewBudgetServiceClient(c.http, base, c.options...),
+		mirror:  peerv1connect.NewMirrorServiceClient(c.http, base, c.options...),
 	}
 	if c.count.Add(1) > maxStubs {
 		c.known.Clear()
