Follow the store through storage nodes

Ruled out: longer held calls (the bounds of drains and configurations leave none), stale reads (seconds old), polling.

Change: storage nodes, which mirror configuration, instances and sets already, hold the calls; gateways hold theirs at storage nodes and fall back to the next one, and to the store itself, as soon as one is silent, behind or lost. A holder tells changes only from revisions that it has been at; others are told all. Followers count as heard when the store confirmed to the holder.

--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -86,6 +86,9 @@
 	// MirrorServiceFetchMirrorProcedure is the fully-qualified name of the MirrorService's FetchMirror
 	// RPC.
 	MirrorServiceFetchMirrorProcedure = "/marblering.peer.v1.MirrorService/FetchMirror"
+	// MirrorServiceWatchMirrorProcedure is the fully-qualified name of the MirrorService's WatchMirror
+	// RPC.
+	MirrorServiceWatchMirrorProcedure = "/marblering.peer.v1.MirrorService/WatchMirror"
 )
 
 // BudgetServiceClient is a client for the marblering.peer.v1.BudgetService service.
@@ -717,6 +720,7 @@
 // MirrorServiceClient is a client for the marblering.peer.v1.MirrorService service.
 type MirrorServiceClient interface {
 	FetchMirror(context.Context, *connect.Request[v1.FetchMirrorRequest]) (*connect.Response[v1.FetchMirrorResponse], error)
+	WatchMirror(context.Context, *connect.Request[v1.WatchMirrorRequest]) (*connect.Response[v1.WatchMirrorResponse], error)
 }
 
 // NewMirrorServiceClient constructs a client for the marblering.peer.v1.MirrorService service. By
@@ -736,12 +740,19 @@
 			connect.WithSchema(mirrorServiceMethods.ByName("FetchMirror")),
 			connect.WithClientOptions(opts...),
 		),
+		watchMirror: connect.NewClient[v1.WatchMirrorRequest, v1.WatchMirrorResponse](
+			httpClient,
+			baseURL+MirrorServiceWatchMirrorProcedure,
+			connect.WithSchema(mirrorServiceMethods.ByName("WatchMirror")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // mirrorServiceClient implements MirrorServiceClient.
 type mirrorServiceClient struct {
 	fetchMirror *connect.Client[v1.FetchMirrorRequest, v1.FetchMirrorResponse]
+	watchMirror *connect.Client[v1.WatchMirrorRequest, v1.WatchMirrorResponse]
 }
 
 // FetchMirror calls marblering.peer.v1.MirrorService.FetchMirror.
@@ -749,9 +760,15 @@
 	return c.fetchMirror.CallUnary(ctx, req)
 }
 
+// WatchMirror calls marblering.peer.v1.MirrorService.WatchMirror.
+func (c *mirrorServiceClient) WatchMirror(ctx context.Context, req *connect.Request[v1.WatchMirrorRequest]) (*connect.Response[v1.WatchMirrorResponse], error) {
+	return c.watchMirror.CallUnary(ctx, req)
+}
+
 // MirrorServiceHandler is an implementation of the marblering.peer.v1.MirrorService service.
 type MirrorServiceHandler interface {
 	FetchMirror(context.Context, *connect.Request[v1.FetchMirrorRequest]) (*connect.Response[v1.FetchMirrorResponse], error)
+	WatchMirror(context.Context, *connect.Request[v1.WatchMirrorRequest]) (*connect.Response[v1.WatchMirrorResponse], error)
 }
 
 // NewMirrorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -767,10 +784,18 @@
 		connect.WithSchema(mirrorServiceMethods.ByName("FetchMirror")),
 		connect.WithHandlerOptions(opts...),
 	)
+	mirrorServiceWatchMirrorHandler := connect.NewUnaryHandler(
+		MirrorServiceWatchMirrorProcedure,
+		svc.WatchMirror,
+		connect.WithSchema(mirrorServiceMethods.ByName("WatchMirror")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/marblering.peer.v1.MirrorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MirrorServiceFetchMirrorProcedure:
 			mirrorServiceFetchMirrorHandler.ServeHTTP(w, r)
+		case MirrorServiceWatchMirrorProcedure:
+			mirrorServiceWatchMirrorHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -783,3 +808,7 @@
 func (UnimplementedMirrorServiceHandler) FetchMirror(context.Context, *connect.Request[v1.FetchMirrorRequest]) (*connect.Response[v1.FetchMirrorResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.MirrorService.FetchMirror is not implemented"))
 }
+
+func (UnimplementedMirrorServiceHandler) WatchMirror(context.Context, *connect.Request[v1.WatchMirrorRequest]) (*connect.Response[v1.WatchMirrorResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.MirrorService.WatchMirror is not implemented"))
+}
--- a/coordination/follow/follower.go
+++ b/coordination/follow/follower.go
@@ -17,6 +17,10 @@
 // since the revision that was asked for.
 var ErrHistoryGone = errors.New("the store's history is gone")
 
+// ErrMissed is what a Source returns where changes may have been missed though the
+// store itself may be well.
+var ErrMissed = errors.New("changes may have been missed")
+
 // Source is one kind of objects in a store.
 type Source interface {
 	// List returns every object. It must be linearizable.
@@ -62,6 +66,8 @@
 	Name     string
 	Source   Source
 	Settings Settings
+	// Lost is told when the store doesn't answer any more; nil for nobody.
+	Lost func()
 	// Apply is called with the whole view after each change of it, one call at
 	// a time.
 	Apply  func(Snapshot)
@@ -199,10 +205,14 @@
 		f.relist = true
 		return nil
 	}
+	if errors.Is(err, ErrMissed) {
+		f.relist = true
+		return nil
+	}
 	if err != nil {
 		return err
 	}
-	f.heardFromStore()
+	f.heardAt(f.options.Now().Add(-changes.Age))
 	if f.change(changes) {
 		_ = sleep.For(ctx, settings.Gather)
 	}
@@ -229,10 +239,16 @@
 	}
 	f.options.Logger.Warn("store lost", zap.String("objects", f.options.Name),
 		zap.Int64("revision", f.revision()), zap.Error(err))
+	if f.options.Lost != nil {
+		f.options.Lost()
+	}
 }
 
-func (f *Follower) heardFromStore() {
-	f.heard.Store(f.options.Now().UnixNano())
+func (f *Follower) heardFromStore() { f.heardAt(f.options.Now()) }
+
+// heardAt notes that the store said something then.
+func (f *Follower) heardAt(moment time.Time) {
+	f.heard.Store(max(f.heard.Load(), moment.UnixNano()))
 	if !f.lost.Swap(false) {
 		return
 	}
--- a/coordination/follow/follower_test.go
+++ b/coordination/follow/follower_test.go
@@ -167,3 +167,25 @@
 		}
 	})
 }
+
+// TestWholeChangesReplaceTheView, also where objects are missing among them, and
+// never by an older state.
+func TestWholeChangesReplaceTheView(t *testing.T) {
+	whole := func(at int64, objects ...Object) func() (Snapshot, Changes, error) {
+		changes := Changes{At: at, IsWhole: true}
+		for _, one := range objects {
+			changes.Events = append(changes.Events, Event{Object: one})
+		}
+		return func() (Snapshot, Changes, error) { return Snapshot{}, changes, nil }
+	}
+	calls, seen := follow(listed(5, object("a", 3), object("b", 4)), whole(4, object("a", 3)), whole(8, object("a", 7)), changed(9))
+	assert.DeepEqual(t, calls, []string{"list", "watch 5", "watch 5", "watch 8"})
+	assert.DeepEqual(t, seen, [][]string{{"a3", "b4"}, {"a7"}})
+}
+
+// TestMissedChangesAreListed, without the store counting as lost.
+func TestMissedChangesAreListed(t *testing.T) {
+	calls, seen := follow(listed(5, object("a", 3)), failed(ErrMissed), listed(9, object("b", 8)), changed(10))
+	assert.DeepEqual(t, calls, []string{"list", "watch 5", "list", "watch 9"})
+	assert.DeepEqual(t, seen, [][]string{{"a3"}, {"b8"}})
+}
--- a/coordination/follow/view.go
+++ b/coordination/follow/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Object is one object of the store.
@@ -34,6 +35,11 @@
 	Events []Event
 	// At is the revision from which to go on.
 	At int64
+	// IsWhole tells that the events are all objects that there are: what isn't
+	// among them is gone.
+	IsWhole bool
+	// Age is how long ago the store said so; zero where it was asked itself.
+	Age time.Duration
 }
 
 // view is the copy of the objects. It has no threads and no I/O.
@@ -60,6 +66,9 @@
 
 // change takes changes in and tells whether any object differs from before.
 func (v *view) change(changes Changes) bool {
+	if changes.IsWhole {
+		return v.replace(changes.snapshot())
+	}
 	changed := false
 	for _, event := range changes.Events {
 		changed = v.changeOne(event) || changed
@@ -68,6 +77,15 @@
 	return changed
 }
 
+// snapshot is that of changes which are whole.
+func (c Changes) snapshot() Snapshot {
+	snapshot := Snapshot{At: c.At, Objects: make([]Object, 0, len(c.Events))}
+	for _, event := range c.Events {
+		snapshot.Objects = append(snapshot.Objects, event.Object)
+	}
+	return snapshot
+}
+
 func (v *view) changeOne(event Event) bool {
 	known, exists := v.objects[event.Object.Name]
 	if exists && event.Object.Revision < known.Revision {
--- /dev/null
+++ b/coordination/mirror/changes.go
@@ -0,0 +1,203 @@
+package mirror
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/marblering/marblering/coordination/follow"
+)
+
+const (
+	// maxRemovals is how many removed objects of a kind are remembered, and
+	// maxSteps how many of its snapshots' revisions. Whoever asks from before is
+	// told all that there is.
+	maxRemovals = 512
+	maxSteps    = 1024
+)
+
+// removal is an object that was gone at a revision.
+type removal struct {
+	name string
+	at   int64
+}
+
+// Answer is what a holder says about changes: one of the types below.
+type Answer interface{ isAnswer() }
+
+// Current is what there is to take in.
+type Current struct {
+	Changes follow.Changes
+}
+
+// Lost says that the holder itself doesn't hear from the store.
+type Lost struct{}
+
+// Missed says that the holder doesn't follow the kind.
+type Missed struct{}
+
+func (Current) isAnswer() {}
+func (Lost) isAnswer()    {}
+func (Missed) isAnswer()  {}
+
+// Upstream is the holder's own way to the store. follow.Follower is one.
+type Upstream interface {
+	Age() (age time.Duration, ok bool)
+	IsLost() bool
+}
+
+// shelf is what a holder has of one kind. The holder's mutex guards it.
+type shelf struct {
+	kept Copy
+	// removals are in the order of their revisions.
+	removals []removal
+	// steps are the revisions of the snapshots that were taken in, oldest first.
+	// What was made and removed between two of them was never seen here, so that
+	// only whoever is at one of them can be told what changed since; others are
+	// told all that there is.
+	steps    []int64
+	upstream Upstream
+	// changed is closed when anything of the shelf changes.
+	changed chan struct{}
+}
+
+func newShelf(kind string) *shelf {
+	return &shelf{kept: Copy{Kind: kind}, changed: make(chan struct{})}
+}
+
+// wake lets those look again who wait for a change.
+func (s *shelf) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// replace takes a newer snapshot in and remembers what it lacks.
+func (s *shelf) replace(snapshot follow.Snapshot, heard time.Time) {
+	if !s.kept.Heard.IsZero() {
+		// Before, what was removed while this node was away isn't known.
+		s.rememberRemovals(snapshot)
+	}
+	if len(s.steps) == 0 || s.steps[len(s.steps)-1] < snapshot.At {
+		s.steps = append(s.steps, snapshot.At)
+	}
+	s.forget()
+	s.kept.Snapshot, s.kept.Heard = snapshot, heard
+	s.wake()
+}
+
+func (s *shelf) rememberRemovals(next follow.Snapshot) {
+	names := make(map[string]bool, len(next.Objects))
+	for _, object := range next.Objects {
+		names[object.Name] = true
+	}
+	for _, object := range s.kept.Snapshot.Objects {
+		if !names[object.Name] {
+			s.removals = append(s.removals, removal{name: object.Name, at: next.At})
+		}
+	}
+}
+
+// forget drops the oldest removals and steps. Whoever is at a step that is left
+// needs no removal that was dropped.
+func (s *shelf) forget() {
+	if excess := len(s.removals) - maxRemovals; excess > 0 {
+		dropped := s.removals[excess-1].at
+		s.removals = slices.Clone(s.removals[excess:])
+		s.steps = slices.DeleteFunc(s.steps, func(step int64) bool { return step < dropped })
+	}
+	if excess := len(s.steps) - maxSteps; excess > 0 {
+		s.steps = slices.Clone(s.steps[excess:])
+	}
+}
+
+// knowsFrom tells that all that changed after the revision is known.
+func (s *shelf) knowsFrom(revision int64) bool {
+	_, isStep := slices.BinarySearch(s.steps, revision)
+	return isStep || revision >= s.kept.Snapshot.At
+}
+
+// changesSince returns what changed after the revision.
+func (s *shelf) changesSince(revision int64) follow.Changes {
+	if !s.knowsFrom(revision) {
+		return s.whole()
+	}
+	changes := follow.Changes{At: max(revision, s.kept.Snapshot.At)}
+	for _, object := range s.kept.Snapshot.Objects {
+		if object.Revision > revision {
+			changes.Events = append(changes.Events, follow.Event{Object: object})
+		}
+	}
+	for _, removed := range s.removals {
+		if removed.at > revision {
+			gone := follow.Object{Name: removed.name, Revision: removed.at}
+			changes.Events = append(changes.Events, follow.Event{Object: gone, Gone: true})
+		}
+	}
+	return changes
+}
+
+// whole is all that there is.
+func (s *shelf) whole() follow.Changes {
+	changes := follow.Changes{At: s.kept.Snapshot.At, IsWhole: true}
+	for _, object := range s.kept.Snapshot.Objects {
+		changes.Events = append(changes.Events, follow.Event{Object: object})
+	}
+	return changes
+}
+
+// answer says what there is to say now; done is false while it may be waited for
+// more.
+func (s *shelf) answer(revision int64) (said Answer, done bool) {
+	if s.upstream == nil || s.upstream.IsLost() {
+		return Lost{}, true
+	}
+	age, heard := s.upstream.Age()
+	if !heard {
+		return Lost{}, true
+	}
+	changes := s.changesSince(revision)
+	changes.Age = age
+	return Current{Changes: changes}, changes.IsWhole || len(changes.Events) > 0
+}
+
+// Watch answers as soon as there is a change of the kind after the revision, or
+// this holder loses the store; and after the wait that nothing changed.
+func (h *Holder) Watch(ctx context.Context, kind string, revision int64, wait time.Duration) Answer {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		h.mutex.Lock()
+		found := h.shelves[kind]
+		if found == nil {
+			h.mutex.Unlock()
+			return Missed{}
+		}
+		said, done := found.answer(revision)
+		changed := found.changed
+		h.mutex.Unlock()
+		if done {
+			return said
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return said
+		case <-ctx.Done():
+			return said
+		}
+	}
+}
+
+// Through names the way by which the holder hears of the kind.
+func (h *Holder) Through(kind string, upstream Upstream) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.shelf(kind).upstream = upstream
+}
+
+// Lost tells those that wait for a change of the kind that the store is lost.
+func (h *Holder) Lost(kind string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.shelf(kind).wake()
+}
--- a/coordination/mirror/holder.go
+++ b/coordination/mirror/holder.go
@@ -56,7 +56,7 @@
 	logger *zap.Logger
 
 	mutex   sync.Mutex
-	copies  map[string]Copy
+	shelves map[string]*shelf
 	unsaved map[string]bool
 	changed chan struct{}
 }
@@ -65,7 +65,7 @@
 func NewHolder(kinds []string, medium Medium, now func() time.Time, logger *zap.Logger) (*Holder, error) {
 	h := &Holder{
 		medium: medium, now: now, logger: logger,
-		copies: make(map[string]Copy), unsaved: make(map[string]bool), changed: make(chan struct{}, 1),
+		shelves: make(map[string]*shelf), unsaved: make(map[string]bool), changed: make(chan struct{}, 1),
 	}
 	for _, kind := range kinds {
 		encoded, err := medium.LoadMeta(mediumShard, namePrefix+kind)
@@ -80,7 +80,7 @@
 			logger.Warn("mirrored objects can't be read", zap.String("objects", kind), zap.Error(err))
 			continue
 		}
-		h.copies[kind] = kept
+		h.shelf(kind).kept = kept
 		logger.Info("mirrored objects loaded", zap.String("objects", kind),
 			zap.Int64("revision", kept.Snapshot.At), zap.Int("count", len(kept.Snapshot.Objects)))
 	}
@@ -91,10 +91,11 @@
 func (h *Holder) Keep(kind string, snapshot follow.Snapshot) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if snapshot.At < h.copies[kind].Snapshot.At {
+	held := h.shelf(kind)
+	if snapshot.At < held.kept.Snapshot.At {
 		return
 	}
-	h.copies[kind] = Copy{Kind: kind, Snapshot: snapshot, Heard: h.now()}
+	held.replace(snapshot, h.now())
 	h.unsaved[kind] = true
 	select {
 	case h.changed <- struct{}{}:
@@ -102,13 +103,23 @@
 	}
 }
 
+// shelf returns that of the kind. The mutex must be held.
+func (h *Holder) shelf(kind string) *shelf {
+	if h.shelves[kind] == nil {
+		h.shelves[kind] = newShelf(kind)
+	}
+	return h.shelves[kind]
+}
+
 // Copies returns what is kept, in the order of kinds.
 func (h *Holder) Copies() []Copy {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	copies := make([]Copy, 0, len(h.copies))
-	for _, kept := range h.copies {
-		copies = append(copies, kept)
+	copies := make([]Copy, 0, len(h.shelves))
+	for _, held := range h.shelves {
+		if held.kept.Snapshot.At > 0 {
+			copies = append(copies, held.kept)
+		}
 	}
 	slices.SortFunc(copies, func(a, b Copy) int { return strings.Compare(a.Kind, b.Kind) })
 	return copies
@@ -151,7 +162,7 @@
 	defer h.mutex.Unlock()
 	var unsaved []Copy
 	for kind := range h.unsaved {
-		unsaved = append(unsaved, h.copies[kind])
+		unsaved = append(unsaved, h.shelves[kind].kept)
 	}
 	clear(h.unsaved)
 	return unsaved
--- a/coordination/mirror/reader.go
+++ b/coordination/mirror/reader.go
@@ -35,8 +35,8 @@
 	IsKnown() bool
 }
 
-// Source asks one holder. peer.Client is one.
-type Source interface {
+// Fetcher asks one holder for all it has. peer.Client is one.
+type Fetcher interface {
 	FetchMirror(ctx context.Context, address netip.AddrPort) ([]Copy, error)
 }
 
@@ -44,7 +44,7 @@
 // doesn't answer these. It is a suture service.
 type Reader struct {
 	holders   []netip.AddrPort
-	source    Source
+	fetcher   Fetcher
 	followers map[string]Follower
 	now       func() time.Time
 	logger    *zap.Logger
@@ -52,8 +52,8 @@
 
 // NewReader makes a reader that asks the holders for the kinds that the
 // followers are named by.
-func NewReader(holders []netip.AddrPort, source Source, followers map[string]Follower, now func() time.Time, logger *zap.Logger) *Reader {
-	return &Reader{holders: holders, source: source, followers: followers, now: now, logger: logger}
+func NewReader(holders []netip.AddrPort, fetcher Fetcher, followers map[string]Follower, now func() time.Time, logger *zap.Logger) *Reader {
+	return &Reader{holders: holders, fetcher: fetcher, followers: followers, now: now, logger: logger}
 }
 
 // String names the service in the supervisor's messages.
@@ -103,7 +103,7 @@
 	var asking sync.WaitGroup
 	for _, holder := range r.holders {
 		asking.Go(func() {
-			copies, err := r.source.FetchMirror(ctx, holder)
+			copies, err := r.fetcher.FetchMirror(ctx, holder)
 			if err != nil {
 				r.logger.Debug("holder didn't answer", zap.Stringer("holder", holder), zap.Error(err))
 				return
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -73,6 +73,7 @@
 	configuration *follow.Follower
 	instances     *follow.Follower
 	sets          *follow.Follower
+	holders       *mirror.Holders
 	state         *state
 	callers       *callerServer
 	operators     *listener.Listener
@@ -143,13 +144,14 @@
 	bounds := upstream.DefaultSettings()
 	bounds.IDHeader = parts.IDHeader
 	g.upstream = upstream.NewClient(bounds, time.Now)
-	g.configuration = g.newFollower("configuration", parts.Configuration, g.applyConfiguration)
-	g.instances = g.newFollower("instances", parts.Instances, g.applyInstances)
 	var err error
 	if g.state, err = newState(loaded, g.metrics, logger); err != nil {
 		return nil, err
 	}
-	g.sets = g.newSeldomFollower("replica sets", parts.Sets, g.state.lookup.Apply)
+	g.holders = mirror.NewHolders(g.holderOrder, time.Now)
+	g.configuration = g.newFollower(mirror.KindConfiguration, parts.Configuration, g.applyConfiguration)
+	g.instances = g.newFollower(mirror.KindInstances, parts.Instances, g.applyInstances)
+	g.sets = g.newSeldomFollower(mirror.KindSets, parts.Sets, g.state.lookup.Apply)
 	g.relay = relay.New(relay.Options{
 		Tables: g.tables, Backends: g.backends, Exchanger: g.upstream, Dialect: parts.Dialect,
 		Turns: g.state.conversations, Certain: g.isCertain, Draining: g.draining.Load, MaxInFlight: maxInFlight, Gone: g.instanceGone,
@@ -164,10 +166,7 @@
 // mirrored asks storage nodes for what they had from the store while it is out of
 // reach of this node.
 func (g *Gateway) mirrored() *mirror.Reader {
-	followers := map[string]mirror.Follower{
-		mirror.KindConfiguration: g.configuration, mirror.KindInstances: g.instances, mirror.KindSets: g.sets,
-	}
-	return mirror.NewReader(g.settings.Seeds, g.state.peers, followers, time.Now, g.logger)
+	return mirror.NewReader(g.settings.Seeds, g.state.peers, g.followed(), time.Now, g.logger)
 }
 
 // newSeldomFollower follows what changes seldom, and where a late change costs
@@ -176,7 +175,8 @@
 	bounds := follow.DefaultSettings()
 	bounds.WatchWait = seldomWait
 	return follow.New(follow.Options{
-		Name: name, Source: source, Settings: bounds, Apply: apply, Logger: g.logger, Now: time.Now,
+		Name: name, Source: g.throughHolders(name, source, setsAge), Settings: bounds,
+		Apply: apply, Logger: g.logger, Now: time.Now,
 	})
 }
 
@@ -185,7 +185,8 @@
 	bounds.WatchWait = g.watchWait()
 	bounds.WatchSlack = watchSlack
 	return follow.New(follow.Options{
-		Name: name, Source: source, Settings: bounds, Apply: apply, Logger: g.logger, Now: time.Now,
+		Name: name, Source: g.throughHolders(name, source, g.confirmedWithin()), Settings: bounds,
+		Apply: apply, Logger: g.logger, Now: time.Now,
 	})
 }
 
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -68,10 +68,10 @@
 	collectInterval = 20 * time.Second
 	// watchWait is how long the store may hold a call about what changes seldom.
 	watchWait = 10 * time.Second
-	// mirrorWait is the same for what is only mirrored, and mirrorGather the
-	// pause after a change of it.
-	mirrorWait   = 20 * time.Second
-	mirrorGather = 500 * time.Millisecond
+	// relistTime and passTime are left for a listing by a gateway and its telling
+	// after a held call of this node that wasn't answered.
+	relistTime = 800 * time.Millisecond
+	passTime   = 500 * time.Millisecond
 	// repairInterval is the pause between two rounds of repair.
 	repairInterval = 400 * time.Millisecond
 	// goneAfter and replacedAfter are how long a member may be gone before its
@@ -227,7 +227,7 @@
 	return []suture.Service{
 		peers, operators, n.membership, n.repair, n.keeper, n.retirement, n.budgets, collector, n.mirror,
 		n.follower("storage nodes", n.parts.Nodes, n.applyNodes),
-		n.follower("replica sets", n.parts.Sets, n.applySets),
+		n.setsFollower(),
 		n.follower("retirements", n.parts.Retirements, n.retirement.Decode(n.parts.DecodeRetirement)),
 		n.mirroring(mirror.KindConfiguration, n.parts.Configuration),
 		n.mirroring(mirror.KindInstances, n.parts.Instances),
@@ -332,14 +332,27 @@
 	})
 }
 
-// mirroring follows what this node only keeps for others.
+// mirroring follows what gateways follow through this node. A store that went
+// silent is noticed as soon as a gateway would have to notice it.
 func (n *Node) mirroring(kind string, source follow.Source) *follow.Follower {
 	bounds := follow.DefaultSettings()
-	bounds.WatchWait, bounds.Gather = mirrorWait, mirrorGather
-	return follow.New(follow.Options{
+	noticed := n.settings.ApplyLimit + n.settings.UndisturbedTime - bounds.WatchSlack - relistTime - passTime
+	bounds.WatchWait = max(n.settings.ApplyLimit/2, noticed)
+	follower := follow.New(follow.Options{
 		Name: kind, Source: source, Settings: bounds, Logger: n.logger, Now: time.Now,
 		Apply: func(snapshot follow.Snapshot) { n.mirror.Keep(kind, snapshot) },
+		Lost:  func() { n.mirror.Lost(kind) },
 	})
+	n.mirror.Through(kind, follower)
+	return follower
+}
+
+// setsFollower follows the published sets, which gateways follow through this
+// node as well.
+func (n *Node) setsFollower() *follow.Follower {
+	follower := n.follower(mirror.KindSets, n.parts.Sets, n.applySets)
+	n.mirror.Through(mirror.KindSets, follower)
+	return follower
 }
 
 func (n *Node) applyNodes(snapshot follow.Snapshot) {
--- a/transport/peer/mirror.go
+++ b/transport/peer/mirror.go
@@ -16,11 +16,18 @@
 // Mirror gives copies of what the store had. mirror.Holder is one.
 type Mirror interface {
 	Copies() []mirror.Copy
+	Watch(ctx context.Context, kind string, revision int64, wait time.Duration) mirror.Answer
 }
 
-var _ mirror.Source = (*Client)(nil)
+var (
+	_ mirror.Fetcher = (*Client)(nil)
+	_ mirror.Watcher = (*Client)(nil)
+)
+
+// maxMirrorWait bounds how long a call is held for a caller that asks for more.
+const maxMirrorWait = 10 * time.Second
 
-// FetchMirror implements mirror.Source.
+// FetchMirror implements mirror.Fetcher.
 func (c *Client) FetchMirror(ctx context.Context, address netip.AddrPort) ([]mirror.Copy, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
@@ -42,13 +49,64 @@
 		received.Heard = now.Add(-time.Duration(snapshot.GetAgeMs()) * time.Millisecond)
 	}
 	for _, object := range snapshot.GetObjects() {
-		received.Snapshot.Objects = append(received.Snapshot.Objects, follow.Object{
-			Name: object.GetName(), Revision: object.GetRevision(), Spec: object.GetSpec(), Status: object.GetStatus(),
-		})
+		received.Snapshot.Objects = append(received.Snapshot.Objects, objectFromWire(object))
 	}
 	return received
 }
 
+func objectFromWire(object *peerv1.MirroredObject) follow.Object {
+	return follow.Object{Name: object.GetName(), Revision: object.GetRevision(), Spec: object.GetSpec(), Status: object.GetStatus()}
+}
+
+func objectToWire(object follow.Object) *peerv1.MirroredObject {
+	return &peerv1.MirroredObject{Name: object.Name, Revision: object.Revision, Spec: object.Spec, Status: object.Status}
+}
+
+// WatchMirror implements mirror.Watcher.
+func (c *Client) WatchMirror(ctx context.Context, address netip.AddrPort, kind string, revision int64, wait time.Duration) (mirror.Answer, error) {
+	response, err := c.stubs(address.String()).mirror.WatchMirror(ctx, connect.NewRequest(&peerv1.WatchMirrorRequest{
+		Kind: kind, Since: revision, WaitMs: wait.Milliseconds(),
+	}))
+	if err != nil {
+		return nil, err
+	}
+	message := response.Msg
+	switch message.GetVerdict() {
+	case peerv1.WatchMirrorResponse_VERDICT_CURRENT:
+		return mirror.Current{Changes: changesFromWire(message)}, nil
+	case peerv1.WatchMirrorResponse_VERDICT_LOST:
+		return mirror.Lost{}, nil
+	}
+	return mirror.Missed{}, nil
+}
+
+func changesFromWire(message *peerv1.WatchMirrorResponse) follow.Changes {
+	changes := follow.Changes{At: message.GetAt(), IsWhole: message.GetWhole(), Age: time.Duration(message.GetAgeMs()) * time.Millisecond}
+	for _, object := range message.GetChanged() {
+		changes.Events = append(changes.Events, follow.Event{Object: objectFromWire(object)})
+	}
+	for _, removed := range message.GetRemoved() {
+		gone := follow.Object{Name: removed.GetName(), Revision: removed.GetRevision()}
+		changes.Events = append(changes.Events, follow.Event{Object: gone, Gone: true})
+	}
+	return changes
+}
+
+func changesToWire(changes follow.Changes) *peerv1.WatchMirrorResponse {
+	message := &peerv1.WatchMirrorResponse{
+		Verdict: peerv1.WatchMirrorResponse_VERDICT_CURRENT, At: changes.At, AgeMs: changes.Age.Milliseconds(),
+		Whole: changes.IsWhole,
+	}
+	for _, event := range changes.Events {
+		if event.Gone {
+			message.Removed = append(message.Removed, &peerv1.MirroredObject{Name: event.Object.Name, Revision: event.Object.Revision})
+			continue
+		}
+		message.Changed = append(message.Changed, objectToWire(event.Object))
+	}
+	return message
+}
+
 type mirrorServer struct {
 	peerv1connect.UnimplementedMirrorServiceHandler
 	mirror Mirror
@@ -63,15 +121,26 @@
 	return connect.NewResponse(response), nil
 }
 
+// WatchMirror answers with what changed, as soon as anything does.
+func (s *mirrorServer) WatchMirror(ctx context.Context, request *connect.Request[peerv1.WatchMirrorRequest]) (*connect.Response[peerv1.WatchMirrorResponse], error) {
+	wait := min(time.Duration(request.Msg.GetWaitMs())*time.Millisecond, maxMirrorWait)
+	response := &peerv1.WatchMirrorResponse{Verdict: peerv1.WatchMirrorResponse_VERDICT_MISSED}
+	switch answer := s.mirror.Watch(ctx, request.Msg.GetKind(), request.Msg.GetSince(), wait).(type) {
+	case mirror.Current:
+		response = changesToWire(answer.Changes)
+	case mirror.Lost:
+		response.Verdict = peerv1.WatchMirrorResponse_VERDICT_LOST
+	}
+	return connect.NewResponse(response), nil
+}
+
 func copyToWire(kept mirror.Copy, now time.Time) *peerv1.MirroredSnapshot {
 	snapshot := &peerv1.MirroredSnapshot{Kind: kept.Kind, At: kept.Snapshot.At, AgeKnown: !kept.Heard.IsZero()}
 	if snapshot.AgeKnown {
 		snapshot.AgeMs = now.Sub(kept.Heard).Milliseconds()
 	}
 	for _, object := range kept.Snapshot.Objects {
-		snapshot.Objects = append(snapshot.Objects, &peerv1.MirroredObject{
-			Name: object.Name, Revision: object.Revision, Spec: object.Spec, Status: object.Status,
-		})
+		snapshot.Objects = append(snapshot.Objects, objectToWire(object))
 	}
 	return snapshot
 }
