Refuse turns at once where no storage node can be reached

Their turns wait 0.8 s for the line of turns (code 2007, 1,245 times) or 0.35 s for each of two hosts of the budget (2004, 520 times) and are refused then; meanwhile new connections keep coming, since the gateway says it is ready.

Ruled out: the burst (no refusal of these kinds at gateways that reach storage nodes), the store (its silence comes later).

Change: coordination/reach is told how requests to storage nodes end. Peers that failed lately are asked last by turns as they were by budgets (one piece of code now), and a gateway that nobody answers refuses turns at once, isn't ready, and probes.

Tests: coordination/reach, platform.TestGatewayThatReachesNoStorageNode.

--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -34,6 +34,8 @@
 	stateTimeout = 800 * time.Millisecond
 	// retryPause is what a refused client is asked to wait.
 	retryPause = 200 * time.Millisecond
+	// elsewherePause is the same where another gateway may do better at once.
+	elsewherePause = 60 * time.Millisecond
 	// reservedPause is the same where another gateway has to give a reserve back.
 	reservedPause = 400 * time.Millisecond
 )
@@ -42,12 +44,14 @@
 type Service struct {
 	turns   Turns
 	budgets Budgets
-	logger  *zap.Logger
+	// cutOff tells that no storage node can be reached from here.
+	cutOff func() bool
+	logger *zap.Logger
 }
 
 // New makes a service.
-func New(turns Turns, budgets Budgets, logger *zap.Logger) *Service {
-	return &Service{turns: turns, budgets: budgets, logger: logger}
+func New(turns Turns, budgets Budgets, cutOff func() bool, logger *zap.Logger) *Service {
+	return &Service{turns: turns, budgets: budgets, cutOff: cutOff, logger: logger}
 }
 
 // Request describes a turn that is about to begin.
@@ -75,6 +79,9 @@
 
 // Begin prepares the turn. On success End must be called.
 func (s *Service) Begin(ctx context.Context, request Request) (*Turn, *result.Error) {
+	if s.cutOff() {
+		return nil, result.Errorf(result.NoQuorum, "no storage node can be reached from this gateway").After(elsewherePause)
+	}
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	turn := &Turn{service: s, request: request}
--- a/coordination/tokenbudget/client.go
+++ b/coordination/tokenbudget/client.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/recent"
 	"github.com/marblering/marblering/coordination/register"
 )
@@ -39,8 +40,6 @@
 const (
 	// tryTimeout bounds one request to one host.
 	tryTimeout = 350 * time.Millisecond
-	// avoidTime is how long a host that failed is asked last.
-	avoidTime = 2 * time.Second
 	// endDelay is how long an ended turn waits for the next reservation at its
 	// host, which takes it along.
 	endDelay = 300 * time.Millisecond
@@ -62,6 +61,7 @@
 type Client struct {
 	hosts  Hosts
 	views  Views
+	reach  *reach.Tracker
 	now    func() time.Time
 	logger *zap.Logger
 
@@ -70,8 +70,6 @@
 	hostOf map[string]string
 	// ended are the turns that their hosts weren't told of yet.
 	ended map[string][]Ended
-	// failed is when a host failed last.
-	failed map[string]time.Time
 	// breakers are those of the shards whose hosts failed lately, crowded those
 	// of the shards whose hosts have too much to do for programs that begin.
 	breakers map[uint32]*breaker
@@ -81,11 +79,11 @@
 	running *recent.Map[struct{}]
 }
 
-// NewClient makes a client without turns.
-func NewClient(hosts Hosts, views Views, now func() time.Time, logger *zap.Logger) *Client {
+// NewClient makes a client without turns. The tracker is told which hosts answer.
+func NewClient(hosts Hosts, views Views, tracker *reach.Tracker, now func() time.Time, logger *zap.Logger) *Client {
 	return &Client{
-		hosts: hosts, views: views, now: now, logger: logger,
-		hostOf: make(map[string]string), ended: make(map[string][]Ended), failed: make(map[string]time.Time),
+		hosts: hosts, views: views, reach: tracker, now: now, logger: logger,
+		hostOf: make(map[string]string), ended: make(map[string][]Ended),
 		breakers: make(map[uint32]*breaker), crowded: make(map[uint32]*breaker),
 		running: recent.New(runningTime, func(time.Time) struct{} { return struct{}{} }),
 	}
@@ -173,6 +171,7 @@
 	along := c.takeEnded(address)
 	err := c.hosts.Reserve(ctx, address, wanted, along)
 	if err == nil {
+		c.reach.Heard(address)
 		c.mutex.Lock()
 		c.hostOf[wanted.Turn] = address
 		c.running.Get(wanted.Program, c.now())
@@ -180,11 +179,12 @@
 		return nil
 	}
 	if IsRefusal(err) || errors.Is(err, ErrOverloaded) {
+		c.reach.Heard(address)
 		return err
 	}
-	c.mutex.Lock()
-	c.failed[address] = c.now()
-	c.mutex.Unlock()
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		c.reach.Failed(address)
+	}
 	c.logger.Info("budget host failed", zap.String("address", address), zap.String("program", wanted.Program),
 		zap.String("turn", wanted.Turn), zap.Error(err))
 	// It may have reserved all the same, and may not have taken in the rest.
@@ -194,18 +194,10 @@
 
 // order puts the members in the program's order, those that failed lately last.
 func (c *Client) order(view register.View, program string) []string {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	members := slices.Clone(view.Members)
 	rank := func(member register.Member) uint64 { return xxhash.Sum64String(member.Node + "/" + program) }
 	slices.SortFunc(members, func(a, b register.Member) int {
-		if first, second := c.isAvoided(a.Address), c.isAvoided(b.Address); first != second {
-			if first {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(rank(b), rank(a))
+		return cmp.Or(c.reach.Compare(a.Address, b.Address), cmp.Compare(rank(b), rank(a)))
 	})
 	addresses := make([]string, 0, len(members))
 	for _, member := range members {
@@ -214,11 +206,6 @@
 	return addresses
 }
 
-func (c *Client) isAvoided(address string) bool {
-	failed, found := c.failed[address]
-	return found && c.now().Sub(failed) < avoidTime
-}
-
 // End tells the turn's host what it has handed out. It doesn't wait.
 func (c *Client) End(ended Ended) {
 	c.mutex.Lock()
--- a/coordination/tokenbudget/host_test.go
+++ b/coordination/tokenbudget/host_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/state/budget"
@@ -94,7 +95,7 @@
 }
 
 func newClient(carried *network, view oneView) *tokenbudget.Client {
-	return tokenbudget.NewClient(carried, view, time.Now, zap.NewNop())
+	return tokenbudget.NewClient(carried, view, reach.New(time.Now), time.Now, zap.NewNop())
 }
 
 func turnOf(id string) tokenbudget.Reservation {
@@ -146,7 +147,7 @@
 	carried, view := newNetwork(newRegister(), 2)
 	carried.down["host0"], carried.down["host1"] = true, true
 	now := time.Now()
-	client := tokenbudget.NewClient(carried, view, func() time.Time { return now }, zap.NewNop())
+	client := tokenbudget.NewClient(carried, view, reach.New(func() time.Time { return now }), func() time.Time { return now }, zap.NewNop())
 	for range 10 {
 		assert.ErrorIs(t, client.Reserve(context.Background(), turnOf("t")), tokenbudget.ErrUnavailable)
 	}
@@ -163,7 +164,7 @@
 	carried, view := newNetwork(newRegister(), 2)
 	carried.down["host0"], carried.down["host1"] = true, true
 	now := time.Now()
-	client := tokenbudget.NewClient(carried, view, func() time.Time { return now }, zap.NewNop())
+	client := tokenbudget.NewClient(carried, view, reach.New(func() time.Time { return now }), func() time.Time { return now }, zap.NewNop())
 	ask := func(times int) int {
 		before := carried.count()
 		for i := range times {
@@ -191,7 +192,7 @@
 	for i := range 5 {
 		carried.down[fmt.Sprint("host", i)] = true
 	}
-	client := tokenbudget.NewClient(carried, view, func() time.Time { return now }, zap.NewNop())
+	client := tokenbudget.NewClient(carried, view, reach.New(func() time.Time { return now }), func() time.Time { return now }, zap.NewNop())
 	assert.ErrorIs(t, client.Reserve(context.Background(), turnOf("t")), tokenbudget.ErrUnavailable)
 	assert.Equal(t, carried.count(), 2)
 	carried.onAsk = nil
--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -5,6 +5,7 @@
 package turnstore
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -15,6 +16,7 @@
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
 	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/state/replica"
@@ -57,18 +59,19 @@
 	zone     string
 	replicas Replicas
 	views    Views
+	reach    *reach.Tracker
 	codec    *turn.Codec
 	cache    *cache
 }
 
 // New makes a store for a node of the zone that remembers up to cacheBytes of
-// turns.
-func New(zone string, replicas Replicas, views Views, cacheBytes int) (*Store, error) {
+// turns. The tracker is told which replicas answer.
+func New(zone string, replicas Replicas, views Views, tracker *reach.Tracker, cacheBytes int) (*Store, error) {
 	codec, err := turn.NewCodec()
 	if err != nil {
 		return nil, err
 	}
-	return &Store{zone: zone, replicas: replicas, views: views, codec: codec, cache: newCache(cacheBytes)}, nil
+	return &Store{zone: zone, replicas: replicas, views: views, reach: tracker, codec: codec, cache: newCache(cacheBytes)}, nil
 }
 
 // Put stores a turn of the program on a quorum, trying until the context ends.
@@ -287,6 +290,7 @@
 func (s *Store) perform(ctx context.Context, view register.View, member register.Member, act action) result {
 	fence := register.Fence{Shard: view.Shard, Epoch: view.Epoch, Replica: member.Incarnation}
 	suffices, reply, err := act(ctx, member, fence)
+	s.note(ctx, member.Address, err)
 	if reply.View != nil {
 		s.views.Learn(*reply.View)
 	}
@@ -296,11 +300,23 @@
 	return result{suffices: suffices, err: err}
 }
 
-// preferred puts the members of this node's zone first.
+// note tells the tracker whether the member answered. A request that nobody
+// waits for any more says nothing.
+func (s *Store) note(ctx context.Context, address string, err error) {
+	switch {
+	case err == nil:
+		s.reach.Heard(address)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		s.reach.Failed(address)
+	}
+}
+
+// preferred puts the members of this node's zone first, and those that failed
+// lately last.
 func (s *Store) preferred(members []register.Member) []register.Member {
 	ordered := slices.Clone(members)
 	slices.SortStableFunc(ordered, func(a, b register.Member) int {
-		return distance(a, s.zone) - distance(b, s.zone)
+		return cmp.Or(s.reach.Compare(a.Address, b.Address), distance(a, s.zone)-distance(b, s.zone))
 	})
 	return ordered
 }
--- a/coordination/turnstore/store_test.go
+++ b/coordination/turnstore/store_test.go
@@ -15,6 +15,7 @@
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
 	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/coordination/turnstore"
@@ -83,7 +84,7 @@
 }
 
 func newStore(t require, zone string, m *members, v views) *turnstore.Store {
-	store, err := turnstore.New(zone, m, v, 1<<20)
+	store, err := turnstore.New(zone, m, v, reach.New(time.Now), 1<<20)
 	assert.NilError(t, err)
 	return store
 }
@@ -101,8 +102,8 @@
 
 func Example() {
 	m, v := newMembers(1)
-	writer, _ := turnstore.New("z0", m, v, 1<<20)
-	reader, _ := turnstore.New("z1", m, v, 1<<20)
+	writer, _ := turnstore.New("z0", m, v, reach.New(time.Now), 1<<20)
+	reader, _ := turnstore.New("z1", m, v, reach.New(time.Now), 1<<20)
 	ctx := context.Background()
 	_ = writer.Put(ctx, "p", &statev1.RetainedTurn{Id: "a", Input: []byte("question")})
 	_ = writer.Put(ctx, "p", &statev1.RetainedTurn{Id: "b", Ancestors: []string{"a"}})
@@ -225,7 +226,7 @@
 		m, v := newMembers(8)
 		assert.NilError(t, newStore(t, "z0", m, v).Put(context.Background(), program, &statev1.RetainedTurn{Id: "a"}))
 		late := lateViews{views: v, known: &atomic.Bool{}}
-		reader, err := turnstore.New("z0", m, late, 1<<20)
+		reader, err := turnstore.New("z0", m, late, reach.New(time.Now), 1<<20)
 		assert.NilError(t, err)
 		time.AfterFunc(20*time.Millisecond, func() { late.known.Store(true) })
 		line, err := reader.Line(context.Background(), program, "a")
--- a/node/gateway/apply.go
+++ b/node/gateway/apply.go
@@ -15,6 +15,7 @@
 var (
 	errNoConfiguration = errors.New("no configuration yet")
 	errNoInstances     = errors.New("the instances aren't listed yet")
+	errCutOff          = errors.New("no storage node can be reached")
 	errDraining        = errors.New("draining")
 )
 
@@ -76,6 +77,13 @@
 	return nil
 }
 
+func (g *Gateway) checkStorage(context.Context) error {
+	if g.state.reach.IsCutOff() {
+		return errCutOff
+	}
+	return nil
+}
+
 func (g *Gateway) checkServing(context.Context) error {
 	if g.draining.Load() {
 		return errDraining
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -114,7 +114,7 @@
 	}
 	services, stop := context.WithCancel(context.Background())
 	supervisor := suture.New("gateway", suture.Spec{EventHook: g.logEvent})
-	for _, service := range []suture.Service{g.configuration, g.instances, g.sets, g.mirrored(), g.callers, g.operators, idleCloser{g.upstream}} {
+	for _, service := range []suture.Service{g.configuration, g.instances, g.sets, g.mirrored(), g.prober(), g.callers, g.operators, idleCloser{g.upstream}} {
 		supervisor.Add(service)
 	}
 	g.stop = stop
@@ -203,6 +203,7 @@
 	readiness := telemetry.NewReadiness()
 	readiness.Add("configuration", g.checkConfiguration)
 	readiness.Add("instances", g.checkInstances)
+	readiness.Add("storage", g.checkStorage)
 	readiness.Add("serving", g.checkServing)
 	return telemetry.NewHandlerAt(g.settings.ReadyPath, g.metrics, readiness)
 }
--- /dev/null
+++ b/node/gateway/prober.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/mirror"
+	"github.com/marblering/marblering/coordination/reach"
+	"github.com/marblering/marblering/coordination/sleep"
+)
+
+const (
+	// probePause lies between two looks, and between two probes of storage nodes.
+	probePause = 200 * time.Millisecond
+	// probeTimeout bounds one probe.
+	probeTimeout = 300 * time.Millisecond
+)
+
+// prober asks storage nodes whether they can be reached while none of them can:
+// turns are refused then, so that nothing else would notice. It is a suture
+// service.
+type prober struct {
+	reach   *reach.Tracker
+	nodes   func() []netip.AddrPort
+	watcher mirror.Watcher
+	logger  *zap.Logger
+	wasCut  bool
+	next    int
+}
+
+func (g *Gateway) prober() *prober {
+	return &prober{reach: g.state.reach, nodes: g.holderOrder, watcher: g.state.peers, logger: g.logger}
+}
+
+// String names the service in the supervisor's messages.
+func (p *prober) String() string { return "prober of storage nodes" }
+
+// Serve implements suture.Service.
+func (p *prober) Serve(ctx context.Context) error {
+	for sleep.For(ctx, probePause) == nil {
+		isCut := p.reach.IsCutOff()
+		if isCut != p.wasCut {
+			p.logger.Info("reach of storage nodes", zap.Bool("cut_off", isCut))
+		}
+		p.wasCut = isCut
+		if isCut {
+			p.probe(ctx)
+		}
+	}
+	return ctx.Err()
+}
+
+// probe asks the next node for nothing in particular; any answer will do.
+func (p *prober) probe(ctx context.Context) {
+	nodes := p.nodes()
+	if len(nodes) == 0 {
+		return
+	}
+	node := nodes[p.next%len(nodes)]
+	p.next++
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if _, err := p.watcher.WatchMirror(ctx, node, mirror.KindSets, math.MaxInt64, 0); err == nil {
+		p.reach.Heard(node.String())
+	}
+}
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/marblering/marblering/coordination/conversation"
 	"github.com/marblering/marblering/coordination/directory"
+	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/coordination/turnstore"
 	"github.com/marblering/marblering/settings"
@@ -26,6 +27,7 @@
 type state struct {
 	lookup        *directory.Lookup
 	peers         *peer.Client
+	reach         *reach.Tracker
 	budgets       *tokenbudget.Client
 	conversations *conversation.Service
 }
@@ -33,10 +35,14 @@
 func newState(loaded settings.Gateway, metrics prometheus.Registerer, logger *zap.Logger) (*state, error) {
 	lookup := directory.NewLookup(nil, logger)
 	peers := peer.NewClient(peer.NewHTTPClient(), peerTimeout, peer.NewMetrics(metrics))
-	budgets := tokenbudget.NewClient(peers.Budgets(), lookup, time.Now, logger)
-	turns, err := turnstore.New(loaded.Zone, peers, lookup, int(cachePart*float64(loaded.MemoryLimit)))
+	tracker := reach.New(time.Now)
+	budgets := tokenbudget.NewClient(peers.Budgets(), lookup, tracker, time.Now, logger)
+	turns, err := turnstore.New(loaded.Zone, peers, lookup, tracker, int(cachePart*float64(loaded.MemoryLimit)))
 	if err != nil {
 		return nil, err
 	}
-	return &state{lookup: lookup, peers: peers, budgets: budgets, conversations: conversation.New(turns, budgets, logger)}, nil
+	return &state{
+		lookup: lookup, peers: peers, reach: tracker, budgets: budgets,
+		conversations: conversation.New(turns, budgets, tracker.IsCutOff, logger),
+	}, nil
 }
