Keep instances whose entries lapse together

The first listing afterwards holds 5 of 37 instances, 36 are there again 1.1 s later. All programs go to the five, and those that had their contexts elsewhere read them anew. The users say that such entries are back within about two seconds, or gone.

Ruled out: ejection and stalls (no instance was left out before 22 s).

Change: an instance that vanishes together with a third of its service's, and wasn't leaving, is kept for 1.8 s, unless another has its address. That is within the time that a leaving instance may get work.

--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,8 @@
 
 	current atomic.Pointer[set]
 	mutex   sync.Mutex
+	// listed are the instances as they were given last.
+	listed []Instance
 }
 
 // NewPool makes a pool for a node of the zone that knows no instance.
@@ -51,13 +54,33 @@
 	}
 }
 
-// Replace makes the instances those that requests are sent to. It returns the
-// ids of instances that are gone.
-func (p *Pool) Replace(instances []Instance) (gone []string) {
+// Replace makes the instances those that requests are sent to, beside those whose
+// entries seem to have lapsed. It returns the ids of instances that are gone, and
+// how many are kept that Expire is to be called for after LapseTime.
+func (p *Pool) Replace(instances []Instance) (gone []string, kept int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.listed = instances
+	return p.replace()
+}
+
+// Expire drops instances that lapsed and didn't come back in time, and returns
+// their ids.
+func (p *Pool) Expire() (gone []string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	gone, _ = p.replace()
+	return gone
+}
+
+// replace goes by what was listed last. The mutex must be held.
+func (p *Pool) replace() (gone []string, kept int) {
 	previous := p.current.Load()
-	next := newSet(instances, previous, p.policy)
+	missing := lapsed(previous, p.listed, p.now())
+	next := newSet(slices.Concat(p.listed, missing), previous, p.policy)
+	for _, instance := range p.listed {
+		next.byID[instance.ID].load.returned()
+	}
 	p.current.Store(next)
 	for id, was := range previous.byID {
 		if _, stays := next.byID[id]; !stays {
@@ -65,7 +88,7 @@
 			gone = append(gone, id)
 		}
 	}
-	return gone
+	return gone, len(missing)
 }
 
 // Gone says that another instance was found at the address of this one, which
--- a/coordination/backend/pool_test.go
+++ b/coordination/backend/pool_test.go
@@ -85,7 +85,9 @@
 
 func TestReplaceTellsWhatIsGone(t *testing.T) {
 	pool := newPool(newClock(), 2)
-	assert.DeepEqual(t, pool.Replace([]backend.Instance{{ID: "i1", Service: "app"}}), []string{"i0"})
+	gone, kept := pool.Replace([]backend.Instance{{ID: "i1", Service: "app"}})
+	assert.DeepEqual(t, gone, []string{"i0"})
+	assert.Equal(t, kept, 0)
 }
 
 // TestFailingInstanceIsEjectedAndReturns by single requests.
--- a/coordination/backend/stall.go
+++ b/coordination/backend/stall.go
@@ -12,8 +12,11 @@
 	// gone is set once another instance was found at the address.
 	gone atomic.Bool
 
-	mutex   sync.Mutex
-	waiting map[*Choice]struct{}
+	mutex sync.Mutex
+	// lapsedAt is when the instance's entry vanished in a lapse; zero while it is
+	// there.
+	lapsedAt time.Time
+	waiting  map[*Choice]struct{}
 }
 
 func (l *load) add(c *Choice) {
--- a/node/gateway/apply.go
+++ b/node/gateway/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -53,9 +54,11 @@
 		}
 		instances = append(instances, instance)
 	}
-	gone := g.backends.Replace(instances)
-	for _, instance := range gone {
-		g.upstream.Forget(instance)
+	gone, kept := g.backends.Replace(instances)
+	g.forget(gone)
+	if kept > 0 {
+		g.logger.Warn("entries of instances have lapsed", zap.Int64("revision", snapshot.At), zap.Int("kept", kept))
+		time.AfterFunc(backend.LapseTime, g.expireInstances)
 	}
 	g.listed.Store(true)
 	known, leaving := g.backends.Count()
@@ -63,6 +66,21 @@
 		zap.Int("known", known), zap.Int("leaving", leaving), zap.Strings("gone", gone))
 }
 
+// expireInstances drops the instances that lapsed and didn't come back.
+func (g *Gateway) expireInstances() {
+	gone := g.backends.Expire()
+	g.forget(gone)
+	if len(gone) > 0 {
+		g.logger.Info("lapsed instances dropped", zap.Strings("gone", gone))
+	}
+}
+
+func (g *Gateway) forget(gone []string) {
+	for _, instance := range gone {
+		g.upstream.Forget(instance)
+	}
+}
+
 func (g *Gateway) checkConfiguration(context.Context) error {
 	if g.tables.Table() == nil {
 		return errNoConfiguration
