Notice a storage node's lost way to the store within the apply limit

Storage nodes held their calls for apply_limit + undisturbed_time - 2 s, as gateways do. That suits a gateway, whose own lost way excuses it for that time; but a storage node may lose its way to the store alone, while the gateways that follow through it have theirs and are bound by the limit at once.

Change: the held call and its slack together end 0.3 s before the limit. The setting undisturbed_time of storage nodes, which came with the fault, goes.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -185,7 +185,7 @@
 	bounds.WatchWait = g.watchWait()
 	bounds.WatchSlack = watchSlack
 	return follow.New(follow.Options{
-		Name: name, Source: g.throughHolders(name, source, g.confirmedWithin()), Settings: bounds,
+		Name: name, Source: g.throughHolders(name, source, g.settings.ApplyLimit), Settings: bounds,
 		Apply: apply, Logger: g.logger, Now: time.Now,
 	})
 }
--- a/node/gateway/holders.go
+++ b/node/gateway/holders.go
@@ -28,12 +28,6 @@
 	return mirror.NewSource(kind, direct, g.holders, g.state.peers, maxAge, g.logger)
 }
 
-// confirmedWithin is how long ago the store may have confirmed what a holder
-// says: what is left of the time then suffices to list.
-func (g *Gateway) confirmedWithin() time.Duration {
-	return max(g.settings.ApplyLimit, g.settings.ApplyLimit+g.settings.UndisturbedTime-relistTime)
-}
-
 // holderOrder lists the storage nodes of all replica sets, those of this
 // gateway's zone first; within a zone each gateway has an order of its own.
 func (g *Gateway) holderOrder() []netip.AddrPort {
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -68,10 +68,11 @@
 	collectInterval = 20 * time.Second
 	// watchWait is how long the store may hold a call about what changes seldom.
 	watchWait = 10 * time.Second
-	// relistTime and passTime are left for a listing by a gateway and its telling
-	// after a held call of this node that wasn't answered.
-	relistTime = 800 * time.Millisecond
-	passTime   = 500 * time.Millisecond
+	// mirrorSlack is how much longer than its wait the store may take to answer a
+	// held call about what is mirrored. After that, mirrorRest of the time in which
+	// a configuration must be in force is left for gateways to list themselves.
+	mirrorSlack = 400 * time.Millisecond
+	mirrorRest  = 300 * time.Millisecond
 	// repairInterval is the pause between two rounds of repair.
 	repairInterval = 400 * time.Millisecond
 	// goneAfter and replacedAfter are how long a member may be gone before its
@@ -332,14 +333,20 @@
 	})
 }
 
-// mirroring follows what gateways follow through this node. A store that went
-// silent is noticed as soon as a gateway would have to notice it.
-func (n *Node) mirroring(kind string, source follow.Source) *follow.Follower {
+// mirrorBounds are those of following what gateways follow through this node.
+// The way of this node alone to the store may fail silently, while gateways have
+// theirs and are bound by the limit: all of it has to be noticed within the limit.
+func mirrorBounds(applyLimit time.Duration) follow.Settings {
 	bounds := follow.DefaultSettings()
-	noticed := n.settings.ApplyLimit + n.settings.UndisturbedTime - bounds.WatchSlack - relistTime - passTime
-	bounds.WatchWait = max(n.settings.ApplyLimit/2, noticed)
+	bounds.WatchSlack = min(mirrorSlack, applyLimit/4)
+	bounds.WatchWait = applyLimit - bounds.WatchSlack - min(mirrorRest, applyLimit/4)
+	return bounds
+}
+
+// mirroring follows what gateways follow through this node.
+func (n *Node) mirroring(kind string, source follow.Source) *follow.Follower {
 	follower := follow.New(follow.Options{
-		Name: kind, Source: source, Settings: bounds, Logger: n.logger, Now: time.Now,
+		Name: kind, Source: source, Settings: mirrorBounds(n.settings.ApplyLimit), Logger: n.logger, Now: time.Now,
 		Apply: func(snapshot follow.Snapshot) { n.mirror.Keep(kind, snapshot) },
 		Lost:  func() { n.mirror.Lost(kind) },
 	})
--- a/settings/storage.go
+++ b/settings/storage.go
@@ -24,10 +24,8 @@
 	// Seeds are peer addresses of other storage nodes.
 	Seeds []netip.AddrPort `koanf:"seeds" validate:"max=64"`
 	// ApplyLimit is the time in which a new configuration must be in force at
-	// gateways, and UndisturbedTime how long the store must have answered before
-	// it binds.
-	ApplyLimit      time.Duration `koanf:"apply_limit" validate:"min=100ms,max=1m"`
-	UndisturbedTime time.Duration `koanf:"undisturbed_time" validate:"min=0s,max=1m"`
+	// gateways.
+	ApplyLimit time.Duration `koanf:"apply_limit" validate:"min=100ms,max=1m"`
 	// Losses is how many storage nodes may be lost at once.
 	Losses int `koanf:"losses" validate:"min=0,max=3"`
 	// Shards is the number of shards; it counts when the sets are founded.
@@ -94,11 +92,6 @@
 			Usage: "time in which a new configuration must be in force at gateways, which follow it through storage nodes",
 			field: func(s *Storage) any { return &s.ApplyLimit },
 		},
-		{
-			Key: "undisturbed_time", Default: "0s", Allowed: allowedDuration("0s", "1m"),
-			Usage: "how long the store must have answered before apply_limit binds; both together bound how long a silent store may go unnoticed",
-			field: func(s *Storage) any { return &s.UndisturbedTime },
-		},
 		{
 			Key: "losses", Default: "1", Allowed: "whole number from 0 to 3",
 			Usage: "how many storage nodes may be lost at once; a replica set has twice as many members and one",
