--- a/coordination/mirror/changes.go
+++ b/coordination/mirror/changes.go
@@ -46,8 +46,8 @@
 	IsLost() bool
 }
 
-// shelf is what a holder has of one kind. The holder's mutex guards it.
-type shelf struct {
+// kindState is what a holder has of one kind. The holder's mutex guards it.
+type kindState struct {
 	kept Copy
 	// removals are in the order of their revisions.
 	removals []removal
@@ -57,22 +57,22 @@
 	// told all that there is.
 	steps    []int64
 	upstream Upstream
-	// changed is closed when anything of the shelf changes.
+	// changed is closed when anything of it changes.
 	changed chan struct{}
 }
 
-func newShelf(kind string) *shelf {
-	return &shelf{kept: Copy{Kind: kind}, changed: make(chan struct{})}
+func newKindState(kind string) *kindState {
+	return &kindState{kept: Copy{Kind: kind}, changed: make(chan struct{})}
 }
 
 // wake lets those look again who wait for a change.
-func (s *shelf) wake() {
+func (s *kindState) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // replace takes a newer snapshot in and remembers what it lacks.
-func (s *shelf) replace(snapshot follow.Snapshot, heard time.Time) {
+func (s *kindState) replace(snapshot follow.Snapshot, heard time.Time) {
 	if !s.kept.Heard.IsZero() {
 		// Before, what was removed while this node was away isn't known.
 		s.rememberRemovals(snapshot)
@@ -85,7 +85,7 @@
 	s.wake()
 }
 
-func (s *shelf) rememberRemovals(next follow.Snapshot) {
+func (s *kindState) rememberRemovals(next follow.Snapshot) {
 	names := make(map[string]bool, len(next.Objects))
 	for _, object := range next.Objects {
 		names[object.Name] = true
@@ -99,7 +99,7 @@
 
 // forget drops the oldest removals and steps. Whoever is at a step that is left
 // needs no removal that was dropped.
-func (s *shelf) forget() {
+func (s *kindState) forget() {
 	if excess := len(s.removals) - maxRemovals; excess > 0 {
 		dropped := s.removals[excess-1].at
 		s.removals = slices.Clone(s.removals[excess:])
@@ -111,13 +111,13 @@
 }
 
 // knowsFrom tells that all that changed after the revision is known.
-func (s *shelf) knowsFrom(revision int64) bool {
+func (s *kindState) knowsFrom(revision int64) bool {
 	_, isStep := slices.BinarySearch(s.steps, revision)
 	return isStep || revision >= s.kept.Snapshot.At
 }
 
 // changesSince returns what changed after the revision.
-func (s *shelf) changesSince(revision int64) follow.Changes {
+func (s *kindState) changesSince(revision int64) follow.Changes {
 	if !s.knowsFrom(revision) {
 		return s.whole()
 	}
@@ -137,7 +137,7 @@
 }
 
 // whole is all that there is.
-func (s *shelf) whole() follow.Changes {
+func (s *kindState) whole() follow.Changes {
 	changes := follow.Changes{At: s.kept.Snapshot.At, IsWhole: true}
 	for _, object := range s.kept.Snapshot.Objects {
 		changes.Events = append(changes.Events, follow.Event{Object: object})
@@ -147,7 +147,7 @@
 
 // answer says what there is to say now; done is false while it may be waited for
 // more.
-func (s *shelf) answer(revision int64) (said Answer, done bool) {
+func (s *kindState) answer(revision int64) (said Answer, done bool) {
 	if s.upstream == nil || s.upstream.IsLost() {
 		return Lost{}, true
 	}
@@ -167,7 +167,7 @@
 	defer timer.Stop()
 	for {
 		h.mutex.Lock()
-		found := h.shelves[kind]
+		found := h.states[kind]
 		if found == nil {
 			h.mutex.Unlock()
 			return Missed{}
@@ -192,12 +192,12 @@
 func (h *Holder) Through(kind string, upstream Upstream) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.shelf(kind).upstream = upstream
+	h.state(kind).upstream = upstream
 }
 
 // Lost tells those that wait for a change of the kind that the store is lost.
 func (h *Holder) Lost(kind string) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.shelf(kind).wake()
+	h.state(kind).wake()
 }
--- a/coordination/mirror/doc.go
+++ b/coordination/mirror/doc.go
@@ -1,10 +1,11 @@
-// Package mirror lets nodes that can't reach the store begin with what others
-// had from it last. A Holder, on each storage node, keeps the newest snapshot of
-// every followed kind on its disk. A Reader, on each gateway, asks the holders
-// while its own followers hear nothing from the store, and offers them what is
-// newer than what they know.
+// Package mirror has nodes follow the store through others, and begin with what
+// those had where the store is out of reach. A Holder, on each storage node, keeps
+// the newest snapshot of every followed kind, also on its disk, and tells what
+// changes. A Source, on each gateway, follows one kind through holders and falls
+// back to the store itself. A Reader offers a gateway's followers what holders
+// have while these hear nothing from the store.
 //
 // A mirrored snapshot is the store's own, at one of its revisions, so that
-// followers go on from it as from a listing. It may be out of date: nothing may
-// be refused for good because of it.
+// followers go on from it as from a listing. One that a Reader offered may be out
+// of date: nothing may be refused for good because of it.
 package mirror
--- a/coordination/mirror/holder.go
+++ b/coordination/mirror/holder.go
@@ -56,7 +56,7 @@
 	logger *zap.Logger
 
 	mutex   sync.Mutex
-	shelves map[string]*shelf
+	states map[string]*kindState
 	unsaved map[string]bool
 	changed chan struct{}
 }
@@ -65,7 +65,7 @@
 func NewHolder(kinds []string, medium Medium, now func() time.Time, logger *zap.Logger) (*Holder, error) {
 	h := &Holder{
 		medium: medium, now: now, logger: logger,
-		shelves: make(map[string]*shelf), unsaved: make(map[string]bool), changed: make(chan struct{}, 1),
+		states: make(map[string]*kindState), unsaved: make(map[string]bool), changed: make(chan struct{}, 1),
 	}
 	for _, kind := range kinds {
 		encoded, err := medium.LoadMeta(mediumShard, namePrefix+kind)
@@ -80,7 +80,7 @@
 			logger.Warn("mirrored objects can't be read", zap.String("objects", kind), zap.Error(err))
 			continue
 		}
-		h.shelf(kind).kept = kept
+		h.state(kind).kept = kept
 		logger.Info("mirrored objects loaded", zap.String("objects", kind),
 			zap.Int64("revision", kept.Snapshot.At), zap.Int("count", len(kept.Snapshot.Objects)))
 	}
@@ -91,7 +91,7 @@
 func (h *Holder) Keep(kind string, snapshot follow.Snapshot) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	held := h.shelf(kind)
+	held := h.state(kind)
 	if snapshot.At < held.kept.Snapshot.At {
 		return
 	}
@@ -103,20 +103,20 @@
 	}
 }
 
-// shelf returns that of the kind. The mutex must be held.
-func (h *Holder) shelf(kind string) *shelf {
-	if h.shelves[kind] == nil {
-		h.shelves[kind] = newShelf(kind)
+// state returns that of the kind. The mutex must be held.
+func (h *Holder) state(kind string) *kindState {
+	if h.states[kind] == nil {
+		h.states[kind] = newKindState(kind)
 	}
-	return h.shelves[kind]
+	return h.states[kind]
 }
 
 // Copies returns what is kept, in the order of kinds.
 func (h *Holder) Copies() []Copy {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	copies := make([]Copy, 0, len(h.shelves))
-	for _, held := range h.shelves {
+	copies := make([]Copy, 0, len(h.states))
+	for _, held := range h.states {
 		if held.kept.Snapshot.At > 0 {
 			copies = append(copies, held.kept)
 		}
@@ -162,7 +162,7 @@
 	defer h.mutex.Unlock()
 	var unsaved []Copy
 	for kind := range h.unsaved {
-		unsaved = append(unsaved, h.shelves[kind].kept)
+		unsaved = append(unsaved, h.states[kind].kept)
 	}
 	clear(h.unsaved)
 	return unsaved
