--- a/coordination/mirror/holder.go
+++ b/coordination/mirror/holder.go
@@ -56,7 +56,7 @@
 	logger *zap.Logger
 
 	mutex   sync.Mutex
-	states map[string]*kindState
+	states  map[string]*kindState
 	unsaved map[string]bool
 	changed chan struct{}
 }
