--- a/coordination/shard/network_test.go
+++ b/coordination/shard/network_test.go
@@ -98,10 +98,11 @@
 	return names
 }
 
-func (n *network) chance(share float64) bool {
+// isDoubled tells whether the next message arrives a second time.
+func (n *network) isDoubled() bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.random.Float64() < share
+	return n.random.Float64() < n.trouble
 }
 
 func (n *network) pick(count int) int {
@@ -165,7 +166,7 @@
 		return none, err
 	}
 	target := l.network.process(to.Address)
-	if l.network.chance(l.network.trouble) {
+	if l.network.isDoubled() {
 		go func() {
 			if l.network.travel(target.ctx, to.Node) == nil {
 				handle(target.ctx, target)
