Tell from logs where a program's time went, and what a restart waited for

Ruled out: lines for each stage of a request; they would be dropped first under load, when they are needed.

--- a/cmd/marblering/explain.go
+++ b/cmd/marblering/explain.go
@@ -21,35 +21,39 @@
 
 func newExplainCommand() *cobra.Command {
 	var window time.Duration
+	var starts bool
 	command := &cobra.Command{
 		Use:   "explain LOGFILE... ID",
 		Short: "Tell from logs what became of a request, a program or an instance",
 		Long: "Collects the lines that name ID from the logs of several processes, in the order of time, with\n" +
-			"what the same nodes decided meanwhile. A LOGFILE of - is standard input.",
-		Args: usage(cobra.MinimumNArgs(2)),
+			"what the same nodes decided meanwhile, and adds up where the time of its requests went. With\n" +
+			"--starts and no ID, tells when each process that started had what it depends on. A LOGFILE of -\n" +
+			"is standard input.",
+		Args: usage(func(command *cobra.Command, arguments []string) error {
+			if starts {
+				return cobra.MinimumNArgs(1)(command, arguments)
+			}
+			return cobra.MinimumNArgs(2)(command, arguments)
+		}),
 		RunE: func(command *cobra.Command, arguments []string) error {
+			if starts {
+				return explainStarts(command, arguments)
+			}
 			last := len(arguments) - 1
 			return explain(command, arguments[:last], arguments[last], window)
 		},
 	}
 	command.Flags().DurationVar(&window, "window", explainWindow, "how long before the request other decisions are shown")
+	command.Flags().BoolVar(&starts, "starts", false, "tell of the starts of processes")
 	return command
 }
 
 func explain(command *cobra.Command, paths []string, id string, window time.Duration) error {
-	var logs []io.Reader
-	for _, path := range paths {
-		if path == "-" {
-			logs = append(logs, command.InOrStdin())
-			continue
-		}
-		file, err := os.Open(path)
-		if err != nil {
-			return err
-		}
-		defer file.Close()
-		logs = append(logs, file)
+	logs, closeLogs, err := openLogs(command, paths)
+	if err != nil {
+		return err
 	}
+	defer closeLogs()
 	story, err := logfile.Find(logs, id, window)
 	if err != nil {
 		return err
@@ -61,6 +65,52 @@
 	return nil
 }
 
+func explainStarts(command *cobra.Command, paths []string) error {
+	logs, closeLogs, err := openLogs(command, paths)
+	if err != nil {
+		return err
+	}
+	defer closeLogs()
+	starts, err := logfile.Starts(logs)
+	if err != nil {
+		return err
+	}
+	if len(starts) == 0 {
+		return merry.New("no process started in these logs")
+	}
+	for _, start := range starts {
+		fmt.Fprintf(command.OutOrStdout(), "%s  %s started\n", start.At.Format(time.RFC3339Nano), start.Node)
+		for _, reached := range start.Reached {
+			fmt.Fprintf(command.OutOrStdout(), "%+12.3fs  %s\n", reached.After.Seconds(), reached.Message)
+		}
+	}
+	return nil
+}
+
+// openLogs opens the files, and standard input for a path of -.
+func openLogs(command *cobra.Command, paths []string) (logs []io.Reader, closeAll func(), err error) {
+	var files []*os.File
+	closeAll = func() {
+		for _, file := range files {
+			_ = file.Close()
+		}
+	}
+	for _, path := range paths {
+		if path == "-" {
+			logs = append(logs, command.InOrStdin())
+			continue
+		}
+		file, err := os.Open(path)
+		if err != nil {
+			closeAll()
+			return nil, nil, err
+		}
+		files = append(files, file)
+		logs = append(logs, file)
+	}
+	return logs, closeAll, nil
+}
+
 // printStory writes the story, with times relative to its first line, and the meaning
 // of its result code.
 func printStory(w io.Writer, story logfile.Story) {
@@ -74,6 +124,7 @@
 	for _, l := range story.Context {
 		printLine(w, start, l)
 	}
+	printTimes(w, story.Times())
 	end := story.Lines[len(story.Lines)-1]
 	number, err := strconv.ParseUint(end.Get("code"), 10, 32)
 	if err != nil || number == 0 {
@@ -83,6 +134,27 @@
 	fmt.Fprintf(w, "\ncode %d, %s: execution %s, repeat %s (docs/RESULT-CODES.md)\n", number, info.Name, info.Execution, info.Repeat)
 }
 
+// printTimes says where the time went, for more than one request.
+func printTimes(w io.Writer, times logfile.Times) {
+	if times.Answered+times.Failed < 2 {
+		return
+	}
+	fmt.Fprintf(w, "\n%d requests answered and %d not, within %.3fs\n", times.Answered, times.Failed, times.Whole.Seconds())
+	for _, part := range []struct {
+		name string
+		took time.Duration
+	}{
+		{"history and budget", times.Preparing},
+		{"until the first byte", times.Waiting},
+		{"until the last event", times.Answering},
+		{"keeping ended turns", times.Storing},
+		{"requests not answered", times.Failing},
+		{"no request under way", times.Between},
+	} {
+		fmt.Fprintf(w, "%10.3fs  %s\n", part.took.Seconds(), part.name)
+	}
+}
+
 func printLine(w io.Writer, start time.Time, l logfile.Line) {
 	var fields []string
 	for _, f := range l.Fields {
--- a/cmd/marblering/explain_test.go
+++ b/cmd/marblering/explain_test.go
@@ -25,3 +25,41 @@
 		assert.Equal(t, line.Get("msg"), "said")
 	})
 }
+
+const programLog = `time=2026-05-22T10:00:01.000000Z level=info msg=started node=edge-1
+time=2026-05-22T10:00:01.400000Z level=info msg=answered node=edge-1 request=t1 key=p prepared=0.1 first_byte=0.2 stored=0.05 took=0.3 code=0
+time=2026-05-22T10:00:02.000000Z level=info msg="not answered" node=edge-1 request=t2 key=p prepared=0.1 took=0.1 code=2004 reason=late
+`
+
+// explained runs the command over the log.
+func explained(t *testing.T, log string, arguments ...string) (string, error) {
+	t.Helper()
+	var out strings.Builder
+	command := newExplainCommand()
+	command.SetArgs(arguments)
+	command.SetIn(strings.NewReader(log))
+	command.SetOut(&out)
+	command.SetErr(&out)
+	err := command.Execute()
+	return out.String(), err
+}
+
+func TestExplainAddsUpAProgram(t *testing.T) {
+	out, err := explained(t, programLog, "-", "p")
+	assert.NilError(t, err)
+	for _, want := range []string{"1 requests answered and 1 not, within 0.900s", "0.100s  history and budget", "0.500s  no request under way", "code 2004"} {
+		assert.Assert(t, strings.Contains(out, want), "%q is missing:\n%s", want, out)
+	}
+}
+
+func TestExplainStarts(t *testing.T) {
+	out, err := explained(t, programLog, "--starts", "-")
+	assert.NilError(t, err)
+	assert.Equal(t, out, "2026-05-22T10:00:01Z  edge-1 started\n      +0.400s  answered\n")
+	_, err = explained(t, "", "--starts", "-")
+	assert.ErrorContains(t, err, "no process started")
+	_, err = explained(t, programLog, "-")
+	assert.ErrorContains(t, err, "requires at least 2 arg")
+	_, err = explained(t, programLog, "missing.log", "p")
+	assert.ErrorContains(t, err, "missing.log")
+}
--- a/telemetry/logfile/logfile.go
+++ b/telemetry/logfile/logfile.go
@@ -92,15 +92,10 @@
 // Find reads the logs and tells the story of the id. Lines of other requests
 // aren't part of it.
 func Find(logs []io.Reader, id string, window time.Duration) (Story, error) {
-	var all []Line
-	for _, log := range logs {
-		lines, err := read(log)
-		if err != nil {
-			return Story{}, err
-		}
-		all = append(all, lines...)
+	all, err := readAll(logs)
+	if err != nil {
+		return Story{}, err
 	}
-	slices.SortStableFunc(all, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	var story Story
 	nodes := make(map[string]bool)
 	for _, l := range all {
@@ -127,16 +122,27 @@
 func (s Story) span(window time.Duration) (first, last time.Time) {
 	first, last = s.Lines[0].Time, s.Lines[len(s.Lines)-1].Time
 	for _, l := range s.Lines {
-		if took, err := strconv.ParseFloat(l.Get("took"), 64); err == nil {
-			arrived := l.Time.Add(-time.Duration(took * float64(time.Second)))
-			if arrived.Before(first) {
-				first = arrived
-			}
+		if arrived := l.Time.Add(-l.duration("took")); arrived.Before(first) {
+			first = arrived
 		}
 	}
 	return first.Add(-window), last
 }
 
+// readAll returns the lines of all logs in the order of time.
+func readAll(logs []io.Reader) ([]Line, error) {
+	var all []Line
+	for _, log := range logs {
+		lines, err := read(log)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	slices.SortStableFunc(all, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return all, nil
+}
+
 func read(log io.Reader) ([]Line, error) {
 	var lines []Line
 	scanner := bufio.NewScanner(log)
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -58,6 +58,10 @@
 	code      result.Code
 	reason    string
 	firstByte time.Duration
+	// prepared is when the request could be sent to a back end, counted from its
+	// arrival: its body read and, for a turn, what came before it and its part of
+	// the budget there. stored is how long the end of a turn took to be kept.
+	prepared, stored time.Duration
 }
 
 // outcome is how one attempt ended.
@@ -106,20 +110,25 @@
 	c.tried = append(c.tried, choice.Instance.ID)
 	tried := &trial{choice: choice, began: c.handler.options.Now()}
 	ended, cause := c.exchange(ctx, tried)
+	c.count(ended)
 	if c.isOver(ctx) && ended != delivered {
 		ended = abandoned
 	}
 	choice.Release(tried.ending(ended, c.handler.options.Now()))
+	return ended, cause
+}
+
+// count notes what the end of an attempt says about the request.
+func (c *call) count(ended outcome) {
 	switch ended {
 	case unreached:
 		c.detours++
+	case refused, delivered, abandoned:
+		c.sends++
 	case lost, unstored:
 		c.sends++
 		c.mayHaveRun = true
-	case refused:
-		c.sends++
 	}
-	return ended, cause
 }
 
 // isOver tells that the client is gone or that the request's time is over. A
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -120,7 +120,10 @@
 // endStream stores the turn, if it is one, and also passes the head of a stream
 // without events on. A turn that can't be stored doesn't end as whole.
 func (c *call) endStream(ctx context.Context, answer *upstream.Answer) (outcome, error) {
-	if err := c.completeTurn(ctx); err != nil {
+	began := c.handler.options.Now()
+	err := c.completeTurn(ctx)
+	c.stored = c.handler.options.Now().Sub(began)
+	if err != nil {
 		return unstored, err
 	}
 	c.beginStream(answer)
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -69,7 +69,9 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), current.deadline)
 	defer cancel()
-	if failure := current.beginTurn(ctx, h.options.Tables.Table()); failure != nil {
+	failure := current.beginTurn(ctx, h.options.Tables.Table())
+	current.prepared = h.options.Now().Sub(arrived)
+	if failure != nil {
 		current.fail(failure)
 		return
 	}
