Have one storage node publish a new set

Ruled out: the lowest node alone; it may be the one that is gone. Change: each node waits for a moment of its own, up to 0.8 s, and publishes only what nobody has by then.

--- a/coordination/directory/keeper.go
+++ b/coordination/directory/keeper.go
@@ -22,6 +22,9 @@
 	writeTimeout = 1500 * time.Millisecond
 	// writePause follows a write, so that its effect comes back first.
 	writePause = 600 * time.Millisecond
+	// publishSpread is the longest that a node leaves the publishing of sets to
+	// others that have learned them too.
+	publishSpread = 800 * time.Millisecond
 )
 
 // Keeper does one storage node's share of the directory. It is a suture service;
@@ -38,6 +41,11 @@
 	situation Situation
 	revisions map[string]int64
 	changed   chan struct{}
+	// publishAt is when this node publishes the sets, unless another does before;
+	// zero while the store has the newest. Only Serve uses it.
+	publishAt time.Time
+	// random draws from the time given; tests set it.
+	random func(time.Duration) time.Duration
 }
 
 // NewKeeper makes a keeper. Views returns the node's map, nil before the sets
@@ -45,7 +53,7 @@
 func NewKeeper(self register.Member, objects Objects, views func() *shard.Map, settings Settings, now func() time.Time, logger *zap.Logger) *Keeper {
 	return &Keeper{
 		self: self, objects: objects, views: views, settings: settings, now: now, logger: logger,
-		situation: Situation{Self: self}, changed: make(chan struct{}, 1),
+		situation: Situation{Self: self}, changed: make(chan struct{}, 1), random: rand.N[time.Duration],
 	}
 }
 
@@ -90,10 +98,11 @@
 // Serve acts until the context ends.
 func (k *Keeper) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause := lookInterval
-		if k.act(ctx) {
+		wrote := k.act(ctx)
+		pause := k.pause()
+		if wrote {
 			// Nodes that saw the same don't write at the same moment.
-			pause = writePause/2 + rand.N(writePause)
+			pause = writePause/2 + k.random(writePause)
 		}
 		timer := time.NewTimer(pause)
 		select {
@@ -107,11 +116,19 @@
 	return ctx.Err()
 }
 
+// pause is how long nothing is to be done unless something changes.
+func (k *Keeper) pause() time.Duration {
+	if k.publishAt.IsZero() {
+		return lookInterval
+	}
+	return min(lookInterval, max(k.publishAt.Sub(k.now()), 0))
+}
+
 // act does what the plan says and tells whether it wrote.
 func (k *Keeper) act(ctx context.Context) bool {
 	situation, revision := k.snapshot()
 	action, sets := Plan(situation, k.settings)
-	if action == None {
+	if !k.isDue(action) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -132,6 +149,20 @@
 	return true
 }
 
+// isDue tells whether the action is to be done now. Publishing waits for a moment
+// that differs between nodes, since all of them learn of the same sets at once and
+// one write is enough.
+func (k *Keeper) isDue(action Action) bool {
+	if action != Publish {
+		k.publishAt = time.Time{}
+		return action != None
+	}
+	if k.publishAt.IsZero() {
+		k.publishAt = k.now().Add(k.random(publishSpread))
+	}
+	return !k.now().Before(k.publishAt)
+}
+
 func (k *Keeper) snapshot() (Situation, int64) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
