Follow the store through one storage node a zone, and list through it as well

Cause: calls to the store were the biggest price of the larger new deployment. Ruled out: storage nodes that follow only when asked; their copies are what gateways begin with while the store is away. Change: the first storage node of a zone asks the store, the others follow through it; answers carry their age, so that no chain makes them older than the apply limit. Gateways list through holders too, before the sets are known through those that the settings name. A holder that fails is followed by the next within the same call, from the same revision, so that follow.ErrMissed and its listing have no use any more; TestMissedChangesAreListed went with it, and TestHolderThatCantBeReliedOnIsLeft asks for the next holder in the same call now.

--- a/coordination/follow/follower.go
+++ b/coordination/follow/follower.go
@@ -17,13 +17,9 @@
 // since the revision that was asked for.
 var ErrHistoryGone = errors.New("the store's history is gone")
 
-// ErrMissed is what a Source returns where changes may have been missed though the
-// store itself may be well.
-var ErrMissed = errors.New("changes may have been missed")
-
 // Source is one kind of objects in a store.
 type Source interface {
-	// List returns every object. It must be linearizable.
+	// List returns every object, as the store had them the snapshot's age ago.
 	List(ctx context.Context) (Snapshot, error)
 	// Watch returns the changes since a revision as soon as there are any, and
 	// none after about the wait.
@@ -141,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	f.heardFromStore()
+	f.heardAt(f.options.Now().Add(-snapshot.Age))
 	if !f.take(snapshot) {
 		f.options.Logger.Warn("old listing refused", zap.String("objects", f.options.Name),
 			zap.Int64("revision", snapshot.At), zap.Int64("known_revision", f.revision()))
@@ -205,10 +201,6 @@
 		f.relist = true
 		return nil
 	}
-	if errors.Is(err, ErrMissed) {
-		f.relist = true
-		return nil
-	}
 	if err != nil {
 		return err
 	}
@@ -244,8 +236,6 @@
 	}
 }
 
-func (f *Follower) heardFromStore() { f.heardAt(f.options.Now()) }
-
 // heardAt notes that the store said something then.
 func (f *Follower) heardAt(moment time.Time) {
 	f.heard.Store(max(f.heard.Load(), moment.UnixNano()))
--- a/coordination/follow/view.go
+++ b/coordination/follow/view.go
@@ -21,6 +21,9 @@
 type Snapshot struct {
 	Objects []Object
 	At      int64
+	// Age is how long ago the store said so when the snapshot was handed out;
+	// zero where it was asked itself.
+	Age time.Duration `json:"-"`
 }
 
 // Event is one change.
--- /dev/null
+++ b/coordination/mirror/holders.go
@@ -0,0 +1,133 @@
+package mirror
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/state/program"
+)
+
+// A holder that didn't answer, or has itself lost the store, is asked last for
+// firstAvoidance, and twice as long each further time, up to longestAvoidance.
+const (
+	firstAvoidance   = 500 * time.Millisecond
+	longestAvoidance = 3 * time.Second
+)
+
+// Holders are the storage nodes that a node follows the store through, in its
+// order of preference. It is safe for concurrent use.
+type Holders struct {
+	list func() []netip.AddrPort
+	now  func() time.Time
+
+	mutex   sync.Mutex
+	avoided map[netip.AddrPort]avoidance
+}
+
+// avoidance is how long a holder is asked last.
+type avoidance struct {
+	length time.Duration
+	until  time.Time
+}
+
+// NewHolders makes the holders of the list, which may change.
+func NewHolders(list func() []netip.AddrPort, now func() time.Time) *Holders {
+	return &Holders{list: list, now: now, avoided: make(map[netip.AddrPort]avoidance)}
+}
+
+// pick returns the first holder that isn't avoided.
+func (h *Holders) pick() (netip.AddrPort, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, holder := range h.list() {
+		if !h.now().Before(h.avoided[holder].until) {
+			return holder, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+func (h *Holders) failed(holder netip.AddrPort) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	length := min(max(2*h.avoided[holder].length, firstAvoidance), longestAvoidance)
+	h.avoided[holder] = avoidance{length: length, until: h.now().Add(length)}
+}
+
+func (h *Holders) answered(holder netip.AddrPort) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	delete(h.avoided, holder)
+}
+
+// Near orders storage nodes for the node that has the name: those of its zone
+// first, and within a zone in an order of its own, so that nodes spread.
+func Near(zone, name string, members []register.Member) []netip.AddrPort {
+	ordered := slices.Clone(members)
+	slices.SortFunc(ordered, func(a, b register.Member) int {
+		return cmp.Or(
+			compareZones(zone, a, b),
+			cmp.Compare(program.Affinity(b.Node, name), program.Affinity(a.Node, name)),
+		)
+	})
+	return addresses(ordered)
+}
+
+// Upstreams returns the storage nodes that a storage node follows the store
+// through, so that few ask the store: the first of each zone by name, its own
+// zone's at the head. These ask the store itself, and have none.
+func Upstreams(self register.Member, members []register.Member) []netip.AddrPort {
+	first := map[string]register.Member{self.Zone: self}
+	for _, member := range members {
+		known, found := first[member.Zone]
+		if !found || member.Node < known.Node {
+			first[member.Zone] = member
+		}
+	}
+	if first[self.Zone].Node == self.Node {
+		return nil
+	}
+	var ordered []register.Member
+	for _, member := range first {
+		ordered = append(ordered, member)
+	}
+	slices.SortFunc(ordered, func(a, b register.Member) int {
+		return cmp.Or(compareZones(self.Zone, a, b), strings.Compare(a.Node, b.Node))
+	})
+	return addresses(ordered)
+}
+
+// Spread orders addresses for the node that has the name, each node in an order of
+// its own.
+func Spread(name string, listed []netip.AddrPort) []netip.AddrPort {
+	return slices.SortedFunc(slices.Values(listed), func(a, b netip.AddrPort) int {
+		return cmp.Compare(program.Affinity(b.String(), name), program.Affinity(a.String(), name))
+	})
+}
+
+// compareZones puts members of the zone first.
+func compareZones(zone string, a, b register.Member) int {
+	switch {
+	case (a.Zone == zone) == (b.Zone == zone):
+		return 0
+	case a.Zone == zone:
+		return -1
+	}
+	return 1
+}
+
+// addresses leaves out what is no address.
+func addresses(members []register.Member) []netip.AddrPort {
+	found := make([]netip.AddrPort, 0, len(members))
+	for _, member := range members {
+		if address, err := netip.ParseAddrPort(member.Address); err == nil {
+			found = append(found, address)
+		}
+	}
+	return found
+}
--- a/coordination/mirror/source.go
+++ b/coordination/mirror/source.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,13 +13,20 @@
 )
 
 const (
-	// holderWait is how long a holder may hold a call, and holderSlack how much
-	// longer its answer may take: a holder that went silent is noticed after both.
-	holderWait  = time.Second
+	// holderSlack is how much longer than its wait a holder's answer may take: one
+	// that went silent is noticed after both.
 	holderSlack = 400 * time.Millisecond
-	// avoidTime is how long a holder that didn't answer, or has itself lost the
-	// store, is asked last.
-	avoidTime = 3 * time.Second
+	// listTimeout bounds one listing by a holder.
+	listTimeout = 200 * time.Millisecond
+	// hopTime is how long a call may have taken for another holder to be asked
+	// within it. After that the store itself is.
+	hopTime = 200 * time.Millisecond
+	// leastWait is the shortest wait of a call at the store itself that comes
+	// after holders were asked in vain.
+	leastWait = 100 * time.Millisecond
+	// unseen is a revision that no holder has been at, so that it tells all that
+	// there is.
+	unseen int64 = -1
 )
 
 // Watcher asks one holder for changes. peer.Client is one.
@@ -28,100 +34,119 @@
 	WatchMirror(ctx context.Context, address netip.AddrPort, kind string, revision int64, wait time.Duration) (Answer, error)
 }
 
-// Holders are the storage nodes that a node follows the store through, in its
-// order of preference. It is safe for concurrent use.
-type Holders struct {
-	list func() []netip.AddrPort
-	now  func() time.Time
-
-	mutex   sync.Mutex
-	avoided map[netip.AddrPort]time.Time
-}
-
-// NewHolders makes the holders of the list, which may change.
-func NewHolders(list func() []netip.AddrPort, now func() time.Time) *Holders {
-	return &Holders{list: list, now: now, avoided: make(map[netip.AddrPort]time.Time)}
-}
-
-// pick returns the first holder that isn't avoided.
-func (h *Holders) pick() (netip.AddrPort, bool) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	for _, holder := range h.list() {
-		if since, found := h.avoided[holder]; !found || h.now().Sub(since) >= avoidTime {
-			return holder, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
-
-func (h *Holders) avoid(holder netip.AddrPort) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.avoided[holder] = h.now()
+// SourceSettings are the bounds of a Source.
+type SourceSettings struct {
+	// Wait is how long a holder may hold a call without changes.
+	Wait time.Duration
+	// MaxAge is how long ago the store may have confirmed what a holder says.
+	MaxAge time.Duration
 }
 
 // Source follows one kind of the store through holders, so that a change costs the
-// store one call a holder rather than one a node. It lists from the store itself,
-// and watches there too while no holder can be relied on. It implements
-// follow.Source.
+// store one call a holder rather than one a node. The store itself is asked while
+// no holder can be relied on. It implements follow.Source.
 type Source struct {
-	kind    string
-	direct  follow.Source
-	holders *Holders
-	watcher Watcher
-	// maxAge is how long ago the store may have confirmed what a holder says.
-	maxAge time.Duration
-	logger *zap.Logger
-	// through is the holder that was asked last; nil for the store itself.
+	kind     string
+	direct   follow.Source
+	holders  *Holders
+	watcher  Watcher
+	settings SourceSettings
+	logger   *zap.Logger
+	// newest is the newest revision that was handed out.
+	newest atomic.Int64
+	// through is the holder that answered last; nil for the store itself.
 	through atomic.Pointer[netip.AddrPort]
 }
 
 // NewSource makes a source of the kind.
-func NewSource(kind string, direct follow.Source, holders *Holders, watcher Watcher, maxAge time.Duration, logger *zap.Logger) *Source {
-	return &Source{kind: kind, direct: direct, holders: holders, watcher: watcher, maxAge: maxAge, logger: logger}
+func NewSource(kind string, direct follow.Source, holders *Holders, watcher Watcher, settings SourceSettings, logger *zap.Logger) *Source {
+	return &Source{kind: kind, direct: direct, holders: holders, watcher: watcher, settings: settings, logger: logger}
 }
 
-// List implements follow.Source.
-func (s *Source) List(ctx context.Context) (follow.Snapshot, error) { return s.direct.List(ctx) }
+// List implements follow.Source. One holder is asked, and then the store.
+func (s *Source) List(ctx context.Context) (follow.Snapshot, error) {
+	if holder, found := s.holders.pick(); found {
+		snapshot, err := s.listBy(ctx, holder)
+		if err == nil {
+			return snapshot, nil
+		}
+		s.leave(ctx, holder, unseen, err)
+	}
+	snapshot, err := s.direct.List(ctx)
+	if err == nil {
+		s.handOut(snapshot.At)
+	}
+	return snapshot, err
+}
+
+// listBy has the holder tell all that there is. One that is behind what was handed
+// out already is no use: revisions never go back.
+func (s *Source) listBy(ctx context.Context, holder netip.AddrPort) (follow.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	changes, err := s.ask(ctx, holder, unseen, 0)
+	if err != nil {
+		return follow.Snapshot{}, err
+	}
+	if !changes.IsWhole || changes.At < s.newest.Load() {
+		return follow.Snapshot{}, errHolderBehind
+	}
+	s.trust(holder, changes.At)
+	snapshot := follow.Snapshot{At: changes.At, Age: changes.Age}
+	for _, event := range changes.Events {
+		snapshot.Objects = append(snapshot.Objects, event.Object)
+	}
+	return snapshot, nil
+}
 
 // Watch implements follow.Source. A holder that can't be relied on may have kept
-// changes back, so that a listing has to follow.
+// changes back; whoever is asked next tells them all, since they are asked for
+// from the same revision on.
 func (s *Source) Watch(ctx context.Context, from int64, wait time.Duration) (follow.Changes, error) {
-	holder, found := s.holders.pick()
-	if !found {
-		s.noteWay(nil)
-		return s.direct.Watch(ctx, from, wait)
+	began := s.holders.now()
+	taken := func() time.Duration { return s.holders.now().Sub(began) }
+	for ctx.Err() == nil && taken() < hopTime {
+		holder, found := s.holders.pick()
+		if !found {
+			break
+		}
+		changes, err := s.ask(ctx, holder, from, s.settings.Wait)
+		if err == nil {
+			s.trust(holder, changes.At)
+			return changes, nil
+		}
+		s.leave(ctx, holder, from, err)
 	}
-	s.noteWay(&holder)
-	changes, err := s.ask(ctx, holder, from)
-	if err == nil {
-		return changes, nil
+	if err := ctx.Err(); err != nil {
+		return follow.Changes{}, err
+	}
+	if s.through.Swap(nil) != nil {
+		s.logger.Info("following the store itself", zap.String("objects", s.kind))
 	}
-	if ctx.Err() == nil {
-		s.holders.avoid(holder)
-		s.logger.Info("holder left", zap.String("objects", s.kind), zap.Stringer("holder", holder),
-			zap.Int64("revision", from), zap.Error(err))
+	changes, err := s.direct.Watch(ctx, from, max(wait-taken(), leastWait))
+	if err == nil {
+		s.handOut(changes.At)
 	}
-	return follow.Changes{}, follow.ErrMissed
+	return changes, err
 }
 
 var (
 	errHolderLost   = errors.New("the holder has lost the store")
 	errHolderMissed = errors.New("the holder doesn't follow the kind")
 	errHolderOld    = errors.New("the store hasn't confirmed to the holder for too long")
+	errHolderBehind = errors.New("the holder is behind what is known")
 )
 
-func (s *Source) ask(ctx context.Context, holder netip.AddrPort, from int64) (follow.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, holderWait+holderSlack)
+func (s *Source) ask(ctx context.Context, holder netip.AddrPort, from int64, wait time.Duration) (follow.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+holderSlack)
 	defer cancel()
-	said, err := s.watcher.WatchMirror(ctx, holder, s.kind, from, holderWait)
+	said, err := s.watcher.WatchMirror(ctx, holder, s.kind, from, wait)
 	if err != nil {
 		return follow.Changes{}, err
 	}
 	switch answer := said.(type) {
 	case Current:
-		if answer.Changes.Age > s.maxAge {
+		if answer.Changes.Age > s.settings.MaxAge {
 			return follow.Changes{}, errHolderOld
 		}
 		return answer.Changes, nil
@@ -131,13 +156,30 @@
 	return follow.Changes{}, errHolderMissed
 }
 
-// noteWay logs which way is followed from now on.
-func (s *Source) noteWay(holder *netip.AddrPort) {
-	before := s.through.Swap(holder)
-	switch {
-	case holder == nil && before != nil:
-		s.logger.Info("following the store itself", zap.String("objects", s.kind))
-	case holder != nil && (before == nil || *before != *holder):
-		s.logger.Info("following through a holder", zap.String("objects", s.kind), zap.Stringer("holder", *holder))
+// trust notes that the holder answered.
+func (s *Source) trust(holder netip.AddrPort, at int64) {
+	s.handOut(at)
+	s.holders.answered(holder)
+	if before := s.through.Swap(&holder); before == nil || *before != holder {
+		s.logger.Info("following through a holder", zap.String("objects", s.kind), zap.Stringer("holder", holder))
+	}
+}
+
+// leave has the holder asked last for a while, unless it was the caller who gave
+// the call up.
+func (s *Source) leave(ctx context.Context, holder netip.AddrPort, from int64, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.holders.failed(holder)
+	s.logger.Info("holder left", zap.String("objects", s.kind), zap.Stringer("holder", holder),
+		zap.Int64("revision", from), zap.Error(err))
+}
+
+func (s *Source) handOut(at int64) {
+	for known := s.newest.Load(); at > known; known = s.newest.Load() {
+		if s.newest.CompareAndSwap(known, at) {
+			return
+		}
 	}
 }
--- /dev/null
+++ b/coordination/mirror/source_test.go
@@ -0,0 +1,190 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/follow"
+	"github.com/marblering/marblering/coordination/mirror"
+)
+
+var (
+	holderA = netip.MustParseAddrPort("10.0.0.1:1")
+	holderB = netip.MustParseAddrPort("10.0.0.2:1")
+	holderC = netip.MustParseAddrPort("10.0.0.3:1")
+)
+
+// scripted answers for each holder; those without an answer take their delay to
+// fail.
+type scripted struct {
+	answers map[netip.AddrPort]mirror.Answer
+	now     *time.Time
+	delay   time.Duration
+	asked   []netip.AddrPort
+}
+
+func (s *scripted) WatchMirror(_ context.Context, holder netip.AddrPort, _ string, _ int64, _ time.Duration) (mirror.Answer, error) {
+	s.asked = append(s.asked, holder)
+	if said := s.answers[holder]; said != nil {
+		return said, nil
+	}
+	*s.now = s.now.Add(s.delay)
+	return nil, errors.New("no answer")
+}
+
+// countedStore counts what it is asked for.
+type countedStore struct {
+	listed, watched int
+	from            int64
+	wait            time.Duration
+}
+
+func (c *countedStore) List(context.Context) (follow.Snapshot, error) {
+	c.listed++
+	return snapshot(9), nil
+}
+
+func (c *countedStore) Watch(_ context.Context, from int64, wait time.Duration) (follow.Changes, error) {
+	c.watched++
+	c.from, c.wait = from, wait
+	return follow.Changes{At: 9}, nil
+}
+
+// sourceWorld is a source with three holders, a clock and a store.
+type sourceWorld struct {
+	now     time.Time
+	store   countedStore
+	holders scripted
+	source  *mirror.Source
+}
+
+func newSourceWorld(answers map[netip.AddrPort]mirror.Answer) *sourceWorld {
+	w := &sourceWorld{now: time.Unix(1000, 0)}
+	w.holders = scripted{answers: answers, now: &w.now}
+	list := func() []netip.AddrPort { return []netip.AddrPort{holderA, holderB, holderC} }
+	holders := mirror.NewHolders(list, func() time.Time { return w.now })
+	bounds := mirror.SourceSettings{Wait: time.Second, MaxAge: 4 * time.Second}
+	w.source = mirror.NewSource(mirror.KindInstances, &w.store, holders, &w.holders, bounds, zap.NewNop())
+	return w
+}
+
+func (w *sourceWorld) watch(t *testing.T, from int64) follow.Changes {
+	t.Helper()
+	changes, err := w.source.Watch(context.Background(), from, 2*time.Second)
+	assert.NilError(t, err)
+	return changes
+}
+
+func current(at int64) mirror.Answer { return mirror.Current{Changes: follow.Changes{At: at}} }
+
+func whole(at int64, age time.Duration) mirror.Answer {
+	events := []follow.Event{{Object: follow.Object{Name: "main", Revision: at}}}
+	return mirror.Current{Changes: follow.Changes{At: at, IsWhole: true, Age: age, Events: events}}
+}
+
+// TestHolderThatCantBeReliedOnIsLeft: the next holder is asked within the same
+// call, the store itself, from the same revision, once none is left, and later the
+// first holder again.
+func TestHolderThatCantBeReliedOnIsLeft(t *testing.T) {
+	for name, bad := range map[string]mirror.Answer{
+		"silent": nil, "lost": mirror.Lost{}, "missed": mirror.Missed{},
+		"old": mirror.Current{Changes: follow.Changes{At: 7, Age: 5 * time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newSourceWorld(map[netip.AddrPort]mirror.Answer{holderA: bad, holderB: current(8), holderC: bad})
+			assert.Equal(t, w.watch(t, 7).At, int64(8))
+			w.holders.answers[holderB] = mirror.Lost{}
+			assert.Equal(t, w.watch(t, 8).At, int64(9))
+			assert.Equal(t, w.store.watched, 1)
+			assert.Equal(t, w.store.from, int64(8))
+			w.now = w.now.Add(time.Second)
+			w.holders.answers[holderA] = current(10)
+			assert.Equal(t, w.watch(t, 9).At, int64(10))
+			assert.Equal(t, w.store.watched, 1)
+			assert.Equal(t, w.store.listed, 0)
+		})
+	}
+}
+
+// TestSilentHolderIsFollowedByTheStore at once, with the rest of the wait: asking
+// another that may be silent too would make the change later than it may be.
+func TestSilentHolderIsFollowedByTheStore(t *testing.T) {
+	w := newSourceWorld(map[netip.AddrPort]mirror.Answer{holderB: current(8)})
+	w.holders.delay = 1400 * time.Millisecond
+	assert.Equal(t, w.watch(t, 7).At, int64(9))
+	assert.Assert(t, slices.Equal(w.holders.asked, []netip.AddrPort{holderA}), "%v", w.holders.asked)
+	assert.Equal(t, w.store.wait, 600*time.Millisecond)
+	assert.Equal(t, w.watch(t, 9).At, int64(8))
+}
+
+// TestFailingHolderIsAskedEverMoreSeldom, and as at first once it has answered.
+func TestFailingHolderIsAskedEverMoreSeldom(t *testing.T) {
+	w := newSourceWorld(map[netip.AddrPort]mirror.Answer{holderB: current(8)})
+	pauses := func(count int) (found []time.Duration) {
+		last := w.now
+		for len(found) < count {
+			w.holders.asked = nil
+			w.watch(t, 7)
+			if len(w.holders.asked) > 0 && w.holders.asked[0] == holderA {
+				found = append(found, w.now.Sub(last))
+				last = w.now
+			}
+			w.now = w.now.Add(100 * time.Millisecond)
+		}
+		return found
+	}
+	assert.DeepEqual(t, pauses(6), []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 3 * time.Second})
+	w.now = w.now.Add(3 * time.Second)
+	w.holders.answers[holderA] = current(8)
+	w.watch(t, 7)
+	delete(w.holders.answers, holderA)
+	assert.DeepEqual(t, pauses(2), []time.Duration{0, 500 * time.Millisecond})
+}
+
+// TestListingComesFromAHolder with its age, and from the store itself where the
+// holder is lost, old, silent, behind what was seen, or doesn't tell everything.
+func TestListingComesFromAHolder(t *testing.T) {
+	for name, c := range map[string]struct {
+		said   mirror.Answer
+		listed int
+		age    time.Duration
+	}{
+		"current": {whole(12, time.Second), 0, time.Second},
+		"lost":    {mirror.Lost{}, 1, 0},
+		"silent":  {nil, 1, 0},
+		"old":     {whole(12, 5*time.Second), 1, 0},
+		"behind":  {whole(4, 0), 1, 0},
+		"partial": {current(12), 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newSourceWorld(map[netip.AddrPort]mirror.Answer{holderA: current(5)})
+			assert.Equal(t, w.watch(t, 5).At, int64(5))
+			w.holders.answers[holderA] = c.said
+			listed, err := w.source.List(context.Background())
+			assert.NilError(t, err)
+			assert.Equal(t, w.store.listed, c.listed)
+			assert.Equal(t, listed.Age, c.age)
+			assert.Equal(t, len(listed.Objects), 1)
+			assert.Equal(t, listed.At, map[bool]int64{true: 12, false: 9}[c.listed == 0])
+		})
+	}
+}
+
+// TestCallerThatLeavesBlamesNoHolder.
+func TestCallerThatLeavesBlamesNoHolder(t *testing.T) {
+	w := newSourceWorld(map[netip.AddrPort]mirror.Answer{})
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	_, err := w.source.Watch(gone, 7, time.Second)
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Equal(t, w.store.watched, 0)
+	w.holders.answers[holderA] = current(8)
+	assert.Equal(t, w.watch(t, 7).At, int64(8))
+}
--- a/coordination/shard/map.go
+++ b/coordination/shard/map.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -92,3 +93,17 @@
 	}
 	return digest.Sum64()
 }
+
+// MembersOf returns the members of the views, each address once.
+func MembersOf(views []register.View) []register.Member {
+	var members []register.Member
+	for _, view := range views {
+		for _, member := range view.Members {
+			isKnown := slices.ContainsFunc(members, func(known register.Member) bool { return known.Address == member.Address })
+			if !isKnown {
+				members = append(members, member)
+			}
+		}
+	}
+	return members
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -182,7 +182,7 @@
 
 func (g *Gateway) newFollower(name string, source follow.Source, apply func(follow.Snapshot)) *follow.Follower {
 	bounds := follow.DefaultSettings()
-	bounds.WatchWait = g.watchWait()
+	bounds.WatchWait = watchWait(g.settings.UndisturbedTime)
 	bounds.WatchSlack = watchSlack
 	return follow.New(follow.Options{
 		Name: name, Source: g.throughHolders(name, source, g.settings.ApplyLimit), Settings: bounds,
@@ -208,19 +208,6 @@
 	return telemetry.NewHandlerAt(g.settings.ReadyPath, g.metrics, readiness)
 }
 
-// isCertain tells whether the configuration in force is surely the newest but
-// for what changed within the time of one held call.
-func (g *Gateway) isCertain() bool {
-	age, heard := g.configuration.Age()
-	return heard && age < g.watchWait()+2*watchSlack
-}
-
-// watchWait is how long the store may hold a call: a store that went silent then
-// is noticed, and listed anew, before a configuration must be in force.
-func (g *Gateway) watchWait() time.Duration {
-	return max(g.settings.ApplyLimit/2, g.settings.ApplyLimit+g.settings.UndisturbedTime-watchSlack-relistTime)
-}
-
 // instanceGone leaves an instance out whose address another has, and closes its
 // connections. Its id doesn't come back: each start has its own.
 func (g *Gateway) instanceGone(instance string) {
--- a/node/gateway/holders.go
+++ b/node/gateway/holders.go
@@ -1,15 +1,19 @@
 package gateway
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/marblering/marblering/coordination/follow"
 	"github.com/marblering/marblering/coordination/mirror"
-	"github.com/marblering/marblering/coordination/register"
-	"github.com/marblering/marblering/state/program"
+	"github.com/marblering/marblering/coordination/shard"
+)
+
+const (
+	// holderWait is how long a storage node may hold a gateway's call.
+	holderWait = time.Second
+	// leastWatchWait is the shortest time for which the store is asked to hold one.
+	leastWatchWait = 500 * time.Millisecond
 )
 
 // setsAge is how long ago the store may have confirmed the replica sets that are
@@ -25,44 +29,31 @@
 
 // throughHolders follows the kind through storage nodes where it can.
 func (g *Gateway) throughHolders(kind string, direct follow.Source, maxAge time.Duration) follow.Source {
-	return mirror.NewSource(kind, direct, g.holders, g.state.peers, maxAge, g.logger)
+	bounds := mirror.SourceSettings{Wait: holderWait, MaxAge: maxAge}
+	return mirror.NewSource(kind, direct, g.holders, g.state.peers, bounds, g.logger)
 }
 
-// holderOrder lists the storage nodes of all replica sets, those of this
-// gateway's zone first; within a zone each gateway has an order of its own.
+// holderOrder lists the storage nodes of all replica sets, those of this gateway's
+// zone first; before the sets are known, those that the settings name.
 func (g *Gateway) holderOrder() []netip.AddrPort {
 	views := g.state.lookup.Map()
 	if views == nil {
-		return nil
-	}
-	members := make(map[string]register.Member)
-	for _, view := range views.Views() {
-		for _, member := range view.Members {
-			members[member.Address] = member
-		}
-	}
-	ordered := make([]register.Member, 0, len(members))
-	for _, member := range members {
-		ordered = append(ordered, member)
+		return mirror.Spread(g.settings.Name, g.settings.Seeds)
 	}
-	slices.SortFunc(ordered, func(a, b register.Member) int {
-		return cmp.Or(
-			cmp.Compare(g.distance(a), g.distance(b)),
-			-cmp.Compare(program.Affinity(a.Node, g.settings.Name), program.Affinity(b.Node, g.settings.Name)),
-		)
-	})
-	addresses := make([]netip.AddrPort, 0, len(ordered))
-	for _, member := range ordered {
-		if address, err := netip.ParseAddrPort(member.Address); err == nil {
-			addresses = append(addresses, address)
-		}
-	}
-	return addresses
+	return mirror.Near(g.settings.Zone, g.settings.Name, shard.MembersOf(views.Views()))
 }
 
-func (g *Gateway) distance(member register.Member) int {
-	if member.Zone == g.settings.Zone {
-		return 0
-	}
-	return 1
+// isCertain tells whether the configuration in force is surely the newest but
+// for what changed within the time of one held call.
+func (g *Gateway) isCertain() bool {
+	age, heard := g.configuration.Age()
+	return heard && age < watchWait(g.settings.UndisturbedTime)+2*watchSlack
+}
+
+// watchWait is how long the store may hold a gateway's call. A call that hangs
+// since the store or the way to it was disturbed has to be noticed, and the
+// objects listed anew, by the time that this has passed for as long as makes the
+// gateway answerable for what was changed meanwhile.
+func watchWait(undisturbed time.Duration) time.Duration {
+	return max(leastWatchWait, undisturbed/2, undisturbed-watchSlack-relistTime)
 }
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -9,6 +9,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"time"
 
@@ -73,6 +74,9 @@
 	// a configuration must be in force is left for gateways to list themselves.
 	mirrorSlack = 400 * time.Millisecond
 	mirrorRest  = 300 * time.Millisecond
+	// upstreamWait is how long another storage node may hold a call of this one. It
+	// adds to the age of what gateways are told, which the apply limit bounds.
+	upstreamWait = mirrorRest
 	// repairInterval is the pause between two rounds of repair.
 	repairInterval = 400 * time.Millisecond
 	// goneAfter and replacedAfter are how long a member may be gone before its
@@ -103,6 +107,7 @@
 	ledger     *tokenbudget.Ledger
 	budgets    *tokenbudget.Host
 	mirror     *mirror.Holder
+	upstreams  *mirror.Holders
 	metrics    *prometheus.Registry
 	peers      *peer.Client
 	self       register.Member
@@ -212,6 +217,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.upstreams = mirror.NewHolders(n.listUpstreams, time.Now)
 	n.mirror, err = mirror.NewHolder(mirror.Kinds(), n.store, time.Now, n.logger)
 	if err != nil {
 		return nil, err
@@ -343,17 +349,25 @@
 	return bounds
 }
 
-// mirroring follows what gateways follow through this node.
-func (n *Node) mirroring(kind string, source follow.Source) *follow.Follower {
+// mirroring follows what gateways follow through this node. Only one storage node
+// of a zone asks the store; the others follow it through that one.
+func (n *Node) mirroring(kind string, direct follow.Source) *follow.Follower {
+	through := mirror.SourceSettings{Wait: upstreamWait, MaxAge: n.settings.ApplyLimit}
 	follower := follow.New(follow.Options{
-		Name: kind, Source: source, Settings: mirrorBounds(n.settings.ApplyLimit), Logger: n.logger, Now: time.Now,
-		Apply: func(snapshot follow.Snapshot) { n.mirror.Keep(kind, snapshot) },
-		Lost:  func() { n.mirror.Lost(kind) },
+		Name: kind, Settings: mirrorBounds(n.settings.ApplyLimit), Logger: n.logger, Now: time.Now,
+		Source: mirror.NewSource(kind, direct, n.upstreams, n.peers, through, n.logger),
+		Apply:  func(snapshot follow.Snapshot) { n.mirror.Keep(kind, snapshot) },
+		Lost:   func() { n.mirror.Lost(kind) },
 	})
 	n.mirror.Through(kind, follower)
 	return follower
 }
 
+// listUpstreams lists the storage nodes that this one follows the store through.
+func (n *Node) listUpstreams() []netip.AddrPort {
+	return mirror.Upstreams(n.self, shard.MembersOf(n.views.Views()))
+}
+
 // setsFollower follows the published sets, which gateways follow through this
 // node as well.
 func (n *Node) setsFollower() *follow.Follower {
