Ask refused clients to come back after half the time that the trouble has lasted

Cause: while a replica set changes or its hosts are overloaded, turns are refused at once with a pause of 0.2 s. A client comes back about six times, so that it has given up after 1.4 s, and with it a program that may have been near its end. Ruled out: refusing later (a refusal isn't held back), a longer fixed pause (short troubles are the most frequent). Change: the pause is half of the time for which turns have been refused at this gateway without a second's rest, from 0.2 to 1 s. TestFewTriesOutlastAChangeOfReplicaSets fails with the fixed pause.

--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -32,7 +32,7 @@
 const (
 	// stateTimeout bounds the reading of state before a turn is sent out.
 	stateTimeout = 800 * time.Millisecond
-	// retryPause is what a refused client is asked to wait.
+	// retryPause is the shortest that a refused client is asked to wait.
 	retryPause = 200 * time.Millisecond
 	// elsewherePause is the same where another gateway may do better at once.
 	elsewherePause = 60 * time.Millisecond
@@ -45,13 +45,14 @@
 	turns   Turns
 	budgets Budgets
 	// cutOff tells that no storage node can be reached from here.
-	cutOff func() bool
-	logger *zap.Logger
+	cutOff  func() bool
+	logger  *zap.Logger
+	trouble trouble
 }
 
 // New makes a service.
-func New(turns Turns, budgets Budgets, cutOff func() bool, logger *zap.Logger) *Service {
-	return &Service{turns: turns, budgets: budgets, cutOff: cutOff, logger: logger}
+func New(turns Turns, budgets Budgets, cutOff func() bool, now func() time.Time, logger *zap.Logger) *Service {
+	return &Service{turns: turns, budgets: budgets, cutOff: cutOff, logger: logger, trouble: trouble{now: now}}
 }
 
 // Request describes a turn that is about to begin.
@@ -115,7 +116,7 @@
 		return result.Errorf(result.UnknownTurn, "no turn %q is kept", t.request.Previous)
 	}
 	if err != nil {
-		return result.Errorf(result.HistoryUnavailable, "%v", err).After(retryPause)
+		return result.Errorf(result.HistoryUnavailable, "%v", err).After(t.service.trouble.pause())
 	}
 	t.line = line
 	return nil
@@ -135,7 +136,7 @@
 	case errors.Is(err, budget.ErrReserved):
 		return result.Errorf(result.BudgetReserved, "%v", err).After(reservedPause)
 	case err != nil:
-		return result.Errorf(result.NoQuorum, "%v", err).After(retryPause)
+		return result.Errorf(result.NoQuorum, "%v", err).After(t.service.trouble.pause())
 	}
 	t.reserved = true
 	return nil
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -43,6 +43,6 @@
 	}
 	return &state{
 		lookup: lookup, peers: peers, reach: tracker, budgets: budgets,
-		conversations: conversation.New(turns, budgets, tracker.IsCutOff, logger),
+		conversations: conversation.New(turns, budgets, tracker.IsCutOff, time.Now, logger),
 	}, nil
 }
