Lead a newcomer from a request to the lines that decide on it

Cause: a newcomer can't tell which code decides where a turn goes, makes it last and tells why it failed; two paths of requests stand in the tree.

--- a/test/document/document.go
+++ b/test/document/document.go
@@ -129,3 +129,19 @@
 	}
 	return spans
 }
+
+// Landmark is a function that a page names together with its file.
+type Landmark struct {
+	File, Function string
+}
+
+var landmarkPattern = regexp.MustCompile("`([a-z0-9/]+\\.go)`: `([A-Za-z]+)`")
+
+// Landmarks returns the functions that the page names with their files.
+func Landmarks(page string) []Landmark {
+	var found []Landmark
+	for _, match := range landmarkPattern.FindAllStringSubmatch(page, -1) {
+		found = append(found, Landmark{File: match[1], Function: match[2]})
+	}
+	return found
+}
--- a/test/document/document_test.go
+++ b/test/document/document_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -52,6 +53,18 @@
 	assert.DeepEqual(t, named, packages)
 }
 
+// TestWalkNamesWhatExists holds each function that the walk through the code
+// names to the file that it names for it.
+func TestWalkNamesWhatExists(t *testing.T) {
+	landmarks := document.Landmarks(read(t, filepath.Join(root, "docs", "ARCHITECTURE.md")))
+	assert.Assert(t, len(landmarks) >= 15, "found only %d functions", len(landmarks))
+	for _, landmark := range landmarks {
+		code := read(t, filepath.Join(root, landmark.File))
+		declared := regexp.MustCompile(`(?m)^func (\([^)]*\) )?` + landmark.Function + `\(`)
+		assert.Assert(t, declared.MatchString(code), "%s declares no %s", landmark.File, landmark.Function)
+	}
+}
+
 // TestProofsNameTests makes sure that a promise is called proved only where a
 // test of that name exists.
 func TestProofsNameTests(t *testing.T) {
