--- a/lab/scale/sample.go
+++ b/lab/scale/sample.go
@@ -6,12 +6,12 @@
 	"os"
 	"runtime"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/marblering/marblering/lab/deployment"
+	"github.com/marblering/marblering/telemetry"
 )
 
 // sample is what a process full of nodes has used so far.
@@ -42,7 +42,7 @@
 // takeSample reads the processor time before its own work, so that little of
 // that falls into the window.
 func takeSample(system *deployment.Deployment) (sample, error) {
-	taken := sample{At: time.Now(), Processor: processorTime(), Goroutines: runtime.NumGoroutine()}
+	taken := sample{At: time.Now(), Processor: telemetry.ProcessorTime(), Goroutines: runtime.NumGoroutine()}
 	var err error
 	if taken.Resident, err = residentMemory(); err != nil {
 		return sample{}, err
@@ -61,14 +61,6 @@
 	return taken, nil
 }
 
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // residentMemory is that of this process in bytes, by proc(5).
 func residentMemory() (uint64, error) {
 	content, err := os.ReadFile("/proc/self/statm")
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -205,6 +205,7 @@
 		return nil, err
 	}
 	peerMetrics := peer.NewMetrics(n.metrics)
+	n.registerDiskCounters()
 	n.peers = peer.NewClient(peer.NewHTTPClient(), peerTimeout, peerMetrics)
 	n.installer = shard.NewInstaller(n.replica, n.peers, n.logger)
 	n.buildMembership()
@@ -233,6 +234,7 @@
 	}
 	return []suture.Service{
 		peers, operators, n.membership, n.repair, n.keeper, n.retirement, n.budgets, collector, n.mirror,
+		telemetry.NewWorkload(n.metrics, workloadCounters, n.logger),
 		n.follower("storage nodes", n.parts.Nodes, n.applyNodes),
 		n.setsFollower(),
 		n.follower("retirements", n.parts.Retirements, n.retirement.Decode(n.parts.DecodeRetirement)),
--- a/state/replica/disk.go
+++ b/state/replica/disk.go
@@ -189,6 +189,11 @@
 	return nil
 }
 
+// Written tells how many changes were synced so far, and in how many commits.
+func (d *Disk) Written() (changes, commits uint64) {
+	return d.writer.written.Load(), d.writer.commits.Load()
+}
+
 // LoadRegister returns the zero Register for a key that was never saved.
 func (d *Disk) LoadRegister(shard uint32, key string) (Register, error) {
 	return d.mirror.LoadRegister(shard, key)
--- a/state/replica/writer.go
+++ b/state/replica/writer.go
@@ -35,6 +35,9 @@
 	// failed is the failure for other goroutines.
 	failed   atomic.Pointer[error]
 	finished chan struct{}
+	// commits and written count transactions and the changes in them.
+	commits atomic.Uint64
+	written atomic.Uint64
 
 	mutex   sync.RWMutex
 	stopped bool
@@ -121,6 +124,8 @@
 		return w.fail(merry.Errorf("%w: %w", ErrFailed, err))
 	}
 	w.header = updated
+	w.commits.Add(1)
+	w.written.Add(uint64(len(pending)))
 	for _, applied := range pending {
 		if applied.mirror == nil {
 			continue
