--- a/coordination/turnstore/store_test.go
+++ b/coordination/turnstore/store_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -31,12 +32,15 @@
 	down   map[string]bool
 	writes int
 	reads  []string
+	// answerAfter is how long each member takes.
+	answerAfter time.Duration
 }
 
 // place is the name of a turn within its shard.
 func place(fence register.Fence, id string) string { return fmt.Sprintf("%d/%s", fence.Shard, id) }
 
 func (m *members) PutTurn(_ context.Context, member register.Member, fence register.Fence, stored replica.Turn) (archive.Reply, error) {
+	time.Sleep(m.answerAfter)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.down[member.Node] {
@@ -48,6 +52,7 @@
 }
 
 func (m *members) ReadMany(_ context.Context, member register.Member, fence register.Fence, ids []string) ([]replica.Turn, archive.Reply, error) {
+	time.Sleep(m.answerAfter)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.down[member.Node] {
@@ -234,3 +239,29 @@
 		assert.Equal(t, len(line), 1)
 	}
 }
+
+// TestSlowMembersGetNoMoreRequests: where all members are slow, that is load, and
+// asking others as well would add to it.
+func TestSlowMembersGetNoMoreRequests(t *testing.T) {
+	const turns = 200
+	synctest.Test(t, func(t *testing.T) {
+		m, v := newMembers(1)
+		store := newStore(t, "z0", m, v)
+		put := func(i int) {
+			assert.NilError(t, store.Put(context.Background(), "p", &statev1.RetainedTurn{Id: fmt.Sprint("t", i)}))
+		}
+		m.answerAfter = 300 * time.Millisecond
+		for i := range turns {
+			put(i)
+		}
+		time.Sleep(time.Second)
+		assert.Assert(t, m.writes <= 2*turns*11/10, "%d copies of %d turns were made, two each are needed", m.writes, turns)
+		reader := newStore(t, "z0", m, v)
+		for i := range turns {
+			_, err := reader.Line(context.Background(), "p", fmt.Sprint("t", i))
+			assert.NilError(t, err)
+		}
+		time.Sleep(time.Second)
+		assert.Assert(t, len(m.reads) <= turns*11/10, "%d reads of %d turns", len(m.reads), turns)
+	})
+}
