Let programs that run go first at crowded hosts, and bound hedged requests

Cause: under overload the work that was begun is thrown away and multiplied. Ruled out: that the gateways could know (a program's turns enter through all of a zone's). The gateways' breaker for new programs is gone.

--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -128,7 +128,7 @@
 	}
 	err := t.service.budgets.Reserve(ctx, tokenbudget.Reservation{
 		Program: t.request.Program, Turn: t.request.ID, Limit: t.request.Budget,
-		Most: t.request.Most, Lifetime: t.request.Timeout,
+		Most: t.request.Most, Lifetime: t.request.Timeout, Running: t.request.Previous != "",
 	})
 	switch {
 	case errors.Is(err, budget.ErrSpent):
--- a/coordination/limit/adaptive.go
+++ b/coordination/limit/adaptive.go
@@ -52,6 +52,14 @@
 	return true
 }
 
+// Enter begins an operation that the limit doesn't refuse; it counts for those
+// that it may. End must be called.
+func (a *Adaptive) Enter() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.underWay++
+}
+
 // End takes in how an operation ended: late means that it was given up.
 func (a *Adaptive) End(late bool) {
 	a.mutex.Lock()
--- a/coordination/tokenbudget/client.go
+++ b/coordination/tokenbudget/client.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"github.com/marblering/marblering/coordination/reach"
-	"github.com/marblering/marblering/coordination/recent"
 	"github.com/marblering/marblering/coordination/register"
 )
 
@@ -50,8 +49,6 @@
 	// that are slow together are overloaded, and asking all of them would make
 	// that worse.
 	slowTries = 2
-	// runningTime is how long after its last turn a program counts as running.
-	runningTime = 10 * time.Second
 	// lifetimeSlack is added to a turn's time, for clocks that differ in speed.
 	lifetimeSlack = 5 * time.Second
 )
@@ -70,13 +67,8 @@
 	hostOf map[string]string
 	// ended are the turns that their hosts weren't told of yet.
 	ended map[string][]Ended
-	// breakers are those of the shards whose hosts failed lately, crowded those
-	// of the shards whose hosts have too much to do for programs that begin.
+	// breakers are those of the shards whose hosts failed lately.
 	breakers map[uint32]*breaker
-	crowded  map[uint32]*breaker
-	// running are the programs that a turn began of here lately. They go first:
-	// one that ends in its middle has used what it has used for nothing.
-	running *recent.Map[struct{}]
 }
 
 // NewClient makes a client without turns. The tracker is told which hosts answer.
@@ -84,8 +76,7 @@
 	return &Client{
 		hosts: hosts, views: views, reach: tracker, now: now, logger: logger,
 		hostOf: make(map[string]string), ended: make(map[string][]Ended),
-		breakers: make(map[uint32]*breaker), crowded: make(map[uint32]*breaker),
-		running: recent.New(runningTime, func(time.Time) struct{} { return struct{}{} }),
+		breakers: make(map[uint32]*breaker),
 	}
 }
 
@@ -98,11 +89,7 @@
 	if !known {
 		return merry.Prepend(ErrUnavailable, "no replica set is known")
 	}
-	isRunning := c.isRunning(wanted.Program)
-	if !isRunning && !c.mayTry(c.crowded, shard) {
-		return merry.Prependf(ErrOverloaded, "shard %d takes no new programs for a moment", shard)
-	}
-	if !c.mayTry(c.breakers, shard) {
+	if !c.mayTry(shard) {
 		return merry.Prependf(ErrUnavailable, "shard %d was out of reach a moment ago", shard)
 	}
 	wanted.Lifetime += lifetimeSlack
@@ -112,16 +99,11 @@
 		began := c.now()
 		err := c.try(ctx, address, wanted)
 		if err == nil || IsRefusal(err) {
-			c.note(c.breakers, shard, true)
-			if !isRunning {
-				c.note(c.crowded, shard, true)
-			}
+			c.note(shard, true)
 			return err
 		}
 		if errors.Is(err, ErrOverloaded) {
-			// The shard isn't out of reach: turns within a reserve begin all the
-			// same.
-			c.note(c.crowded, shard, false)
+			// The shard isn't out of reach: the host knows which programs go on.
 			return err
 		}
 		last = err
@@ -135,32 +117,26 @@
 			break
 		}
 	}
-	c.note(c.breakers, shard, false)
+	c.note(shard, false)
 	return merry.Wrap(ErrUnavailable, merry.WithCause(last), merry.AppendMessagef("%v", last))
 }
 
 // mayTry says no where the shard's hosts decided nothing lately, so that a
 // request would only wait.
-func (c *Client) mayTry(breakers map[uint32]*breaker, shard uint32) bool {
+func (c *Client) mayTry(shard uint32) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	known := breakers[shard]
+	known := c.breakers[shard]
 	return known == nil || known.allow(c.now())
 }
 
-func (c *Client) isRunning(program string) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.running.Has(program)
-}
-
-func (c *Client) note(breakers map[uint32]*breaker, shard uint32, decided bool) {
+func (c *Client) note(shard uint32, decided bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	known := breakers[shard]
+	known := c.breakers[shard]
 	if known == nil {
 		known = &breaker{}
-		breakers[shard] = known
+		c.breakers[shard] = known
 	}
 	known.note(decided, c.now())
 }
@@ -174,7 +150,6 @@
 		c.reach.Heard(address)
 		c.mutex.Lock()
 		c.hostOf[wanted.Turn] = address
-		c.running.Get(wanted.Program, c.now())
 		c.mutex.Unlock()
 		return nil
 	}
--- a/coordination/tokenbudget/host.go
+++ b/coordination/tokenbudget/host.go
@@ -28,6 +28,9 @@
 	Most uint64
 	// Lifetime is how long it may be under way.
 	Lifetime time.Duration
+	// Running tells that turns of the program are known to have been served. What
+	// isn't known to the gateway the host may know.
+	Running bool
 }
 
 // Ended is a turn that generates no more.
@@ -71,7 +74,7 @@
 	if h.isUnderWay(wanted.Turn) {
 		return nil
 	}
-	if err := h.ledger.Reserve(ctx, wanted.Program, wanted.Limit, wanted.Most); err != nil {
+	if err := h.ledger.Reserve(ctx, wanted); err != nil {
 		return h.judgeRefusal(wanted.Program, err)
 	}
 	h.mutex.Lock()
--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -11,10 +11,8 @@
 	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
@@ -40,15 +38,17 @@
 	ReleasePause   time.Duration
 	ReleaseTries   int
 	// Draws bounds the changes of records under way: more would only make each
-	// other late.
+	// other late. Crowd bounds those of them that can wait.
 	Draws limit.AdaptivePolicy
+	Crowd limit.AdaptivePolicy
 }
 
 // DefaultSettings give reserves back about a second after a program's last turn.
 func DefaultSettings() Settings {
 	return Settings{
 		IdleTime: 700 * time.Millisecond, ReleaseTimeout: 2 * time.Second,
-		ReleasePause: 300 * time.Millisecond, ReleaseTries: 10, Draws: limit.DefaultAdaptivePolicy(),
+		ReleasePause: 300 * time.Millisecond, ReleaseTries: 10,
+		Draws: limit.DefaultAdaptivePolicy(), Crowd: limit.DefaultAdaptivePolicy(),
 	}
 }
 
@@ -56,10 +56,6 @@
 // a reserve back.
 const longestRelease = 16
 
-// cutOffAfter is how long no record may have been changed, while changes end in
-// vain, before this holder counts as cut off rather than overloaded.
-const cutOffAfter = 500 * time.Millisecond
-
 // releasesAtOnce bounds the returns of reserves that are under way.
 const releasesAtOnce = 16
 
@@ -75,10 +71,8 @@
 	// releasing bounds the returns of reserves that are under way: while the
 	// record can't be reached, many accounts become idle.
 	releasing chan struct{}
-	draws     *limit.Adaptive
+	admission *admission
 	now       func() time.Time
-	// decided is when a record was last changed, in nanoseconds since 1970.
-	decided atomic.Int64
 
 	mutex    sync.Mutex
 	accounts map[string]*account
@@ -93,7 +87,7 @@
 	return &Ledger{
 		holder: holder, registers: registers, locate: locate, settings: settings, logger: logger,
 		accounts: make(map[string]*account), releasing: make(chan struct{}, releasesAtOnce),
-		draws: limit.NewAdaptive(settings.Draws, now), now: now,
+		admission: newAdmission(settings.Draws, settings.Crowd, now), now: now,
 	}
 }
 
@@ -113,15 +107,17 @@
 }
 
 // Reserve lets a turn of the program begin that generates the most given at the
-// utmost. It returns budget.ErrSpent, budget.ErrReserved, or an error that says
-// that the record can't be reached. After success, End must be called.
-func (l *Ledger) Reserve(ctx context.Context, program string, limit, most uint64) error {
-	current := l.open(program)
-	err := l.begin(ctx, program, current, limit, most)
-	if err != nil {
-		l.leave(program, current)
+// utmost. It returns budget.ErrSpent, budget.ErrReserved, ErrOverloaded, or an
+// error that says that the record can't be reached. After success, End must be
+// called.
+func (l *Ledger) Reserve(ctx context.Context, wanted Reservation) error {
+	current := l.open(wanted.Program)
+	if err := l.begin(ctx, current, wanted); err != nil {
+		l.leave(wanted.Program, current)
+		return err
 	}
-	return err
+	l.admission.began(wanted.Program)
+	return nil
 }
 
 // End counts what the turn has handed out.
@@ -172,17 +168,17 @@
 }
 
 // begin takes the turn out of the reserve, or draws more first.
-func (l *Ledger) begin(ctx context.Context, program string, current *account, limit, most uint64) error {
+func (l *Ledger) begin(ctx context.Context, current *account, wanted Reservation) error {
 	select {
 	case current.drawing <- struct{}{}:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	defer func() { <-current.drawing }()
-	if l.takeReserved(current, most) {
+	if l.takeReserved(current, wanted.Most) {
 		return nil
 	}
-	return l.draw(ctx, program, current, limit, most)
+	return l.draw(ctx, current, wanted)
 }
 
 func (l *Ledger) takeReserved(current *account, most uint64) bool {
@@ -197,14 +193,14 @@
 
 // draw asks the record for a reserve that covers the turn. Turns may end
 // meanwhile; none begins.
-func (l *Ledger) draw(ctx context.Context, program string, current *account, limit, most uint64) error {
+func (l *Ledger) draw(ctx context.Context, current *account, wanted Reservation) error {
 	l.mutex.Lock()
-	wish := budget.Draw{Holder: current.holder, Spent: current.spent, UnderWay: current.underWay, Turn: most}
+	wish := budget.Draw{Holder: current.holder, Spent: current.spent, UnderWay: current.underWay, Turn: wanted.Most}
 	l.mutex.Unlock()
 	var granted uint64
 	var refusal error
-	err := l.apply(ctx, program, func(record *statev1.TokenBudget) {
-		refusal = budget.Reserve(record, limit, wish)
+	err := l.apply(ctx, wanted.Program, l.admission.urgencyOf(wanted), func(record *statev1.TokenBudget) {
+		refusal = budget.Reserve(record, wanted.Limit, wish)
 		granted = budget.Reserved(record, current.holder)
 	})
 	if err != nil {
@@ -218,7 +214,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	current.underWay += most
+	current.underWay += wanted.Most
 	return nil
 }
 
@@ -262,17 +258,18 @@
 	defer func() { <-l.releasing }()
 	ctx, cancel := context.WithTimeout(context.Background(), l.settings.ReleaseTimeout)
 	defer cancel()
-	return l.apply(ctx, program, func(record *statev1.TokenBudget) {
+	return l.apply(ctx, program, deferrable, func(record *statev1.TokenBudget) {
 		budget.Release(record, current.holder, current.spent)
 	})
 }
 
 // apply makes one change of the program's record. The change may be called
 // several times, each time with a record of its own.
-func (l *Ledger) apply(ctx context.Context, program string, change func(*statev1.TokenBudget)) error {
-	if !l.draws.Begin() {
-		return l.refuse()
+func (l *Ledger) apply(ctx context.Context, program string, wanted urgency, change func(*statev1.TokenBudget)) error {
+	if err := l.admission.begin(wanted); err != nil {
+		return err
 	}
+	began := l.now()
 	_, err := l.registers.Apply(ctx, l.locate(program), program, func(current []byte) ([]byte, error) {
 		record, err := budget.Decode(program, current)
 		if err != nil {
@@ -281,23 +278,10 @@
 		change(record)
 		return budget.Encode(record)
 	})
-	l.draws.End(err != nil)
-	if err == nil {
-		l.decided.Store(l.now().UnixNano())
-	}
+	l.admission.end(began, err)
 	return err
 }
 
-// refuse says why a change of a record can't begin: a holder that changes others
-// has too much to do; one that changes none is cut off, and others may do better.
-func (l *Ledger) refuse() error {
-	idle := l.now().Sub(time.Unix(0, l.decided.Load()))
-	if idle > cutOffAfter {
-		return merry.Errorf("no record was changed for %s", idle)
-	}
-	return merry.Wrap(ErrOverloaded, merry.AppendMessagef("%d changes of budgets are under way", l.draws.Limit()))
-}
-
 // Flush gives all reserves back that no turn needs, and waits until that is done
 // or the context ends.
 func (l *Ledger) Flush(ctx context.Context) {
--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -16,6 +16,7 @@
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
 	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/sleep"
@@ -47,9 +48,6 @@
 const (
 	// sequence is that of every turn: each one is stored under its own id.
 	sequence = 1
-	// hedgeDelay is how long the preferred members may take before others are
-	// asked as well.
-	hedgeDelay = 150 * time.Millisecond
 	// roundPause lies between two rounds that no newer view explains.
 	roundPause = 30 * time.Millisecond
 )
@@ -62,6 +60,7 @@
 	reach    *reach.Tracker
 	codec    *turn.Codec
 	cache    *cache
+	hedges   *limit.RetryBudget
 }
 
 // New makes a store for a node of the zone that remembers up to cacheBytes of
@@ -71,7 +70,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Store{zone: zone, replicas: replicas, views: views, reach: tracker, codec: codec, cache: newCache(cacheBytes)}, nil
+	return &Store{zone: zone, replicas: replicas, views: views, reach: tracker, codec: codec, cache: newCache(cacheBytes),
+		hedges: limit.NewRetryBudget(hedgePolicy(), time.Now())}, nil
 }
 
 // Put stores a turn of the program on a quorum, trying until the context ends.
@@ -206,10 +206,6 @@
 	return err
 }
 
-// action is one request to one member. It tells whether its answer suffices by
-// itself.
-type action func(ctx context.Context, member register.Member, fence register.Fence) (suffices bool, reply archive.Reply, err error)
-
 // fanOut says how many members of a view are asked at first.
 type fanOut func(view register.View) int
 
@@ -241,76 +237,6 @@
 	err      error
 }
 
-// round asks as many members as the first fan-out says, those of this node's zone
-// first, and others once these don't suffice, fail or are slow: bytes between
-// zones are dear.
-func (s *Store) round(ctx context.Context, view register.View, act action, first int) error {
-	members := s.preferred(view.Members)
-	results := make(chan result, len(members))
-	asked := 0
-	ask := func(count int) {
-		for ; asked < len(members) && count > 0; count-- {
-			member := members[asked]
-			asked++
-			go func() { results <- s.perform(ctx, view, member, act) }()
-		}
-	}
-	ask(first)
-	hedge := time.NewTimer(hedgeDelay)
-	defer hedge.Stop()
-	granted, failed := 0, 0
-	var last error
-	for granted < view.Quorum() {
-		select {
-		case answered := <-results:
-			if answered.err != nil {
-				failed++
-				last = answered.err
-				if failed > len(members)-view.Quorum() {
-					return last
-				}
-				ask(1)
-				continue
-			}
-			granted++
-			if answered.suffices {
-				return nil
-			}
-			ask(view.Quorum() - asked)
-		case <-hedge.C:
-			ask(len(members))
-		case <-ctx.Done():
-			return errors.Join(ctx.Err(), last)
-		}
-	}
-	return nil
-}
-
-// perform asks one member. A refusal is an error; what it names is learned.
-func (s *Store) perform(ctx context.Context, view register.View, member register.Member, act action) result {
-	fence := register.Fence{Shard: view.Shard, Epoch: view.Epoch, Replica: member.Incarnation}
-	suffices, reply, err := act(ctx, member, fence)
-	s.note(ctx, member.Address, err)
-	if reply.View != nil {
-		s.views.Learn(*reply.View)
-	}
-	if err == nil && reply.Refusal != register.RefusalNone {
-		err = merry.Errorf("member %s refused: %s", member.Node, reply.Refusal)
-	}
-	return result{suffices: suffices, err: err}
-}
-
-// note tells the tracker whether the member answered. A request that nobody
-// waits for any more says nothing.
-func (s *Store) note(ctx context.Context, address string, err error) {
-	switch {
-	case err == nil:
-		s.reach.Heard(address)
-	case !errors.Is(ctx.Err(), context.Canceled):
-		s.reach.Failed(address)
-	}
-}
-
 // preferred puts the members of this node's zone first, and those that failed
 // lately last.
 func (s *Store) preferred(members []register.Member) []register.Member {
--- a/transport/peer/budget.go
+++ b/transport/peer/budget.go
@@ -30,7 +30,7 @@
 	s.host.End(endedFromWire(message.GetEnded()))
 	err := s.host.Reserve(ctx, tokenbudget.Reservation{
 		Program: message.GetProgram(), Turn: message.GetTurn(), Limit: message.GetLimit(), Most: message.GetMost(),
-		Lifetime: time.Duration(message.GetLifetimeMs()) * time.Millisecond,
+		Lifetime: time.Duration(message.GetLifetimeMs()) * time.Millisecond, Running: message.GetRunning(),
 	})
 	response := &peerv1.ReserveTokensResponse{Verdict: verdictOf(err)}
 	if err != nil {
@@ -73,6 +73,7 @@
 	response, err := b.client.stubs(address).budget.Reserve(ctx, connect.NewRequest(&peerv1.ReserveTokensRequest{
 		Program: wanted.Program, Turn: wanted.Turn, Limit: wanted.Limit, Most: wanted.Most,
 		LifetimeMs: wanted.Lifetime.Milliseconds(), Ended: endedToWire(ended),
+		Running: wanted.Running,
 	}))
 	if err != nil {
 		return err
