Ask a majority first in rounds of budgets

Ruled out: fewer members, since two losses ask for five; the first change without a prepare (FreshPatience), since it needs all five. Change: register.Thrift. A round asks the local member and the next ones in the key's order, others where these fail, say they can't, or are late, the last within a tenth of the requests. Hosts of a program are the same members in the same order (register.Rank). What is lost: copies beyond a majority. A value is chosen by the same majority as before. Tests: TestThriftyRoundAsksAMajority, TestThriftyRoundGoesOnWithoutAnyTwo, TestSlowMembersAreHedgedWithinTheBudget; TestClientsUnderFaults runs both ways.

--- a/coordination/register/client.go
+++ b/coordination/register/client.go
@@ -65,6 +65,8 @@
 	// register without a prepare (Proposer.BeginFresh); zero for never. It suits
 	// registers that are many, mostly new, and changed by one node first.
 	FreshPatience time.Duration
+	// Thrift has rounds ask a majority first; nil for all members at once.
+	Thrift *Thrift
 }
 
 // DefaultSettings returns settings for members a few milliseconds apart.
--- a/coordination/register/client_test.go
+++ b/coordination/register/client_test.go
@@ -32,6 +32,18 @@
 // may fail before or after its effect. What is told applied must stand exactly
 // once, and what is told not applied must not stand.
 func TestClientsUnderFaults(t *testing.T) {
+	makers := map[string]func(incarnation string, cluster *memoryCluster) *register.Client{
+		"all at once": newTestClient,
+		"thrifty": func(incarnation string, cluster *memoryCluster) *register.Client {
+			return newThriftyClient(incarnation, cluster, cluster)
+		},
+	}
+	for name, newClient := range makers {
+		t.Run(name, func(t *testing.T) { clientsUnderFaults(t, newClient) })
+	}
+}
+
+func clientsUnderFaults(t *testing.T, newClient func(incarnation string, cluster *memoryCluster) *register.Client) {
 	const clients, changes = 3, 60
 	cluster := newMemoryCluster("a", "b", "c")
 	cluster.setLoss(15)
@@ -40,7 +52,7 @@
 	var group sync.WaitGroup
 	var proposers [clients]*register.Client
 	for index := range proposers {
-		proposers[index] = newTestClient("client-"+strconv.Itoa(index), cluster)
+		proposers[index] = newClient("client-"+strconv.Itoa(index), cluster)
 	}
 	for number := range clients * changes {
 		client := proposers[number%clients]
@@ -54,7 +66,7 @@
 	}
 	group.Wait()
 	cluster.setLoss(0)
-	value, err := newTestClient("reader", cluster).Read(context.Background(), 0, "key")
+	value, err := newClient("reader", cluster).Read(context.Background(), 0, "key")
 	assert.NilError(t, err)
 	for tag, err := range told {
 		count := strings.Count(string(value), tag)
--- a/coordination/register/round.go
+++ b/coordination/register/round.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/marblering/marblering/state/replica"
@@ -39,6 +38,12 @@
 	return a.accept.ConfigurationVersion
 }
 
+// isReplaced tells whether another member may do better. One that has promised a
+// higher ballot is no reason to ask others: the next round is above that one.
+func (a answer) isReplaced() bool {
+	return a.err != nil || a.refusal() != RefusalNone && a.refusal() != RefusalBallot
+}
+
 // isUnreachable tells whether the member can't take part at all, as against one
 // that is overtaken or between two epochs.
 func (a answer) isUnreachable() bool {
@@ -85,11 +90,13 @@
 	}
 }
 
-// exchange sends one request to all members and feeds the answers to the
+// exchange sends one request to the members and feeds the answers to the
 // proposer until it knows how to go on. Requests to members that are slower than
 // the majority run on without anyone waiting, so that those replicas keep up.
 func (r *round) exchange(request Request) (Request, Status) {
-	answers, expired := r.broadcast(request)
+	sent := r.begun(request)
+	defer sent.finish()
+	expired := sent.expired
 	if r.isFresh {
 		late := make(chan struct{})
 		defer r.client.clock.AfterFunc(r.client.fresh.patience, func() { close(late) })()
@@ -97,23 +104,30 @@
 	}
 	r.answered = 0
 	r.unreachable = 0
-	for r.answered < len(r.view.Members) {
+	for r.answered < sent.asked {
 		select {
-		case received := <-answers:
+		case received := <-sent.answers:
 			r.note(received)
+			sent.take(received)
 			next, status := r.feed(received)
 			if status != StatusWaiting {
 				return next, status
 			}
+			if received.isReplaced() {
+				sent.ask(1)
+			}
+		case <-sent.hedge:
+			sent.askAnother()
 		case <-expired:
 			if r.isFresh {
 				// The others may well be a majority.
 				r.client.fresh.close(r.id.shard)
 				return Request{}, StatusRetry
 			}
-			r.unreachable += len(r.view.Members) - r.answered
+			sent.passOver()
+			r.unreachable += sent.asked - r.answered
 			r.failure = merry.Errorf("%d of %d members didn't answer within %v",
-				len(r.view.Members)-r.answered, len(r.view.Members), r.client.settings.RequestTimeout)
+				sent.asked-r.answered, len(r.view.Members), r.client.settings.RequestTimeout)
 			return Request{}, StatusRetry
 		case <-r.abandoned:
 			return Request{}, StatusRetry
@@ -122,30 +136,6 @@
 	return Request{}, StatusRetry
 }
 
-// broadcast starts one request to each member. Expired is closed when the
-// request timeout ends; the requests are cancelled then.
-func (r *round) broadcast(request Request) (answers <-chan answer, expired <-chan struct{}) {
-	ctx, cancel := context.WithCancel(context.Background())
-	timeout := make(chan struct{})
-	stop := r.client.clock.AfterFunc(r.client.settings.RequestTimeout, func() {
-		close(timeout)
-		cancel()
-	})
-	received := make(chan answer, len(r.view.Members))
-	remaining := new(atomic.Int32)
-	remaining.Store(int32(len(r.view.Members)))
-	for index := range r.view.Members {
-		go func() {
-			received <- r.send(ctx, index, request)
-			if remaining.Add(-1) == 0 {
-				stop()
-				cancel()
-			}
-		}()
-	}
-	return received, timeout
-}
-
 func (r *round) send(ctx context.Context, index int, request Request) answer {
 	member := r.view.Members[index]
 	fence := Fence{
--- /dev/null
+++ b/coordination/register/thrift.go
@@ -0,0 +1,71 @@
+package register
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/reach"
+)
+
+// hedged names the requests of this package in the budget of hedges.
+const hedged = "registers"
+
+// Thrift has a round ask a majority of the members first, and others where these
+// fail or are late (thrifty quorums: I. Moraru, "There Is More Consensus in
+// Egalitarian Parliaments", 2013). It takes about half of the requests, bytes and
+// writes of asking all. A value is chosen by the same majority either way; what
+// is lost is copies beyond it.
+type Thrift struct {
+	// Local is the incarnation of the member that is asked without a network. It
+	// goes first.
+	Local string
+	// Delay is how long members may take before another one is asked as well.
+	Delay time.Duration
+	// Reach is told which members answer, and says which to ask last.
+	Reach *reach.Tracker
+	// Hedges bounds the requests beyond a majority to members that are late only.
+	// Members that are late together are overloaded.
+	Hedges *limit.RetryBudget
+}
+
+// HedgePolicy lets hedges add a tenth to the requests, and some where there are
+// few.
+func HedgePolicy() limit.RetryPolicy {
+	return limit.RetryPolicy{Ratio: 0.1, MinPerSecond: 4, Burst: 20, Saved: 8}
+}
+
+// Rank orders the members for a key by rendezvous hashing; the highest goes
+// first. All nodes agree on it, so that whoever works on a key meets the members
+// that hold it.
+func Rank(node, key string) uint64 { return xxhash.Sum64String(node + "/" + key) }
+
+// order returns the indexes of the members in the order in which they are asked.
+func (c *Client) order(view View, key string) []int {
+	indexes := make([]int, len(view.Members))
+	for i := range indexes {
+		indexes[i] = i
+	}
+	thrift := c.settings.Thrift
+	if thrift == nil {
+		return indexes
+	}
+	isLocal := func(m Member) int {
+		if m.Incarnation == thrift.Local {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(indexes, func(i, j int) int {
+		a, b := view.Members[i], view.Members[j]
+		return cmp.Or(
+			isLocal(b)-isLocal(a),
+			thrift.Reach.Compare(a.Address, b.Address),
+			cmp.Compare(Rank(b.Node, key), Rank(a.Node, key)),
+		)
+	})
+	return indexes
+}
--- /dev/null
+++ b/coordination/register/thrift_test.go
@@ -0,0 +1,135 @@
+package register_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/reach"
+	"github.com/marblering/marblering/coordination/register"
+)
+
+// delay is how long members may take in these tests before another is asked.
+const delay = 50 * time.Millisecond
+
+// slowCluster is a memoryCluster whose members take their time.
+type slowCluster struct {
+	*memoryCluster
+	takes time.Duration
+	// silent members say nothing until their request ends.
+	silent map[string]bool
+}
+
+func (c *slowCluster) wait(ctx context.Context, member register.Member) error {
+	if c.silent[member.Node] {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(c.takes)
+	return nil
+}
+
+func (c *slowCluster) Prepare(ctx context.Context, member register.Member, request register.PrepareRequest) (register.PrepareReply, error) {
+	if err := c.wait(ctx, member); err != nil {
+		return register.PrepareReply{}, err
+	}
+	return c.memoryCluster.Prepare(ctx, member, request)
+}
+
+func (c *slowCluster) Accept(ctx context.Context, member register.Member, request register.AcceptRequest) (register.AcceptReply, error) {
+	if err := c.wait(ctx, member); err != nil {
+		return register.AcceptReply{}, err
+	}
+	return c.memoryCluster.Accept(ctx, member, request)
+}
+
+func newSlowCluster() *slowCluster {
+	c := &slowCluster{memoryCluster: newMemoryCluster("a", "b", "c", "d", "e"), silent: make(map[string]bool)}
+	for i := range c.known.Members {
+		c.known.Members[i].Address = c.known.Members[i].Node
+	}
+	c.current = c.known
+	return c
+}
+
+func newThriftyClient(incarnation string, transport register.Transport, views register.Views) *register.Client {
+	settings := register.DefaultSettings()
+	settings.BackoffBase = time.Microsecond
+	settings.Thrift = &register.Thrift{
+		Delay: delay, Reach: reach.New(time.Now), Hedges: limit.NewRetryBudget(register.HedgePolicy(), time.Now()),
+	}
+	return register.NewClient(incarnation, transport, views, register.SystemClock{}, rand.New(rand.NewPCG(1, 1)), settings)
+}
+
+// TestThriftyRoundAsksAMajority, and keeps the members of a key for its next
+// change, also by another client.
+func TestThriftyRoundAsksAMajority(t *testing.T) {
+	cluster := newSlowCluster()
+	client := newThriftyClient("client", cluster, cluster)
+	_, err := client.Apply(context.Background(), 0, "key", increment)
+	assert.NilError(t, err)
+	prepares, accepts, _ := cluster.counts()
+	assert.Equal(t, prepares, 3)
+	assert.Equal(t, accepts, 3)
+	value, err := newThriftyClient("other", cluster, cluster).Apply(context.Background(), 0, "key", increment)
+	assert.NilError(t, err)
+	assert.Equal(t, string(value), "2")
+	holding := 0
+	for _, member := range cluster.members {
+		holding += len(member.registers)
+	}
+	assert.Equal(t, holding, 3)
+}
+
+// TestThriftyRoundGoesOnWithoutAnyTwo: members that fail or say nothing are
+// replaced by others, and asked last from then on.
+func TestThriftyRoundGoesOnWithoutAnyTwo(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for first := range names {
+		for second := range first {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newSlowCluster()
+				cluster.silent[names[first]], cluster.silent[names[second]] = true, true
+				client := newThriftyClient("client", cluster, cluster)
+				for i := range 20 {
+					began := time.Now()
+					_, err := client.Apply(t.Context(), 0, fmt.Sprint("key", i), increment)
+					assert.NilError(t, err)
+					took := time.Since(began)
+					assert.Assert(t, took <= 4*delay, "change %d took %s", i, took)
+					assert.Assert(t, i < 8 || took == 0, "change %d took %s though both are known to be silent", i, took)
+				}
+				time.Sleep(10 * time.Second)
+			})
+		}
+	}
+}
+
+// TestSlowMembersAreHedgedWithinTheBudget: where all are slow, that is load.
+func TestSlowMembersAreHedgedWithinTheBudget(t *testing.T) {
+	const changes = 300
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newSlowCluster()
+		cluster.takes = 2 * delay
+		client := newThriftyClient("client", cluster, cluster)
+		var calls sync.WaitGroup
+		for i := range changes {
+			calls.Go(func() {
+				_, err := client.Apply(t.Context(), 0, fmt.Sprint("key", i), increment)
+				assert.Check(t, err)
+			})
+		}
+		calls.Wait()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		prepares, accepts, _ := cluster.counts()
+		assert.Assert(t, prepares+accepts <= 2*3*changes*11/10, "%d requests for %d changes", prepares+accepts, changes)
+	})
+}
--- a/coordination/tokenbudget/client.go
+++ b/coordination/tokenbudget/client.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/marblering/marblering/coordination/reach"
@@ -170,9 +169,9 @@
 // order puts the members in the program's order, those that failed lately last.
 func (c *Client) order(view register.View, program string) []string {
 	members := slices.Clone(view.Members)
-	rank := func(member register.Member) uint64 { return xxhash.Sum64String(member.Node + "/" + program) }
 	slices.SortFunc(members, func(a, b register.Member) int {
-		return cmp.Or(c.reach.Compare(a.Address, b.Address), cmp.Compare(rank(b), rank(a)))
+		return cmp.Or(c.reach.Compare(a.Address, b.Address),
+			cmp.Compare(register.Rank(b.Node, program), register.Rank(a.Node, program)))
 	})
 	addresses := make([]string, 0, len(members))
 	for _, member := range members {
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -22,8 +22,10 @@
 	"github.com/marblering/marblering/coordination/directory"
 	"github.com/marblering/marblering/coordination/expiry"
 	"github.com/marblering/marblering/coordination/follow"
+	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/membership"
 	"github.com/marblering/marblering/coordination/mirror"
+	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/repair"
 	"github.com/marblering/marblering/coordination/retirement"
@@ -59,6 +61,10 @@
 	peerTimeout = 2 * time.Second
 	// registerTimeout bounds one request of a register's round.
 	registerTimeout = 400 * time.Millisecond
+	// hedgeDelay is how long the members of a register's round may take before
+	// another is asked: below what makes a turn late, and some times what a member
+	// takes that has room.
+	hedgeDelay = 80 * time.Millisecond
 	// flushTimeout bounds the return of reserves at a planned stop.
 	flushTimeout = time.Second
 	// failureInterval is the pause between two looks at the store, restartPause
@@ -313,6 +319,10 @@
 	life := n.self.Node + "/" + uuid.NewString()
 	bounds := register.DefaultSettings()
 	bounds.RequestTimeout = registerTimeout
+	bounds.Thrift = &register.Thrift{
+		Local: n.self.Incarnation, Delay: hedgeDelay, Reach: reach.New(time.Now),
+		Hedges: limit.NewRetryBudget(register.HedgePolicy(), time.Now()),
+	}
 	transport := peer.NewLocalTransport(n.self.Incarnation, n.replica, n.peers)
 	registers := register.NewClient(life, transport, n.lookup, register.SystemClock{}, newRandom(), bounds)
 	n.ledger = tokenbudget.New(life, registers, n.views.Locate, tokenbudget.DefaultSettings(), time.Now, n.logger)
