--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -23,10 +23,10 @@
 const _ = connect.IsAtLeastVersion1_13_0
 
 const (
-	// BudgetServiceName is the fully-qualified name of the BudgetService service.
-	BudgetServiceName = "marblering.peer.v1.BudgetService"
 	// ReplicaServiceName is the fully-qualified name of the ReplicaService service.
 	ReplicaServiceName = "marblering.peer.v1.ReplicaService"
+	// CallServiceName is the fully-qualified name of the CallService service.
+	CallServiceName = "marblering.peer.v1.CallService"
 	// NodeServiceName is the fully-qualified name of the NodeService service.
 	NodeServiceName = "marblering.peer.v1.NodeService"
 	// MirrorServiceName is the fully-qualified name of the MirrorService service.
@@ -41,23 +41,11 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// BudgetServiceReserveProcedure is the fully-qualified name of the BudgetService's Reserve RPC.
-	BudgetServiceReserveProcedure = "/marblering.peer.v1.BudgetService/Reserve"
-	// BudgetServiceEndProcedure is the fully-qualified name of the BudgetService's End RPC.
-	BudgetServiceEndProcedure = "/marblering.peer.v1.BudgetService/End"
-	// ReplicaServicePrepareProcedure is the fully-qualified name of the ReplicaService's Prepare RPC.
-	ReplicaServicePrepareProcedure = "/marblering.peer.v1.ReplicaService/Prepare"
-	// ReplicaServiceAcceptProcedure is the fully-qualified name of the ReplicaService's Accept RPC.
-	ReplicaServiceAcceptProcedure = "/marblering.peer.v1.ReplicaService/Accept"
 	// ReplicaServicePeekProcedure is the fully-qualified name of the ReplicaService's Peek RPC.
 	ReplicaServicePeekProcedure = "/marblering.peer.v1.ReplicaService/Peek"
-	// ReplicaServicePutTurnProcedure is the fully-qualified name of the ReplicaService's PutTurn RPC.
-	ReplicaServicePutTurnProcedure = "/marblering.peer.v1.ReplicaService/PutTurn"
 	// ReplicaServiceReadTurnsProcedure is the fully-qualified name of the ReplicaService's ReadTurns
 	// RPC.
 	ReplicaServiceReadTurnsProcedure = "/marblering.peer.v1.ReplicaService/ReadTurns"
-	// ReplicaServiceReadManyProcedure is the fully-qualified name of the ReplicaService's ReadMany RPC.
-	ReplicaServiceReadManyProcedure = "/marblering.peer.v1.ReplicaService/ReadMany"
 	// ReplicaServiceSealProcedure is the fully-qualified name of the ReplicaService's Seal RPC.
 	ReplicaServiceSealProcedure = "/marblering.peer.v1.ReplicaService/Seal"
 	// ReplicaServicePullProcedure is the fully-qualified name of the ReplicaService's Pull RPC.
@@ -66,6 +54,8 @@
 	ReplicaServiceInstallProcedure = "/marblering.peer.v1.ReplicaService/Install"
 	// ReplicaServiceOpenProcedure is the fully-qualified name of the ReplicaService's Open RPC.
 	ReplicaServiceOpenProcedure = "/marblering.peer.v1.ReplicaService/Open"
+	// CallServiceStreamProcedure is the fully-qualified name of the CallService's Stream RPC.
+	CallServiceStreamProcedure = "/marblering.peer.v1.CallService/Stream"
 	// NodeServiceExchangeProcedure is the fully-qualified name of the NodeService's Exchange RPC.
 	NodeServiceExchangeProcedure = "/marblering.peer.v1.NodeService/Exchange"
 	// NodeServiceAttemptStatusProcedure is the fully-qualified name of the NodeService's AttemptStatus
@@ -91,110 +81,10 @@
 	MirrorServiceWatchMirrorProcedure = "/marblering.peer.v1.MirrorService/WatchMirror"
 )
 
-// BudgetServiceClient is a client for the marblering.peer.v1.BudgetService service.
-type BudgetServiceClient interface {
-	Reserve(context.Context, *connect.Request[v1.ReserveTokensRequest]) (*connect.Response[v1.ReserveTokensResponse], error)
-	End(context.Context, *connect.Request[v1.EndTurnsRequest]) (*connect.Response[v1.EndTurnsResponse], error)
-}
-
-// NewBudgetServiceClient constructs a client for the marblering.peer.v1.BudgetService service. By
-// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
-// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
-// connect.WithGRPC() or connect.WithGRPCWeb() options.
-//
-// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
-// http://api.acme.com or https://acme.com/grpc).
-func NewBudgetServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) BudgetServiceClient {
-	baseURL = strings.TrimRight(baseURL, "/")
-	budgetServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("BudgetService").Methods()
-	return &budgetServiceClient{
-		reserve: connect.NewClient[v1.ReserveTokensRequest, v1.ReserveTokensResponse](
-			httpClient,
-			baseURL+BudgetServiceReserveProcedure,
-			connect.WithSchema(budgetServiceMethods.ByName("Reserve")),
-			connect.WithClientOptions(opts...),
-		),
-		end: connect.NewClient[v1.EndTurnsRequest, v1.EndTurnsResponse](
-			httpClient,
-			baseURL+BudgetServiceEndProcedure,
-			connect.WithSchema(budgetServiceMethods.ByName("End")),
-			connect.WithClientOptions(opts...),
-		),
-	}
-}
-
-// budgetServiceClient implements BudgetServiceClient.
-type budgetServiceClient struct {
-	reserve *connect.Client[v1.ReserveTokensRequest, v1.ReserveTokensResponse]
-	end     *connect.Client[v1.EndTurnsRequest, v1.EndTurnsResponse]
-}
-
-// Reserve calls marblering.peer.v1.BudgetService.Reserve.
-func (c *budgetServiceClient) Reserve(ctx context.Context, req *connect.Request[v1.ReserveTokensRequest]) (*connect.Response[v1.ReserveTokensResponse], error) {
-	return c.reserve.CallUnary(ctx, req)
-}
-
-// End calls marblering.peer.v1.BudgetService.End.
-func (c *budgetServiceClient) End(ctx context.Context, req *connect.Request[v1.EndTurnsRequest]) (*connect.Response[v1.EndTurnsResponse], error) {
-	return c.end.CallUnary(ctx, req)
-}
-
-// BudgetServiceHandler is an implementation of the marblering.peer.v1.BudgetService service.
-type BudgetServiceHandler interface {
-	Reserve(context.Context, *connect.Request[v1.ReserveTokensRequest]) (*connect.Response[v1.ReserveTokensResponse], error)
-	End(context.Context, *connect.Request[v1.EndTurnsRequest]) (*connect.Response[v1.EndTurnsResponse], error)
-}
-
-// NewBudgetServiceHandler builds an HTTP handler from the service implementation. It returns the
-// path on which to mount the handler and the handler itself.
-//
-// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
-// and JSON codecs. They also support gzip compression.
-func NewBudgetServiceHandler(svc BudgetServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
-	budgetServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("BudgetService").Methods()
-	budgetServiceReserveHandler := connect.NewUnaryHandler(
-		BudgetServiceReserveProcedure,
-		svc.Reserve,
-		connect.WithSchema(budgetServiceMethods.ByName("Reserve")),
-		connect.WithHandlerOptions(opts...),
-	)
-	budgetServiceEndHandler := connect.NewUnaryHandler(
-		BudgetServiceEndProcedure,
-		svc.End,
-		connect.WithSchema(budgetServiceMethods.ByName("End")),
-		connect.WithHandlerOptions(opts...),
-	)
-	return "/marblering.peer.v1.BudgetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		switch r.URL.Path {
-		case BudgetServiceReserveProcedure:
-			budgetServiceReserveHandler.ServeHTTP(w, r)
-		case BudgetServiceEndProcedure:
-			budgetServiceEndHandler.ServeHTTP(w, r)
-		default:
-			http.NotFound(w, r)
-		}
-	})
-}
-
-// UnimplementedBudgetServiceHandler returns CodeUnimplemented from all methods.
-type UnimplementedBudgetServiceHandler struct{}
-
-func (UnimplementedBudgetServiceHandler) Reserve(context.Context, *connect.Request[v1.ReserveTokensRequest]) (*connect.Response[v1.ReserveTokensResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.BudgetService.Reserve is not implemented"))
-}
-
-func (UnimplementedBudgetServiceHandler) End(context.Context, *connect.Request[v1.EndTurnsRequest]) (*connect.Response[v1.EndTurnsResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.BudgetService.End is not implemented"))
-}
-
 // ReplicaServiceClient is a client for the marblering.peer.v1.ReplicaService service.
 type ReplicaServiceClient interface {
-	Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error)
-	Accept(context.Context, *connect.Request[v1.AcceptRequest]) (*connect.Response[v1.AcceptResponse], error)
 	Peek(context.Context, *connect.Request[v1.PeekRequest]) (*connect.Response[v1.PeekResponse], error)
-	PutTurn(context.Context, *connect.Request[v1.PutTurnRequest]) (*connect.Response[v1.PutTurnResponse], error)
 	ReadTurns(context.Context, *connect.Request[v1.ReadTurnsRequest]) (*connect.ServerStreamForClient[v1.ReadTurnsResponse], error)
-	ReadMany(context.Context, *connect.Request[v1.ReadManyRequest]) (*connect.Response[v1.ReadManyResponse], error)
 	Seal(context.Context, *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error)
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.ServerStreamForClient[v1.PullResponse], error)
 	Install(context.Context, *connect.Request[v1.InstallRequest]) (*connect.Response[v1.InstallResponse], error)
@@ -212,42 +102,18 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	replicaServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("ReplicaService").Methods()
 	return &replicaServiceClient{
-		prepare: connect.NewClient[v1.PrepareRequest, v1.PrepareResponse](
-			httpClient,
-			baseURL+ReplicaServicePrepareProcedure,
-			connect.WithSchema(replicaServiceMethods.ByName("Prepare")),
-			connect.WithClientOptions(opts...),
-		),
-		accept: connect.NewClient[v1.AcceptRequest, v1.AcceptResponse](
-			httpClient,
-			baseURL+ReplicaServiceAcceptProcedure,
-			connect.WithSchema(replicaServiceMethods.ByName("Accept")),
-			connect.WithClientOptions(opts...),
-		),
 		peek: connect.NewClient[v1.PeekRequest, v1.PeekResponse](
 			httpClient,
 			baseURL+ReplicaServicePeekProcedure,
 			connect.WithSchema(replicaServiceMethods.ByName("Peek")),
 			connect.WithClientOptions(opts...),
 		),
-		putTurn: connect.NewClient[v1.PutTurnRequest, v1.PutTurnResponse](
-			httpClient,
-			baseURL+ReplicaServicePutTurnProcedure,
-			connect.WithSchema(replicaServiceMethods.ByName("PutTurn")),
-			connect.WithClientOptions(opts...),
-		),
 		readTurns: connect.NewClient[v1.ReadTurnsRequest, v1.ReadTurnsResponse](
 			httpClient,
 			baseURL+ReplicaServiceReadTurnsProcedure,
 			connect.WithSchema(replicaServiceMethods.ByName("ReadTurns")),
 			connect.WithClientOptions(opts...),
 		),
-		readMany: connect.NewClient[v1.ReadManyRequest, v1.ReadManyResponse](
-			httpClient,
-			baseURL+ReplicaServiceReadManyProcedure,
-			connect.WithSchema(replicaServiceMethods.ByName("ReadMany")),
-			connect.WithClientOptions(opts...),
-		),
 		seal: connect.NewClient[v1.SealRequest, v1.SealResponse](
 			httpClient,
 			baseURL+ReplicaServiceSealProcedure,
@@ -277,48 +143,24 @@
 
 // replicaServiceClient implements ReplicaServiceClient.
 type replicaServiceClient struct {
-	prepare   *connect.Client[v1.PrepareRequest, v1.PrepareResponse]
-	accept    *connect.Client[v1.AcceptRequest, v1.AcceptResponse]
 	peek      *connect.Client[v1.PeekRequest, v1.PeekResponse]
-	putTurn   *connect.Client[v1.PutTurnRequest, v1.PutTurnResponse]
 	readTurns *connect.Client[v1.ReadTurnsRequest, v1.ReadTurnsResponse]
-	readMany  *connect.Client[v1.ReadManyRequest, v1.ReadManyResponse]
 	seal      *connect.Client[v1.SealRequest, v1.SealResponse]
 	pull      *connect.Client[v1.PullRequest, v1.PullResponse]
 	install   *connect.Client[v1.InstallRequest, v1.InstallResponse]
 	open      *connect.Client[v1.OpenRequest, v1.OpenResponse]
 }
 
-// Prepare calls marblering.peer.v1.ReplicaService.Prepare.
-func (c *replicaServiceClient) Prepare(ctx context.Context, req *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error) {
-	return c.prepare.CallUnary(ctx, req)
-}
-
-// Accept calls marblering.peer.v1.ReplicaService.Accept.
-func (c *replicaServiceClient) Accept(ctx context.Context, req *connect.Request[v1.AcceptRequest]) (*connect.Response[v1.AcceptResponse], error) {
-	return c.accept.CallUnary(ctx, req)
-}
-
 // Peek calls marblering.peer.v1.ReplicaService.Peek.
 func (c *replicaServiceClient) Peek(ctx context.Context, req *connect.Request[v1.PeekRequest]) (*connect.Response[v1.PeekResponse], error) {
 	return c.peek.CallUnary(ctx, req)
 }
 
-// PutTurn calls marblering.peer.v1.ReplicaService.PutTurn.
-func (c *replicaServiceClient) PutTurn(ctx context.Context, req *connect.Request[v1.PutTurnRequest]) (*connect.Response[v1.PutTurnResponse], error) {
-	return c.putTurn.CallUnary(ctx, req)
-}
-
 // ReadTurns calls marblering.peer.v1.ReplicaService.ReadTurns.
 func (c *replicaServiceClient) ReadTurns(ctx context.Context, req *connect.Request[v1.ReadTurnsRequest]) (*connect.ServerStreamForClient[v1.ReadTurnsResponse], error) {
 	return c.readTurns.CallServerStream(ctx, req)
 }
 
-// ReadMany calls marblering.peer.v1.ReplicaService.ReadMany.
-func (c *replicaServiceClient) ReadMany(ctx context.Context, req *connect.Request[v1.ReadManyRequest]) (*connect.Response[v1.ReadManyResponse], error) {
-	return c.readMany.CallUnary(ctx, req)
-}
-
 // Seal calls marblering.peer.v1.ReplicaService.Seal.
 func (c *replicaServiceClient) Seal(ctx context.Context, req *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error) {
 	return c.seal.CallUnary(ctx, req)
@@ -341,12 +183,8 @@
 
 // ReplicaServiceHandler is an implementation of the marblering.peer.v1.ReplicaService service.
 type ReplicaServiceHandler interface {
-	Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error)
-	Accept(context.Context, *connect.Request[v1.AcceptRequest]) (*connect.Response[v1.AcceptResponse], error)
 	Peek(context.Context, *connect.Request[v1.PeekRequest]) (*connect.Response[v1.PeekResponse], error)
-	PutTurn(context.Context, *connect.Request[v1.PutTurnRequest]) (*connect.Response[v1.PutTurnResponse], error)
 	ReadTurns(context.Context, *connect.Request[v1.ReadTurnsRequest], *connect.ServerStream[v1.ReadTurnsResponse]) error
-	ReadMany(context.Context, *connect.Request[v1.ReadManyRequest]) (*connect.Response[v1.ReadManyResponse], error)
 	Seal(context.Context, *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error)
 	Pull(context.Context, *connect.Request[v1.PullRequest], *connect.ServerStream[v1.PullResponse]) error
 	Install(context.Context, *connect.Request[v1.InstallRequest]) (*connect.Response[v1.InstallResponse], error)
@@ -360,42 +198,18 @@
 // and JSON codecs. They also support gzip compression.
 func NewReplicaServiceHandler(svc ReplicaServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	replicaServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("ReplicaService").Methods()
-	replicaServicePrepareHandler := connect.NewUnaryHandler(
-		ReplicaServicePrepareProcedure,
-		svc.Prepare,
-		connect.WithSchema(replicaServiceMethods.ByName("Prepare")),
-		connect.WithHandlerOptions(opts...),
-	)
-	replicaServiceAcceptHandler := connect.NewUnaryHandler(
-		ReplicaServiceAcceptProcedure,
-		svc.Accept,
-		connect.WithSchema(replicaServiceMethods.ByName("Accept")),
-		connect.WithHandlerOptions(opts...),
-	)
 	replicaServicePeekHandler := connect.NewUnaryHandler(
 		ReplicaServicePeekProcedure,
 		svc.Peek,
 		connect.WithSchema(replicaServiceMethods.ByName("Peek")),
 		connect.WithHandlerOptions(opts...),
 	)
-	replicaServicePutTurnHandler := connect.NewUnaryHandler(
-		ReplicaServicePutTurnProcedure,
-		svc.PutTurn,
-		connect.WithSchema(replicaServiceMethods.ByName("PutTurn")),
-		connect.WithHandlerOptions(opts...),
-	)
 	replicaServiceReadTurnsHandler := connect.NewServerStreamHandler(
 		ReplicaServiceReadTurnsProcedure,
 		svc.ReadTurns,
 		connect.WithSchema(replicaServiceMethods.ByName("ReadTurns")),
 		connect.WithHandlerOptions(opts...),
 	)
-	replicaServiceReadManyHandler := connect.NewUnaryHandler(
-		ReplicaServiceReadManyProcedure,
-		svc.ReadMany,
-		connect.WithSchema(replicaServiceMethods.ByName("ReadMany")),
-		connect.WithHandlerOptions(opts...),
-	)
 	replicaServiceSealHandler := connect.NewUnaryHandler(
 		ReplicaServiceSealProcedure,
 		svc.Seal,
@@ -422,18 +236,10 @@
 	)
 	return "/marblering.peer.v1.ReplicaService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case ReplicaServicePrepareProcedure:
-			replicaServicePrepareHandler.ServeHTTP(w, r)
-		case ReplicaServiceAcceptProcedure:
-			replicaServiceAcceptHandler.ServeHTTP(w, r)
 		case ReplicaServicePeekProcedure:
 			replicaServicePeekHandler.ServeHTTP(w, r)
-		case ReplicaServicePutTurnProcedure:
-			replicaServicePutTurnHandler.ServeHTTP(w, r)
 		case ReplicaServiceReadTurnsProcedure:
 			replicaServiceReadTurnsHandler.ServeHTTP(w, r)
-		case ReplicaServiceReadManyProcedure:
-			replicaServiceReadManyHandler.ServeHTTP(w, r)
 		case ReplicaServiceSealProcedure:
 			replicaServiceSealHandler.ServeHTTP(w, r)
 		case ReplicaServicePullProcedure:
@@ -451,30 +257,14 @@
 // UnimplementedReplicaServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedReplicaServiceHandler struct{}
 
-func (UnimplementedReplicaServiceHandler) Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.Prepare is not implemented"))
-}
-
-func (UnimplementedReplicaServiceHandler) Accept(context.Context, *connect.Request[v1.AcceptRequest]) (*connect.Response[v1.AcceptResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.Accept is not implemented"))
-}
-
 func (UnimplementedReplicaServiceHandler) Peek(context.Context, *connect.Request[v1.PeekRequest]) (*connect.Response[v1.PeekResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.Peek is not implemented"))
 }
 
-func (UnimplementedReplicaServiceHandler) PutTurn(context.Context, *connect.Request[v1.PutTurnRequest]) (*connect.Response[v1.PutTurnResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.PutTurn is not implemented"))
-}
-
 func (UnimplementedReplicaServiceHandler) ReadTurns(context.Context, *connect.Request[v1.ReadTurnsRequest], *connect.ServerStream[v1.ReadTurnsResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.ReadTurns is not implemented"))
 }
 
-func (UnimplementedReplicaServiceHandler) ReadMany(context.Context, *connect.Request[v1.ReadManyRequest]) (*connect.Response[v1.ReadManyResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.ReadMany is not implemented"))
-}
-
 func (UnimplementedReplicaServiceHandler) Seal(context.Context, *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.Seal is not implemented"))
 }
@@ -491,6 +281,76 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.ReplicaService.Open is not implemented"))
 }
 
+// CallServiceClient is a client for the marblering.peer.v1.CallService service.
+type CallServiceClient interface {
+	Stream(context.Context) *connect.BidiStreamForClient[v1.Calls, v1.Answers]
+}
+
+// NewCallServiceClient constructs a client for the marblering.peer.v1.CallService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewCallServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) CallServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	callServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("CallService").Methods()
+	return &callServiceClient{
+		stream: connect.NewClient[v1.Calls, v1.Answers](
+			httpClient,
+			baseURL+CallServiceStreamProcedure,
+			connect.WithSchema(callServiceMethods.ByName("Stream")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// callServiceClient implements CallServiceClient.
+type callServiceClient struct {
+	stream *connect.Client[v1.Calls, v1.Answers]
+}
+
+// Stream calls marblering.peer.v1.CallService.Stream.
+func (c *callServiceClient) Stream(ctx context.Context) *connect.BidiStreamForClient[v1.Calls, v1.Answers] {
+	return c.stream.CallBidiStream(ctx)
+}
+
+// CallServiceHandler is an implementation of the marblering.peer.v1.CallService service.
+type CallServiceHandler interface {
+	Stream(context.Context, *connect.BidiStream[v1.Calls, v1.Answers]) error
+}
+
+// NewCallServiceHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewCallServiceHandler(svc CallServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	callServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("CallService").Methods()
+	callServiceStreamHandler := connect.NewBidiStreamHandler(
+		CallServiceStreamProcedure,
+		svc.Stream,
+		connect.WithSchema(callServiceMethods.ByName("Stream")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/marblering.peer.v1.CallService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case CallServiceStreamProcedure:
+			callServiceStreamHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedCallServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedCallServiceHandler struct{}
+
+func (UnimplementedCallServiceHandler) Stream(context.Context, *connect.BidiStream[v1.Calls, v1.Answers]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.CallService.Stream is not implemented"))
+}
+
 // NodeServiceClient is a client for the marblering.peer.v1.NodeService service.
 type NodeServiceClient interface {
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
--- a/node/drain.go
+++ b/node/drain.go
@@ -35,6 +35,7 @@
 	n.closing.Do(func() {
 		n.stop()
 		<-n.stopped
+		n.peers.Close()
 		n.closed = n.store.Close()
 	})
 	return n.closed
--- a/node/gateway/drain.go
+++ b/node/gateway/drain.go
@@ -29,6 +29,7 @@
 	defer cancel()
 	err := g.callers.shutdown(bounded)
 	g.state.budgets.Flush(bounded)
+	g.state.peers.Close()
 	g.logger.Info("stopped", zap.Int64("in_flight", g.relay.InFlight()),
 		zap.Duration("took", time.Since(began)), zap.Error(err))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -61,6 +61,7 @@
 	views      *shard.Map
 	store      replica.Store
 	replica    *shard.Replica
+	peers      *peer.Client
 	installer  *shard.Installer
 	repair     *repair.Service
 	membership *membership.Service
@@ -187,6 +188,7 @@
 	}
 	peerMetrics := peer.NewMetrics(n.metrics)
 	peers := peer.NewClient(n.wire.client(wirePeer), n.settings.PeerTimeout, peerMetrics)
+	n.peers = peers
 	platform := objectapi.NewClient(n.settings.ObjectAPI, n.wire.client(wirePlatform)).Named(n.settings.Name)
 	engineClient := engineapi.NewClient(n.wire.client(wireEngine))
 	n.installer = shard.NewInstaller(n.replica, peers, n.logger)
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -171,6 +171,7 @@
 	}
 	stop()
 	<-stopped
+	n.peers.Close()
 	err = errors.Join(failure, store.Close())
 	logger.Info("stopped", zap.Error(err))
 	return err
--- a/transport/peer/budget.go
+++ b/transport/peer/budget.go
@@ -5,11 +5,9 @@
 	"errors"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/ansel1/merry/v2"
 
 	peerv1 "github.com/marblering/marblering/api/peer/v1"
-	"github.com/marblering/marblering/api/peer/v1/peerv1connect"
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/state/budget"
 )
@@ -21,12 +19,10 @@
 }
 
 type budgetServer struct {
-	peerv1connect.UnimplementedBudgetServiceHandler
 	host BudgetHost
 }
 
-func (s *budgetServer) Reserve(ctx context.Context, request *connect.Request[peerv1.ReserveTokensRequest]) (*connect.Response[peerv1.ReserveTokensResponse], error) {
-	message := request.Msg
+func (s *budgetServer) reserve(ctx context.Context, message *peerv1.ReserveTokensRequest) *peerv1.ReserveTokensResponse {
 	s.host.End(endedFromWire(message.GetEnded()))
 	err := s.host.Reserve(ctx, tokenbudget.Reservation{
 		Program: message.GetProgram(), Turn: message.GetTurn(), Limit: message.GetLimit(), Most: message.GetMost(),
@@ -36,12 +32,12 @@
 	if err != nil {
 		response.Reason = err.Error()
 	}
-	return connect.NewResponse(response), nil
+	return response
 }
 
-func (s *budgetServer) End(_ context.Context, request *connect.Request[peerv1.EndTurnsRequest]) (*connect.Response[peerv1.EndTurnsResponse], error) {
-	s.host.End(endedFromWire(request.Msg.GetEnded()))
-	return connect.NewResponse(&peerv1.EndTurnsResponse{}), nil
+func (s *budgetServer) end(message *peerv1.EndTurnsRequest) *peerv1.EndTurnsResponse {
+	s.host.End(endedFromWire(message.GetEnded()))
+	return &peerv1.EndTurnsResponse{}
 }
 
 func verdictOf(err error) peerv1.ReserveVerdict {
@@ -70,15 +66,15 @@
 
 // Reserve implements tokenbudget.Hosts.
 func (b BudgetClient) Reserve(ctx context.Context, address string, wanted tokenbudget.Reservation, ended []tokenbudget.Ended) error {
-	response, err := b.client.stubs(address).budget.Reserve(ctx, connect.NewRequest(&peerv1.ReserveTokensRequest{
+	answer, err := b.client.call(ctx, address, &peerv1.Call{Request: &peerv1.Call_ReserveTokens{ReserveTokens: &peerv1.ReserveTokensRequest{
 		Program: wanted.Program, Turn: wanted.Turn, Limit: wanted.Limit, Most: wanted.Most,
-		LifetimeMs: wanted.Lifetime.Milliseconds(), Ended: endedToWire(ended),
-		Running: wanted.Running,
-	}))
+		LifetimeMs: wanted.Lifetime.Milliseconds(), Ended: endedToWire(ended), Running: wanted.Running,
+	}}})
 	if err != nil {
 		return err
 	}
-	switch response.Msg.GetVerdict() {
+	response := answer.GetReserveTokens()
+	switch response.GetVerdict() {
 	case peerv1.ReserveVerdict_RESERVE_VERDICT_GRANTED:
 		return nil
 	case peerv1.ReserveVerdict_RESERVE_VERDICT_SPENT:
@@ -86,14 +82,16 @@
 	case peerv1.ReserveVerdict_RESERVE_VERDICT_RESERVED:
 		return budget.ErrReserved
 	case peerv1.ReserveVerdict_RESERVE_VERDICT_OVERLOADED:
-		return merry.Wrap(tokenbudget.ErrOverloaded, merry.AppendMessage(response.Msg.GetReason()))
+		return merry.Wrap(tokenbudget.ErrOverloaded, merry.AppendMessage(response.GetReason()))
 	}
-	return merry.Errorf("the host can't reach the record: %s", response.Msg.GetReason())
+	return merry.Errorf("the host can't reach the record: %s", response.GetReason())
 }
 
 // End implements tokenbudget.Hosts.
 func (b BudgetClient) End(ctx context.Context, address string, ended []tokenbudget.Ended) error {
-	_, err := b.client.stubs(address).budget.End(ctx, connect.NewRequest(&peerv1.EndTurnsRequest{Ended: endedToWire(ended)}))
+	_, err := b.client.call(ctx, address, &peerv1.Call{Request: &peerv1.Call_EndTurns{
+		EndTurns: &peerv1.EndTurnsRequest{Ended: endedToWire(ended)},
+	}})
 	return err
 }
 
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -25,6 +25,7 @@
 	http    *http.Client
 	timeout time.Duration
 	options []connect.ClientOption
+	metrics *Metrics
 	// known maps addresses to *stubs; count is about how many there are.
 	known sync.Map
 	count atomic.Int64
@@ -41,6 +42,7 @@
 	return &Client{
 		http:    httpClient,
 		timeout: timeout,
+		metrics: metrics,
 		options: []connect.ClientOption{
 			connect.WithInterceptors(metrics),
 			// Control messages are short and turns are compressed already, while a
@@ -60,72 +62,6 @@
 	return context.WithTimeout(ctx, c.timeout)
 }
 
-// Prepare implements register.Transport.
-func (c *Client) Prepare(ctx context.Context, member register.Member, request register.PrepareRequest) (register.PrepareReply, error) {
-	ctx, cancel := c.bound(ctx)
-	defer cancel()
-	response, err := c.replica(member.Address).Prepare(ctx, connect.NewRequest(&peerv1.PrepareRequest{
-		Fence:  fenceToWire(request.Fence),
-		Key:    request.Key,
-		Ballot: ballotToWire(request.Ballot),
-	}))
-	if err != nil {
-		return register.PrepareReply{}, err
-	}
-	message := response.Msg
-	return register.PrepareReply{
-		Refusal:              register.Refusal(message.GetRefusal()),
-		Promised:             ballotFromWire(message.GetPromised()),
-		Accepted:             ballotFromWire(message.GetAccepted()),
-		Value:                message.GetValue(),
-		View:                 ViewFromWire(message.GetView()),
-		ConfigurationVersion: message.GetConfigurationVersion(),
-	}, nil
-}
-
-// Accept implements register.Transport.
-func (c *Client) Accept(ctx context.Context, member register.Member, request register.AcceptRequest) (register.AcceptReply, error) {
-	ctx, cancel := c.bound(ctx)
-	defer cancel()
-	response, err := c.replica(member.Address).Accept(ctx, connect.NewRequest(&peerv1.AcceptRequest{
-		Fence:  fenceToWire(request.Fence),
-		Key:    request.Key,
-		Ballot: ballotToWire(request.Ballot),
-		Value:  request.Value,
-		Next:   ballotToWire(request.Next),
-	}))
-	if err != nil {
-		return register.AcceptReply{}, err
-	}
-	message := response.Msg
-	return register.AcceptReply{
-		Refusal:              register.Refusal(message.GetRefusal()),
-		Promised:             ballotFromWire(message.GetPromised()),
-		View:                 ViewFromWire(message.GetView()),
-		ConfigurationVersion: message.GetConfigurationVersion(),
-	}, nil
-}
-
-// PutTurn implements archive.Replicas.
-func (c *Client) PutTurn(ctx context.Context, member register.Member, fence register.Fence, turn replica.Turn) (archive.Reply, error) {
-	ctx, cancel := c.bound(ctx)
-	defer cancel()
-	response, err := c.replica(member.Address).PutTurn(ctx, connect.NewRequest(&peerv1.PutTurnRequest{
-		Fence:    fenceToWire(fence),
-		Program:  turn.Program,
-		Sequence: turn.Sequence,
-		Digest:   turn.Digest[:],
-		Object:   turn.Object,
-	}))
-	if err != nil {
-		return archive.Reply{}, err
-	}
-	return archive.Reply{
-		Refusal: register.Refusal(response.Msg.GetRefusal()),
-		View:    ViewFromWire(response.Msg.GetView()),
-	}, nil
-}
-
 // ReadTurns implements archive.Replicas.
 func (c *Client) ReadTurns(ctx context.Context, member register.Member, fence register.Fence, program string, from uint64) ([]replica.Turn, archive.Reply, error) {
 	ctx, cancel := c.bound(ctx)
@@ -253,24 +189,3 @@
 	}
 	return response.Msg.GetValue(), register.Refusal(response.Msg.GetRefusal()), nil
 }
-
-// ReadMany implements turnstore.Replicas.
-func (c *Client) ReadMany(ctx context.Context, member register.Member, fence register.Fence, programs []string) ([]replica.Turn, archive.Reply, error) {
-	ctx, cancel := c.bound(ctx)
-	defer cancel()
-	response, err := c.replica(member.Address).ReadMany(ctx, connect.NewRequest(&peerv1.ReadManyRequest{
-		Fence: fenceToWire(fence), Programs: programs,
-	}))
-	if err != nil {
-		return nil, archive.Reply{}, err
-	}
-	var turns []replica.Turn
-	for _, stored := range response.Msg.GetTurns() {
-		turn, err := turnFromWire(stored)
-		if err != nil {
-			return nil, archive.Reply{}, err
-		}
-		turns = append(turns, turn)
-	}
-	return turns, reply(response.Msg.GetRefusal(), response.Msg.GetView()), nil
-}
--- /dev/null
+++ b/transport/peer/link.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"context"
+	"sync"
+
+	"connectrpc.com/connect"
+	"github.com/ansel1/merry/v2"
+
+	peerv1 "github.com/marblering/marblering/api/peer/v1"
+	"github.com/marblering/marblering/api/peer/v1/peerv1connect"
+)
+
+// errLinkLost means that nothing is known of the effect of the calls that were
+// under way.
+var errLinkLost = merry.Sentinel("the connection to the peer was lost")
+
+// link is one stream of calls to a peer. What waits while a message is written
+// goes out with the next one. It is safe for concurrent use, and can't be used
+// any more once done is closed.
+type link struct {
+	stream *connect.BidiStreamForClient[peerv1.Calls, peerv1.Answers]
+	cancel context.CancelFunc
+	// wake tells the sender that something waits.
+	wake chan struct{}
+	done chan struct{}
+
+	mutex     sync.Mutex
+	last      uint64
+	queued    []*peerv1.Call
+	abandoned []uint64
+	// waiting are the calls without an answer, by number; nil once the link is
+	// lost.
+	waiting map[uint64]chan *peerv1.Answer
+	failure error
+}
+
+// newLink begins a stream. It fails later where the peer can't be reached.
+func newLink(service peerv1connect.CallServiceClient) *link {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link{
+		stream: service.Stream(ctx), cancel: cancel, wake: make(chan struct{}, 1), done: make(chan struct{}),
+		waiting: make(map[uint64]chan *peerv1.Answer),
+	}
+	go l.send()
+	go l.receive()
+	return l
+}
+
+// call sends the request and waits for its answer, until the context ends.
+func (l *link) call(ctx context.Context, call *peerv1.Call) (*peerv1.Answer, error) {
+	answered, err := l.enqueue(call)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case answer := <-answered:
+		return answer, nil
+	case <-l.done:
+		return nil, l.failure
+	case <-ctx.Done():
+		l.abandon(call.GetNumber())
+		return nil, context.Cause(ctx)
+	}
+}
+
+func (l *link) enqueue(call *peerv1.Call) (<-chan *peerv1.Answer, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.waiting == nil {
+		return nil, l.failure
+	}
+	if len(l.waiting) >= maxInFlight {
+		return nil, errTooMany
+	}
+	l.last++
+	call.Number = l.last
+	answered := make(chan *peerv1.Answer, 1)
+	l.waiting[call.Number] = answered
+	l.queued = append(l.queued, call)
+	l.wakeUp()
+	return answered, nil
+}
+
+// abandon forgets a call. One that was sent is told to the peer, which may leave
+// it undone.
+func (l *link) abandon(number uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.waiting, number)
+	for i, call := range l.queued {
+		if call.GetNumber() == number {
+			l.queued = append(l.queued[:i], l.queued[i+1:]...)
+			return
+		}
+	}
+	l.abandoned = append(l.abandoned, number)
+	l.wakeUp()
+}
+
+func (l *link) wakeUp() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send writes what waits, until the link is lost.
+func (l *link) send() {
+	for {
+		select {
+		case <-l.wake:
+		case <-l.done:
+			return
+		}
+		message := l.take()
+		if message == nil {
+			continue
+		}
+		if err := l.stream.Send(message); err != nil {
+			l.lose(err)
+			return
+		}
+	}
+}
+
+func (l *link) take() *peerv1.Calls {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if len(l.queued) == 0 && len(l.abandoned) == 0 {
+		return nil
+	}
+	message := &peerv1.Calls{Calls: l.queued, Abandoned: l.abandoned}
+	l.queued, l.abandoned = nil, nil
+	return message
+}
+
+// receive hands answers to their callers, until the link is lost.
+func (l *link) receive() {
+	for {
+		message, err := l.stream.Receive()
+		if err != nil {
+			l.lose(err)
+			return
+		}
+		for _, answer := range message.GetAnswers() {
+			l.hand(answer)
+		}
+	}
+}
+
+func (l *link) hand(answer *peerv1.Answer) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if answered, found := l.waiting[answer.GetNumber()]; found {
+		delete(l.waiting, answer.GetNumber())
+		answered <- answer
+	}
+}
+
+// lose ends the link: all calls that wait fail.
+func (l *link) lose(err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.waiting == nil {
+		return
+	}
+	l.waiting, l.queued = nil, nil
+	l.failure = merry.Wrap(errLinkLost, merry.WithCause(err), merry.AppendMessagef("%v", err))
+	l.cancel()
+	close(l.done)
+}
+
+// isLost tells that the link can't be used any more.
+func (l *link) isLost() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/transport/peer/link_test.go
@@ -0,0 +1,198 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/tokenbudget"
+	"github.com/marblering/marblering/test/harness"
+	"github.com/marblering/marblering/transport/peer"
+)
+
+// echoReplica answers a prepare with its key as value. Requests for the held key
+// wait until their context ends.
+type echoReplica struct {
+	peer.Replica
+	holding atomic.Int64
+	ended   atomic.Int64
+}
+
+const heldKey = "held"
+
+func (r *echoReplica) Prepare(ctx context.Context, request register.PrepareRequest) register.PrepareReply {
+	if request.Key == heldKey {
+		r.holding.Add(1)
+		<-ctx.Done()
+		r.holding.Add(-1)
+		r.ended.Add(1)
+	}
+	return register.PrepareReply{Value: []byte(request.Key)}
+}
+
+// countingHost grants every reservation.
+type countingHost struct{ ended atomic.Int64 }
+
+func (*countingHost) Reserve(context.Context, tokenbudget.Reservation) error { return nil }
+func (h *countingHost) End(ended []tokenbudget.Ended)                        { h.ended.Add(int64(len(ended))) }
+
+// servePeer serves the replica and the host to peers.
+func servePeer(t *testing.T, replica peer.Replica, host peer.BudgetHost) *httptest.Server {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = peer.NewHTTPServer(peer.NewStorageHandler(replica, nil, nil, host, nil, peer.NewMetrics(prometheus.NewRegistry())))
+	server.Start()
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server
+}
+
+func newPeerClient(t *testing.T) *peer.Client {
+	t.Helper()
+	client := peer.NewClient(peer.NewHTTPClient(), 10*time.Second, peer.NewMetrics(prometheus.NewRegistry()))
+	t.Cleanup(client.Close)
+	return client
+}
+
+func memberAt(server *httptest.Server) register.Member {
+	return register.Member{Node: "n", Address: server.Listener.Addr().String()}
+}
+
+func prepare(ctx context.Context, client *peer.Client, member register.Member, key string) (string, error) {
+	reply, err := client.Prepare(ctx, member, register.PrepareRequest{Key: key})
+	return string(reply.Value), err
+}
+
+// TestCallsShareALink: each caller gets its own answer, also while others wait.
+func TestCallsShareALink(t *testing.T) {
+	replica, host := &echoReplica{}, &countingHost{}
+	server := servePeer(t, replica, host)
+	client := newPeerClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var held sync.WaitGroup
+	held.Go(func() {
+		_, err := prepare(ctx, client, memberAt(server), heldKey)
+		assert.Check(t, err != nil)
+	})
+	var calls sync.WaitGroup
+	for i := range 100 {
+		calls.Go(func() {
+			key := fmt.Sprint("key", i)
+			value, err := prepare(t.Context(), client, memberAt(server), key)
+			assert.Check(t, err)
+			assert.Check(t, value == key, "%s answered for %s", value, key)
+		})
+	}
+	calls.Wait()
+	assert.NilError(t, client.Budgets().Reserve(t.Context(), memberAt(server).Address, tokenbudget.Reservation{Program: "p"}, nil))
+	assert.NilError(t, client.Budgets().End(t.Context(), memberAt(server).Address, []tokenbudget.Ended{{Program: "p"}, {Program: "q"}}))
+	assert.Equal(t, host.ended.Load(), int64(2))
+	cancel()
+	held.Wait()
+}
+
+// TestAbandonedCallEndsAtThePeer, by its caller's word or by its time.
+func TestAbandonedCallEndsAtThePeer(t *testing.T) {
+	replica := &echoReplica{}
+	server := servePeer(t, replica, &countingHost{})
+	client := newPeerClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		_, err := prepare(ctx, client, memberAt(server), heldKey)
+		assert.Check(t, err != nil)
+	})
+	harness.Eventually(t, func() (bool, string) { return replica.holding.Load() == 1, "the call isn't served" })
+	cancel()
+	harness.Eventually(t, func() (bool, string) { return replica.ended.Load() == 1, "the call goes on without its caller" })
+	timed, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer stop()
+	// The peer may notice the time first, and its answer still come through.
+	_, _ = prepare(timed, client, memberAt(server), heldKey)
+	harness.Eventually(t, func() (bool, string) { return replica.ended.Load() == 2, "the call goes on past its time" })
+	calls.Wait()
+}
+
+// TestLostLinkFailsItsCalls, and the next call opens another.
+func TestLostLinkFailsItsCalls(t *testing.T) {
+	replica := &echoReplica{}
+	server := servePeer(t, replica, &countingHost{})
+	client := newPeerClient(t)
+	for range 3 {
+		var calls sync.WaitGroup
+		for range 10 {
+			calls.Go(func() {
+				_, err := prepare(t.Context(), client, memberAt(server), heldKey)
+				assert.Check(t, err != nil)
+			})
+		}
+		harness.Eventually(t, func() (bool, string) { return replica.holding.Load() == 10, "the calls aren't served" })
+		server.CloseClientConnections()
+		calls.Wait()
+		harness.Eventually(t, func() (bool, string) {
+			value, err := prepare(t.Context(), client, memberAt(server), "again")
+			return err == nil && value == "again", fmt.Sprint("no call gets through: ", err)
+		})
+		harness.Eventually(t, func() (bool, string) { return replica.holding.Load() == 0, "calls of a lost link go on" })
+	}
+}
+
+// TestUnreachablePeerFailsAtOnce.
+func TestUnreachablePeerFailsAtOnce(t *testing.T) {
+	server := servePeer(t, &echoReplica{}, &countingHost{})
+	member := memberAt(server)
+	server.Close()
+	_, err := prepare(t.Context(), newPeerClient(t), member, "key")
+	assert.ErrorContains(t, err, "connection to the peer was lost")
+}
+
+// TestSilentPeerGathersNoCalls: beyond a bound they fail at once.
+func TestSilentPeerGathersNoCalls(t *testing.T) {
+	const asked, bound = 300, 128
+	replica := &echoReplica{}
+	server := servePeer(t, replica, &countingHost{})
+	client := newPeerClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var refused atomic.Int64
+	var calls sync.WaitGroup
+	for range asked {
+		calls.Go(func() {
+			_, err := prepare(ctx, client, memberAt(server), heldKey)
+			if ctx.Err() == nil {
+				assert.Check(t, err != nil)
+				refused.Add(1)
+			}
+		})
+	}
+	harness.Eventually(t, func() (bool, string) {
+		return refused.Load() == asked-bound && replica.holding.Load() == bound, fmt.Sprint(refused.Load(), " refused")
+	})
+	cancel()
+	calls.Wait()
+}
+
+// TestClosedClientEndsItsCalls, at the peer as well.
+func TestClosedClientEndsItsCalls(t *testing.T) {
+	replica := &echoReplica{}
+	server := servePeer(t, replica, &countingHost{})
+	client := newPeerClient(t)
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		_, err := prepare(t.Context(), client, memberAt(server), heldKey)
+		assert.Check(t, err != nil)
+	})
+	harness.Eventually(t, func() (bool, string) { return replica.holding.Load() == 1, "the call isn't served" })
+	client.Close()
+	calls.Wait()
+	harness.Eventually(t, func() (bool, string) { return replica.ended.Load() == 1, "the call goes on" })
+}
--- a/transport/peer/metrics.go
+++ b/transport/peer/metrics.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/marblering/marblering/api/peer/v1"
 )
 
 // Metrics counts what one node sends to and receives from its peers. Bytes are
@@ -16,6 +19,8 @@
 	sent     *prometheus.CounterVec
 	received *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
+	// procedures holds *procedureMetrics by procedureKey.
+	procedures sync.Map
 }
 
 // NewMetrics registers the metrics of the internal protocol.
@@ -69,6 +74,60 @@
 	}
 }
 
+// called counts one call of a stream.
+func (m *Metrics) called(side string, call *peerv1.Call, answer *peerv1.Answer, took time.Duration) {
+	counted := m.procedure(side, procedureOf(call))
+	counted.requests.Inc()
+	counted.seconds.Observe(took.Seconds())
+	outgoing, incoming := proto.Size(call), proto.Size(answer)
+	if side == sideServer {
+		outgoing, incoming = incoming, outgoing
+	}
+	counted.sent.Add(float64(outgoing))
+	counted.received.Add(float64(incoming))
+}
+
+// procedureOf names the kind of call.
+func procedureOf(call *peerv1.Call) string {
+	switch call.GetRequest().(type) {
+	case *peerv1.Call_Prepare:
+		return "Prepare"
+	case *peerv1.Call_Accept:
+		return "Accept"
+	case *peerv1.Call_PutTurn:
+		return "PutTurn"
+	case *peerv1.Call_ReadMany:
+		return "ReadMany"
+	case *peerv1.Call_ReserveTokens:
+		return "Reserve"
+	case *peerv1.Call_EndTurns:
+		return "End"
+	}
+	return "unknown"
+}
+
+// procedureMetrics are those of one kind of call; finding them by their labels
+// each time would cost as much as the call.
+type procedureMetrics struct {
+	requests, sent, received prometheus.Counter
+	seconds                  prometheus.Observer
+}
+
+type procedureKey struct{ side, procedure string }
+
+func (m *Metrics) procedure(side, procedure string) *procedureMetrics {
+	key := procedureKey{side, procedure}
+	if known, found := m.procedures.Load(key); found {
+		return known.(*procedureMetrics)
+	}
+	made := &procedureMetrics{
+		requests: m.requests.WithLabelValues(side, procedure), seconds: m.seconds.WithLabelValues(side, procedure),
+		sent: m.sent.WithLabelValues(side, procedure), received: m.received.WithLabelValues(side, procedure),
+	}
+	m.procedures.Store(key, made)
+	return made
+}
+
 // WrapStreamingClient implements connect.Interceptor.
 func (m *Metrics) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
 	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -50,7 +50,9 @@
 func NewHandler(replica Replica, installer Installer, node Node, metrics *Metrics) http.Handler {
 	mux := http.NewServeMux()
 	options := handlerOptions(metrics)
-	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica, installer: installer}, options...))
+	replicas := &replicaServer{replica: replica, installer: installer}
+	mux.Handle(peerv1connect.NewReplicaServiceHandler(replicas, options...))
+	mux.Handle(peerv1connect.NewCallServiceHandler(&callServer{replica: replicas, metrics: metrics}, connect.WithReadMaxBytes(maxMessageBytes)))
 	mux.Handle(peerv1connect.NewNodeServiceHandler(&nodeServer{node: node}, options...))
 	return mux
 }
@@ -62,10 +64,10 @@
 	}
 }
 
-func (s *replicaServer) ReadMany(ctx context.Context, request *connect.Request[peerv1.ReadManyRequest]) (*connect.Response[peerv1.ReadManyResponse], error) {
-	fence := fenceFromWire(request.Msg.GetFence())
+func (s *replicaServer) readMany(ctx context.Context, request *peerv1.ReadManyRequest) (*peerv1.ReadManyResponse, error) {
+	fence := fenceFromWire(request.GetFence())
 	response := &peerv1.ReadManyResponse{}
-	for _, program := range request.Msg.GetPrograms() {
+	for _, program := range request.GetPrograms() {
 		reply, err := s.replica.ReadTurns(ctx, fence, program, 0, func(turn replica.Turn) error {
 			response.Turns = append(response.Turns, turnToWire(turn))
 			return nil
@@ -74,12 +76,10 @@
 			return nil, err
 		}
 		if reply.Refusal != register.RefusalNone {
-			return connect.NewResponse(&peerv1.ReadManyResponse{
-				Refusal: peerv1.Refusal(reply.Refusal), View: ViewToWire(reply.View),
-			}), nil
+			return &peerv1.ReadManyResponse{Refusal: peerv1.Refusal(reply.Refusal), View: ViewToWire(reply.View)}, nil
 		}
 	}
-	return connect.NewResponse(response), nil
+	return response, nil
 }
 
 // Exchanger answers exchanges of membership.
@@ -93,9 +93,11 @@
 func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, budgets BudgetHost, mirrored Mirror, metrics *Metrics) http.Handler {
 	mux := http.NewServeMux()
 	options := handlerOptions(metrics)
-	mux.Handle(peerv1connect.NewReplicaServiceHandler(&replicaServer{replica: replica, installer: installer}, options...))
+	replicas := &replicaServer{replica: replica, installer: installer}
+	calls := &callServer{replica: replicas, budgets: &budgetServer{host: budgets}, metrics: metrics}
+	mux.Handle(peerv1connect.NewReplicaServiceHandler(replicas, options...))
+	mux.Handle(peerv1connect.NewCallServiceHandler(calls, connect.WithReadMaxBytes(maxMessageBytes)))
 	mux.Handle(peerv1connect.NewNodeServiceHandler(&exchangeServer{membership: membership}, options...))
-	mux.Handle(peerv1connect.NewBudgetServiceHandler(&budgetServer{host: budgets}, options...))
 	mux.Handle(peerv1connect.NewMirrorServiceHandler(&mirrorServer{mirror: mirrored}, options...))
 	return mux
 }
@@ -124,36 +126,36 @@
 	installer Installer
 }
 
-func (s *replicaServer) Prepare(ctx context.Context, request *connect.Request[peerv1.PrepareRequest]) (*connect.Response[peerv1.PrepareResponse], error) {
+func (s *replicaServer) prepare(ctx context.Context, request *peerv1.PrepareRequest) *peerv1.PrepareResponse {
 	reply := s.replica.Prepare(ctx, register.PrepareRequest{
-		Fence:  fenceFromWire(request.Msg.GetFence()),
-		Key:    request.Msg.GetKey(),
-		Ballot: ballotFromWire(request.Msg.GetBallot()),
+		Fence:  fenceFromWire(request.GetFence()),
+		Key:    request.GetKey(),
+		Ballot: ballotFromWire(request.GetBallot()),
 	})
-	return connect.NewResponse(&peerv1.PrepareResponse{
+	return &peerv1.PrepareResponse{
 		Refusal:              peerv1.Refusal(reply.Refusal),
 		Promised:             ballotToWire(reply.Promised),
 		Accepted:             ballotToWire(reply.Accepted),
 		Value:                reply.Value,
 		View:                 ViewToWire(reply.View),
 		ConfigurationVersion: reply.ConfigurationVersion,
-	}), nil
+	}
 }
 
-func (s *replicaServer) Accept(ctx context.Context, request *connect.Request[peerv1.AcceptRequest]) (*connect.Response[peerv1.AcceptResponse], error) {
+func (s *replicaServer) accept(ctx context.Context, request *peerv1.AcceptRequest) *peerv1.AcceptResponse {
 	reply := s.replica.Accept(ctx, register.AcceptRequest{
-		Fence:  fenceFromWire(request.Msg.GetFence()),
-		Key:    request.Msg.GetKey(),
-		Ballot: ballotFromWire(request.Msg.GetBallot()),
-		Value:  request.Msg.GetValue(),
-		Next:   ballotFromWire(request.Msg.GetNext()),
+		Fence:  fenceFromWire(request.GetFence()),
+		Key:    request.GetKey(),
+		Ballot: ballotFromWire(request.GetBallot()),
+		Value:  request.GetValue(),
+		Next:   ballotFromWire(request.GetNext()),
 	})
-	return connect.NewResponse(&peerv1.AcceptResponse{
+	return &peerv1.AcceptResponse{
 		Refusal:              peerv1.Refusal(reply.Refusal),
 		Promised:             ballotToWire(reply.Promised),
 		View:                 ViewToWire(reply.View),
 		ConfigurationVersion: reply.ConfigurationVersion,
-	}), nil
+	}
 }
 
 func (s *replicaServer) Peek(_ context.Context, request *connect.Request[peerv1.PeekRequest]) (*connect.Response[peerv1.PeekResponse], error) {
@@ -161,21 +163,21 @@
 	return connect.NewResponse(&peerv1.PeekResponse{Refusal: peerv1.Refusal(refusal), Value: value}), nil
 }
 
-func (s *replicaServer) PutTurn(ctx context.Context, request *connect.Request[peerv1.PutTurnRequest]) (*connect.Response[peerv1.PutTurnResponse], error) {
-	digest, err := digestFromWire(request.Msg.GetDigest())
+func (s *replicaServer) putTurn(ctx context.Context, request *peerv1.PutTurnRequest) (*peerv1.PutTurnResponse, error) {
+	digest, err := digestFromWire(request.GetDigest())
 	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		return nil, err
 	}
-	reply := s.replica.PutTurn(ctx, fenceFromWire(request.Msg.GetFence()), replica.Turn{
-		Program:  request.Msg.GetProgram(),
-		Sequence: request.Msg.GetSequence(),
+	reply := s.replica.PutTurn(ctx, fenceFromWire(request.GetFence()), replica.Turn{
+		Program:  request.GetProgram(),
+		Sequence: request.GetSequence(),
 		Digest:   digest,
-		Object:   request.Msg.GetObject(),
+		Object:   request.GetObject(),
 	})
-	return connect.NewResponse(&peerv1.PutTurnResponse{
+	return &peerv1.PutTurnResponse{
 		Refusal: peerv1.Refusal(reply.Refusal),
 		View:    ViewToWire(reply.View),
-	}), nil
+	}, nil
 }
 
 func (s *replicaServer) ReadTurns(ctx context.Context, request *connect.Request[peerv1.ReadTurnsRequest], stream *connect.ServerStream[peerv1.ReadTurnsResponse]) error {
