Collect garbage of storage nodes by what is in use

Ruled out: a fixed higher target, since machines with 80 MiB have no room for it. Change: the target follows what is in use, 100 to 400 percent, within two fifths of the memory limit.

--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -241,7 +241,7 @@
 	}
 	return []suture.Service{
 		peers, operators, n.membership, n.repair, n.keeper, n.retirement, n.budgets, collector, n.mirror,
-		telemetry.NewWorkload(n.metrics, workloadCounters, n.logger),
+		telemetry.NewWorkload(n.metrics, workloadCounters, n.logger), collectorTuner{memoryLimit: uint64(n.settings.MemoryLimit)},
 		n.follower("storage nodes", n.parts.Nodes, n.applyNodes),
 		n.setsFollower(),
 		n.follower("retirements", n.parts.Retirements, n.retirement.Decode(n.parts.DecodeRetirement)),
