Send the items of copies in few messages, and list a majority only

Change: a message of a pull has up to 512 items or 64 KiB; an installing member lists itself and as many others as a majority takes, one more where one fails or takes longer than 500 ms.

--- a/coordination/shard/listing.go
+++ b/coordination/shard/listing.go
@@ -1,8 +1,11 @@
 package shard
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -30,41 +33,82 @@
 	return held
 }
 
-// list reads the listings of a majority of the previous members.
+// listHedgeDelay is how long the members that were asked for listings may take
+// before another one is asked as well: some times what a listing of a large
+// shard takes.
+const listHedgeDelay = 500 * time.Millisecond
+
+// listed is the outcome of one member's listing.
+type listed struct {
+	listing *listing
+	err     error
+}
+
+// list reads the listings of a majority of the previous members. It asks no more
+// of them, unless some fail or are late: a listing is as much work for a member
+// as many turns, and all members of the successor ask for listings at once.
 func (i *Installer) list(ctx context.Context, request InstallRequest) ([]*listing, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	members := request.Previous.Members
-	type result struct {
-		listing *listing
-		err     error
-	}
-	results := make(chan result, len(members))
-	for _, member := range members {
-		go func() {
-			listed, err := i.listMember(ctx, request, member)
-			results <- result{listing: listed, err: err}
-		}()
+	members := i.listingOrder(request.Previous.Members)
+	results := make(chan listed, len(members))
+	asked := 0
+	ask := func(count int) {
+		for ; asked < len(members) && count > 0; count-- {
+			member := members[asked]
+			asked++
+			go func() {
+				found, err := i.listMember(ctx, request, member)
+				results <- listed{listing: found, err: err}
+			}()
+		}
 	}
+	ask(request.Previous.Quorum())
+	hedge := time.NewTicker(listHedgeDelay)
+	defer hedge.Stop()
 	var listings []*listing
 	var last error
-	for range members {
-		received := <-results
-		if received.err != nil {
-			last = received.err
-			continue
-		}
-		listings = append(listings, received.listing)
-		if len(listings) == request.Previous.Quorum() {
-			return listings, nil
+	for received := 0; received < asked; {
+		select {
+		case result := <-results:
+			received++
+			if result.err != nil {
+				last = result.err
+				ask(1)
+				continue
+			}
+			listings = append(listings, result.listing)
+			if len(listings) == request.Previous.Quorum() {
+				return listings, nil
+			}
+		case <-hedge.C:
+			ask(1)
 		}
 	}
 	return nil, merry.Prependf(last, "%d of %d members of epoch %d can be copied, a majority is needed",
 		len(listings), len(members), request.Previous.Epoch)
 }
 
+// listingOrder puts this replica's own listing first, which costs no request, and
+// the others in an order of this replica's own, so that each is asked about as
+// often as the others.
+func (i *Installer) listingOrder(members []register.Member) []register.Member {
+	own := i.replica.incarnation
+	ordered := slices.Clone(members)
+	slices.SortFunc(ordered, func(a, b register.Member) int {
+		switch own {
+		case a.Incarnation:
+			return -1
+		case b.Incarnation:
+			return 1
+		}
+		return cmp.Compare(register.Rank(b.Node, own), register.Rank(a.Node, own))
+	})
+	return ordered
+}
+
 func (i *Installer) listMember(ctx context.Context, request InstallRequest, member register.Member) (*listing, error) {
-	listed := &listing{
+	made := &listing{
 		member:    member,
 		registers: make(map[string]replica.Register),
 		turns:     make(map[TurnReference]struct{}),
@@ -72,17 +116,17 @@
 	pull := PullRequest{Fence: fenceOf(request.Previous, member), TurnsOnly: request.TurnsOnly, OmitObjects: true}
 	reply, err := i.pull(ctx, member, pull, func(item PullItem) error {
 		if item.Turn != nil {
-			listed.turns[referenceOf(*item.Turn)] = struct{}{}
+			made.turns[referenceOf(*item.Turn)] = struct{}{}
 		}
 		if item.Register != nil {
-			listed.registers[item.Register.Key] = item.Register.State
+			made.registers[item.Register.Key] = item.Register.State
 		}
 		return ctx.Err()
 	})
 	if err := failure(reply, err); err != nil {
 		return nil, merry.Prependf(err, "list shard %d of node %s", request.Previous.Shard, member.Node)
 	}
-	return listed, nil
+	return made, nil
 }
 
 // pull reads from a member, from this replica without a connection.
--- /dev/null
+++ b/coordination/shard/listing_test.go
@@ -0,0 +1,83 @@
+package shard_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+)
+
+// countedPulls counts pulls that ask for a listing, and loses those from one node.
+type countedPulls struct {
+	link
+	lost     string
+	listings *atomic.Int64
+}
+
+func (c countedPulls) Pull(ctx context.Context, to register.Member, request shard.PullRequest, visit func(shard.PullItem) error) (archive.Reply, error) {
+	if request.OmitObjects {
+		c.listings.Add(1)
+	}
+	if to.Node == c.lost {
+		return archive.Reply{}, errLost
+	}
+	return c.link.Pull(ctx, to, request, visit)
+}
+
+// TestMajorityIsListed: a replica that installs asks for no more listings than it
+// needs, counts its own, and asks others where one fails.
+func TestMajorityIsListed(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		installer int
+		listings  int64
+	}{
+		{"a new member", 5, 3},
+		{"a member of before", 2, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n, first, second := sealedFive(t)
+			p := n.process(nodeName(c.installer))
+			counted := countedPulls{link: link{n, "client"}, listings: &atomic.Int64{}}
+			installer := shard.NewInstaller(p.replica, counted, zap.NewNop())
+			reply := installer.Install(t.Context(), shard.InstallRequest{Previous: first, Successor: second})
+			assert.Equal(t, reply.Refusal, register.RefusalNone)
+			assert.Equal(t, counted.listings.Load(), c.listings)
+		})
+	}
+	for lost := range 5 {
+		n, first, second := sealedFive(t)
+		counted := countedPulls{link: link{n, "client"}, lost: nodeName(lost), listings: &atomic.Int64{}}
+		installer := shard.NewInstaller(n.process(nodeName(5)).replica, counted, zap.NewNop())
+		reply := installer.Install(t.Context(), shard.InstallRequest{Previous: first, Successor: second})
+		assert.Equal(t, reply.Refusal, register.RefusalNone)
+		assert.Assert(t, counted.listings.Load() <= 4, "%d listings though one member fails", counted.listings.Load())
+	}
+}
+
+// sealedFive is a set of five members whose epoch has ended, and its successor,
+// in which a sixth stands for the first.
+func sealedFive(t *testing.T) (n *network, first, second register.View) {
+	t.Helper()
+	n = newNetwork(1)
+	n.instant = true
+	var members []register.Member
+	for index := range 6 {
+		members = append(members, n.start(nodeName(index), "zone", nil).member)
+	}
+	first = register.View{Epoch: shard.FirstEpoch, Members: members[:5]}
+	second = register.View{Epoch: first.Epoch + 1, Members: members[1:]}
+	for _, member := range first.Members {
+		n.process(member.Node).views.Learn(first)
+		fence := register.Fence{Epoch: first.Epoch, Replica: member.Incarnation}
+		reply := n.process(member.Node).replica.Seal(t.Context(), shard.SealRequest{Fence: fence, Successor: second})
+		assert.Equal(t, reply.Refusal, register.RefusalNone)
+	}
+	return n, first, second
+}
--- a/transport/peer/reconfigure.go
+++ b/transport/peer/reconfigure.go
@@ -84,42 +84,88 @@
 		if message.GetRefusal() != peerv1.Refusal_REFUSAL_UNSPECIFIED {
 			return reply(message.GetRefusal(), message.GetView()), nil
 		}
-		item, err := itemFromWire(message)
-		if err != nil {
-			return archive.Reply{}, err
-		}
-		if err := visit(item); err != nil {
+		if err := visitItems(message, visit); err != nil {
 			return archive.Reply{}, err
 		}
 	}
 	return archive.Reply{}, stream.Err()
 }
 
-func itemFromWire(message *peerv1.PullResponse) (shard.PullItem, error) {
-	if stored := message.GetRegister(); stored != nil {
-		return shard.PullItem{Register: &shard.RegisterState{
+// visitItems visits what one message of a pull has.
+func visitItems(message *peerv1.PullResponse, visit func(shard.PullItem) error) error {
+	for _, stored := range message.GetRegisters() {
+		item := shard.PullItem{Register: &shard.RegisterState{
 			Key: stored.GetKey(),
 			State: replica.Register{
 				Promised: ballotFromWire(stored.GetPromised()),
 				Accepted: ballotFromWire(stored.GetAccepted()),
 				Value:    stored.GetValue(),
 			},
-		}}, nil
+		}}
+		if err := visit(item); err != nil {
+			return err
+		}
 	}
-	turn, err := turnFromWire(message.GetTurn())
-	return shard.PullItem{Turn: &turn}, err
+	for _, stored := range message.GetTurns() {
+		turn, err := turnFromWire(stored)
+		if err != nil {
+			return err
+		}
+		if err := visit(shard.PullItem{Turn: &turn}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const (
+	// pulledItems and pulledBytes bound the items of one message of a pull: enough
+	// that a message costs little for each, and few enough that neither side holds
+	// much of a shard in memory.
+	pulledItems = 512
+	pulledBytes = 64 << 10
+)
+
+// pullWriter sends the items of a pull in messages of some of them.
+type pullWriter struct {
+	stream  *connect.ServerStream[peerv1.PullResponse]
+	pending *peerv1.PullResponse
+	items   int
+	bytes   int
 }
 
-func itemToWire(item shard.PullItem) *peerv1.PullResponse {
+// add sends a message once enough items have gathered.
+func (w *pullWriter) add(item shard.PullItem) error {
+	if w.pending == nil {
+		w.pending = &peerv1.PullResponse{}
+	}
+	w.items++
 	if item.Register == nil {
-		return &peerv1.PullResponse{Turn: turnToWire(*item.Turn)}
-	}
-	return &peerv1.PullResponse{Register: &peerv1.RegisterState{
-		Key:      item.Register.Key,
-		Promised: ballotToWire(item.Register.State.Promised),
-		Accepted: ballotToWire(item.Register.State.Accepted),
-		Value:    item.Register.State.Value,
-	}}
+		w.pending.Turns = append(w.pending.Turns, turnToWire(*item.Turn))
+		w.bytes += len(item.Turn.Object)
+	} else {
+		w.pending.Registers = append(w.pending.Registers, &peerv1.RegisterState{
+			Key:      item.Register.Key,
+			Promised: ballotToWire(item.Register.State.Promised),
+			Accepted: ballotToWire(item.Register.State.Accepted),
+			Value:    item.Register.State.Value,
+		})
+		w.bytes += len(item.Register.State.Value)
+	}
+	if w.items < pulledItems && w.bytes < pulledBytes {
+		return nil
+	}
+	return w.flush()
+}
+
+// flush sends what has gathered.
+func (w *pullWriter) flush() error {
+	if w.pending == nil {
+		return nil
+	}
+	message := w.pending
+	w.pending, w.items, w.bytes = nil, 0, 0
+	return w.stream.Send(message)
 }
 
 func (s *replicaServer) Seal(ctx context.Context, request *connect.Request[peerv1.SealRequest]) (*connect.Response[peerv1.SealResponse], error) {
@@ -181,12 +227,14 @@
 			Program: wanted.GetProgram(), Sequence: wanted.GetSequence(), Digest: digest,
 		})
 	}
-	answer, err := s.replica.Pull(ctx, pull, func(item shard.PullItem) error {
-		return stream.Send(itemToWire(item))
-	})
-	if err != nil || answer.Refusal == register.RefusalNone {
+	writer := &pullWriter{stream: stream}
+	answer, err := s.replica.Pull(ctx, pull, writer.add)
+	if err != nil {
 		return err
 	}
+	if answer.Refusal == register.RefusalNone {
+		return writer.flush()
+	}
 	return stream.Send(&peerv1.PullResponse{
 		Refusal: peerv1.Refusal(answer.Refusal),
 		View:    ViewToWire(answer.View),
