Ask a set that is changing less and less often for copies of turns

Change: the pause between rounds doubles from 30 to 200 ms. Before and after: TestSealedSetIsAskedLessAndLess; not measured by itself.

--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -48,8 +48,11 @@
 const (
 	// sequence is that of every turn: each one is stored under its own id.
 	sequence = 1
-	// roundPause lies between two rounds that no newer view explains.
-	roundPause = 30 * time.Millisecond
+	// roundPause lies between the first two rounds and doubles with each up to
+	// longestPause: while a set changes, none gets through, and the copies that
+	// members refuse are work for nodes that are busy with the change.
+	roundPause   = 30 * time.Millisecond
+	longestPause = 200 * time.Millisecond
 )
 
 // Store stores and finds turns. It is safe for concurrent use.
@@ -218,14 +221,14 @@
 // sufficed, or the context ends.
 func (s *Store) untilQuorum(ctx context.Context, shard uint32, act action, first fanOut) error {
 	last := error(ErrUnavailable)
-	for {
+	for pause := roundPause; ; pause = min(2*pause, longestPause) {
 		view, known := s.views.View(shard)
 		if known {
 			if last = s.round(ctx, view, act, first(view)); last == nil {
 				return nil
 			}
 		}
-		if sleep.For(ctx, roundPause) != nil {
+		if sleep.For(ctx, pause) != nil {
 			return merry.Wrap(ErrUnavailable, merry.WithCause(last), merry.AppendMessagef("%v", last))
 		}
 	}
--- a/coordination/turnstore/store_test.go
+++ b/coordination/turnstore/store_test.go
@@ -31,7 +31,9 @@
 	turns  map[string]map[string]replica.Turn
 	down   map[string]bool
 	writes int
-	reads  []string
+	// refused counts requests to members that are down.
+	refused int
+	reads   []string
 	// answerAfter is how long each member takes.
 	answerAfter time.Duration
 	// silent is a member that doesn't answer.
@@ -50,6 +52,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.down[member.Node] {
+		m.refused++
 		return archive.Reply{}, errDown
 	}
 	m.writes++
@@ -297,3 +300,22 @@
 		}
 	})
 }
+
+// TestSealedSetIsAskedLessAndLess: while a set changes its members refuse, and
+// each round is work for them.
+func TestSealedSetIsAskedLessAndLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, v := newMembers(1)
+		for name := range m.turns {
+			m.down[name] = true
+		}
+		store := newStore(t, "z0", m, v)
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		assert.ErrorIs(t, store.Put(ctx, "p", &statev1.RetainedTurn{Id: "a"}), turnstore.ErrUnavailable)
+		synctest.Wait()
+		assert.Assert(t, m.refused <= 3*25, "%d requests in 4 s", m.refused)
+		clear(m.down)
+		assert.NilError(t, store.Put(t.Context(), "p", &statev1.RetainedTurn{Id: "a"}))
+	})
+}
