Have members that stay copy turns before the seal, not after it

A probe of the driver went to the address of a member that had lost its disk, where its next incarnation took it for the order to copy, and gave it up after a second (the finding 'turns not copied ... canceled'). Ruled out: leaving these copies out, since a set that shrinks would be left with two. 'shard opened' tells how long the change took from the seal on.

--- /dev/null
+++ b/coordination/shard/ahead_test.go
@@ -0,0 +1,91 @@
+package shard_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/archive"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/state/replica"
+)
+
+// watchedLink notes how many turns each member holds when it is sealed, and which
+// incarnations are asked to install.
+type watchedLink struct {
+	link
+	mutex     sync.Mutex
+	held      map[string]int
+	installed map[string]bool
+}
+
+func (w *watchedLink) Seal(ctx context.Context, to register.Member, request shard.SealRequest) (archive.Reply, error) {
+	held := countTurns(w.network.process(to.Node))
+	w.mutex.Lock()
+	w.held[to.Node] = held
+	w.mutex.Unlock()
+	return w.link.Seal(ctx, to, request)
+}
+
+func (w *watchedLink) Install(ctx context.Context, to register.Member, request shard.InstallRequest) (archive.Reply, error) {
+	w.mutex.Lock()
+	w.installed[to.Incarnation] = true
+	w.mutex.Unlock()
+	return w.link.Install(ctx, to, request)
+}
+
+func countTurns(p *process) int {
+	count := 0
+	_ = p.store.EachTurn(0, func(replica.Turn) error {
+		count++
+		return nil
+	})
+	return count
+}
+
+// TestMembersThatStayCopyAhead: each turn is stored by a majority only, and yet
+// all members hold nearly all of them by the time that the set is sealed. A member
+// whose node has begun a new incarnation isn't asked under the old one, whose
+// address the new one has.
+func TestMembersThatStayCopyAhead(t *testing.T) {
+	const turns = 300
+	n := newNetwork(1)
+	n.instant = true
+	var members []register.Member
+	for index := range 5 {
+		members = append(members, n.start(nodeName(index), "zone", nil).member)
+	}
+	first := register.View{Epoch: shard.FirstEpoch, Members: members}
+	for i := range turns {
+		turn := replica.Turn{Program: fmt.Sprint("turn", i), Sequence: 1, Object: []byte("object")}
+		for copied := range first.Quorum() {
+			p := n.process(members[(i+copied)%len(members)].Node)
+			assert.NilError(t, p.store.PutTurn(0, turn))
+		}
+	}
+	for _, member := range members {
+		n.process(member.Node).views.Learn(first)
+	}
+	forgetful := members[4]
+	renewed := n.start(forgetful.Node, "zone", nil)
+	renewed.views.Learn(first)
+	watched := &watchedLink{link: link{n, "driver"}, held: make(map[string]int), installed: make(map[string]bool)}
+	views := shard.NewMap(1)
+	views.Learn(first)
+	driver := shard.NewDriver("driver", watched, views, register.SystemClock{}, rand.New(rand.NewPCG(1, 1)), register.DefaultSettings(), zap.NewNop())
+	wanted := append(append([]register.Member(nil), members[:4]...), renewed.member)
+	opened, err := driver.Drive(t.Context(), first, wanted)
+	assert.NilError(t, err)
+	assert.Equal(t, opened.Epoch, first.Epoch+1)
+	for _, member := range wanted[:4] {
+		assert.Equal(t, watched.held[member.Node], turns, member.Node)
+	}
+	assert.Equal(t, countTurns(renewed), turns)
+	assert.Assert(t, !watched.installed[forgetful.Incarnation])
+}
--- a/coordination/shard/driver.go
+++ b/coordination/shard/driver.go
@@ -5,15 +5,13 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
-	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
-
 	"github.com/marblering/marblering/coordination/archive"
 	"github.com/marblering/marblering/coordination/register"
+	"go.uber.org/zap"
 )
 
 // ErrNoMajority means that too few members answered for a step. The shard stays
@@ -80,10 +78,11 @@
 		d.views.Learn(successor)
 		return successor, nil
 	}
+	sealing := time.Now()
 	if err := d.seal(ctx, current, successor); err != nil {
 		return register.View{}, merry.Prependf(err, "seal epoch %d of shard %d", current.Epoch, current.Shard)
 	}
-	if err := d.installAndOpen(ctx, current, successor); err != nil {
+	if err := d.installAndOpen(ctx, current, successor, sealing); err != nil {
 		return register.View{}, merry.Prependf(err, "install epoch %d of shard %d", successor.Epoch, current.Shard)
 	}
 	return successor, nil
@@ -119,41 +118,6 @@
 	return d.decide(ctx, current, encoded)
 }
 
-// copyAhead has the new members copy turns while the old ones still serve, so
-// that little is left once they are sealed. Each wanted member must answer, since
-// a set that is decided with a member that is gone has no reserve left. No old
-// member may still be copying the current epoch: what it copies from would be
-// out of reach once that epoch has ended.
-func (d *Driver) copyAhead(ctx context.Context, current, proposed register.View) error {
-	request := InstallRequest{Previous: current, Successor: proposed, TurnsOnly: true}
-	asking, stop := context.WithCancel(ctx)
-	defer stop()
-	defer d.clock.AfterFunc(d.settings.RequestTimeout, stop)()
-	var group errgroup.Group
-	for _, member := range current.Members {
-		group.Go(func() error {
-			reply, err := d.members.Install(asking, member, request)
-			switch {
-			case err == nil && reply.Refusal == register.RefusalNotReady:
-				return merry.Errorf("node %s doesn't hold epoch %d yet", member.Node, current.Epoch)
-			case slices.Contains(proposed.Members, member):
-				return merry.Prependf(failure(reply, err), "node %s", member.Node)
-			}
-			return nil
-		})
-	}
-	for _, member := range proposed.Members {
-		if slices.Contains(current.Members, member) {
-			continue
-		}
-		group.Go(func() error {
-			reply, err := d.members.Install(ctx, member, request)
-			return merry.Prependf(failure(reply, err), "node %s", member.Node)
-		})
-	}
-	return group.Wait()
-}
-
 // errUndecided is returned by a decision register that is only read.
 var errUndecided = merry.Sentinel("shard: no successor is decided")
 
@@ -202,8 +166,9 @@
 }
 
 // installAndOpen has every member of the successor copy the shard, opens it once
-// a majority has and goes on to open the others as they come.
-func (d *Driver) installAndOpen(ctx context.Context, current, successor register.View) error {
+// a majority has and goes on to open the others as they come. Sealing is when this
+// driver began to end the epoch before.
+func (d *Driver) installAndOpen(ctx context.Context, current, successor register.View, sealing time.Time) error {
 	request := InstallRequest{Previous: current, Successor: successor}
 	installed := make(chan installation, len(successor.Members))
 	for _, member := range successor.Members {
@@ -214,6 +179,7 @@
 	}
 	var ready []register.Member
 	var last error
+	var openedAfter time.Duration
 	isOpen := false
 	for range successor.Members {
 		result := <-installed
@@ -227,6 +193,9 @@
 		}
 		ready = append(ready, result.member)
 		if len(ready) >= successor.Quorum() {
+			if !isOpen {
+				openedAfter = time.Since(sealing)
+			}
 			isOpen = true
 			d.views.Learn(successor)
 			d.open(ctx, successor, ready)
@@ -237,7 +206,8 @@
 			len(ready), len(successor.Members), last))
 	}
 	d.logger.Info("shard opened", zap.Uint32("shard", successor.Shard), zap.Uint64("epoch", successor.Epoch),
-		zap.Int("installed", len(ready)), zap.Int("members", len(successor.Members)))
+		zap.Int("installed", len(ready)), zap.Int("members", len(successor.Members)),
+		zap.Duration("opened_after", openedAfter), zap.Duration("took", time.Since(sealing)))
 	return nil
 }
 
--- a/coordination/shard/installer.go
+++ b/coordination/shard/installer.go
@@ -68,16 +68,17 @@
 	return i.report(request, i.replica.finishInstall(request.Successor))
 }
 
-// copyAhead copies turns, or tells whether the replica holds the previous epoch
-// already.
+// copyAhead copies turns. A member of the previous view that isn't asked to do so
+// tells whether it holds that epoch.
 func (i *Installer) copyAhead(ctx context.Context, request InstallRequest) archive.Reply {
-	if !i.replica.isMember(request.Previous) {
-		return i.report(request, i.copyShard(ctx, request))
-	}
-	if !i.replica.holds(request.Previous) {
+	isMember := i.replica.isMember(request.Previous)
+	if isMember && !i.replica.holds(request.Previous) {
 		return archive.Reply{Refusal: register.RefusalNotReady}
 	}
-	return archive.Reply{}
+	if isMember && !request.Fill {
+		return archive.Reply{}
+	}
+	return i.report(request, i.copyShard(ctx, request))
 }
 
 func (i *Installer) report(request InstallRequest, err error) archive.Reply {
--- a/coordination/shard/message.go
+++ b/coordination/shard/message.go
@@ -53,6 +53,9 @@
 	Successor register.View
 	// TurnsOnly copies turns ahead, before the previous epoch is sealed.
 	TurnsOnly bool
+	// Fill has a member of the previous view copy the turns ahead that it lacks;
+	// without it, such a member only says whether it holds the previous epoch.
+	Fill bool
 }
 
 // OpenRequest lets an installed member serve the view's epoch.
--- a/transport/peer/reconfigure.go
+++ b/transport/peer/reconfigure.go
@@ -42,6 +42,7 @@
 		Previous:  ViewToWire(&request.Previous),
 		Successor: ViewToWire(&request.Successor),
 		TurnsOnly: request.TurnsOnly,
+		Fill:      request.Fill,
 	}))
 	if err != nil {
 		return archive.Reply{}, err
@@ -193,6 +194,7 @@
 		Previous:  *previous,
 		Successor: *successor,
 		TurnsOnly: request.Msg.GetTurnsOnly(),
+		Fill:      request.Msg.GetFill(),
 	})
 	return connect.NewResponse(&peerv1.InstallResponse{
 		Refusal: peerv1.Refusal(answer.Refusal),
