Copy one shard ahead at a time, so that copies yield to turns

Ruled out: that processors are full then (0.9 of 1.5 cores). Change: an installer copies ahead one shard after the other. Tests: TestOneShardIsCopiedAheadAtATime.

--- a/coordination/shard/ahead_test.go
+++ b/coordination/shard/ahead_test.go
@@ -89,3 +89,45 @@
 	assert.Equal(t, countTurns(renewed), turns)
 	assert.Assert(t, !watched.installed[forgetful.Incarnation])
 }
+
+// gatedSource lists nothing, and waits until it is let go.
+type gatedSource struct {
+	began chan uint32
+	free  chan struct{}
+}
+
+func (s gatedSource) Pull(_ context.Context, _ register.Member, request shard.PullRequest, _ func(shard.PullItem) error) (archive.Reply, error) {
+	s.began <- request.Fence.Shard
+	<-s.free
+	return archive.Reply{}, nil
+}
+
+// TestOneShardIsCopiedAheadAtATime: copies yield to the turns that are served.
+func TestOneShardIsCopiedAheadAtATime(t *testing.T) {
+	const shards = 4
+	views := shard.NewMap(shards)
+	local := shard.NewReplica("new", replica.NewMemory(), views, func() uint64 { return 0 })
+	source := gatedSource{began: make(chan uint32, 3*shards), free: make(chan struct{})}
+	installer := shard.NewInstaller(local, source, zap.NewNop())
+	member := func(name string) register.Member { return register.Member{Node: name, Incarnation: name} }
+	var installs sync.WaitGroup
+	for number := range uint32(shards) {
+		previous := register.View{Shard: number, Epoch: 1, Members: []register.Member{member("a"), member("b"), member("c")}}
+		successor := register.View{Shard: number, Epoch: 2, Members: []register.Member{member("a"), member("b"), member("new")}}
+		installs.Go(func() {
+			reply := installer.Install(t.Context(), shard.InstallRequest{Previous: previous, Successor: successor, TurnsOnly: true})
+			assert.Check(t, reply.Refusal == register.RefusalNone)
+		})
+	}
+	copied := make(map[uint32]bool)
+	for range shards {
+		first, second := <-source.began, <-source.began
+		assert.Equal(t, first, second, "two members are listed for one shard")
+		assert.Assert(t, !copied[first])
+		copied[first] = true
+		assert.Equal(t, len(source.began), 0, "another shard is copied meanwhile")
+		source.free <- struct{}{}
+		source.free <- struct{}{}
+	}
+	installs.Wait()
+}
--- a/coordination/shard/installer.go
+++ b/coordination/shard/installer.go
@@ -27,11 +27,14 @@
 	replica *Replica
 	source  Source
 	logger  *zap.Logger
+	// ahead lets one shard be copied ahead at a time: turns that are served
+	// meanwhile need the processor, the disk and the link too.
+	ahead chan struct{}
 }
 
 // NewInstaller makes the installer of the replica.
 func NewInstaller(local *Replica, source Source, logger *zap.Logger) *Installer {
-	return &Installer{replica: local, source: source, logger: logger}
+	return &Installer{replica: local, source: source, logger: logger, ahead: make(chan struct{}, 1)}
 }
 
 // Install copies the shard from a majority of the previous view's members and
@@ -78,6 +81,12 @@
 	if isMember && !request.Fill {
 		return archive.Reply{}
 	}
+	select {
+	case i.ahead <- struct{}{}:
+		defer func() { <-i.ahead }()
+	case <-ctx.Done():
+		return archive.Reply{Refusal: register.RefusalNotReady}
+	}
 	return i.report(request, i.copyShard(ctx, request))
 }
 
