Name what a round sends, and split the wiring of a storage node

The type of a request under way to members is called multicast, which it is; its budget of hedges gets its clock from whoever makes it. node/storage/storage.go held the wiring of budgets and of the mirror as well. Metrics of the calls of a stream are named as connect names procedures.

--- a/coordination/register/exchange.go
+++ b/coordination/register/multicast.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 )
 
-// exchange is one request under way to members of a round, in the order in which
+// multicast is one request under way to members of a round, in the order in which
 // they are asked. It is used by one goroutine.
-type exchange struct {
+type multicast struct {
 	round   *round
 	request Request
 	ctx     context.Context
@@ -31,115 +30,116 @@
 	open atomic.Int32
 }
 
-// begun sends the request to as many members as it takes.
-func (r *round) begun(request Request) *exchange {
+// multicast sends the request to as many members as it takes.
+func (r *round) multicast(request Request) *multicast {
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &exchange{
+	m := &multicast{
 		round: r, request: request, ctx: ctx, cancel: cancel, order: r.client.order(r.view, r.id.key),
 		answers: make(chan answer, len(r.view.Members)), expired: make(chan struct{}),
 	}
-	e.open.Store(1)
-	e.stop = r.client.clock.AfterFunc(r.client.settings.RequestTimeout, func() {
-		close(e.expired)
+	m.open.Store(1)
+	m.stop = r.client.clock.AfterFunc(r.client.settings.RequestTimeout, func() {
+		close(m.expired)
 		cancel()
 	})
 	thrift := r.client.settings.Thrift
 	if thrift == nil || r.isFresh {
-		e.ask(len(e.order))
-		return e
+		m.ask(len(m.order))
+		return m
 	}
-	thrift.Hedges.Attempted(hedged, time.Now())
-	e.hedge = make(chan struct{}, 1)
-	e.ask(r.view.Quorum())
-	e.awaitHedge()
-	return e
+	thrift.Hedges.Attempted(hedged, thrift.Now())
+	m.hedge = make(chan struct{}, 1)
+	m.ask(r.view.Quorum())
+	m.awaitHedge()
+	return m
 }
 
 // ask sends the request to so many members more.
-func (e *exchange) ask(count int) {
-	for ; e.asked < len(e.order) && count > 0; count-- {
-		member := e.order[e.asked]
-		e.asked++
-		e.pending.add(member)
-		e.open.Add(1)
+func (m *multicast) ask(count int) {
+	for ; m.asked < len(m.order) && count > 0; count-- {
+		member := m.order[m.asked]
+		m.asked++
+		m.pending.add(member)
+		m.open.Add(1)
 		go func() {
-			e.answers <- e.round.send(e.ctx, member, e.request)
-			e.release()
+			m.answers <- m.round.send(m.ctx, member, m.request)
+			m.release()
 		}()
 	}
 }
 
 // awaitHedge has the exchange told once the members that were asked are late.
-func (e *exchange) awaitHedge() {
-	if e.asked == len(e.order) {
+func (m *multicast) awaitHedge() {
+	if m.asked == len(m.order) {
 		return
 	}
-	e.stopHedge = e.round.client.clock.AfterFunc(e.round.client.settings.Thrift.Delay, func() {
+	m.stopHedge = m.round.client.clock.AfterFunc(m.round.client.settings.Thrift.Delay, func() {
 		select {
-		case e.hedge <- struct{}{}:
+		case m.hedge <- struct{}{}:
 		default:
 		}
 	})
 }
 
 // askAnother asks one member more, where the budget of hedges allows it.
-func (e *exchange) askAnother() {
-	if !e.round.client.settings.Thrift.Hedges.Retry(hedged, time.Now()) {
+func (m *multicast) askAnother() {
+	thrift := m.round.client.settings.Thrift
+	if !thrift.Hedges.Retry(hedged, thrift.Now()) {
 		return
 	}
-	e.late |= e.pending
-	e.ask(1)
-	e.awaitHedge()
+	m.late |= m.pending
+	m.ask(1)
+	m.awaitHedge()
 }
 
 // take notes that the member has answered. Members that are late by then, and
 // were asked before it, are asked last for a while.
-func (e *exchange) take(received answer) {
-	e.pending.remove(received.member)
-	e.late.remove(received.member)
-	thrift := e.round.client.settings.Thrift
+func (m *multicast) take(received answer) {
+	m.pending.remove(received.member)
+	m.late.remove(received.member)
+	thrift := m.round.client.settings.Thrift
 	if thrift == nil {
 		return
 	}
 	if received.err != nil {
-		thrift.Reach.Failed(e.address(received.member))
+		thrift.Reach.Failed(m.address(received.member))
 		return
 	}
-	thrift.Reach.Heard(e.address(received.member))
-	e.avoid(e.late)
-	e.late = 0
+	thrift.Reach.Heard(m.address(received.member))
+	m.avoid(m.late)
+	m.late = 0
 }
 
 // passOver has the members asked last for a while that didn't answer in time.
-func (e *exchange) passOver() {
-	if e.round.client.settings.Thrift != nil {
-		e.avoid(e.pending)
+func (m *multicast) passOver() {
+	if m.round.client.settings.Thrift != nil {
+		m.avoid(m.pending)
 	}
 }
 
-func (e *exchange) avoid(members memberSet) {
-	for member := range e.round.view.Members {
+func (m *multicast) avoid(members memberSet) {
+	for member := range m.round.view.Members {
 		if members.has(member) {
-			e.round.client.settings.Thrift.Reach.Failed(e.address(member))
+			m.round.client.settings.Thrift.Reach.Failed(m.address(member))
 		}
 	}
 }
 
-func (e *exchange) address(member int) string { return e.round.view.Members[member].Address }
+func (m *multicast) address(member int) string { return m.round.view.Members[member].Address }
 
-// finish ends the round's wait. What is under way goes on.
-func (e *exchange) finish() {
-	if e.stopHedge != nil {
-		e.stopHedge()
+// finish ends the round's wait for answers. What is under way goes on.
+func (m *multicast) finish() {
+	if m.stopHedge != nil {
+		m.stopHedge()
 	}
-	e.release()
+	m.release()
 }
 
-// release ends the exchange once nothing of it is under way.
-func (e *exchange) release() {
-	if e.open.Add(-1) == 0 {
-		e.stop()
-		e.cancel()
+// release frees the timer and the context once nothing is under way any more.
+func (m *multicast) release() {
+	if m.open.Add(-1) == 0 {
+		m.stop()
+		m.cancel()
 	}
 }
 
--- a/coordination/register/round.go
+++ b/coordination/register/round.go
@@ -94,7 +94,7 @@
 // proposer until it knows how to go on. Requests to members that are slower than
 // the majority run on without anyone waiting, so that those replicas keep up.
 func (r *round) exchange(request Request) (Request, Status) {
-	sent := r.begun(request)
+	sent := r.multicast(request)
 	defer sent.finish()
 	expired := sent.expired
 	if r.isFresh {
--- a/coordination/register/thrift.go
+++ b/coordination/register/thrift.go
@@ -30,6 +30,7 @@
 	// Hedges bounds the requests beyond a majority to members that are late only.
 	// Members that are late together are overloaded.
 	Hedges *limit.RetryBudget
+	Now    func() time.Time
 }
 
 // HedgePolicy lets hedges add a tenth to the requests, and some where there are
--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -234,12 +234,6 @@
 	}
 }
 
-// result is what one member answered.
-type result struct {
-	suffices bool
-	err      error
-}
-
 // preferred puts the members of this node's zone first, and those that failed
 // lately last.
 func (s *Store) preferred(members []register.Member) []register.Member {
--- /dev/null
+++ b/node/storage/budgets.go
@@ -0,0 +1,38 @@
+package storage
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/reach"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/tokenbudget"
+	"github.com/marblering/marblering/transport/peer"
+)
+
+const (
+	// registerTimeout bounds one request of a register's round.
+	registerTimeout = 400 * time.Millisecond
+	// hedgeDelay is how long the members of a register's round may take before
+	// another is asked: below what makes a turn late, and some times what a member
+	// takes that has room.
+	hedgeDelay = 80 * time.Millisecond
+)
+
+// buildBudgets makes this node a host of the budgets of programs. Each life is
+// another holder and proposer.
+func (n *Node) buildBudgets() {
+	life := n.self.Node + "/" + uuid.NewString()
+	bounds := register.DefaultSettings()
+	bounds.RequestTimeout = registerTimeout
+	bounds.Thrift = &register.Thrift{
+		Local: n.self.Incarnation, Delay: hedgeDelay, Reach: reach.New(time.Now),
+		Hedges: limit.NewRetryBudget(register.HedgePolicy(), time.Now()), Now: time.Now,
+	}
+	transport := peer.NewLocalTransport(n.self.Incarnation, n.replica, n.peers)
+	registers := register.NewClient(life, transport, n.lookup, register.SystemClock{}, newRandom(), bounds)
+	n.ledger = tokenbudget.New(life, registers, n.views.Locate, tokenbudget.DefaultSettings(), time.Now, n.logger)
+	n.budgets = tokenbudget.NewHost(n.ledger, time.Now)
+}
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -9,7 +9,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"runtime/debug"
 	"time"
 
@@ -22,10 +21,8 @@
 	"github.com/marblering/marblering/coordination/directory"
 	"github.com/marblering/marblering/coordination/expiry"
 	"github.com/marblering/marblering/coordination/follow"
-	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/membership"
 	"github.com/marblering/marblering/coordination/mirror"
-	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/repair"
 	"github.com/marblering/marblering/coordination/retirement"
@@ -59,12 +56,6 @@
 	// memoryPart of the limit is where the garbage collector works harder.
 	memoryPart  = 0.8
 	peerTimeout = 2 * time.Second
-	// registerTimeout bounds one request of a register's round.
-	registerTimeout = 400 * time.Millisecond
-	// hedgeDelay is how long the members of a register's round may take before
-	// another is asked: below what makes a turn late, and some times what a member
-	// takes that has room.
-	hedgeDelay = 80 * time.Millisecond
 	// flushTimeout bounds the return of reserves at a planned stop.
 	flushTimeout = time.Second
 	// failureInterval is the pause between two looks at the store, restartPause
@@ -75,14 +66,6 @@
 	collectInterval = 20 * time.Second
 	// watchWait is how long the store may hold a call about what changes seldom.
 	watchWait = 10 * time.Second
-	// mirrorSlack is how much longer than its wait the store may take to answer a
-	// held call about what is mirrored. After that, mirrorRest of the time in which
-	// a configuration must be in force is left for gateways to list themselves.
-	mirrorSlack = 400 * time.Millisecond
-	mirrorRest  = 300 * time.Millisecond
-	// upstreamWait is how long another storage node may hold a call of this one. It
-	// adds to the age of what gateways are told, which the apply limit bounds.
-	upstreamWait = mirrorRest
 	// repairInterval is the pause between two rounds of repair.
 	repairInterval = 400 * time.Millisecond
 	// goneAfter and replacedAfter are how long a member may be gone before its
@@ -314,22 +297,6 @@
 	})
 }
 
-// buildBudgets makes this node a host of the budgets of programs. Each life is
-// another holder and proposer.
-func (n *Node) buildBudgets() {
-	life := n.self.Node + "/" + uuid.NewString()
-	bounds := register.DefaultSettings()
-	bounds.RequestTimeout = registerTimeout
-	bounds.Thrift = &register.Thrift{
-		Local: n.self.Incarnation, Delay: hedgeDelay, Reach: reach.New(time.Now),
-		Hedges: limit.NewRetryBudget(register.HedgePolicy(), time.Now()),
-	}
-	transport := peer.NewLocalTransport(n.self.Incarnation, n.replica, n.peers)
-	registers := register.NewClient(life, transport, n.lookup, register.SystemClock{}, newRandom(), bounds)
-	n.ledger = tokenbudget.New(life, registers, n.views.Locate, tokenbudget.DefaultSettings(), time.Now, n.logger)
-	n.budgets = tokenbudget.NewHost(n.ledger, time.Now)
-}
-
 // heldSets implements retirement.Sets.
 type heldSets struct {
 	views     *shard.Map
@@ -352,43 +319,6 @@
 	})
 }
 
-// mirrorBounds are those of following what gateways follow through this node.
-// The way of this node alone to the store may fail silently, while gateways have
-// theirs and are bound by the limit: all of it has to be noticed within the limit.
-func mirrorBounds(applyLimit time.Duration) follow.Settings {
-	bounds := follow.DefaultSettings()
-	bounds.WatchSlack = min(mirrorSlack, applyLimit/4)
-	bounds.WatchWait = applyLimit - bounds.WatchSlack - min(mirrorRest, applyLimit/4)
-	return bounds
-}
-
-// mirroring follows what gateways follow through this node. Only one storage node
-// of a zone asks the store; the others follow it through that one.
-func (n *Node) mirroring(kind string, direct follow.Source) *follow.Follower {
-	through := mirror.SourceSettings{Wait: upstreamWait, MaxAge: n.settings.ApplyLimit}
-	follower := follow.New(follow.Options{
-		Name: kind, Settings: mirrorBounds(n.settings.ApplyLimit), Logger: n.logger, Now: time.Now,
-		Source: mirror.NewSource(kind, direct, n.upstreams, n.peers, through, n.logger),
-		Apply:  func(snapshot follow.Snapshot) { n.mirror.Keep(kind, snapshot) },
-		Lost:   func() { n.mirror.Lost(kind) },
-	})
-	n.mirror.Through(kind, follower)
-	return follower
-}
-
-// listUpstreams lists the storage nodes that this one follows the store through.
-func (n *Node) listUpstreams() []netip.AddrPort {
-	return mirror.Upstreams(n.self, shard.MembersOf(n.views.Views()))
-}
-
-// setsFollower follows the published sets, which gateways follow through this
-// node as well.
-func (n *Node) setsFollower() *follow.Follower {
-	follower := n.follower(mirror.KindSets, n.parts.Sets, n.applySets)
-	n.mirror.Through(mirror.KindSets, follower)
-	return follower
-}
-
 func (n *Node) applyNodes(snapshot follow.Snapshot) {
 	nodes, _ := directory.DecodeNodes(snapshot)
 	addresses := n.knownAddresses()
--- a/transport/peer/metrics.go
+++ b/transport/peer/metrics.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/marblering/marblering/api/peer/v1"
+	"github.com/marblering/marblering/api/peer/v1/peerv1connect"
 )
 
 // Metrics counts what one node sends to and receives from its peers. Bytes are
@@ -19,8 +20,8 @@
 	sent     *prometheus.CounterVec
 	received *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
-	// procedures holds *procedureMetrics by procedureKey.
-	procedures sync.Map
+	// kinds holds *procedureMetrics by kindKey.
+	kinds sync.Map
 }
 
 // NewMetrics registers the metrics of the internal protocol.
@@ -76,7 +77,7 @@
 
 // called counts one call of a stream.
 func (m *Metrics) called(side string, call *peerv1.Call, answer *peerv1.Answer, took time.Duration) {
-	counted := m.procedure(side, procedureOf(call))
+	counted := m.ofKind(side, kindOf(call))
 	counted.requests.Inc()
 	counted.seconds.Observe(took.Seconds())
 	outgoing, incoming := proto.Size(call), proto.Size(answer)
@@ -87,8 +88,8 @@
 	counted.received.Add(float64(incoming))
 }
 
-// procedureOf names the kind of call.
-func procedureOf(call *peerv1.Call) string {
+// kindOf names the kind of call.
+func kindOf(call *peerv1.Call) string {
 	switch call.GetRequest().(type) {
 	case *peerv1.Call_Prepare:
 		return "Prepare"
@@ -99,9 +100,9 @@
 	case *peerv1.Call_ReadMany:
 		return "ReadMany"
 	case *peerv1.Call_ReserveTokens:
-		return "Reserve"
+		return "ReserveTokens"
 	case *peerv1.Call_EndTurns:
-		return "End"
+		return "EndTurns"
 	}
 	return "unknown"
 }
@@ -113,18 +114,20 @@
 	seconds                  prometheus.Observer
 }
 
-type procedureKey struct{ side, procedure string }
+// kindKey names the metrics of one kind of call at one side.
+type kindKey struct{ side, kind string }
 
-func (m *Metrics) procedure(side, procedure string) *procedureMetrics {
-	key := procedureKey{side, procedure}
-	if known, found := m.procedures.Load(key); found {
+func (m *Metrics) ofKind(side, kind string) *procedureMetrics {
+	key := kindKey{side, kind}
+	if known, found := m.kinds.Load(key); found {
 		return known.(*procedureMetrics)
 	}
+	procedure := "/" + peerv1connect.CallServiceName + "/" + kind
 	made := &procedureMetrics{
 		requests: m.requests.WithLabelValues(side, procedure), seconds: m.seconds.WithLabelValues(side, procedure),
 		sent: m.sent.WithLabelValues(side, procedure), received: m.received.WithLabelValues(side, procedure),
 	}
-	m.procedures.Store(key, made)
+	m.kinds.Store(key, made)
 	return made
 }
 
