--- a/coordination/limit/retry.go
+++ b/coordination/limit/retry.go
@@ -24,6 +24,13 @@
 	return RetryPolicy{Ratio: 0.1, MinPerSecond: 0.5, Burst: 20}
 }
 
+// HedgePolicy lets requests to further members, where others are late, add a tenth
+// to the load, and some where there is little: members that are late together are
+// overloaded, and asking more of them would make that worse.
+func HedgePolicy() RetryPolicy {
+	return RetryPolicy{Ratio: 0.1, MinPerSecond: 4, Burst: 20, Saved: 8}
+}
+
 // RetryBudget bounds the retries of a node, and of each of its tenants to half
 // of the node's, so that a failure can't multiply the load. It is the token
 // bucket of Finagle's RetryBudget, as also described in "Site Reliability
--- a/coordination/register/thrift.go
+++ b/coordination/register/thrift.go
@@ -33,12 +33,6 @@
 	Now    func() time.Time
 }
 
-// HedgePolicy lets hedges add a tenth to the requests, and some where there are
-// few.
-func HedgePolicy() limit.RetryPolicy {
-	return limit.RetryPolicy{Ratio: 0.1, MinPerSecond: 4, Burst: 20, Saved: 8}
-}
-
 // Rank orders the members for a key by rendezvous hashing; the highest goes
 // first. All nodes agree on it, so that whoever works on a key meets the members
 // that hold it.
--- a/coordination/register/thrift_test.go
+++ b/coordination/register/thrift_test.go
@@ -63,7 +63,7 @@
 	settings := register.DefaultSettings()
 	settings.BackoffBase = time.Microsecond
 	settings.Thrift = &register.Thrift{
-		Delay: delay, Reach: reach.New(time.Now), Hedges: limit.NewRetryBudget(register.HedgePolicy(), time.Now()), Now: time.Now,
+		Delay: delay, Reach: reach.New(time.Now), Hedges: limit.NewRetryBudget(limit.HedgePolicy(), time.Now()), Now: time.Now,
 	}
 	return register.NewClient(incarnation, transport, views, register.SystemClock{}, rand.New(rand.NewPCG(1, 1)), settings)
 }
--- a/coordination/turnstore/round.go
+++ b/coordination/turnstore/round.go
@@ -8,7 +8,6 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/marblering/marblering/coordination/archive"
-	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/register"
 )
 
@@ -20,12 +19,6 @@
 	hedged = "turns"
 )
 
-// hedgePolicy lets hedges add a tenth to the load, and some where there is
-// little: members that are late together are overloaded.
-func hedgePolicy() limit.RetryPolicy {
-	return limit.RetryPolicy{Ratio: 0.1, MinPerSecond: 4, Burst: 20, Saved: 8}
-}
-
 // answer is what one member answered.
 type answer struct {
 	member   int
--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -74,7 +74,7 @@
 		return nil, err
 	}
 	return &Store{zone: zone, replicas: replicas, views: views, reach: tracker, codec: codec, cache: newCache(cacheBytes),
-		hedges: limit.NewRetryBudget(hedgePolicy(), time.Now())}, nil
+		hedges: limit.NewRetryBudget(limit.HedgePolicy(), time.Now())}, nil
 }
 
 // Put stores a turn of the program on a quorum, trying until the context ends.
--- a/node/storage/budgets.go
+++ b/node/storage/budgets.go
@@ -29,7 +29,7 @@
 	bounds.RequestTimeout = registerTimeout
 	bounds.Thrift = &register.Thrift{
 		Local: n.self.Incarnation, Delay: hedgeDelay, Reach: reach.New(time.Now),
-		Hedges: limit.NewRetryBudget(register.HedgePolicy(), time.Now()), Now: time.Now,
+		Hedges: limit.NewRetryBudget(limit.HedgePolicy(), time.Now()), Now: time.Now,
 	}
 	transport := peer.NewLocalTransport(n.self.Incarnation, n.replica, n.peers)
 	registers := register.NewClient(life, transport, n.lookup, register.SystemClock{}, newRandom(), bounds)
