Bound what a link gathers, and forget only peers without calls under way

Cause: found in reading. Change: a message gathers up to 256 KiB; peers without calls under way are forgotten.

--- a/transport/peer/call.go
+++ b/transport/peer/call.go
@@ -24,7 +24,7 @@
 	if deadline, bounded := ctx.Deadline(); bounded {
 		call.TimeoutMs = max(deadline.Sub(began).Milliseconds(), 1)
 	}
-	answer, err := c.stubs(address).link().call(ctx, call)
+	answer, err := c.link(address).call(ctx, call)
 	c.metrics.called(sideClient, call, answer, time.Since(began))
 	if err != nil {
 		return nil, err
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -6,11 +6,17 @@
 
 	"connectrpc.com/connect"
 	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/marblering/marblering/api/peer/v1"
 	"github.com/marblering/marblering/api/peer/v1/peerv1connect"
 )
 
+// gatheredBytes is where calls or answers that wait are no longer gathered into one
+// message: what goes out together would hold up what follows, and a message has a
+// largest size (maxMessageBytes).
+const gatheredBytes = 256 << 10
+
 // errLinkLost means that nothing is known of the effect of the calls that were
 // under way.
 var errLinkLost = merry.Sentinel("the connection to the peer was lost")
@@ -130,8 +136,16 @@
 	if len(l.queued) == 0 && len(l.abandoned) == 0 {
 		return nil
 	}
-	message := &peerv1.Calls{Calls: l.queued, Abandoned: l.abandoned}
-	l.queued, l.abandoned = nil, nil
+	size, count := 0, 0
+	for count < len(l.queued) && size < gatheredBytes {
+		size += proto.Size(l.queued[count])
+		count++
+	}
+	message := &peerv1.Calls{Calls: l.queued[:count:count], Abandoned: l.abandoned}
+	l.queued, l.abandoned = l.queued[count:], nil
+	if len(l.queued) > 0 {
+		l.wakeUp()
+	}
 	return message
 }
 
@@ -171,6 +185,13 @@
 	close(l.done)
 }
 
+// isInUse tells that calls wait for answers.
+func (l *link) isInUse() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.waiting) > 0
+}
+
 // isLost tells that the link can't be used any more.
 func (l *link) isLost() bool {
 	select {
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -12,8 +12,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"github.com/marblering/marblering/coordination/archive"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/tokenbudget"
+	"github.com/marblering/marblering/state/replica"
 	"github.com/marblering/marblering/test/harness"
 	"github.com/marblering/marblering/transport/peer"
 )
@@ -45,10 +47,10 @@
 func (h *countingHost) End(ended []tokenbudget.Ended)                        { h.ended.Add(int64(len(ended))) }
 
 // servePeer serves the replica and the host to peers.
-func servePeer(t *testing.T, replica peer.Replica, host peer.BudgetHost) *httptest.Server {
+func servePeer(t *testing.T, served peer.Replica, host peer.BudgetHost) *httptest.Server {
 	t.Helper()
 	server := httptest.NewUnstartedServer(nil)
-	server.Config = peer.NewHTTPServer(peer.NewStorageHandler(replica, nil, nil, host, nil, peer.NewMetrics(prometheus.NewRegistry())))
+	server.Config = peer.NewHTTPServer(peer.NewStorageHandler(served, nil, nil, host, nil, peer.NewMetrics(prometheus.NewRegistry())))
 	server.Start()
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -75,8 +77,8 @@
 
 // TestCallsShareALink: each caller gets its own answer, also while others wait.
 func TestCallsShareALink(t *testing.T) {
-	replica, host := &echoReplica{}, &countingHost{}
-	server := servePeer(t, replica, host)
+	echo, host := &echoReplica{}, &countingHost{}
+	server := servePeer(t, echo, host)
 	client := newPeerClient(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	var held sync.WaitGroup
@@ -101,10 +103,40 @@
 	held.Wait()
 }
 
+// turnReplica keeps the sizes of turns.
+type turnReplica struct {
+	peer.Replica
+	bytes atomic.Int64
+}
+
+func (r *turnReplica) PutTurn(_ context.Context, _ register.Fence, turn replica.Turn) archive.Reply {
+	r.bytes.Add(int64(len(turn.Object)))
+	return archive.Reply{}
+}
+
+// TestLargeCallsShareALink: what waits isn't gathered beyond what a message may
+// have.
+func TestLargeCallsShareALink(t *testing.T) {
+	const turns, size = 60, 1 << 20
+	kept := &turnReplica{}
+	server := servePeer(t, kept, &countingHost{})
+	client := newPeerClient(t)
+	var calls sync.WaitGroup
+	for i := range turns {
+		calls.Go(func() {
+			turn := replica.Turn{Program: fmt.Sprint(i), Sequence: 1, Object: make([]byte, size)}
+			_, err := client.PutTurn(t.Context(), memberAt(server), register.Fence{}, turn)
+			assert.Check(t, err)
+		})
+	}
+	calls.Wait()
+	assert.Equal(t, kept.bytes.Load(), int64(turns*size))
+}
+
 // TestAbandonedCallEndsAtThePeer, by its caller's word or by its time.
 func TestAbandonedCallEndsAtThePeer(t *testing.T) {
-	replica := &echoReplica{}
-	server := servePeer(t, replica, &countingHost{})
+	echo := &echoReplica{}
+	server := servePeer(t, echo, &countingHost{})
 	client := newPeerClient(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	var calls sync.WaitGroup
@@ -112,21 +144,21 @@
 		_, err := prepare(ctx, client, memberAt(server), heldKey)
 		assert.Check(t, err != nil)
 	})
-	harness.Eventually(t, func() (bool, string) { return replica.holding.Load() == 1, "the call isn't served" })
+	harness.Eventually(t, func() (bool, string) { return echo.holding.Load() == 1, "the call isn't served" })
 	cancel()
-	harness.Eventually(t, func() (bool, string) { return replica.ended.Load() == 1, "the call goes on without its caller" })
+	harness.Eventually(t, func() (bool, string) { return echo.ended.Load() == 1, "the call goes on without its caller" })
 	timed, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer stop()
 	// The peer may notice the time first, and its answer still come through.
 	_, _ = prepare(timed, client, memberAt(server), heldKey)
-	harness.Eventually(t, func() (bool, string) { return replica.ended.Load() == 2, "the call goes on past its time" })
+	harness.Eventually(t, func() (bool, string) { return echo.ended.Load() == 2, "the call goes on past its time" })
 	calls.Wait()
 }
 
 // TestLostLinkFailsItsCalls, and the next call opens another.
 func TestLostLinkFailsItsCalls(t *testing.T) {
-	replica := &echoReplica{}
-	server := servePeer(t, replica, &countingHost{})
+	echo := &echoReplica{}
+	server := servePeer(t, echo, &countingHost{})
 	client := newPeerClient(t)
 	for range 3 {
 		var calls sync.WaitGroup
@@ -136,14 +168,14 @@
 				assert.Check(t, err != nil)
 			})
 		}
-		harness.Eventually(t, func() (bool, string) { return replica.holding.Load() == 10, "the calls aren't served" })
+		harness.Eventually(t, func() (bool, string) { return echo.holding.Load() == 10, "the calls aren't served" })
 		server.CloseClientConnections()
 		calls.Wait()
 		harness.Eventually(t, func() (bool, string) {
 			value, err := prepare(t.Context(), client, memberAt(server), "again")
 			return err == nil && value == "again", fmt.Sprint("no call gets through: ", err)
 		})
-		harness.Eventually(t, func() (bool, string) { return replica.holding.Load() == 0, "calls of a lost link go on" })
+		harness.Eventually(t, func() (bool, string) { return echo.holding.Load() == 0, "calls of a lost link go on" })
 	}
 }
 
@@ -159,8 +191,8 @@
 // TestSilentPeerGathersNoCalls: beyond a bound they fail at once.
 func TestSilentPeerGathersNoCalls(t *testing.T) {
 	const asked, bound = 300, 128
-	replica := &echoReplica{}
-	server := servePeer(t, replica, &countingHost{})
+	echo := &echoReplica{}
+	server := servePeer(t, echo, &countingHost{})
 	client := newPeerClient(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	var refused atomic.Int64
@@ -175,24 +207,50 @@
 		})
 	}
 	harness.Eventually(t, func() (bool, string) {
-		return refused.Load() == asked-bound && replica.holding.Load() == bound, fmt.Sprint(refused.Load(), " refused")
+		return refused.Load() == asked-bound && echo.holding.Load() == bound, fmt.Sprint(refused.Load(), " refused")
+	})
+	cancel()
+	calls.Wait()
+}
+
+// TestManyAddressesAreForgotten, and a call that is under way meanwhile isn't.
+func TestManyAddressesAreForgotten(t *testing.T) {
+	echo := &echoReplica{}
+	server := servePeer(t, echo, &countingHost{})
+	client := newPeerClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		_, err := prepare(ctx, client, memberAt(server), heldKey)
+		assert.Check(t, ctx.Err() != nil, "the call ended early: %v", err)
 	})
+	harness.Eventually(t, func() (bool, string) { return echo.holding.Load() == 1, "the call isn't served" })
+	ended, end := context.WithCancel(t.Context())
+	end()
+	for i := range 3000 {
+		_, err := prepare(ended, client, register.Member{Address: fmt.Sprintf("127.0.0.1:%d", 1+i)}, "key")
+		assert.Assert(t, err != nil)
+	}
+	value, err := prepare(t.Context(), client, memberAt(server), "again")
+	assert.NilError(t, err)
+	assert.Equal(t, value, "again")
+	assert.Equal(t, echo.holding.Load(), int64(1))
 	cancel()
 	calls.Wait()
 }
 
 // TestClosedClientEndsItsCalls, at the peer as well.
 func TestClosedClientEndsItsCalls(t *testing.T) {
-	replica := &echoReplica{}
-	server := servePeer(t, replica, &countingHost{})
+	echo := &echoReplica{}
+	server := servePeer(t, echo, &countingHost{})
 	client := newPeerClient(t)
 	var calls sync.WaitGroup
 	calls.Go(func() {
 		_, err := prepare(t.Context(), client, memberAt(server), heldKey)
 		assert.Check(t, err != nil)
 	})
-	harness.Eventually(t, func() (bool, string) { return replica.holding.Load() == 1, "the call isn't served" })
+	harness.Eventually(t, func() (bool, string) { return echo.holding.Load() == 1, "the call isn't served" })
 	client.Close()
 	calls.Wait()
-	harness.Eventually(t, func() (bool, string) { return replica.ended.Load() == 1, "the call goes on" })
+	harness.Eventually(t, func() (bool, string) { return echo.ended.Load() == 1, "the call goes on" })
 }
--- a/transport/peer/session.go
+++ b/transport/peer/session.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/marblering/marblering/api/peer/v1"
 	"github.com/marblering/marblering/api/peer/v1/peerv1connect"
@@ -129,15 +130,17 @@
 func (s *session) gather(first *peerv1.Answer) []*peerv1.Answer {
 	gathered := []*peerv1.Answer{first}
 	<-s.places
-	for {
+	for size := proto.Size(first); size < gatheredBytes; {
 		select {
 		case next := <-s.answers:
 			gathered = append(gathered, next)
+			size += proto.Size(next)
 			<-s.places
 		default:
 			return gathered
 		}
 	}
+	return gathered
 }
 
 // serve makes one call.
--- a/transport/peer/stub.go
+++ b/transport/peer/stub.go
@@ -20,31 +20,44 @@
 	mutex sync.Mutex
 	// current is the link in use; nil before the first call.
 	current *link
+	// forgotten is set once the client doesn't know these stubs any more.
+	forgotten bool
 }
 
-// link returns the link to the peer, a new one where the last was lost.
+// link returns the link to the peer, a new one where the last was lost; nil where
+// these stubs are forgotten.
 func (s *stubs) link() *link {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.forgotten {
+		return nil
+	}
 	if s.current == nil || s.current.isLost() {
 		s.current = newLink(s.calls)
 	}
 	return s.current
 }
 
-// close ends the link.
-func (s *stubs) close() {
+// forget ends the link, where calls are under way only if they are to be given up
+// too. It says whether it did.
+func (s *stubs) forget(evenInUse bool) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.current != nil {
+		if !evenInUse && s.current.isInUse() {
+			return false
+		}
 		s.current.lose(errClosed)
 	}
+	s.forgotten = true
+	return true
 }
 
 // errClosed means that this node has stopped making calls.
 var errClosed = merry.Sentinel("the client is closed")
 
-// maxStubs bounds the addresses that are remembered.
+// maxStubs is how many addresses are remembered before those without calls under
+// way are forgotten.
 const maxStubs = 1024
 
 func (c *Client) stubs(address string) *stubs {
@@ -58,8 +71,8 @@
 		mirror:  peerv1connect.NewMirrorServiceClient(c.http, base, c.options...),
 		calls:   peerv1connect.NewCallServiceClient(c.http, base, connect.WithAcceptCompression(gzipName, nil, nil)),
 	}
-	if c.count.Load() > maxStubs {
-		c.Close()
+	if c.count.Load() >= maxStubs {
+		c.forget(false)
 	}
 	kept, found := c.known.LoadOrStore(address, made)
 	if !found {
@@ -70,11 +83,23 @@
 
 // Close ends the links to all peers; calls under way fail. The next call opens
 // another.
-func (c *Client) Close() {
+func (c *Client) Close() { c.forget(true) }
+
+func (c *Client) forget(evenInUse bool) {
 	c.known.Range(func(address, known any) bool {
-		c.known.Delete(address)
-		known.(*stubs).close()
+		if known.(*stubs).forget(evenInUse) {
+			c.known.Delete(address)
+			c.count.Add(-1)
+		}
 		return true
 	})
-	c.count.Store(0)
+}
+
+// link returns the link to the address.
+func (c *Client) link(address string) *link {
+	for {
+		if current := c.stubs(address).link(); current != nil {
+			return current
+		}
+	}
 }
