--- a/coordination/tokenbudget/admission.go
+++ b/coordination/tokenbudget/admission.go
@@ -47,39 +47,28 @@
 	// decided is when a record was last changed, in nanoseconds since 1970.
 	decided atomic.Int64
 
-	// recorded tells that this node holds a record of the program; nil where it
-	// can't say.
-	recorded func(program string) bool
-
 	mutex sync.Mutex
 	// programs are those that turns began of here lately.
 	programs *recent.Map[struct{}]
 }
 
-func newAdmission(settings Settings, now func() time.Time) *admission {
+func newAdmission(all, crowd limit.AdaptivePolicy, now func() time.Time) *admission {
 	return &admission{
-		now: now, all: limit.NewAdaptive(settings.Draws, now), crowd: limit.NewAdaptive(settings.Crowd, now),
-		recorded: settings.Recorded,
+		now: now, all: limit.NewAdaptive(all, now), crowd: limit.NewAdaptive(crowd, now),
 		programs: recent.New(runningTime, func(time.Time) struct{} { return struct{}{} }),
 	}
 }
 
-// urgencyOf tells a program that runs from one that begins: by what its turn
-// names, by this host's memory or, where the host has forgotten it in a restart,
-// by the program's record.
+// urgencyOf tells a program that runs from one that begins.
 func (a *admission) urgencyOf(wanted Reservation) urgency {
-	if wanted.Running || a.ranLately(wanted.Program) || a.recorded != nil && a.recorded(wanted.Program) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if wanted.Running || a.programs.Has(wanted.Program) {
 		return running
 	}
 	return deferrable
 }
 
-func (a *admission) ranLately(program string) bool {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	return a.programs.Has(program)
-}
-
 // began notes that a turn of the program begins.
 func (a *admission) began(program string) {
 	a.mutex.Lock()
--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -41,9 +41,6 @@
 	// other late. Crowd bounds those of them that can wait.
 	Draws limit.AdaptivePolicy
 	Crowd limit.AdaptivePolicy
-	// Recorded tells that this node's own copy has a record of the program, which
-	// may be out of date; nil where there is no copy.
-	Recorded func(program string) bool
 }
 
 // DefaultSettings give reserves back about a second after a program's last turn.
@@ -90,7 +87,7 @@
 	return &Ledger{
 		holder: holder, registers: registers, locate: locate, settings: settings, logger: logger,
 		accounts: make(map[string]*account), releasing: make(chan struct{}, releasesAtOnce),
-		admission: newAdmission(settings, now), now: now,
+		admission: newAdmission(settings.Draws, settings.Crowd, now), now: now,
 	}
 }
 
--- a/node/storage/budgets.go
+++ b/node/storage/budgets.go
@@ -33,16 +33,6 @@
 	}
 	transport := peer.NewLocalTransport(n.self.Incarnation, n.replica, n.peers)
 	registers := register.NewClient(life, transport, n.lookup, register.SystemClock{}, newRandom(), bounds)
-	settings := tokenbudget.DefaultSettings()
-	settings.Recorded = n.isRecorded
-	n.ledger = tokenbudget.New(life, registers, n.views.Locate, settings, time.Now, n.logger)
+	n.ledger = tokenbudget.New(life, registers, n.views.Locate, tokenbudget.DefaultSettings(), time.Now, n.logger)
 	n.budgets = tokenbudget.NewHost(n.ledger, time.Now)
 }
-
-// isRecorded tells that this node's replica holds a record of the program. One
-// that can't be read counts as none: the program is then taken for one that
-// begins.
-func (n *Node) isRecorded(program string) bool {
-	record, err := n.store.LoadRegister(n.views.Locate(program), program)
-	return err == nil && len(record.Value) > 0
-}
