--- a/coordination/register/multicast.go
+++ b/coordination/register/multicast.go
@@ -92,8 +92,8 @@
 	m.awaitHedge()
 }
 
-// take notes that the member has answered. Members that are late by then, and
-// were asked before it, are asked last for a while.
+// take notes that the member has answered. Members that are late by then are asked
+// last for a while, unless they answer after all.
 func (m *multicast) take(received answer) {
 	m.pending.remove(received.member)
 	m.late.remove(received.member)
--- a/coordination/register/round.go
+++ b/coordination/register/round.go
@@ -38,9 +38,9 @@
 	return a.accept.ConfigurationVersion
 }
 
-// isReplaced tells whether another member may do better. One that has promised a
+// callsForAnother tells whether another member may do better. One that has promised a
 // higher ballot is no reason to ask others: the next round is above that one.
-func (a answer) isReplaced() bool {
+func (a answer) callsForAnother() bool {
 	return a.err != nil || a.refusal() != RefusalNone && a.refusal() != RefusalBallot
 }
 
@@ -113,7 +113,7 @@
 			if status != StatusWaiting {
 				return next, status
 			}
-			if received.isReplaced() {
+			if received.callsForAnother() {
 				sent.ask(1)
 			}
 		case <-sent.hedge:
