Use ejected engines as the last resort of marblering serve

TestEngineKilledInTheMiddleOfAnswers failed once: for 8.7 s every call at one node ended with 2003, tried at the killed engine only, though the other engine served.

Cause: the ejector takes one engine of two out for 10 s and more. If the other then dies it can't be ejected too, since at most one may be out, so it stays the only engine that passes the filters; a call that failed there has nowhere to go. TestEjectedEngineServesWhereTheLastOneDied shows this every time: before the change it ends with "2003 no_engine: no engine can serve model "model": slow: ejected", the run's error, for as long as an ejection lasts (10 s; 8.7 s were seen).

Not shown: that the other engine was ejected in that run; there was no log line for it. There is one now. Ruled out: the retry budget (2003 isn't its code), polls (they don't decide who may be chosen).

Change: where no engine can serve, the choice is made again with the ejected ones let in.

--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -246,7 +246,7 @@
 	var refusal *result.Error
 	for range maxRefusals {
 		snapshot := f.snapshot()
-		decision := f.decide(snapshot, request)
+		decision := f.decideWithLastResort(snapshot, request)
 		f.journal.add(query.Program, decision, snapshot.Now)
 		if decision.Err != nil {
 			if refusal != nil {
@@ -343,6 +343,30 @@
 	return routing.Choose(snapshot, request, f.Random)
 }
 
+// decideWithLastResort takes the ejected engines in where no other can serve the
+// request: an ejected engine may be slow, but without it a call fails for as long
+// as an ejection lasts, 10 s and more, when the engines that are left die.
+func (f *Fleet) decideWithLastResort(snapshot *routing.Snapshot, request *routing.Request) routing.Decision {
+	decision := f.decide(snapshot, request)
+	if decision.Err == nil || decision.Err.Code != result.NoEngine {
+		return decision
+	}
+	readmitted := 0
+	for index := range snapshot.Engines {
+		if snapshot.Engines[index].Ejected {
+			snapshot.Engines[index].Ejected = false
+			readmitted++
+		}
+	}
+	if readmitted == 0 {
+		return decision
+	}
+	last := f.decide(snapshot, request)
+	f.Logger.Info("ejected engines considered", zap.String("program", request.Program),
+		zap.Int("ejected", readmitted), zap.String("chosen", last.Engine))
+	return last
+}
+
 // cachedOn falls back to the record's holds where this node has seen nothing of
 // the program itself, as after a change of nodes.
 func (f *Fleet) cachedOn(query execution.Query) []routing.Cached {
--- a/coordination/fleet/fleet_test.go
+++ b/coordination/fleet/fleet_test.go
@@ -168,3 +168,48 @@
 		assert.Equal(t, engine.Leaving, engine.Name == "engine-0")
 	}
 }
+
+// fail has calls end at the engine as if its connections were refused, until it
+// is ejected or the calls are used up.
+func fail(t *testing.T, f *fleet.Fleet, engine string, others []string) {
+	t.Helper()
+	const calls = 40
+	for range calls {
+		query := call
+		query.Excluded = others
+		choice, err := f.Choose(t.Context(), query)
+		if err != nil || choice.Engine != engine {
+			return
+		}
+		choice.Release(execution.AttemptReport{
+			Program: query.Program, Err: &execution.EngineError{Cause: errors.New("connection refused")},
+		})
+	}
+}
+
+// TestEjectedEngineServesWhereTheLastOneDied has one of two engines ejected and
+// then kills the other, which can't be ejected as well: a call that failed there
+// goes to the ejected one rather than nowhere.
+func TestEjectedEngineServesWhereTheLastOneDied(t *testing.T) {
+	f := newFleet(nil)
+	f.SetEngines([]fleet.Engine{
+		{Name: "slow", Address: "http://127.0.0.1:1", Zone: "zone-1", Models: []string{"model"}},
+		{Name: "killed", Address: "http://127.0.0.1:2", Zone: "zone-1", Models: []string{"model"}},
+	})
+	served := call
+	served.Excluded = []string{"slow"}
+	known, err := f.Choose(t.Context(), served)
+	assert.NilError(t, err)
+	known.Release(execution.AttemptReport{Program: call.Program, Total: time.Millisecond})
+	fail(t, f, "slow", []string{"killed"})
+	for range 20 {
+		choice, err := f.Choose(t.Context(), call)
+		assert.NilError(t, err)
+		assert.Equal(t, choice.Engine, "killed")
+	}
+	again := call
+	again.Excluded = []string{"killed"}
+	choice, err := f.Choose(t.Context(), again)
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Engine, "slow")
+}
--- a/coordination/fleet/reserve.go
+++ b/coordination/fleet/reserve.go
@@ -3,6 +3,9 @@
 import (
 	"errors"
 	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
 
 	"github.com/marblering/marblering/coordination/execution"
 	"github.com/marblering/marblering/coordination/limit"
@@ -36,7 +39,7 @@
 	f.Admitter.Leave(engine, name)
 	if report.Err == nil {
 		f.learn(engine, report)
-		f.ejector.Observe(engine, limit.Outcome{Expected: decision.Expected, Took: report.Total}, now)
+		f.observe(engine, limit.Outcome{Expected: decision.Expected, Took: report.Total}, now)
 		return
 	}
 	var failure *execution.EngineError
@@ -48,7 +51,19 @@
 		f.takeLeaving(engine, true)
 		return
 	}
-	f.ejector.Observe(engine, limit.Outcome{Failed: true, Expected: decision.Expected, Took: report.Total}, now)
+	f.observe(engine, limit.Outcome{Failed: true, Expected: decision.Expected, Took: report.Total}, now)
+}
+
+// observe has the ejector judge the engine by one outcome, and says when that
+// takes the engine out.
+func (f *Fleet) observe(engine string, outcome limit.Outcome, now time.Time) {
+	before := f.ejector.Health(engine, now)
+	after := f.ejector.Observe(engine, outcome, now)
+	if after != limit.Ejected || before == limit.Ejected {
+		return
+	}
+	f.Logger.Info("engine ejected", zap.String("engine", engine), zap.Bool("failed", outcome.Failed),
+		zap.Duration("took", outcome.Took), zap.Duration("expected", outcome.Expected))
 }
 
 func (f *Fleet) tellLeaving(engine string, leaving bool) {
