Sum up how the tries of callers ended

Callers' worth counts from their first try, so operators need to see which tries were refused, by which wait they were held before, and what the next try came to.

--- a/cmd/marblering/explain.go
+++ b/cmd/marblering/explain.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -21,16 +22,16 @@
 
 func newExplainCommand() *cobra.Command {
 	var window time.Duration
-	var starts bool
+	var starts, tries bool
 	command := &cobra.Command{
 		Use:   "explain LOGFILE... ID",
 		Short: "Tell from logs what became of a request, a program or an instance",
 		Long: "Collects the lines that name ID from the logs of several processes, in the order of time, with\n" +
 			"what the same nodes decided meanwhile, and adds up where the time of its requests went. With\n" +
-			"--starts and no ID, tells when each process that started had what it depends on. A LOGFILE of -\n" +
-			"is standard input.",
+			"--starts and no ID, tells when each process that started had what it depends on; with --tries and\n" +
+			"no ID, how the tries of callers ended. A LOGFILE of - is standard input.",
 		Args: usage(func(command *cobra.Command, arguments []string) error {
-			if starts {
+			if starts || tries {
 				return cobra.MinimumNArgs(1)(command, arguments)
 			}
 			return cobra.MinimumNArgs(2)(command, arguments)
@@ -39,12 +40,16 @@
 			if starts {
 				return explainStarts(command, arguments)
 			}
+			if tries {
+				return explainTries(command, arguments)
+			}
 			last := len(arguments) - 1
 			return explain(command, arguments[:last], arguments[last], window)
 		},
 	}
 	command.Flags().DurationVar(&window, "window", explainWindow, "how long before the request other decisions are shown")
 	command.Flags().BoolVar(&starts, "starts", false, "tell of the starts of processes")
+	command.Flags().BoolVar(&tries, "tries", false, "tell how the tries of callers ended, by route and cause")
 	return command
 }
 
@@ -87,6 +92,38 @@
 	return nil
 }
 
+func explainTries(command *cobra.Command, paths []string) error {
+	logs, closeLogs, err := openLogs(command, paths)
+	if err != nil {
+		return err
+	}
+	defer closeLogs()
+	tries, err := logfile.SummarizeTries(logs)
+	if err != nil {
+		return err
+	}
+	if len(tries) == 0 {
+		return merry.New("no request ended in these logs")
+	}
+	table := tabwriter.NewWriter(command.OutOrStdout(), 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "route\tstatus\tcode\theld by\ttries\tmean s\tlongest s\tthen served\tthen failed\tthen none")
+	for _, one := range tries {
+		mean := one.HeldFor / time.Duration(one.Count)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%.3f\t%.3f\t%d\t%d\t%d\n", one.Route, one.Status, codeName(one.Code), one.Held,
+			one.Count, mean.Seconds(), one.Longest.Seconds(), one.ThenServed, one.ThenFailed, one.ThenNone)
+	}
+	return table.Flush()
+}
+
+// codeName adds its name to the number of a result code.
+func codeName(code string) string {
+	number, err := strconv.ParseUint(code, 10, 32)
+	if err != nil {
+		return code
+	}
+	return code + " " + result.Code(number).Info().Name
+}
+
 // openLogs opens the files, and standard input for a path of -.
 func openLogs(command *cobra.Command, paths []string) (logs []io.Reader, closeAll func(), err error) {
 	var files []*os.File
--- a/cmd/marblering/explain_test.go
+++ b/cmd/marblering/explain_test.go
@@ -52,6 +52,14 @@
 	}
 }
 
+func TestExplainTries(t *testing.T) {
+	out, err := explained(t, programLog, "--tries", "-")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(out, "2004 no_quorum"), out)
+	_, err = explained(t, "", "--tries", "-")
+	assert.ErrorContains(t, err, "no request ended")
+}
+
 func TestExplainStarts(t *testing.T) {
 	out, err := explained(t, programLog, "--starts", "-")
 	assert.NilError(t, err)
