Wait for holders before the store is asked

Cause: the first holder that refused a connection, or said that it has lost the store, sent a node to the store itself. Storage nodes each followed three kinds at the store, too.

Change: a source asks the store itself only after a while without any answer (mirror.Patience), longer where holders answer that they have lost it; one call asks four holders at most, two that lost the store; one that lost the store is asked again after 250 ms rather than ever later, so that its return is noticed soon. Storage nodes follow all kinds through the first of their zone, and before the sets are known through the seeds. Founding the sets waits for a moment of each node's own, as publishing does. A gateway that knows nothing asks one holder after the other for copies, and while the store is lost one at a time, ever less often: 259 gateways times three whole copies a second would have filled the seeds' links. `marblering_store_calls_total` counts the calls by kind.

--- a/coordination/directory/keeper.go
+++ b/coordination/directory/keeper.go
@@ -22,8 +22,8 @@
 	writeTimeout = 1500 * time.Millisecond
 	// writePause follows a write, so that its effect comes back first.
 	writePause = 600 * time.Millisecond
-	// publishSpread is the longest that a node leaves the publishing of sets to
-	// others that have learned them too.
+	// publishSpread is the longest that a node leaves the founding and publishing of
+	// sets to others that have learned the same.
 	publishSpread = 800 * time.Millisecond
 )
 
@@ -41,8 +41,8 @@
 	situation Situation
 	revisions map[string]int64
 	changed   chan struct{}
-	// publishAt is when this node publishes the sets, unless another does before;
-	// zero while the store has the newest. Only Serve uses it.
+	// publishAt is when this node writes the sets, unless another does before; zero
+	// while the store has the newest. Only Serve uses it.
 	publishAt time.Time
 	// random draws from the time given; tests set it.
 	random func(time.Duration) time.Duration
@@ -149,11 +149,11 @@
 	return true
 }
 
-// isDue tells whether the action is to be done now. Publishing waits for a moment
-// that differs between nodes, since all of them learn of the same sets at once and
-// one write is enough.
+// isDue tells whether the action is to be done now. Writing the sets waits for a
+// moment that differs between nodes, since all of them learn of the same nodes and
+// sets at once and one write is enough.
 func (k *Keeper) isDue(action Action) bool {
-	if action != Publish {
+	if action != Publish && action != Found {
 		k.publishAt = time.Time{}
 		return action != None
 	}
--- a/coordination/mirror/holder.go
+++ b/coordination/mirror/holder.go
@@ -29,9 +29,12 @@
 	KindConfiguration = "configuration"
 	KindInstances     = "instances"
 	KindSets          = "replica sets"
+	KindNodes         = "storage nodes"
+	KindRetirements   = "retirements"
 )
 
-// Kinds lists them.
+// Kinds lists those of which copies are kept for nodes that start while the store
+// is away. The others are only passed on.
 func Kinds() []string { return []string{KindConfiguration, KindInstances, KindSets} }
 
 // Copy is one kind of objects as the store had them.
@@ -55,16 +58,19 @@
 	now    func() time.Time
 	logger *zap.Logger
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// keeps are the kinds of which copies are kept.
+	keeps   []string
 	states  map[string]*kindState
 	unsaved map[string]bool
 	changed chan struct{}
 }
 
-// NewHolder makes a holder of the kinds, with the copies that the medium has.
+// NewHolder makes a holder that keeps copies of the kinds, with those that the
+// medium has.
 func NewHolder(kinds []string, medium Medium, now func() time.Time, logger *zap.Logger) (*Holder, error) {
 	h := &Holder{
-		medium: medium, now: now, logger: logger,
+		medium: medium, now: now, logger: logger, keeps: kinds,
 		states: make(map[string]*kindState), unsaved: make(map[string]bool), changed: make(chan struct{}, 1),
 	}
 	for _, kind := range kinds {
@@ -96,6 +102,9 @@
 		return
 	}
 	held.replace(snapshot, h.now())
+	if !slices.Contains(h.keeps, kind) {
+		return
+	}
 	h.unsaved[kind] = true
 	select {
 	case h.changed <- struct{}{}:
@@ -116,8 +125,8 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	copies := make([]Copy, 0, len(h.states))
-	for _, held := range h.states {
-		if held.kept.Snapshot.At > 0 {
+	for kind, held := range h.states {
+		if slices.Contains(h.keeps, kind) && held.kept.Snapshot.At > 0 {
 			copies = append(copies, held.kept)
 		}
 	}
--- a/coordination/mirror/holders.go
+++ b/coordination/mirror/holders.go
@@ -12,11 +12,14 @@
 	"github.com/marblering/marblering/state/program"
 )
 
-// A holder that didn't answer, or has itself lost the store, is asked last for
-// firstAvoidance, and twice as long each further time, up to longestAvoidance.
+// A holder that didn't answer is asked last for firstAvoidance, and twice as long
+// each further time, up to longestAvoidance. One that answered and is of no use now,
+// mostly because it has lost the store, is asked last for uselessAvoidance only: its
+// answer costs little, and when it is of use again has to be noticed soon.
 const (
 	firstAvoidance   = 500 * time.Millisecond
 	longestAvoidance = 3 * time.Second
+	uselessAvoidance = 250 * time.Millisecond
 )
 
 // Holders are the storage nodes that a node follows the store through, in its
@@ -52,6 +55,10 @@
 	return netip.AddrPort{}, false
 }
 
+// isEmpty tells that there are no holders, avoided ones included.
+func (h *Holders) isEmpty() bool { return len(h.list()) == 0 }
+
+// failed notes a holder that didn't answer.
 func (h *Holders) failed(holder netip.AddrPort) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -59,6 +66,13 @@
 	h.avoided[holder] = avoidance{length: length, until: h.now().Add(length)}
 }
 
+// useless notes a holder that answered what can't be used.
+func (h *Holders) useless(holder netip.AddrPort) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.avoided[holder] = avoidance{until: h.now().Add(uselessAvoidance)}
+}
+
 func (h *Holders) answered(holder netip.AddrPort) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -80,8 +94,12 @@
 
 // Upstreams returns the storage nodes that a storage node follows the store
 // through, so that few ask the store: the first of each zone by name, its own
-// zone's at the head. These ask the store itself, and have none.
-func Upstreams(self register.Member, members []register.Member) []netip.AddrPort {
+// zone's at the head. These ask the store itself, and have none. Before any member
+// is known the seeds take their place.
+func Upstreams(self register.Member, members []register.Member, seeds []netip.AddrPort) []netip.AddrPort {
+	if len(members) == 0 {
+		return seedUpstreams(self, seeds)
+	}
 	first := map[string]register.Member{self.Zone: self}
 	for _, member := range members {
 		known, found := first[member.Zone]
@@ -102,6 +120,16 @@
 	return addresses(ordered)
 }
 
+// seedUpstreams leaves the seeds to ask the store themselves.
+func seedUpstreams(self register.Member, seeds []netip.AddrPort) []netip.AddrPort {
+	for _, seed := range seeds {
+		if seed.String() == self.Address {
+			return nil
+		}
+	}
+	return Spread(self.Node, seeds)
+}
+
 // Spread orders addresses for the node that has the name, each node in an order of
 // its own.
 func Spread(name string, listed []netip.AddrPort) []netip.AddrPort {
--- a/coordination/mirror/holders_test.go
+++ b/coordination/mirror/holders_test.go
@@ -33,13 +33,13 @@
 		zones := make(map[string]bool)
 		for _, member := range members {
 			zones[member.Zone] = true
-			if len(mirror.Upstreams(member, members)) == 0 {
+			if len(mirror.Upstreams(member, members, nil)) == 0 {
 				asking[member.Address] = member
 			}
 		}
 		assert.Equal(t, len(asking), len(zones))
 		for _, member := range members {
-			upstreams := mirror.Upstreams(member, members)
+			upstreams := mirror.Upstreams(member, members, nil)
 			if len(upstreams) == 0 {
 				continue
 			}
@@ -56,9 +56,9 @@
 // TestNodeOutsideTheSetsHasUpstreams, unless it is the first of its zone.
 func TestNodeOutsideTheSetsHasUpstreams(t *testing.T) {
 	members := []register.Member{storageNode(1, 0), storageNode(2, 1)}
-	assert.Equal(t, len(mirror.Upstreams(storageNode(5, 0), members)), 2)
-	assert.Equal(t, len(mirror.Upstreams(storageNode(0, 0), members)), 0)
-	assert.Equal(t, len(mirror.Upstreams(storageNode(5, 0), nil)), 0)
+	assert.Equal(t, len(mirror.Upstreams(storageNode(5, 0), members, nil)), 2)
+	assert.Equal(t, len(mirror.Upstreams(storageNode(0, 0), members, nil)), 0)
+	assert.Equal(t, len(mirror.Upstreams(storageNode(5, 0), nil, nil)), 0)
 }
 
 // TestNodesOfAZoneSpreadOverItsHolders, and ask those of other zones last.
--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -143,7 +143,7 @@
 		Name: mirror.KindConfiguration, Source: store, Settings: settings, Apply: seen.apply, Logger: zap.NewNop(), Now: time.Now,
 	})
 	first, second, dead := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")
-	reader := mirror.NewReader([]netip.AddrPort{first, second, dead}, holders{
+	reader := mirror.NewReader(func() []netip.AddrPort { return []netip.AddrPort{first, second, dead} }, holders{
 		first:  {{Kind: mirror.KindConfiguration, Snapshot: snapshot(9)}},
 		second: {{Kind: mirror.KindConfiguration, Snapshot: snapshot(11)}, {Kind: "unknown", Snapshot: snapshot(30)}},
 	}, map[string]mirror.Follower{mirror.KindConfiguration: follower}, time.Now, zap.NewNop())
@@ -172,7 +172,7 @@
 	serve(t, follower)
 	seen.await(t, 12)
 	asked := &countingHolder{}
-	serve(t, mirror.NewReader([]netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}, asked,
+	serve(t, mirror.NewReader(func() []netip.AddrPort { return []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")} }, asked,
 		map[string]mirror.Follower{mirror.KindConfiguration: follower}, time.Now, zap.NewNop()))
 	time.Sleep(300 * time.Millisecond)
 	assert.Equal(t, asked.count(), 0)
--- a/coordination/mirror/reader.go
+++ b/coordination/mirror/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -18,10 +19,18 @@
 	firstPatience = 100 * time.Millisecond
 	// fetchTimeout bounds one request to a holder.
 	fetchTimeout = 400 * time.Millisecond
-	// searchPause lies between two rounds before anything is known, refreshPause
-	// between two while the store stays away.
+	// searchStagger lies between asking one holder and the next before anything is
+	// known, so that nodes that start together don't have every holder send all it
+	// has to every one of them.
+	searchStagger = 60 * time.Millisecond
+	// searchedAtOnce bounds the holders of one round.
+	searchedAtOnce = 4
+	// searchPause lies between two rounds before anything is known. The pause
+	// between two while the store stays away doubles from firstRefresh to
+	// lastRefresh: what a holder knows then hardly changes.
 	searchPause  = 100 * time.Millisecond
-	refreshPause = time.Second
+	firstRefresh = 500 * time.Millisecond
+	lastRefresh  = 4 * time.Second
 )
 
 // Follower follows one kind of objects. follow.Follower is one.
@@ -43,16 +52,18 @@
 // Reader offers mirrored snapshots to the followers of one node while the store
 // doesn't answer these. It is a suture service.
 type Reader struct {
-	holders   []netip.AddrPort
+	holders   func() []netip.AddrPort
 	fetcher   Fetcher
 	followers map[string]Follower
 	now       func() time.Time
 	logger    *zap.Logger
+	// next counts the holders that were asked to refresh what is known.
+	next int
 }
 
-// NewReader makes a reader that asks the holders for the kinds that the
-// followers are named by.
-func NewReader(holders []netip.AddrPort, fetcher Fetcher, followers map[string]Follower, now func() time.Time, logger *zap.Logger) *Reader {
+// NewReader makes a reader that asks the holders, in the order in which they are
+// preferred, for the kinds that the followers are named by.
+func NewReader(holders func() []netip.AddrPort, fetcher Fetcher, followers map[string]Follower, now func() time.Time, logger *zap.Logger) *Reader {
 	return &Reader{holders: holders, fetcher: fetcher, followers: followers, now: now, logger: logger}
 }
 
@@ -61,21 +72,28 @@
 
 // Serve asks while it is needed, until the context ends.
 func (r *Reader) Serve(ctx context.Context) error {
-	pause := firstPatience
+	pause, refresh := firstPatience, firstRefresh
 	for {
 		if sleep.For(ctx, pause) != nil {
 			return ctx.Err()
 		}
-		if r.isNeeded() {
-			r.round(ctx)
-		}
-		pause = refreshPause
-		if r.isSearching() {
-			pause = searchPause
+		switch {
+		case r.isSearching():
+			r.search(ctx)
+			pause, refresh = searchPause, firstRefresh
+		case r.isNeeded():
+			r.refresh(ctx)
+			pause = jittered(refresh)
+			refresh = min(2*refresh, lastRefresh)
+		default:
+			pause, refresh = firstRefresh, firstRefresh
 		}
 	}
 }
 
+// jittered spreads the requests of nodes that lost the store together.
+func jittered(pause time.Duration) time.Duration { return pause/2 + rand.N(pause) }
+
 func (r *Reader) isNeeded() bool {
 	for _, follower := range r.followers {
 		if follower.IsLost() || !follower.IsKnown() {
@@ -95,25 +113,49 @@
 	return false
 }
 
-// round asks every holder, and offers each answer as it comes: a later one that
-// is newer replaces it.
-func (r *Reader) round(ctx context.Context) {
+// search asks holder after holder, without waiting for the answer of the one
+// before for long, until something is known of every kind.
+func (r *Reader) search(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	holders := r.holders()
 	var asking sync.WaitGroup
-	for _, holder := range r.holders {
+	for index, holder := range holders[:min(len(holders), searchedAtOnce)] {
 		asking.Go(func() {
-			copies, err := r.fetcher.FetchMirror(ctx, holder)
-			if err != nil {
-				r.logger.Debug("holder didn't answer", zap.Stringer("holder", holder), zap.Error(err))
+			if sleep.For(ctx, time.Duration(index)*searchStagger) != nil {
 				return
 			}
-			r.offer(holder, copies)
+			r.fetch(ctx, holder)
+			if !r.isSearching() {
+				cancel()
+			}
 		})
 	}
 	asking.Wait()
 }
 
+// refresh asks the next holder: one that has been asked before may have been
+// behind the others.
+func (r *Reader) refresh(ctx context.Context) {
+	holders := r.holders()
+	if len(holders) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	r.next++
+	r.fetch(ctx, holders[r.next%len(holders)])
+}
+
+func (r *Reader) fetch(ctx context.Context, holder netip.AddrPort) {
+	copies, err := r.fetcher.FetchMirror(ctx, holder)
+	if err != nil {
+		r.logger.Debug("holder didn't answer", zap.Stringer("holder", holder), zap.Error(err))
+		return
+	}
+	r.offer(holder, copies)
+}
+
 // offer gives a follower what it lacks. One that hears from the store itself
 // gets nothing.
 func (r *Reader) offer(holder netip.AddrPort, copies []Copy) {
--- a/coordination/mirror/source.go
+++ b/coordination/mirror/source.go
@@ -19,8 +19,13 @@
 	// listTimeout bounds one listing by a holder.
 	listTimeout = 200 * time.Millisecond
 	// hopTime is how long a call may have taken for another holder to be asked
-	// within it. After that the store itself is.
+	// within it where the store itself may be asked instead.
 	hopTime = 200 * time.Millisecond
+	// maxHops is how many holders one call asks at most, and maxLost how many that
+	// have lost the store, so that nodes that lose all of them at once don't ask
+	// every one as fast as it refuses.
+	maxHops = 4
+	maxLost = 2
 	// leastWait is the shortest wait of a call at the store itself that comes
 	// after holders were asked in vain.
 	leastWait = 100 * time.Millisecond
@@ -40,11 +45,15 @@
 	Wait time.Duration
 	// MaxAge is how long ago the store may have confirmed what a holder says.
 	MaxAge time.Duration
+	// Patience says when the store itself is asked. It isn't waited for where
+	// there are no holders at all.
+	Patience Patience
 }
 
 // Source follows one kind of the store through holders, so that a change costs the
-// store one call a holder rather than one a node. The store itself is asked while
-// no holder can be relied on. It implements follow.Source.
+// store one call a holder rather than one a node. The store itself is asked where
+// no holder could be relied on for a while. It implements follow.Source; calls are
+// made one at a time.
 type Source struct {
 	kind     string
 	direct   follow.Source
@@ -52,6 +61,7 @@
 	watcher  Watcher
 	settings SourceSettings
 	logger   *zap.Logger
+	gate     gate
 	// newest is the newest revision that was handed out.
 	newest atomic.Int64
 	// through is the holder that answered last; nil for the store itself.
@@ -60,25 +70,79 @@
 
 // NewSource makes a source of the kind.
 func NewSource(kind string, direct follow.Source, holders *Holders, watcher Watcher, settings SourceSettings, logger *zap.Logger) *Source {
-	return &Source{kind: kind, direct: direct, holders: holders, watcher: watcher, settings: settings, logger: logger}
+	return &Source{
+		kind: kind, direct: direct, holders: holders, watcher: watcher, settings: settings, logger: logger,
+		gate: newGate(settings.Patience, holders.now()),
+	}
 }
 
-// List implements follow.Source. One holder is asked, and then the store.
+// List implements follow.Source.
 func (s *Source) List(ctx context.Context) (follow.Snapshot, error) {
-	if holder, found := s.holders.pick(); found {
-		snapshot, err := s.listBy(ctx, holder)
-		if err == nil {
-			return snapshot, nil
-		}
-		s.leave(ctx, holder, unseen, err)
+	var snapshot follow.Snapshot
+	found := s.askHolders(ctx, unseen, func(holder netip.AddrPort) (err error) {
+		snapshot, err = s.listBy(ctx, holder)
+		return err
+	})
+	if found {
+		return snapshot, nil
+	}
+	if err := s.passGate(ctx); err != nil {
+		return follow.Snapshot{}, err
 	}
 	snapshot, err := s.direct.List(ctx)
 	if err == nil {
-		s.handOut(snapshot.At)
+		s.storeAnswered(snapshot.At)
 	}
 	return snapshot, err
 }
 
+// askHolders asks one holder after the other until one answers, and tells whether
+// one did.
+func (s *Source) askHolders(ctx context.Context, from int64, ask func(netip.AddrPort) error) bool {
+	began := s.holders.now()
+	lost := 0
+	for hops := 0; hops < maxHops && lost < maxLost; hops++ {
+		now := s.holders.now()
+		if ctx.Err() != nil || now.Sub(began) >= hopTime && s.mayAskStore(now) {
+			return false
+		}
+		holder, found := s.holders.pick()
+		if !found {
+			return false
+		}
+		err := ask(holder)
+		if err == nil {
+			return true
+		}
+		if errors.Is(err, errHolderLost) {
+			lost++
+		}
+		s.leave(ctx, holder, from, err)
+	}
+	return false
+}
+
+func (s *Source) mayAskStore(now time.Time) bool {
+	return s.gate.isOpen(now) || s.holders.isEmpty()
+}
+
+// passGate lets a call to the store itself through, or says why it may not be
+// made.
+func (s *Source) passGate(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	now := s.holders.now()
+	if !s.mayAskStore(now) {
+		return errNoHolder
+	}
+	s.gate.storeAsked(now)
+	if s.through.Swap(nil) != nil {
+		s.logger.Info("following the store itself", zap.String("objects", s.kind))
+	}
+	return nil
+}
+
 // listBy has the holder tell all that there is. One that is behind what was handed
 // out already is no use: revisions never go back.
 func (s *Source) listBy(ctx context.Context, holder netip.AddrPort) (follow.Snapshot, error) {
@@ -104,28 +168,23 @@
 // from the same revision on.
 func (s *Source) Watch(ctx context.Context, from int64, wait time.Duration) (follow.Changes, error) {
 	began := s.holders.now()
-	taken := func() time.Duration { return s.holders.now().Sub(began) }
-	for ctx.Err() == nil && taken() < hopTime {
-		holder, found := s.holders.pick()
-		if !found {
-			break
-		}
-		changes, err := s.ask(ctx, holder, from, s.settings.Wait)
-		if err == nil {
+	var changes follow.Changes
+	found := s.askHolders(ctx, from, func(holder netip.AddrPort) (err error) {
+		if changes, err = s.ask(ctx, holder, from, s.settings.Wait); err == nil {
 			s.trust(holder, changes.At)
-			return changes, nil
 		}
-		s.leave(ctx, holder, from, err)
+		return err
+	})
+	if found {
+		return changes, nil
 	}
-	if err := ctx.Err(); err != nil {
+	if err := s.passGate(ctx); err != nil {
 		return follow.Changes{}, err
 	}
-	if s.through.Swap(nil) != nil {
-		s.logger.Info("following the store itself", zap.String("objects", s.kind))
-	}
-	changes, err := s.direct.Watch(ctx, from, max(wait-taken(), leastWait))
+	taken := s.holders.now().Sub(began)
+	changes, err := s.direct.Watch(ctx, from, max(wait-taken, leastWait))
 	if err == nil {
-		s.handOut(changes.At)
+		s.storeAnswered(changes.At)
 	}
 	return changes, err
 }
@@ -135,6 +194,7 @@
 	errHolderMissed = errors.New("the holder doesn't follow the kind")
 	errHolderOld    = errors.New("the store hasn't confirmed to the holder for too long")
 	errHolderBehind = errors.New("the holder is behind what is known")
+	errNoHolder     = errors.New("no holder answers, and the store itself isn't asked yet")
 )
 
 func (s *Source) ask(ctx context.Context, holder netip.AddrPort, from int64, wait time.Duration) (follow.Changes, error) {
@@ -159,6 +219,7 @@
 // trust notes that the holder answered.
 func (s *Source) trust(holder netip.AddrPort, at int64) {
 	s.handOut(at)
+	s.gate.holderAnswered(s.holders.now())
 	s.holders.answered(holder)
 	if before := s.through.Swap(&holder); before == nil || *before != holder {
 		s.logger.Info("following through a holder", zap.String("objects", s.kind), zap.Stringer("holder", holder))
@@ -171,11 +232,32 @@
 	if ctx.Err() != nil {
 		return
 	}
-	s.holders.failed(holder)
+	if isUseless(err) {
+		s.holders.useless(holder)
+	} else {
+		s.holders.failed(holder)
+	}
+	s.gate.holderFailed(err)
 	s.logger.Info("holder left", zap.String("objects", s.kind), zap.Stringer("holder", holder),
 		zap.Int64("revision", from), zap.Error(err))
 }
 
+// isUseless tells the failures of holders that did answer.
+func isUseless(err error) bool {
+	for _, useless := range []error{errHolderLost, errHolderMissed, errHolderOld, errHolderBehind} {
+		if errors.Is(err, useless) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Source) storeAnswered(at int64) {
+	s.handOut(at)
+	s.gate.storeAsked(s.holders.now())
+}
+
+// handOut notes the revision that the follower is brought to.
 func (s *Source) handOut(at int64) {
 	for known := s.newest.Load(); at > known; known = s.newest.Load() {
 		if s.newest.CompareAndSwap(known, at) {
--- a/coordination/mirror/source_test.go
+++ b/coordination/mirror/source_test.go
@@ -62,15 +62,20 @@
 	now     time.Time
 	store   countedStore
 	holders scripted
+	listed  []netip.AddrPort
 	source  *mirror.Source
 }
 
+// newSourceWorld has a source that asks the store at once.
 func newSourceWorld(answers map[netip.AddrPort]mirror.Answer) *sourceWorld {
-	w := &sourceWorld{now: time.Unix(1000, 0)}
+	return newPatientWorld(answers, mirror.Patience{})
+}
+
+func newPatientWorld(answers map[netip.AddrPort]mirror.Answer, patience mirror.Patience) *sourceWorld {
+	w := &sourceWorld{now: time.Unix(1000, 0), listed: []netip.AddrPort{holderA, holderB, holderC}}
 	w.holders = scripted{answers: answers, now: &w.now}
-	list := func() []netip.AddrPort { return []netip.AddrPort{holderA, holderB, holderC} }
-	holders := mirror.NewHolders(list, func() time.Time { return w.now })
-	bounds := mirror.SourceSettings{Wait: time.Second, MaxAge: 4 * time.Second}
+	holders := mirror.NewHolders(func() []netip.AddrPort { return w.listed }, func() time.Time { return w.now })
+	bounds := mirror.SourceSettings{Wait: time.Second, MaxAge: 4 * time.Second, Patience: patience}
 	w.source = mirror.NewSource(mirror.KindInstances, &w.store, holders, &w.holders, bounds, zap.NewNop())
 	return w
 }
@@ -188,3 +193,80 @@
 	w.holders.answers[holderA] = current(8)
 	assert.Equal(t, w.watch(t, 7).At, int64(8))
 }
+
+// TestStoreIsAskedOnlyAfterPatience: later while holders say that they have lost
+// the store, again only after as long, and at once where there are no holders.
+func TestStoreIsAskedOnlyAfterPatience(t *testing.T) {
+	patience := mirror.Patience{Unreached: time.Second, Lost: 4 * time.Second}
+	// A source takes up to twice as long by chance.
+	for name, c := range map[string]struct {
+		said           mirror.Answer
+		least, longest time.Duration
+	}{
+		"unreached": {nil, time.Second, 2 * time.Second},
+		"lost":      {mirror.Lost{}, 4 * time.Second, 8 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newPatientWorld(map[netip.AddrPort]mirror.Answer{holderA: c.said, holderB: c.said, holderC: c.said}, patience)
+			var pauses []time.Duration
+			last := w.now
+			for len(pauses) < 3 {
+				before := w.store.listed
+				_, err := w.source.List(t.Context())
+				if w.store.listed > before {
+					assert.NilError(t, err)
+					pauses = append(pauses, w.now.Sub(last))
+					last = w.now
+				}
+				w.now = w.now.Add(50 * time.Millisecond)
+			}
+			for _, pause := range pauses {
+				assert.Assert(t, pause >= c.least && pause <= c.longest+50*time.Millisecond, "%v", pauses)
+			}
+		})
+	}
+	t.Run("no holders", func(t *testing.T) {
+		w := newPatientWorld(nil, patience)
+		w.listed = nil
+		_, err := w.source.List(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, w.store.listed, 1)
+	})
+}
+
+// TestOneCallAsksFewHolders: those that lose all holders at once go on with the
+// others after a pause of their followers.
+func TestOneCallAsksFewHolders(t *testing.T) {
+	w := newPatientWorld(map[netip.AddrPort]mirror.Answer{}, mirror.Patience{Unreached: time.Second, Lost: time.Second})
+	w.listed = nil
+	for index := range 20 {
+		holder := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(index)}), 1)
+		w.listed = append(w.listed, holder)
+		w.holders.answers[holder] = mirror.Lost{}
+	}
+	_, err := w.source.Watch(t.Context(), 7, time.Second)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(w.holders.asked), 2, "that have lost the store")
+	w.now = w.now.Add(time.Minute)
+	clear(w.holders.answers)
+	w.holders.asked = nil
+	_, err = w.source.Watch(t.Context(), 7, time.Second)
+	assert.NilError(t, err, "the store is asked after a minute")
+	assert.Equal(t, len(w.holders.asked), 4, "that are out of reach")
+}
+
+// TestHolderThatRegainsTheStoreIsFoundSoon: one that answered that it has lost the
+// store is asked again within 250 ms, however often it said so before.
+func TestHolderThatRegainsTheStoreIsFoundSoon(t *testing.T) {
+	w := newPatientWorld(map[netip.AddrPort]mirror.Answer{holderA: mirror.Lost{}}, mirror.Patience{Lost: time.Minute})
+	w.listed = []netip.AddrPort{holderA}
+	for range 20 {
+		_, err := w.source.List(t.Context())
+		assert.Assert(t, err != nil)
+		w.now = w.now.Add(250 * time.Millisecond)
+	}
+	w.holders.answers[holderA] = whole(12, 0)
+	listed, err := w.source.List(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, listed.At, int64(12))
+}
--- a/node/gateway/apply.go
+++ b/node/gateway/apply.go
@@ -120,7 +120,7 @@
 		known, _ := g.backends.Count()
 		return float64(known)
 	})
-	g.metrics.MustRegister(g.ejections)
+	g.metrics.MustRegister(g.ejections, g.storeCalls)
 	g.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "marblering_gateway_dials_total", Help: "Connections made to back ends.",
 	}, func() float64 { return float64(g.upstream.Dials()) }))
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -79,6 +79,8 @@
 	operators     *listener.Listener
 	metrics       *prometheus.Registry
 	ejections     prometheus.Counter
+	// storeCalls counts by kind of objects what this gateway itself asks the store.
+	storeCalls *prometheus.CounterVec
 	// listed is set once the instances are known.
 	listed   atomic.Bool
 	draining atomic.Bool
@@ -139,6 +141,7 @@
 		ejections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "marblering_gateway_ejections_total", Help: "Instances left out for a while.",
 		}),
+		storeCalls: telemetry.NewStoreCalls(),
 	}
 	g.backends.OnEjected(g.instanceEjected)
 	bounds := upstream.DefaultSettings()
@@ -166,7 +169,7 @@
 // mirrored asks storage nodes for what they had from the store while it is out of
 // reach of this node.
 func (g *Gateway) mirrored() *mirror.Reader {
-	return mirror.NewReader(g.settings.Seeds, g.state.peers, g.followed(), time.Now, g.logger)
+	return mirror.NewReader(g.holderOrder, g.state.peers, g.followed(), time.Now, g.logger)
 }
 
 // newSeldomFollower follows what changes seldom, and where a late change costs
@@ -175,7 +178,9 @@
 	bounds := follow.DefaultSettings()
 	bounds.WatchWait = seldomWait
 	return follow.New(follow.Options{
-		Name: name, Source: g.throughHolders(name, source, setsAge), Settings: bounds,
+		Name: name, Source: g.throughHolders(name, source, mirror.SourceSettings{
+			Wait: holderWait, MaxAge: setsAge, Patience: setsPatience(),
+		}), Settings: bounds,
 		Apply: apply, Logger: g.logger, Now: time.Now,
 	})
 }
@@ -184,8 +189,11 @@
 	bounds := follow.DefaultSettings()
 	bounds.WatchWait = watchWait(g.settings.UndisturbedTime)
 	bounds.WatchSlack = watchSlack
+	bounds.MaxPause = maxHolderPause
 	return follow.New(follow.Options{
-		Name: name, Source: g.throughHolders(name, source, g.settings.ApplyLimit), Settings: bounds,
+		Name: name, Source: g.throughHolders(name, source, mirror.SourceSettings{
+			Wait: holderWait, MaxAge: g.settings.ApplyLimit, Patience: holderPatience(),
+		}), Settings: bounds,
 		Apply: apply, Logger: g.logger, Now: time.Now,
 	})
 }
--- a/node/gateway/holders.go
+++ b/node/gateway/holders.go
@@ -20,6 +20,27 @@
 // followed through a storage node. Replicas say themselves when a set has changed.
 const setsAge = 30 * time.Second
 
+// maxHolderPause is the longest pause after calls that no holder answered. Holders
+// that lost the store are back within 1.6 s of its return, and a gateway is
+// answerable for what was changed meanwhile once the undisturbed time, 3 s and more,
+// has passed.
+const maxHolderPause = 250 * time.Millisecond
+
+// holderPatience bounds how long a gateway does without the store. A holder that
+// went dark is noticed after 1.4 s, so that there is time for a second one. While
+// holders answer and have lost the store, a call of this gateway would hardly fare
+// better; what it missed is due within the apply limit of the store's return, and
+// holders are back within two seconds of that.
+func holderPatience() mirror.Patience {
+	return mirror.Patience{Unreached: 1500 * time.Millisecond, Lost: 4 * time.Second}
+}
+
+// setsPatience is shorter without holders: once the sets are known there are more
+// of them than the settings name, for every kind.
+func setsPatience() mirror.Patience {
+	return mirror.Patience{Unreached: 700 * time.Millisecond, Lost: 4 * time.Second}
+}
+
 // followed are the kinds that this gateway follows.
 func (g *Gateway) followed() map[string]mirror.Follower {
 	return map[string]mirror.Follower{
@@ -28,9 +49,9 @@
 }
 
 // throughHolders follows the kind through storage nodes where it can.
-func (g *Gateway) throughHolders(kind string, direct follow.Source, maxAge time.Duration) follow.Source {
-	bounds := mirror.SourceSettings{Wait: holderWait, MaxAge: maxAge}
-	return mirror.NewSource(kind, direct, g.holders, g.state.peers, bounds, g.logger)
+func (g *Gateway) throughHolders(kind string, direct follow.Source, bounds mirror.SourceSettings) follow.Source {
+	counted := follow.Counted(direct, g.storeCalls.WithLabelValues(kind))
+	return mirror.NewSource(kind, counted, g.holders, g.state.peers, bounds, g.logger)
 }
 
 // holderOrder lists the storage nodes of all replica sets, those of this gateway's
--- a/node/storage/mirroring.go
+++ b/node/storage/mirroring.go
@@ -15,9 +15,18 @@
 	// a configuration must be in force is left for gateways to list themselves.
 	mirrorSlack = 400 * time.Millisecond
 	mirrorRest  = 300 * time.Millisecond
+	// mirrorListTimeout bounds a listing at the store: one that hangs since before
+	// the store's return keeps back everybody who follows through this node.
+	mirrorListTimeout = time.Second
 	// upstreamWait is how long another storage node may hold a call of this one. It
 	// adds to the age of what gateways are told, which the apply limit bounds.
 	upstreamWait = mirrorRest
+	// seldomWait is how long the store, and seldomUpstreamWait how long another
+	// storage node may hold a call about what changes seldom; seldomAge is how long
+	// ago the store may have confirmed it.
+	seldomWait         = 10 * time.Second
+	seldomUpstreamWait = 2 * time.Second
+	seldomAge          = 20 * time.Second
 )
 
 // mirrorBounds are those of following what gateways follow through this node.
@@ -25,19 +34,44 @@
 // theirs and are bound by the limit: all of it has to be noticed within the limit.
 func mirrorBounds(applyLimit time.Duration) follow.Settings {
 	bounds := follow.DefaultSettings()
+	bounds.ListTimeout = mirrorListTimeout
 	bounds.WatchSlack = min(mirrorSlack, applyLimit/4)
 	bounds.WatchWait = applyLimit - bounds.WatchSlack - min(mirrorRest, applyLimit/4)
 	return bounds
 }
 
-// mirroring follows what gateways follow through this node. Only one storage node
-// of a zone asks the store; the others follow it through that one.
+// upstreamPatience is how long a storage node does without the store where those
+// that it follows it through fail: gateways follow through it in turn.
+func upstreamPatience() mirror.Patience {
+	return mirror.Patience{Unreached: 500 * time.Millisecond, Lost: 2 * time.Second}
+}
+
+// mirroring follows what gateways follow through this node.
 func (n *Node) mirroring(kind string, direct follow.Source) *follow.Follower {
-	through := mirror.SourceSettings{Wait: upstreamWait, MaxAge: n.settings.ApplyLimit}
+	through := mirror.SourceSettings{Wait: upstreamWait, MaxAge: n.settings.ApplyLimit, Patience: upstreamPatience()}
+	keep := func(snapshot follow.Snapshot) { n.mirror.Keep(kind, snapshot) }
+	return n.passingOn(kind, direct, mirrorBounds(n.settings.ApplyLimit), through, keep)
+}
+
+// seldom follows what changes seldom and isn't due within the apply limit.
+func (n *Node) seldom(kind string, direct follow.Source, apply func(follow.Snapshot)) *follow.Follower {
+	bounds := follow.DefaultSettings()
+	bounds.WatchWait = seldomWait
+	through := mirror.SourceSettings{Wait: seldomUpstreamWait, MaxAge: seldomAge, Patience: upstreamPatience()}
+	return n.passingOn(kind, direct, bounds, through, func(snapshot follow.Snapshot) {
+		apply(snapshot)
+		n.mirror.Keep(kind, snapshot)
+	})
+}
+
+// passingOn follows a kind and lets others follow it through this node. Only one
+// storage node of a zone asks the store; the others follow it through that one.
+func (n *Node) passingOn(kind string, direct follow.Source, bounds follow.Settings, through mirror.SourceSettings, apply func(follow.Snapshot)) *follow.Follower {
+	counted := follow.Counted(direct, n.storeCalls.WithLabelValues(kind))
 	follower := follow.New(follow.Options{
-		Name: kind, Settings: mirrorBounds(n.settings.ApplyLimit), Logger: n.logger, Now: time.Now,
-		Source: mirror.NewSource(kind, direct, n.upstreams, n.peers, through, n.logger),
-		Apply:  func(snapshot follow.Snapshot) { n.mirror.Keep(kind, snapshot) },
+		Name: kind, Settings: bounds, Logger: n.logger, Now: time.Now,
+		Source: mirror.NewSource(kind, counted, n.upstreams, n.peers, through, n.logger),
+		Apply:  apply,
 		Lost:   func() { n.mirror.Lost(kind) },
 	})
 	n.mirror.Through(kind, follower)
@@ -46,13 +80,5 @@
 
 // listUpstreams lists the storage nodes that this one follows the store through.
 func (n *Node) listUpstreams() []netip.AddrPort {
-	return mirror.Upstreams(n.self, shard.MembersOf(n.views.Views()))
-}
-
-// setsFollower follows the published sets, which gateways follow through this
-// node as well.
-func (n *Node) setsFollower() *follow.Follower {
-	follower := n.follower(mirror.KindSets, n.parts.Sets, n.applySets)
-	n.mirror.Through(mirror.KindSets, follower)
-	return follower
+	return mirror.Upstreams(n.self, shard.MembersOf(n.views.Views()), n.settings.Seeds)
 }
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -64,8 +64,6 @@
 	restartPause    = 700 * time.Millisecond
 	// collectInterval is the pause between two looks for turns that are over.
 	collectInterval = 20 * time.Second
-	// watchWait is how long the store may hold a call about what changes seldom.
-	watchWait = 10 * time.Second
 	// repairInterval is the pause between two rounds of repair.
 	repairInterval = 400 * time.Millisecond
 	// goneAfter and replacedAfter are how long a member may be gone before its
@@ -98,6 +96,8 @@
 	mirror     *mirror.Holder
 	upstreams  *mirror.Holders
 	metrics    *prometheus.Registry
+	// storeCalls counts by kind of objects what this node itself asks the store.
+	storeCalls *prometheus.CounterVec
 	peers      *peer.Client
 	self       register.Member
 }
@@ -132,7 +132,10 @@
 	if damage := store.Damage(); damage != nil {
 		logger.Error("replica data was damaged and is set aside", zap.Error(damage))
 	}
-	n := &Node{settings: loaded, parts: parts, logger: logger, store: store, metrics: telemetry.NewRegistry()}
+	n := &Node{
+		settings: loaded, parts: parts, logger: logger, store: store,
+		metrics: telemetry.NewRegistry(), storeCalls: telemetry.NewStoreCalls(),
+	}
 	services, err := n.build()
 	if err != nil {
 		return errors.Join(err, store.Close())
@@ -196,6 +199,7 @@
 	}
 	peerMetrics := peer.NewMetrics(n.metrics)
 	n.registerDiskCounters()
+	n.metrics.MustRegister(n.storeCalls)
 	n.peers = peer.NewClient(peer.NewHTTPClient(), peerTimeout, peerMetrics)
 	n.installer = shard.NewInstaller(n.replica, n.peers, n.logger)
 	n.buildMembership()
@@ -225,9 +229,9 @@
 	return []suture.Service{
 		peers, operators, n.membership, n.repair, n.keeper, n.retirement, n.budgets, collector, n.mirror,
 		telemetry.NewWorkload(n.metrics, workloadCounters, n.logger), collectorTuner{memoryLimit: uint64(n.settings.MemoryLimit)},
-		n.follower("storage nodes", n.parts.Nodes, n.applyNodes),
-		n.setsFollower(),
-		n.follower("retirements", n.parts.Retirements, n.retirement.Decode(n.parts.DecodeRetirement)),
+		n.seldom(mirror.KindNodes, n.parts.Nodes, n.applyNodes),
+		n.seldom(mirror.KindSets, n.parts.Sets, n.applySets),
+		n.seldom(mirror.KindRetirements, n.parts.Retirements, n.retirement.Decode(n.parts.DecodeRetirement)),
 		n.mirroring(mirror.KindConfiguration, n.parts.Configuration),
 		n.mirroring(mirror.KindInstances, n.parts.Instances),
 	}, nil
@@ -311,14 +315,6 @@
 	return s.installer.AllHold(ctx, view)
 }
 
-func (n *Node) follower(name string, source follow.Source, apply func(follow.Snapshot)) *follow.Follower {
-	bounds := follow.DefaultSettings()
-	bounds.WatchWait = watchWait
-	return follow.New(follow.Options{
-		Name: name, Source: source, Settings: bounds, Apply: apply, Logger: n.logger, Now: time.Now,
-	})
-}
-
 func (n *Node) applyNodes(snapshot follow.Snapshot) {
 	nodes, _ := directory.DecodeNodes(snapshot)
 	addresses := n.knownAddresses()
@@ -332,7 +328,6 @@
 func (n *Node) applySets(snapshot follow.Snapshot) {
 	n.lookup.Apply(snapshot)
 	n.keeper.ApplySets(snapshot)
-	n.mirror.Keep(mirror.KindSets, snapshot)
 }
 
 func (n *Node) operatorServer() *http.Server {
--- a/node/storage/workload.go
+++ b/node/storage/workload.go
@@ -1,6 +1,10 @@
 package storage
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/marblering/marblering/telemetry"
+)
 
 // Counters of the disk.
 const (
@@ -14,6 +18,7 @@
 	"marblering_peer_requests_total": "requests",
 	diskChanges:                      "written",
 	diskCommits:                      "commits",
+	telemetry.StoreCalls:             "store_calls",
 }
 
 func (n *Node) registerDiskCounters() {
--- a/telemetry/registry.go
+++ b/telemetry/registry.go
@@ -16,3 +16,14 @@
 	)
 	return registry
 }
+
+// StoreCalls is the counter of the calls that a process makes to the store itself,
+// by kind of objects.
+const StoreCalls = "marblering_store_calls_total"
+
+// NewStoreCalls makes the counter StoreCalls, to be registered.
+func NewStoreCalls() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: StoreCalls, Help: "Listings and watches that the store itself was asked for, by kind of objects.",
+	}, []string{"objects"})
+}
--- a/telemetry/workload.go
+++ b/telemetry/workload.go
@@ -114,7 +114,7 @@
 	parts := []string{prefix}
 	for _, label := range labels {
 		value := label.GetValue()
-		parts = append(parts, strings.ToLower(value[strings.LastIndex(value, "/")+1:]))
+		parts = append(parts, strings.ReplaceAll(strings.ToLower(value[strings.LastIndex(value, "/")+1:]), " ", "_"))
 	}
 	return strings.Join(parts, "_")
 }
