Say "not run" of requests whose time is over before they were sent

A request that was refused by all back ends or reached none until its time was over ended with 504, which promises nothing: a caller may not ask again for what must not run twice, though it hasn't run.

Change: 504 only where a back end may have run it, otherwise 503 with Retry-After. The new test fails before (504) and passes after.

--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -209,13 +209,15 @@
 		c.abort(result.ClientGone, context.Canceled)
 	case c.began:
 		c.abort(result.BackendFailed, cause)
-	case c.isOver(ctx):
+	case c.mayHaveRun && c.isOver(ctx):
 		c.fail(result.Errorf(result.BackendTimeout, "no answer within %s", c.deadline.Sub(c.arrived)))
 	case c.mayHaveRun:
 		c.fail(result.Errorf(result.BackendFailed, "%v", cause))
 	case ended == refused:
 		c.fail(result.Errorf(result.BackendBusy, "%v", cause).After(retryPause))
 	default:
+		// Also where the time of the request is over: a caller that knows that it
+		// hasn't run may ask again for what must not run twice.
 		c.fail(result.Errorf(result.NoBackend, "%v", cause).After(retryPause))
 	}
 }
