Look for back ends that went silent, and give up those that can't be reached

A model runner that goes dark in the middle of an answer was noticed at the request's deadline (3 s), or when the caller left after 2.4 s: too late for another try within the time a turn has.

Change: a repeatable request that hears nothing for 300 ms has its back end's machine looked for by connecting to it; if that isn't answered within 300 ms either, while other back ends are heard of, the exchange ends, so that the caller can ask again in time. Those that wait at one back end look once a second.

--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -181,7 +181,7 @@
 	return &upstream.Request{
 		Address: choice.Instance.Address, Instance: choice.Instance.ID,
 		Method: c.request.Method, Target: c.target, Host: c.request.Host,
-		Header: header, Body: c.body, ID: c.facts.ID,
+		Header: header, Body: c.body, ID: c.facts.ID, Repeatable: c.route.Repeatable(),
 	}
 }
 
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -12,11 +12,33 @@
 // tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which the syscall package lacks.
 const tcpUserTimeout = 0x12
 
-// Dialer returns a dialer whose connections are given up after the bounds.
+// Probes of a connection on which nothing has come for a while: the machine of a
+// peer that only takes its time answers them, one that is dark or whose connection
+// was forgotten on the way doesn't. Seconds are the finest that Linux takes.
+const (
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+)
+
+// Dialer returns a dialer whose connections are given up after the bounds. It suits
+// protocols that ask a silent peer for a sign of life themselves.
 func Dialer(connect, unacknowledged time.Duration) *net.Dialer {
 	return &net.Dialer{Timeout: connect, KeepAlive: -1, Control: bound(unacknowledged)}
 }
 
+// ProbingDialer returns a dialer whose connections are also given up while an
+// answer is awaited, when the peer's machine says nothing to probes: everything
+// that was sent may have been acknowledged long before. An answer that is awaited
+// on a dead connection is given up after 2 s rather than at the request's deadline.
+func ProbingDialer(connect, unacknowledged time.Duration) *net.Dialer {
+	dialer := Dialer(connect, unacknowledged)
+	dialer.KeepAliveConfig = net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+	}
+	return dialer
+}
+
 func bound(unacknowledged time.Duration) func(network, address string, raw syscall.RawConn) error {
 	milliseconds := int(unacknowledged.Milliseconds())
 	return func(_, _ string, raw syscall.RawConn) error {
--- /dev/null
+++ b/transport/socket/socket_test.go
@@ -0,0 +1,48 @@
+package socket_test
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/transport/socket"
+)
+
+// options reads options of the TCP connection that the dialer opens.
+func options(t *testing.T, dialer *net.Dialer) (keepAlive, idle, interval, count int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	opened, err := dialer.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer opened.Close()
+	raw, err := opened.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	read := func(descriptor uintptr, level, option int) int {
+		value, err := syscall.GetsockoptInt(int(descriptor), level, option)
+		assert.NilError(t, err)
+		return value
+	}
+	assert.NilError(t, raw.Control(func(descriptor uintptr) {
+		keepAlive = read(descriptor, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
+		idle = read(descriptor, syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE)
+		interval = read(descriptor, syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL)
+		count = read(descriptor, syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT)
+	}))
+	return keepAlive, idle, interval, count
+}
+
+// TestProbingDialerAsksSilentPeers, and Dialer leaves that to the protocol.
+func TestProbingDialerAsksSilentPeers(t *testing.T) {
+	keepAlive, idle, interval, count := options(t, socket.ProbingDialer(time.Second, time.Second))
+	assert.Equal(t, keepAlive, 1)
+	assert.Equal(t, idle, 1)
+	assert.Equal(t, interval, 1)
+	assert.Equal(t, count, 2)
+	keepAlive, _, _, _ = options(t, socket.Dialer(time.Second, time.Second))
+	assert.Equal(t, keepAlive, 0)
+}
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -13,6 +13,11 @@
 	settings Settings
 	now      func() time.Time
 	dials    atomic.Uint64
+	// heardAt is when bytes last came from any back end, in nanoseconds of the
+	// Unix epoch.
+	heardAt atomic.Int64
+	// reachable knows which back ends' machines can be reached.
+	reachable *reachability
 
 	mutex sync.Mutex
 	idle  map[endpoint][]*connection
@@ -26,12 +31,24 @@
 
 // NewClient makes a client without connections.
 func NewClient(settings Settings, now func() time.Time) *Client {
-	return &Client{settings: settings, now: now, idle: make(map[endpoint][]*connection)}
+	return &Client{
+		settings: settings, now: now, idle: make(map[endpoint][]*connection), reachable: newReachability(settings, now),
+	}
 }
 
 // Dials is how many connections were made.
 func (c *Client) Dials() uint64 { return c.dials.Load() }
 
+// heard notes that bytes came on the connection.
+func (c *Client) heard(on *connection) {
+	now := c.now().UnixNano()
+	on.heard.Store(now)
+	c.heardAt.Store(now)
+}
+
+// heardSince tells whether any back end said something since then.
+func (c *Client) heardSince(then time.Time) bool { return c.heardAt.Load() >= then.UnixNano() }
+
 // connect returns a kept connection that is still usable, or a new one.
 func (c *Client) connect(ctx context.Context, to endpoint) (*connection, error) {
 	for {
@@ -45,7 +62,7 @@
 		kept.close()
 	}
 	c.dials.Add(1)
-	return dial(ctx, to.address, c.settings)
+	return dial(ctx, to.address, c.settings, c.heard)
 }
 
 // take removes the connection that rested last, so that few are kept busy and
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,22 +25,41 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	restedAt time.Time
+	// heard is when bytes last came, or the last exchange began, in nanoseconds
+	// of the Unix epoch.
+	heard atomic.Int64
 	// restLimit is how long the back end lets the connection rest.
 	restLimit time.Duration
 }
 
-func dial(ctx context.Context, address string, settings Settings) (*connection, error) {
-	dialer := socket.Dialer(settings.DialTimeout, settings.UnacknowledgedTimeout)
+func dial(ctx context.Context, address string, settings Settings, heard func(*connection)) (*connection, error) {
+	dialer := socket.ProbingDialer(settings.DialTimeout, settings.UnacknowledgedTimeout)
 	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &connection{
+	made := &connection{
 		socket:    opened.(*net.TCPConn),
-		reader:    bufio.NewReaderSize(opened, readBufferBytes),
 		writer:    bufio.NewWriterSize(opened, writeBufferBytes),
 		restLimit: settings.IdleTimeout,
-	}, nil
+	}
+	made.reader = bufio.NewReaderSize(hearing{made, heard}, readBufferBytes)
+	return made, nil
+}
+
+// hearing reads from a connection and tells when anything came.
+type hearing struct {
+	connection *connection
+	heard      func(*connection)
+}
+
+// Read implements io.Reader.
+func (h hearing) Read(buffer []byte) (int, error) {
+	count, err := h.connection.socket.Read(buffer)
+	if count > 0 {
+		h.heard(h.connection)
+	}
+	return count, err
 }
 
 // isFresh tells whether a connection that rested can take another request: the
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -45,6 +45,8 @@
 	writeErr error
 	// stop ends the watch of the request's context.
 	stop func() bool
+	// suspicion watches for a back end that went dark; nil where none is watched for.
+	suspicion *suspicion
 	// skipped tells that answers to other requests came first.
 	skipped bool
 	once    sync.Once
@@ -65,6 +67,10 @@
 	} else {
 		_ = opened.socket.SetDeadline(time.Time{})
 	}
+	opened.heard.Store(c.now().UnixNano())
+	if request.Repeatable && c.settings.Suspicion > 0 {
+		current.suspicion = suspect(current)
+	}
 	answer, err := current.run(request)
 	if err != nil {
 		current.abandon()
@@ -77,7 +83,7 @@
 	if len(request.Body) > inlineBody {
 		go e.send(request)
 	} else if e.send(request); e.writeErr != nil {
-		return nil, &Error{Sent: true, Stage: StageWrite, Cause: e.writeErr}
+		return nil, &Error{Sent: true, Stage: StageWrite, Cause: e.suspicion.cause(e.writeErr)}
 	}
 	for range maxForeignAnswers + 1 {
 		answer, matches, err := e.receive(request)
@@ -102,7 +108,7 @@
 func (e *exchange) receive(request *Request) (answer *Answer, matches bool, err error) {
 	response, err := e.readHead(request)
 	if err != nil {
-		return nil, false, &Error{Sent: true, Stage: StageHead, Cause: err}
+		return nil, false, &Error{Sent: true, Stage: StageHead, Cause: e.suspicion.cause(err)}
 	}
 	id := response.Header.Get(e.client.settings.IDHeader)
 	if id != "" && id != request.ID {
@@ -141,6 +147,7 @@
 // abandon closes the connection; the back end sees its client gone.
 func (e *exchange) abandon() {
 	e.once.Do(func() {
+		e.suspicion.stop()
 		e.stop()
 		e.connection.close()
 	})
@@ -149,6 +156,7 @@
 // finish keeps the connection for another request if nothing speaks against it.
 func (e *exchange) finish(closing bool) {
 	e.once.Do(func() {
+		e.suspicion.stop()
 		stillOpen := e.stop()
 		if closing || e.skipped || !stillOpen || !e.wasWritten() || e.connection.reader.Buffered() > 0 {
 			e.connection.close()
@@ -173,8 +181,9 @@
 	count, err := a.body.Read(buffer)
 	if err == io.EOF {
 		a.exchange.finish(a.closing)
+		return count, err
 	}
-	return count, err
+	return count, a.exchange.suspicion.cause(err)
 }
 
 // CloseBody gives up what is left of the answer. The back end sees its client gone
--- a/transport/upstream/request.go
+++ b/transport/upstream/request.go
@@ -24,6 +24,9 @@
 	Body   []byte
 	// ID is the request's id, which the answer must repeat in IDHeader.
 	ID string
+	// Repeatable tells that the caller may ask again, so that the request is
+	// given up once the back end's machine can't be reached any more.
+	Repeatable bool
 }
 
 // write sends the request in one piece where it fits the writer's buffer.
@@ -54,6 +57,11 @@
 	// IdleTimeout is how long a connection rests before it is closed, where
 	// the back end names no shorter time.
 	IdleTimeout time.Duration
+	// Suspicion is how long a repeatable request may hear nothing before its back
+	// end's machine is looked for by connecting to it; zero for never.
+	Suspicion time.Duration
+	// ProbeTimeout is how long that may take.
+	ProbeTimeout time.Duration
 	// MaxIdle is how many resting connections are kept for an instance.
 	MaxIdle int
 }
@@ -65,6 +73,8 @@
 		DialTimeout:           700 * time.Millisecond,
 		UnacknowledgedTimeout: 1500 * time.Millisecond,
 		IdleTimeout:           4 * time.Second,
+		Suspicion:             300 * time.Millisecond,
+		ProbeTimeout:          300 * time.Millisecond,
 		MaxIdle:               16,
 	}
 }
