End callers' connections at gateways that reach no storage node

A gateway that is cut off refuses turns at once and isn't ready, so that new connections go elsewhere; but callers keep their connections and came back to it with every turn.

Ruled out: the wait before it (276 tries held for 0.7 s, the first three of each gateway).

Change: while a gateway is cut off each of its answers ends its connection, as while it is being stopped.

--- a/node/gateway/apply.go
+++ b/node/gateway/apply.go
@@ -102,6 +102,11 @@
 	return nil
 }
 
+// isUnready tells that callers are better served elsewhere: this gateway is being
+// stopped, or reaches no storage node and can only refuse turns. Callers keep their
+// connections; without a sign they come back to it with each turn.
+func (g *Gateway) isUnready() bool { return g.draining.Load() || g.state.reach.IsCutOff() }
+
 func (g *Gateway) checkServing(context.Context) error {
 	if g.draining.Load() {
 		return errDraining
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -157,7 +157,7 @@
 	g.sets = g.newSeldomFollower(mirror.KindSets, parts.Sets, g.state.lookup.Apply)
 	g.relay = relay.New(relay.Options{
 		Tables: g.tables, Backends: g.backends, Exchanger: g.upstream, Dialect: parts.Dialect,
-		Turns: g.state.conversations, Certain: g.isCertain, Draining: g.draining.Load, MaxInFlight: maxInFlight, Gone: g.instanceGone,
+		Turns: g.state.conversations, Certain: g.isCertain, Unready: g.isUnready, MaxInFlight: maxInFlight, Gone: g.instanceGone,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
 		Metrics: relay.NewMetrics(g.metrics), Now: time.Now,
 		Logger: telemetry.Limited(logger, failureLines, burstLines), Answered: telemetry.Limited(logger, answerLines, burstLines),
--- a/transport/relay/deadline_test.go
+++ b/transport/relay/deadline_test.go
@@ -35,6 +35,8 @@
 	after func()
 	// unsent has requests fail before they are sent.
 	unsent bool
+	// unready is what the node says of itself meanwhile.
+	unready bool
 }
 
 func (e *brokenExchanger) Do(context.Context, *upstream.Request) (*upstream.Answer, error) {
@@ -65,7 +67,7 @@
 	exchanger.after = func() { passed.Store(int64(time.Minute)) }
 	handler := relay.New(relay.Options{
 		Tables: tables, Backends: pool, Exchanger: exchanger, Dialect: plainDialect{},
-		Certain: func() bool { return true }, Draining: func() bool { return false }, MaxInFlight: 10,
+		Certain: func() bool { return true }, Unready: func() bool { return exchanger.unready }, MaxInFlight: 10,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
 		Metrics: relay.NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(), Answered: zap.NewNop(),
 		Now: func() time.Time { return time.Now().Add(time.Duration(passed.Load())) },
@@ -89,6 +91,14 @@
 	}
 }
 
+// TestUnreadyNodeSendsCallersElsewhere: its answers end their connections.
+func TestUnreadyNodeSendsCallersElsewhere(t *testing.T) {
+	for _, unready := range []bool{false, true} {
+		recorder := answerAfterTime(t, routetable.Safe, &brokenExchanger{unsent: true, unready: unready})
+		assert.Equal(t, recorder.Header().Get("Connection") == "close", unready)
+	}
+}
+
 // TestTimeThatIsOverBeforeTheRequestWasSent: the answer says that it hasn't run, so
 // that a caller may ask again also for what must not run twice.
 func TestTimeThatIsOverBeforeTheRequestWasSent(t *testing.T) {
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -144,7 +144,7 @@
 	c.began = true
 	c.status = status
 	c.firstByte = c.handler.options.Now().Sub(c.arrived)
-	if c.handler.options.Draining() {
+	if c.handler.options.Unready() {
 		c.writer.Header().Set("Connection", "close")
 	}
 	c.writer.WriteHeader(status)
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -24,9 +24,10 @@
 	// Certain tells whether the table in force is known to be the newest, so
 	// that a missing route is really none.
 	Certain func() bool
-	// Draining tells that the node is being stopped: each answer then ends its
-	// connection.
-	Draining func() bool
+	// Unready tells that callers do better at another node, because this one is
+	// being stopped or can't serve turns: each answer then ends its connection,
+	// so that what follows comes in elsewhere.
+	Unready func() bool
 	// MaxInFlight bounds the requests under way.
 	MaxInFlight int64
 	// Gone is told an instance that another has taken the address of.
