Let storage nodes wait for the seeds when all start together

Storage nodes that aren't named as seeds gave these up after 0.5 to 1 s and asked the store, before the seeds, which start 0.3 s later and are asked again after 0.5 s, had answered. Now they wait for 1 to 2 s.

--- a/node/storage/mirroring.go
+++ b/node/storage/mirroring.go
@@ -41,9 +41,11 @@
 }
 
 // upstreamPatience is how long a storage node does without the store where those
-// that it follows it through fail: gateways follow through it in turn.
+// that it follows it through fail: gateways follow through it in turn. Where all
+// nodes start together it outlasts the time until those have started, 0.3 s, and
+// until they are asked again.
 func upstreamPatience() mirror.Patience {
-	return mirror.Patience{Unreached: 500 * time.Millisecond, Lost: 2 * time.Second}
+	return mirror.Patience{Unreached: time.Second, Lost: 2 * time.Second}
 }
 
 // mirroring follows what gateways follow through this node.
