--- a/cmd/marblering/explain.go
+++ b/cmd/marblering/explain.go
@@ -38,13 +38,15 @@
 		}),
 		RunE: func(command *cobra.Command, arguments []string) error {
 			if starts {
-				return explainStarts(command, arguments)
+				return withLogs(command, arguments, explainStarts)
 			}
 			if tries {
-				return explainTries(command, arguments)
+				return withLogs(command, arguments, explainTries)
 			}
 			last := len(arguments) - 1
-			return explain(command, arguments[:last], arguments[last], window)
+			return withLogs(command, arguments[:last], func(logs []io.Reader, out io.Writer) error {
+				return explain(logs, arguments[last], window, out)
+			})
 		},
 	}
 	command.Flags().DurationVar(&window, "window", explainWindow, "how long before the request other decisions are shown")
@@ -53,12 +55,17 @@
 	return command
 }
 
-func explain(command *cobra.Command, paths []string, id string, window time.Duration) error {
+// withLogs opens the files, has the function read them, and closes them.
+func withLogs(command *cobra.Command, paths []string, tell func(logs []io.Reader, out io.Writer) error) error {
 	logs, closeLogs, err := openLogs(command, paths)
 	if err != nil {
 		return err
 	}
 	defer closeLogs()
+	return tell(logs, command.OutOrStdout())
+}
+
+func explain(logs []io.Reader, id string, window time.Duration, out io.Writer) error {
 	story, err := logfile.Find(logs, id, window)
 	if err != nil {
 		return err
@@ -66,16 +73,11 @@
 	if len(story.Lines) == 0 {
 		return merry.Errorf("no line names %q", id)
 	}
-	printStory(command.OutOrStdout(), story)
+	printStory(out, story)
 	return nil
 }
 
-func explainStarts(command *cobra.Command, paths []string) error {
-	logs, closeLogs, err := openLogs(command, paths)
-	if err != nil {
-		return err
-	}
-	defer closeLogs()
+func explainStarts(logs []io.Reader, out io.Writer) error {
 	starts, err := logfile.Starts(logs)
 	if err != nil {
 		return err
@@ -84,20 +86,15 @@
 		return merry.New("no process started in these logs")
 	}
 	for _, start := range starts {
-		fmt.Fprintf(command.OutOrStdout(), "%s  %s started\n", start.At.Format(time.RFC3339Nano), start.Node)
+		fmt.Fprintf(out, "%s  %s started\n", start.At.Format(time.RFC3339Nano), start.Node)
 		for _, reached := range start.Reached {
-			fmt.Fprintf(command.OutOrStdout(), "%+12.3fs  %s\n", reached.After.Seconds(), reached.Message)
+			fmt.Fprintf(out, "%+12.3fs  %s\n", reached.After.Seconds(), reached.Message)
 		}
 	}
 	return nil
 }
 
-func explainTries(command *cobra.Command, paths []string) error {
-	logs, closeLogs, err := openLogs(command, paths)
-	if err != nil {
-		return err
-	}
-	defer closeLogs()
+func explainTries(logs []io.Reader, out io.Writer) error {
 	tries, err := logfile.SummarizeTries(logs)
 	if err != nil {
 		return err
@@ -105,7 +102,7 @@
 	if len(tries) == 0 {
 		return merry.New("no request ended in these logs")
 	}
-	table := tabwriter.NewWriter(command.OutOrStdout(), 0, 0, 2, ' ', 0)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "route\tstatus\tcode\theld by\ttries\tmean s\tlongest s\tthen served\tthen failed\tthen none")
 	for _, one := range tries {
 		mean := one.HeldFor / time.Duration(one.Count)
--- a/node/gateway/apply.go
+++ b/node/gateway/apply.go
@@ -125,10 +125,13 @@
 		known, _ := g.backends.Count()
 		return float64(known)
 	})
+	counter := func(name, help string, value func() uint64) {
+		g.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help},
+			func() float64 { return float64(value()) }))
+	}
+	counter("marblering_gateway_dials_total", "Connections made to back ends.", g.upstream.Dials)
+	counter("marblering_gateway_probes_total", "Connections made to see whether a silent back end's machine answers.", g.upstream.Probes)
 	g.metrics.MustRegister(g.ejections, g.storeCalls)
-	g.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: "marblering_gateway_dials_total", Help: "Connections made to back ends.",
-	}, func() float64 { return float64(g.upstream.Dials()) }))
 }
 
 func (g *Gateway) versionInForce() float64 {
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -39,6 +39,9 @@
 // Dials is how many connections were made.
 func (c *Client) Dials() uint64 { return c.dials.Load() }
 
+// Probes is how often a silent back end's machine was looked for.
+func (c *Client) Probes() uint64 { return c.reachable.dials.Load() }
+
 // heard notes that bytes came on the connection.
 func (c *Client) heard(on *connection) {
 	now := c.now().UnixNano()
--- a/transport/upstream/suspicion.go
+++ b/transport/upstream/suspicion.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"errors"
 	"net"
 	"sync"
@@ -25,7 +24,9 @@
 type reachability struct {
 	now func() time.Time
 	// dial tells whether the machine answers an attempt to connect in any way.
-	dial func(ctx context.Context, address string) bool
+	dial func(address string) bool
+	// dials counts them.
+	dials atomic.Uint64
 
 	mutex sync.Mutex
 	looks map[endpoint]*look
@@ -39,16 +40,15 @@
 }
 
 func newReachability(settings Settings, now func() time.Time) *reachability {
-	return &reachability{now: now, looks: make(map[endpoint]*look), dial: func(ctx context.Context, address string) bool {
-		return answersDial(ctx, address, settings.ProbeTimeout)
+	return &reachability{now: now, looks: make(map[endpoint]*look), dial: func(address string) bool {
+		return answersDial(address, settings.ProbeTimeout)
 	}}
 }
 
 // answersDial tells whether the machine at the address says anything: a
 // connection, or a refusal. One that is dark or cut off says nothing.
-func answersDial(ctx context.Context, address string, timeout time.Duration) bool {
-	dialer := net.Dialer{Timeout: timeout}
-	opened, err := dialer.DialContext(ctx, "tcp", address)
+func answersDial(address string, timeout time.Duration) bool {
+	opened, err := net.DialTimeout("tcp", address, timeout)
 	if err == nil {
 		_ = opened.Close()
 		return true
@@ -65,7 +65,8 @@
 		<-current.done
 		return current.found
 	}
-	found := r.dial(context.Background(), to.address)
+	r.dials.Add(1)
+	found := r.dial(to.address)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	current.found, current.ended = found, r.now()
--- a/transport/upstream/suspicion_test.go
+++ b/transport/upstream/suspicion_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -45,7 +44,7 @@
 	settings.IDHeader = "X-Id"
 	settings.Suspicion = 20 * time.Millisecond
 	client := NewClient(settings, time.Now)
-	client.reachable.dial = func(context.Context, string) bool {
+	client.reachable.dial = func(string) bool {
 		if hearsOthers {
 			client.heardAt.Store(time.Now().UnixNano())
 		}
@@ -125,7 +124,7 @@
 	now := time.Unix(1000, 0)
 	var looks atomic.Int64
 	r := newReachability(DefaultSettings(), func() time.Time { return now })
-	r.dial = func(context.Context, string) bool {
+	r.dial = func(string) bool {
 		looks.Add(1)
 		time.Sleep(10 * time.Millisecond)
 		return true
@@ -146,7 +145,7 @@
 func TestRefusalIsASignOfLife(t *testing.T) {
 	backend := newSlowBackend(t)
 	address := strings.TrimPrefix(backend.URL, "http://")
-	assert.Assert(t, answersDial(t.Context(), address, time.Second))
+	assert.Assert(t, answersDial(address, time.Second))
 	backend.Close()
-	assert.Assert(t, answersDial(t.Context(), address, time.Second))
+	assert.Assert(t, answersDial(address, time.Second))
 }
