--- a/coordination/follow/follower.go
+++ b/coordination/follow/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,7 +113,7 @@
 			continue
 		}
 		f.failed(err)
-		if sleep.For(ctx, jitter(pause)) != nil {
+		if sleep.For(ctx, sleep.Jitter(pause)) != nil {
 			break
 		}
 		pause = min(2*pause, f.options.Settings.MaxPause)
@@ -244,8 +243,3 @@
 	}
 	f.options.Logger.Info("store regained", zap.String("objects", f.options.Name), zap.Int64("revision", f.revision()))
 }
-
-// jitter spreads the calls of nodes that failed at the same moment.
-func jitter(pause time.Duration) time.Duration {
-	return pause/2 + rand.N(pause)
-}
--- a/coordination/mirror/reader.go
+++ b/coordination/mirror/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -83,7 +82,7 @@
 			pause, refresh = searchPause, firstRefresh
 		case r.isNeeded():
 			r.refresh(ctx)
-			pause = jittered(refresh)
+			pause = sleep.Jitter(refresh)
 			refresh = min(2*refresh, lastRefresh)
 		default:
 			pause, refresh = firstRefresh, firstRefresh
@@ -91,9 +90,6 @@
 	}
 }
 
-// jittered spreads the requests of nodes that lost the store together.
-func jittered(pause time.Duration) time.Duration { return pause/2 + rand.N(pause) }
-
 func (r *Reader) isNeeded() bool {
 	for _, follower := range r.followers {
 		if follower.IsLost() || !follower.IsKnown() {
--- a/coordination/sleep/sleep.go
+++ b/coordination/sleep/sleep.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -18,3 +19,7 @@
 		return ctx.Err()
 	}
 }
+
+// Jitter draws a pause around the given one, from half of it to one and a half, so
+// that nodes that failed at the same moment don't go on at the same moment.
+func Jitter(pause time.Duration) time.Duration { return pause/2 + rand.N(pause) }
