--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -29,8 +29,8 @@
 
 // ProbingDialer returns a dialer whose connections are also given up while an
 // answer is awaited, when the peer's machine says nothing to probes: everything
-// that was sent may have been acknowledged long before. An answer that is awaited
-// on a dead connection is given up after 2 s rather than at the request's deadline.
+// that was sent may have been acknowledged long before. It is meant for connections
+// that went silent while the machine answers new ones; a gain isn't measured.
 func ProbingDialer(connect, unacknowledged time.Duration) *net.Dialer {
 	dialer := Dialer(connect, unacknowledged)
 	dialer.KeepAliveConfig = net.KeepAliveConfig{
--- a/transport/upstream/suspicion.go
+++ b/transport/upstream/suspicion.go
@@ -14,13 +14,12 @@
 // end's machine couldn't be reached any more.
 var ErrUnreachable = merry.Sentinel("the back end's machine can't be reached any more")
 
-// knownReachable is how long a back end that was heard of, or found reachable,
-// isn't looked for again.
+// knownReachable is how long a back end that was found reachable isn't looked for
+// again.
 const knownReachable = time.Second
 
-// reachability remembers of each back end when its machine last gave a sign of
-// life, so that requests that wait there together look for it once. It is safe
-// for concurrent use.
+// reachability looks for the machines of silent back ends, once for all requests
+// that wait there together. It is safe for concurrent use.
 type reachability struct {
 	now func() time.Time
 	// dial tells whether the machine answers an attempt to connect in any way.
