Keep a proxy's port while it refuses connections

Cause: a proxy that cuts everyone off closed its listener and opened the port again at the healing. In between the port was free, and whoever asked the kernel for any port could get it: 'opening the proxy at 127.0.0.1:37157 again: bind: address already in use', in 1 of 8 series of up to 40 repeats beside each other on 8 busy cores.

Ruled out: the program's record. The cut node's outcome_unresolved is there in runs that pass as well.

Change: a bound socket that never listens keeps the port for the life of the proxy; connections are refused as before. TestPortIsKeptWhileConnectionsAreRefused fails without it each time. A report now repeats the lines of assertions at its end, where a long output is cut.

--- a/test/integration/partition/network.go
+++ b/test/integration/partition/network.go
@@ -9,10 +9,7 @@
 package partition
 
 import (
-	"net"
 	"sync"
-
-	"github.com/ansel1/merry/v2"
 )
 
 // Network is a set of proxies. Sources are child processes of this one, named by
@@ -32,15 +29,18 @@
 // Proxy opens a proxy on a port of its own. Connections wait until SetTarget
 // has named the address they go to.
 func (n *Network) Proxy() (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := reservePort()
 	if err != nil {
-		return nil, merry.Wrap(err)
+		return nil, err
+	}
+	proxy := newProxy(port)
+	if err := proxy.apply(); err != nil {
+		port.release()
+		return nil, err
 	}
-	proxy := newProxy(listener)
 	n.mutex.Lock()
 	n.proxies = append(n.proxies, proxy)
 	n.mutex.Unlock()
-	go proxy.accept(listener)
 	return proxy, nil
 }
 
--- a/test/integration/partition/partition_test.go
+++ b/test/integration/partition/partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"os/exec"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -207,3 +209,33 @@
 	address := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2), Port: 8080}
 	assert.Equal(t, hexAddress(address), "0200007F:1F90")
 }
+
+// TestPortIsKeptWhileConnectionsAreRefused: a port that is free while the proxy
+// refuses connections is taken by whoever asks the kernel for any, and the cut
+// can't be healed.
+func TestPortIsKeptWhileConnectionsAreRefused(t *testing.T) {
+	f := newFixture(t)
+	assert.NilError(t, f.proxy.Set(Fault{Kind: Cut}))
+	assert.ErrorIs(t, <-f.ask(), syscall.ECONNREFUSED)
+	listener, err := listenAlone(t, f.proxy.Address())
+	if err == nil {
+		_ = listener.Close()
+	}
+	assert.ErrorIs(t, err, syscall.EADDRINUSE)
+	assert.NilError(t, f.proxy.Heal())
+	assert.NilError(t, <-f.ask())
+}
+
+// listenAlone listens at the address without SO_REUSEADDR, as a socket that the
+// kernel chooses the port of has to: it shares the port with nobody.
+func listenAlone(t *testing.T, address string) (net.Listener, error) {
+	t.Helper()
+	alone := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(socket uintptr) {
+			failed = syscall.SetsockoptInt(int(socket), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 0)
+		})
+		return errors.Join(err, failed)
+	}}
+	return alone.Listen(t.Context(), "tcp", address)
+}
--- a/test/integration/partition/proxy.go
+++ b/test/integration/partition/proxy.go
@@ -44,7 +44,7 @@
 
 // Proxy is a TCP proxy in front of one address.
 type Proxy struct {
-	address string
+	port reservation
 
 	mutex    sync.Mutex
 	target   string
@@ -57,10 +57,9 @@
 	closed  bool
 }
 
-func newProxy(listener net.Listener) *Proxy {
+func newProxy(port reservation) *Proxy {
 	return &Proxy{
-		address:  listener.Addr().String(),
-		listener: listener,
+		port:     port,
 		bySource: make(map[string]Fault),
 		links:    make(map[*link]struct{}),
 		changed:  make(chan struct{}),
@@ -68,7 +67,7 @@
 }
 
 // Address is where the proxy listens.
-func (p *Proxy) Address() string { return p.address }
+func (p *Proxy) Address() string { return p.port.address.String() }
 
 // SetTarget names the address that connections go to.
 func (p *Proxy) SetTarget(target string) {
@@ -134,9 +133,9 @@
 	if refusing || p.listener != nil {
 		return nil
 	}
-	listener, err := net.Listen("tcp", p.address)
+	listener, err := p.port.listen()
 	if err != nil {
-		return merry.Prependf(err, "opening the proxy at %s again", p.address)
+		return err
 	}
 	p.listener = listener
 	go p.accept(listener)
@@ -193,10 +192,14 @@
 func (p *Proxy) close() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.closed {
+		return
+	}
 	p.closed = true
 	if p.listener != nil {
 		_ = p.listener.Close()
 	}
+	p.port.release()
 	for open := range p.links {
 		open.breakOff()
 	}
--- a/test/report/report_test.go
+++ b/test/report/report_test.go
@@ -13,13 +13,15 @@
 
 // Events of one passing and one failing test, and of ways to end the package.
 const (
-	onePass     = `{"Action":"run","Package":"p","Test":"TestA"}{"Action":"pass","Package":"p","Test":"TestA"}`
-	oneFail     = `{"Action":"run","Package":"p","Test":"TestB"}{"Action":"output","Package":"p","Test":"TestB/sub","Output":"boom\n"}{"Action":"fail","Package":"p","Test":"TestB/sub"}{"Action":"fail","Package":"p","Test":"TestB"}`
-	oneSkip     = `{"Action":"run","Package":"p","Test":"TestC"}{"Action":"skip","Package":"p","Test":"TestC"}`
-	packagePass = `{"Action":"pass","Package":"p"}`
-	packageFail = `{"Action":"output","Package":"p","Output":"exit status 1\n"}{"Action":"fail","Package":"p"}`
-	packageDies = `{"Action":"output","Package":"p","Output":"exit status 2\n"}{"Action":"fail","Package":"p"}`
-	buildFails  = `{"ImportPath":"p [p.test]","Action":"build-output","Output":"undefined: x\n"}{"ImportPath":"p [p.test]","Action":"build-fail"}{"Action":"fail","Package":"p"}`
+	onePass = `{"Action":"run","Package":"p","Test":"TestA"}{"Action":"pass","Package":"p","Test":"TestA"}`
+	oneFail = `{"Action":"run","Package":"p","Test":"TestB"}{"Action":"output","Package":"p","Test":"TestB/sub","Output":"boom\n"}{"Action":"fail","Package":"p","Test":"TestB/sub"}{"Action":"fail","Package":"p","Test":"TestB"}`
+	// oneAssertion fails as oneFail does, with the line of an assertion before others.
+	oneAssertion = `{"Action":"run","Package":"p","Test":"TestB"}{"Action":"output","Package":"p","Test":"TestB","Output":"    b_test.go:27: boom\n"}{"Action":"output","Package":"p","Test":"TestB","Output":"    process.go:48: --- output of engine-2\n"}{"Action":"fail","Package":"p","Test":"TestB"}`
+	oneSkip      = `{"Action":"run","Package":"p","Test":"TestC"}{"Action":"skip","Package":"p","Test":"TestC"}`
+	packagePass  = `{"Action":"pass","Package":"p"}`
+	packageFail  = `{"Action":"output","Package":"p","Output":"exit status 1\n"}{"Action":"fail","Package":"p"}`
+	packageDies  = `{"Action":"output","Package":"p","Output":"exit status 2\n"}{"Action":"fail","Package":"p"}`
+	buildFails   = `{"ImportPath":"p [p.test]","Action":"build-output","Output":"undefined: x\n"}{"ImportPath":"p [p.test]","Action":"build-fail"}{"Action":"fail","Package":"p"}`
 )
 
 func TestReport(t *testing.T) {
@@ -34,6 +36,8 @@
 	}{
 		{"all pass", onePass + packagePass, "", 0, false, []string{"1 passed, 0 failed"}},
 		{"one fails", onePass + oneFail + packageFail, "", 1, true, []string{"boom", "FAULT: p.TestB failed", "1 passed, 1 failed"}},
+		{"assertion is repeated at the end", onePass + oneAssertion + packageFail, "", 1, true,
+			[]string{"failed at: b_test.go:27: boom\nFAULT: p.TestB failed"}},
 		{"known one fails", onePass + oneFail + packageFail, line, 1, false,
 			[]string{"known failing: p.TestB: the engine, sometimes, drops it (#3)", "1 passed, 1 failed"}},
 		{"known one passes", strings.ReplaceAll(onePass, "TestA", "TestB") + packagePass, line, 0, false,
--- a/test/report/verdict.go
+++ b/test/report/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"regexp"
 	"strings"
 )
 
@@ -77,12 +78,34 @@
 			fmt.Fprintf(out, "--- output of %s\n%s", shortName(result.name), result.output)
 		}
 	}
+	for _, result := range o.tests {
+		if result.action == actionFail {
+			writeLines(out, "failed at: ", assertions(result.output))
+		}
+	}
 	writeLines(out, "skipped: ", v.skipped)
 	writeLines(out, "", v.notes)
 	writeLines(out, "FAULT: ", v.faults)
 	fmt.Fprintf(out, "%d passed, %d failed\n", v.passed, v.failed)
 }
 
+// assertions returns the lines in which a test says where and why it failed.
+// Logs of its processes follow them in the output and may be long, so that the
+// end of a report alone would hide them.
+func assertions(output string) []string {
+	var found []string
+	for line := range strings.Lines(output) {
+		if assertion.MatchString(line) {
+			found = append(found, strings.TrimSpace(line))
+		}
+	}
+	return found
+}
+
+// assertion matches a line that names a position in a test file, as package
+// testing writes it.
+var assertion = regexp.MustCompile(`^ +\w+_test\.go:\d+: `)
+
 func writeLines(out io.Writer, prefix string, lines []string) {
 	for _, line := range lines {
 		fmt.Fprintln(out, prefix+line)
