--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// TestSilentLinkIsReplaced: a connection that carries nothing any more, without a
+// reset, is found out by its ping, and calls go through a new one.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	server := servePeer(t, &echoReplica{}, &countingHost{})
+	path := harness.StartForwarder(t, server.Listener.Addr().String())
+	member := register.Member{Node: "n", Address: path.Address()}
+	client := newPeerClient(t)
+	_, err := prepare(t.Context(), client, member, "before")
+	assert.NilError(t, err)
+	path.SilenceOpen()
+	silent := path.Opened()
+	harness.Eventually(t, func() (bool, string) {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		value, err := prepare(ctx, client, member, "after")
+		return err == nil && value == "after", fmt.Sprint("no call gets through: ", err)
+	})
+	assert.Assert(t, path.Opened() > silent, "a call was answered on a silent connection")
+}
+
 // TestUnreachablePeerFailsAtOnce.
 func TestUnreachablePeerFailsAtOnce(t *testing.T) {
 	server := servePeer(t, &echoReplica{}, &countingHost{})
