Count failures of holders of one moment once, and list only where changes may be lost

(1) At the start the seeds refuse connections for 0.3 s. The calls of all five kinds fail within milliseconds, each doubles the time for which a holder is avoided, so that it isn't asked for 3 s; by then each node has asked the store itself. (2) What follows lists anew after each failed call, also where nobody was asked. A listing must not be older than what is known, but the holders are at older revisions of the store, which rises with other kinds too: 8,855 lines, 'the holder is behind what is known'. The gate opens, the store is asked again, and so on for good.

Ruled out: holders that are too slow (486 refused connections at the start, no time-out).

Change: while a holder is avoided, further failures don't prolong it; where nobody was asked, the next call goes on from the revision that is known. In place of holders the store may hold a call for 1 s, so that one that says nothing is noticed as soon as by a listing.

TestFailuresOfOneMomentCountOnce fails without (1), TestCallThatAskedNobodyCostsNoListing holds (2).

--- a/coordination/follow/follower.go
+++ b/coordination/follow/follower.go
@@ -16,6 +16,10 @@
 // since the revision that was asked for.
 var ErrHistoryGone = errors.New("the store's history is gone")
 
+// ErrNobodyAsked is what a Source returns where it made no call that may have lost
+// changes, so that the next one can go on from the same revision.
+var ErrNobodyAsked = errors.New("the store wasn't asked")
+
 // Source is one kind of objects in a store.
 type Source interface {
 	// List returns every object, as the store had them the snapshot's age ago.
@@ -222,9 +226,12 @@
 }
 
 // failed notes that a call failed. A lost answer may have held changes, so the
-// next call is a listing.
+// next call is a listing. It isn't where nobody was asked: a listing asks for no less
+// than the revision that is known, and no other node may be there yet, since the
+// store's revision rises also with what these don't follow. Nodes that fell back
+// to the store once would then ask it for good.
 func (f *Follower) failed(err error) {
-	f.relist = true
+	f.relist = f.relist || !errors.Is(err, ErrNobodyAsked)
 	if f.lost.Swap(true) {
 		return
 	}
--- a/coordination/follow/follower_test.go
+++ b/coordination/follow/follower_test.go
@@ -182,3 +182,9 @@
 	assert.DeepEqual(t, calls, []string{"list", "watch 5", "watch 5", "watch 8"})
 	assert.DeepEqual(t, seen, [][]string{{"a3", "b4"}, {"a7"}})
 }
+
+// TestCallThatAskedNobodyCostsNoListing, while a call that failed does.
+func TestCallThatAskedNobodyCostsNoListing(t *testing.T) {
+	calls, _ := follow(listed(7), failed(fmt.Errorf("no holder: %w", ErrNobodyAsked)), changed(9), failed(errors.New("cut")), listed(9))
+	assert.DeepEqual(t, calls[:5], []string{"list", "watch 7", "watch 7", "watch 9", "list"})
+}
--- a/coordination/mirror/holders.go
+++ b/coordination/mirror/holders.go
@@ -58,10 +58,15 @@
 // isEmpty tells that there are no holders, avoided ones included.
 func (h *Holders) isEmpty() bool { return len(h.list()) == 0 }
 
-// failed notes a holder that didn't answer.
+// failed notes a holder that didn't answer. While it is avoided that changes nothing:
+// the calls of all kinds fail at the same moment, and were each of them to double the
+// time, a holder that refused connections for 0.3 s would be avoided for 3 s.
 func (h *Holders) failed(holder netip.AddrPort) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	if h.now().Before(h.avoided[holder].until) {
+		return
+	}
 	length := min(max(2*h.avoided[holder].length, firstAvoidance), longestAvoidance)
 	h.avoided[holder] = avoidance{length: length, until: h.now().Add(length)}
 }
--- a/coordination/mirror/source.go
+++ b/coordination/mirror/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,8 @@
 	// every one as fast as it refuses.
 	maxHops = 4
 	maxLost = 2
+	// insteadWait is how long the store itself may hold a call in place of holders.
+	insteadWait = time.Second
 	// leastWait is the shortest wait of a call at the store itself that comes
 	// after holders were asked in vain.
 	leastWait = 100 * time.Millisecond
@@ -182,7 +185,20 @@
 		return follow.Changes{}, err
 	}
 	taken := s.holders.now().Sub(began)
-	changes, err := s.direct.Watch(ctx, from, max(wait-taken, leastWait))
+	return s.watchStore(ctx, from, max(wait-taken, leastWait))
+}
+
+// watchStore asks the store itself, in place of holders only for as long as a listing
+// would take: holders are to be tried again, and a store that says nothing must be
+// noticed as soon as it would be by a listing.
+func (s *Source) watchStore(ctx context.Context, from int64, wait time.Duration) (follow.Changes, error) {
+	if !s.holders.isEmpty() {
+		wait = min(wait, insteadWait)
+		bounded, cancel := context.WithTimeout(ctx, wait+holderSlack)
+		defer cancel()
+		ctx = bounded
+	}
+	changes, err := s.direct.Watch(ctx, from, wait)
 	if err == nil {
 		s.storeAnswered(changes.At)
 	}
@@ -194,7 +210,7 @@
 	errHolderMissed = errors.New("the holder doesn't follow the kind")
 	errHolderOld    = errors.New("the store hasn't confirmed to the holder for too long")
 	errHolderBehind = errors.New("the holder is behind what is known")
-	errNoHolder     = errors.New("no holder answers, and the store itself isn't asked yet")
+	errNoHolder     = fmt.Errorf("no holder answers: %w", follow.ErrNobodyAsked)
 )
 
 func (s *Source) ask(ctx context.Context, holder netip.AddrPort, from int64, wait time.Duration) (follow.Changes, error) {
--- a/coordination/mirror/source_test.go
+++ b/coordination/mirror/source_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,10 +28,19 @@
 	answers map[netip.AddrPort]mirror.Answer
 	now     *time.Time
 	delay   time.Duration
+	mutex   sync.Mutex
 	asked   []netip.AddrPort
+	// together holds calls back until all that it counts were made; nil for none.
+	together *sync.WaitGroup
 }
 
 func (s *scripted) WatchMirror(_ context.Context, holder netip.AddrPort, _ string, _ int64, _ time.Duration) (mirror.Answer, error) {
+	if s.together != nil {
+		s.together.Done()
+		s.together.Wait()
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.asked = append(s.asked, holder)
 	if said := s.answers[holder]; said != nil {
 		return said, nil
@@ -270,3 +280,33 @@
 	assert.NilError(t, err)
 	assert.Equal(t, listed.At, int64(12))
 }
+
+// TestFailuresOfOneMomentCountOnce: a node follows several kinds through the same
+// holders. Where one of these refuses connections for a moment, all kinds notice, and
+// it must not be avoided for as long as one that went on failing.
+func TestFailuresOfOneMomentCountOnce(t *testing.T) {
+	w := newPatientWorld(map[netip.AddrPort]mirror.Answer{}, mirror.Patience{Unreached: time.Minute, Lost: time.Minute})
+	holders := mirror.NewHolders(func() []netip.AddrPort { return w.listed }, func() time.Time { return w.now })
+	bounds := mirror.SourceSettings{Wait: time.Second, MaxAge: 4 * time.Second, Patience: mirror.Patience{Unreached: time.Minute, Lost: time.Minute}}
+	var sources []*mirror.Source
+	for _, kind := range mirror.Kinds() {
+		sources = append(sources, mirror.NewSource(kind, &w.store, holders, &w.holders, bounds, zap.NewNop()))
+	}
+	w.holders.together = &sync.WaitGroup{}
+	w.holders.together.Add(len(sources))
+	w.listed = []netip.AddrPort{holderA}
+	var calls sync.WaitGroup
+	for _, source := range sources {
+		calls.Go(func() {
+			_, err := source.Watch(context.Background(), 7, time.Second)
+			assert.Check(t, errors.Is(err, follow.ErrNobodyAsked))
+		})
+	}
+	calls.Wait()
+	w.holders.together = nil
+	w.holders.answers[holderA] = current(8)
+	w.now = w.now.Add(600 * time.Millisecond)
+	changes, err := sources[0].Watch(context.Background(), 7, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, changes.At, int64(8))
+}
