--- a/coordination/mirror/source_test.go
+++ b/coordination/mirror/source_test.go
@@ -45,7 +45,9 @@
 	if said := s.answers[holder]; said != nil {
 		return said, nil
 	}
-	*s.now = s.now.Add(s.delay)
+	if s.delay > 0 {
+		*s.now = s.now.Add(s.delay)
+	}
 	return nil, errors.New("no answer")
 }
 
