--- a/coordination/follow/follower.go
+++ b/coordination/follow/follower.go
@@ -226,10 +226,11 @@
 }
 
 // failed notes that a call failed. A lost answer may have held changes, so the
-// next call is a listing. It isn't where nobody was asked: a listing asks for no less
-// than the revision that is known, and no other node may be there yet, since the
-// store's revision rises also with what these don't follow. Nodes that fell back
-// to the store once would then ask it for good.
+// next call is a listing. Where nobody was asked it isn't: another node refuses to be
+// listed from while its revision is older than the known one, which it often is though
+// it lacks nothing, since the store's revision rises with every kind. A node that had
+// asked the store itself once would then ask it for good: 2,816 calls of 295 nodes on a
+// quiet day of 48 s instead of 316, with the failures of one moment counted apart.
 func (f *Follower) failed(err error) {
 	f.relist = f.relist || !errors.Is(err, ErrNobodyAsked)
 	if f.lost.Swap(true) {
--- a/coordination/mirror/holders.go
+++ b/coordination/mirror/holders.go
@@ -110,8 +110,8 @@
 // through, its own zone's at the head: few ask the store, since each call is work for
 // it, and held calls end every few seconds though nothing has changed. With three
 // such nodes in place of one in each of five zones the quiet start of 36 storage nodes
-// costs the store 84 to 92 calls a kind in place of 140 (virtual time, 140 instances that
-// register). Nodes that ask the store themselves have no upstreams. Before any member
+// costs the store 84 to 92 calls in place of 140 (virtual time, one kind, 140 instances
+// that register). Nodes that ask the store themselves have no upstreams. Before any member
 // is known the seeds take their place.
 func Upstreams(self register.Member, members []register.Member, seeds []netip.AddrPort) []netip.AddrPort {
 	if len(members) == 0 {
