Tell in each request's line how old its configuration was

A refusal by an old configuration (404 for a route that was added) and one of a path that nobody serves look alike in the log: the line gave the version and not how long ago the store had confirmed it, which decides between a configuration that isn't taken in and one that isn't asked for. The bounds of following are built in one place, which the tests of package gateway use in place of copies. Behaviour as before.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -165,7 +165,8 @@
 	g.sets = g.newSeldomFollower(mirror.KindSets, parts.Sets, g.state.lookup.Apply)
 	g.relay = relay.New(relay.Options{
 		Tables: g.tables, Backends: g.backends, Exchanger: g.upstream, Dialect: parts.Dialect,
-		Turns: g.state.conversations, Quotas: g.state.quotas, Certain: g.isCertain, Proof: proof{g}, Unready: g.isUnready, MaxInFlight: maxInFlight, Gone: g.instanceGone,
+		Turns: g.state.conversations, Quotas: g.state.quotas, Certain: g.isCertain, TableAge: g.configuration.Age, Proof: proof{g},
+		Unready: g.isUnready, MaxInFlight: maxInFlight, Gone: g.instanceGone,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
 		Metrics: relay.NewMetrics(g.metrics), Now: time.Now,
 		Logger: telemetry.Limited(logger, failureLines, burstLines), Answered: telemetry.Limited(logger, answerLines, burstLines),
@@ -194,17 +195,12 @@
 }
 
 func (g *Gateway) newFollower(name string, source follow.Source, apply func(follow.Snapshot)) *follow.Follower {
-	through := mirror.SourceSettings{Wait: holderWait, MaxAge: g.settings.ApplyLimit, Patience: holderPatience()}
-	maxPause := maxHolderPause
+	bounds, through := followBounds(g.settings), holderBounds(g.settings)
 	if name == mirror.KindConfiguration && g.settings.RevokeLimit > 0 {
-		maxPause = mirror.ProofPause
+		bounds.MaxPause = mirror.ProofPause
 		through = provenSettings(g.settings.RevokeLimit, through)
 		source = follow.Polled(source, mirror.ProofInterval(g.settings.RevokeLimit), time.Now)
 	}
-	bounds := follow.DefaultSettings()
-	bounds.WatchWait = watchWait(g.settings.UndisturbedTime)
-	bounds.WatchSlack = watchSlack
-	bounds.MaxPause = maxPause
 	followed := g.throughHolders(name, source, through)
 	if name == mirror.KindConfiguration {
 		g.configurationSource = followed
--- a/node/gateway/holders.go
+++ b/node/gateway/holders.go
@@ -7,6 +7,7 @@
 	"github.com/marblering/marblering/coordination/follow"
 	"github.com/marblering/marblering/coordination/mirror"
 	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/settings"
 )
 
 const (
@@ -35,6 +36,21 @@
 	return mirror.Patience{Unreached: 1500 * time.Millisecond, Lost: 4 * time.Second}
 }
 
+// holderBounds are those of following what is due within the apply limit through
+// storage nodes.
+func holderBounds(loaded settings.Gateway) mirror.SourceSettings {
+	return mirror.SourceSettings{Wait: holderWait, MaxAge: loaded.ApplyLimit, Patience: holderPatience()}
+}
+
+// followBounds are those of the follower of such a kind.
+func followBounds(loaded settings.Gateway) follow.Settings {
+	bounds := follow.DefaultSettings()
+	bounds.WatchWait = watchWait(loaded.UndisturbedTime)
+	bounds.WatchSlack = watchSlack
+	bounds.MaxPause = maxHolderPause
+	return bounds
+}
+
 // setsPatience is shorter without holders: once the sets are known there are more
 // of them than the settings name, for every kind.
 func setsPatience() mirror.Patience {
--- a/node/gateway/revoke_model_test.go
+++ b/node/gateway/revoke_model_test.go
@@ -17,6 +17,7 @@
 	"github.com/marblering/marblering/coordination/follow"
 	"github.com/marblering/marblering/coordination/mirror"
 	"github.com/marblering/marblering/coordination/sleep"
+	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/state/replica"
 )
 
@@ -202,13 +203,11 @@
 	holders := mirror.NewHolders(func() []netip.AddrPort {
 		return mirror.Spread(node, []netip.AddrPort{modelAddress(0), modelAddress(1), modelAddress(2), modelAddress(3)})
 	}, time.Now)
-	usual := mirror.SourceSettings{Wait: holderWait, MaxAge: 3 * time.Second, Patience: holderPatience()}
-	bounds := follow.DefaultSettings()
-	bounds.WatchWait, bounds.WatchSlack, bounds.MaxPause = watchWait(4*time.Second), watchSlack, maxHolderPause
+	limits := settings.Gateway{ApplyLimit: 3 * time.Second, UndisturbedTime: 4 * time.Second}
 	started.follower = follow.New(follow.Options{
-		Name: mirror.KindConfiguration, Settings: bounds, Logger: zap.NewNop(), Now: time.Now,
+		Name: mirror.KindConfiguration, Settings: followBounds(limits), Logger: zap.NewNop(), Now: time.Now,
 		Source: mirror.NewSource(mirror.KindConfiguration, w.source(node), holders, modelNetwork{w, node},
-			provenSettings(revokeLimit, usual), zap.NewNop()),
+			provenSettings(revokeLimit, holderBounds(limits)), zap.NewNop()),
 		Apply: func(snapshot follow.Snapshot) {
 			started.mutex.Lock()
 			defer started.mutex.Unlock()
--- a/node/gateway/start_test.go
+++ b/node/gateway/start_test.go
@@ -18,6 +18,7 @@
 	"github.com/marblering/marblering/coordination/mirror"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/sleep"
+	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/state/replica"
 )
 
@@ -238,15 +239,18 @@
 	go func() { _ = follower.Serve(ctx) }()
 }
 
+// gatewayLimits are those that the gateways of the fleet are set to.
+func (f *testFleet) gatewayLimits() settings.Gateway {
+	return settings.Gateway{ApplyLimit: fleetApplyLimit, UndisturbedTime: 5 * time.Second}
+}
+
 func (f *testFleet) startGateway(ctx context.Context, name, zone string) {
 	holders := mirror.NewHolders(func() []netip.AddrPort { return mirror.Near(zone, name, f.members) }, time.Now)
-	through := mirror.SourceSettings{Wait: holderWait, MaxAge: fleetApplyLimit, Patience: holderPatience()}
-	bounds := follow.DefaultSettings()
-	bounds.WatchWait, bounds.WatchSlack, bounds.MaxPause = watchWait(5*time.Second), watchSlack, maxHolderPause
+	limits := f.gatewayLimits()
 	var heard, heardLate sync.Once
 	follower := follow.New(follow.Options{
-		Name: mirror.KindInstances, Settings: bounds, Logger: zap.NewNop(), Now: time.Now,
-		Source: mirror.NewSource(mirror.KindInstances, roleCalls{store: f.store, role: "gateway"}, holders, f.network, through, zap.NewNop()),
+		Name: mirror.KindInstances, Settings: followBounds(limits), Logger: zap.NewNop(), Now: time.Now,
+		Source: mirror.NewSource(mirror.KindInstances, roleCalls{store: f.store, role: "gateway"}, holders, f.network, holderBounds(limits), zap.NewNop()),
 		Apply: func(snapshot follow.Snapshot) {
 			if len(snapshot.Objects) > 0 {
 				heard.Do(func() { f.knowing.Add(1) })
--- a/transport/relay/answer.go
+++ b/transport/relay/answer.go
@@ -70,7 +70,8 @@
 	c.handler.options.Metrics.observe(c, took)
 	fields := []zap.Field{
 		zap.String("request", c.facts.ID), zap.String("key", c.facts.Key),
-		zap.String("route", c.routeName()), zap.Int64("configuration", c.version), zap.String("tenant", c.tenantName()),
+		zap.String("route", c.routeName()), zap.Int64("configuration", c.version), c.ageField(),
+		zap.String("tenant", c.tenantName()),
 		zap.Int("status", c.status), zap.Uint32("code", uint32(c.code)),
 		zap.Strings("instances", c.tried), zap.Int("sends", c.sends),
 		zap.Duration("permitted", c.permitted), zap.Duration("prepared", c.prepared), zap.Duration("first_byte", c.firstByte), zap.Duration("stored", c.stored),
@@ -83,6 +84,14 @@
 	c.handler.options.Logger.Info("not answered", append(fields, zap.String("reason", c.reason))...)
 }
 
+// ageField tells how old the configuration was that the request was decided by.
+func (c *call) ageField() zap.Field {
+	if !c.tableAgeKnown {
+		return zap.String("configuration_age", "unknown")
+	}
+	return zap.Duration("configuration_age", c.tableAge)
+}
+
 // allowed is the time that the request had.
 func (c *call) allowed() time.Duration {
 	if c.deadline.IsZero() {
--- a/transport/relay/authorize_test.go
+++ b/transport/relay/authorize_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/marblering/marblering/coordination/backend"
@@ -145,3 +146,29 @@
 	assert.Equal(t, w.ask(), http.StatusBadGateway)
 	assert.Equal(t, w.exchanger.tries.Load(), int64(1))
 }
+
+// TestLineOfARefusalTellsHowOldItsConfigurationIs: without it a route that isn't known
+// yet and one that is really none look alike.
+func TestLineOfARefusalTellsHowOldItsConfigurationIs(t *testing.T) {
+	for name, c := range map[string]struct {
+		known bool
+		want  any
+	}{"known": {true, 2200 * time.Millisecond}, "unknown": {false, "unknown"}} {
+		t.Run(name, func(t *testing.T) {
+			core, lines := observer.New(zap.InfoLevel)
+			w := newKeyWorld(t, routetable.Safe)
+			w.handler = relay.New(relay.Options{
+				Tables: w.tables, Dialect: keyDialect{}, Certain: func() bool { return true }, MaxInFlight: 10,
+				TableAge: func() (time.Duration, bool) { return 2200 * time.Millisecond, c.known },
+				Unready:  func() bool { return false },
+				Metrics:  relay.NewMetrics(prometheus.NewRegistry()), Logger: zap.New(core), Answered: zap.NewNop(), Now: time.Now,
+			})
+			request := httptest.NewRequest(http.MethodGet, "/x", nil)
+			request.Host = "unknown.example"
+			w.handler.ServeHTTP(httptest.NewRecorder(), request)
+			refused := lines.FilterMessage("not answered").All()
+			assert.Equal(t, len(refused), 1)
+			assert.Equal(t, refused[0].ContextMap()["configuration_age"], c.want)
+		})
+	}
+}
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -36,9 +36,13 @@
 	request  *http.Request
 	arrived  time.Time
 	deadline time.Time
-	version  int64
-	facts    Facts
-	route    *routetable.Route
+	// version is that of the table that the request is served by, tableAge how long ago
+	// the store confirmed it as the request came.
+	version       int64
+	tableAge      time.Duration
+	tableAgeKnown bool
+	facts         Facts
+	route         *routetable.Route
 	// needsKey tells that the route asks for a key, tenant whose it is.
 	needsKey bool
 	tenant   *tenant.Tenant
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -25,6 +25,9 @@
 	// Certain tells whether the table in force is known to be the newest, so
 	// that a missing route is really none.
 	Certain func() bool
+	// TableAge is how long ago the store confirmed the table in force, for the lines of
+	// requests; ok is false before it first did. nil where that isn't known.
+	TableAge func() (age time.Duration, ok bool)
 	// Proof tells how fresh the table in force is; nil where no key has to be proved
 	// valid.
 	Proof Proof
@@ -97,6 +100,9 @@
 		return result.Errorf(result.NotReady, "no configuration yet").After(startPause)
 	}
 	c.version = table.Version()
+	if options.TableAge != nil {
+		c.tableAge, c.tableAgeKnown = options.TableAge()
+	}
 	limits := table.Limits()
 	if limits.HeaderBytes > 0 && headerBytes(c.request) > limits.HeaderBytes {
 		return result.Errorf(result.HeaderTooLarge, "the limit is %d bytes", limits.HeaderBytes)
