Refuse nothing for good by a configuration that is older than the apply limit

A gateway that was refused or not answered by holders and store took its configuration for the newest for 2.9 s (one held call and its slack, twice), 0.9 s longer than a change may take, and answered 404 for routes that were added meanwhile. While the last call failed it now answers 503, which says that the request wasn't run and when to come back.

--- a/node/gateway/holders.go
+++ b/node/gateway/holders.go
@@ -103,14 +103,24 @@
 
 // isCertain tells whether the configuration in force is surely the newest but
 // for what changed within the time of one held call, or within the apply limit where
-// that can be proved.
+// that can be proved or the last call failed.
 func (g *Gateway) isCertain() bool {
 	if g.settings.RevokeLimit > 0 {
 		staleness, known := proof{g}.Staleness()
 		return known && staleness < g.settings.ApplyLimit
 	}
 	age, heard := g.configuration.Age()
-	return heard && age < watchWait(g.settings.UndisturbedTime)+2*watchSlack
+	return heard && age < certainFor(g.settings, g.configuration.IsLost())
+}
+
+// certainFor is how long the configuration counts as the newest after the store confirmed
+// it. While a call is held there is mostly nothing to tell; where the last call failed,
+// changes may have been missed, and only what is due later is surely none of them.
+func certainFor(loaded settings.Gateway, isLost bool) time.Duration {
+	if isLost {
+		return loaded.ApplyLimit
+	}
+	return watchWait(loaded.UndisturbedTime) + 2*watchSlack
 }
 
 // watchWait is how long the store may hold a gateway's call. A call that hangs
--- a/node/gateway/holders_test.go
+++ b/node/gateway/holders_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/settings"
 )
 
 // TestHungCallIsNoticedBeforeTheLimitBinds again: a store that forgot a held call
@@ -17,3 +19,18 @@
 	}
 	assert.Equal(t, watchWait(0), leastWatchWait)
 }
+
+// TestNothingIsRefusedForGoodByAnOldConfiguration: a gateway that hears from nobody can't
+// tell a path that nobody serves from a route that was added meanwhile. One that was to
+// hear of changes within 2 s refused an added route for good 2.2 s after it had heard of
+// anything.
+func TestNothingIsRefusedForGoodByAnOldConfiguration(t *testing.T) {
+	for _, limits := range []settings.Gateway{
+		{UndisturbedTime: 3 * time.Second, ApplyLimit: 2 * time.Second},
+		{UndisturbedTime: 5 * time.Second, ApplyLimit: 4 * time.Second},
+	} {
+		assert.Equal(t, certainFor(limits, true), limits.ApplyLimit)
+		held := watchWait(limits.UndisturbedTime) + watchSlack
+		assert.Assert(t, certainFor(limits, false) > held, "calls are held for as long as that")
+	}
+}
