Know an instance by its life: its id and its start

Cause: an instance that is started again may keep its id now, and everything that a gateway knows of instances was kept by the id alone (the table in docs/design/platform.md): requests under way and stalls, failures and ejection, another instance's taking its address (for good), resting connections. What requests tried, and the order of instances for a program, stay by the id, with why. Change: backend.Instance has the start of its process; of two lives the later is in force, an earlier one is late and changes nothing, an entry without a start is of the life that is known. A life that ended leaves no counts, no judgement and no connections to the next. The line "instance started again" tells both starts and what was under way.

--- a/coordination/backend/instance.go
+++ b/coordination/backend/instance.go
@@ -3,14 +3,18 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/marblering/marblering/coordination/limit"
 )
 
-// Instance is one start of a back end process.
+// Instance is a back end process.
 type Instance struct {
-	// ID is unique over all starts; an address may be used again by another.
-	ID      string
+	// ID is unique over all instances; an address may be used again by another.
+	ID string
+	// Started is when the process started, by its own clock; zero where it doesn't say.
+	// One that is started again may keep its id: see Life.
+	Started time.Time
 	Service string
 	// Address is an IP number and port.
 	Address string
@@ -44,7 +48,7 @@
 func newSet(instances []Instance, previous *set, policy limit.EjectionPolicy) *set {
 	next := &set{services: make(map[string]*service), byID: make(map[string]*member, len(instances))}
 	for _, instance := range instances {
-		joined := &member{Instance: instance, load: previous.loadOf(instance.ID), hash: hashText(instance.ID)}
+		joined := &member{Instance: instance, load: previous.loadOf(instance.Life()), hash: hashText(instance.ID)}
 		next.byID[instance.ID] = joined
 		of := next.services[instance.Service]
 		if of == nil {
@@ -70,10 +74,10 @@
 	return newHealth(policy)
 }
 
-// loadOf keeps the counter of an instance that was known before.
-func (s *set) loadOf(id string) *load {
+// loadOf keeps the counter of a life that was known before.
+func (s *set) loadOf(life Life) *load {
 	if s != nil {
-		if known, found := s.byID[id]; found {
+		if known, found := s.byID[life.ID]; found && known.Life().isSame(life) {
 			return known.load
 		}
 	}
--- /dev/null
+++ b/coordination/backend/life.go
@@ -0,0 +1,81 @@
+package backend
+
+import "time"
+
+// rememberEnded is how long the start of an instance that is gone is remembered, so that
+// an entry of an earlier life doesn't bring that back. It is three times as long as a
+// store keeps its history, after which nobody is told of old entries.
+const rememberEnded = time.Minute
+
+// Life is one run of a back end process, from its start to its end. An instance may be
+// started again under the id that it had; nothing that is known of one life holds for
+// another: neither the requests that it works on nor how it has served, its connections
+// nor what it keeps in memory.
+type Life struct {
+	ID string
+	// Started is when the process started, by its own clock; zero where it doesn't say.
+	Started time.Time
+}
+
+// Life tells which one the instance is in.
+func (i Instance) Life() Life { return Life{ID: i.ID, Started: i.Started} }
+
+// isSame tells whether both may be the same. One that doesn't say when it began is taken
+// for the other: back ends of older versions never say it.
+func (l Life) isSame(other Life) bool {
+	return l.ID == other.ID && (l.Started.IsZero() || other.Started.IsZero() || l.Started.Equal(other.Started))
+}
+
+// Restart tells that an instance was started again under its id.
+type Restart struct {
+	Was, Is Life
+	// UnderWay is how many requests of this node the earlier life had. They may have
+	// run.
+	UnderWay int64
+}
+
+// endedLife is the last one of an instance that is gone.
+type endedLife struct {
+	started time.Time
+	noticed time.Time
+}
+
+// adopt returns the instances as they are in their newest life. An entry without a start
+// is of the life that is known, and one of an earlier life is late: what is known stays,
+// and an instance that is gone stays gone. The mutex must be held.
+func (p *Pool) adopt(previous *set, listed []Instance) []Instance {
+	adopted := make([]Instance, 0, len(listed))
+	for _, instance := range listed {
+		known, isKnown := previous.byID[instance.ID]
+		newest := p.ended[instance.ID].started
+		if isKnown {
+			newest = known.Started
+		}
+		switch {
+		case instance.Started.IsZero():
+			instance.Started = newest
+		case instance.Started.Before(newest) && isKnown:
+			instance = known.Instance
+		case instance.Started.Before(newest):
+			continue
+		}
+		adopted = append(adopted, instance)
+	}
+	return adopted
+}
+
+// remember keeps when the last life of an instance began that is gone, and forgets those
+// that have been for long. The mutex must be held.
+func (p *Pool) remember(gone *member) {
+	if !gone.Started.IsZero() {
+		p.ended[gone.ID] = endedLife{started: gone.Started, noticed: p.now()}
+	}
+}
+
+func (p *Pool) forgetEnded() {
+	for id, last := range p.ended {
+		if p.now().Sub(last.noticed) >= rememberEnded {
+			delete(p.ended, id)
+		}
+	}
+}
--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -24,16 +24,23 @@
 	policy limit.EjectionPolicy
 	// ejected is told of each instance that is left out from now on.
 	ejected func(Instance, Ending)
+	// restarted is told of each instance that was started again under its id.
+	restarted func(Restart)
 
 	current atomic.Pointer[set]
 	mutex   sync.Mutex
 	// listed are the instances as they were given last.
 	listed []Instance
+	// ended are the last lives of instances that are gone, by their ids.
+	ended map[string]endedLife
 }
 
 // NewPool makes a pool that knows no instance.
 func NewPool(policy limit.EjectionPolicy, now func() time.Time) *Pool {
-	pool := &Pool{now: now, policy: policy, ejected: func(Instance, Ending) {}}
+	pool := &Pool{
+		now: now, policy: policy, ended: make(map[string]endedLife),
+		ejected: func(Instance, Ending) {}, restarted: func(Restart) {},
+	}
 	pool.current.Store(newSet(nil, nil, policy))
 	return pool
 }
@@ -75,29 +82,52 @@
 // replace goes by what was listed last. The mutex must be held.
 func (p *Pool) replace() (gone []string, kept int) {
 	previous := p.current.Load()
-	missing := lapsed(previous, p.listed, p.now())
-	next := newSet(slices.Concat(p.listed, missing), previous, p.policy)
-	for _, instance := range p.listed {
+	p.forgetEnded()
+	listed := p.adopt(previous, p.listed)
+	missing := lapsed(previous, listed, p.now())
+	next := newSet(slices.Concat(listed, missing), previous, p.policy)
+	for _, instance := range listed {
 		next.byID[instance.ID].load.returned()
 	}
-	p.current.Store(next)
+	var restarts []Restart
 	for id, was := range previous.byID {
-		if _, stays := next.byID[id]; !stays {
-			previous.services[was.Service].health.ejector.Forget(id)
+		is, stays := next.byID[id]
+		switch {
+		case !stays:
+			p.end(previous, was)
+			p.remember(was)
 			gone = append(gone, id)
+		case is.load != was.load:
+			p.end(previous, was)
+			next.services[is.Service].health.ejector.Know(id)
+			restarts = append(restarts, Restart{Was: was.Life(), Is: is.Life(), UnderWay: was.load.outstanding.Load()})
 		}
 	}
+	p.current.Store(next)
+	for _, restart := range restarts {
+		p.restarted(restart)
+	}
 	return gone, len(missing)
 }
 
+// end notes that a life of an instance is over, and forgets how it served.
+func (p *Pool) end(previous *set, was *member) {
+	was.load.ended.Store(true)
+	previous.services[was.Service].health.ejector.Forget(was.ID)
+}
+
 // Gone says that another instance was found at the address of this one, which
-// then gets new work only where nothing else is left.
-func (p *Pool) Gone(id string) {
-	if known, found := p.current.Load().byID[id]; found {
+// then gets new work only where nothing else is left. Another life of it isn't touched.
+func (p *Pool) Gone(life Life) {
+	if known, found := p.current.Load().byID[life.ID]; found && known.Life().isSame(life) {
 		known.load.gone.Store(true)
 	}
 }
 
+// OnRestarted sets what is told of each instance that was started again under its id. It
+// is to be called before the pool is used.
+func (p *Pool) OnRestarted(tell func(Restart)) { p.restarted = tell }
+
 // OnEjected sets what is told of each instance that is left out, and of the
 // request that decided it. It is to be called before the pool is used.
 func (p *Pool) OnEjected(tell func(Instance, Ending)) { p.ejected = tell }
@@ -222,6 +252,9 @@
 		return c.health.ejector.Health(c.Instance.ID, now)
 	}
 	c.load.remove(c)
+	if c.load.ended.Load() {
+		return c.health.ejector.Health(c.Instance.ID, now)
+	}
 	before := c.health.ejector.Health(c.Instance.ID, now)
 	after := c.health.observe(c.Instance.ID, c.route, ending, now)
 	if before != limit.Ejected && after == limit.Ejected {
--- a/coordination/backend/pool_test.go
+++ b/coordination/backend/pool_test.go
@@ -143,8 +143,8 @@
 // are there.
 func TestGoneInstance(t *testing.T) {
 	pool := newPool(newClock(), 2)
-	pool.Gone("i0")
-	pool.Gone("unknown")
+	pool.Gone(backend.Life{ID: "i0"})
+	pool.Gone(backend.Life{ID: "unknown"})
 	for i := range 50 {
 		c, err := pool.Acquire(backend.Query{Service: "app", Key: fmt.Sprint(i)})
 		assert.NilError(t, err)
--- a/coordination/backend/stall.go
+++ b/coordination/backend/stall.go
@@ -6,9 +6,12 @@
 	"time"
 )
 
-// load is this node's work at one instance. It outlives the sets.
+// load is this node's work at one life of an instance. It outlives the sets.
 type load struct {
 	outstanding atomic.Int64
+	// ended is set once the life is over: how requests end there from then on says
+	// nothing of the next one.
+	ended atomic.Bool
 	// gone is set once another instance was found at the address.
 	gone atomic.Bool
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -152,6 +152,7 @@
 		following:  telemetry.Following(logger),
 	}
 	g.backends.OnEjected(g.instanceEjected)
+	g.backends.OnRestarted(g.instanceRestarted)
 	bounds := upstream.DefaultSettings()
 	bounds.IDHeader = parts.IDHeader
 	g.upstream = upstream.NewClient(bounds, time.Now)
@@ -231,11 +232,26 @@
 }
 
 // instanceGone leaves an instance out whose address another has, and closes its
-// connections. Its id doesn't come back: each start has its own.
-func (g *Gateway) instanceGone(instance string) {
-	g.backends.Gone(instance)
-	g.upstream.Forget(instance)
-	g.logger.Info("instance lost its address", zap.String("instance", instance))
+// connections. It is back if it is started again.
+func (g *Gateway) instanceGone(life backend.Life) {
+	g.backends.Gone(life)
+	g.upstream.Forget(life.ID)
+	g.logger.Info("instance lost its address", zap.String("instance", life.ID), startedField("started", life))
+}
+
+// instanceRestarted closes the connections to an instance that was started again under
+// its id: its process of before answers nobody any more.
+func (g *Gateway) instanceRestarted(restart backend.Restart) {
+	g.upstream.Forget(restart.Is.ID)
+	g.logger.Info("instance started again", zap.String("instance", restart.Is.ID),
+		startedField("before", restart.Was), startedField("started", restart.Is), zap.Int64("under_way", restart.UnderWay))
+}
+
+func startedField(key string, life backend.Life) zap.Field {
+	if life.Started.IsZero() {
+		return zap.String(key, "unknown")
+	}
+	return zap.Time(key, life.Started)
 }
 
 // instanceEjected says which request was the last of those that had an instance
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -176,7 +176,7 @@
 		return refused, errRefused
 	case Misdirected:
 		drain(answer)
-		c.handler.options.Gone(tried.choice.Instance.ID)
+		c.handler.options.Gone(tried.choice.Instance.Life())
 		return unreached, errMisdirected
 	case Improper:
 		answer.CloseBody()
@@ -208,7 +208,7 @@
 		LastEvent: c.lastEvent,
 	})
 	return &upstream.Request{
-		Address: choice.Instance.Address, Instance: choice.Instance.ID,
+		Address: choice.Instance.Address, Instance: choice.Instance.ID, Started: choice.Instance.Started,
 		Method: c.request.Method, Target: c.target, Host: c.request.Host,
 		Header: header, Body: c.body, ID: c.facts.ID, Repeatable: c.route.Repeatable(),
 	}
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/marblering/marblering/coordination/backend"
 	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/routetable"
 	"github.com/marblering/marblering/state/result"
@@ -38,7 +39,7 @@
 	// MaxInFlight bounds the requests under way.
 	MaxInFlight int64
 	// Gone is told an instance that another has taken the address of.
-	Gone    func(instance string)
+	Gone    func(backend.Life)
 	Retries *limit.RetryBudget
 	Metrics *Metrics
 	// Logger takes a line for each failed request and each repeat, Answered one
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -23,10 +23,20 @@
 	idle  map[endpoint][]*connection
 }
 
-// endpoint is one start of a back end.
+// endpoint is one life of a back end.
 type endpoint struct {
 	address  string
 	instance string
+	// started is in nanoseconds of the Unix epoch; zero where it isn't known.
+	started int64
+}
+
+func endpointOf(request *Request) endpoint {
+	to := endpoint{address: request.Address, instance: request.Instance}
+	if !request.Started.IsZero() {
+		to.started = request.Started.UnixNano()
+	}
+	return to
 }
 
 // NewClient makes a client without connections.
@@ -94,7 +104,8 @@
 	c.idle[to] = append(c.idle[to], kept)
 }
 
-// Forget closes the resting connections of an instance that is gone.
+// Forget closes the resting connections of an instance that is gone or was started again,
+// those of all its lives.
 func (c *Client) Forget(instance string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -55,7 +55,7 @@
 // Do sends the request and returns the head of its answer. The context bounds
 // the whole exchange, the answer's body included. Every error is an *Error.
 func (c *Client) Do(ctx context.Context, request *Request) (*Answer, error) {
-	to := endpoint{address: request.Address, instance: request.Instance}
+	to := endpointOf(request)
 	opened, err := c.connect(ctx, to)
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Cause: err}
--- a/transport/upstream/request.go
+++ b/transport/upstream/request.go
@@ -12,9 +12,11 @@
 type Request struct {
 	// Address is the back end's IP number and port.
 	Address string
-	// Instance names the start of the back end that connections belong to:
-	// another start at the same address gets connections of its own.
+	// Instance names the back end that connections belong to, Started when its process
+	// started, zero where that isn't known: another back end at the same address and
+	// another life of this one get connections of their own.
 	Instance string
+	Started  time.Time
 	Method   string
 	// Target is the request target as it was received, still escaped.
 	Target string
