Read entries of instances field by field, and let what can't be read change nothing else

Cause: an entry of another writer was taken for an instance as long as it had texts for service and address: any state that isn't "draining" counted as ready, anything as an address; one object of a wrong form failed the whole listing. An instance whose entry turned bad counted as ended, or as lapsed where several did, and then got requests for another 1.8 s. An instance that was known ends what it has, gets nothing new, and keeps what is known of its life until its entry is whole.

--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -132,6 +132,15 @@
 // request that decided it. It is to be called before the pool is used.
 func (p *Pool) OnEjected(tell func(Instance, Ending)) { p.ejected = tell }
 
+// Known returns the instance that has the id.
+func (p *Pool) Known(id string) (Instance, bool) {
+	known, found := p.current.Load().byID[id]
+	if !found {
+		return Instance{}, false
+	}
+	return known.Instance, true
+}
+
 // Count returns how many instances of all services are known, and how many of
 // these are leaving.
 func (p *Pool) Count() (known, leaving int) {
--- a/coordination/follow/follower.go
+++ b/coordination/follow/follower.go
@@ -171,6 +171,7 @@
 		return err
 	}
 	f.heardAt(f.options.Now().Add(-snapshot.Age))
+	f.logUnreadable(snapshot.Unreadable, snapshot.At)
 	if !f.take(snapshot) {
 		f.options.Logger.Warn("old listing refused", zap.String("objects", f.options.Name),
 			zap.Int64("revision", snapshot.At), zap.Int64("known_revision", f.revision()))
@@ -239,6 +240,7 @@
 		return err
 	}
 	f.heardAt(f.options.Now().Add(-changes.Age))
+	f.logUnreadable(changes.Unreadable, changes.At)
 	isNew := f.change(changes)
 	f.prove(changes.Proved)
 	if isNew {
@@ -276,6 +278,14 @@
 	}
 }
 
+// logUnreadable tells of objects that are passed over, whatever they would say.
+func (f *Follower) logUnreadable(count int, at int64) {
+	if count > 0 {
+		f.options.Logger.Warn("objects without a name passed over", zap.String("objects", f.options.Name),
+			zap.Int64("revision", at), zap.Int("count", count))
+	}
+}
+
 // heardAt notes that the store said something then.
 func (f *Follower) heardAt(moment time.Time) {
 	f.heard.Store(max(f.heard.Load(), moment.UnixNano()))
--- a/coordination/follow/view.go
+++ b/coordination/follow/view.go
@@ -21,6 +21,8 @@
 type Snapshot struct {
 	Objects []Object
 	At      int64
+	// Unreadable is how many objects more there are that have no name to know them by.
+	Unreadable int `json:"-"`
 	// Age is how long ago the store said so when the snapshot was handed out;
 	// zero where it was asked itself.
 	Age time.Duration `json:"-"`
@@ -41,6 +43,9 @@
 	Events []Event
 	// At is the revision from which to go on.
 	At int64
+	// Unreadable is how many changes more there are, of objects that have no name to
+	// know them by.
+	Unreadable int
 	// IsWhole tells that the events are all objects that there are: what isn't
 	// among them is gone.
 	IsWhole bool
--- a/node/gateway/apply.go
+++ b/node/gateway/apply.go
@@ -47,16 +47,7 @@
 
 // applyInstances replaces the instances that requests are sent to.
 func (g *Gateway) applyInstances(snapshot follow.Snapshot) {
-	instances := make([]backend.Instance, 0, len(snapshot.Objects))
-	for _, object := range snapshot.Objects {
-		instance, err := g.parts.DecodeInstance(object)
-		if err != nil {
-			g.logger.Error("instance refused", zap.String("instance", object.Name), zap.Error(err))
-			continue
-		}
-		instances = append(instances, instance)
-	}
-	gone, kept := g.backends.Replace(instances)
+	gone, kept := g.backends.Replace(g.decodeInstances(snapshot))
 	g.forget(gone)
 	if kept > 0 {
 		g.logger.Warn("entries of instances have lapsed", zap.Int64("revision", snapshot.At), zap.Int("kept", kept))
@@ -68,6 +59,33 @@
 		zap.Int("known", known), zap.Int("leaving", leaving), zap.Strings("gone", gone))
 }
 
+// decodeInstances reads the entries. One that can't be read names no instance: where it
+// did before, that one gets nothing new until it does again, and ends what it has.
+func (g *Gateway) decodeInstances(snapshot follow.Snapshot) []backend.Instance {
+	instances := make([]backend.Instance, 0, len(snapshot.Objects))
+	refused := make(map[string]int64)
+	for _, object := range snapshot.Objects {
+		instance, err := g.parts.DecodeInstance(object)
+		if err == nil {
+			instances = append(instances, instance)
+			continue
+		}
+		refused[object.Name] = object.Revision
+		known, isKnown := g.backends.Known(object.Name)
+		if isKnown {
+			known.Leaving = true
+			instances = append(instances, known)
+		}
+		if g.refused[object.Name] != object.Revision {
+			g.refusedEntries.Inc()
+			g.refusals.Warn("instance refused", zap.String("instance", object.Name),
+				zap.Int64("revision", object.Revision), zap.Bool("known", isKnown), zap.Error(err))
+		}
+	}
+	g.refused = refused
+	return instances
+}
+
 // expireInstances drops the instances that lapsed and didn't come back.
 func (g *Gateway) expireInstances() {
 	gone := g.backends.Expire()
@@ -136,7 +154,7 @@
 	}
 	counter("marblering_gateway_dials_total", "Connections made to back ends.", g.upstream.Dials)
 	counter("marblering_gateway_probes_total", "Connections made to see whether a silent back end's machine answers.", g.upstream.Probes)
-	g.metrics.MustRegister(g.ejections, g.storeCalls)
+	g.metrics.MustRegister(g.ejections, g.storeCalls, g.refusedEntries)
 }
 
 func (g *Gateway) versionInForce() float64 {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -54,6 +54,8 @@
 	failureLines = 200
 	answerLines  = 10
 	burstLines   = 100
+	// refusalLines bounds those about entries that can't be read.
+	refusalLines = 10
 	// idleSweep is the pause between two looks at the kept connections.
 	idleSweep = time.Second
 	// memoryPart of the limit is where the garbage collector works harder.
@@ -83,6 +85,13 @@
 	operators *listener.Listener
 	metrics   *prometheus.Registry
 	ejections prometheus.Counter
+	// refused are the revisions of the instances' entries that can't be read. Only
+	// applyInstances uses it, which is called one at a time.
+	refused map[string]int64
+	// refusedEntries counts such entries once a change of each; refusals logs them,
+	// within bounds.
+	refusedEntries prometheus.Counter
+	refusals       *zap.Logger
 	// storeCalls counts by kind of objects what this gateway itself asks the store.
 	storeCalls *prometheus.CounterVec
 	// unusable is set while the newest configuration can't be used, so that an older one
@@ -150,6 +159,10 @@
 		}),
 		storeCalls: telemetry.NewStoreCalls(),
 		following:  telemetry.Following(logger),
+		refusedEntries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "marblering_gateway_refused_entries_total", Help: "Entries of instances that can't be read, once a change of each.",
+		}),
+		refusals: telemetry.Limited(logger, refusalLines, burstLines),
 	}
 	g.backends.OnEjected(g.instanceEjected)
 	g.backends.OnRestarted(g.instanceRestarted)
