--- a/test/days/matrix/main.go
+++ b/test/matrix/main.go
@@ -2,7 +2,7 @@
 // pair of their troubles, with the store well, silent or down between them, and a disk
 // wiped at the end. Of tenants: each trouble of keys, quotas and what they rest on, alone
 // and with each other, the second within the first, and all processes killed at the
-// end. test/days/README.md says how they are played.
+// end. docs/design/days.md says how they are played.
 package main
 
 import (
