--- a/coordination/mirror/gate.go
+++ b/coordination/mirror/gate.go
@@ -28,9 +28,8 @@
 // gate tells when a source may ask the store itself: once no holder has answered for the
 // patience, and from then on until one answers again. Were the patience waited for before
 // each call, changes would be late by as much for as long as all holders are gone: up to
-// 3.3 s between two answers where changes are due within 2 s, seen with three holders that
-// had lost their power. Only
-// the goroutine of the source's follower uses it.
+// 3.3 s lay between two answers where changes are due within 2 s, seen with three holders
+// that had lost their power. Only the goroutine of the source's follower uses it.
 type gate struct {
 	patience Patience
 	// stretch, from 1 to 2, differs between sources, so that those that lost their
--- a/coordination/mirror/source.go
+++ b/coordination/mirror/source.go
@@ -106,7 +106,7 @@
 }
 
 // askHolders asks one holder after the other until one answers, and tells whether
-// one did. The holder is told apart from those before it by their count.
+// one did. ask is also given how many were asked before in this call.
 func (s *Source) askHolders(ctx context.Context, from int64, ask func(holder netip.AddrPort, before int) error) bool {
 	began := s.holders.now()
 	lost := 0
