--- a/coordination/backend/life.go
+++ b/coordination/backend/life.go
@@ -64,14 +64,16 @@
 	return adopted
 }
 
-// remember keeps when the last life of an instance began that is gone, and forgets those
-// that have been for long. The mutex must be held.
+// remember keeps when the last life of an instance that is gone began. The mutex must be
+// held.
 func (p *Pool) remember(gone *member) {
 	if !gone.Started.IsZero() {
 		p.ended[gone.ID] = endedLife{started: gone.Started, noticed: p.now()}
 	}
 }
 
+// forgetEnded drops what is remembered of instances that have been gone for long. The
+// mutex must be held.
 func (p *Pool) forgetEnded() {
 	for id, last := range p.ended {
 		if p.now().Sub(last.noticed) >= rememberEnded {
