Say in the log who holds what of a budget that refuses, and which ends found nothing

Cause: of the listed 402 of TestBudget no line told which holder had the missing tokens, nor whether the end of a turn found the turn at its host, so that three causes couldn't be told apart.

Change: a storage node logs each turn that it refuses with the whole record (limit, settled, each holder's part; eight holders at most), and each end of a turn that it doesn't have.

--- a/coordination/tokenbudget/host.go
+++ b/coordination/tokenbudget/host.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/marblering/marblering/state/budget"
 )
 
@@ -132,9 +134,12 @@
 		turn, found := h.turns[one.Turn]
 		delete(h.turns, one.Turn)
 		h.mutex.Unlock()
-		if found {
-			h.ledger.End(turn.program, turn.most, one.HandedOut)
+		if !found {
+			h.ledger.logger.Info("ended turn unknown", zap.String("program", one.Program), zap.String("turn", one.Turn),
+				zap.Uint64("handed_out", one.HandedOut))
+			continue
 		}
+		h.ledger.End(turn.program, turn.most, one.HandedOut)
 	}
 }
 
--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -195,9 +195,13 @@
 	l.mutex.Unlock()
 	var granted uint64
 	var refusal error
+	var standing string
 	err := l.apply(ctx, wanted.Program, l.admission.urgencyOf(wanted), func(record *statev1.TokenBudget) {
 		refusal = budget.Reserve(record, wanted.Limit, wish)
 		granted = budget.Reserved(record, current.holder)
+		if refusal != nil {
+			standing = budget.Standing(record)
+		}
 	})
 	if err != nil {
 		// The outcome is unknown. The record grants the old reserve or a larger one,
@@ -209,6 +213,8 @@
 	// Turns that ended meanwhile have used a part of it.
 	current.reserved = granted - min(granted, current.spent-wish.Spent)
 	if refusal != nil {
+		l.logger.Info("budget refused", zap.String("program", wanted.Program), zap.String("turn", wanted.Turn),
+			zap.Uint64("most", wanted.Most), zap.Uint64("under_way", current.underWay), zap.String("record", standing), zap.Error(refusal))
 		return refusal
 	}
 	current.underWay += wanted.Most
--- a/state/budget/budget_test.go
+++ b/state/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -123,3 +124,14 @@
 	_, err = budget.Decode("a", []byte{0xff})
 	assert.Assert(t, err != nil)
 }
+
+// TestStandingNamesWhoHoldsWhat, and stays short where many lives are listed.
+func TestStandingNamesWhoHoldsWhat(t *testing.T) {
+	record := &statev1.TokenBudget{Program: "p", Settled: 5}
+	assert.NilError(t, budget.Reserve(record, 100, budget.Draw{Holder: "a/1#1", Spent: 20, Turn: 60}))
+	assert.Equal(t, budget.Standing(record), "limit 100 settled 5, a/1#1 spent 20 reserved 60")
+	for life := range 10 {
+		record.Holders = append(record.Holders, &statev1.TokenHolder{Holder: fmt.Sprint("b/", life)})
+	}
+	assert.Assert(t, strings.HasSuffix(budget.Standing(record), ", 3 more"), budget.Standing(record))
+}
