Ask the other hosts where the rest of a budget is reserved, and call it spent only by the record

Callers saw: a turn within its program's budget got 402, which ends the program (TestBudget, state_test.go:217), 1.5 s after it was first refused with 503.

Cause: a host that read in the record that others reserve the rest called it spent once they had had 1.5 s to give it back. A turn under way, or a host that is slow or keeps a reserve in vain, takes longer. Gateways asked one host alone, never the one that holds the reserve.

Change: no time turns reserved into spent. A gateway asks the program's other hosts as well: the holder grants from its reserve or gives it back; a host that was started again counts what its earlier lives reserved as spent, as nobody is left to give it back. The table of TestNextHost had 'reserved elsewhere' as the last word of a gateway, which is what was wrong; the case has the new step now, and two more say when it is the last word.

Why it holds: 402 rests on the record without the parts of others. Nothing changed on the wire or in the store.

--- a/coordination/tokenbudget/attempt_test.go
+++ b/coordination/tokenbudget/attempt_test.go
@@ -21,7 +21,9 @@
 	}{
 		{"granted", attempt{}, 0, settled{}},
 		{"budget spent", attempt{err: budget.ErrSpent}, 0, settled{budget.ErrSpent}},
-		{"reserved elsewhere", attempt{err: budget.ErrReserved}, 1, settled{budget.ErrReserved}},
+		{"reserved elsewhere", attempt{err: budget.ErrReserved}, 1, askHolder{budget.ErrReserved}},
+		{"reserved elsewhere after two slow hosts", attempt{err: budget.ErrReserved}, slowTries, settled{budget.ErrReserved}},
+		{"reserved elsewhere, the caller left", attempt{err: budget.ErrReserved, givenUp: true}, 0, settled{budget.ErrReserved}},
 		{"granted though the caller left", attempt{givenUp: true}, 0, settled{}},
 		{"overloaded", attempt{err: crowded}, 0, refusedByHost{crowded}},
 		{"overloaded after two slow hosts", attempt{err: crowded}, slowTries, refusedByHost{crowded}},
--- a/coordination/tokenbudget/client.go
+++ b/coordination/tokenbudget/client.go
@@ -96,14 +96,14 @@
 	return c.askHosts(ctx, shard, c.order(view, wanted.Program), wanted)
 }
 
-// askHosts asks the hosts at the addresses until one decides or the rule gives up.
+// askHosts asks the hosts at the addresses until one decides or the rule gives up. Where
+// some say that others reserve the rest of the budget, and none grants the turn or knows
+// it as spent, that is the answer.
 func (c *Client) askHosts(ctx context.Context, shard uint32, addresses []string, wanted Reservation) error {
-	var last error
+	var last, reserved error
 	slow := 0
 	for _, address := range addresses {
-		began := c.now()
-		err := c.try(ctx, address, wanted)
-		ended := attempt{err: err, took: c.now().Sub(began), givenUp: ctx.Err() != nil}
+		ended := c.attempt(ctx, address, wanted)
 		if ended.isSlow() {
 			slow++
 		}
@@ -112,19 +112,32 @@
 			c.note(shard, true)
 			return step.err
 		case refusedByHost:
-			return step.err
+			return cmp.Or(reserved, step.err)
+		case askHolder:
+			reserved = step.err
+			continue
 		case askNext:
-			last = err
+			last = ended.err
 			continue
 		case unreachable:
-			last = err
+			last = ended.err
 		}
 		break
 	}
-	c.note(shard, false)
+	c.note(shard, reserved != nil)
+	if reserved != nil {
+		return reserved
+	}
 	return merry.Wrap(ErrUnavailable, merry.WithCause(last), merry.AppendMessagef("%v", last))
 }
 
+// attempt asks one host and notes how long that took.
+func (c *Client) attempt(ctx context.Context, address string, wanted Reservation) attempt {
+	began := c.now()
+	err := c.try(ctx, address, wanted)
+	return attempt{err: err, took: c.now().Sub(began), givenUp: ctx.Err() != nil}
+}
+
 // mayTry asks the shard's breaker whether a reservation may ask its hosts.
 func (c *Client) mayTry(shard uint32) bool {
 	c.mutex.Lock()
--- a/coordination/tokenbudget/host.go
+++ b/coordination/tokenbudget/host.go
@@ -7,19 +7,12 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/marblering/marblering/state/budget"
 )
 
 const (
 	// expiryInterval is the pause between two searches for turns that never ended.
 	// Chosen, not measured.
 	expiryInterval = time.Second
-	// reservedPatience is how long another host has to give a reserve back: twice
-	// Settings.IdleTime of DefaultSettings and a little for the round of a register.
-	reservedPatience = 1500 * time.Millisecond
-	// reservedMemory is how long a refusal is remembered. Chosen, not measured.
-	reservedMemory = time.Minute
 	// earlyEndMemory is how long the end of a reservation is remembered that hasn't
 	// arrived. It is longer than a reservation is under way: a connection that says
 	// nothing is given up after 4 s (peer.pingTimeout twice). Chosen, not measured.
@@ -70,9 +63,6 @@
 	// endedEarly is when reservations were ended that weren't granted here, or haven't
 	// arrived: a host that was paused takes in both at once, in any order.
 	endedEarly map[string]time.Time
-	// reservedSince is when a program was first refused because the rest of its
-	// budget is reserved at other hosts.
-	reservedSince map[string]time.Time
 }
 
 // reservation is one reservation that is asked for or granted. The host's mutex guards
@@ -101,8 +91,7 @@
 // NewHost makes a host without turns.
 func NewHost(ledger *Ledger, now func() time.Time) *Host {
 	return &Host{
-		ledger: ledger, now: now, reservations: make(map[string]*reservation),
-		endedEarly: make(map[string]time.Time), reservedSince: make(map[string]time.Time),
+		ledger: ledger, now: now, reservations: make(map[string]*reservation), endedEarly: make(map[string]time.Time),
 	}
 }
 
@@ -123,8 +112,7 @@
 	if isRepeated {
 		return asked.await(ctx)
 	}
-	err = h.judgeRefusal(wanted.Program, h.ledger.Reserve(ctx, wanted))
-	return h.decide(wanted.Name, asked, err)
+	return h.decide(wanted.Name, asked, h.ledger.Reserve(ctx, wanted))
 }
 
 // enter notes a reservation that is asked for, or returns the one of its name.
@@ -173,30 +161,6 @@
 	return err
 }
 
-// judgeRefusal turns budget.ErrReserved into budget.ErrSpent once other hosts have
-// had reservedPatience to give their reserve back: the host that holds it has ended,
-// or its turns are still under way.
-func (h *Host) judgeRefusal(program string, refusal error) error {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if refusal == nil {
-		delete(h.reservedSince, program)
-	}
-	if !errors.Is(refusal, budget.ErrReserved) {
-		return refusal
-	}
-	now := h.now()
-	since, known := h.reservedSince[program]
-	if !known {
-		h.reservedSince[program] = now
-		return refusal
-	}
-	if now.Sub(since) < reservedPatience {
-		return refusal
-	}
-	return budget.ErrSpent
-}
-
 // End counts what turns have handed out. A reservation that is still asked for won't be
 // granted. One that isn't known was refused, or has ended before, or is still on its
 // way.
@@ -245,17 +209,11 @@
 	}
 }
 
-// expired returns the reservations whose lifetime is over, and forgets old refusals and
-// early ends.
+// expired returns the reservations whose lifetime is over, and forgets old early ends.
 func (h *Host) expired() []Ended {
 	now := h.now()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	for program, since := range h.reservedSince {
-		if now.Sub(since) > reservedMemory {
-			delete(h.reservedSince, program)
-		}
-	}
 	for name, ended := range h.endedEarly {
 		if now.Sub(ended) > earlyEndMemory {
 			delete(h.endedEarly, name)
--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -78,7 +77,9 @@
 }
 
 // New makes a ledger. The holder is the name under which records keep its
-// reserves; it must be unique over all hosts and all restarts of each.
+// reserves; it must be unique over all hosts and all restarts of each. It is the name of
+// a node, a slash and what names this life of the node. A node must not run twice at
+// once.
 func New(holder string, registers Register, locate func(program string) uint32, settings Settings, now func() time.Time, logger *zap.Logger) *Ledger {
 	return &Ledger{
 		holder: holder, registers: registers, locate: locate, settings: settings, logger: logger,
@@ -138,7 +139,7 @@
 	current := l.accounts[program]
 	if current == nil {
 		l.opened++
-		current = &account{holder: fmt.Sprintf("%s#%d", l.holder, l.opened), drawing: make(chan struct{}, 1)}
+		current = &account{holder: accountName(l.holder, l.opened), drawing: make(chan struct{}, 1)}
 		l.accounts[program] = current
 	}
 	current.users++
@@ -197,6 +198,7 @@
 	var refusal error
 	var standing string
 	err := l.apply(ctx, wanted.Program, l.admission.urgencyOf(wanted), func(record *statev1.TokenBudget) {
+		budget.SettleEnded(record, l.isEarlierLife)
 		refusal = budget.Reserve(record, wanted.Limit, wish)
 		granted = budget.Reserved(record, current.holder)
 		if refusal != nil {
--- a/state/budget/budget.go
+++ b/state/budget/budget.go
@@ -9,6 +9,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
@@ -79,19 +80,31 @@
 	return min(aheadTurns, (left-turn)/aheadShare/turn) * turn
 }
 
+// SettleEnded removes the holders that have ended without giving their reserves back.
+// Nobody knows what their last turns have generated, at most what they reserved, so that
+// all of it counts as spent, for good. Without this the rest of a program's budget stays
+// reserved by a holder that never gives it back.
+func SettleEnded(record *statev1.TokenBudget, hasEnded func(holder string) bool) {
+	record.Holders = slices.DeleteFunc(record.Holders, func(holder *statev1.TokenHolder) bool {
+		if !hasEnded(holder.GetHolder()) {
+			return false
+		}
+		record.Settled += holder.GetSpent() + holder.GetReserved()
+		return true
+	})
+}
+
 // Release removes the holder for good: the tokens that it spent count on, its reserve is
 // given back. Nothing changes for a holder that isn't listed, since it was released
 // before or never drew.
 func Release(record *statev1.TokenBudget, name string, spent uint64) {
-	kept := record.Holders[:0]
-	for _, holder := range record.GetHolders() {
+	record.Holders = slices.DeleteFunc(record.Holders, func(holder *statev1.TokenHolder) bool {
 		if holder.GetHolder() != name {
-			kept = append(kept, holder)
-			continue
+			return false
 		}
 		record.Settled += spent
-	}
-	record.Holders = kept
+		return true
+	})
 }
 
 // holderOf returns the holder's part, a new one where it has none.
--- a/state/budget/budget_test.go
+++ b/state/budget/budget_test.go
@@ -71,7 +71,11 @@
 				// It dies in the middle of its turns, which may have handed out all
 				// that they were allowed; another life takes its place.
 				handedOut += g.underWay
+				ended := g.name
 				*g = gateway{name: fmt.Sprint(g.name, "+", step)}
+				if rapid.Bool().Draw(t, "settle") {
+					budget.SettleEnded(record, func(holder string) bool { return holder == ended })
+				}
 			}
 		}
 		for _, g := range gateways {
@@ -135,3 +139,16 @@
 	}
 	assert.Assert(t, strings.HasSuffix(budget.Standing(record), ", 3 more"), budget.Standing(record))
 }
+
+// TestEndedHoldersAreSpent: what they reserved is never given back, and no less is charged
+// than before.
+func TestEndedHoldersAreSpent(t *testing.T) {
+	record := &statev1.TokenBudget{Program: "p"}
+	assert.NilError(t, budget.Reserve(record, 100, budget.Draw{Holder: "a/1", Spent: 10, Turn: 50}))
+	assert.NilError(t, budget.Reserve(record, 100, budget.Draw{Holder: "b/1", Turn: 50}))
+	assert.ErrorIs(t, budget.Reserve(record, 100, budget.Draw{Holder: "a/2", Turn: 50}), budget.ErrReserved)
+	before := budget.Committed(record)
+	budget.SettleEnded(record, func(holder string) bool { return holder != "a/2" })
+	assert.Equal(t, budget.Committed(record), before)
+	assert.ErrorIs(t, budget.Reserve(record, 100, budget.Draw{Holder: "a/2", Turn: 50}), budget.ErrSpent)
+}
