Let a turn begin by the record that was chosen, not by the last try

Callers would have seen: a turn beyond its program's budget answered, or one within it refused.

Cause: a register calls a change again where a round finds no answer, and may find that an earlier call's value was chosen. The ledger went by what the last call had noted.

Change: whether the turn may begin, and the reserve, are read from the record that the register returns (budget.Decided). The property test of budgets holds it against what Reserve said.

Why it holds: the record with the holder's part is what others count by.

Found by reading for the cause of a 200 in place of 402, which is another one.

--- a/coordination/conversation/budget_simulation_test.go
+++ b/coordination/conversation/budget_simulation_test.go
@@ -106,24 +106,28 @@
 // the same, unless another one is made before: a register's later ballot shuts out
 // earlier ones.
 func (w *world) Apply(ctx context.Context, _ uint32, key string, change register.Change) ([]byte, error) {
-	answer := make(chan error, 1)
+	type outcome struct {
+		value []byte
+		err   error
+	}
+	answer := make(chan outcome, 1)
 	before, after := w.delay(), w.delay()
 	givenUpAt := -1
 	go func() {
 		time.Sleep(before)
 		w.mutex.Lock()
-		var err error
+		var made outcome
 		if givenUpAt < 0 || givenUpAt == w.changes {
 			w.changes++
-			err = w.change(key, change)
+			made.value, made.err = w.change(key, change)
 		}
 		w.mutex.Unlock()
 		time.Sleep(after)
-		answer <- err
+		answer <- made
 	}()
 	select {
-	case err := <-answer:
-		return nil, err
+	case made := <-answer:
+		return made.value, made.err
 	case <-ctx.Done():
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
@@ -133,12 +137,12 @@
 }
 
 // change changes a record. The mutex must be held.
-func (w *world) change(key string, change register.Change) error {
+func (w *world) change(key string, change register.Change) ([]byte, error) {
 	value, err := change(w.records[key])
 	if err == nil {
 		w.records[key] = value
 	}
-	return err
+	return value, err
 }
 
 // Reserve implements tokenbudget.Hosts. The host goes on with a request that was given
--- a/coordination/tokenbudget/ended_test.go
+++ b/coordination/tokenbudget/ended_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/marblering/marblering/coordination/register"
@@ -29,12 +28,9 @@
 	return r.sharedRegister.Apply(ctx, shard, key, change)
 }
 
-// hostOf makes a host of the ledger over the register, whose reserves are given back only
-// by a flush.
+// hostOf makes a host of the ledger over the register.
 func hostOf(registers tokenbudget.Register) (*tokenbudget.Host, *tokenbudget.Ledger) {
-	settings := tokenbudget.DefaultSettings()
-	settings.IdleTime = time.Hour
-	ledger := tokenbudget.New("host", registers, oneView{}.Locate, settings, time.Now, zap.NewNop())
+	ledger := ledgerOver("host", registers)
 	return tokenbudget.NewHost(ledger, time.Now), ledger
 }
 
--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -14,7 +14,7 @@
 	"github.com/marblering/marblering/state/budget"
 )
 
-// Register changes a value by compare-and-swap. register.Client is one.
+// Register changes a value by compare-and-swap and returns it. register.Client is one.
 type Register interface {
 	Apply(ctx context.Context, shard uint32, key string, change register.Change) ([]byte, error)
 }
@@ -194,29 +194,25 @@
 	l.mutex.Lock()
 	wish := budget.Draw{Holder: current.holder, Spent: current.spent, UnderWay: current.underWay, Turn: wanted.Most}
 	l.mutex.Unlock()
-	var granted uint64
-	var refusal error
-	var standing string
-	err := l.apply(ctx, wanted.Program, l.admission.urgencyOf(wanted), func(record *statev1.TokenBudget) {
+	record, err := l.apply(ctx, wanted.Program, l.admission.urgencyOf(wanted), func(record *statev1.TokenBudget) {
 		budget.SettleEnded(record, l.isEarlierLife)
-		refusal = budget.Reserve(record, wanted.Limit, wish)
-		granted = budget.Reserved(record, current.holder)
-		if refusal != nil {
-			standing = budget.Standing(record)
-		}
+		// Whether the turn may begin is read from the record that was chosen.
+		_ = budget.Reserve(record, wanted.Limit, wish)
 	})
 	if err != nil {
 		// The outcome is unknown. The record grants the old reserve or a larger one,
 		// so that counting with the old one is safe.
 		return err
 	}
+	granted, refusal := budget.Decided(record, wish)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	// Turns that ended meanwhile have used a part of it.
 	current.reserved = granted - min(granted, current.spent-wish.Spent)
 	if refusal != nil {
 		l.logger.Info("budget refused", zap.String("program", wanted.Program), zap.String("reservation", wanted.Name),
-			zap.Uint64("most", wanted.Most), zap.Uint64("under_way", current.underWay), zap.String("record", standing), zap.Error(refusal))
+			zap.Uint64("most", wanted.Most), zap.Uint64("under_way", current.underWay),
+			zap.String("record", budget.Standing(record)), zap.Error(refusal))
 		return refusal
 	}
 	current.underWay += wanted.Most
@@ -263,19 +259,24 @@
 	defer func() { <-l.releasing }()
 	ctx, cancel := context.WithTimeout(context.Background(), l.settings.ReleaseTimeout)
 	defer cancel()
-	return l.apply(ctx, program, deferrable, func(record *statev1.TokenBudget) {
+	_, err := l.apply(ctx, program, deferrable, func(record *statev1.TokenBudget) {
 		budget.Release(record, current.holder, current.spent)
 	})
+	return err
 }
 
-// apply makes one change of the program's record. The change may be called
-// several times, each time with a record of its own.
-func (l *Ledger) apply(ctx context.Context, program string, wanted urgency, change func(*statev1.TokenBudget)) error {
+// apply makes one change of the program's record and returns the record that it left. The
+// change may be called several times, each time with a record of its own, and what it
+// left may be that of any of its calls: a register that gets no answer tries again and
+// may find that an earlier try was chosen. So whatever the change finds out is read from
+// the record that is returned. A ledger that kept what the last call found let turns begin
+// that no record knew (TestTurnBeginsByTheRecordThatWasChosen).
+func (l *Ledger) apply(ctx context.Context, program string, wanted urgency, change func(*statev1.TokenBudget)) (*statev1.TokenBudget, error) {
 	if err := l.admission.begin(wanted); err != nil {
-		return err
+		return nil, err
 	}
 	began := l.now()
-	_, err := l.registers.Apply(ctx, l.locate(program), program, func(current []byte) ([]byte, error) {
+	chosen, err := l.registers.Apply(ctx, l.locate(program), program, func(current []byte) ([]byte, error) {
 		record, err := budget.Decode(program, current)
 		if err != nil {
 			return nil, err
@@ -284,7 +285,10 @@
 		return budget.Encode(record)
 	})
 	l.admission.end(began, err)
-	return err
+	if err != nil {
+		return nil, err
+	}
+	return budget.Decode(program, chosen)
 }
 
 // Flush gives all reserves back that no turn needs, and waits until that is done
--- a/coordination/tokenbudget/ledger_test.go
+++ b/coordination/tokenbudget/ledger_test.go
@@ -68,8 +68,13 @@
 }
 
 func newLedger(holder string, shared *sharedRegister) *tokenbudget.Ledger {
+	return ledgerOver(holder, shared)
+}
+
+// ledgerOver makes a ledger that gives reserves back only when it is flushed.
+func ledgerOver(holder string, registers tokenbudget.Register) *tokenbudget.Ledger {
 	settings := tokenbudget.Settings{IdleTime: time.Hour, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, ReleaseTries: 50, Draws: limit.DefaultAdaptivePolicy(), Crowd: limit.DefaultAdaptivePolicy()}
-	return tokenbudget.New(holder, shared, func(string) uint32 { return 0 }, settings, time.Now, zap.NewNop())
+	return tokenbudget.New(holder, registers, func(string) uint32 { return 0 }, settings, time.Now, zap.NewNop())
 }
 
 func Example() {
--- a/state/budget/budget.go
+++ b/state/budget/budget.go
@@ -61,16 +61,37 @@
 	own.Reserved = draw.UnderWay
 	committed := Committed(record)
 	if committed >= record.Limit {
-		if committed-othersReserved(record, own) < record.Limit {
-			return ErrReserved
-		}
-		return ErrSpent
+		return refusalOf(record, own)
 	}
 	own.Reserved += draw.Turn
 	own.Reserved += ahead(record.Limit-committed, draw.Turn)
 	return nil
 }
 
+// Decided tells by the record that a draw has left whether the turn may begin, as Reserve
+// did, and how many tokens the holder may use beyond those it has spent.
+func Decided(record *statev1.TokenBudget, draw Draw) (reserved uint64, refusal error) {
+	own := holderOf(record, draw.Holder)
+	isGranted := own.GetReserved() >= draw.UnderWay+draw.Turn
+	if draw.Turn == 0 {
+		// A turn that generates nothing needs no reserve, so that the holder's part is the
+		// same either way.
+		isGranted = Committed(record) < record.GetLimit()
+	}
+	if isGranted {
+		return own.GetReserved(), nil
+	}
+	return own.GetReserved(), refusalOf(record, own)
+}
+
+// refusalOf tells whether others reserve what the holder lacks.
+func refusalOf(record *statev1.TokenBudget, own *statev1.TokenHolder) error {
+	if Committed(record)-othersReserved(record, own) < record.GetLimit() {
+		return ErrReserved
+	}
+	return ErrSpent
+}
+
 // ahead returns the tokens to reserve for turns to come. They are a whole number of
 // turns, since a part of one lets none begin.
 func ahead(left, turn uint64) uint64 {
@@ -147,12 +168,6 @@
 	return committed
 }
 
-// Reserved returns the tokens that the holder may use beyond those it has spent. It lists
-// a holder that isn't listed, with nothing spent and reserved.
-func Reserved(record *statev1.TokenBudget, name string) uint64 {
-	return holderOf(record, name).GetReserved()
-}
-
 // Decode reads the record of the program. No bytes are a record without turns; the record
 // of another program is an error.
 func Decode(program string, encoded []byte) (*statev1.TokenBudget, error) {
--- a/state/budget/budget_test.go
+++ b/state/budget/budget_test.go
@@ -85,21 +85,39 @@
 	})
 }
 
-// begin starts a turn from the reserve, or asks for more.
+// begin starts a turn from the reserve, or asks for more. What a draw decided can be read
+// from the record that it left.
 func begin(t *rapid.T, record *statev1.TokenBudget, g *gateway, limit, most uint64) {
 	if g.reserved < g.underWay+most {
 		draw := budget.Draw{Holder: g.name, Spent: g.spent, UnderWay: g.underWay, Turn: most}
-		if budget.Reserve(record, limit, draw) != nil {
+		refusal := budget.Reserve(record, limit, draw)
+		reserved, decided := budget.Decided(record, draw)
+		assert.Equal(t, decided, refusal)
+		if refusal != nil {
 			g.reserved = g.underWay
 			return
 		}
 		assert.NilError(t, budget.Reserve(record, limit, draw), "a repeated draw is the same")
-		g.reserved = budget.Reserved(record, g.name)
+		g.reserved = reserved
 	}
 	g.turns = append(g.turns, most)
 	g.underWay += most
 }
 
+// TestTurnWithoutTokensIsDecidedByTheRest: its draw leaves the same part either way.
+func TestTurnWithoutTokensIsDecidedByTheRest(t *testing.T) {
+	record := &statev1.TokenBudget{Program: "p"}
+	for _, c := range []struct {
+		spent   uint64
+		refusal error
+	}{{99, nil}, {100, budget.ErrSpent}} {
+		draw := budget.Draw{Holder: "a", Spent: c.spent}
+		assert.Equal(t, budget.Reserve(record, 100, draw), c.refusal)
+		_, decided := budget.Decided(record, draw)
+		assert.Equal(t, decided, c.refusal)
+	}
+}
+
 // TestReservesNeverKeepFromATurn: tokens are reserved ahead only while much is left.
 func TestReservesNeverKeepFromATurn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
