Locate programs nowhere while the number of shards isn't known

Callers saw: a turn beyond its program's budget was answered (TestBudget, state_test.go:219).

Cause: before it knows the number of shards a node located every program in the first one. A storage node that learned the sets between looking the shard up and asking for its members changed the program's record in the first shard, where nobody else looks; what was generated was counted in vain.

Change: shard.Nowhere, which never has a view.

Why it holds: no view can come for it, whenever the sets are learned.

--- a/coordination/directory/lookup.go
+++ b/coordination/directory/lookup.go
@@ -98,12 +98,12 @@
 	}
 }
 
-// Locate returns the shard that keeps the id; 0 before the sets were founded.
+// Locate returns the shard that keeps the id; shard.Nowhere before the sets were founded.
 func (l *Lookup) Locate(id string) uint32 {
 	if views := l.views.Load(); views != nil {
 		return views.Locate(id)
 	}
-	return 0
+	return shard.Nowhere
 }
 
 // Shards returns the number of shards; 0 before the sets were founded.
--- a/coordination/shard/map.go
+++ b/coordination/shard/map.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -15,6 +16,10 @@
 // FirstEpoch is the epoch of the sets in the first shard map.
 const FirstEpoch uint64 = 1
 
+// Nowhere is the shard of every program while the number of shards isn't known. It never
+// has a view.
+const Nowhere uint32 = math.MaxUint32
+
 // Map holds the newest view of each shard that a node knows. Readers take no
 // lock (read-copy-update); a view is only replaced by one of a later epoch.
 //
@@ -47,12 +52,14 @@
 	}
 }
 
-// Locate returns the shard of a program, which is that of its root; the first,
-// which has no view then, where the number of shards isn't known.
+// Locate returns the shard of a program, which is that of its root, and Nowhere while the
+// number of shards isn't known. The first shard in its place would have a view a moment
+// later, and a change of the program would go to a register that nobody else looks at: a
+// node that had just started let turns begin that no budget counted.
 func (m *Map) Locate(id string) uint32 {
 	count := m.Count()
 	if count == 0 {
-		return 0
+		return Nowhere
 	}
 	return uint32(xxhash.Sum64String(program.RootOf(id)) % uint64(count))
 }
