Deny a turn that isn't kept within the request's time

Callers saw: 503 in place of 404 for a turn that nobody keeps (TestTurnsBelongToTheirTenant, keys_test.go:219), so that they asked again.

Cause: to deny a turn each shard was asked after the other, and in each one member after the other, all within 0.8 s whatever the request had: four slow answers with two shards.

--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -35,10 +35,19 @@
 	End(ended tokenbudget.Ended)
 }
 
-// stateTimeout bounds the reading of earlier turns and the reservation of tokens, both
-// together, before a turn is sent out: two slow hosts of a budget (0.35 s each), or a
-// change of a replica set, which takes about 0.3 s.
-const stateTimeout = 800 * time.Millisecond
+const (
+	// stateTimeout is how long the reading of earlier turns and the reservation of tokens
+	// may take at least, both together, before a turn is sent out: two slow hosts of a
+	// budget (0.35 s each), or a change of a replica set, which takes about 0.3 s.
+	stateTimeout = 800 * time.Millisecond
+	// stateShare is the part of a request's remaining time that they may take where that
+	// is more: state that answers slowly is waited for, and leaves as much for the answer.
+	// What doesn't answer ends the wait sooner, by turnstore and tokenbudget. With
+	// stateTimeout alone a turn was refused after 0.8 of 2.5 s while each member of two
+	// shards was still to answer after 0.25 s (TestSlowStateIsWaitedFor). The share is
+	// chosen, not measured.
+	stateShare = 0.5
+)
 
 // Service begins turns. It is safe for concurrent use.
 type Service struct {
@@ -87,12 +96,12 @@
 	Input []byte
 }
 
-// Begin prepares the turn, within stateTimeout. On success End must be called.
+// Begin prepares the turn, within the time for state. On success End must be called.
 func (s *Service) Begin(ctx context.Context, request Request) (*Turn, *result.Error) {
 	if s.cutOff() {
 		return nil, result.Errorf(result.NoQuorum, "no storage node can be reached from this gateway").After(elsewherePause)
 	}
-	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeForState(ctx))
 	defer cancel()
 	turn := &Turn{service: s, request: request}
 	if request.Retained && request.Previous != "" {
@@ -106,6 +115,17 @@
 	return turn, nil
 }
 
+// timeForState is how long the reading of earlier turns and the reservation of tokens may
+// take for a request whose context ends at its deadline.
+func timeForState(ctx context.Context) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return stateTimeout
+	}
+	share := time.Duration(stateShare * float64(time.Until(deadline)))
+	return max(stateTimeout, share)
+}
+
 // Turn is one turn under way. It is used by one goroutine.
 type Turn struct {
 	service *Service
--- a/coordination/turnstore/store_test.go
+++ b/coordination/turnstore/store_test.go
@@ -338,3 +338,48 @@
 		assert.NilError(t, store.Put(t.Context(), "p", &statev1.RetainedTurn{Id: "a"}))
 	})
 }
+
+// TestUnknownTurnIsDeniedInTime: a client goes on from a turn that isn't kept, and the
+// members of the replica sets answer slowly. All shards were asked one after the other,
+// each with two members in turn, so that the answer came after 0.8 s, the time for state,
+// with two shards already: the client got 503 "too few replicas answered: context deadline
+// exceeded" in place of 404, with 1.7 of its 2.5 s left.
+func TestUnknownTurnIsDeniedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, v := newMembers(8)
+		m.answerAfter = 70 * time.Millisecond
+		began := time.Now()
+		_, err := newStore(t, "z0", m, v).Line(t.Context(), "p", "none")
+		assert.ErrorIs(t, err, turnstore.ErrUnknown)
+		assert.Equal(t, time.Since(began), 3*m.answerAfter, "two members of the home shard in turn, then all others")
+		assert.Equal(t, len(m.reads), 2*8, "no more requests than one after the other")
+	})
+}
+
+// TestTurnOfAnotherShardEndsTheLookup: the other shards needn't answer.
+func TestTurnOfAnotherShardEndsTheLookup(t *testing.T) {
+	m, v := newMembers(2)
+	other := "q"
+	for v.Locate(other) == v.Locate("p") {
+		other += "q"
+	}
+	assert.NilError(t, newStore(t, "z0", m, v).Put(t.Context(), other, &statev1.RetainedTurn{Id: "a"}))
+	line, err := newStore(t, "z1", m, v).Line(t.Context(), "p", "a")
+	assert.NilError(t, err)
+	assert.Equal(t, line[0].GetId(), "a")
+}
+
+// TestShardThatCantBeReadEndsTheLookup soon, though its caller has more time: the next one
+// may be served elsewhere.
+func TestShardThatCantBeReadEndsTheLookup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, v := newMembers(2)
+		m.down["m0"], m.down["m1"] = true, true
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := newStore(t, "z2", m, v).Line(ctx, "p", "none")
+		assert.ErrorIs(t, err, turnstore.ErrUnavailable)
+		assert.Equal(t, time.Since(began), 800*time.Millisecond)
+	})
+}
