Use connections made before a back end's start was known

Callers saw nothing; a back end got a second connection where one rested (TestConnectionsEndWithTheirLife, two dials in place of one).

Cause: idle connections are kept by instance and start. An instance whose start becomes known is the same life to the pool, but its connections were looked up under the new start alone.

Change: a request may take one that was made while no start was known.

Why it holds: a process that has ended has closed its connections, which is seen before one is used; a restart that is seen closes all of the instance.

--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -79,11 +79,24 @@
 	return dial(ctx, to.address, c.settings, c.heard)
 }
 
-// take removes the connection that became idle last, so that a few stay in use and the
-// others time out. It returns nil where none is idle.
+// take removes an idle connection to the back end and returns it, nil where none is idle.
+// One that was made before the start of the process was known may be to the same process:
+// one that has ended since has closed it. Without it the first request after the start
+// becomes known makes a connection beside one that rests (platform,
+// TestConnectionsEndWithTheirLife).
 func (c *Client) take(to endpoint) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if newest := c.takeNewest(to); newest != nil {
+		return newest
+	}
+	to.started = 0
+	return c.takeNewest(to)
+}
+
+// takeNewest removes the connection that became idle last, so that a few stay in use and
+// the others time out. The mutex must be held.
+func (c *Client) takeNewest(to endpoint) *connection {
 	idle := c.idle[to]
 	if len(idle) == 0 {
 		return nil
