Take a slot's claim from the register, not from the last try of its renewal

Callers would have seen: a tenant served beyond its quota by its burst.

Cause: as with budgets, a renewal is tried again where it finds no answer, and an earlier try's claim may be chosen; the holder went by the last one's term and began all accounts anew.

Change: the claim is decoded from the value that the register returns.

Why it holds: that value is what other nodes read.

TestHolderGoesByTheClaimThatWasChosen failed before (term 0 and 8 for 3).

--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -171,8 +171,8 @@
 	known := *one.lease
 	h.mutex.Unlock()
 	sent := h.now()
-	var read, changed claim
-	_, err := h.registers.Apply(ctx, number, registerKey, func(value []byte) ([]byte, error) {
+	var read claim
+	chosen, err := h.registers.Apply(ctx, number, registerKey, func(value []byte) ([]byte, error) {
 		current, err := decodeClaim(value)
 		if err != nil {
 			return nil, err
@@ -181,11 +181,19 @@
 		if h.released.Load() {
 			return nil, errHeld
 		}
-		if changed, err = known.change(current, sent); err != nil {
+		changed, err := known.change(current, sent)
+		if err != nil {
 			return nil, err
 		}
 		return encodeClaim(changed)
 	})
+	var changed claim
+	if err == nil {
+		// The claim of an earlier call may be the one that was chosen, with another term
+		// than that of the last call. A holder that went by the last one began the
+		// accounts of its term anew and granted the tenants' bursts again.
+		changed, err = decodeClaim(chosen)
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	one.changing = false
