--- a/test/report/event.go
+++ b/test/report/event.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
@@ -28,6 +29,8 @@
 	name   string
 	action string
 	output string
+	// unfinished are the tests of a package that started and didn't end.
+	unfinished []string
 }
 
 // outcome is everything that one run of the tests reported.
@@ -131,18 +134,37 @@
 		return
 	}
 	output := c.printed(next.Package)
-	if c.failedTests[next.Package] == 0 || hasCrashed(output) || c.hasRunning(next.Package) {
-		c.outcome.crashed = append(c.outcome.crashed, testResult{next.Package, actionFail, output})
+	unfinished := c.takeRunning(next.Package)
+	if c.failedTests[next.Package] == 0 || hasCrashed(output) || len(unfinished) > 0 {
+		c.outcome.crashed = append(c.outcome.crashed, testResult{
+			name: next.Package, action: actionFail, output: c.withUnfinished(output, unfinished), unfinished: unfinished,
+		})
 	}
 }
 
-func (c *collector) hasRunning(name string) bool {
+// takeRunning returns the names of the package's tests that have started and not ended,
+// sorted, and forgets them.
+func (c *collector) takeRunning(name string) []string {
+	var running []string
 	for test := range c.running {
 		if strings.HasPrefix(test, name+".") {
-			return true
+			running = append(running, test)
+			delete(c.running, test)
 		}
 	}
-	return false
+	slices.Sort(running)
+	return running
+}
+
+// withUnfinished adds what the tests have printed that didn't end: why a process ended in
+// their middle stands there, and nowhere else.
+func (c *collector) withUnfinished(output string, unfinished []string) string {
+	var text strings.Builder
+	text.WriteString(output)
+	for _, test := range unfinished {
+		fmt.Fprintf(&text, "--- unfinished %s\n%s", shortName(test), c.printed(test))
+	}
+	return text.String()
 }
 
 // hasCrashed reports whether the test process ended other than by reporting
--- a/test/report/verdict.go
+++ b/test/report/verdict.go
@@ -24,21 +24,21 @@
 // judge holds the outcome against the list of known failing tests.
 func judge(o outcome, known []knownRed, testStatus int) verdict {
 	var v verdict
-	listed := make(map[string]knownRed)
+	expected := make(map[string]knownRed)
 	for _, entry := range known {
-		listed[entry.test] = entry
+		expected[entry.test] = entry
 	}
 	for _, result := range o.tests {
 		name := shortName(result.name)
-		entry, isListed := listed[name]
-		delete(listed, name)
+		entry, isListed := expected[name]
+		delete(expected, name)
 		v.count(name, result.action, entry, isListed)
 	}
 	for _, result := range o.crashed {
 		v.failed++
-		v.faults = append(v.faults, shortName(result.name)+" failed outside its tests, or some didn't finish")
+		v.faults = append(v.faults, shortName(result.name)+" failed outside its tests, or some didn't finish"+listed(result.unfinished))
 	}
-	for name := range listed {
+	for name := range expected {
 		v.faults = append(v.faults, "KNOWN-RED.txt lists "+name+", which wasn't run")
 	}
 	if testStatus != 0 && v.failed == 0 {
@@ -50,6 +50,18 @@
 	return v
 }
 
+// listed returns the tests by name behind a colon, and nothing for none.
+func listed(tests []string) string {
+	if len(tests) == 0 {
+		return ""
+	}
+	names := make([]string, 0, len(tests))
+	for _, test := range tests {
+		names = append(names, shortName(test))
+	}
+	return ": " + strings.Join(names, ", ")
+}
+
 func (v *verdict) count(name, action string, entry knownRed, isListed bool) {
 	switch action {
 	case actionSkip:
