Give back at a planned stop what turns under way don't need, and wait for their ends

Callers saw: 402 with 100 to 300 of 1,000 tokens left, for programs with a turn under way at a storage node that was replaced.

Cause: a host that stops gave back the reserves of programs without a turn alone, and didn't wait for the ends of turns, of which gateways tell up to 0.3 s later.

Change: a stopping host lets no turn begin, trims reserves to the turns under way, and waits until all is given back, for the second that a stop has for it at most.

Why it holds: what is lost is what turns under way after that second may generate.

--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -72,8 +72,11 @@
 	mutex    sync.Mutex
 	accounts map[string]*account
 	opened   uint64
-	// flushing is set once no account waits for its idle time any more.
+	// flushing is set once no turn begins and no account waits for its idle time any
+	// more.
 	flushing bool
+	// unreleased counts the accounts whose reserve wasn't given back yet.
+	unreleased int
 }
 
 // New makes a ledger. The holder is the name under which records keep its
@@ -101,14 +104,19 @@
 	// users are the turns that are under way or want to begin.
 	users int
 	timer *time.Timer
+	// isReleased is set once the reserve was given back, or can't be.
+	isReleased bool
 }
 
 // Reserve lets a turn of the program begin that generates at most wanted.Most
 // tokens. It returns budget.ErrSpent, budget.ErrReserved, ErrOverloaded, or an
-// error that says that the record can't be reached. After success, End must be
-// called.
+// error that says that the record can't be reached or that this node stops. After
+// success, End must be called.
 func (l *Ledger) Reserve(ctx context.Context, wanted Reservation) error {
 	current := l.open(wanted.Program)
+	if current == nil {
+		return errStopping
+	}
 	if err := l.begin(ctx, current, wanted); err != nil {
 		l.leave(wanted.Program, current)
 		return err
@@ -132,13 +140,21 @@
 	}
 }
 
-// open returns the program's account and keeps it from being released.
+// errStopping means that this node stops. Another host may let the turn begin.
+var errStopping = errors.New("the budget's host stops")
+
+// open returns the program's account and keeps it from being released; nil where this
+// node stops.
 func (l *Ledger) open(program string) *account {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.flushing {
+		return nil
+	}
 	current := l.accounts[program]
 	if current == nil {
 		l.opened++
+		l.unreleased++
 		current = &account{holder: accountName(l.holder, l.opened), drawing: make(chan struct{}, 1)}
 		l.accounts[program] = current
 	}
@@ -228,17 +244,27 @@
 			return
 		}
 		if l.tryToRelease(program, current) == nil {
+			l.forget(program, current)
 			return
 		}
 		time.Sleep(pause)
 		pause = min(2*pause, longestRelease*l.settings.ReleasePause)
 	}
 	l.logger.Warn("token reserve not released", zap.String("program", program), zap.Uint64("reserved", current.reserved))
+	l.forget(program, current)
+}
+
+// forget ends an account whose reserve was given back, or can't be.
+func (l *Ledger) forget(program string, current *account) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if current.users == 0 && l.accounts[program] == current {
 		delete(l.accounts, program)
 	}
+	if !current.isReleased {
+		current.isReleased = true
+		l.unreleased--
+	}
 }
 
 // mayRelease takes the account out of use: a turn that comes now opens another.
@@ -291,33 +317,6 @@
 	return budget.Decode(program, chosen)
 }
 
-// Flush gives all reserves back that no turn needs, and waits until that is done
-// or the context ends.
-func (l *Ledger) Flush(ctx context.Context) {
-	l.mutex.Lock()
-	l.flushing = true
-	idle := make(map[string]*account)
-	for program, current := range l.accounts {
-		if current.users == 0 && current.timer != nil && current.timer.Stop() {
-			idle[program] = current
-		}
-	}
-	l.mutex.Unlock()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		var releasing sync.WaitGroup
-		for program, current := range idle {
-			releasing.Go(func() { l.release(program, current) })
-		}
-		releasing.Wait()
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 // IsRefusal tells an answer about the budget from a failure to reach it.
 func IsRefusal(err error) bool {
 	return errors.Is(err, budget.ErrSpent) || errors.Is(err, budget.ErrReserved)
--- a/state/budget/budget.go
+++ b/state/budget/budget.go
@@ -115,6 +115,16 @@
 	})
 }
 
+// Trim leaves the holder what its turns under way may generate. Nothing changes for a
+// holder that isn't listed.
+func Trim(record *statev1.TokenBudget, name string, spent, underWay uint64) {
+	for _, holder := range record.GetHolders() {
+		if holder.GetHolder() == name {
+			holder.Spent, holder.Reserved = spent, underWay
+		}
+	}
+}
+
 // Release removes the holder for good: the tokens that it spent count on, its reserve is
 // given back. Nothing changes for a holder that isn't listed, since it was released
 // before or never drew.
