Count on no more than turns under way need after a draw of unknown outcome

Callers would have seen: a program beyond its budget.

Cause: a refused draw gives back what the host has left; where its answer was lost, the host went on with what it had, and a smaller turn began from it.

Change: after an unknown outcome the reserve is what turns under way need.

Why it holds: the record grants that much whether the draw was refused, granted or never made.

TestReserveIsCertain failed before: a turn of 260 tokens began with all of the budget reserved elsewhere.

--- a/coordination/tokenbudget/chosen_test.go
+++ b/coordination/tokenbudget/chosen_test.go
@@ -48,3 +48,39 @@
 	granted := ledgerOver("a", &retriedRegister{first: encode(0), second: encode(100)})
 	assert.NilError(t, granted.Reserve(t.Context(), wanted))
 }
+
+// lostRegister makes a change and doesn't say so.
+type lostRegister struct {
+	*sharedRegister
+	isLost bool
+}
+
+func (r *lostRegister) Apply(ctx context.Context, shard uint32, key string, change register.Change) ([]byte, error) {
+	value, err := r.sharedRegister.Apply(ctx, shard, key, change)
+	if r.isLost {
+		return nil, register.ErrUnknownOutcome
+	}
+	return value, err
+}
+
+// TestReserveIsCertain: a draw is refused, which gives back what the host had left, and the
+// answer is lost. The host went on with what it had before, 260 tokens, and let a smaller
+// turn begin from them, which no record knew.
+func TestReserveIsCertain(t *testing.T) {
+	shared := newRegister()
+	lost := &lostRegister{sharedRegister: shared}
+	first, second := ledgerOver("a", lost), newLedger("b", shared)
+	wanted := tokenbudget.Reservation{Program: "p", Limit: 1000, Most: 100}
+	assert.NilError(t, first.Reserve(t.Context(), wanted))
+	first.End("p", 100, 40)
+	other := tokenbudget.Reservation{Program: "p", Limit: 1000, Most: 960}
+	assert.NilError(t, second.Reserve(t.Context(), other))
+	assert.Equal(t, shared.committed(t, "p"), uint64(1260))
+
+	lost.isLost = true
+	wanted.Most = 300
+	assert.ErrorIs(t, first.Reserve(t.Context(), wanted), register.ErrUnknownOutcome)
+	assert.Equal(t, shared.committed(t, "p"), uint64(1000), "the refused draw has given 260 back")
+	wanted.Most = 260
+	assert.Assert(t, first.Reserve(t.Context(), wanted) != nil, "they aren't this host's any more")
+}
--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -215,9 +215,10 @@
 		// Whether the turn may begin is read from the record that was chosen.
 		_ = budget.Reserve(record, wanted.Limit, wish)
 	})
+	if errors.Is(err, register.ErrUnknownOutcome) {
+		l.keepCertain(current, wish)
+	}
 	if err != nil {
-		// The outcome is unknown. The record grants the old reserve or a larger one,
-		// so that counting with the old one is safe.
 		return err
 	}
 	granted, refusal := budget.Decided(record, wish)
@@ -235,6 +236,18 @@
 	return nil
 }
 
+// keepCertain leaves the account what the record grants it however a draw ended: what its
+// turns under way need. A refused draw gives back whatever was reserved beyond that, and
+// a smaller turn that began from it afterwards was in no record.
+func (l *Ledger) keepCertain(current *account, wish budget.Draw) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	// Turns that ended meanwhile have used a part of it.
+	used := current.spent - wish.Spent
+	certain := wish.UnderWay - min(wish.UnderWay, used)
+	current.reserved = min(current.reserved, certain)
+}
+
 // release gives the account's reserve back and forgets it, unless another turn
 // came.
 func (l *Ledger) release(program string, current *account) {
