Refuse a turn after 0.8 s where the replica sets aren't known, and name two things by their jobs

Cause: with half of the request's time for state, a gateway that doesn't know the sets would have held a turn for that long, in vain.

Change: a lookup waits for the sets as long as for a shard. A host's record of a reservation is hosted, beside Reservation; the service's source of random numbers is random.

TestUnknownSetsEndTheLookup failed before (5 s for 0.8 s).

--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -57,15 +57,15 @@
 	cutOff  func() bool
 	logger  *zap.Logger
 	trouble trouble
-	// reservations draws the part of a reservation's name that sets it apart from
-	// others for the same request.
-	reservations func() uint64
+	// random draws the part of a reservation's name that sets it apart from others for
+	// the same request.
+	random func() uint64
 }
 
 // New makes a service. The random source must be safe for concurrent use.
 func New(turns Turns, budgets Budgets, cutOff func() bool, now func() time.Time, random func() uint64, logger *zap.Logger) *Service {
 	return &Service{
-		turns: turns, budgets: budgets, cutOff: cutOff, logger: logger, trouble: trouble{now: now}, reservations: random,
+		turns: turns, budgets: budgets, cutOff: cutOff, logger: logger, trouble: trouble{now: now}, random: random,
 	}
 }
 
@@ -193,7 +193,7 @@
 // turn in 36 of 200 simulated runs with late messages, in none with a name for each
 // attempt (TestBudgetIsCountedThoughMessagesAreLate, virtual time).
 func (s *Service) nameReservation(request string) string {
-	return fmt.Sprintf("%s#%x", request, s.reservations())
+	return fmt.Sprintf("%s#%x", request, s.random())
 }
 
 // Body returns what the back end gets: input and output of each turn before this one,
--- a/coordination/tokenbudget/host.go
+++ b/coordination/tokenbudget/host.go
@@ -59,15 +59,14 @@
 	now    func() time.Time
 
 	mutex        sync.Mutex
-	reservations map[string]*reservation
+	reservations map[string]*hosted
 	// endedEarly is when reservations were ended that weren't granted here, or haven't
 	// arrived: a host that was paused takes in both at once, in any order.
 	endedEarly map[string]time.Time
 }
 
-// reservation is one reservation that is asked for or granted. The host's mutex guards
-// it.
-type reservation struct {
+// hosted is a reservation that is asked for or granted. The host's mutex guards it.
+type hosted struct {
 	program string
 	most    uint64
 	expires time.Time
@@ -79,7 +78,7 @@
 }
 
 // isDecided tells that the ledger has granted or refused the reservation.
-func (r *reservation) isDecided() bool {
+func (r *hosted) isDecided() bool {
 	select {
 	case <-r.decided:
 		return true
@@ -91,7 +90,7 @@
 // NewHost makes a host without turns.
 func NewHost(ledger *Ledger, now func() time.Time) *Host {
 	return &Host{
-		ledger: ledger, now: now, reservations: make(map[string]*reservation), endedEarly: make(map[string]time.Time),
+		ledger: ledger, now: now, reservations: make(map[string]*hosted), endedEarly: make(map[string]time.Time),
 	}
 }
 
@@ -116,7 +115,7 @@
 }
 
 // enter notes a reservation that is asked for, or returns the one of its name.
-func (h *Host) enter(wanted Reservation) (asked *reservation, isRepeated bool, err error) {
+func (h *Host) enter(wanted Reservation) (asked *hosted, isRepeated bool, err error) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if known, found := h.reservations[wanted.Name]; found {
@@ -125,7 +124,7 @@
 	if _, ended := h.endedEarly[wanted.Name]; ended {
 		return nil, false, errEnded
 	}
-	asked = &reservation{
+	asked = &hosted{
 		program: wanted.Program, most: wanted.Most, expires: h.now().Add(wanted.Lifetime), decided: make(chan struct{}),
 	}
 	h.reservations[wanted.Name] = asked
@@ -133,7 +132,7 @@
 }
 
 // await waits until the reservation is decided.
-func (r *reservation) await(ctx context.Context) error {
+func (r *hosted) await(ctx context.Context) error {
 	select {
 	case <-r.decided:
 		return r.err
@@ -143,7 +142,7 @@
 }
 
 // decide takes the ledger's answer and returns that of the host.
-func (h *Host) decide(name string, asked *reservation, err error) error {
+func (h *Host) decide(name string, asked *hosted, err error) error {
 	h.mutex.Lock()
 	isGivenBack := asked.isEnded && err == nil
 	if isGivenBack {
@@ -173,7 +172,7 @@
 }
 
 // take removes the reservation and returns it where it was granted.
-func (h *Host) take(ended Ended) (granted *reservation) {
+func (h *Host) take(ended Ended) (granted *hosted) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	known, found := h.reservations[ended.Reservation]
--- a/coordination/turnstore/find.go
+++ b/coordination/turnstore/find.go
@@ -35,7 +35,6 @@
 		missing = s.fromCache(ids, turns)
 	}
 	if len(missing) > 0 {
-		// Most of these shards don't keep the turns, which only a quorum can say.
 		if err := s.read(ctx, s.others(home), ids, turns, missing, quorumFirst); err != nil {
 			return nil, err
 		}
--- a/coordination/turnstore/quorum.go
+++ b/coordination/turnstore/quorum.go
@@ -26,7 +26,8 @@
 // fanOut says how many members of a view are asked at first.
 type fanOut func(view register.View) int
 
-// quorumFirst suits writes, which need a quorum.
+// quorumFirst suits writes, which need a quorum, and reads that likely find nothing, which
+// only a quorum can say.
 func quorumFirst(view register.View) int { return view.Quorum() }
 
 // nearestOnly suits reads, of which one answer mostly suffices.
--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -107,7 +107,7 @@
 // have begun the line. It returns ErrUnknown where a turn isn't kept, and
 // ErrUnavailable where the context ends before that is certain.
 func (s *Store) Line(ctx context.Context, program, id string) ([]*statev1.RetainedTurn, error) {
-	if err := s.awaitSets(ctx); err != nil {
+	if err := s.awaitSetsToRead(ctx); err != nil {
 		return nil, err
 	}
 	home := s.views.Locate(program)
@@ -123,6 +123,13 @@
 	return append(ancestors, last), nil
 }
 
+// awaitSetsToRead waits until the replica sets are known, no longer than for a shard.
+func (s *Store) awaitSetsToRead(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return s.awaitSets(ctx)
+}
+
 // awaitSets waits until the replica sets are known. Until then nobody can say in which
 // shard a turn is kept.
 func (s *Store) awaitSets(ctx context.Context) error {
--- a/coordination/turnstore/store_test.go
+++ b/coordination/turnstore/store_test.go
@@ -383,3 +383,17 @@
 		assert.Equal(t, time.Since(began), 800*time.Millisecond)
 	})
 }
+
+// TestUnknownSetsEndTheLookup: a gateway that doesn't know the replica sets refuses a turn
+// as soon as one that can't read them.
+func TestUnknownSetsEndTheLookup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _ := newMembers(1)
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := newStore(t, "z0", m, views{shard.NewMap(0)}).Line(ctx, "p", "none")
+		assert.ErrorIs(t, err, turnstore.ErrUnavailable)
+		assert.Equal(t, time.Since(began), 800*time.Millisecond)
+	})
+}
