Say in the register's contract that any call of a change may be the chosen one

Two callers, budgets and quotas, went by what the last call had noted, and each was mended at its place; the contract that both relied on didn't say it.

A comment alone: the code of the package is the same.

--- a/coordination/register/doc.go
+++ b/coordination/register/doc.go
@@ -28,6 +28,10 @@
 // number) and then return the current value or an error of its own. It must not
 // modify its argument, and the slices it returns must not be modified later.
 //
+// The value that is chosen may be that of any of its calls, not of the last one
+// (TestEarlierEvaluationMayStand). What a caller wants to know of its change it
+// reads from the value that Apply returns, never from what the change noted aside.
+//
 // The configuration version that fences a change is read before the change is
 // called. A change that depends on the configuration must therefore read the
 // configuration inside the function, never before Apply.
