Give bubbles one processor under the race detector

The race detector's own check tsan_rtl.cpp:346 ended the process in TestGatewaysThatStartTogetherCostTheStoreNothing/thousand, and SIGSEGV in TestNoKeyOutlivesTheLimit.

Cause, by a debugger stopped at the check: the Go runtime runs the due channel timers of a synctest bubble in one context of the detector, on whichever thread a goroutine looks at its timer. Two at once corrupt it. Ruled out: asynchronous preemption (2 of 28 runs without it).

The change: bubble.Test in place of synctest.Test; under the detector the process has one processor while the bubble runs. The detector goes by the order of synchronisation, which one processor shows as well.

--- a/coordination/conversation/budget_simulation_test.go
+++ b/coordination/conversation/budget_simulation_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +17,7 @@
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/state/budget"
 	"github.com/marblering/marblering/state/result"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // What a simulated turn may generate, and the budget of its program, in tokens.
@@ -299,7 +299,7 @@
 	for seed := range uint64(200) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { checkBudgetOf(t, seed) })
+			bubble.Test(t, func(t *testing.T) { checkBudgetOf(t, seed) })
 		})
 	}
 }
--- a/coordination/conversation/time_test.go
+++ b/coordination/conversation/time_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +12,7 @@
 	"github.com/marblering/marblering/coordination/conversation"
 	"github.com/marblering/marblering/coordination/turnstore"
 	"github.com/marblering/marblering/state/result"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // slowTurns are turns of which nothing is kept, which takes a while to find out.
@@ -43,7 +43,7 @@
 		{2 * time.Second, 2500 * time.Millisecond, 1250 * time.Millisecond, result.HistoryUnavailable},
 		{time.Second, 1200 * time.Millisecond, 800 * time.Millisecond, result.HistoryUnavailable},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			never := func() bool { return false }
 			service := conversation.New(slowTurns{c.takes}, nil, never, time.Now, nil, zap.NewNop())
 			ctx, cancel := context.WithTimeout(t.Context(), c.has)
--- a/coordination/directory/keeper_test.go
+++ b/coordination/directory/keeper_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +15,7 @@
 	"github.com/marblering/marblering/coordination/follow"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // watchDelay is how long the published sets take to reach a node.
@@ -62,7 +62,7 @@
 // TestOneNodePublishesANewSet though all nodes learn of it at the same moment.
 func TestOneNodePublishesANewSet(t *testing.T) {
 	const nodes = 8
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var serving sync.WaitGroup
 		objects := &sharedObjects{}
--- a/coordination/directory/start_test.go
+++ b/coordination/directory/start_test.go
@@ -14,6 +14,7 @@
 	"github.com/marblering/marblering/coordination/follow"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // startingStore is a store while storage nodes start: they announce themselves, and hear
@@ -78,7 +79,7 @@
 //	-12.1116 directory written action=1 nodes=39
 //	-11.2007 directory written action=1 nodes=6
 func TestSetsAreFoundedByWhatTheStoreHas(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		members := storageNodes(40, 5)
 		store := &startingStore{}
@@ -113,7 +114,7 @@
 // TestNodeThatHearsOfItselfLateAnnouncesItselfOnce: 40 nodes that started together wrote
 // 104 times what they had said before, to a store that paces its writes.
 func TestNodeThatHearsOfItselfLateAnnouncesItselfOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		self := storageNodes(1, 1)[0]
 		store := &startingStore{}
--- a/coordination/follow/follower_test.go
+++ b/coordination/follow/follower_test.go
@@ -6,12 +6,13 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // script answers calls one after the other, and then holds them.
@@ -209,7 +210,7 @@
 // TestPolledSourceProvesWhenItAsked: not when the answer came, and it asks again when
 // the next question is due though the last one has no answer.
 func TestPolledSourceProvesWhenItAsked(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const interval = 500 * time.Millisecond
 		source := Polled(&silentOnce{}, interval, time.Now)
 		began := time.Now()
--- a/coordination/mirror/source_test.go
+++ b/coordination/mirror/source_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +14,7 @@
 
 	"github.com/marblering/marblering/coordination/follow"
 	"github.com/marblering/marblering/coordination/mirror"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 var (
@@ -302,7 +302,7 @@
 // TestStoreThatIsFollowedIsAskedAfterAPause: four changes a second would else cost as many
 // calls of every node that has lost its holders.
 func TestStoreThatIsFollowedIsAskedAfterAPause(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const pause = 800 * time.Millisecond
 		store := &countedStore{}
 		unreached := &scripted{}
--- a/coordination/quota/model_test.go
+++ b/coordination/quota/model_test.go
@@ -20,6 +20,7 @@
 	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/sleep"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 var (
@@ -276,7 +277,7 @@
 // play runs one sequence and returns by how much the bound is exceeded at most, the
 // requests that were let in, and those that were refused.
 func playQuota(t *testing.T, seed uint64, faults deliberate, calm bool, perSecond float64) (excess float64, used, refused int) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := &quotaWorld{
 			random: &lockedRandom{random: rand.New(rand.NewPCG(seed, 2))}, faults: faults,
 			registers: make(map[uint32][]byte), cut: make(map[string]time.Time), holders: make(map[string]*Holder),
--- a/coordination/register/stored_test.go
+++ b/coordination/register/stored_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,6 +26,7 @@
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/state/program"
 	"github.com/marblering/marblering/state/replica"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 const storedLife = "s-1/a"
@@ -127,7 +127,7 @@
 // meta values of a replica write it, and pins keys and values: a disk outlives the
 // program that wrote it, and nodes of two versions share registers.
 func TestWhatCoordinationStores(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := newStorageNode()
 		writeProgram(t, n)
 		writeBudget(t, n)
--- a/coordination/register/thrift_test.go
+++ b/coordination/register/thrift_test.go
@@ -14,6 +14,7 @@
 	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // delay is how long members may take in these tests before another is asked.
@@ -94,7 +95,7 @@
 	names := []string{"a", "b", "c", "d", "e"}
 	for first := range names {
 		for second := range first {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				cluster := newSlowCluster()
 				cluster.silent[names[first]], cluster.silent[names[second]] = true, true
 				client := newThriftyClient("client", cluster, cluster)
@@ -116,7 +117,7 @@
 // overloaded, and few more requests are sent.
 func TestSlowMembersAreHedgedWithinTheBudget(t *testing.T) {
 	const changes = 300
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		cluster := newSlowCluster()
 		cluster.takes = 2 * delay
 		client := newThriftyClient("client", cluster, cluster)
--- a/coordination/register/trace_test.go
+++ b/coordination/register/trace_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/golden"
@@ -16,6 +15,7 @@
 	"github.com/marblering/marblering/coordination/limit"
 	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 const (
@@ -97,7 +97,7 @@
 	var text strings.Builder
 	for _, kind := range kinds {
 		for seed := range uint64(traceSeeds) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				fmt.Fprintf(&text, "%s, seed %d%s\n\n", kind.name, seed, trace(t, seed, kind.settings))
 			})
 		}
--- a/coordination/shard/model_test.go
+++ b/coordination/shard/model_test.go
@@ -11,7 +11,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -22,6 +21,7 @@
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/state/replica"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // TestMain fixes the seed and the size of the property tests, which the command
@@ -360,7 +360,7 @@
 		w := &world{network: newNetwork(rapid.Uint64().Draw(rt, "seed"))}
 		w.trouble = float64(rapid.IntRange(0, 10).Draw(rt, "trouble")) / 100
 		events := drawEvents(rt)
-		synctest.Test(t, func(*testing.T) { problem = w.run(events) })
+		bubble.Test(t, func(*testing.T) { problem = w.run(events) })
 		operations += len(w.history)
 		epochs += w.newestView().Epoch - shard.FirstEpoch
 		assert.NilError(rt, problem)
--- a/coordination/tokenbudget/flush_test.go
+++ b/coordination/tokenbudget/flush_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/marblering/marblering/coordination/tokenbudget"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // flushWithin stops a host within the time that a storage node has for it.
@@ -25,7 +25,7 @@
 // replaced one after the other: each time one or two of some hundred programs were told
 // that their budget is spent with 100 to 300 of 1,000 tokens left.
 func TestFlushWaitsForTurns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		shared := newRegister()
 		ledger := newLedger("a", shared)
 		wanted := tokenbudget.Reservation{Program: "p", Limit: 1000, Most: 100}
@@ -42,7 +42,7 @@
 // TestFlushGivesBackWhatTurnsDontNeed: a turn that lasts longer than the stop keeps its
 // most, and the program gets the rest.
 func TestFlushGivesBackWhatTurnsDontNeed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		shared := newRegister()
 		ledger := newLedger("a", shared)
 		wanted := tokenbudget.Reservation{Program: "p", Limit: 1000, Most: 100}
--- a/coordination/tokenbudget/overload_test.go
+++ b/coordination/tokenbudget/overload_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +15,7 @@
 	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/tokenbudget"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 const (
@@ -102,7 +102,7 @@
 // goodput is how many programs a second are finished in time where so many begin.
 func goodput(t *testing.T, offered float64) (finished, interrupted float64) {
 	t.Helper()
-	synctest.Test(t, func(*testing.T) {
+	bubble.Test(t, func(*testing.T) {
 		shared := processor{sharedRegister: newRegister(), busy: make(chan struct{}, 1)}
 		carried := &network{hosts: make(map[string]*tokenbudget.Host), down: make(map[string]bool), lossy: make(map[string]bool)}
 		var view oneView
--- a/coordination/turnstore/store_test.go
+++ b/coordination/turnstore/store_test.go
@@ -21,6 +21,7 @@
 	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/coordination/turnstore"
 	"github.com/marblering/marblering/state/replica"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 var errDown = errors.New("no answer")
@@ -138,7 +139,7 @@
 		lost := fmt.Sprint("m", rapid.IntRange(0, 2).Draw(rt, "lost"))
 		var line []*statev1.RetainedTurn
 		var putErr, lineErr error
-		synctest.Test(t, func(*testing.T) {
+		bubble.Test(t, func(*testing.T) {
 			if putErr = putLine(writer, programs); putErr != nil {
 				return
 			}
@@ -272,7 +273,7 @@
 // asking more of them would add to that.
 func TestSlowMembersGetNoMoreRequests(t *testing.T) {
 	const turns = 200
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m, v := newMembers(1)
 		m.answerAfter = 300 * time.Millisecond
 		store, reader := newStore(t, "z0", m, v), newStore(t, "z0", m, v)
@@ -303,7 +304,7 @@
 // TestSilentMemberIsPassedOver: one request waits for a member that doesn't answer; later
 // ones ask it last.
 func TestSilentMemberIsPassedOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m, v := newMembers(1)
 		m.silent = "m0"
 		store := newStore(t, "z0", m, v)
@@ -323,7 +324,7 @@
 // TestSealedSetIsAskedLessAndLess: while a replica set changes, its members refuse
 // requests, and each round is work for them.
 func TestSealedSetIsAskedLessAndLess(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m, v := newMembers(1)
 		for name := range m.turns {
 			m.down[name] = true
@@ -345,7 +346,7 @@
 // with two shards already: the client got 503 "too few replicas answered: context deadline
 // exceeded" in place of 404, with 1.7 of its 2.5 s left.
 func TestUnknownTurnIsDeniedInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m, v := newMembers(8)
 		m.answerAfter = 70 * time.Millisecond
 		began := time.Now()
@@ -372,7 +373,7 @@
 // TestShardThatCantBeReadEndsTheLookup soon, though its caller has more time: the next one
 // may be served elsewhere.
 func TestShardThatCantBeReadEndsTheLookup(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m, v := newMembers(2)
 		m.down["m0"], m.down["m1"] = true, true
 		began := time.Now()
@@ -387,7 +388,7 @@
 // TestUnknownSetsEndTheLookup: a gateway that doesn't know the replica sets refuses a turn
 // as soon as one that can't read them.
 func TestUnknownSetsEndTheLookup(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m, _ := newMembers(1)
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/coordination/turnstore/trace_test.go
+++ b/coordination/turnstore/trace_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/golden"
@@ -20,6 +19,7 @@
 	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/coordination/turnstore"
 	"github.com/marblering/marblering/state/replica"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 const (
@@ -80,7 +80,7 @@
 func TestWhoIsAskedWhen(t *testing.T) {
 	var text strings.Builder
 	for seed := range uint64(traceSeeds) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			fmt.Fprintf(&text, "seed %d%s\n\n", seed, trace(t, seed))
 		})
 	}
--- a/node/gateway/dark_test.go
+++ b/node/gateway/dark_test.go
@@ -18,6 +18,7 @@
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/settings"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // dialTimeout is when a call at a dark machine fails for want of a connection.
@@ -114,7 +115,7 @@
 		{UndisturbedTime: 5 * time.Second, ApplyLimit: 4 * time.Second},
 	} {
 		t.Run(fmt.Sprint(limits.UndisturbedTime), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playDarkStorage(t, limits) })
+			bubble.Test(t, func(t *testing.T) { playDarkStorage(t, limits) })
 		})
 	}
 }
--- a/node/gateway/revoke_model_test.go
+++ b/node/gateway/revoke_model_test.go
@@ -19,6 +19,7 @@
 	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/state/replica"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 var revokeSequences = flag.Int("revoke-sequences", 150, "sequences of the model of revocation")
@@ -267,7 +268,7 @@
 // play runs one sequence. It returns how many of its looks found the bound broken, and
 // how many found a gateway that serves keys.
 func playRevocation(t *testing.T, seed uint64, clockFromAnswer bool) (broken, serving, looks int) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := &revokeWorld{
 			random: rand.New(rand.NewPCG(seed, 1)), clockFromAnswer: clockFromAnswer,
 			changed: []time.Time{time.Now()}, troubled: make(map[string]trouble), holders: make(map[netip.AddrPort]*mirror.Holder),
--- a/node/gateway/start_test.go
+++ b/node/gateway/start_test.go
@@ -20,6 +20,7 @@
 	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/state/replica"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // fleetStore is one kind in a store that many nodes follow. It counts the calls of
@@ -286,7 +287,7 @@
 		"long":     {gateways: 100, silence: 12 * time.Second, most: 200, mostStorage: 900},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				fleet := &testFleet{store: newFleetStore(), network: &fleetNetwork{holders: make(map[netip.AddrPort]*mirror.Holder)}}
 				fleet.store.add("instance")
--- a/telemetry/workload_test.go
+++ b/telemetry/workload_test.go
@@ -12,12 +12,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/marblering/marblering/telemetry"
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // TestWorkloadTellsWhatGrew: a line says how much the named counters grew since
 // the line before, and nothing of others.
 func TestWorkloadTellsWhatGrew(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		registry := prometheus.NewRegistry()
 		requests := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "requests_total"}, []string{"procedure", "side"})
 		other := prometheus.NewCounter(prometheus.CounterOpts{Name: "other_total"})
