Log software versions, and which stream a request takes up

Streams went on at another software version than the one that began them, and no line told at which version an instance is, or that a request takes up a stream. Requests' lines have versions= beside instances=, and resumes= and last_event= where a stream is taken up; a line tells when the versions of a service change, and the gauge marblering_gateway_software_versions their number.

No decision changes.

--- a/coordination/backend/instance.go
+++ b/coordination/backend/instance.go
@@ -16,6 +16,9 @@
 	// restarted instance may keep its ID, see Incarnation.
 	Started time.Time
 	Service string
+	// Version is the version of the instance's software; empty if unknown. Versions have no
+	// order.
+	Version string
 	// Address is an IP address and port.
 	Address string
 	// Zone is the failure domain of the instance.
@@ -49,7 +52,9 @@
 // the next.
 type service struct {
 	members []*member
-	health  *serviceHealth
+	// versions are the distinct software versions of the members, sorted.
+	versions []string
+	health   *serviceHealth
 }
 
 func newSnapshot(instances []Instance, previous *snapshot, policy limit.EjectionPolicy) *snapshot {
@@ -67,10 +72,22 @@
 	}
 	for _, svc := range next.services {
 		slices.SortFunc(svc.members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
+		svc.versions = versionsOf(svc.members)
 	}
 	return next
 }
 
+func versionsOf(members []*member) []string {
+	versions := make([]string, 0, 1)
+	for _, m := range members {
+		if !slices.Contains(versions, m.Version) {
+			versions = append(versions, m.Version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
 // healthFor returns the health of the service from the snapshot, or a new one.
 func (s *snapshot) healthFor(name string, policy limit.EjectionPolicy) *serviceHealth {
 	if s != nil {
--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -135,6 +135,15 @@
 	return known, leaving
 }
 
+// Versions returns the software versions of the instances of each service, sorted.
+func (p *Pool) Versions() map[string][]string {
+	versions := make(map[string][]string)
+	for name, svc := range p.current.Load().services {
+		versions[name] = svc.versions
+	}
+	return versions
+}
+
 // Query describes a request that needs an instance.
 type Query struct {
 	Service string
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -66,6 +66,9 @@
 	activeTable    *routetable.ActiveTable
 	backends       *backend.Pool
 	invalidEntries invalidEntries
+	// knownVersions are the software versions by service that were logged last. Only
+	// applyInstances uses them, which is never called concurrently.
+	knownVersions map[string][]string
 	// configurationInvalid is set while the newest configuration is invalid and an older
 	// one stays active.
 	configurationInvalid atomic.Bool
--- a/node/gateway/instances.go
+++ b/node/gateway/instances.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -32,6 +33,18 @@
 		zap.Int64("revision", object.Revision), zap.Bool("known", isKnown), zap.Error(err))
 }
 
+// logVersions logs the software versions of each service whose versions have changed.
+// It is never called concurrently.
+func (g *Gateway) logVersions() {
+	current := g.backends.Versions()
+	for service, versions := range current {
+		if !slices.Equal(versions, g.knownVersions[service]) {
+			g.logger.Info("software versions changed", zap.String("service", service), zap.Strings("versions", versions))
+		}
+	}
+	g.knownVersions = current
+}
+
 // applyInstances replaces the set of instances.
 func (g *Gateway) applyInstances(snapshot follow.Snapshot) {
 	gone, kept := g.backends.Replace(g.decodeInstances(snapshot))
@@ -40,6 +53,7 @@
 		g.logger.Warn("instance entries expired together, keeping the instances for now", zap.Int64("revision", snapshot.At), zap.Int("kept", kept))
 		time.AfterFunc(backend.ExpiryGracePeriod, g.expireInstances)
 	}
+	g.logVersions()
 	g.instancesListed.Store(true)
 	known, leaving := g.backends.Count()
 	g.logger.Info("instances changed", zap.Int64("revision", snapshot.At),
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -10,6 +10,7 @@
 	g.registerGauge("marblering_gateway_configuration_version", "Version of the configuration in force.", g.configurationVersion)
 	g.registerGauge("marblering_gateway_configuration_staleness_seconds", "How long ago the configuration in force was last proved to be the newest; -1 for never.", g.stalenessSeconds)
 	g.registerGauge("marblering_gateway_instances", "Instances known.", g.instanceCount)
+	g.registerGauge("marblering_gateway_software_versions", "Software versions of the service with the most of them.", g.versionCount)
 	g.registerCounter("marblering_gateway_dials_total", "Connections made to back ends.", g.upstream.Dials)
 	g.registerCounter("marblering_gateway_probes_total", "Connections made to see whether a silent back end's machine answers.", g.upstream.Probes)
 	g.metrics.MustRegister(g.ejections, g.followers.storeCalls, g.invalidEntries.counter)
@@ -42,6 +43,14 @@
 	return staleness.Seconds()
 }
 
+func (g *Gateway) versionCount() float64 {
+	most := 0
+	for _, versions := range g.backends.Versions() {
+		most = max(most, len(versions))
+	}
+	return float64(most)
+}
+
 func (g *Gateway) instanceCount() float64 {
 	known, _ := g.backends.Count()
 	return float64(known)
--- a/transport/relay/answer.go
+++ b/transport/relay/answer.go
@@ -51,11 +51,14 @@
 		zap.String("route", c.routeName()), zap.Int64("configuration", c.routing.configVersion), c.ageField(),
 		zap.String("tenant", c.tenantName()),
 		zap.Int("status", c.response.status), zap.Uint32("code", uint32(c.response.code)),
-		zap.Strings("instances", c.attempts.instances), zap.Int("sends", c.attempts.sends),
+		zap.Strings("instances", c.attempts.instances), zap.Strings("versions", c.attempts.versions), zap.Int("sends", c.attempts.sends),
 		zap.Duration("permitted", c.timing.permitWait), zap.Duration("prepared", c.timing.prepared),
 		zap.Duration("first_byte", c.timing.firstByte), zap.Duration("stored", c.timing.storeTime),
 		zap.Duration("took", took), zap.Duration("allowed", c.timing.timeout()),
 	}
+	if c.isResumption() {
+		fields = append(fields, zap.String("resumes", c.input.info.Resumes), zap.String("last_event", c.input.info.LastEventID))
+	}
 	if c.response.code == result.OK {
 		c.handler.options.AccessLogger.Info("answered", fields...)
 		return
@@ -71,6 +74,9 @@
 	return zap.Duration("configuration_age", c.routing.configAge)
 }
 
+// isResumption reports whether the client resumes a broken stream.
+func (c *call) isResumption() bool { return c.input.info.LastEventID != "" }
+
 // routeName returns the name of the route, or "" if none is set yet.
 func (c *call) routeName() string {
 	if c.routing.route == nil {
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -65,6 +65,8 @@
 type attempts struct {
 	// instances are the ids of the selected instances, in order.
 	instances []string
+	// versions are the software versions of these instances.
+	versions []string
 	// sends counts the attempts in which the request was sent, unsent the others.
 	sends, unsent int
 	// reachedBackend tells that the request was sent to a backend that didn't refuse it.
--- a/transport/relay/headercodec.go
+++ b/transport/relay/headercodec.go
@@ -24,6 +24,9 @@
 	// LastEventID is the id of the last event that the client received of a broken stream;
 	// empty for none.
 	LastEventID string
+	// Resumes is the id of the request that brought the first event of that stream; empty
+	// if it isn't given.
+	Resumes string
 	// Program is the id of the program that the request belongs to; empty for none.
 	Program string
 	// APIKey authenticates the tenant; empty for none. It must not be logged.
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -92,6 +92,7 @@
 // tryInstance makes one attempt and reports its result to the backend pool.
 func (c *call) tryInstance(ctx context.Context, assignment *backend.Assignment) (outcome, error) {
 	c.attempts.instances = append(c.attempts.instances, assignment.Instance.ID)
+	c.attempts.versions = append(c.attempts.versions, assignment.Instance.Version)
 	current := &attempt{assignment: assignment, started: c.handler.options.Now()}
 	ended, cause := c.exchange(ctx, current)
 	c.attempts.record(ended)
@@ -151,6 +152,7 @@
 	c.handler.options.Logger.Info("trying another back end",
 		zap.String("request", c.input.info.ID), zap.String("route", c.routing.route.Name),
 		zap.String("instance", assignment.Instance.ID), zap.String("address", assignment.Instance.Address),
+		zap.String("version", assignment.Instance.Version),
 		zap.Int64("outstanding", assignment.Outstanding), zap.Int("sends", c.attempts.sends),
 		zap.Bool("refused", ended == refused), zap.Bool("began", c.response.headerWritten), zap.Error(cause))
 }
