Keep at storage nodes where streams began

Prepares the mend of streams that go on at another software version: the gateway that resumes a stream has to know the version that began it, also after the gateway that did is gone.

coordination/streamorigin keeps service and version by request, program and tenant, in the memory of storage nodes, for as long as the stream may be resumed. The record comes with the reservation of the turn's tokens, which is granted before the request is sent; a record of its own is for streams without a budget and for a stream that begins at another version than planned, and counts once a majority has it. All members are asked. Decide says what holds without a record.

On the wire between nodes there is one more field and two more kinds of calls. Nodes of earlier builds ignore the field and refuse the calls, which counts as no answer.

--- /dev/null
+++ b/coordination/streamorigin/decide.go
@@ -0,0 +1,61 @@
+package streamorigin
+
+import (
+	"errors"
+	"time"
+)
+
+var (
+	// ErrUnknown means that nothing tells where the stream began: its client has to begin
+	// it anew.
+	ErrUnknown = errors.New("it isn't known at which software version the stream began")
+	// ErrUnavailable means that storage nodes that may know it didn't answer.
+	ErrUnavailable = errors.New("not all storage nodes that may know where the stream began have answered")
+)
+
+// maxViewAge is the age at which a list of instances still counts as current. It exceeds
+// the longest query that waits for changes.
+const maxViewAge = 3 * time.Second
+
+// Finding is what the storage nodes know of a stream.
+type Finding struct {
+	Known  bool
+	Origin Origin
+	// Complete is set if no node has a record and all of them would, had there been one.
+	Complete bool
+}
+
+// SoleVersion is the only version of the service that a gateway knows.
+type SoleVersion struct {
+	Origin Origin
+	// Known is set if the gateway knows exactly one version, and it is the only service
+	// that the stream can have begun at.
+	Known bool
+	// For is how long the gateway has known no other version.
+	For time.Duration
+	// ViewAge is the time since the gateway's list of instances was known to be current;
+	// ViewKnown is false if it never was.
+	ViewAge   time.Duration
+	ViewKnown bool
+}
+
+// isCurrent reports whether no other version can have appeared unnoticed.
+func (s SoleVersion) isCurrent() bool { return s.ViewKnown && s.ViewAge <= maxViewAge }
+
+// Decide returns where a stream that may be as old as lifetime goes on.
+//
+// A record decides. Without one, the stream goes on only at a version that has been the
+// only one for as long as it can have lasted. Gateways don't always record streams of such
+// a service. Either the storage nodes confirm that there is no record, or the gateway's
+// list of instances is current.
+func Decide(finding Finding, sole SoleVersion, lifetime time.Duration) (Origin, error) {
+	switch {
+	case finding.Known:
+		return finding.Origin, nil
+	case sole.Known && sole.For >= lifetime && (finding.Complete || sole.isCurrent()):
+		return sole.Origin, nil
+	case finding.Complete:
+		return Origin{}, ErrUnknown
+	}
+	return Origin{}, ErrUnavailable
+}
--- /dev/null
+++ b/coordination/streamorigin/fake_test.go
@@ -0,0 +1,94 @@
+package streamorigin_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/streamorigin"
+)
+
+var errDown = errors.New("the node is down")
+
+// cluster is a replica set of storage nodes.
+type cluster struct {
+	mutex sync.Mutex
+	now   time.Time
+	// tables holds the table of each node, nil while the node is down.
+	tables map[string]*streamorigin.Table
+	view   register.View
+	asked  int
+}
+
+func newCluster(size int) *cluster {
+	c := &cluster{now: time.Unix(1_000_000, 0), tables: make(map[string]*streamorigin.Table)}
+	for index := range size {
+		address := fmt.Sprint("node-", index)
+		c.view.Members = append(c.view.Members, register.Member{Node: address, Address: address})
+		c.start(address)
+	}
+	return c
+}
+
+func (c *cluster) clock() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.now
+}
+
+func (c *cluster) advance(span time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.now = c.now.Add(span)
+}
+
+// start starts a node with an empty table.
+func (c *cluster) start(address string) {
+	table := streamorigin.NewTable(c.clock)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.tables[address] = table
+}
+
+func (c *cluster) stop(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.tables[address] = nil
+}
+
+func (c *cluster) table(address string) (*streamorigin.Table, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.asked++
+	if c.tables[address] == nil {
+		return nil, errDown
+	}
+	return c.tables[address], nil
+}
+
+// RecordStream implements streamorigin.Nodes.
+func (c *cluster) RecordStream(_ context.Context, address string, record streamorigin.Record) error {
+	table, err := c.table(address)
+	if err == nil {
+		table.Record(record)
+	}
+	return err
+}
+
+// FindStream implements streamorigin.Nodes.
+func (c *cluster) FindStream(_ context.Context, address string, key streamorigin.Key) (streamorigin.Answer, error) {
+	table, err := c.table(address)
+	if err != nil {
+		return streamorigin.Answer{}, err
+	}
+	return table.Find(key), nil
+}
+
+// View implements streamorigin.Views.
+func (c *cluster) View(uint32) (register.View, bool) { return c.view, len(c.view.Members) > 0 }
+
+// Locate implements streamorigin.Views.
+func (c *cluster) Locate(string) uint32 { return 0 }
--- /dev/null
+++ b/coordination/streamorigin/record.go
@@ -0,0 +1,59 @@
+package streamorigin
+
+import "time"
+
+// resumeGrace is how long after the latest end of a request its client may resume the
+// stream.
+const resumeGrace = 5 * time.Second
+
+// Lifetime returns how long after its beginning a stream may be resumed, given the time
+// allowed for the request that began it.
+func Lifetime(timeout time.Duration) time.Duration { return timeout + resumeGrace }
+
+// Origin is where a stream began: it may be continued only there.
+type Origin struct {
+	Service string
+	// Version is the version of the instance's software. Versions have no order.
+	Version string
+}
+
+// Key identifies a stream.
+type Key struct {
+	// Request is the id of the client's request that began the stream.
+	Request string
+	// Program is the program that the request belongs to; empty for none.
+	Program string
+	// Tenant is the owner of the stream; empty if there are no tenants.
+	Tenant string
+}
+
+// location returns the name by which the replica set of the record is found. It is the
+// program where there is one, so that a reservation of its tokens reaches the same nodes.
+func (k Key) location() string {
+	if k.Program != "" {
+		return k.Program
+	}
+	return k.Request
+}
+
+// Record tells where a stream began.
+type Record struct {
+	Key
+	Origin Origin
+	// Change counts the changes of the origin before the first event. The record with the
+	// highest one holds.
+	Change uint32
+	// Lifetime is how long the stream may be resumed.
+	Lifetime time.Duration
+}
+
+// Answer is a storage node's answer to the question for a stream.
+type Answer struct {
+	// Known is set if the node has a record of the stream.
+	Known  bool
+	Origin Origin
+	Change uint32
+	// RecordingFor is how long the node has kept all records that it got. It doesn't know
+	// of earlier ones.
+	RecordingFor time.Duration
+}
--- a/coordination/tokenbudget/host.go
+++ b/coordination/tokenbudget/host.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/streamorigin"
 )
 
 const (
@@ -36,6 +38,9 @@
 	// ProgramRunning is set if the gateway knows that the program had earlier turns. The host may
 	// know of others.
 	ProgramRunning bool
+	// Origin is where the turn's stream begins, for the host to keep. Nil if the stream
+	// can't be resumed.
+	Origin *streamorigin.Record
 }
 
 // EndedTurn reports that the turn of a reservation generates no more tokens.
--- a/node/storage/budgets.go
+++ b/node/storage/budgets.go
@@ -9,6 +9,7 @@
 	"github.com/marblering/marblering/coordination/quota"
 	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/streamorigin"
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/transport/peer"
 )
@@ -22,7 +23,8 @@
 	registerHedgeDelay = 80 * time.Millisecond
 )
 
-// buildBudgets creates the host of program budgets and the holder of tenants' quota slots.
+// buildBudgets creates the host of program budgets, the origins of streams and the holder
+// of tenants' quota slots.
 // Each process of a node is a separate holder and proposer.
 func (n *Node) buildBudgets() {
 	holderID := n.self.Node + "/" + uuid.NewString()
@@ -36,5 +38,6 @@
 	registers := register.NewClient(holderID, transport, n.lookup, register.SystemClock{}, newRandom(), registerSettings)
 	n.ledger = tokenbudget.NewLedger(holderID, registers, n.views.Locate, tokenbudget.DefaultSettings(), time.Now, n.logger)
 	n.budgets = tokenbudget.NewHost(n.ledger, time.Now)
+	n.origins = streamorigin.NewTable(time.Now)
 	n.quotas = quota.NewHolder(holderID, n.self.Node, registers, time.Now, n.limitedLogger)
 }
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -20,6 +20,7 @@
 	"github.com/marblering/marblering/coordination/repair"
 	"github.com/marblering/marblering/coordination/retirement"
 	"github.com/marblering/marblering/coordination/shard"
+	"github.com/marblering/marblering/coordination/streamorigin"
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/settings"
 	"github.com/marblering/marblering/state/replica"
@@ -75,9 +76,10 @@
 	lookup          *directory.Lookup
 	retirement      *retirement.Service
 
-	// Budgets and quotas for gateways.
+	// Budgets, origins of streams and quotas for gateways.
 	ledger  *tokenbudget.Ledger
 	budgets *tokenbudget.Host
+	origins *streamorigin.Table
 	quotas  *quota.Holder
 
 	// Mirrored objects of the store, and the upstream storage nodes through which this
@@ -143,7 +145,7 @@
 
 // listen opens the listeners for other nodes and for operators.
 func (n *Node) listen(peerMetrics *peer.Metrics) ([]suture.Service, error) {
-	handler := peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, n.quotas, n.mirror, peerMetrics)
+	handler := peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, n.origins, n.quotas, n.mirror, peerMetrics)
 	peers, err := listener.Open("peers", n.settings.PeerListen.String(), peer.NewHTTPServer(handler))
 	if err != nil {
 		return nil, err
--- a/transport/peer/budget.go
+++ b/transport/peer/budget.go
@@ -20,7 +20,8 @@
 }
 
 type budgetServer struct {
-	host BudgetHost
+	host    BudgetHost
+	origins StreamOrigins
 }
 
 func (s *budgetServer) reserve(ctx context.Context, message *peerv1.ReserveTokensRequest) *peerv1.ReserveTokensResponse {
@@ -32,6 +33,11 @@
 	response := &peerv1.ReserveTokensResponse{Verdict: verdictFromError(err)}
 	if err != nil {
 		response.Reason = err.Error()
+		return response
+	}
+	if record := originFromWire(message.GetOrigin()); record != nil {
+		record.Program = message.GetProgram()
+		s.origins.Record(*record)
 	}
 	return response
 }
@@ -68,10 +74,15 @@
 
 // Reserve implements tokenbudget.HostClient.
 func (b BudgetClient) Reserve(ctx context.Context, address string, reservation tokenbudget.Reservation, ended []tokenbudget.EndedTurn) error {
-	answer, err := b.client.call(ctx, address, &peerv1.Call{Request: &peerv1.Call_ReserveTokens{ReserveTokens: &peerv1.ReserveTokensRequest{
+	request := &peerv1.ReserveTokensRequest{
 		Program: reservation.Program, Turn: reservation.Name, Limit: reservation.ProgramLimit, Most: reservation.MaxTokens,
 		LifetimeMs: reservation.Lifetime.Milliseconds(), Ended: endedToWire(ended), Running: reservation.ProgramRunning,
-	}}})
+		Origin: originToWire(reservation.Origin),
+	}
+	if request.GetOrigin() != nil {
+		request.Origin.Program = "" // the request has it
+	}
+	answer, err := b.client.call(ctx, address, &peerv1.Call{Request: &peerv1.Call_ReserveTokens{ReserveTokens: request}})
 	if err != nil {
 		return err
 	}
--- a/transport/peer/metrics.go
+++ b/transport/peer/metrics.go
@@ -105,6 +105,10 @@
 		return "ReserveTokens"
 	case *peerv1.Call_EndTurns:
 		return "EndTurns"
+	case *peerv1.Call_RecordStream:
+		return "RecordStream"
+	case *peerv1.Call_FindStream:
+		return "FindStream"
 	case *peerv1.Call_TakePermits:
 		return "TakePermits"
 	}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -68,11 +68,11 @@
 }
 
 // NewStorageHandler returns the handler of a storage node. It serves requests to the
-// replica, membership gossip, the budgets of programs, the quotas of tenants and the
-// node's copies of the store's objects.
-func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, budgets BudgetHost, quotas QuotaHolder, mirror Mirror, metrics *Metrics) http.Handler {
+// replica, membership gossip, the budgets of programs, the origins of streams, the quotas
+// of tenants and the node's copies of the store's objects.
+func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, budgets BudgetHost, origins StreamOrigins, quotas QuotaHolder, mirror Mirror, metrics *Metrics) http.Handler {
 	mux := http.NewServeMux()
-	calls := &callServer{budgets: &budgetServer{host: budgets}, quotas: quotas, metrics: metrics}
+	calls := &callServer{budgets: &budgetServer{host: budgets, origins: origins}, origins: origins, quotas: quotas, metrics: metrics}
 	mountReplica(mux, replica, installer, calls)
 	options := HandlerOptions(metrics)
 	mux.Handle(peerv1connect.NewNodeServiceHandler(&exchangeServer{membership: membership}, options...))
--- a/transport/peer/session.go
+++ b/transport/peer/session.go
@@ -27,6 +27,7 @@
 type callServer struct {
 	replica *replicaServer
 	budgets *budgetServer
+	origins StreamOrigins
 	quotas  QuotaHolder
 	metrics *Metrics
 }
@@ -179,6 +180,14 @@
 		if s.budgets != nil {
 			return &peerv1.Answer{Response: &peerv1.Answer_EndTurns{EndTurns: s.budgets.end(request.EndTurns)}}, nil
 		}
+	case *peerv1.Call_RecordStream:
+		if s.origins != nil {
+			return &peerv1.Answer{Response: &peerv1.Answer_RecordStream{RecordStream: recordStream(s.origins, request.RecordStream)}}, nil
+		}
+	case *peerv1.Call_FindStream:
+		if s.origins != nil {
+			return &peerv1.Answer{Response: &peerv1.Answer_FindStream{FindStream: findStream(s.origins, request.FindStream)}}, nil
+		}
 	case *peerv1.Call_TakePermits:
 		if s.quotas != nil {
 			return &peerv1.Answer{Response: &peerv1.Answer_TakePermits{TakePermits: takePermits(s.quotas, request.TakePermits)}}, nil
