Let a request to the pool of instances name a software version

Prepares the mend of streams that go on at another version. Acquire keeps to the version that a query names; PlanVersion says at which version Acquire would begin a stream, without claiming a probe; SoleVersion and AcceptsVersion say what is in service. Another version under a known id is another process: it gets connections and health of its own.

--- a/coordination/backend/eligibility.go
+++ b/coordination/backend/eligibility.go
@@ -26,6 +26,8 @@
 
 // eligibilityInput is the state that an instance's eligibility depends on.
 type eligibilityInput struct {
+	// otherVersion is set if the request needs another software version.
+	otherVersion bool
 	// isLeaving is set if the instance has announced that it leaves.
 	isLeaving bool
 	// wasTried is set if the request was sent to the instance before.
@@ -40,7 +42,7 @@
 // ejected would probably fail the request, which is still better than not sending it.
 func eligibilityOf(input eligibilityInput) eligibility {
 	switch {
-	case input.isLeaving || input.wasTried:
+	case input.isLeaving || input.wasTried || input.otherVersion:
 		return ineligible
 	case input.addressLost || input.health == limit.Ejected:
 		return lastResort
@@ -50,18 +52,23 @@
 	return eligible
 }
 
+// claimProbe claims the probe of the instance and reports whether it succeeded.
+func (s *service) claimProbe(id string, now time.Time) bool {
+	return s.health.ejector.ClaimProbe(id, probeTimeout, now)
+}
+
 // candidates returns the instances that may get the request. An instance that is due for
 // a probe gets it regardless of the others, since it could never return otherwise.
-func (s *service) candidates(query Query, now time.Time) []candidate {
+func (s *service) candidates(query Query, now time.Time, claimProbe func(id string, now time.Time) bool) []candidate {
 	key := hashString(query.Key)
 	healthy := make([]candidate, 0, len(s.members))
 	var fallback []candidate
 	for _, m := range s.members {
-		switch s.eligibility(m, query.Tried, now) {
+		switch s.eligibility(m, query, now) {
 		case eligible:
 			healthy = append(healthy, m.candidate(key))
 		case probed:
-			if s.health.ejector.ClaimProbe(m.ID, probeTimeout, now) {
+			if claimProbe(m.ID, now) {
 				return []candidate{m.candidate(key)}
 			}
 			fallback = append(fallback, m.candidate(key))
@@ -76,13 +83,13 @@
 	return healthy
 }
 
-// eligibility returns whether the instance may be used for a request that was sent to the
-// tried instances before.
-func (s *service) eligibility(m *member, tried []string, now time.Time) eligibility {
+// eligibility returns whether the instance may be used for the request.
+func (s *service) eligibility(m *member, query Query, now time.Time) eligibility {
 	return eligibilityOf(eligibilityInput{
-		isLeaving:   m.Leaving,
-		wasTried:    slices.Contains(tried, m.ID),
-		addressLost: m.load.addressLost.Load(),
-		health:      s.health.ejector.Health(m.ID, now),
+		otherVersion: query.Version != nil && m.Version != *query.Version,
+		isLeaving:    m.Leaving,
+		wasTried:     slices.Contains(query.Tried, m.ID),
+		addressLost:  m.load.addressLost.Load(),
+		health:       s.health.ejector.Health(m.ID, now),
 	})
 }
--- a/coordination/backend/instance.go
+++ b/coordination/backend/instance.go
@@ -54,13 +54,15 @@
 	members []*member
 	// versions are the distinct software versions of the members, sorted.
 	versions []string
-	health   *serviceHealth
+	// soleSince is the time since which versions has had the one version that it has.
+	soleSince time.Time
+	health    *serviceHealth
 }
 
-func newSnapshot(instances []Instance, previous *snapshot, policy limit.EjectionPolicy) *snapshot {
+func newSnapshot(instances []Instance, previous *snapshot, policy limit.EjectionPolicy, now time.Time) *snapshot {
 	next := &snapshot{services: make(map[string]*service), byID: make(map[string]*member, len(instances))}
 	for _, instance := range instances {
-		added := &member{Instance: instance, load: previous.loadFor(instance.Incarnation()), hash: hashString(instance.ID)}
+		added := &member{Instance: instance, load: previous.loadFor(instance), hash: hashString(instance.ID)}
 		next.byID[instance.ID] = added
 		svc := next.services[instance.Service]
 		if svc == nil {
@@ -70,9 +72,10 @@
 		svc.members = append(svc.members, added)
 		svc.health.ejector.Add(instance.ID)
 	}
-	for _, svc := range next.services {
+	for name, svc := range next.services {
 		slices.SortFunc(svc.members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
 		svc.versions = versionsOf(svc.members)
+		svc.soleSince = previous.soleSinceFor(name, svc.versions, now)
 	}
 	return next
 }
@@ -98,10 +101,23 @@
 	return newServiceHealth(policy)
 }
 
-// loadFor returns the load of the incarnation from the snapshot, or a new one.
-func (s *snapshot) loadFor(incarnation Incarnation) *load {
+// soleSinceFor returns the time since which the service has had only the given version, or
+// now if it has others or had others in the snapshot.
+func (s *snapshot) soleSinceFor(name string, versions []string, now time.Time) time.Time {
 	if s != nil {
-		if known, found := s.byID[incarnation.ID]; found && known.Incarnation().isSame(incarnation) {
+		if known, found := s.services[name]; found && len(versions) == 1 && slices.Equal(known.versions, versions) {
+			return known.soleSince
+		}
+	}
+	return now
+}
+
+// loadFor returns the load of the instance's incarnation from the snapshot, or a new one.
+// A process keeps its software version, so another version means another incarnation.
+func (s *snapshot) loadFor(instance Instance) *load {
+	if s != nil {
+		known, found := s.byID[instance.ID]
+		if found && known.Incarnation().isSame(instance.Incarnation()) && known.Version == instance.Version {
 			return known.load
 		}
 	}
--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -39,7 +39,7 @@
 		now: now, policy: policy, ended: make(map[string]endedIncarnation),
 		onEjected: func(Instance, Outcome) {}, onRestarted: func(Restart) {},
 	}
-	pool.current.Store(newSnapshot(nil, nil, policy))
+	pool.current.Store(newSnapshot(nil, nil, policy, now()))
 	return pool
 }
 
@@ -68,7 +68,7 @@
 	p.pruneEnded()
 	listed := p.resolveIncarnations(previous, p.listed)
 	retained := retainExpired(previous, listed, p.now())
-	next := newSnapshot(slices.Concat(listed, retained), previous, p.policy)
+	next := newSnapshot(slices.Concat(listed, retained), previous, p.policy, p.now())
 	for _, instance := range listed {
 		next.byID[instance.ID].load.clearExpiry()
 	}
@@ -144,6 +144,42 @@
 	return versions
 }
 
+// SoleVersion returns the only software version of the service's instances, and the time
+// since which this node has known no other. ok is false if there are several or none.
+func (p *Pool) SoleVersion(name string) (version string, since time.Time, ok bool) {
+	svc, found := p.current.Load().services[name]
+	if !found || len(svc.versions) != 1 {
+		return "", time.Time{}, false
+	}
+	return svc.versions[0], svc.soleSince, true
+}
+
+// AcceptsVersion reports whether an instance of the service accepts requests at the
+// software version.
+func (p *Pool) AcceptsVersion(name, version string) bool {
+	svc, found := p.current.Load().services[name]
+	return found && slices.ContainsFunc(svc.members, func(m *member) bool { return m.Version == version && !m.Leaving })
+}
+
+// PlanVersion returns the software version of the instance that Acquire would choose now.
+// ok is false if no instance of the service can take the request.
+func (p *Pool) PlanVersion(query Query) (version string, ok bool) {
+	svc, found := p.current.Load().services[query.Service]
+	if !found {
+		return "", false
+	}
+	if len(svc.versions) == 1 {
+		return svc.versions[0], true
+	}
+	now := p.now()
+	candidates := svc.candidates(query, now, svc.health.ejector.MayProbe)
+	if len(candidates) == 0 {
+		return "", false
+	}
+	chosen, _ := chooseFor(query, candidates, now)
+	return chosen.member.Version, true
+}
+
 // Query describes a request that needs an instance.
 type Query struct {
 	Service string
@@ -152,6 +188,8 @@
 	// Key is the affinity key: it names the context that the request has in common with
 	// others, such as its program. Empty for none.
 	Key string
+	// Version restricts the choice to instances of a software version; nil for any.
+	Version *string
 	// Tried holds the IDs of instances that this request was sent to before.
 	Tried []string
 }
@@ -183,16 +221,11 @@
 	if !ok {
 		return nil, ErrNoInstance
 	}
-	candidates := svc.candidates(query, now)
+	candidates := svc.candidates(query, now, svc.claimProbe)
 	if len(candidates) == 0 {
 		return nil, ErrNoInstance
 	}
-	chosen, preferred := choose(picker{
-		candidates: candidates,
-		hasKey:     query.Key != "",
-		isStalled:  func(c candidate) bool { return c.member.load.isStalled(now) },
-		random:     rand.IntN,
-	})
+	chosen, preferred := chooseFor(query, candidates, now)
 	a := &Assignment{
 		Instance: chosen.member.Instance, Preferred: preferred, Outstanding: chosen.outstanding,
 		pool: p, load: chosen.member.load, health: svc.health,
@@ -203,6 +236,15 @@
 	return a, nil
 }
 
+func chooseFor(query Query, candidates []candidate, now time.Time) (chosen candidate, preferred bool) {
+	return choose(picker{
+		candidates: candidates,
+		hasKey:     query.Key != "",
+		isStalled:  func(c candidate) bool { return c.member.load.isStalled(now) },
+		random:     rand.IntN,
+	})
+}
+
 // RecordActivity records that a part of the response arrived.
 func (a *Assignment) RecordActivity() { a.lastActivity.Store(a.pool.now().UnixNano()) }
 
--- a/coordination/limit/ejection.go
+++ b/coordination/limit/ejection.go
@@ -147,11 +147,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	record, known := e.engines[engine]
-	if !known {
-		return false
-	}
-	record.advance(now)
-	if record.health != Probing || (record.probeInFlight && now.Before(record.probeDeadline)) {
+	if !known || !record.mayProbe(now) {
 		return false
 	}
 	record.probeInFlight = true
@@ -159,6 +155,14 @@
 	return true
 }
 
+// MayProbe reports whether ClaimProbe would succeed.
+func (e *Ejector) MayProbe(engine string, now time.Time) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	record, known := e.engines[engine]
+	return known && record.mayProbe(now)
+}
+
 // Add adds an engine before any of its calls has ended, so that MaxEjectedFraction
 // refers to the whole fleet.
 func (e *Ejector) Add(engine string) {
@@ -266,6 +270,12 @@
 	}
 }
 
+// mayProbe reports whether the engine is Probing and no probe is in flight.
+func (r *engineRecord) mayProbe(now time.Time) bool {
+	r.advance(now)
+	return r.health == Probing && (!r.probeInFlight || !now.Before(r.probeDeadline))
+}
+
 // observe records an outcome. The slowness of a single call is capped at twice SlowFactor,
 // so that a single slow call doesn't eject an engine.
 func (r *engineRecord) observe(outcome Outcome, slowFactor float64) {
