Continue a broken stream only at the software version that began it

Cause: the version stood nowhere in the choice. A gateway dropped it from an instance's entry, chose a stream's next instance as if it were a new request, and had no way to know where a stream began that another gateway, perhaps gone since, had passed on.

A stream now has an origin, service and version, planned before its tokens are reserved and recorded with the reservation, so before the client can have an event. The first attempt keeps to it; a later one that begins elsewhere changes the record first. From the first event on, and for a stream that a client resumes, only instances of the origin are chosen. Without a record a stream is continued only at a version that has been alone for as long as the stream can have lasted; otherwise it is rejected at once: 1020 where no instance of the version is left or the route no longer leads to the service, 1021 where nothing tells the version, 2004 where storage nodes don't answer.

--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/streamorigin"
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/coordination/turnstore"
 	"github.com/marblering/marblering/state/budget"
@@ -88,6 +89,9 @@
 	Timeout time.Duration
 	// Input is the body of the request.
 	Input []byte
+	// Origin is where the turn's stream begins, recorded with the reservation of tokens. Nil
+	// if the stream can't be resumed.
+	Origin *streamorigin.Record
 }
 
 // Begin reads the earlier turns and reserves tokens. If it succeeds, End must be called.
@@ -167,6 +171,7 @@
 	err := t.service.budgets.Reserve(ctx, tokenbudget.Reservation{
 		Program: t.request.Program, Name: name, ProgramLimit: t.request.Budget,
 		MaxTokens: t.request.MaxTokens, Lifetime: t.request.Timeout, ProgramRunning: t.request.Previous != "",
+		Origin: t.request.Origin,
 	})
 	switch {
 	case errors.Is(err, budget.ErrExhausted):
--- a/node/gateway/storage.go
+++ b/node/gateway/storage.go
@@ -11,6 +11,7 @@
 	"github.com/marblering/marblering/coordination/directory"
 	"github.com/marblering/marblering/coordination/quota"
 	"github.com/marblering/marblering/coordination/reach"
+	"github.com/marblering/marblering/coordination/streamorigin"
 	"github.com/marblering/marblering/coordination/tokenbudget"
 	"github.com/marblering/marblering/coordination/turnstore"
 	"github.com/marblering/marblering/settings"
@@ -26,12 +27,13 @@
 )
 
 // storageClients are the clients for what storage nodes keep: the turns and token budgets
-// of programs, and the quotas of tenants.
+// of programs, the origins of streams, and the quotas of tenants.
 type storageClients struct {
 	lookup        *directory.Lookup
 	peers         *peer.Client
 	reachability  *reach.Tracker
 	budgets       *tokenbudget.Client
+	origins       *streamorigin.Client
 	conversations *conversation.Service
 	quotas        *quota.Client
 }
@@ -56,6 +58,7 @@
 	}
 	return &storageClients{
 		lookup: lookup, peers: peers, reachability: tracker, budgets: budgets,
+		origins:       streamorigin.NewClient(peers, lookup),
 		conversations: conversation.New(turns, budgets, tracker.IsCutOff, time.Now, rand.Uint64, logger),
 		quotas: quota.NewClient(peers, lookup, tracker, quota.Tolerance{
 			Window: loaded.QuotaWindow, Fraction: loaded.QuotaOver, Slack: loaded.QuotaSlack,
--- a/state/result/code.go
+++ b/state/result/code.go
@@ -75,6 +75,10 @@
 	HeaderTooLarge    Code = 1017
 	BodyTimeout       Code = 1018
 	UnknownTurn       Code = 1019
+	// StreamVersionGone and StreamOriginUnknown tell a client that resumes a stream to
+	// begin it anew.
+	StreamVersionGone   Code = 1020
+	StreamOriginUnknown Code = 1021
 
 	Overloaded         Code = 2001
 	TenantLimit        Code = 2002
@@ -143,6 +147,8 @@
 	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, NotRun, RepeatNever, "The request's header exceeds the size limit."},
 	{BodyTimeout, "body_timeout", http.StatusRequestTimeout, NotRun, RepeatNewKey, "The request's body didn't arrive in time."},
 	{UnknownTurn, "unknown_turn", http.StatusNotFound, NotRun, RepeatNever, "The turn that this one goes on from isn't kept."},
+	{StreamVersionGone, "stream_version_gone", http.StatusServiceUnavailable, NotRun, RepeatNever, "No back end of the software version that began the stream is left; begin it anew."},
+	{StreamOriginUnknown, "stream_origin_unknown", http.StatusServiceUnavailable, NotRun, RepeatNever, "Nothing tells at which software version the stream began; begin it anew."},
 	{Overloaded, "overloaded", http.StatusTooManyRequests, NotRun, RepeatNewKey, "The engines can't serve the request in time."},
 	{TenantLimit, "tenant_limit", http.StatusTooManyRequests, NotRun, RepeatNewKey, "The tenant has reached its limit."},
 	{NoEngine, "no_engine", http.StatusServiceUnavailable, NotRun, RepeatNewKey, "No engine that serves the model can be reached."},
--- a/transport/relay/answer.go
+++ b/transport/relay/answer.go
@@ -57,7 +57,7 @@
 		zap.Duration("took", took), zap.Duration("allowed", c.timing.timeout()),
 	}
 	if c.isResumption() {
-		fields = append(fields, zap.String("resumes", c.input.info.Resumes), zap.String("last_event", c.input.info.LastEventID))
+		fields = append(fields, c.originFields()...)
 	}
 	if c.response.code == result.OK {
 		c.handler.options.AccessLogger.Info("answered", fields...)
@@ -74,9 +74,6 @@
 	return zap.Duration("configuration_age", c.routing.configAge)
 }
 
-// isResumption reports whether the client resumes a broken stream.
-func (c *call) isResumption() bool { return c.input.info.LastEventID != "" }
-
 // routeName returns the name of the route, or "" if none is set yet.
 func (c *call) routeName() string {
 	if c.routing.route == nil {
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -19,6 +19,7 @@
 
 	input    input
 	routing  routing
+	stream   stream
 	grants   grants
 	attempts attempts
 	response response
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -100,6 +100,7 @@
 		if event.isAlreadySent(c.response.lastEventID) {
 			continue
 		}
+		c.awaitRecording()
 		c.writeStreamHeader(backendResponse)
 		c.countEvent(event)
 		if _, err := c.writer.Write(event.raw); err != nil {
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -22,7 +22,11 @@
 	Upstream    Upstream
 	HeaderCodec HeaderCodec
 	Turns       Turns
+	Origins     Origins
 	Quotas      Quotas
+	// InstancesStaleness returns the time since the known instances were proven to be those
+	// in the store; ok is false if they never were.
+	InstancesStaleness func() (staleness time.Duration, ok bool)
 	// IsConfigurationNewest reports whether the configuration in force is known to be the
 	// newest. Only then are the errors for a missing route and an unknown key permanent.
 	IsConfigurationNewest func() bool
@@ -63,8 +67,8 @@
 
 // ServeHTTP serves one request. It checks, from the cheapest check to the most expensive
 // one, the number of requests in flight, the configuration, the size and the content of the
-// headers, the route, the API key (before the body is read), the body, the tenant's quota
-// and the turn. The first check that fails ends the request.
+// headers, the route, the API key (before the body is read), the body, the tenant's quota,
+// the origin of a resumed stream and the turn. The first check that fails ends the request.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	arrived := h.options.Now()
 	inFlight := h.inFlight.Add(1)
@@ -86,7 +90,10 @@
 		return
 	}
 	defer current.returnUnusedPermit()
-	failure := current.beginTurn(ctx, h.options.Tables.Table())
+	failure := current.locateStream(ctx)
+	if failure == nil {
+		failure = current.beginTurn(ctx, h.options.Tables.Table())
+	}
 	current.timing.prepared = h.options.Now().Sub(arrived)
 	if failure != nil {
 		current.fail(failure)
--- a/transport/relay/headercodec.go
+++ b/transport/relay/headercodec.go
@@ -8,6 +8,7 @@
 	"github.com/marblering/marblering/coordination/backend"
 	"github.com/marblering/marblering/coordination/conversation"
 	"github.com/marblering/marblering/coordination/quota"
+	"github.com/marblering/marblering/coordination/streamorigin"
 	"github.com/marblering/marblering/state/result"
 	"github.com/marblering/marblering/transport/upstream"
 )
@@ -83,6 +84,18 @@
 // Backends selects instances for requests. backend.Pool implements it.
 type Backends interface {
 	Acquire(query backend.Query) (*backend.Assignment, error)
+	// PlanVersion returns the software version of the instance that Acquire would choose.
+	PlanVersion(query backend.Query) (version string, ok bool)
+	// SoleVersion returns the only software version of a service, and since when.
+	SoleVersion(service string) (version string, since time.Time, ok bool)
+	// AcceptsVersion reports whether an instance takes requests at a software version.
+	AcceptsVersion(service, version string) bool
+}
+
+// Origins records and finds where streams began. streamorigin.Client implements it.
+type Origins interface {
+	Record(ctx context.Context, record streamorigin.Record) error
+	Find(ctx context.Context, key streamorigin.Key, lifetime time.Duration) streamorigin.Finding
 }
 
 // Turns prepares turns of programs. conversation.Service implements it.
--- a/transport/relay/metrics.go
+++ b/transport/relay/metrics.go
@@ -11,6 +11,7 @@
 type Metrics struct {
 	requests  *prometheus.CounterVec
 	retries   prometheus.Counter
+	resumed   *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
 	duration  *prometheus.HistogramVec
 }
@@ -27,6 +28,10 @@
 			Name: "marblering_gateway_retries_total",
 			Help: "Requests that were sent to another back end.",
 		}),
+		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marblering_gateway_resumed_streams_total",
+			Help: "Streams that clients resumed, by whether the software version that began them is found.",
+		}, []string{"outcome"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "marblering_gateway_first_byte_seconds",
 			Help: "Time from a request's arrival to the head of its answer.", Buckets: buckets,
@@ -36,10 +41,24 @@
 			Help: "Time from a request's arrival to the end of its answer.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.retries, m.firstByte, m.duration)
+	registry.MustRegister(m.requests, m.retries, m.resumed, m.firstByte, m.duration)
 	return m
 }
 
+// resumptionOutcome says whether a resumed stream can go on at the version that began it.
+type resumptionOutcome string
+
+const (
+	originFound       resumptionOutcome = "found"
+	originUnknown     resumptionOutcome = "unknown"
+	originUnavailable resumptionOutcome = "unavailable"
+	versionGone       resumptionOutcome = "version_gone"
+)
+
+func (m *Metrics) countResumption(outcome resumptionOutcome) {
+	m.resumed.WithLabelValues(string(outcome)).Inc()
+}
+
 // observe records a finished request.
 func (m *Metrics) observe(c *call, took time.Duration) {
 	kind := "none"
--- /dev/null
+++ b/transport/relay/origin.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/routetable"
+	"github.com/marblering/marblering/coordination/streamorigin"
+	"github.com/marblering/marblering/state/result"
+)
+
+// errVersionGone means that a stream can't be continued: no instance of the service takes
+// requests at the software version that began it.
+var errVersionGone = errors.New("no instance of the version that began the stream is left")
+
+// stream is where the response stream of a request began, or is going to begin. Another
+// service or version can't continue it, since it doesn't generate the same events.
+type stream struct {
+	// isKnown is set if the request is a stream that may be resumed.
+	isKnown bool
+	origin  streamorigin.Origin
+	// changes counts the changes of the origin before the first event.
+	changes uint32
+	// mayBeRecorded is set once a storage node may have a record of the origin.
+	mayBeRecorded bool
+	// recording is closed once storage nodes have been asked to record the origin; nil if
+	// they aren't asked.
+	recording chan struct{}
+	// finding is what storage nodes know of the stream that the client resumes.
+	finding streamorigin.Finding
+}
+
+// isResumption reports whether the client resumes a broken stream.
+func (c *call) isResumption() bool {
+	return c.routing.route != nil && c.routing.route.Kind == routetable.Stream && c.input.info.LastEventID != ""
+}
+
+// locateStream finds out where a stream that the client resumes began, or plans where a new
+// one begins. Retained turns are never resumed by clients, see beginTurn.
+func (c *call) locateStream(ctx context.Context) *result.Error {
+	route := c.routing.route
+	switch {
+	case route.Kind != routetable.Stream:
+	case c.isResumption():
+		if !route.Retained {
+			return c.findOrigin(ctx)
+		}
+	case route.Resumable:
+		c.planOrigin(ctx)
+	}
+	return nil
+}
+
+// findOrigin sets the origin of the stream that the client resumes. It fails if that isn't
+// known, or if no instance can continue the stream.
+func (c *call) findOrigin(ctx context.Context) *result.Error {
+	origin, err := c.decideOrigin(ctx)
+	metrics := c.handler.options.Metrics
+	switch {
+	case errors.Is(err, streamorigin.ErrUnknown):
+		metrics.countResumption(originUnknown)
+		return result.Errorf(result.StreamOriginUnknown, "%v", err)
+	case err != nil:
+		metrics.countResumption(originUnavailable)
+		return unreadableOrigin.errorf("%v", err)
+	case !c.mayContinueAt(origin):
+		metrics.countResumption(versionGone)
+		return versionGoneFailure(origin)
+	}
+	metrics.countResumption(originFound)
+	c.stream.isKnown, c.stream.origin = true, origin
+	return nil
+}
+
+func versionGoneFailure(origin streamorigin.Origin) *result.Error {
+	return result.Errorf(result.StreamVersionGone, "the stream began at version %q of %s: %v", origin.Version, origin.Service, errVersionGone)
+}
+
+// decideOrigin returns where the stream that the client resumes began.
+func (c *call) decideOrigin(ctx context.Context) (streamorigin.Origin, error) {
+	lifetime := streamorigin.Lifetime(c.routing.route.Timeout)
+	began := c.input.info.Resumes
+	if began != "" {
+		c.stream.finding = c.handler.options.Origins.Find(ctx, c.streamKey(began), lifetime)
+	}
+	origin, err := streamorigin.Decide(c.stream.finding, c.soleVersion(), lifetime)
+	if err != nil && began == "" {
+		return origin, streamorigin.ErrUnknown
+	}
+	return origin, err
+}
+
+// soleVersion returns the only version at which the stream can have begun, as far as this
+// gateway knows.
+func (c *call) soleVersion() streamorigin.SoleVersion {
+	options := &c.handler.options
+	targets := c.routing.route.Targets
+	if len(targets) != 1 {
+		return streamorigin.SoleVersion{}
+	}
+	version, since, known := options.Backends.SoleVersion(targets[0].Service)
+	sole := streamorigin.SoleVersion{
+		Origin: streamorigin.Origin{Service: targets[0].Service, Version: version},
+		Known:  known, For: options.Now().Sub(since),
+	}
+	sole.ViewAge, sole.ViewKnown = options.InstancesStaleness()
+	return sole
+}
+
+// mayContinueAt reports whether the route leads to the service and an instance of it takes
+// requests at the version.
+func (c *call) mayContinueAt(origin streamorigin.Origin) bool {
+	for _, target := range c.routing.route.Targets {
+		if target.Service == origin.Service {
+			return c.handler.options.Backends.AcceptsVersion(origin.Service, origin.Version)
+		}
+	}
+	return false
+}
+
+// planOrigin decides where a new stream begins. Its turn's reservation records that, or a
+// request to storage nodes if there is no reservation and the service has several versions.
+func (c *call) planOrigin(ctx context.Context) {
+	query := c.query()
+	version, found := c.handler.options.Backends.PlanVersion(query)
+	if !found {
+		return
+	}
+	c.stream.isKnown = true
+	c.stream.origin = streamorigin.Origin{Service: query.Service, Version: version}
+	if _, _, isSole := c.handler.options.Backends.SoleVersion(query.Service); isSole || c.reservationRecordsOrigin() || !c.isRecordable() {
+		return
+	}
+	c.stream.mayBeRecorded = true
+	recording := make(chan struct{})
+	c.stream.recording = recording
+	record := c.originRecord()
+	go func() {
+		defer close(recording)
+		if err := c.handler.options.Origins.Record(ctx, record); err != nil {
+			c.handler.options.Logger.Info("stream origin not recorded", zap.String("request", record.Request), zap.Error(err))
+		}
+	}()
+}
+
+// awaitRecording waits until the origin is recorded, so that a client that has received an
+// event can resume the stream elsewhere. The back end is at work meanwhile.
+func (c *call) awaitRecording() {
+	if c.stream.recording != nil {
+		<-c.stream.recording
+	}
+}
+
+// isRecordable reports whether a client may resume the stream that the request begins.
+func (c *call) isRecordable() bool {
+	return c.stream.isKnown && c.routing.route.Resumable && !c.routing.route.Retained && !c.isResumption()
+}
+
+// reservationRecordsOrigin reports whether the reservation of the turn's tokens records the
+// origin.
+func (c *call) reservationRecordsOrigin() bool {
+	return c.isRecordable() && c.input.info.TokenBudget > 0 && c.input.info.Program != ""
+}
+
+// originForReservation returns the record for the reservation of the turn's tokens, or nil.
+func (c *call) originForReservation() *streamorigin.Record {
+	if !c.reservationRecordsOrigin() {
+		return nil
+	}
+	c.stream.mayBeRecorded = true
+	record := c.originRecord()
+	return &record
+}
+
+func (c *call) originRecord() streamorigin.Record {
+	return streamorigin.Record{
+		Key: c.streamKey(c.input.info.ID), Origin: c.stream.origin, Change: c.stream.changes,
+		Lifetime: streamorigin.Lifetime(c.timing.timeout()),
+	}
+}
+
+// streamKey returns the key of the stream that a request of this client's program began.
+func (c *call) streamKey(request string) streamorigin.Key {
+	return streamorigin.Key{Request: request, Program: c.input.info.Program, Tenant: c.tenantName()}
+}
+
+// isOriginFixed reports whether the client has events of the stream.
+func (c *call) isOriginFixed() bool { return c.response.headerWritten || c.isResumption() }
+
+// acquireAtOrigin selects an instance for a stream that may be resumed. Once the client has
+// events, only its version will do. Before that, the first attempt keeps to the plan, so
+// that the origin on record is right, and later ones may change it.
+func (c *call) acquireAtOrigin(ctx context.Context) (*backend.Assignment, error) {
+	backends := c.handler.options.Backends
+	query := c.query()
+	if c.isOriginFixed() || len(c.attempts.instances) == 0 {
+		query.Version = &c.stream.origin.Version
+		assignment, err := backends.Acquire(query)
+		switch {
+		case err == nil:
+			return assignment, nil
+		case c.isOriginFixed() && !backends.AcceptsVersion(c.stream.origin.Service, c.stream.origin.Version):
+			return nil, errVersionGone
+		case c.isOriginFixed():
+			return nil, err
+		}
+		query.Version = nil
+	}
+	assignment, err := backends.Acquire(query)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.changeOrigin(ctx, assignment.Instance.Version); err != nil {
+		assignment.Release(backend.Inconclusive{})
+		return nil, err
+	}
+	return assignment, nil
+}
+
+// changeOrigin records the version at which the stream begins after all. It fails if an
+// earlier record can't be superseded: another gateway might resume the stream by it.
+func (c *call) changeOrigin(ctx context.Context, version string) error {
+	if c.stream.origin.Version == version {
+		return nil
+	}
+	c.stream.origin.Version = version
+	c.stream.changes++
+	if !c.isRecordable() {
+		return nil
+	}
+	err := c.handler.options.Origins.Record(ctx, c.originRecord())
+	if err != nil && c.stream.mayBeRecorded {
+		return err
+	}
+	c.stream.mayBeRecorded = c.stream.mayBeRecorded || !errors.Is(err, streamorigin.ErrNoNodes)
+	return nil
+}
+
+// originFields returns log fields that tell where the stream began that the client resumes.
+func (c *call) originFields() []zap.Field {
+	return []zap.Field{
+		zap.String("resumes", c.input.info.Resumes), zap.String("last_event", c.input.info.LastEventID),
+		zap.String("began_at", c.stream.origin.Version), zap.Bool("on_record", c.stream.finding.Known),
+	}
+}
--- a/transport/relay/retry.go
+++ b/transport/relay/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/marblering/marblering/coordination/limit"
@@ -113,6 +114,8 @@
 		return sendError{result.Errorf(result.BackendTimeout, "no answer within %s", e.timeout)}
 	case e.mayHaveRun:
 		return sendError{result.Errorf(result.BackendFailed, "%v", e.cause)}
+	case errors.Is(e.cause, errVersionGone):
+		return sendError{result.Errorf(result.StreamVersionGone, "%v", e.cause)}
 	case e.outcome == refused:
 		return sendError{busyBackends.errorf("%v", e.cause)}
 	}
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -14,7 +14,7 @@
 func (c *call) run(ctx context.Context) {
 	c.handler.options.Retries.RecordAttempt(c.routing.route.Name, c.handler.options.Now())
 	for {
-		assignment, err := c.acquire()
+		assignment, err := c.acquire(ctx)
 		if err != nil {
 			c.finish(c.attemptResult(ctx, unsent, err).giveUp())
 			return
@@ -38,11 +38,22 @@
 }
 
 // acquire selects an instance that the request hasn't tried yet.
-func (c *call) acquire() (*backend.Assignment, error) {
-	return c.handler.options.Backends.Acquire(backend.Query{
-		Service: c.routing.route.Pick(backend.KeyFraction(c.input.info.AffinityKey)), Route: c.routing.route.Name,
-		Key: c.input.info.AffinityKey, Tried: c.attempts.instances,
-	})
+func (c *call) acquire(ctx context.Context) (*backend.Assignment, error) {
+	if c.stream.isKnown {
+		return c.acquireAtOrigin(ctx)
+	}
+	return c.handler.options.Backends.Acquire(c.query())
+}
+
+// query describes the request to the pool of instances. A stream keeps to its service.
+func (c *call) query() backend.Query {
+	service := c.stream.origin.Service
+	if !c.stream.isKnown {
+		service = c.routing.route.Pick(backend.KeyFraction(c.input.info.AffinityKey))
+	}
+	return backend.Query{
+		Service: service, Route: c.routing.route.Name, Key: c.input.info.AffinityKey, Tried: c.attempts.instances,
+	}
 }
 
 // attemptResult collects the inputs of the decision about the next step.
--- a/transport/relay/turn.go
+++ b/transport/relay/turn.go
@@ -25,6 +25,7 @@
 		ID: c.input.info.ID, Program: c.input.info.Program, Tenant: c.tenantName(), Previous: c.input.info.PreviousTurn,
 		Budget: c.input.info.TokenBudget, MaxTokens: c.input.info.MaxTokens, TokensPerEvent: service.TokensPerEvent,
 		Retained: c.routing.route.Retained, Retention: c.routing.route.Retention, Timeout: c.timing.timeout(), Input: c.input.body,
+		Origin: c.originForReservation(),
 	})
 	if failure != nil {
 		return failure
--- a/transport/relay/unavailable.go
+++ b/transport/relay/unavailable.go
@@ -35,6 +35,9 @@
 	slowBody
 	// resumedRetainedTurn: the client resumes a turn that has to be stored as a whole.
 	resumedRetainedTurn
+	// unreadableOrigin: storage nodes that may know where a resumed stream began don't
+	// answer.
+	unreadableOrigin
 	// busyBackends: every backend that got the request refused it.
 	busyBackends
 	// noBackend: no backend was available or could be connected to.
@@ -63,6 +66,8 @@
 		return result.BodyTimeout, retryDelay
 	case resumedRetainedTurn:
 		return result.HistoryUnavailable, retryDelay
+	case unreadableOrigin:
+		return result.NoQuorum, retryDelay
 	case busyBackends:
 		return result.BackendBusy, retryDelay
 	}
