Handle SIGHUP from the start of a daemon on

What operators saw: a process that was told to reload its settings right after its start, or in a drain soon after it, ended without a last line.

Cause: the handler was registered by the goroutine that reloads, which begins after the settings are read and may begin long after "started" is logged; until then a SIGHUP terminates the process. The handler is now registered first, and a SIGHUP that comes before the goroutine is handled once it runs.

A SIGHUP within the runtime's own start still ends the process.

--- a/cmd/marblering/main_test.go
+++ b/cmd/marblering/main_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/marblering/marblering/settings"
+	"github.com/marblering/marblering/test/harness"
 )
 
 // testModeEnv is the environment variable that makes the test binary run as the command,
@@ -163,6 +165,40 @@
 	assert.NilError(t, process.Wait())
 }
 
+// TestHangupDuringStartReloadsSettings guards against a SIGHUP that ends a process whose
+// handler isn't registered yet. The process waits for its settings to be written to a pipe.
+func TestHangupDuringStartReloadsSettings(t *testing.T) {
+	pipe := filepath.Join(t.TempDir(), "gateway.yaml")
+	assert.NilError(t, syscall.Mkfifo(pipe, 0o600))
+	awaitReader := func() (writer *os.File) {
+		harness.Eventually(t, func() (bool, string) {
+			var err error
+			writer, err = os.OpenFile(pipe, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+			return err == nil, fmt.Sprint("the process doesn't read its settings: ", err)
+		})
+		return writer
+	}
+	const content = "name: edge-1\nzone: a\ncaller_listen: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\n" +
+		"store_url: http://127.0.0.1:1\ndrain_timeout: 1s\n"
+	process := newProcess("main", "gateway", "--settings", pipe)
+	log, err := process.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, process.Start())
+	first := awaitReader()
+	assert.NilError(t, process.Process.Signal(syscall.SIGHUP))
+	_, err = first.WriteString(content)
+	assert.NilError(t, errors.Join(err, first.Close()))
+	lines := bufio.NewScanner(log)
+	scanUntil(t, lines, "msg=started")
+	second := awaitReader()
+	_, err = second.WriteString(content)
+	assert.NilError(t, errors.Join(err, second.Close()))
+	scanUntil(t, lines, `msg="settings reloaded"`)
+	assert.NilError(t, process.Process.Signal(syscall.SIGTERM))
+	scanUntil(t, lines, "msg=stopped")
+	assert.NilError(t, process.Wait())
+}
+
 func scanUntil(t *testing.T, lines *bufio.Scanner, text string) {
 	t.Helper()
 	for lines.Scan() {
--- a/cmd/marblering/reload.go
+++ b/cmd/marblering/reload.go
@@ -25,11 +25,16 @@
 	logger   *zap.Logger
 }
 
-// run handles SIGHUP and never returns. Without a handler, a SIGHUP during a drain would
-// terminate the process.
-func (r *reloader[T]) run() {
+// notifyHangups returns a channel that receives each SIGHUP from now on. Without one, a
+// SIGHUP would terminate the process.
+func notifyHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// run reloads the settings on each hangup and never returns.
+func (r *reloader[T]) run(hangups <-chan os.Signal) {
 	for range hangups {
 		r.reload()
 	}
--- a/cmd/marblering/role.go
+++ b/cmd/marblering/role.go
@@ -80,6 +80,7 @@
 
 // start loads the settings, reloads them on SIGHUP and runs the daemon.
 func (r role[T]) start(command *cobra.Command, path string) error {
+	hangups := notifyHangups() // before anything that takes time
 	load := func() (T, error) { return r.load(path, command.Flags()) }
 	loaded, err := load()
 	if err != nil {
@@ -95,6 +96,6 @@
 	name, zone := r.identity(loaded)
 	logger := telemetry.NewLogger(logWriter, atomicLevel, zap.String("node", name), zap.String("zone", zone))
 	settingsReloader := reloader[T]{load: load, logLevel: r.logLevel, current: loaded, level: atomicLevel, logger: logger}
-	go settingsReloader.run()
+	go settingsReloader.run(hangups)
 	return r.run(command.Context(), loaded, logger)
 }
