--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -76,6 +76,9 @@
 	Address  string
 	// Events is how many events a stream has; zero answers plainly.
 	Events int
+	// Mark is added to the data of each event; empty for none. It must be set before the
+	// first request.
+	Mark string
 
 	server *http.Server
 
@@ -295,7 +298,7 @@
 		first = last + 1
 	}
 	for number := first; number <= r.Events; number++ {
-		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number)
+		text := fmt.Sprintf("id: %d\ndata: piece %d%s\n\n", number, number, r.Mark)
 		if fault == CutAnswer && number == first+r.Events/2 {
 			_, _ = w.Write([]byte(text[:len(text)/2]))
 			_ = http.NewResponseController(w).Flush()
