Don't let a restarted storage node confirm where a stream began

What callers could have seen: a stream of two versions, if its first attempt was planned for another version and the storage node that confirmed the change had lost its memory.

Cause: a majority of answers was taken for the majority that has the change, but a node that was restarted since has forgotten it. A node without a record now confirms one only if it has kept all records for longer than that one is old. The origin isn't changed after a reservation that took so long that a second node may have been asked, whose record would come late and look younger than the change. Where all nodes have answered and the record is lost, a repeat can't succeed: 1021 at once in place of 2004.

--- a/coordination/streamorigin/client.go
+++ b/coordination/streamorigin/client.go
@@ -80,8 +80,9 @@
 }
 
 // Find asks all members of the replica set for the stream, which may be as old as lifetime.
-// It returns a record once a majority has answered, since a record whose origin was changed
-// is at a majority. Members that don't answer delay it by nodeTimeout at most.
+// It returns a record once a majority confirms that it knows of no later one, since a
+// changed origin is recorded at a majority. Members that don't answer delay it by
+// nodeTimeout at most.
 func (c *Client) Find(ctx context.Context, key Key, lifetime time.Duration) Finding {
 	view, known := c.view(key)
 	if !known {
@@ -96,14 +97,17 @@
 			replies <- reply{answer, err}
 		}()
 	}
-	counted := tally{members: len(view.Members), quorum: view.Quorum(), lifetime: lifetime}
+	t := tally{members: len(view.Members), quorum: view.Quorum(), lifetime: lifetime}
 	for range view.Members {
-		counted.add(<-replies)
-		if counted.isDecided() {
-			break
+		r := <-replies
+		if r.err == nil {
+			t.answers = append(t.answers, r.answer)
+		}
+		if newest, confirmed := t.newest(); confirmed {
+			return Finding{Known: true, Origin: newest.Origin}
 		}
 	}
-	return counted.finding()
+	return Finding{Answered: len(t.answers) == t.members, Excluded: t.isExcluded()}
 }
 
 // reply is the answer of one member, or the error instead of it.
@@ -112,36 +116,40 @@
 	err    error
 }
 
-// tally counts the replies of the members of a replica set.
+// tally holds the answers of the members of a replica set.
 type tally struct {
 	members, quorum int
 	lifetime        time.Duration
-
-	answered int
-	// excluding counts the members that would have a record, had there been one.
-	excluding int
-	newest    Answer
+	answers         []Answer
 }
 
-func (t *tally) add(r reply) {
-	if r.err != nil {
-		return
+// newest returns the record with the latest change. It is confirmed if a majority has it,
+// an earlier one, or none though it has kept all records since before this one was made. A
+// member that lost its records later may have had a later change.
+func (t *tally) newest() (newest Answer, confirmed bool) {
+	for _, answer := range t.answers {
+		if answer.Known && (!newest.Known || answer.Change > newest.Change) {
+			newest = answer
+		}
 	}
-	t.answered++
-	switch {
-	case r.answer.Known && (!t.newest.Known || r.answer.Change > t.newest.Change):
-		t.newest = r.answer
-	case !r.answer.Known && r.answer.RecordingFor >= t.lifetime:
-		t.excluding++
+	confirming := 0
+	for _, answer := range t.answers {
+		// The nodes measure these durations up to nodeTimeout apart.
+		if answer.Known || answer.RecordingFor >= newest.Age+nodeTimeout {
+			confirming++
+		}
 	}
+	return newest, newest.Known && confirming >= t.quorum
 }
 
-// isDecided reports whether further replies can't change the finding.
-func (t *tally) isDecided() bool { return t.newest.Known && t.answered >= t.quorum }
-
-func (t *tally) finding() Finding {
-	if t.isDecided() {
-		return Finding{Known: true, Origin: t.newest.Origin}
+// isExcluded reports whether all members would have a record, had there been one, and have
+// none.
+func (t *tally) isExcluded() bool {
+	excluding := 0
+	for _, answer := range t.answers {
+		if !answer.Known && answer.RecordingFor >= t.lifetime {
+			excluding++
+		}
 	}
-	return Finding{Complete: t.excluding == t.members}
+	return excluding == t.members
 }
--- a/coordination/streamorigin/client_test.go
+++ b/coordination/streamorigin/client_test.go
@@ -52,6 +52,25 @@
 	}
 }
 
+// TestRestartedNodeConfirmsNoRecord guards against a record of an earlier origin that seems
+// to be the newest since the nodes with the change were restarted or stopped.
+func TestRestartedNodeConfirmsNoRecord(t *testing.T) {
+	c := newCluster(3)
+	client := streamorigin.NewClient(c, c)
+	c.tables["node-0"].Record(record(v1, 0))
+	c.stop("node-0")
+	assert.NilError(t, client.Record(t.Context(), record(v2, 1)))
+	resumed := c.tables["node-2"]
+	c.start("node-0") // as after a pause: it still has its records
+	c.tables["node-0"].Record(record(v1, 0))
+	c.start("node-1")
+	c.advance(lifetime - 1)
+	c.stop("node-2")
+	assert.Assert(t, !client.Find(t.Context(), key, lifetime).Known)
+	c.tables["node-2"] = resumed
+	assert.DeepEqual(t, client.Find(t.Context(), key, lifetime), streamorigin.Finding{Known: true, Origin: v2})
+}
+
 // TestUnconfirmedRecordIsReported guards against a change that a majority doesn't have.
 func TestUnconfirmedRecordIsReported(t *testing.T) {
 	c := newCluster(3)
@@ -69,15 +88,15 @@
 func TestOnlyOldTablesExcludeRecord(t *testing.T) {
 	c := newCluster(3)
 	client := streamorigin.NewClient(c, c)
-	assert.Assert(t, !client.Find(t.Context(), key, lifetime).Complete, "the nodes have just started")
+	assert.Assert(t, !client.Find(t.Context(), key, lifetime).Excluded, "the nodes have just started")
 	c.advance(lifetime)
-	assert.Assert(t, client.Find(t.Context(), key, lifetime).Complete)
+	assert.Assert(t, client.Find(t.Context(), key, lifetime).Excluded)
 	c.stop("node-1")
-	assert.Assert(t, !client.Find(t.Context(), key, lifetime).Complete)
+	assert.Assert(t, !client.Find(t.Context(), key, lifetime).Excluded)
 	c.start("node-1")
-	assert.Assert(t, !client.Find(t.Context(), key, lifetime).Complete)
+	assert.Assert(t, !client.Find(t.Context(), key, lifetime).Excluded)
 	c.advance(lifetime)
-	assert.Assert(t, client.Find(t.Context(), key, lifetime).Complete)
+	assert.Assert(t, client.Find(t.Context(), key, lifetime).Excluded)
 }
 
 // TestRecordsOfOthersAreNotFound covers ids that are forged or of another tenant or program.
--- a/coordination/streamorigin/decide.go
+++ b/coordination/streamorigin/decide.go
@@ -21,8 +21,10 @@
 type Finding struct {
 	Known  bool
 	Origin Origin
-	// Complete is set if no node has a record and all of them would, had there been one.
-	Complete bool
+	// Answered is set if all nodes have answered.
+	Answered bool
+	// Excluded is set if no node has a record and all of them would, had there been one.
+	Excluded bool
 }
 
 // SoleVersion is the only version of the service that a gateway knows.
@@ -52,9 +54,9 @@
 	switch {
 	case finding.Known:
 		return finding.Origin, nil
-	case sole.Known && sole.For >= lifetime && (finding.Complete || sole.isCurrent()):
+	case sole.Known && sole.For >= lifetime && (finding.Excluded || sole.isCurrent()):
 		return sole.Origin, nil
-	case finding.Complete:
+	case finding.Answered:
 		return Origin{}, ErrUnknown
 	}
 	return Origin{}, ErrUnavailable
--- a/coordination/streamorigin/decide_test.go
+++ b/coordination/streamorigin/decide_test.go
@@ -22,7 +22,8 @@
 	unproved := with(func(s *streamorigin.SoleVersion) { s.ViewKnown = false })
 	young := with(func(s *streamorigin.SoleVersion) { s.For = lifetime - 1 })
 	several := streamorigin.SoleVersion{ViewAge: time.Second, ViewKnown: true}
-	absent, unanswered := streamorigin.Finding{Complete: true}, streamorigin.Finding{}
+	absent, unanswered := streamorigin.Finding{Answered: true, Excluded: true}, streamorigin.Finding{}
+	lost := streamorigin.Finding{Answered: true}
 	for _, c := range []struct {
 		name    string
 		finding streamorigin.Finding
@@ -34,6 +35,9 @@
 		{"on record, other version alone here", streamorigin.Finding{Known: true, Origin: v2}, current, v2, nil},
 		{"no record, several versions", absent, several, streamorigin.Origin{}, streamorigin.ErrUnknown},
 		{"no answer, several versions", unanswered, several, streamorigin.Origin{}, streamorigin.ErrUnavailable},
+		{"perhaps lost, several versions", lost, several, streamorigin.Origin{}, streamorigin.ErrUnknown},
+		{"perhaps lost, one version", lost, current, v1, nil},
+		{"perhaps lost, one version in an old list", lost, stale, streamorigin.Origin{}, streamorigin.ErrUnknown},
 		{"no record, one version", absent, current, v1, nil},
 		{"no record, one version in an old list", absent, stale, v1, nil},
 		{"no record, one version for too short", absent, young, streamorigin.Origin{}, streamorigin.ErrUnknown},
--- a/coordination/streamorigin/fake_test.go
+++ b/coordination/streamorigin/fake_test.go
@@ -11,6 +11,10 @@
 	"github.com/marblering/marblering/coordination/streamorigin"
 )
 
+// settleTime is how long a node has to record before it can confirm that a record made
+// since is the newest.
+const settleTime = time.Second
+
 var errDown = errors.New("the node is down")
 
 // cluster is a replica set of storage nodes.
@@ -30,6 +34,7 @@
 		c.view.Members = append(c.view.Members, register.Member{Node: address, Address: address})
 		c.start(address)
 	}
+	c.advance(settleTime)
 	return c
 }
 
--- a/coordination/streamorigin/record.go
+++ b/coordination/streamorigin/record.go
@@ -53,6 +53,8 @@
 	Known  bool
 	Origin Origin
 	Change uint32
+	// Age is the time since the node got the record.
+	Age time.Duration
 	// RecordingFor is how long the node has kept all records that it got. It doesn't know
 	// of earlier ones.
 	RecordingFor time.Duration
--- a/coordination/streamorigin/table.go
+++ b/coordination/streamorigin/table.go
@@ -24,9 +24,10 @@
 }
 
 type tableRecord struct {
-	origin  Origin
-	change  uint32
-	expires time.Time
+	origin   Origin
+	change   uint32
+	recorded time.Time
+	expires  time.Time
 }
 
 // NewTable returns an empty table.
@@ -34,21 +35,22 @@
 	return &Table{now: now, records: make(map[Key]tableRecord), completeSince: now()}
 }
 
-// Record keeps the record for its lifetime, unless the table has one with a later change.
+// Record keeps the record for its lifetime, unless the table has it or one with a later
+// change.
 func (t *Table) Record(record Record) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.now()
 	t.sweep(now)
 	known, found := t.records[record.Key]
-	if found && known.change > record.Change {
+	if found && known.change >= record.Change {
 		return
 	}
 	if !found && len(t.records) >= maxRecords {
 		t.completeSince = now
 		return
 	}
-	t.records[record.Key] = tableRecord{origin: record.Origin, change: record.Change, expires: now.Add(record.Lifetime)}
+	t.records[record.Key] = tableRecord{origin: record.Origin, change: record.Change, recorded: now, expires: now.Add(record.Lifetime)}
 }
 
 // Find returns what the table knows of the stream.
@@ -58,7 +60,7 @@
 	now := t.now()
 	answer := Answer{RecordingFor: now.Sub(t.completeSince)}
 	if known, found := t.records[key]; found && now.Before(known.expires) {
-		answer.Known, answer.Origin, answer.Change = true, known.origin, known.change
+		answer.Known, answer.Origin, answer.Change, answer.Age = true, known.origin, known.change, now.Sub(known.recorded)
 	}
 	return answer
 }
--- a/transport/peer/origin.go
+++ b/transport/peer/origin.go
@@ -36,7 +36,8 @@
 	found := response.GetOrigin()
 	return streamorigin.Answer{
 		Known: found != nil, Origin: streamorigin.Origin{Service: found.GetService(), Version: found.GetVersion()},
-		Change: found.GetChange(), RecordingFor: time.Duration(response.GetRecordingMs()) * time.Millisecond,
+		Change: found.GetChange(), Age: time.Duration(response.GetAgeMs()) * time.Millisecond,
+		RecordingFor: time.Duration(response.GetRecordingMs()) * time.Millisecond,
 	}, nil
 }
 
@@ -49,7 +50,7 @@
 
 func findStream(origins StreamOrigins, request *peerv1.FindStreamRequest) *peerv1.FindStreamResponse {
 	answer := origins.Find(streamorigin.Key{Request: request.GetRequest(), Program: request.GetProgram(), Tenant: request.GetTenant()})
-	response := &peerv1.FindStreamResponse{RecordingMs: answer.RecordingFor.Milliseconds()}
+	response := &peerv1.FindStreamResponse{RecordingMs: answer.RecordingFor.Milliseconds(), AgeMs: answer.Age.Milliseconds()}
 	if answer.Known {
 		response.Origin = &peerv1.StreamOrigin{Service: answer.Origin.Service, Version: answer.Origin.Version, Change: answer.Change}
 	}
--- a/transport/relay/origin.go
+++ b/transport/relay/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -12,6 +13,14 @@
 	"github.com/marblering/marblering/state/result"
 )
 
+// maxUnambiguousReservation is a reservation time after which no other storage node can have
+// been asked before: it is shorter than the time allowed for the first one.
+const maxUnambiguousReservation = 300 * time.Millisecond
+
+// errOriginFixed means that the origin of a stream can't be changed, since a storage node
+// that was asked to reserve its tokens may record the earlier one later.
+var errOriginFixed = errors.New("another storage node may record the version planned first")
+
 // errVersionGone means that a stream can't be continued: no instance of the service takes
 // requests at the software version that began it.
 var errVersionGone = errors.New("no instance of the version that began the stream is left")
@@ -26,6 +35,8 @@
 	changes uint32
 	// mayBeRecorded is set once a storage node may have a record of the origin.
 	mayBeRecorded bool
+	// reservationTime is how long the reservation that records the origin took.
+	reservationTime time.Duration
 	// recording is closed once storage nodes have been asked to record the origin; nil if
 	// they aren't asked.
 	recording chan struct{}
@@ -226,6 +237,9 @@
 	if c.stream.origin.Version == version {
 		return nil
 	}
+	if c.stream.reservationTime > maxUnambiguousReservation {
+		return errOriginFixed
+	}
 	c.stream.origin.Version = version
 	c.stream.changes++
 	if !c.isRecordable() {
