Say that a version is gone only by a current list of instances

What callers could have been told: 1020, to begin anew, by a gateway that had just started or had long not heard of the store, while instances of the version serve.

Cause: an empty or old list was taken for proof. The client is now asked back (2009), and another gateway may know better. An answer that breaks off since its version is gone is logged with 1020. A stream whose record nobody has may change its version also after a slow reservation. The file is split: origin.go where streams begin, resume.go for those that clients resume.

--- a/coordination/streamorigin/decide.go
+++ b/coordination/streamorigin/decide.go
@@ -13,9 +13,19 @@
 	ErrUnavailable = errors.New("not all storage nodes that may know where the stream began have answered")
 )
 
-// maxViewAge is the age at which a list of instances still counts as current. It exceeds
+// maxListAge is the age at which a list of instances still counts as current. It exceeds
 // the longest query that waits for changes.
-const maxViewAge = 3 * time.Second
+const maxListAge = 3 * time.Second
+
+// ListAge is the time since a gateway's list of instances was known to be current.
+type ListAge struct {
+	Age time.Duration
+	// Known is false if the list never was.
+	Known bool
+}
+
+// IsCurrent reports whether hardly any change of the list can be unknown.
+func (a ListAge) IsCurrent() bool { return a.Known && a.Age <= maxListAge }
 
 // Finding is what the storage nodes know of a stream.
 type Finding struct {
@@ -35,15 +45,10 @@
 	Known bool
 	// For is how long the gateway has known no other version.
 	For time.Duration
-	// ViewAge is the time since the gateway's list of instances was known to be current;
-	// ViewKnown is false if it never was.
-	ViewAge   time.Duration
-	ViewKnown bool
+	// List is the age of the list of instances.
+	List ListAge
 }
 
-// isCurrent reports whether no other version can have appeared unnoticed.
-func (s SoleVersion) isCurrent() bool { return s.ViewKnown && s.ViewAge <= maxViewAge }
-
 // Decide returns where a stream that may be as old as lifetime goes on.
 //
 // A record decides. Without one, the stream goes on only at a version that has been the
@@ -54,7 +59,7 @@
 	switch {
 	case finding.Known:
 		return finding.Origin, nil
-	case sole.Known && sole.For >= lifetime && (finding.Excluded || sole.isCurrent()):
+	case sole.Known && sole.For >= lifetime && (finding.Excluded || sole.List.IsCurrent()):
 		return sole.Origin, nil
 	case finding.Answered:
 		return Origin{}, ErrUnknown
--- a/coordination/streamorigin/decide_test.go
+++ b/coordination/streamorigin/decide_test.go
@@ -12,16 +12,16 @@
 // TestDecide checks that a stream without a record goes on only at a version that must have
 // begun it.
 func TestDecide(t *testing.T) {
-	current := streamorigin.SoleVersion{Origin: v1, Known: true, For: lifetime, ViewAge: time.Second, ViewKnown: true}
+	current := streamorigin.SoleVersion{Origin: v1, Known: true, For: lifetime, List: streamorigin.ListAge{Age: time.Second, Known: true}}
 	with := func(change func(*streamorigin.SoleVersion)) streamorigin.SoleVersion {
 		changed := current
 		change(&changed)
 		return changed
 	}
-	stale := with(func(s *streamorigin.SoleVersion) { s.ViewAge = time.Minute })
-	unproved := with(func(s *streamorigin.SoleVersion) { s.ViewKnown = false })
+	stale := with(func(s *streamorigin.SoleVersion) { s.List.Age = time.Minute })
+	unproved := with(func(s *streamorigin.SoleVersion) { s.List.Known = false })
 	young := with(func(s *streamorigin.SoleVersion) { s.For = lifetime - 1 })
-	several := streamorigin.SoleVersion{ViewAge: time.Second, ViewKnown: true}
+	several := streamorigin.SoleVersion{List: current.List}
 	absent, unanswered := streamorigin.Finding{Answered: true, Excluded: true}, streamorigin.Finding{}
 	lost := streamorigin.Finding{Answered: true}
 	for _, c := range []struct {
--- a/coordination/streamorigin/model_test.go
+++ b/coordination/streamorigin/model_test.go
@@ -136,7 +136,7 @@
 		return
 	}
 	finding := m.client.Find(m.Context(), stream.key, lifetime)
-	sole := streamorigin.SoleVersion{ViewKnown: true, For: m.cluster.now.Sub(m.soleSince)}
+	sole := streamorigin.SoleVersion{List: streamorigin.ListAge{Known: true}, For: m.cluster.now.Sub(m.soleSince)}
 	if len(m.versions) == 1 {
 		sole.Known, sole.Origin = true, streamorigin.Origin{Service: "models", Version: m.versions[0]}
 	}
--- a/transport/relay/origin.go
+++ b/transport/relay/origin.go
@@ -21,10 +21,6 @@
 // that was asked to reserve its tokens may record the earlier one later.
 var errOriginFixed = errors.New("another storage node may record the version planned first")
 
-// errVersionGone means that a stream can't be continued: no instance of the service takes
-// requests at the software version that began it.
-var errVersionGone = errors.New("no instance of the version that began the stream is left")
-
 // stream is where the response stream of a request began, or is going to begin. Another
 // service or version can't continue it, since it doesn't generate the same events.
 type stream struct {
@@ -44,11 +40,6 @@
 	finding streamorigin.Finding
 }
 
-// isResumption reports whether the client resumes a broken stream.
-func (c *call) isResumption() bool {
-	return c.routing.route != nil && c.routing.route.Kind == routetable.Stream && c.input.info.LastEventID != ""
-}
-
 // locateStream finds out where a stream that the client resumes began, or plans where a new
 // one begins. Retained turns are never resumed by clients, see beginTurn.
 func (c *call) locateStream(ctx context.Context) *result.Error {
@@ -65,73 +56,6 @@
 	return nil
 }
 
-// findOrigin sets the origin of the stream that the client resumes. It fails if that isn't
-// known, or if no instance can continue the stream.
-func (c *call) findOrigin(ctx context.Context) *result.Error {
-	origin, err := c.decideOrigin(ctx)
-	metrics := c.handler.options.Metrics
-	switch {
-	case errors.Is(err, streamorigin.ErrUnknown):
-		metrics.countResumption(originUnknown)
-		return result.Errorf(result.StreamOriginUnknown, "%v", err)
-	case err != nil:
-		metrics.countResumption(originUnavailable)
-		return unreadableOrigin.errorf("%v", err)
-	case !c.mayContinueAt(origin):
-		metrics.countResumption(versionGone)
-		return versionGoneFailure(origin)
-	}
-	metrics.countResumption(originFound)
-	c.stream.isKnown, c.stream.origin = true, origin
-	return nil
-}
-
-func versionGoneFailure(origin streamorigin.Origin) *result.Error {
-	return result.Errorf(result.StreamVersionGone, "the stream began at version %q of %s: %v", origin.Version, origin.Service, errVersionGone)
-}
-
-// decideOrigin returns where the stream that the client resumes began.
-func (c *call) decideOrigin(ctx context.Context) (streamorigin.Origin, error) {
-	lifetime := streamorigin.Lifetime(c.routing.route.Timeout)
-	began := c.input.info.Resumes
-	if began != "" {
-		c.stream.finding = c.handler.options.Origins.Find(ctx, c.streamKey(began), lifetime)
-	}
-	origin, err := streamorigin.Decide(c.stream.finding, c.soleVersion(), lifetime)
-	if err != nil && began == "" {
-		return origin, streamorigin.ErrUnknown
-	}
-	return origin, err
-}
-
-// soleVersion returns the only version at which the stream can have begun, as far as this
-// gateway knows.
-func (c *call) soleVersion() streamorigin.SoleVersion {
-	options := &c.handler.options
-	targets := c.routing.route.Targets
-	if len(targets) != 1 {
-		return streamorigin.SoleVersion{}
-	}
-	version, since, known := options.Backends.SoleVersion(targets[0].Service)
-	sole := streamorigin.SoleVersion{
-		Origin: streamorigin.Origin{Service: targets[0].Service, Version: version},
-		Known:  known, For: options.Now().Sub(since),
-	}
-	sole.ViewAge, sole.ViewKnown = options.InstancesStaleness()
-	return sole
-}
-
-// mayContinueAt reports whether the route leads to the service and an instance of it takes
-// requests at the version.
-func (c *call) mayContinueAt(origin streamorigin.Origin) bool {
-	for _, target := range c.routing.route.Targets {
-		if target.Service == origin.Service {
-			return c.handler.options.Backends.AcceptsVersion(origin.Service, origin.Version)
-		}
-	}
-	return false
-}
-
 // planOrigin decides where a new stream begins. Its turn's reservation records that, or a
 // request to storage nodes if there is no reservation and the service has several versions.
 func (c *call) planOrigin(ctx context.Context) {
@@ -213,7 +137,7 @@
 		switch {
 		case err == nil:
 			return assignment, nil
-		case c.isOriginFixed() && !backends.AcceptsVersion(c.stream.origin.Service, c.stream.origin.Version):
+		case c.isOriginFixed() && c.isVersionGone():
 			return nil, errVersionGone
 		case c.isOriginFixed():
 			return nil, err
@@ -237,14 +161,14 @@
 	if c.stream.origin.Version == version {
 		return nil
 	}
-	if c.stream.reservationTime > maxUnambiguousReservation {
-		return errOriginFixed
-	}
 	c.stream.origin.Version = version
-	c.stream.changes++
 	if !c.isRecordable() {
 		return nil
 	}
+	if c.stream.reservationTime > maxUnambiguousReservation {
+		return errOriginFixed
+	}
+	c.stream.changes++
 	err := c.handler.options.Origins.Record(ctx, c.originRecord())
 	if err != nil && c.stream.mayBeRecorded {
 		return err
@@ -252,11 +176,3 @@
 	c.stream.mayBeRecorded = c.stream.mayBeRecorded || !errors.Is(err, streamorigin.ErrNoNodes)
 	return nil
 }
-
-// originFields returns log fields that tell where the stream began that the client resumes.
-func (c *call) originFields() []zap.Field {
-	return []zap.Field{
-		zap.String("resumes", c.input.info.Resumes), zap.String("last_event", c.input.info.LastEventID),
-		zap.String("began_at", c.stream.origin.Version), zap.Bool("on_record", c.stream.finding.Known),
-	}
-}
--- /dev/null
+++ b/transport/relay/resume.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/routetable"
+	"github.com/marblering/marblering/coordination/streamorigin"
+	"github.com/marblering/marblering/state/result"
+)
+
+// errVersionGone means that a stream can't be continued: no instance of the service takes
+// requests at the software version that began it.
+var errVersionGone = errors.New("no instance of the version that began the stream is left")
+
+// isResumption reports whether the client resumes a broken stream.
+func (c *call) isResumption() bool {
+	return c.routing.route != nil && c.routing.route.Kind == routetable.Stream && c.input.info.LastEventID != ""
+}
+
+// findOrigin sets the origin of the stream that the client resumes. It fails if that isn't
+// known, or if no instance can continue the stream.
+func (c *call) findOrigin(ctx context.Context) *result.Error {
+	origin, err := c.decideOrigin(ctx)
+	metrics := c.handler.options.Metrics
+	switch {
+	case errors.Is(err, streamorigin.ErrUnknown):
+		metrics.countResumption(originUnknown)
+		return result.Errorf(result.StreamOriginUnknown, "%v", err)
+	case err != nil:
+		metrics.countResumption(originUnavailable)
+		return unreadableOrigin.errorf("%v", err)
+	}
+	c.stream.isKnown, c.stream.origin = true, origin
+	if c.isServiceGone() || c.isVersionGone() {
+		metrics.countResumption(versionGone)
+		return result.Errorf(result.StreamVersionGone, "the stream began at version %q of %s: %v", origin.Version, origin.Service, errVersionGone)
+	}
+	metrics.countResumption(originFound)
+	return nil
+}
+
+// decideOrigin returns where the stream that the client resumes began.
+func (c *call) decideOrigin(ctx context.Context) (streamorigin.Origin, error) {
+	lifetime := streamorigin.Lifetime(c.routing.route.Timeout)
+	began := c.input.info.Resumes
+	if began != "" {
+		c.stream.finding = c.handler.options.Origins.Find(ctx, c.streamKey(began), lifetime)
+	}
+	origin, err := streamorigin.Decide(c.stream.finding, c.soleVersion(), lifetime)
+	if err != nil && began == "" {
+		return origin, streamorigin.ErrUnknown
+	}
+	return origin, err
+}
+
+// soleVersion returns the only version at which the stream can have begun, as far as this
+// gateway knows.
+func (c *call) soleVersion() streamorigin.SoleVersion {
+	options := &c.handler.options
+	targets := c.routing.route.Targets
+	if len(targets) != 1 {
+		return streamorigin.SoleVersion{}
+	}
+	version, since, known := options.Backends.SoleVersion(targets[0].Service)
+	return streamorigin.SoleVersion{
+		Origin: streamorigin.Origin{Service: targets[0].Service, Version: version},
+		Known:  known, For: options.Now().Sub(since), List: c.listAge(),
+	}
+}
+
+func (c *call) listAge() streamorigin.ListAge {
+	age, known := c.handler.options.InstancesStaleness()
+	return streamorigin.ListAge{Age: age, Known: known}
+}
+
+// isServiceGone reports whether the route no longer leads to the service that began the
+// stream.
+func (c *call) isServiceGone() bool {
+	return !slices.ContainsFunc(c.routing.route.Targets, func(target routetable.Target) bool {
+		return target.Service == c.stream.origin.Service
+	})
+}
+
+// isVersionGone reports whether no instance takes requests at the version that began the
+// stream. With an outdated list of instances that isn't certain.
+func (c *call) isVersionGone() bool {
+	origin := c.stream.origin
+	return !c.handler.options.Backends.AcceptsVersion(origin.Service, origin.Version) && c.listAge().IsCurrent()
+}
+
+// originFields returns log fields that tell where the stream began that the client resumes.
+func (c *call) originFields() []zap.Field {
+	return []zap.Field{
+		zap.String("resumes", c.input.info.Resumes), zap.String("last_event", c.input.info.LastEventID),
+		zap.String("began_at", c.stream.origin.Version), zap.Bool("on_record", c.stream.finding.Known),
+	}
+}
--- a/transport/relay/retry.go
+++ b/transport/relay/retry.go
@@ -108,6 +108,8 @@
 	switch {
 	case e.clientGone:
 		return abortConnection{result.ClientGone, context.Canceled}
+	case e.headerWritten && errors.Is(e.cause, errVersionGone):
+		return abortConnection{result.StreamVersionGone, e.cause}
 	case e.headerWritten:
 		return abortConnection{result.BackendFailed, e.cause}
 	case e.mayHaveRun && e.isDone:
--- a/transport/relay/retry_test.go
+++ b/transport/relay/retry_test.go
@@ -52,6 +52,13 @@
 			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = incomplete, true, true, true, true
 		}, "retry", result.OK},
 		{"broken stream, unsent", func(e *attemptResult) { e.outcome, e.unsent, e.headerWritten = unsent, 1, true }, "retry unsent", result.OK},
+		{"broken stream, version gone", func(e *attemptResult) {
+			e.outcome, e.cause, e.unsent, e.headerWritten, e.mayHaveRun = unsent, errVersionGone, 5, true, true
+		}, "abort", result.StreamVersionGone},
+		{"resumed stream, version gone", func(e *attemptResult) { e.outcome, e.cause, e.unsent = unsent, errVersionGone, 5 }, "send error", result.StreamVersionGone},
+		{"resumed stream, version gone after an attempt that may have run", func(e *attemptResult) {
+			e.outcome, e.cause, e.unsent, e.mayHaveRun = unsent, errVersionGone, 5, true
+		}, "send error", result.BackendFailed},
 		{"turn not stored", func(e *attemptResult) { e.outcome, e.mayHaveRun, e.repeatable = turnNotStored, true, true }, "send error", result.BackendFailed},
 		{"turn not stored, header written", func(e *attemptResult) {
 			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = turnNotStored, true, true, true, true
