Use the age of the list of instances, which is known for every gateway

What callers could have been told: 2009 and 2004 without end in place of 1020, and no stream without a record could go on while a storage node was down.

Cause: the staleness of the list is known only for what is followed with proofs, the configuration of deployments with a revoke limit; for instances it never is, so that no list counted as current. TestStreamOfOnlyVersionIsResumed fails with the staleness and passes with the age.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -186,7 +186,7 @@
 	g.relay = relay.New(relay.Options{
 		Tables: g.activeTable, Backends: g.backends, Upstream: g.upstream, HeaderCodec: g.dependencies.HeaderCodec,
 		Turns: g.storage.conversations, Origins: g.storage.origins, Quotas: g.storage.quotas,
-		InstancesStaleness:    g.followers.instances.Staleness,
+		InstancesAge:          g.followers.instances.Age,
 		IsConfigurationNewest: g.isConfigurationNewest, ConfigurationAge: g.followers.configuration.Age, Freshness: configurationFreshness{g},
 		IsUnready: g.isUnready, MaxInFlight: maxInFlight, OnInstanceGone: g.onInstanceGone,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -24,9 +24,9 @@
 	Turns       Turns
 	Origins     Origins
 	Quotas      Quotas
-	// InstancesStaleness returns the time since the known instances were proven to be those
-	// in the store; ok is false if they never were.
-	InstancesStaleness func() (staleness time.Duration, ok bool)
+	// InstancesAge returns the time since the store confirmed the known instances; ok is
+	// false if it hasn't yet.
+	InstancesAge func() (age time.Duration, ok bool)
 	// IsConfigurationNewest reports whether the configuration in force is known to be the
 	// newest. Only then are the errors for a missing route and an unknown key permanent.
 	IsConfigurationNewest func() bool
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -73,7 +73,7 @@
 }
 
 func (c *call) listAge() streamorigin.ListAge {
-	age, known := c.handler.options.InstancesStaleness()
+	age, known := c.handler.options.InstancesAge()
 	return streamorigin.ListAge{Age: age, Known: known}
 }
 
