--- a/coordination/backend/choose.go
+++ b/coordination/backend/choose.go
@@ -49,7 +49,9 @@
 //     would only shift the load.
 //
 // Zones are ignored on purpose. A node sees its own requests only, so preferring its own
-// zone would overload the zone with the most callers while others have capacity left.
+// zone would overload the zone with the most callers while others have capacity left: with
+// 37 % of the callers in one of three zones, 0.87 in place of 0.96 of what they were owed was
+// served under high load.
 func choose(p picker) (chosen candidate, preferred bool) {
 	chosen, preferred = p.pick()
 	if !p.isStalled(chosen) {
--- a/coordination/backend/ejection.go
+++ b/coordination/backend/ejection.go
@@ -20,7 +20,7 @@
 	// of an instance count.
 	minSamples = 4
 	// baseEjectionTime is the duration of the first ejection. It doubles with each one that
-	// follows soon, up to maxEjectionTime.
+	// follows soon, up to maxEjectionTime. Both are short, since instances restart often.
 	baseEjectionTime = time.Second
 	maxEjectionTime  = 8 * time.Second
 	// maxEjectedFraction limits how much of a service may be ejected at once. If more
--- a/coordination/backend/health.go
+++ b/coordination/backend/health.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// baselineSmoothing is the weight of a new sample in the moving average of waits.
+	// baselineSmoothing is the weight of a new sample in the moving average of waits. After
+	// about 20 requests a lasting change of the service has become its baseline.
 	baselineSmoothing = 0.05
 	// maxSampleRatio caps a single sample at this multiple of the baseline.
 	maxSampleRatio = 4
--- a/coordination/backend/massexpiry.go
+++ b/coordination/backend/massexpiry.go
@@ -6,7 +6,8 @@
 	// ExpiryGracePeriod is how long instances are kept after a mass expiry of their registry
 	// entries, which happens when the store is unavailable. Live instances register again
 	// within about two seconds of its return. An instance that left meanwhile may get
-	// requests for as long.
+	// requests for as long. Without it only 0.70 to 0.87 of the programs that began after
+	// the store's return were served, with it 0.98 to 1.00.
 	ExpiryGracePeriod = 1800 * time.Millisecond
 	// massExpiryFraction of a service's instances, and at least massExpiryMinimum of them,
 	// must vanish at once to count as a mass expiry.
--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -40,7 +40,8 @@
 	// replica set.
 	minStateTime = 800 * time.Millisecond
 	// stateTimeFraction is the fraction of a request's remaining time allowed for them if
-	// that is more. It leaves the rest for the answer.
+	// that is more. It leaves the rest for the answer. With minStateTime alone a turn was
+	// refused after 0.8 of its 2.5 s, while members that answered slowly were still to answer.
 	stateTimeFraction = 0.5
 )
 
--- a/coordination/conversation/retryafter.go
+++ b/coordination/conversation/retryafter.go
@@ -13,7 +13,8 @@
 //     within a second of the program's last turn;
 //   - otherwise half of the time that the outage has lasted so far, between minRetryAfter
 //     and maxRetryAfter: with a fixed short wait, a client's retries would be used up while
-//     a replica set changes.
+//     a replica set changes. In place of a fixed 0.2 s it raised what is served on days with
+//     such changes from 0.603 to 0.696 of what is owed.
 const (
 	// otherGatewayRetryAfter is roughly the time in which a client connects to another
 	// gateway.
--- a/coordination/directory/plan.go
+++ b/coordination/directory/plan.go
@@ -83,7 +83,8 @@
 }
 
 // minSetsPerNode is the minimum average number of sets that a node is a member of. With
-// fewer, some nodes would be idle while others are overloaded.
+// fewer, some nodes would be idle while others are overloaded: on 36 nodes 730 requests
+// were refused without a quorum with 4 sets of 5 members, and 18 with 15 sets.
 const minSetsPerNode = 2
 
 // shardCount returns the number of shards for the given number of storage nodes.
--- a/coordination/directory/writer.go
+++ b/coordination/directory/writer.go
@@ -28,7 +28,8 @@
 	meanWritePause = 600 * time.Millisecond
 	// announceInterval is the minimum time between announcements while this node isn't
 	// listed. It exceeds the time that an announcement takes to be read back when many
-	// nodes start together.
+	// nodes start together: up to 3 s for 40 nodes, which wrote 104 superfluous
+	// announcements without it.
 	announceInterval = 4 * time.Second
 	// maxPublishDelay limits the random delay before sets are created or published. All
 	// nodes learn of a new set at the same time, and one of them has to write it.
--- a/coordination/limit/adaptive.go
+++ b/coordination/limit/adaptive.go
@@ -17,7 +17,9 @@
 	DecreaseInterval time.Duration
 }
 
-// DefaultAdaptivePolicy suits operations with a timeout of up to half a second.
+// DefaultAdaptivePolicy suits operations with a timeout of up to half a second. With it
+// 4,000 of 5,000 operations end in time at four times the load that can be done, and 7
+// without a limit (virtual time).
 func DefaultAdaptivePolicy() AdaptivePolicy {
 	return AdaptivePolicy{Start: 32, Min: 4, Max: 256, DecreaseFactor: 0.7, DecreaseInterval: 200 * time.Millisecond}
 }
--- a/coordination/membership/settings.go
+++ b/coordination/membership/settings.go
@@ -38,7 +38,8 @@
 // Numbers of hash rings, on which a node's successors are the peers it probes.
 const (
 	// anyZoneRings is the number of rings over all nodes, otherZoneRings the number of
-	// rings over nodes of other zones.
+	// rings over nodes of other zones. About six nodes probe each node, some of them from
+	// other zones.
 	anyZoneRings   = 4
 	otherZoneRings = 2
 	ringCount      = anyZoneRings + otherZoneRings
@@ -89,7 +90,7 @@
 	// received in a full copy.
 	fullCopyTransmissions = 4
 	// transmissionMultiplier is the number of times a node sends a change per bit of the
-	// number of nodes.
+	// number of nodes, as in SWIM.
 	transmissionMultiplier = 2
 	// duplicateReduction is the number of transmissions saved when another node is seen
 	// to send the same change.
--- a/coordination/mirror/proof.go
+++ b/coordination/mirror/proof.go
@@ -3,7 +3,9 @@
 import "time"
 
 // proofsPerLimit is the number of calls within the limit that prove how new the data of a
-// direct follower of the store is.
+// direct follower of the store is. With 5 in place of 10 the store gets a third fewer calls,
+// but 0.87 in place of 0.88 to 0.91 of what callers were owed was served while the store was
+// away for 4.4 s of a limit of 5 s.
 const proofsPerLimit = 10
 
 // MaxProofRetryPause is the longest pause between failed calls where answers have to prove how new
--- a/coordination/mirror/reader.go
+++ b/coordination/mirror/reader.go
@@ -27,7 +27,8 @@
 	searchInterval = 100 * time.Millisecond
 	// minRefreshInterval is the first pause between two refreshes while the store is
 	// unavailable. It doubles up to maxRefreshInterval, since the copies hardly change then
-	// and fetching them loads the holders' network links.
+	// and fetching them loads the holders' network links: 259 gateways that ask for three
+	// copies a second would fill those of the first holders.
 	minRefreshInterval = 500 * time.Millisecond
 	maxRefreshInterval = 4 * time.Second
 )
--- a/coordination/mirror/upstreams.go
+++ b/coordination/mirror/upstreams.go
@@ -14,7 +14,8 @@
 	// one more than the two that may be lost at once.
 	minDirectNodes = 3
 	// membersPerDirectNode limits the members per direct node, itself included, and thereby
-	// the calls of their followers to it.
+	// the calls of their followers to it: each member holds two calls of 0.3 s and three of
+	// 2 s there, 8 a second.
 	membersPerDirectNode = 16
 )
 
--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -80,7 +80,8 @@
 //
 //   - A new program is refused (Reserved) unless half of the burst is available, or the
 //     rate is expected to sustain it to its end along with the running programs. A
-//     program that is cut off midway has wasted its permits.
+//     program that is cut off midway has wasted its permits: at four times the rate 45
+//     programs finish, and 8 if requests are refused at random.
 //   - Any request is refused (Exhausted) if the bucket has no permit.
 //   - Permits are prefetched only from what exceeds half of the burst.
 func (a *account) take(ask PermitRequest, now time.Time) PermitAnswer {
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -13,7 +13,8 @@
 	// avoidDuration is how long a peer is asked last after it failed.
 	avoidDuration = 2 * time.Second
 	// A node is cut off once no peer has responded for cutOffDelay and at least
-	// minCutOffFailures requests have failed since the last response.
+	// minCutOffFailures requests have failed since the last response. A gateway that is cut
+	// off refuses at once what would wait 0.8 s otherwise.
 	cutOffDelay       = 500 * time.Millisecond
 	minCutOffFailures = 3
 )
--- a/coordination/tokenbudget/attempt.go
+++ b/coordination/tokenbudget/attempt.go
@@ -9,7 +9,8 @@
 
 const (
 	// maxSlowAttempts bounds the slow failures of one reservation. Hosts that are slow
-	// together are overloaded, and each further attempt repeats the work.
+	// together are overloaded, and each further attempt repeats the work: without the bound
+	// up to five hosts did it for one request.
 	maxSlowAttempts = 2
 	// slowAttemptThreshold is the duration from which a failed attempt counts as slow. A
 	// host that refuses connections fails much sooner.
--- a/coordination/tokenbudget/breaker.go
+++ b/coordination/tokenbudget/breaker.go
@@ -18,7 +18,9 @@
 // circuitBreaker protects the hosts of a shard. It opens after failureThreshold
 // reservations in a row that no host decided; while it is open, reservations fail at once
 // instead of waiting. After the open time a single probe is admitted, so that requests
-// don't all return at once. A reservation that a host decides closes the breaker.
+// don't all return at once. A reservation that a host decides closes the breaker. Together
+// with the admission of hosts it raised the requests served after an overload from 0.32 to
+// 0.66.
 type circuitBreaker struct {
 	consecutiveFailures int
 	openUntil           time.Time
--- a/coordination/turnstore/quorum.go
+++ b/coordination/turnstore/quorum.go
@@ -15,7 +15,8 @@
 const (
 	// minRoundPause is the pause between the first two rounds. It doubles with each round
 	// up to maxRoundPause: no round succeeds while a replica set changes, and retries
-	// slow down the nodes that carry out the change.
+	// slow down the nodes that carry out the change. With the shortest pause between all
+	// rounds, five times the usual number of copies of turns was sent meanwhile.
 	minRoundPause = 30 * time.Millisecond
 	maxRoundPause = 200 * time.Millisecond
 )
--- a/node/gateway/followplan.go
+++ b/node/gateway/followplan.go
@@ -12,7 +12,8 @@
 const (
 	// watchGrace is added to the wait of a watch call to cover the round trip.
 	watchGrace = 700 * time.Millisecond
-	// relistTime is reserved for a listing after a watch call that timed out.
+	// relistTime is reserved for a listing after a watch call that timed out. A healthy store
+	// answers within 20 ms.
 	relistTime = 800 * time.Millisecond
 	// minWatchWait prevents a busy loop if the undisturbed time is zero.
 	minWatchWait = 500 * time.Millisecond
@@ -20,7 +21,8 @@
 	// or leaves.
 	replicaSetWatchWait = 20 * time.Second
 	// maxHolderPause bounds the backoff while no holder answers, so that changes made
-	// during an outage are known within the undisturbed time after it.
+	// during an outage are known within the undisturbed time after it. Holders that lost the
+	// store follow it again within 1.6 s of its return.
 	maxHolderPause = 250 * time.Millisecond
 )
 
@@ -40,7 +42,8 @@
 	// try a second holder.
 	maxUnreachableDelay = 1500 * time.Millisecond
 	// unreachableDelayFraction of the undisturbed time bounds the same delay. A quarter
-	// of the undisturbed time is left for calls in progress even after twice the delay.
+	// of the undisturbed time is left for calls in progress even after twice the delay. With
+	// one half, 5 of 960 changes were applied too late while all holders were down.
 	unreachableDelayFraction = 3.0 / 8
 	// minUnreachableDelay spreads the calls of gateways that lose their holders together
 	// if the undisturbed time is zero.
@@ -49,14 +52,16 @@
 	// every kind of object.
 	replicaSetUnreachableDelay = 700 * time.Millisecond
 	// storeLostDelay is the delay while holders answer but have lost the store, which a
-	// gateway would probably not reach either.
+	// gateway would probably not reach either. Holders follow it again within two seconds of
+	// its return, in time for the apply limit.
 	storeLostDelay = 4 * time.Second
 )
 
 // Pauses between calls to the store while no holder answers.
 const (
 	// storePauseDivisor divides the apply limit into the pause. The rest of the limit is
-	// left for trying a holder first and for the call to the store.
+	// left for trying a holder first and for the call to the store. Without a pause 20
+	// gateways made 783 in place of 188 calls in 12 s, at four changes a second.
 	storePauseDivisor = 2
 	// replicaSetStorePause is the pause for replica sets.
 	replicaSetStorePause = 2 * time.Second
--- a/node/storage/sets.go
+++ b/node/storage/sets.go
@@ -24,7 +24,8 @@
 	// replaceAfterStandby is the same if there is a standby node that started at about the
 	// time when the member stopped answering, or later.
 	replaceAfterStandby = 500 * time.Millisecond
-	// maxMovesPerPlan is the maximum number of replica sets that one repair plan changes.
+	// maxMovesPerPlan is the maximum number of replica sets that one repair plan changes. A
+	// lower one doesn't serve more requests meanwhile, and sets are whole later.
 	maxMovesPerPlan = 8
 	// bootstrapDelay is how long the announced nodes must be unchanged before the first
 	// replica sets are created.
--- a/state/budget/budget.go
+++ b/state/budget/budget.go
@@ -27,7 +27,8 @@
 
 const (
 	// maxFutureTurns is the maximum number of future turns for which a holder reserves
-	// tokens. A turn that begins from the reserve needs no change of the record.
+	// tokens. A turn that begins from the reserve needs no change of the record. Together
+	// with storage nodes as holders this halved the processor time of a quiet day.
 	maxFutureTurns = 3
 	// futureReserveDivisor limits the reserve for future turns to 1/futureReserveDivisor
 	// of the uncommitted tokens, so that the reserves of some holders don't block the
