--- /dev/null
+++ b/test/integration/soaksystem_test.go
@@ -0,0 +1,150 @@
+package integration
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/lab/platformstore"
+	"github.com/marblering/marblering/lab/runner"
+	"github.com/marblering/marblering/test/harness"
+)
+
+// soakLayout describes a soakSystem.
+type soakLayout struct {
+	gateways, storageNodes int
+	// drainTimeout is how long a gateway may take to stop.
+	drainTimeout time.Duration
+	// configuration is the object with the routes, the services and the limits.
+	configuration map[string]any
+}
+
+// soakSystem is a system of real processes.
+type soakSystem struct {
+	t      *testing.T
+	random *rand.Rand
+	layout soakLayout
+	store  *platformstore.Server
+	url    string
+
+	gateways []*soakGateway
+	storage  []*storageMachine
+
+	mutex     sync.Mutex
+	instances []*soakInstance
+	started   int
+	// newest is the number of the newest version.
+	newest int
+	// addresses are the gateways' addresses for callers; empty while they are down.
+	addresses []string
+}
+
+type soakGateway struct {
+	index   int
+	file    string
+	process *harness.Process
+}
+
+type soakInstance struct {
+	*runner.Runner
+	version string
+}
+
+// newSoakSystem starts the store, the storage nodes and the gateways, and waits until these
+// are ready. It has no instances yet.
+func newSoakSystem(t *testing.T, seed uint64, layout soakLayout) *soakSystem {
+	t.Helper()
+	s := &soakSystem{
+		t: t, random: rand.New(rand.NewPCG(seed, seed)), layout: layout, store: platformstore.New(),
+		newest: 1, addresses: make([]string, layout.gateways),
+	}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	s.url = server.URL
+	s.store.Put("config", "main", layout.configuration)
+	for index := range layout.storageNodes {
+		s.storage = append(s.storage, newStorageMachine(t, index, s.url))
+	}
+	for index := range layout.gateways {
+		s.addGateway(index)
+	}
+	t.Cleanup(func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		for _, instance := range s.instances {
+			instance.Close()
+		}
+	})
+	return s
+}
+
+// addGateway writes the settings of a gateway, starts it and waits until it is ready.
+func (s *soakSystem) addGateway(index int) {
+	s.t.Helper()
+	gateway := &soakGateway{index: index, file: filepath.Join(s.t.TempDir(), "gateway.yaml")}
+	settings := fmt.Sprintf("name: edge-%d\nzone: a\ncaller_listen: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\n"+
+		"store_url: %s\napply_limit: 500ms\ndrain_timeout: %s\n", index, s.url, s.layout.drainTimeout)
+	assert.NilError(s.t, os.WriteFile(gateway.file, []byte(settings), 0o600))
+	s.gateways = append(s.gateways, gateway)
+	s.startGateway(gateway)
+	gateway.process.WaitHTTP(s.t, "http://"+gateway.process.WaitValue(s.t, "operator_address")+"/readyz")
+}
+
+// startGateway starts a gateway and gives its address to the clients, ready or not.
+func (s *soakSystem) startGateway(g *soakGateway) {
+	s.t.Helper()
+	g.process = harness.Start(s.t, harness.Command{
+		Name: fmt.Sprint("edge-", g.index), Path: filepath.Join(binaries, "marblering"), Arguments: []string{"gateway", "--settings", g.file},
+	})
+	s.setAddress(g.index, g.process.WaitValue(s.t, "caller_address"))
+}
+
+func (s *soakSystem) setAddress(index int, address string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.addresses[index] = address
+}
+
+// addInstance starts an instance of the version and adds its entry to the store.
+func (s *soakSystem) addInstance(version string) {
+	s.t.Helper()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.started++
+	name := fmt.Sprint("i-", s.started)
+	started, err := runner.Start(name, soakEvents)
+	assert.NilError(s.t, err)
+	started.Mark = " of " + version
+	started.SetPause(soakEventPause)
+	s.instances = append(s.instances, &soakInstance{Runner: started, version: version})
+	s.putInstance(started, version, "ready")
+}
+
+func (s *soakSystem) putInstance(listed *runner.Runner, version, state string) {
+	s.store.Put("servers", listed.Instance, map[string]any{
+		"service": "app", "address": listed.Address, "zone": "a", "capacity": 8, "state": state, "version": version,
+	})
+}
+
+// takeInstance removes a random instance from the list, unless it is the last but one.
+func (s *soakSystem) takeInstance() *soakInstance {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.instances) <= 2 {
+		return nil
+	}
+	index := s.random.IntN(len(s.instances))
+	taken := s.instances[index]
+	s.instances = append(s.instances[:index], s.instances[index+1:]...)
+	return taken
+}
--- a/test/integration/streamclient_test.go
+++ b/test/integration/streamclient_test.go
@@ -25,7 +25,7 @@
 
 // soakClients are clients that read streams all the time, and resume those that break.
 type soakClients struct {
-	soak    *streamSoak
+	soak    *soakSystem
 	stopped chan struct{}
 	running sync.WaitGroup
 
@@ -44,7 +44,7 @@
 	faults []string
 }
 
-func newSoakClients(s *streamSoak, seed uint64) *soakClients {
+func newSoakClients(s *soakSystem, seed uint64) *soakClients {
 	clients := &soakClients{soak: s, stopped: make(chan struct{})}
 	for index := range soakClientCount {
 		random := rand.New(rand.NewPCG(seed, uint64(1000+index)))
@@ -222,7 +222,7 @@
 }
 
 // anyAddress returns the address of a gateway that serves, or "".
-func (s *streamSoak) anyAddress(random *rand.Rand) string {
+func (s *soakSystem) anyAddress(random *rand.Rand) string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var serving []string
