Wait in a test for a record that is still on its way

Cause: Client.Record returns once a majority has confirmed; its request to the third node may come later. The test then starts that node and moves the clock by 8 s before the request arrives, which lasts 0.25 s at most: the node has the change with an age of zero.

The record that is found is the newest one, so that no promise was broken. The test waits for the request; its checks stay.

--- a/coordination/streamorigin/client_test.go
+++ b/coordination/streamorigin/client_test.go
@@ -60,6 +60,8 @@
 	c.tables["node-0"].Record(record(v1, 0))
 	c.stop("node-0")
 	assert.NilError(t, client.Record(t.Context(), record(v2, 1)))
+	// A request lasts much shorter than the time that passes below.
+	c.awaitAsked(t, len(c.view.Members))
 	resumed := c.tables["node-2"]
 	c.start("node-0") // as after a pause: it still has its records
 	c.tables["node-0"].Record(record(v1, 0))
--- a/coordination/streamorigin/fake_test.go
+++ b/coordination/streamorigin/fake_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/streamorigin"
+	"github.com/marblering/marblering/test/harness"
 )
 
 // settleTime is how long a node has to record before it can confirm that a record made
@@ -74,6 +76,17 @@
 	return c.tables[address], nil
 }
 
+// awaitAsked waits until the nodes have received the number of requests. The client doesn't
+// wait for those that a majority made needless.
+func (c *cluster) awaitAsked(t *testing.T, count int) {
+	t.Helper()
+	harness.Eventually(t, func() (bool, string) {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return c.asked >= count, fmt.Sprintf("%d of %d requests", c.asked, count)
+	})
+}
+
 // RecordStream implements streamorigin.Nodes.
 func (c *cluster) RecordStream(_ context.Context, address string, record streamorigin.Record) error {
 	table, err := c.table(address)
