Log the requests that the end of a gateway cuts

A gateway that stops with requests in flight said how many, and nothing about which ones: neither their ids nor how long they had run. Each gets a line before the process ends. What a stop decides doesn't change.

--- a/node/gateway/drain.go
+++ b/node/gateway/drain.go
@@ -30,7 +30,7 @@
 	err := g.callers.shutdown(ctx)
 	g.storage.budgets.Flush(ctx)
 	g.storage.peers.Close()
-	g.logger.Info("stopped", zap.Int64("in_flight", g.relay.InFlight()),
+	g.logger.Info("stopped", zap.Int("in_flight", g.relay.LogInFlight()),
 		zap.Duration("took", time.Since(began)), zap.Error(err))
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -193,6 +193,7 @@
 		Metrics: relay.NewMetrics(g.metrics), Now: time.Now,
 		Logger:       telemetry.RateLimited(g.logger, failureLogRate, logBurst),
 		AccessLogger: telemetry.RateLimited(g.logger, accessLogRate, logBurst),
+		StopLogger:   g.logger,
 	})
 }
 
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -50,20 +49,35 @@
 	// complete response. Both should be rate limited.
 	Logger       *zap.Logger
 	AccessLogger *zap.Logger
+	// StopLogger logs each request that ends with the process, at most MaxInFlight.
+	StopLogger *zap.Logger
 	Now          func() time.Time
 }
 
 // Handler serves the clients of a gateway. It is safe for concurrent use.
 type Handler struct {
 	options  Options
-	inFlight atomic.Int64
+	inFlight registry
 }
 
 // New returns a handler.
 func New(options Options) *Handler { return &Handler{options: options} }
 
 // InFlight returns the number of requests in flight.
-func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
+func (h *Handler) InFlight() int64 { return h.inFlight.count() }
+
+// LogInFlight logs each request in flight as one that ends with the process, and returns
+// their number.
+func (h *Handler) LogInFlight() int {
+	calls := h.inFlight.all()
+	for _, c := range calls {
+		// The request is read anew, since its own goroutine may be using the call.
+		info, _ := h.options.HeaderCodec.ReadRequest(c.request)
+		h.options.StopLogger.Warn("request cut by the end of the process",
+			zap.String("request", info.ID), zap.Duration("age", h.options.Now().Sub(c.timing.arrived)))
+	}
+	return len(calls)
+}
 
 // ServeHTTP serves one request. It checks, from the cheapest check to the most expensive
 // one, the number of requests in flight, the configuration, the size and the content of the
@@ -71,9 +85,9 @@
 // the origin of a resumed stream and the turn. The first check that fails ends the request.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	arrived := h.options.Now()
-	inFlight := h.inFlight.Add(1)
-	defer h.inFlight.Add(-1)
 	current := &call{handler: h, writer: writer, request: request, timing: timing{arrived: arrived}}
+	inFlight := h.inFlight.add(current)
+	defer h.inFlight.remove(current)
 	defer current.report()
 	if inFlight > h.options.MaxInFlight {
 		current.fail(overloaded.errorf("%d requests are under way", inFlight))
