Stop gateways without dropping or cutting requests on other connections

What callers saw: requests that a gateway had read while it stopped ended without an answer; short streams were cut at the end of the stop.

Cause: two faults of one design. http.Server.Shutdown closes a connection right after it has read a request. And each change of the limits began another server; a stop shut them down one after the other under one deadline, so that one stalled request on an older connection left the later servers serving as if nothing were, until the process ended.

Change: one listener for all connections of HTTP/1.1. It keeps the read deadlines of connections that have no request, so that limits change for open connections too, and a stop expires all of them at the same moment: a request is either left unread or served. Each stage of a stop has its own time; new requests are taken for 2.8 s of 8 (before: 3.2), the flush of budgets no longer gets a context that may have ended.

--- a/node/gateway/configuration.go
+++ b/node/gateway/configuration.go
@@ -27,7 +27,7 @@
 	if !g.activeTable.Install(table) {
 		return
 	}
-	g.callers.setLimits(table.Limits())
+	g.applyLimits(table.Limits())
 	g.logger.Info("configuration in force", zap.Int64("version", table.Version()),
 		zap.Int64("revision", snapshot.At), zap.Int("routes", table.RouteCount()))
 }
--- a/node/gateway/drain.go
+++ b/node/gateway/drain.go
@@ -7,33 +7,48 @@
 	"go.uber.org/zap"
 )
 
+// Fractions of the drain timeout that the stages of a stop may take. Each stage has its own
+// time, so that none can use that of a later one. The rest is for the exit of the process.
 const (
-	// readinessNoticeFraction of the drain timeout is left for load balancers to detect
-	// that this gateway is not ready. New connections are still served during that time.
-	readinessNoticeFraction = 0.4
-	// exitFraction of the drain timeout is reserved for the exit of the process.
-	exitFraction = 0.08
+	// noticeFraction is for load balancers to detect that this gateway isn't ready.
+	noticeFraction = 0.35
+	// finishFraction is for the requests in flight.
+	finishFraction = 0.5
+	// flushFraction is for reports to other nodes.
+	flushFraction = 0.04
 )
 
-// Drain shuts the gateway down gracefully: it reports that it is not ready, serves new
-// connections until load balancers have noticed, then stops accepting connections and waits
-// for requests in flight.
+// Drain shuts the gateway down gracefully. It serves new requests until load balancers have
+// noticed, and then waits for those in flight.
 func (g *Gateway) Drain() {
 	defer g.stop()
 	began := time.Now()
 	g.draining.Store(true)
 	g.logger.Info("draining", zap.Int64("in_flight", g.relay.InFlight()), zap.Duration("limit", g.settings.DrainTimeout))
-	time.Sleep(fractionOf(readinessNoticeFraction, g.settings.DrainTimeout))
-	shutdownTimeout := fractionOf(1-readinessNoticeFraction-exitFraction, g.settings.DrainTimeout)
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	err := g.callers.shutdown(ctx)
-	g.storage.budgets.Flush(ctx)
+	time.Sleep(g.drainStage(noticeFraction))
+	g.callers.StopAccepting()
+	err := g.awaitCallers(finishFraction)
+	g.flushBudgets()
 	g.storage.peers.Close()
 	g.logger.Info("stopped", zap.Int("in_flight", g.relay.LogInFlight()),
 		zap.Duration("took", time.Since(began)), zap.Error(err))
 }
 
-func fractionOf(fraction float64, duration time.Duration) time.Duration {
-	return time.Duration(fraction * float64(duration))
+// drainStage returns the time of a stage.
+func (g *Gateway) drainStage(fraction float64) time.Duration {
+	return time.Duration(fraction * float64(g.settings.DrainTimeout))
+}
+
+// awaitCallers waits until all connections of callers are closed.
+func (g *Gateway) awaitCallers(fraction float64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), g.drainStage(fraction))
+	defer cancel()
+	return g.callers.AwaitDrained(ctx)
+}
+
+// flushBudgets reports the turns that have ended to the hosts of their budgets.
+func (g *Gateway) flushBudgets() {
+	ctx, cancel := context.WithTimeout(context.Background(), g.drainStage(flushFraction))
+	defer cancel()
+	g.storage.budgets.Flush(ctx)
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -76,7 +76,7 @@
 	instancesListed atomic.Bool
 
 	// Request path.
-	callers  *callerServer
+	callers  *listener.Listener
 	relay    *relay.Handler
 	upstream *upstream.Client
 	storage  *storageClients
@@ -139,7 +139,7 @@
 }
 
 // CallerAddress returns the address that serves callers.
-func (g *Gateway) CallerAddress() string { return g.callers.address().String() }
+func (g *Gateway) CallerAddress() string { return g.callers.Address() }
 
 // OperatorAddress returns the address that serves metrics and health checks.
 func (g *Gateway) OperatorAddress() string { return g.operatorListener.Address() }
@@ -198,7 +198,7 @@
 }
 
 func (g *Gateway) openListeners() (err error) {
-	if g.callers, err = listenCallers(g.settings.CallerListen, g.relay, g.logger); err != nil {
+	if g.callers, err = g.listenForCallers(); err != nil {
 		return err
 	}
 	operatorServer := &http.Server{Handler: g.operatorHandler(), ReadHeaderTimeout: listener.HeaderTimeout}
--- /dev/null
+++ b/transport/listener/connection.go
@@ -0,0 +1,210 @@
+package listener
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// phase is what a connection is used for.
+type phase int
+
+const (
+	// waiting connections have received nothing of their next request.
+	waiting phase = iota
+	// reading connections have received a part of a request's header.
+	reading
+	// serving connections have a request whose response isn't complete.
+	serving
+	// multiplexed connections carry HTTP/2, which has its own way to end.
+	multiplexed
+)
+
+// Timeouts limit how long connections wait for clients; zero means no limit.
+type Timeouts struct {
+	// Header limits the time to receive the header of a request.
+	Header time.Duration
+	// Idle limits the time between two requests.
+	Idle time.Duration
+}
+
+const (
+	// stopHeaderTimeout limits the time for the rest of a header after the listener has
+	// stopped accepting.
+	stopHeaderTimeout = 500 * time.Millisecond
+	// http2Prefix begins the preface of HTTP/2 (RFC 9113, section 3.4) and no request of
+	// HTTP/1.1.
+	http2Prefix = "PRI"
+)
+
+// expired is a read deadline in the past.
+var expired = time.Unix(1, 0)
+
+// connection is a client's connection. While it has no request, its read deadline is that of
+// its phase, and the server's own is ignored: the timeouts of an http.Server can't change
+// while it serves, and it can't close a connection unless a request has arrived.
+type connection struct {
+	net.Conn
+	owner *Listener
+
+	mutex sync.Mutex
+	phase phase
+	// since is when the phase began, retired when the connection was.
+	since, retired time.Time
+	// isUsed is set after the first response.
+	isUsed bool
+	// isUnhandled is set while a part of a request has arrived that no handler has.
+	isUnhandled bool
+	// prefix is the beginning of what was received first.
+	prefix []byte
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	if count > 0 {
+		c.noteReceived(buffer[:count])
+	}
+	return count, err
+}
+
+// noteReceived begins the time for the header with the first bytes of a request. A retired
+// connection that has received any serves this request first.
+func (c *connection) noteReceived(data []byte) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.phase == waiting {
+		c.isUnhandled = true
+		c.begin(reading)
+	}
+	if c.phase != reading || len(c.prefix) == len(http2Prefix) {
+		return
+	}
+	c.prefix = append(c.prefix, data[:min(len(data), len(http2Prefix)-len(c.prefix))]...)
+	if string(c.prefix) == http2Prefix {
+		c.isUnhandled = false
+		c.begin(multiplexed)
+		c.owner.remove(c)
+	}
+}
+
+// noteHeader ends the time for the header. Handlers set their own deadlines.
+func (c *connection) noteHeader() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.begin(serving)
+}
+
+// noteHandler begins the handling of a request.
+func (c *connection) noteHandler() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isUnhandled = false
+}
+
+// noteResponse ends a request whose response is complete.
+func (c *connection) noteResponse() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isUsed = true
+	c.begin(waiting)
+}
+
+// retire closes the connection once it has no request: at once if it is waiting.
+func (c *connection) retire() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.retired = time.Now()
+	c.applyDeadline()
+}
+
+// refreshTimeouts applies the listener's timeouts if they have changed.
+func (c *connection) refreshTimeouts() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.applyDeadline()
+}
+
+// begin changes the phase. The mutex must be held.
+func (c *connection) begin(next phase) {
+	c.phase, c.since = next, time.Now()
+	if c.hasRequest() {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+	c.applyDeadline()
+}
+
+// hasRequest reports whether read deadlines are the server's and the handler's. The mutex
+// must be held.
+func (c *connection) hasRequest() bool { return c.phase == serving || c.phase == multiplexed }
+
+// applyDeadline sets the read deadline of the phase. An expired one ends a waiting
+// connection without reading what may have arrived, so that its client can tell that the
+// request wasn't read. The mutex must be held.
+func (c *connection) applyDeadline() {
+	if c.hasRequest() {
+		return
+	}
+	var deadline time.Time
+	timeouts := c.owner.timeouts.Load()
+	switch {
+	case c.phase == waiting && !c.retired.IsZero():
+		deadline = expired
+	case c.phase == waiting && c.isUsed:
+		deadline = after(c.since, timeouts.Idle)
+	default:
+		deadline = after(c.since, timeouts.Header)
+	}
+	if c.phase == reading && !c.retired.IsZero() {
+		deadline = earlier(deadline, c.retired.Add(stopHeaderTimeout))
+	}
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+// after returns when a timeout ends, or zero if there is none.
+func after(since time.Time, timeout time.Duration) time.Time {
+	if timeout <= 0 {
+		return time.Time{}
+	}
+	return since.Add(timeout)
+}
+
+// earlier returns the earlier of two deadlines; a zero one is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// SetReadDeadline implements net.Conn. It sets the deadline only while there is a request.
+func (c *connection) SetReadDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.hasRequest() {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// CloseWrite closes the sending side, if the connection can. The server does so before it
+// closes a connection with unread bytes, so that the client receives the response.
+func (c *connection) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.owner.remove(c)
+	c.mutex.Lock()
+	isUnhandled := c.isUnhandled
+	c.isUnhandled = false
+	c.mutex.Unlock()
+	if isUnhandled {
+		c.owner.reportUnhandled(c)
+	}
+	return c.Conn.Close()
+}
