Answer, log and bound the requests in flight at the end of a stop

What callers saw: requests that were accepted shortly before a gateway closed its listener, or later on kept connections, were cut when the process ended, without an answer; and no line named them.

Cause: a stop that ran out of time just ended the process. Requests that came on kept connections were accepted at any moment of it.

Change: after the time for notice, new requests get 503 (2005) at once, to go to another gateway. At the end of the time for requests those in flight are aborted at the same moment: not sent, 503 (2005); perhaps run, 502 (3008, new); within a stream, the connection closes. Each has its line and count. Neither a body that doesn't come nor a client that doesn't read delays that.

--- a/node/gateway/drain.go
+++ b/node/gateway/drain.go
@@ -14,20 +14,29 @@
 	noticeFraction = 0.35
 	// finishFraction is for the requests in flight.
 	finishFraction = 0.5
+	// abortFraction is for the responses of requests that are still in flight then.
+	abortFraction = 0.04
 	// flushFraction is for reports to other nodes.
 	flushFraction = 0.04
 )
 
 // Drain shuts the gateway down gracefully. It serves new requests until load balancers have
-// noticed, and then waits for those in flight.
+// noticed, then refuses them and waits for those in flight. What isn't finished in time is
+// aborted: it gets an error as its response, unless that has begun.
 func (g *Gateway) Drain() {
 	defer g.stop()
 	began := time.Now()
 	g.draining.Store(true)
 	g.logger.Info("draining", zap.Int64("in_flight", g.relay.InFlight()), zap.Duration("limit", g.settings.DrainTimeout))
 	time.Sleep(g.drainStage(noticeFraction))
+	g.relay.RefuseRequests()
 	g.callers.StopAccepting()
 	err := g.awaitCallers(finishFraction)
+	if err != nil {
+		g.logger.Warn("aborting requests in flight", zap.Int64("in_flight", g.relay.InFlight()))
+		g.relay.AbortInFlight()
+		err = g.awaitCallers(abortFraction)
+	}
 	g.flushBudgets()
 	g.storage.peers.Close()
 	g.logger.Info("stopped", zap.Int("in_flight", g.relay.LogInFlight()),
--- a/state/result/code.go
+++ b/state/result/code.go
@@ -100,6 +100,7 @@
 	BackendFailed     Code = 3005
 	BackendTimeout    Code = 3006
 	ClientGone        Code = 3007
+	NodeStopped       Code = 3008
 
 	SyntaxError          Code = 4001
 	VersionConflict      Code = 4002
@@ -168,6 +169,7 @@
 	{BackendFailed, "backend_failed", http.StatusBadGateway, Unknown, RepeatNever, "The request was sent to a back end and there is no whole answer."},
 	{BackendTimeout, "backend_timeout", http.StatusGatewayTimeout, Unknown, RepeatNever, "The time of the request or of its route is over."},
 	{ClientGone, "client_gone", http.StatusBadGateway, Unknown, RepeatNever, "The caller closed the connection; the code is only logged."},
+	{NodeStopped, "node_stopped", http.StatusBadGateway, Unknown, RepeatNever, "The node stopped before the answer was whole."},
 	{SyntaxError, "syntax_error", http.StatusBadRequest, NotRun, RepeatNever, "The operator's text can't be parsed; the message gives the column."},
 	{VersionConflict, "version_conflict", http.StatusConflict, NotRun, RepeatNever, "The object has another version; the message gives it and who wrote it."},
 	{PlatformUnavailable, "platform_unavailable", http.StatusServiceUnavailable, NotRun, RepeatNewKey, "The object API doesn't answer; nothing was changed."},
--- a/transport/relay/body.go
+++ b/transport/relay/body.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -38,7 +39,7 @@
 
 // readBody buffers the whole body, so that it can be sent more than once and no backend
 // waits for a slow client.
-func (c *call) readBody(limits routetable.Limits) *result.Error {
+func (c *call) readBody(ctx context.Context, limits routetable.Limits) *result.Error {
 	if c.request.Body == nil || c.request.Body == http.NoBody {
 		return nil
 	}
@@ -48,6 +49,8 @@
 	c.input.bodyRead = true
 	controller := http.NewResponseController(c.writer)
 	_ = controller.SetReadDeadline(c.timing.deadline)
+	stopWatching := context.AfterFunc(ctx, func() { _ = controller.SetReadDeadline(c.handler.options.Now()) })
+	defer stopWatching()
 	reader := c.request.Body
 	if limits.BodyBytes > 0 {
 		reader = http.MaxBytesReader(c.writer, reader, limits.BodyBytes)
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -16,6 +17,8 @@
 	handler *Handler
 	writer  http.ResponseWriter
 	request *http.Request
+	// cancel cancels the context of the request.
+	cancel context.CancelCauseFunc
 
 	input    input
 	routing  routing
@@ -26,6 +29,16 @@
 	timing   timing
 }
 
+// stopWriteTimeout is how long a request that the end of the process ends may take to write
+// its response.
+const stopWriteTimeout = 100 * time.Millisecond
+
+// stop ends the request since the process ends. A client that doesn't read can't delay it.
+func (c *call) stop() {
+	c.cancel(errStopped)
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(time.Now().Add(stopWriteTimeout))
+}
+
 // input is what the client sent.
 type input struct {
 	info RequestInfo
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,13 +52,15 @@
 	AccessLogger *zap.Logger
 	// StopLogger logs each request that ends with the process, at most MaxInFlight.
 	StopLogger *zap.Logger
-	Now          func() time.Time
+	Now        func() time.Time
 }
 
 // Handler serves the clients of a gateway. It is safe for concurrent use.
 type Handler struct {
 	options  Options
 	inFlight registry
+	// isRefusing is set once new requests are refused.
+	isRefusing atomic.Bool
 }
 
 // New returns a handler.
@@ -66,6 +69,18 @@
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int64 { return h.inFlight.count() }
 
+// RefuseRequests refuses all requests that arrive from now on: the process may end before
+// their responses are complete.
+func (h *Handler) RefuseRequests() { h.isRefusing.Store(true) }
+
+// AbortInFlight ends all requests in flight. Those whose response hasn't begun get an error
+// as their response, the connections of the others are closed.
+func (h *Handler) AbortInFlight() {
+	for _, c := range h.inFlight.all() {
+		c.stop()
+	}
+}
+
 // LogInFlight logs each request in flight as one that ends with the process, and returns
 // their number.
 func (h *Handler) LogInFlight() int {
@@ -84,41 +99,66 @@
 // headers, the route, the API key (before the body is read), the body, the tenant's quota,
 // the origin of a resumed stream and the turn. The first check that fails ends the request.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	arrived := h.options.Now()
-	current := &call{handler: h, writer: writer, request: request, timing: timing{arrived: arrived}}
+	ctx, cancel := context.WithCancelCause(request.Context())
+	defer cancel(nil)
+	current := &call{handler: h, writer: writer, request: request, cancel: cancel, timing: timing{arrived: h.options.Now()}}
 	inFlight := h.inFlight.add(current)
 	defer h.inFlight.remove(current)
 	defer current.report()
-	if inFlight > h.options.MaxInFlight {
-		current.fail(overloaded.errorf("%d requests are under way", inFlight))
+	if failure := h.admit(inFlight); failure != nil {
+		current.fail(failure)
 		return
 	}
-	if failure := current.prepare(); failure != nil {
-		current.fail(failure)
+	current.serve(ctx)
+}
+
+// admit refuses a request that this gateway can't serve, whatever it is.
+func (h *Handler) admit(inFlight int64) *result.Error {
+	if h.isRefusing.Load() {
+		return stopping.errorf("%v", errStopped)
+	}
+	if inFlight > h.options.MaxInFlight {
+		return overloaded.errorf("%d requests are under way", inFlight)
+	}
+	return nil
+}
+
+// serve serves an admitted request.
+func (c *call) serve(ctx context.Context) {
+	if failure := c.prepare(ctx); failure != nil {
+		c.fail(failure)
 		return
 	}
-	ctx, cancel := context.WithDeadline(request.Context(), current.timing.deadline)
+	ctx, cancel := context.WithDeadline(ctx, c.timing.deadline)
 	defer cancel()
-	if failure := current.takePermit(ctx); failure != nil {
-		current.fail(failure)
+	if failure := c.takePermit(ctx); failure != nil {
+		c.failUnsent(ctx, failure)
 		return
 	}
-	defer current.returnUnusedPermit()
-	failure := current.locateStream(ctx)
+	defer c.returnUnusedPermit()
+	failure := c.locateStream(ctx)
 	if failure == nil {
-		failure = current.beginTurn(ctx, h.options.Tables.Table())
+		failure = c.beginTurn(ctx, c.handler.options.Tables.Table())
 	}
-	current.timing.prepared = h.options.Now().Sub(arrived)
+	c.timing.prepared = c.handler.options.Now().Sub(c.timing.arrived)
 	if failure != nil {
-		current.fail(failure)
+		c.failUnsent(ctx, failure)
 		return
 	}
-	defer current.endTurn()
-	current.run(ctx)
+	defer c.endTurn()
+	c.run(ctx)
+}
+
+// failUnsent responds to a request that wasn't sent to a backend.
+func (c *call) failUnsent(ctx context.Context, failure *result.Error) {
+	if isStopped(ctx) {
+		failure = stopping.errorf("%v", errStopped)
+	}
+	c.fail(failure)
 }
 
 // prepare matches the route, checks the key and reads the request.
-func (c *call) prepare() *result.Error {
+func (c *call) prepare(ctx context.Context) *result.Error {
 	options := &c.handler.options
 	table := options.Tables.Table()
 	if table == nil {
@@ -149,7 +189,7 @@
 	if failure := c.authorize(); failure != nil {
 		return failure
 	}
-	return c.readBody(limits)
+	return c.readBody(ctx, limits)
 }
 
 // setRoute sets the route and the deadline.
--- a/transport/relay/outcome.go
+++ b/transport/relay/outcome.go
@@ -29,7 +29,9 @@
 	errMisdirected     = errors.New("another instance has the address")
 	errInvalidResponse = errors.New("the answer isn't one of a back end")
 	errNotResumed      = errors.New("the stream wasn't resumed")
-	errTruncatedEvent  = errors.New("the stream ended within an event")
+	// errStopped is the cause of contexts that the end of the process cancels.
+	errStopped        = errors.New("the gateway is stopping")
+	errTruncatedEvent = errors.New("the stream ended within an event")
 )
 
 // outcomeOfError returns unsent if the failed exchange hadn't sent the request, else
--- a/transport/relay/retry.go
+++ b/transport/relay/retry.go
@@ -36,6 +36,8 @@
 	// clientGone tells that the client closed its connection, isDone that it did or that
 	// the deadline of the request has passed.
 	clientGone, isDone bool
+	// isStopped tells that the end of the process ended the attempt.
+	isStopped bool
 	// headerWritten tells that a response header was written to the client.
 	headerWritten bool
 	// mayHaveRun tells that a backend may have run the request.
@@ -106,6 +108,12 @@
 // client may safely repeat a request that must not run twice.
 func (e attemptResult) giveUp() nextStep {
 	switch {
+	case e.isStopped && e.headerWritten:
+		return abortConnection{result.NodeStopped, errStopped}
+	case e.isStopped && e.mayHaveRun:
+		return sendError{result.Errorf(result.NodeStopped, "%v", errStopped)}
+	case e.isStopped:
+		return sendError{stopping.errorf("%v", errStopped)}
 	case e.clientGone:
 		return abortConnection{result.ClientGone, context.Canceled}
 	case e.headerWritten && errors.Is(e.cause, errVersionGone):
--- a/transport/relay/retry_test.go
+++ b/transport/relay/retry_test.go
@@ -69,6 +69,13 @@
 		{"deadline passed within a stream", func(e *attemptResult) {
 			e.outcome, e.isDone, e.mayHaveRun, e.headerWritten = abandoned, true, true, true
 		}, "abort", result.BackendFailed},
+		{"stopped, never sent", func(e *attemptResult) { e.outcome, e.isDone, e.isStopped = abandoned, true, true }, "send error", result.Draining},
+		{"stopped, may have run", func(e *attemptResult) {
+			e.outcome, e.isDone, e.isStopped, e.mayHaveRun, e.repeatable = abandoned, true, true, true, true
+		}, "send error", result.NodeStopped},
+		{"stopped within a stream", func(e *attemptResult) {
+			e.outcome, e.isDone, e.isStopped, e.headerWritten, e.resumable = abandoned, true, true, true, true
+		}, "abort", result.NodeStopped},
 		{"client gone", func(e *attemptResult) { e.outcome, e.isDone, e.clientGone, e.mayHaveRun = abandoned, true, true, true }, "abort", result.ClientGone},
 		{"client gone within a stream", func(e *attemptResult) {
 			e.outcome, e.isDone, e.clientGone, e.headerWritten = abandoned, true, true, true
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"go.uber.org/zap"
 
@@ -61,7 +62,7 @@
 	route := c.routing.route
 	return attemptResult{
 		outcome: ended, cause: cause,
-		clientGone: c.request.Context().Err() != nil, isDone: c.isDone(ctx),
+		clientGone: c.request.Context().Err() != nil, isDone: c.isDone(ctx), isStopped: isStopped(ctx),
 		headerWritten: c.response.headerWritten, mayHaveRun: c.attempts.mayHaveRun,
 		sends: c.attempts.sends, unsent: c.attempts.unsent,
 		maxAttempts: route.Attempts, repeatable: route.Repeatable(), resumable: route.Resumable,
@@ -114,6 +115,9 @@
 	return ended, cause
 }
 
+// isStopped reports whether the end of the process has canceled the context.
+func isStopped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopped) }
+
 // isDone tells whether the client is gone or the deadline has passed. It compares the time
 // as well, since a connection may hit the deadline just before the context expires.
 func (c *call) isDone(ctx context.Context) bool {
--- a/transport/relay/unavailable.go
+++ b/transport/relay/unavailable.go
@@ -14,6 +14,8 @@
 	// startupRetryDelay is the delay while the gateway starts or waits for the store. It
 	// is longer, so that a client's few attempts span more than a second.
 	startupRetryDelay = 400 * time.Millisecond
+	// otherGatewayDelay is the delay where any other gateway may serve the request.
+	otherGatewayDelay = 60 * time.Millisecond
 )
 
 // unavailableReason is why a request is rejected before it has run, though the client may
@@ -42,6 +44,8 @@
 	busyBackends
 	// noBackend: no backend was available or could be connected to.
 	noBackend
+	// stopping: the gateway may end before the response is complete.
+	stopping
 )
 
 // errorf returns the error for the client, with the result code of the reason and the
@@ -70,6 +74,8 @@
 		return result.NoQuorum, retryDelay
 	case busyBackends:
 		return result.BackendBusy, retryDelay
+	case stopping:
+		return result.Draining, otherGatewayDelay
 	}
 	return result.NoBackend, retryDelay
 }
