Answer requests whose body doesn't come, and close their connections

Callers whose body wasn't whole by the deadline got no response until the rest came: net/http reads it before it writes the response, and nothing bounded that read any more. Such a connection also held up a stop of the gateway for all of its time. If the rest came, the connection stayed open, but net/http had ended its context with the read that failed: the gateway took the client for gone in each request that followed, passed it on to an instance and closed the connection without a response.

readBody marked the body as read before it was, so that discardBody left it alone, and cleared the read deadline after a failure. Now discardBody bounds what is read after a failure, too, and closes the connection.

--- a/transport/relay/body.go
+++ b/transport/relay/body.go
@@ -20,7 +20,8 @@
 
 // discardBody reads the rest of the body or makes the response close the connection.
 // Otherwise net/http would wait for the rest of the body before it sends the response, and
-// a slow client could delay that without limit.
+// a slow client could delay that without limit. If a read has failed, it closes the
+// connection as well: net/http has ended the context of all its requests.
 func (c *call) discardBody(response http.Header) {
 	if c.input.bodyRead || c.request.Body == nil || c.request.Body == http.NoBody {
 		return
@@ -29,7 +30,8 @@
 	controller := http.NewResponseController(c.writer)
 	// Only response writers of tests don't support deadlines.
 	_ = controller.SetReadDeadline(c.handler.options.Now().Add(discardTimeout))
-	if _, err := io.CopyN(io.Discard, c.request.Body, maxDiscardedBytes); err != io.EOF {
+	_, err := io.CopyN(io.Discard, c.request.Body, maxDiscardedBytes)
+	if err != io.EOF || c.request.Context().Err() != nil {
 		response.Set("Connection", "close")
 		return
 	}
@@ -45,7 +47,6 @@
 	if limits.BodyBytes > 0 && c.request.ContentLength > limits.BodyBytes {
 		return result.Errorf(result.TooLarge, "the limit is %d bytes", limits.BodyBytes)
 	}
-	c.input.bodyRead = true
 	controller := http.NewResponseController(c.writer)
 	_ = controller.SetReadDeadline(c.timing.deadline)
 	reader := c.request.Body
@@ -53,17 +54,18 @@
 		reader = http.MaxBytesReader(c.writer, reader, limits.BodyBytes)
 	}
 	body, err := io.ReadAll(reader)
+	if err != nil {
+		return bodyFailure(err, limits)
+	}
 	_ = controller.SetReadDeadline(time.Time{})
-	c.input.body = body
-	return bodyFailure(err, limits)
+	c.input.body, c.input.bodyRead = body, true
+	return nil
 }
 
 // bodyFailure converts an error of reading the body.
 func bodyFailure(err error, limits routetable.Limits) *result.Error {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case err == nil:
-		return nil
 	case errors.As(err, &tooLarge):
 		return result.Errorf(result.TooLarge, "the limit is %d bytes", limits.BodyBytes)
 	case errors.Is(err, os.ErrDeadlineExceeded):
