Read lines of events whole before they are judged

The reader of events took each part of a line that filled its buffer of 4 KiB for a line: a line feed right after a full buffer ended the event, so that one event was passed on as two; an id was cut off; data after a full buffer that begins with "id:" became the event's id, with which resumed streams leave events out. The limit of 1 MiB held for events with such a line only.

--- a/transport/relay/event.go
+++ b/transport/relay/event.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -39,26 +40,27 @@
 	maxEventBytes    = 1 << 20
 )
 
+var errEventTooLarge = fmt.Errorf("an event is larger than %d bytes", maxEventBytes)
+
 func newEventReader(source io.Reader) *eventReader {
 	return &eventReader{reader: bufio.NewReaderSize(source, eventBufferBytes)}
 }
 
 // next returns the next complete event. The error is io.EOF if the stream ended between two
-// events, errTruncatedEvent if it ended within one.
+// events, errTruncatedEvent if it ended within one, and errEventTooLarge if the event has
+// more than maxEventBytes.
 func (r *eventReader) next() (event, error) {
 	var current event
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		current.raw = append(current.raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(current.raw) <= maxEventBytes {
-			continue
-		}
+		start := len(current.raw)
+		err := r.readLine(&current)
 		if err == io.EOF && len(current.raw) > 0 {
 			return event{}, errTruncatedEvent
 		}
 		if err != nil {
 			return event{}, err
 		}
+		line := current.raw[start:]
 		if isBlank(line) {
 			return current, nil
 		}
@@ -68,6 +70,20 @@
 	}
 }
 
+// readLine adds the next line to the event.
+func (r *eventReader) readLine(to *event) error {
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		to.raw = append(to.raw, part...)
+		if len(to.raw) > maxEventBytes {
+			return errEventTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
 // data returns the content of the event's data fields, joined by line feeds
 // (WHATWG HTML, section 9.2.6).
 func (e event) data() (data []byte, found bool) {
