Give up clients that don't read, one second after the deadline

A response that its client didn't read kept its request in flight without bound: the place at the instance, one of the gateway's own places, and a stop of the gateway, which waits for requests in flight for all of its time. The upstream connection was bounded by the deadline, the writes to the client by nothing.

--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/marblering/marblering/transport/upstream"
 )
@@ -17,6 +18,9 @@
 	// maxDrainedBytes is how much of a discarded response is read, so that its connection
 	// can be reused.
 	maxDrainedBytes = 16 << 10
+	// lateWriteTimeout is how long after the deadline of a request a write may wait for a
+	// client that doesn't read.
+	lateWriteTimeout = time.Second
 )
 
 // eventStream is the media type of streams (WHATWG HTML, section 9.2.4).
@@ -138,8 +142,8 @@
 	c.writeHeader(backendResponse.Status)
 }
 
-// writeHeader writes the response header. It closes the connection after the response if
-// the gateway is unready.
+// writeHeader writes the response header and bounds all writes of the response. It closes the
+// connection after the response if the gateway is unready.
 func (c *call) writeHeader(status int) {
 	c.response.headerWritten = true
 	c.response.status = status
@@ -147,9 +151,21 @@
 	if c.handler.options.IsUnready() {
 		c.writer.Header().Set("Connection", "close")
 	}
+	c.limitWrites()
 	c.writer.WriteHeader(status)
 }
 
+// limitWrites ends writes to a client that doesn't read, so that its request doesn't stay in
+// flight. Bytes that the system has taken over are still sent.
+func (c *call) limitWrites() {
+	last := c.handler.options.Now()
+	if c.timing.deadline.After(last) {
+		last = c.timing.deadline
+	}
+	// Only response writers of tests don't support deadlines.
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(last.Add(lateWriteTimeout))
+}
+
 // drain discards a short response, so that its connection can be reused.
 func drain(backendResponse *upstream.Response) {
 	_, _ = io.CopyN(io.Discard, backendResponse, maxDrainedBytes)
