--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -62,7 +62,9 @@
 	// Limits hold for all tenants; nil writes no object, so that the defaults
 	// hold.
 	Limits *configuration.Limits
-	Logger *zap.Logger
+	// NodeSettings changes the settings of each node before it starts; nil keeps them.
+	NodeSettings func(*settings.Settings)
+	Logger       *zap.Logger
 }
 
 // Deployment is a running system.
@@ -192,6 +194,9 @@
 		if err != nil {
 			return err
 		}
+		if d.options.NodeSettings != nil {
+			d.options.NodeSettings(&loaded)
+		}
 		started, err := node.Start(loaded, d.options.Logger.With(zap.String("node", loaded.Name)))
 		if err != nil {
 			return merry.Prependf(err, "starting %s", loaded.Name)
--- a/node/system_test.go
+++ b/node/system_test.go
@@ -35,7 +35,10 @@
 // startSystem starts a deployment of a shard each node and stops it at the end.
 func startSystem(t *testing.T, options deployment.Options) *deployment.Deployment {
 	t.Helper()
-	options.Shards, options.Seed, options.TimeScale, options.Logger = 4, 1, 50, zap.NewNop()
+	options.Shards, options.Seed, options.TimeScale = 4, 1, 50
+	if options.Logger == nil {
+		options.Logger = zap.NewNop()
+	}
 	options.Zones = max(options.Zones, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
