--- a/coordination/execution/call.go
+++ b/coordination/execution/call.go
@@ -163,7 +163,7 @@
 		return entry{}, err
 	}
 	if found.outcome.Kind == program.Admitted {
-		found.begun = e.attempts.begin(keyOf(request.Program, found.outcome.Call))
+		found.begun = e.attempts.begin(keyOf(request.Program, found.outcome.Call), e.Now())
 	}
 	return found, nil
 }
--- a/coordination/execution/executor.go
+++ b/coordination/execution/executor.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
@@ -239,8 +241,14 @@
 		e.attempts.has(attemptKey{program: program, sequence: sequence, attempt: attempt})
 }
 
+// ErrStopping is the cause of a context that ends because the node stops. The call is left
+// to whoever asks for it next, and its caller is told so at once.
+var ErrStopping = merry.Sentinel("this node is stopping")
+
+func isStopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
+
 // Drain waits until every answer that is being stored has been settled, or the
-// context ends.
+// context ends. Attempts that are open then are logged.
 func (e *Executor) Drain(ctx context.Context) error {
 	settled := make(chan struct{})
 	go func() {
@@ -251,7 +259,18 @@
 	case <-settled:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		e.logOpen()
+		return merry.Prepend(ctx.Err(), "answers are still being stored")
+	}
+}
+
+// logOpen names the attempts whose outcome isn't in the record. Whoever asks next takes
+// them over once this process has ended.
+func (e *Executor) logOpen() {
+	for key, began := range e.attempts.begun() {
+		e.Logger.Warn("attempt not settled before the stop", zap.String("program", key.program),
+			zap.Uint64("sequence", key.sequence), zap.Uint32("attempt", key.attempt),
+			zap.Duration("age", e.Now().Sub(began)))
 	}
 }
 
--- a/coordination/execution/flight.go
+++ b/coordination/execution/flight.go
@@ -1,6 +1,10 @@
 package execution
 
-import "sync"
+import (
+	"maps"
+	"sync"
+	"time"
+)
 
 type flightKey struct{ program, key string }
 
@@ -55,7 +59,8 @@
 // has heard of it.
 type attempts struct {
 	mutex sync.Mutex
-	open  map[attemptKey]struct{}
+	// open has when each attempt was begun.
+	open map[attemptKey]time.Time
 	// lost are attempts that were begun here and whose outcome couldn't be
 	// recorded. They are never begun again: who asks next takes them over as lost.
 	lost    map[attemptKey]struct{}
@@ -64,7 +69,7 @@
 
 func newAttempts() *attempts {
 	return &attempts{
-		open:    make(map[attemptKey]struct{}),
+		open:    make(map[attemptKey]time.Time),
 		lost:    make(map[attemptKey]struct{}),
 		storing: make(map[flightKey]int),
 	}
@@ -107,7 +112,7 @@
 }
 
 // begin adds the attempt; it is false where it was begun before.
-func (a *attempts) begin(key attemptKey) bool {
+func (a *attempts) begin(key attemptKey, now time.Time) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	_, running := a.open[key]
@@ -115,7 +120,7 @@
 	if running || lost {
 		return false
 	}
-	a.open[key] = struct{}{}
+	a.open[key] = now
 	return true
 }
 
@@ -143,6 +148,13 @@
 	return found
 }
 
+// begun returns the open attempts and when they were begun.
+func (a *attempts) begun() map[attemptKey]time.Time {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return maps.Clone(a.open)
+}
+
 func (a *attempts) has(key attemptKey) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/coordination/execution/perform.go
+++ b/coordination/execution/perform.go
@@ -133,11 +133,20 @@
 	return answered, err
 }
 
-// cancel asks the engine to stop what it may still be generating.
+// cancel asks the engine to stop what it may still be generating. Where this node stops,
+// the caller doesn't wait for the engine.
 func (e *Executor) cancel(ctx context.Context, address, requestID string, failure *EngineError) {
 	if failure != nil && !failure.Dispatched {
 		return
 	}
+	if isStopping(ctx) {
+		e.settling.Go(func() { e.cancelNow(ctx, address, requestID) })
+		return
+	}
+	e.cancelNow(ctx, address, requestID)
+}
+
+func (e *Executor) cancelNow(ctx context.Context, address, requestID string) {
 	cancelContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	defer cancel()
 	if err := e.Engines.Cancel(cancelContext, address, requestID); err != nil {
@@ -164,6 +173,10 @@
 func (e *Executor) replaceAndPerform(ctx context.Context, current *call, failed *statev1.Call, cause error) (Answer, bool, error) {
 	lost := wasDispatched(cause)
 	current.ran = current.ran || lost
+	if isStopping(ctx) {
+		e.attempts.lose(keyOf(current.request.Program, failed))
+		return Answer{}, true, unresolved("this node stopped before call %d was answered", failed.GetSequence())
+	}
 	if !errors.Is(cause, errExecutorLost) {
 		current.excluded = append(current.excluded, failed.GetEngine())
 	}
@@ -246,7 +259,7 @@
 	if err != nil || next == nil || !e.owns(next) {
 		return next, tree, false, err
 	}
-	return next, tree, e.attempts.begin(keyOf(current.request.Program, next)), nil
+	return next, tree, e.attempts.begin(keyOf(current.request.Program, next), e.Now()), nil
 }
 
 func messagesJSON(messages []json.RawMessage) []byte {
--- a/coordination/execution/settle.go
+++ b/coordination/execution/settle.go
@@ -40,16 +40,27 @@
 		}
 		outcome <- settled{call: call, err: err}
 	}()
-	patience := time.NewTimer(settlePatience)
-	defer patience.Stop()
+	patience, stop := settlePatienceOf(ctx)
+	defer stop()
 	select {
 	case stored := <-outcome:
 		return e.answer(ctx, current, stored, start, turn)
-	case <-patience.C:
+	case <-patience.Done():
 		return Answer{}, unresolved("the answer to call %d is not stored yet", admitted.GetSequence())
 	}
 }
 
+// settlePatienceOf returns a context that ends after settlePatience, or once the node stops.
+func settlePatienceOf(ctx context.Context) (patience context.Context, stop func()) {
+	patience, cancel := context.WithTimeout(context.WithoutCancel(ctx), settlePatience)
+	detach := context.AfterFunc(ctx, func() {
+		if isStopping(ctx) {
+			cancel()
+		}
+	})
+	return patience, func() { detach(); cancel() }
+}
+
 type settled struct {
 	call *statev1.Call
 	err  error
--- a/node/drainstall_test.go
+++ b/node/drainstall_test.go
@@ -87,3 +87,38 @@
 	repeated := send(http.MethodPost, "http://"+other.CallerAddress()+path, header(), body)
 	assert.Assert(t, isWhole(repeated), "%s", repeated.body)
 }
+
+// TestKeptConnectionIsRefusedDuringADrain guards against a request that waits, or ends
+// without an answer, on a connection that was opened before the drain.
+func TestKeptConnectionIsRefusedDuringADrain(t *testing.T) {
+	system, _ := startDrainable(t)
+	leaving := system.Nodes[1]
+	id := createProgram(t, leaving, "")
+	kept, err := net.Dial("tcp", leaving.CallerAddress())
+	assert.NilError(t, err)
+	defer kept.Close()
+	reader := bufio.NewReader(kept)
+	read := func() (*http.Response, answer) {
+		_, err := fmt.Fprintf(kept, "GET /v1/programs/%s HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer %s\r\n\r\n", id, deployment.APIKey)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		return response, answer{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"), body: body}
+	}
+	before, _ := read()
+	assert.Equal(t, before.StatusCode, http.StatusOK)
+	assert.Assert(t, !before.Close)
+	stallBody(t, leaving, id)
+	drained := make(chan error, 1)
+	go func() { drained <- leaving.Drain() }()
+	eventually(t, func() bool {
+		other := send(http.MethodGet, "http://"+leaving.CallerAddress()+"/v1/programs/"+id, http.Header{}, "")
+		return other.status == http.StatusServiceUnavailable
+	}, "new requests are served")
+	during, refusal := read()
+	assertRefused(t, refusal, result.Draining)
+	assert.Assert(t, during.Close)
+	assert.ErrorContains(t, <-drained, "1 requests")
+}
--- a/protocol/callerapi/chat.go
+++ b/protocol/callerapi/chat.go
@@ -62,7 +62,7 @@
 
 // callWhole answers with one JSON body once the call is over.
 func (h *Handler) callWhole(e *exchange, request execution.CallRequest) error {
-	answer, err := h.options.Service.Call(e.detached(), request, &wholeSink{exchange: e})
+	answer, err := h.options.Service.Call(e.detached, request, &wholeSink{exchange: e})
 	if err != nil {
 		return err
 	}
@@ -82,7 +82,7 @@
 func (h *Handler) callStreamed(e *exchange, request execution.CallRequest, includeUsage bool) error {
 	e.stream = newStream(e, includeUsage)
 	defer e.stream.close()
-	answer, err := h.options.Service.Call(e.detached(), request, e.stream)
+	answer, err := h.options.Service.Call(e.detached, request, e.stream)
 	if err != nil {
 		return err
 	}
--- a/protocol/callerapi/exchange.go
+++ b/protocol/callerapi/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -43,10 +44,25 @@
 	stream *stream
 	// lost is set once the caller's connection is lost.
 	lost bool
+
+	// detached doesn't end with the caller's connection: what was begun for a caller
+	// runs to its end, and a repeat with the same idempotency key finds the outcome.
+	detached context.Context
+	cancel   context.CancelCauseFunc
+
+	// deadlines guards the fields below and the deadlines of the connection.
+	deadlines sync.Mutex
+	// cutBy is when the answer has to be written after a cut; zero without one.
+	cutBy time.Time
+	// reading is set while the body is read.
+	reading bool
 }
 
 func (h *Handler) newExchange(operation string, writer http.ResponseWriter, request *http.Request) *exchange {
+	detached, cancel := context.WithCancelCause(context.WithoutCancel(request.Context()))
 	return &exchange{
+		detached:  detached,
+		cancel:    cancel,
 		handler:   h,
 		writer:    writer,
 		control:   http.NewResponseController(writer),
@@ -57,13 +73,6 @@
 	}
 }
 
-// detached returns a context that doesn't end with the caller's connection: what
-// was begun for a caller runs to its end, and a repeat with the same idempotency
-// key finds the outcome.
-func (e *exchange) detached() context.Context {
-	return context.WithoutCancel(e.request.Context())
-}
-
 func (e *exchange) authenticate(tenants Tenants) error {
 	scheme, key, _ := strings.Cut(e.request.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") || key == "" {
@@ -101,10 +110,8 @@
 		e.writer.Header().Set("Connection", "close")
 		return nil, result.Errorf(result.TooLarge, "the body has %d bytes of at most %d", e.request.ContentLength, limit)
 	}
-	// Deadlines of connections are by the system's clock. A writer of a test may
-	// have none.
-	_ = e.control.SetReadDeadline(time.Now().Add(options.BodyTimeout))
-	defer func() { _ = e.control.SetReadDeadline(time.Time{}) }()
+	e.beginReading()
+	defer e.endReading()
 	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -112,6 +119,9 @@
 	}
 	if err != nil {
 		e.writer.Header().Set("Connection", "close")
+		if e.isCut() {
+			return nil, Unrecorded(errDraining(), e.request.Header)
+		}
 		return nil, result.Errorf(result.BadRequest, "the body couldn't be read to its end: %v", err)
 	}
 	return body, nil
@@ -138,7 +148,7 @@
 
 // finish writes the log line and the metrics.
 func (e *exchange) finish() {
-	_ = e.control.SetWriteDeadline(time.Time{})
+	e.clearWriteDeadline()
 	duration := e.handler.options.Now().Sub(e.arrived)
 	e.handler.options.Observer.Observe(Observation{
 		Operation:      e.operation,
--- a/protocol/callerapi/handler.go
+++ b/protocol/callerapi/handler.go
@@ -139,6 +139,12 @@
 // context's, where that ends first.
 func (h *Handler) Wait(ctx context.Context) error { return h.inFlight.wait(ctx) }
 
+// Cut ends the requests in flight and returns their number. A request whose body hasn't
+// come is refused with [result.Draining]. A call is canceled with the cause
+// [execution.ErrStopping], and its caller is told that the outcome is unresolved. Answers
+// have until the deadline to be written.
+func (h *Handler) Cut(deadline time.Time) int { return h.inFlight.cut(deadline) }
+
 // InFlight returns the number of requests being served.
 func (h *Handler) InFlight() int { return h.inFlight.current() }
 
@@ -154,19 +160,22 @@
 
 func (h *Handler) serve(name string, serve operation, writer http.ResponseWriter, request *http.Request) {
 	exchange := h.newExchange(name, writer, request)
-	err := h.admit(exchange, serve)
+	defer exchange.cancel(nil)
+	err := h.inFlight.enter(exchange)
+	if err != nil {
+		exchange.writer.Header().Set("Connection", "close")
+		err = unrecorded(err, exchange.request.Header)
+	} else {
+		defer h.inFlight.leave(exchange)
+		err = h.perform(exchange, serve)
+	}
 	if err != nil {
 		exchange.fail(err)
 	}
 	exchange.finish()
 }
 
-func (h *Handler) admit(exchange *exchange, serve operation) error {
-	if err := h.inFlight.enter(); err != nil {
-		exchange.writer.Header().Set("Connection", "close")
-		return unrecorded(err, exchange.request.Header)
-	}
-	defer h.inFlight.leave()
+func (h *Handler) perform(exchange *exchange, serve operation) error {
 	if exchange.operation != unknownPath {
 		if err := exchange.authenticate(h.options.Tenants); err != nil {
 			return err
--- a/protocol/callerapi/inflight.go
+++ b/protocol/callerapi/inflight.go
@@ -24,34 +24,39 @@
 type inFlight struct {
 	mu       sync.Mutex
 	limit    int
-	count    int
 	draining bool
+	// exchanges are the requests being served.
+	exchanges map[*exchange]struct{}
 	// idle is closed once inFlight drains and the count is zero.
 	idle chan struct{}
 }
 
 func newInFlight(limit int) *inFlight {
-	return &inFlight{limit: limit, idle: make(chan struct{})}
+	return &inFlight{limit: limit, exchanges: make(map[*exchange]struct{}), idle: make(chan struct{})}
 }
 
-func (f *inFlight) enter() error {
+func (f *inFlight) enter(entering *exchange) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.draining {
-		return result.Errorf(result.Draining, "this node is stopping").WithRetryAfter(retryAfterDraining)
+		return errDraining()
 	}
-	if f.count >= f.limit {
-		return result.Errorf(result.Overloaded, "this node serves %d requests already", f.count).WithRetryAfter(retryAfterOverloaded)
+	if len(f.exchanges) >= f.limit {
+		return result.Errorf(result.Overloaded, "this node serves %d requests already", len(f.exchanges)).WithRetryAfter(retryAfterOverloaded)
 	}
-	f.count++
+	f.exchanges[entering] = struct{}{}
 	return nil
 }
 
-func (f *inFlight) leave() {
+func errDraining() *result.Error {
+	return result.Errorf(result.Draining, "this node is stopping").WithRetryAfter(retryAfterDraining)
+}
+
+func (f *inFlight) leave(leaving *exchange) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.count--
-	if f.draining && f.count == 0 {
+	delete(f.exchanges, leaving)
+	if f.draining && len(f.exchanges) == 0 {
 		close(f.idle)
 	}
 }
@@ -59,7 +64,23 @@
 func (f *inFlight) current() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.count
+	return len(f.exchanges)
+}
+
+func (f *inFlight) isDraining() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.draining
+}
+
+// cut ends the requests being served: see [Handler.Cut].
+func (f *inFlight) cut(deadline time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for serving := range f.exchanges {
+		serving.cut(deadline)
+	}
+	return len(f.exchanges)
 }
 
 func (f *inFlight) drain() {
@@ -69,7 +90,7 @@
 		return
 	}
 	f.draining = true
-	if f.count == 0 {
+	if len(f.exchanges) == 0 {
 		close(f.idle)
 	}
 }
@@ -81,6 +102,6 @@
 	case <-ctx.Done():
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		return merry.Prependf(ctx.Err(), "%d requests are still in flight", f.count)
+		return merry.Prependf(ctx.Err(), "%d requests are still in flight", len(f.exchanges))
 	}
 }
--- a/protocol/callerapi/programs.go
+++ b/protocol/callerapi/programs.go
@@ -81,7 +81,7 @@
 	}
 	request.Tenant = e.tenant
 	request.Key = key
-	view, err := h.options.Service.CreateProgram(e.detached(), request)
+	view, err := h.options.Service.CreateProgram(e.detached, request)
 	return e.answerProgram(http.StatusCreated, view, err)
 }
 
@@ -127,7 +127,7 @@
 	if err := parseChildRequest(body); err != nil {
 		return err
 	}
-	view, err := h.options.Service.CreateChild(e.detached(), execution.ChildRequest{Tenant: e.tenant, Parent: e.program, Key: key})
+	view, err := h.options.Service.CreateChild(e.detached, execution.ChildRequest{Tenant: e.tenant, Parent: e.program, Key: key})
 	return e.answerProgram(http.StatusCreated, view, err)
 }
 
@@ -158,7 +158,7 @@
 	if reason == "" {
 		reason = defaultEndReason
 	}
-	view, err := h.options.Service.EndProgram(e.detached(), e.tenant, e.program, reason)
+	view, err := h.options.Service.EndProgram(e.detached, e.tenant, e.program, reason)
 	return e.answerProgram(http.StatusOK, view, err)
 }
 
--- a/protocol/callerapi/stream.go
+++ b/protocol/callerapi/stream.go
@@ -171,6 +171,7 @@
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-store")
 	header.Set("Trailer", HeaderResult)
+	s.exchange.closeWhileDraining()
 	s.created = s.exchange.handler.options.Now().Unix()
 	s.exchange.writer.WriteHeader(http.StatusOK)
 	empty := ""
--- a/protocol/callerapi/write.go
+++ b/protocol/callerapi/write.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 )
 
 // encodeJSON encodes a value without the escapes that only HTML needs, and without
@@ -32,6 +31,7 @@
 	header := e.writer.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	e.closeWhileDraining()
 	e.answered = true
 	e.extendWriteDeadline()
 	e.writer.WriteHeader(status)
@@ -40,11 +40,12 @@
 	}
 }
 
-// extendWriteDeadline bounds how long the next write may wait for the caller.
-// Deadlines of connections are by the system's clock. A writer of a test may have
-// none.
-func (e *exchange) extendWriteDeadline() {
-	_ = e.control.SetWriteDeadline(time.Now().Add(e.handler.options.WriteTimeout))
+// closeWhileDraining makes an answer that begins during a drain the last one of its
+// connection.
+func (e *exchange) closeWhileDraining() {
+	if e.handler.inFlight.isDraining() {
+		e.writer.Header().Set("Connection", "close")
+	}
 }
 
 // setStartHeaders says in the header which engine serves the call.
