--- a/cmd/marblering/main_test.go
+++ b/cmd/marblering/main_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -31,6 +32,8 @@
 		os.Exit(m.Run())
 	case "main":
 		main()
+	case "slow":
+		os.Exit(runUntilSignal(logAndDrain))
 	default:
 		os.Exit(runUntilSignal(logAndWait))
 	}
@@ -44,6 +47,16 @@
 	return nil
 }
 
+// logAndDrain is a nodeRunner whose drain ends with the standard input.
+func logAndDrain(ctx context.Context, _ settings.Settings, logger *zap.Logger) error {
+	logger.Info("started")
+	<-ctx.Done()
+	logger.Info("draining")
+	_, err := io.Copy(io.Discard, os.Stdin)
+	logger.Info("stopped")
+	return err
+}
+
 func newProcess(mode string, arguments ...string) *exec.Cmd {
 	process := exec.Command(os.Args[0], arguments...)
 	process.Env = append(os.Environ(), testModeEnv+"="+mode)
