Reload the settings of serve on SIGHUP

What operators saw: a SIGHUP ended marblering serve, with all calls in flight, also between its SIGTERM and the end of its drain.

Cause: only gateway and storage node had a handler. serve now starts through the same code: the handler is there before the settings are read, the log level takes effect at once, the rest at the next start; a bad file is refused with a line. It logs to the standard error stream as before.

Evidence: three tests of real processes failed before for serve and pass now, with -race; the same signals at gateway and storage node passed before and after.

--- a/cmd/marblering/command.go
+++ b/cmd/marblering/command.go
@@ -8,12 +8,9 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/marblering/marblering/protocol/operator"
 	"github.com/marblering/marblering/settings"
-	"github.com/marblering/marblering/telemetry"
 )
 
 // Exit codes of the process.
@@ -77,11 +74,7 @@
 		Short: "Run this machine's node until SIGTERM or SIGINT",
 		Args:  wrapArgsError(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
-			loaded, err := settings.Load(path, command.Flags())
-			if err != nil {
-				return err
-			}
-			return serve(command, run, loaded)
+			return serve(command, run, path)
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "", "settings file; flags override it")
@@ -89,14 +82,14 @@
 	return command
 }
 
-func serve(command *cobra.Command, run nodeRunner, loaded settings.Settings) error {
-	level, err := zapcore.ParseLevel(loaded.LogLevel)
-	if err != nil {
-		return err
+func serve(command *cobra.Command, run nodeRunner, path string) error {
+	node := role[settings.Settings]{
+		load:     settings.Load,
+		identity: func(loaded settings.Settings) (string, string) { return loaded.Name, loaded.Zone },
+		logLevel: func(loaded *settings.Settings) *string { return &loaded.LogLevel },
+		run:      run,
 	}
-	logger := telemetry.NewLogger(command.ErrOrStderr(), level,
-		zap.String("node", loaded.Name), zap.String("zone", loaded.Zone))
-	return run(command.Context(), loaded, logger)
+	return node.start(command, path, command.ErrOrStderr())
 }
 
 func newConfigCommand() *cobra.Command {
--- a/cmd/marblering/role.go
+++ b/cmd/marblering/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -70,7 +71,9 @@
 			if path == "" {
 				path = os.Getenv(settingsEnv)
 			}
-			return r.start(command, path)
+			logWriter := telemetry.NewAsyncWriter(command.OutOrStdout(), maxQueuedLogLines)
+			defer logWriter.Close()
+			return r.start(command, path, logWriter)
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "", "settings file (default: $"+settingsEnv+"); flags override it")
@@ -78,8 +81,9 @@
 	return command
 }
 
-// start loads the settings, reloads them on SIGHUP and runs the daemon.
-func (r role[T]) start(command *cobra.Command, path string) error {
+// start loads the settings, reloads them on SIGHUP and runs the daemon, which logs to the
+// writer.
+func (r role[T]) start(command *cobra.Command, path string, log io.Writer) error {
 	hangups := notifyHangups() // before anything that takes time
 	load := func() (T, error) { return r.load(path, command.Flags()) }
 	loaded, err := load()
@@ -91,10 +95,8 @@
 		return err
 	}
 	atomicLevel := zap.NewAtomicLevelAt(level)
-	logWriter := telemetry.NewAsyncWriter(command.OutOrStdout(), maxQueuedLogLines)
-	defer logWriter.Close()
 	name, zone := r.identity(loaded)
-	logger := telemetry.NewLogger(logWriter, atomicLevel, zap.String("node", name), zap.String("zone", zone))
+	logger := telemetry.NewLogger(log, atomicLevel, zap.String("node", name), zap.String("zone", zone))
 	settingsReloader := reloader[T]{load: load, logLevel: r.logLevel, current: loaded, level: atomicLevel, logger: logger}
 	go settingsReloader.run(hangups)
 	return r.run(command.Context(), loaded, logger)
