Add a failing test of a stand-in that stops with a request in flight

Serve returns as soon as Shutdown is called, not when it has ended: the stand-in closes its handler and its process ends at once, in place of up to two seconds later.

--- a/cmd/marblering-lab/command_test.go
+++ b/cmd/marblering-lab/command_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/spf13/cobra"
 	"gotest.tools/v3/assert"
@@ -111,3 +113,49 @@
 		})
 	}
 }
+
+// TestStandInAnswersWhatIsInFlight guards against a stand-in that ends with its server's
+// listener and cuts the answers that it is at work on.
+func TestStandInAnswersWhatIsInFlight(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	arrived, release := make(chan struct{}), make(chan struct{})
+	closed := make(chan struct{})
+	command := standIn{use: "slow", newHandler: func() (http.Handler, func()) {
+		return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			close(arrived)
+			<-release
+			_, _ = io.WriteString(writer, "whole")
+		}), func() { close(closed) }
+	}}.command()
+	reader, writer := io.Pipe()
+	command.SetOut(writer)
+	command.SetArgs(nil)
+	exited := make(chan error, 1)
+	go func() { exited <- command.ExecuteContext(ctx) }()
+	line := make([]byte, 100)
+	count, err := reader.Read(line)
+	assert.NilError(t, err)
+	address := strings.TrimPrefix(strings.TrimSpace(string(line[:count])), "listening address=")
+	answered := make(chan string, 1)
+	go func() {
+		response, err := http.Get("http://" + address)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		answered <- string(body) + fmt.Sprint(err)
+	}()
+	<-arrived
+	stop()
+	select {
+	case <-closed:
+		t.Error("the handler is closed while a request is in flight")
+	case <-time.After(200 * time.Millisecond):
+	}
+	close(release)
+	assert.Equal(t, <-answered, "whole<nil>")
+	assert.NilError(t, <-exited)
+}
