--- a/cmd/marblering-lab/standin.go
+++ b/cmd/marblering-lab/standin.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -18,6 +16,7 @@
 	"github.com/marblering/marblering/lab/objectstore"
 	"github.com/marblering/marblering/lab/tool"
 	"github.com/marblering/marblering/lab/weightstore"
+	"github.com/marblering/marblering/transport/listener"
 )
 
 const (
@@ -70,26 +69,31 @@
 }
 
 // serve prints the listen address and serves until the command's context is canceled.
+// Requests in flight have serverTimeout to end before the handler is closed.
 func (s standIn) serve(command *cobra.Command, address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
 	handler, closeHandler := s.newHandler()
 	defer closeHandler()
-	fmt.Fprintf(command.OutOrStdout(), "listening address=%s\n", listener.Addr())
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: serverTimeout}
-	stop := context.AfterFunc(command.Context(), func() {
-		ctx, cancel := context.WithTimeout(context.Background(), serverTimeout)
-		defer cancel()
-		if server.Shutdown(ctx) != nil {
-			_ = server.Close()
-		}
-	})
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	opened, err := listener.Open(s.use, address, server)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(command.OutOrStdout(), "listening address=%s\n", opened.Address())
+	serving, closeServer := context.WithCancel(context.Background())
+	defer closeServer()
+	served := make(chan error, 1)
+	go func() { served <- opened.Serve(serving) }()
+	select {
+	case err := <-served:
 		return err
+	case <-command.Context().Done():
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), serverTimeout)
+	defer cancel()
+	// What is still in flight after that is cut, such as the watch of a client.
+	_ = opened.Shutdown(ctx)
+	closeServer()
+	<-served
 	return nil
 }
 
