--- a/coordination/execution/release.go
+++ b/coordination/execution/release.go
@@ -5,26 +5,41 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
 	"github.com/marblering/marblering/state/program"
 )
 
-// releaseTimeout bounds one try to release a hold.
-const releaseTimeout = 5 * time.Second
+const (
+	// releaseTimeout bounds one try to release a hold.
+	releaseTimeout = 5 * time.Second
+	// releasesAtOnce bounds the holds of one tree that are released at the same time, so
+	// that engines that are silent don't delay the others.
+	releasesAtOnce = 8
+)
 
-// ReleaseHolds asks the engines to let go of what the tree no longer needs and
-// clears the holds whose release was confirmed. What fails is left to the next
-// sweep.
+// ReleaseHolds asks the engines, several at the same time, to let go of what the tree
+// no longer needs and clears the holds whose release was confirmed. What fails is left
+// to the next sweep.
 func (e *Executor) ReleaseHolds(ctx context.Context, tree *statev1.ProgramTree) {
+	var releases errgroup.Group
+	releases.SetLimit(releasesAtOnce)
 	for _, hold := range program.ReleasableHolds(tree) {
-		releaseContext, cancel := context.WithTimeout(ctx, releaseTimeout)
-		err := e.releaseHold(releaseContext, hold)
-		cancel()
-		if err != nil {
-			e.Logger.Warn("hold not released", zap.String("program", hold.GetProgram()),
-				zap.String("engine", hold.GetEngine()), zap.Error(err))
-		}
+		releases.Go(func() error {
+			e.releaseInTime(ctx, hold)
+			return nil
+		})
+	}
+	_ = releases.Wait()
+}
+
+func (e *Executor) releaseInTime(ctx context.Context, hold *statev1.Hold) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if err := e.releaseHold(ctx, hold); err != nil {
+		e.Logger.Warn("hold not released", zap.String("program", hold.GetProgram()),
+			zap.String("engine", hold.GetEngine()), zap.Error(err))
 	}
 }
 
