--- a/cmd/marblering/signals_test.go
+++ b/cmd/marblering/signals_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -36,7 +37,8 @@
 	}
 }
 
-// startLogged starts the process and returns its output, whichever stream it logs to.
+// startLogged starts the process and returns its output, whichever stream it logs to. A
+// process that hangs is killed, which ends its output.
 func startLogged(t *testing.T, process *exec.Cmd) *bufio.Scanner {
 	t.Helper()
 	reader, writer, err := os.Pipe()
@@ -45,7 +47,11 @@
 	process.Stdout, process.Stderr = writer, writer
 	assert.NilError(t, process.Start())
 	assert.NilError(t, writer.Close())
-	t.Cleanup(func() { _ = process.Process.Kill() })
+	watchdog := time.AfterFunc(harness.Generous, func() { _ = process.Process.Kill() })
+	t.Cleanup(func() {
+		watchdog.Stop()
+		_ = process.Process.Kill()
+	})
 	return bufio.NewScanner(reader)
 }
 
