Give answers to cut requests the rest of the drain to be written

A machine under load may need more than the stage that waits for them; the stages that follow don't wait. TestDrain* passed twice with -race.

--- a/node/drain.go
+++ b/node/drain.go
@@ -16,7 +16,8 @@
 	// callsFraction leaves a call of the default call_timeout its whole time under the
 	// default drain_timeout.
 	callsFraction = 0.92
-	// answersFraction is for the answers to the requests that are cut.
+	// answersFraction is for the answers to the requests that are cut. A client that reads
+	// slowly has the time of the stages that follow as well.
 	answersFraction = 0.94
 	// storingFraction is for the answers of engines that are still being stored.
 	storingFraction = 0.95
@@ -54,7 +55,7 @@
 	if n.within(began, callsFraction, n.callers.Wait) == nil {
 		return nil
 	}
-	cut := n.callers.Cut(n.stageEnd(began, answersFraction))
+	cut := n.callers.Cut(n.stageEnd(began, responsesFraction))
 	err := n.within(began, answersFraction, n.callers.Wait)
 	if cut == 0 {
 		return err
