Report ended turns to all budget hosts at once when a gateway stops

What callers saw: programs stayed charged with all the tokens that a turn had reserved although it had ended, after a gateway stopped beside a storage node that doesn't answer.

Cause: Flush asked one host after the other under one context, each for up to all of the time; it dropped what failed once; and it didn't wait for reports that were being repeated, which exist only on the stack of their goroutine.

Flush now asks all hosts at once, each attempt within attemptTimeout, repeats what fails, and waits for what is under way. A failed report goes back to the pending ones, so that one place has all of them.

--- a/coordination/tokenbudget/client.go
+++ b/coordination/tokenbudget/client.go
@@ -40,12 +40,6 @@
 	// attemptTimeout bounds one request to one host. It is a few times the duration of a
 	// change of a register, and short enough to try two hosts for one reservation.
 	attemptTimeout = 350 * time.Millisecond
-	// endReportDelay is how long an ended turn waits for a reservation at its host that can
-	// carry it, which saves a request.
-	endReportDelay = 300 * time.Millisecond
-	// maxEndReports bounds the requests that report the same ended turns. A host charges
-	// turns whose end isn't reported with all the tokens that they reserved.
-	maxEndReports = 5
 	// lifetimeMargin is added to the lifetime of a turn, for clocks that differ in speed.
 	lifetimeMargin = 5 * time.Second
 )
@@ -56,14 +50,13 @@
 	hosts   HostClient
 	views   Views
 	tracker *reach.Tracker
+	ends    *endReporter
 	now     func() time.Time
 	logger  *zap.Logger
 
 	mutex sync.Mutex
 	// grantedBy maps the reservations in progress to the addresses of their hosts.
 	grantedBy map[string]string
-	// pendingEnds holds, by address, the ended turns that their hosts don't know of yet.
-	pendingEnds map[string][]EndedTurn
 	// breakers holds the circuit breakers by shard.
 	breakers map[uint32]*circuitBreaker
 }
@@ -72,9 +65,8 @@
 // answer.
 func NewClient(hosts HostClient, views Views, tracker *reach.Tracker, now func() time.Time, logger *zap.Logger) *Client {
 	return &Client{
-		hosts: hosts, views: views, tracker: tracker, now: now, logger: logger,
-		grantedBy: make(map[string]string), pendingEnds: make(map[string][]EndedTurn),
-		breakers: make(map[uint32]*circuitBreaker),
+		hosts: hosts, views: views, tracker: tracker, ends: newEndReporter(hosts, logger), now: now, logger: logger,
+		grantedBy: make(map[string]string), breakers: make(map[uint32]*circuitBreaker),
 	}
 }
 
@@ -161,17 +153,19 @@
 func (c *Client) requestReservation(ctx context.Context, address string, reservation Reservation) error {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	reported := c.takePendingEnds(address)
-	err := c.hosts.Reserve(ctx, address, reservation, reported)
+	reported := c.ends.take(address)
+	err := c.hosts.Reserve(ctx, address, reservation, turnsOf(reported))
 	if err == nil {
 		c.tracker.RecordResponse(address)
 		c.mutex.Lock()
 		c.grantedBy[reservation.Name] = address
 		c.mutex.Unlock()
+		c.ends.finish(address)
 		return nil
 	}
 	if IsRefusal(err) || errors.Is(err, ErrOverloaded) {
 		c.tracker.RecordResponse(address)
+		c.ends.finish(address)
 		return err
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) {
@@ -181,7 +175,8 @@
 		zap.String("reservation", reservation.Name), zap.Error(err))
 	// The host may have reserved the tokens without having recorded the ended turns, so
 	// both are reported again.
-	c.queueEnds(address, append(reported, EndedTurn{Program: reservation.Program, Reservation: reservation.Name}))
+	unknown := EndedTurn{Program: reservation.Program, Reservation: reservation.Name}
+	c.ends.finish(address, append(reported, endReport{turn: unknown})...)
 	return err
 }
 
@@ -208,58 +203,10 @@
 	delete(c.grantedBy, ended.Reservation)
 	c.mutex.Unlock()
 	if found {
-		c.queueEnds(address, []EndedTurn{ended})
+		c.ends.add(address, endReport{turn: ended})
 	}
 }
 
-// queueEnds keeps ended turns for the next reservation at their host, or sends them in a
-// request of their own after endReportDelay.
-func (c *Client) queueEnds(address string, ended []EndedTurn) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	waiting := len(c.pendingEnds[address]) > 0
-	c.pendingEnds[address] = append(c.pendingEnds[address], ended...)
-	if !waiting {
-		time.AfterFunc(endReportDelay, func() { c.sendPendingEnds(address) })
-	}
-}
-
-// takePendingEnds returns and forgets the pending ended turns of a host.
-func (c *Client) takePendingEnds(address string) []EndedTurn {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	ended := c.pendingEnds[address]
-	delete(c.pendingEnds, address)
-	return ended
-}
-
-// sendPendingEnds reports the ended turns that no reservation has carried to the host.
-func (c *Client) sendPendingEnds(address string) {
-	ended := c.takePendingEnds(address)
-	if len(ended) == 0 {
-		return
-	}
-	for range maxEndReports {
-		ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
-		err := c.hosts.End(ctx, address, ended)
-		cancel()
-		if err == nil {
-			return
-		}
-		time.Sleep(endReportDelay)
-	}
-	c.logger.Warn("ended turns not reported to budget host", zap.String("address", address), zap.Int("turns", len(ended)))
-}
-
-// Flush reports all pending ended turns, until the context ends.
-func (c *Client) Flush(ctx context.Context) {
-	c.mutex.Lock()
-	pending := c.pendingEnds
-	c.pendingEnds = make(map[string][]EndedTurn)
-	c.mutex.Unlock()
-	for address, ended := range pending {
-		if err := c.hosts.End(ctx, address, ended); err != nil {
-			c.logger.Warn("ended turns not reported to budget host", zap.String("address", address), zap.Error(err))
-		}
-	}
-}
+// Flush reports all pending ended turns until the context ends. It asks the hosts
+// concurrently, so that one that doesn't answer takes no time from the others.
+func (c *Client) Flush(ctx context.Context) { c.ends.flush(ctx) }
