Release quota slots and budget reserves at the same time at a stop

What callers saw: after a planned stop of a storage node beside one that doesn't answer, programs stayed charged with what their turns had reserved and not generated, and requests of tenants were refused until the leases of the slots had lapsed.

Cause: one second for the release of all quota slots, one after the other, and then of all budget reserves. One slot whose register doesn't answer used it.

Both are released at the same time, each within a second of its own, and all slots at once. A stop takes no longer than before.

--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -211,7 +211,8 @@
 }
 
 // Release gives back the slots that this node holds, so that others can take them at once.
-// The node grants nothing afterwards.
+// The node grants nothing afterwards. All slots are released at once, so that one whose
+// register doesn't answer takes no time from the others.
 func (h *Holder) Release(ctx context.Context) {
 	h.released.Store(true)
 	h.mutex.Lock()
@@ -223,12 +224,15 @@
 		s.lease.validUntil, s.lastAsked = time.Time{}, time.Time{}
 	}
 	h.mutex.Unlock()
+	var releases sync.WaitGroup
 	for _, number := range held {
-		_, err := h.registers.Apply(ctx, number, registerKey, h.vacate)
-		if err != nil {
-			h.logger.Info("quota slot not released", zap.Uint32("slot", number), zap.Error(err))
-		}
+		releases.Go(func() {
+			if _, err := h.registers.Apply(ctx, number, registerKey, h.vacate); err != nil {
+				h.logger.Info("quota slot not released", zap.Uint32("slot", number), zap.Error(err))
+			}
+		})
 	}
+	releases.Wait()
 }
 
 // vacate removes this process's claim from the register's value.
--- a/node/storage/run.go
+++ b/node/storage/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -21,7 +22,8 @@
 	// uses as its soft limit. The rest is for memory that the runtime doesn't count, such
 	// as the mapped data file.
 	softMemoryLimitFraction = 0.8
-	// releaseTimeout limits the release of reserves and slots at shutdown.
+	// releaseTimeout limits the release of quota slots at shutdown, and that of budget
+	// reserves.
 	releaseTimeout = time.Second
 	// diskCheckInterval is the interval between two checks for a failed write.
 	diskCheckInterval = 250 * time.Millisecond
@@ -114,11 +116,17 @@
 	}
 }
 
-// releaseReserves releases quota slots and budget reserves. It must run before the
-// services stop, while this node still takes part in the replica sets.
+// releaseReserves releases quota slots and budget reserves at the same time, each within
+// releaseTimeout. It must run before the services stop, while this node still takes part in
+// the replica sets.
 func (n *Node) releaseReserves() {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	n.quotas.Release(ctx)
-	n.ledger.Flush(ctx)
+	var releases sync.WaitGroup
+	for _, release := range []func(context.Context){n.quotas.Release, n.ledger.Flush} {
+		releases.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+			defer cancel()
+			release(ctx)
+		})
+	}
+	releases.Wait()
 }
