--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -62,13 +62,18 @@
 	if err != nil {
 		return nil, err
 	}
+	return l.await(ctx, call.GetNumber(), answered)
+}
+
+// await waits for the answer to a call.
+func (l *link) await(ctx context.Context, number uint64, answered <-chan *peerv1.Answer) (*peerv1.Answer, error) {
 	select {
 	case answer := <-answered:
 		return answer, nil
 	case <-l.done:
 		return nil, l.closeErr
 	case <-ctx.Done():
-		l.abandon(call.GetNumber())
+		l.abandon(number)
 		return nil, context.Cause(ctx)
 	}
 }
