Return answers that arrived before their link closed

What callers saw: a gateway took a reservation or a stored turn for unknown when the storage node that had answered it closed the link right after, as one that stops does. The reservation was asked again at another host, and its tokens stayed reserved at the first one.

Cause: the caller waits for the answer, the close and its context in one select, which picks one of those that are ready at random.

An answer that has arrived is now returned in each case, and such a call isn't cancelled at the peer.

--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -65,16 +65,24 @@
 	return l.await(ctx, call.GetNumber(), answered)
 }
 
-// await waits for the answer to a call.
+// await waits for the answer to a call. An answer that has arrived is returned even if the
+// link is closed or the context has ended.
 func (l *link) await(ctx context.Context, number uint64, answered <-chan *peerv1.Answer) (*peerv1.Answer, error) {
+	var err error
 	select {
 	case answer := <-answered:
 		return answer, nil
 	case <-l.done:
-		return nil, l.closeErr
+		err = l.closeErr
 	case <-ctx.Done():
 		l.abandon(number)
-		return nil, context.Cause(ctx)
+		err = context.Cause(ctx)
+	}
+	select {
+	case answer := <-answered:
+		return answer, nil
+	default:
+		return nil, err
 	}
 }
 
@@ -96,10 +104,14 @@
 	return answered, nil
 }
 
-// abandon drops a call. If it was already sent, the peer is told to cancel it.
+// abandon drops a call without an answer. If it was already sent, the peer is told to cancel
+// it.
 func (l *link) abandon(number uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if _, isPending := l.pending[number]; !isPending {
+		return
+	}
 	delete(l.pending, number)
 	for i, call := range l.queued {
 		if call.GetNumber() == number {
