Answer the calls under way when a storage node stops

What callers saw: a gateway whose turns were being stored, or whose tokens were being reserved, at a storage node that stops was told that the connection was lost, though the node had done both. It asked another node, and a reservation stayed charged.

Cause: after the release of reserves, all services and listeners end at the same moment, and http.Server.Close cuts what is under way.

The handler of a storage node counts the calls under way, from their start until their answer is written. A stop now has three stages, each with time of its own: the release of reserves (1 s), the calls (2 s, after which no node waits for an answer), the end of services and disk. During the second stage new calls are refused at once and haven't run; older builds take that for a failed call and ask the next member. msg=stopping says how many calls are under way, by kind, and msg="calls of other nodes cut" which were left.

--- a/node/storage/run.go
+++ b/node/storage/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"runtime/debug"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -22,9 +21,6 @@
 	// uses as its soft limit. The rest is for memory that the runtime doesn't count, such
 	// as the mapped data file.
 	softMemoryLimitFraction = 0.8
-	// releaseTimeout limits the release of quota slots at shutdown, and that of budget
-	// reserves.
-	releaseTimeout = time.Second
 	// diskCheckInterval is the interval between two checks for a failed write.
 	diskCheckInterval = 250 * time.Millisecond
 	// reopenDelay is the pause before reopening the data folder after a failed write.
@@ -91,7 +87,7 @@
 	stopped := supervisor.ServeBackground(running)
 	failure := n.awaitDiskFailure(ctx)
 	if failure == nil {
-		n.releaseReserves()
+		n.drain()
 	}
 	stop()
 	<-stopped
@@ -115,18 +111,3 @@
 		}
 	}
 }
-
-// releaseReserves releases quota slots and budget reserves at the same time, each within
-// releaseTimeout. It must run before the services stop, while this node still takes part in
-// the replica sets.
-func (n *Node) releaseReserves() {
-	var releases sync.WaitGroup
-	for _, release := range []func(context.Context){n.quotas.Release, n.ledger.Flush} {
-		releases.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-			defer cancel()
-			release(ctx)
-		})
-	}
-	releases.Wait()
-}
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -61,6 +61,8 @@
 	// self describes this node as a member of replica sets.
 	self  register.Member
 	peers *peer.Client
+	// handler serves the requests of other nodes.
+	handler *peer.StorageHandler
 
 	// Stored data: the disk, the known replica sets, and this node's replicas.
 	disk      *replica.Disk
@@ -145,8 +147,8 @@
 
 // listen opens the listeners for other nodes and for operators.
 func (n *Node) listen(peerMetrics *peer.Metrics) ([]suture.Service, error) {
-	handler := peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, n.origins, n.quotas, n.mirror, peerMetrics)
-	peers, err := listener.Open("peers", n.settings.PeerListen.String(), peer.NewHTTPServer(handler))
+	n.handler = peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, n.origins, n.quotas, n.mirror, peerMetrics)
+	peers, err := listener.Open("peers", n.settings.PeerListen.String(), peer.NewHTTPServer(n.handler))
 	if err != nil {
 		return nil, err
 	}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -67,17 +67,33 @@
 	Exchange(ctx context.Context, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
 }
 
+// StorageHandler is the handler of a storage node.
+type StorageHandler struct {
+	http.Handler
+	calls *callServer
+}
+
+// CallsUnderWay returns the number of calls under way by kind: those that run or whose
+// answers aren't written. It is empty if there are none.
+func (h *StorageHandler) CallsUnderWay() map[string]int64 { return h.calls.tracker.underWay() }
+
+// Drain refuses new calls and waits until the answers to those under way are written, or
+// until the context ends. It returns the calls that are still under way by kind.
+func (h *StorageHandler) Drain(ctx context.Context) map[string]int64 {
+	return h.calls.tracker.drain(ctx)
+}
+
 // NewStorageHandler returns the handler of a storage node. It serves requests to the
 // replica, membership gossip, the budgets of programs, the origins of streams, the quotas
 // of tenants and the node's copies of the store's objects.
-func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, budgets BudgetHost, origins StreamOrigins, quotas QuotaHolder, mirror Mirror, metrics *Metrics) http.Handler {
+func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, budgets BudgetHost, origins StreamOrigins, quotas QuotaHolder, mirror Mirror, metrics *Metrics) *StorageHandler {
 	mux := http.NewServeMux()
 	calls := &callServer{budgets: &budgetServer{host: budgets, origins: origins}, origins: origins, quotas: quotas, metrics: metrics}
 	mountReplica(mux, replica, installer, calls)
 	options := HandlerOptions(metrics)
 	mux.Handle(peerv1connect.NewNodeServiceHandler(&exchangeServer{membership: membership}, options...))
 	mux.Handle(peerv1connect.NewMirrorServiceHandler(&mirrorServer{mirror: mirror}, options...))
-	return mux
+	return &StorageHandler{Handler: mux, calls: calls}
 }
 
 // MountReplica registers the handlers for the replica of a node that has neither
--- a/transport/peer/session.go
+++ b/transport/peer/session.go
@@ -30,6 +30,7 @@
 	origins StreamOrigins
 	quotas  QuotaHolder
 	metrics *Metrics
+	tracker callTracker
 }
 
 var _ peerv1connect.CallServiceHandler = (*callServer)(nil)
@@ -38,7 +39,7 @@
 func (s *callServer) Stream(ctx context.Context, stream *connect.BidiStream[peerv1.Calls, peerv1.Answers]) error {
 	ctx, cancel := context.WithCancel(ctx)
 	session := &session{
-		server: s, stream: stream, answers: make(chan *peerv1.Answer, maxConcurrentCalls),
+		server: s, stream: stream, answers: make(chan trackedAnswer, maxConcurrentCalls),
 		slots: make(chan struct{}, maxConcurrentCalls), cancels: make(map[uint64]context.CancelFunc),
 	}
 	senderDone := make(chan struct{})
@@ -50,17 +51,25 @@
 	cancel()
 	session.running.Wait()
 	<-senderDone
+	session.dropAnswers()
 	if errors.Is(err, io.EOF) {
 		return nil
 	}
 	return err
 }
 
+// trackedAnswer is an answer and the kind under which its call is counted; empty for a call
+// that isn't counted.
+type trackedAnswer struct {
+	*peerv1.Answer
+	kind string
+}
+
 // session is the server's side of one stream of calls.
 type session struct {
 	server  *callServer
 	stream  *connect.BidiStream[peerv1.Calls, peerv1.Answers]
-	answers chan *peerv1.Answer
+	answers chan trackedAnswer
 	// slots limits the calls that run or whose answers are queued.
 	slots   chan struct{}
 	running sync.WaitGroup
@@ -91,6 +100,10 @@
 }
 
 func (s *session) start(ctx context.Context, call *peerv1.Call) {
+	if !s.server.tracker.begin(call) {
+		s.answers <- trackedAnswer{Answer: &peerv1.Answer{Number: call.GetNumber(), Response: failureOf(errStopping)}}
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.GetTimeoutMs())*time.Millisecond)
 	s.mutex.Lock()
 	s.cancels[call.GetNumber()] = cancel
@@ -101,7 +114,7 @@
 		s.cancelCall(call.GetNumber())
 		// This doesn't block: each call occupies a slot, and the channel has as many
 		// places as there are slots.
-		s.answers <- answer
+		s.answers <- trackedAnswer{answer, callKind(call)}
 	})
 }
 
@@ -122,7 +135,7 @@
 	for {
 		select {
 		case first := <-s.answers:
-			if s.stream.Send(&peerv1.Answers{Answers: s.collectBatch(first)}) != nil {
+			if s.sendBatch(first) != nil {
 				// The stream is broken: receive fails too, and Stream cancels the context.
 				<-ctx.Done()
 				return
@@ -133,14 +146,29 @@
 	}
 }
 
-func (s *session) collectBatch(first *peerv1.Answer) []*peerv1.Answer {
-	batch := []*peerv1.Answer{first}
+// sendBatch writes the answer and those that are ready, whose calls then are no longer under
+// way.
+func (s *session) sendBatch(first trackedAnswer) error {
+	batch := s.collectBatch(first)
+	answers := make([]*peerv1.Answer, 0, len(batch))
+	for _, answer := range batch {
+		answers = append(answers, answer.Answer)
+	}
+	err := s.stream.Send(&peerv1.Answers{Answers: answers})
+	for _, answer := range batch {
+		s.endTracking(answer)
+	}
+	return err
+}
+
+func (s *session) collectBatch(first trackedAnswer) []trackedAnswer {
+	batch := []trackedAnswer{first}
 	<-s.slots
-	for size := proto.Size(first); size < batchBytes; {
+	for size := proto.Size(first.Answer); size < batchBytes; {
 		select {
 		case next := <-s.answers:
 			batch = append(batch, next)
-			size += proto.Size(next)
+			size += proto.Size(next.Answer)
 			<-s.slots
 		default:
 			return batch
@@ -149,17 +177,37 @@
 	return batch
 }
 
+// dropAnswers ends the tracking of answers that weren't written before the stream ended.
+func (s *session) dropAnswers() {
+	for {
+		select {
+		case answer := <-s.answers:
+			s.endTracking(answer)
+		default:
+			return
+		}
+	}
+}
+
+func (s *session) endTracking(answer trackedAnswer) {
+	if answer.kind != "" {
+		s.server.tracker.end(answer.kind)
+	}
+}
+
 // serve executes a call and records it. An error becomes a failure in the answer.
 func (s *callServer) serve(ctx context.Context, call *peerv1.Call) *peerv1.Answer {
 	start := time.Now()
 	answer, err := s.dispatch(ctx, call)
 	if err != nil {
-		answer = &peerv1.Answer{Response: &peerv1.Answer_Failure{Failure: err.Error()}}
+		answer = &peerv1.Answer{Response: failureOf(err)}
 	}
 	s.metrics.observeCall(sideServer, call, answer, time.Since(start))
 	return answer
 }
 
+func failureOf(err error) *peerv1.Answer_Failure { return &peerv1.Answer_Failure{Failure: err.Error()} }
+
 func (s *callServer) dispatch(ctx context.Context, call *peerv1.Call) (*peerv1.Answer, error) {
 	switch request := call.GetRequest().(type) {
 	case *peerv1.Call_Prepare:
