Keep the pause between reports of the same ended turns

A failed report now waits for endReportDelay by itself, as before, in a set from which a flush takes it over. TestFailedReportsKeepTheirPause fails on the commit before (the same turn reported again after 10 ms).

--- a/coordination/tokenbudget/endreporter.go
+++ b/coordination/tokenbudget/endreporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +30,12 @@
 	failures int
 }
 
+// failedReport holds the ended turns of one failed request.
+type failedReport struct {
+	address string
+	reports []endReport
+}
+
 // endReporter reports ended turns to their hosts. It is safe for concurrent use.
 type endReporter struct {
 	hosts  HostClient
@@ -37,12 +44,14 @@
 	mutex sync.Mutex
 	// pending holds the ended turns by the address of their host.
 	pending map[string][]endReport
+	// repeats holds the failed reports that wait for their next attempt.
+	repeats map[*failedReport]struct{}
 	// underWay counts the requests that carry ended turns or may add some.
 	underWay int
 }
 
 func newEndReporter(hosts HostClient, logger *zap.Logger) *endReporter {
-	return &endReporter{hosts: hosts, logger: logger, pending: make(map[string][]endReport)}
+	return &endReporter{hosts: hosts, logger: logger, pending: make(map[string][]endReport), repeats: make(map[*failedReport]struct{})}
 }
 
 // add keeps ended turns for the next reservation at their host, or reports them in a request
@@ -82,13 +91,18 @@
 	r.addLocked(address, again)
 }
 
-// report reports the pending ended turns of a host in one request, within attemptTimeout.
+// report reports the pending ended turns of a host in one request.
 func (r *endReporter) report(ctx context.Context, address string) {
-	reports := r.take(address)
-	if len(reports) == 0 {
-		r.finish(address)
+	if reports := r.take(address); len(reports) > 0 {
+		r.send(ctx, address, reports)
 		return
 	}
+	r.finish(address)
+}
+
+// send reports the ended turns, which were taken, in one request within attemptTimeout. If
+// it fails, they are reported again after endReportDelay.
+func (r *endReporter) send(ctx context.Context, address string, reports []endReport) {
 	bounded, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	err := r.hosts.End(bounded, address, turnsOf(reports))
@@ -98,7 +112,32 @@
 	case ctx.Err() != nil:
 		r.finish(address, reports...)
 	default:
-		r.finish(address, r.countFailure(address, reports, err)...)
+		r.finishFailed(&failedReport{address, r.countFailure(address, reports, err)})
+	}
+}
+
+// finishFailed ends a failed request and repeats it after endReportDelay.
+func (r *endReporter) finishFailed(failed *failedReport) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.underWay--
+	if len(failed.reports) > 0 {
+		r.repeats[failed] = struct{}{}
+		time.AfterFunc(endReportDelay, func() { r.repeat(failed) })
+	}
+}
+
+// repeat sends a failed report again unless a flush has taken it over.
+func (r *endReporter) repeat(failed *failedReport) {
+	r.mutex.Lock()
+	_, isWaiting := r.repeats[failed]
+	if isWaiting {
+		delete(r.repeats, failed)
+		r.underWay++
+	}
+	r.mutex.Unlock()
+	if isWaiting {
+		r.send(context.Background(), failed.address, failed.reports)
 	}
 }
 
@@ -119,12 +158,13 @@
 func (r *endReporter) flush(ctx context.Context) {
 	var reports sync.WaitGroup
 	for r.isBusy() && ctx.Err() == nil {
-		for _, address := range r.pendingHosts() {
+		for _, address := range r.takeOver() {
 			reports.Go(func() { r.report(ctx, address) })
 		}
 		_ = sleep.For(ctx, flushReportPause)
 	}
 	reports.Wait()
+	r.takeOver()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for address, left := range r.pending {
@@ -136,17 +176,18 @@
 func (r *endReporter) isBusy() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return len(r.pending) > 0 || r.underWay > 0
+	return len(r.pending) > 0 || len(r.repeats) > 0 || r.underWay > 0
 }
 
-func (r *endReporter) pendingHosts() []string {
+// takeOver makes the failed reports pending and returns the hosts with pending ended turns.
+func (r *endReporter) takeOver() []string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	hosts := make([]string, 0, len(r.pending))
-	for address := range r.pending {
-		hosts = append(hosts, address)
+	for failed := range r.repeats {
+		delete(r.repeats, failed)
+		r.pending[failed.address] = append(r.pending[failed.address], failed.reports...)
 	}
-	return hosts
+	return slices.Collect(maps.Keys(r.pending))
 }
 
 func (r *endReporter) logLost(address string, turns int, err error) {
--- a/coordination/tokenbudget/report_ends_test.go
+++ b/coordination/tokenbudget/report_ends_test.go
@@ -21,6 +21,8 @@
 type endRecorder struct {
 	mutex sync.Mutex
 	ended map[string]int
+	// reported holds the times of the reports of each reservation.
+	reported map[string][]time.Time
 	// silent hosts don't answer reports of ended turns.
 	silent map[string]bool
 	// failures is the number of next reports that each host fails.
@@ -28,7 +30,7 @@
 }
 
 func newEndRecorder() *endRecorder {
-	return &endRecorder{ended: make(map[string]int), silent: make(map[string]bool), failures: make(map[string]int)}
+	return &endRecorder{ended: make(map[string]int), reported: make(map[string][]time.Time), silent: make(map[string]bool), failures: make(map[string]int)}
 }
 
 func (*endRecorder) Reserve(context.Context, string, tokenbudget.Reservation, []tokenbudget.EndedTurn) error {
@@ -38,6 +40,9 @@
 func (r *endRecorder) End(ctx context.Context, address string, ended []tokenbudget.EndedTurn) error {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	for _, turn := range ended {
+		r.reported[turn.Reservation] = append(r.reported[turn.Reservation], time.Now())
+	}
 	if r.silent[address] {
 		r.mutex.Unlock()
 		<-ctx.Done()
@@ -163,3 +168,34 @@
 		}
 	})
 }
+
+// TestFailedReportsKeepTheirPause guards against ended turns that are given up early
+// because further turns end at their host meanwhile.
+func TestFailedReportsKeepTheirPause(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		recorder := newEndRecorder()
+		host := hostOf(0)
+		recorder.failures[host] = 1 << 20
+		client := newEndClient(recorder)
+		defer awaitReports()
+		for number := range 400 {
+			name := fmt.Sprint("turn", number)
+			reservation := tokenbudget.Reservation{Program: host, Name: name, ProgramLimit: 1000, MaxTokens: 100, Lifetime: time.Minute}
+			assert.NilError(t, client.Reserve(t.Context(), reservation))
+			client.End(tokenbudget.EndedTurn{Program: host, Reservation: name, TokensUsed: 40})
+			time.Sleep(10 * time.Millisecond)
+			if number%20 == 0 {
+				time.Sleep(time.Second)
+			}
+		}
+		recorder.mutex.Lock()
+		defer recorder.mutex.Unlock()
+		for name, times := range recorder.reported {
+			for index := 1; index < len(times); index++ {
+				pause := times[index].Sub(times[index-1])
+				assert.Check(t, pause >= 300*time.Millisecond, "%s is reported again after %v", name, pause)
+			}
+		}
+		assert.Assert(t, len(recorder.reported) > 0)
+	})
+}
