--- a/node/storage/run.go
+++ b/node/storage/run.go
@@ -21,8 +21,6 @@
 	// uses as its soft limit. The rest is for memory that the runtime doesn't count, such
 	// as the mapped data file.
 	softMemoryLimitFraction = 0.8
-	// releaseTimeout limits the release of reserves and slots at shutdown.
-	releaseTimeout = time.Second
 	// diskCheckInterval is the interval between two checks for a failed write.
 	diskCheckInterval = 250 * time.Millisecond
 	// reopenDelay is the pause before reopening the data folder after a failed write.
@@ -89,7 +87,7 @@
 	stopped := supervisor.ServeBackground(running)
 	failure := n.awaitDiskFailure(ctx)
 	if failure == nil {
-		n.releaseReserves()
+		n.drain()
 	}
 	stop()
 	<-stopped
@@ -113,12 +111,3 @@
 		}
 	}
 }
-
-// releaseReserves releases quota slots and budget reserves. It must run before the
-// services stop, while this node still takes part in the replica sets.
-func (n *Node) releaseReserves() {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	n.quotas.Release(ctx)
-	n.ledger.Flush(ctx)
-}
