Keep a replica's data when power is lost within a commit

Cause: an invalid meta page always counted as damage, also one whose write, of a commit that wasn't acknowledged, was interrupted.

Damage to the newest page is still found (TestCorruptPageStructure, TestDamagedNewestTransactionIsCorrupt).

Why it works: a page that still has the ID of the transaction before the valid one was not completed, so the valid one is the last that was acknowledged.

--- a/state/replica/boltfile.go
+++ b/state/replica/boltfile.go
@@ -25,6 +25,9 @@
 	boltMetaBytes         = 64
 	boltElementBytes      = 16
 	boltBucketHeaderBytes = 16
+	// Offsets in bytes of fields in the content of a meta page.
+	boltMetaTransactionID = 48
+	boltMetaChecksum      = 56
 	// Page types.
 	boltBranchPage = 0x01
 	boltLeafPage   = 0x02
@@ -56,6 +59,10 @@
 // freelistPage are page numbers.
 type boltMeta struct {
 	pageBytes, rootPage, freelistPage, pageCount, transactionID uint64
+	// isValid is set if the checksum matches.
+	isValid bool
+	// isOtherValid reports whether the checksum matches with another transaction ID.
+	isOtherValid func(transactionID uint64) bool
 }
 
 // openBoltFile reads and validates the meta pages of a file of size bytes.
@@ -76,16 +83,16 @@
 }
 
 // selectMeta uses the newer meta page. It requires the two to be of consecutive
-// transactions: a torn write of a meta page can't be distinguished from corruption of the
-// newer page, so both are reported as corruption.
+// transactions, or the other one to be an incomplete write of the next transaction.
 func (f *boltFile) selectMeta(first, second boltMeta) error {
-	newest, older := first, second
-	if second.transactionID > first.transactionID {
-		newest, older = second, first
+	newest, other := first, second
+	if !first.isValid || second.isValid && second.transactionID > first.transactionID {
+		newest, other = second, first
 	}
-	if newest.transactionID != older.transactionID+1 || first.pageBytes != second.pageBytes {
-		return corruptf("meta pages don't match: transactions %d and %d, page sizes %d and %d",
-			first.transactionID, second.transactionID, first.pageBytes, second.pageBytes)
+	isConsecutive := newest.transactionID == other.transactionID+1 && (other.isValid || newest.isInterrupted(other))
+	if !newest.isValid || !isConsecutive || first.pageBytes != second.pageBytes {
+		return corruptf("meta pages don't match: transactions %d and %d, valid %t and %t, page sizes %d and %d", first.transactionID,
+			second.transactionID, first.isValid, second.isValid, first.pageBytes, second.pageBytes)
 	}
 	if newest.freelistPage != boltNoFreelist {
 		return corruptf("unexpected freelist at page %d", newest.freelistPage)
@@ -97,32 +104,52 @@
 	return nil
 }
 
-// readMeta reads the meta page at the byte offset and validates it.
+// isInterrupted reports whether the invalid page, which has the ID of the transaction before
+// this one, was being overwritten by the transaction after this one when power was lost. That
+// one was never acknowledged. A complete page of it whose ID alone is damaged is no such
+// page. A write that was interrupted within the ID or the checksum isn't recognized: it can't
+// be distinguished from damage to a transaction that was acknowledged.
+func (m boltMeta) isInterrupted(invalid boltMeta) bool {
+	return !invalid.isOtherValid(m.transactionID + 1)
+}
+
+// readMeta reads the meta page at the byte offset. It returns an error if a field that is
+// the same in all transactions is invalid.
 func (f *boltFile) readMeta(offset uint64) (boltMeta, error) {
 	raw, err := f.read(offset, boltPageHeaderBytes+boltMetaBytes)
 	if err != nil {
 		return boltMeta{}, err
 	}
 	fields := raw[boltPageHeaderBytes:]
-	sum := fnv.New64a()
-	_, _ = sum.Write(fields[:boltMetaBytes-8])
-	valid := binary.NativeEndian.Uint16(raw[8:]) == boltMetaPage &&
-		binary.NativeEndian.Uint32(fields) == boltMagic &&
-		binary.NativeEndian.Uint32(fields[4:]) == boltVersion &&
-		binary.NativeEndian.Uint64(fields[boltMetaBytes-8:]) == sum.Sum64()
+	checksum := binary.NativeEndian.Uint64(fields[boltMetaChecksum:])
 	meta := boltMeta{
 		pageBytes:     uint64(binary.NativeEndian.Uint32(fields[8:])),
 		rootPage:      binary.NativeEndian.Uint64(fields[16:]),
 		freelistPage:  binary.NativeEndian.Uint64(fields[32:]),
 		pageCount:     binary.NativeEndian.Uint64(fields[40:]),
-		transactionID: binary.NativeEndian.Uint64(fields[48:]),
+		transactionID: binary.NativeEndian.Uint64(fields[boltMetaTransactionID:]),
+		isValid:       metaChecksum(fields) == checksum,
+		isOtherValid: func(transactionID uint64) bool {
+			changed := bytes.Clone(fields)
+			binary.NativeEndian.PutUint64(changed[boltMetaTransactionID:], transactionID)
+			return metaChecksum(changed) == checksum
+		},
 	}
-	if !valid || meta.pageBytes < boltMinPageBytes || meta.pageBytes > boltMaxPageBytes {
+	if binary.NativeEndian.Uint16(raw[8:]) != boltMetaPage || binary.NativeEndian.Uint32(fields) != boltMagic ||
+		binary.NativeEndian.Uint32(fields[4:]) != boltVersion ||
+		meta.pageBytes < boltMinPageBytes || meta.pageBytes > boltMaxPageBytes {
 		return boltMeta{}, corruptf("invalid meta page at offset %d", offset)
 	}
 	return meta, nil
 }
 
+// metaChecksum computes the checksum of the fields of a meta page.
+func metaChecksum(fields []byte) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write(fields[:boltMetaChecksum])
+	return sum.Sum64()
+}
+
 // eachEntry visits the entries of the named bucket, which must be the only one of the
 // file. Keys and values are only valid during the visit.
 func (f *boltFile) eachEntry(bucket []byte, visit func(key, value []byte) error) error {
