Name the members and epochs behind an unknown turn and an unread shard

What callers saw: a 404 or 503 whose log line ("turn unknown", "not answered") told neither which storage nodes had answered nor in which epoch, so that a turn that was acknowledged and later not found couldn't be explained.

ErrTurnNotFound now lists for each shard the epoch and the nodes that confirmed that they lack the turn; each error of a member names it and the epoch it was asked for.

--- a/coordination/turnstore/find.go
+++ b/coordination/turnstore/find.go
@@ -29,19 +29,24 @@
 func (s *Store) find(ctx context.Context, home uint32, ids []string) ([]*statev1.RetainedTurn, error) {
 	turns := make([]*statev1.RetainedTurn, len(ids))
 	missing := s.fillFromCache(ids, turns)
+	var lacking []performers
 	if len(missing) > 0 {
-		if err := s.readShards(ctx, []uint32{home}, ids, turns, missing, nearestOnly); err != nil {
+		answered, err := s.readShards(ctx, []uint32{home}, ids, turns, missing, nearestOnly)
+		if err != nil {
 			return nil, err
 		}
+		lacking = answered
 		missing = s.fillFromCache(ids, turns)
 	}
 	if len(missing) > 0 {
-		if err := s.readShards(ctx, s.otherShards(home), ids, turns, missing, quorumFirst); err != nil {
+		answered, err := s.readShards(ctx, s.otherShards(home), ids, turns, missing, quorumFirst)
+		if err != nil {
 			return nil, err
 		}
+		lacking = append(lacking, answered...)
 	}
 	if missing = s.fillFromCache(ids, turns); len(missing) > 0 {
-		return nil, merry.Prependf(ErrTurnNotFound, "turn %q", missing[0])
+		return nil, merry.Prependf(ErrTurnNotFound, "turn %q, lacking at %v", missing[0], lacking)
 	}
 	return turns, nil
 }
@@ -73,8 +78,8 @@
 
 // readShards reads the missing turns from the shards concurrently and fills in those that
 // it finds. It ends as soon as none is missing. If it returns no error, the shards don't
-// have the turns that it left out.
-func (s *Store) readShards(ctx context.Context, shards []uint32, ids []string, turns []*statev1.RetainedTurn, missing []string, first fanOut) error {
+// have the turns that it left out, as the returned members answered.
+func (s *Store) readShards(ctx context.Context, shards []uint32, ids []string, turns []*statev1.RetainedTurn, missing []string, first fanOut) ([]performers, error) {
 	found := &foundTurns{wanted: len(missing), turns: make(map[string]*statev1.RetainedTurn, len(missing))}
 	reads, ctx := errgroup.WithContext(ctx)
 	reads.SetLimit(maxConcurrentShardReads)
@@ -86,7 +91,7 @@
 		err = nil
 	}
 	s.fill(ids, turns, found)
-	return err
+	return found.lackingAt(), err
 }
 
 // errAllFound cancels the reads of other shards once all turns are found.
@@ -100,12 +105,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, shardReadTimeout)
 	defer cancel()
-	err := s.retryUntilQuorum(ctx, shard, func(ctx context.Context, member register.Member, fence register.Fence) (bool, archive.Reply, error) {
+	answered, err := s.retryUntilQuorum(ctx, shard, func(ctx context.Context, member register.Member, fence register.Fence) (bool, archive.Reply, error) {
 		return s.readMember(ctx, member, fence, missing, found)
 	}, first)
 	if err == nil && found.isComplete() {
 		return errAllFound
 	}
+	if err == nil {
+		found.addLacking(answered)
+	}
 	return err
 }
 
@@ -150,6 +158,8 @@
 
 	mutex sync.Mutex
 	turns map[string]*statev1.RetainedTurn
+	// lacking are the quorums that don't have all wanted turns.
+	lacking []performers
 }
 
 func (f *foundTurns) add(whole *statev1.RetainedTurn) {
@@ -158,6 +168,18 @@
 	f.turns[whole.GetId()] = whole
 }
 
+func (f *foundTurns) addLacking(answered performers) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.lacking = append(f.lacking, answered)
+}
+
+func (f *foundTurns) lackingAt() []performers {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.lacking
+}
+
 func (f *foundTurns) isComplete() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/coordination/turnstore/quorum.go
+++ b/coordination/turnstore/quorum.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -31,20 +33,33 @@
 // nearestOnly is for reads that a single answer usually completes.
 func nearestOnly(register.View) int { return 1 }
 
+// performers are the nodes that performed an action in an epoch of a shard.
+type performers struct {
+	shard uint32
+	epoch uint64
+	nodes []string
+}
+
+// String returns the performers for a log line.
+func (p performers) String() string {
+	return fmt.Sprintf("shard %d epoch %d: %s", p.shard, p.epoch, strings.Join(p.nodes, " "))
+}
+
 // retryUntilQuorum repeats rounds until a quorum has performed the action or one answer
-// suffices. If the context ends first, it returns ErrNoQuorum with the error of the
-// last round.
-func (s *Store) retryUntilQuorum(ctx context.Context, shard uint32, act action, first fanOut) error {
+// suffices, and returns who did. If the context ends first, it returns ErrNoQuorum with the
+// error of the last round.
+func (s *Store) retryUntilQuorum(ctx context.Context, shard uint32, act action, first fanOut) (performers, error) {
 	lastErr := error(ErrNoQuorum)
 	for pause := minRoundPause; ; pause = min(2*pause, maxRoundPause) {
 		view, known := s.views.View(shard)
 		if known {
-			if lastErr = s.round(ctx, view, act, first(view)); lastErr == nil {
-				return nil
+			var nodes []string
+			if nodes, lastErr = s.round(ctx, view, act, first(view)); lastErr == nil {
+				return performers{shard: shard, epoch: view.Epoch, nodes: nodes}, nil
 			}
 		}
 		if sleep.For(ctx, pause) != nil {
-			return merry.Wrap(ErrNoQuorum, merry.WithCause(lastErr), merry.AppendMessagef("%v", lastErr))
+			return performers{}, merry.Wrap(ErrNoQuorum, merry.WithCause(lastErr), merry.AppendMessagef("%v", lastErr))
 		}
 	}
 }
--- a/coordination/turnstore/round.go
+++ b/coordination/turnstore/round.go
@@ -28,35 +28,37 @@
 type answer struct {
 	// memberIndex is the index of the member in the order of preference.
 	memberIndex int
+	node        string
 	suffices    bool
 	err         error
 }
 
 // round performs an action at members of a view, in the order of preference.
 type round struct {
-	view      register.View
-	requests  *multicast.Round
-	answers   chan answer
-	succeeded int
+	view     register.View
+	requests *multicast.Round
+	answers  chan answer
+	// succeeded are the nodes that performed the action.
+	succeeded []string
 	failed    int
 	// lastErr is the most recent error of a member.
 	lastErr error
 }
 
 // round performs the action at the first members, and at others only if these fail or are
-// late, to save requests and traffic between zones. It returns nil once a quorum has
-// performed the action or one answer suffices.
-func (s *Store) round(ctx context.Context, view register.View, act action, first int) error {
+// late, to save requests and traffic between zones. It returns the nodes that performed the
+// action once these are a quorum or one answer suffices.
+func (s *Store) round(ctx context.Context, view register.View, act action, first int) ([]string, error) {
 	r := s.newRound(ctx, view, act)
 	r.requests.Begin(first)
 	hedge := time.NewTicker(hedgeDelay)
 	defer hedge.Stop()
-	for r.succeeded < view.Quorum() {
+	for len(r.succeeded) < view.Quorum() {
 		select {
 		case answered := <-r.answers:
 			isOver, err := r.handleAnswer(answered)
 			if isOver {
-				return err
+				return r.succeeded, err
 			}
 		case <-hedge.C:
 			// Retried at each tick, since the budget may have denied the last hedge.
@@ -64,10 +66,10 @@
 				r.requests.Hedge()
 			}
 		case <-ctx.Done():
-			return errors.Join(ctx.Err(), r.lastErr)
+			return nil, errors.Join(ctx.Err(), r.lastErr)
 		}
 	}
-	return nil
+	return r.succeeded, nil
 }
 
 func (s *Store) newRound(ctx context.Context, view register.View, act action) *round {
@@ -100,7 +102,7 @@
 		r.requests.Ask(1)
 		return false, nil
 	}
-	r.succeeded++
+	r.succeeded = append(r.succeeded, answered.node)
 	r.requests.AvoidLate()
 	if answered.suffices {
 		return true, nil
@@ -119,9 +121,12 @@
 		s.views.Learn(*reply.View)
 	}
 	if err == nil && reply.Refusal != register.RefusalNone {
-		err = merry.Errorf("member %s refused: %s", member.Node, reply.Refusal)
+		err = merry.Errorf("refused: %s", reply.Refusal)
 	}
-	return answer{suffices: suffices, err: err}
+	if err != nil {
+		err = merry.Prependf(err, "member %s, epoch %d of shard %d", member.Node, view.Epoch, view.Shard)
+	}
+	return answer{node: member.Node, suffices: suffices, err: err}
 }
 
 // reportReachability reports to the reachability tracker whether the member answered,
--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -91,7 +91,7 @@
 	if err := s.awaitReplicaSets(ctx); err != nil {
 		return err
 	}
-	err = s.retryUntilQuorum(ctx, s.views.Locate(program), func(ctx context.Context, member register.Member, fence register.Fence) (bool, archive.Reply, error) {
+	_, err = s.retryUntilQuorum(ctx, s.views.Locate(program), func(ctx context.Context, member register.Member, fence register.Fence) (bool, archive.Reply, error) {
 		reply, err := s.replicas.PutTurn(ctx, member, fence, stored)
 		return false, reply, err
 	}, quorumFirst)
@@ -104,8 +104,8 @@
 
 // History returns the turn with the id and all its ancestors, the oldest first. It reads the
 // shard of the program first and then all others, since ancestors may belong to another
-// program. It returns ErrTurnNotFound if a turn isn't stored, and ErrNoQuorum if that
-// can't be determined in time.
+// program. It returns ErrTurnNotFound, with the members that answered, if a turn isn't
+// stored, and ErrNoQuorum if that can't be determined in time.
 func (s *Store) History(ctx context.Context, program, id string) ([]*statev1.RetainedTurn, error) {
 	if err := s.awaitReplicaSetsForRead(ctx); err != nil {
 		return nil, err
