--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -49,7 +49,7 @@
 	// body is the body sent to backends: that of the request or, for a turn, the one built
 	// from it and the turns before.
 	body []byte
-	// bodyRead tells that reading the body of the request has begun.
+	// bodyRead tells that the body of the request was read or discarded.
 	bodyRead bool
 }
 
