Give each shard its own places for the release of budget reserves

What callers saw: programs stayed charged with more than they used after a planned stop of a storage node while one shard had no majority.

Cause: 16 places for releases in progress were shared by all shards. Sixteen releases in a shard that doesn't answer held them for longer than the stop.

--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -50,8 +50,8 @@
 	// maxReleasePauseFactor is the longest pause between two attempts to release a reserve, as
 	// a multiple of LedgerSettings.ReleasePause.
 	maxReleasePauseFactor = 16
-	// maxConcurrentReleases bounds the releases in progress, as many accounts become idle
-	// while a record can't be reached.
+	// maxConcurrentReleases bounds the releases in progress in one shard, as many accounts
+	// become idle while its records can't be reached.
 	maxConcurrentReleases = 16
 )
 
@@ -64,12 +64,12 @@
 	settings  LedgerSettings
 	logger    *zap.Logger
 
-	// releaseSlots has a place for each release in progress.
-	releaseSlots chan struct{}
-	admission    *admission
-	now          func() time.Time
+	admission *admission
+	now       func() time.Time
 
-	mutex          sync.Mutex
+	mutex sync.Mutex
+	// releaseSlots has, by shard, a place for each release in progress.
+	releaseSlots   map[uint32]chan struct{}
 	accounts       map[string]*account
 	accountsOpened uint64
 	// flushing is set once new turns are refused and accounts are released without waiting
@@ -85,7 +85,7 @@
 func NewLedger(holder string, registers Register, locate func(program string) uint32, settings LedgerSettings, now func() time.Time, logger *zap.Logger) *Ledger {
 	return &Ledger{
 		holder: holder, registers: registers, locate: locate, settings: settings, logger: logger,
-		accounts: make(map[string]*account), releaseSlots: make(chan struct{}, maxConcurrentReleases),
+		accounts: make(map[string]*account), releaseSlots: make(map[uint32]chan struct{}),
 		admission: newAdmission(settings.AllChanges, settings.LowPriorityChanges, now), now: now,
 	}
 }
@@ -293,8 +293,9 @@
 }
 
 func (l *Ledger) releaseOnce(program string, current *account) error {
-	l.releaseSlots <- struct{}{}
-	defer func() { <-l.releaseSlots }()
+	slots := l.releaseSlotsOf(l.locate(program))
+	slots <- struct{}{}
+	defer func() { <-slots }()
 	ctx, cancel := context.WithTimeout(context.Background(), l.settings.ReleaseTimeout)
 	defer cancel()
 	_, err := l.apply(ctx, program, lowPriority, func(record *statev1.TokenBudget) {
@@ -303,6 +304,19 @@
 	return err
 }
 
+// releaseSlotsOf returns the places for releases in the shard. Each shard has its own, so that
+// one whose records can't be reached doesn't delay the releases of others.
+func (l *Ledger) releaseSlotsOf(shard uint32) chan struct{} {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	slots := l.releaseSlots[shard]
+	if slots == nil {
+		slots = make(chan struct{}, maxConcurrentReleases)
+		l.releaseSlots[shard] = slots
+	}
+	return slots
+}
+
 // apply changes the program's record and returns the record that the register chose. The
 // register may call change several times, on different records, and choose the result of an
 // earlier call. A decision must therefore be read from the returned record, never kept by
