Count what a removed storage node reserved as spent

What callers saw: after a storage node was replaced for good, turns of programs whose rest it had reserved were refused with 503 (2010) in every try.

Cause: only the holder of a reserve may give it back or count it as spent. A node that was removed from the replica set isn't asked any more.

--- a/coordination/tokenbudget/ledger.go
+++ b/coordination/tokenbudget/ledger.go
@@ -35,6 +35,9 @@
 	// priority.
 	AllChanges         limit.AdaptivePolicy
 	LowPriorityChanges limit.AdaptivePolicy
+	// IsMember reports whether the node is a member of the program's replica set. Nil if
+	// that isn't known; reserves of removed nodes are then never counted as spent.
+	IsMember func(program, node string) bool
 }
 
 // DefaultSettings releases a reserve about a second after the program's last turn.
@@ -65,6 +68,7 @@
 	logger    *zap.Logger
 
 	admission *admission
+	former    *formerMembers
 	now       func() time.Time
 
 	mutex sync.Mutex
@@ -83,7 +87,12 @@
 // which must be unique over all hosts and their restarts. A node must not run twice at the
 // same time.
 func NewLedger(holder string, registers Register, locate func(program string) uint32, settings LedgerSettings, now func() time.Time, logger *zap.Logger) *Ledger {
+	isMember := settings.IsMember
+	if isMember == nil {
+		isMember = func(string, string) bool { return true }
+	}
 	return &Ledger{
+		former: &formerMembers{isMember: isMember, grace: settings.IdleTimeout, now: now, missing: make(map[string]time.Time)},
 		holder: holder, registers: registers, locate: locate, settings: settings, logger: logger,
 		accounts: make(map[string]*account), releaseSlots: make(map[uint32]chan struct{}),
 		admission: newAdmission(settings.AllChanges, settings.LowPriorityChanges, now), now: now,
@@ -210,9 +219,7 @@
 	request := budget.ReserveRequest{Holder: current.holder, Spent: current.spent, Running: current.running, TurnTokens: reservation.MaxTokens}
 	l.mutex.Unlock()
 	record, err := l.apply(ctx, reservation.Program, l.admission.priorityOf(reservation), func(record *statev1.TokenBudget) {
-		budget.SettleEnded(record, l.isEarlierIncarnation)
-		// The decision is read from the record that the register chose.
-		_ = budget.Reserve(record, reservation.ProgramLimit, request)
+		l.reserve(record, reservation, request)
 	})
 	if errors.Is(err, register.ErrUnknownOutcome) {
 		l.keepGuaranteed(current, request)
@@ -235,6 +242,16 @@
 	return nil
 }
 
+// reserve changes the record. The decision is read from the record that the register chose.
+func (l *Ledger) reserve(record *statev1.TokenBudget, reservation Reservation, request budget.ReserveRequest) {
+	budget.SettleEnded(record, l.isEarlierIncarnation)
+	if err := budget.Reserve(record, reservation.ProgramLimit, request); !errors.Is(err, budget.ErrReserved) {
+		return
+	}
+	budget.SettleEnded(record, func(holder string) bool { return l.former.hasLeft(reservation.Program, holder) })
+	_ = budget.Reserve(record, reservation.ProgramLimit, request)
+}
+
 // keepGuaranteed reduces the reserve to what the record grants whether or not a request
 // took effect: what turns in progress need. A refused request releases the rest, which
 // must not be used for other turns.
--- a/coordination/tokenbudget/ledger_test.go
+++ b/coordination/tokenbudget/ledger_test.go
@@ -71,6 +71,13 @@
 }
 
 // newLedgerOver returns a ledger that releases reserves only when it is flushed.
+// newLedgerOfMembers returns a ledger that knows which nodes are in the replica sets.
+func newLedgerOfMembers(holder string, shared *sharedRegister, now func() time.Time, members map[string]bool) *tokenbudget.Ledger {
+	settings := tokenbudget.DefaultSettings()
+	settings.IsMember = func(_, node string) bool { return members[node] }
+	return tokenbudget.NewLedger(holder, shared, func(string) uint32 { return 0 }, settings, now, zap.NewNop())
+}
+
 func newLedgerOver(holder string, registers tokenbudget.Register) *tokenbudget.Ledger {
 	settings := tokenbudget.LedgerSettings{IdleTimeout: time.Hour, ReleaseTimeout: time.Second, ReleasePause: time.Millisecond, MaxReleaseAttempts: 50, AllChanges: limit.DefaultAdaptivePolicy(), LowPriorityChanges: limit.DefaultAdaptivePolicy()}
 	return tokenbudget.NewLedger(holder, registers, func(string) uint32 { return 0 }, settings, time.Now, zap.NewNop())
--- a/coordination/tokenbudget/reserved_elsewhere_test.go
+++ b/coordination/tokenbudget/reserved_elsewhere_test.go
@@ -107,3 +107,32 @@
 	assert.ErrorIs(t, client.Reserve(t.Context(), reservation), budget.ErrExhausted)
 	assert.Equal(t, transport.asked[len(transport.asked)-1], primary)
 }
+
+// TestReserveOfRemovedNodeIsSpent guards against programs that are refused for good since a
+// node that was removed from their replica set holds the rest of their budgets.
+func TestReserveOfRemovedNodeIsSpent(t *testing.T) {
+	shared := newSharedRegister()
+	now := time.Now()
+	members := map[string]bool{"a": true, "b": true}
+	ledger := newLedgerOfMembers("b/1", shared, func() time.Time { return now }, members)
+	reservation := newReservation("t1")
+	removed := newLedger("a/1", shared)
+	assert.NilError(t, removed.Reserve(t.Context(), reservation))
+	held := shared.committed(t, "p")
+	reservation.ProgramLimit = held
+	isRefused := func(reason error) {
+		t.Helper()
+		assert.ErrorIs(t, ledger.Reserve(t.Context(), reservation), reason)
+		now = now.Add(time.Hour)
+	}
+	isRefused(budget.ErrReserved)
+	isRefused(budget.ErrReserved)
+	delete(members, "a")
+	isRefused(budget.ErrReserved) // it may run and release its reserve
+	isRefused(budget.ErrExhausted)
+	assert.Equal(t, shared.committed(t, "p"), held)
+	// What the removed node does later can't free what it may have handed out.
+	removed.End("p", reservation.MaxTokens, 0)
+	removed.Flush(t.Context())
+	assert.Equal(t, shared.committed(t, "p"), held)
+}
--- a/node/storage/budgets.go
+++ b/node/storage/budgets.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -36,8 +37,17 @@
 	}
 	transport := peer.NewLocalTransport(n.self.Incarnation, n.replica, n.peers)
 	registers := register.NewClient(holderID, transport, n.lookup, register.SystemClock{}, newRandom(), registerSettings)
-	n.ledger = tokenbudget.NewLedger(holderID, registers, n.views.Locate, tokenbudget.DefaultSettings(), time.Now, n.logger)
+	ledgerSettings := tokenbudget.DefaultSettings()
+	ledgerSettings.IsMember = n.isMember
+	n.ledger = tokenbudget.NewLedger(holderID, registers, n.views.Locate, ledgerSettings, time.Now, n.logger)
 	n.budgets = tokenbudget.NewHost(n.ledger, time.Now)
 	n.origins = streamorigin.NewTable(time.Now)
 	n.quotas = quota.NewHolder(holderID, n.self.Node, registers, time.Now, n.limitedLogger)
 }
+
+// isMember reports whether the node is a member of the program's replica set, as far as this
+// node knows.
+func (n *Node) isMember(program, node string) bool {
+	view, known := n.views.View(n.views.Locate(program))
+	return !known || slices.ContainsFunc(view.Members, func(member register.Member) bool { return member.Node == node })
+}
