Leave connections of HTTP/2 to the server's own timeouts

Cause: net/http calls the ConnState hook for HTTP/2 as well, which brought such a connection back into the phases of HTTP/1.1.

--- a/transport/listener/connection.go
+++ b/transport/listener/connection.go
@@ -32,9 +32,8 @@
 	// stopHeaderTimeout limits the time for the rest of a header after the listener has
 	// stopped accepting.
 	stopHeaderTimeout = 500 * time.Millisecond
-	// http2Prefix begins the preface of HTTP/2 (RFC 9113, section 3.4) and no request of
-	// HTTP/1.1.
-	http2Prefix = "PRI"
+	// http2Preface is what clients of HTTP/2 send first (RFC 9113, section 3.4).
+	http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 )
 
 // expired is a read deadline in the past.
@@ -51,12 +50,14 @@
 	phase phase
 	// since is when the phase began, retired when the connection was.
 	since, retired time.Time
+	// applied is the read deadline that was set last.
+	applied time.Time
 	// isUsed is set after the first response.
 	isUsed bool
 	// isUnhandled is set while a part of a request has arrived that no handler has.
 	isUnhandled bool
-	// prefix is the beginning of what was received first.
-	prefix []byte
+	// received is what was received so far of a preface of HTTP/2.
+	received []byte
 }
 
 // Read implements net.Conn.
@@ -77,15 +78,20 @@
 		c.isUnhandled = true
 		c.begin(reading)
 	}
-	if c.phase != reading || len(c.prefix) == len(http2Prefix) {
-		return
+	if c.owner.servesHTTP2 && c.phase == reading && !c.isUsed {
+		c.detectHTTP2(data)
 	}
-	c.prefix = append(c.prefix, data[:min(len(data), len(http2Prefix)-len(c.prefix))]...)
-	if string(c.prefix) == http2Prefix {
-		c.isUnhandled = false
-		c.begin(multiplexed)
-		c.owner.remove(c)
+}
+
+// detectHTTP2 hands a connection of HTTP/2 over to the server. The mutex must be held.
+func (c *connection) detectHTTP2(data []byte) {
+	c.received = append(c.received, data[:min(len(data), len(http2Preface)-len(c.received))]...)
+	if string(c.received) != http2Preface {
+		return
 	}
+	c.isUnhandled = false
+	c.begin(multiplexed)
+	c.owner.remove(c)
 }
 
 // noteHeader ends the time for the header. Handlers set their own deadlines.
@@ -118,47 +124,57 @@
 	c.applyDeadline()
 }
 
-// refreshTimeouts applies the listener's timeouts if they have changed.
-func (c *connection) refreshTimeouts() {
+// extendTimeouts applies the listener's timeouts to a connection that waits where they are
+// longer than before. Shorter ones apply from the next request on, since the client may
+// rest by those that it knows.
+func (c *connection) extendTimeouts() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.phase != waiting || earlier(c.deadline(), c.applied) != c.applied {
+		return
+	}
 	c.applyDeadline()
 }
 
 // begin changes the phase. The mutex must be held.
 func (c *connection) begin(next phase) {
+	if c.phase == multiplexed {
+		return
+	}
 	c.phase, c.since = next, time.Now()
-	if c.hasRequest() {
+	if c.leavesDeadlines() {
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 	c.applyDeadline()
 }
 
-// hasRequest reports whether read deadlines are the server's and the handler's. The mutex
-// must be held.
-func (c *connection) hasRequest() bool { return c.phase == serving || c.phase == multiplexed }
+// leavesDeadlines reports whether read deadlines are left to the server and the handler. The
+// mutex must be held.
+func (c *connection) leavesDeadlines() bool { return c.phase == serving || c.phase == multiplexed }
 
-// applyDeadline sets the read deadline of the phase. An expired one ends a waiting
-// connection without reading what may have arrived, so that its client can tell that the
-// request wasn't read. The mutex must be held.
+// applyDeadline sets the read deadline of the phase. The mutex must be held.
 func (c *connection) applyDeadline() {
-	if c.hasRequest() {
+	if c.leavesDeadlines() {
 		return
 	}
-	var deadline time.Time
+	c.applied = c.deadline()
+	_ = c.Conn.SetReadDeadline(c.applied)
+}
+
+// deadline returns the read deadline of the phase; zero for none. An expired one ends a
+// waiting connection without reading what may have arrived, so that its client can tell
+// that the request wasn't read. The mutex must be held.
+func (c *connection) deadline() time.Time {
 	timeouts := c.owner.timeouts.Load()
 	switch {
 	case c.phase == waiting && !c.retired.IsZero():
-		deadline = expired
+		return expired
 	case c.phase == waiting && c.isUsed:
-		deadline = after(c.since, timeouts.Idle)
-	default:
-		deadline = after(c.since, timeouts.Header)
-	}
-	if c.phase == reading && !c.retired.IsZero() {
-		deadline = earlier(deadline, c.retired.Add(stopHeaderTimeout))
+		return after(c.since, timeouts.Idle)
+	case c.phase == reading && !c.retired.IsZero():
+		return earlier(after(c.since, timeouts.Header), c.retired.Add(stopHeaderTimeout))
 	}
-	_ = c.Conn.SetReadDeadline(deadline)
+	return after(c.since, timeouts.Header)
 }
 
 // after returns when a timeout ends, or zero if there is none.
@@ -171,7 +187,7 @@
 
 // earlier returns the earlier of two deadlines; a zero one is none.
 func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || b.Before(a) {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
 		return b
 	}
 	return a
@@ -181,7 +197,7 @@
 func (c *connection) SetReadDeadline(deadline time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.hasRequest() {
+	if !c.leavesDeadlines() {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(deadline)
--- a/transport/listener/listener.go
+++ b/transport/listener/listener.go
@@ -37,7 +37,8 @@
 	OnAcceptError func(error)
 	OnUnhandled   func(client net.Addr)
 
-	timeouts atomic.Pointer[Timeouts]
+	timeouts    atomic.Pointer[Timeouts]
+	servesHTTP2 bool
 
 	mutex sync.Mutex
 	// open holds the connections, but for those of HTTP/2.
@@ -50,13 +51,15 @@
 
 // Open starts listening on the address, given as ip:port. The name identifies the
 // listener in errors and in the supervisor's messages. The server's ReadHeaderTimeout and
-// IdleTimeout apply until SetTimeouts is called.
+// IdleTimeout apply until SetTimeouts is called. Open sets the server's ConnState and
+// ConnContext and wraps its handler.
 func Open(name, address string, server *http.Server) (*Listener, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, merry.Prependf(err, "listening for %s on %s", name, address)
 	}
 	l := &Listener{name: name, server: server, Socket: socket, open: make(map[*connection]struct{}), drained: make(chan struct{})}
+	l.servesHTTP2 = server.Protocols != nil && server.Protocols.UnencryptedHTTP2()
 	l.timeouts.Store(&Timeouts{Header: server.ReadHeaderTimeout, Idle: server.IdleTimeout})
 	server.ConnState = noteState
 	server.ConnContext = withConnection
@@ -111,14 +114,15 @@
 	return err
 }
 
-// SetTimeouts changes the timeouts of all connections, open ones included.
+// SetTimeouts changes the timeouts, also those of open connections: of one that waits at
+// once if they become longer, otherwise from its next request on.
 func (l *Listener) SetTimeouts(timeouts Timeouts) {
 	if *l.timeouts.Load() == timeouts {
 		return
 	}
 	l.timeouts.Store(&timeouts)
 	for _, c := range l.connections() {
-		c.refreshTimeouts()
+		c.extendTimeouts()
 	}
 }
 
@@ -127,11 +131,23 @@
 // responses have left the server.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	l.StopAccepting()
-	// Only connections of HTTP/2 are left to the server.
-	err := errors.Join(l.AwaitDrained(ctx), l.server.Shutdown(ctx))
+	drainCtx, cancel := withHalf(ctx)
+	defer cancel()
+	// Only connections of HTTP/2 are left to the server then. They have their own half of the
+	// time.
+	err := errors.Join(l.AwaitDrained(drainCtx), l.server.Shutdown(ctx))
 	return merry.Prependf(err, "shutting down the listener for %s", l.name)
 }
 
+// withHalf returns a context that ends when half of the time of ctx has passed.
+func withHalf(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, hasDeadline := ctx.Deadline()
+	if !hasDeadline {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(deadline)/2)
+}
+
 // StopAccepting closes the socket and all connections that have no request. The others are
 // closed after their response.
 func (l *Listener) StopAccepting() {
--- a/transport/listener/stop_test.go
+++ b/transport/listener/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -142,11 +143,22 @@
 	})
 }
 
+// exchange sends a request on the connection and reads its response.
+func exchange(t *testing.T, connection net.Conn, reader *bufio.Reader) {
+	t.Helper()
+	_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+}
+
 // TestChangedTimeoutsApplyToOpenConnections guards against connections that keep the
 // timeouts of the moment at which they were accepted.
 func TestChangedTimeoutsApplyToOpenConnections(t *testing.T) {
 	t.Parallel()
-	const long, short = time.Hour, 50 * time.Millisecond
+	const long, short = time.Hour, 300 * time.Millisecond
 	for name, timeouts := range map[string]listener.Timeouts{
 		"idle":   {Header: long, Idle: short},
 		"header": {Header: short, Idle: long},
@@ -157,24 +169,42 @@
 			connection, err := net.Dial("tcp", opened.Address())
 			assert.NilError(t, err)
 			defer connection.Close()
-			_, err = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-			assert.NilError(t, err)
 			reader := bufio.NewReader(connection)
-			response, err := http.ReadResponse(reader, nil)
-			assert.NilError(t, err)
-			_, err = io.Copy(io.Discard, response.Body)
-			assert.NilError(t, err)
+			exchange(t, connection, reader)
+			opened.SetTimeouts(timeouts)
+			exchange(t, connection, reader)
 			if name == "header" {
 				_, err = io.WriteString(connection, "GET / HTTP/1.1\r\n")
 				assert.NilError(t, err)
 			}
-			opened.SetTimeouts(timeouts)
 			_, err = reader.ReadByte()
 			assert.ErrorIs(t, err, io.EOF)
 		})
 	}
 }
 
+// TestClientMayRestByEitherIdleTimeout guards against a connection that is closed while its
+// client may rest by the newest timeout, or by the one before.
+func TestClientMayRestByEitherIdleTimeout(t *testing.T) {
+	t.Parallel()
+	const long, short = time.Hour, 200 * time.Millisecond
+	for name, change := range map[string][2]time.Duration{"longer": {short, long}, "shorter": {long, short}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			opened := serve(t, &http.Server{Handler: http.HandlerFunc(answer), ReadHeaderTimeout: long, IdleTimeout: change[0]})
+			connection, err := net.Dial("tcp", opened.Address())
+			assert.NilError(t, err)
+			defer connection.Close()
+			reader := bufio.NewReader(connection)
+			exchange(t, connection, reader)
+			time.Sleep(short / 2) // until the server waits for the next request
+			opened.SetTimeouts(listener.Timeouts{Header: long, Idle: change[1]})
+			time.Sleep(3 * short)
+			exchange(t, connection, reader)
+		})
+	}
+}
+
 // TestLongBodyOutlivesTheHeaderTimeout guards against a header timeout that ends requests.
 func TestLongBodyOutlivesTheHeaderTimeout(t *testing.T) {
 	t.Parallel()
@@ -193,34 +223,102 @@
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
 
-// TestShutdownFinishesHTTP2 covers clients with prior knowledge of HTTP/2.
-func TestShutdownFinishesHTTP2(t *testing.T) {
-	t.Parallel()
+// newHTTP2 returns a server for both versions of HTTP and a client of HTTP/2.
+func newHTTP2(handler http.HandlerFunc) (*http.Server, *http.Client) {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	began, release := make(chan struct{}), make(chan struct{})
-	opened := serve(t, &http.Server{Protocols: protocols, Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		close(began)
-		<-release
-		assert.Check(t, request.ProtoMajor == 2)
-		answer(writer, request)
-	})})
 	clientProtocols := &http.Protocols{}
 	clientProtocols.SetUnencryptedHTTP2(true)
-	client := &http.Client{Transport: &http.Transport{Protocols: clientProtocols}}
-	answers := make(chan error, 1)
-	go func() {
-		response, err := client.Get("http://" + opened.Address())
-		if err == nil {
-			_, err = io.Copy(io.Discard, response.Body)
+	return &http.Server{Protocols: protocols, Handler: handler}, &http.Client{Transport: &http.Transport{Protocols: clientProtocols}}
+}
+
+func get(client *http.Client, opened *listener.Listener) error {
+	response, err := client.Get("http://" + opened.Address())
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// TestShutdownFinishesHTTP2 covers clients with prior knowledge of HTTP/2, beside a request
+// of HTTP/1.1 that never ends.
+func TestShutdownFinishesHTTP2(t *testing.T) {
+	t.Parallel()
+	began, release := make(chan struct{}, 2), make(chan struct{})
+	server, client := newHTTP2(func(writer http.ResponseWriter, request *http.Request) {
+		began <- struct{}{}
+		if request.ProtoMajor == 2 {
+			<-release
 		}
-		answers <- err
-	}()
+		answer(writer, request)
+	})
+	opened := serve(t, server)
+	stalled, err := net.Dial("tcp", opened.Address())
+	assert.NilError(t, err)
+	defer stalled.Close()
+	_, err = io.WriteString(stalled, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
+	assert.NilError(t, err)
+	answers := make(chan error, 1)
+	go func() { answers <- get(client, opened) }()
+	<-began
 	<-began
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
 	stopped := make(chan error, 1)
-	go func() { stopped <- opened.Shutdown(t.Context()) }()
+	go func() { stopped <- opened.Shutdown(ctx) }()
+	harness.Eventually(t, func() (bool, string) {
+		connection, err := net.Dial("tcp", opened.Address())
+		if err == nil {
+			_ = connection.Close()
+		}
+		return err != nil, "the listener accepts connections"
+	})
 	close(release)
 	assert.NilError(t, <-answers)
-	assert.NilError(t, <-stopped)
+	assert.ErrorIs(t, <-stopped, context.DeadlineExceeded)
+}
+
+// TestHTTP2OutlivesTheTimeoutsOfHTTP1 guards against connections of HTTP/2 that end as if
+// their client didn't send a header.
+func TestHTTP2OutlivesTheTimeoutsOfHTTP1(t *testing.T) {
+	t.Parallel()
+	const headerTimeout = 40 * time.Millisecond
+	var clients sync.Map
+	server, client := newHTTP2(func(writer http.ResponseWriter, request *http.Request) {
+		clients.Store(request.RemoteAddr, true)
+		answer(writer, request)
+	})
+	server.ReadHeaderTimeout = headerTimeout
+	opened := serve(t, server)
+	for range 5 {
+		assert.NilError(t, get(client, opened))
+		time.Sleep(2 * headerTimeout)
+	}
+	connections := 0
+	clients.Range(func(any, any) bool {
+		connections++
+		return true
+	})
+	assert.Equal(t, connections, 1)
+}
+
+// TestIncompletePrefaceEndsAtTheHeaderTimeout guards against clients that hold connections
+// by the beginning of the preface of HTTP/2.
+func TestIncompletePrefaceEndsAtTheHeaderTimeout(t *testing.T) {
+	t.Parallel()
+	server, _ := newHTTP2(answer)
+	server.ReadHeaderTimeout = 50 * time.Millisecond
+	opened := serve(t, server)
+	connection, err := net.Dial("tcp", opened.Address())
+	assert.NilError(t, err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "PRI * HT")
+	assert.NilError(t, err)
+	assert.NilError(t, connection.SetReadDeadline(time.Now().Add(harness.Generous)))
+	_, err = io.ReadAll(connection)
+	var timeout net.Error
+	assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "%v", err)
 }
