Name the stop as the reason of all that it ends, and bound its writes

A body that doesn't come was answered 408 at the abort of a stop; it gets 503 (2005), not run. A client that doesn't read could outlast the stage in which aborted requests write, if the drain timeout is short.

--- a/node/gateway/drain.go
+++ b/node/gateway/drain.go
@@ -13,11 +13,11 @@
 	// noticeFraction is for load balancers to detect that this gateway isn't ready.
 	noticeFraction = 0.35
 	// finishFraction is for the requests in flight.
-	finishFraction = 0.5
+	finishFraction = 0.53
 	// abortFraction is for the responses of requests that are still in flight then.
-	abortFraction = 0.04
+	abortFraction = 0.03
 	// flushFraction is for reports to other nodes.
-	flushFraction = 0.04
+	flushFraction = 0.03
 )
 
 // Drain shuts the gateway down gracefully. It serves new requests until load balancers have
@@ -34,7 +34,7 @@
 	err := g.awaitCallers(finishFraction)
 	if err != nil {
 		g.logger.Warn("aborting requests in flight", zap.Int64("in_flight", g.relay.InFlight()))
-		g.relay.AbortInFlight()
+		g.relay.AbortInFlight(g.drainStage(abortFraction) / 2)
 		err = g.awaitCallers(abortFraction)
 	}
 	g.flushBudgets()
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -17,7 +17,8 @@
 	handler *Handler
 	writer  http.ResponseWriter
 	request *http.Request
-	// cancel cancels the context of the request.
+	// ctx ends with the client's connection, or when cancel ends the request.
+	ctx    context.Context
 	cancel context.CancelCauseFunc
 
 	input    input
@@ -29,14 +30,11 @@
 	timing   timing
 }
 
-// stopWriteTimeout is how long a request that the end of the process ends may take to write
-// its response.
-const stopWriteTimeout = 100 * time.Millisecond
-
-// stop ends the request since the process ends. A client that doesn't read can't delay it.
-func (c *call) stop() {
+// stop ends the request since the process ends. A client that doesn't read can't delay it
+// beyond writeTimeout.
+func (c *call) stop(writeTimeout time.Duration) {
 	c.cancel(errStopped)
-	_ = http.NewResponseController(c.writer).SetWriteDeadline(time.Now().Add(stopWriteTimeout))
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
 }
 
 // input is what the client sent.
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -158,6 +158,9 @@
 // limitWrites ends writes to a client that doesn't read, so that its request doesn't stay in
 // flight. Bytes that the system has taken over are still sent.
 func (c *call) limitWrites() {
+	if isStopped(c.ctx) {
+		return // its writes have a bound already
+	}
 	last := c.handler.options.Now()
 	if c.timing.deadline.After(last) {
 		last = c.timing.deadline
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -74,10 +74,11 @@
 func (h *Handler) RefuseRequests() { h.isRefusing.Store(true) }
 
 // AbortInFlight ends all requests in flight. Those whose response hasn't begun get an error
-// as their response, the connections of the others are closed.
-func (h *Handler) AbortInFlight() {
+// as their response, the connections of the others are closed. Clients that don't read are
+// given up after writeTimeout.
+func (h *Handler) AbortInFlight(writeTimeout time.Duration) {
 	for _, c := range h.inFlight.all() {
-		c.stop()
+		c.stop(writeTimeout)
 	}
 }
 
@@ -101,7 +102,7 @@
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
-	current := &call{handler: h, writer: writer, request: request, cancel: cancel, timing: timing{arrived: h.options.Now()}}
+	current := &call{handler: h, writer: writer, request: request, ctx: ctx, cancel: cancel, timing: timing{arrived: h.options.Now()}}
 	inFlight := h.inFlight.add(current)
 	defer h.inFlight.remove(current)
 	defer current.report()
@@ -126,7 +127,7 @@
 // serve serves an admitted request.
 func (c *call) serve(ctx context.Context) {
 	if failure := c.prepare(ctx); failure != nil {
-		c.fail(failure)
+		c.failUnsent(ctx, failure)
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.timing.deadline)
