--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -67,6 +67,8 @@
 	Header    http.Header
 	Body      string
 	LastEvent string
+	// Began and Ended are when the work on it did; Ended is zero until then.
+	Began, Ended time.Time
 }
 
 // Runner is one start of a runner.
@@ -86,7 +88,7 @@
 	fault Fault
 	// times is how many requests the fault hits; negative for all.
 	times int
-	runs  []Run
+	runs  []*Run
 	early []string
 	pause time.Duration
 	// left counts requests whose client left while they ran.
@@ -119,10 +121,14 @@
 func (r *Runner) Runs() []Run {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return append([]Run(nil), r.runs...)
+	runs := make([]Run, len(r.runs))
+	for index, run := range r.runs {
+		runs[index] = *run
+	}
+	return runs
 }
 
-// SetPause makes a pause before each event of a stream.
+// SetPause makes a pause before each event of a stream and before each plain answer.
 func (r *Runner) SetPause(pause time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -168,7 +174,7 @@
 	if err != nil {
 		return
 	}
-	r.note(request, string(body))
+	defer r.noteEnd(r.note(request, string(body)))
 	r.answer(w, request, fault)
 }
 
@@ -227,13 +233,21 @@
 	return r.fault
 }
 
-func (r *Runner) note(request *http.Request, body string) {
+func (r *Runner) note(request *http.Request, body string) *Run {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.runs = append(r.runs, Run{
+	run := &Run{
 		ID: request.Header.Get(HeaderID), Method: request.Method, Target: request.RequestURI,
-		Header: request.Header.Clone(), Body: body, LastEvent: request.Header.Get(HeaderLastEvent),
-	})
+		Header: request.Header.Clone(), Body: body, LastEvent: request.Header.Get(HeaderLastEvent), Began: time.Now(),
+	}
+	r.runs = append(r.runs, run)
+	return run
+}
+
+func (r *Runner) noteEnd(run *Run) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	run.Ended = time.Now()
 }
 
 func (r *Runner) head(request *http.Request) string {
@@ -275,9 +289,16 @@
 		r.stream(w, request, fault)
 		return
 	}
+	time.Sleep(r.currentPause())
 	r.plain(w, fault)
 }
 
+func (r *Runner) currentPause() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.pause
+}
+
 func (r *Runner) plain(w http.ResponseWriter, fault Fault) {
 	if fault == CutAnswer {
 		w.Header().Set("Content-Length", "100")
@@ -290,9 +311,7 @@
 // stream sends events from the one after Last-Event-Id on.
 func (r *Runner) stream(w http.ResponseWriter, request *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	r.mutex.Lock()
-	pause := r.pause
-	r.mutex.Unlock()
+	pause := r.currentPause()
 	first := 1
 	if last, err := strconv.Atoi(request.Header.Get(HeaderLastEvent)); err == nil {
 		first = last + 1
--- a/test/harness/caller.go
+++ b/test/harness/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -40,6 +41,10 @@
 	Host    string
 	Headers map[string]string
 	Body    string
+	// WithholdsBody is set for a client that never sends the second half of the body.
+	WithholdsBody bool
+	// IgnoresResponse is set for a client that doesn't read the response.
+	IgnoresResponse bool
 	// Patience is how long the client waits for the whole response.
 	Patience time.Duration
 
@@ -102,11 +107,18 @@
 	for name, value := range request.Headers {
 		fmt.Fprintf(&text, "%s: %s\r\n", name, value)
 	}
-	text.WriteString("\r\n" + request.Body)
+	body := request.Body
+	if request.WithholdsBody {
+		body = body[:len(body)/2]
+	}
+	text.WriteString("\r\n" + body)
 	request.Gateway, request.Sent = c.Gateway, time.Now()
 	_ = c.socket.SetDeadline(request.Sent.Add(request.Patience))
 	_, err := io.WriteString(c.socket, text.String())
-	if err == nil {
+	if err == nil && request.IgnoresResponse {
+		time.Sleep(request.Patience)
+		err = os.ErrDeadlineExceeded
+	} else if err == nil {
 		err = c.receive(request)
 	}
 	request.Ended = time.Now()
--- a/test/integration/soakfaults_test.go
+++ b/test/integration/soakfaults_test.go
@@ -120,7 +120,7 @@
 	if crashed == nil {
 		return nil
 	}
-	crashed.Close()
+	s.closeInstance(crashed)
 	return func() {
 		s.store.Remove("servers", crashed.Instance)
 		s.addInstance(crashed.version)
@@ -138,10 +138,10 @@
 		s.newest++
 	}
 	s.addInstance(fmt.Sprint("v", s.newest))
-	s.putInstance(leaving.Runner, leaving.version, "draining")
+	s.putInstance(leaving, "draining")
 	return func() {
 		s.store.Remove("servers", leaving.Instance)
-		leaving.Close()
+		s.closeInstance(leaving)
 	}
 }
 
--- a/test/integration/soaksystem_test.go
+++ b/test/integration/soaksystem_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -24,6 +25,9 @@
 	drainTimeout time.Duration
 	// configuration is the object with the routes, the services and the limits.
 	configuration map[string]any
+	// beforeConfiguration is called, if it isn't nil, while gateways run that have no
+	// configuration yet.
+	beforeConfiguration func(*soakSystem)
 }
 
 // soakSystem is a system of real processes.
@@ -39,22 +43,48 @@
 
 	mutex     sync.Mutex
 	instances []*soakInstance
-	started   int
+	// closed are the instances that have ended.
+	closed  []*soakInstance
+	started int
 	// newest is the number of the newest version.
 	newest int
 	// addresses are the gateways' addresses for callers; empty while they are down.
 	addresses []string
+	lives     []*gatewayLife
 }
 
 type soakGateway struct {
 	index   int
 	file    string
 	process *harness.Process
+	life    *gatewayLife
+}
+
+// gatewayLife is one process of a gateway.
+type gatewayLife struct {
+	index   int
+	address string
+	started time.Time
+	process *harness.Process
+	// terminated and killed are zero unless it got such a signal.
+	terminated, killed time.Time
 }
 
 type soakInstance struct {
 	*runner.Runner
-	version string
+	service, version string
+	// closedAt is zero while it runs.
+	closedAt time.Time
+}
+
+// soakService describes the instances of a service.
+type soakService struct {
+	name, version string
+	events        int
+	// pause is made before each event, or before a plain answer.
+	pause time.Duration
+	// padding is the size of each event in bytes.
+	padding int
 }
 
 // newSoakSystem starts the store, the storage nodes and the gateways, and waits until these
@@ -71,13 +101,22 @@
 		server.Close()
 	})
 	s.url = server.URL
-	s.store.Put("config", "main", layout.configuration)
+	if layout.beforeConfiguration == nil {
+		s.store.Put("config", "main", layout.configuration)
+	}
 	for index := range layout.storageNodes {
 		s.storage = append(s.storage, newStorageMachine(t, index, s.url))
 	}
 	for index := range layout.gateways {
 		s.addGateway(index)
 	}
+	if layout.beforeConfiguration != nil {
+		layout.beforeConfiguration(s)
+		s.store.Put("config", "main", layout.configuration)
+	}
+	for _, g := range s.gateways {
+		g.process.WaitHTTP(t, "http://"+g.process.WaitValue(t, "operator_address")+"/readyz")
+	}
 	t.Cleanup(func() {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
@@ -88,7 +127,7 @@
 	return s
 }
 
-// addGateway writes the settings of a gateway, starts it and waits until it is ready.
+// addGateway writes the settings of a gateway and starts it.
 func (s *soakSystem) addGateway(index int) {
 	s.t.Helper()
 	gateway := &soakGateway{index: index, file: filepath.Join(s.t.TempDir(), "gateway.yaml")}
@@ -97,7 +136,6 @@
 	assert.NilError(s.t, os.WriteFile(gateway.file, []byte(settings), 0o600))
 	s.gateways = append(s.gateways, gateway)
 	s.startGateway(gateway)
-	gateway.process.WaitHTTP(s.t, "http://"+gateway.process.WaitValue(s.t, "operator_address")+"/readyz")
 }
 
 // startGateway starts a gateway and gives its address to the clients, ready or not.
@@ -106,7 +144,12 @@
 	g.process = harness.Start(s.t, harness.Command{
 		Name: fmt.Sprint("edge-", g.index), Path: filepath.Join(binaries, "marblering"), Arguments: []string{"gateway", "--settings", g.file},
 	})
-	s.setAddress(g.index, g.process.WaitValue(s.t, "caller_address"))
+	address := g.process.WaitValue(s.t, "caller_address")
+	g.life = &gatewayLife{index: g.index, address: address, started: time.Now(), process: g.process}
+	s.mutex.Lock()
+	s.lives = append(s.lives, g.life)
+	s.mutex.Unlock()
+	s.setAddress(g.index, address)
 }
 
 func (s *soakSystem) setAddress(index int, address string) {
@@ -117,25 +160,39 @@
 
 // addInstance starts an instance of the version and adds its entry to the store.
 func (s *soakSystem) addInstance(version string) {
+	s.t.Helper()
+	s.addInstanceOf(soakService{name: "app", version: version, events: soakEvents, pause: soakEventPause})
+}
+
+func (s *soakSystem) addInstanceOf(service soakService) {
 	s.t.Helper()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.started++
-	name := fmt.Sprint("i-", s.started)
-	started, err := runner.Start(name, soakEvents)
+	started, err := runner.Start(fmt.Sprint("i-", s.started), service.events)
 	assert.NilError(s.t, err)
-	started.Mark = " of " + version
-	started.SetPause(soakEventPause)
-	s.instances = append(s.instances, &soakInstance{Runner: started, version: version})
-	s.putInstance(started, version, "ready")
+	started.Mark = " of " + service.version + strings.Repeat(".", service.padding)
+	started.SetPause(service.pause)
+	added := &soakInstance{Runner: started, service: service.name, version: service.version}
+	s.instances = append(s.instances, added)
+	s.putInstance(added, "ready")
 }
 
-func (s *soakSystem) putInstance(listed *runner.Runner, version, state string) {
+func (s *soakSystem) putInstance(listed *soakInstance, state string) {
 	s.store.Put("servers", listed.Instance, map[string]any{
-		"service": "app", "address": listed.Address, "zone": "a", "capacity": 8, "state": state, "version": version,
+		"service": listed.service, "address": listed.Address, "zone": "a", "capacity": 8, "state": state, "version": listed.version,
 	})
 }
 
+// closeInstance ends an instance that was taken from the list.
+func (s *soakSystem) closeInstance(taken *soakInstance) {
+	s.mutex.Lock()
+	taken.closedAt = time.Now()
+	s.closed = append(s.closed, taken)
+	s.mutex.Unlock()
+	taken.Close()
+}
+
 // takeInstance removes a random instance from the list, unless it is the last but one.
 func (s *soakSystem) takeInstance() *soakInstance {
 	s.mutex.Lock()
