--- a/test/harness/caller.go
+++ b/test/harness/caller.go
@@ -116,6 +116,7 @@
 	_ = c.socket.SetDeadline(request.Sent.Add(request.Patience))
 	_, err := io.WriteString(c.socket, text.String())
 	if err == nil && request.IgnoresResponse {
+		_ = c.socket.SetReadBuffer(smallReadBuffer)
 		time.Sleep(request.Patience)
 		err = os.ErrDeadlineExceeded
 	} else if err == nil {
@@ -162,6 +163,9 @@
 	return EndedDropped
 }
 
+// smallReadBuffer, in bytes, is the receive buffer of a client that doesn't read.
+const smallReadBuffer = 4 << 10
+
 // resetDelay is the time for a reset that follows the end of the connection to arrive.
 const resetDelay = 20 * time.Millisecond
 
--- a/test/integration/stopsoak_test.go
+++ b/test/integration/stopsoak_test.go
@@ -92,7 +92,8 @@
 	plain := soakService{name: "plain", version: "v1", pause: 100 * time.Millisecond}
 	slowPlain := plain
 	slowPlain.pause = p.drainTimeout * 2 / 5
-	bulk := soakService{name: "bulk", version: "v1", events: soakEvents, pause: soakEventPause, padding: 1 << 20}
+	// More than the buffers of the connections hold.
+	bulk := soakService{name: "bulk", version: "v1", events: 400, pause: 5 * time.Millisecond, padding: 60 << 10}
 	return []soakService{app, app, app, app, app, slow, slow, long, long, plain, plain, slowPlain, bulk}
 }
 
--- a/test/integration/stopsoakplan_test.go
+++ b/test/integration/stopsoakplan_test.go
@@ -141,6 +141,7 @@
 		func() { p.terminate(1, func(g int) { p.add(p.companion(), hangUpGateway, g) }) },
 		func() { p.terminate(1, func(int) { p.add(p.companion(), changeLimits, p.random.IntN(1000)) }) },
 		p.changeLimitsThenTerminate,
+		p.storm,
 		func() { p.add(0, hangUpGateway, p.random.IntN(len(p.gatewayFree))) },
 		func() { p.add(0, changeLimits, p.random.IntN(1000)) },
 		func() { p.add(0, drainInstance, p.random.IntN(1000)) },
@@ -148,7 +149,7 @@
 }
 
 func (p *stopPlanner) unplannedDraws() []func() {
-	return []func(){p.killGateway, p.killStopping, p.pauseGateway, p.crashInstance, p.killStorage, p.killStorage, p.wipeStorage, p.silenceStore}
+	return []func(){p.killGateway, p.killStopping, p.terminateStarting, p.pauseGateway, p.crashInstance, p.killStorage, p.killStorage, p.wipeStorage, p.silenceStore}
 }
 
 // terminate stops gateways at the same moment.
@@ -170,6 +171,18 @@
 	}
 }
 
+// storm changes the limits several times in a row while all gateways get a SIGHUP and one
+// stops.
+func (p *stopPlanner) storm() {
+	for range 3 + p.random.IntN(3) {
+		p.add(p.companion(), changeLimits, p.random.IntN(1000))
+	}
+	for g := range p.gatewayFree {
+		p.add(p.companion(), hangUpGateway, g)
+	}
+	p.terminate(1, nil)
+}
+
 func (p *stopPlanner) killGateway() {
 	for _, g := range p.takeGateways(1, 2*time.Second) {
 		p.add(0, killGateway, g)
@@ -186,6 +199,15 @@
 	}
 }
 
+// terminateStarting kills a gateway and stops it as it starts again.
+func (p *stopPlanner) terminateStarting() {
+	for _, g := range p.takeStoppingGateways(1) {
+		p.add(0, killGateway, g)
+		p.add(400*time.Millisecond, startKilledGateway, g)
+		p.add(400*time.Millisecond+p.companion()/3, terminateGateway, g)
+	}
+}
+
 func (p *stopPlanner) pauseGateway() {
 	for _, g := range p.takeGateways(1, 2*time.Second) {
 		p.add(0, pauseGateway, g)
--- a/test/integration/stopsoaksteps_test.go
+++ b/test/integration/stopsoaksteps_test.go
@@ -170,7 +170,9 @@
 			g.process.Terminate()
 		}
 	case hangUpGateway:
-		_ = syscall.Kill(g.process.PID(), syscall.SIGHUP)
+		if !g.process.HasEnded() {
+			_ = syscall.Kill(g.process.PID(), syscall.SIGHUP)
+		}
 	case killGateway:
 		r.beginDisruption(g.index)
 		g.life.killed = time.Now()
