--- a/test/integration/stopsoak_test.go
+++ b/test/integration/stopsoak_test.go
@@ -48,7 +48,7 @@
 		s.addInstanceOf(service)
 	}
 	clients.start()
-	time.Sleep(time.Second)
+	clients.awaitTurns(t)
 	run := &stopRun{soakSystem: s, plan: plan, version: 1}
 	run.run()
 	clients.stop()
@@ -64,6 +64,22 @@
 	assert.Assert(t, verdict.counts[harness.EndedWhole.String()] > 0)
 }
 
+// awaitTurns waits until as many turns were answered whole as there are clients.
+func (c *keptClients) awaitTurns(t *testing.T) {
+	t.Helper()
+	harness.Eventually(t, func() (bool, string) {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		turns := 0
+		for _, request := range c.requests {
+			if request.kind == keptTurn && request.Ending == harness.EndedWhole && request.Status == 200 {
+				turns++
+			}
+		}
+		return turns >= len(c.clients), "too few turns are served"
+	})
+}
+
 // continueAfterFault lets each client go on from its last turn. It describes those that
 // aren't served in time.
 func (c *keptClients) continueAfterFault(until time.Time) (late []string) {
