--- a/test/integration/stopsoaksteps_test.go
+++ b/test/integration/stopsoaksteps_test.go
@@ -28,7 +28,6 @@
 type stopRun struct {
 	*soakSystem
 	plan    *stopPlan
-	limits  map[string]any
 	version int
 
 	// due are the ends of faults that have begun.
