--- a/test/integration/stopsoak_test.go
+++ b/test/integration/stopsoak_test.go
@@ -58,6 +58,9 @@
 	verdict := newStopVerdict(run, clients)
 	verdict.judge()
 	t.Logf("drain timeout %v, mixed %v, %d stops, final wipe %d: %v", plan.drainTimeout, plan.isMixed, run.stops, plan.finalWipe, verdict.counts)
+	for _, note := range verdict.notes {
+		t.Log(note)
+	}
 	for _, fault := range append(append(run.failures, late...), verdict.faults...) {
 		t.Error(fault)
 	}
--- a/test/integration/stopsoakcheck_test.go
+++ b/test/integration/stopsoakcheck_test.go
@@ -17,6 +17,8 @@
 	recoveryTime = 12 * time.Second
 	// logTime is how long a gateway may take to log the end of a request.
 	logTime = 100 * time.Millisecond
+
+	excusedByDeadline = "deadline"
 )
 
 // instanceRun is a run and the instance that ran it.
@@ -33,8 +35,8 @@
 	// logged are the log lines of requests that weren't answered, by process.
 	logged map[*gatewayLife]map[string]string
 	counts map[string]int
-	// faults are described with all that they rest on.
-	faults []string
+	// faults are described with all that they rest on, notes are requests that took all their time.
+	faults, notes []string
 }
 
 func newStopVerdict(run *stopRun, clients *keptClients) *stopVerdict {
@@ -139,6 +141,9 @@
 	}
 	if excuse := v.excuse(life, request); excuse != "" {
 		v.counts["excused: "+excuse]++
+		if excuse == excusedByDeadline {
+			v.notes = append(v.notes, fmt.Sprintf("%s: %v%s", excuse, request, v.trace(request)))
+		}
 		return
 	}
 	v.fault("lost", request, "%v", request.Ending)
@@ -159,7 +164,7 @@
 	case request.kind == keptUnread || request.kind == keptWithheld:
 		return "the client"
 	case request.Ended.Sub(request.Sent) >= request.allowed:
-		return "deadline"
+		return excusedByDeadline
 	case v.isDisrupted(life.index, request):
 		return "gateway disrupted"
 	case v.isDisrupted(coreMachine, request):
--- a/test/integration/stopsoaksteps_test.go
+++ b/test/integration/stopsoaksteps_test.go
@@ -117,6 +117,7 @@
 func (r *stopRun) checkStop(g *soakGateway) {
 	r.stops++
 	took := <-g.life.stopTime
+	r.t.Logf("%s stopped in %v", g.process.Command.Name, took.Round(time.Millisecond))
 	if code := g.process.Wait(r.t); code != 0 || took > r.plan.drainTimeout+stopTick {
 		r.failures = append(r.failures, fmt.Sprintf("%s at %s took %v to stop, exit code %d",
 			g.process.Command.Name, g.life.address, took.Round(time.Millisecond), code))
