--- a/node/gateway/drain.go
+++ b/node/gateway/drain.go
@@ -13,7 +13,7 @@
 	// noticeFraction is for load balancers to detect that this gateway isn't ready.
 	noticeFraction = 0.35
 	// finishFraction is for the requests in flight.
-	finishFraction = 0.53
+	finishFraction = 0.5
 	// abortFraction is for the responses of requests that are still in flight then.
 	abortFraction = 0.03
 	// flushFraction is for reports to other nodes.
