Return the answers that a storage node sends before it stops

What gateways saw: turns that a stopping storage node had stored were reported as 'the connection to the peer was lost', with no line at the node: 1 of 64 in two of five stops, 23 of 64 in one of five, 20 of 64 in one of 40 (TestStoppingNodeAnswersTurnsThatItStores, under the race detector).

Cause: a link whose Send failed closed at once and dropped answers that had arrived (the callers saw 'write envelope: EOF'); and the node closed its connections right after the last handler had written, while the server still buffers.

Change: such a link takes no calls any more and closes at the end of the stream, within 0.2 s; the node waits 0.1 s between the last answer and the close.

Telling peers by GOAWAY instead was tried: one of about 30 runs hung in a call on a new link; not traced, not taken.

--- a/node/storage/drain.go
+++ b/node/storage/drain.go
@@ -19,6 +19,9 @@
 	// callDrainTimeout limits the wait for calls of other nodes at shutdown. No node waits
 	// longer for their answers.
 	callDrainTimeout = peerTimeout
+	// answerDrainTime is for the last answers to leave: the server still buffers what
+	// handlers have written.
+	answerDrainTime = 100 * time.Millisecond
 )
 
 // drain releases what this node holds for others and ends the calls under way, each stage
@@ -27,6 +30,7 @@
 	n.logger.Info("stopping", callFields(n.handler.CallsUnderWay())...)
 	n.releaseReserves()
 	n.drainCalls()
+	time.Sleep(answerDrainTime)
 }
 
 // releaseReserves releases quota slots and budget reserves at the same time, each within
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/ansel1/merry/v2"
@@ -20,6 +21,10 @@
 // They may have had their effect.
 var errConnectionLost = merry.Sentinel("the connection to the peer was lost")
 
+// lastAnswersTimeout is how long a link that can't send any more waits for answers that the
+// peer has sent before it closed the stream.
+const lastAnswersTimeout = 200 * time.Millisecond
+
 // link is a stream of calls to a peer. Calls that are queued while a message is being
 // written are sent together in the next one. A link is safe for concurrent use and
 // rejects calls once done is closed.
@@ -39,6 +44,8 @@
 	// pending holds the channels of calls without an answer, by number. It is nil once
 	// the link is closed.
 	pending map[uint64]chan *peerv1.Answer
+	// sendErr is set once no call can be sent.
+	sendErr error
 	// closeErr is set before done is closed.
 	closeErr error
 }
@@ -92,6 +99,9 @@
 	if l.pending == nil {
 		return nil, l.closeErr
 	}
+	if l.sendErr != nil {
+		return nil, l.sendErr
+	}
 	if len(l.pending) >= maxInFlight {
 		return nil, errTooManyRequests
 	}
@@ -143,12 +153,25 @@
 			continue
 		}
 		if err := l.stream.Send(message); err != nil {
-			l.closeWithError(err)
+			l.closeAfterAnswers(err)
 			return
 		}
 	}
 }
 
+// closeAfterAnswers closes a link that can't send any more, after the answers that have
+// arrived: receive closes it at the end of the stream.
+func (l *link) closeAfterAnswers(err error) {
+	l.mutex.Lock()
+	l.sendErr = connectionLost(err)
+	l.mutex.Unlock()
+	select {
+	case <-l.done:
+	case <-time.After(lastAnswersTimeout):
+		l.closeWithError(err)
+	}
+}
+
 func (l *link) nextBatch() *peerv1.Calls {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -199,11 +222,15 @@
 		return
 	}
 	l.pending, l.queued = nil, nil
-	l.closeErr = merry.Wrap(errConnectionLost, merry.WithCause(err), merry.AppendMessagef("%v", err))
+	l.closeErr = connectionLost(err)
 	l.cancel()
 	close(l.done)
 }
 
+func connectionLost(cause error) error {
+	return merry.Wrap(errConnectionLost, merry.WithCause(cause), merry.AppendMessagef("%v", cause))
+}
+
 // isInUse reports whether calls wait for answers.
 func (l *link) isInUse() bool {
 	l.mutex.Lock()
@@ -211,12 +238,9 @@
 	return len(l.pending) > 0
 }
 
-// isClosed reports whether the link is closed.
+// isClosed reports whether the link takes no calls any more.
 func (l *link) isClosed() bool {
-	select {
-	case <-l.done:
-		return true
-	default:
-		return false
-	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.pending == nil || l.sendErr != nil
 }
