--- a/transport/listener/connection.go
+++ b/transport/listener/connection.go
@@ -54,7 +54,7 @@
 	applied time.Time
 	// isUsed is set after the first response.
 	isUsed bool
-	// isUnhandled is set while a part of a request has arrived that no handler has.
+	// isUnhandled is set from the first bytes of a request until its handler begins.
 	isUnhandled bool
 	// received is what was received so far of a preface of HTTP/2.
 	received []byte
--- a/transport/listener/listener.go
+++ b/transport/listener/listener.go
@@ -33,7 +33,8 @@
 	// Socket accepts the connections. It may be wrapped before Serve is called.
 	Socket net.Listener
 	// OnAcceptError is called for a failed accept, OnUnhandled for a connection that ends
-	// with a request that no handler got: its header is incomplete or invalid. They must be set before Serve is called, or nil.
+	// with a request that no handler got, since its header is incomplete or invalid. They
+	// must be set before Serve is called, or nil.
 	OnAcceptError func(error)
 	OnUnhandled   func(client net.Addr)
 
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -96,9 +96,10 @@
 }
 
 // ServeHTTP serves one request. It checks, from the cheapest check to the most expensive
-// one, the number of requests in flight, the configuration, the size and the content of the
-// headers, the route, the API key (before the body is read), the body, the tenant's quota,
-// the origin of a resumed stream and the turn. The first check that fails ends the request.
+// one, whether the gateway is stopping, the number of requests in flight, the configuration,
+// the size and the content of the headers, the route, the API key (before the body is read),
+// the body, the tenant's quota, the origin of a resumed stream and the turn. The first check
+// that fails ends the request.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
