--- a/coordination/tokenbudget/report_ends_test.go
+++ b/coordination/tokenbudget/report_ends_test.go
@@ -127,6 +127,14 @@
 	}
 }
 
+// assertAllTold checks that each host was told once that its turn ended.
+func (r *endRecorder) assertAllTold(t *testing.T) {
+	t.Helper()
+	for shard := range uint32(endHosts) {
+		assert.Equal(t, r.endedAt(hostOf(shard)), 1, "%s isn't told that its turn ended", hostOf(shard))
+	}
+}
+
 // TestFlushRepeatsFailedReports guards against a flush that drops the ended turns of a host
 // after one failed report though its time isn't over.
 func TestFlushRepeatsFailedReports(t *testing.T) {
@@ -141,9 +149,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		client.Flush(ctx)
-		for shard := range uint32(endHosts) {
-			assert.Equal(t, recorder.endedAt(hostOf(shard)), 1, "%s isn't told that its turn ended", hostOf(shard))
-		}
+		recorder.assertAllTold(t)
 	})
 }
 
@@ -163,9 +169,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		client.Flush(ctx)
-		for shard := range uint32(endHosts) {
-			assert.Equal(t, recorder.endedAt(hostOf(shard)), 1, "%s isn't told that its turn ended", hostOf(shard))
-		}
+		recorder.assertAllTold(t)
 	})
 }
 
