Guard the clock that a test of budgets shares with a ledger's timer

Evidence: with -race, 1 of 4 copies of the package's tests, three times each, and one run of 700 repeats of the test report the race (Ledger.release, apply). With a clock under a mutex none of 4 copies, six times each, and no run of 700 repeats does. The checks are the same.

--- a/coordination/tokenbudget/ledger_test.go
+++ b/coordination/tokenbudget/ledger_test.go
@@ -71,6 +71,26 @@
 }
 
 // newLedgerOver returns a ledger that releases reserves only when it is flushed.
+// testClock is a clock that a test sets, and that timers of a ledger read.
+type testClock struct {
+	mutex sync.Mutex
+	time  time.Time
+}
+
+func newTestClock() *testClock { return &testClock{time: time.Now()} }
+
+func (c *testClock) now() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.time
+}
+
+func (c *testClock) advance(duration time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.time = c.time.Add(duration)
+}
+
 // newLedgerOfMembers returns a ledger that knows which nodes are in the replica sets.
 func newLedgerOfMembers(holder string, shared *sharedRegister, now func() time.Time, members map[string]bool) *tokenbudget.Ledger {
 	settings := tokenbudget.DefaultSettings()
--- a/coordination/tokenbudget/reserved_elsewhere_test.go
+++ b/coordination/tokenbudget/reserved_elsewhere_test.go
@@ -112,9 +112,9 @@
 // node that was removed from their replica set holds the rest of their budgets.
 func TestReserveOfRemovedNodeIsSpent(t *testing.T) {
 	shared := newSharedRegister()
-	now := time.Now()
+	clock := newTestClock()
 	members := map[string]bool{"a": true, "b": true}
-	ledger := newLedgerOfMembers("b/1", shared, func() time.Time { return now }, members)
+	ledger := newLedgerOfMembers("b/1", shared, clock.now, members)
 	reservation := newReservation("t1")
 	removed := newLedger("a/1", shared)
 	assert.NilError(t, removed.Reserve(t.Context(), reservation))
@@ -123,7 +123,7 @@
 	isRefused := func(reason error) {
 		t.Helper()
 		assert.ErrorIs(t, ledger.Reserve(t.Context(), reservation), reason)
-		now = now.Add(time.Hour)
+		clock.advance(time.Hour)
 	}
 	isRefused(budget.ErrReserved)
 	isRefused(budget.ErrReserved)
