Log and count the ends of back ends under requests

What couldn't be seen: which requests were on an instance when it ended, that tries under different ids are the same request, and each single send.

A broken exchange is followed by one connection to the instance: refused means that the process has ended, accepted that a response was lost; an accepted one is kept for later requests, so that lost responses cost no connection more. Ends are logged with a fingerprint of what all tries of a client have in common (tenant, method, host, target, program, session, affinity key, turn before, prompt, body), sends at level debug. No decision changes.

TestOnlyRefusedConnectionsShowAnEnd, TestEndingProcessIsFoundEnded and TestConnectionOfEndCheckIsReused pass under the race detector.

--- a/transport/relay/body.go
+++ b/transport/relay/body.go
@@ -61,7 +61,7 @@
 		return bodyFailure(err, limits)
 	}
 	_ = controller.SetReadDeadline(time.Time{})
-	c.input.body, c.input.bodyRead = body, true
+	c.input.received, c.input.body, c.input.bodyRead = body, body, true
 	return nil
 }
 
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marblering/marblering/coordination/conversation"
+	"github.com/marblering/marblering/coordination/quarantine"
 	"github.com/marblering/marblering/coordination/quota"
 	"github.com/marblering/marblering/coordination/routetable"
 	"github.com/marblering/marblering/coordination/tenant"
@@ -44,9 +45,11 @@
 	key tenant.Digest
 	// target is the path and query, unchanged.
 	target string
-	// body is the body sent to backends: that of the request or, for a turn, the one built
-	// from it and the turns before.
-	body []byte
+	// received is the body of the request, body the one sent to backends: the same or, for a
+	// turn, one built from it and the turns before.
+	received, body []byte
+	// fingerprint is zero until it is needed, see call.fingerprint.
+	fingerprint quarantine.Fingerprint
 	// bodyRead tells that the body of the request was read or discarded.
 	bodyRead bool
 }
--- /dev/null
+++ b/transport/relay/crash.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/quarantine"
+	"github.com/marblering/marblering/transport/upstream"
+)
+
+// endProbeTimeout bounds the check whether an instance has ended under a request. The host
+// of a crashed process refuses connections at once.
+const endProbeTimeout = 100 * time.Millisecond
+
+// fingerprint identifies the request over the tries of its client, at any gateway. It
+// covers what is the same in all of them: whose request it is, and what it asks for. A
+// stream that is resumed is the same request.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	if c.input.fingerprint == (quarantine.Fingerprint{}) {
+		info := &c.input.info
+		c.input.fingerprint = quarantine.FingerprintOf(
+			[]byte(c.tenantName()), []byte(c.request.Method), []byte(c.request.Host), []byte(c.input.target),
+			[]byte(info.Program), []byte(info.Session), []byte(info.AffinityKey), []byte(info.PreviousTurn),
+			[]byte(info.Prompt), c.input.received,
+		)
+	}
+	return c.input.fingerprint
+}
+
+// crashedUnder reports whether the instance has ended while it worked on the request. A
+// lost response alone doesn't show that.
+func (c *call) crashedUnder(ctx context.Context, assignment *backend.Assignment, ended outcome, cause error) bool {
+	if ended != incomplete || c.isDone(ctx) || errors.Is(cause, errInvalidResponse) || errors.Is(cause, errNotResumed) || errors.Is(cause, upstream.ErrUnreachable) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endProbeTimeout)
+	defer cancel()
+	return c.handler.options.Upstream.HasEnded(ctx, c.upstreamRequest(assignment))
+}
+
+// logSend logs that the request is sent to an instance.
+func (c *call) logSend(assignment *backend.Assignment) {
+	c.handler.options.Logger.Debug("sending to back end",
+		zap.String("request", c.input.info.ID), zap.String("route", c.routing.route.Name),
+		zap.String("instance", assignment.Instance.ID), zap.Time("started", assignment.Instance.Started),
+		zap.Int64("outstanding", assignment.Outstanding), zap.Int("sends", c.attempts.sends))
+}
+
+// logCrash logs and counts that an instance has ended under the request.
+func (c *call) logCrash(current *attempt) {
+	c.handler.options.Metrics.crashes.Inc()
+	instance := current.assignment.Instance
+	c.handler.options.Logger.Info("back end ended under request",
+		zap.String("request", c.input.info.ID), zap.Stringer("fingerprint", c.fingerprint()),
+		zap.String("program", c.input.info.Program), zap.String("route", c.routing.route.Name),
+		zap.String("instance", instance.ID), zap.Time("started", instance.Started), zap.String("address", instance.Address),
+		zap.String("version", instance.Version), zap.Bool("leaving", instance.Leaving),
+		zap.Duration("ran", c.handler.options.Now().Sub(current.started)), zap.Int("sends", c.attempts.sends))
+}
--- a/transport/relay/deadline_test.go
+++ b/transport/relay/deadline_test.go
@@ -48,6 +48,8 @@
 	return nil, &upstream.Error{Sent: true, Stage: upstream.StageHead, Cause: context.DeadlineExceeded}
 }
 
+func (u *failingUpstream) HasEnded(context.Context, *upstream.Request) bool { return false }
+
 // serveUntilDeadline serves a request whose deadline passes during its first attempt.
 func serveUntilDeadline(t *testing.T, kind routetable.Kind, client *failingUpstream) *httptest.ResponseRecorder {
 	t.Helper()
--- a/transport/relay/headercodec.go
+++ b/transport/relay/headercodec.go
@@ -30,6 +30,11 @@
 	Resumes string
 	// Program is the id of the program that the request belongs to; empty for none.
 	Program string
+	// Session is the line of turns of the program that the request belongs to; empty for
+	// none.
+	Session string
+	// Prompt names the parts of the request's prompt; empty if they aren't given.
+	Prompt string
 	// APIKey authenticates the tenant; empty for none. It must not be logged.
 	APIKey string
 	// PreviousTurn is the id of the turn that this one continues; empty for none.
@@ -111,4 +116,6 @@
 // Upstream sends a request to an instance. upstream.Client implements it.
 type Upstream interface {
 	Do(ctx context.Context, request *upstream.Request) (*upstream.Response, error)
+	// HasEnded reports whether the process that the request was sent to has ended.
+	HasEnded(ctx context.Context, request *upstream.Request) bool
 }
--- a/transport/relay/metrics.go
+++ b/transport/relay/metrics.go
@@ -11,6 +11,7 @@
 type Metrics struct {
 	requests  *prometheus.CounterVec
 	retries   prometheus.Counter
+	crashes   prometheus.Counter
 	resumed   *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
 	duration  *prometheus.HistogramVec
@@ -28,6 +29,10 @@
 			Name: "marblering_gateway_retries_total",
 			Help: "Requests that were sent to another back end.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "marblering_gateway_crashes_under_requests_total",
+			Help: "Ends of back ends under requests, one for each request.",
+		}),
 		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marblering_gateway_resumed_streams_total",
 			Help: "Streams that clients resumed, by whether the software version that began them is found.",
@@ -41,7 +46,7 @@
 			Help: "Time from a request's arrival to the end of its answer.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.retries, m.resumed, m.firstByte, m.duration)
+	registry.MustRegister(m.requests, m.retries, m.crashes, m.resumed, m.firstByte, m.duration)
 	return m
 }
 
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -106,8 +106,12 @@
 	c.attempts.instances = append(c.attempts.instances, assignment.Instance.ID)
 	c.attempts.versions = append(c.attempts.versions, assignment.Instance.Version)
 	current := &attempt{assignment: assignment, started: c.handler.options.Now()}
+	c.logSend(assignment)
 	ended, cause := c.exchange(ctx, current)
 	c.attempts.record(ended)
+	if c.crashedUnder(ctx, assignment, ended, cause) {
+		c.logCrash(current)
+	}
 	if c.isDone(ctx) && ended != delivered {
 		ended = abandoned
 	}
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sync/singleflight"
 )
 
 // Client sends requests to backends and pools the connections. It is safe for
@@ -18,6 +21,8 @@
 	lastReceived atomic.Int64
 	// hosts probes the hosts of backends that stopped sending.
 	hosts *hostProber
+	// endChecks shares concurrent checks of HasEnded.
+	endChecks singleflight.Group
 
 	mutex sync.Mutex
 	idle  map[endpoint][]*connection
@@ -32,6 +37,8 @@
 	started int64
 }
 
+func (e endpoint) String() string { return fmt.Sprint(e.address, " ", e.instance, " ", e.started) }
+
 func endpointOf(request *Request) endpoint {
 	to := endpoint{address: request.Address, instance: request.Instance}
 	if !request.Started.IsZero() {
