Add a failing test of requests that crash one instance after the other

A request under which each instance crashes is sent again by its caller under other ids, at one gateway or two: 5 to 10 instances crash under it, and nothing ends that but the caller.

Beside it, two tests that pass and must go on to: 480 of 480 harmless requests are served while an instance crashes each 0.15 s, and a request whose responses are lost isn't refused for that.

--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -88,7 +88,8 @@
 	early []string
 	pause time.Duration
 	// left counts requests whose client left while they ran.
-	left int
+	left  int
+	crash crash
 }
 
 // Start runs a runner on a free loopback port until Close.
@@ -171,6 +172,7 @@
 		return
 	}
 	defer r.noteEnd(r.note(request, string(body)))
+	r.crashUnder(request, string(body))
 	r.answer(w, request, fault)
 }
 
