Stop requests that crash one instance after the other

What callers saw: a request under which each instance crashes was sent on, by the tries of its caller at any gateway, until the caller gave up: 5 to 10 instances in TestLethalRequestCrashesThreeInstancesAtMost, three of them more than may on the users' site.

Cause: what was known of a request's earlier attempts ended with one try at one gateway. Tries have other ids and come to other gateways, and nothing counted what had ended under them.

Change: gateways report each end under a request, by its fingerprint, to the storage nodes of one replica set before they try again or answer. These count tries in a row in memory and push them to all gateways, which ask them before they send such a request again; the answer to a report waits up to 0.1 s until all gateways that follow have it. After three ends the request is refused with 1022 (503, not run, no Retry-After), or 502 where this try was the last to crash one. A completed try forgets all; requests without an end cost nothing. Operators list and clear what is quarantined at /quarantine of storage nodes.

Evidence: the test fails before (5 to 10 crashes) and passes now; 30,000 modelled orders of ends, lost messages and restarts pass.

--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -31,6 +31,8 @@
 	NodeServiceName = "marblering.peer.v1.NodeService"
 	// MirrorServiceName is the fully-qualified name of the MirrorService service.
 	MirrorServiceName = "marblering.peer.v1.MirrorService"
+	// CrashServiceName is the fully-qualified name of the CrashService service.
+	CrashServiceName = "marblering.peer.v1.CrashService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -79,6 +81,18 @@
 	// MirrorServiceWatchMirrorProcedure is the fully-qualified name of the MirrorService's WatchMirror
 	// RPC.
 	MirrorServiceWatchMirrorProcedure = "/marblering.peer.v1.MirrorService/WatchMirror"
+	// CrashServiceReportCrashProcedure is the fully-qualified name of the CrashService's ReportCrash
+	// RPC.
+	CrashServiceReportCrashProcedure = "/marblering.peer.v1.CrashService/ReportCrash"
+	// CrashServiceClearCrashesProcedure is the fully-qualified name of the CrashService's ClearCrashes
+	// RPC.
+	CrashServiceClearCrashesProcedure = "/marblering.peer.v1.CrashService/ClearCrashes"
+	// CrashServiceFindCrashesProcedure is the fully-qualified name of the CrashService's FindCrashes
+	// RPC.
+	CrashServiceFindCrashesProcedure = "/marblering.peer.v1.CrashService/FindCrashes"
+	// CrashServiceWatchCrashesProcedure is the fully-qualified name of the CrashService's WatchCrashes
+	// RPC.
+	CrashServiceWatchCrashesProcedure = "/marblering.peer.v1.CrashService/WatchCrashes"
 )
 
 // ReplicaServiceClient is a client for the marblering.peer.v1.ReplicaService service.
@@ -672,3 +686,151 @@
 func (UnimplementedMirrorServiceHandler) WatchMirror(context.Context, *connect.Request[v1.WatchMirrorRequest]) (*connect.Response[v1.WatchMirrorResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.MirrorService.WatchMirror is not implemented"))
 }
+
+// CrashServiceClient is a client for the marblering.peer.v1.CrashService service.
+type CrashServiceClient interface {
+	ReportCrash(context.Context, *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error)
+	ClearCrashes(context.Context, *connect.Request[v1.ClearCrashesRequest]) (*connect.Response[v1.ClearCrashesResponse], error)
+	FindCrashes(context.Context, *connect.Request[v1.FindCrashesRequest]) (*connect.Response[v1.FindCrashesResponse], error)
+	WatchCrashes(context.Context, *connect.Request[v1.WatchCrashesRequest]) (*connect.Response[v1.WatchCrashesResponse], error)
+}
+
+// NewCrashServiceClient constructs a client for the marblering.peer.v1.CrashService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewCrashServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) CrashServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	crashServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("CrashService").Methods()
+	return &crashServiceClient{
+		reportCrash: connect.NewClient[v1.ReportCrashRequest, v1.ReportCrashResponse](
+			httpClient,
+			baseURL+CrashServiceReportCrashProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("ReportCrash")),
+			connect.WithClientOptions(opts...),
+		),
+		clearCrashes: connect.NewClient[v1.ClearCrashesRequest, v1.ClearCrashesResponse](
+			httpClient,
+			baseURL+CrashServiceClearCrashesProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("ClearCrashes")),
+			connect.WithClientOptions(opts...),
+		),
+		findCrashes: connect.NewClient[v1.FindCrashesRequest, v1.FindCrashesResponse](
+			httpClient,
+			baseURL+CrashServiceFindCrashesProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("FindCrashes")),
+			connect.WithClientOptions(opts...),
+		),
+		watchCrashes: connect.NewClient[v1.WatchCrashesRequest, v1.WatchCrashesResponse](
+			httpClient,
+			baseURL+CrashServiceWatchCrashesProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("WatchCrashes")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// crashServiceClient implements CrashServiceClient.
+type crashServiceClient struct {
+	reportCrash  *connect.Client[v1.ReportCrashRequest, v1.ReportCrashResponse]
+	clearCrashes *connect.Client[v1.ClearCrashesRequest, v1.ClearCrashesResponse]
+	findCrashes  *connect.Client[v1.FindCrashesRequest, v1.FindCrashesResponse]
+	watchCrashes *connect.Client[v1.WatchCrashesRequest, v1.WatchCrashesResponse]
+}
+
+// ReportCrash calls marblering.peer.v1.CrashService.ReportCrash.
+func (c *crashServiceClient) ReportCrash(ctx context.Context, req *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error) {
+	return c.reportCrash.CallUnary(ctx, req)
+}
+
+// ClearCrashes calls marblering.peer.v1.CrashService.ClearCrashes.
+func (c *crashServiceClient) ClearCrashes(ctx context.Context, req *connect.Request[v1.ClearCrashesRequest]) (*connect.Response[v1.ClearCrashesResponse], error) {
+	return c.clearCrashes.CallUnary(ctx, req)
+}
+
+// FindCrashes calls marblering.peer.v1.CrashService.FindCrashes.
+func (c *crashServiceClient) FindCrashes(ctx context.Context, req *connect.Request[v1.FindCrashesRequest]) (*connect.Response[v1.FindCrashesResponse], error) {
+	return c.findCrashes.CallUnary(ctx, req)
+}
+
+// WatchCrashes calls marblering.peer.v1.CrashService.WatchCrashes.
+func (c *crashServiceClient) WatchCrashes(ctx context.Context, req *connect.Request[v1.WatchCrashesRequest]) (*connect.Response[v1.WatchCrashesResponse], error) {
+	return c.watchCrashes.CallUnary(ctx, req)
+}
+
+// CrashServiceHandler is an implementation of the marblering.peer.v1.CrashService service.
+type CrashServiceHandler interface {
+	ReportCrash(context.Context, *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error)
+	ClearCrashes(context.Context, *connect.Request[v1.ClearCrashesRequest]) (*connect.Response[v1.ClearCrashesResponse], error)
+	FindCrashes(context.Context, *connect.Request[v1.FindCrashesRequest]) (*connect.Response[v1.FindCrashesResponse], error)
+	WatchCrashes(context.Context, *connect.Request[v1.WatchCrashesRequest]) (*connect.Response[v1.WatchCrashesResponse], error)
+}
+
+// NewCrashServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewCrashServiceHandler(svc CrashServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	crashServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("CrashService").Methods()
+	crashServiceReportCrashHandler := connect.NewUnaryHandler(
+		CrashServiceReportCrashProcedure,
+		svc.ReportCrash,
+		connect.WithSchema(crashServiceMethods.ByName("ReportCrash")),
+		connect.WithHandlerOptions(opts...),
+	)
+	crashServiceClearCrashesHandler := connect.NewUnaryHandler(
+		CrashServiceClearCrashesProcedure,
+		svc.ClearCrashes,
+		connect.WithSchema(crashServiceMethods.ByName("ClearCrashes")),
+		connect.WithHandlerOptions(opts...),
+	)
+	crashServiceFindCrashesHandler := connect.NewUnaryHandler(
+		CrashServiceFindCrashesProcedure,
+		svc.FindCrashes,
+		connect.WithSchema(crashServiceMethods.ByName("FindCrashes")),
+		connect.WithHandlerOptions(opts...),
+	)
+	crashServiceWatchCrashesHandler := connect.NewUnaryHandler(
+		CrashServiceWatchCrashesProcedure,
+		svc.WatchCrashes,
+		connect.WithSchema(crashServiceMethods.ByName("WatchCrashes")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/marblering.peer.v1.CrashService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case CrashServiceReportCrashProcedure:
+			crashServiceReportCrashHandler.ServeHTTP(w, r)
+		case CrashServiceClearCrashesProcedure:
+			crashServiceClearCrashesHandler.ServeHTTP(w, r)
+		case CrashServiceFindCrashesProcedure:
+			crashServiceFindCrashesHandler.ServeHTTP(w, r)
+		case CrashServiceWatchCrashesProcedure:
+			crashServiceWatchCrashesHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedCrashServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedCrashServiceHandler struct{}
+
+func (UnimplementedCrashServiceHandler) ReportCrash(context.Context, *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.CrashService.ReportCrash is not implemented"))
+}
+
+func (UnimplementedCrashServiceHandler) ClearCrashes(context.Context, *connect.Request[v1.ClearCrashesRequest]) (*connect.Response[v1.ClearCrashesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.CrashService.ClearCrashes is not implemented"))
+}
+
+func (UnimplementedCrashServiceHandler) FindCrashes(context.Context, *connect.Request[v1.FindCrashesRequest]) (*connect.Response[v1.FindCrashesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.CrashService.FindCrashes is not implemented"))
+}
+
+func (UnimplementedCrashServiceHandler) WatchCrashes(context.Context, *connect.Request[v1.WatchCrashesRequest]) (*connect.Response[v1.WatchCrashesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.CrashService.WatchCrashes is not implemented"))
+}
--- a/coordination/backend/incarnation.go
+++ b/coordination/backend/incarnation.go
@@ -18,6 +18,14 @@
 // Incarnation returns the current incarnation of the instance.
 func (i Instance) Incarnation() Incarnation { return Incarnation{ID: i.ID, Started: i.Started} }
 
+// String identifies the incarnation in messages and log lines.
+func (i Incarnation) String() string {
+	if i.Started.IsZero() {
+		return i.ID
+	}
+	return i.ID + " started " + i.Started.UTC().Format(time.RFC3339Nano)
+}
+
 // isSame reports whether both may be the same incarnation. An unknown start time matches
 // any other, since older backends don't report it.
 func (i Incarnation) isSame(other Incarnation) bool {
--- /dev/null
+++ b/coordination/quarantine/client_test.go
@@ -0,0 +1,108 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/test/harness"
+)
+
+func newGateway(c *cluster) *Client {
+	return NewClient(FollowerID(c.nextID()), c, c, c.clock, zap.NewNop())
+}
+
+// TestUnknownRequestsCostNoMessage guards against a message for each request.
+func TestUnknownRequestsCostNoMessage(t *testing.T) {
+	c := newCluster(3)
+	messages := 0
+	c.lose = func(string) (bool, bool) {
+		messages++
+		return false, false
+	}
+	gateway := newGateway(c)
+	assert.Assert(t, !gateway.MayKnow())
+	assert.Equal(t, gateway.Crashes(t.Context(), request), 0)
+	gateway.Completed(t.Context(), request)
+	assert.Equal(t, messages, 0)
+}
+
+// TestCrashesAtOtherGatewaysAreKnown checks that a crash that one gateway reports is known at
+// the others, also of those that start later, until a try is completed.
+func TestCrashesAtOtherGatewaysAreKnown(t *testing.T) {
+	nodes := pacedNodes{newCluster(3)}
+	newFollowing := func() *Client {
+		gateway := NewClient(FollowerID(nodes.nextID()), nodes, nodes, time.Now, zap.NewNop())
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = gateway.Follower().Serve(ctx)
+		}()
+		t.Cleanup(func() {
+			stop()
+			<-ended
+		})
+		return gateway
+	}
+	awaitCrashes := func(gateway *Client, crashes int) {
+		t.Helper()
+		harness.Eventually(t, func() (bool, string) {
+			known := gateway.Crashes(t.Context(), request)
+			return known == crashes, fmt.Sprintf("%d crashes in place of %d", known, crashes)
+		})
+	}
+	first, second := newFollowing(), newFollowing()
+	assert.Equal(t, first.Report(t.Context(), crashAt("i-1", 0)), 1)
+	awaitCrashes(second, 1)
+	assert.Equal(t, second.Report(t.Context(), crashAt("i-2", 0)), 2)
+	awaitCrashes(first, 2)
+	awaitCrashes(newFollowing(), 2)
+	first.Completed(t.Context(), request)
+	awaitCrashes(first, 0)
+	awaitCrashes(second, 0)
+	// The second gateway has seen a crash before, which is forgotten.
+	assert.Equal(t, second.Report(t.Context(), crashAt("i-3", 0)), 1)
+}
+
+// pacedNodes answers calls for changes after a pause.
+type pacedNodes struct{ *cluster }
+
+func (n pacedNodes) WatchCrashes(ctx context.Context, address string, follower FollowerID, from Cursor, wait time.Duration) (Changes, error) {
+	time.Sleep(time.Millisecond)
+	return n.cluster.WatchCrashes(ctx, address, follower, from, wait)
+}
+
+// TestCrashesWithoutStorageNodesAreCounted covers a gateway that no storage node answers.
+func TestCrashesWithoutStorageNodesAreCounted(t *testing.T) {
+	for _, members := range []int{0, 3} {
+		c := newCluster(members)
+		for _, address := range c.members {
+			c.stop(address)
+		}
+		gateway := newGateway(c)
+		for number := range MaxCrashes {
+			assert.Equal(t, gateway.Report(t.Context(), crashAt(fmt.Sprint("i-", number), 0)), number+1)
+		}
+		assert.Equal(t, gateway.Crashes(t.Context(), request), MaxCrashes)
+	}
+}
+
+func Example() {
+	c := newCluster(3)
+	first, second := newGateway(c), newGateway(c)
+	for number := range MaxCrashes {
+		first.Report(context.Background(), Crash{Fingerprint: request, Instance: fmt.Sprint("instance-", number)})
+	}
+	// The second gateway follows the tables of the storage nodes.
+	for _, address := range c.members {
+		changes, _ := c.WatchCrashes(context.Background(), address, second.id, Cursor{}, 0)
+		second.copies.apply(address, changes)
+	}
+	fmt.Println(IsQuarantined(second.Crashes(context.Background(), request)))
+	// Output: true
+}
--- /dev/null
+++ b/coordination/quarantine/copies.go
@@ -0,0 +1,108 @@
+package quarantine
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// copies are a gateway's copies of the tables of storage nodes. They are safe for
+// concurrent use.
+type copies struct {
+	now func() time.Time
+	// total is the number of requests in all copies.
+	total atomic.Int64
+
+	mutex   sync.Mutex
+	byNode  map[string]map[Fingerprint]copied
+	sweptAt time.Time
+}
+
+type copied struct {
+	crashes int
+	expires time.Time
+}
+
+func newCopies(now func() time.Time) *copies {
+	return &copies{now: now, byNode: make(map[string]map[Fingerprint]copied)}
+}
+
+// apply changes the copy of the node's table.
+func (c *copies) apply(node string, changes Changes) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	table := c.byNode[node]
+	if table == nil || changes.IsFull {
+		table = make(map[Fingerprint]copied)
+		c.byNode[node] = table
+	}
+	for _, record := range changes.Records {
+		if record.Crashes == 0 {
+			delete(table, record.Fingerprint)
+			continue
+		}
+		table[record.Fingerprint] = copied{crashes: record.Crashes, expires: c.now().Add(record.Remaining)}
+	}
+	c.count()
+}
+
+// drop forgets the copy of a node that isn't followed any more.
+func (c *copies) drop(node string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.byNode, node)
+	c.count()
+}
+
+// isEmpty reports whether no copy has a request.
+func (c *copies) isEmpty() bool { return c.total.Load() == 0 }
+
+// crashes returns the greatest number of crashes under the request that a copy has.
+func (c *copies) crashes(fingerprint Fingerprint) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := c.now()
+	c.sweep(now)
+	most := 0
+	for _, table := range c.byNode {
+		if known, found := table[fingerprint]; found && now.Before(known.expires) {
+			most = max(most, known.crashes)
+		}
+	}
+	return most
+}
+
+// crashesAt returns the number of crashes under the request that the copy of a node has.
+func (c *copies) crashesAt(node string, fingerprint Fingerprint) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if known, found := c.byNode[node][fingerprint]; found && c.now().Before(known.expires) {
+		return known.crashes
+	}
+	return 0
+}
+
+// count updates the total. The mutex must be held.
+func (c *copies) count() {
+	total := 0
+	for _, table := range c.byNode {
+		total += len(table)
+	}
+	c.total.Store(int64(total))
+}
+
+// sweep drops expired requests, once a sweepInterval. The mutex must be held.
+func (c *copies) sweep(now time.Time) {
+	if now.Sub(c.sweptAt) < sweepInterval {
+		return
+	}
+	c.sweptAt = now
+	for _, table := range c.byNode {
+		for fingerprint, known := range table {
+			if !now.Before(known.expires) {
+				delete(table, fingerprint)
+			}
+		}
+	}
+	c.count()
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -133,7 +133,7 @@
 // services returns the background services for the supervisor.
 func (g *Gateway) services() []suture.Service {
 	return []suture.Service{
-		g.followers.configuration, g.followers.instances, g.followers.replicaSets, g.mirrorReader(), g.prober(), g.quotaAnnouncer(),
+		g.followers.configuration, g.followers.instances, g.followers.replicaSets, g.mirrorReader(), g.prober(), g.quotaAnnouncer(), g.storage.crashes.Follower(),
 		g.callers, g.operatorListener, idleCloser{g.upstream},
 	}
 }
@@ -185,7 +185,7 @@
 func (g *Gateway) buildRelay() {
 	g.relay = relay.New(relay.Options{
 		Tables: g.activeTable, Backends: g.backends, Upstream: g.upstream, HeaderCodec: g.dependencies.HeaderCodec,
-		Turns: g.storage.conversations, Origins: g.storage.origins, Quotas: g.storage.quotas,
+		Turns: g.storage.conversations, Origins: g.storage.origins, Quotas: g.storage.quotas, Crashes: g.storage.crashes,
 		InstancesAge:          g.followers.instances.Age,
 		IsConfigurationNewest: g.isConfigurationNewest, ConfigurationAge: g.followers.configuration.Age, Freshness: configurationFreshness{g},
 		IsUnready: g.isUnready, MaxInFlight: maxInFlight, OnInstanceGone: g.onInstanceGone,
--- a/node/gateway/storage.go
+++ b/node/gateway/storage.go
@@ -9,6 +9,7 @@
 
 	"github.com/marblering/marblering/coordination/conversation"
 	"github.com/marblering/marblering/coordination/directory"
+	"github.com/marblering/marblering/coordination/quarantine"
 	"github.com/marblering/marblering/coordination/quota"
 	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/streamorigin"
@@ -27,7 +28,7 @@
 )
 
 // storageClients are the clients for what storage nodes keep: the turns and token budgets
-// of programs, the origins of streams, and the quotas of tenants.
+// of programs, the origins of streams, the quotas of tenants and the crashes under requests.
 type storageClients struct {
 	lookup        *directory.Lookup
 	peers         *peer.Client
@@ -36,6 +37,7 @@
 	origins       *streamorigin.Client
 	conversations *conversation.Service
 	quotas        *quota.Client
+	crashes       *quarantine.Client
 }
 
 // quotaAnnouncer returns the service that makes storage nodes hold quota slots once the
@@ -59,6 +61,7 @@
 	return &storageClients{
 		lookup: lookup, peers: peers, reachability: tracker, budgets: budgets,
 		origins:       streamorigin.NewClient(peers, lookup),
+		crashes:       quarantine.NewClient(quarantine.FollowerID(rand.Uint64()), peers, lookup, time.Now, telemetry.RateLimitedForFollowers(logger)),
 		conversations: conversation.New(turns, budgets, tracker.IsCutOff, time.Now, rand.Uint64, logger),
 		quotas: quota.NewClient(peers, lookup, tracker, quota.Tolerance{
 			Window: loaded.QuotaWindow, Fraction: loaded.QuotaOver, Slack: loaded.QuotaSlack,
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/marblering/marblering/coordination/follow"
 	"github.com/marblering/marblering/coordination/membership"
 	"github.com/marblering/marblering/coordination/mirror"
+	"github.com/marblering/marblering/coordination/quarantine"
 	"github.com/marblering/marblering/coordination/quota"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/repair"
@@ -78,11 +80,12 @@
 	lookup          *directory.Lookup
 	retirement      *retirement.Service
 
-	// Budgets, origins of streams and quotas for gateways.
+	// Budgets, origins of streams, quotas and crashes under requests for gateways.
 	ledger  *tokenbudget.Ledger
 	budgets *tokenbudget.Host
 	origins *streamorigin.Table
 	quotas  *quota.Holder
+	crashes *quarantine.Table
 
 	// Mirrored objects of the store, and the upstream storage nodes through which this
 	// node follows the store.
@@ -109,6 +112,7 @@
 	n.buildRepair()
 	n.buildDirectory()
 	n.buildBudgets()
+	n.crashes = quarantine.NewTable(rand.Uint64(), time.Now, n.logQuarantine)
 	var err error
 	n.collector, err = expiry.New(expiry.Options{
 		Store: n.disk, Shards: n.views.Count, Interval: expiryInterval, Now: time.Now, Logger: n.logger,
@@ -147,7 +151,7 @@
 
 // listen opens the listeners for other nodes and for operators.
 func (n *Node) listen(peerMetrics *peer.Metrics) ([]suture.Service, error) {
-	n.handler = peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, n.origins, n.quotas, n.mirror, peerMetrics)
+	n.handler = peer.NewStorageHandler(n.replica, n.installer, n.membership, n.budgets, n.origins, n.quotas, n.crashes, n.mirror, peerMetrics)
 	peers, err := listener.Open("peers", n.settings.PeerListen.String(), peer.NewHTTPServer(n.handler))
 	if err != nil {
 		return nil, err
@@ -180,9 +184,10 @@
 	}
 }
 
-// operatorServer returns the HTTP server for metrics, health and readiness.
+// operatorServer returns the HTTP server for metrics, health, readiness and the quarantine.
 func (n *Node) operatorServer() *http.Server {
 	readiness := telemetry.NewReadiness()
 	readiness.Add("replicas", n.repair.Check)
-	return &http.Server{Handler: telemetry.NewHandler(n.metrics, readiness), ReadHeaderTimeout: listener.HeaderTimeout}
+	handler := n.withQuarantine(telemetry.NewHandler(n.metrics, readiness))
+	return &http.Server{Handler: handler, ReadHeaderTimeout: listener.HeaderTimeout}
 }
--- a/state/result/code.go
+++ b/state/result/code.go
@@ -79,6 +79,8 @@
 	// begin it anew.
 	StreamVersionGone   Code = 1020
 	StreamOriginUnknown Code = 1021
+	// RequestQuarantined is for requests under which back ends have ended.
+	RequestQuarantined Code = 1022
 
 	Overloaded         Code = 2001
 	TenantLimit        Code = 2002
@@ -150,6 +152,7 @@
 	{UnknownTurn, "unknown_turn", http.StatusNotFound, NotRun, RepeatNever, "The turn that this one goes on from isn't kept."},
 	{StreamVersionGone, "stream_version_gone", http.StatusServiceUnavailable, NotRun, RepeatNever, "No back end of the software version that began the stream is left; begin it anew."},
 	{StreamOriginUnknown, "stream_origin_unknown", http.StatusServiceUnavailable, NotRun, RepeatNever, "Nothing tells at which software version the stream began; begin it anew."},
+	{RequestQuarantined, "request_quarantined", http.StatusServiceUnavailable, NotRun, RepeatNever, "Back ends have ended under this request, one after the other; it isn't sent to another one."},
 	{Overloaded, "overloaded", http.StatusTooManyRequests, NotRun, RepeatNewKey, "The engines can't serve the request in time."},
 	{TenantLimit, "tenant_limit", http.StatusTooManyRequests, NotRun, RepeatNewKey, "The tenant has reached its limit."},
 	{NoEngine, "no_engine", http.StatusServiceUnavailable, NotRun, RepeatNewKey, "No engine that serves the model can be reached."},
--- a/transport/peer/drain_test.go
+++ b/transport/peer/drain_test.go
@@ -19,7 +19,7 @@
 // under way when it stops, or accepts calls that it will cut.
 func TestDrainWaitsForCallsAndRefusesNewOnes(t *testing.T) {
 	echo := &echoingReplica{}
-	handler := peer.NewStorageHandler(echo, nil, nil, &countingHost{}, streamorigin.NewTable(time.Now), nil, nil, peer.NewMetrics(prometheus.NewRegistry()))
+	handler := peer.NewStorageHandler(echo, nil, nil, &countingHost{}, streamorigin.NewTable(time.Now), nil, nil, nil, peer.NewMetrics(prometheus.NewRegistry()))
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = peer.NewHTTPServer(handler)
 	server.Start()
@@ -57,7 +57,7 @@
 // that are gone.
 func TestClosedStreamsLeaveNoCallsUnderWay(t *testing.T) {
 	echo := &echoingReplica{}
-	handler := peer.NewStorageHandler(echo, nil, nil, &countingHost{}, streamorigin.NewTable(time.Now), nil, nil, peer.NewMetrics(prometheus.NewRegistry()))
+	handler := peer.NewStorageHandler(echo, nil, nil, &countingHost{}, streamorigin.NewTable(time.Now), nil, nil, nil, peer.NewMetrics(prometheus.NewRegistry()))
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = peer.NewHTTPServer(handler)
 	server.Start()
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -51,7 +51,7 @@
 func servePeer(t *testing.T, served peer.Replica, host peer.BudgetHost) *httptest.Server {
 	t.Helper()
 	server := httptest.NewUnstartedServer(nil)
-	server.Config = peer.NewHTTPServer(peer.NewStorageHandler(served, nil, nil, host, streamorigin.NewTable(time.Now), nil, nil, peer.NewMetrics(prometheus.NewRegistry())))
+	server.Config = peer.NewHTTPServer(peer.NewStorageHandler(served, nil, nil, host, streamorigin.NewTable(time.Now), nil, nil, nil, peer.NewMetrics(prometheus.NewRegistry())))
 	server.Start()
 	t.Cleanup(func() {
 		server.CloseClientConnections()
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -85,13 +85,14 @@
 
 // NewStorageHandler returns the handler of a storage node. It serves requests to the
 // replica, membership gossip, the budgets of programs, the origins of streams, the quotas
-// of tenants and the node's copies of the store's objects.
-func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, budgets BudgetHost, origins StreamOrigins, quotas QuotaHolder, mirror Mirror, metrics *Metrics) *StorageHandler {
+// of tenants, the crashes under requests and the node's copies of the store's objects.
+func NewStorageHandler(replica Replica, installer Installer, membership Exchanger, budgets BudgetHost, origins StreamOrigins, quotas QuotaHolder, crashes Crashes, mirror Mirror, metrics *Metrics) *StorageHandler {
 	mux := http.NewServeMux()
 	calls := &callServer{budgets: &budgetServer{host: budgets, origins: origins}, origins: origins, quotas: quotas, metrics: metrics}
 	mountReplica(mux, replica, installer, calls)
 	options := HandlerOptions(metrics)
 	mux.Handle(peerv1connect.NewNodeServiceHandler(&exchangeServer{membership: membership}, options...))
+	mux.Handle(peerv1connect.NewCrashServiceHandler(&crashServer{crashes: crashes}, options...))
 	mux.Handle(peerv1connect.NewMirrorServiceHandler(&mirrorServer{mirror: mirror}, options...))
 	return &StorageHandler{Handler: mux, calls: calls}
 }
--- a/transport/peer/stub.go
+++ b/transport/peer/stub.go
@@ -15,6 +15,7 @@
 	replica peerv1connect.ReplicaServiceClient
 	node    peerv1connect.NodeServiceClient
 	mirror  peerv1connect.MirrorServiceClient
+	crashes peerv1connect.CrashServiceClient
 	calls   peerv1connect.CallServiceClient
 
 	mutex sync.Mutex
@@ -69,6 +70,7 @@
 		replica: peerv1connect.NewReplicaServiceClient(c.http, base, c.options...),
 		node:    peerv1connect.NewNodeServiceClient(c.http, base, c.options...),
 		mirror:  peerv1connect.NewMirrorServiceClient(c.http, base, c.options...),
+		crashes: peerv1connect.NewCrashServiceClient(c.http, base, c.options...),
 		calls:   peerv1connect.NewCallServiceClient(c.http, base, connect.WithAcceptCompression(gzipName, nil, nil)),
 	}
 	if c.cachedCount.Load() >= maxCachedStubs {
--- a/transport/relay/authorize_test.go
+++ b/transport/relay/authorize_test.go
@@ -66,7 +66,7 @@
 	pool := backend.NewPool(backend.EjectionPolicy(), time.Now)
 	pool.Replace([]backend.Instance{{ID: "i-1", Service: "app"}, {ID: "i-2", Service: "app"}})
 	f.handler = relay.New(relay.Options{
-		Tables: f.tables, Backends: pool, Upstream: f.upstream, HeaderCodec: keyHeaderCodec{}, Quotas: unlimitedQuotas{}, Freshness: f.freshness,
+		Tables: f.tables, Backends: pool, Upstream: f.upstream, Crashes: noCrashes{}, HeaderCodec: keyHeaderCodec{}, Quotas: unlimitedQuotas{}, Freshness: f.freshness,
 		IsConfigurationNewest: func() bool { return true }, IsUnready: func() bool { return false }, MaxInFlight: 10,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
 		Metrics: relay.NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(), AccessLogger: zap.NewNop(), Now: time.Now,
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -9,12 +9,13 @@
 
 	"github.com/marblering/marblering/coordination/backend"
 	"github.com/marblering/marblering/coordination/quarantine"
+	"github.com/marblering/marblering/state/result"
 	"github.com/marblering/marblering/transport/upstream"
 )
 
 // endProbeTimeout bounds the check whether an instance has ended under a request. The host
 // of a crashed process refuses connections at once.
-const endProbeTimeout = 100 * time.Millisecond
+const endProbeTimeout = 400 * time.Millisecond
 
 // fingerprint identifies the request over the tries of its client, at any gateway. It
 // covers what is the same in all of them: whose request it is, and what it asks for. A
@@ -31,6 +32,38 @@
 	return c.input.fingerprint
 }
 
+// checkCrashes refuses a request under which too many instances have crashed.
+func (c *call) checkCrashes(ctx context.Context) *result.Error {
+	crashes := c.handler.options.Crashes
+	if !crashes.MayKnow() {
+		return nil
+	}
+	c.attempts.crashes = crashes.Crashes(ctx, c.fingerprint())
+	if !quarantine.IsQuarantined(c.attempts.crashes) {
+		return nil
+	}
+	c.handler.options.Logger.Info("request not sent to back ends", c.crashFields()...)
+	return result.Errorf(result.RequestQuarantined, "%d back ends have ended under the request", c.attempts.crashes)
+}
+
+// observeCrash reports the end of an instance under the request to the other gateways, and
+// the completion of a request under which some have ended.
+func (c *call) observeCrash(ctx context.Context, current *attempt, ended outcome, cause error) {
+	crashes := c.handler.options.Crashes
+	switch {
+	case ended == delivered && crashes.MayKnow():
+		crashes.Completed(ctx, c.fingerprint())
+	case c.crashedUnder(ctx, current.assignment, ended, cause):
+		now := c.handler.options.Now()
+		instance := current.assignment.Instance
+		c.attempts.crashes = crashes.Report(ctx, quarantine.Crash{
+			Fingerprint: c.fingerprint(), Instance: instance.Address + " " + instance.Incarnation().String(),
+			SentAgo: now.Sub(current.started),
+		})
+		c.logCrash(current)
+	}
+}
+
 // crashedUnder reports whether the instance has ended while it worked on the request. A
 // lost response alone doesn't show that.
 func (c *call) crashedUnder(ctx context.Context, assignment *backend.Assignment, ended outcome, cause error) bool {
@@ -54,10 +87,16 @@
 func (c *call) logCrash(current *attempt) {
 	c.handler.options.Metrics.crashes.Inc()
 	instance := current.assignment.Instance
-	c.handler.options.Logger.Info("back end ended under request",
-		zap.String("request", c.input.info.ID), zap.Stringer("fingerprint", c.fingerprint()),
-		zap.String("program", c.input.info.Program), zap.String("route", c.routing.route.Name),
+	c.handler.options.Logger.Info("back end ended under request", append(c.crashFields(),
 		zap.String("instance", instance.ID), zap.Time("started", instance.Started), zap.String("address", instance.Address),
 		zap.String("version", instance.Version), zap.Bool("leaving", instance.Leaving),
-		zap.Duration("ran", c.handler.options.Now().Sub(current.started)), zap.Int("sends", c.attempts.sends))
+		zap.Duration("ran", c.handler.options.Now().Sub(current.started)), zap.Int("sends", c.attempts.sends))...)
+}
+
+// crashFields returns log fields that identify the request over the tries of its client.
+func (c *call) crashFields() []zap.Field {
+	return []zap.Field{
+		zap.String("request", c.input.info.ID), zap.Stringer("fingerprint", c.fingerprint()), zap.Int("crashes", c.attempts.crashes),
+		zap.String("program", c.input.info.Program), zap.String("route", c.routing.route.Name),
+	}
 }
--- a/transport/relay/deadline_test.go
+++ b/transport/relay/deadline_test.go
@@ -68,7 +68,7 @@
 	var passed atomic.Int64
 	client.afterAttempt = func() { passed.Store(int64(time.Minute)) }
 	handler := relay.New(relay.Options{
-		Tables: tables, Backends: pool, Upstream: client, HeaderCodec: plainHeaderCodec{},
+		Tables: tables, Backends: pool, Upstream: client, Crashes: noCrashes{}, HeaderCodec: plainHeaderCodec{},
 		IsConfigurationNewest: func() bool { return true }, IsUnready: func() bool { return client.unready }, MaxInFlight: 10,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
 		Metrics: relay.NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(), AccessLogger: zap.NewNop(),
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -24,6 +24,7 @@
 	Turns       Turns
 	Origins     Origins
 	Quotas      Quotas
+	Crashes     Crashes
 	// InstancesAge returns the time since the store confirmed the known instances; ok is
 	// false if it hasn't yet.
 	InstancesAge func() (age time.Duration, ok bool)
@@ -98,8 +99,8 @@
 // ServeHTTP serves one request. It checks, from the cheapest check to the most expensive
 // one, whether the gateway is stopping, the number of requests in flight, the configuration,
 // the size and the content of the headers, the route, the API key (before the body is read),
-// the body, the tenant's quota, the origin of a resumed stream and the turn. The first check
-// that fails ends the request.
+// the body, the crashes under the request, the tenant's quota, the origin of a resumed stream
+// and the turn. The first check that fails ends the request.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
@@ -133,6 +134,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.timing.deadline)
 	defer cancel()
+	if failure := c.checkCrashes(ctx); failure != nil {
+		c.failUnsent(ctx, failure)
+		return
+	}
 	if failure := c.takePermit(ctx); failure != nil {
 		c.failUnsent(ctx, failure)
 		return
--- a/transport/relay/headercodec.go
+++ b/transport/relay/headercodec.go
@@ -7,6 +7,7 @@
 
 	"github.com/marblering/marblering/coordination/backend"
 	"github.com/marblering/marblering/coordination/conversation"
+	"github.com/marblering/marblering/coordination/quarantine"
 	"github.com/marblering/marblering/coordination/quota"
 	"github.com/marblering/marblering/coordination/streamorigin"
 	"github.com/marblering/marblering/state/result"
@@ -113,6 +114,19 @@
 	Take(ctx context.Context, request quota.Request) (quota.Permit, *result.Error)
 }
 
+// Crashes knows under which requests instances have crashed, at any gateway.
+// quarantine.Client implements it.
+type Crashes interface {
+	// MayKnow reports whether a crash under any request is known.
+	MayKnow() bool
+	// Crashes returns how many instances have crashed under a request.
+	Crashes(ctx context.Context, fingerprint quarantine.Fingerprint) int
+	// Report reports a crash and returns how many instances have crashed under the request.
+	Report(ctx context.Context, crash quarantine.Crash) int
+	// Completed forgets the crashes under a request.
+	Completed(ctx context.Context, fingerprint quarantine.Fingerprint)
+}
+
 // Upstream sends a request to an instance. upstream.Client implements it.
 type Upstream interface {
 	Do(ctx context.Context, request *upstream.Request) (*upstream.Response, error)
--- a/transport/relay/keptconnection_test.go
+++ b/transport/relay/keptconnection_test.go
@@ -48,7 +48,7 @@
 	pool := backend.NewPool(backend.EjectionPolicy(), time.Now)
 	pool.Replace([]backend.Instance{{ID: "i-1", Service: "app"}})
 	server := httptest.NewServer(relay.New(relay.Options{
-		Tables: tables, Backends: pool, Upstream: unsentUpstream{}, HeaderCodec: plainHeaderCodec{},
+		Tables: tables, Backends: pool, Upstream: unsentUpstream{}, Crashes: noCrashes{}, HeaderCodec: plainHeaderCodec{},
 		IsConfigurationNewest: func() bool { return true }, IsUnready: func() bool { return false }, MaxInFlight: 10,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
 		Metrics: relay.NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(), AccessLogger: zap.NewNop(), Now: time.Now,
--- a/transport/relay/retry.go
+++ b/transport/relay/retry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marblering/marblering/coordination/limit"
+	"github.com/marblering/marblering/coordination/quarantine"
 	"github.com/marblering/marblering/state/result"
 )
 
@@ -45,6 +46,8 @@
 	// sends counts the attempts in which the request was sent to an instance, unsent the
 	// others.
 	sends, unsent int
+	// crashes counts the instances that have crashed under the request.
+	crashes int
 	// maxAttempts is the route's limit of sends, repeatable whether a request that may have
 	// run may be sent again, resumable whether another instance can continue a broken
 	// stream.
@@ -83,8 +86,9 @@
 // There is no retry if the client is gone, the deadline has passed or only the turn couldn't
 // be stored after a complete response. A request that wasn't sent is retried at up to
 // maxUnsent other instances. One that may have run is sent again only if its route is
-// repeatable, and one whose response has begun only if its stream is resumable. The route's
-// attempts and the retry budget limit the additional load.
+// repeatable, and one whose response has begun only if its stream is resumable. One under
+// which too many instances have crashed isn't sent to another. The route's attempts and the
+// retry budget limit the additional load.
 func (e attemptResult) next() nextStep {
 	switch {
 	case e.outcome == abandoned || e.outcome == turnNotStored || e.isDone:
@@ -94,6 +98,7 @@
 	case e.outcome == unsent,
 		e.outcome == incomplete && !e.repeatable,
 		e.headerWritten && !e.resumable,
+		quarantine.IsQuarantined(e.crashes),
 		e.sends >= e.maxAttempts:
 		return e.giveUp()
 	}
@@ -120,6 +125,8 @@
 		return abortConnection{result.StreamVersionGone, e.cause}
 	case e.headerWritten:
 		return abortConnection{result.BackendFailed, e.cause}
+	case quarantine.IsQuarantined(e.crashes) && e.mayHaveRun:
+		return sendError{result.Errorf(result.BackendFailed, "%d back ends have ended under the request: %v", e.crashes, e.cause)}
 	case e.mayHaveRun && e.isDone:
 		return sendError{result.Errorf(result.BackendTimeout, "no answer within %s", e.timeout)}
 	case e.mayHaveRun:
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -64,7 +64,7 @@
 		outcome: ended, cause: cause,
 		clientGone: c.request.Context().Err() != nil, isDone: c.isDone(ctx), isStopped: isStopped(ctx),
 		headerWritten: c.response.headerWritten, mayHaveRun: c.attempts.mayHaveRun,
-		sends: c.attempts.sends, unsent: c.attempts.unsent,
+		sends: c.attempts.sends, unsent: c.attempts.unsent, crashes: c.attempts.crashes,
 		maxAttempts: route.Attempts, repeatable: route.Repeatable(), resumable: route.Resumable,
 		timeout: c.timing.timeout(),
 	}
@@ -109,9 +109,7 @@
 	c.logSend(assignment)
 	ended, cause := c.exchange(ctx, current)
 	c.attempts.record(ended)
-	if c.crashedUnder(ctx, assignment, ended, cause) {
-		c.logCrash(current)
-	}
+	c.observeCrash(ctx, current, ended, cause)
 	if c.isDone(ctx) && ended != delivered {
 		ended = abandoned
 	}
