Keep quarantines over restarts, pauses and late messages

Causes, each from the traces:

- All storage nodes were restarted one after the other, which emptied all tables.
Gateways now report the crashes of the last minute again to a node with a new table, with the length of the row that was counted; a row is counted by the times of the tries, so that the order of reports doesn't matter.
Reports that are repeated don't wait for followers.
- A majority of nodes that had just started had no followers yet, so that a report was answered before gateways knew of it.
A report now waits for all nodes, for 0.1 s at most after the majority.
- A gateway that had just started or stood still trusted copies that were out of date.
It asks for each request until it has the tables of a majority, and for 0.1 s after a pause of more than 0.6 s.

TestRestartedNodesLearnCrashes, TestStartingGatewayAsks, TestResumedGatewayAsks and 20,000 modelled sequences pass.

--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +18,14 @@
 	findTimeout   = 100 * time.Millisecond
 	// location names the replica set whose members keep the tables.
 	location = "quarantine"
+	// learningTime is how long after its start a gateway asks for each request, unless it
+	// has the tables of a majority before.
+	learningTime = 3 * time.Second
+	// stallTime is how long the follower of a process that runs never pauses, and
+	// catchUpTime how long after a longer pause, as of a frozen machine, each request is
+	// asked for: the copies may be out of date.
+	stallTime   = 3 * memberInterval
+	catchUpTime = 100 * time.Millisecond
 	// localNode is the name of the gateway's own table among the copies.
 	localNode = "this gateway"
 )
@@ -46,6 +55,14 @@
 	// have counted are in the copy of localNode.
 	own    *Table
 	copies *copies
+	now    func() time.Time
+	// learnsUntil is the end of learningTime.
+	learnsUntil time.Time
+	// lastTick is when the follower last ran, and catchesUpUntil the end of catchUpTime, as
+	// Unix nanoseconds; zero for never.
+	lastTick, catchesUpUntil atomic.Int64
+	// reported are the crashes that this gateway has seen lately.
+	reported reports
 	// running are the calls to storage nodes, also those that nobody waits for.
 	running sync.WaitGroup
 }
@@ -55,18 +72,47 @@
 func NewClient(id FollowerID, nodes Nodes, views Views, now func() time.Time, logger *zap.Logger) *Client {
 	return &Client{
 		id: id, nodes: nodes, views: views, logger: logger, copies: newCopies(now),
-		own: NewTable(0, now, func(Fingerprint, []string) {}),
+		own: NewTable(0, now, func(Fingerprint, []string) {}), now: now, learnsUntil: now().Add(learningTime),
 	}
 }
 
-// MayKnow reports whether any crash is known, under whatever request. Otherwise no
-// fingerprint needs to be made.
-func (c *Client) MayKnow() bool { return !c.copies.isEmpty() }
+// MayKnow reports whether any crash is known, under whatever request, or isn't known yet.
+// Otherwise no fingerprint needs to be made.
+func (c *Client) MayKnow() bool { return !c.copies.isEmpty() || c.isLearning() }
+
+// isLearning reports whether the copies lack what the gateway should know: it has just
+// started and lacks the tables of a majority, or it stood still.
+func (c *Client) isLearning() bool {
+	now := c.now()
+	if now.UnixNano() < c.catchesUpUntil.Load() || c.hasStalled(now) {
+		return true
+	}
+	if !now.Before(c.learnsUntil) {
+		return false
+	}
+	view, known := c.views.View(c.views.Locate(location))
+	return known && c.copies.count() < view.Quorum()
+}
+
+// hasStalled reports whether the follower hasn't run for stallTime.
+func (c *Client) hasStalled(now time.Time) bool {
+	last := c.lastTick.Load()
+	return last != 0 && now.UnixNano()-last >= int64(stallTime)
+}
+
+// tick notes that the follower runs.
+func (c *Client) tick() {
+	now := c.now()
+	if c.hasStalled(now) {
+		c.catchesUpUntil.Store(now.Add(catchUpTime).UnixNano())
+	}
+	c.lastTick.Store(now.UnixNano())
+}
 
 // Crashes returns how many instances have crashed under the request. It asks storage nodes
-// only if some are known to have.
+// only if some are known to have, just after the start and after a pause of the process.
 func (c *Client) Crashes(ctx context.Context, fingerprint Fingerprint) int {
-	if c.copies.crashes(fingerprint) == 0 {
+	if c.copies.crashes(fingerprint) == 0 && !c.isLearning() {
 		return 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
@@ -92,26 +138,33 @@
 }
 
 // Report reports a crash and returns how many instances have crashed under the request. It
-// returns once a majority of the nodes has counted the crash and told their followers, so
-// that these know of it before the client can try again, or once too few can be reached.
+// returns once all nodes have counted the crash and told their followers, so that these know
+// of it before the client can try again. Once a majority has, it waits for FollowerGrace at
+// most.
 func (c *Client) Report(ctx context.Context, crash Crash) int {
 	own := c.own.Report(crash)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (Record, error) { return c.nodes.ReportCrash(ctx, address, crash) })
 	most, counted, received := 0, 0, 0
 	var lastErr error
-	for range asked.members {
-		answer := <-asked.answers
-		received++
-		if answer.err != nil {
-			lastErr = answer.err
+	var late <-chan time.Time
+	for received < asked.members {
+		select {
+		case answer := <-asked.answers:
+			received++
+			if answer.err != nil {
+				lastErr = answer.err
+				continue
+			}
+			c.copies.apply(answer.address, Changes{Records: []Record{answer.record}})
+			most = max(most, answer.record.Crashes)
+			if counted++; counted == asked.quorum {
+				late = time.After(FollowerGrace)
+			}
 			continue
+		case <-late:
 		}
-		c.copies.apply(answer.address, Changes{Records: []Record{answer.record}})
-		most = max(most, answer.record.Crashes)
-		if counted++; counted == asked.quorum {
-			break
-		}
+		break
 	}
 	asked.cancelAfter(received, cancel)
 	if counted < asked.quorum || asked.quorum == 0 {
@@ -120,6 +173,8 @@
 		c.logger.Info("crash not confirmed by storage nodes", zap.Stringer("fingerprint", crash.Fingerprint),
 			zap.String("instance", crash.Instance), zap.Int("confirmed", counted), zap.Int("needed", asked.quorum), zap.Error(lastErr))
 	}
+	crash.Row = most
+	c.reported.add(crash, c.now())
 	return most
 }
 
@@ -130,6 +185,7 @@
 		return
 	}
 	c.own.Clear(fingerprint)
+	c.reported.remove(fingerprint)
 	c.copies.apply(localNode, Changes{Records: []Record{{Fingerprint: fingerprint}}})
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (Record, error) {
@@ -138,6 +194,32 @@
 	asked.cancelAfter(0, cancel)
 }
 
+// learn takes in the changes of a node's table, and tells a new table what it may have lost.
+func (c *Client) learn(ctx context.Context, address string, changes Changes) {
+	c.copies.apply(address, changes)
+	for _, record := range changes.Records {
+		if record.Crashes == 0 {
+			c.reported.remove(record.Fingerprint)
+		}
+	}
+	if changes.IsFull {
+		c.reportAgain(ctx, address)
+	}
+}
+
+// reportAgain reports the crashes that this gateway has seen to a node that has a new table,
+// since it was restarted and may have lost them.
+func (c *Client) reportAgain(ctx context.Context, address string) {
+	for _, crash := range c.reported.all(c.now()) {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		_, err := c.nodes.ReportCrash(ctx, address, crash)
+		cancel()
+		if err != nil {
+			return
+		}
+	}
+}
+
 // asked is a question to the members of the replica set.
 type asked struct {
 	members, quorum int
--- a/coordination/quarantine/client_test.go
+++ b/coordination/quarantine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,6 +26,10 @@
 		return false, false
 	}
 	gateway := newGateway(c)
+	assert.Assert(t, gateway.MayKnow(), "it has just started")
+	for _, address := range c.members {
+		gateway.copies.apply(address, Changes{IsFull: true})
+	}
 	assert.Assert(t, !gateway.MayKnow())
 	assert.Equal(t, gateway.Crashes(t.Context(), request), 0)
 	gateway.Completed(t.Context(), request)
@@ -77,6 +82,67 @@
 	return n.cluster.WatchCrashes(ctx, address, follower, from, wait)
 }
 
+// TestStartingGatewayAsks guards against a gateway that sends a quarantined request since it
+// has just started, and against one that asks for ever where no storage node answers.
+func TestStartingGatewayAsks(t *testing.T) {
+	c := newCluster(3)
+	other := newGateway(c)
+	for number := range MaxCrashes {
+		other.Report(t.Context(), crashAt(fmt.Sprint("i-", number), 0))
+	}
+	other.running.Wait()
+	started := newGateway(c)
+	assert.Equal(t, started.Crashes(t.Context(), request), MaxCrashes)
+	started.running.Wait()
+	assert.Assert(t, started.MayKnow())
+	c.now = c.now.Add(learningTime)
+	assert.Assert(t, !started.MayKnow())
+}
+
+// TestResumedGatewayAsks guards against a gateway that sends a quarantined request since its
+// machine stood still while others reported the crashes.
+func TestResumedGatewayAsks(t *testing.T) {
+	c := newCluster(3)
+	frozen, other := newGateway(c), newGateway(c)
+	for _, address := range c.members {
+		frozen.learn(t.Context(), address, Changes{IsFull: true})
+	}
+	frozen.tick()
+	for number := range MaxCrashes {
+		c.now = c.now.Add(stallTime / MaxCrashes)
+		other.Report(t.Context(), crashAt(fmt.Sprint("i-", number), 0))
+		other.running.Wait()
+	}
+	assert.Equal(t, frozen.Crashes(t.Context(), request), MaxCrashes, "the follower hasn't run yet")
+	frozen.running.Wait()
+	frozen.tick()
+	assert.Equal(t, frozen.Crashes(t.Context(), request), MaxCrashes, "the copies aren't up to date yet")
+	frozen.running.Wait()
+	c.now = c.now.Add(catchUpTime)
+	assert.Assert(t, !frozen.MayKnow())
+}
+
+// TestRestartedNodesLearnCrashes guards against a quarantine that ends since all storage nodes
+// were restarted at the same time.
+func TestRestartedNodesLearnCrashes(t *testing.T) {
+	c := newCluster(3)
+	gateways := []*Client{newGateway(c), newGateway(c)}
+	for number := range MaxCrashes {
+		c.now = c.now.Add(100 * time.Millisecond)
+		gateways[number%2].Report(t.Context(), crashAt(fmt.Sprint("i-", number), 50*time.Millisecond))
+		gateways[number%2].running.Wait()
+	}
+	c.now = c.now.Add(time.Second)
+	for _, address := range c.members {
+		c.start(address)
+		assert.Equal(t, c.tables[address].Find(request).Crashes, 0)
+		for _, gateway := range slices.Backward(gateways) {
+			gateway.reportAgain(t.Context(), address)
+		}
+		assert.Equal(t, c.tables[address].Find(request).Crashes, MaxCrashes)
+	}
+}
+
 // TestCrashesWithoutStorageNodesAreCounted covers a gateway that no storage node answers.
 func TestCrashesWithoutStorageNodesAreCounted(t *testing.T) {
 	for _, members := range []int{0, 3} {
--- a/coordination/quarantine/copies.go
+++ b/coordination/quarantine/copies.go
@@ -13,9 +13,11 @@
 	// total is the number of requests in all copies.
 	total atomic.Int64
 
-	mutex   sync.Mutex
-	byNode  map[string]map[Fingerprint]copied
-	sweptAt time.Time
+	mutex  sync.Mutex
+	byNode map[string]map[Fingerprint]copied
+	// complete holds the nodes whose whole table was copied.
+	complete map[string]bool
+	sweptAt  time.Time
 }
 
 type copied struct {
@@ -24,7 +26,7 @@
 }
 
 func newCopies(now func() time.Time) *copies {
-	return &copies{now: now, byNode: make(map[string]map[Fingerprint]copied)}
+	return &copies{now: now, byNode: make(map[string]map[Fingerprint]copied), complete: make(map[string]bool)}
 }
 
 // apply changes the copy of the node's table.
@@ -36,6 +38,9 @@
 		table = make(map[Fingerprint]copied)
 		c.byNode[node] = table
 	}
+	if changes.IsFull {
+		c.complete[node] = true
+	}
 	for _, record := range changes.Records {
 		if record.Crashes == 0 {
 			delete(table, record.Fingerprint)
@@ -43,7 +48,7 @@
 		}
 		table[record.Fingerprint] = copied{crashes: record.Crashes, expires: c.now().Add(record.Remaining)}
 	}
-	c.count()
+	c.updateTotal()
 }
 
 // drop forgets the copy of a node that isn't followed any more.
@@ -51,7 +56,8 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.byNode, node)
-	c.count()
+	delete(c.complete, node)
+	c.updateTotal()
 }
 
 // isEmpty reports whether no copy has a request.
@@ -82,8 +88,15 @@
 	return 0
 }
 
-// count updates the total. The mutex must be held.
-func (c *copies) count() {
+// count returns the number of storage nodes whose whole table was copied.
+func (c *copies) count() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.complete)
+}
+
+// updateTotal counts the requests in all copies. The mutex must be held.
+func (c *copies) updateTotal() {
 	total := 0
 	for _, table := range c.byNode {
 		total += len(table)
@@ -104,5 +117,5 @@
 			}
 		}
 	}
-	c.count()
+	c.updateTotal()
 }
--- a/coordination/quarantine/follower.go
+++ b/coordination/quarantine/follower.go
@@ -18,7 +18,7 @@
 	// minWatchPause is the pause after the first failed call to a node. It doubles with each
 	// further one up to maxWatchPause.
 	minWatchPause = 100 * time.Millisecond
-	maxWatchPause = 3 * time.Second
+	maxWatchPause = 500 * time.Millisecond
 	// memberInterval is the pause between two looks at who the members are.
 	memberInterval = 200 * time.Millisecond
 )
@@ -41,6 +41,7 @@
 		}
 	}()
 	for {
+		f.client.tick()
 		members := f.client.memberAddresses()
 		for address, current := range followed {
 			if !slices.Contains(members, address) {
@@ -100,7 +101,7 @@
 	for ctx.Err() == nil {
 		changes, err := f.ask(ctx, address, from)
 		if err == nil {
-			f.client.copies.apply(address, changes)
+			f.client.learn(ctx, address, changes)
 			from, pause = changes.Next, 0
 			continue
 		}
--- a/coordination/quarantine/model_test.go
+++ b/coordination/quarantine/model_test.go
@@ -26,7 +26,7 @@
 	for index, try := range r.tries {
 		rows[index] = 1
 		for earlier, before := range r.tries[:index] {
-			if !try.sent.Before(before.ended) {
+			if !try.sent.Before(before.ended.Add(-reportSkew)) {
 				rows[index] = max(rows[index], rows[earlier]+1)
 			}
 		}
@@ -87,7 +87,7 @@
 	if err != nil {
 		return
 	}
-	m.gateways[gateway].copies.apply(address, changes)
+	m.gateways[gateway].learn(m.Context(), address, changes)
 	m.cursors[gateway][address] = changes.Next
 }
 
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -26,6 +26,9 @@
 	// SentAgo and EndedAgo are the times since the request was sent to the instance and
 	// since the instance ended. They are durations, since the clocks of nodes differ.
 	SentAgo, EndedAgo time.Duration
+	// Row is the number of crashes in a row up to this one, as it was counted when the crash
+	// was first reported; zero then.
+	Row int
 }
 
 // Record is what a table has of a request.
--- /dev/null
+++ b/coordination/quarantine/row.go
@@ -0,0 +1,45 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxEnds is the number of ends that are kept of a request. Those of other clients that
+	// ask the same are among them.
+	maxEnds = 16
+	// reportSkew is how much later than the end itself a report may place it.
+	reportSkew = 5 * time.Millisecond
+)
+
+// end is the end of an instance under a try that was sent to it.
+type end struct {
+	instance    string
+	sent, ended time.Time
+}
+
+// longestRow returns the length of the longest row of tries of which each was sent after the
+// end of the one before. A client makes its tries one after the other, so others belong
+// to other clients that ask the same. The order in which the ends are reported doesn't matter.
+func longestRow(ends []end) (length int) {
+	ordered := slices.Clone(ends)
+	slices.SortStableFunc(ordered, func(a, b end) int { return a.ended.Compare(b.ended) })
+	var last time.Time
+	for _, current := range ordered {
+		if length == 0 || !current.sent.Before(last.Add(-reportSkew)) {
+			length++
+			last = current.ended
+		}
+	}
+	return length
+}
+
+// instancesOf returns the instances that have ended.
+func instancesOf(ends []end) []string {
+	instances := make([]string, 0, len(ends))
+	for _, current := range ends {
+		instances = append(instances, current.instance)
+	}
+	return instances
+}
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -47,13 +47,14 @@
 	told time.Time
 }
 
-// entry is a request with the instances that have crashed under tries in a row. It has none
-// once a try was completed.
+// entry is a request with the ends of instances under it. It has none once a try was
+// completed.
 type entry struct {
-	instances []string
-	lastEnd   time.Time
-	expires   time.Time
-	change    uint64
+	ends []end
+	// crashes is the number of instances in the longest row.
+	crashes int
+	expires time.Time
+	change  uint64
 }
 
 // NewTable returns an empty table with an id that no earlier table of the node had.
@@ -61,15 +62,13 @@
 	return &Table{id: id, now: now, onQuarantined: onQuarantined, entries: make(map[Fingerprint]*entry), changed: make(chan struct{}), followers: make(map[FollowerID]position)}
 }
 
-// Report counts a crash. A client makes its tries one after the other, so a try that was
-// sent before the last counted end is one of another client that asks the same: it doesn't
-// count, nor does an end that is counted already.
+// Report counts a crash, see longestRow. One that is known already isn't counted again.
 func (t *Table) Report(crash Crash) Record {
 	t.mutex.Lock()
 	record, isNew := t.count(crash)
 	var instances []string
 	if isNew && record.Crashes == MaxCrashes {
-		instances = slices.Clone(t.entries[crash.Fingerprint].instances)
+		instances = instancesOf(t.entries[crash.Fingerprint].ends)
 	}
 	t.mutex.Unlock()
 	if instances != nil {
@@ -78,8 +77,8 @@
 	return record
 }
 
-// count returns the record after the crash, and whether the crash was counted. The mutex
-// must be held.
+// count returns the record after the crash, and whether it has changed. The mutex must be
+// held.
 func (t *Table) count(crash Crash) (record Record, isNew bool) {
 	now := t.now()
 	t.sweep(now)
@@ -89,24 +88,25 @@
 		known = &entry{}
 		t.entries[crash.Fingerprint] = known
 	}
-	sent := now.Add(-crash.SentAgo)
-	if slices.Contains(known.instances, crash.Instance) || len(known.instances) > 0 && sent.Before(known.lastEnd) {
+	isKnown := slices.ContainsFunc(known.ends, func(e end) bool { return e.instance == crash.Instance })
+	if isKnown || len(known.ends) >= maxEnds {
 		return known.record(crash.Fingerprint, now), false
 	}
-	known.instances = append(known.instances, crash.Instance)
-	known.lastEnd = now.Add(-crash.EndedAgo)
-	known.expires = now.Add(lifetime(len(known.instances)))
+	known.ends = append(known.ends, end{instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)})
+	crashes := max(longestRow(known.ends), crash.Row)
+	isMore := crashes > known.crashes
+	known.crashes = max(known.crashes, crashes)
+	known.expires = now.Add(lifetime(known.crashes))
 	t.noteChange(known)
-	return known.record(crash.Fingerprint, now), true
+	return known.record(crash.Fingerprint, now), isMore
 }
 
 // Clear forgets the crashes under a request of which a try was completed.
 func (t *Table) Clear(fingerprint Fingerprint) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if known := t.entries[fingerprint]; known != nil && len(known.instances) > 0 {
-		known.instances = nil
-		t.noteChange(known)
+	if known := t.entries[fingerprint]; known != nil && known.crashes > 0 {
+		t.clear(known)
 	}
 }
 
@@ -116,15 +116,20 @@
 	defer t.mutex.Unlock()
 	cleared := 0
 	for _, known := range t.entries {
-		if len(known.instances) > 0 {
-			known.instances = nil
-			t.noteChange(known)
+		if known.crashes > 0 {
+			t.clear(known)
 			cleared++
 		}
 	}
 	return cleared
 }
 
+// clear forgets the crashes of the entry. The mutex must be held.
+func (t *Table) clear(known *entry) {
+	known.ends, known.crashes = nil, 0
+	t.noteChange(known)
+}
+
 // Find returns the record of the request, or one without crashes.
 func (t *Table) Find(fingerprint Fingerprint) Record {
 	t.mutex.Lock()
@@ -142,7 +147,7 @@
 	defer t.mutex.Unlock()
 	var records []Record
 	for fingerprint, known := range t.entries {
-		if len(known.instances) > 0 && t.now().Before(known.expires) {
+		if known.crashes > 0 && t.now().Before(known.expires) {
 			records = append(records, known.record(fingerprint, t.now()))
 		}
 	}
@@ -244,7 +249,7 @@
 }
 
 func (e *entry) record(fingerprint Fingerprint, now time.Time) Record {
-	return Record{Fingerprint: fingerprint, Crashes: len(e.instances), Remaining: max(e.expires.Sub(now), 0)}
+	return Record{Fingerprint: fingerprint, Crashes: e.crashes, Remaining: max(e.expires.Sub(now), 0)}
 }
 
 // noteChange numbers the change of the entry and wakes the waiting calls. The mutex must be
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -23,24 +23,24 @@
 	table := c.tables["node-0"]
 	assert.Equal(t, table.Report(crashAt("i-1", time.Second)).Crashes, 1)
 	assert.Equal(t, table.Report(crashAt("i-1", time.Second)).Crashes, 1, "a repeated report")
-	c.now = c.now.Add(10 * time.Millisecond)
-	assert.Equal(t, table.Report(crashAt("i-2", 20*time.Millisecond)).Crashes, 1, "sent before i-1 ended")
-	assert.Equal(t, table.Report(crashAt("i-3", 10*time.Millisecond)).Crashes, 2, "sent after i-1 ended")
+	c.now = c.now.Add(100 * time.Millisecond)
+	assert.Equal(t, table.Report(crashAt("i-2", 200*time.Millisecond)).Crashes, 1, "sent before i-1 ended")
+	assert.Equal(t, table.Report(crashAt("i-3", 100*time.Millisecond)).Crashes, 2, "sent after i-1 ended")
 	assert.Equal(t, len(c.quarantined), 0)
-	c.now = c.now.Add(20 * time.Millisecond)
-	assert.Equal(t, table.Report(crashAt("i-4", 10*time.Millisecond)).Crashes, 3)
+	c.now = c.now.Add(200 * time.Millisecond)
+	assert.Equal(t, table.Report(crashAt("i-4", 100*time.Millisecond)).Crashes, 3)
 	assert.DeepEqual(t, c.quarantined, []Fingerprint{request})
 	assert.Assert(t, IsQuarantined(table.Find(request).Crashes))
 }
 
-// TestLateReportKeepsItsTime covers a report that comes long after the end.
+// TestLateReportKeepsItsTime covers reports that come long after the end, in any order.
 func TestLateReportKeepsItsTime(t *testing.T) {
 	c := newCluster(1)
 	table := c.tables["node-0"]
 	late := crashAt("i-1", 500*time.Millisecond)
 	late.EndedAgo = 400 * time.Millisecond
-	assert.Equal(t, table.Report(late).Crashes, 1)
-	assert.Equal(t, table.Report(crashAt("i-2", 300*time.Millisecond)).Crashes, 2, "sent after i-1 ended, before its report")
+	assert.Equal(t, table.Report(crashAt("i-2", 300*time.Millisecond)).Crashes, 1)
+	assert.Equal(t, table.Report(late).Crashes, 2, "i-2 was sent after i-1 had ended")
 }
 
 // TestCompletedTryForgetsCrashes guards against a request that is refused though its tries
--- a/transport/peer/crash.go
+++ b/transport/peer/crash.go
@@ -32,7 +32,7 @@
 	defer cancel()
 	response, err := c.stubs(address).crashes.ReportCrash(ctx, connect.NewRequest(&peerv1.ReportCrashRequest{
 		Fingerprint: crash.Fingerprint[:], Instance: crash.Instance,
-		SentAgoUs: crash.SentAgo.Microseconds(), EndedAgoUs: crash.EndedAgo.Microseconds(),
+		SentAgoUs: crash.SentAgo.Microseconds(), EndedAgoUs: crash.EndedAgo.Microseconds(), Row: uint32(crash.Row),
 	}))
 	if err != nil {
 		return quarantine.Record{}, err
@@ -86,7 +86,8 @@
 
 var _ peerv1connect.CrashServiceHandler = (*crashServer)(nil)
 
-// ReportCrash counts a crash and waits a while until all gateways know of it.
+// ReportCrash counts a crash and waits a while until all gateways know of it. Those of a
+// crash that is reported again have known of it before.
 func (s *crashServer) ReportCrash(ctx context.Context, request *connect.Request[peerv1.ReportCrashRequest]) (*connect.Response[peerv1.ReportCrashResponse], error) {
 	fingerprint, err := fingerprintFromWire(request.Msg.GetFingerprint())
 	if err != nil {
@@ -96,10 +97,13 @@
 		Fingerprint: fingerprint, Instance: request.Msg.GetInstance(),
 		SentAgo:  time.Duration(request.Msg.GetSentAgoUs()) * time.Microsecond,
 		EndedAgo: time.Duration(request.Msg.GetEndedAgoUs()) * time.Microsecond,
+		Row:      int(request.Msg.GetRow()),
 	})
-	ctx, cancel := context.WithTimeout(ctx, quarantine.FollowerGrace)
-	defer cancel()
-	s.crashes.AwaitFollowers(ctx)
+	if request.Msg.GetRow() == 0 {
+		ctx, cancel := context.WithTimeout(ctx, quarantine.FollowerGrace)
+		defer cancel()
+		s.crashes.AwaitFollowers(ctx)
+	}
 	return connect.NewResponse(&peerv1.ReportCrashResponse{Record: crashRecordToWire(record)}), nil
 }
 
