Add a soak of requests that crash instances, beside all other faults

Real gateways and storage nodes under series of overlapping faults: gateways killed, stopped and paused, storage nodes killed, a silent store, instances replaced and crashed, while ordinary clients read streams and some callers send requests under which each instance crashes, at another gateway each time.

No request may crash more than three instances, but for tries that were never answered and crashes at gateways that don't know the storage nodes yet. A harmless request may be refused only if three instances have ended under it, which is rare but happens: streams of half a second beside four to six crashes a second on ten instances.

--- a/test/integration/soaksystem_test.go
+++ b/test/integration/soaksystem_test.go
@@ -46,6 +46,8 @@
 	// closed are the instances that have ended.
 	closed  []*soakInstance
 	started int
+	// lethalText is in the body of requests under which instances crash; empty for none.
+	lethalText string
 	// newest is the number of the newest version.
 	newest int
 	// addresses are the gateways' addresses for callers; empty while they are down.
@@ -175,6 +177,7 @@
 	assert.NilError(s.t, err)
 	started.Mark = " of " + service.version + strings.Repeat(".", service.padding)
 	started.SetPause(service.pause)
+	started.CrashOn(s.lethalText, crashDelay)
 	added := &soakInstance{Runner: started, service: service.name, version: service.version}
 	s.instances = append(s.instances, added)
 	s.putInstance(added, "ready")
--- a/test/integration/streamclient_test.go
+++ b/test/integration/streamclient_test.go
@@ -40,6 +40,9 @@
 	// resumed counts the tries that continued a stream, rejected those that were told
 	// that it can't be.
 	resumed, rejected int
+	// quarantined are the programs of streams that were refused since instances crashed
+	// under them.
+	quarantined []string
 	// faults describes streams that are wrong.
 	faults []string
 }
@@ -174,6 +177,10 @@
 // refused returns what an answer other than 200 means.
 func (s *soakStream) refused(response *http.Response) soakOutcome {
 	content, _ := bufio.NewReader(response.Body).ReadString('\n')
+	if strings.Contains(content, strconv.Quote(result.RequestQuarantined.Info().Name)) {
+		s.clients.count(func(total *soakTotal) { total.quarantined = append(total.quarantined, s.program) })
+		return soakRejected
+	}
 	for _, code := range []result.Code{result.StreamVersionGone, result.StreamOriginUnknown} {
 		if strings.Contains(content, fmt.Sprintf(`"type":%q`, code.Info().Name)) {
 			return soakRejected
