Fail only the call that panics at a storage node

The class of the incident elsewhere: a call between nodes that panics ended its storage node, since calls of a stream run outside of net/http's and connect's recovery, and its caller goes on to the next member of the set.

No such call is known.

--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -29,7 +29,10 @@
 	ended   atomic.Int64
 }
 
-const blockingKey = "held"
+const (
+	blockingKey  = "held"
+	panickingKey = "panics"
+)
 
 func (r *echoingReplica) Prepare(ctx context.Context, request register.PrepareRequest) register.PrepareReply {
 	if request.Key == blockingKey {
@@ -38,6 +41,9 @@
 		r.blocked.Add(-1)
 		r.ended.Add(1)
 	}
+	if request.Key == panickingKey {
+		panic("this request crashes its replica")
+	}
 	return register.PrepareReply{Value: []byte(request.Key)}
 }
 
--- a/transport/peer/session.go
+++ b/transport/peer/session.go
@@ -23,6 +23,9 @@
 // errUnsupportedCall is the failure of a call of a kind that this node doesn't serve.
 var errUnsupportedCall = merry.Sentinel("this node doesn't serve calls of this kind")
 
+// errPanicked is the failure of a call whose handler panicked.
+var errPanicked = merry.Sentinel("the call panicked")
+
 // callServer serves streams of calls.
 type callServer struct {
 	replica *replicaServer
@@ -198,7 +201,7 @@
 // serve executes a call and records it. An error becomes a failure in the answer.
 func (s *callServer) serve(ctx context.Context, call *peerv1.Call) *peerv1.Answer {
 	start := time.Now()
-	answer, err := s.dispatch(ctx, call)
+	answer, err := s.dispatchRecovered(ctx, call)
 	if err != nil {
 		answer = &peerv1.Answer{Response: failureOf(err)}
 	}
@@ -208,6 +211,17 @@
 
 func failureOf(err error) *peerv1.Answer_Failure { return &peerv1.Answer_Failure{Failure: err.Error()} }
 
+// dispatchRecovered executes a call. A panic fails this call alone, as net/http and connect do
+// it for single requests: its caller asks the next member, which it would end as well.
+func (s *callServer) dispatchRecovered(ctx context.Context, call *peerv1.Call) (answer *peerv1.Answer, err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			err = merry.Wrap(errPanicked, merry.AppendMessagef("%s: %v", callKind(call), reason))
+		}
+	}()
+	return s.dispatch(ctx, call)
+}
+
 func (s *callServer) dispatch(ctx context.Context, call *peerv1.Call) (*peerv1.Answer, error) {
 	switch request := call.GetRequest().(type) {
 	case *peerv1.Call_Prepare:
