--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -67,8 +67,8 @@
 	running sync.WaitGroup
 }
 
-// NewClient returns a client with an id that no other has. The follower from Follower must run for it to know of the
-// crashes at other gateways.
+// NewClient returns a client with an id that no other has. Its Follower must run, so that it
+// knows of the crashes at other gateways.
 func NewClient(id FollowerID, nodes Nodes, views Views, now func() time.Time, logger *zap.Logger) *Client {
 	return &Client{
 		id: id, nodes: nodes, views: views, logger: logger, copies: newCopies(now),
@@ -76,9 +76,9 @@
 	}
 }
 
-// MayKnow reports whether any crash is known, under whatever request, or isn't known yet.
-// Otherwise no fingerprint needs to be made.
-func (c *Client) MayKnow() bool { return !c.copies.isEmpty() || c.isLearning() }
+// NeedsCheck reports whether requests have to be checked: a crash under some request is known,
+// or this gateway may lack what others know. Otherwise no fingerprint needs to be made.
+func (c *Client) NeedsCheck() bool { return !c.copies.isEmpty() || c.isLearning() }
 
 // isLearning reports whether the copies lack what the gateway should know: it has just
 // started and lacks the tables of a majority, or it stood still.
--- a/coordination/quarantine/client_test.go
+++ b/coordination/quarantine/client_test.go
@@ -26,11 +26,11 @@
 		return false, false
 	}
 	gateway := newGateway(c)
-	assert.Assert(t, gateway.MayKnow(), "it has just started")
+	assert.Assert(t, gateway.NeedsCheck(), "it has just started")
 	for _, address := range c.members {
 		gateway.copies.apply(address, Changes{IsFull: true})
 	}
-	assert.Assert(t, !gateway.MayKnow())
+	assert.Assert(t, !gateway.NeedsCheck())
 	assert.Equal(t, gateway.Crashes(t.Context(), request), 0)
 	gateway.Completed(t.Context(), request)
 	assert.Equal(t, messages, 0)
@@ -94,9 +94,9 @@
 	started := newGateway(c)
 	assert.Equal(t, started.Crashes(t.Context(), request), MaxCrashes)
 	started.running.Wait()
-	assert.Assert(t, started.MayKnow())
+	assert.Assert(t, started.NeedsCheck())
 	c.now = c.now.Add(learningTime)
-	assert.Assert(t, !started.MayKnow())
+	assert.Assert(t, !started.NeedsCheck())
 }
 
 // TestResumedGatewayAsks guards against a gateway that sends a quarantined request since its
@@ -119,7 +119,7 @@
 	assert.Equal(t, frozen.Crashes(t.Context(), request), MaxCrashes, "the copies aren't up to date yet")
 	frozen.running.Wait()
 	c.now = c.now.Add(catchUpTime)
-	assert.Assert(t, !frozen.MayKnow())
+	assert.Assert(t, !frozen.NeedsCheck())
 }
 
 // TestRestartedNodesLearnCrashes guards against a quarantine that ends since all storage nodes
--- a/coordination/quarantine/copies.go
+++ b/coordination/quarantine/copies.go
@@ -14,19 +14,20 @@
 	total atomic.Int64
 
 	mutex  sync.Mutex
-	byNode map[string]map[Fingerprint]copied
+	byNode map[string]map[Fingerprint]copiedRecord
 	// complete holds the nodes whose whole table was copied.
 	complete map[string]bool
 	sweptAt  time.Time
 }
 
-type copied struct {
+// copiedRecord is a record with the time until which it is kept.
+type copiedRecord struct {
 	crashes int
 	expires time.Time
 }
 
 func newCopies(now func() time.Time) *copies {
-	return &copies{now: now, byNode: make(map[string]map[Fingerprint]copied), complete: make(map[string]bool)}
+	return &copies{now: now, byNode: make(map[string]map[Fingerprint]copiedRecord), complete: make(map[string]bool)}
 }
 
 // apply changes the copy of the node's table.
@@ -35,7 +36,7 @@
 	defer c.mutex.Unlock()
 	table := c.byNode[node]
 	if table == nil || changes.IsFull {
-		table = make(map[Fingerprint]copied)
+		table = make(map[Fingerprint]copiedRecord)
 		c.byNode[node] = table
 	}
 	if changes.IsFull {
@@ -46,7 +47,7 @@
 			delete(table, record.Fingerprint)
 			continue
 		}
-		table[record.Fingerprint] = copied{crashes: record.Crashes, expires: c.now().Add(record.Remaining)}
+		table[record.Fingerprint] = copiedRecord{crashes: record.Crashes, expires: c.now().Add(record.Remaining)}
 	}
 	c.updateTotal()
 }
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -35,7 +35,7 @@
 // checkCrashes refuses a request under which too many instances have crashed.
 func (c *call) checkCrashes(ctx context.Context) *result.Error {
 	crashes := c.handler.options.Crashes
-	if !crashes.MayKnow() {
+	if !crashes.NeedsCheck() {
 		return nil
 	}
 	c.attempts.crashes = crashes.Crashes(ctx, c.fingerprint())
@@ -51,7 +51,7 @@
 func (c *call) observeCrash(ctx context.Context, current *attempt, ended outcome, cause error) {
 	crashes := c.handler.options.Crashes
 	switch {
-	case ended == delivered && crashes.MayKnow():
+	case ended == delivered && crashes.NeedsCheck():
 		crashes.Completed(ctx, c.fingerprint())
 	case c.crashedUnder(ctx, current.assignment, ended, cause):
 		now := c.handler.options.Now()
--- a/transport/relay/headercodec.go
+++ b/transport/relay/headercodec.go
@@ -117,8 +117,8 @@
 // Crashes knows under which requests instances have crashed, at any gateway.
 // quarantine.Client implements it.
 type Crashes interface {
-	// MayKnow reports whether a crash under any request is known.
-	MayKnow() bool
+	// NeedsCheck reports whether requests have to be checked for crashes.
+	NeedsCheck() bool
 	// Crashes returns how many instances have crashed under a request.
 	Crashes(ctx context.Context, fingerprint quarantine.Fingerprint) int
 	// Report reports a crash and returns how many instances have crashed under the request.
--- a/transport/relay/retry_test.go
+++ b/transport/relay/retry_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/marblering/marblering/coordination/quarantine"
 	"github.com/marblering/marblering/state/result"
 )
 
@@ -51,6 +52,15 @@
 		{"broken stream, resumable", func(e *attemptResult) {
 			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = incomplete, true, true, true, true
 		}, "retry", result.OK},
+		{"incomplete, too many crashes", func(e *attemptResult) {
+			e.outcome, e.mayHaveRun, e.repeatable, e.crashes = incomplete, true, true, quarantine.MaxCrashes
+		}, "send error", result.BackendFailed},
+		{"incomplete, one crash more is allowed", func(e *attemptResult) {
+			e.outcome, e.mayHaveRun, e.repeatable, e.crashes = incomplete, true, true, quarantine.MaxCrashes-1
+		}, "retry", result.OK},
+		{"broken stream, resumable, too many crashes", func(e *attemptResult) {
+			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable, e.crashes = incomplete, true, true, true, true, quarantine.MaxCrashes
+		}, "abort", result.BackendFailed},
 		{"broken stream, unsent", func(e *attemptResult) { e.outcome, e.unsent, e.headerWritten = unsent, 1, true }, "retry unsent", result.OK},
 		{"broken stream, version gone", func(e *attemptResult) {
 			e.outcome, e.cause, e.unsent, e.headerWritten, e.mayHaveRun = unsent, errVersionGone, 5, true, true
