Ask how many instances crashed until a majority of nodes answers

What callers saw: a request under which three instances had crashed crashed a fourth one, sent by a gateway that had just started. Its tries were 0-0 (two crashes), 0-1 (one), two or three that weren't sent, and 2-1.

Cause: a gateway that starts follows configuration, instances and replica sets one by one.

Change: a gateway without the replica sets counts as learning until they were listed. A check asks again until a majority has answered, for 0.5 s at most, and logs if none has. Where the list has no sets there is nobody to ask, so that gateways without storage nodes don't wait.

--- a/coordination/quarantine/client_test.go
+++ b/coordination/quarantine/client_test.go
@@ -10,11 +10,15 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/marblering/marblering/coordination/sleep"
 	"github.com/marblering/marblering/test/harness"
 )
 
+// newGateway returns a client that asks the members once.
 func newGateway(c *cluster) *Client {
-	return NewClient(FollowerID(c.nextID()), c, c, c.clock, zap.NewNop())
+	gateway := NewClient(FollowerID(c.nextID()), c, c, c.clock, zap.NewNop())
+	gateway.findTimeout = 0
+	return gateway
 }
 
 // TestUnknownRequestsCostNoMessage guards against a message for each request.
@@ -99,6 +103,60 @@
 	assert.Assert(t, !started.NeedsCheck())
 }
 
+// TestStartingGatewayAwaitsMajority guards against a gateway that sends a quarantined request
+// since it doesn't know the storage nodes yet, or since these don't answer at once.
+func TestStartingGatewayAwaitsMajority(t *testing.T) {
+	const delay = 150 * time.Millisecond
+	for name, disturb := range map[string]func(c *cluster) Nodes{
+		"replica sets known late": func(c *cluster) Nodes {
+			c.isUnlisted.Store(true)
+			time.AfterFunc(delay, func() { c.isUnlisted.Store(false) })
+			return c
+		},
+		"messages lost": func(c *cluster) Nodes {
+			lost := 0
+			c.lose = func(string) (bool, bool) {
+				lost++
+				return lost <= 4*len(c.members), false
+			}
+			return c
+		},
+		"answers late": func(c *cluster) Nodes { return slowNodes{c, delay} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(3)
+			other := newGateway(c)
+			for number := range MaxCrashes {
+				other.Report(t.Context(), crashAt(fmt.Sprint("i-", number), 0))
+			}
+			other.running.Wait()
+			started := NewClient(FollowerID(c.nextID()), disturb(c), c, c.clock, zap.NewNop())
+			assert.Assert(t, started.NeedsCheck())
+			assert.Equal(t, started.Crashes(t.Context(), request), MaxCrashes)
+			started.running.Wait()
+		})
+	}
+}
+
+// slowNodes answers questions after a delay.
+type slowNodes struct {
+	*cluster
+	delay time.Duration
+}
+
+func (n slowNodes) FindCrashes(ctx context.Context, address string, fingerprint Fingerprint) (Record, error) {
+	if err := sleep.For(ctx, n.delay); err != nil {
+		return Record{}, err
+	}
+	return n.cluster.FindCrashes(ctx, address, fingerprint)
+}
+
+// TestGatewayWithoutStorageNodesAsksNobody guards against a delay of requests where there are
+// no storage nodes.
+func TestGatewayWithoutStorageNodesAsksNobody(t *testing.T) {
+	assert.Assert(t, !newGateway(newCluster(0)).NeedsCheck())
+}
+
 // TestResumedGatewayAsks guards against a gateway that sends a quarantined request since its
 // machine stood still while others reported the crashes.
 func TestResumedGatewayAsks(t *testing.T) {
