Add an unconfirmed crash to those known before

Cause: the gateway stood still for 0.9 s while it reported the third crash, so that the report failed at its timeout ("crash not confirmed by storage nodes confirmed=0 needed=2", "back end ended under request crashes=1"). Then only the crashes that this gateway had seen itself counted, one, though it knew of two at other gateways when it sent the request. Others wouldn't have learned of the third one if its report hadn't left before the pause.

Change: an unconfirmed crash adds to those that were known when its request was sent, which had all ended before. A report that fails because the process stood still is made again.

--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -94,11 +94,10 @@
 // isLearning reports whether the copies lack what the gateway should know: it has just
 // started and lacks the replica sets or the tables of a majority, or it stood still.
 func (c *Client) isLearning() bool {
-	now := c.now()
-	if now.UnixNano() < c.catchesUpUntil.Load() || c.hasStalled(now) {
+	if c.hasStoodStill() {
 		return true
 	}
-	if !now.Before(c.learnsUntil) {
+	if !c.now().Before(c.learnsUntil) {
 		return false
 	}
 	view, known := c.views.View(c.views.Locate(location))
@@ -108,6 +107,12 @@
 	return c.copies.count() < view.Quorum()
 }
 
+// hasStoodStill reports whether the process stood still a moment ago.
+func (c *Client) hasStoodStill() bool {
+	now := c.now()
+	return now.UnixNano() < c.catchesUpUntil.Load() || c.hasStalled(now)
+}
+
 // hasStalled reports whether the follower hasn't run for stallTime.
 func (c *Client) hasStalled(now time.Time) bool {
 	last := c.lastTick.Load()
@@ -174,19 +179,47 @@
 			return most, true
 		}
 	}
-	return most, asked.quorum > 0 && answered >= asked.quorum
+	return most, isMajority(answered, asked.quorum)
 }
 
 // Report reports a crash and returns how many instances have crashed under the request. It
 // returns once all nodes have counted the crash and told their followers, so that these know
 // of it before the client can try again. Once a majority has, it waits for FollowerGrace at
-// most.
+// most. Without a majority, the crash adds to those that were known when the request was sent.
 func (c *Client) Report(ctx context.Context, crash Crash) int {
-	own := c.own.Report(crash)
+	began := c.now()
+	local := crash
+	local.Row = crash.Known + 1
+	own := c.own.Report(local)
+	most, counted, needed, err := c.reportOnce(ctx, crash)
+	if !isMajority(counted, needed) && c.hasStoodStill() {
+		// The answers came too late, or the report was never sent.
+		passed := c.now().Sub(began)
+		crash.SentAgo += passed
+		crash.EndedAgo += passed
+		most, counted, needed, err = c.reportOnce(ctx, crash)
+	}
+	if !isMajority(counted, needed) {
+		most = max(most, own.Crashes)
+		c.copies.apply(localNode, Changes{Records: []Record{own}})
+		c.logger.Info("crash not confirmed by storage nodes", zap.Stringer("fingerprint", crash.Fingerprint),
+			zap.String("instance", crash.Instance), zap.Int("confirmed", counted), zap.Int("needed", needed), zap.Error(err))
+	}
+	crash.Row = most
+	c.reported.add(crash, c.now())
+	return most
+}
+
+// isMajority reports whether enough members have answered. Before the replica sets are known,
+// no number is enough.
+func isMajority(answered, quorum int) bool { return quorum > 0 && answered >= quorum }
+
+// reportOnce reports a crash to all members and returns how many of them have counted it, and
+// the most crashes that one of them has counted under the request.
+func (c *Client) reportOnce(ctx context.Context, crash Crash) (most, counted, needed int, lastErr error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (Record, error) { return c.nodes.ReportCrash(ctx, address, crash) })
-	most, counted, received := 0, 0, 0
-	var lastErr error
+	received := 0
 	var late <-chan time.Time
 	for received < asked.members {
 		select {
@@ -207,15 +240,7 @@
 		break
 	}
 	asked.cancelAfter(received, cancel)
-	if counted < asked.quorum || asked.quorum == 0 {
-		most = max(most, own.Crashes)
-		c.copies.apply(localNode, Changes{Records: []Record{own}})
-		c.logger.Info("crash not confirmed by storage nodes", zap.Stringer("fingerprint", crash.Fingerprint),
-			zap.String("instance", crash.Instance), zap.Int("confirmed", counted), zap.Int("needed", asked.quorum), zap.Error(lastErr))
-	}
-	crash.Row = most
-	c.reported.add(crash, c.now())
-	return most
+	return most, counted, asked.quorum, lastErr
 }
 
 // Completed forgets the crashes under a request, if there are any, since a try of it was
--- a/coordination/quarantine/client_test.go
+++ b/coordination/quarantine/client_test.go
@@ -180,6 +180,43 @@
 	assert.Assert(t, !frozen.NeedsCheck())
 }
 
+// TestUnconfirmedCrashAddsToKnownOnes guards against a gateway that forgets the crashes at
+// others since no storage node has confirmed its own report.
+func TestUnconfirmedCrashAddsToKnownOnes(t *testing.T) {
+	c := newCluster(3)
+	cutOff, other := newGateway(c), newGateway(c)
+	for number := range MaxCrashes - 1 {
+		other.Report(t.Context(), crashAt(fmt.Sprint("i-", number), 0))
+	}
+	other.running.Wait()
+	last := crashAt("last", 0)
+	last.Known = cutOff.Crashes(t.Context(), request)
+	assert.Equal(t, last.Known, MaxCrashes-1)
+	cutOff.running.Wait()
+	c.lose = func(string) (bool, bool) { return true, false }
+	assert.Equal(t, cutOff.Report(t.Context(), last), MaxCrashes)
+	assert.Equal(t, cutOff.Crashes(t.Context(), request), MaxCrashes)
+}
+
+// TestCrashIsReportedAgainAfterPause guards against a crash that other gateways don't learn
+// of since the process stood still while it reported it.
+func TestCrashIsReportedAgainAfterPause(t *testing.T) {
+	c := newCluster(3)
+	frozen, other := newGateway(c), newGateway(c)
+	frozen.tick()
+	lost := 0
+	c.lose = func(string) (bool, bool) {
+		lost++
+		if lost == 1 {
+			c.now = c.now.Add(stallTime)
+		}
+		return lost <= len(c.members), false
+	}
+	assert.Equal(t, frozen.Report(t.Context(), crashAt("i-1", 0)), 1)
+	frozen.running.Wait()
+	assert.Equal(t, other.Crashes(t.Context(), request), 1)
+}
+
 // TestRestartedNodesLearnCrashes guards against a quarantine that ends since all storage nodes
 // were restarted at the same time.
 func TestRestartedNodesLearnCrashes(t *testing.T) {
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -58,7 +58,7 @@
 		instance := current.assignment.Instance
 		c.attempts.crashes = crashes.Report(ctx, quarantine.Crash{
 			Fingerprint: c.fingerprint(), Instance: instance.Address + " " + instance.Incarnation().String(),
-			SentAgo: now.Sub(current.started),
+			SentAgo: now.Sub(current.started), Known: c.attempts.crashes,
 		})
 		c.logCrash(current)
 	}
