--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -78,6 +78,7 @@
 	// first request.
 	Mark string
 
+	socket net.Listener
 	server *http.Server
 
 	mutex sync.Mutex
@@ -98,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{Instance: instance, Address: socket.Addr().String(), Events: events}
+	r := &Runner{Instance: instance, Address: socket.Addr().String(), Events: events, socket: socket}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(socket) }()
 	return r, nil
