Take ends from storage nodes' lines in the soak of crashes

The check now also accepts an instance that a storage node names in its line, over all of its processes. The instance must have ended in the test, as before.

--- a/test/integration/crashsoak_test.go
+++ b/test/integration/crashsoak_test.go
@@ -169,8 +169,10 @@
 }
 
 // endedUnder returns the instances that have ended while they worked on a request of the
-// program, or before they read one that was sent to them, which only a gateway knows.
+// program, or before they read one that was sent to them, which only gateways and storage
+// nodes know. A gateway's line about it may be missing, since it logs at a limited rate.
 func (s *soakSystem) endedUnder(program string) (ended []string) {
+	fingerprint := s.fingerprintOf(program)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, instance := range s.closed {
@@ -184,13 +186,33 @@
 				ended = append(ended, instance.Instance)
 			}
 		}
-		if !slices.Contains(ended, instance.Instance) && len(s.logged("back end ended under request", "program="+program+" ", "instance="+instance.Instance+" ")) > 0 {
+		if !slices.Contains(ended, instance.Instance) && s.isLoggedAsEnded(instance, program, fingerprint) {
 			ended = append(ended, instance.Instance)
 		}
 	}
 	return ended
 }
 
+// isLoggedAsEnded reports whether a gateway or a storage node has logged that the instance
+// ended under a request of the program. The mutex must be held.
+func (s *soakSystem) isLoggedAsEnded(instance *soakInstance, program, fingerprint string) bool {
+	if len(s.logged("back end ended under request", "program="+program+" ", "instance="+instance.Instance+" ")) > 0 {
+		return true
+	}
+	name := instance.Address + " " + instance.Instance
+	for _, machine := range s.storage {
+		for line := range strings.Lines(machine.output()) {
+			if !strings.Contains(line, "request quarantined") || !strings.Contains(line, "fingerprint="+fingerprint+" ") {
+				continue
+			}
+			if strings.Contains(line, name+",") || strings.Contains(line, name+`"`) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // crashedUnder returns the runs of the request, each of which crashed its instance.
 func (s *soakSystem) crashedUnder(body string) (crashed []string) {
 	s.mutex.Lock()
