Count further crashes of a request that many clients send

What callers would see: a request that crashes each instance is sent on without end if more than 16 clients send it at the same time. Found by reading, no report of it.

Cause: a storage node keeps 16 ends of a request and ignored all later ones. Ends at the same time make a row of one, so that it stayed at one.

Change: an end that isn't part of the longest row makes room for the new one.

Evidence: TestManyClientsOfLethalRequestAreRefused (20 clients, three tries each) failed before with 1 != 2 and passes now.

--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -88,12 +88,11 @@
 		known = &entry{}
 		t.entries[crash.Fingerprint] = known
 	}
-	isKnown := slices.ContainsFunc(known.ends, func(e end) bool { return e.instance == crash.Instance })
-	if isKnown || len(known.ends) >= maxEnds {
+	if slices.ContainsFunc(known.ends, func(e end) bool { return e.instance == crash.Instance }) {
 		return known.record(crash.Fingerprint, now), false
 	}
-	known.ends = append(known.ends, end{instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)})
-	crashes := max(longestRow(known.ends), crash.Row)
+	known.ends = append(makeRoomFor(known.ends), end{instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)})
+	crashes := max(len(longestRow(known.ends)), crash.Row)
 	isMore := crashes > known.crashes
 	known.crashes = max(known.crashes, crashes)
 	known.expires = now.Add(lifetime(known.crashes))
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -33,6 +33,23 @@
 	assert.Assert(t, IsQuarantined(table.Find(request).Crashes))
 }
 
+// TestManyClientsOfLethalRequestAreRefused guards against a request that crashes instances
+// without end, because many clients send it at the same time.
+func TestManyClientsOfLethalRequestAreRefused(t *testing.T) {
+	const clients = maxEnds + 4
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	for try := range MaxCrashes {
+		c.now = c.now.Add(time.Second)
+		for client := range clients {
+			got := table.Report(crashAt(fmt.Sprint("i-", try, "-", client), 100*time.Millisecond))
+			assert.Equal(t, got.Crashes, try+1)
+		}
+	}
+	assert.Equal(t, len(c.quarantined), 1)
+	assert.Equal(t, len(table.entries[request].ends), maxEnds)
+}
+
 // TestLateReportKeepsItsTime covers reports that come long after the end, in any order.
 func TestLateReportKeepsItsTime(t *testing.T) {
 	c := newCluster(1)
