Forget a gateway's own count of a request that was completed elsewhere

Found by reading, no report of it: a gateway that couldn't report an end kept its own count of it after another gateway had completed the request, or an operator had cleared it, and refused the request one end too early.

Cause: what storage nodes push took such a request from the copies of their tables and from the reports, but not from the gateway's own table and copy.

Evidence: TestClearedRequestForgetsUnconfirmedCrashes failed before with 1 != 0 and passes now.

--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -249,9 +249,7 @@
 	if c.copies.crashes(fingerprint) == 0 {
 		return
 	}
-	c.own.Clear(fingerprint)
-	c.reported.remove(fingerprint)
-	c.copies.apply(localNode, Changes{Records: []Record{{Fingerprint: fingerprint}}})
+	c.forget(fingerprint)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (Record, error) {
 		return Record{}, c.nodes.ClearCrashes(ctx, address, fingerprint)
@@ -259,12 +257,19 @@
 	asked.cancelAfter(0, cancel)
 }
 
+// forget drops what this gateway has seen of a request.
+func (c *Client) forget(fingerprint Fingerprint) {
+	c.own.Clear(fingerprint)
+	c.reported.remove(fingerprint)
+	c.copies.apply(localNode, Changes{Records: []Record{{Fingerprint: fingerprint}}})
+}
+
 // learn takes in the changes of a node's table, and tells a new table what it may have lost.
 func (c *Client) learn(ctx context.Context, address string, changes Changes) {
 	c.copies.apply(address, changes)
 	for _, record := range changes.Records {
 		if record.Crashes == 0 {
-			c.reported.remove(record.Fingerprint)
+			c.forget(record.Fingerprint)
 		}
 	}
 	if changes.IsFull {
--- a/coordination/quarantine/client_test.go
+++ b/coordination/quarantine/client_test.go
@@ -198,6 +198,31 @@
 	assert.Equal(t, cutOff.Crashes(t.Context(), request), MaxCrashes)
 }
 
+// TestClearedRequestForgetsUnconfirmedCrashes guards against crashes that a gateway counts
+// for itself and keeps after the request was completed at another one, or cleared by an operator.
+func TestClearedRequestForgetsUnconfirmedCrashes(t *testing.T) {
+	c := newCluster(3)
+	cutOff, other := newGateway(c), newGateway(c)
+	other.Report(t.Context(), crashAt("i-1", 0))
+	other.running.Wait()
+	c.lose = func(string) (bool, bool) { return true, false }
+	assert.Equal(t, cutOff.Report(t.Context(), crashAt("i-2", 0)), 1)
+	cutOff.running.Wait()
+	c.lose = func(string) (bool, bool) { return false, false }
+	assert.Equal(t, cutOff.Crashes(t.Context(), request), 1)
+	cutOff.running.Wait()
+	other.Completed(t.Context(), request)
+	other.running.Wait()
+	for _, address := range c.members {
+		changes, err := c.WatchCrashes(t.Context(), address, cutOff.id, Cursor{}, 0)
+		assert.NilError(t, err)
+		cutOff.learn(t.Context(), address, changes)
+	}
+	assert.Equal(t, cutOff.Crashes(t.Context(), request), 0)
+	c.lose = func(string) (bool, bool) { return true, false }
+	assert.Equal(t, cutOff.Report(t.Context(), crashAt("i-3", 0)), 1)
+}
+
 // TestCrashIsReportedAgainAfterPause guards against a crash that other gateways don't learn
 // of since the process stood still while it reported it.
 func TestCrashIsReportedAgainAfterPause(t *testing.T) {
