Let every end of a stand-in wait until connections are refused

Cause: the test that notices a crash closes the runner as well, and that didn't wait for connections to be refused, so that connections broke before.

Change: Close waits, and Crash calls it.

--- a/lab/runner/crash.go
+++ b/lab/runner/crash.go
@@ -1,16 +1,11 @@
 package runner
 
 import (
-	"net"
 	"net/http"
 	"strings"
 	"time"
 )
 
-// maxRefusalDelay bounds the wait for connections to be refused. Another process may have
-// got the address.
-const maxRefusalDelay = time.Second
-
 // crash is when and how a runner crashes.
 type crash struct {
 	// text is in the body or the target of requests that crash the runner; empty for none.
@@ -29,31 +24,16 @@
 	r.crash.text, r.crash.delay = text, delay
 }
 
-// Crash ends the runner and its connections without a response to the requests on it. As when
-// a process ends, no connection breaks while new ones are accepted.
+// Crash ends the runner and its connections without a response to the requests on it.
 func (r *Runner) Crash() {
 	r.mutex.Lock()
 	if r.crash.at.IsZero() {
 		r.crash.at = time.Now()
 	}
 	r.mutex.Unlock()
-	_ = r.socket.Close()
-	r.awaitRefusal()
 	r.Close()
 }
 
-// awaitRefusal waits until connections are refused. The system keeps accepting them for a
-// closed socket until a child process that is being started has given up its copy.
-func (r *Runner) awaitRefusal() {
-	for end := time.Now().Add(maxRefusalDelay); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		connection, err := net.DialTimeout("tcp", r.Address, maxRefusalDelay)
-		if err != nil {
-			return
-		}
-		_ = connection.Close()
-	}
-}
-
 // CrashedAt returns when the runner crashed; zero if it hasn't.
 func (r *Runner) CrashedAt() time.Time {
 	r.mutex.Lock()
--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -20,6 +20,10 @@
 	HeaderTenant      = "X-Tenant"
 )
 
+// maxRefusalDelay bounds the wait for connections to be refused. Another process may have
+// got the address.
+const maxRefusalDelay = time.Second
+
 // systemHeaders name a reservation or a copy of memory. A runner refuses requests
 // that name one which it doesn't have, and this stand-in has none.
 func systemHeaders() []string { return []string{"X-Hold", "Kv-From", "X-Kv-Backup"} }
@@ -105,8 +109,25 @@
 	return r, nil
 }
 
-// Close ends the runner and its connections.
-func (r *Runner) Close() { _ = r.server.Close() }
+// Close ends the runner and its connections. As when a process ends, no connection breaks
+// while new ones are accepted.
+func (r *Runner) Close() {
+	_ = r.socket.Close()
+	r.awaitRefusal()
+	_ = r.server.Close()
+}
+
+// awaitRefusal waits until connections are refused. The system keeps accepting them for a
+// closed socket until a child process that is being started has given up its copy.
+func (r *Runner) awaitRefusal() {
+	for end := time.Now().Add(maxRefusalDelay); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		connection, err := net.DialTimeout("tcp", r.Address, maxRefusalDelay)
+		if err != nil {
+			return
+		}
+		_ = connection.Close()
+	}
+}
 
 // SetFault treats the next requests so; a negative number means all.
 func (r *Runner) SetFault(fault Fault, times int) {
