--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -93,8 +93,9 @@
 	early []string
 	pause time.Duration
 	// left counts requests whose client left while they ran.
-	left  int
-	crash crash
+	left     int
+	crash    crash
+	brokenAt time.Time
 }
 
 // Start runs a runner on a free loopback port until Close.
@@ -114,9 +115,21 @@
 func (r *Runner) Close() {
 	_ = r.socket.Close()
 	r.awaitRefusal()
+	r.mutex.Lock()
+	if r.brokenAt.IsZero() {
+		r.brokenAt = time.Now()
+	}
+	r.mutex.Unlock()
 	_ = r.server.Close()
 }
 
+// BrokenAt returns when the connections of the runner broke; zero if they haven't.
+func (r *Runner) BrokenAt() time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.brokenAt
+}
+
 // awaitRefusal waits until connections are refused. The system keeps accepting them for a
 // closed socket until a child process that is being started has given up its copy.
 func (r *Runner) awaitRefusal() {
