--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -65,38 +65,40 @@
 // Report counts a crash, see longestRow. One that is known already isn't counted again.
 func (t *Table) Report(crash Crash) Record {
 	t.mutex.Lock()
-	record, isNowQuarantined := t.count(crash)
+	record, isNew := t.count(crash)
 	var instances []string
-	if isNowQuarantined {
+	if isNew && record.Crashes == MaxCrashes {
 		instances = instancesOf(t.entries[crash.Fingerprint].ends)
 	}
 	t.mutex.Unlock()
-	if isNowQuarantined {
+	if instances != nil {
 		t.onQuarantined(crash.Fingerprint, instances)
 	}
 	return record
 }
 
-// count returns the record after the crash, and whether the crash has quarantined the request.
-// The mutex must be held.
-func (t *Table) count(crash Crash) (record Record, isNowQuarantined bool) {
+// count returns the record after the crash, and whether it has changed. The mutex must be
+// held.
+func (t *Table) count(crash Crash) (record Record, isNew bool) {
 	now := t.now()
 	t.sweep(now)
 	known := t.entries[crash.Fingerprint]
-	if known == nil || !now.Before(known.expires) {
+	if known == nil {
 		t.makeRoom()
 		known = &entry{}
 		t.entries[crash.Fingerprint] = known
 	}
-	if slices.ContainsFunc(known.ends, func(e end) bool { return e.instance == crash.Instance }) {
+	isKnown := slices.ContainsFunc(known.ends, func(e end) bool { return e.instance == crash.Instance })
+	if isKnown || len(known.ends) >= maxEnds {
 		return known.record(crash.Fingerprint, now), false
 	}
-	known.ends = append(makeRoomFor(known.ends), end{instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)})
-	before := known.crashes
-	known.crashes = max(before, len(longestRow(known.ends)), crash.Row)
+	known.ends = append(known.ends, end{instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)})
+	crashes := max(longestRow(known.ends), crash.Row)
+	isMore := crashes > known.crashes
+	known.crashes = max(known.crashes, crashes)
 	known.expires = now.Add(lifetime(known.crashes))
 	t.noteChange(known)
-	return known.record(crash.Fingerprint, now), IsQuarantined(known.crashes) && !IsQuarantined(before)
+	return known.record(crash.Fingerprint, now), isMore
 }
 
 // Clear forgets the crashes under a request of which a try was completed.
