Log which turns a storage node deletes, and why

The line gave a count alone: after a 404 it couldn't be told which replica had deleted a turn, or whether it was ever stored there. It now has a line for each shard, with the first turns, the time since their last use as this node knows it, and their retention.

--- a/coordination/expiry/collector.go
+++ b/coordination/expiry/collector.go
@@ -154,7 +154,7 @@
 // that the collection didn't find.
 func (c *Collector) deleteExpired(shardOf map[string]uint32) error {
 	now := c.options.Now()
-	deleted := 0
+	deleted := make(map[uint32][]deletedTurn)
 	for id, entry := range c.usages {
 		if !entry.found {
 			delete(c.usages, id)
@@ -167,10 +167,11 @@
 			return err
 		}
 		delete(c.usages, id)
-		deleted++
+		deleted[shardOf[id]] = append(deleted[shardOf[id]], deletedTurn{id: id, unusedFor: now.Sub(entry.lastUsed), retention: entry.retention})
 	}
-	if deleted > 0 {
-		c.options.Logger.Info("turns deleted", zap.Int("deleted", deleted), zap.Int("kept", len(c.usages)))
+	for shard, turns := range deleted {
+		c.options.Logger.Info("turns deleted", zap.Uint32("shard", shard), zap.Int("deleted", len(turns)),
+			zap.Int("kept", len(c.usages)), zap.Stringer("turns", loggedTurns(turns)))
 	}
 	return nil
 }
