--- /dev/null
+++ b/test/integration/longline_test.go
@@ -0,0 +1,147 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/test/harness"
+)
+
+const (
+	longLineZones = 4
+	// longLineRetention is the retention of the long route, shortLineRetention that of the
+	// other one.
+	longLineRetention  = 2 * time.Second
+	shortLineRetention = time.Second
+	// longLinePause is the time between two turns of a line.
+	longLinePause = time.Second
+	// longLineStartsPerPause is the number of lines that begin in this time: a storage node
+	// refuses programs of which many begin at once.
+	longLineStartsPerPause = 6
+	// longLineTime is longer than a storage node keeps a turn that it never hears of again: three
+	// retentions, 30 s and the interval between two collections.
+	longLineTime = 3*longLineRetention + 30*time.Second + 20*time.Second + 4*time.Second
+)
+
+const (
+	longRoute  = "/long/"
+	shortRoute = "/short/"
+)
+
+// lineRetention returns the retention of the route.
+func lineRetention(route string) time.Duration {
+	if route == shortRoute {
+		return shortLineRetention
+	}
+	return longLineRetention
+}
+
+// longLineConfiguration has a route of each retention.
+func longLineConfiguration(version int) map[string]any {
+	var routes []map[string]any
+	for _, prefix := range []string{longRoute, shortRoute} {
+		routes = append(routes, map[string]any{
+			"name": "route-" + prefix[1:len(prefix)-1], "host": "desk.example", "path_prefix": prefix, "kind": "stream", "timeout_ms": 5000,
+			"service": "app", "attempts": 2, "retain": true, "retention_s": lineRetention(prefix).Seconds(),
+		})
+	}
+	return map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{{"name": "app", "engine": map[string]any{"stream_stride": turnStride}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+}
+
+// newLongLineSoak starts a storage node and a gateway in each zone, and instances.
+func newLongLineSoak(t *testing.T, seed uint64) *turnSoak {
+	t.Helper()
+	zoneOf := func(index int) string { return turnSoakZone(index % longLineZones) }
+	s := newTurnSoakWith(t, seed, longLineZones, longLineZones, longLineConfiguration, soakLayout{drainTimeout: 4 * time.Second, gatewayZone: zoneOf})
+	for _, g := range s.gateways {
+		g.process.WaitHTTP(t, "http://"+g.process.WaitValue(t, "operator_address")+"/readyz")
+	}
+	return s
+}
+
+// firstInMostSets returns the storage node that is listed first in most replica sets.
+func (s *turnSoak) firstInMostSets() *turnMachine {
+	s.t.Helper()
+	var sets struct {
+		Views []struct {
+			Members []struct{ Node string }
+		} `json:"views"`
+	}
+	object, found := s.store.Get("replica-sets", "main")
+	assert.Assert(s.t, found)
+	assert.NilError(s.t, json.Unmarshal(object.Spec, &sets))
+	counts := make(map[string]int)
+	for _, view := range sets.Views {
+		counts[view.Members[0].Node]++
+	}
+	most := s.machines[0]
+	for _, m := range s.machines {
+		if counts[m.name] > counts[most.name] {
+			most = m
+		}
+	}
+	return most
+}
+
+// TestLineOutlivesItsFirstReplicas guards against the deletion of the first turns of a line at
+// replicas that store no later ones, which leaves a single copy of them.
+func TestLineOutlivesItsFirstReplicas(t *testing.T) {
+	t.Parallel()
+	s := newLongLineSoak(t, 1)
+	clients := newLineClients(s)
+	clients.awaitServing(0, longLineZones)
+	var lines []*turnLine
+	var last []int
+	var running sync.WaitGroup
+	until := time.Now().Add(longLineTime)
+	for first := range longLineZones {
+		for later := range longLineZones {
+			for final := range longLineZones {
+				if first == later || later == final || first == final {
+					continue
+				}
+				line := &turnLine{program: fmt.Sprintf("line-%d%d%d", first, later, final)}
+				lines, last = append(lines, line), append(last, final)
+				start := longLinePause * time.Duration(len(lines)) / longLineStartsPerPause
+				running.Go(func() {
+					time.Sleep(start)
+					clients.takeTurn(line, first, longRoute)
+					for time.Now().Before(until) {
+						time.Sleep(longLinePause)
+						clients.takeTurn(line, later, longRoute)
+					}
+				})
+			}
+		}
+	}
+	running.Wait()
+	killed := s.firstInMostSets()
+	killed.process.Kill()
+	s.log("%s killed", killed.name)
+	for index, line := range lines {
+		running.Go(func() { clients.takeTurn(line, last[index], longRoute) })
+	}
+	running.Wait()
+	clients.report()
+	assert.Assert(t, clients.whole >= len(lines)*int(longLineTime/longLinePause)/3, "%d turns", clients.whole)
+}
+
+// awaitServing waits until each of the gateways serves a turn.
+func (c *lineClients) awaitServing(first, count int) {
+	c.t.Helper()
+	for zone := first; zone < first+count; zone++ {
+		harness.Eventually(c.t, func() (bool, string) {
+			status, body, _ := c.send(zone, longRoute, c.newID(), fmt.Sprint("serving-", zone), "", "input")
+			return status == 200, fmt.Sprint(status, " ", body)
+		})
+	}
+}
--- a/test/integration/soaksystem_test.go
+++ b/test/integration/soaksystem_test.go
@@ -21,6 +21,9 @@
 // soakLayout describes a soakSystem.
 type soakLayout struct {
 	gateways, storageNodes int
+	// gatewayZone returns the zone of a gateway. If it is nil, all are in one zone without
+	// storage nodes.
+	gatewayZone func(index int) string
 	// drainTimeout is how long a gateway may take to stop.
 	drainTimeout time.Duration
 	// configuration is the object with the routes, the services and the limits.
@@ -135,8 +138,12 @@
 func (s *soakSystem) addGateway(index int) {
 	s.t.Helper()
 	gateway := &soakGateway{index: index, file: filepath.Join(s.t.TempDir(), "gateway.yaml")}
-	settings := fmt.Sprintf("name: edge-%d\nzone: a\ncaller_listen: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\n"+
-		"store_url: %s\napply_limit: 500ms\ndrain_timeout: %s\n", index, s.url, s.layout.drainTimeout)
+	zone := "a"
+	if s.layout.gatewayZone != nil {
+		zone = s.layout.gatewayZone(index)
+	}
+	settings := fmt.Sprintf("name: edge-%d\nzone: %s\ncaller_listen: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\n"+
+		"store_url: %s\napply_limit: 500ms\ndrain_timeout: %s\n", index, zone, s.url, s.layout.drainTimeout)
 	assert.NilError(s.t, os.WriteFile(gateway.file, []byte(settings), 0o600))
 	s.gateways = append(s.gateways, gateway)
 	s.startGateway(gateway)
--- a/test/integration/turnsoak_test.go
+++ b/test/integration/turnsoak_test.go
@@ -43,14 +43,17 @@
 type turnSoak struct {
 	*soakSystem
 	seed uint64
+	// zones is the number of zones of the storage nodes.
+	zones int
 	// machines are the storage nodes, stopped ones included.
 	machines []*turnMachine
 	// processes are all storage processes started so far.
 	processes []*harness.Process
 	// names counts the names of storage nodes given so far.
 	names int
-	// version is the newest version of the configuration.
-	version int
+	// version is the newest version of the configuration, which configure returns.
+	version   int
+	configure func(version int) map[string]any
 	// lostDisks counts the disks lost so far.
 	lostDisks int
 }
@@ -65,15 +68,19 @@
 
 func newTurnSoak(t *testing.T, seed uint64) *turnSoak {
 	t.Helper()
-	s := &turnSoak{seed: seed, version: 1, soakSystem: newSoakSystem(t, seed, soakLayout{
-		drainTimeout:  4 * time.Second,
-		configuration: turnSoakConfiguration(1),
-	})}
-	for range turnSoakStorage {
+	return newTurnSoakWith(t, seed, turnSoakStorage, turnSoakGateways, turnSoakConfiguration, soakLayout{drainTimeout: 4 * time.Second})
+}
+
+// newTurnSoakWith starts as many storage nodes, each in a zone of its own, and gateways.
+func newTurnSoakWith(t *testing.T, seed uint64, storageNodes, gateways int, configure func(version int) map[string]any, layout soakLayout) *turnSoak {
+	t.Helper()
+	layout.configuration = configure(1)
+	s := &turnSoak{seed: seed, zones: storageNodes, version: 1, configure: configure, soakSystem: newSoakSystem(t, seed, layout)}
+	for range storageNodes {
 		s.machines = append(s.machines, s.newMachine())
 	}
-	s.addresses = make([]string, turnSoakGateways)
-	for index := range turnSoakGateways {
+	s.addresses = make([]string, gateways)
+	for index := range gateways {
 		s.addGateway(index)
 	}
 	for range 6 {
@@ -106,7 +113,7 @@
 // publish puts the next version of the configuration into the store.
 func (s *turnSoak) publish() {
 	s.version++
-	s.store.Put("config", "main", turnSoakConfiguration(s.version))
+	s.store.Put("config", "main", s.configure(s.version))
 }
 
 // checkConfiguration waits until each gateway serves the newest version, and then checks that
@@ -161,14 +168,16 @@
 		storageMachine: &storageMachine{file: filepath.Join(folder, "storage.yaml"), folder: filepath.Join(folder, "data")},
 		name:           fmt.Sprint("storage-", s.names),
 	}
-	settings := fmt.Sprintf("name: %s\nzone: zone-%d\npeer_listen: %s\noperator_listen: 127.0.0.1:0\nstore_url: %s\n"+
-		"apply_limit: 2s\nlosses: 1\nshards: 4\ndata_folder: %s\n", m.name, s.names%turnSoakStorage, address, s.url, m.folder)
+	settings := fmt.Sprintf("name: %s\nzone: %s\npeer_listen: %s\noperator_listen: 127.0.0.1:0\nstore_url: %s\n"+
+		"apply_limit: 2s\nlosses: 1\nshards: 4\ndata_folder: %s\n", m.name, turnSoakZone(s.names%s.zones), address, s.url, m.folder)
 	s.names++
 	assert.NilError(s.t, os.WriteFile(m.file, []byte(settings), 0o600))
 	s.startMachine(m)
 	return m
 }
 
+func turnSoakZone(index int) string { return fmt.Sprint("zone-", index) }
+
 func (s *turnSoak) startMachine(m *turnMachine) {
 	s.t.Helper()
 	m.process = harness.Start(s.t, harness.Command{
