Store the whole chain of a turn at each member that stores the turn

Callers saw 404 for turns that were answered seconds before, while one storage node was down, on lines that had outlived three retentions and 30 s; lines that went on in another program's shard lost their first turns with nothing disturbed.

Cause: a turn is stored by two of three members, which ones is the gateway's choice, and each member deleted what it had not heard of for long enough. Where the later turns of a line were stored at other members, or in another shard, the first turns went while the line went on.

Change: a member names the ancestors that the shard lacks when it stores a turn, the gateway stores them there too, and only then the member counts towards the quorum. Each member that has a turn so has its chain, and deletes by what it stores itself: an ancestor is needed for as long as the longest retention of what follows it. A turn that was found to be there while another was stored isn't deleted meanwhile.

TestUsageIsExpired checked a type that is gone; TestTurnExpiresAfterItsTime checks the same moment at the store.

--- a/coordination/archive/archive.go
+++ b/coordination/archive/archive.go
@@ -34,6 +34,9 @@
 	Refusal register.Refusal
 	// View is a newer view of the shard, or nil.
 	View *register.View
+	// Missing are the names of ancestors of a stored turn that the replica lacks in the
+	// shard.
+	Missing []string
 }
 
 // Replicas sends requests to the members of a replica set. peer.Client implements it.
--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -24,7 +24,8 @@
 
 // Turns stores whole turns. turnstore.Store implements it.
 type Turns interface {
-	Put(ctx context.Context, program string, whole *statev1.RetainedTurn) error
+	// Put stores a turn. Its ancestors are given for replicas that lack them.
+	Put(ctx context.Context, program string, whole *statev1.RetainedTurn, ancestors []*statev1.RetainedTurn) error
 	History(ctx context.Context, program, id string) ([]*statev1.RetainedTurn, error)
 }
 
@@ -234,7 +235,7 @@
 	return t.service.turns.Put(ctx, t.request.Program, &statev1.RetainedTurn{
 		Id: t.request.ID, Ancestors: ancestors, Input: t.request.Input, Output: t.output,
 		RetentionMs: t.request.Retention.Milliseconds(), Tenant: t.request.Tenant,
-	})
+	}, t.history)
 }
 
 // End ends the turn's reservation and charges the budget with the delivered tokens.
--- a/coordination/conversation/state_time_test.go
+++ b/coordination/conversation/state_time_test.go
@@ -18,7 +18,9 @@
 // slowTurnStore stores no turns and takes a while to say so.
 type slowTurnStore struct{ delay time.Duration }
 
-func (slowTurnStore) Put(context.Context, string, *statev1.RetainedTurn) error { return nil }
+func (slowTurnStore) Put(context.Context, string, *statev1.RetainedTurn, []*statev1.RetainedTurn) error {
+	return nil
+}
 
 func (s slowTurnStore) History(ctx context.Context, _, _ string) ([]*statev1.RetainedTurn, error) {
 	select {
--- a/coordination/expiry/collector.go
+++ b/coordination/expiry/collector.go
@@ -1,72 +1,30 @@
-// Package expiry deletes expired turns from a replica's store; usage.isExpired defines
-// when a turn expires. A turn counts as used when it is stored and whenever a descendant
-// is stored, so that no ancestor expires while its line of turns is continued.
-//
-// The last use of each stored turn is only kept in memory. A restart resets it to the first
-// collection afterwards, which only keeps turns longer.
 package expiry
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/marblering/marblering/state/replica"
-	"github.com/marblering/marblering/state/turn"
-)
-
-const (
-	// retentionFactor multiplies the retention of a turn, since other replicas may have
-	// seen a later use.
-	retentionFactor = 3
-	// retentionMargin extends the retention for responses that end late.
-	retentionMargin = 30 * time.Second
-	// defaultRetention applies to turns that specify no retention or can't be decoded.
-	defaultRetention = 10 * time.Minute
+	"golang.org/x/sync/errgroup"
 )
 
-// Options configures a Collector.
-type Options struct {
-	Store replica.Store
-	// Shards returns the number of shards.
-	Shards func() uint32
-	// Interval is the time between two collections.
-	Interval time.Duration
-	Now      func() time.Time
-	Logger   *zap.Logger
-}
+// maxConcurrentDeletions limits how many turns are deleted while no turn can be stored. A
+// disk store groups concurrent changes into one sync.
+const maxConcurrentDeletions = 128
 
-// Collector deletes expired turns. It implements suture.Service.
+// Collector periodically deletes the turns that a Store no longer needs. It implements
+// suture.Service.
 type Collector struct {
-	options Options
-	codec   *turn.Codec
-	// usages are the usages of the turns by id.
-	usages map[string]*usage
+	store *Store
+	// interval is the time between two collections.
+	interval time.Duration
+	logger   *zap.Logger
 }
 
-// usage records when a turn was last used and how long it is retained.
-type usage struct {
-	lastUsed time.Time
-	// retention is the retention of the turn; zero until the turn was read.
-	retention time.Duration
-	// found is set if the current collection found the turn in the store.
-	found bool
-}
-
-// isExpired reports whether the turn is to be deleted: it has not been used for
-// retentionFactor times its retention plus retentionMargin.
-func (u *usage) isExpired(now time.Time) bool {
-	return now.Sub(u.lastUsed) > retentionFactor*u.retention+retentionMargin
-}
-
-// New returns a collector that knows no turns.
-func New(options Options) (*Collector, error) {
-	codec, err := turn.NewCodec()
-	if err != nil {
-		return nil, err
-	}
-	return &Collector{options: options, codec: codec, usages: make(map[string]*usage)}, nil
+// NewCollector returns a collector for the store.
+func NewCollector(store *Store, interval time.Duration, logger *zap.Logger) *Collector {
+	return &Collector{store: store, interval: interval, logger: logger}
 }
 
 // String returns the service name for the supervisor's log messages.
@@ -74,104 +32,83 @@
 
 // Serve collects periodically until the context ends.
 func (c *Collector) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(c.options.Interval)
+	ticker := time.NewTicker(c.interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			if err := c.Collect(ctx); err != nil {
-				c.options.Logger.Warn("expired turns not deleted", zap.Error(err))
+			if err := c.store.Collect(ctx); err != nil {
+				c.logger.Warn("expired turns not deleted", zap.Error(err))
 			}
 		}
 	}
 }
 
-// Collect scans all stored turns once and deletes the expired ones.
-func (c *Collector) Collect(ctx context.Context) error {
-	for _, entry := range c.usages {
-		entry.found = false
-	}
-	shardOf := make(map[string]uint32)
-	for shard := range c.options.Shards() {
-		err := replica.EachTurnKey(c.options.Store, shard, func(stored replica.Turn) error {
-			shardOf[stored.Program] = shard
-			return ctx.Err()
-		})
-		if err != nil {
+// deleteExpired deletes the stored turns that are no longer needed.
+func (s *Store) deleteExpired(ctx context.Context) error {
+	s.mutex.Lock()
+	candidates := s.index.expired(s.options.Now())
+	s.mutex.Unlock()
+	for batch := range slices.Chunk(candidates, maxConcurrentDeletions) {
+		if err := ctx.Err(); err != nil {
 			return err
 		}
-	}
-	for id, shard := range shardOf {
-		if err := c.recordStored(shard, id); err != nil {
+		deleted, err := s.deleteBatch(batch)
+		if err != nil {
 			return err
 		}
+		s.logDeleted(deleted)
 	}
-	return c.deleteExpired(shardOf)
+	return nil
 }
 
-// recordStored records that the collection found a turn. The first time, this counts as a
-// use of the turn and of all its ancestors.
-func (c *Collector) recordStored(shard uint32, id string) error {
-	if entry := c.usages[id]; entry != nil && entry.retention > 0 {
-		entry.found = true
-		return nil
+// deleteBatch deletes those of the turns that still aren't needed, and returns them.
+func (s *Store) deleteBatch(batch []storedTurn) ([]deletedTurn, error) {
+	s.deletions.Lock()
+	defer s.deletions.Unlock()
+	expired := s.stillExpired(batch)
+	var group errgroup.Group
+	for _, turn := range expired {
+		group.Go(func() error { return s.DeleteTurns(turn.shard, turn.id) })
 	}
-	now := c.options.Now()
-	retention := defaultRetention
-	err := c.options.Store.ReadTurns(shard, id, 0, func(stored replica.Turn) error {
-		decoded, err := c.codec.Decode(id, stored.Object, stored.Digest)
-		if err != nil {
-			// Kept for the default retention.
-			c.options.Logger.Warn("cannot decode turn", zap.String("turn", id), zap.Error(err))
-			return nil
-		}
-		if decoded.GetRetentionMs() > 0 {
-			retention = time.Duration(decoded.GetRetentionMs()) * time.Millisecond
-		}
-		for _, ancestor := range decoded.GetAncestors() {
-			c.usageOf(ancestor).lastUsed = now
-		}
-		return nil
-	})
-	entry := c.usageOf(id)
-	entry.lastUsed, entry.retention, entry.found = now, retention, true
-	return err
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, turn := range expired {
+		s.index.remove(turn.storedTurn)
+	}
+	return expired, nil
 }
 
-// usageOf returns the entry of the turn, and creates it if there is none.
-func (c *Collector) usageOf(id string) *usage {
-	entry := c.usages[id]
-	if entry == nil {
-		entry = &usage{}
-		c.usages[id] = entry
+// stillExpired returns those of the turns that aren't needed now.
+func (s *Store) stillExpired(batch []storedTurn) []deletedTurn {
+	now := s.options.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var expired []deletedTurn
+	for _, candidate := range batch {
+		if overdue, isExpired := s.index.overdue(candidate.id, now); isExpired {
+			expired = append(expired, deletedTurn{storedTurn: candidate, overdue: overdue})
+		}
 	}
-	return entry
+	return expired
 }
 
-// deleteExpired deletes the expired turns from the store, and removes the entries of turns
-// that the collection didn't find.
-func (c *Collector) deleteExpired(shardOf map[string]uint32) error {
-	now := c.options.Now()
-	deleted := make(map[uint32][]deletedTurn)
-	for id, entry := range c.usages {
-		if !entry.found {
-			delete(c.usages, id)
-			continue
-		}
-		if !entry.isExpired(now) {
-			continue
-		}
-		if err := c.options.Store.DeleteTurns(shardOf[id], id); err != nil {
-			return err
-		}
-		delete(c.usages, id)
-		deleted[shardOf[id]] = append(deleted[shardOf[id]], deletedTurn{id: id, unusedFor: now.Sub(entry.lastUsed), retention: entry.retention})
+// logDeleted logs one line for each shard of which turns were deleted.
+func (s *Store) logDeleted(deleted []deletedTurn) {
+	s.mutex.Lock()
+	known := len(s.index.entries)
+	s.mutex.Unlock()
+	byShard := make(map[uint32][]deletedTurn)
+	for _, turn := range deleted {
+		byShard[turn.shard] = append(byShard[turn.shard], turn)
 	}
-	for shard, turns := range deleted {
-		c.options.Logger.Info("turns deleted", zap.Uint32("shard", shard), zap.Int("deleted", len(turns)),
-			zap.Int("kept", len(c.usages)), zap.Stringer("turns", loggedTurns(turns)))
+	for shard, turns := range byShard {
+		s.options.Logger.Info("turns deleted", zap.Uint32("shard", shard), zap.Int("deleted", len(turns)),
+			zap.Int("kept", known), zap.Stringer("turns", loggedTurns(turns)))
 	}
-	return nil
 }
--- a/coordination/expiry/collector_test.go
+++ b/coordination/expiry/collector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,32 +16,42 @@
 	"github.com/marblering/marblering/state/turn"
 )
 
-// fixture is a replica's store with a collector and a manual clock.
+// fixture is a replica's store of turns with a manual clock.
 type fixture struct {
-	store     *replica.Memory
-	now       time.Time
-	codec     *turn.Codec
-	collector *expiry.Collector
+	store *expiry.Store
+	disk  *replica.Memory
+	now   time.Time
+	codec *turn.Codec
 }
 
 func newFixture() *fixture {
-	f := &fixture{store: replica.NewMemory(), now: time.Unix(1_000_000, 0)}
+	f := &fixture{disk: replica.NewMemory(), now: time.Unix(1_000_000, 0)}
 	f.codec, _ = turn.NewCodec()
-	f.collector, _ = expiry.New(expiry.Options{
-		Store: f.store, Shards: func() uint32 { return 2 }, Now: func() time.Time { return f.now }, Logger: zap.NewNop(),
-	})
+	f.restart()
 	return f
 }
 
-func (f *fixture) put(shard uint32, id string, ancestors ...string) {
-	object, digest, _ := f.codec.Encode(&statev1.RetainedTurn{Id: id, Ancestors: ancestors, RetentionMs: 60_000})
-	_ = f.store.PutTurn(shard, replica.Turn{Program: id, Sequence: 1, Digest: digest, Object: object})
+// restart replaces the store by a new one for the same disk.
+func (f *fixture) restart() {
+	f.store, _ = expiry.NewStore(expiry.Options{
+		Store: f.disk, Shards: func() uint32 { return 2 }, Now: func() time.Time { return f.now }, Logger: zap.NewNop(),
+	})
+}
+
+func (f *fixture) put(shard uint32, id string, ancestors ...string) (missing []string) {
+	return f.putFor(time.Minute, shard, id, ancestors...)
+}
+
+func (f *fixture) putFor(retention time.Duration, shard uint32, id string, ancestors ...string) (missing []string) {
+	object, digest, _ := f.codec.Encode(&statev1.RetainedTurn{Id: id, Ancestors: ancestors, RetentionMs: retention.Milliseconds()})
+	missing, _ = f.store.PutTurnOfChain(shard, replica.Turn{Program: id, Sequence: 1, Digest: digest, Object: object})
+	return missing
 }
 
 // collectAfter advances the clock, collects, and returns the remaining turns.
 func (f *fixture) collectAfter(passed time.Duration) []string {
 	f.now = f.now.Add(passed)
-	_ = f.collector.Collect(context.Background())
+	_ = f.store.Collect(context.Background())
 	var remaining []string
 	for shard := range uint32(2) {
 		_ = f.store.EachTurn(shard, func(stored replica.Turn) error {
@@ -92,3 +103,75 @@
 	assert.Equal(t, len(f.collectAfter(5*time.Minute)), 1)
 	assert.Equal(t, len(f.collectAfter(time.Hour)), 0)
 }
+
+// TestTurnExpiresAfterItsTime checks the exact time after which a turn expires.
+func TestTurnExpiresAfterItsTime(t *testing.T) {
+	f := newFixture()
+	f.put(0, "a")
+	assert.Equal(t, len(f.collectAfter(0)), 1)
+	assert.Equal(t, len(f.collectAfter(3*time.Minute+30*time.Second)), 1)
+	assert.Equal(t, len(f.collectAfter(time.Nanosecond)), 0)
+}
+
+// TestAncestorIsKeptForTheRetentionOfItsDescendant guards against the deletion of a turn of a
+// short retention that a turn of a longer one continues, whichever is stored first.
+func TestAncestorIsKeptForTheRetentionOfItsDescendant(t *testing.T) {
+	for _, isAncestorFirst := range []bool{true, false} {
+		f := newFixture()
+		if isAncestorFirst {
+			f.putFor(time.Second, 0, "a")
+		}
+		f.putFor(10*time.Minute, 0, "b", "a")
+		if !isAncestorFirst {
+			f.putFor(time.Second, 0, "a")
+		}
+		assert.Equal(t, len(f.collectAfter(30*time.Minute)), 2)
+		assert.Equal(t, len(f.collectAfter(time.Minute)), 0)
+	}
+}
+
+// TestMissingAncestorsAreNamed checks which ancestors a shard lacks: those that another shard
+// stores, and those that were deleted.
+func TestMissingAncestorsAreNamed(t *testing.T) {
+	f := newFixture()
+	assert.DeepEqual(t, f.put(0, "a"), []string(nil))
+	assert.DeepEqual(t, f.put(1, "b", "a"), []string{"a"})
+	assert.DeepEqual(t, f.put(0, "c", "a", "b"), []string{"b"})
+	f.put(0, "b", "a")
+	assert.DeepEqual(t, f.put(0, "d", "a", "b", "c"), []string(nil))
+	f.collectAfter(10 * time.Minute)
+	assert.DeepEqual(t, f.put(0, "e", "a", "b", "c", "d"), []string{"a", "b", "c", "d"})
+	assert.NilError(t, f.store.DropShard(0))
+	assert.DeepEqual(t, f.put(0, "f", "e"), []string{"e"})
+}
+
+// TestRestartKeepsTurnsForOneMoreRetention guards against turns that a restart deletes before
+// their descendants are read, and against turns that no collection finds after it.
+func TestRestartKeepsTurnsForOneMoreRetention(t *testing.T) {
+	f := newFixture()
+	f.putFor(time.Second, 0, "a")
+	f.putFor(time.Minute, 1, "b", "a")
+	f.restart()
+	assert.DeepEqual(t, f.put(0, "c", "a"), []string(nil))
+	assert.Equal(t, len(f.collectAfter(0)), 3)
+	assert.Equal(t, len(f.collectAfter(3*time.Minute+30*time.Second)), 3)
+	assert.Equal(t, len(f.collectAfter(time.Nanosecond)), 0)
+}
+
+// TestFoundAncestorIsNotDeletedMeanwhile guards against a collection that deletes an ancestor
+// while a descendant is stored: it is either named as missing or stays.
+func TestFoundAncestorIsNotDeletedMeanwhile(t *testing.T) {
+	for range 200 {
+		f := newFixture()
+		f.put(0, "a")
+		f.now = f.now.Add(time.Hour)
+		var missing []string
+		var running sync.WaitGroup
+		running.Go(func() { missing = f.put(0, "b", "a") })
+		running.Go(func() { _ = f.store.Collect(context.Background()) })
+		running.Wait()
+		held := 0
+		assert.NilError(t, f.disk.ReadTurns(0, "a", 0, func(replica.Turn) error { held++; return nil }))
+		assert.Equal(t, held+len(missing), 1)
+	}
+}
--- a/coordination/expiry/logged.go
+++ b/coordination/expiry/logged.go
@@ -9,18 +9,17 @@
 // maxLoggedTurns limits the turns that one log line names.
 const maxLoggedTurns = 32
 
-// deletedTurn is a turn that was deleted, and why.
+// deletedTurn is a turn that was deleted.
 type deletedTurn struct {
-	id string
-	// unusedFor is the time since the last use that this replica knows of.
-	unusedFor time.Duration
-	retention time.Duration
+	storedTurn
+	// overdue is the time for which neither the turn nor a descendant needed it.
+	overdue time.Duration
 }
 
 // loggedTurns formats deleted turns for a log line.
 type loggedTurns []deletedTurn
 
-// String returns each turn with the time for which it was unused and its retention.
+// String returns each turn with the time for which it wasn't needed.
 func (l loggedTurns) String() string {
 	var text strings.Builder
 	for index, turn := range l {
@@ -31,7 +30,7 @@
 		if index > 0 {
 			text.WriteByte(' ')
 		}
-		fmt.Fprintf(&text, "%s:%s/%s", turn.id, turn.unusedFor.Round(time.Millisecond), turn.retention)
+		fmt.Fprintf(&text, "%s:%s", turn.id, turn.overdue.Round(time.Millisecond))
 	}
 	return text.String()
 }
--- a/coordination/shard/replica.go
+++ b/coordination/shard/replica.go
@@ -154,7 +154,8 @@
 	return register.RefusalNone
 }
 
-// PutTurn stores a turn unless ctx has ended.
+// PutTurn stores a turn unless ctx has ended. The reply names the ancestors that the shard
+// lacks.
 func (r *Replica) PutTurn(ctx context.Context, fence register.Fence, turn replica.Turn) archive.Reply {
 	current, err := r.acquire(fence.Shard)
 	if err != nil {
@@ -167,10 +168,11 @@
 	if ctx.Err() != nil {
 		return archive.Reply{Refusal: register.RefusalNotReady}
 	}
-	if err := r.store.PutTurn(fence.Shard, turn); err != nil {
+	missing, err := replica.PutTurnOfChain(r.store, fence.Shard, turn)
+	if err != nil {
 		return archive.Reply{Refusal: register.RefusalStorage}
 	}
-	return archive.Reply{}
+	return archive.Reply{Missing: missing}
 }
 
 // ReadTurns visits the turns of the program, starting at sequence from.
--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -1,7 +1,9 @@
 // Package turnstore stores turns on a quorum of replicas and reads a turn with its
 // ancestors. Turns are immutable, so storing them needs no consensus: a turn that a quorum
 // has stored is found by reading any quorum, and a turn that a quorum doesn't have was
-// never reported to a caller as stored.
+// never reported to a caller as stored. A replica counts towards the quorum of a turn once it
+// stores the turn's ancestors as well, in the same shard: the replicas of a quorum keep and
+// delete a chain as a whole.
 //
 // The package implements the rounds of requests to a replica set, the order in which
 // members are asked, and a cache of recently used turns. It relies on state/turn for the
@@ -80,19 +82,23 @@
 	return &Store{zone: zone, replicas: replicas, views: views, hedging: hedging, codec: codec, cache: newCache(cacheBytes)}, nil
 }
 
-// Put stores a turn of the program on a quorum. It retries until the context ends and then
-// returns ErrNoQuorum, in which case the turn may still have been stored.
-func (s *Store) Put(ctx context.Context, program string, retained *statev1.RetainedTurn) error {
-	object, digest, err := s.codec.Encode(retained)
+// Put stores a turn of the program on a quorum, with those of its ancestors that a replica
+// lacks. It retries until the context ends and then returns ErrNoQuorum, in which case the
+// turn may still have been stored.
+func (s *Store) Put(ctx context.Context, program string, retained *statev1.RetainedTurn, ancestors []*statev1.RetainedTurn) error {
+	stored, err := s.encode(retained)
 	if err != nil {
 		return err
 	}
-	stored := replica.Turn{Program: retained.GetId(), Sequence: turnSequence, Digest: digest, Object: object}
 	if err := s.awaitReplicaSets(ctx); err != nil {
 		return err
 	}
 	_, err = s.retryUntilQuorum(ctx, s.views.Locate(program), func(ctx context.Context, member register.Member, fence register.Fence) (bool, archive.Reply, error) {
 		reply, err := s.replicas.PutTurn(ctx, member, fence, stored)
+		if err != nil || reply.Refusal != register.RefusalNone {
+			return false, reply, err
+		}
+		reply, err = s.putAncestors(ctx, member, fence, reply, ancestors)
 		return false, reply, err
 	}, quorumFirst)
 	if err != nil {
--- a/coordination/turnstore/store_test.go
+++ b/coordination/turnstore/store_test.go
@@ -121,8 +121,9 @@
 	writer, _ := turnstore.New("z0", m, v, reach.New(time.Now), 1<<20)
 	reader, _ := turnstore.New("z1", m, v, reach.New(time.Now), 1<<20)
 	ctx := context.Background()
-	_ = writer.Put(ctx, "p", &statev1.RetainedTurn{Id: "a", Input: []byte("question")})
-	_ = writer.Put(ctx, "p", &statev1.RetainedTurn{Id: "b", Ancestors: []string{"a"}})
+	first := &statev1.RetainedTurn{Id: "a", Input: []byte("question")}
+	_ = writer.Put(ctx, "p", first, nil)
+	_ = writer.Put(ctx, "p", &statev1.RetainedTurn{Id: "b", Ancestors: []string{"a"}}, []*statev1.RetainedTurn{first})
 	line, err := reader.History(ctx, "p", "b")
 	fmt.Println(len(line), line[0].GetId(), line[1].GetId(), err)
 	// Output: 2 a b <nil>
@@ -161,15 +162,16 @@
 // length of a turn's output is its index.
 func putTurns(writer *turnstore.Store, programs []string) error {
 	var ancestors []string
+	var line []*statev1.RetainedTurn
 	for index, program := range programs {
 		id := fmt.Sprint("turn", index)
-		err := writer.Put(context.Background(), program, &statev1.RetainedTurn{
+		turn := &statev1.RetainedTurn{
 			Id: id, Ancestors: append([]string(nil), ancestors...), Input: []byte(id), Output: bytes.Repeat([]byte("x"), index),
-		})
-		if err != nil {
+		}
+		if err := writer.Put(context.Background(), program, turn, line); err != nil {
 			return err
 		}
-		ancestors = append(ancestors, id)
+		ancestors, line = append(ancestors, id), append(line, turn)
 	}
 	return nil
 }
@@ -197,17 +199,17 @@
 	m, v := newMembers(1)
 	store := newStore(t, "z0", m, v)
 	m.down["m0"] = true
-	assert.NilError(t, store.Put(context.Background(), "p", &statev1.RetainedTurn{Id: "a"}))
+	assert.NilError(t, store.Put(context.Background(), "p", &statev1.RetainedTurn{Id: "a"}, nil))
 	m.down["m1"] = true
 	ctx, cancel := shortContext()
 	defer cancel()
-	assert.ErrorIs(t, store.Put(ctx, "p", &statev1.RetainedTurn{Id: "b"}), turnstore.ErrNoQuorum)
+	assert.ErrorIs(t, store.Put(ctx, "p", &statev1.RetainedTurn{Id: "b"}, nil), turnstore.ErrNoQuorum)
 }
 
 // TestNearestIsAskedFirst checks that only the nearest member is read if it has the turn.
 func TestNearestIsAskedFirst(t *testing.T) {
 	m, v := newMembers(1)
-	assert.NilError(t, newStore(t, "z2", m, v).Put(context.Background(), "p", &statev1.RetainedTurn{Id: "a"}))
+	assert.NilError(t, newStore(t, "z2", m, v).Put(context.Background(), "p", &statev1.RetainedTurn{Id: "a"}, nil))
 	_, err := newStore(t, "z2", m, v).History(context.Background(), "p", "a")
 	assert.NilError(t, err)
 	assert.DeepEqual(t, m.reads, []string{"m2"})
@@ -217,7 +219,7 @@
 // one.
 func TestDamagedCopyIsIgnored(t *testing.T) {
 	m, v := newMembers(1)
-	assert.NilError(t, newStore(t, "z0", m, v).Put(context.Background(), "p", &statev1.RetainedTurn{Id: "a", Input: []byte("right")}))
+	assert.NilError(t, newStore(t, "z0", m, v).Put(context.Background(), "p", &statev1.RetainedTurn{Id: "a", Input: []byte("right")}, nil))
 	damaged := m.turns["m0"]["0/a"]
 	damaged.Object = append([]byte{1}, damaged.Object...)
 	m.turns["m0"]["0/a"] = damaged
@@ -260,7 +262,7 @@
 	for index := range 16 {
 		program := fmt.Sprint("program", index)
 		m, v := newMembers(8)
-		assert.NilError(t, newStore(t, "z0", m, v).Put(context.Background(), program, &statev1.RetainedTurn{Id: "a"}))
+		assert.NilError(t, newStore(t, "z0", m, v).Put(context.Background(), program, &statev1.RetainedTurn{Id: "a"}, nil))
 		late := lateViews{views: v, known: &atomic.Bool{}}
 		reader, err := turnstore.New("z0", m, late, reach.New(time.Now), 1<<20)
 		assert.NilError(t, err)
@@ -280,7 +282,7 @@
 		m.answerDelay = 300 * time.Millisecond
 		store, reader := newStore(t, "z0", m, v), newStore(t, "z0", m, v)
 		allAtOnce(turns, func(i int) {
-			assert.Check(t, store.Put(context.Background(), "p", &statev1.RetainedTurn{Id: fmt.Sprint("t", i)}))
+			assert.Check(t, store.Put(context.Background(), "p", &statev1.RetainedTurn{Id: fmt.Sprint("t", i)}, nil))
 		})
 		assert.Assert(t, m.writes <= 2*turns*11/10, "%d copies of %d turns were written, two each are needed", m.writes, turns)
 		allAtOnce(turns, func(i int) {
@@ -313,11 +315,11 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		began := time.Now()
-		assert.NilError(t, store.Put(ctx, "p", &statev1.RetainedTurn{Id: "a"}))
+		assert.NilError(t, store.Put(ctx, "p", &statev1.RetainedTurn{Id: "a"}, nil))
 		assert.Equal(t, time.Since(began), 150*time.Millisecond)
 		for i := range 10 {
 			began = time.Now()
-			assert.NilError(t, store.Put(ctx, "p", &statev1.RetainedTurn{Id: fmt.Sprint(i)}))
+			assert.NilError(t, store.Put(ctx, "p", &statev1.RetainedTurn{Id: fmt.Sprint(i)}, nil))
 			assert.Equal(t, time.Since(began), time.Duration(0))
 		}
 	})
@@ -334,11 +336,11 @@
 		store := newStore(t, "z0", m, v)
 		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 		defer cancel()
-		assert.ErrorIs(t, store.Put(ctx, "p", &statev1.RetainedTurn{Id: "a"}), turnstore.ErrNoQuorum)
+		assert.ErrorIs(t, store.Put(ctx, "p", &statev1.RetainedTurn{Id: "a"}, nil), turnstore.ErrNoQuorum)
 		synctest.Wait()
 		assert.Assert(t, m.refused <= 3*25, "%d requests in 4 s", m.refused)
 		clear(m.down)
-		assert.NilError(t, store.Put(t.Context(), "p", &statev1.RetainedTurn{Id: "a"}))
+		assert.NilError(t, store.Put(t.Context(), "p", &statev1.RetainedTurn{Id: "a"}, nil))
 	})
 }
 
@@ -364,7 +366,7 @@
 	for v.Locate(other) == v.Locate("p") {
 		other += "q"
 	}
-	assert.NilError(t, newStore(t, "z0", m, v).Put(t.Context(), other, &statev1.RetainedTurn{Id: "a"}))
+	assert.NilError(t, newStore(t, "z0", m, v).Put(t.Context(), other, &statev1.RetainedTurn{Id: "a"}, nil))
 	line, err := newStore(t, "z1", m, v).History(t.Context(), "p", "a")
 	assert.NilError(t, err)
 	assert.Equal(t, line[0].GetId(), "a")
--- a/coordination/turnstore/trace_test.go
+++ b/coordination/turnstore/trace_test.go
@@ -133,7 +133,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 1900*time.Millisecond)
 	defer cancel()
 	if random.IntN(2) == 0 {
-		m.record("end %d: %v", action, store.Put(ctx, "p", &statev1.RetainedTurn{Id: fmt.Sprint("t", action)}))
+		m.record("end %d: %v", action, store.Put(ctx, "p", &statev1.RetainedTurn{Id: fmt.Sprint("t", action)}, nil))
 		return
 	}
 	_, err := store.History(ctx, "p", "none")
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -67,11 +67,12 @@
 	handler *peer.StorageHandler
 
 	// Stored data: the disk, the known replica sets, and this node's replicas.
-	disk      *replica.Disk
+	disk *replica.Disk
+	// turns is the disk with the times until which turns are needed.
+	turns     *expiry.Store
 	views     *shard.Map
 	replica   *shard.Replica
 	installer *shard.Installer
-	collector *expiry.Collector
 
 	// Membership of nodes and of replica sets.
 	membership      *membership.Service
@@ -113,14 +114,8 @@
 	n.buildDirectory()
 	n.buildBudgets()
 	n.crashes = quarantine.NewTable(rand.Uint64(), time.Now, n.logQuarantine)
-	var err error
-	n.collector, err = expiry.New(expiry.Options{
-		Store: n.disk, Shards: n.views.Count, Interval: expiryInterval, Now: time.Now, Logger: n.logger,
-	})
-	if err != nil {
-		return nil, err
-	}
 	n.upstreams = mirror.NewHolderSelector(n.listUpstreams, time.Now)
+	var err error
 	n.mirror, err = mirror.NewHolder(mirror.PersistedKinds(), n.disk, time.Now, n.logger)
 	if err != nil {
 		return nil, err
@@ -142,9 +137,12 @@
 	if n.views, err = n.loadShardMap(); err != nil {
 		return err
 	}
+	if n.turns, err = expiry.NewStore(expiry.Options{Store: n.disk, Shards: n.views.Count, Now: time.Now, Logger: n.logger}); err != nil {
+		return err
+	}
 	// Replica sets of the directory don't depend on a version of the configuration.
 	noVersion := func() uint64 { return 0 }
-	n.replica = shard.NewReplica(n.self.Incarnation, n.disk, n.views, noVersion)
+	n.replica = shard.NewReplica(n.self.Incarnation, n.turns, n.views, noVersion)
 	n.installer = shard.NewInstaller(n.replica, n.peers, n.logger)
 	return n.replica.Restore()
 }
@@ -166,7 +164,8 @@
 // services returns the services that maintain this node's state.
 func (n *Node) services() []suture.Service {
 	return []suture.Service{
-		n.membership, n.repair, n.directoryWriter, n.retirement, n.budgets, n.quotas, n.collector, n.mirror,
+		n.membership, n.repair, n.directoryWriter, n.retirement, n.budgets, n.quotas, n.mirror,
+		expiry.NewCollector(n.turns, expiryInterval, n.logger),
 		telemetry.NewWorkload(n.metrics, workloadCounters, n.logger),
 		gcTuner{memoryLimit: uint64(n.settings.MemoryLimit)},
 	}
--- a/state/replica/store.go
+++ b/state/replica/store.go
@@ -80,6 +80,22 @@
 	})
 }
 
+// ChainStore is implemented by stores that know the ancestors of turns.
+type ChainStore interface {
+	// PutTurnOfChain stores the turn like PutTurn and returns the names of its ancestors
+	// that the shard lacks.
+	PutTurnOfChain(shard uint32, turn Turn) (missing []string, err error)
+}
+
+// PutTurnOfChain stores the turn and returns the names of its ancestors that the shard lacks.
+// It returns none if the store isn't a ChainStore.
+func PutTurnOfChain(store Store, shard uint32, turn Turn) (missing []string, err error) {
+	if chains, found := store.(ChainStore); found {
+		return chains.PutTurnOfChain(shard, turn)
+	}
+	return nil, store.PutTurn(shard, turn)
+}
+
 // checkName returns ErrInvalidName for a name that can't be part of a key.
 func checkName(name string) error {
 	if name == "" || len(name) > MaxNameBytes || strings.IndexByte(name, 0) >= 0 {
--- a/transport/peer/call.go
+++ b/transport/peer/call.go
@@ -90,7 +90,9 @@
 	if err != nil {
 		return archive.Reply{}, err
 	}
-	return replyFromWire(answer.GetPutTurn().GetRefusal(), answer.GetPutTurn().GetView()), nil
+	reply := replyFromWire(answer.GetPutTurn().GetRefusal(), answer.GetPutTurn().GetView())
+	reply.Missing = answer.GetPutTurn().GetMissing()
+	return reply, nil
 }
 
 // ReadMany implements turnstore.Replicas.
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -190,6 +190,7 @@
 	return &peerv1.PutTurnResponse{
 		Refusal: peerv1.Refusal(reply.Refusal),
 		View:    ViewToWire(reply.View),
+		Missing: reply.Missing,
 	}, nil
 }
 
