--- a/coordination/turnstore/chain_test.go
+++ b/coordination/turnstore/chain_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	statev1 "github.com/marblering/marblering/api/state/v1"
+	"github.com/marblering/marblering/coordination/archive"
 	"github.com/marblering/marblering/coordination/reach"
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/turnstore"
@@ -216,3 +217,42 @@
 		}
 	})
 }
+
+// refusingLink refuses one turn at one member.
+type refusingLink struct {
+	*chainCluster
+	node, id string
+}
+
+func (l refusingLink) PutTurn(ctx context.Context, member register.Member, fence register.Fence, turn replica.Turn) (archive.Reply, error) {
+	if member.Node == l.node && turn.Program == l.id {
+		return archive.Reply{Refusal: register.RefusalNotReady}, nil
+	}
+	return l.chainCluster.PutTurn(ctx, member, fence, turn)
+}
+
+// TestMemberWithoutAncestorsIsNotCounted guards against a turn that counts as stored at a member
+// that refused one of its ancestors.
+func TestMemberWithoutAncestorsIsNotCounted(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		m := newChainModel(t, 1)
+		program := "p"
+		for m.views.Locate(program) != 0 {
+			program += "p"
+		}
+		first, second := &statev1.RetainedTurn{Id: "first"}, &statev1.RetainedTurn{Id: "second", Ancestors: []string{"first"}}
+		assert.NilError(t, m.gateways[0].Put(t.Context(), program, first, nil))
+		link := refusingLink{chainCluster: m.chainCluster, node: "n2", id: "first"}
+		gateway, err := turnstore.New("z2", link, m.views, reach.New(time.Now), chainCache)
+		assert.NilError(t, err)
+		assert.NilError(t, gateway.Put(t.Context(), program, second, []*statev1.RetainedTurn{first}))
+		m.setCut(m.nodes["n2"], true)
+		m.read(m.uncached, program, modelTurn{program: program, chain: []*statev1.RetainedTurn{first, second}})
+		m.setCut(m.nodes["n2"], false)
+		m.setCut(m.nodes["n1"], true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		third := &statev1.RetainedTurn{Id: "third", Ancestors: []string{"first"}}
+		assert.ErrorIs(t, gateway.Put(ctx, program, third, []*statev1.RetainedTurn{first}), turnstore.ErrNoQuorum)
+	})
+}
