Bring back the mends of crashes under requests and of unplanned streams

Read again as new: each count of crashes is asked of a majority, a report that was late is made again, a full row of ends makes room, an expired entry starts anew, and a stream that was planned without instances gets an origin. The checks of the soak of crashes that they narrow have their traces.

--- a/coordination/directory/lookup.go
+++ b/coordination/directory/lookup.go
@@ -15,6 +15,8 @@
 // the views that replicas return. Reads take no lock. It implements register.Views.
 type Lookup struct {
 	shardMap atomic.Pointer[shard.Map]
+	// isListed is set once the sets were read, though there may have been none.
+	isListed atomic.Bool
 	logger   *zap.Logger
 	// onShardCount is called before the map gets its number of shards; it may be nil.
 	onShardCount func(shards uint32) error
@@ -26,6 +28,7 @@
 	l := &Lookup{logger: logger}
 	if views != nil {
 		l.shardMap.Store(views)
+		l.isListed.Store(true)
 	}
 	return l
 }
@@ -44,7 +47,11 @@
 	if err != nil {
 		l.logger.Error("invalid replica sets ignored", zap.Int64("revision", snapshot.At), zap.Error(err))
 	}
-	if err != nil || !found {
+	if err != nil {
+		return
+	}
+	defer l.isListed.Store(true)
+	if !found {
 		return
 	}
 	views := l.shardMap.Load()
@@ -84,6 +91,9 @@
 	return true
 }
 
+// IsListed reports whether the published sets were read. There may be none.
+func (l *Lookup) IsListed() bool { return l.isListed.Load() }
+
 // View implements register.Views.
 func (l *Lookup) View(number uint32) (register.View, bool) {
 	if views := l.shardMap.Load(); views != nil {
--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -9,13 +9,20 @@
 	"go.uber.org/zap"
 
 	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/sleep"
 )
 
 const (
 	// reportTimeout bounds a report to one storage node, which waits for FollowerGrace at
-	// most, findTimeout a question.
+	// most.
 	reportTimeout = 500 * time.Millisecond
-	findTimeout   = 100 * time.Millisecond
+	// findTimeout bounds the wait for a majority that says how many instances have crashed
+	// under a request. Beyond it the copies decide.
+	findTimeout = 500 * time.Millisecond
+	// findGrace is how long the other members are waited for once a majority has answered.
+	findGrace = 100 * time.Millisecond
+	// findPause is the pause before the members are asked again.
+	findPause = 20 * time.Millisecond
 	// location names the replica set whose members keep the tables.
 	location = "quarantine"
 	// learningTime is how long after its start a gateway asks for each request, unless it
@@ -42,6 +49,8 @@
 type Views interface {
 	View(shard uint32) (register.View, bool)
 	Locate(program string) uint32
+	// IsListed reports whether the replica sets were listed. There may be none.
+	IsListed() bool
 }
 
 // Client reports crashes under requests and finds those of other gateways. It is safe for
@@ -56,6 +65,8 @@
 	own    *Table
 	copies *copies
 	now    func() time.Time
+	// findTimeout is the constant, or less in tests.
+	findTimeout time.Duration
 	// learnsUntil is the end of learningTime.
 	learnsUntil time.Time
 	// lastTick is when the follower last ran, and catchesUpUntil the end of catchUpTime, as
@@ -72,7 +83,7 @@
 func NewClient(id FollowerID, nodes Nodes, views Views, now func() time.Time, logger *zap.Logger) *Client {
 	return &Client{
 		id: id, nodes: nodes, views: views, logger: logger, copies: newCopies(now),
-		own: NewTable(0, now, func(Fingerprint, []string) {}), now: now, learnsUntil: now().Add(learningTime),
+		own: NewTable(0, now, func(Fingerprint, []string) {}), now: now, findTimeout: findTimeout, learnsUntil: now().Add(learningTime),
 	}
 }
 
@@ -81,17 +92,25 @@
 func (c *Client) NeedsCheck() bool { return !c.copies.isEmpty() || c.isLearning() }
 
 // isLearning reports whether the copies lack what the gateway should know: it has just
-// started and lacks the tables of a majority, or it stood still.
+// started and lacks the replica sets or the tables of a majority, or it stood still.
 func (c *Client) isLearning() bool {
-	now := c.now()
-	if now.UnixNano() < c.catchesUpUntil.Load() || c.hasStalled(now) {
+	if c.hasStoodStill() {
 		return true
 	}
-	if !now.Before(c.learnsUntil) {
+	if !c.now().Before(c.learnsUntil) {
 		return false
 	}
 	view, known := c.views.View(c.views.Locate(location))
-	return known && c.copies.count() < view.Quorum()
+	if !known {
+		return !c.views.IsListed()
+	}
+	return c.copies.count() < view.Quorum()
+}
+
+// hasStoodStill reports whether the process stood still a moment ago.
+func (c *Client) hasStoodStill() bool {
+	now := c.now()
+	return now.UnixNano() < c.catchesUpUntil.Load() || c.hasStalled(now)
 }
 
 // hasStalled reports whether the follower hasn't run for stallTime.
@@ -110,43 +129,97 @@
 }
 
 // Crashes returns how many instances have crashed under the request. It asks storage nodes
-// only if some are known to have, just after the start and after a pause of the process.
+// only if some are known to have, just after the start and after a pause of the process. Then
+// it waits for a majority for findTimeout at most.
 func (c *Client) Crashes(ctx context.Context, fingerprint Fingerprint) int {
 	if c.copies.crashes(fingerprint) == 0 && !c.isLearning() {
 		return 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.findTimeout)
 	defer cancel()
+	for {
+		crashes, isConfirmed := c.find(ctx, fingerprint)
+		if isConfirmed {
+			return crashes
+		}
+		// Those that don't answer may know more: what they have said last counts.
+		crashes = max(crashes, c.copies.crashes(fingerprint))
+		if IsQuarantined(crashes) {
+			return crashes
+		}
+		if sleep.For(ctx, findPause) != nil {
+			c.logger.Info("crashes under request not confirmed by storage nodes", zap.Stringer("fingerprint", fingerprint),
+				zap.Int("crashes", crashes), zap.Bool("replica_sets_listed", c.views.IsListed()))
+			return crashes
+		}
+	}
+}
+
+// find asks all members how many instances have crashed under the request. The result is
+// confirmed if a majority has answered, or if it is enough to refuse the request.
+func (c *Client) find(ctx context.Context, fingerprint Fingerprint) (most int, isConfirmed bool) {
 	asked := c.askMembers(func(address string) (Record, error) { return c.nodes.FindCrashes(ctx, address, fingerprint) })
-	most, answered := c.copies.crashesAt(localNode, fingerprint), 0
+	most = c.copies.crashesAt(localNode, fingerprint)
+	answered := 0
+	var late <-chan time.Time
 	for range asked.members {
-		answer := <-asked.answers
-		if answer.err != nil {
-			continue
+		select {
+		case answer := <-asked.answers:
+			if answer.err != nil {
+				continue
+			}
+			most = max(most, answer.record.Crashes)
+			if answered++; answered == asked.quorum {
+				late = time.After(findGrace)
+			}
+		case <-late:
+			return most, true
 		}
-		answered++
-		most = max(most, answer.record.Crashes)
 		if IsQuarantined(most) {
-			break
+			return most, true
 		}
 	}
-	if answered < asked.quorum || asked.quorum == 0 {
-		// Those that don't answer may know more: what they have said last counts.
-		return max(most, c.copies.crashes(fingerprint))
-	}
-	return most
+	return most, isMajority(answered, asked.quorum)
 }
 
 // Report reports a crash and returns how many instances have crashed under the request. It
 // returns once all nodes have counted the crash and told their followers, so that these know
 // of it before the client can try again. Once a majority has, it waits for FollowerGrace at
-// most.
+// most. Without a majority, the crash adds to those that were known when the request was sent.
 func (c *Client) Report(ctx context.Context, crash Crash) int {
-	own := c.own.Report(crash)
+	began := c.now()
+	local := crash
+	local.Row = crash.Known + 1
+	own := c.own.Report(local)
+	most, counted, needed, err := c.reportOnce(ctx, crash)
+	if !isMajority(counted, needed) && c.hasStoodStill() {
+		// The answers came too late, or the report was never sent.
+		passed := c.now().Sub(began)
+		crash.SentAgo += passed
+		crash.EndedAgo += passed
+		most, counted, needed, err = c.reportOnce(ctx, crash)
+	}
+	if !isMajority(counted, needed) {
+		most = max(most, own.Crashes)
+		c.copies.apply(localNode, Changes{Records: []Record{own}})
+		c.logger.Info("crash not confirmed by storage nodes", zap.Stringer("fingerprint", crash.Fingerprint),
+			zap.String("instance", crash.Instance), zap.Int("confirmed", counted), zap.Int("needed", needed), zap.Error(err))
+	}
+	crash.Row = most
+	c.reported.add(crash, c.now())
+	return most
+}
+
+// isMajority reports whether enough members have answered. Before the replica sets are known,
+// no number is enough.
+func isMajority(answered, quorum int) bool { return quorum > 0 && answered >= quorum }
+
+// reportOnce reports a crash to all members and returns how many of them have counted it, and
+// the most crashes that one of them has counted under the request.
+func (c *Client) reportOnce(ctx context.Context, crash Crash) (most, counted, needed int, lastErr error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (Record, error) { return c.nodes.ReportCrash(ctx, address, crash) })
-	most, counted, received := 0, 0, 0
-	var lastErr error
+	received := 0
 	var late <-chan time.Time
 	for received < asked.members {
 		select {
@@ -167,15 +240,7 @@
 		break
 	}
 	asked.cancelAfter(received, cancel)
-	if counted < asked.quorum || asked.quorum == 0 {
-		most = max(most, own.Crashes)
-		c.copies.apply(localNode, Changes{Records: []Record{own}})
-		c.logger.Info("crash not confirmed by storage nodes", zap.Stringer("fingerprint", crash.Fingerprint),
-			zap.String("instance", crash.Instance), zap.Int("confirmed", counted), zap.Int("needed", asked.quorum), zap.Error(lastErr))
-	}
-	crash.Row = most
-	c.reported.add(crash, c.now())
-	return most
+	return most, counted, asked.quorum, lastErr
 }
 
 // Completed forgets the crashes under a request, if there are any, since a try of it was
@@ -184,9 +249,7 @@
 	if c.copies.crashes(fingerprint) == 0 {
 		return
 	}
-	c.own.Clear(fingerprint)
-	c.reported.remove(fingerprint)
-	c.copies.apply(localNode, Changes{Records: []Record{{Fingerprint: fingerprint}}})
+	c.forget(fingerprint)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (Record, error) {
 		return Record{}, c.nodes.ClearCrashes(ctx, address, fingerprint)
@@ -194,12 +257,19 @@
 	asked.cancelAfter(0, cancel)
 }
 
+// forget drops what this gateway has seen of a request.
+func (c *Client) forget(fingerprint Fingerprint) {
+	c.own.Clear(fingerprint)
+	c.reported.remove(fingerprint)
+	c.copies.apply(localNode, Changes{Records: []Record{{Fingerprint: fingerprint}}})
+}
+
 // learn takes in the changes of a node's table, and tells a new table what it may have lost.
 func (c *Client) learn(ctx context.Context, address string, changes Changes) {
 	c.copies.apply(address, changes)
 	for _, record := range changes.Records {
 		if record.Crashes == 0 {
-			c.reported.remove(record.Fingerprint)
+			c.forget(record.Fingerprint)
 		}
 	}
 	if changes.IsFull {
--- a/coordination/quarantine/cluster_test.go
+++ b/coordination/quarantine/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marblering/marblering/coordination/register"
@@ -19,6 +20,8 @@
 	started uint64
 	clients uint64
 	members []string
+	// isUnlisted hides the members.
+	isUnlisted atomic.Bool
 	// tables holds the tables of the nodes that run.
 	tables map[string]*Table
 	// lose reports whether the next message to a node or its answer is lost.
@@ -55,9 +58,15 @@
 
 func (c *cluster) stop(address string) { delete(c.tables, address) }
 
+// IsListed implements Views.
+func (c *cluster) IsListed() bool { return !c.isUnlisted.Load() }
+
 // View implements Views.
 func (c *cluster) View(uint32) (register.View, bool) {
 	view := register.View{}
+	if !c.IsListed() {
+		return view, false
+	}
 	for _, address := range c.members {
 		view.Members = append(view.Members, register.Member{Node: address, Address: address})
 	}
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -26,6 +26,9 @@
 	// SentAgo and EndedAgo are the times since the request was sent to the instance and
 	// since the instance ended. They are durations, since the clocks of nodes differ.
 	SentAgo, EndedAgo time.Duration
+	// Known is the number of crashes that the gateway knew of when it sent the request. It
+	// isn't reported: storage nodes count for themselves.
+	Known int
 	// Row is the number of crashes in a row up to this one, as it was counted when the crash
 	// was first reported; zero then.
 	Row int
--- a/coordination/quarantine/row.go
+++ b/coordination/quarantine/row.go
@@ -19,20 +19,33 @@
 	sent, ended time.Time
 }
 
-// longestRow returns the length of the longest row of tries of which each was sent after the
-// end of the one before. A client makes its tries one after the other, so others belong
-// to other clients that ask the same. The order in which the ends are reported doesn't matter.
-func longestRow(ends []end) (length int) {
+// longestRow returns the longest row of tries of which each was sent after the end of the one
+// before. A client makes its tries one after the other, so others belong to other clients
+// that ask the same. The order in which the ends are reported doesn't matter.
+func longestRow(ends []end) (row []end) {
 	ordered := slices.Clone(ends)
 	slices.SortStableFunc(ordered, func(a, b end) int { return a.ended.Compare(b.ended) })
-	var last time.Time
 	for _, current := range ordered {
-		if length == 0 || !current.sent.Before(last.Add(-reportSkew)) {
-			length++
-			last = current.ended
+		if len(row) == 0 || !current.sent.Before(row[len(row)-1].ended.Add(-reportSkew)) {
+			row = append(row, current)
 		}
 	}
-	return length
+	return row
+}
+
+// makeRoomFor drops the first end that isn't part of the longest row if there are maxEnds, so
+// that later tries still add to the row.
+func makeRoomFor(ends []end) []end {
+	if len(ends) < maxEnds {
+		return ends
+	}
+	row := longestRow(ends)
+	for index, current := range ends {
+		if !slices.Contains(row, current) {
+			return slices.Delete(ends, index, index+1)
+		}
+	}
+	return ends[1:]
 }
 
 // instancesOf returns the instances that have ended.
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -65,40 +65,38 @@
 // Report counts a crash, see longestRow. One that is known already isn't counted again.
 func (t *Table) Report(crash Crash) Record {
 	t.mutex.Lock()
-	record, isNew := t.count(crash)
+	record, isNowQuarantined := t.count(crash)
 	var instances []string
-	if isNew && record.Crashes == MaxCrashes {
+	if isNowQuarantined {
 		instances = instancesOf(t.entries[crash.Fingerprint].ends)
 	}
 	t.mutex.Unlock()
-	if instances != nil {
+	if isNowQuarantined {
 		t.onQuarantined(crash.Fingerprint, instances)
 	}
 	return record
 }
 
-// count returns the record after the crash, and whether it has changed. The mutex must be
-// held.
-func (t *Table) count(crash Crash) (record Record, isNew bool) {
+// count returns the record after the crash, and whether the crash has quarantined the request.
+// The mutex must be held.
+func (t *Table) count(crash Crash) (record Record, isNowQuarantined bool) {
 	now := t.now()
 	t.sweep(now)
 	known := t.entries[crash.Fingerprint]
-	if known == nil {
+	if known == nil || !now.Before(known.expires) {
 		t.makeRoom()
 		known = &entry{}
 		t.entries[crash.Fingerprint] = known
 	}
-	isKnown := slices.ContainsFunc(known.ends, func(e end) bool { return e.instance == crash.Instance })
-	if isKnown || len(known.ends) >= maxEnds {
+	if slices.ContainsFunc(known.ends, func(e end) bool { return e.instance == crash.Instance }) {
 		return known.record(crash.Fingerprint, now), false
 	}
-	known.ends = append(known.ends, end{instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)})
-	crashes := max(longestRow(known.ends), crash.Row)
-	isMore := crashes > known.crashes
-	known.crashes = max(known.crashes, crashes)
+	known.ends = append(makeRoomFor(known.ends), end{instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)})
+	before := known.crashes
+	known.crashes = max(before, len(longestRow(known.ends)), crash.Row)
 	known.expires = now.Add(lifetime(known.crashes))
 	t.noteChange(known)
-	return known.record(crash.Fingerprint, now), isMore
+	return known.record(crash.Fingerprint, now), IsQuarantined(known.crashes) && !IsQuarantined(before)
 }
 
 // Clear forgets the crashes under a request of which a try was completed.
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -33,6 +33,23 @@
 	assert.Assert(t, IsQuarantined(table.Find(request).Crashes))
 }
 
+// TestManyClientsOfLethalRequestAreRefused guards against a request that crashes instances
+// without end, because many clients send it at the same time.
+func TestManyClientsOfLethalRequestAreRefused(t *testing.T) {
+	const clients = maxEnds + 4
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	for try := range MaxCrashes {
+		c.now = c.now.Add(time.Second)
+		for client := range clients {
+			got := table.Report(crashAt(fmt.Sprint("i-", try, "-", client), 100*time.Millisecond))
+			assert.Equal(t, got.Crashes, try+1)
+		}
+	}
+	assert.Equal(t, len(c.quarantined), 1)
+	assert.Equal(t, len(table.entries[request].ends), maxEnds)
+}
+
 // TestLateReportKeepsItsTime covers reports that come long after the end, in any order.
 func TestLateReportKeepsItsTime(t *testing.T) {
 	c := newCluster(1)
@@ -74,6 +91,28 @@
 	assert.Equal(t, len(table.Records()), 0)
 }
 
+// TestExpiredCrashesDontCount guards against crashes that still count after their lifetime,
+// until expired records are searched again.
+func TestExpiredCrashesDontCount(t *testing.T) {
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	table.Report(crashAt("i-1", 0))
+	c.now = c.now.Add(suspectLifetime - 1)
+	table.Report(Crash{Fingerprint: FingerprintOf([]byte("other")), Instance: "i-2"}) // searches
+	c.now = c.now.Add(1)
+	assert.Equal(t, table.Report(crashAt("i-3", 0)).Crashes, 1)
+}
+
+// TestRestoredQuarantineIsLogged guards against a quarantine that a restarted storage node
+// keeps without a line, because the row that it is told is longer than needed.
+func TestRestoredQuarantineIsLogged(t *testing.T) {
+	c := newCluster(1)
+	restored := crashAt("i-1", 0)
+	restored.Row = MaxCrashes + 1
+	c.tables["node-0"].Report(restored)
+	assert.Equal(t, len(c.quarantined), 1)
+}
+
 // TestTableIsBounded guards against a table that grows without limit, or that forgets
 // quarantined requests for others.
 func TestTableIsBounded(t *testing.T) {
--- a/test/integration/crashsoakclient_test.go
+++ b/test/integration/crashsoakclient_test.go
@@ -28,6 +28,8 @@
 	program, body string
 	// unanswered counts the tries that ended without a response.
 	unanswered int
+	// answered is when each try was answered, by its id.
+	answered map[string]time.Time
 	// isRefused is set if the last try was refused for the crashes.
 	isRefused bool
 	// trace describes the tries.
@@ -53,6 +55,8 @@
 				request := &lethalRequest{
 					program: fmt.Sprintf("%s%d-%d", lethalText, index, number),
 					body:    fmt.Sprintf("%s request %d of caller %d", lethalText, number, index),
+
+					answered: make(map[string]time.Time),
 				}
 				callers.send(random, request)
 				callers.record(request)
@@ -140,6 +144,7 @@
 	if err != nil {
 		request.unanswered++
 	}
+	request.answered[id] = time.Now()
 	request.isRefused = strings.Contains(string(content), strconv.Quote(result.RequestQuarantined.Info().Name))
 	request.trace += fmt.Sprintf("%d %s", response.StatusCode, content)
 	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
--- a/test/integration/storage_test.go
+++ b/test/integration/storage_test.go
@@ -22,6 +22,8 @@
 	file    string
 	folder  string
 	process *harness.Process
+	// lives are all its processes so far.
+	lives []*harness.Process
 }
 
 func newStorageMachine(t *testing.T, index int, storeURL string) *storageMachine {
@@ -43,6 +45,16 @@
 	m.process = harness.Start(t, harness.Command{
 		Name: filepath.Base(m.folder), Path: filepath.Join(binaries, "marblering"), Arguments: []string{"storage", "--settings", m.file},
 	})
+	m.lives = append(m.lives, m.process)
+}
+
+// output returns what all its processes have written.
+func (m *storageMachine) output() string {
+	var all strings.Builder
+	for _, life := range m.lives {
+		all.WriteString(life.Output())
+	}
+	return all.String()
 }
 
 // retain makes the edge's route keep its turns.
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -17,6 +17,10 @@
 // of a crashed process refuses connections at once.
 const endProbeTimeout = 400 * time.Millisecond
 
+// maxEndChecks is how often that is checked. The first check may time out because this
+// process stood still.
+const maxEndChecks = 2
+
 // fingerprint identifies the request over the tries of its client, at any gateway. It
 // covers what is the same in all of them: whose request it is, and what it asks for. A
 // stream that is resumed is the same request.
@@ -58,7 +62,7 @@
 		instance := current.assignment.Instance
 		c.attempts.crashes = crashes.Report(ctx, quarantine.Crash{
 			Fingerprint: c.fingerprint(), Instance: instance.Address + " " + instance.Incarnation().String(),
-			SentAgo: now.Sub(current.started),
+			SentAgo: now.Sub(current.started), Known: c.attempts.crashes,
 		})
 		c.logCrash(current)
 	}
@@ -70,9 +74,21 @@
 	if ended != incomplete || c.isDone(ctx) || errors.Is(cause, errInvalidResponse) || errors.Is(cause, errNotResumed) || errors.Is(cause, upstream.ErrUnreachable) {
 		return false
 	}
+	for range maxEndChecks {
+		ended, isKnown := c.hasEnded(ctx, assignment)
+		if isKnown {
+			return ended
+		}
+	}
+	return false
+}
+
+// hasEnded checks whether the instance has ended. The result isn't known if the check timed out.
+func (c *call) hasEnded(ctx context.Context, assignment *backend.Assignment) (ended, isKnown bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endProbeTimeout)
 	defer cancel()
-	return c.handler.options.Upstream.HasEnded(ctx, c.upstreamRequest(assignment))
+	ended = c.handler.options.Upstream.HasEnded(ctx, c.upstreamRequest(assignment))
+	return ended, ended || ctx.Err() == nil
 }
 
 // logSend logs that the request is sent to an instance.
--- a/transport/relay/origin.go
+++ b/transport/relay/origin.go
@@ -56,8 +56,8 @@
 	return nil
 }
 
-// planOrigin decides where a new stream begins. Its turn's reservation records that, or a
-// request to storage nodes if there is no reservation and the service has several versions.
+// planOrigin decides where a new stream begins, unless no instance can take it now. Its
+// turn's reservation records the origin, or recordOrigin if there is no reservation.
 func (c *call) planOrigin(ctx context.Context) {
 	query := c.query()
 	version, found := c.handler.options.Backends.PlanVersion(query)
@@ -66,7 +66,31 @@
 	}
 	c.stream.isKnown = true
 	c.stream.origin = streamorigin.Origin{Service: query.Service, Version: version}
-	if _, _, isSole := c.handler.options.Backends.SoleVersion(query.Service); isSole || c.reservationRecordsOrigin() || !c.isRecordable() {
+	if !c.reservationRecordsOrigin() {
+		c.recordOrigin(ctx)
+	}
+}
+
+// acquireUnplanned selects any instance. A stream that may be resumed begins there: none
+// could take it when its origin was planned, and its reservation has recorded none.
+func (c *call) acquireUnplanned(ctx context.Context) (*backend.Assignment, error) {
+	query := c.query()
+	assignment, err := c.handler.options.Backends.Acquire(query)
+	if err != nil {
+		return nil, err
+	}
+	if route := c.routing.route; route.Kind == routetable.Stream && route.Resumable {
+		c.stream.isKnown = true
+		c.stream.origin = streamorigin.Origin{Service: query.Service, Version: assignment.Instance.Version}
+		c.recordOrigin(ctx)
+	}
+	return assignment, nil
+}
+
+// recordOrigin asks storage nodes to record the origin of a new stream that a client may
+// resume, if the service has several versions. It doesn't wait for them.
+func (c *call) recordOrigin(ctx context.Context) {
+	if _, _, isSole := c.handler.options.Backends.SoleVersion(c.stream.origin.Service); isSole || !c.isRecordable() {
 		return
 	}
 	c.stream.mayBeRecorded = true
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -43,7 +43,7 @@
 	if c.stream.isKnown {
 		return c.acquireAtOrigin(ctx)
 	}
-	return c.handler.options.Backends.Acquire(c.query())
+	return c.acquireUnplanned(ctx)
 }
 
 // query describes the request to the pool of instances. A stream keeps to its service.
