Select the missing ancestors before any of them is sent

An ancestor that the gateway doesn't know ended the write while requests for others were under way, and nobody waited for them. A replica names ancestors of the turn only, so this takes a faulty reply; no run has shown it.

--- a/coordination/turnstore/chain.go
+++ b/coordination/turnstore/chain.go
@@ -33,16 +33,16 @@
 	if len(reply.Missing) == 0 {
 		return reply, nil
 	}
+	missing, err := selectTurns(ancestors, reply.Missing)
+	if err != nil {
+		return reply, err
+	}
 	refusal := firstRefusal{reply: reply}
 	puts, ctx := errgroup.WithContext(ctx)
 	puts.SetLimit(maxConcurrentAncestors)
-	for _, id := range reply.Missing {
-		index := slices.IndexFunc(ancestors, func(known *statev1.RetainedTurn) bool { return known.GetId() == id })
-		if index < 0 {
-			return reply, merry.Errorf("the member lacks ancestor %q, which was not read", id)
-		}
+	for _, ancestor := range missing {
 		puts.Go(func() error {
-			stored, err := s.encode(ancestors[index])
+			stored, err := s.encode(ancestor)
 			if err != nil {
 				return err
 			}
@@ -51,10 +51,23 @@
 			return err
 		})
 	}
-	err := puts.Wait()
+	err = puts.Wait()
 	return refusal.reply, merry.Prepend(err, "storing ancestors")
 }
 
+// selectTurns returns those of the turns that have one of the ids.
+func selectTurns(turns []*statev1.RetainedTurn, ids []string) ([]*statev1.RetainedTurn, error) {
+	selected := make([]*statev1.RetainedTurn, len(ids))
+	for position, id := range ids {
+		index := slices.IndexFunc(turns, func(turn *statev1.RetainedTurn) bool { return turn.GetId() == id })
+		if index < 0 {
+			return nil, merry.Errorf("the member lacks turn %q, which isn't a known ancestor", id)
+		}
+		selected[position] = turns[index]
+	}
+	return selected, nil
+}
+
 // firstRefusal keeps the first refusal among several replies. It is safe for concurrent use.
 type firstRefusal struct {
 	mutex sync.Mutex
