--- a/test/integration/longline_test.go
+++ b/test/integration/longline_test.go
@@ -14,10 +14,11 @@
 
 const (
 	longLineZones = 4
-	// longLineRetention is the retention of the long route, shortLineRetention that of the
-	// other one.
-	longLineRetention  = 2 * time.Second
+	// Retentions of the routes. A turn of the short one alone is deleted while one of the kept
+	// route is still retained.
 	shortLineRetention = time.Second
+	longLineRetention  = 2 * time.Second
+	keptLineRetention  = 90 * time.Second
 	// longLinePause is the time between two turns of a line.
 	longLinePause = time.Second
 	// longLineStartsPerPause is the number of lines that begin in this time: a storage node
@@ -26,25 +27,33 @@
 	// longLineTime is longer than a storage node keeps a turn that it never hears of again: three
 	// retentions, 30 s and the interval between two collections.
 	longLineTime = 3*longLineRetention + 30*time.Second + 20*time.Second + 4*time.Second
+	// keptLinePause is the same for a turn of the short route, with one more interval, and within
+	// the retention of the kept one.
+	keptLinePause = 3*shortLineRetention + 30*time.Second + 2*20*time.Second
 )
 
 const (
-	longRoute  = "/long/"
 	shortRoute = "/short/"
+	longRoute  = "/long/"
+	keptRoute  = "/kept/"
 )
 
 // lineRetention returns the retention of the route.
 func lineRetention(route string) time.Duration {
-	if route == shortRoute {
+	switch route {
+	case shortRoute:
 		return shortLineRetention
+	case keptRoute:
+		return keptLineRetention
+	default:
+		return longLineRetention
 	}
-	return longLineRetention
 }
 
 // longLineConfiguration has a route of each retention.
 func longLineConfiguration(version int) map[string]any {
 	var routes []map[string]any
-	for _, prefix := range []string{longRoute, shortRoute} {
+	for _, prefix := range []string{shortRoute, longRoute, keptRoute} {
 		routes = append(routes, map[string]any{
 			"name": "route-" + prefix[1:len(prefix)-1], "host": "desk.example", "path_prefix": prefix, "kind": "stream", "timeout_ms": 5000,
 			"service": "app", "attempts": 2, "retain": true, "retention_s": lineRetention(prefix).Seconds(),
@@ -135,6 +144,34 @@
 	assert.Assert(t, clients.whole >= len(lines)*int(longLineTime/longLinePause)/3, "%d turns", clients.whole)
 }
 
+// TestTurnIsKeptForTheRetentionOfItsDescendant guards against the deletion of a turn of a short
+// retention while one that continues it is retained. The lines go on at gateways that never saw
+// them, in the same program and in another one.
+func TestTurnIsKeptForTheRetentionOfItsDescendant(t *testing.T) {
+	t.Parallel()
+	s := newLongLineSoak(t, 1)
+	clients := newLineClients(s)
+	clients.awaitServing(0, longLineZones)
+	var lines []*turnLine
+	for zone := range longLineZones {
+		for _, program := range []string{"same", "other"} {
+			line := &turnLine{program: fmt.Sprint("first-", program, zone)}
+			clients.takeTurn(line, zone, shortRoute)
+			if program == "other" {
+				line = line.fork(fmt.Sprint("second", zone))
+			}
+			clients.takeTurn(line, zone, keptRoute)
+			lines = append(lines, line)
+		}
+	}
+	time.Sleep(keptLinePause)
+	for index, line := range lines {
+		clients.takeTurn(line, (index/2+1)%longLineZones, keptRoute)
+	}
+	clients.report()
+	assert.Equal(t, clients.whole, 3*len(lines))
+}
+
 // awaitServing waits until each of the gateways serves a turn.
 func (c *lineClients) awaitServing(first, count int) {
 	c.t.Helper()
--- a/test/integration/longlineclient_test.go
+++ b/test/integration/longlineclient_test.go
@@ -76,6 +76,13 @@
 	return false
 }
 
+// fork returns a line of the program that continues the last turn.
+func (l *turnLine) fork(program string) *turnLine {
+	forked := *l
+	forked.program = program
+	return &forked
+}
+
 // checkRefusal reports a turn that is unknown within its retention.
 func (c *lineClients) checkRefusal(line *turnLine, id string, status int, body string) {
 	if since := time.Since(line.at); status != http.StatusPaymentRequired && since < line.retention {
--- a/test/integration/longlinesoak_test.go
+++ b/test/integration/longlinesoak_test.go
@@ -51,13 +51,6 @@
 	}
 }
 
-// fork returns a line of the program that continues the last turn.
-func (l *turnLine) fork(program string) *turnLine {
-	forked := *l
-	forked.program = program
-	return &forked
-}
-
 // nextLine returns one of the client's lines, or begins or forks one.
 func (c *lineSoakClient) nextLine() *turnLine {
 	if len(c.lines) == 0 {
