Test that a shard loaded during a collection keeps its turns

A store that deletes while turns are unread passed all tests of the package; it fails this one. Without the lock while a turn is stored, without needs of ancestors, with ancestors of other shards counted, with dropped shards or without turns of the disk in the index, others failed before.

--- a/coordination/expiry/collector_test.go
+++ b/coordination/expiry/collector_test.go
@@ -175,3 +175,29 @@
 		assert.Equal(t, held+len(missing), 1)
 	}
 }
+
+// hookedStore calls a function before the first read of a turn.
+type hookedStore struct {
+	replica.Store
+	beforeRead sync.Once
+	hook       func()
+}
+
+func (s *hookedStore) ReadTurns(shard uint32, id string, from uint64, visit func(replica.Turn) error) error {
+	s.beforeRead.Do(s.hook)
+	return s.Store.ReadTurns(shard, id, from, visit)
+}
+
+// TestTurnsOfAShardThatIsLoadedMeanwhileAreKept guards against the deletion of turns that were
+// stored before the start and whose shard a collection comes to know only while it runs.
+func TestTurnsOfAShardThatIsLoadedMeanwhileAreKept(t *testing.T) {
+	f := newFixture()
+	f.put(0, "a")
+	f.put(1, "b")
+	hooked := &hookedStore{Store: f.disk, hook: func() { f.put(1, "c") }}
+	f.store, _ = expiry.NewStore(expiry.Options{
+		Store: hooked, Shards: func() uint32 { return 1 }, Now: func() time.Time { return f.now }, Logger: zap.NewNop(),
+	})
+	f.now = f.now.Add(time.Hour)
+	assert.Equal(t, len(f.collectAfter(0)), 3)
+}
