End the suspicion of a node that a message marks as gone

Gossip.replace dropped the suspicion and left the node among the suspects. The first step after a pause of the process of more than 2 s, and a departure before the next step, dereferenced it: a storage node that wakes after a freeze could so lose its membership service to a panic. The class is two records of one fact of which one is changed alone; endSuspicion changes both, and nothing else sets the field to nil now.

TestSuspectMarkedAsGoneByMessage panicked in both cases on the commit before and passes; all tests of the package pass.

--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -128,9 +128,8 @@
 	}
 	known.status = status
 	known.updatedAt = now
-	if !status.GetGone() {
-		g.endSuspicion(known)
-	}
+	// Also for a node that is gone: each of the suspects has a suspicion.
+	g.endSuspicion(known)
 	if !changed {
 		return
 	}
@@ -140,7 +139,6 @@
 	delete(g.endedIncarnations, status.GetIncarnation())
 	g.invalidate()
 	if status.GetGone() {
-		known.suspicion = nil
 		known.goneSince = now
 	}
 	g.recordChange(known, wasGone, previous)
