--- a/test/integration/longlinesoak_test.go
+++ b/test/integration/longlinesoak_test.go
@@ -124,7 +124,8 @@
 			s.log("%s killed", killed.name)
 			for _, client := range all {
 				for _, line := range client.lines {
-					running.Go(func() { clients.takeTurn(line, longLineZones+client.random.IntN(longLineZones), longRoute) })
+					unused := longLineZones + client.random.IntN(longLineZones)
+					running.Go(func() { clients.takeTurn(line, unused, longRoute) })
 				}
 			}
 			running.Wait()
