Forget each deleted turn, also if the deletion of another one failed

A collection deletes turns in batches. If one deletion of a batch failed, the turns beside it that were deleted still counted as stored: a turn stored after them would have been acknowledged without its ancestors, which nothing fetches. A node reopens its data folder within 250 ms after a failed write and builds its index from the disk, so no caller can have seen this but in that time.

Each deletion now takes its turn out of the index itself.

--- a/coordination/expiry/collector.go
+++ b/coordination/expiry/collector.go
@@ -56,32 +56,34 @@
 			return err
 		}
 		deleted, err := s.deleteBatch(batch)
+		s.logDeleted(deleted)
 		if err != nil {
 			return err
 		}
-		s.logDeleted(deleted)
 	}
 	return nil
 }
 
-// deleteBatch deletes those of the turns that still aren't needed, and returns them.
-func (s *Store) deleteBatch(batch []storedTurn) ([]deletedTurn, error) {
+// deleteBatch deletes those of the turns that still aren't needed, and returns the ones that
+// it has deleted, also if others couldn't be.
+func (s *Store) deleteBatch(batch []storedTurn) (deleted []deletedTurn, err error) {
 	s.deletions.Lock()
 	defer s.deletions.Unlock()
-	expired := s.stillExpired(batch)
 	var group errgroup.Group
-	for _, turn := range expired {
-		group.Go(func() error { return s.DeleteTurns(turn.shard, turn.id) })
-	}
-	if err := group.Wait(); err != nil {
-		return nil, err
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, turn := range expired {
-		s.index.remove(turn.storedTurn)
+	for _, turn := range s.stillExpired(batch) {
+		group.Go(func() error {
+			if err := s.DeleteTurns(turn.shard, turn.id); err != nil {
+				return err
+			}
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.index.remove(turn.storedTurn)
+			deleted = append(deleted, turn)
+			return nil
+		})
 	}
-	return expired, nil
+	err = group.Wait()
+	return deleted, err
 }
 
 // stillExpired returns those of the turns that aren't needed now.
--- a/coordination/expiry/collector_test.go
+++ b/coordination/expiry/collector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -201,3 +202,29 @@
 	f.now = f.now.Add(time.Hour)
 	assert.Equal(t, len(f.collectAfter(0)), 3)
 }
+
+// failingStore fails to delete one turn.
+type failingStore struct {
+	replica.Store
+	failing string
+}
+
+func (s *failingStore) DeleteTurns(shard uint32, id string) error {
+	if id == s.failing {
+		return errors.New("not deleted")
+	}
+	return s.Store.DeleteTurns(shard, id)
+}
+
+// TestTurnDeletedBesideAFailureIsMissing guards against turns that count as stored after they
+// were deleted, since the deletion of another turn failed at the same time.
+func TestTurnDeletedBesideAFailureIsMissing(t *testing.T) {
+	f := newFixture()
+	f.store, _ = expiry.NewStore(expiry.Options{
+		Store: &failingStore{Store: f.disk, failing: "b"}, Shards: func() uint32 { return 2 }, Now: func() time.Time { return f.now }, Logger: zap.NewNop(),
+	})
+	f.put(0, "a")
+	f.put(0, "b")
+	assert.DeepEqual(t, f.collectAfter(time.Hour), []string{"b"})
+	assert.DeepEqual(t, f.put(0, "c", "a", "b"), []string{"a"})
+}
