Keep stored turns for the raised retention of their route

A line was answered 404 within the retention of its route, where the operator had raised that after the turn before was stored.

Cause: a storage node keeps a turn for the retention that the turn carries, which is that of its route when it was answered, and knew nothing of the configuration. Turns now carry the name of their route (a new field; earlier builds keep it as an unknown one), and a node keeps them for the longer of their own retention and the one in force. If that is raised above what stored turns of the route have, the next collection reads all stored turns again, before anything is deleted; other changes read nothing. Lowered and removed routes hold as before: stored turns keep their time.

--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -87,6 +87,8 @@
 	// prepended to its input.
 	Retained  bool
 	Retention time.Duration
+	// Route is the name of the request's route.
+	Route string
 	// Timeout is the maximum duration of the turn.
 	Timeout time.Duration
 	// Input is the body of the request.
@@ -234,7 +236,7 @@
 	}
 	return t.service.turns.Put(ctx, t.request.Program, &statev1.RetainedTurn{
 		Id: t.request.ID, Ancestors: ancestors, Input: t.request.Input, Output: t.output,
-		RetentionMs: t.request.Retention.Milliseconds(), Tenant: t.request.Tenant,
+		RetentionMs: t.request.Retention.Milliseconds(), Tenant: t.request.Tenant, Route: t.request.Route,
 	}, t.history)
 }
 
--- a/coordination/expiry/collector_test.go
+++ b/coordination/expiry/collector_test.go
@@ -261,3 +261,78 @@
 	assert.DeepEqual(t, f.collectAfter(time.Hour), []string{"b"})
 	assert.DeepEqual(t, f.put(0, "c", "a", "b"), []string{"a"})
 }
+
+// putOfRoute stores a turn of a route in shard 0.
+func (f *fixture) putOfRoute(route string, retention time.Duration, id string, ancestors ...string) {
+	object, digest, _ := f.codec.Encode(&statev1.RetainedTurn{Id: id, Ancestors: ancestors, RetentionMs: retention.Milliseconds(), Route: route})
+	_ = f.store.PutTurn(0, replica.Turn{Program: id, Sequence: 1, Digest: digest, Object: object})
+}
+
+// TestRaisedRetentionHoldsForStoredTurns guards against the deletion of turns that were stored
+// before the retention of their route was raised, whether the node learns of that before or
+// after it restarts, and whether or not the route was removed meanwhile.
+func TestRaisedRetentionHoldsForStoredTurns(t *testing.T) {
+	raised := map[string]time.Duration{"desk": 10 * time.Minute, "other": time.Minute}
+	for name, change := range map[string]func(f *fixture){
+		"raised":                        func(f *fixture) { f.store.SetRetentions(raised) },
+		"raised before a restart":       func(f *fixture) { f.store.SetRetentions(raised); f.restart(); f.store.SetRetentions(raised) },
+		"known again after the restart": func(f *fixture) { f.restart(); f.collectAfter(0); f.store.SetRetentions(raised) },
+		"removed and added": func(f *fixture) {
+			f.store.SetRetentions(map[string]time.Duration{"other": time.Minute})
+			f.store.SetRetentions(raised)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.store.SetRetentions(map[string]time.Duration{"desk": time.Second, "other": time.Minute})
+			f.putOfRoute("desk", time.Second, "a")
+			f.putOfRoute("desk", time.Second, "b", "a")
+			f.now = f.now.Add(time.Second)
+			change(f)
+			assert.Equal(t, len(f.collectAfter(10*time.Minute)), 2)
+			assert.Equal(t, len(f.collectAfter(31*time.Minute)), 0)
+		})
+	}
+}
+
+// TestLoweredRetentionHoldsForLaterTurns guards against the deletion of turns that were stored
+// before the retention of their route was lowered, or the route removed.
+func TestLoweredRetentionHoldsForLaterTurns(t *testing.T) {
+	for _, retentions := range []map[string]time.Duration{{"desk": time.Second}, {}} {
+		f := newFixture()
+		f.store.SetRetentions(map[string]time.Duration{"desk": 10 * time.Minute})
+		f.putOfRoute("desk", 10*time.Minute, "a")
+		f.store.SetRetentions(retentions)
+		assert.Equal(t, len(f.collectAfter(10*time.Minute)), 1)
+		assert.Equal(t, len(f.collectAfter(30*time.Minute)), 0)
+	}
+}
+
+// TestUnchangedRetentionsReadNothing guards against a node that reads all stored turns again
+// whenever the configuration changes.
+func TestUnchangedRetentionsReadNothing(t *testing.T) {
+	f := newFixture()
+	reads := 0
+	hooked := &countingStore{Store: f.disk, reads: &reads}
+	f.store, _ = expiry.NewStore(expiry.Options{
+		Store: hooked, Shards: func() uint32 { return 2 }, Now: func() time.Time { return f.now }, Logger: zap.NewNop(),
+	})
+	f.store.SetRetentions(map[string]time.Duration{"desk": time.Minute})
+	f.putOfRoute("desk", time.Minute, "a")
+	f.store.SetRetentions(map[string]time.Duration{"desk": time.Minute, "new": time.Hour})
+	f.store.SetRetentions(map[string]time.Duration{"desk": time.Second})
+	f.store.SetRetentions(map[string]time.Duration{"desk": time.Minute})
+	f.collectAfter(time.Second)
+	assert.Equal(t, reads, 0)
+}
+
+// countingStore counts the reads of turns.
+type countingStore struct {
+	replica.Store
+	reads *int
+}
+
+func (s *countingStore) ReadTurns(shard uint32, id string, from uint64, visit func(replica.Turn) error) error {
+	*s.reads++
+	return s.Store.ReadTurns(shard, id, from, visit)
+}
--- a/coordination/expiry/index.go
+++ b/coordination/expiry/index.go
@@ -12,7 +12,8 @@
 type index struct {
 	start   time.Time
 	entries map[string]*entry
-	// unread are the stored turns that haven't been decoded since the start.
+	// unread are the stored turns that haven't been decoded since the start, or since
+	// setAllUnread.
 	unread map[storedTurn]struct{}
 	// lacking are the ancestors of stored turns that their shard doesn't hold, with the time
 	// since the start of the index at which that was found.
@@ -110,7 +111,16 @@
 	delete(i.lacking, stored)
 }
 
-// unreadTurns returns the turns that addUnread added and add didn't add since.
+// setAllUnread records that the ancestors and the retention of no stored turn are known.
+func (i *index) setAllUnread() {
+	for id, known := range i.entries {
+		for _, shard := range known.shards {
+			i.unread[storedTurn{shard: shard, id: id}] = struct{}{}
+		}
+	}
+}
+
+// unreadTurns returns the turns whose ancestors and retention aren't known.
 func (i *index) unreadTurns() []storedTurn { return slices.Collect(maps.Keys(i.unread)) }
 
 // expired returns the stored turns that aren't needed at the time, and removes the entries
--- a/coordination/expiry/store.go
+++ b/coordination/expiry/store.go
@@ -7,12 +7,17 @@
 // stored. So each copy of a turn has its whole chain beside it, and a replica can delete by
 // what it stores itself: it needs no message about descendants at other replicas.
 //
+// If an operator raises the retention of a route, the stored turns of the route are kept for
+// the longer time. If it is lowered, they are kept for the retention with which they were
+// stored.
+//
 // Until when a turn is needed is only kept in memory. After a restart the turns on the disk
 // count as stored at that moment, which only keeps them longer.
 package expiry
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -59,6 +64,11 @@
 
 	mutex sync.Mutex
 	index *index
+	// routeRetentions are the retentions in force, by route.
+	routeRetentions map[string]time.Duration
+	// appliedRetentions are the longest retentions with which turns of a route were added to
+	// the index.
+	appliedRetentions map[string]time.Duration
 	// loaded are the shards whose turns on the disk are in the index.
 	loaded map[uint32]bool
 }
@@ -76,6 +86,7 @@
 	}
 	return &Store{
 		Store: options.Store, options: options, codec: codec, index: newIndex(options.Now()), loaded: make(map[uint32]bool),
+		appliedRetentions: make(map[string]time.Duration),
 	}, nil
 }
 
@@ -106,7 +117,28 @@
 // add adds a turn to the index as stored now. The mutex must be held.
 func (s *Store) add(shard uint32, id string, retained *statev1.RetainedTurn) (missing []string) {
 	now := s.options.Now()
-	return s.index.add(shard, id, retained, now, now.Add(neededFor(retained)))
+	retention := s.retention(retained)
+	s.appliedRetentions[retained.GetRoute()] = max(s.appliedRetentions[retained.GetRoute()], retention)
+	return s.index.add(shard, id, retained, now, now.Add(retentionFactor*retention+retentionMargin))
+}
+
+// SetRetentions sets the retentions in force, by route. If one is longer than that of stored
+// turns of the route, the stored turns are read again by the next collection, and count as
+// stored at that moment.
+func (s *Store) SetRetentions(byRoute map[string]time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.routeRetentions = maps.Clone(byRoute)
+	for route, retention := range byRoute {
+		applied, hasTurns := s.appliedRetentions[route]
+		if !hasTurns || retention <= applied {
+			continue
+		}
+		s.appliedRetentions[route] = retention
+		s.index.setAllUnread()
+		s.options.Logger.Info("retention raised, stored turns are read again", zap.String("route", route),
+			zap.Duration("retention", retention), zap.Duration("before", applied), zap.Int("turns", len(s.index.entries)))
+	}
 }
 
 // Lacking returns the ids of ancestors that are needed and that their shard has lacked for
@@ -160,13 +192,14 @@
 	return decoded
 }
 
-// neededFor returns how long a turn is needed after it was stored.
-func neededFor(retained *statev1.RetainedTurn) time.Duration {
-	retention := defaultRetention
+// retention returns the retention of a turn, which is at least that of its route in force. The
+// mutex must be held.
+func (s *Store) retention(retained *statev1.RetainedTurn) time.Duration {
+	stored := defaultRetention
 	if retained.GetRetentionMs() > 0 {
-		retention = time.Duration(retained.GetRetentionMs()) * time.Millisecond
+		stored = time.Duration(retained.GetRetentionMs()) * time.Millisecond
 	}
-	return retentionFactor*retention + retentionMargin
+	return max(stored, s.routeRetentions[retained.GetRoute()])
 }
 
 // Collect deletes the turns that are no longer needed.
--- a/node/storage/mirroring.go
+++ b/node/storage/mirroring.go
@@ -63,8 +63,8 @@
 }
 
 // newBoundedFollower returns a follower of objects that gateways must apply within the
-// apply limit.
-func (n *Node) newBoundedFollower(kind string, direct follow.Source) *follow.Follower {
+// apply limit. This node itself uses what apply keeps of them.
+func (n *Node) newBoundedFollower(kind string, direct follow.Source, apply func(follow.Snapshot)) *follow.Follower {
 	sourceSettings := mirror.SourceSettings{
 		HolderWait: boundedUpstreamWait, MaxHolderAge: n.settings.ApplyLimit,
 		FallbackDelays: upstreamFallbackDelays(), StorePause: n.settings.ApplyLimit / storePauseDivisor,
@@ -77,8 +77,10 @@
 		// Polling already paces the calls at the store.
 		sourceSettings.FallbackDelays.StoreLost, sourceSettings.StorePause = interval, 0
 	}
-	keep := func(snapshot follow.Snapshot) { n.mirror.Update(kind, snapshot) }
-	return n.newMirroredFollower(kind, direct, followSettings, sourceSettings, keep)
+	return n.newMirroredFollower(kind, direct, followSettings, sourceSettings, func(snapshot follow.Snapshot) {
+		n.mirror.Update(kind, snapshot)
+		apply(snapshot)
+	})
 }
 
 // newRelaxedFollower returns a follower of objects that change rarely and that the apply
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -42,6 +42,9 @@
 	// gateways.
 	Configuration follow.Source
 	Instances     follow.Source
+	// DecodeRetentions returns how long turns are stored, by route, and false if the snapshot
+	// contains no configuration.
+	DecodeRetentions func(follow.Snapshot) (byRoute map[string]time.Duration, found bool, err error)
 	// Retirements is the source of the orders to empty storage nodes.
 	Retirements      follow.Source
 	DecodeRetirement func(follow.Object) (retirement.Order, error)
@@ -188,8 +191,20 @@
 		n.newRelaxedFollower(mirror.KindNodes, n.parts.Nodes, n.applyNodes),
 		sets, n.newSetsReader(sets),
 		n.newRelaxedFollower(mirror.KindRetirements, n.parts.Retirements, n.retirement.Decoder(n.parts.DecodeRetirement)),
-		n.newBoundedFollower(mirror.KindConfiguration, n.parts.Configuration),
-		n.newBoundedFollower(mirror.KindInstances, n.parts.Instances),
+		n.newBoundedFollower(mirror.KindConfiguration, n.parts.Configuration, n.applyRetentions),
+		n.newBoundedFollower(mirror.KindInstances, n.parts.Instances, func(follow.Snapshot) {}),
+	}
+}
+
+// applyRetentions applies the retentions of the routes in a configuration.
+func (n *Node) applyRetentions(snapshot follow.Snapshot) {
+	byRoute, found, err := n.parts.DecodeRetentions(snapshot)
+	if err != nil {
+		n.logger.Error("retentions of an invalid configuration ignored", zap.Int64("revision", snapshot.At), zap.Error(err))
+		return
+	}
+	if found {
+		n.turns.SetRetentions(byRoute)
 	}
 }
 
--- a/transport/relay/turn.go
+++ b/transport/relay/turn.go
@@ -25,8 +25,8 @@
 	turn, failure := c.handler.options.Turns.Begin(ctx, conversation.Request{
 		ID: c.input.info.ID, Program: c.input.info.Program, Tenant: c.tenantName(), Previous: c.input.info.PreviousTurn,
 		Budget: c.input.info.TokenBudget, MaxTokens: c.input.info.MaxTokens, TokensPerEvent: service.TokensPerEvent,
-		Retained: c.routing.route.Retained, Retention: c.routing.route.Retention, Timeout: c.timing.timeout(), Input: c.input.received,
-		Origin: c.originForReservation(),
+		Retained: c.routing.route.Retained, Retention: c.routing.route.Retention, Route: c.routing.route.Name,
+		Timeout: c.timing.timeout(), Input: c.input.received, Origin: c.originForReservation(),
 	})
 	c.stream.reservationTime = c.handler.options.Now().Sub(started)
 	if failure != nil {
