Fetch no ancestors while a shard is copied to this node

A copy of a shard brings turns before their ancestors, so that a node that is to become a member would have asked the others for what they were sending it. Found on reading; the test of the service fails without the check.

--- a/coordination/antientropy/service.go
+++ b/coordination/antientropy/service.go
@@ -42,6 +42,8 @@
 
 // Writer stores turns in this node's replica. shard.Replica implements it.
 type Writer interface {
+	// CheckRequest returns why the replica refuses requests with the fence, if it does.
+	CheckRequest(fence register.Fence) register.Refusal
 	PutTurn(ctx context.Context, fence register.Fence, stored replica.Turn) archive.Reply
 }
 
@@ -143,7 +145,8 @@
 func (s *Service) fetch(ctx context.Context, shard uint32, ids []string) {
 	views := s.viewsFrom(shard)
 	fence, isMember := s.ownFence(views, shard)
-	if !isMember {
+	// While the shard is copied to this node, its turns come in any order.
+	if !isMember || s.options.Writer.CheckRequest(fence) != register.RefusalNone {
 		return
 	}
 	missing := slices.Clone(ids)
--- a/coordination/antientropy/service_test.go
+++ b/coordination/antientropy/service_test.go
@@ -30,8 +30,9 @@
 	// unreachable are the members that don't answer; requests counts all requests.
 	unreachable map[string]bool
 	requests    int
-	refusal     register.Refusal
-	now         time.Time
+	// refusal is that of writes, notReady that of all requests to self.
+	refusal, notReady register.Refusal
+	now               time.Time
 }
 
 func newFixture() *fixture {
@@ -67,6 +68,8 @@
 
 func (f *fixture) Lacking() map[uint32][]string { return f.lacking }
 
+func (f *fixture) CheckRequest(register.Fence) register.Refusal { return f.notReady }
+
 func (f *fixture) PutTurn(_ context.Context, fence register.Fence, stored replica.Turn) archive.Reply {
 	if f.refusal == register.RefusalNone {
 		f.written = append(f.written, fmt.Sprint(fence.Shard, "/", stored.Program))
@@ -99,12 +102,14 @@
 }
 
 // TestNothingIsAskedIfNothingIsLacking guards against requests of replicas whose chains are
-// whole, and of nodes that aren't members of the shard.
+// whole, of nodes that aren't members of the shard, and of members to which it is being copied.
 func TestNothingIsAskedIfNothingIsLacking(t *testing.T) {
 	f := newFixture()
 	f.service.Round(t.Context())
 	f.lacking[1] = []string{"other"}
 	f.service.Round(t.Context())
+	f.lacking[0], f.notReady = []string{"first"}, register.RefusalNotReady
+	f.service.Round(t.Context())
 	assert.Equal(t, f.requests, 0)
 }
 
--- a/coordination/shard/replica.go
+++ b/coordination/shard/replica.go
@@ -194,6 +194,12 @@
 	return r.checkFence(current.state, fence, key)
 }
 
+// CheckRequest returns why this replica refuses requests with the fence, if it does.
+func (r *Replica) CheckRequest(fence register.Fence) register.Refusal {
+	refusal, _ := r.checkRequest(fence, "")
+	return refusal
+}
+
 // Peek returns the value that this replica accepted last. It is only a hint, since it may be
 // outdated or undecided.
 func (r *Replica) Peek(fence register.Fence, key string) ([]byte, register.Refusal) {
