--- a/test/integration/longlineclient_test.go
+++ b/test/integration/longlineclient_test.go
@@ -21,9 +21,11 @@
 // turnLine is a line of turns. It is used by one goroutine.
 type turnLine struct {
 	program string
-	// previous is the id of the last turn that was answered whole, at the time; retention is
-	// that of its route.
+	// previous is the id of the last turn that was answered whole, on the route. Its request was
+	// sent at the time started and answered at the other; retention is that of its route.
 	previous  string
+	route     string
+	started   time.Time
 	at        time.Time
 	retention time.Duration
 	turns     int
@@ -37,6 +39,8 @@
 	soak *turnSoak
 	http *http.Client
 	ids  atomic.Int64
+	// isRetained reports whether the last turn of a line is within its retention.
+	isRetained func(line *turnLine) bool
 
 	mutex   sync.Mutex
 	whole   int
@@ -46,6 +50,7 @@
 
 func newLineClients(s *turnSoak) *lineClients {
 	c := &lineClients{t: s.t, soak: s, http: newTurnHTTPClient(), answers: make(map[string]int)}
+	c.isRetained = func(line *turnLine) bool { return time.Since(line.at) < line.retention }
 	s.t.Cleanup(c.http.CloseIdleConnections)
 	return c
 }
@@ -56,11 +61,12 @@
 // answered whole or refused for good. It reports whether it was answered whole.
 func (c *lineClients) takeTurn(line *turnLine, zone int, route string) bool {
 	for deadline := time.Now().Add(harness.Generous); time.Now().Before(deadline) && !line.ended; {
-		id := c.newID()
+		id, started := c.newID(), time.Now()
 		status, body, retryAfter := c.send(zone, route, id, line.program, line.previous, fmt.Sprintf("input %d ", line.turns+1))
 		switch status {
 		case http.StatusOK:
-			line.previous, line.at, line.retention = id, time.Now(), lineRetention(route)
+			line.previous, line.route, line.started = id, route, started
+			line.at, line.retention = time.Now(), lineRetention(route)
 			line.turns++
 			c.mutex.Lock()
 			c.whole++
@@ -85,7 +91,8 @@
 
 // checkRefusal reports a turn that is unknown within its retention.
 func (c *lineClients) checkRefusal(line *turnLine, id string, status int, body string) {
-	if since := time.Since(line.at); status != http.StatusPaymentRequired && since < line.retention {
+	if status != http.StatusPaymentRequired && c.isRetained(line) {
+		since := time.Since(line.at)
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		c.faults = append(c.faults, fmt.Sprintf("%s: request %s of %s: turn %s, number %d, answered whole %v before, is %d: %s",
--- a/test/integration/turnfaults_test.go
+++ b/test/integration/turnfaults_test.go
@@ -187,6 +187,7 @@
 	if s.seed%2 == 0 {
 		faults, concurrency, quiet = diskFaults(), 2, 0.6
 	}
+	faults = append(faults, s.moreFaults...)
 	quietUntil := time.Time{}
 	for deadline := time.Now().Add(span); time.Now().Before(deadline); {
 		finish(time.Now())
--- a/test/integration/turnsoak_test.go
+++ b/test/integration/turnsoak_test.go
@@ -54,6 +54,8 @@
 	// version is the newest version of the configuration, which configure returns.
 	version   int
 	configure func(version int) map[string]any
+	// moreFaults are injected besides those of the seed.
+	moreFaults []turnFault
 	// lostDisks counts the disks lost so far.
 	lostDisks int
 }
