Limit the head of an answer in bytes, in time and in interim responses

One faulty back end of one service could end every gateway: four requests were enough to bring one to 1.9 GB, and these failed at their deadline though other back ends were well.

Cause: heads were read with http.ReadResponse from an unlimited connection. A connection now hands out 64 kB while a head is incomplete, with the interim responses before it; a head has a second from its first byte on, and a request 32 interim responses. What exceeds a limit fails the attempt as a broken answer does: the instance's health counts it, and the request goes on at once, or gets its 502 at once. A log line and a counter name the limit.

--- a/lab/runner/answer.go
+++ b/lab/runner/answer.go
@@ -60,6 +60,10 @@
 		r.answerRaw(w, "HTTP/1.1 200 OK\r\n"+r.head(request)+"\r\nok")
 		return
 	}
+	if isEndless(fault) {
+		r.answerWithoutEnd(w, request, fault)
+		return
+	}
 	if fault != NoSeal {
 		w.Header().Set(HeaderSeal, r.Instance)
 	}
--- /dev/null
+++ b/lab/runner/endless.go
@@ -0,0 +1,69 @@
+package runner
+
+import (
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// endlessTime bounds how long a fault without end goes on.
+	endlessTime = 20 * time.Second
+	// slowHeadPause is the time between two bytes of SlowHead.
+	slowHeadPause = 50 * time.Millisecond
+	// endlessPieceBytes is the least size of the pieces of other faults.
+	endlessPieceBytes = 64 << 10
+)
+
+func isEndless(fault Fault) bool { return fault >= EndlessBytes && fault <= SlowHead }
+
+// answerWithoutEnd sends the fault's bytes past the server until the client closes the
+// connection.
+func (r *Runner) answerWithoutEnd(w http.ResponseWriter, request *http.Request, fault Fault) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer connection.Close()
+	_ = connection.SetDeadline(time.Now().Add(endlessTime))
+	start, piece, pause := endlessPieces(fault, r.head(request))
+	sent, err := connection.Write([]byte(start))
+	for total := int64(sent); err == nil; total += int64(sent) {
+		r.recordSent(total)
+		time.Sleep(pause)
+		sent, err = connection.Write([]byte(piece))
+	}
+}
+
+// endlessPieces returns what is sent first, what is sent again and again, and the pause
+// before each.
+func endlessPieces(fault Fault, head string) (start, piece string, pause time.Duration) {
+	fill := func(unit string) string { return strings.Repeat(unit, endlessPieceBytes/len(unit)+1) }
+	switch fault {
+	case EndlessBytes:
+		return "", fill("x"), 0
+	case EndlessHeaderLine:
+		return "HTTP/1.1 200 OK\r\nX-Long: ", fill("x"), 0
+	case EndlessHeaders:
+		return "HTTP/1.1 200 OK\r\n", fill("X-Filler: more\r\n"), 0
+	case EndlessInterims:
+		return "", fill("HTTP/1.1 100 Continue\r\n\r\n"), 0
+	case EndlessComments:
+		return "HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n", fill(": alive\n\n"), 0
+	default:
+		return "HTTP/1.1 200 OK\r\nX-Slow: ", "x", slowHeadPause
+	}
+}
+
+func (r *Runner) recordSent(bytes int64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.mostSent = max(r.mostSent, bytes)
+}
+
+// MostSent returns the most bytes that one connection took of a fault without end.
+func (r *Runner) MostSent() int64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.mostSent
+}
--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -57,6 +57,16 @@
 	EarlyAnswer
 	// Unframed answers without a length; the connection's end ends the answer.
 	Unframed
+	// The following send bytes until the client closes the connection. EndlessBytes sends no
+	// line end, EndlessHeaderLine one header line, EndlessHeaders header lines,
+	// EndlessInterims interim responses and EndlessComments a stream of comments.
+	EndlessBytes
+	EndlessHeaderLine
+	EndlessHeaders
+	EndlessInterims
+	EndlessComments
+	// SlowHead sends a byte of a head each slowHeadPause, until the client closes.
+	SlowHead
 )
 
 // Run is one request that was run.
@@ -96,6 +106,8 @@
 	left     int
 	crash    crash
 	brokenAt time.Time
+	// mostSent is the most that was sent on one connection by a fault without end, in bytes.
+	mostSent int64
 }
 
 // Start runs a runner on a free loopback port until Close.
--- a/transport/relay/metrics.go
+++ b/transport/relay/metrics.go
@@ -12,6 +12,7 @@
 	requests  *prometheus.CounterVec
 	retries   prometheus.Counter
 	crashes   prometheus.Counter
+	limits    *prometheus.CounterVec
 	resumed   *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
 	duration  *prometheus.HistogramVec
@@ -33,6 +34,10 @@
 			Name: "marblering_gateway_crashes_under_requests_total",
 			Help: "Ends of back ends under requests, one for each request.",
 		}),
+		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marblering_gateway_response_limits_total",
+			Help: "Answers of back ends that exceeded a limit, by limit.",
+		}, []string{"limit"}),
 		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marblering_gateway_resumed_streams_total",
 			Help: "Streams that clients resumed, by whether the software version that began them is found.",
@@ -46,7 +51,7 @@
 			Help: "Time from a request's arrival to the end of its answer.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.retries, m.crashes, m.resumed, m.firstByte, m.duration)
+	registry.MustRegister(m.requests, m.retries, m.crashes, m.limits, m.resumed, m.firstByte, m.duration)
 	return m
 }
 
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -31,6 +31,7 @@
 	socket *net.TCPConn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	head   headLimit
 	// idleSince is when the last exchange ended.
 	// idleLimit is how long after idleSince the connection may be reused.
 	idleSince time.Time
@@ -55,8 +56,8 @@
 	return created, nil
 }
 
-// receiveNotifier reads from a connection and calls onReceive after each read that
-// returned bytes.
+// receiveNotifier reads from a connection within the limit of a head, and calls onReceive
+// after each read that returned bytes.
 type receiveNotifier struct {
 	connection *connection
 	onReceive  func(*connection)
@@ -64,7 +65,12 @@
 
 // Read implements io.Reader.
 func (r receiveNotifier) Read(buffer []byte) (int, error) {
+	buffer, err := r.connection.head.left(buffer)
+	if err != nil {
+		return 0, err
+	}
 	count, err := r.connection.socket.Read(buffer)
+	r.connection.head.read += count
 	if count > 0 {
 		r.onReceive(r.connection)
 	}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -42,6 +42,8 @@
 	client     *Client
 	endpoint   endpoint
 	connection *connection
+	// deadline is that of the request's context; zero if there is none.
+	deadline time.Time
 	// written is closed once the request was sent or sending failed with writeErr.
 	written  chan struct{}
 	writeErr error
@@ -67,11 +69,8 @@
 	}
 	current := &exchange{client: c, endpoint: to, connection: opened, written: make(chan struct{})}
 	current.stopContextWatch = context.AfterFunc(ctx, opened.close)
-	if deadline, bounded := ctx.Deadline(); bounded {
-		_ = opened.socket.SetDeadline(deadline)
-	} else {
-		_ = opened.socket.SetDeadline(time.Time{})
-	}
+	current.deadline, _ = ctx.Deadline()
+	_ = opened.socket.SetDeadline(current.deadline)
 	opened.lastReceived.Store(c.now().UnixNano())
 	if request.Repeatable && c.settings.StallTimeout > 0 {
 		current.stall = startStallDetector(current)
@@ -133,8 +132,10 @@
 
 // readHead reads the head of the next final response and skips interim ones (1xx).
 func (e *exchange) readHead(request *Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(e.connection.reader, &http.Request{Method: request.Method})
+	e.connection.head.begin(e.connection.reader.Buffered())
+	defer e.connection.head.end()
+	for range maxInterimResponses + 1 {
+		response, err := e.readOneHead(request)
 		if err != nil {
 			return nil, err
 		}
@@ -142,6 +143,17 @@
 			return response, nil
 		}
 	}
+	return nil, &LimitError{Limit: LimitInterimResponses, Bytes: e.connection.head.read}
+}
+
+// readOneHead reads the head of the next response.
+func (e *exchange) readOneHead(request *Request) (*http.Response, error) {
+	isLimited := e.limitHeadTime()
+	response, err := http.ReadResponse(e.connection.reader, &http.Request{Method: request.Method})
+	if isLimited {
+		err = e.endHeadTime(err)
+	}
+	return response, err
 }
 
 // hasCloseDelimitedBody reports whether the end of the connection marks the end of the
