Hold comments before the first event, and limit those between two events

A stream of comments without end held its client until the deadline, and after the first comment no other instance could be tried: the header went out with it.

Comments are now held with the header until the first event, and passed on at their place; 16 kB of them without an event fail the attempt. They count as activity of the instance, not as its first event.

--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -57,6 +57,7 @@
 		{"header lines", "plain", runner.EndlessHeaders},
 		{"interim responses", "plain", runner.EndlessInterims},
 		{"a slow head", "plain", runner.SlowHead},
+		{"comments", "stream", runner.EndlessComments},
 	} {
 		t.Run(tried.name, func(t *testing.T) {
 			s := newSoakSystem(t, 1, soakLayout{gateways: 1, drainTimeout: 4 * time.Second, configuration: endlessConfiguration()})
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -87,41 +87,37 @@
 	return delivered, nil
 }
 
-// deliverEvents passes on complete events as they arrive. The header is written with the
-// first event, so that another backend can be tried if the stream breaks before it.
+// deliverEvents passes on complete events and comments as they arrive. The header and the
+// comments before the first event are written with it, so that another backend can be tried
+// if the stream breaks before it.
 func (c *call) deliverEvents(ctx context.Context, backendResponse *upstream.Response, current *attempt) (outcome, error) {
 	events := newEventReader(backendResponse)
-	controller := http.NewResponseController(c.writer)
+	stream := eventWriter{call: c, response: backendResponse, controller: http.NewResponseController(c.writer)}
 	for {
-		event, err := events.next()
+		next, err := events.next()
 		if err == io.EOF {
-			return c.endStream(ctx, backendResponse)
+			return c.endStream(ctx, backendResponse, stream.comments.held)
 		}
 		if err != nil {
 			return incomplete, err
 		}
-		current.recordProgress(c.handler.options.Now())
-		if event.isAlreadySent(c.response.lastEventID) {
-			continue
+		var ended outcome
+		if next.hasField {
+			current.recordProgress(c.handler.options.Now())
+			ended, err = stream.deliver(next)
+		} else {
+			current.assignment.RecordActivity()
+			ended, err = stream.deliverComment(next)
 		}
-		c.awaitRecording()
-		c.writeStreamHeader(backendResponse)
-		c.countEvent(event)
-		if _, err := c.writer.Write(event.raw); err != nil {
-			return abandoned, err
-		}
-		if err := controller.Flush(); err != nil {
-			return abandoned, err
-		}
-		if event.id != "" {
-			c.response.lastEventID = event.id
+		if err != nil {
+			return ended, err
 		}
 	}
 }
 
-// endStream stores the turn, if there is one, and writes the header of a stream without
-// events. If the turn can't be stored, the stream must not end normally.
-func (c *call) endStream(ctx context.Context, backendResponse *upstream.Response) (outcome, error) {
+// endStream stores the turn, if there is one, and writes the header and the held comments of a
+// stream without events. If the turn can't be stored, the stream must not end normally.
+func (c *call) endStream(ctx context.Context, backendResponse *upstream.Response, held []byte) (outcome, error) {
 	started := c.handler.options.Now()
 	err := c.completeTurn(ctx)
 	c.timing.storeTime = c.handler.options.Now().Sub(started)
@@ -129,6 +125,8 @@
 		return turnNotStored, err
 	}
 	c.writeStreamHeader(backendResponse)
+	// A write error means that the client is gone.
+	_, _ = c.writer.Write(held)
 	return delivered, nil
 }
 
--- a/transport/relay/event.go
+++ b/transport/relay/event.go
@@ -8,12 +8,16 @@
 	"io"
 	"strconv"
 	"strings"
+
+	"github.com/marblering/marblering/transport/upstream"
 )
 
 // event is a server-sent event, including the empty line that ends it.
 type event struct {
 	raw []byte
 	id  string
+	// hasField is set unless all lines are comments.
+	hasField bool
 }
 
 // isAlreadySent tells whether the event isn't newer than the last one sent, given its id.
@@ -40,15 +44,13 @@
 	maxEventBytes    = 1 << 20
 )
 
-var errEventTooLarge = fmt.Errorf("an event is larger than %d bytes", maxEventBytes)
-
 func newEventReader(source io.Reader) *eventReader {
 	return &eventReader{reader: bufio.NewReaderSize(source, eventBufferBytes)}
 }
 
 // next returns the next complete event. The error is io.EOF if the stream ended between two
-// events, errTruncatedEvent if it ended within one, and errEventTooLarge if the event has
-// more than maxEventBytes.
+// events, errTruncatedEvent if it ended within one, and wraps an *upstream.LimitError if the
+// event has more than maxEventBytes.
 func (r *eventReader) next() (event, error) {
 	var current event
 	for {
@@ -67,6 +69,7 @@
 		if id, found := eventID(line); found {
 			current.id = id
 		}
+		current.hasField = current.hasField || line[0] != ':'
 	}
 }
 
@@ -76,7 +79,8 @@
 		part, err := r.reader.ReadSlice('\n')
 		to.raw = append(to.raw, part...)
 		if len(to.raw) > maxEventBytes {
-			return errEventTooLarge
+			exceeded := &upstream.LimitError{Limit: limitEventBytes, Bytes: len(to.raw)}
+			return fmt.Errorf("an event is larger than %d bytes: %w", maxEventBytes, exceeded)
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
--- a/transport/relay/limit.go
+++ b/transport/relay/limit.go
@@ -9,6 +9,42 @@
 	"github.com/marblering/marblering/transport/upstream"
 )
 
+// maxCommentBytes limits the comments of a stream before its first event and between two
+// events.
+const maxCommentBytes = 16 << 10
+
+// Limits on a stream.
+const (
+	limitEventBytes   upstream.Limit = "event_bytes"
+	limitCommentBytes upstream.Limit = "comment_bytes"
+)
+
+// comments counts the comments of a stream since its last event, and holds those before the
+// first event: until then the request can be sent to another instance.
+type comments struct {
+	held  []byte
+	bytes int
+}
+
+// add counts a comment and holds it if no header has been written to the client.
+func (c *comments) add(comment event, headerWritten bool) error {
+	c.bytes += len(comment.raw)
+	if c.bytes > maxCommentBytes {
+		return &upstream.LimitError{Limit: limitCommentBytes, Bytes: c.bytes}
+	}
+	if !headerWritten {
+		c.held = append(c.held, comment.raw...)
+	}
+	return nil
+}
+
+// take returns the comments that were held before an event, and begins to count anew.
+func (c *comments) take() []byte {
+	held := c.held
+	*c = comments{}
+	return held
+}
+
 // observeLimit logs and counts an attempt that ended since the instance exceeded a limit.
 func (c *call) observeLimit(assignment *backend.Assignment, cause error) {
 	var exceeded *upstream.LimitError
