--- a/coordination/expiry/collector_test.go
+++ b/coordination/expiry/collector_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -336,3 +337,17 @@
 	*s.reads++
 	return s.Store.ReadTurns(shard, id, from, visit)
 }
+
+// TestVeryLongRetentionIsKept guards against a turn that is deleted at once since its retention,
+// or that of its route, is longer than times can be.
+func TestVeryLongRetentionIsKept(t *testing.T) {
+	const years = 365 * 24 * time.Hour
+	for _, retention := range []time.Duration{50 * years, 100 * years, 200 * years, math.MaxInt64} {
+		f := newFixture()
+		f.putFor(retention, 0, "a")
+		f.store.SetRetentions(map[string]time.Duration{"desk": retention})
+		f.putOfRoute("desk", time.Second, "b")
+		assert.Equal(t, len(f.collectAfter(time.Hour)), 2, retention)
+		assert.Equal(t, len(f.collectAfter(5*years)), 2, retention)
+	}
+}
--- a/coordination/expiry/store.go
+++ b/coordination/expiry/store.go
@@ -37,6 +37,8 @@
 	// lackingGrace is how long a gateway may take to store the ancestors that are missing
 	// after it has stored a turn.
 	lackingGrace = 2 * time.Second
+	// maxRetention limits a retention, so that times of turns don't overflow.
+	maxRetention = 90 * 365 * 24 * time.Hour
 	// defaultRetention applies to turns that specify no retention or can't be decoded.
 	defaultRetention = 10 * time.Minute
 )
@@ -196,10 +198,10 @@
 // mutex must be held.
 func (s *Store) retention(retained *statev1.RetainedTurn) time.Duration {
 	stored := defaultRetention
-	if retained.GetRetentionMs() > 0 {
-		stored = time.Duration(retained.GetRetentionMs()) * time.Millisecond
+	if milliseconds := retained.GetRetentionMs(); milliseconds > 0 {
+		stored = time.Duration(min(milliseconds, maxRetention.Milliseconds())) * time.Millisecond
 	}
-	return max(stored, s.routeRetentions[retained.GetRoute()])
+	return min(max(stored, s.routeRetentions[retained.GetRoute()]), maxRetention)
 }
 
 // Collect deletes the turns that are no longer needed.
