Return no pause from Jitter for one that isn't positive

A gateway passes the pause that a storage node's answer names (quota.Client), which is zero if the answer leaves it out.

--- a/coordination/sleep/sleep.go
+++ b/coordination/sleep/sleep.go
@@ -21,5 +21,11 @@
 }
 
 // Jitter returns a random duration between half and one and a half times the pause, so
-// that nodes that failed together don't retry together. The pause must be positive.
-func Jitter(pause time.Duration) time.Duration { return pause/2 + rand.N(pause) }
+// that nodes that failed together don't retry together. It returns zero if the pause isn't
+// positive.
+func Jitter(pause time.Duration) time.Duration {
+	if pause <= 0 {
+		return 0
+	}
+	return pause/2 + rand.N(pause)
+}
