--- a/coordination/routetable/table.go
+++ b/coordination/routetable/table.go
@@ -33,7 +33,7 @@
 	table := &Table{configuration: configuration, hosts: make(map[string][]*Route), tenants: tenants}
 	for index := range configuration.Routes {
 		route := &configuration.Routes[index]
-		host := strings.ToLower(route.Host)
+		host := normalizeHost(route.Host)
 		table.hosts[host] = append(table.hosts[host], route)
 	}
 	for _, routes := range table.hosts {
--- a/coordination/routetable/table_test.go
+++ b/coordination/routetable/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -122,3 +123,19 @@
 		assert.Equal(t, split.Pick(fraction), want)
 	}
 }
+
+// TestRouteOfAHostWithAPortMatches guards against a route that serves nothing since its host names
+// a port: ports count neither in routes nor in requests.
+func TestRouteOfAHostWithAPortMatches(t *testing.T) {
+	for _, named := range []string{"Shop.Example:8080", "[2001:db8::1]:80"} {
+		route := newRoute("a", "/a/")
+		route.Host = named
+		built := newTable(t, 1, route)
+		host, _, err := net.SplitHostPort(named)
+		assert.NilError(t, err)
+		for _, requested := range []string{named, net.JoinHostPort(host, "9"), strings.ToLower(named)} {
+			_, found := built.Match(requested, "/a/x")
+			assert.Assert(t, found, "route of %q, request to %q", named, requested)
+		}
+	}
+}
