Apply a raised retention below an earlier one of the same route

A route lowered from an hour to a second and raised to ten minutes: turns stored under the second retention were deleted within the third, since the longest retention of any turn of the route was taken for that of all. The shortest one since all turns were read decides now.

--- a/coordination/expiry/collector_test.go
+++ b/coordination/expiry/collector_test.go
@@ -296,6 +296,19 @@
 	}
 }
 
+// TestRetentionRaisedBelowAnEarlierOneHolds guards against the deletion of turns of a short
+// retention that was raised, since other turns of their route have a longer one.
+func TestRetentionRaisedBelowAnEarlierOneHolds(t *testing.T) {
+	f := newFixture()
+	f.store.SetRetentions(map[string]time.Duration{"desk": time.Hour})
+	f.putOfRoute("desk", time.Hour, "a")
+	f.store.SetRetentions(map[string]time.Duration{"desk": time.Second})
+	f.putOfRoute("desk", time.Second, "b")
+	f.store.SetRetentions(map[string]time.Duration{"desk": 10 * time.Minute})
+	assert.Equal(t, len(f.collectAfter(10*time.Minute)), 2)
+	assert.DeepEqual(t, f.collectAfter(31*time.Minute), []string{"a"})
+}
+
 // TestLoweredRetentionHoldsForLaterTurns guards against the deletion of turns that were stored
 // before the retention of their route was lowered, or the route removed.
 func TestLoweredRetentionHoldsForLaterTurns(t *testing.T) {
--- a/coordination/expiry/store.go
+++ b/coordination/expiry/store.go
@@ -68,9 +68,9 @@
 	index *index
 	// routeRetentions are the retentions in force, by route.
 	routeRetentions map[string]time.Duration
-	// appliedRetentions are the longest retentions with which turns of a route were added to
-	// the index.
-	appliedRetentions map[string]time.Duration
+	// shortestRetentions are the shortest retentions with which turns of a route were added to
+	// the index, since all stored turns were read.
+	shortestRetentions map[string]time.Duration
 	// loaded are the shards whose turns on the disk are in the index.
 	loaded map[uint32]bool
 }
@@ -88,7 +88,7 @@
 	}
 	return &Store{
 		Store: options.Store, options: options, codec: codec, index: newIndex(options.Now()), loaded: make(map[uint32]bool),
-		appliedRetentions: make(map[string]time.Duration),
+		shortestRetentions: make(map[string]time.Duration),
 	}, nil
 }
 
@@ -120,26 +120,29 @@
 func (s *Store) add(shard uint32, id string, retained *statev1.RetainedTurn) (missing []string) {
 	now := s.options.Now()
 	retention := s.retention(retained)
-	s.appliedRetentions[retained.GetRoute()] = max(s.appliedRetentions[retained.GetRoute()], retention)
+	if shortest, hasTurns := s.shortestRetentions[retained.GetRoute()]; !hasTurns || retention < shortest {
+		s.shortestRetentions[retained.GetRoute()] = retention
+	}
 	return s.index.add(shard, id, retained, now, now.Add(retentionFactor*retention+retentionMargin))
 }
 
 // SetRetentions sets the retentions in force, by route. If one is longer than that of stored
-// turns of the route, the stored turns are read again by the next collection, and count as
+// turns of the route, all stored turns are read again by the next collection, and count as
 // stored at that moment.
 func (s *Store) SetRetentions(byRoute map[string]time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.routeRetentions = maps.Clone(byRoute)
 	for route, retention := range byRoute {
-		applied, hasTurns := s.appliedRetentions[route]
-		if !hasTurns || retention <= applied {
+		shortest, hasTurns := s.shortestRetentions[route]
+		if !hasTurns || retention <= shortest {
 			continue
 		}
-		s.appliedRetentions[route] = retention
-		s.index.setAllUnread()
 		s.options.Logger.Info("retention raised, stored turns are read again", zap.String("route", route),
-			zap.Duration("retention", retention), zap.Duration("before", applied), zap.Int("turns", len(s.index.entries)))
+			zap.Duration("retention", retention), zap.Duration("before", shortest), zap.Int("turns", len(s.index.entries)))
+		s.index.setAllUnread()
+		clear(s.shortestRetentions)
+		return
 	}
 }
 
