--- a/coordination/antientropy/service.go
+++ b/coordination/antientropy/service.go
@@ -14,7 +14,6 @@
 	"slices"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"github.com/marblering/marblering/coordination/archive"
@@ -115,6 +114,7 @@
 func (s *Service) Round(ctx context.Context) {
 	now := s.options.Now()
 	maps.DeleteFunc(s.notFound, func(_ wanted, until time.Time) bool { return now.After(until) })
+	current := &round{Service: s, views: s.options.Views.Views(), failed: make(map[string]error)}
 	left := maxTurnsPerRound
 	for shard, lacking := range s.options.Chains.Lacking() {
 		ids := s.withoutNotFound(shard, lacking)
@@ -124,7 +124,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			s.fetch(ctx, shard, batch)
+			current.fetch(ctx, shard, batch)
 		}
 	}
 }
@@ -140,98 +140,6 @@
 	return left
 }
 
-// fetch looks for the turns at all members of all replica sets, those of the shard first,
-// and stores the ones that it finds.
-func (s *Service) fetch(ctx context.Context, shard uint32, ids []string) {
-	views := s.viewsFrom(shard)
-	fence, isMember := s.ownFence(views, shard)
-	// While the shard is copied to this node, its turns come in any order.
-	if !isMember || s.options.Writer.CheckRequest(fence) != register.RefusalNone {
-		return
-	}
-	missing := slices.Clone(ids)
-	var lastErr error
-	for _, view := range views {
-		for _, member := range view.Members {
-			if len(missing) == 0 || view.Shard == shard && member.Incarnation == s.options.Incarnation {
-				continue
-			}
-			found, err := s.read(ctx, view, member, missing)
-			if err == nil {
-				err = s.store(ctx, fence, found)
-			}
-			if err != nil {
-				lastErr = err
-				continue
-			}
-			missing = slices.DeleteFunc(missing, func(id string) bool {
-				return slices.ContainsFunc(found, func(turn replica.Turn) bool { return turn.Program == id })
-			})
-		}
-	}
-	if lastErr == nil {
-		s.recordNotFound(shard, missing)
-	}
-	s.options.Logger.Info("ancestors fetched", zap.Uint32("shard", shard), zap.Int("lacking", len(ids)),
-		zap.Int("fetched", len(ids)-len(missing)), zap.Strings("not_found", missing), zap.Error(lastErr))
-}
-
-// viewsFrom returns all replica sets, that of the shard first.
-func (s *Service) viewsFrom(shard uint32) []register.View {
-	views := slices.Clone(s.options.Views.Views())
-	slices.SortStableFunc(views, func(a, b register.View) int {
-		switch shard {
-		case a.Shard:
-			return -1
-		case b.Shard:
-			return 1
-		}
-		return 0
-	})
-	return views
-}
-
-// ownFence returns the fence for writes of the shard at this node's replica. It is false if
-// the replica isn't a member of the set.
-func (s *Service) ownFence(views []register.View, shard uint32) (register.Fence, bool) {
-	for _, view := range views {
-		isSelf := func(member register.Member) bool { return member.Incarnation == s.options.Incarnation }
-		if view.Shard == shard && slices.ContainsFunc(view.Members, isSelf) {
-			return register.Fence{Shard: shard, Epoch: view.Epoch, Replica: s.options.Incarnation}, true
-		}
-	}
-	return register.Fence{}, false
-}
-
-// read returns those of the turns that the member has. A turn that can't be decoded is an
-// error, since another member may have a valid copy.
-func (s *Service) read(ctx context.Context, view register.View, member register.Member, ids []string) ([]replica.Turn, error) {
-	fence := register.Fence{Shard: view.Shard, Epoch: view.Epoch, Replica: member.Incarnation}
-	found, reply, err := s.options.Reader.ReadMany(ctx, member, fence, ids)
-	if err == nil && reply.Refusal != register.RefusalNone {
-		err = merry.Errorf("refused: %s", reply.Refusal)
-	}
-	for _, stored := range found {
-		if err == nil {
-			_, err = s.codec.Decode(stored.Program, stored.Object, stored.Digest)
-		}
-	}
-	if err != nil {
-		return nil, merry.Prependf(err, "member %s, epoch %d of shard %d", member.Node, view.Epoch, view.Shard)
-	}
-	return found, nil
-}
-
-// store stores the turns in this node's replica.
-func (s *Service) store(ctx context.Context, fence register.Fence, turns []replica.Turn) error {
-	for _, stored := range turns {
-		if reply := s.options.Writer.PutTurn(ctx, fence, stored); reply.Refusal != register.RefusalNone {
-			return merry.Errorf("storing turn %q: refused: %s", stored.Program, reply.Refusal)
-		}
-	}
-	return nil
-}
-
 // recordNotFound records turns that no replica has.
 func (s *Service) recordNotFound(shard uint32, ids []string) {
 	until := s.options.Now().Add(notFoundPause)
--- a/coordination/antientropy/service_test.go
+++ b/coordination/antientropy/service_test.go
@@ -30,6 +30,8 @@
 	// unreachable are the members that don't answer; requests counts all requests.
 	unreachable map[string]bool
 	requests    int
+	// asked counts the requests by member.
+	asked map[string]int
 	// refusal is that of writes, notReady that of all requests to self.
 	refusal, notReady register.Refusal
 	now               time.Time
@@ -37,7 +39,7 @@
 
 func newFixture() *fixture {
 	f := &fixture{
-		stored: make(map[string]map[string]replica.Turn), lacking: make(map[uint32][]string), unreachable: make(map[string]bool), now: time.Unix(1_000_000, 0),
+		stored: make(map[string]map[string]replica.Turn), lacking: make(map[uint32][]string), unreachable: make(map[string]bool), asked: make(map[string]int), now: time.Unix(1_000_000, 0),
 	}
 	f.codec, _ = turn.NewCodec()
 	f.views = []register.View{newView(1, "c", "d"), newView(0, "self", "b")}
@@ -79,6 +81,7 @@
 
 func (f *fixture) ReadMany(_ context.Context, member register.Member, _ register.Fence, ids []string) ([]replica.Turn, archive.Reply, error) {
 	f.requests++
+	f.asked[member.Node]++
 	if f.unreachable[member.Node] {
 		return nil, archive.Reply{}, errors.New("no answer")
 	}
@@ -172,3 +175,19 @@
 	assert.Assert(t, f.requests <= 16, "%d requests", f.requests)
 	assert.Equal(t, len(f.written), 512)
 }
+
+// TestUnreachableMemberIsAskedOnceARound guards against rounds that wait for the same node again
+// and again, for each batch of turns and each of its replica sets.
+func TestUnreachableMemberIsAskedOnceARound(t *testing.T) {
+	f := newFixture()
+	f.views = append(f.views, newView(2, "b", "d"))
+	f.unreachable["b"] = true
+	for number := range 100 {
+		f.lacking[0] = append(f.lacking[0], fmt.Sprint("turn", number))
+	}
+	f.service.Round(t.Context())
+	assert.Equal(t, f.asked["b"], 1)
+	assert.Assert(t, f.asked["d"] > 1)
+	f.service.Round(t.Context())
+	assert.Equal(t, f.asked["b"], 2)
+}
