--- a/test/integration/retentionsoak_test.go
+++ b/test/integration/retentionsoak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -19,11 +20,12 @@
 const retentionSoakRounds = 3
 
 // soakRetentions are the retentions from which each version of the configuration draws. Turns of
-// the kept route are retained to the end of the soak.
+// the kept route, and from the second version on of the raised one, are retained to the end of the
+// soak.
 var soakRetentions = map[string][]time.Duration{
 	shortRoute:  {time.Second, 2 * time.Second},
 	longRoute:   {2 * time.Second, 5 * time.Second},
-	raisedRoute: {time.Second, 45 * time.Second},
+	raisedRoute: {150 * time.Second, 200 * time.Second},
 	keptRoute:   {150 * time.Second, 200 * time.Second},
 }
 
@@ -48,6 +50,9 @@
 	for _, prefix := range []string{shortRoute, longRoute, raisedRoute, keptRoute} {
 		drawn.byPrefix[prefix] = soakRetentions[prefix][random.IntN(len(soakRetentions[prefix]))]
 	}
+	if version == 1 {
+		drawn.byPrefix[raisedRoute] = 2 * time.Second
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.versions = append(h.versions, drawn)
@@ -62,29 +67,35 @@
 }
 
 // retainedUntil returns until when the last turn of the line is retained: for the least retention
-// that was in force while it was taken, and for a longer one that came into force before that
-// ended, and stayed.
+// that was in force while it was taken, and for a longer one that was published before that ended
+// and stayed. The copies are kept beyond their retention for longer than a change takes.
 func retainedUntil(versions []retentionVersion, line *turnLine) time.Time {
-	least := time.Duration(-1)
-	for index, version := range versions {
-		retention := version.byPrefix[line.route]
-		wasReplaced := index+1 < len(versions) && versions[index+1].published.Add(retentionSettling).Before(line.started)
-		if !wasReplaced && version.published.Before(line.at) && (least < 0 || retention < least) {
-			least = retention
+	until := line.at.Add(leastRetention(versions, line.route, line.started.Add(-retentionSettling), line.at))
+	for _, version := range versions {
+		settled := version.published.Add(retentionSettling)
+		if !version.published.After(line.at) || version.published.After(until) || time.Now().Before(settled) {
+			continue
 		}
-	}
-	until := line.at.Add(least)
-	for index, version := range versions {
-		inForce := version.published.Add(retentionSettling)
-		stayed := index+1 == len(versions) && time.Now().After(inForce) || index+1 < len(versions) && versions[index+1].published.After(inForce)
-		raised := line.at.Add(version.byPrefix[line.route])
-		if version.published.After(line.at) && inForce.Before(until) && stayed && raised.After(until) {
+		raised := line.at.Add(leastRetention(versions, line.route, version.published, settled))
+		if raised.After(until) {
 			until = raised
 		}
 	}
 	return until
 }
 
+// leastRetention returns the least retention of the route that was in force between the times.
+func leastRetention(versions []retentionVersion, route string, from, to time.Time) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for index, version := range versions {
+		wasReplaced := index+1 < len(versions) && !versions[index+1].published.After(from)
+		if !wasReplaced && version.published.Before(to) {
+			least = min(least, version.byPrefix[route])
+		}
+	}
+	return least
+}
+
 // TestRetainedUntil checks the retention that the soak relies on, for a turn that is answered
 // after 100 s.
 func TestRetainedUntil(t *testing.T) {
@@ -103,7 +114,8 @@
 		{"raised right before", []retentionVersion{version(0, 5*time.Second), version(95, 30*time.Second)}, 5 * time.Second},
 		{"lowered after", []retentionVersion{version(0, 30*time.Second), version(105, 5*time.Second)}, 30 * time.Second},
 		{"raised within the time", []retentionVersion{version(0, 30*time.Second), version(105, 60*time.Second)}, 60 * time.Second},
-		{"raised too late", []retentionVersion{version(0, 30*time.Second), version(125, 60*time.Second)}, 30 * time.Second},
+		{"raised too late", []retentionVersion{version(0, 30*time.Second), version(131, 60*time.Second)}, 30 * time.Second},
+		{"raised further", []retentionVersion{version(0, 30*time.Second), version(105, 60*time.Second), version(107, 90*time.Second)}, 90 * time.Second},
 		{"raised for a moment", []retentionVersion{version(0, 30*time.Second), version(105, 60*time.Second), version(107, 30*time.Second)}, 30 * time.Second},
 	} {
 		assert.Equal(t, retainedUntil(tried.versions, line).Sub(line.at), tried.want, tried.name)
@@ -113,13 +125,17 @@
 // mixedSoakClient continues lines on routes of all retentions.
 type mixedSoakClient struct {
 	lineSoakClient
-	// resting is a line of mixed retentions that isn't continued before the end.
-	resting *turnLine
+	// resting is a line of mixed retentions, raised one of a turn whose retention is raised
+	// afterwards. Both aren't continued before the end.
+	resting, raised *turnLine
 }
 
-// beginResting begins the line that rests, with a turn of the short route under one of the kept
-// route, which enters through another zone and is of another program for some clients.
+// beginResting begins the lines that rest. That of mixed retentions has a turn of the short route
+// under one of the kept route, which enters through another zone and is of another program for some
+// clients.
 func (c *mixedSoakClient) beginResting() {
+	c.raised = &turnLine{program: c.newProgram()}
+	c.takeTurn(c.raised, c.zone, raisedRoute)
 	c.resting = &turnLine{program: c.newProgram()}
 	c.takeTurn(c.resting, c.zone, shortRoute)
 	if c.random.IntN(2) == 0 {
@@ -189,16 +205,18 @@
 			clients.awaitServing(0, longLineZones)
 			var all []*mixedSoakClient
 			var running sync.WaitGroup
-			until := time.Now().Add(*lineSoakTime)
 			for number := range lineSoakClients {
 				client := &mixedSoakClient{lineSoakClient: lineSoakClient{
 					lineClients: clients, random: rand.New(rand.NewPCG(seed, uint64(number))), name: fmt.Sprint("client-", number), zone: number % longLineZones,
 				}}
 				all = append(all, client)
-				running.Go(func() {
-					client.beginResting()
-					client.takeTurns(until)
-				})
+				running.Go(client.beginResting)
+			}
+			running.Wait()
+			s.publish()
+			until := time.Now().Add(*lineSoakTime)
+			for _, client := range all {
+				running.Go(func() { client.takeTurns(until) })
 			}
 			for range retentionSoakRounds {
 				s.inject((*lineSoakTime - *turnSoakCatchUp) / retentionSoakRounds)
@@ -211,7 +229,7 @@
 			killed.process.Kill()
 			s.log("%s killed", killed.name)
 			for _, client := range all {
-				for _, line := range append(client.lines, client.resting) {
+				for _, line := range append(client.lines, client.resting, client.raised) {
 					unused := longLineZones + client.random.IntN(longLineZones)
 					running.Go(func() { clients.takeTurn(line, unused, longRoute) })
 				}
