--- a/test/document/logline.go
+++ b/test/document/logline.go
@@ -18,7 +18,21 @@
 // after a level.
 func LogMessages(root string) ([]string, error) {
 	messages := make(map[string]bool)
-	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+	err := eachProductFile(root, func(_ string, file *ast.File) {
+		ast.Inspect(file, func(node ast.Node) bool {
+			if message, found := logMessage(node); found {
+				messages[message] = true
+			}
+			return true
+		})
+	})
+	return slices.Sorted(maps.Keys(messages)), err
+}
+
+// eachProductFile visits the parsed Go files of the product below the root, with their paths
+// from there.
+func eachProductFile(root string, visit func(path string, file *ast.File)) error {
+	return filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
@@ -32,15 +46,13 @@
 		if err != nil {
 			return err
 		}
-		ast.Inspect(file, func(node ast.Node) bool {
-			if message, found := logMessage(node); found {
-				messages[message] = true
-			}
-			return true
-		})
+		relative, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		visit(filepath.ToSlash(relative), file)
 		return nil
 	})
-	return slices.Sorted(maps.Keys(messages)), err
 }
 
 // isBesideProduct tells the folders whose code isn't part of a daemon.
