--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -82,6 +83,68 @@
 	}
 }
 
+// TestAnswersWithoutEndFromAllInstancesFailClearly guards against a gateway that runs out of memory
+// while no instance of a service sends proper answers, and against one that doesn't serve once they
+// do again.
+func TestAnswersWithoutEndFromAllInstancesFailClearly(t *testing.T) {
+	t.Parallel()
+	const (
+		concurrency = 200
+		// maxMemory is the most resident memory that the gateway may reach, in kB.
+		maxMemory = 100 << 10
+	)
+	for name, fault := range map[string]runner.Fault{
+		"bytes without a line end": runner.EndlessBytes, "one header line": runner.EndlessHeaderLine,
+		"header lines": runner.EndlessHeaders, "interim responses": runner.EndlessInterims,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSoakSystem(t, 1, soakLayout{gateways: 1, drainTimeout: 4 * time.Second, configuration: endlessConfiguration()})
+			for range 3 {
+				s.addInstanceOf(soakService{name: "plain", version: "v1"})
+			}
+			s.awaitAnswer("plain")
+			for _, instance := range s.instances {
+				instance.SetFault(fault, -1)
+			}
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: concurrency}}
+			defer client.CloseIdleConnections()
+			var running sync.WaitGroup
+			var mutex sync.Mutex
+			answers := make(map[string]int)
+			for number := range concurrency {
+				running.Go(func() {
+					err := s.ask(client, "plain", fmt.Sprint("failing-", number))
+					var refusal *statusError
+					isClear := errors.As(err, &refusal) && (refusal.status == http.StatusBadGateway || refusal.status == http.StatusServiceUnavailable)
+					assert.Check(t, isClear, "%v", err)
+					mutex.Lock()
+					defer mutex.Unlock()
+					if isClear {
+						answers[fmt.Sprint(refusal.status)]++
+					}
+				})
+			}
+			running.Wait()
+			peak := peakMemory(t, s.gateways[0].process.PID())
+			for _, instance := range s.instances {
+				instance.SetFault(runner.None, 0)
+			}
+			recovered := time.Now()
+			s.awaitAnswer("plain")
+			t.Logf("answers %v, gateway's peak memory %d kB, served %v after the instances were well", answers, peak, time.Since(recovered).Round(time.Millisecond))
+			assert.Assert(t, peak < maxMemory, "%d kB", peak)
+		})
+	}
+}
+
+// statusError is an answer that isn't the one of an instance.
+type statusError struct {
+	status int
+	body   string
+}
+
+func (e *statusError) Error() string { return fmt.Sprintf("%d: %.200s", e.status, e.body) }
+
 // awaitAnswer waits until the gateway answers a request of the route.
 func (s *soakSystem) awaitAnswer(route string) {
 	s.t.Helper()
@@ -131,8 +194,11 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	if err != nil || response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: %d, %w: %.200s", id, response.StatusCode, err, body)
+	if err != nil {
+		return fmt.Errorf("%s: %w", id, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %w", id, &statusError{response.StatusCode, string(body)})
 	}
 	if route == "stream" && strings.Count(string(body), "data: ") != 4 {
 		return fmt.Errorf("%s: %d bytes without the events", id, len(body))
