Leave out of comments how values were found

Comments only: 49 notes of marblering serve said that a value was chosen and not measured. The declarations are the same as before (compared by shape).

--- a/coordination/configuration/check.go
+++ b/coordination/configuration/check.go
@@ -7,7 +7,7 @@
 )
 
 // Bounds of the values that objects may hold, so that a slip of an operator is refused
-// rather than put in force. All are chosen well above what is in use, not measured.
+// rather than put in force.
 const (
 	maxWeight            = 1000.0
 	maxContextTokens     = 100_000_000
--- a/coordination/execution/settle.go
+++ b/coordination/execution/settle.go
@@ -11,7 +11,7 @@
 	"github.com/marblering/marblering/state/result"
 )
 
-// Pauses between tries to store an outcome. Both are chosen, not measured.
+// Pauses between tries to store an outcome.
 const (
 	// settlePauseFirst is the first pause. Each that follows is twice as long, up to
 	// settlePauseMost.
--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -19,15 +19,14 @@
 )
 
 const (
-	// bootstrapPause is the pause between two looks at the members. Chosen, not
-	// measured.
+	// bootstrapPause is the pause between two looks at the members.
 	bootstrapPause = 200 * time.Millisecond
-	// createPause is the pause after a try to create the shard map. In it the map
-	// comes back to this node, or the object API recovers. Chosen, not measured.
+	// createPause is the pause after a try to create the shard map. In it the map comes
+	// back to this node, or the object API recovers.
 	createPause = 2 * time.Second
-	// settleRounds is how many looks in a row must show the same members before
-	// the first shard map is made of them, so that all nodes of a deployment that
-	// starts at once take part. Chosen, not measured.
+	// settleRounds is how many looks in a row must show the same members before the first
+	// shard map is made of them, so that all nodes of a deployment that starts at once
+	// take part.
 	settleRounds = 5
 )
 
--- a/node/connections.go
+++ b/node/connections.go
@@ -25,8 +25,7 @@
 	endCaller   = "caller"
 )
 
-// Bounds of the pool of connections that an HTTP client keeps open. All are
-// chosen, not measured.
+// Bounds of the pool of connections that an HTTP client keeps open.
 const (
 	idleConnections        = 64
 	idleConnectionsPerHost = 8
--- a/node/engine.go
+++ b/node/engine.go
@@ -76,7 +76,7 @@
 	}, nil
 }
 
-// maxResumes bounds how often a broken stream is resumed. Chosen, not measured.
+// maxResumes bounds how often a broken stream is resumed.
 const maxResumes = 2
 
 // resume reads on where the connection of a stream broke. The engine goes on
--- a/node/execution.go
+++ b/node/execution.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// recentTrees is how many program trees the node keeps in memory beside the
-	// quorum's records. Chosen, not measured.
+	// recentTrees is how many program trees the node keeps in memory beside the quorum's
+	// records.
 	recentTrees = 10000
 	// historyCacheBytes bounds the history of programs in memory: 32 MB of the
 	// 64 MB that a node may use (docs/CAPACITY.md).
@@ -23,8 +23,7 @@
 	// 9.1 engines a node, all of a node's control took 6.3 KB/s of the 9 that it
 	// may (docs/design/control-budget.md).
 	pollInterval = 1500 * time.Millisecond
-	// maxQueue is the longest expected queueing before a call is shed. Chosen, not
-	// measured.
+	// maxQueue is the longest expected queueing before a call is shed.
 	maxQueue = 2 * time.Minute
 )
 
--- a/node/gate.go
+++ b/node/gate.go
@@ -13,10 +13,9 @@
 
 const (
 	// notReadyRetry is the pause that a caller is asked for by a node that has no
-	// configuration or shard map yet. Chosen, not measured.
+	// configuration or shard map yet.
 	notReadyRetry = 2 * time.Second
-	// drainingRetry is the pause before a caller asks another node, or this one
-	// again. Chosen, not measured.
+	// drainingRetry is the pause before a caller asks another node, or this one again.
 	drainingRetry = time.Second
 	// operationGate is how the metrics name a request that the gate refused.
 	operationGate = "gate"
--- a/node/instruments.go
+++ b/node/instruments.go
@@ -41,8 +41,8 @@
 	limitEngine          = "engine"
 )
 
-// Buckets of the time of a change of a record, a factor of two apart, from 0.5 ms
-// (less than a round trip between zones) to 4 s. Chosen, not measured.
+// Buckets of the time of a change of a record, a factor of two apart, from 0.5 ms (less
+// than a round trip between zones) to 4 s.
 const (
 	firstRecordBucketSeconds = 0.0005
 	recordBucketFactor       = 2
--- a/node/machines.go
+++ b/node/machines.go
@@ -13,13 +13,12 @@
 
 const (
 	// machinesInterval is the pause between two readings of the machine list.
-	// Chosen, not measured.
 	machinesInterval = time.Second
-	// readersPerZone is how many nodes of a zone read the object API, whatever
-	// their number; the others learn from them. Chosen, not measured.
+	// readersPerZone is how many nodes of a zone read the object API, whatever their
+	// number; the others learn from them.
 	readersPerZone = 2
-	// watchSilence is how long a watch of the object API may bring nothing before
-	// its connection counts as dead. Chosen, not measured.
+	// watchSilence is how long a watch of the object API may bring nothing before its
+	// connection counts as dead.
 	watchSilence = 15 * time.Second
 	// machinesKey is the key by which the readers of the machine list are chosen,
 	// apart from those of other things.
--- a/node/membership.go
+++ b/node/membership.go
@@ -40,8 +40,7 @@
 	}, n.membership.Members, n.views)
 }
 
-// exchangesPerHeartbeat is how many exchanges a node begins in each heartbeat
-// interval. Chosen, not measured.
+// exchangesPerHeartbeat is how many exchanges a node begins in each heartbeat interval.
 const exchangesPerHeartbeat = 3
 
 // membershipSettings derives the protocol's intervals from the node's settings.
--- a/node/operator.go
+++ b/node/operator.go
@@ -18,8 +18,8 @@
 	"github.com/marblering/marblering/telemetry"
 )
 
-// recordRetry is the pause that an operator is asked for where the record of a
-// program can't be read. Chosen, not measured.
+// recordRetry is the pause that an operator is asked for where the record of a program
+// can't be read.
 const recordRetry = 2 * time.Second
 
 // operatorBackend gives the operators' language what this node knows and the
--- a/node/operatordrain.go
+++ b/node/operatordrain.go
@@ -12,11 +12,9 @@
 )
 
 const (
-	// drainTimeout bounds the request to an engine that drains. Chosen, not
-	// measured.
+	// drainTimeout bounds the request to an engine that drains.
 	drainTimeout = 2 * time.Second
-	// drainConcurrency bounds how many engines are asked at a time. Chosen, not
-	// measured.
+	// drainConcurrency bounds how many engines are asked at a time.
 	drainConcurrency = 16
 )
 
--- a/node/operatorprograms.go
+++ b/node/operatorprograms.go
@@ -16,8 +16,7 @@
 	"github.com/marblering/marblering/state/result"
 )
 
-// maxListedTrees bounds the records that one statement reads. Chosen, not
-// measured.
+// maxListedTrees bounds the records that one statement reads.
 const maxListedTrees = 20_000
 
 // errEnoughTrees ends a listing at its bound.
--- a/node/repair.go
+++ b/node/repair.go
@@ -9,15 +9,12 @@
 )
 
 const (
-	// repairInterval is the pause between two rounds of the maintainer. Chosen,
-	// not measured.
+	// repairInterval is the pause between two rounds of the maintainer.
 	repairInterval = time.Second
-	// goneGrace is how long a node must have been gone, beyond the time that it
-	// took to find that out, before its replicas are replaced. Chosen, not
-	// measured.
+	// goneGrace is how long a node must have been gone, beyond the time that it took to
+	// find that out, before its replicas are replaced.
 	goneGrace = 5 * time.Second
-	// movesAtOnce bounds how many replica sets change at a time. Chosen, not
-	// measured.
+	// movesAtOnce bounds how many replica sets change at a time.
 	movesAtOnce = 8
 )
 
--- a/node/sweep.go
+++ b/node/sweep.go
@@ -18,12 +18,11 @@
 const (
 	// idleReason is the end reason of a program that the sweep ends.
 	idleReason = "idle limit"
-	// sweepInterval is the pause between two rounds. Chosen, not measured.
+	// sweepInterval is the pause between two rounds.
 	sweepInterval = 2 * time.Second
-	// roundsOfAPass is how many rounds a pass over all records takes. Chosen, not
-	// measured.
+	// roundsOfAPass is how many rounds a pass over all records takes.
 	roundsOfAPass = 5
-	// sweepTimeout bounds the work on one program or engine. Chosen, not measured.
+	// sweepTimeout bounds the work on one program or engine.
 	sweepTimeout = 10 * time.Second
 )
 
--- a/protocol/callerapi/call_headers.go
+++ b/protocol/callerapi/call_headers.go
@@ -14,11 +14,9 @@
 )
 
 const (
-	// maxKeyBytes is the greatest length of an idempotency key. Chosen, not
-	// measured.
+	// maxKeyBytes is the greatest length of an idempotency key.
 	maxKeyBytes = 255
-	// maxDeadline is the longest time that a caller may give a call. Chosen, not
-	// measured.
+	// maxDeadline is the longest time that a caller may give a call.
 	maxDeadline = 7 * 24 * time.Hour
 	// madeKeyBytes is the length of the random part of a key made here: 128 bits,
 	// so that no two are the same.
--- a/protocol/callerapi/client/client.go
+++ b/protocol/callerapi/client/client.go
@@ -30,7 +30,7 @@
 // broke off.
 var ErrInterrupted = merry.Sentinel("the answer was interrupted")
 
-// maxAnswerBytes bounds a whole answer, in bytes. Chosen, not measured.
+// maxAnswerBytes bounds a whole answer, in bytes.
 const maxAnswerBytes = 64 << 20
 
 // Client talks to one node with the key of one tenant. It is safe for
--- a/protocol/callerapi/handler.go
+++ b/protocol/callerapi/handler.go
@@ -24,7 +24,7 @@
 	"github.com/marblering/marblering/state/result"
 )
 
-// Defaults of the options. All are chosen, not measured.
+// Defaults of the options.
 const (
 	// DefaultBodyLimit is in bytes.
 	DefaultBodyLimit    = 8 << 20
--- a/protocol/callerapi/inflight.go
+++ b/protocol/callerapi/inflight.go
@@ -10,8 +10,7 @@
 	"github.com/marblering/marblering/state/result"
 )
 
-// Pauses that a caller is asked for before another try. Both are chosen, not
-// measured.
+// Pauses that a caller is asked for before another try.
 const (
 	// retryAfterDraining is short, since other nodes serve.
 	retryAfterDraining = time.Second
--- a/protocol/callerapi/metrics.go
+++ b/protocol/callerapi/metrics.go
@@ -5,8 +5,8 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 )
 
-// Buckets of durations, a factor of two apart, from 1 ms (a refusal) to 9 min (a
-// long answer). Chosen, not measured.
+// Buckets of durations, a factor of two apart, from 1 ms (a refusal) to 9 min (a long
+// answer).
 const (
 	firstBucketSeconds = 0.001
 	bucketFactor       = 2
--- a/protocol/callerapi/programs.go
+++ b/protocol/callerapi/programs.go
@@ -11,11 +11,10 @@
 )
 
 const (
-	// maxIdleLimit is the longest idle limit that a caller may set. Chosen, not
-	// measured.
+	// maxIdleLimit is the longest idle limit that a caller may set.
 	maxIdleLimit = 30 * 24 * time.Hour
-	// maxNameBytes is the greatest length of the name of a model or adapter, and
-	// of the reason why a program is ended. Chosen, not measured.
+	// maxNameBytes is the greatest length of the name of a model or adapter, and of the
+	// reason why a program is ended.
 	maxNameBytes = 256
 	// defaultEndReason is recorded where the caller gives no reason.
 	defaultEndReason = "ended by its caller"
--- a/protocol/callerapi/write.go
+++ b/protocol/callerapi/write.go
@@ -62,8 +62,7 @@
 	}
 }
 
-// maxHeaderText is the greatest length of a text in a header, in bytes. Chosen,
-// not measured.
+// maxHeaderText is the greatest length of a text in a header, in bytes.
 const maxHeaderText = 512
 
 // headerText returns what a header can carry of the text: visible ASCII and spaces
--- a/protocol/engineapi/client.go
+++ b/protocol/engineapi/client.go
@@ -13,11 +13,10 @@
 )
 
 const (
-	// maxErrorBody bounds what is read of a refusal, in bytes. Chosen, not
-	// measured: a refusal is one short JSON object.
+	// maxErrorBody bounds what is read of a refusal, in bytes: a refusal is one short JSON object.
 	maxErrorBody = 64 << 10
-	// maxRetryAfter is the longest advice that is taken from a refusal; a longer
-	// one is ignored. Chosen, not measured.
+	// maxRetryAfter is the longest advice that is taken from a refusal; a longer one is
+	// ignored.
 	maxRetryAfter = time.Hour
 )
 
--- a/protocol/engineapi/completion.go
+++ b/protocol/engineapi/completion.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	// maxEventSize bounds one event of a stream, in bytes. Chosen, not measured:
-	// an event carries the text of a few tokens.
+	// maxEventSize bounds one event of a stream, in bytes: an event carries the text of a few tokens.
 	maxEventSize = 1 << 20
 	// streamEnd is the data of the event that ends a whole stream.
 	streamEnd = "[DONE]"
--- a/protocol/operator/commandline.go
+++ b/protocol/operator/commandline.go
@@ -19,11 +19,9 @@
 
 const (
 	defaultAddress = "127.0.0.1:7300"
-	// defaultTimeout bounds a statement with all its attempts. Chosen, not
-	// measured.
+	// defaultTimeout bounds a statement with all its attempts.
 	defaultTimeout = 30 * time.Second
 	// maxAttempts is how often a command is sent while its outcome is unknown.
-	// Chosen, not measured.
 	maxAttempts = 5
 	promptText  = "marblering> "
 )
--- a/protocol/operator/handler.go
+++ b/protocol/operator/handler.go
@@ -15,12 +15,12 @@
 // Path is where the API takes statements.
 const Path = "/v1/operator"
 
-// maxBodyBytes bounds a request's body: four times the longest statement, since
-// JSON makes it longer. Chosen, not measured.
+// maxBodyBytes bounds a request's body: four times the longest statement, since JSON
+// makes it longer.
 const maxBodyBytes = 64 << 10
 
-// defaultRetryAfter is the pause that an operator is asked for where an error
-// allows another try and names no pause. Chosen, not measured.
+// defaultRetryAfter is the pause that an operator is asked for where an error allows
+// another try and names no pause.
 const defaultRetryAfter = time.Second
 
 // ErrorBody is the JSON form of an error.
--- a/protocol/operator/interpreter.go
+++ b/protocol/operator/interpreter.go
@@ -23,8 +23,8 @@
 	Now func() time.Time
 }
 
-// unreadableRetry is the pause that an operator is asked for where the object API
-// can't be read. Chosen, not measured.
+// unreadableRetry is the pause that an operator is asked for where the object API can't
+// be read.
 const unreadableRetry = 2 * time.Second
 
 // Interpreter runs statements. It is safe for concurrent use.
--- a/protocol/operator/parse.go
+++ b/protocol/operator/parse.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// maxTextBytes bounds a statement. Chosen, not measured.
+	// maxTextBytes bounds a statement.
 	maxTextBytes = 16 << 10
 	// shownTextBytes is how much of a longer one an error shows.
 	shownTextBytes = 40
--- a/state/program/lifecycle.go
+++ b/state/program/lifecycle.go
@@ -186,7 +186,7 @@
 	return strings.IndexFunc(id, forbiddenInID) < 0
 }
 
-// maxIDLength is in bytes (chosen, not measured).
+// maxIDLength is in bytes.
 const maxIDLength = 128
 
 func forbiddenInID(character rune) bool {
--- a/state/program/program.go
+++ b/state/program/program.go
@@ -21,15 +21,14 @@
 // Bounds of the record, so that its size doesn't grow with a program's life.
 const (
 	// callWindow is how many calls a program keeps in full. Older ones stand in the
-	// history and leave an eight-byte hash of their key (chosen, not measured).
+	// history and leave an eight-byte hash of their key.
 	callWindow = 4
 	// maxDroppedRefusals bounds the hashes of keys that a program keeps beyond its turn
-	// limit: refused calls take no turn (chosen, not measured).
+	// limit: refused calls take no turn.
 	maxDroppedRefusals = 256
-	// maxChildren bounds the sub-programs of a tree (chosen, not measured).
+	// maxChildren bounds the sub-programs of a tree.
 	maxChildren = 256
-	// DefaultTurnLimit is the turn limit of a program that names none (chosen, not
-	// measured).
+	// DefaultTurnLimit is the turn limit of a program that names none.
 	DefaultTurnLimit = 1000
 )
 
