Wait for all instances before one of them sends answers without end

The gateway's log has known=1: the test began once the first instance had answered, which was the faulty one, before the gateway knew the other two. It now waits until each has answered; what it checks stays.

--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -69,7 +69,7 @@
 			for range 3 {
 				s.addInstanceOf(soakService{name: tried.route, version: "v1", events: events})
 			}
-			s.awaitAnswer(tried.route)
+			s.awaitAllServing(tried.route)
 			faulty := s.instances[0]
 			faulty.SetFault(tried.fault, -1)
 			whole, slowest := s.askConcurrently(tried.route)
@@ -102,7 +102,7 @@
 			for range 3 {
 				s.addInstanceOf(soakService{name: "plain", version: "v1"})
 			}
-			s.awaitAnswer("plain")
+			s.awaitAllServing("plain")
 			for _, instance := range s.instances {
 				instance.SetFault(fault, -1)
 			}
@@ -154,6 +154,20 @@
 	})
 }
 
+// awaitAllServing waits until each instance has answered a request of the route.
+func (s *soakSystem) awaitAllServing(route string) {
+	s.t.Helper()
+	harness.Eventually(s.t, func() (bool, string) {
+		err := s.ask(http.DefaultClient, route, "first-"+strconv.FormatInt(time.Now().UnixNano(), 16))
+		for _, instance := range s.instances {
+			if len(instance.Runs()) == 0 {
+				return false, fmt.Sprintf("%s has answered nothing, %v", instance.Instance, err)
+			}
+		}
+		return true, ""
+	})
+}
+
 // askConcurrently sends requests and returns how many were answered whole, and the longest time
 // that one took.
 func (s *soakSystem) askConcurrently(route string) (whole int, slowest time.Duration) {
