--- a/lab/runner/crash_test.go
+++ b/lab/runner/crash_test.go
@@ -70,3 +70,50 @@
 	}()
 	return broken
 }
+
+// TestSilentRunnerAnswersNothing guards against a stand-in that resets, answers or accepts
+// connections after it has fallen silent.
+func TestSilentRunnerAnswersNothing(t *testing.T) {
+	started, err := runner.Start("i-1", 0)
+	assert.NilError(t, err)
+	defer started.Close()
+	started.EndOn("lethal", 0, runner.FallsSilent)
+	open, err := net.Dial("tcp", started.Address)
+	assert.NilError(t, err)
+	defer open.Close()
+	for range 2 {
+		_, err = open.Write([]byte("GET /lethal HTTP/1.1\r\nHost: x\r\n\r\n"))
+		assert.NilError(t, err)
+		_ = open.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		_, err = open.Read(make([]byte, 1))
+		assert.ErrorContains(t, err, "i/o timeout")
+	}
+	_, err = net.DialTimeout("tcp", started.Address, 100*time.Millisecond)
+	assert.ErrorContains(t, err, "i/o timeout")
+	assert.Equal(t, started.Ends(), 1)
+}
+
+// TestRunnerThatStartsAgainAcceptsConnections guards against a stand-in whose address refuses
+// connections between two processes, which shows that the first one has ended.
+func TestRunnerThatStartsAgainAcceptsConnections(t *testing.T) {
+	started, err := runner.Start("i-1", 0)
+	assert.NilError(t, err)
+	defer started.Close()
+	started.EndOn("lethal", 0, runner.StartsAgain)
+	first := started.Started()
+	open, err := net.Dial("tcp", started.Address)
+	assert.NilError(t, err)
+	defer open.Close()
+	_, err = open.Write([]byte("GET /lethal HTTP/1.1\r\nHost: x\r\n\r\n"))
+	assert.NilError(t, err)
+	_, err = open.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	again, err := net.Dial("tcp", started.Address)
+	assert.NilError(t, err)
+	defer again.Close()
+	_, err = again.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	assert.NilError(t, err)
+	_, err = again.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.Assert(t, started.Started().After(first))
+}
--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -92,8 +92,8 @@
 	// first request.
 	Mark string
 
-	socket net.Listener
-	server *http.Server
+	sockets *sockets
+	server  *http.Server
 
 	mutex sync.Mutex
 	fault Fault
@@ -103,8 +103,10 @@
 	early []string
 	pause time.Duration
 	// left counts requests whose client left while they ran.
-	left     int
-	crash    crash
+	left  int
+	crash crash
+	// started is when the current process of the runner started.
+	started  time.Time
 	brokenAt time.Time
 	// mostSent is the most that was sent on one connection by a fault without end, in bytes.
 	mostSent int64
@@ -116,16 +118,16 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{Instance: instance, Address: socket.Addr().String(), Events: events, socket: socket}
+	r := &Runner{Instance: instance, Address: socket.Addr().String(), Events: events, sockets: newSockets(socket), started: time.Now()}
 	r.server = &http.Server{Handler: r}
-	go func() { _ = r.server.Serve(socket) }()
+	go func() { _ = r.server.Serve(r.sockets) }()
 	return r, nil
 }
 
 // Close ends the runner and its connections. As when a process ends, no connection breaks
 // while new ones are accepted.
 func (r *Runner) Close() {
-	_ = r.socket.Close()
+	_ = r.sockets.Close()
 	r.awaitRefusal()
 	r.mutex.Lock()
 	if r.brokenAt.IsZero() {
@@ -135,6 +137,13 @@
 	_ = r.server.Close()
 }
 
+// Started returns when the current process of the runner started.
+func (r *Runner) Started() time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.started
+}
+
 // BrokenAt returns when the connections of the runner broke; zero if they haven't.
 func (r *Runner) BrokenAt() time.Time {
 	r.mutex.Lock()
