Count how each send ends, and log those without an outcome

What callers saw: nothing told how many sends a request had at which process, nor how each ended; a send whose client left or whose instance fell silent left no trace.

Change: marblering_gateway_sends_total{ended}, the line "send without an outcome" with fingerprint, instance and start, and an unknown start in words in place of the zero time.

No decision changes.

--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -93,18 +93,19 @@
 
 // logSend logs that the request is sent to an instance.
 func (c *call) logSend(assignment *backend.Assignment) {
-	c.handler.options.Logger.Debug("sending to back end",
+	fields := append([]zap.Field{
 		zap.String("request", c.input.info.ID), zap.String("route", c.routing.route.Name),
-		zap.String("instance", assignment.Instance.ID), zap.Time("started", assignment.Instance.Started),
-		zap.Int64("outstanding", assignment.Outstanding), zap.Int("sends", c.attempts.sends))
+		zap.Int64("outstanding", assignment.Outstanding), zap.Int("sends", c.attempts.sends),
+	}, lifeFields(&assignment.Instance)...)
+	c.handler.options.Logger.Debug("sending to back end", fields...)
 }
 
 // logCrash logs and counts that an instance has ended under the request.
 func (c *call) logCrash(current *attempt) {
 	c.handler.options.Metrics.crashes.Inc()
-	instance := current.assignment.Instance
-	c.handler.options.Logger.Info("back end ended under request", append(c.crashFields(),
-		zap.String("instance", instance.ID), zap.Time("started", instance.Started), zap.String("address", instance.Address),
+	instance := &current.assignment.Instance
+	fields := append(c.crashFields(), lifeFields(instance)...)
+	c.handler.options.Logger.Info("back end ended under request", append(fields,
 		zap.String("version", instance.Version), zap.Bool("leaving", instance.Leaving),
 		zap.Duration("ran", c.handler.options.Now().Sub(current.started)), zap.Int("sends", c.attempts.sends))...)
 }
--- a/transport/relay/metrics.go
+++ b/transport/relay/metrics.go
@@ -12,6 +12,7 @@
 	requests  *prometheus.CounterVec
 	retries   prometheus.Counter
 	crashes   prometheus.Counter
+	sends     *prometheus.CounterVec
 	limits    *prometheus.CounterVec
 	resumed   *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
@@ -34,6 +35,10 @@
 			Name: "marblering_gateway_crashes_under_requests_total",
 			Help: "Ends of back ends under requests, one for each request.",
 		}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marblering_gateway_sends_total",
+			Help: "Requests sent to back ends, once for each attempt, by how that ended.",
+		}, []string{"ended"}),
 		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marblering_gateway_response_limits_total",
 			Help: "Answers of back ends that exceeded a limit, by limit.",
@@ -51,7 +56,7 @@
 			Help: "Time from a request's arrival to the end of its answer.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.retries, m.crashes, m.limits, m.resumed, m.firstByte, m.duration)
+	registry.MustRegister(m.requests, m.retries, m.crashes, m.sends, m.limits, m.resumed, m.firstByte, m.duration)
 	return m
 }
 
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -109,6 +109,7 @@
 	c.logSend(assignment)
 	ended, cause := c.exchange(ctx, current)
 	c.attempts.record(ended)
+	c.recordSendEnd(current, c.sendEndOf(ctx, ended, cause), cause)
 	c.observeLimit(assignment, cause)
 	c.observeCrash(ctx, current, ended, cause)
 	if c.isDone(ctx) && ended != delivered {
