--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -84,6 +84,10 @@
 	// CrashServiceReportCrashProcedure is the fully-qualified name of the CrashService's ReportCrash
 	// RPC.
 	CrashServiceReportCrashProcedure = "/marblering.peer.v1.CrashService/ReportCrash"
+	// CrashServiceNoteSendProcedure is the fully-qualified name of the CrashService's NoteSend RPC.
+	CrashServiceNoteSendProcedure = "/marblering.peer.v1.CrashService/NoteSend"
+	// CrashServiceDropSendProcedure is the fully-qualified name of the CrashService's DropSend RPC.
+	CrashServiceDropSendProcedure = "/marblering.peer.v1.CrashService/DropSend"
 	// CrashServiceClearCrashesProcedure is the fully-qualified name of the CrashService's ClearCrashes
 	// RPC.
 	CrashServiceClearCrashesProcedure = "/marblering.peer.v1.CrashService/ClearCrashes"
@@ -690,6 +694,8 @@
 // CrashServiceClient is a client for the marblering.peer.v1.CrashService service.
 type CrashServiceClient interface {
 	ReportCrash(context.Context, *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error)
+	NoteSend(context.Context, *connect.Request[v1.NoteSendRequest]) (*connect.Response[v1.NoteSendResponse], error)
+	DropSend(context.Context, *connect.Request[v1.DropSendRequest]) (*connect.Response[v1.DropSendResponse], error)
 	ClearCrashes(context.Context, *connect.Request[v1.ClearCrashesRequest]) (*connect.Response[v1.ClearCrashesResponse], error)
 	FindCrashes(context.Context, *connect.Request[v1.FindCrashesRequest]) (*connect.Response[v1.FindCrashesResponse], error)
 	WatchCrashes(context.Context, *connect.Request[v1.WatchCrashesRequest]) (*connect.Response[v1.WatchCrashesResponse], error)
@@ -712,6 +718,18 @@
 			connect.WithSchema(crashServiceMethods.ByName("ReportCrash")),
 			connect.WithClientOptions(opts...),
 		),
+		noteSend: connect.NewClient[v1.NoteSendRequest, v1.NoteSendResponse](
+			httpClient,
+			baseURL+CrashServiceNoteSendProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("NoteSend")),
+			connect.WithClientOptions(opts...),
+		),
+		dropSend: connect.NewClient[v1.DropSendRequest, v1.DropSendResponse](
+			httpClient,
+			baseURL+CrashServiceDropSendProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("DropSend")),
+			connect.WithClientOptions(opts...),
+		),
 		clearCrashes: connect.NewClient[v1.ClearCrashesRequest, v1.ClearCrashesResponse](
 			httpClient,
 			baseURL+CrashServiceClearCrashesProcedure,
@@ -736,6 +754,8 @@
 // crashServiceClient implements CrashServiceClient.
 type crashServiceClient struct {
 	reportCrash  *connect.Client[v1.ReportCrashRequest, v1.ReportCrashResponse]
+	noteSend     *connect.Client[v1.NoteSendRequest, v1.NoteSendResponse]
+	dropSend     *connect.Client[v1.DropSendRequest, v1.DropSendResponse]
 	clearCrashes *connect.Client[v1.ClearCrashesRequest, v1.ClearCrashesResponse]
 	findCrashes  *connect.Client[v1.FindCrashesRequest, v1.FindCrashesResponse]
 	watchCrashes *connect.Client[v1.WatchCrashesRequest, v1.WatchCrashesResponse]
@@ -746,6 +766,16 @@
 	return c.reportCrash.CallUnary(ctx, req)
 }
 
+// NoteSend calls marblering.peer.v1.CrashService.NoteSend.
+func (c *crashServiceClient) NoteSend(ctx context.Context, req *connect.Request[v1.NoteSendRequest]) (*connect.Response[v1.NoteSendResponse], error) {
+	return c.noteSend.CallUnary(ctx, req)
+}
+
+// DropSend calls marblering.peer.v1.CrashService.DropSend.
+func (c *crashServiceClient) DropSend(ctx context.Context, req *connect.Request[v1.DropSendRequest]) (*connect.Response[v1.DropSendResponse], error) {
+	return c.dropSend.CallUnary(ctx, req)
+}
+
 // ClearCrashes calls marblering.peer.v1.CrashService.ClearCrashes.
 func (c *crashServiceClient) ClearCrashes(ctx context.Context, req *connect.Request[v1.ClearCrashesRequest]) (*connect.Response[v1.ClearCrashesResponse], error) {
 	return c.clearCrashes.CallUnary(ctx, req)
@@ -764,6 +794,8 @@
 // CrashServiceHandler is an implementation of the marblering.peer.v1.CrashService service.
 type CrashServiceHandler interface {
 	ReportCrash(context.Context, *connect.Request[v1.ReportCrashRequest]) (*connect.Response[v1.ReportCrashResponse], error)
+	NoteSend(context.Context, *connect.Request[v1.NoteSendRequest]) (*connect.Response[v1.NoteSendResponse], error)
+	DropSend(context.Context, *connect.Request[v1.DropSendRequest]) (*connect.Response[v1.DropSendResponse], error)
 	ClearCrashes(context.Context, *connect.Request[v1.ClearCrashesRequest]) (*connect.Response[v1.ClearCrashesResponse], error)
 	FindCrashes(context.Context, *connect.Request[v1.FindCrashesRequest]) (*connect.Response[v1.FindCrashesResponse], error)
 	WatchCrashes(context.Context, *connect.Request[v1.WatchCrashesRequest]) (*connect.Response[v1.WatchCrashesResponse], error)
@@ -782,6 +814,18 @@
 		connect.WithSchema(crashServiceMethods.ByName("ReportCrash")),
 		connect.WithHandlerOptions(opts...),
 	)
+	crashServiceNoteSendHandler := connect.NewUnaryHandler(
+		CrashServiceNoteSendProcedure,
+		svc.NoteSend,
+		connect.WithSchema(crashServiceMethods.ByName("NoteSend")),
+		connect.WithHandlerOptions(opts...),
+	)
+	crashServiceDropSendHandler := connect.NewUnaryHandler(
+		CrashServiceDropSendProcedure,
+		svc.DropSend,
+		connect.WithSchema(crashServiceMethods.ByName("DropSend")),
+		connect.WithHandlerOptions(opts...),
+	)
 	crashServiceClearCrashesHandler := connect.NewUnaryHandler(
 		CrashServiceClearCrashesProcedure,
 		svc.ClearCrashes,
@@ -804,6 +848,10 @@
 		switch r.URL.Path {
 		case CrashServiceReportCrashProcedure:
 			crashServiceReportCrashHandler.ServeHTTP(w, r)
+		case CrashServiceNoteSendProcedure:
+			crashServiceNoteSendHandler.ServeHTTP(w, r)
+		case CrashServiceDropSendProcedure:
+			crashServiceDropSendHandler.ServeHTTP(w, r)
 		case CrashServiceClearCrashesProcedure:
 			crashServiceClearCrashesHandler.ServeHTTP(w, r)
 		case CrashServiceFindCrashesProcedure:
@@ -823,6 +871,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.CrashService.ReportCrash is not implemented"))
 }
 
+func (UnimplementedCrashServiceHandler) NoteSend(context.Context, *connect.Request[v1.NoteSendRequest]) (*connect.Response[v1.NoteSendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.CrashService.NoteSend is not implemented"))
+}
+
+func (UnimplementedCrashServiceHandler) DropSend(context.Context, *connect.Request[v1.DropSendRequest]) (*connect.Response[v1.DropSendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.CrashService.DropSend is not implemented"))
+}
+
 func (UnimplementedCrashServiceHandler) ClearCrashes(context.Context, *connect.Request[v1.ClearCrashesRequest]) (*connect.Response[v1.ClearCrashesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("marblering.peer.v1.CrashService.ClearCrashes is not implemented"))
 }
--- a/coordination/backend/load.go
+++ b/coordination/backend/load.go
@@ -13,6 +13,8 @@
 	// ended is set once the incarnation is over. Requests that end afterwards don't affect
 	// the health of the next one.
 	ended atomic.Bool
+	// replaced is set once another incarnation of the instance was listed.
+	replaced atomic.Bool
 	// addressLost is set once another instance was found at its address.
 	addressLost atomic.Bool
 
--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -82,6 +82,7 @@
 			removed = append(removed, id)
 		case current.load != old.load:
 			p.endIncarnation(previous, old)
+			old.load.replaced.Store(true)
 			next.services[current.Service].health.ejector.Add(id)
 			restarts = append(restarts, Restart{Previous: old.Incarnation(), Current: current.Incarnation(), InFlight: old.load.outstanding.Load()})
 		}
@@ -248,6 +249,18 @@
 // RecordActivity records that a part of the response arrived.
 func (a *Assignment) RecordActivity() { a.lastActivity.Store(a.pool.now().UnixNano()) }
 
+// IsReplaced reports whether another process has the ID or the address of the instance.
+func (a *Assignment) IsReplaced() bool { return a.load.replaced.Load() || a.load.addressLost.Load() }
+
+// IsLeaving reports whether the instance is listed as leaving.
+func (a *Assignment) IsLeaving() bool {
+	known, found := a.pool.Lookup(a.Instance.ID)
+	return found && known.Leaving
+}
+
+// IsUnlisted reports whether the instance, or its incarnation, isn't listed any more.
+func (a *Assignment) IsUnlisted() bool { return a.load.ended.Load() }
+
 // Release ends the assignment and returns the instance's health afterwards. Only the first
 // call has an effect.
 func (a *Assignment) Release(outcome Outcome) limit.EngineHealth {
--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -40,6 +40,8 @@
 // Nodes sends requests to storage nodes. peer.Client implements it.
 type Nodes interface {
 	ReportCrash(ctx context.Context, address string, crash Crash) (Record, error)
+	NoteSend(ctx context.Context, address string, send Send) (before, after Record, err error)
+	DropSend(ctx context.Context, address string, fingerprint Fingerprint, id SendID) error
 	ClearCrashes(ctx context.Context, address string, fingerprint Fingerprint) error
 	FindCrashes(ctx context.Context, address string, fingerprint Fingerprint) (Record, error)
 	WatchCrashes(ctx context.Context, address string, follower FollowerID, from Cursor, wait time.Duration) (Changes, error)
@@ -133,65 +135,133 @@
 	c.lastTick.Store(now.UnixNano())
 }
 
-// Crashes returns how many instances have crashed under the request. It asks storage nodes
-// only if some are known to have, just after the start and after a pause of the process. Then
-// it waits for a majority for findTimeout at most.
-func (c *Client) Crashes(ctx context.Context, fingerprint Fingerprint) int {
-	if c.copies.crashes(fingerprint) == 0 && !c.isLearning() {
-		return 0
+// Suspicion returns what is known of the earlier sends of the request. It asks storage nodes
+// only if there may have been some without an outcome, just after the start and after a pause
+// of the process. Then it waits for a majority for findTimeout at most.
+func (c *Client) Suspicion(ctx context.Context, fingerprint Fingerprint) Suspicion {
+	if c.copies.suspicion(fingerprint).Suspected == 0 && !c.isLearning() {
+		return Suspicion{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.findTimeout)
 	defer cancel()
+	return c.untilConfirmed(ctx, fingerprint, c.find)
+}
+
+// IsSuspected reports whether the copies know of crashes or sends without an outcome of the
+// request. It asks nobody.
+func (c *Client) IsSuspected(fingerprint Fingerprint) bool {
+	return c.copies.suspicion(fingerprint).Suspected > 0
+}
+
+// Announce notes that a request is sent to an instance if earlier sends of it are suspected,
+// by what is known already or by the copies. It returns what is known of those. The send
+// counts until Drop, Unresolve, Report or Completed, or for its lifetime if this gateway ends.
+func (c *Client) Announce(ctx context.Context, send Send, known Suspicion) (before Suspicion, isAnnounced bool) {
+	if known.Suspected == 0 && !c.IsSuspected(send.Fingerprint) {
+		return Suspicion{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.findTimeout)
+	defer cancel()
+	local, _ := c.own.NoteSend(send)
+	note := func(ctx context.Context, _ Fingerprint) (Suspicion, bool) {
+		before, _, isConfirmed := c.note(ctx, send)
+		return before, isConfirmed
+	}
+	return c.untilConfirmed(ctx, send.Fingerprint, note).most(local.Suspicion), true
+}
+
+// untilConfirmed asks until a majority has answered, what is known is enough to refuse the
+// request, or the context ends. Then the copies count as well.
+func (c *Client) untilConfirmed(ctx context.Context, fingerprint Fingerprint, ask func(context.Context, Fingerprint) (Suspicion, bool)) Suspicion {
 	for {
-		crashes, isConfirmed := c.find(ctx, fingerprint)
+		known, isConfirmed := ask(ctx, fingerprint)
 		if isConfirmed {
-			return crashes
+			return known
 		}
 		// Those that don't answer may know more: what they have said last counts.
-		crashes = max(crashes, c.copies.crashes(fingerprint))
-		if IsQuarantined(crashes) {
-			return crashes
+		known = known.most(c.copies.suspicion(fingerprint))
+		if IsQuarantined(known.Crashes) {
+			return known
 		}
 		if sleep.For(ctx, findPause) != nil {
 			c.logger.Info("crashes under request not confirmed by storage nodes", zap.Stringer("fingerprint", fingerprint),
-				zap.Int("crashes", crashes), zap.Bool("replica_sets_listed", c.views.IsListed()))
-			return crashes
+				zap.Int("crashes", known.Crashes), zap.Int("suspected", known.Suspected), zap.Bool("replica_sets_listed", c.views.IsListed()))
+			return known
 		}
 	}
 }
 
-// find asks all members how many instances have crashed under the request. The result is
-// confirmed if a majority has answered, or if it is enough to refuse the request.
-func (c *Client) find(ctx context.Context, fingerprint Fingerprint) (most int, isConfirmed bool) {
-	asked := c.askMembers(func(address string) (Record, error) { return c.nodes.FindCrashes(ctx, address, fingerprint) })
-	most = c.copies.crashesAt(localNode, fingerprint)
-	answered := 0
-	var late <-chan time.Time
-	for range asked.members {
-		select {
-		case answer := <-asked.answers:
-			if answer.err != nil {
-				continue
-			}
-			most = max(most, answer.record.Crashes)
-			if answered++; answered == asked.quorum {
-				late = time.After(findGrace)
-			}
-		case <-late:
-			return most, true
-		}
-		if IsQuarantined(most) {
-			return most, true
-		}
+// find asks all members what they know of the request. The result is confirmed if a majority
+// has answered, or if it is enough to refuse the request.
+func (c *Client) find(ctx context.Context, fingerprint Fingerprint) (known Suspicion, isConfirmed bool) {
+	asked := c.askMembers(func(address string) (reply, error) {
+		record, err := c.nodes.FindCrashes(ctx, address, fingerprint)
+		return reply{after: record}, err
+	})
+	known = c.copies.suspicionAt(localNode, fingerprint)
+	_, answered, _ := asked.collect(findGrace, func(got answer) bool {
+		known = known.most(got.after.Suspicion)
+		return !IsQuarantined(known.Crashes)
+	})
+	return known, IsQuarantined(known.Crashes) || isMajority(answered, asked.quorum)
+}
+
+// note notes a send at all members. It returns what they know without it and with it.
+func (c *Client) note(ctx context.Context, send Send) (before, after Suspicion, isConfirmed bool) {
+	began := c.now()
+	noting, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
+	asked := c.askMembers(func(address string) (reply, error) {
+		before, after, err := c.nodes.NoteSend(noting, address, send)
+		return reply{before, after}, err
+	})
+	grace := findGrace
+	if !send.IsOpen {
+		grace = FollowerGrace
+	}
+	received, answered, err := asked.collect(grace, func(got answer) bool {
+		c.copies.apply(got.address, Changes{Records: []Record{got.after}})
+		before, after = before.most(got.before.Suspicion), after.most(got.after.Suspicion)
+		return true
+	})
+	asked.cancelAfter(received, cancel)
+	if !isMajority(answered, asked.quorum) {
+		c.logger.Info("send not confirmed by storage nodes", zap.Stringer("fingerprint", send.Fingerprint), zap.String("instance", send.Instance),
+			zap.Bool("open", send.IsOpen), zap.Int("confirmed", answered), zap.Int("needed", asked.quorum),
+			zap.Duration("took", c.now().Sub(began)), zap.Error(err))
+		return before, after, false
+	}
+	return before, after, true
+}
+
+// Unresolve notes that the exchange of a send has ended without an outcome and returns what is
+// known with it, once other gateways know of it. Without a majority, the send adds to what this
+// gateway knows.
+func (c *Client) Unresolve(ctx context.Context, send Send) Suspicion {
+	_, local := c.own.NoteSend(send)
+	_, known, isConfirmed := c.note(ctx, send)
+	if !isConfirmed {
+		c.copies.apply(localNode, Changes{Records: []Record{local}})
+		known = known.most(local.Suspicion)
 	}
-	return most, isMajority(answered, asked.quorum)
+	return known
 }
 
-// Report reports a crash and returns how many instances have crashed under the request. It
-// returns once all nodes have counted the crash and told their followers, so that these know
+// Drop forgets a send that was announced or unresolved, since its instance still runs. It
+// doesn't wait for the storage nodes.
+func (c *Client) Drop(ctx context.Context, fingerprint Fingerprint, id SendID) {
+	c.own.DropSend(fingerprint, id)
+	c.copies.apply(localNode, Changes{Records: []Record{c.own.Find(fingerprint)}})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
+	asked := c.askMembers(func(address string) (reply, error) {
+		return reply{}, c.nodes.DropSend(ctx, address, fingerprint, id)
+	})
+	asked.cancelAfter(0, cancel)
+}
+
+// Report reports a crash and returns what is known of the request then. It returns once all nodes have counted the crash and told their followers, so that these know
 // of it before the client can try again. Once a majority has, it waits for FollowerGrace at
 // most. Without a majority, the crash adds to those that were known when the request was sent.
-func (c *Client) Report(ctx context.Context, crash Crash) int {
+func (c *Client) Report(ctx context.Context, crash Crash) Suspicion {
 	began := c.now()
 	local := crash
 	local.Row = crash.Known + 1
@@ -205,12 +275,12 @@
 		most, counted, needed, err = c.reportOnce(ctx, crash)
 	}
 	if !isMajority(counted, needed) {
-		most = max(most, own.Crashes)
+		most = most.most(own.Suspicion)
 		c.copies.apply(localNode, Changes{Records: []Record{own}})
 		c.logger.Info("crash not confirmed by storage nodes", zap.Stringer("fingerprint", crash.Fingerprint),
 			zap.String("instance", crash.Instance), zap.Int("confirmed", counted), zap.Int("needed", needed), zap.Error(err))
 	}
-	crash.Row = most
+	crash.Row = most.Crashes
 	c.reported.add(crash, c.now())
 	return most
 }
@@ -220,30 +290,18 @@
 func isMajority(answered, quorum int) bool { return quorum > 0 && answered >= quorum }
 
 // reportOnce reports a crash to all members and returns how many of them have counted it, and
-// the most crashes that one of them has counted under the request.
-func (c *Client) reportOnce(ctx context.Context, crash Crash) (most, counted, needed int, lastErr error) {
+// the most that one of them knows of the request.
+func (c *Client) reportOnce(ctx context.Context, crash Crash) (most Suspicion, counted, needed int, lastErr error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
-	asked := c.askMembers(func(address string) (Record, error) { return c.nodes.ReportCrash(ctx, address, crash) })
-	received := 0
-	var late <-chan time.Time
-	for received < asked.members {
-		select {
-		case answer := <-asked.answers:
-			received++
-			if answer.err != nil {
-				lastErr = answer.err
-				continue
-			}
-			c.copies.apply(answer.address, Changes{Records: []Record{answer.record}})
-			most = max(most, answer.record.Crashes)
-			if counted++; counted == asked.quorum {
-				late = time.After(FollowerGrace)
-			}
-			continue
-		case <-late:
-		}
-		break
-	}
+	asked := c.askMembers(func(address string) (reply, error) {
+		record, err := c.nodes.ReportCrash(ctx, address, crash)
+		return reply{after: record}, err
+	})
+	received, counted, lastErr := asked.collect(FollowerGrace, func(got answer) bool {
+		c.copies.apply(got.address, Changes{Records: []Record{got.after}})
+		most = most.most(got.after.Suspicion)
+		return true
+	})
 	asked.cancelAfter(received, cancel)
 	return most, counted, asked.quorum, lastErr
 }
@@ -251,13 +309,13 @@
 // Completed forgets the crashes under a request, if there are any, since a try of it was
 // completed. It doesn't wait for the storage nodes.
 func (c *Client) Completed(ctx context.Context, fingerprint Fingerprint) {
-	if c.copies.crashes(fingerprint) == 0 {
+	if c.copies.suspicion(fingerprint).Suspected == 0 {
 		return
 	}
 	c.forget(fingerprint)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
-	asked := c.askMembers(func(address string) (Record, error) {
-		return Record{}, c.nodes.ClearCrashes(ctx, address, fingerprint)
+	asked := c.askMembers(func(address string) (reply, error) {
+		return reply{}, c.nodes.ClearCrashes(ctx, address, fingerprint)
 	})
 	asked.cancelAfter(0, cancel)
 }
@@ -273,7 +331,7 @@
 func (c *Client) learn(ctx context.Context, address string, changes Changes) {
 	c.copies.apply(address, changes)
 	for _, record := range changes.Records {
-		if record.Crashes == 0 {
+		if record.Suspected == 0 && !record.IsResolved {
 			c.forget(record.Fingerprint)
 		}
 	}
@@ -301,16 +359,19 @@
 	answers         chan answer
 }
 
-// answer is the answer of one member, or the error instead of it.
+// reply is what a member knows of a request; before is set for a noted send alone.
+type reply struct{ before, after Record }
+
+// answer is the reply of one member, or the error instead of it.
 type answer struct {
 	address string
-	record  Record
-	err     error
+	reply
+	err error
 }
 
 // askMembers asks all members at the same time. There are none until the replica sets are
 // known.
-func (c *Client) askMembers(ask func(address string) (Record, error)) asked {
+func (c *Client) askMembers(ask func(address string) (reply, error)) asked {
 	view, known := c.views.View(c.views.Locate(location))
 	if !known {
 		return asked{}
@@ -318,13 +379,38 @@
 	a := asked{members: len(view.Members), quorum: view.Quorum(), answers: make(chan answer, len(view.Members))}
 	for _, member := range view.Members {
 		c.running.Go(func() {
-			record, err := ask(member.Address)
-			a.answers <- answer{member.Address, record, err}
+			got, err := ask(member.Address)
+			a.answers <- answer{member.Address, got, err}
 		})
 	}
 	return a
 }
 
+// collect calls take with the answers until it returns false. Once a majority has answered, it
+// waits for the others for grace at most.
+func (a asked) collect(grace time.Duration, take func(answer) (goOn bool)) (received, answered int, lastErr error) {
+	var late <-chan time.Time
+	for received < a.members {
+		select {
+		case got := <-a.answers:
+			received++
+			if got.err != nil {
+				lastErr = got.err
+				continue
+			}
+			if answered++; answered == a.quorum {
+				late = time.After(grace)
+			}
+			if !take(got) {
+				return received, answered, lastErr
+			}
+		case <-late:
+			return received, answered, lastErr
+		}
+	}
+	return received, answered, lastErr
+}
+
 // cancelAfter calls cancel once the answers beyond those received have come, so that the
 // members that are late are told as well.
 func (a asked) cancelAfter(received int, cancel context.CancelFunc) {
--- a/coordination/quarantine/client_test.go
+++ b/coordination/quarantine/client_test.go
@@ -35,7 +35,7 @@
 		gateway.copies.apply(address, Changes{IsFull: true})
 	}
 	assert.Assert(t, !gateway.NeedsCheck())
-	assert.Equal(t, gateway.Crashes(t.Context(), request), 0)
+	assert.Equal(t, gateway.Suspicion(t.Context(), request).Crashes, 0)
 	gateway.Completed(t.Context(), request)
 	assert.Equal(t, messages, 0)
 }
@@ -61,21 +61,21 @@
 	awaitCrashes := func(gateway *Client, crashes int) {
 		t.Helper()
 		harness.Eventually(t, func() (bool, string) {
-			known := gateway.Crashes(t.Context(), request)
+			known := gateway.Suspicion(t.Context(), request).Crashes
 			return known == crashes, fmt.Sprintf("%d crashes in place of %d", known, crashes)
 		})
 	}
 	first, second := newFollowing(), newFollowing()
-	assert.Equal(t, first.Report(t.Context(), crashAt("i-1", 0)), 1)
+	assert.Equal(t, first.Report(t.Context(), crashAt("i-1", 0)).Crashes, 1)
 	awaitCrashes(second, 1)
-	assert.Equal(t, second.Report(t.Context(), crashAt("i-2", 0)), 2)
+	assert.Equal(t, second.Report(t.Context(), crashAt("i-2", 0)).Crashes, 2)
 	awaitCrashes(first, 2)
 	awaitCrashes(newFollowing(), 2)
 	first.Completed(t.Context(), request)
 	awaitCrashes(first, 0)
 	awaitCrashes(second, 0)
 	// The second gateway has seen a crash before, which is forgotten.
-	assert.Equal(t, second.Report(t.Context(), crashAt("i-3", 0)), 1)
+	assert.Equal(t, second.Report(t.Context(), crashAt("i-3", 0)).Crashes, 1)
 }
 
 // pacedNodes answers calls for changes after a pause.
@@ -96,7 +96,7 @@
 	}
 	other.running.Wait()
 	started := newGateway(c)
-	assert.Equal(t, started.Crashes(t.Context(), request), MaxCrashes)
+	assert.Equal(t, started.Suspicion(t.Context(), request).Crashes, MaxCrashes)
 	started.running.Wait()
 	assert.Assert(t, started.NeedsCheck())
 	c.now = c.now.Add(learningTime)
@@ -118,7 +118,7 @@
 	assert.Assert(t, !started.NeedsCheck(), "nobody can be asked")
 	c.isUnlisted.Store(false)
 	assert.Assert(t, started.NeedsCheck())
-	assert.Equal(t, started.Crashes(t.Context(), request), MaxCrashes)
+	assert.Equal(t, started.Suspicion(t.Context(), request).Crashes, MaxCrashes)
 	started.running.Wait()
 	c.now = c.now.Add(learningTime)
 	assert.Assert(t, !started.NeedsCheck())
@@ -153,7 +153,7 @@
 			other.running.Wait()
 			started := NewClient(FollowerID(c.nextID()), disturb(c), c, c.clock, zap.NewNop())
 			assert.Assert(t, started.NeedsCheck())
-			assert.Equal(t, started.Crashes(t.Context(), request), MaxCrashes)
+			assert.Equal(t, started.Suspicion(t.Context(), request).Crashes, MaxCrashes)
 			started.running.Wait()
 		})
 	}
@@ -192,10 +192,10 @@
 		other.Report(t.Context(), crashAt(fmt.Sprint("i-", number), 0))
 		other.running.Wait()
 	}
-	assert.Equal(t, frozen.Crashes(t.Context(), request), MaxCrashes, "the follower hasn't run yet")
+	assert.Equal(t, frozen.Suspicion(t.Context(), request).Crashes, MaxCrashes, "the follower hasn't run yet")
 	frozen.running.Wait()
 	frozen.tick()
-	assert.Equal(t, frozen.Crashes(t.Context(), request), MaxCrashes, "the copies aren't up to date yet")
+	assert.Equal(t, frozen.Suspicion(t.Context(), request).Crashes, MaxCrashes, "the copies aren't up to date yet")
 	frozen.running.Wait()
 	c.now = c.now.Add(catchUpTime)
 	assert.Assert(t, !frozen.NeedsCheck())
@@ -211,12 +211,12 @@
 	}
 	other.running.Wait()
 	last := crashAt("last", 0)
-	last.Known = cutOff.Crashes(t.Context(), request)
+	last.Known = cutOff.Suspicion(t.Context(), request).Crashes
 	assert.Equal(t, last.Known, MaxCrashes-1)
 	cutOff.running.Wait()
 	c.lose = func(string) (bool, bool) { return true, false }
-	assert.Equal(t, cutOff.Report(t.Context(), last), MaxCrashes)
-	assert.Equal(t, cutOff.Crashes(t.Context(), request), MaxCrashes)
+	assert.Equal(t, cutOff.Report(t.Context(), last).Crashes, MaxCrashes)
+	assert.Equal(t, cutOff.Suspicion(t.Context(), request).Crashes, MaxCrashes)
 }
 
 // TestClearedRequestForgetsUnconfirmedCrashes guards against crashes that a gateway counts
@@ -227,10 +227,10 @@
 	other.Report(t.Context(), crashAt("i-1", 0))
 	other.running.Wait()
 	c.lose = func(string) (bool, bool) { return true, false }
-	assert.Equal(t, cutOff.Report(t.Context(), crashAt("i-2", 0)), 1)
+	assert.Equal(t, cutOff.Report(t.Context(), crashAt("i-2", 0)).Crashes, 1)
 	cutOff.running.Wait()
 	c.lose = func(string) (bool, bool) { return false, false }
-	assert.Equal(t, cutOff.Crashes(t.Context(), request), 1)
+	assert.Equal(t, cutOff.Suspicion(t.Context(), request).Crashes, 1)
 	cutOff.running.Wait()
 	other.Completed(t.Context(), request)
 	other.running.Wait()
@@ -239,9 +239,9 @@
 		assert.NilError(t, err)
 		cutOff.learn(t.Context(), address, changes)
 	}
-	assert.Equal(t, cutOff.Crashes(t.Context(), request), 0)
+	assert.Equal(t, cutOff.Suspicion(t.Context(), request).Crashes, 0)
 	c.lose = func(string) (bool, bool) { return true, false }
-	assert.Equal(t, cutOff.Report(t.Context(), crashAt("i-3", 0)), 1)
+	assert.Equal(t, cutOff.Report(t.Context(), crashAt("i-3", 0)).Crashes, 1)
 }
 
 // TestCrashIsReportedAgainAfterPause guards against a crash that other gateways don't learn
@@ -258,9 +258,9 @@
 		}
 		return lost <= len(c.members), false
 	}
-	assert.Equal(t, frozen.Report(t.Context(), crashAt("i-1", 0)), 1)
+	assert.Equal(t, frozen.Report(t.Context(), crashAt("i-1", 0)).Crashes, 1)
 	frozen.running.Wait()
-	assert.Equal(t, other.Crashes(t.Context(), request), 1)
+	assert.Equal(t, other.Suspicion(t.Context(), request).Crashes, 1)
 }
 
 // TestRestartedNodesLearnCrashes guards against a quarantine that ends since all storage nodes
@@ -293,9 +293,9 @@
 		}
 		gateway := newGateway(c)
 		for number := range MaxCrashes {
-			assert.Equal(t, gateway.Report(t.Context(), crashAt(fmt.Sprint("i-", number), 0)), number+1)
+			assert.Equal(t, gateway.Report(t.Context(), crashAt(fmt.Sprint("i-", number), 0)).Crashes, number+1)
 		}
-		assert.Equal(t, gateway.Crashes(t.Context(), request), MaxCrashes)
+		assert.Equal(t, gateway.Suspicion(t.Context(), request).Crashes, MaxCrashes)
 	}
 }
 
@@ -310,6 +310,6 @@
 		changes, _ := c.WatchCrashes(context.Background(), address, second.id, Cursor{}, 0)
 		second.copies.apply(address, changes)
 	}
-	fmt.Println(IsQuarantined(second.Crashes(context.Background(), request)))
+	fmt.Println(IsQuarantined(second.Suspicion(context.Background(), request).Crashes))
 	// Output: true
 }
--- a/coordination/quarantine/cluster_test.go
+++ b/coordination/quarantine/cluster_test.go
@@ -98,6 +98,17 @@
 	return record, err
 }
 
+// NoteSend implements Nodes.
+func (c *cluster) NoteSend(_ context.Context, address string, send Send) (before, after Record, err error) {
+	err = c.ask(address, func(t *Table) { before, after = t.NoteSend(send) })
+	return before, after, err
+}
+
+// DropSend implements Nodes.
+func (c *cluster) DropSend(_ context.Context, address string, fingerprint Fingerprint, id SendID) error {
+	return c.ask(address, func(t *Table) { t.DropSend(fingerprint, id) })
+}
+
 // ClearCrashes implements Nodes.
 func (c *cluster) ClearCrashes(_ context.Context, address string, fingerprint Fingerprint) error {
 	return c.ask(address, func(t *Table) { t.Clear(fingerprint) })
--- a/coordination/quarantine/copies.go
+++ b/coordination/quarantine/copies.go
@@ -22,7 +22,7 @@
 
 // copiedRecord is a record with the time until which it is kept.
 type copiedRecord struct {
-	crashes int
+	Suspicion
 	expires time.Time
 }
 
@@ -43,11 +43,11 @@
 		c.complete[node] = true
 	}
 	for _, record := range changes.Records {
-		if record.Crashes == 0 {
+		if record.Suspected == 0 {
 			delete(table, record.Fingerprint)
 			continue
 		}
-		table[record.Fingerprint] = copiedRecord{crashes: record.Crashes, expires: c.now().Add(record.Remaining)}
+		table[record.Fingerprint] = copiedRecord{Suspicion: record.Suspicion, expires: c.now().Add(record.Remaining)}
 	}
 	c.updateTotal()
 }
@@ -64,29 +64,28 @@
 // isEmpty reports whether no copy has a request.
 func (c *copies) isEmpty() bool { return c.total.Load() == 0 }
 
-// crashes returns the greatest number of crashes under the request that a copy has.
-func (c *copies) crashes(fingerprint Fingerprint) int {
+// suspicion returns the most that a copy has of the request.
+func (c *copies) suspicion(fingerprint Fingerprint) (most Suspicion) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.now()
 	c.sweep(now)
-	most := 0
 	for _, table := range c.byNode {
 		if known, found := table[fingerprint]; found && now.Before(known.expires) {
-			most = max(most, known.crashes)
+			most = most.most(known.Suspicion)
 		}
 	}
 	return most
 }
 
-// crashesAt returns the number of crashes under the request that the copy of a node has.
-func (c *copies) crashesAt(node string, fingerprint Fingerprint) int {
+// suspicionAt returns what the copy of a node has of the request.
+func (c *copies) suspicionAt(node string, fingerprint Fingerprint) Suspicion {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if known, found := c.byNode[node][fingerprint]; found && c.now().Before(known.expires) {
-		return known.crashes
+		return known.Suspicion
 	}
-	return 0
+	return Suspicion{}
 }
 
 // count returns the number of storage nodes whose whole table was copied.
--- a/coordination/quarantine/model_test.go
+++ b/coordination/quarantine/model_test.go
@@ -102,7 +102,7 @@
 	one := rapid.SampledFrom(m.requests).Draw(m.T, "request")
 	gateway := m.gateways[m.anyGateway()]
 	m.drawLosses()
-	known := gateway.Crashes(m.Context(), one.fingerprint)
+	known := gateway.Suspicion(m.Context(), one.fingerprint).Crashes
 	gateway.running.Wait()
 	if IsQuarantined(known) {
 		return
@@ -144,7 +144,7 @@
 			for _, address := range m.cluster.members {
 				m.follow(index, address)
 			}
-			known := gateway.Crashes(m.Context(), one.fingerprint)
+			known := gateway.Suspicion(m.Context(), one.fingerprint).Crashes
 			gateway.running.Wait()
 			assert.Assert(m.T, known >= min(most, MaxCrashes), "gateway %d knows of %d crashes, a storage node of %d", index, known, most)
 			assert.Assert(m.T, known <= one.longestRow())
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -21,11 +21,15 @@
 // Crash is the end of an instance that was working on a request.
 type Crash struct {
 	Fingerprint Fingerprint
+	// Send identifies the send under which the instance ended; zero if unknown.
+	Send SendID
 	// Instance identifies the process that has ended.
 	Instance string
 	// SentAgo and EndedAgo are the times since the request was sent to the instance and
-	// since the instance ended. They are durations, since the clocks of nodes differ.
+	// since the exchange ended. They are durations, since the clocks of nodes differ.
 	SentAgo, EndedAgo time.Duration
+	// SeenAfter is how long after the exchange the instance was seen to have ended.
+	SeenAfter time.Duration
 	// Known is the number of crashes that the gateway knew of when it sent the request. It
 	// isn't reported: storage nodes count for themselves.
 	Known int
@@ -34,12 +38,47 @@
 	Row int
 }
 
+// SendID identifies one send of a request among those of all gateways.
+type SendID uint64
+
+// Send is a request that is sent to an instance, or was sent there and nothing has shown what
+// became of it.
+type Send struct {
+	Fingerprint Fingerprint
+	ID          SendID
+	// Instance identifies the process that it was sent to.
+	Instance string
+	// SentAgo and EndedAgo are the times since it was sent and since its exchange ended.
+	SentAgo, EndedAgo time.Duration
+	// IsOpen is set while the exchange goes on. EndedAgo is zero then.
+	IsOpen bool
+	// IsBroken is set if the instance has ended with the exchange if it has ended.
+	IsBroken bool
+	// Lifetime is how long the send counts unless its outcome becomes known.
+	Lifetime time.Duration
+}
+
+// Suspicion is what is known of the earlier sends of a request.
+type Suspicion struct {
+	// Crashes is the number of instances that have crashed under tries in a row.
+	Crashes int
+	// Suspected also counts the sends in a row with them whose outcome isn't known.
+	Suspected int
+}
+
+// most returns the greater of both counts of each.
+func (s Suspicion) most(other Suspicion) Suspicion {
+	return Suspicion{Crashes: max(s.Crashes, other.Crashes), Suspected: max(s.Suspected, other.Suspected)}
+}
+
 // Record is what a table has of a request.
 type Record struct {
 	Fingerprint Fingerprint
-	// Crashes is the number of instances that have crashed under tries in a row. It is zero
-	// for a request that was forgotten since a try was completed.
-	Crashes int
+	Suspicion
+	// IsResolved is set if there are no crashes since the outcome of each send is known. If
+	// it isn't set and there are neither crashes nor sends, the request was forgotten since
+	// a try was completed.
+	IsResolved bool
 	// Remaining is how long the record is kept.
 	Remaining time.Duration
 }
--- a/coordination/quarantine/row.go
+++ b/coordination/quarantine/row.go
@@ -13,26 +13,49 @@
 	reportSkew = 5 * time.Millisecond
 )
 
-// end is the end of an instance under a try that was sent to it.
+// end is the end of the exchange of a try after which its instance has ended, or may have.
 type end struct {
+	send        SendID
 	instance    string
 	sent, ended time.Time
+	// seen is when the instance was seen to have ended; in the far future for one that may
+	// still run.
+	seen time.Time
+}
+
+// isSame reports whether both are the end of one send. Nodes of earlier builds don't tell the
+// send.
+func (e end) isSame(other end) bool {
+	if e.send != 0 && other.send != 0 {
+		return e.send == other.send
+	}
+	return e.instance == other.instance
 }
 
 // longestRow returns the longest row of tries of which each was sent after the end of the one
-// before. A client makes its tries one after the other, so others belong to other clients
-// that ask the same. The order in which the ends are reported doesn't matter.
+// before, and of which no two were at the same process. A client makes its tries one after the
+// other, so others belong to other clients that ask the same. The order in which the ends are
+// reported doesn't matter.
 func longestRow(ends []end) (row []end) {
 	ordered := slices.Clone(ends)
 	slices.SortStableFunc(ordered, func(a, b end) int { return a.ended.Compare(b.ended) })
 	for _, current := range ordered {
-		if len(row) == 0 || !current.sent.Before(row[len(row)-1].ended.Add(-reportSkew)) {
+		if len(row) > 0 && current.sent.Before(row[len(row)-1].ended.Add(-reportSkew)) {
+			continue
+		}
+		if !slices.ContainsFunc(row, current.isAtProcessOf) {
 			row = append(row, current)
 		}
 	}
 	return row
 }
 
+// isAtProcessOf reports whether the try was at the process that an earlier one was at.
+// Processes of an instance can't always be told apart by its name.
+func (e end) isAtProcessOf(earlier end) bool {
+	return e.instance == earlier.instance && e.sent.Before(earlier.seen)
+}
+
 // makeRoomFor drops the first end that isn't part of the longest row if there are maxEnds, so
 // that later tries still add to the row.
 func makeRoomFor(ends []end) []end {
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -21,7 +21,7 @@
 	followerPollInterval = time.Millisecond
 )
 
-// Table counts the crashes under requests at a storage node. It is safe for concurrent use.
+// Table counts the crashes under requests, and the sends without an outcome, at a storage node. It is safe for concurrent use.
 type Table struct {
 	id  uint64
 	now func() time.Time
@@ -47,12 +47,16 @@
 	told time.Time
 }
 
-// entry is a request with the ends of instances under it. It has none once a try was
-// completed.
+// entry is a request with the ends of instances under it and the sends without an outcome. It
+// has none once a try was completed.
 type entry struct {
 	ends []end
 	// crashes is the number of instances in the longest row.
 	crashes int
+	pending pendingSends
+	// isResolved is set if there was no completed try since the last send was pending.
+	isResolved bool
+	// expires is when the ends are forgotten.
 	expires time.Time
 	change  uint64
 }
@@ -82,28 +86,79 @@
 func (t *Table) count(crash Crash) (record Record, isNowQuarantined bool) {
 	now := t.now()
 	t.sweep(now)
-	known := t.entries[crash.Fingerprint]
-	if known == nil || !now.Before(known.expires) {
-		t.makeRoom()
-		known = &entry{}
-		t.entries[crash.Fingerprint] = known
-	}
-	if slices.ContainsFunc(known.ends, func(e end) bool { return e.instance == crash.Instance }) {
+	known := t.entryOf(crash.Fingerprint, now)
+	added := end{send: crash.Send, instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)}
+	added.seen = added.ended.Add(crash.SeenAfter)
+	if slices.ContainsFunc(known.ends, added.isSame) {
 		return known.record(crash.Fingerprint, now), false
 	}
-	known.ends = append(makeRoomFor(known.ends), end{instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)})
+	known.forgetExpired(now)
+	known.pending = known.pending.without(added.isSame)
+	known.pending.extendThoseBefore(added, now.Add(suspectLifetime))
+	known.ends = append(makeRoomFor(known.ends), added)
 	before := known.crashes
 	known.crashes = max(before, len(longestRow(known.ends)), crash.Row)
+	known.isResolved = false
 	known.expires = now.Add(lifetime(known.crashes))
 	t.noteChange(known)
 	return known.record(crash.Fingerprint, now), IsQuarantined(known.crashes) && !IsQuarantined(before)
 }
 
-// Clear forgets the crashes under a request of which a try was completed.
+// entryOf returns the entry of the request, a new one if there is none. The mutex must be held.
+func (t *Table) entryOf(fingerprint Fingerprint, now time.Time) *entry {
+	known := t.entries[fingerprint]
+	if known == nil || !known.isKept(now) {
+		t.makeRoom()
+		known = &entry{}
+		t.entries[fingerprint] = known
+	}
+	return known
+}
+
+// NoteSend notes a send, or that its exchange has ended without an outcome. It returns what is
+// known without it and with it. One under which the instance is known to have ended isn't
+// noted.
+func (t *Table) NoteSend(send Send) (before, after Record) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.now()
+	t.sweep(now)
+	known := t.entryOf(send.Fingerprint, now)
+	known.forgetExpired(now)
+	noted := newPendingSend(send, now)
+	known.pending = known.pending.without(noted.isSame)
+	before = known.record(send.Fingerprint, now)
+	if slices.ContainsFunc(known.ends, noted.isSame) {
+		return before, before
+	}
+	known.pending = known.pending.with(noted)
+	known.isResolved = false
+	t.noteChange(known)
+	return before, known.record(send.Fingerprint, now)
+}
+
+// DropSend forgets a send, since its instance still runs.
+func (t *Table) DropSend(fingerprint Fingerprint, id SendID) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.entries[fingerprint]
+	if known == nil {
+		return
+	}
+	left := known.pending.without(func(e end) bool { return e.send == id })
+	if len(left) == len(known.pending) {
+		return
+	}
+	known.pending = left
+	known.isResolved = known.crashes == 0
+	t.noteChange(known)
+}
+
+// Clear forgets the crashes and sends of a request of which a try was completed.
 func (t *Table) Clear(fingerprint Fingerprint) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if known := t.entries[fingerprint]; known != nil && known.crashes > 0 {
+	if known := t.entries[fingerprint]; known != nil && known.isSuspected() {
 		t.clear(known)
 	}
 }
@@ -114,7 +169,7 @@
 	defer t.mutex.Unlock()
 	cleared := 0
 	for _, known := range t.entries {
-		if known.crashes > 0 {
+		if known.isSuspected() {
 			t.clear(known)
 			cleared++
 		}
@@ -124,7 +179,7 @@
 
 // clear forgets the crashes of the entry. The mutex must be held.
 func (t *Table) clear(known *entry) {
-	known.ends, known.crashes = nil, 0
+	known.ends, known.crashes, known.pending, known.isResolved = nil, 0, nil, false
 	t.noteChange(known)
 }
 
@@ -133,20 +188,21 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.now()
-	if known := t.entries[fingerprint]; known != nil && now.Before(known.expires) {
+	if known := t.entries[fingerprint]; known != nil && known.isKept(now) {
 		return known.record(fingerprint, now)
 	}
-	return Record{Fingerprint: fingerprint}
+	return Record{Fingerprint: fingerprint, IsResolved: true}
 }
 
-// Records returns all records with crashes, those with the most first.
+// Records returns all records with crashes or sends, those with the most crashes first.
 func (t *Table) Records() []Record {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var records []Record
+	now := t.now()
 	for fingerprint, known := range t.entries {
-		if known.crashes > 0 && t.now().Before(known.expires) {
-			records = append(records, known.record(fingerprint, t.now()))
+		if record := known.record(fingerprint, now); record.Suspected > 0 {
+			records = append(records, record)
 		}
 	}
 	slices.SortFunc(records, func(a, b Record) int { return b.Crashes - a.Crashes })
@@ -246,8 +302,65 @@
 	return changes, t.changed
 }
 
+// record returns the record of the entry. Crashes count until they expire, sends until then
+// each.
 func (e *entry) record(fingerprint Fingerprint, now time.Time) Record {
-	return Record{Fingerprint: fingerprint, Crashes: e.crashes, Remaining: max(e.expires.Sub(now), 0)}
+	record := Record{Fingerprint: fingerprint, IsResolved: e.isResolved}
+	pending := e.pending.unexpired(now)
+	if now.Before(e.expires) {
+		record.Crashes = e.crashes
+		record.Remaining = e.expires.Sub(now)
+	}
+	record.Suspected = e.suspected(record.Crashes, pending)
+	record.Remaining = max(record.Remaining, pending.remaining(now))
+	return record
+}
+
+// suspected returns the number of crashes and pending sends in the longest row of both.
+func (e *entry) suspected(crashes int, pending pendingSends) int {
+	if crashes == 0 {
+		return len(longestRow(pending.ends()))
+	}
+	suspected := max(crashes, len(longestRow(slices.Concat(e.ends, pending.ends()))))
+	// The ends may be fewer than the crashes, which other nodes have counted.
+	return max(suspected, crashes+len(longestRow(pending.after(e.lastEnd()))))
+}
+
+// lastEnd returns when the last instance ended; zero if none has.
+func (e *entry) lastEnd() (last time.Time) {
+	for _, current := range e.ends {
+		if current.ended.After(last) {
+			last = current.ended
+		}
+	}
+	return last
+}
+
+// lastExpiry returns when the last crash or send of the entry is forgotten.
+func (e *entry) lastExpiry() time.Time {
+	last := e.expires
+	for _, send := range e.pending {
+		if send.expires.After(last) {
+			last = send.expires
+		}
+	}
+	return last
+}
+
+// isSuspected reports whether the entry has crashes or sends.
+func (e *entry) isSuspected() bool { return e.crashes > 0 || len(e.pending) > 0 }
+
+// isKept reports whether something of the entry hasn't expired.
+func (e *entry) isKept(now time.Time) bool {
+	return now.Before(e.expires) || len(e.pending.unexpired(now)) > 0
+}
+
+// forgetExpired drops crashes and sends that have expired.
+func (e *entry) forgetExpired(now time.Time) {
+	if !now.Before(e.expires) {
+		e.ends, e.crashes = nil, 0
+	}
+	e.pending = e.pending.unexpired(now)
 }
 
 // noteChange numbers the change of the entry and wakes the waiting calls. The mutex must be
@@ -267,8 +380,9 @@
 	var first Fingerprint
 	var expires time.Time
 	for fingerprint, known := range t.entries {
-		if expires.IsZero() || known.expires.Before(expires) {
-			first, expires = fingerprint, known.expires
+		last := known.lastExpiry()
+		if expires.IsZero() || last.Before(expires) {
+			first, expires = fingerprint, last
 		}
 	}
 	delete(t.entries, first)
@@ -281,7 +395,7 @@
 	}
 	t.sweptAt = now
 	for fingerprint, known := range t.entries {
-		if !now.Before(known.expires) {
+		if !now.Before(known.lastExpiry()) {
 			delete(t.entries, fingerprint)
 		}
 	}
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -165,7 +165,7 @@
 	go func() { answered <- table.Watch(t.Context(), 1, first.Next, time.Minute) }()
 	table.Report(crashAt("i-1", 0))
 	changes := <-answered
-	assert.DeepEqual(t, changes.Records, []Record{{Fingerprint: request, Crashes: 1, Remaining: suspectLifetime}})
+	assert.DeepEqual(t, changes.Records, []Record{{Fingerprint: request, Suspicion: Suspicion{Crashes: 1, Suspected: 1}, Remaining: suspectLifetime}})
 	table.Clear(request)
 	cleared := table.Watch(t.Context(), 1, changes.Next, 0)
 	assert.Equal(t, cleared.Records[0].Crashes, 0)
--- a/lab/runner/crash.go
+++ b/lab/runner/crash.go
@@ -18,8 +18,14 @@
 	// StartsAgain breaks all connections and takes new ones at once, as another process under
 	// the same id and address.
 	StartsAgain
+	// StopsAccepting breaks all connections, and refuses new ones only after listenerLinger:
+	// until then they open and say nothing.
+	StopsAccepting
 )
 
+// listenerLinger is how long a listening socket may outlive the process that served it.
+const listenerLinger = time.Second
+
 // crash is when and how a runner ends.
 type crash struct {
 	// text is in the body or the target of requests that end the runner; empty for none.
@@ -64,6 +70,13 @@
 	return r.crash.ends
 }
 
+// IsSilent reports whether the runner says nothing more.
+func (r *Runner) IsSilent() bool {
+	r.sockets.mutex.Lock()
+	defer r.sockets.mutex.Unlock()
+	return r.sockets.isSilent
+}
+
 func (r *Runner) noteCrash() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -73,33 +86,52 @@
 	r.crash.ends++
 }
 
-// end ends the runner as it was told.
-func (r *Runner) end(ending Ending) {
+// end ends the process that started then as it was told, unless it has ended.
+func (r *Runner) end(ending Ending, started time.Time) {
 	switch ending {
 	case Crashes:
-		r.Crash()
+		if r.CrashedAt().IsZero() {
+			r.noteCrash()
+		}
+		r.Close()
 	case FallsSilent:
 		if r.sockets.silence() {
 			r.noteCrash()
 		}
+	case StopsAccepting:
+		if r.sockets.stopAccepting() {
+			r.noteCrash()
+			r.sockets.reset()
+			time.AfterFunc(listenerLinger, r.Close)
+		}
 	case StartsAgain:
-		r.noteCrash()
-		r.mutex.Lock()
-		r.started = time.Now()
-		r.mutex.Unlock()
-		r.sockets.reset()
+		if r.startAgain(started) {
+			r.noteCrash()
+			r.sockets.reset()
+		}
+	}
+}
+
+// startAgain begins another process unless the one that started then has ended.
+func (r *Runner) startAgain(started time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !r.started.Equal(started) {
+		return false
 	}
+	r.started = time.Now()
+	return true
 }
 
 // crashUnder ends the runner if the request is one that does so.
 func (r *Runner) crashUnder(request *http.Request, body string) {
 	r.mutex.Lock()
-	text, delay, ending := r.crash.text, r.crash.delay, r.crash.ending
+	text, delay, ending, started := r.crash.text, r.crash.delay, r.crash.ending, r.started
 	r.mutex.Unlock()
 	if text == "" || !strings.Contains(body, text) && !strings.Contains(request.RequestURI, text) {
 		return
 	}
 	time.Sleep(delay)
-	r.end(ending)
+	r.end(ending, started)
 	panic(http.ErrAbortHandler)
 }
--- a/lab/runner/socket.go
+++ b/lab/runner/socket.go
@@ -21,7 +21,9 @@
 	// silent is closed once the runner says nothing more, closed once it has ended.
 	silent, closed chan struct{}
 	isSilent       bool
-	closing        sync.Once
+	// hasStopped is set once a silent runner accepts no more.
+	hasStopped bool
+	closing    sync.Once
 	// fillers fill the accept queue of a silent runner.
 	fillers []net.Conn
 }
@@ -55,6 +57,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.isSilent {
+		s.hasStopped = true
 		s.fillers = append(s.fillers, conn)
 	}
 	return s.isSilent
@@ -101,6 +104,16 @@
 	return true
 }
 
+// stopAccepting leaves new connections to the system, which accepts them, and reports whether it
+// is the first call.
+func (s *sockets) stopAccepting() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	isFirst := !s.isSilent
+	s.isSilent = true
+	return isFirst
+}
+
 // fillQueue makes new connections hang: the system drops them while the accept queue is full.
 func (s *sockets) fillQueue() {
 	listener, ok := s.Listener.(*net.TCPListener)
@@ -114,12 +127,20 @@
 	_ = raw.Control(func(descriptor uintptr) { _ = syscall.Listen(int(descriptor), 0) })
 	for {
 		filler, err := net.DialTimeout("tcp", s.Addr().String(), fillTimeout)
-		if err != nil {
-			return
-		}
 		s.mutex.Lock()
-		s.fillers = append(s.fillers, filler)
+		hasStopped := s.hasStopped
+		if err == nil {
+			s.fillers = append(s.fillers, filler)
+		}
 		s.mutex.Unlock()
+		if err != nil && hasStopped {
+			return
+		}
+		select {
+		case <-s.closed:
+			return
+		default:
+		}
 	}
 }
 
--- a/state/result/code.go
+++ b/state/result/code.go
@@ -94,6 +94,8 @@
 	BudgetReserved     Code = 2010
 	ConfigurationStale Code = 2011
 	QuotaUnavailable   Code = 2012
+	// SendsUnresolved is for requests of which the outcome of earlier sends isn't known yet.
+	SendsUnresolved Code = 2013
 
 	OutcomeUnknown    Code = 3001
 	OutcomeUnresolved Code = 3002
@@ -165,6 +167,7 @@
 	{BudgetReserved, "budget_reserved", http.StatusServiceUnavailable, NotRun, RepeatNewKey, "The rest of the program's budget is reserved for turns at other nodes."},
 	{ConfigurationStale, "configuration_stale", http.StatusServiceUnavailable, NotRun, RepeatNewKey, "This node can't show that the caller's key hasn't been taken away."},
 	{QuotaUnavailable, "quota_unavailable", http.StatusServiceUnavailable, NotRun, RepeatNewKey, "Nobody who grants requests of the tenant's quota can be reached."},
+	{SendsUnresolved, "sends_unresolved", http.StatusServiceUnavailable, NotRun, RepeatNewKey, "Back ends may have ended under earlier tries of this request; whether they have isn't known yet."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, RepeatNever, "A request that must not be repeated lost its executor after dispatch. Final: it isn't tried again."},
 	{OutcomeUnresolved, "outcome_unresolved", http.StatusServiceUnavailable, Unknown, RepeatSameKey, "The record couldn't be read after a change; the same key finds out."},
 	{EngineFailed, "engine_failed", http.StatusBadGateway, Run, RepeatNever, "Every attempt the call may have failed at an engine. Final."},
--- a/test/integration/lethal_test.go
+++ b/test/integration/lethal_test.go
@@ -22,6 +22,10 @@
 	// lethalInstances is the number of instances of each service, more than a request without
 	// a bound would end.
 	lethalInstances = 16
+	// removalDelay is how long the entry of a silent instance stays, startDelay how long that of
+	// one that has started again tells the earlier start.
+	removalDelay = 600 * time.Millisecond
+	startDelay   = 100 * time.Millisecond
 	// harmlessPause is the pause between two harmless requests of a gateway and service.
 	harmlessPause = 50 * time.Millisecond
 	// lethalRoundPause is the pause before a program sends a failed request from its start.
@@ -38,10 +42,17 @@
 	leavesAfter time.Duration
 	// isStoreSilent is set if the store says nothing meanwhile.
 	isStoreSilent bool
+	// isListed is set if the store's entry of an instance that has ended is soon removed, or
+	// tells its new start.
+	isListed bool
+	// tries is how often the client sends the request, with a pause after each; zero for
+	// rounds of tries at once.
+	tries int
 }
 
 func lethalCases() []lethalCase {
-	const now, soon = 5 * time.Millisecond, 300 * time.Millisecond
+	const now, soon, late = 5 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond
+	const patience = 400 * time.Millisecond
 	return []lethalCase{
 		{name: "crashes", ending: runner.Crashes, delay: now, leavesAfter: lethalDeadline},
 		{name: "crashes slowly", ending: runner.Crashes, delay: soon, leavesAfter: lethalDeadline},
@@ -51,6 +62,12 @@
 		{name: "falls silent after the client has left", ending: runner.FallsSilent, delay: soon, leavesAfter: 100 * time.Millisecond},
 		{name: "starts again", ending: runner.StartsAgain, delay: now, leavesAfter: lethalDeadline},
 		{name: "starts again after the client has left", ending: runner.StartsAgain, delay: soon, leavesAfter: 100 * time.Millisecond},
+		{name: "starts again, listed", ending: runner.StartsAgain, delay: now, leavesAfter: lethalDeadline, isListed: true, tries: 8},
+		{name: "falls silent, unlisted", ending: runner.FallsSilent, delay: now, leavesAfter: time.Second, isListed: true, tries: 8},
+		{name: "falls silent, unlisted, client leaves", ending: runner.FallsSilent, delay: now, leavesAfter: patience, isListed: true, tries: 8},
+		{name: "crashes slowly after the client has left", ending: runner.Crashes, delay: late, leavesAfter: patience, tries: 8},
+		{name: "listener outlives it", ending: runner.StopsAccepting, delay: now, leavesAfter: time.Second, tries: 8},
+		{name: "listener outlives it, client leaves", ending: runner.StopsAccepting, delay: soon, leavesAfter: 100 * time.Millisecond, tries: 8},
 		{name: "falls silent without store", ending: runner.FallsSilent, delay: now, leavesAfter: lethalDeadline, isStoreSilent: true},
 		{name: "starts again without store", ending: runner.StartsAgain, delay: now, leavesAfter: lethalDeadline, isStoreSilent: true},
 	}
@@ -75,27 +92,43 @@
 	s.awaitInstances(len(cases) * lethalInstances)
 	harmless := s.startHarmlessTraffic(cases)
 	defer harmless.stop()
-	for _, c := range cases {
-		for _, kind := range []string{"stream", "safe"} {
-			t.Run(c.name+", "+kind, func(t *testing.T) {
-				if c.isStoreSilent {
-					s.store.SetMode(platformstore.Silent)
-					defer s.store.SetMode(platformstore.Up)
-				}
-				request := &lethalRequest{
-					program: "lethal-" + kind + "-" + c.service(), body: "lethal " + kind + " of " + c.service(),
-					answered: make(map[string]time.Time),
-				}
-				s.sendLethal(t, request, c, "/"+kind+"-"+c.service()+"/x")
-				// The instances end after the last try at the latest.
-				time.Sleep(c.delay + 50*time.Millisecond)
-				runs := s.runsOf(request)
-				t.Logf("%d sends: %v%s", len(runs), runs, request.trace)
-				if len(runs) > maxCrashes {
-					t.Errorf("%d instances ended under one request%s", len(runs), s.logOf(request.program))
+	stopListing := s.listEnds(cases)
+	defer stopListing()
+	for _, isStoreSilent := range []bool{false, true} {
+		t.Run(fmt.Sprint("store silent ", isStoreSilent), func(t *testing.T) {
+			if isStoreSilent {
+				s.store.SetMode(platformstore.Silent)
+				t.Cleanup(func() { s.store.SetMode(platformstore.Up) })
+			}
+			for _, c := range cases {
+				if c.isStoreSilent == isStoreSilent {
+					t.Run(c.name, func(t *testing.T) {
+						t.Parallel()
+						s.checkLethal(t, c, "stream")
+						s.checkLethal(t, c, "safe")
+					})
 				}
-			})
-		}
+			}
+		})
+	}
+}
+
+// checkLethal sends a request under which each instance ends, and counts the ends.
+func (s *soakSystem) checkLethal(t *testing.T, c lethalCase, kind string) {
+	t.Helper()
+	request := &lethalRequest{
+		program: "lethal-" + kind + "-" + c.service(), body: "lethal " + kind + " of " + c.service(),
+		answered: make(map[string]time.Time),
+	}
+	endedBefore := s.endsOf(c)
+	s.sendLethal(t, request, c, "/"+kind+"-"+c.service()+"/x")
+	// The instances end after the last try at the latest.
+	time.Sleep(c.delay + 50*time.Millisecond)
+	runs := s.runsOf(request)
+	ended := s.endsOf(c) - endedBefore
+	t.Logf("%s: %d ended, %d sends: %v%s", kind, ended, len(runs), runs, request.trace)
+	if ended > maxCrashes {
+		t.Errorf("%s: %d instances ended under one request%s", kind, ended, s.logOf(request.program))
 	}
 }
 
@@ -150,8 +183,12 @@
 func (s *soakSystem) sendLethal(t *testing.T, request *lethalRequest, c lethalCase, path string) {
 	t.Helper()
 	sent := 0
-	for round := range lethalRounds {
-		for try := range lethalTries {
+	rounds, tries := lethalRounds, lethalTries
+	if c.tries > 0 {
+		rounds, tries = c.tries, 1
+	}
+	for round := range rounds {
+		for try := range tries {
 			address := s.gateways[sent%len(s.gateways)].life.address
 			sent++
 			pause := s.tryLethal(t, request, c, address, path, fmt.Sprintf("%s-%d-%d", request.program, round, try))
@@ -236,6 +273,65 @@
 	return traffic
 }
 
+// listEnds keeps the entries up to date of the instances whose ends are listed, until the returned function is called.
+func (s *soakSystem) listEnds(cases []lethalCase) (stop func()) {
+	listed := make(map[string]bool)
+	for _, c := range cases {
+		listed[c.service()] = c.isListed
+	}
+	seen := make(map[string]int)
+	stopped := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			select {
+			case <-stopped:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			s.mutex.Lock()
+			for _, instance := range s.instances {
+				if ends := instance.Ends(); listed[instance.service] && ends > seen[instance.Instance] {
+					seen[instance.Instance] = ends
+					running.Go(func() { s.listEnd(instance) })
+				}
+			}
+			s.mutex.Unlock()
+		}
+	})
+	return func() {
+		close(stopped)
+		running.Wait()
+	}
+}
+
+// listEnd removes the entry of an instance that runs no more, and tells the start of one that
+// does.
+func (s *soakSystem) listEnd(ended *soakInstance) {
+	if ended.IsSilent() {
+		time.Sleep(removalDelay)
+		s.store.Remove("servers", ended.Instance)
+		return
+	}
+	time.Sleep(startDelay)
+	s.store.Put("servers", ended.Instance, map[string]any{
+		"service": ended.service, "address": ended.Address, "zone": "a", "capacity": 8, "state": "ready", "version": ended.version,
+		"born": ended.Started().UnixMilli(),
+	})
+}
+
+// endsOf returns how often instances of the case have ended.
+func (s *soakSystem) endsOf(c lethalCase) (ends int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, instance := range s.instances {
+		if instance.service == c.service() {
+			ends += instance.Ends()
+		}
+	}
+	return ends
+}
+
 // runsOf describes the runs of the request.
 func (s *soakSystem) runsOf(request *lethalRequest) (runs []string) {
 	s.mutex.Lock()
--- a/transport/peer/crash.go
+++ b/transport/peer/crash.go
@@ -16,6 +16,8 @@
 type Crashes interface {
 	Report(crash quarantine.Crash) quarantine.Record
 	AwaitFollowers(ctx context.Context) bool
+	NoteSend(send quarantine.Send) (before, after quarantine.Record)
+	DropSend(fingerprint quarantine.Fingerprint, id quarantine.SendID)
 	Clear(fingerprint quarantine.Fingerprint)
 	Find(fingerprint quarantine.Fingerprint) quarantine.Record
 	Watch(ctx context.Context, follower quarantine.FollowerID, from quarantine.Cursor, wait time.Duration) quarantine.Changes
@@ -31,8 +33,9 @@
 	ctx, cancel := c.WithTimeout(ctx)
 	defer cancel()
 	response, err := c.stubs(address).crashes.ReportCrash(ctx, connect.NewRequest(&peerv1.ReportCrashRequest{
-		Fingerprint: crash.Fingerprint[:], Instance: crash.Instance,
+		Fingerprint: crash.Fingerprint[:], Send: uint64(crash.Send), Instance: crash.Instance,
 		SentAgoUs: crash.SentAgo.Microseconds(), EndedAgoUs: crash.EndedAgo.Microseconds(), Row: uint32(crash.Row),
+		SeenAfterUs: crash.SeenAfter.Microseconds(),
 	}))
 	if err != nil {
 		return quarantine.Record{}, err
@@ -40,6 +43,33 @@
 	return crashRecordFromWire(response.Msg.GetRecord())
 }
 
+// NoteSend implements quarantine.Nodes.
+func (c *Client) NoteSend(ctx context.Context, address string, send quarantine.Send) (before, after quarantine.Record, err error) {
+	ctx, cancel := c.WithTimeout(ctx)
+	defer cancel()
+	response, err := c.stubs(address).crashes.NoteSend(ctx, connect.NewRequest(&peerv1.NoteSendRequest{
+		Fingerprint: send.Fingerprint[:], Send: uint64(send.ID), Instance: send.Instance,
+		SentAgoUs: send.SentAgo.Microseconds(), EndedAgoUs: send.EndedAgo.Microseconds(),
+		Open: send.IsOpen, Broken: send.IsBroken, LifetimeMs: send.Lifetime.Milliseconds(),
+	}))
+	if err != nil {
+		return quarantine.Record{}, quarantine.Record{}, err
+	}
+	if before, err = crashRecordFromWire(response.Msg.GetBefore()); err != nil {
+		return quarantine.Record{}, quarantine.Record{}, err
+	}
+	after, err = crashRecordFromWire(response.Msg.GetAfter())
+	return before, after, err
+}
+
+// DropSend implements quarantine.Nodes.
+func (c *Client) DropSend(ctx context.Context, address string, fingerprint quarantine.Fingerprint, id quarantine.SendID) error {
+	ctx, cancel := c.WithTimeout(ctx)
+	defer cancel()
+	_, err := c.stubs(address).crashes.DropSend(ctx, connect.NewRequest(&peerv1.DropSendRequest{Fingerprint: fingerprint[:], Send: uint64(id)}))
+	return err
+}
+
 // ClearCrashes implements quarantine.Nodes.
 func (c *Client) ClearCrashes(ctx context.Context, address string, fingerprint quarantine.Fingerprint) error {
 	ctx, cancel := c.WithTimeout(ctx)
@@ -94,19 +124,54 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	record := s.crashes.Report(quarantine.Crash{
-		Fingerprint: fingerprint, Instance: request.Msg.GetInstance(),
+		Fingerprint: fingerprint, Send: quarantine.SendID(request.Msg.GetSend()), Instance: request.Msg.GetInstance(),
 		SentAgo:  time.Duration(request.Msg.GetSentAgoUs()) * time.Microsecond,
 		EndedAgo: time.Duration(request.Msg.GetEndedAgoUs()) * time.Microsecond,
-		Row:      int(request.Msg.GetRow()),
+		Row:      int(request.Msg.GetRow()), SeenAfter: time.Duration(request.Msg.GetSeenAfterUs()) * time.Microsecond,
 	})
 	if request.Msg.GetRow() == 0 {
-		ctx, cancel := context.WithTimeout(ctx, quarantine.FollowerGrace)
-		defer cancel()
-		s.crashes.AwaitFollowers(ctx)
+		s.awaitFollowers(ctx)
 	}
 	return connect.NewResponse(&peerv1.ReportCrashResponse{Record: crashRecordToWire(record)}), nil
 }
 
+// NoteSend notes a send. Once it has ended without an outcome, it waits a while until all
+// gateways know of it: the next try may come to any of them.
+func (s *crashServer) NoteSend(ctx context.Context, request *connect.Request[peerv1.NoteSendRequest]) (*connect.Response[peerv1.NoteSendResponse], error) {
+	fingerprint, err := fingerprintFromWire(request.Msg.GetFingerprint())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	before, after := s.crashes.NoteSend(quarantine.Send{
+		Fingerprint: fingerprint, ID: quarantine.SendID(request.Msg.GetSend()), Instance: request.Msg.GetInstance(),
+		SentAgo:  time.Duration(request.Msg.GetSentAgoUs()) * time.Microsecond,
+		EndedAgo: time.Duration(request.Msg.GetEndedAgoUs()) * time.Microsecond,
+		IsOpen:   request.Msg.GetOpen(), IsBroken: request.Msg.GetBroken(),
+		Lifetime: time.Duration(request.Msg.GetLifetimeMs()) * time.Millisecond,
+	})
+	if !request.Msg.GetOpen() {
+		s.awaitFollowers(ctx)
+	}
+	return connect.NewResponse(&peerv1.NoteSendResponse{Before: crashRecordToWire(before), After: crashRecordToWire(after)}), nil
+}
+
+// awaitFollowers waits until all gateways know of the last change, for a while at most.
+func (s *crashServer) awaitFollowers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quarantine.FollowerGrace)
+	defer cancel()
+	s.crashes.AwaitFollowers(ctx)
+}
+
+// DropSend forgets a send.
+func (s *crashServer) DropSend(_ context.Context, request *connect.Request[peerv1.DropSendRequest]) (*connect.Response[peerv1.DropSendResponse], error) {
+	fingerprint, err := fingerprintFromWire(request.Msg.GetFingerprint())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	s.crashes.DropSend(fingerprint, quarantine.SendID(request.Msg.GetSend()))
+	return connect.NewResponse(&peerv1.DropSendResponse{}), nil
+}
+
 // ClearCrashes forgets the crashes under a request.
 func (s *crashServer) ClearCrashes(_ context.Context, request *connect.Request[peerv1.ClearCrashesRequest]) (*connect.Response[peerv1.ClearCrashesResponse], error) {
 	fingerprint, err := fingerprintFromWire(request.Msg.GetFingerprint())
@@ -140,14 +205,18 @@
 
 func crashRecordToWire(record quarantine.Record) *peerv1.CrashRecord {
 	return &peerv1.CrashRecord{
-		Fingerprint: record.Fingerprint[:], Crashes: uint32(record.Crashes), RemainingMs: record.Remaining.Milliseconds(),
+		Fingerprint: record.Fingerprint[:], Crashes: uint32(record.Crashes), Suspected: uint32(record.Suspected), Resolved: record.IsResolved,
+		RemainingMs: record.Remaining.Milliseconds(),
 	}
 }
 
 func crashRecordFromWire(message *peerv1.CrashRecord) (quarantine.Record, error) {
 	fingerprint, err := fingerprintFromWire(message.GetFingerprint())
+	crashes := int(message.GetCrashes())
 	return quarantine.Record{
-		Fingerprint: fingerprint, Crashes: int(message.GetCrashes()), Remaining: time.Duration(message.GetRemainingMs()) * time.Millisecond,
+		// Nodes of earlier builds tell the crashes alone.
+		Fingerprint: fingerprint, Suspicion: quarantine.Suspicion{Crashes: crashes, Suspected: max(crashes, int(message.GetSuspected()))},
+		IsResolved: message.GetResolved(), Remaining: time.Duration(message.GetRemainingMs()) * time.Millisecond,
 	}, err
 }
 
--- a/transport/relay/attempt.go
+++ b/transport/relay/attempt.go
@@ -5,12 +5,19 @@
 	"time"
 
 	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/quarantine"
 )
 
 // attempt is one try of a request at an instance.
 type attempt struct {
 	assignment *backend.Assignment
 	started    time.Time
+	// id identifies the send among those of all gateways.
+	id quarantine.SendID
+	// known is the number of crashes that were known when it was made.
+	known int
+	// isAnnounced is set if storage nodes know of the send.
+	isAnnounced bool
 	// timeToFirst is the time to the first event of a stream, or to the complete body (or
 	// its buffered part) of another response; zero until then.
 	timeToFirst time.Duration
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -86,9 +86,9 @@
 	sends, unsent int
 	// reachedBackend tells that the request was sent to a backend that didn't refuse it.
 	reachedBackend bool
-	// crashes is the number of instances that have crashed under the request, in this and
-	// earlier tries of its client, as far as it is known.
-	crashes int
+	// suspicion is what is known of the sends of the request, in this and earlier tries of its
+	// client.
+	suspicion quarantine.Suspicion
 	// mayHaveRun tells that a backend may have run the request and no complete response was
 	// delivered.
 	mayHaveRun bool
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,13 +13,21 @@
 	"github.com/marblering/marblering/transport/upstream"
 )
 
-// endProbeTimeout bounds the check whether an instance has ended under a request. The host
-// of a crashed process refuses connections at once.
-const endProbeTimeout = 400 * time.Millisecond
-
-// maxEndChecks is how often that is checked. The first check may time out because this
-// process stood still.
-const maxEndChecks = 2
+const (
+	// endProbeTimeout bounds the check whether an instance has ended under a request. The host
+	// of a crashed process refuses connections at once.
+	endProbeTimeout = 400 * time.Millisecond
+	// maxEndChecks is how often that is checked. The first check may time out because this
+	// process stood still.
+	maxEndChecks = 2
+	// announcedGrace is how long after the deadline of a request an announced send counts
+	// whose gateway has ended.
+	announcedGrace = 5 * time.Second
+	// silentLifetime is how long a send counts whose instance is silent, unclearLifetime one
+	// whose instance may have started again.
+	silentLifetime  = 30 * time.Second
+	unclearLifetime = 10 * time.Second
+)
 
 // fingerprint identifies the request over the tries of its client, at any gateway. It
 // covers what is the same in all of them: whose request it is, and what it asks for. A
@@ -36,59 +44,113 @@
 	return c.input.fingerprint
 }
 
-// checkCrashes refuses a request under which too many instances have crashed.
+// checkCrashes refuses a request under which too many instances have crashed, or may have.
 func (c *call) checkCrashes(ctx context.Context) *result.Error {
 	crashes := c.handler.options.Crashes
 	if !crashes.NeedsCheck() {
 		return nil
 	}
-	c.attempts.crashes = crashes.Crashes(ctx, c.fingerprint())
-	if !quarantine.IsQuarantined(c.attempts.crashes) {
+	c.attempts.suspicion = crashes.Suspicion(ctx, c.fingerprint())
+	return c.refuseSuspected()
+}
+
+// announceSend notes the send of a request of which earlier ones are suspected, so that it
+// counts at other gateways while its outcome isn't known. It refuses the request as
+// checkCrashes does.
+func (c *call) announceSend(ctx context.Context, current *attempt) *result.Error {
+	crashes := c.handler.options.Crashes
+	if !crashes.NeedsCheck() {
+		return nil
+	}
+	send := c.send(current)
+	send.IsOpen, send.Lifetime = true, c.timing.deadline.Sub(c.handler.options.Now())+announcedGrace
+	before, isAnnounced := crashes.Announce(ctx, send, c.attempts.suspicion)
+	if !isAnnounced {
+		return nil
+	}
+	current.isAnnounced, current.known, c.attempts.suspicion = true, before.Crashes, before
+	failure := c.refuseSuspected()
+	if failure != nil {
+		crashes.Drop(ctx, send.Fingerprint, send.ID)
+	}
+	return failure
+}
+
+// refuseSuspected returns an error if the request may not be sent to another instance.
+func (c *call) refuseSuspected() (failure *result.Error) {
+	known := c.attempts.suspicion
+	switch {
+	case quarantine.IsQuarantined(known.Crashes):
+		failure = result.Errorf(result.RequestQuarantined, "%d back ends have ended under the request", known.Crashes)
+	case quarantine.IsQuarantined(known.Suspected):
+		failure = unresolvedSends.errorf("%d back ends have ended under the request or may have", known.Suspected)
+	default:
 		return nil
 	}
 	c.handler.options.Logger.Info("request not sent to back ends", c.crashFields()...)
-	return result.Errorf(result.RequestQuarantined, "%d back ends have ended under the request", c.attempts.crashes)
+	return failure
 }
 
-// observeCrash reports the end of an instance under the request to the other gateways, and
-// the completion of a request under which some have ended.
-func (c *call) observeCrash(ctx context.Context, current *attempt, ended outcome, cause error) {
+// send describes a send to the other gateways.
+func (c *call) send(current *attempt) quarantine.Send {
+	instance := &current.assignment.Instance
+	return quarantine.Send{
+		Fingerprint: c.fingerprint(), ID: current.id, Instance: instance.Address + " " + instance.Incarnation().String(),
+		SentAgo: c.handler.options.Now().Sub(current.started),
+	}
+}
+
+// newSendID returns an id that no other send has.
+func newSendID() quarantine.SendID { return quarantine.SendID(rand.Uint64() | 1) }
+
+// settleSend tells the other gateways what has become of a send. Whether the instance of one
+// without an outcome has ended is checked at once if the request may be tried again, and later
+// on by the SendWatcher.
+func (c *call) settleSend(ctx context.Context, current *attempt, how sendEnd) {
 	crashes := c.handler.options.Crashes
 	switch {
-	case ended == delivered && crashes.NeedsCheck():
-		crashes.Completed(ctx, c.fingerprint())
-	case c.crashedUnder(ctx, current.assignment, ended, cause):
-		now := c.handler.options.Now()
-		instance := current.assignment.Instance
-		c.attempts.crashes = crashes.Report(ctx, quarantine.Crash{
-			Fingerprint: c.fingerprint(), Instance: instance.Address + " " + instance.Incarnation().String(),
-			SentAgo: now.Sub(current.started), Known: c.attempts.crashes,
-		})
-		c.logCrash(current)
+	case how == sendAnswered:
+		if crashes.NeedsCheck() {
+			crashes.Completed(ctx, c.fingerprint())
+		}
+	case how.hasOutcome():
+		if current.isAnnounced {
+			crashes.Drop(ctx, c.fingerprint(), current.id)
+		}
+	case how == sendStopped:
+	default:
+		watched := c.watchedSend(current, how)
+		if how == sendBroken || how == sendUnreachable {
+			c.attempts.suspicion = watched.settle(ctx, c.checkEnd(ctx, watched))
+		}
+		c.handler.watcher.add(watched)
 	}
 }
 
-// crashedUnder reports whether the instance has ended while it worked on the request. A
-// lost response alone doesn't show that.
-func (c *call) crashedUnder(ctx context.Context, assignment *backend.Assignment, ended outcome, cause error) bool {
-	if ended != incomplete || c.isDone(ctx) || errors.Is(cause, errInvalidResponse) || errors.Is(cause, errNotResumed) || errors.Is(cause, upstream.ErrUnreachable) {
-		return false
+// watchedSend returns what the SendWatcher needs to know of a send whose exchange has just
+// ended.
+func (c *call) watchedSend(current *attempt, how sendEnd) *watchedSend {
+	request := c.upstreamRequest(current)
+	send := c.send(current)
+	send.IsOpen = current.isAnnounced
+	return &watchedSend{
+		handler: c.handler, assignment: current.assignment, send: send, known: current.known,
+		sentAt: current.started, endedAt: c.handler.options.Now(), isBroken: how == sendBroken, isNoted: current.isAnnounced,
+		process:   &upstream.Request{Address: request.Address, Instance: request.Instance, Started: request.Started},
+		logFields: append(c.crashFields(), lifeFields(&current.assignment.Instance)...),
+		suspicion: c.attempts.suspicion,
 	}
+}
+
+// checkEnd checks whether the instance has ended, or has fallen silent.
+func (c *call) checkEnd(ctx context.Context, watched *watchedSend) (found upstream.Life) {
 	for range maxEndChecks {
-		ended, isKnown := c.hasEnded(ctx, assignment)
-		if isKnown {
-			return ended
+		found = watched.check(context.WithoutCancel(ctx), endProbeTimeout, false)
+		if found != upstream.LifeSilent {
+			break
 		}
 	}
-	return false
-}
-
-// hasEnded checks whether the instance has ended. The result isn't known if the check timed out.
-func (c *call) hasEnded(ctx context.Context, assignment *backend.Assignment) (ended, isKnown bool) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endProbeTimeout)
-	defer cancel()
-	ended = c.handler.options.Upstream.HasEnded(ctx, c.upstreamRequest(assignment))
-	return ended, ended || ctx.Err() == nil
+	return found
 }
 
 // logSend logs that the request is sent to an instance.
@@ -100,20 +162,11 @@
 	c.handler.options.Logger.Debug("sending to back end", fields...)
 }
 
-// logCrash logs and counts that an instance has ended under the request.
-func (c *call) logCrash(current *attempt) {
-	c.handler.options.Metrics.crashes.Inc()
-	instance := &current.assignment.Instance
-	fields := append(c.crashFields(), lifeFields(instance)...)
-	c.handler.options.Logger.Info("back end ended under request", append(fields,
-		zap.String("version", instance.Version), zap.Bool("leaving", instance.Leaving),
-		zap.Duration("ran", c.handler.options.Now().Sub(current.started)), zap.Int("sends", c.attempts.sends))...)
-}
-
 // crashFields returns log fields that identify the request over the tries of its client.
 func (c *call) crashFields() []zap.Field {
 	return []zap.Field{
-		zap.String("request", c.input.info.ID), zap.Stringer("fingerprint", c.fingerprint()), zap.Int("crashes", c.attempts.crashes),
+		zap.String("request", c.input.info.ID), zap.Stringer("fingerprint", c.fingerprint()), zap.Int("crashes", c.attempts.suspicion.Crashes),
+		zap.Int("suspected", c.attempts.suspicion.Suspected),
 		zap.String("program", c.input.info.Program), zap.String("route", c.routing.route.Name),
 	}
 }
--- a/transport/relay/crash_test.go
+++ b/transport/relay/crash_test.go
@@ -24,10 +24,22 @@
 // noCrashes knows of no crash.
 type noCrashes struct{}
 
-func (noCrashes) NeedsCheck() bool                                    { return false }
-func (noCrashes) Crashes(context.Context, quarantine.Fingerprint) int { return 0 }
-func (noCrashes) Report(context.Context, quarantine.Crash) int        { return 0 }
-func (noCrashes) Completed(context.Context, quarantine.Fingerprint)   {}
+func (noCrashes) NeedsCheck() bool { return false }
+func (noCrashes) Suspicion(context.Context, quarantine.Fingerprint) (known quarantine.Suspicion) {
+	return known
+}
+func (noCrashes) IsSuspected(quarantine.Fingerprint) bool { return false }
+func (noCrashes) Announce(context.Context, quarantine.Send, quarantine.Suspicion) (before quarantine.Suspicion, isAnnounced bool) {
+	return before, false
+}
+func (noCrashes) Unresolve(context.Context, quarantine.Send) (known quarantine.Suspicion) {
+	return known
+}
+func (noCrashes) Drop(context.Context, quarantine.Fingerprint, quarantine.SendID) {}
+func (noCrashes) Report(context.Context, quarantine.Crash) (known quarantine.Suspicion) {
+	return known
+}
+func (noCrashes) Completed(context.Context, quarantine.Fingerprint) {}
 
 // countedCrashes counts reports.
 type countedCrashes struct {
@@ -35,8 +47,9 @@
 	reports atomic.Int64
 }
 
-func (c *countedCrashes) Report(context.Context, quarantine.Crash) int {
-	return int(c.reports.Add(1))
+func (c *countedCrashes) Report(context.Context, quarantine.Crash) quarantine.Suspicion {
+	reports := int(c.reports.Add(1))
+	return quarantine.Suspicion{Crashes: reports, Suspected: reports}
 }
 
 // endedUpstream breaks each exchange. The first check of its end times out.
@@ -46,12 +59,12 @@
 	return nil, &upstream.Error{Sent: true, Stage: upstream.StageHead, Cause: io.ErrUnexpectedEOF}
 }
 
-func (u *endedUpstream) HasEnded(ctx context.Context, _ *upstream.Request) bool {
+func (u *endedUpstream) Check(ctx context.Context, _ *upstream.Request, _ upstream.Look) upstream.Life {
 	if u.checks.Add(1) == 1 {
 		<-ctx.Done()
-		return false
+		return upstream.LifeSilent
 	}
-	return true
+	return upstream.LifeEnded
 }
 
 // TestEndIsCheckedAgainAfterTimeout guards against the end of an instance that isn't counted,
--- a/transport/relay/deadline_test.go
+++ b/transport/relay/deadline_test.go
@@ -48,7 +48,9 @@
 	return nil, &upstream.Error{Sent: true, Stage: upstream.StageHead, Cause: context.DeadlineExceeded}
 }
 
-func (u *failingUpstream) HasEnded(context.Context, *upstream.Request) bool { return false }
+func (u *failingUpstream) Check(context.Context, *upstream.Request, upstream.Look) upstream.Life {
+	return upstream.LifeContinues
+}
 
 // serveUntilDeadline serves a request whose deadline passes during its first attempt.
 func serveUntilDeadline(t *testing.T, kind routetable.Kind, client *failingUpstream) *httptest.ResponseRecorder {
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -60,12 +60,17 @@
 type Handler struct {
 	options  Options
 	inFlight registry
+	watcher  *SendWatcher
 	// isRefusing is set once new requests are refused.
 	isRefusing atomic.Bool
 }
 
 // New returns a handler.
-func New(options Options) *Handler { return &Handler{options: options} }
+func New(options Options) *Handler { return &Handler{options: options, watcher: newSendWatcher()} }
+
+// SendWatcher returns the watcher of the handler's sends. It must run, so that instances count
+// that end after the exchange.
+func (h *Handler) SendWatcher() *SendWatcher { return h.watcher }
 
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int64 { return h.inFlight.count() }
--- a/transport/relay/headercodec.go
+++ b/transport/relay/headercodec.go
@@ -114,22 +114,30 @@
 	Take(ctx context.Context, request quota.Request) (quota.Permit, *result.Error)
 }
 
-// Crashes knows under which requests instances have crashed, at any gateway.
-// quarantine.Client implements it.
+// Crashes knows under which requests instances have crashed, and which sends have no outcome,
+// at any gateway. quarantine.Client implements it.
 type Crashes interface {
 	// NeedsCheck reports whether requests have to be checked for crashes.
 	NeedsCheck() bool
-	// Crashes returns how many instances have crashed under a request.
-	Crashes(ctx context.Context, fingerprint quarantine.Fingerprint) int
-	// Report reports a crash and returns how many instances have crashed under the request.
-	Report(ctx context.Context, crash quarantine.Crash) int
-	// Completed forgets the crashes under a request.
+	// Suspicion returns what is known of the earlier sends of a request.
+	Suspicion(ctx context.Context, fingerprint quarantine.Fingerprint) quarantine.Suspicion
+	// IsSuspected reports whether this gateway knows of earlier sends, without asking others.
+	IsSuspected(fingerprint quarantine.Fingerprint) bool
+	// Announce notes a send if earlier ones are suspected, and returns what is known of those.
+	Announce(ctx context.Context, send quarantine.Send, known quarantine.Suspicion) (before quarantine.Suspicion, isAnnounced bool)
+	// Unresolve notes a send that has ended without an outcome and returns what is known then.
+	Unresolve(ctx context.Context, send quarantine.Send) quarantine.Suspicion
+	// Drop forgets a send, since its instance still runs.
+	Drop(ctx context.Context, fingerprint quarantine.Fingerprint, id quarantine.SendID)
+	// Report reports a crash and returns what is known of the request then.
+	Report(ctx context.Context, crash quarantine.Crash) quarantine.Suspicion
+	// Completed forgets the crashes and sends of a request.
 	Completed(ctx context.Context, fingerprint quarantine.Fingerprint)
 }
 
 // Upstream sends a request to an instance. upstream.Client implements it.
 type Upstream interface {
 	Do(ctx context.Context, request *upstream.Request) (*upstream.Response, error)
-	// HasEnded reports whether the process that the request was sent to has ended.
-	HasEnded(ctx context.Context, request *upstream.Request) bool
+	// Check checks whether the process that the request was sent to still runs.
+	Check(ctx context.Context, request *upstream.Request, look upstream.Look) upstream.Life
 }
--- a/transport/relay/keptconnection_test.go
+++ b/transport/relay/keptconnection_test.go
@@ -30,7 +30,9 @@
 	return nil, &upstream.Error{Stage: upstream.StageDial, Cause: syscall.ECONNREFUSED}
 }
 
-func (unsentUpstream) HasEnded(context.Context, *upstream.Request) bool { return true }
+func (unsentUpstream) Check(context.Context, *upstream.Request, upstream.Look) upstream.Life {
+	return upstream.LifeEnded
+}
 
 // serveOverTCP serves the paths below /r/ of shop.example, with the timeout of their route.
 func serveOverTCP(t *testing.T, timeout time.Duration) (address string) {
--- a/transport/relay/metrics.go
+++ b/transport/relay/metrics.go
@@ -9,14 +9,16 @@
 
 // Metrics holds the Prometheus metrics of a Handler.
 type Metrics struct {
-	requests  *prometheus.CounterVec
-	retries   prometheus.Counter
-	crashes   prometheus.Counter
-	sends     *prometheus.CounterVec
-	limits    *prometheus.CounterVec
-	resumed   *prometheus.CounterVec
-	firstByte *prometheus.HistogramVec
-	duration  *prometheus.HistogramVec
+	requests *prometheus.CounterVec
+	retries  prometheus.Counter
+	crashes  prometheus.Counter
+	sends    *prometheus.CounterVec
+	// unresolved counts sends after which nothing shows whether the back end has ended.
+	unresolved *prometheus.CounterVec
+	limits     *prometheus.CounterVec
+	resumed    *prometheus.CounterVec
+	firstByte  *prometheus.HistogramVec
+	duration   *prometheus.HistogramVec
 }
 
 // NewMetrics creates and registers the metrics.
@@ -39,6 +41,10 @@
 			Name: "marblering_gateway_sends_total",
 			Help: "Requests sent to back ends, once for each attempt, by how that ended.",
 		}, []string{"ended"}),
+		unresolved: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marblering_gateway_unresolved_sends_total",
+			Help: "Sends after which back ends may have ended, by what was found.",
+		}, []string{"found"}),
 		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marblering_gateway_response_limits_total",
 			Help: "Answers of back ends that exceeded a limit, by limit.",
@@ -56,7 +62,7 @@
 			Help: "Time from a request's arrival to the end of its answer.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.retries, m.crashes, m.sends, m.limits, m.resumed, m.firstByte, m.duration)
+	registry.MustRegister(m.requests, m.retries, m.crashes, m.sends, m.unresolved, m.limits, m.resumed, m.firstByte, m.duration)
 	return m
 }
 
--- a/transport/relay/retry.go
+++ b/transport/relay/retry.go
@@ -46,8 +46,8 @@
 	// sends counts the attempts in which the request was sent to an instance, unsent the
 	// others.
 	sends, unsent int
-	// crashes counts the instances that have crashed under the request.
-	crashes int
+	// suspicion is what is known of the sends of the request, those of earlier tries included.
+	suspicion quarantine.Suspicion
 	// maxAttempts is the route's limit of sends, repeatable whether a request that may have
 	// run may be sent again, resumable whether another instance can continue a broken
 	// stream.
@@ -87,7 +87,7 @@
 // be stored after a complete response. A request that wasn't sent is retried at up to
 // maxUnsent other instances. One that may have run is sent again only if its route is
 // repeatable, and one whose response has begun only if its stream is resumable. One under
-// which too many instances have crashed isn't sent to another. The route's attempts and the
+// which too many instances have crashed, or may have, isn't sent to another. The route's attempts and the
 // retry budget limit the additional load.
 func (e attemptResult) next() nextStep {
 	switch {
@@ -98,7 +98,7 @@
 	case e.outcome == unsent,
 		e.outcome == incomplete && !e.repeatable,
 		e.headerWritten && !e.resumable,
-		quarantine.IsQuarantined(e.crashes),
+		quarantine.IsQuarantined(e.suspicion.Suspected),
 		e.sends >= e.maxAttempts:
 		return e.giveUp()
 	}
@@ -125,8 +125,8 @@
 		return abortConnection{result.StreamVersionGone, e.cause}
 	case e.headerWritten:
 		return abortConnection{result.BackendFailed, e.cause}
-	case quarantine.IsQuarantined(e.crashes) && e.mayHaveRun:
-		return sendError{result.Errorf(result.BackendFailed, "%d back ends have ended under the request: %v", e.crashes, e.cause)}
+	case quarantine.IsQuarantined(e.suspicion.Crashes) && e.mayHaveRun:
+		return sendError{result.Errorf(result.BackendFailed, "%d back ends have ended under the request: %v", e.suspicion.Crashes, e.cause)}
 	case e.mayHaveRun && e.isDone:
 		return sendError{result.Errorf(result.BackendTimeout, "no answer within %s", e.timeout)}
 	case e.mayHaveRun:
--- a/transport/relay/retry_test.go
+++ b/transport/relay/retry_test.go
@@ -53,13 +53,13 @@
 			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = incomplete, true, true, true, true
 		}, "retry", result.OK},
 		{"incomplete, too many crashes", func(e *attemptResult) {
-			e.outcome, e.mayHaveRun, e.repeatable, e.crashes = incomplete, true, true, quarantine.MaxCrashes
+			e.outcome, e.mayHaveRun, e.repeatable, e.suspicion.Suspected = incomplete, true, true, quarantine.MaxCrashes
 		}, "send error", result.BackendFailed},
 		{"incomplete, one crash more is allowed", func(e *attemptResult) {
-			e.outcome, e.mayHaveRun, e.repeatable, e.crashes = incomplete, true, true, quarantine.MaxCrashes-1
+			e.outcome, e.mayHaveRun, e.repeatable, e.suspicion.Suspected = incomplete, true, true, quarantine.MaxCrashes-1
 		}, "retry", result.OK},
 		{"broken stream, resumable, too many crashes", func(e *attemptResult) {
-			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable, e.crashes = incomplete, true, true, true, true, quarantine.MaxCrashes
+			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable, e.suspicion.Suspected = incomplete, true, true, true, true, quarantine.MaxCrashes
 		}, "abort", result.BackendFailed},
 		{"broken stream, unsent", func(e *attemptResult) { e.outcome, e.unsent, e.headerWritten = unsent, 1, true }, "retry unsent", result.OK},
 		{"broken stream, version gone", func(e *attemptResult) {
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -22,10 +22,16 @@
 		}
 		if failure := c.reauthorize(); failure != nil {
 			assignment.Release(backend.Inconclusive{})
-			c.finishRevoked(ctx, failure)
+			c.finishRefused(ctx, failure)
 			return
 		}
-		ended, cause := c.tryInstance(ctx, assignment)
+		current := &attempt{assignment: assignment, started: c.handler.options.Now(), id: newSendID()}
+		if failure := c.announceSend(ctx, current); failure != nil {
+			assignment.Release(backend.Inconclusive{})
+			c.finishRefused(ctx, failure)
+			return
+		}
+		ended, cause := c.tryInstance(ctx, current)
 		if ended == delivered {
 			return
 		}
@@ -64,7 +70,7 @@
 		outcome: ended, cause: cause,
 		clientGone: c.request.Context().Err() != nil, isDone: c.isDone(ctx), isStopped: isStopped(ctx),
 		headerWritten: c.response.headerWritten, mayHaveRun: c.attempts.mayHaveRun,
-		sends: c.attempts.sends, unsent: c.attempts.unsent, crashes: c.attempts.crashes,
+		sends: c.attempts.sends, unsent: c.attempts.unsent, suspicion: c.attempts.suspicion,
 		maxAttempts: route.Attempts, repeatable: route.Repeatable(), resumable: route.Resumable,
 		timeout: c.timing.timeout(),
 	}
@@ -91,9 +97,9 @@
 	}
 }
 
-// finishRevoked ends a request whose key is no longer accepted. If an earlier attempt may
-// have run it, the response must not claim that it hasn't.
-func (c *call) finishRevoked(ctx context.Context, failure *result.Error) {
+// finishRefused ends a request that may not be sent any more. If an earlier attempt may have
+// run it, the response must not claim that it hasn't.
+func (c *call) finishRefused(ctx context.Context, failure *result.Error) {
 	if c.attempts.mayHaveRun {
 		c.finish(c.attemptResult(ctx, incomplete, failure).giveUp())
 		return
@@ -102,16 +108,17 @@
 }
 
 // tryInstance makes one attempt and reports its result to the backend pool.
-func (c *call) tryInstance(ctx context.Context, assignment *backend.Assignment) (outcome, error) {
+func (c *call) tryInstance(ctx context.Context, current *attempt) (outcome, error) {
+	assignment := current.assignment
 	c.attempts.instances = append(c.attempts.instances, assignment.Instance.ID)
 	c.attempts.versions = append(c.attempts.versions, assignment.Instance.Version)
-	current := &attempt{assignment: assignment, started: c.handler.options.Now()}
 	c.logSend(assignment)
 	ended, cause := c.exchange(ctx, current)
 	c.attempts.record(ended)
-	c.recordSendEnd(current, c.sendEndOf(ctx, ended, cause), cause)
+	how := c.sendEndOf(ctx, ended, cause)
+	c.recordSendEnd(current, how, cause)
 	c.observeLimit(assignment, cause)
-	c.observeCrash(ctx, current, ended, cause)
+	c.settleSend(ctx, current, how)
 	if c.isDone(ctx) && ended != delivered {
 		ended = abandoned
 	}
@@ -130,7 +137,7 @@
 
 // exchange sends the request to the instance and handles the response by its class.
 func (c *call) exchange(ctx context.Context, current *attempt) (outcome, error) {
-	backendResponse, err := c.handler.options.Upstream.Do(ctx, c.upstreamRequest(current.assignment))
+	backendResponse, err := c.handler.options.Upstream.Do(ctx, c.upstreamRequest(current))
 	if err != nil {
 		return outcomeOfError(err), err
 	}
@@ -150,7 +157,8 @@
 }
 
 // upstreamRequest builds the request to the instance.
-func (c *call) upstreamRequest(assignment *backend.Assignment) *upstream.Request {
+func (c *call) upstreamRequest(current *attempt) *upstream.Request {
+	assignment := current.assignment
 	header := copyEndToEnd(c.request.Header)
 	c.handler.options.HeaderCodec.WriteAttempt(header, AttemptInfo{
 		ID: c.input.info.ID, Tenant: c.tenantName(),
@@ -162,6 +170,7 @@
 		Address: assignment.Instance.Address, Instance: assignment.Instance.ID, Started: assignment.Instance.Started,
 		Method: c.request.Method, Target: c.input.target, Host: c.request.Host,
 		Header: header, Body: c.input.body, ID: c.input.info.ID, Repeatable: c.routing.route.Repeatable(),
+		KeepsSpare: current.isAnnounced,
 	}
 }
 
--- a/transport/relay/unavailable.go
+++ b/transport/relay/unavailable.go
@@ -14,6 +14,8 @@
 	// startupRetryDelay is the delay while the gateway starts or waits for the store. It
 	// is longer, so that a client's few attempts span more than a second.
 	startupRetryDelay = 400 * time.Millisecond
+	// resolveDelay is the delay until the outcome of earlier sends is likely known.
+	resolveDelay = 500 * time.Millisecond
 	// otherGatewayDelay is the delay where any other gateway may serve the request.
 	otherGatewayDelay = 60 * time.Millisecond
 )
@@ -44,6 +46,8 @@
 	busyBackends
 	// noBackend: no backend was available or could be connected to.
 	noBackend
+	// unresolvedSends: too many back ends may have ended under the request.
+	unresolvedSends
 	// stopping: the gateway may end before the response is complete.
 	stopping
 )
@@ -74,6 +78,8 @@
 		return result.NoQuorum, retryDelay
 	case busyBackends:
 		return result.BackendBusy, retryDelay
+	case unresolvedSends:
+		return result.SendsUnresolved, resolveDelay
 	case stopping:
 		return result.Draining, otherGatewayDelay
 	}
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -21,7 +21,9 @@
 	lastReceived atomic.Int64
 	// hosts probes the hosts of backends that stopped sending.
 	hosts *hostProber
-	// endChecks shares concurrent checks of HasEnded.
+	// lives are the processes that there are or were connections to.
+	lives *lives
+	// endChecks shares concurrent checks of one process.
 	endChecks singleflight.Group
 
 	mutex sync.Mutex
@@ -50,7 +52,7 @@
 // NewClient returns a client without connections.
 func NewClient(settings Settings, now func() time.Time) *Client {
 	return &Client{
-		settings: settings, now: now, idle: make(map[endpoint][]*connection), hosts: newHostProber(settings, now),
+		settings: settings, now: now, idle: make(map[endpoint][]*connection), hosts: newHostProber(settings, now), lives: newLives(),
 	}
 }
 
@@ -64,6 +66,7 @@
 func (c *Client) noteReceived(on *connection) {
 	now := c.now().UnixNano()
 	on.lastReceived.Store(now)
+	on.life.lastReceived.Store(now)
 	c.lastReceived.Store(now)
 }
 
@@ -84,8 +87,7 @@
 		}
 		kept.close()
 	}
-	c.dials.Add(1)
-	return dial(ctx, to.address, c.settings, c.noteReceived)
+	return c.dial(ctx, to)
 }
 
 // takeIdle removes an idle connection to the backend from the pool and returns it, or nil
@@ -118,6 +120,7 @@
 // backend allows no idle time.
 func (c *Client) putIdle(to endpoint, kept *connection) {
 	kept.idleSince = c.now()
+	kept.lastUsed.Store(kept.idleSince.UnixNano())
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if len(c.idle[to]) >= c.settings.MaxIdle || kept.idleLimit <= 0 {
@@ -143,6 +146,7 @@
 // CloseIdle closes the connections that have reached their idle limit.
 func (c *Client) CloseIdle() {
 	now := c.now()
+	c.lives.sweep(now)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for to, idle := range c.idle {
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -32,6 +34,14 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	head   headLimit
+	// life is the process that it leads to, opened when it was opened.
+	life   *life
+	opened time.Time
+	// isClosed is set once this process has closed it.
+	isClosed atomic.Bool
+	// closedAt is when the peer was first seen to have closed it, lastUsed when an exchange
+	// last ended on it or it was opened, in nanoseconds since the Unix epoch; zero for never.
+	closedAt, lastUsed atomic.Int64
 	// idleSince is when the last exchange ended.
 	// idleLimit is how long after idleSince the connection may be reused.
 	idleSince time.Time
@@ -41,26 +51,32 @@
 	lastReceived atomic.Int64
 }
 
-func dial(ctx context.Context, address string, settings Settings, onReceive func(*connection)) (*connection, error) {
-	dialer := socket.KeepAliveDialer(settings.DialTimeout, settings.UnacknowledgedTimeout)
-	opened, err := dialer.DialContext(ctx, "tcp", address)
+// dial opens a connection to the process.
+func (c *Client) dial(ctx context.Context, to endpoint) (*connection, error) {
+	c.dials.Add(1)
+	dialer := socket.KeepAliveDialer(c.settings.DialTimeout, c.settings.UnacknowledgedTimeout)
+	opened, err := dialer.DialContext(ctx, "tcp", to.address)
 	if err != nil {
 		return nil, err
 	}
 	created := &connection{
 		socket:    opened.(*net.TCPConn),
 		writer:    bufio.NewWriterSize(opened, writeBufferBytes),
-		idleLimit: settings.IdleTimeout,
+		idleLimit: c.settings.IdleTimeout,
+		life:      c.lives.of(to),
+		opened:    c.now(),
 	}
-	created.reader = bufio.NewReaderSize(receiveNotifier{created, onReceive}, readBufferBytes)
+	created.reader = bufio.NewReaderSize(receiveNotifier{created, c}, readBufferBytes)
+	created.lastUsed.Store(created.opened.UnixNano())
+	created.life.add(created)
 	return created, nil
 }
 
-// receiveNotifier reads from a connection within the limit of a head, and calls onReceive
-// after each read that returned bytes.
+// receiveNotifier reads from a connection within the limit of a head. It notes each read that
+// returned bytes, and the end that the peer has made of the connection.
 type receiveNotifier struct {
 	connection *connection
-	onReceive  func(*connection)
+	client     *Client
 }
 
 // Read implements io.Reader.
@@ -72,7 +88,10 @@
 	count, err := r.connection.socket.Read(buffer)
 	r.connection.head.read += count
 	if count > 0 {
-		r.onReceive(r.connection)
+		r.client.noteReceived(r.connection)
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !r.connection.isClosed.Load() {
+		r.connection.life.noteBroken(r.connection.opened, r.client.now())
 	}
 	return count, err
 }
@@ -112,4 +131,8 @@
 	}
 }
 
-func (c *connection) close() { _ = c.socket.Close() }
+func (c *connection) close() {
+	c.isClosed.Store(true)
+	c.life.remove(c)
+	_ = c.socket.Close()
+}
--- a/transport/upstream/ended.go
+++ b/transport/upstream/ended.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"os"
 	"syscall"
 	"time"
@@ -18,34 +19,40 @@
 	maxEndProbes = 3
 )
 
-// HasEnded reports whether the process that the request was sent to has ended: its address
-// refuses connections. Concurrent calls share one check. A connection that the process
-// accepts is kept for later requests.
-func (c *Client) HasEnded(ctx context.Context, request *Request) bool {
-	to := endpointOf(request)
-	ended, _, _ := c.endChecks.Do(to.String(), func() (any, error) { return c.refusesConnections(ctx, to), nil })
-	return ended.(bool)
+// probeEnd connects to the address until a connection is refused, hangs or stays open. Concurrent
+// calls share one probe. A connection that the process accepts is kept for later requests. A
+// process that is overloaded may close connections as well, so that isn't its end.
+func (c *Client) probeEnd(ctx context.Context, to endpoint) Life {
+	found, _, _ := c.endChecks.Do(to.String(), func() (any, error) { return c.connectToEnded(ctx, to), nil })
+	return found.(Life)
 }
 
-// refusesConnections connects to the address until a connection is refused or stays open.
-// A process that is overloaded may close connections as well, so that isn't its end.
-func (c *Client) refusesConnections(ctx context.Context, to endpoint) bool {
+func (c *Client) connectToEnded(ctx context.Context, to endpoint) Life {
 	for range maxEndProbes {
-		c.dials.Add(1)
-		opened, err := dial(ctx, to.address, c.settings, c.noteReceived)
-		if err != nil {
-			return errors.Is(err, syscall.ECONNREFUSED)
+		opened, err := c.dial(ctx, to)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return LifeEnded
+		case isTimeout(err) || errors.Is(err, syscall.EHOSTUNREACH):
+			return LifeSilent
+		case err != nil:
+			return LifeUnclear
 		}
 		if opened.staysOpen(endGrace) {
 			c.putIdle(to, opened)
-			return false
+			return LifeUnclear
 		}
 		opened.close()
 		if sleep.For(ctx, endGrace) != nil {
-			return false
+			return LifeUnclear
 		}
 	}
-	return false
+	return LifeUnclear
+}
+
+func isTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
 }
 
 // staysOpen reports whether the peer leaves a new connection open for the time. A peer that
--- a/transport/upstream/ended_test.go
+++ b/transport/upstream/ended_test.go
@@ -35,6 +35,12 @@
 
 func newEndClient() *Client { return NewClient(DefaultSettings(), time.Now) }
 
+// hasEnded reports whether the process that has just broken an exchange has ended.
+func hasEnded(t *testing.T, client *Client, request *Request) bool {
+	t.Helper()
+	return client.Check(t.Context(), request, Look{EndedAt: time.Now(), IsBroken: true}) == LifeEnded
+}
+
 // TestOnlyRefusedConnectionsShowAnEnd guards against taking a process that is overloaded or
 // loses responses for one that has ended.
 func TestOnlyRefusedConnectionsShowAnEnd(t *testing.T) {
@@ -43,9 +49,9 @@
 	for name, handle := range map[string]func(int, net.Conn){"accepted": leaveOpen, "closed": closeAll} {
 		t.Run(name, func(t *testing.T) {
 			listener := listen(t, handle)
-			assert.Assert(t, !newEndClient().HasEnded(t.Context(), requestTo(listener)))
+			assert.Assert(t, !hasEnded(t, newEndClient(), requestTo(listener)))
 			assert.NilError(t, listener.Close())
-			assert.Assert(t, newEndClient().HasEnded(t.Context(), requestTo(listener)))
+			assert.Assert(t, hasEnded(t, newEndClient(), requestTo(listener)))
 		})
 	}
 }
@@ -61,7 +67,7 @@
 		_ = opened.Close()
 	})
 	close(ready)
-	assert.Assert(t, newEndClient().HasEnded(t.Context(), requestTo(listener)))
+	assert.Assert(t, hasEnded(t, newEndClient(), requestTo(listener)))
 }
 
 // TestConnectionOfEndCheckIsReused guards against a connection for each lost response.
@@ -70,7 +76,7 @@
 	client, request := newEndClient(), requestTo(listener)
 	var checks sync.WaitGroup
 	for range 8 {
-		checks.Go(func() { assert.Check(t, !client.HasEnded(t.Context(), request)) })
+		checks.Go(func() { assert.Check(t, !hasEnded(t, client, request)) })
 	}
 	checks.Wait()
 	dials := client.Dials()
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
+	if request.KeepsSpare {
+		c.keepSpare(ctx, to, opened)
+	}
 	current := &exchange{client: c, endpoint: to, connection: opened, written: make(chan struct{})}
 	current.stopContextWatch = context.AfterFunc(ctx, opened.close)
 	current.deadline, _ = ctx.Deadline()
--- /dev/null
+++ b/transport/upstream/life.go
@@ -0,0 +1,237 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// endSkew is how far apart the connections of a process break that ends.
+	endSkew = 50 * time.Millisecond
+	// minIdleClose is the shortest time after which a process closes a connection because it
+	// is idle.
+	minIdleClose = time.Second
+	// lifeRetention is how long a process without connections is remembered.
+	lifeRetention = time.Minute
+)
+
+// Life is what a check has shown of the process that a request was sent to.
+type Life int
+
+const (
+	// LifeUnclear: its address takes connections, but nothing shows that these lead to the
+	// same process.
+	LifeUnclear Life = iota
+	// LifeContinues: it has kept a connection, or has sent something since.
+	LifeContinues
+	// LifeEnded: its address refuses connections, or all of its connections have broken.
+	LifeEnded
+	// LifeSilent: connections to it hang.
+	LifeSilent
+)
+
+// String returns the name of the result for log lines.
+func (l Life) String() string {
+	return [...]string{LifeUnclear: "unclear", LifeContinues: "continues", LifeEnded: "ended", LifeSilent: "silent"}[l]
+}
+
+// life is what the client has seen of one process. It is safe for concurrent use.
+type life struct {
+	// lastReceived is when the process last sent something, in nanoseconds since the Unix
+	// epoch.
+	lastReceived atomic.Int64
+
+	mutex sync.Mutex
+	open  map[*connection]struct{}
+	// breaks are the last connections that the process broke, the newest first.
+	breaks [4]connectionBreak
+}
+
+// connectionBreak is the end that a process has made of a connection.
+type connectionBreak struct{ opened, at time.Time }
+
+// lives are the processes that the client has connected to. They are safe for concurrent use.
+type lives struct {
+	mutex sync.Mutex
+	known map[endpoint]*life
+}
+
+func newLives() *lives { return &lives{known: make(map[endpoint]*life)} }
+
+func (l *lives) of(to endpoint) *life {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := l.known[to]
+	if known == nil {
+		known = &life{open: make(map[*connection]struct{})}
+		l.known[to] = known
+	}
+	return known
+}
+
+// sweep forgets processes that had no connection for lifeRetention.
+func (l *lives) sweep(now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for to, known := range l.known {
+		if known.isIdle(now) {
+			delete(l.known, to)
+		}
+	}
+}
+
+func (l *life) isIdle(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.open) == 0 && now.Sub(time.Unix(0, l.lastReceived.Load())) >= lifeRetention
+}
+
+func (l *life) add(opened *connection) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.open[opened] = struct{}{}
+}
+
+func (l *life) remove(closed *connection) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.open, closed)
+}
+
+// noteBroken notes that the process has broken a connection.
+func (l *life) noteBroken(opened, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	copy(l.breaks[1:], l.breaks[:])
+	l.breaks[0] = connectionBreak{opened: opened, at: now}
+}
+
+func (l *life) hasReceivedSince(then time.Time) bool { return l.lastReceived.Load() >= then.UnixNano() }
+
+// hasOpen reports whether the process has connections, other than the one, that are open.
+func (l *life) hasOpen(other *connection) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for candidate := range l.open {
+		if candidate != other && candidate.isOpen() {
+			return true
+		}
+	}
+	return false
+}
+
+// keptOrBroke returns how many connections opened before the time are still open, and when the
+// process has broken some since. Those that it has closed right after they were opened, or
+// because they were idle, don't count.
+func (l *life) keptOrBroke(then, now time.Time) (kept int, broke []time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for candidate := range l.open {
+		if candidate.isOpen() {
+			if candidate.opened.Before(then) {
+				kept++
+			}
+			continue
+		}
+		if at := candidate.noteClosed(now); at.Sub(candidate.lastUse()) < minIdleClose {
+			broke = append(broke, at)
+		}
+	}
+	for _, one := range l.breaks {
+		if one.at.After(then.Add(-endSkew)) && one.at.Sub(one.opened) > maxEndProbes*endGrace {
+			broke = append(broke, one.at)
+		}
+	}
+	return kept, broke
+}
+
+// brokeTogether reports whether two connections broke at the same time, as they do at the end
+// of a process.
+func brokeTogether(broke []time.Time) bool {
+	for index, one := range broke {
+		for _, other := range broke[index+1:] {
+			if one.Sub(other).Abs() <= endSkew {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// noteClosed returns when the connection was first seen to be closed by the peer.
+func (c *connection) noteClosed(now time.Time) time.Time {
+	c.closedAt.CompareAndSwap(0, now.UnixNano())
+	return time.Unix(0, c.closedAt.Load())
+}
+
+// lastUse returns when an exchange last ended on the connection, or when it was opened.
+func (c *connection) lastUse() time.Time { return time.Unix(0, c.lastUsed.Load()) }
+
+// isOpen reports whether the peer hasn't closed the connection. An exchange may use it.
+func (c *connection) isOpen() bool {
+	raw, err := c.socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	var peeked [1]byte
+	err = raw.Control(func(descriptor uintptr) {
+		count, _, failure := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = failure == syscall.EAGAIN || failure == nil && count > 0
+	})
+	return err == nil && open
+}
+
+// Look tells how the exchange of a request ended, and how to look for its process.
+type Look struct {
+	// EndedAt is when the exchange ended, IsBroken that the process broke it.
+	EndedAt  time.Time
+	IsBroken bool
+	// HeardSince is the time since which a byte from the process shows that it runs; zero if
+	// none does.
+	HeardSince time.Time
+	// IsPassive spares another connection to the process while there is an open one and none
+	// has broken.
+	IsPassive bool
+}
+
+// Check checks whether the process that a request was sent to still runs. It connects to its
+// address, and looks at the other connections that the process had when the exchange ended.
+func (c *Client) Check(ctx context.Context, request *Request, look Look) Life {
+	to := endpointOf(request)
+	known := c.lives.of(to)
+	_, broke := known.keptOrBroke(look.EndedAt, c.now())
+	isHeard := !look.HeardSince.IsZero() && known.hasReceivedSince(look.HeardSince)
+	if !look.IsBroken && len(broke) == 0 && (look.IsPassive || isHeard) && known.hasOpen(nil) {
+		return LifeContinues
+	}
+	if found := c.probeEnd(ctx, to); found != LifeUnclear {
+		return found
+	}
+	kept, broke := known.keptOrBroke(look.EndedAt, c.now())
+	switch {
+	case kept > 0:
+		return LifeContinues
+	case brokeTogether(broke):
+		return LifeEnded
+	case look.IsBroken || len(broke) > 0:
+		return LifeUnclear
+	}
+	return LifeContinues
+}
+
+// keepSpare opens another connection to the process unless there is one besides that in use.
+// Whether it breaks as well tells the end of the process from a lost response.
+func (c *Client) keepSpare(ctx context.Context, to endpoint, inUse *connection) {
+	if c.lives.of(to).hasOpen(inUse) {
+		return
+	}
+	spare, err := c.dial(ctx, to)
+	if err != nil {
+		return
+	}
+	c.putIdle(to, spare)
+}
--- a/transport/upstream/reachability.go
+++ b/transport/upstream/reachability.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -45,8 +44,7 @@
 		_ = opened.Close()
 		return true
 	}
-	var failure net.Error
-	return !errors.As(err, &failure) || !failure.Timeout()
+	return !isTimeout(err)
 }
 
 // isReachable reports whether the backend's host is reachable. Concurrent calls share one
--- a/transport/upstream/request.go
+++ b/transport/upstream/request.go
@@ -30,6 +30,9 @@
 	// Repeatable is set if the caller may retry the request. Only then is the exchange
 	// aborted early when the backend's host becomes unreachable.
 	Repeatable bool
+	// KeepsSpare is set if the process may end under the request. There is a second
+	// connection to it then, which shows whether it has.
+	KeepsSpare bool
 }
 
 // write sends the request, in a single write if it fits the buffer.
