Spend less on sends without an outcome, and tell lost gateways from running ones

Change: an unreachable instance isn't checked again before the retry, this try knows of it at once and others before the answer; watched sends share probes; followers are told 3 ms after the first change, and of dropped sends with the next one. An open send counts in a row with later ones once its gateway's connection is lost or its time is over.

Tests: a model of sends without an outcome, rows, processes under one id, lapses; checks of processes by their other connections.

--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -209,6 +209,7 @@
 // note notes a send at all members. It returns what they know without it and with it.
 func (c *Client) note(ctx context.Context, send Send) (before, after Suspicion, isConfirmed bool) {
 	began := c.now()
+	send.Gateway = c.id
 	noting, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (reply, error) {
 		before, after, err := c.nodes.NoteSend(noting, address, send)
--- a/coordination/quarantine/pending.go
+++ b/coordination/quarantine/pending.go
@@ -8,31 +8,37 @@
 const (
 	// maxPending is the number of sends without an outcome that are kept of a request.
 	maxPending = 16
-	// openEnd is how far ahead the end of a send under way is placed, so that it is the last
-	// one of a row, and that of a process that may still run.
-	openEnd = time.Hour
+	// openGrace is how long an open send counts after the time that its exchange may take: its
+	// gateway has ended or stands still.
+	openGrace = 5 * time.Second
+	// unseen is how far ahead the end of a process is placed that may still run.
+	unseen = time.Hour
 )
 
 // pendingSend is a send whose outcome isn't known.
 type pendingSend struct {
 	end
+	gateway FollowerID
 	isOpen  bool
 	expires time.Time
 }
 
+// newPendingSend returns the send as it is noted. The exchange of an open one counts as ended
+// when its time is over, so that tries made before then aren't in a row with it.
 func newPendingSend(send Send, now time.Time) pendingSend {
+	lifetime := min(send.Lifetime, suspectLifetime)
 	noted := pendingSend{
 		end: end{
 			send: send.ID, instance: send.Instance, sent: now.Add(-send.SentAgo), ended: now.Add(-send.EndedAgo),
 		},
-		isOpen: send.IsOpen, expires: now.Add(min(send.Lifetime, suspectLifetime)),
+		gateway: send.Gateway, isOpen: send.IsOpen, expires: now.Add(lifetime),
 	}
 	if send.IsOpen {
-		noted.ended = now.Add(openEnd)
+		noted.ended, noted.expires = now.Add(lifetime), now.Add(lifetime+openGrace)
 	}
 	noted.seen = noted.ended
 	if !send.IsBroken {
-		noted.seen = now.Add(openEnd)
+		noted.seen = now.Add(unseen)
 	}
 	return noted
 }
@@ -60,6 +66,18 @@
 	return slices.DeleteFunc(slices.Clone(p), func(send pendingSend) bool { return !now.Before(send.expires) })
 }
 
+// endThoseOf ends the open sends of a gateway that has ended, and reports whether there are
+// any.
+func (p pendingSends) endThoseOf(gateway FollowerID, now time.Time) (isAny bool) {
+	for index := range p {
+		if p[index].isOpen && p[index].gateway == gateway {
+			p[index].isOpen, p[index].ended = false, now
+			isAny = true
+		}
+	}
+	return isAny
+}
+
 // extendThoseBefore keeps the sends whose exchanges ended before the try that was sent under
 // the end: an instance that ends later in the row makes it likely that theirs did as well.
 func (p pendingSends) extendThoseBefore(later end, until time.Time) {
--- /dev/null
+++ b/coordination/quarantine/pending_test.go
@@ -0,0 +1,104 @@
+package quarantine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// sendAt is a send to an instance whose exchange has ended after the time.
+func sendAt(id SendID, instance string, took time.Duration) Send {
+	return Send{Fingerprint: request, ID: id, Instance: instance, SentAgo: took, Lifetime: time.Minute}
+}
+
+// TestSendsWithoutOutcomeCountUntilResolved guards against a send that counts after its instance
+// has shown that it runs, or doesn't count before.
+func TestSendsWithoutOutcomeCountUntilResolved(t *testing.T) {
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	before, after := table.NoteSend(sendAt(1, "i-1", time.Second))
+	assert.Equal(t, before.Suspected, 0)
+	assert.Equal(t, after.Suspected, 1)
+	assert.Equal(t, after.Crashes, 0)
+	c.now = c.now.Add(time.Second)
+	_, after = table.NoteSend(sendAt(2, "i-2", time.Second))
+	assert.Equal(t, after.Suspected, 2)
+	table.DropSend(request, 1)
+	assert.Equal(t, table.Find(request).Suspected, 1)
+	table.DropSend(request, 2)
+	assert.DeepEqual(t, table.Find(request), Record{Fingerprint: request, IsResolved: true})
+}
+
+// TestSendsAtOneProcessCountOnce guards against a harmless request that is refused since its
+// client left one instance several times.
+func TestSendsAtOneProcessCountOnce(t *testing.T) {
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	for id := range SendID(3) {
+		c.now = c.now.Add(time.Second)
+		_, after := table.NoteSend(sendAt(id+1, "i-1", 100*time.Millisecond))
+		assert.Equal(t, after.Suspected, 1)
+	}
+	for id := range SendID(3) {
+		crash := crashAt("i-1", time.Duration(3-id)*time.Second)
+		crash.Send, crash.EndedAgo = id+1, crash.SentAgo-100*time.Millisecond
+		crash.SeenAfter = crash.EndedAgo
+		assert.Equal(t, table.Report(crash).Crashes, 1)
+	}
+}
+
+// TestProcessesOfOneInstanceCountEach guards against an instance that starts again under its id
+// and ends under the same request without being counted.
+func TestProcessesOfOneInstanceCountEach(t *testing.T) {
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	for id := range SendID(MaxCrashes) {
+		c.now = c.now.Add(50 * time.Millisecond)
+		crash := crashAt("i-1", 10*time.Millisecond)
+		crash.Send = id + 1
+		assert.Equal(t, table.Report(crash).Crashes, int(id)+1)
+		assert.Equal(t, table.Report(crash).Crashes, int(id)+1, "reported again")
+	}
+}
+
+// TestOpenSendsOfLostGatewayCount guards against a request that is sent on after the gateway of
+// an open send has ended, and against counting parallel sends of several clients in a row.
+func TestOpenSendsOfLostGatewayCount(t *testing.T) {
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	for id := range SendID(2) {
+		open := sendAt(id+1, "i-1", 0)
+		open.IsOpen, open.Gateway = true, 7
+		if id > 0 {
+			open.Instance, open.Gateway = "i-2", 8
+		}
+		_, after := table.NoteSend(open)
+		assert.Equal(t, after.Suspected, 1, "both are under way")
+	}
+	lost, cancel := context.WithCancel(t.Context())
+	cancel()
+	table.Watch(lost, 7, Cursor{}, 0)
+	c.now = c.now.Add(10 * time.Millisecond)
+	_, after := table.NoteSend(sendAt(3, "i-3", 0))
+	assert.Equal(t, after.Suspected, 2)
+}
+
+// TestSuspicionLapses guards against a request that is refused for ever, and against one that
+// forgets a silent end while later ones are seen.
+func TestSuspicionLapses(t *testing.T) {
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	silent := sendAt(1, "i-1", time.Second)
+	silent.Lifetime = 10 * time.Second
+	table.NoteSend(silent)
+	c.now = c.now.Add(9 * time.Second)
+	crash := crashAt("i-2", time.Second)
+	crash.Send = 2
+	assert.Equal(t, table.Report(crash).Suspected, 2)
+	c.now = c.now.Add(30 * time.Second)
+	assert.Equal(t, table.Find(request).Suspected, 2, "kept with the crash after it")
+	c.now = c.now.Add(suspectLifetime)
+	assert.DeepEqual(t, table.Find(request).Suspicion, Suspicion{})
+}
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -54,8 +54,11 @@
 	IsOpen bool
 	// IsBroken is set if the instance has ended with the exchange if it has ended.
 	IsBroken bool
-	// Lifetime is how long the send counts unless its outcome becomes known.
+	// Lifetime is how long the send counts unless its outcome becomes known; for an open one,
+	// how long the exchange may go on.
 	Lifetime time.Duration
+	// Gateway is the gateway that made it. The client sets it.
+	Gateway FollowerID
 }
 
 // Suspicion is what is known of the earlier sends of a request.
--- /dev/null
+++ b/coordination/quarantine/sendmodel_test.go
@@ -0,0 +1,117 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// sendModel is a client whose tries come to any gateway, one after the other. Instances end
+// under them in every way, and gateways are killed with sends open. One storage node at most
+// loses messages now and then: what is noted reaches all others.
+type sendModel struct {
+	*rapid.T
+	cluster  *cluster
+	gateways []*Client
+	request  Fingerprint
+	// lossy is the storage node that loses messages.
+	lossy string
+	sends int
+	// ended counts the instances that have ended since a try was completed, unknowable those
+	// under sends that were not announced, of gateways that were killed.
+	ended, unknowable int
+}
+
+// drawLoss draws whether the next messages to the lossy node, or its answers, are lost.
+func (m *sendModel) drawLoss() {
+	kind := rapid.IntRange(0, 2).Draw(m.T, "loss")
+	m.cluster.lose = func(address string) (bool, bool) {
+		return address == m.lossy && kind == 1, address == m.lossy && kind == 2
+	}
+}
+
+func (m *sendModel) pass(most int) {
+	m.cluster.now = m.cluster.now.Add(time.Duration(rapid.IntRange(1, most).Draw(m.T, "ms")) * time.Millisecond)
+}
+
+// try sends the request unless it is refused.
+func (m *sendModel) try() {
+	index := rapid.IntRange(0, len(m.gateways)-1).Draw(m.T, "gateway")
+	gateway := m.gateways[index]
+	m.drawLoss()
+	known := gateway.Suspicion(m.Context(), m.request)
+	gateway.running.Wait()
+	if IsQuarantined(known.Suspected) {
+		return
+	}
+	m.sends++
+	send := Send{
+		Fingerprint: m.request, ID: SendID(m.sends), Instance: fmt.Sprint("i-", m.sends), IsOpen: true, Lifetime: suspectLifetime,
+	}
+	before, isAnnounced := gateway.Announce(m.Context(), send, known)
+	gateway.running.Wait()
+	if isAnnounced && IsQuarantined(before.Suspected) {
+		gateway.Drop(m.Context(), send.Fingerprint, send.ID)
+		gateway.running.Wait()
+		return
+	}
+	sentAt := m.cluster.now
+	m.pass(100)
+	m.drawLoss()
+	m.settle(index, send, sentAt, isAnnounced)
+	gateway.running.Wait()
+	m.pass(100)
+}
+
+// settle draws what becomes of a send.
+func (m *sendModel) settle(index int, send Send, sentAt time.Time, isAnnounced bool) {
+	gateway := m.gateways[index]
+	sentAgo := m.cluster.now.Sub(sentAt)
+	switch rapid.SampledFrom([]string{"crashes", "silent", "killed", "runs on", "completed"}).Draw(m.T, "outcome") {
+	case "crashes":
+		m.ended++
+		gateway.Report(m.Context(), Crash{Fingerprint: m.request, Send: send.ID, Instance: send.Instance, SentAgo: sentAgo})
+	case "silent":
+		m.ended++
+		send.SentAgo, send.IsOpen = sentAgo, false
+		gateway.Unresolve(m.Context(), send)
+	case "killed":
+		m.ended++
+		if !isAnnounced {
+			m.unknowable++
+		}
+		for _, table := range m.cluster.tables {
+			lost, cancel := context.WithCancel(m.Context())
+			cancel()
+			table.Watch(lost, gateway.id, Cursor{}, 0)
+		}
+		m.gateways[index] = newGateway(m.cluster)
+	case "runs on":
+		if isAnnounced {
+			gateway.Drop(m.Context(), send.Fingerprint, send.ID)
+		}
+	case "completed":
+		gateway.Completed(m.Context(), m.request)
+		m.ended, m.unknowable = 0, 0
+	}
+}
+
+// TestSendsWithoutOutcomeAreBounded guards against a request that is sent on after as many
+// instances as may have ended under it, whether that was seen or not.
+func TestSendsWithoutOutcomeAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &sendModel{T: t, cluster: newCluster(3), request: FingerprintOf([]byte("request"))}
+		m.lossy = rapid.SampledFrom(m.cluster.members).Draw(t, "lossy node")
+		for range rapid.IntRange(1, 4).Draw(t, "gateways") {
+			m.gateways = append(m.gateways, newGateway(m.cluster))
+		}
+		for range 30 {
+			m.try()
+			assert.Assert(t, m.ended <= MaxCrashes+m.unknowable, "%d instances have ended, %d of them unknowably", m.ended, m.unknowable)
+		}
+	})
+}
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -17,6 +17,8 @@
 	// followerTimeout is how long after the answer to its last call a follower is waited
 	// for. Those that run call again at once.
 	followerTimeout = time.Second
+	// followerPause is how long further changes are waited for before followers are told.
+	followerPause = 3 * time.Millisecond
 	// followerPollInterval is the pause between two looks at what followers have.
 	followerPollInterval = time.Millisecond
 )
@@ -151,7 +153,9 @@
 	}
 	known.pending = left
 	known.isResolved = known.crashes == 0
-	t.noteChange(known)
+	// Followers ask before they refuse a request, so they needn't be told at once.
+	t.change++
+	known.change = t.change
 }
 
 // Clear forgets the crashes and sends of a request of which a try was completed.
@@ -228,6 +232,8 @@
 		}
 		select {
 		case <-changed:
+			// An instance that ends changes the records of all requests on it.
+			_ = sleep.For(ctx, followerPause)
 		case <-deadline.C:
 			return changes
 		case <-ctx.Done():
@@ -253,11 +259,22 @@
 	defer t.mutex.Unlock()
 	if ctx.Err() != nil {
 		delete(t.followers, follower)
+		t.endSendsOf(follower)
 		return
 	}
 	t.followers[follower] = position{change: t.followers[follower].change, told: t.now()}
 }
 
+// endSendsOf ends the exchanges of a gateway whose connection is lost: it has likely ended. The
+// mutex must be held.
+func (t *Table) endSendsOf(gateway FollowerID) {
+	for _, known := range t.entries {
+		if known.pending.endThoseOf(gateway, t.now()) {
+			t.noteChange(known)
+		}
+	}
+}
+
 // AwaitFollowers waits until all followers have the changes made so far, or until the context
 // ends, and returns whether they have.
 func (t *Table) AwaitFollowers(ctx context.Context) bool {
--- a/transport/peer/crash.go
+++ b/transport/peer/crash.go
@@ -50,7 +50,7 @@
 	response, err := c.stubs(address).crashes.NoteSend(ctx, connect.NewRequest(&peerv1.NoteSendRequest{
 		Fingerprint: send.Fingerprint[:], Send: uint64(send.ID), Instance: send.Instance,
 		SentAgoUs: send.SentAgo.Microseconds(), EndedAgoUs: send.EndedAgo.Microseconds(),
-		Open: send.IsOpen, Broken: send.IsBroken, LifetimeMs: send.Lifetime.Milliseconds(),
+		Open: send.IsOpen, Broken: send.IsBroken, Follower: uint64(send.Gateway), LifetimeMs: send.Lifetime.Milliseconds(),
 	}))
 	if err != nil {
 		return quarantine.Record{}, quarantine.Record{}, err
@@ -146,7 +146,7 @@
 		Fingerprint: fingerprint, ID: quarantine.SendID(request.Msg.GetSend()), Instance: request.Msg.GetInstance(),
 		SentAgo:  time.Duration(request.Msg.GetSentAgoUs()) * time.Microsecond,
 		EndedAgo: time.Duration(request.Msg.GetEndedAgoUs()) * time.Microsecond,
-		IsOpen:   request.Msg.GetOpen(), IsBroken: request.Msg.GetBroken(),
+		IsOpen:   request.Msg.GetOpen(), IsBroken: request.Msg.GetBroken(), Gateway: quarantine.FollowerID(request.Msg.GetFollower()),
 		Lifetime: time.Duration(request.Msg.GetLifetimeMs()) * time.Millisecond,
 	})
 	if !request.Msg.GetOpen() {
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/marblering/marblering/coordination/conversation"
@@ -92,6 +93,8 @@
 	// mayHaveRun tells that a backend may have run the request and no complete response was
 	// delivered.
 	mayHaveRun bool
+	// settling are the reports of sends to the other gateways that run.
+	settling sync.WaitGroup
 }
 
 // record adds the outcome of an attempt.
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -20,9 +20,6 @@
 	// maxEndChecks is how often that is checked. The first check may time out because this
 	// process stood still.
 	maxEndChecks = 2
-	// announcedGrace is how long after the deadline of a request an announced send counts
-	// whose gateway has ended.
-	announcedGrace = 5 * time.Second
 	// silentLifetime is how long a send counts whose instance is silent, unclearLifetime one
 	// whose instance may have started again.
 	silentLifetime  = 30 * time.Second
@@ -63,7 +60,7 @@
 		return nil
 	}
 	send := c.send(current)
-	send.IsOpen, send.Lifetime = true, c.timing.deadline.Sub(c.handler.options.Now())+announcedGrace
+	send.IsOpen, send.Lifetime = true, c.timing.deadline.Sub(c.handler.options.Now())
 	before, isAnnounced := crashes.Announce(ctx, send, c.attempts.suspicion)
 	if !isAnnounced {
 		return nil
@@ -111,6 +108,7 @@
 	switch {
 	case how == sendAnswered:
 		if crashes.NeedsCheck() {
+			c.attempts.settling.Wait()
 			crashes.Completed(ctx, c.fingerprint())
 		}
 	case how.hasOutcome():
@@ -119,12 +117,34 @@
 		}
 	case how == sendStopped:
 	default:
-		watched := c.watchedSend(current, how)
-		if how == sendBroken || how == sendUnreachable {
-			c.attempts.suspicion = watched.settle(ctx, c.checkEnd(ctx, watched))
-		}
+		c.settleUnknown(ctx, c.watchedSend(current, how), how)
+	}
+}
+
+// settleUnknown settles a send without an outcome. An end that is seen is reported before the
+// request is tried again. If the instance may have ended, this try knows at once, and other
+// gateways before the client has its answer.
+func (c *call) settleUnknown(ctx context.Context, watched *watchedSend, how sendEnd) {
+	found := upstream.LifeContinues
+	switch how {
+	case sendBroken:
+		found = c.checkEnd(ctx, watched)
+	case sendUnreachable:
+		found = watched.assume(upstream.LifeSilent)
+	}
+	if how != sendBroken && how != sendUnreachable || found == upstream.LifeContinues {
 		c.handler.watcher.add(watched)
+		return
+	}
+	if found == upstream.LifeEnded {
+		c.attempts.suspicion = watched.settle(ctx, found)
+		return
 	}
+	c.attempts.suspicion.Suspected++
+	c.attempts.settling.Go(func() {
+		watched.settle(ctx, found)
+		c.handler.watcher.add(watched)
+	})
 }
 
 // watchedSend returns what the SendWatcher needs to know of a send whose exchange has just
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -87,8 +87,10 @@
 	return last.giveUp()
 }
 
-// finish responds to a request that is given up, or closes its connection.
+// finish responds to a request that is given up, or closes its connection. The next try may
+// come to another gateway, which has to know of this one's sends.
 func (c *call) finish(step nextStep) {
+	c.attempts.settling.Wait()
 	switch step := step.(type) {
 	case sendError:
 		c.fail(step.failure)
--- a/transport/relay/sendwatch.go
+++ b/transport/relay/sendwatch.go
@@ -145,6 +145,9 @@
 	if !isPassive {
 		s.connectedAt = s.checkedAt
 	}
+	if s.elapsed() >= settleTime {
+		look.MaxAge = connectInterval
+	}
 	s.found = s.handler.options.Upstream.Check(ctx, s.process, look)
 	if s.found == upstream.LifeSilent && s.assignment.IsUnlisted() {
 		return upstream.LifeEnded
@@ -152,6 +155,14 @@
 	return s.found
 }
 
+// assume takes what the exchange itself has shown for a check.
+func (s *watchedSend) assume(found upstream.Life) upstream.Life {
+	s.found = found
+	s.checkedAt = s.handler.options.Now()
+	s.connectedAt = s.checkedAt
+	return found
+}
+
 // settle tells the other gateways what a check has found and returns what is known of the
 // request then.
 func (s *watchedSend) settle(ctx context.Context, found upstream.Life) quarantine.Suspicion {
--- a/transport/upstream/ended.go
+++ b/transport/upstream/ended.go
@@ -20,10 +20,18 @@
 )
 
 // probeEnd connects to the address until a connection is refused, hangs or stays open. Concurrent
-// calls share one probe. A connection that the process accepts is kept for later requests. A
+// calls share one probe, and those with a maximum age an earlier one. A connection that the process accepts is kept for later requests. A
 // process that is overloaded may close connections as well, so that isn't its end.
-func (c *Client) probeEnd(ctx context.Context, to endpoint) Life {
-	found, _, _ := c.endChecks.Do(to.String(), func() (any, error) { return c.connectToEnded(ctx, to), nil })
+func (c *Client) probeEnd(ctx context.Context, to endpoint, maxAge time.Duration) Life {
+	known := c.lives.of(to)
+	if found, isKnown := known.probedWithin(maxAge, c.now()); isKnown {
+		return found
+	}
+	found, _, _ := c.endChecks.Do(to.String(), func() (any, error) {
+		found := c.connectToEnded(ctx, to)
+		known.noteProbed(found, c.now())
+		return found, nil
+	})
 	return found.(Life)
 }
 
--- a/transport/upstream/ended_test.go
+++ b/transport/upstream/ended_test.go
@@ -1,13 +1,20 @@
 package upstream
 
 import (
+	"bufio"
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/lab/runner"
+	"github.com/marblering/marblering/test/harness"
 )
 
 // listen accepts connections on a free port, and passes each one and its number to handle.
@@ -85,3 +92,121 @@
 	defer kept.close()
 	assert.Equal(t, client.Dials(), dials)
 }
+
+// answerAll answers each request on a connection until the peer closes it.
+func answerAll(opened net.Conn) {
+	reader := bufio.NewReader(opened)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(opened, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+// accepted collects the connections that a listener has accepted.
+type accepted struct {
+	mutex sync.Mutex
+	all   []net.Conn
+}
+
+func (a *accepted) add(opened net.Conn) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.all = append(a.all, opened)
+}
+
+// reset resets the first connections.
+func (a *accepted) reset(count int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, opened := range a.all[:count] {
+		_ = opened.(*net.TCPConn).SetLinger(0)
+		_ = opened.Close()
+	}
+}
+
+// openTwo exchanges a request on each of two connections, which are then idle.
+func openTwo(t *testing.T, client *Client, request *Request) {
+	t.Helper()
+	var answers []*Response
+	for range 2 {
+		answer, err := client.Do(t.Context(), request)
+		assert.NilError(t, err)
+		answers = append(answers, answer)
+	}
+	for _, answer := range answers {
+		_, err := io.Copy(io.Discard, answer)
+		assert.NilError(t, err)
+	}
+}
+
+// TestOtherConnectionsTellAnEndFromALostResponse guards against an end that isn't seen since
+// another process has the address, and against a lost response that counts as an end.
+func TestOtherConnectionsTellAnEndFromALostResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		broken int
+		idle   time.Duration
+		wanted Life
+	}{
+		"all broke":               {2, 0, LifeEnded},
+		"one is left":             {1, 0, LifeContinues},
+		"all were closed as idle": {2, 2 * minIdleClose, LifeUnclear},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var connections accepted
+			listener := listen(t, func(_ int, opened net.Conn) {
+				connections.add(opened)
+				go answerAll(opened)
+			})
+			var skew atomic.Int64
+			client := NewClient(DefaultSettings(), func() time.Time { return time.Now().Add(time.Duration(skew.Load())) })
+			request := requestTo(listener)
+			openTwo(t, client, request)
+			skew.Store(int64(c.idle))
+			connections.reset(c.broken)
+			harness.Eventually(t, func() (bool, string) {
+				found := client.Check(t.Context(), request, Look{EndedAt: client.now(), IsBroken: true})
+				return found == c.wanted, found.String()
+			})
+		})
+	}
+}
+
+// TestSilentProcessIsFoundSilent guards against taking a process whose connections hang for one
+// that runs, since its open connections look as before.
+func TestSilentProcessIsFoundSilent(t *testing.T) {
+	silent, err := runner.Start("i", 0)
+	assert.NilError(t, err)
+	t.Cleanup(silent.Close)
+	client := newEndClient()
+	request := &Request{Address: silent.Address, Instance: "i", Method: http.MethodGet, Target: "/"}
+	openTwo(t, client, request)
+	look := Look{EndedAt: time.Now()}
+	assert.Equal(t, client.Check(t.Context(), request, look), LifeContinues)
+	silent.EndOn("/", 0, runner.FallsSilent)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = client.Do(ctx, request)
+	assert.Assert(t, err != nil)
+	look.EndedAt = time.Now()
+	harness.Eventually(t, func() (bool, string) {
+		found := client.Check(t.Context(), request, look)
+		return found == LifeSilent, found.String()
+	})
+}
+
+// TestSuspectedRequestKeepsASpareConnection guards against a request of which earlier sends are
+// suspected whose instance has no other connection that could show its end.
+func TestSuspectedRequestKeepsASpareConnection(t *testing.T) {
+	listener := listen(t, func(_ int, opened net.Conn) { go answerAll(opened) })
+	client, request := newEndClient(), requestTo(listener)
+	request.KeepsSpare = true
+	for range 3 {
+		answer, err := client.Do(t.Context(), request)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, answer)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, client.Dials(), uint64(2))
+}
--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -46,6 +46,9 @@
 
 	mutex sync.Mutex
 	open  map[*connection]struct{}
+	// probed is what the last probe has found, at probedAt.
+	probed   Life
+	probedAt time.Time
 	// breaks are the last connections that the process broke, the newest first.
 	breaks [4]connectionBreak
 }
@@ -101,6 +104,19 @@
 	delete(l.open, closed)
 }
 
+// probedWithin returns what a probe has found that is no older than age.
+func (l *life) probedWithin(age time.Duration, now time.Time) (found Life, isKnown bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.probed, age > 0 && !l.probedAt.IsZero() && now.Sub(l.probedAt) < age
+}
+
+func (l *life) noteProbed(found Life, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.probed, l.probedAt = found, now
+}
+
 // noteBroken notes that the process has broken a connection.
 func (l *life) noteBroken(opened, now time.Time) {
 	l.mutex.Lock()
@@ -193,6 +209,9 @@
 	// HeardSince is the time since which a byte from the process shows that it runs; zero if
 	// none does.
 	HeardSince time.Time
+	// MaxAge is how old the result of an earlier connection may be that is taken for that of
+	// another one.
+	MaxAge time.Duration
 	// IsPassive spares another connection to the process while there is an open one and none
 	// has broken.
 	IsPassive bool
@@ -208,7 +227,7 @@
 	if !look.IsBroken && len(broke) == 0 && (look.IsPassive || isHeard) && known.hasOpen(nil) {
 		return LifeContinues
 	}
-	if found := c.probeEnd(ctx, to); found != LifeUnclear {
+	if found := c.probeEnd(ctx, to, look.MaxAge); found != LifeUnclear {
 		return found
 	}
 	kept, broke := known.keptOrBroke(look.EndedAt, c.now())
