Tell followers at once of requests that become suspected only

Cause: each change of a record was pushed to all gateways at once, though one that knows that a request is suspected asks before it sends it.

Change: only the first crash or send of a request, and its completion, wake the followers at once; other changes within 0.1 s.

--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -19,6 +19,9 @@
 	followerTimeout = time.Second
 	// followerPause is how long further changes are waited for before followers are told.
 	followerPause = 3 * time.Millisecond
+	// tellInterval is how long after a change that isn't urgent followers are told at the
+	// latest.
+	tellInterval = 100 * time.Millisecond
 	// followerPollInterval is the pause between two looks at what followers have.
 	followerPollInterval = time.Millisecond
 )
@@ -33,9 +36,12 @@
 
 	mutex   sync.Mutex
 	entries map[Fingerprint]*entry
-	// change is the number of the last change of an entry.
-	change  uint64
-	sweptAt time.Time
+	// change is the number of the last change of an entry, urgent that of the last one that
+	// followers have to know of at once.
+	change, urgent uint64
+	// isTelling is set while followers are to be told of changes that aren't urgent.
+	isTelling bool
+	sweptAt   time.Time
 	// changed is closed with the next change.
 	changed chan struct{}
 	// followers maps those whose call waits, or was answered lately, to what they have.
@@ -95,6 +101,7 @@
 		return known.record(crash.Fingerprint, now), false
 	}
 	known.forgetExpired(now)
+	isFirst := !known.isSuspected()
 	known.pending = known.pending.without(added.isSame)
 	known.pending.extendThoseBefore(added, now.Add(suspectLifetime))
 	known.ends = append(makeRoomFor(known.ends), added)
@@ -102,7 +109,7 @@
 	known.crashes = max(before, len(longestRow(known.ends)), crash.Row)
 	known.isResolved = false
 	known.expires = now.Add(lifetime(known.crashes))
-	t.noteChange(known)
+	t.noteChange(known, isFirst)
 	return known.record(crash.Fingerprint, now), IsQuarantined(known.crashes) && !IsQuarantined(before)
 }
 
@@ -127,6 +134,7 @@
 	t.sweep(now)
 	known := t.entryOf(send.Fingerprint, now)
 	known.forgetExpired(now)
+	isFirst := !known.isSuspected()
 	noted := newPendingSend(send, now)
 	known.pending = known.pending.without(noted.isSame)
 	before = known.record(send.Fingerprint, now)
@@ -135,7 +143,7 @@
 	}
 	known.pending = known.pending.with(noted)
 	known.isResolved = false
-	t.noteChange(known)
+	t.noteChange(known, isFirst)
 	return before, known.record(send.Fingerprint, now)
 }
 
@@ -153,9 +161,7 @@
 	}
 	known.pending = left
 	known.isResolved = known.crashes == 0
-	// Followers ask before they refuse a request, so they needn't be told at once.
-	t.change++
-	known.change = t.change
+	t.noteChange(known, false)
 }
 
 // Clear forgets the crashes and sends of a request of which a try was completed.
@@ -184,7 +190,7 @@
 // clear forgets the crashes of the entry. The mutex must be held.
 func (t *Table) clear(known *entry) {
 	known.ends, known.crashes, known.pending, known.isResolved = nil, 0, nil, false
-	t.noteChange(known)
+	t.noteChange(known, true)
 }
 
 // Find returns the record of the request, or one without crashes.
@@ -270,16 +276,16 @@
 func (t *Table) endSendsOf(gateway FollowerID) {
 	for _, known := range t.entries {
 		if known.pending.endThoseOf(gateway, t.now()) {
-			t.noteChange(known)
+			t.noteChange(known, false)
 		}
 	}
 }
 
-// AwaitFollowers waits until all followers have the changes made so far, or until the context
-// ends, and returns whether they have.
+// AwaitFollowers waits until all followers have the urgent changes made so far, or until the
+// context ends, and returns whether they have.
 func (t *Table) AwaitFollowers(ctx context.Context) bool {
 	t.mutex.Lock()
-	last := t.change
+	last := t.urgent
 	t.mutex.Unlock()
 	for t.isAnyBehind(last) {
 		if sleep.For(ctx, followerPollInterval) != nil {
@@ -380,15 +386,36 @@
 	e.pending = e.pending.unexpired(now)
 }
 
-// noteChange numbers the change of the entry and wakes the waiting calls. The mutex must be
-// held.
-func (t *Table) noteChange(changed *entry) {
+// noteChange numbers the change of the entry and wakes the waiting calls, at once if it is
+// urgent. Followers that know that a request is suspected ask before they send it, so that
+// further changes of its entry aren't. The mutex must be held.
+func (t *Table) noteChange(changed *entry, isUrgent bool) {
 	t.change++
 	changed.change = t.change
+	if isUrgent {
+		t.urgent = t.change
+		t.wakeFollowers()
+		return
+	}
+	if !t.isTelling {
+		t.isTelling = true
+		time.AfterFunc(tellInterval, t.tellFollowers)
+	}
+}
+
+// wakeFollowers wakes the waiting calls. The mutex must be held.
+func (t *Table) wakeFollowers() {
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
 
+func (t *Table) tellFollowers() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.isTelling = false
+	t.wakeFollowers()
+}
+
 // makeRoom drops the entry that expires first if the table is full. The mutex must be held.
 func (t *Table) makeRoom() {
 	if len(t.entries) < maxEntries {
