--- a/test/integration/crashsoak_test.go
+++ b/test/integration/crashsoak_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -10,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/lab/runner"
 )
 
 var (
@@ -29,6 +32,15 @@
 	crashSoakInstances = 10
 	// crashDelay is how long a lethal request runs before its instance crashes.
 	crashDelay = 10 * time.Millisecond
+	// silenceTime is how long the machine of an instance that has fallen silent stays so.
+	silenceTime = 2 * time.Second
+	// knowTime is how long after the end of an exchange, or of its instance, other gateways know
+	// that the instance may have ended.
+	knowTime = 500 * time.Millisecond
+	// watchTime is how long a gateway looks for the end of an instance after an exchange.
+	watchTime = 3200 * time.Millisecond
+	// pauseTime is the longest pause of a gateway.
+	pauseTime = time.Second
 	// crashRestart is how long after a crash another instance takes its place.
 	crashRestart = 600 * time.Millisecond
 )
@@ -49,6 +61,11 @@
 		configuration: crashSoakConfiguration(),
 	})
 	s.lethalText = lethalText
+	patience := func() time.Duration { return lethalDeadline }
+	hasUnseenEnds := seed%2 == 0
+	if hasUnseenEnds {
+		patience = s.drawUnseenEnds(seed)
+	}
 	for range crashSoakInstances {
 		s.addInstance("v1")
 	}
@@ -56,12 +73,17 @@
 	defer stopReplacing()
 	clients := newSoakClients(s, seed)
 	clients.awaitFirstStream(t)
-	lethal := newLethalCallers(s, seed, *crashSoakCallers)
+	lethal := newLethalCallers(s, seed, *crashSoakCallers, patience)
 	s.inject(*crashSoakTime)
 	requests := lethal.stop()
 	total := clients.stop()
 	t.Logf("clients: %d whole, %d given up, %d resumed, %d refused", total.whole, total.givenUp, total.resumed, len(total.quarantined))
-	for _, fault := range append(append(total.faults, judgeLethal(t, s, requests)...), judgeHarmless(s, total.quarantined)...) {
+	faults := append(total.faults, judgeHarmless(s, total.quarantined)...)
+	faults = append(faults, judgeSends(t, s, requests)...)
+	if !hasUnseenEnds {
+		faults = append(faults, judgeLethal(t, s, requests)...)
+	}
+	for _, fault := range faults {
 		t.Error(fault)
 	}
 	assert.Assert(t, total.whole > 0)
@@ -95,7 +117,12 @@
 			case <-time.After(10 * time.Millisecond):
 			}
 			for _, crashed := range s.takeCrashed() {
-				running.Go(func() { s.restart(crashed, stopped) })
+				running.Go(func() {
+					if crashed.ending == runner.FallsSilent {
+						awaitStop(stopped, silenceTime)
+					}
+					s.restart(crashed, stopped)
+				})
 			}
 		}
 	})
@@ -108,21 +135,29 @@
 // restart replaces a crashed instance after a while, unless the test stops before.
 func (s *soakSystem) restart(crashed *soakInstance, stopped <-chan struct{}) {
 	s.closeInstance(crashed)
-	select {
-	case <-stopped:
-	case <-time.After(crashRestart):
+	if !awaitStop(stopped, crashRestart) {
 		s.store.Remove("servers", crashed.Instance)
 		s.addInstance(crashed.version)
 	}
 }
 
+// awaitStop waits for the time and reports whether the test stops before.
+func awaitStop(stopped <-chan struct{}, pause time.Duration) bool {
+	select {
+	case <-stopped:
+		return true
+	case <-time.After(pause):
+		return false
+	}
+}
+
 // takeCrashed takes crashed instances from the list.
 func (s *soakSystem) takeCrashed() (crashed []*soakInstance) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	left := s.instances[:0]
 	for _, instance := range s.instances {
-		if instance.CrashedAt().IsZero() {
+		if instance.CrashedAt().IsZero() || instance.ending == runner.StartsAgain {
 			left = append(left, instance)
 			continue
 		}
@@ -158,6 +193,109 @@
 	return faults
 }
 
+// drawUnseenEnds makes instances end in all ways that a gateway doesn't see at once, and clients
+// leave before their answers. It returns how long the client of a try waits.
+func (s *soakSystem) drawUnseenEnds(seed uint64) (patience func() time.Duration) {
+	var mutex sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 7000))
+	draw := func(count int) int {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return random.IntN(count)
+	}
+	endings := []runner.Ending{runner.Crashes, runner.FallsSilent, runner.StartsAgain, runner.StopsAccepting}
+	delays := []time.Duration{crashDelay, 300 * time.Millisecond}
+	s.drawEnding = func() (runner.Ending, time.Duration) { return endings[draw(len(endings))], delays[draw(len(delays))] }
+	waits := []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, lethalDeadline, lethalDeadline}
+	return func() time.Duration { return waits[draw(len(waits))] }
+}
+
+// lethalRun is a run of a lethal request, which ends its instance.
+type lethalRun struct {
+	instance, id string
+	began, ended time.Time
+}
+
+// judgeSends describes the requests that were sent to an instance after as many as may had
+// ended under them, as far as the gateways could know.
+func judgeSends(t *testing.T, s *soakSystem, requests []*lethalRequest) (faults []string) {
+	sent := make(map[string]int)
+	for _, request := range requests {
+		runs := s.lethalRuns(request)
+		sent[fmt.Sprint(len(runs), " sends")]++
+		for _, run := range runs {
+			known := s.knownEnds(request, runs, run)
+			if len(known) >= maxCrashes {
+				faults = append(faults, fmt.Sprintf("%q was sent to %s by %s at %s after %v had ended under it: %s%s", request.body,
+					run.instance, run.id, run.began.Format(traceTime), known, request.trace, s.logOf(request.program)))
+			}
+		}
+	}
+	t.Logf("%d lethal requests: %v", len(requests), sent)
+	return faults
+}
+
+// lethalRuns returns the runs of the request in order.
+func (s *soakSystem) lethalRuns(request *lethalRequest) (runs []lethalRun) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, instance := range slices.Concat(s.instances, s.closed) {
+		for _, run := range instance.Runs() {
+			if run.Body == request.body {
+				runs = append(runs, lethalRun{instance.Instance, run.ID, run.Began, run.Ended})
+			}
+		}
+	}
+	slices.SortFunc(runs, func(a, b lethalRun) int { return a.began.Compare(b.began) })
+	return runs
+}
+
+// knownEnds returns the processes that had ended under the request when the run began and of
+// which the gateways knew. One whose gateway was disturbed after it sent the request may have
+// told nobody, and sends at the same process count once.
+func (s *soakSystem) knownEnds(request *lethalRequest, runs []lethalRun, current lethalRun) (known []string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	last := make(map[string]time.Time)
+	for _, run := range runs {
+		exchanged, wasDisturbed := s.endOfTry(request, run.id)
+		knownAt := run.ended
+		if run.id != current.id && exchanged.After(knownAt) {
+			knownAt = exchanged
+		}
+		isOneProcess := run.began.Before(last[run.instance])
+		if run.ended.IsZero() || wasDisturbed || isOneProcess || !knownAt.Add(knowTime).Before(current.began) {
+			continue
+		}
+		last[run.instance] = run.ended
+		known = append(known, run.instance)
+	}
+	return known
+}
+
+// endOfTry returns when the client had its answer or left, and whether the gateway was killed,
+// stopped or paused while it could have told others. The mutex must be held.
+func (s *soakSystem) endOfTry(request *lethalRequest, id string) (ended time.Time, wasDisturbed bool) {
+	for _, try := range request.tries {
+		if try.id != id {
+			continue
+		}
+		ended = try.ended
+		for _, life := range s.lives {
+			if life.address == try.address && life.wasDisturbed(try.began.Add(-pauseTime), try.ended.Add(watchTime)) {
+				wasDisturbed = true
+			}
+		}
+	}
+	return ended, wasDisturbed
+}
+
+// wasDisturbed reports whether the gateway was killed, stopped, paused or resumed between both
+// times.
+func (l *gatewayLife) wasDisturbed(from, to time.Time) bool {
+	return slices.ContainsFunc(l.disturbed, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
 // judgeHarmless describes the programs that were refused though fewer instances than may
 // have ended under their streams.
 func judgeHarmless(s *soakSystem, quarantined []string) (faults []string) {
@@ -177,7 +315,7 @@
 	fingerprint := s.fingerprintOf(program)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, instance := range s.closed {
+	for _, instance := range slices.Concat(s.closed, s.instances) {
 		at := instance.CrashedAt()
 		if at.IsZero() {
 			at = instance.closedAt
--- a/test/integration/crashsoakclient_test.go
+++ b/test/integration/crashsoakclient_test.go
@@ -32,22 +32,32 @@
 	answered map[string]time.Time
 	// isRefused is set if the last try was refused for the crashes.
 	isRefused bool
+	// tries are those that were made, in order.
+	tries []lethalTry
 	// trace describes the tries.
 	trace string
 }
 
+// lethalTry is one try of a lethal request.
+type lethalTry struct {
+	id, address  string
+	began, ended time.Time
+}
+
 // lethalCallers are callers whose requests crash instances.
 type lethalCallers struct {
-	soak    *soakSystem
-	stopped chan struct{}
-	running sync.WaitGroup
+	soak *soakSystem
+	// patience returns how long the client of a try waits for its answer.
+	patience func() time.Duration
+	stopped  chan struct{}
+	running  sync.WaitGroup
 
 	mutex    sync.Mutex
 	requests []*lethalRequest
 }
 
-func newLethalCallers(s *soakSystem, seed uint64, count int) *lethalCallers {
-	callers := &lethalCallers{soak: s, stopped: make(chan struct{})}
+func newLethalCallers(s *soakSystem, seed uint64, count int, patience func() time.Duration) *lethalCallers {
+	callers := &lethalCallers{soak: s, patience: patience, stopped: make(chan struct{})}
 	for index := range count {
 		random := rand.New(rand.NewPCG(seed, uint64(5000+index)))
 		callers.running.Go(func() {
@@ -121,6 +131,8 @@
 // try sends the request to the gateway and returns when the client may come back.
 func (c *lethalCallers) try(request *lethalRequest, address, path, id string) (retryAfter time.Duration) {
 	request.trace += fmt.Sprintf("\n  %s %s at %s: ", time.Now().Format(traceTime), id, address)
+	began := time.Now()
+	defer func() { request.tries = append(request.tries, lethalTry{id, address, began, time.Now()}) }()
 	sent, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(request.body))
 	if err != nil {
 		panic(err)
@@ -132,7 +144,7 @@
 	} {
 		sent.Header.Set(name, value)
 	}
-	client := &http.Client{Timeout: lethalDeadline, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: c.patience(), Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(sent)
 	if err != nil {
 		request.unanswered++
--- a/test/integration/soakfaults_test.go
+++ b/test/integration/soakfaults_test.go
@@ -75,6 +75,7 @@
 	}
 	taken := serving[s.random.IntN(len(serving))]
 	s.addresses[taken.index] = ""
+	taken.life.disturbed = append(taken.life.disturbed, time.Now())
 	return taken
 }
 
@@ -110,6 +111,9 @@
 	return func() {
 		g.process.Resume()
 		s.setAddress(g.index, address)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		g.life.disturbed = append(g.life.disturbed, time.Now())
 	}
 }
 
--- a/test/integration/soaksystem_test.go
+++ b/test/integration/soaksystem_test.go
@@ -52,8 +52,10 @@
 	// closed are the instances that have ended.
 	closed  []*soakInstance
 	started int
-	// lethalText is in the body of requests under which instances crash; empty for none.
+	// lethalText is in the body of requests under which instances end; empty for none.
 	lethalText string
+	// drawEnding draws how and when instances end under them; nil if they crash at once.
+	drawEnding func() (runner.Ending, time.Duration)
 	// newest is the number of the newest version.
 	newest int
 	// addresses are the gateways' addresses for callers; empty while they are down.
@@ -76,6 +78,8 @@
 	process *harness.Process
 	// terminated and killed are zero unless it got such a signal.
 	terminated, killed time.Time
+	// disturbed are the times at which it was killed, terminated, paused or resumed.
+	disturbed []time.Time
 	// stopTime receives how long it took to end after the SIGTERM.
 	stopTime chan time.Duration
 }
@@ -83,6 +87,8 @@
 type soakInstance struct {
 	*runner.Runner
 	service, version string
+	// ending is how it ends under a lethal request.
+	ending runner.Ending
 	// closedAt is zero while it runs.
 	closedAt time.Time
 }
@@ -205,8 +211,12 @@
 	assert.NilError(s.t, err)
 	started.Mark = " of " + service.version + strings.Repeat(".", service.padding)
 	started.SetPause(service.pause)
-	started.CrashOn(s.lethalText, crashDelay)
-	added := &soakInstance{Runner: started, service: service.name, version: service.version}
+	ending, delay := runner.Crashes, crashDelay
+	if s.drawEnding != nil {
+		ending, delay = s.drawEnding()
+	}
+	started.EndOn(s.lethalText, delay, ending)
+	added := &soakInstance{Runner: started, service: service.name, version: service.version, ending: ending}
 	s.instances = append(s.instances, added)
 	s.putInstance(added, "ready")
 }
