--- a/transport/relay/sendwatch.go
+++ b/transport/relay/sendwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -199,8 +200,9 @@
 	})
 	s.handler.options.Metrics.crashes.Inc()
 	instance := &s.assignment.Instance
-	s.log("back end ended under request", zap.String("version", instance.Version), zap.Bool("leaving", instance.Leaving),
-		zap.Duration("ran", now.Sub(s.sentAt)), zap.Duration("found_after", s.elapsed()))
+	s.handler.options.Logger.Info("back end ended under request", s.fields(
+		zap.String("version", instance.Version), zap.Bool("leaving", instance.Leaving),
+		zap.Duration("ran", now.Sub(s.sentAt)), zap.Duration("found_after", s.elapsed()))...)
 }
 
 // note notes that nothing shows whether the instance has ended. A send that counts already is
@@ -214,7 +216,7 @@
 	s.send.SentAgo, s.send.EndedAgo, s.send.Lifetime = now.Sub(s.sentAt), now.Sub(s.endedAt), lifetime
 	s.suspicion = s.handler.options.Crashes.Unresolve(ctx, s.send)
 	s.handler.options.Metrics.unresolved.WithLabelValues(found.String()).Inc()
-	s.log("back end may have ended under request", zap.Stringer("found", found), zap.Int("suspected_now", s.suspicion.Suspected))
+	s.handler.options.Logger.Info("back end may have ended under request", s.fields(zap.Stringer("found", found))...)
 }
 
 // drop notes that the instance still runs.
@@ -224,10 +226,12 @@
 	}
 	s.isNoted = false
 	s.handler.options.Crashes.Drop(ctx, s.send.Fingerprint, s.send.ID)
-	s.log("back end still runs after request", zap.Duration("found_after", s.elapsed()))
+	s.handler.options.Logger.Info("back end still runs after request", s.fields(zap.Duration("found_after", s.elapsed()))...)
 }
 
-func (s *watchedSend) log(message string, fields ...zap.Field) {
-	all := append(append([]zap.Field{}, s.logFields...), fields...)
-	s.handler.options.Logger.Info(message, append(all, zap.Int("crashes_now", s.suspicion.Crashes))...)
+// fields returns the log fields of the send with others, and with what is known now.
+func (s *watchedSend) fields(others ...zap.Field) []zap.Field {
+	return slices.Concat(s.logFields, others, []zap.Field{
+		zap.Int("crashes_now", s.suspicion.Crashes), zap.Int("suspected_now", s.suspicion.Suspected),
+	})
 }
