--- /dev/null
+++ b/transport/relay/sendwatch_test.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/coordination/backend"
+	"github.com/marblering/marblering/coordination/quarantine"
+	"github.com/marblering/marblering/test/bubble"
+	"github.com/marblering/marblering/transport/upstream"
+)
+
+// watchedProcess is the process of an instance, by the time since the exchange.
+type watchedProcess struct {
+	Upstream
+	began time.Time
+	at    func(elapsed time.Duration) upstream.Life
+}
+
+func (p *watchedProcess) Check(context.Context, *upstream.Request, upstream.Look) upstream.Life {
+	return p.at(time.Since(p.began))
+}
+
+// recordedCrashes records what is told of a send.
+type recordedCrashes struct {
+	Crashes
+	isSuspected bool
+	told        []string
+}
+
+func (c *recordedCrashes) IsSuspected(quarantine.Fingerprint) bool { return c.isSuspected }
+
+func (c *recordedCrashes) Report(context.Context, quarantine.Crash) (known quarantine.Suspicion) {
+	c.told = append(c.told, "ended")
+	return known
+}
+
+func (c *recordedCrashes) Unresolve(context.Context, quarantine.Send) (known quarantine.Suspicion) {
+	c.told = append(c.told, "unresolved")
+	return known
+}
+
+func (c *recordedCrashes) Drop(context.Context, quarantine.Fingerprint, quarantine.SendID) {
+	c.told = append(c.told, "dropped")
+}
+
+// TestProcessIsWatchedAfterItsClientHasLeft guards against ends that nobody sees since the
+// exchange was over, and against harmless sends that count or cost messages.
+func TestProcessIsWatchedAfterItsClientHasLeft(t *testing.T) {
+	until := func(end time.Duration, before, after upstream.Life) func(time.Duration) upstream.Life {
+		return func(elapsed time.Duration) upstream.Life {
+			if elapsed < end {
+				return before
+			}
+			return after
+		}
+	}
+	const soon, late = 200 * time.Millisecond, 2 * time.Second
+	for name, c := range map[string]struct {
+		process     func(time.Duration) upstream.Life
+		isSuspected bool
+		isLeaving   bool
+		wanted      []string
+	}{
+		"runs on":                   {process: until(soon, upstream.LifeContinues, upstream.LifeContinues)},
+		"runs on, suspected":        {process: until(soon, upstream.LifeContinues, upstream.LifeContinues), isSuspected: true, wanted: []string{"unresolved", "dropped"}},
+		"ends soon":                 {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
+		"ends late":                 {process: until(late, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
+		"leaves as planned":         {process: until(late, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true},
+		"ends while it is to leave": {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true, wanted: []string{"ended"}},
+		"silent, runs on":           {process: until(late, upstream.LifeSilent, upstream.LifeContinues), wanted: []string{"unresolved", "dropped"}},
+		"silent, has ended":         {process: until(10*time.Second, upstream.LifeSilent, upstream.LifeEnded), wanted: []string{"unresolved", "ended"}},
+		"silent":                    {process: until(soon, upstream.LifeSilent, upstream.LifeSilent), wanted: []string{"unresolved"}},
+		"unclear":                   {process: until(soon, upstream.LifeUnclear, upstream.LifeUnclear), wanted: []string{"unresolved"}},
+		"silent, then starts again": {process: until(late, upstream.LifeSilent, upstream.LifeUnclear), wanted: []string{"unresolved"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				crashes := &recordedCrashes{isSuspected: c.isSuspected}
+				pool := backend.NewPool(backend.EjectionPolicy(), time.Now)
+				pool.Replace([]backend.Instance{{ID: "i-1", Service: "app"}})
+				assignment, err := pool.Acquire(backend.Query{Service: "app", Route: "r"})
+				assert.NilError(t, err)
+				pool.Replace([]backend.Instance{{ID: "i-1", Service: "app", Leaving: c.isLeaving}})
+				handler := New(Options{
+					Upstream: &watchedProcess{began: time.Now(), at: c.process}, Crashes: crashes,
+					Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(), Now: time.Now,
+				})
+				watched := &watchedSend{
+					handler: handler, assignment: assignment, process: &upstream.Request{}, sentAt: time.Now(), endedAt: time.Now(),
+				}
+				watched.watch(t.Context())
+				assert.DeepEqual(t, crashes.told, c.wanted)
+				assert.Assert(t, time.Since(watched.endedAt) <= silentWatchTimeout+maxWatchPause)
+			})
+		})
+	}
+}
