Tell processes apart by connections that are older than the send

Change: only connections opened before the request was sent show that its process runs. An end that was suspected counts also at instances that leave.

TestConnectionOpenedAfterTheSendShowsNothing and "silent while it is to leave" of TestProcessIsWatchedAfterItsClientHasLeft fail without it.

--- a/transport/relay/attempt.go
+++ b/transport/relay/attempt.go
@@ -6,12 +6,15 @@
 
 	"github.com/marblering/marblering/coordination/backend"
 	"github.com/marblering/marblering/coordination/quarantine"
+	"github.com/marblering/marblering/transport/upstream"
 )
 
 // attempt is one try of a request at an instance.
 type attempt struct {
 	assignment *backend.Assignment
 	started    time.Time
+	// request is what was sent.
+	request *upstream.Request
 	// id identifies the send among those of all gateways.
 	id quarantine.SendID
 	// known is the number of crashes that were known when it was made.
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -150,13 +150,13 @@
 // watchedSend returns what the SendWatcher needs to know of a send whose exchange has just
 // ended.
 func (c *call) watchedSend(current *attempt, how sendEnd) *watchedSend {
-	request := c.upstreamRequest(current)
+	request := current.request
 	send := c.send(current)
 	send.IsOpen = current.isAnnounced
 	return &watchedSend{
 		handler: c.handler, assignment: current.assignment, send: send, known: current.known,
 		sentAt: current.started, endedAt: c.handler.options.Now(), isBroken: how == sendBroken, isNoted: current.isAnnounced,
-		process:   &upstream.Request{Address: request.Address, Instance: request.Instance, Started: request.Started},
+		process:   &upstream.Request{Address: request.Address, Instance: request.Instance, Started: request.Started, SentAt: request.SentAt},
 		logFields: append(c.crashFields(), lifeFields(&current.assignment.Instance)...),
 		suspicion: c.attempts.suspicion,
 	}
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -139,7 +139,8 @@
 
 // exchange sends the request to the instance and handles the response by its class.
 func (c *call) exchange(ctx context.Context, current *attempt) (outcome, error) {
-	backendResponse, err := c.handler.options.Upstream.Do(ctx, c.upstreamRequest(current))
+	current.request = c.upstreamRequest(current)
+	backendResponse, err := c.handler.options.Upstream.Do(ctx, current.request)
 	if err != nil {
 		return outcomeOfError(err), err
 	}
--- a/transport/relay/sendwatch.go
+++ b/transport/relay/sendwatch.go
@@ -170,9 +170,8 @@
 	isSettled := s.elapsed() >= settleTime
 	switch found {
 	case upstream.LifeEnded:
-		if isSettled && s.assignment.IsLeaving() {
-			s.drop(ctx)
-			s.isOver = true
+		if isSettled && !s.isNoted && s.assignment.IsLeaving() {
+			s.isOver = true // it has left as planned
 			break
 		}
 		s.report(ctx)
--- a/transport/relay/sendwatch_test.go
+++ b/transport/relay/sendwatch_test.go
@@ -67,17 +67,18 @@
 		isLeaving   bool
 		wanted      []string
 	}{
-		"runs on":                   {process: until(soon, upstream.LifeContinues, upstream.LifeContinues)},
-		"runs on, suspected":        {process: until(soon, upstream.LifeContinues, upstream.LifeContinues), isSuspected: true, wanted: []string{"unresolved", "dropped"}},
-		"ends soon":                 {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
-		"ends late":                 {process: until(late, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
-		"leaves as planned":         {process: until(late, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true},
-		"ends while it is to leave": {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true, wanted: []string{"ended"}},
-		"silent, runs on":           {process: until(late, upstream.LifeSilent, upstream.LifeContinues), wanted: []string{"unresolved", "dropped"}},
-		"silent, has ended":         {process: until(10*time.Second, upstream.LifeSilent, upstream.LifeEnded), wanted: []string{"unresolved", "ended"}},
-		"silent":                    {process: until(soon, upstream.LifeSilent, upstream.LifeSilent), wanted: []string{"unresolved"}},
-		"unclear":                   {process: until(soon, upstream.LifeUnclear, upstream.LifeUnclear), wanted: []string{"unresolved"}},
-		"silent, then starts again": {process: until(late, upstream.LifeSilent, upstream.LifeUnclear), wanted: []string{"unresolved"}},
+		"runs on":                     {process: until(soon, upstream.LifeContinues, upstream.LifeContinues)},
+		"runs on, suspected":          {process: until(soon, upstream.LifeContinues, upstream.LifeContinues), isSuspected: true, wanted: []string{"unresolved", "dropped"}},
+		"ends soon":                   {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
+		"ends late":                   {process: until(late, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
+		"leaves as planned":           {process: until(late, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true},
+		"silent while it is to leave": {process: until(late, upstream.LifeSilent, upstream.LifeEnded), isLeaving: true, wanted: []string{"unresolved", "ended"}},
+		"ends while it is to leave":   {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true, wanted: []string{"ended"}},
+		"silent, runs on":             {process: until(late, upstream.LifeSilent, upstream.LifeContinues), wanted: []string{"unresolved", "dropped"}},
+		"silent, has ended":           {process: until(10*time.Second, upstream.LifeSilent, upstream.LifeEnded), wanted: []string{"unresolved", "ended"}},
+		"silent":                      {process: until(soon, upstream.LifeSilent, upstream.LifeSilent), wanted: []string{"unresolved"}},
+		"unclear":                     {process: until(soon, upstream.LifeUnclear, upstream.LifeUnclear), wanted: []string{"unresolved"}},
+		"silent, then starts again":   {process: until(late, upstream.LifeSilent, upstream.LifeUnclear), wanted: []string{"unresolved"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
--- a/transport/upstream/ended_test.go
+++ b/transport/upstream/ended_test.go
@@ -163,6 +163,7 @@
 			client := NewClient(DefaultSettings(), func() time.Time { return time.Now().Add(time.Duration(skew.Load())) })
 			request := requestTo(listener)
 			openTwo(t, client, request)
+			request.SentAt = client.now()
 			skew.Store(int64(c.idle))
 			connections.reset(c.broken)
 			harness.Eventually(t, func() (bool, string) {
@@ -210,3 +211,26 @@
 	}
 	assert.Equal(t, client.Dials(), uint64(2))
 }
+
+// TestConnectionOpenedAfterTheSendShowsNothing guards against a restart that isn't seen, since
+// another request has connected to the new process before the break was noticed.
+func TestConnectionOpenedAfterTheSendShowsNothing(t *testing.T) {
+	var connections accepted
+	listener := listen(t, func(_ int, opened net.Conn) {
+		connections.add(opened)
+		go answerAll(opened)
+	})
+	client, request := newEndClient(), requestTo(listener)
+	openTwo(t, client, request)
+	sent := *request
+	sent.SentAt = client.now()
+	time.Sleep(time.Millisecond)
+	connections.reset(2)
+	later, err := client.dial(t.Context(), endpointOf(request))
+	assert.NilError(t, err)
+	client.putIdle(endpointOf(request), later)
+	harness.Eventually(t, func() (bool, string) {
+		found := client.Check(t.Context(), &sent, Look{EndedAt: client.now(), IsBroken: true})
+		return found == LifeEnded, found.String()
+	})
+}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -70,6 +70,7 @@
 	if request.KeepsSpare {
 		c.keepSpare(ctx, to, opened)
 	}
+	request.SentAt = c.now()
 	current := &exchange{client: c, endpoint: to, connection: opened, written: make(chan struct{})}
 	current.stopContextWatch = context.AfterFunc(ctx, opened.close)
 	current.deadline, _ = ctx.Deadline()
--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -139,15 +139,15 @@
 	return false
 }
 
-// keptOrBroke returns how many connections opened before the time are still open, and when the
-// process has broken some since. Those that it has closed right after they were opened, or
+// keptOrBroke returns how many connections opened before the request was sent are still open,
+// and when the process has broken some since its exchange ended. Those that it has closed right after they were opened, or
 // because they were idle, don't count.
-func (l *life) keptOrBroke(then, now time.Time) (kept int, broke []time.Time) {
+func (l *life) keptOrBroke(sent, ended, now time.Time) (kept int, broke []time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for candidate := range l.open {
 		if candidate.isOpen() {
-			if candidate.opened.Before(then) {
+			if !candidate.opened.After(sent) {
 				kept++
 			}
 			continue
@@ -157,7 +157,7 @@
 		}
 	}
 	for _, one := range l.breaks {
-		if one.at.After(then.Add(-endSkew)) && one.at.Sub(one.opened) > maxEndProbes*endGrace {
+		if one.at.After(ended.Add(-endSkew)) && one.at.Sub(one.opened) > maxEndProbes*endGrace {
 			broke = append(broke, one.at)
 		}
 	}
@@ -218,11 +218,12 @@
 }
 
 // Check checks whether the process that a request was sent to still runs. It connects to its
-// address, and looks at the other connections that the process had when the exchange ended.
+// address, and looks at the other connections that the process had when it got the request:
+// later ones may lead to another process.
 func (c *Client) Check(ctx context.Context, request *Request, look Look) Life {
 	to := endpointOf(request)
 	known := c.lives.of(to)
-	_, broke := known.keptOrBroke(look.EndedAt, c.now())
+	_, broke := known.keptOrBroke(request.SentAt, look.EndedAt, c.now())
 	isHeard := !look.HeardSince.IsZero() && known.hasReceivedSince(look.HeardSince)
 	if !look.IsBroken && len(broke) == 0 && (look.IsPassive || isHeard) && known.hasOpen(nil) {
 		return LifeContinues
@@ -230,7 +231,7 @@
 	if found := c.probeEnd(ctx, to, look.MaxAge); found != LifeUnclear {
 		return found
 	}
-	kept, broke := known.keptOrBroke(look.EndedAt, c.now())
+	kept, broke := known.keptOrBroke(request.SentAt, look.EndedAt, c.now())
 	switch {
 	case kept > 0:
 		return LifeContinues
--- a/transport/upstream/request.go
+++ b/transport/upstream/request.go
@@ -33,6 +33,8 @@
 	// KeepsSpare is set if the process may end under the request. There is a second
 	// connection to it then, which shows whether it has.
 	KeepsSpare bool
+	// SentAt is when Do began to send the request; it sets it.
+	SentAt time.Time
 }
 
 // write sends the request, in a single write if it fits the buffer.
