Connect to an instance before a suspected send is dropped

Change: a suspected send is dropped only after a new connection to its instance. "falls silent, suspected" of TestProcessIsWatchedAfterItsClientHasLeft fails without it.

--- a/transport/relay/sendwatch.go
+++ b/transport/relay/sendwatch.go
@@ -125,9 +125,14 @@
 	return watchTimeout
 }
 
-// mayLookPassively reports whether the next check needs no connection to the instance.
+// mayLookPassively reports whether the next check needs no connection to the instance. The
+// connections of a silent one look open, so that a send isn't dropped without a new one.
 func (s *watchedSend) mayLookPassively() bool {
-	return s.found != upstream.LifeSilent && !s.connectedAt.IsZero() && s.handler.options.Now().Sub(s.connectedAt) < connectInterval
+	switch {
+	case s.connectedAt.IsZero(), s.found == upstream.LifeSilent, s.isNoted && s.elapsed() >= settleTime:
+		return false
+	}
+	return s.handler.options.Now().Sub(s.connectedAt) < connectInterval
 }
 
 // check checks the instance. What it sent before this gateway ended the exchange shows that it
--- a/transport/relay/sendwatch_test.go
+++ b/transport/relay/sendwatch_test.go
@@ -22,8 +22,13 @@
 	at    func(elapsed time.Duration) upstream.Life
 }
 
-func (p *watchedProcess) Check(context.Context, *upstream.Request, upstream.Look) upstream.Life {
-	return p.at(time.Since(p.began))
+// Check finds a silent process only by a connection to it.
+func (p *watchedProcess) Check(_ context.Context, _ *upstream.Request, look upstream.Look) upstream.Life {
+	found := p.at(time.Since(p.began))
+	if found == upstream.LifeSilent && look.IsPassive {
+		return upstream.LifeContinues
+	}
+	return found
 }
 
 // recordedCrashes records what is told of a send.
@@ -72,6 +77,7 @@
 		"ends soon":                   {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
 		"ends late":                   {process: until(late, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
 		"leaves as planned":           {process: until(late, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true},
+		"falls silent, suspected":     {process: until(soon, upstream.LifeContinues, upstream.LifeSilent), isSuspected: true, wanted: []string{"unresolved"}},
 		"silent while it is to leave": {process: until(late, upstream.LifeSilent, upstream.LifeEnded), isLeaving: true, wanted: []string{"unresolved", "ended"}},
 		"ends while it is to leave":   {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true, wanted: []string{"ended"}},
 		"silent, runs on":             {process: until(late, upstream.LifeSilent, upstream.LifeContinues), wanted: []string{"unresolved", "dropped"}},
