Take no earlier connection for the one before a suspected send is dropped

Change: a suspected send takes no probe that is older than 50 ms. "falls silent, suspected" fails without it, now that the stand-in process of that test keeps probes as the client does.

--- a/lab/runner/crash.go
+++ b/lab/runner/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -35,8 +36,8 @@
 	ending Ending
 	// at is when the runner first ended; zero until then.
 	at time.Time
-	// ends counts its ends.
-	ends int
+	// ends are the times of all its ends.
+	ends []time.Time
 }
 
 // CrashOn lets the runner crash under each request whose body or target contains the text,
@@ -63,11 +64,11 @@
 	return r.crash.at
 }
 
-// Ends returns how often the runner has ended.
-func (r *Runner) Ends() int {
+// Ends returns when the processes of the runner have ended.
+func (r *Runner) Ends() []time.Time {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.crash.ends
+	return slices.Clone(r.crash.ends)
 }
 
 // IsSilent reports whether the runner says nothing more.
@@ -80,10 +81,11 @@
 func (r *Runner) noteCrash() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	now := time.Now()
 	if r.crash.at.IsZero() {
-		r.crash.at = time.Now()
+		r.crash.at = now
 	}
-	r.crash.ends++
+	r.crash.ends = append(r.crash.ends, now)
 }
 
 // end ends the process that started then as it was told, unless it has ended.
--- a/lab/runner/crash_test.go
+++ b/lab/runner/crash_test.go
@@ -90,7 +90,7 @@
 	}
 	_, err = net.DialTimeout("tcp", started.Address, 100*time.Millisecond)
 	assert.ErrorContains(t, err, "i/o timeout")
-	assert.Equal(t, started.Ends(), 1)
+	assert.Equal(t, len(started.Ends()), 1)
 }
 
 // TestRunnerThatStartsAgainAcceptsConnections guards against a stand-in whose address refuses
--- a/test/integration/crashsoak_test.go
+++ b/test/integration/crashsoak_test.go
@@ -316,6 +316,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, instance := range slices.Concat(s.closed, s.instances) {
+		if instance.ending == runner.StartsAgain {
+			ended = append(ended, processesEndedUnder(instance, program)...)
+			continue
+		}
 		at := instance.CrashedAt()
 		if at.IsZero() {
 			at = instance.closedAt
@@ -333,6 +337,24 @@
 	return ended
 }
 
+// processesEndedUnder returns the ends of an instance that starts again while it worked on a
+// request of the program.
+func processesEndedUnder(instance *soakInstance, program string) (ended []string) {
+	ends := instance.Ends()
+	if !instance.closedAt.IsZero() {
+		ends = append(ends, instance.closedAt)
+	}
+	for _, at := range ends {
+		isUnder := func(run runner.Run) bool {
+			return run.Header.Get("X-Program-Id") == program && !run.Began.After(at) && (run.Ended.IsZero() || !run.Ended.Before(at))
+		}
+		if slices.ContainsFunc(instance.Runs(), isUnder) {
+			ended = append(ended, instance.Instance+" at "+at.Format(traceTime))
+		}
+	}
+	return ended
+}
+
 // isLoggedAsEnded reports whether a gateway or a storage node has logged that the instance
 // ended under a request of the program. The mutex must be held.
 func (s *soakSystem) isLoggedAsEnded(instance *soakInstance, program, fingerprint string) bool {
--- a/test/integration/lethal_test.go
+++ b/test/integration/lethal_test.go
@@ -291,7 +291,7 @@
 			}
 			s.mutex.Lock()
 			for _, instance := range s.instances {
-				if ends := instance.Ends(); listed[instance.service] && ends > seen[instance.Instance] {
+				if ends := len(instance.Ends()); listed[instance.service] && ends > seen[instance.Instance] {
 					seen[instance.Instance] = ends
 					running.Go(func() { s.listEnd(instance) })
 				}
@@ -326,7 +326,7 @@
 	defer s.mutex.Unlock()
 	for _, instance := range s.instances {
 		if instance.service == c.service() {
-			ends += instance.Ends()
+			ends += len(instance.Ends())
 		}
 	}
 	return ends
--- a/transport/relay/sendwatch.go
+++ b/transport/relay/sendwatch.go
@@ -151,9 +151,7 @@
 	if !isPassive {
 		s.connectedAt = s.checkedAt
 	}
-	if s.elapsed() >= settleTime {
-		look.MaxAge = connectInterval
-	}
+	look.MaxAge = s.maxProbeAge()
 	s.found = s.handler.options.Upstream.Check(ctx, s.process, look)
 	if s.found == upstream.LifeSilent && s.assignment.IsUnlisted() {
 		return upstream.LifeEnded
@@ -161,6 +159,17 @@
 	return s.found
 }
 
+// maxProbeAge returns how old a connection of another send may be that is taken for one of this.
+func (s *watchedSend) maxProbeAge() time.Duration {
+	switch {
+	case s.elapsed() < settleTime:
+		return 0
+	case s.isNoted:
+		return watchPause
+	}
+	return connectInterval
+}
+
 // assume takes what the exchange itself has shown for a check.
 func (s *watchedSend) assume(found upstream.Life) upstream.Life {
 	s.found = found
--- a/transport/relay/sendwatch_test.go
+++ b/transport/relay/sendwatch_test.go
@@ -20,15 +20,23 @@
 	Upstream
 	began time.Time
 	at    func(elapsed time.Duration) upstream.Life
+	// probed is what the last connection has shown.
+	probed   upstream.Life
+	probedAt time.Time
 }
 
-// Check finds a silent process only by a connection to it.
+// Check finds a silent process only by a connection to it, which may be an earlier one.
 func (p *watchedProcess) Check(_ context.Context, _ *upstream.Request, look upstream.Look) upstream.Life {
 	found := p.at(time.Since(p.began))
-	if found == upstream.LifeSilent && look.IsPassive {
+	switch {
+	case look.IsPassive && found == upstream.LifeSilent:
 		return upstream.LifeContinues
+	case look.IsPassive:
+		return found
+	case p.probedAt.IsZero() || time.Since(p.probedAt) >= look.MaxAge:
+		p.probed, p.probedAt = found, time.Now()
 	}
-	return found
+	return p.probed
 }
 
 // recordedCrashes records what is told of a send.
