Count an unclear end at the break of its exchange

Change: the end of a process that broke the exchange, and has shown nothing since, is placed at the break. "broke, unclear, has ended" fails without it.

--- a/lab/runner/crash_test.go
+++ b/lab/runner/crash_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/marblering/marblering/lab/runner"
+	"github.com/marblering/marblering/test/harness"
 )
 
 // TestEndedRunnerRefusesConnections guards against an end that looks like a lost response,
@@ -88,9 +89,11 @@
 		_, err = open.Read(make([]byte, 1))
 		assert.ErrorContains(t, err, "i/o timeout")
 	}
-	_, err = net.DialTimeout("tcp", started.Address, 100*time.Millisecond)
-	assert.ErrorContains(t, err, "i/o timeout")
-	assert.Equal(t, len(started.Ends()), 1)
+	harness.Eventually(t, func() (bool, string) { return len(started.Ends()) == 1, "the runner hasn't fallen silent" })
+	for range 3 {
+		_, err = net.DialTimeout("tcp", started.Address, 100*time.Millisecond)
+		assert.ErrorContains(t, err, "i/o timeout")
+	}
 }
 
 // TestRunnerThatStartsAgainAcceptsConnections guards against a stand-in whose address refuses
--- a/lab/runner/socket.go
+++ b/lab/runner/socket.go
@@ -11,6 +11,9 @@
 // full.
 const fillTimeout = 30 * time.Millisecond
 
+// fillChecks is how many connections in a row have to hang: one may be late for another reason.
+const fillChecks = 2
+
 // sockets is the listener of a runner with the connections that it has accepted. It can fall
 // silent as a machine does that has lost its power: it acknowledges nothing more.
 type sockets struct {
@@ -125,17 +128,16 @@
 		return
 	}
 	_ = raw.Control(func(descriptor uintptr) { _ = syscall.Listen(int(descriptor), 0) })
-	for {
+	for hung := 0; hung < fillChecks; {
 		filler, err := net.DialTimeout("tcp", s.Addr().String(), fillTimeout)
 		s.mutex.Lock()
-		hasStopped := s.hasStopped
 		if err == nil {
 			s.fillers = append(s.fillers, filler)
+			hung = 0
+		} else if s.hasStopped {
+			hung++
 		}
 		s.mutex.Unlock()
-		if err != nil && hasStopped {
-			return
-		}
 		select {
 		case <-s.closed:
 			return
--- a/transport/relay/sendwatch.go
+++ b/transport/relay/sendwatch.go
@@ -207,10 +207,14 @@
 func (s *watchedSend) report(ctx context.Context) {
 	s.isOver = true
 	now := s.handler.options.Now()
-	s.suspicion = s.handler.options.Crashes.Report(ctx, quarantine.Crash{
+	crash := quarantine.Crash{
 		Fingerprint: s.send.Fingerprint, Send: s.send.ID, Instance: s.send.Instance, SentAgo: now.Sub(s.sentAt),
 		EndedAgo: now.Sub(s.endedAt), SeenAfter: now.Sub(s.endedAt), Known: s.known,
-	})
+	}
+	if s.isBroken && s.isNoted {
+		crash.SeenAfter = 0 // it had broken the exchange, and nothing has shown since that it ran on
+	}
+	s.suspicion = s.handler.options.Crashes.Report(ctx, crash)
 	s.handler.options.Metrics.crashes.Inc()
 	instance := &s.assignment.Instance
 	s.handler.options.Logger.Info("back end ended under request", s.fields(
--- a/transport/relay/sendwatch_test.go
+++ b/transport/relay/sendwatch_test.go
@@ -48,8 +48,12 @@
 
 func (c *recordedCrashes) IsSuspected(quarantine.Fingerprint) bool { return c.isSuspected }
 
-func (c *recordedCrashes) Report(context.Context, quarantine.Crash) (known quarantine.Suspicion) {
-	c.told = append(c.told, "ended")
+func (c *recordedCrashes) Report(_ context.Context, crash quarantine.Crash) (known quarantine.Suspicion) {
+	told := "ended"
+	if crash.SeenAfter == 0 {
+		told = "ended at the break"
+	}
+	c.told = append(c.told, told)
 	return known
 }
 
@@ -78,8 +82,11 @@
 		process     func(time.Duration) upstream.Life
 		isSuspected bool
 		isLeaving   bool
+		isBroken    bool
 		wanted      []string
 	}{
+		"broke, unclear, has ended":   {process: until(late, upstream.LifeUnclear, upstream.LifeEnded), isBroken: true, wanted: []string{"unresolved", "ended at the break"}},
+		"broke, ran on, ends":         {process: until(late, upstream.LifeContinues, upstream.LifeEnded), isBroken: true, wanted: []string{"ended"}},
 		"runs on":                     {process: until(soon, upstream.LifeContinues, upstream.LifeContinues)},
 		"runs on, suspected":          {process: until(soon, upstream.LifeContinues, upstream.LifeContinues), isSuspected: true, wanted: []string{"unresolved", "dropped"}},
 		"ends soon":                   {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
@@ -107,7 +114,7 @@
 					Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(), Now: time.Now,
 				})
 				watched := &watchedSend{
-					handler: handler, assignment: assignment, process: &upstream.Request{}, sentAt: time.Now(), endedAt: time.Now(),
+					handler: handler, assignment: assignment, process: &upstream.Request{}, sentAt: time.Now(), endedAt: time.Now(), isBroken: c.isBroken,
 				}
 				watched.watch(t.Context())
 				assert.DeepEqual(t, crashes.told, c.wanted)
