Take lost responses for no end, however often they are seen

The break of one connection was noted by each read that failed, so that one lost response looked like two connections breaking together; and sends whose process was shown to run on were watched further, while the connections of later tries broke.

Change: a break is noted once; only breaks of which one is of an idle connection show an end, since a lost response breaks none; a lost response is settled by the first check.

--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -132,7 +132,11 @@
 	case sendUnreachable:
 		found = watched.assume(upstream.LifeSilent)
 	}
-	if how != sendBroken && how != sendUnreachable || found == upstream.LifeContinues {
+	if found == upstream.LifeContinues {
+		if how == sendBroken {
+			watched.settle(ctx, found)
+			return
+		}
 		c.handler.watcher.add(watched)
 		return
 	}
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -83,8 +83,12 @@
 			break
 		}
 		if kept.isReusable(c.now()) {
+			kept.inUse.Store(true)
 			return kept, nil
 		}
+		if !kept.isOpen() && c.now().Sub(kept.lastUse()) < minIdleClose {
+			kept.noteBroken(c.now())
+		}
 		kept.close()
 	}
 	return c.dial(ctx, to)
@@ -121,6 +125,7 @@
 func (c *Client) putIdle(to endpoint, kept *connection) {
 	kept.idleSince = c.now()
 	kept.lastUsed.Store(kept.idleSince.UnixNano())
+	kept.inUse.Store(false)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if len(c.idle[to]) >= c.settings.MaxIdle || kept.idleLimit <= 0 {
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -39,6 +39,8 @@
 	opened time.Time
 	// isClosed is set once this process has closed it.
 	isClosed atomic.Bool
+	// inUse is set while an exchange or a probe uses it.
+	inUse atomic.Bool
 	// closedAt is when the peer was first seen to have closed it, lastUsed when an exchange
 	// last ended on it or it was opened, in nanoseconds since the Unix epoch; zero for never.
 	closedAt, lastUsed atomic.Int64
@@ -68,6 +70,7 @@
 	}
 	created.reader = bufio.NewReaderSize(receiveNotifier{created, c}, readBufferBytes)
 	created.lastUsed.Store(created.opened.UnixNano())
+	created.inUse.Store(true)
 	created.life.add(created)
 	return created, nil
 }
@@ -91,7 +94,7 @@
 		r.client.noteReceived(r.connection)
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !r.connection.isClosed.Load() {
-		r.connection.life.noteBroken(r.connection.opened, r.client.now())
+		r.connection.noteBroken(r.client.now())
 	}
 	return count, err
 }
--- a/transport/upstream/ended_test.go
+++ b/transport/upstream/ended_test.go
@@ -234,3 +234,22 @@
 		return found == LifeEnded, found.String()
 	})
 }
+
+// TestLostResponsesShowNoEnd guards against a lost response that counts as the end of its process,
+// because the break of its connection is seen by several reads.
+func TestLostResponsesShowNoEnd(t *testing.T) {
+	lossy, err := runner.Start("i", 0)
+	assert.NilError(t, err)
+	t.Cleanup(lossy.Close)
+	lossy.SetFault(runner.LoseAnswer, -1)
+	client := newEndClient()
+	for range 5 {
+		request := &Request{Address: lossy.Address, Instance: "i", Method: http.MethodGet, Target: "/"}
+		_, err := client.Do(t.Context(), request)
+		assert.Assert(t, err != nil)
+		for range 3 {
+			found := client.Check(t.Context(), request, Look{EndedAt: client.now(), IsBroken: true})
+			assert.Assert(t, found != LifeEnded)
+		}
+	}
+}
--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -54,7 +55,11 @@
 }
 
 // connectionBreak is the end that a process has made of a connection.
-type connectionBreak struct{ opened, at time.Time }
+type connectionBreak struct {
+	opened, at time.Time
+	// isIdle is set if no exchange used the connection. A lost response breaks no such one.
+	isIdle bool
+}
 
 // lives are the processes that the client has connected to. They are safe for concurrent use.
 type lives struct {
@@ -117,12 +122,16 @@
 	l.probed, l.probedAt = found, now
 }
 
-// noteBroken notes that the process has broken a connection.
-func (l *life) noteBroken(opened, now time.Time) {
+// noteBroken notes that the process has broken the connection. Later reads fail as well.
+func (c *connection) noteBroken(now time.Time) {
+	if !c.closedAt.CompareAndSwap(0, now.UnixNano()) {
+		return
+	}
+	l := c.life
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	copy(l.breaks[1:], l.breaks[:])
-	l.breaks[0] = connectionBreak{opened: opened, at: now}
+	l.breaks[0] = connectionBreak{opened: c.opened, at: now, isIdle: !c.inUse.Load()}
 }
 
 func (l *life) hasReceivedSince(then time.Time) bool { return l.lastReceived.Load() >= then.UnixNano() }
@@ -142,7 +151,7 @@
 // keptOrBroke returns how many connections opened before the request was sent are still open,
 // and when the process has broken some since its exchange ended. Those that it has closed right after they were opened, or
 // because they were idle, don't count.
-func (l *life) keptOrBroke(sent, ended, now time.Time) (kept int, broke []time.Time) {
+func (l *life) keptOrBroke(sent, ended, now time.Time) (kept int, broke []connectionBreak) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for candidate := range l.open {
@@ -152,24 +161,31 @@
 			}
 			continue
 		}
-		if at := candidate.noteClosed(now); at.Sub(candidate.lastUse()) < minIdleClose {
-			broke = append(broke, at)
+		if at := candidate.noteClosed(now); at.Sub(candidate.lastUse()) < minIdleClose && !l.hasNoted(candidate, at) {
+			broke = append(broke, connectionBreak{opened: candidate.opened, at: at, isIdle: !candidate.inUse.Load()})
 		}
 	}
 	for _, one := range l.breaks {
 		if one.at.After(ended.Add(-endSkew)) && one.at.Sub(one.opened) > maxEndProbes*endGrace {
-			broke = append(broke, one.at)
+			broke = append(broke, one)
 		}
 	}
 	return kept, broke
 }
 
-// brokeTogether reports whether two connections broke at the same time, as they do at the end
-// of a process.
-func brokeTogether(broke []time.Time) bool {
+// hasNoted reports whether the end of the connection is among the breaks. The mutex must be held.
+func (l *life) hasNoted(broken *connection, at time.Time) bool {
+	return slices.ContainsFunc(l.breaks[:], func(one connectionBreak) bool {
+		return one.opened.Equal(broken.opened) && one.at.Equal(at)
+	})
+}
+
+// brokeTogether reports whether two connections broke at the same time, one of them idle, as
+// they do at the end of a process.
+func brokeTogether(broke []connectionBreak) bool {
 	for index, one := range broke {
 		for _, other := range broke[index+1:] {
-			if one.Sub(other).Abs() <= endSkew {
+			if (one.isIdle || other.isIdle) && one.at.Sub(other.at).Abs() <= endSkew {
 				return true
 			}
 		}
