Ignore crashes reported again from before a completed try

Cause: a gateway that follows a storage node late tells it again of the crashes that it has reported, also of those that a try completed meanwhile has cleared there; they then counted for a minute. The order of events there is inferred from that, not logged.

Change: a table remembers when a request was cleared, and ignores crashes reported again that ended before. TestCrashReportedAgainAfterCompletionIsForgotten fails without it.

--- a/coordination/quarantine/pending_test.go
+++ b/coordination/quarantine/pending_test.go
@@ -102,3 +102,19 @@
 	c.now = c.now.Add(suspectLifetime)
 	assert.DeepEqual(t, table.Find(request).Suspicion, Suspicion{})
 }
+
+// TestCrashReportedAgainAfterCompletionIsForgotten guards against a request that counts crashes
+// from before a completed try, since a gateway that followed the node late told it again of them.
+func TestCrashReportedAgainAfterCompletionIsForgotten(t *testing.T) {
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	crash := crashAt("i-1", 10*time.Millisecond)
+	table.Report(crash)
+	c.now = c.now.Add(time.Second)
+	table.Clear(request)
+	c.now = c.now.Add(time.Second)
+	again := crash
+	again.SentAgo, again.EndedAgo, again.Row = crash.SentAgo+2*time.Second, 2*time.Second, 1
+	assert.Equal(t, table.Report(again).Crashes, 0)
+	assert.Equal(t, table.Report(crashAt("i-2", 0)).Crashes, 1)
+}
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -64,6 +64,8 @@
 	pending pendingSends
 	// isResolved is set if there was no completed try since the last send was pending.
 	isResolved bool
+	// clearedAt is when a try was last completed; zero for never.
+	clearedAt time.Time
 	// expires is when the ends are forgotten.
 	expires time.Time
 	change  uint64
@@ -97,7 +99,9 @@
 	known := t.entryOf(crash.Fingerprint, now)
 	added := end{send: crash.Send, instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)}
 	added.seen = added.ended.Add(crash.SeenAfter)
-	if slices.ContainsFunc(known.ends, added.isSame) {
+	// A gateway that hasn't heard of a completed try yet may report earlier crashes again.
+	isForgotten := crash.Row > 0 && added.ended.Before(known.clearedAt)
+	if isForgotten || slices.ContainsFunc(known.ends, added.isSame) {
 		return known.record(crash.Fingerprint, now), false
 	}
 	known.forgetExpired(now)
@@ -190,6 +194,7 @@
 // clear forgets the crashes of the entry. The mutex must be held.
 func (t *Table) clear(known *entry) {
 	known.ends, known.crashes, known.pending, known.isResolved = nil, 0, nil, false
+	known.clearedAt = t.now()
 	t.noteChange(known, true)
 }
 
