Keep an idle spare connection beside suspected requests

Cause: a connection that another request used counted as the spare. It breaks with a process that ends, but shows an end no better than the exchange itself, since a lost response breaks such a one as well.

Change: the spare has to be idle.

--- a/transport/relay/sendwatch.go
+++ b/transport/relay/sendwatch.go
@@ -199,8 +199,7 @@
 			break
 		}
 		s.drop(ctx)
-		// A process that runs on has lost the response. Its connections break with later ones
-		// that are lost, so that they tell nothing more.
+		// Only the response was lost. Connections that break later tell nothing of this send.
 		s.isOver = s.isBroken
 	}
 	return s.suspicion
--- a/transport/upstream/ended.go
+++ b/transport/upstream/ended.go
@@ -19,9 +19,10 @@
 	maxEndProbes = 3
 )
 
-// probeEnd connects to the address until a connection is refused, hangs or stays open. Concurrent
-// calls share one probe, and those with a maximum age an earlier one. A connection that the process accepts is kept for later requests. A
-// process that is overloaded may close connections as well, so that isn't its end.
+// probeEnd connects to the address until a connection is refused, hangs or stays open.
+// Concurrent calls share one probe, and those with a maximum age an earlier one. A connection
+// that the process accepts is kept for later requests. A process that is overloaded may close
+// connections as well, so that isn't its end.
 func (c *Client) probeEnd(ctx context.Context, to endpoint, maxAge time.Duration) Life {
 	known := c.lives.of(to)
 	if found, isKnown := known.probedWithin(maxAge, c.now()); isKnown {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -68,7 +68,7 @@
 		return nil, &Error{Stage: StageDial, Cause: err}
 	}
 	if request.KeepsSpare {
-		c.keepSpare(ctx, to, opened)
+		c.keepSpare(ctx, to)
 	}
 	request.SentAt = c.now()
 	current := &exchange{client: c, endpoint: to, connection: opened, written: make(chan struct{})}
--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -136,21 +136,23 @@
 
 func (l *life) hasReceivedSince(then time.Time) bool { return l.lastReceived.Load() >= then.UnixNano() }
 
-// hasOpen reports whether the process has connections, other than the one, that are open.
-func (l *life) hasOpen(other *connection) bool {
+// hasOpen reports whether the process has an open connection, and hasIdle whether it has one
+// that no exchange uses.
+func (l *life) hasOpen() (hasOpen, hasIdle bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for candidate := range l.open {
-		if candidate != other && candidate.isOpen() {
-			return true
+		if candidate.isOpen() {
+			hasOpen = true
+			hasIdle = hasIdle || !candidate.inUse.Load()
 		}
 	}
-	return false
+	return hasOpen, hasIdle
 }
 
 // keptOrBroke returns how many connections opened before the request was sent are still open,
-// and when the process has broken some since its exchange ended. Those that it has closed right after they were opened, or
-// because they were idle, don't count.
+// and which ones the process has broken since its exchange ended. Those that it has closed
+// right after they were opened, or because they were idle, don't count.
 func (l *life) keptOrBroke(sent, ended, now time.Time) (kept int, broke []connectionBreak) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -241,8 +243,10 @@
 	known := c.lives.of(to)
 	_, broke := known.keptOrBroke(request.SentAt, look.EndedAt, c.now())
 	isHeard := !look.HeardSince.IsZero() && known.hasReceivedSince(look.HeardSince)
-	if !look.IsBroken && len(broke) == 0 && (look.IsPassive || isHeard) && known.hasOpen(nil) {
-		return LifeContinues
+	if !look.IsBroken && len(broke) == 0 && (look.IsPassive || isHeard) {
+		if hasOpen, _ := known.hasOpen(); hasOpen {
+			return LifeContinues
+		}
 	}
 	if found := c.probeEnd(ctx, to, look.MaxAge); found != LifeUnclear {
 		return found
@@ -259,10 +263,10 @@
 	return LifeContinues
 }
 
-// keepSpare opens another connection to the process unless there is one besides that in use.
-// Whether it breaks as well tells the end of the process from a lost response.
-func (c *Client) keepSpare(ctx context.Context, to endpoint, inUse *connection) {
-	if c.lives.of(to).hasOpen(inUse) {
+// keepSpare opens another connection to the process unless there is an idle one. Whether it
+// breaks as well tells the end of the process from a lost response.
+func (c *Client) keepSpare(ctx context.Context, to endpoint) {
+	if _, hasIdle := c.lives.of(to).hasOpen(); hasIdle {
 		return
 	}
 	spare, err := c.dial(ctx, to)
