Give the place of an announced send that isn't made to the next one

Cause: a send that was announced and then not made, since the connection was refused, or that the instance refused, was dropped without waiting for the storage nodes. The next announcement of the same try overtook the drop and counted the send as one under way.

Change: the next send of the try takes over its id, so that the storage nodes replace it. It is dropped only at the end of the try, if no other has taken it.

--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -90,6 +90,9 @@
 	// suspicion is what is known of the sends of the request, in this and earlier tries of its
 	// client.
 	suspicion quarantine.Suspicion
+	// unused is an announced send that counts no more: it was not made, or its instance has
+	// refused it or answered wrongly. Zero for none.
+	unused quarantine.SendID
 	// mayHaveRun tells that a backend may have run the request and no complete response was
 	// delivered.
 	mayHaveRun bool
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -68,7 +68,7 @@
 	current.isAnnounced, current.known, c.attempts.suspicion = true, before.Crashes, before
 	failure := c.refuseSuspected()
 	if failure != nil {
-		crashes.Drop(ctx, send.Fingerprint, send.ID)
+		c.attempts.unused = send.ID
 	}
 	return failure
 }
@@ -97,9 +97,27 @@
 	}
 }
 
+// newAttempt returns a try at an instance. Its send takes the place of an announced one that the
+// request doesn't need any more, so that this doesn't count against it.
+func (c *call) newAttempt(assignment *backend.Assignment) *attempt {
+	current := &attempt{assignment: assignment, started: c.handler.options.Now(), id: newSendID()}
+	if c.attempts.unused != 0 {
+		current.id, current.isAnnounced = c.attempts.unused, true
+		c.attempts.unused = 0
+	}
+	return current
+}
+
 // newSendID returns an id that no other send has.
 func newSendID() quarantine.SendID { return quarantine.SendID(rand.Uint64() | 1) }
 
+// dropUnused drops an announced send whose place no other has taken.
+func (c *call) dropUnused(ctx context.Context) {
+	if c.attempts.unused != 0 {
+		c.handler.options.Crashes.Drop(ctx, c.fingerprint(), c.attempts.unused)
+	}
+}
+
 // settleSend tells the other gateways what has become of a send. Whether the instance of one
 // without an outcome has ended is checked at once if the request may be tried again, and later
 // on by the SendWatcher.
@@ -113,7 +131,7 @@
 		}
 	case how.hasOutcome():
 		if current.isAnnounced {
-			crashes.Drop(ctx, c.fingerprint(), current.id)
+			c.attempts.unused = current.id
 		}
 	case how == sendStopped:
 	default:
--- a/transport/relay/crash_test.go
+++ b/transport/relay/crash_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,6 +71,61 @@
 // TestEndIsCheckedAgainAfterTimeout guards against the end of an instance that isn't counted,
 // because the gateway stood still while it checked for it.
 func TestEndIsCheckedAgainAfterTimeout(t *testing.T) {
+	crashes := &countedCrashes{}
+	handler := newCrashHandler(t, crashes, &endedUpstream{}, "i-1")
+	assert.Equal(t, serve(handler).Code, http.StatusBadGateway)
+	assert.Equal(t, crashes.reports.Load(), int64(1))
+}
+
+// lateDrops knows of two ends, and forgets no send while the request goes on.
+type lateDrops struct {
+	noCrashes
+	open, dropped map[quarantine.SendID]bool
+}
+
+func (*lateDrops) NeedsCheck() bool { return true }
+
+func (*lateDrops) Suspicion(context.Context, quarantine.Fingerprint) quarantine.Suspicion {
+	return quarantine.Suspicion{Crashes: 2, Suspected: 2}
+}
+
+func (c *lateDrops) Announce(_ context.Context, send quarantine.Send, _ quarantine.Suspicion) (before quarantine.Suspicion, isAnnounced bool) {
+	delete(c.open, send.ID)
+	before = quarantine.Suspicion{Crashes: 2, Suspected: 2 + len(c.open)}
+	c.open[send.ID] = true
+	return before, true
+}
+
+func (c *lateDrops) Drop(_ context.Context, _ quarantine.Fingerprint, id quarantine.SendID) {
+	c.dropped[id] = true
+}
+
+// unreachedUpstream sends no request.
+type unreachedUpstream struct {
+	endedUpstream
+	tries int
+}
+
+func (u *unreachedUpstream) Do(context.Context, *upstream.Request) (*upstream.Response, error) {
+	u.tries++
+	return nil, &upstream.Error{Stage: upstream.StageDial, Cause: syscall.ECONNREFUSED}
+}
+
+// TestUnusedSendsDontCountAgainstTheirRequest guards against a harmless request that isn't
+// sent any more, since sends of it were announced and then not made.
+func TestUnusedSendsDontCountAgainstTheirRequest(t *testing.T) {
+	crashes := &lateDrops{open: make(map[quarantine.SendID]bool), dropped: make(map[quarantine.SendID]bool)}
+	unreached := &unreachedUpstream{}
+	handler := newCrashHandler(t, crashes, unreached, "i-1", "i-2", "i-3")
+	serve(handler)
+	assert.Equal(t, unreached.tries, 3)
+	assert.DeepEqual(t, crashes.dropped, crashes.open)
+}
+
+// newCrashHandler returns a handler with the instances and a route without retries of requests
+// that were sent.
+func newCrashHandler(t *testing.T, crashes relay.Crashes, client relay.Upstream, instances ...string) *relay.Handler {
+	t.Helper()
 	table, err := routetable.NewTable(routetable.Configuration{
 		Version: 1, Services: []routetable.Service{{Name: "app"}},
 		Routes: []routetable.Route{{
@@ -81,18 +137,23 @@
 	tables := &routetable.ActiveTable{}
 	tables.Install(table)
 	pool := backend.NewPool(backend.EjectionPolicy(), time.Now)
-	pool.Replace([]backend.Instance{{ID: "i-1", Service: "app"}})
-	crashes := &countedCrashes{}
-	handler := relay.New(relay.Options{
-		Tables: tables, Backends: pool, Upstream: &endedUpstream{}, Crashes: crashes, HeaderCodec: plainHeaderCodec{},
+	var listed []backend.Instance
+	for _, id := range instances {
+		listed = append(listed, backend.Instance{ID: id, Service: "app"})
+	}
+	pool.Replace(listed)
+	return relay.New(relay.Options{
+		Tables: tables, Backends: pool, Upstream: client, Crashes: crashes, HeaderCodec: plainHeaderCodec{},
 		IsConfigurationNewest: func() bool { return true }, IsUnready: func() bool { return false }, MaxInFlight: 1,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
 		Metrics: relay.NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(), AccessLogger: zap.NewNop(), Now: time.Now,
 	})
+}
+
+func serve(handler *relay.Handler) *httptest.ResponseRecorder {
 	request := httptest.NewRequest(http.MethodGet, "/x", nil)
 	request.Host = "shop.example"
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, request)
-	assert.Equal(t, recorder.Code, http.StatusBadGateway)
-	assert.Equal(t, crashes.reports.Load(), int64(1))
+	return recorder
 }
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -14,6 +14,7 @@
 // run tries instances until the response is delivered or the request is given up.
 func (c *call) run(ctx context.Context) {
 	c.handler.options.Retries.RecordAttempt(c.routing.route.Name, c.handler.options.Now())
+	defer c.dropUnused(ctx)
 	for {
 		assignment, err := c.acquire(ctx)
 		if err != nil {
@@ -25,7 +26,7 @@
 			c.finishRefused(ctx, failure)
 			return
 		}
-		current := &attempt{assignment: assignment, started: c.handler.options.Now(), id: newSendID()}
+		current := c.newAttempt(assignment)
 		if failure := c.announceSend(ctx, current); failure != nil {
 			assignment.Release(backend.Inconclusive{})
 			c.finishRefused(ctx, failure)
