Add a request to its instance's load as the instance is chosen

Cause: Pool.Acquire read the loads, chose, and added the request to the load after that. Requests at the same moment saw the same loads and went to the same instance.

--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -25,6 +25,8 @@
 	onRestarted func(Restart)
 
 	current atomic.Pointer[snapshot]
+	// choosing is held from the choice of an instance until the request is in its load.
+	choosing sync.Mutex
 	// mutex guards the fields below and is held while the snapshot is replaced.
 	mutex sync.Mutex
 	// listed holds the instances of the last call of Replace.
@@ -222,6 +224,8 @@
 	if !ok {
 		return nil, ErrNoInstance
 	}
+	p.choosing.Lock()
+	defer p.choosing.Unlock()
 	candidates := svc.candidates(query, now, svc.claimProbe)
 	if len(candidates) == 0 {
 		return nil, ErrNoInstance
--- a/coordination/backend/pool_test.go
+++ b/coordination/backend/pool_test.go
@@ -155,3 +155,27 @@
 	_, err := pool.Acquire(backend.Query{Service: "app", Tried: []string{"i1"}})
 	assert.NilError(t, err, "the last resort")
 }
+
+// TestConcurrentRequestsAreSpread guards against requests at the same moment that go to one
+// instance, since each saw the loads before the others were added.
+func TestConcurrentRequestsAreSpread(t *testing.T) {
+	const instances, requests = 2, 64
+	for range 200 {
+		pool := newPool(newClock(), instances)
+		acquired := make(chan *backend.Assignment, requests)
+		start := make(chan struct{})
+		for range requests {
+			go func() {
+				<-start
+				assignment, _ := pool.Acquire(backend.Query{Service: "app"})
+				acquired <- assignment
+			}()
+		}
+		close(start)
+		perInstance := make(map[string]int)
+		for range requests {
+			perInstance[(<-acquired).Instance.ID]++
+		}
+		assert.DeepEqual(t, perInstance, map[string]int{"i0": requests / instances, "i1": requests / instances})
+	}
+}
