Push single sends without an outcome to the gateways with others

Cause: a first send without an outcome was pushed to all gateways at once, and so was the end of the suspicion.

Change: a single send without an outcome, and what was forgotten, is told within a second with other changes. With an end, or the second send in a row, gateways are told at once as before. Answers wait only for followers that have to know of their own request. Entries are kept until followers were told, since one that was cleared could be swept before.

--- a/coordination/quarantine/pending.go
+++ b/coordination/quarantine/pending.go
@@ -105,6 +105,16 @@
 	return ends
 }
 
+// closed returns the sends whose exchanges have ended.
+func (p pendingSends) closed() (ends []end) {
+	for _, send := range p {
+		if !send.isOpen {
+			ends = append(ends, send.end)
+		}
+	}
+	return ends
+}
+
 // remaining returns how long the last of the sends is kept.
 func (p pendingSends) remaining(now time.Time) (remaining time.Duration) {
 	for _, send := range p {
--- a/coordination/quarantine/pending_test.go
+++ b/coordination/quarantine/pending_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/test/bubble"
 )
 
 // sendAt is a send to an instance whose exchange has ended after the time.
@@ -118,3 +120,37 @@
 	assert.Equal(t, table.Report(again).Crashes, 0)
 	assert.Equal(t, table.Report(crashAt("i-2", 0)).Crashes, 1)
 }
+
+// TestSingleUnclearSendsWakeNoFollowers guards against lost responses that cost calls of all
+// gateways each, and against a second send in a row that they learn late.
+func TestSingleUnclearSendsWakeNoFollowers(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		table := NewTable(1, time.Now, func(Fingerprint, []string) {})
+		began := time.Now()
+		next := table.Watch(t.Context(), 1, Cursor{}, 0).Next
+		told := func() (after time.Duration, suspected int) {
+			changes := table.Watch(t.Context(), 1, next, time.Minute)
+			next = changes.Next
+			return time.Since(began), changes.Records[0].Suspected
+		}
+		time.AfterFunc(10*time.Millisecond, func() { table.NoteSend(sendAt(1, "i-1", 5*time.Millisecond)) })
+		time.AfterFunc(20*time.Millisecond, func() {
+			open := sendAt(2, "i-2", 0)
+			open.IsOpen = true
+			table.NoteSend(open)
+		})
+		after, suspected := told()
+		assert.Equal(t, after, 10*time.Millisecond+lazyTellInterval+followerPause)
+		assert.Equal(t, suspected, 2)
+		began = time.Now()
+		time.AfterFunc(10*time.Millisecond, func() { table.NoteSend(sendAt(2, "i-2", time.Millisecond)) })
+		after, suspected = told()
+		assert.Equal(t, after, 10*time.Millisecond+followerPause)
+		assert.Equal(t, suspected, 2)
+		began = time.Now()
+		time.AfterFunc(10*time.Millisecond, func() { table.Clear(request) })
+		after, suspected = told()
+		assert.Equal(t, after, 10*time.Millisecond+lazyTellInterval+followerPause)
+		assert.Equal(t, suspected, 0)
+	})
+}
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -20,8 +20,11 @@
 	// followerPause is how long further changes are waited for before followers are told.
 	followerPause = 3 * time.Millisecond
 	// tellInterval is how long after a change that isn't urgent followers are told at the
-	// latest.
-	tellInterval = 100 * time.Millisecond
+	// latest, lazyTellInterval the same for a request of which they needn't know yet.
+	tellInterval     = 100 * time.Millisecond
+	lazyTellInterval = time.Second
+	// toldRetention is how long an entry is kept after a change, so that followers are told.
+	toldRetention = 2 * lazyTellInterval
 	// followerPollInterval is the pause between two looks at what followers have.
 	followerPollInterval = time.Millisecond
 )
@@ -36,12 +39,11 @@
 
 	mutex   sync.Mutex
 	entries map[Fingerprint]*entry
-	// change is the number of the last change of an entry, urgent that of the last one that
-	// followers have to know of at once.
-	change, urgent uint64
-	// isTelling is set while followers are to be told of changes that aren't urgent.
-	isTelling bool
-	sweptAt   time.Time
+	// change is the number of the last change of an entry.
+	change uint64
+	// tellAt is when followers will be told of changes that aren't urgent; zero if there are none.
+	tellAt  time.Time
+	sweptAt time.Time
 	// changed is closed with the next change.
 	changed chan struct{}
 	// followers maps those whose call waits, or was answered lately, to what they have.
@@ -68,7 +70,12 @@
 	clearedAt time.Time
 	// expires is when the ends are forgotten.
 	expires time.Time
-	change  uint64
+	// change is the number of the entry's last change, made at changedAt.
+	change    uint64
+	changedAt time.Time
+	// urgent is the number of the change with which followers had to know of the request at
+	// once; zero while they needn't.
+	urgent uint64
 }
 
 // NewTable returns an empty table with an id that no earlier table of the node had.
@@ -105,7 +112,6 @@
 		return known.record(crash.Fingerprint, now), false
 	}
 	known.forgetExpired(now)
-	isFirst := !known.isSuspected()
 	known.pending = known.pending.without(added.isSame)
 	known.pending.extendThoseBefore(added, now.Add(suspectLifetime))
 	known.ends = append(makeRoomFor(known.ends), added)
@@ -113,7 +119,7 @@
 	known.crashes = max(before, len(longestRow(known.ends)), crash.Row)
 	known.isResolved = false
 	known.expires = now.Add(lifetime(known.crashes))
-	t.noteChange(known, isFirst)
+	t.noteChange(known)
 	return known.record(crash.Fingerprint, now), IsQuarantined(known.crashes) && !IsQuarantined(before)
 }
 
@@ -138,7 +144,6 @@
 	t.sweep(now)
 	known := t.entryOf(send.Fingerprint, now)
 	known.forgetExpired(now)
-	isFirst := !known.isSuspected()
 	noted := newPendingSend(send, now)
 	known.pending = known.pending.without(noted.isSame)
 	before = known.record(send.Fingerprint, now)
@@ -147,7 +152,7 @@
 	}
 	known.pending = known.pending.with(noted)
 	known.isResolved = false
-	t.noteChange(known, isFirst)
+	t.noteChange(known)
 	return before, known.record(send.Fingerprint, now)
 }
 
@@ -165,7 +170,7 @@
 	}
 	known.pending = left
 	known.isResolved = known.crashes == 0
-	t.noteChange(known, false)
+	t.noteChange(known)
 }
 
 // Clear forgets the crashes and sends of a request of which a try was completed.
@@ -195,7 +200,7 @@
 func (t *Table) clear(known *entry) {
 	known.ends, known.crashes, known.pending, known.isResolved = nil, 0, nil, false
 	known.clearedAt = t.now()
-	t.noteChange(known, true)
+	t.noteChange(known)
 }
 
 // Find returns the record of the request, or one without crashes.
@@ -281,18 +286,16 @@
 func (t *Table) endSendsOf(gateway FollowerID) {
 	for _, known := range t.entries {
 		if known.pending.endThoseOf(gateway, t.now()) {
-			t.noteChange(known, false)
+			t.noteChange(known)
 		}
 	}
 }
 
-// AwaitFollowers waits until all followers have the urgent changes made so far, or until the
-// context ends, and returns whether they have.
-func (t *Table) AwaitFollowers(ctx context.Context) bool {
-	t.mutex.Lock()
-	last := t.urgent
-	t.mutex.Unlock()
-	for t.isAnyBehind(last) {
+// AwaitFollowers waits until all followers know that the request is suspected, if they have to
+// know at once, or until the context ends. It returns whether they do.
+func (t *Table) AwaitFollowers(ctx context.Context, fingerprint Fingerprint) bool {
+	urgent := t.urgentChange(fingerprint)
+	for t.isAnyBehind(urgent) {
 		if sleep.For(ctx, followerPollInterval) != nil {
 			return false
 		}
@@ -300,6 +303,15 @@
 	return true
 }
 
+func (t *Table) urgentChange(fingerprint Fingerprint) uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.entries[fingerprint]; known != nil {
+		return known.urgent
+	}
+	return 0
+}
+
 func (t *Table) isAnyBehind(change uint64) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -364,9 +376,13 @@
 	return last
 }
 
-// lastExpiry returns when the last crash or send of the entry is forgotten.
+// lastExpiry returns when the last crash or send of the entry is forgotten and followers have
+// been told of its last change.
 func (e *entry) lastExpiry() time.Time {
-	last := e.expires
+	last := e.changedAt.Add(toldRetention)
+	if e.expires.After(last) {
+		last = e.expires
+	}
 	for _, send := range e.pending {
 		if send.expires.After(last) {
 			last = send.expires
@@ -391,34 +407,54 @@
 	e.pending = e.pending.unexpired(now)
 }
 
-// noteChange numbers the change of the entry and wakes the waiting calls, at once if it is
-// urgent. Followers that know that a request is suspected ask before they send it, so that
-// further changes of its entry aren't. The mutex must be held.
-func (t *Table) noteChange(changed *entry, isUrgent bool) {
+// noteChange numbers the change of the entry and tells followers, at once if they have to know
+// of the request from now on. Those that know of it ask before they send it, so that further
+// changes of the entry aren't urgent. The mutex must be held.
+func (t *Table) noteChange(changed *entry) {
 	t.change++
-	changed.change = t.change
-	if isUrgent {
-		t.urgent = t.change
+	changed.change, changed.changedAt = t.change, t.now()
+	switch {
+	case !changed.isUrgent():
+		changed.urgent = 0
+		t.tellWithin(lazyTellInterval)
+	case changed.urgent == 0:
+		changed.urgent = t.change
 		t.wakeFollowers()
-		return
+	default:
+		t.tellWithin(tellInterval)
 	}
-	if !t.isTelling {
-		t.isTelling = true
-		time.AfterFunc(tellInterval, t.tellFollowers)
+}
+
+// isUrgent reports whether all gateways have to know of the request: another end leaves it
+// fewer tries than a gateway makes that knows of none. A single send without an outcome is
+// most often one whose response was lost.
+func (e *entry) isUrgent() bool { return e.crashes > 0 || len(longestRow(e.pending.closed())) > 1 }
+
+// tellWithin has followers told of the changes so far within the interval. The mutex must be
+// held.
+func (t *Table) tellWithin(interval time.Duration) {
+	at := t.now().Add(interval)
+	if !t.tellAt.IsZero() && !at.Before(t.tellAt) {
+		return
 	}
+	t.tellAt = at
+	time.AfterFunc(interval, func() { t.tellFollowers(at) })
 }
 
 // wakeFollowers wakes the waiting calls. The mutex must be held.
 func (t *Table) wakeFollowers() {
+	t.tellAt = time.Time{}
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
 
-func (t *Table) tellFollowers() {
+// tellFollowers tells followers of the changes for which it was to do so at the time.
+func (t *Table) tellFollowers(at time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.isTelling = false
-	t.wakeFollowers()
+	if t.tellAt.Equal(at) {
+		t.wakeFollowers()
+	}
 }
 
 // makeRoom drops the entry that expires first if the table is full. The mutex must be held.
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -137,7 +137,7 @@
 	table := c.tables["node-0"]
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	isKnown := func() bool { return table.AwaitFollowers(ended) }
+	isKnown := func() bool { return table.AwaitFollowers(ended, request) }
 	assert.Assert(t, isKnown(), "nobody follows")
 	first := table.Watch(t.Context(), 1, Cursor{}, 0)
 	table.Report(crashAt("i-1", 0))
--- a/transport/peer/crash.go
+++ b/transport/peer/crash.go
@@ -15,7 +15,7 @@
 // Crashes keeps the crashes under requests. quarantine.Table implements it.
 type Crashes interface {
 	Report(crash quarantine.Crash) quarantine.Record
-	AwaitFollowers(ctx context.Context) bool
+	AwaitFollowers(ctx context.Context, fingerprint quarantine.Fingerprint) bool
 	NoteSend(send quarantine.Send) (before, after quarantine.Record)
 	DropSend(fingerprint quarantine.Fingerprint, id quarantine.SendID)
 	Clear(fingerprint quarantine.Fingerprint)
@@ -130,7 +130,7 @@
 		Row:      int(request.Msg.GetRow()), SeenAfter: time.Duration(request.Msg.GetSeenAfterUs()) * time.Microsecond,
 	})
 	if request.Msg.GetRow() == 0 {
-		s.awaitFollowers(ctx)
+		s.awaitFollowers(ctx, fingerprint)
 	}
 	return connect.NewResponse(&peerv1.ReportCrashResponse{Record: crashRecordToWire(record)}), nil
 }
@@ -150,16 +150,17 @@
 		Lifetime: time.Duration(request.Msg.GetLifetimeMs()) * time.Millisecond,
 	})
 	if !request.Msg.GetOpen() {
-		s.awaitFollowers(ctx)
+		s.awaitFollowers(ctx, fingerprint)
 	}
 	return connect.NewResponse(&peerv1.NoteSendResponse{Before: crashRecordToWire(before), After: crashRecordToWire(after)}), nil
 }
 
-// awaitFollowers waits until all gateways know of the last change, for a while at most.
-func (s *crashServer) awaitFollowers(ctx context.Context) {
+// awaitFollowers waits until all gateways that have to know of the request do, for a while at
+// most.
+func (s *crashServer) awaitFollowers(ctx context.Context, fingerprint quarantine.Fingerprint) {
 	ctx, cancel := context.WithTimeout(ctx, quarantine.FollowerGrace)
 	defer cancel()
-	s.crashes.AwaitFollowers(ctx)
+	s.crashes.AwaitFollowers(ctx, fingerprint)
 }
 
 // DropSend forgets a send.
