Count together what different storage nodes know of a request

A request went to a fourth instance where the end of one was noted at two of three storage nodes, the next at two others, and then one of them was away: each node knew of one end less.

Cause: a gateway took the most that one node had counted. Two majorities share a node, but not the same one for each end.

Change: answers about one request name the tries that count, and a gateway counts the rows over all of them. Tries from before a completed one are left out, since a node may have missed that. Nodes of earlier builds name none and are taken by their counts, as before.

--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -198,11 +198,13 @@
 		record, err := c.nodes.FindCrashes(ctx, address, fingerprint)
 		return reply{after: record}, err
 	})
-	known = c.copies.suspicionAt(localNode, fingerprint)
+	local := c.copies.suspicionAt(localNode, fingerprint)
+	together := merged{now: c.now()}
 	_, answered, _ := asked.collect(findGrace, func(got answer) bool {
-		known = known.most(got.after.Suspicion)
-		return !IsQuarantined(known.Crashes)
+		together.add(got.after)
+		return !IsQuarantined(together.suspicion().Crashes)
 	})
+	known = local.most(together.suspicion())
 	return known, IsQuarantined(known.Crashes) || isMajority(answered, asked.quorum)
 }
 
@@ -219,11 +221,14 @@
 	if !send.IsOpen {
 		grace = FollowerGrace
 	}
+	earlier, with := merged{now: began}, merged{now: began}
 	received, answered, err := asked.collect(grace, func(got answer) bool {
 		c.copies.apply(got.address, Changes{Records: []Record{got.after}})
-		before, after = before.most(got.before.Suspicion), after.most(got.after.Suspicion)
+		earlier.add(got.before)
+		with.add(got.after)
 		return true
 	})
+	before, after = earlier.suspicion(), with.suspicion()
 	asked.cancelAfter(received, cancel)
 	if !isMajority(answered, asked.quorum) {
 		c.logger.Info("send not confirmed by storage nodes", zap.Stringer("fingerprint", send.Fingerprint), zap.String("instance", send.Instance),
@@ -291,20 +296,21 @@
 func isMajority(answered, quorum int) bool { return quorum > 0 && answered >= quorum }
 
 // reportOnce reports a crash to all members and returns how many of them have counted it, and
-// the most that one of them knows of the request.
+// what they know of the request.
 func (c *Client) reportOnce(ctx context.Context, crash Crash) (most Suspicion, counted, needed int, lastErr error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (reply, error) {
 		record, err := c.nodes.ReportCrash(ctx, address, crash)
 		return reply{after: record}, err
 	})
+	together := merged{now: c.now()}
 	received, counted, lastErr := asked.collect(FollowerGrace, func(got answer) bool {
 		c.copies.apply(got.address, Changes{Records: []Record{got.after}})
-		most = most.most(got.after.Suspicion)
+		together.add(got.after)
 		return true
 	})
 	asked.cancelAfter(received, cancel)
-	return most, counted, asked.quorum, lastErr
+	return together.suspicion(), counted, asked.quorum, lastErr
 }
 
 // Completed forgets the crashes under a request, if there are any, since a try of it was
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -84,6 +84,23 @@
 	IsResolved bool
 	// Remaining is how long the record is kept.
 	Remaining time.Duration
+	// Tries are those that count, and ClearedAgo is the time since a try was last completed;
+	// zero for never. Both are set in answers, not in changes.
+	Tries      []Try
+	ClearedAgo time.Duration
+}
+
+// Try is a send under which an instance has ended, or may have.
+type Try struct {
+	Send     SendID
+	Instance string
+	// SentAgo and EndedAgo are the times since it was sent and since its exchange ended.
+	// EndedAgo is negative while the exchange goes on.
+	SentAgo, EndedAgo time.Duration
+	// SeenAfter is how long after the exchange the instance was seen to have ended; an hour
+	// or more for one that may still run.
+	SeenAfter time.Duration
+	IsCrash   bool
 }
 
 // IsQuarantined reports whether a request under which as many instances have crashed may
--- a/coordination/quarantine/sendmodel_test.go
+++ b/coordination/quarantine/sendmodel_test.go
@@ -11,26 +11,25 @@
 )
 
 // sendModel is a client whose tries come to any gateway, one after the other. Instances end
-// under them in every way, and gateways are killed with sends open. One storage node at most
-// loses messages now and then: what is noted reaches all others.
+// under them in every way, and gateways are killed with sends open. Each question to the
+// storage nodes, or its answer, is lost at one of them at most, another one each time.
 type sendModel struct {
 	*rapid.T
 	cluster  *cluster
 	gateways []*Client
 	request  Fingerprint
-	// lossy is the storage node that loses messages.
-	lossy string
-	sends int
+	sends    int
 	// ended counts the instances that have ended since a try was completed, unknowable those
 	// under sends that were not announced, of gateways that were killed.
 	ended, unknowable int
 }
 
-// drawLoss draws whether the next messages to the lossy node, or its answers, are lost.
+// drawLoss draws at which node the next messages, or its answers, are lost.
 func (m *sendModel) drawLoss() {
+	lossy := rapid.SampledFrom(m.cluster.members).Draw(m.T, "lossy node")
 	kind := rapid.IntRange(0, 2).Draw(m.T, "loss")
 	m.cluster.lose = func(address string) (bool, bool) {
-		return address == m.lossy && kind == 1, address == m.lossy && kind == 2
+		return address == lossy && kind == 1, address == lossy && kind == 2
 	}
 }
 
@@ -105,7 +104,6 @@
 func TestSendsWithoutOutcomeAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &sendModel{T: t, cluster: newCluster(3), request: FingerprintOf([]byte("request"))}
-		m.lossy = rapid.SampledFrom(m.cluster.members).Draw(t, "lossy node")
 		for range rapid.IntRange(1, 4).Draw(t, "gateways") {
 			m.gateways = append(m.gateways, newGateway(m.cluster))
 		}
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -109,7 +109,7 @@
 	// A gateway that hasn't heard of a completed try yet may report earlier crashes again.
 	isForgotten := crash.Row > 0 && added.ended.Before(known.clearedAt)
 	if isForgotten || slices.ContainsFunc(known.ends, added.isSame) {
-		return known.record(crash.Fingerprint, now), false
+		return known.answer(crash.Fingerprint, now), false
 	}
 	known.forgetExpired(now)
 	known.pending = known.pending.without(added.isSame)
@@ -120,7 +120,7 @@
 	known.isResolved = false
 	known.expires = now.Add(lifetime(known.crashes))
 	t.noteChange(known)
-	return known.record(crash.Fingerprint, now), IsQuarantined(known.crashes) && !IsQuarantined(before)
+	return known.answer(crash.Fingerprint, now), IsQuarantined(known.crashes) && !IsQuarantined(before)
 }
 
 // entryOf returns the entry of the request, a new one if there is none. The mutex must be held.
@@ -146,14 +146,14 @@
 	known.forgetExpired(now)
 	noted := newPendingSend(send, now)
 	known.pending = known.pending.without(noted.isSame)
-	before = known.record(send.Fingerprint, now)
+	before = known.answer(send.Fingerprint, now)
 	if slices.ContainsFunc(known.ends, noted.isSame) {
 		return before, before
 	}
 	known.pending = known.pending.with(noted)
 	known.isResolved = false
 	t.noteChange(known)
-	return before, known.record(send.Fingerprint, now)
+	return before, known.answer(send.Fingerprint, now)
 }
 
 // DropSend forgets a send, since its instance still runs.
@@ -209,7 +209,7 @@
 	defer t.mutex.Unlock()
 	now := t.now()
 	if known := t.entries[fingerprint]; known != nil && known.isKept(now) {
-		return known.record(fingerprint, now)
+		return known.answer(fingerprint, now)
 	}
 	return Record{Fingerprint: fingerprint, IsResolved: true}
 }
@@ -356,6 +356,30 @@
 	return record
 }
 
+// answer returns the record of the entry with the tries that count, so that a gateway can count
+// those together that different nodes know of.
+func (e *entry) answer(fingerprint Fingerprint, now time.Time) Record {
+	record := e.record(fingerprint, now)
+	if now.Before(e.expires) {
+		record.Tries = appendTries(record.Tries, e.ends, true, now)
+	}
+	record.Tries = appendTries(record.Tries, e.pending.unexpired(now).ends(), false, now)
+	if !e.clearedAt.IsZero() {
+		record.ClearedAgo = now.Sub(e.clearedAt)
+	}
+	return record
+}
+
+func appendTries(tries []Try, ends []end, isCrash bool, now time.Time) []Try {
+	for _, each := range ends {
+		tries = append(tries, Try{
+			Send: each.send, Instance: each.instance, SentAgo: now.Sub(each.sent), EndedAgo: now.Sub(each.ended),
+			SeenAfter: each.seen.Sub(each.ended), IsCrash: isCrash,
+		})
+	}
+	return tries
+}
+
 // suspected returns the number of crashes and pending sends in the longest row of both.
 func (e *entry) suspected(crashes int, pending pendingSends) int {
 	if crashes == 0 {
--- a/transport/peer/crash.go
+++ b/transport/peer/crash.go
@@ -125,9 +125,9 @@
 	}
 	record := s.crashes.Report(quarantine.Crash{
 		Fingerprint: fingerprint, Send: quarantine.SendID(request.Msg.GetSend()), Instance: request.Msg.GetInstance(),
-		SentAgo:  time.Duration(request.Msg.GetSentAgoUs()) * time.Microsecond,
-		EndedAgo: time.Duration(request.Msg.GetEndedAgoUs()) * time.Microsecond,
-		Row:      int(request.Msg.GetRow()), SeenAfter: time.Duration(request.Msg.GetSeenAfterUs()) * time.Microsecond,
+		SentAgo:  microseconds(request.Msg.GetSentAgoUs()),
+		EndedAgo: microseconds(request.Msg.GetEndedAgoUs()),
+		Row:      int(request.Msg.GetRow()), SeenAfter: microseconds(request.Msg.GetSeenAfterUs()),
 	})
 	if request.Msg.GetRow() == 0 {
 		s.awaitFollowers(ctx, fingerprint)
@@ -144,8 +144,8 @@
 	}
 	before, after := s.crashes.NoteSend(quarantine.Send{
 		Fingerprint: fingerprint, ID: quarantine.SendID(request.Msg.GetSend()), Instance: request.Msg.GetInstance(),
-		SentAgo:  time.Duration(request.Msg.GetSentAgoUs()) * time.Microsecond,
-		EndedAgo: time.Duration(request.Msg.GetEndedAgoUs()) * time.Microsecond,
+		SentAgo:  microseconds(request.Msg.GetSentAgoUs()),
+		EndedAgo: microseconds(request.Msg.GetEndedAgoUs()),
 		IsOpen:   request.Msg.GetOpen(), IsBroken: request.Msg.GetBroken(), Gateway: quarantine.FollowerID(request.Msg.GetFollower()),
 		Lifetime: time.Duration(request.Msg.GetLifetimeMs()) * time.Millisecond,
 	})
@@ -205,22 +205,40 @@
 }
 
 func crashRecordToWire(record quarantine.Record) *peerv1.CrashRecord {
-	return &peerv1.CrashRecord{
+	message := &peerv1.CrashRecord{
 		Fingerprint: record.Fingerprint[:], Crashes: uint32(record.Crashes), Suspected: uint32(record.Suspected), Resolved: record.IsResolved,
-		RemainingMs: record.Remaining.Milliseconds(),
+		RemainingMs: record.Remaining.Milliseconds(), ClearedAgoUs: record.ClearedAgo.Microseconds(),
 	}
+	for _, try := range record.Tries {
+		message.Tries = append(message.Tries, &peerv1.CrashTry{
+			Send: uint64(try.Send), Instance: try.Instance, SentAgoUs: try.SentAgo.Microseconds(), EndedAgoUs: try.EndedAgo.Microseconds(),
+			SeenAfterUs: try.SeenAfter.Microseconds(), Crash: try.IsCrash,
+		})
+	}
+	return message
 }
 
 func crashRecordFromWire(message *peerv1.CrashRecord) (quarantine.Record, error) {
 	fingerprint, err := fingerprintFromWire(message.GetFingerprint())
 	crashes := int(message.GetCrashes())
+	var tries []quarantine.Try
+	for _, try := range message.GetTries() {
+		tries = append(tries, quarantine.Try{
+			Send: quarantine.SendID(try.GetSend()), Instance: try.GetInstance(),
+			SentAgo: microseconds(try.GetSentAgoUs()), EndedAgo: microseconds(try.GetEndedAgoUs()),
+			SeenAfter: microseconds(try.GetSeenAfterUs()), IsCrash: try.GetCrash(),
+		})
+	}
 	return quarantine.Record{
 		// Nodes of earlier builds tell the crashes alone.
 		Fingerprint: fingerprint, Suspicion: quarantine.Suspicion{Crashes: crashes, Suspected: max(crashes, int(message.GetSuspected()))},
 		IsResolved: message.GetResolved(), Remaining: time.Duration(message.GetRemainingMs()) * time.Millisecond,
+		Tries: tries, ClearedAgo: microseconds(message.GetClearedAgoUs()),
 	}, err
 }
 
+func microseconds(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
+
 func fingerprintFromWire(encoded []byte) (fingerprint quarantine.Fingerprint, err error) {
 	if len(encoded) != len(fingerprint) {
 		return fingerprint, errBadFingerprint
