Tell restarted storage nodes of sends without an outcome

A request went to a fourth instance where the end of one was noted as a send without an outcome and all storage nodes were started again, one after the other.

Cause: gateways reported crashes again to a node with a new table, but not the sends without an outcome. What they reported again was in their copy of that node's table only after its next push.

Change: a gateway keeps what it has noted until the outcome is known or it lapses, and notes it again. It takes the answers into its copy at once.

--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -212,6 +212,7 @@
 func (c *Client) note(ctx context.Context, send Send) (before, after Suspicion, isConfirmed bool) {
 	began := c.now()
 	send.Gateway = c.id
+	c.reported.addSend(send, began)
 	noting, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (reply, error) {
 		before, after, err := c.nodes.NoteSend(noting, address, send)
@@ -256,6 +257,7 @@
 // doesn't wait for the storage nodes.
 func (c *Client) Drop(ctx context.Context, fingerprint Fingerprint, id SendID) {
 	c.own.DropSend(fingerprint, id)
+	c.reported.removeSend(id)
 	c.copies.apply(localNode, Changes{Records: []Record{c.own.Find(fingerprint)}})
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (reply, error) {
@@ -288,6 +290,7 @@
 	}
 	crash.Row = most.Crashes
 	c.reported.add(crash, c.now())
+	c.reported.removeSend(crash.Send)
 	return most
 }
 
@@ -347,16 +350,26 @@
 	}
 }
 
-// reportAgain reports the crashes that this gateway has seen to a node that has a new table,
-// since it was restarted and may have lost them.
+// reportAgain reports the crashes that this gateway has seen, and its sends without an outcome,
+// to a node that has a new table, since it was restarted and may have lost them.
 func (c *Client) reportAgain(ctx context.Context, address string) {
 	for _, crash := range c.reported.all(c.now()) {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-		_, err := c.nodes.ReportCrash(ctx, address, crash)
+		known, err := c.nodes.ReportCrash(ctx, address, crash)
 		cancel()
 		if err != nil {
 			return
 		}
+		c.copies.apply(address, Changes{Records: []Record{known}})
+	}
+	for _, send := range c.reported.sends(c.now()) {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		_, known, err := c.nodes.NoteSend(ctx, address, send)
+		cancel()
+		if err != nil {
+			return
+		}
+		c.copies.apply(address, Changes{Records: []Record{known}})
 	}
 }
 
--- a/coordination/quarantine/sendmodel_test.go
+++ b/coordination/quarantine/sendmodel_test.go
@@ -12,27 +12,59 @@
 
 // sendModel is a client whose tries come to any gateway, one after the other. Instances end
 // under them in every way, and gateways are killed with sends open. Each question to the
-// storage nodes, or its answer, is lost at one of them at most, another one each time.
+// storage nodes, or its answer, is lost at one of them at most, another one each time. In other
+// runs, no messages are lost and no gateways killed, but storage nodes start again.
 type sendModel struct {
 	*rapid.T
-	cluster  *cluster
-	gateways []*Client
-	request  Fingerprint
-	sends    int
+	cluster *cluster
+	// hasRestarts is set if storage nodes start again. The gateways follow them then, and have
+	// what changed before the cursors.
+	hasRestarts bool
+	cursors     map[followedNode]Cursor
+	gateways    []*Client
+	request     Fingerprint
+	sends       int
 	// ended counts the instances that have ended since a try was completed, unknowable those
 	// under sends that were not announced, of gateways that were killed.
 	ended, unknowable int
 }
 
+// followedNode is a storage node that a gateway follows.
+type followedNode struct {
+	gateway *Client
+	address string
+}
+
 // drawLoss draws at which node the next messages, or its answers, are lost.
 func (m *sendModel) drawLoss() {
 	lossy := rapid.SampledFrom(m.cluster.members).Draw(m.T, "lossy node")
 	kind := rapid.IntRange(0, 2).Draw(m.T, "loss")
+	if m.hasRestarts {
+		kind = 0
+	}
 	m.cluster.lose = func(address string) (bool, bool) {
 		return address == lossy && kind == 1, address == lossy && kind == 2
 	}
 }
 
+// restartNode lets a storage node begin with a new table.
+func (m *sendModel) restartNode() {
+	m.cluster.start(rapid.SampledFrom(m.cluster.members).Draw(m.T, "restarted node"))
+}
+
+// follow tells all gateways what has changed at the nodes.
+func (m *sendModel) follow() {
+	for _, gateway := range m.gateways {
+		for _, address := range m.cluster.members {
+			at := followedNode{gateway, address}
+			changes, _ := m.cluster.WatchCrashes(m.Context(), address, gateway.id, m.cursors[at], 0)
+			gateway.learn(m.Context(), address, changes)
+			gateway.running.Wait()
+			m.cursors[at] = changes.Next
+		}
+	}
+}
+
 func (m *sendModel) pass(most int) {
 	m.cluster.now = m.cluster.now.Add(time.Duration(rapid.IntRange(1, most).Draw(m.T, "ms")) * time.Millisecond)
 }
@@ -70,7 +102,11 @@
 func (m *sendModel) settle(index int, send Send, sentAt time.Time, isAnnounced bool) {
 	gateway := m.gateways[index]
 	sentAgo := m.cluster.now.Sub(sentAt)
-	switch rapid.SampledFrom([]string{"crashes", "silent", "killed", "runs on", "completed"}).Draw(m.T, "outcome") {
+	outcomes := []string{"crashes", "silent", "runs on", "completed", "killed"}
+	if m.hasRestarts {
+		outcomes = outcomes[:4]
+	}
+	switch rapid.SampledFrom(outcomes).Draw(m.T, "outcome") {
 	case "crashes":
 		m.ended++
 		gateway.Report(m.Context(), Crash{Fingerprint: m.request, Send: send.ID, Instance: send.Instance, SentAgo: sentAgo})
@@ -103,12 +139,21 @@
 // instances as may have ended under it, whether that was seen or not.
 func TestSendsWithoutOutcomeAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &sendModel{T: t, cluster: newCluster(3), request: FingerprintOf([]byte("request"))}
+		m := &sendModel{
+			T: t, cluster: newCluster(3), request: FingerprintOf([]byte("request")),
+			hasRestarts: rapid.Bool().Draw(t, "restarts"), cursors: make(map[followedNode]Cursor),
+		}
 		for range rapid.IntRange(1, 4).Draw(t, "gateways") {
 			m.gateways = append(m.gateways, newGateway(m.cluster))
 		}
 		for range 30 {
 			m.try()
+			if m.hasRestarts {
+				if rapid.Bool().Draw(t, "restart") {
+					m.restartNode()
+				}
+				m.follow()
+			}
 			assert.Assert(t, m.ended <= MaxCrashes+m.unknowable, "%d instances have ended, %d of them unknowably", m.ended, m.unknowable)
 		}
 	})
