Take the time before storage nodes are asked

go test -race ./coordination/quarantine failed in TestCrashIsReportedAgainAfterPause since: the client read the clock while the members were asked, whose stand-in sets it. Times in answers count from when the question is put, too: a node answers later if it waits for followers. Passes twice under the detector.

--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -194,12 +194,12 @@
 // find asks all members what they know of the request. The result is confirmed if a majority
 // has answered, or if it is enough to refuse the request.
 func (c *Client) find(ctx context.Context, fingerprint Fingerprint) (known Suspicion, isConfirmed bool) {
+	together := merged{now: c.now()}
 	asked := c.askMembers(func(address string) (reply, error) {
 		record, err := c.nodes.FindCrashes(ctx, address, fingerprint)
 		return reply{after: record}, err
 	})
 	local := c.copies.suspicionAt(localNode, fingerprint)
-	together := merged{now: c.now()}
 	_, answered, _ := asked.collect(findGrace, func(got answer) bool {
 		together.add(got.after)
 		return !IsQuarantined(together.suspicion().Crashes)
@@ -301,12 +301,12 @@
 // reportOnce reports a crash to all members and returns how many of them have counted it, and
 // what they know of the request.
 func (c *Client) reportOnce(ctx context.Context, crash Crash) (most Suspicion, counted, needed int, lastErr error) {
+	together := merged{now: c.now()}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	asked := c.askMembers(func(address string) (reply, error) {
 		record, err := c.nodes.ReportCrash(ctx, address, crash)
 		return reply{after: record}, err
 	})
-	together := merged{now: c.now()}
 	received, counted, lastErr := asked.collect(FollowerGrace, func(got answer) bool {
 		c.copies.apply(got.address, Changes{Records: []Record{got.after}})
 		together.add(got.after)
