--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -354,25 +354,34 @@
 // to a node that has a new table, since it was restarted and may have lost them.
 func (c *Client) reportAgain(ctx context.Context, address string) {
 	for _, crash := range c.reported.all(c.now()) {
-		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-		known, err := c.nodes.ReportCrash(ctx, address, crash)
-		cancel()
-		if err != nil {
+		report := func(ctx context.Context) (Record, error) { return c.nodes.ReportCrash(ctx, address, crash) }
+		if c.tellAgain(ctx, address, report) != nil {
 			return
 		}
-		c.copies.apply(address, Changes{Records: []Record{known}})
 	}
 	for _, send := range c.reported.sends(c.now()) {
-		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-		_, known, err := c.nodes.NoteSend(ctx, address, send)
-		cancel()
-		if err != nil {
+		note := func(ctx context.Context) (Record, error) {
+			_, after, err := c.nodes.NoteSend(ctx, address, send)
+			return after, err
+		}
+		if c.tellAgain(ctx, address, note) != nil {
 			return
 		}
-		c.copies.apply(address, Changes{Records: []Record{known}})
 	}
 }
 
+// tellAgain tells a node something and takes its answer into the copy of its table.
+func (c *Client) tellAgain(ctx context.Context, address string, tell func(context.Context) (Record, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	known, err := tell(ctx)
+	if err != nil {
+		return err
+	}
+	c.copies.apply(address, Changes{Records: []Record{known}})
+	return nil
+}
+
 // asked is a question to the members of the replica set.
 type asked struct {
 	members, quorum int
