Let a process end at the latest with another try that may have been at it

Cause: tries at one instance count once while the first one's process may still have run. The second end was left out for that, and so was the third, though the process of the first had ended by then in any case: it was either that of the second try, whose end was seen before the third was sent, or one before it.

Change: an end that is left out bounds when the process of the earlier one ended.

TestLateSeenEndHidesNoLaterProcess: 2 of 3 before, 3 after.

--- a/coordination/quarantine/pending_test.go
+++ b/coordination/quarantine/pending_test.go
@@ -121,6 +121,26 @@
 	assert.Equal(t, table.Report(crashAt("i-2", 0)).Crashes, 1)
 }
 
+// TestLateSeenEndHidesNoLaterProcess guards against an instance that starts again twice, whose
+// last end doesn't count since its first one was seen after its last start.
+func TestLateSeenEndHidesNoLaterProcess(t *testing.T) {
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	ends := []struct {
+		instance          string
+		sent, ended, seen int // milliseconds
+	}{
+		{"i-1", 0, 100, 830}, {"i-1", 440, 750, 785}, {"i-2", 790, 800, 810}, {"i-1", 820, 1130, 1130},
+	}
+	for index, one := range ends {
+		crash := crashAt(one.instance, time.Duration(2000-one.sent)*time.Millisecond)
+		crash.Send, crash.EndedAgo = SendID(index+1), time.Duration(2000-one.ended)*time.Millisecond
+		crash.SeenAfter = time.Duration(one.seen-one.ended) * time.Millisecond
+		table.Report(crash)
+	}
+	assert.Equal(t, table.Find(request).Crashes, MaxCrashes)
+}
+
 // TestSingleUnclearSendsWakeNoFollowers guards against lost responses that cost calls of all
 // gateways each, and against a second send in a row that they learn late.
 func TestSingleUnclearSendsWakeNoFollowers(t *testing.T) {
--- a/coordination/quarantine/row.go
+++ b/coordination/quarantine/row.go
@@ -43,8 +43,15 @@
 		if len(row) > 0 && current.sent.Before(row[len(row)-1].ended.Add(-reportSkew)) {
 			continue
 		}
-		if !slices.ContainsFunc(row, current.isAtProcessOf) {
+		earlier := slices.IndexFunc(row, current.isAtProcessOf)
+		if earlier < 0 {
 			row = append(row, current)
+			continue
+		}
+		// Either both were at one process, which had ended when this end was seen, or the
+		// earlier one had ended before.
+		if current.seen.Before(row[earlier].seen) {
+			row[earlier].seen = current.seen
 		}
 	}
 	return row
@@ -64,7 +71,7 @@
 	}
 	row := longestRow(ends)
 	for index, current := range ends {
-		if !slices.Contains(row, current) {
+		if !slices.ContainsFunc(row, current.isSame) {
 			return slices.Delete(ends, index, index+1)
 		}
 	}
