--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -266,8 +266,9 @@
 	asked.cancelAfter(0, cancel)
 }
 
-// Report reports a crash and returns what is known of the request then. It returns once all nodes have counted the crash and told their followers, so that these know
-// of it before the client can try again. Once a majority has, it waits for FollowerGrace at
+// Report reports a crash and returns what is known of the request then. It returns once all
+// nodes have counted the crash and told their followers, so that these know of it before the
+// client can try again. Once a majority has, it waits for FollowerGrace at
 // most. Without a majority, the crash adds to those that were known when the request was sent.
 func (c *Client) Report(ctx context.Context, crash Crash) Suspicion {
 	began := c.now()
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -29,7 +29,8 @@
 	followerPollInterval = time.Millisecond
 )
 
-// Table counts the crashes under requests, and the sends without an outcome, at a storage node. It is safe for concurrent use.
+// Table counts the crashes under requests, and the sends without an outcome, at a storage
+// node. It is safe for concurrent use.
 type Table struct {
 	id  uint64
 	now func() time.Time
@@ -449,9 +450,9 @@
 	}
 }
 
-// isUrgent reports whether all gateways have to know of the request: another end leaves it
-// fewer tries than a gateway makes that knows of none. A single send without an outcome is
-// most often one whose response was lost.
+// isUrgent reports whether all gateways have to know of the request at once. A single send
+// without an outcome isn't urgent: most often its response was lost, and storage nodes count it
+// with the next one anyway.
 func (e *entry) isUrgent() bool { return e.crashes > 0 || len(longestRow(e.pending.closed())) > 1 }
 
 // tellWithin has followers told of the changes so far within the interval. The mutex must be
