--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -231,13 +231,13 @@
 	})
 	before, after = earlier.suspicion(), with.suspicion()
 	asked.cancelAfter(received, cancel)
-	if !isMajority(answered, asked.quorum) {
+	isConfirmed = isMajority(answered, asked.quorum)
+	if !isConfirmed {
 		c.logger.Info("send not confirmed by storage nodes", zap.Stringer("fingerprint", send.Fingerprint), zap.String("instance", send.Instance),
 			zap.Bool("open", send.IsOpen), zap.Int("confirmed", answered), zap.Int("needed", asked.quorum),
 			zap.Duration("took", c.now().Sub(began)), zap.Error(err))
-		return before, after, false
 	}
-	return before, after, true
+	return before, after, isConfirmed
 }
 
 // Unresolve notes that the exchange of a send has ended without an outcome and returns what is
