--- a/test/integration/crashsoak_test.go
+++ b/test/integration/crashsoak_test.go
@@ -110,12 +110,7 @@
 	stopped := make(chan struct{})
 	var running sync.WaitGroup
 	running.Go(func() {
-		for {
-			select {
-			case <-stopped:
-				return
-			case <-time.After(10 * time.Millisecond):
-			}
+		for !awaitStop(stopped, 10*time.Millisecond) {
 			for _, crashed := range s.takeCrashed() {
 				running.Go(func() {
 					if crashed.ending == runner.FallsSilent {
--- a/test/integration/lethal_test.go
+++ b/test/integration/lethal_test.go
@@ -281,12 +281,7 @@
 			traffic.running.Go(func() {
 				client := &http.Client{Timeout: time.Second}
 				defer client.CloseIdleConnections()
-				for number := 0; ; number++ {
-					select {
-					case <-traffic.stopped:
-						return
-					case <-time.After(harmlessPause):
-					}
+				for number := 0; !awaitStop(traffic.stopped, harmlessPause); number++ {
 					sent, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("harmless"))
 					if err != nil {
 						panic(err)
@@ -318,12 +313,7 @@
 	stopped := make(chan struct{})
 	var running sync.WaitGroup
 	running.Go(func() {
-		for {
-			select {
-			case <-stopped:
-				return
-			case <-time.After(10 * time.Millisecond):
-			}
+		for !awaitStop(stopped, 10*time.Millisecond) {
 			s.mutex.Lock()
 			for _, instance := range s.instances {
 				if ends := len(instance.Ends()); listed[instance.service] && ends > seen[instance.Instance] {
