Count a connection as kept only once the others would have broken

Callers saw a fourth instance end under one request. An exchange broke, and a check 6 ms later found another connection of the process open. The send counted as a lost response and was dropped, but that connection broke as well a moment later: the process had ended. A process closes its connections one after the other, which endSkew (50 ms) allows for breaks, but not for connections that were kept.

Until endSkew after the break, a kept connection shows nothing now: the send is unclear, and is looked at again.

The gateway's log: "send without an outcome" at 19.214, "back end still runs after request" at 19.220. TestConnectionThatBreaksLaterShowsNoLife fails before ("continues" for "unclear"). The check of "one is left" asks with the time of the break now, not with a later one each time.

--- a/transport/upstream/ended_test.go
+++ b/transport/upstream/ended_test.go
@@ -166,14 +166,36 @@
 			request.SentAt = client.now()
 			skew.Store(int64(c.idle))
 			connections.reset(c.broken)
+			look := Look{EndedAt: client.now(), IsBroken: true}
 			harness.Eventually(t, func() (bool, string) {
-				found := client.Check(t.Context(), request, Look{EndedAt: client.now(), IsBroken: true})
+				found := client.Check(t.Context(), request, look)
 				return found == c.wanted, found.String()
 			})
 		})
 	}
 }
 
+// TestConnectionThatBreaksLaterShowsNoLife guards against an end that counts as a lost response,
+// since another connection of the process broke a moment after that of the exchange.
+func TestConnectionThatBreaksLaterShowsNoLife(t *testing.T) {
+	var connections accepted
+	listener := listen(t, func(_ int, opened net.Conn) {
+		connections.add(opened)
+		go answerAll(opened)
+	})
+	client, request := newEndClient(), requestTo(listener)
+	openTwo(t, client, request)
+	request.SentAt = client.now()
+	connections.reset(1)
+	look := Look{EndedAt: client.now(), IsBroken: true}
+	assert.Equal(t, client.Check(t.Context(), request, look), LifeUnclear)
+	connections.reset(2)
+	harness.Eventually(t, func() (bool, string) {
+		found := client.Check(t.Context(), request, look)
+		return found == LifeEnded, found.String()
+	})
+}
+
 // TestSilentProcessIsFoundSilent guards against taking a process whose connections hang for one
 // that runs, since its open connections look as before.
 func TestSilentProcessIsFoundSilent(t *testing.T) {
--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -251,8 +251,11 @@
 	if found := c.probeEnd(ctx, to, look.MaxAge); found != LifeUnclear {
 		return found
 	}
-	kept, broke := known.keptOrBroke(request.SentAt, look.EndedAt, c.now())
+	now := c.now()
+	kept, broke := known.keptOrBroke(request.SentAt, look.EndedAt, now)
 	switch {
+	case kept > 0 && look.IsBroken && now.Sub(look.EndedAt) < endSkew:
+		return LifeUnclear // those kept may be about to break as well
 	case kept > 0:
 		return LifeContinues
 	case brokeTogether(broke):
