Count each process of an instance that may have ended

An instance started again under its id and address after the client had left. Its gateways saw its first end as unclear, and for certain only after the next send to the same id. Rows took two sends at one id for one process if the second was made before the end of the first was seen, so two processes counted as one.

That is right for crashes, which must not be counted too high, and wrong for suspected ends, which bound what may have ended. A gateway now also tells until when it saw the process run. A suspected end counts once with an earlier one at the same id only if the later send was made before then; a send that counts already is noted again once its process may have ended. A process whose gateway is gone may have ended. Messages have new fields, old ones are as before.

TestProcessesThatMayHaveEndedCountEach fails with the row of before (1 suspected for 2). The watcher's test tells now whether an instance may have ended, and expects a second note for one that falls silent after it ran on. TestSendsAtOneProcessCountOnce also checks the suspected ends.

--- a/coordination/quarantine/entry.go
+++ b/coordination/quarantine/entry.go
@@ -58,7 +58,7 @@
 	for _, each := range ends {
 		tries = append(tries, Try{
 			Send: each.send, Instance: each.instance, SentAgo: now.Sub(each.sent), EndedAgo: now.Sub(each.ended),
-			SeenAfter: each.seen.Sub(each.ended), IsCrash: isCrash,
+			RanAfter: each.ran.Sub(each.ended), SeenAfter: each.seen.Sub(each.ended), IsCrash: isCrash,
 		})
 	}
 	return tries
@@ -67,11 +67,11 @@
 // suspected returns the number of crashes and pending sends in the longest row of both.
 func (e *entry) suspected(crashes int, pending pendingSends) int {
 	if crashes == 0 {
-		return len(longestRow(pending.ends()))
+		return len(longestSuspectedRow(pending.ends()))
 	}
-	suspected := max(crashes, len(longestRow(slices.Concat(e.ends, pending.ends()))))
+	suspected := max(crashes, len(longestSuspectedRow(slices.Concat(e.ends, pending.ends()))))
 	// The ends may be fewer than the crashes, which other nodes have counted.
-	return max(suspected, crashes+len(longestRow(pending.after(e.lastEnd()))))
+	return max(suspected, crashes+len(longestSuspectedRow(pending.after(e.lastEnd()))))
 }
 
 // lastEnd returns when the last instance ended; zero if none has.
@@ -118,4 +118,6 @@
 // isUrgent reports whether all gateways have to know of the request at once. A single send
 // without an outcome isn't urgent: most often its response was lost, and storage nodes count it
 // with the next one anyway.
-func (e *entry) isUrgent() bool { return e.crashes > 0 || len(longestRow(e.pending.closed())) > 1 }
+func (e *entry) isUrgent() bool {
+	return e.crashes > 0 || len(longestSuspectedRow(e.pending.closed())) > 1
+}
--- a/coordination/quarantine/merge.go
+++ b/coordination/quarantine/merge.go
@@ -22,7 +22,7 @@
 	}
 	for _, try := range record.Tries {
 		added := end{send: try.Send, instance: try.Instance, sent: m.now.Add(-try.SentAgo), ended: m.now.Add(-try.EndedAgo)}
-		added.seen = added.ended.Add(try.SeenAfter)
+		added.ran, added.seen = added.ended.Add(try.RanAfter), added.ended.Add(try.SeenAfter)
 		if try.IsCrash {
 			m.crashes = mergeEnd(m.crashes, added)
 		} else {
@@ -41,6 +41,7 @@
 	if added.ended.Before(ends[index].ended) {
 		ends[index].ended = added.ended
 	}
+	ends[index].limit(added)
 	return ends
 }
 
@@ -53,7 +54,7 @@
 			all = mergeEnd(all, send)
 		}
 	}
-	return m.most.most(Suspicion{Crashes: len(longestRow(crashes)), Suspected: len(longestRow(all))})
+	return m.most.most(Suspicion{Crashes: len(longestRow(crashes)), Suspected: len(longestSuspectedRow(all))})
 }
 
 // isForgotten reports whether the try was made before one that was completed. A node that
--- a/coordination/quarantine/pending.go
+++ b/coordination/quarantine/pending.go
@@ -36,9 +36,12 @@
 	if send.IsOpen {
 		noted.ended, noted.expires = now.Add(lifetime), now.Add(lifetime+openGrace)
 	}
-	noted.seen = noted.ended
-	if !send.IsBroken {
-		noted.seen = now.Add(unseen)
+	noted.ran, noted.seen = now.Add(unseen), now.Add(unseen)
+	switch {
+	case send.IsBroken:
+		noted.ran, noted.seen = noted.ended, noted.ended
+	case send.MayHaveEnded:
+		noted.ran = noted.ended.Add(send.RanAfter)
 	}
 	return noted
 }
@@ -71,7 +74,7 @@
 func (p pendingSends) endThoseOf(gateway FollowerID, now time.Time) (isAny bool) {
 	for index := range p {
 		if p[index].isOpen && p[index].gateway == gateway {
-			p[index].isOpen, p[index].ended = false, now
+			p[index].isOpen, p[index].ended, p[index].ran = false, now, now
 			isAny = true
 		}
 	}
--- a/coordination/quarantine/pending_test.go
+++ b/coordination/quarantine/pending_test.go
@@ -46,9 +46,33 @@
 	for id := range SendID(3) {
 		crash := crashAt("i-1", time.Duration(3-id)*time.Second)
 		crash.Send, crash.EndedAgo = id+1, crash.SentAgo-100*time.Millisecond
-		crash.SeenAfter = crash.EndedAgo
+		crash.SeenAfter, crash.RanAfter = crash.EndedAgo, crash.EndedAgo-10*time.Millisecond
 		assert.Equal(t, table.Report(crash).Crashes, 1)
 	}
+	assert.DeepEqual(t, table.Find(request).Suspicion, Suspicion{Crashes: 1, Suspected: 1})
+}
+
+// TestProcessesThatMayHaveEndedCountEach guards against an instance that starts again under its id
+// and ends under the same request unnoticed, since the end of its first process was seen late.
+func TestProcessesThatMayHaveEndedCountEach(t *testing.T) {
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	first := sendAt(1, "i-1", 300*time.Millisecond)
+	first.EndedAgo, first.MayHaveEnded, first.RanAfter = 200*time.Millisecond, true, 150*time.Millisecond
+	_, after := table.NoteSend(first)
+	assert.DeepEqual(t, after.Suspicion, Suspicion{Suspected: 1})
+	c.now = c.now.Add(100 * time.Millisecond)
+	second := sendAt(2, "i-1", 0)
+	second.IsOpen = true
+	before, _ := table.NoteSend(second)
+	assert.DeepEqual(t, before.Suspicion, Suspicion{Suspected: 1})
+	c.now = c.now.Add(400 * time.Millisecond)
+	crash := crashAt("i-1", 400*time.Millisecond)
+	crash.Send, crash.EndedAgo, crash.RanAfter, crash.SeenAfter = 2, 300*time.Millisecond, 200*time.Millisecond, 290*time.Millisecond
+	assert.DeepEqual(t, table.Report(crash).Suspicion, Suspicion{Crashes: 1, Suspected: 2})
+	late := crashAt("i-1", 800*time.Millisecond)
+	late.Send, late.EndedAgo, late.RanAfter, late.SeenAfter = 1, 700*time.Millisecond, 150*time.Millisecond, 700*time.Millisecond
+	assert.DeepEqual(t, table.Report(late).Suspicion, Suspicion{Crashes: 1, Suspected: 2})
 }
 
 // TestProcessesOfOneInstanceCountEach guards against an instance that starts again under its id
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -28,8 +28,9 @@
 	// SentAgo and EndedAgo are the times since the request was sent to the instance and
 	// since the exchange ended. They are durations, since the clocks of nodes differ.
 	SentAgo, EndedAgo time.Duration
-	// SeenAfter is how long after the exchange the instance was seen to have ended.
-	SeenAfter time.Duration
+	// RanAfter is how long after the exchange the instance was last seen to run, SeenAfter how
+	// long after it was seen to have ended.
+	RanAfter, SeenAfter time.Duration
 	// Known is the number of crashes that the gateway knew of when it sent the request. It
 	// isn't reported: storage nodes count for themselves.
 	Known int
@@ -54,6 +55,10 @@
 	IsOpen bool
 	// IsBroken is set if the instance has ended with the exchange if it has ended.
 	IsBroken bool
+	// MayHaveEnded is set once something shows that the instance may have ended, RanAfter after
+	// the exchange at the earliest.
+	MayHaveEnded bool
+	RanAfter     time.Duration
 	// Lifetime is how long the send counts unless its outcome becomes known; for an open one,
 	// how long the exchange may go on.
 	Lifetime time.Duration
@@ -97,10 +102,10 @@
 	// SentAgo and EndedAgo are the times since it was sent and since its exchange ended.
 	// EndedAgo is negative while the exchange goes on.
 	SentAgo, EndedAgo time.Duration
-	// SeenAfter is how long after the exchange the instance was seen to have ended; an hour
-	// or more for one that may still run.
-	SeenAfter time.Duration
-	IsCrash   bool
+	// RanAfter is how long after the exchange the instance was last seen to run, SeenAfter how
+	// long after it was seen to have ended; an hour or more for one that may still run.
+	RanAfter, SeenAfter time.Duration
+	IsCrash             bool
 }
 
 // IsQuarantined reports whether a request under which as many instances have crashed may
--- a/coordination/quarantine/sendmodel_test.go
+++ b/coordination/quarantine/sendmodel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +28,37 @@
 	// ended counts the instances that have ended since a try was completed, unknowable those
 	// under sends that were not announced, of gateways that were killed.
 	ended, unknowable int
+	// isOneInstance is set if all sends are at one instance, which starts again under its id.
+	isOneInstance bool
+	// late are the ends that have been seen but not yet reported.
+	late []lateEnd
+}
+
+// lateEnd is the end of a process that its gateway reports later.
+type lateEnd struct {
+	gateway       *Client
+	crash         Crash
+	sentAt, endAt time.Time
+}
+
+// reportLate reports some of the ends that haven't been reported.
+func (m *sendModel) reportLate() {
+	for len(m.late) > 0 && rapid.Bool().Draw(m.T, "report") {
+		next := m.late[0]
+		m.late = m.late[1:]
+		m.drawLoss()
+		next.crash.SentAgo, next.crash.EndedAgo = m.cluster.now.Sub(next.sentAt), m.cluster.now.Sub(next.endAt)
+		next.crash.SeenAfter = next.crash.EndedAgo
+		next.gateway.Report(m.Context(), next.crash)
+		next.gateway.running.Wait()
+	}
+}
+
+func (m *sendModel) instance() string {
+	if m.isOneInstance {
+		return "i-1"
+	}
+	return fmt.Sprint("i-", m.sends)
 }
 
 // followedNode is a storage node that a gateway follows.
@@ -73,6 +105,7 @@
 func (m *sendModel) try() {
 	index := rapid.IntRange(0, len(m.gateways)-1).Draw(m.T, "gateway")
 	gateway := m.gateways[index]
+	m.reportLate()
 	m.drawLoss()
 	known := gateway.Suspicion(m.Context(), m.request)
 	gateway.running.Wait()
@@ -81,7 +114,7 @@
 	}
 	m.sends++
 	send := Send{
-		Fingerprint: m.request, ID: SendID(m.sends), Instance: fmt.Sprint("i-", m.sends), IsOpen: true, Lifetime: suspectLifetime,
+		Fingerprint: m.request, ID: SendID(m.sends), Instance: m.instance(), IsOpen: true, Lifetime: suspectLifetime,
 	}
 	before, isAnnounced := gateway.Announce(m.Context(), send, known)
 	gateway.running.Wait()
@@ -102,9 +135,9 @@
 func (m *sendModel) settle(index int, send Send, sentAt time.Time, isAnnounced bool) {
 	gateway := m.gateways[index]
 	sentAgo := m.cluster.now.Sub(sentAt)
-	outcomes := []string{"crashes", "silent", "runs on", "completed", "killed"}
+	outcomes := []string{"crashes", "silent", "ends later", "runs on", "completed", "killed"}
 	if m.hasRestarts {
-		outcomes = outcomes[:4]
+		outcomes = outcomes[:5]
 	}
 	switch rapid.SampledFrom(outcomes).Draw(m.T, "outcome") {
 	case "crashes":
@@ -112,8 +145,11 @@
 		gateway.Report(m.Context(), Crash{Fingerprint: m.request, Send: send.ID, Instance: send.Instance, SentAgo: sentAgo})
 	case "silent":
 		m.ended++
-		send.SentAgo, send.IsOpen = sentAgo, false
+		send.SentAgo, send.IsOpen, send.MayHaveEnded = sentAgo, false, true
 		gateway.Unresolve(m.Context(), send)
+	case "ends later":
+		m.ended++
+		m.endLater(gateway, send, sentAt)
 	case "killed":
 		m.ended++
 		if !isAnnounced {
@@ -124,6 +160,7 @@
 			cancel()
 			table.Watch(lost, gateway.id, Cursor{}, 0)
 		}
+		m.late = slices.DeleteFunc(m.late, func(end lateEnd) bool { return end.gateway == gateway })
 		m.gateways[index] = newGateway(m.cluster)
 	case "runs on":
 		if isAnnounced {
@@ -131,17 +168,31 @@
 		}
 	case "completed":
 		gateway.Completed(m.Context(), m.request)
-		m.ended, m.unknowable = 0, 0
+		m.ended, m.unknowable, m.late = 0, 0, nil
 	}
 }
 
+// endLater ends the process of a send after its client has left. The gateway sees that it may have
+// ended, and for certain only after later sends.
+func (m *sendModel) endLater(gateway *Client, send Send, sentAt time.Time) {
+	endAt := m.cluster.now
+	m.pass(100)
+	ranAfter := m.cluster.now.Sub(endAt)
+	m.pass(100)
+	send.SentAgo, send.EndedAgo, send.IsOpen = m.cluster.now.Sub(sentAt), m.cluster.now.Sub(endAt), false
+	send.MayHaveEnded, send.RanAfter = true, ranAfter
+	gateway.Unresolve(m.Context(), send)
+	crash := Crash{Fingerprint: m.request, Send: send.ID, Instance: send.Instance, RanAfter: ranAfter}
+	m.late = append(m.late, lateEnd{gateway: gateway, crash: crash, sentAt: sentAt, endAt: endAt})
+}
+
 // TestSendsWithoutOutcomeAreBounded guards against a request that is sent on after as many
 // instances as may have ended under it, whether that was seen or not.
 func TestSendsWithoutOutcomeAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &sendModel{
 			T: t, cluster: newCluster(3), request: FingerprintOf([]byte("request")),
-			hasRestarts: rapid.Bool().Draw(t, "restarts"), cursors: make(map[followedNode]Cursor),
+			hasRestarts: rapid.Bool().Draw(t, "restarts"), isOneInstance: rapid.Bool().Draw(t, "one instance"), cursors: make(map[followedNode]Cursor),
 		}
 		for range rapid.IntRange(1, 4).Draw(t, "gateways") {
 			m.gateways = append(m.gateways, newGateway(m.cluster))
--- a/transport/peer/crash.go
+++ b/transport/peer/crash.go
@@ -35,7 +35,7 @@
 	response, err := c.stubs(address).crashes.ReportCrash(ctx, connect.NewRequest(&peerv1.ReportCrashRequest{
 		Fingerprint: crash.Fingerprint[:], Send: uint64(crash.Send), Instance: crash.Instance,
 		SentAgoUs: crash.SentAgo.Microseconds(), EndedAgoUs: crash.EndedAgo.Microseconds(), Row: uint32(crash.Row),
-		SeenAfterUs: crash.SeenAfter.Microseconds(),
+		RanAfterUs: crash.RanAfter.Microseconds(), SeenAfterUs: crash.SeenAfter.Microseconds(),
 	}))
 	if err != nil {
 		return quarantine.Record{}, err
@@ -51,6 +51,7 @@
 		Fingerprint: send.Fingerprint[:], Send: uint64(send.ID), Instance: send.Instance,
 		SentAgoUs: send.SentAgo.Microseconds(), EndedAgoUs: send.EndedAgo.Microseconds(),
 		Open: send.IsOpen, Broken: send.IsBroken, Follower: uint64(send.Gateway), LifetimeMs: send.Lifetime.Milliseconds(),
+		MayHaveEnded: send.MayHaveEnded, RanAfterUs: send.RanAfter.Microseconds(),
 	}))
 	if err != nil {
 		return quarantine.Record{}, quarantine.Record{}, err
@@ -127,7 +128,8 @@
 		Fingerprint: fingerprint, Send: quarantine.SendID(request.Msg.GetSend()), Instance: request.Msg.GetInstance(),
 		SentAgo:  microseconds(request.Msg.GetSentAgoUs()),
 		EndedAgo: microseconds(request.Msg.GetEndedAgoUs()),
-		Row:      int(request.Msg.GetRow()), SeenAfter: microseconds(request.Msg.GetSeenAfterUs()),
+		Row:      int(request.Msg.GetRow()),
+		RanAfter: microseconds(request.Msg.GetRanAfterUs()), SeenAfter: microseconds(request.Msg.GetSeenAfterUs()),
 	})
 	if request.Msg.GetRow() == 0 {
 		s.awaitFollowers(ctx, fingerprint)
@@ -147,7 +149,8 @@
 		SentAgo:  microseconds(request.Msg.GetSentAgoUs()),
 		EndedAgo: microseconds(request.Msg.GetEndedAgoUs()),
 		IsOpen:   request.Msg.GetOpen(), IsBroken: request.Msg.GetBroken(), Gateway: quarantine.FollowerID(request.Msg.GetFollower()),
-		Lifetime: time.Duration(request.Msg.GetLifetimeMs()) * time.Millisecond,
+		Lifetime:     time.Duration(request.Msg.GetLifetimeMs()) * time.Millisecond,
+		MayHaveEnded: request.Msg.GetMayHaveEnded(), RanAfter: microseconds(request.Msg.GetRanAfterUs()),
 	})
 	if !request.Msg.GetOpen() {
 		s.awaitFollowers(ctx, fingerprint)
@@ -212,7 +215,7 @@
 	for _, try := range record.Tries {
 		message.Tries = append(message.Tries, &peerv1.CrashTry{
 			Send: uint64(try.Send), Instance: try.Instance, SentAgoUs: try.SentAgo.Microseconds(), EndedAgoUs: try.EndedAgo.Microseconds(),
-			SeenAfterUs: try.SeenAfter.Microseconds(), Crash: try.IsCrash,
+			RanAfterUs: try.RanAfter.Microseconds(), SeenAfterUs: try.SeenAfter.Microseconds(), Crash: try.IsCrash,
 		})
 	}
 	return message
@@ -226,7 +229,7 @@
 		tries = append(tries, quarantine.Try{
 			Send: quarantine.SendID(try.GetSend()), Instance: try.GetInstance(),
 			SentAgo: microseconds(try.GetSentAgoUs()), EndedAgo: microseconds(try.GetEndedAgoUs()),
-			SeenAfter: microseconds(try.GetSeenAfterUs()), IsCrash: try.GetCrash(),
+			RanAfter: microseconds(try.GetRanAfterUs()), SeenAfter: microseconds(try.GetSeenAfterUs()), IsCrash: try.GetCrash(),
 		})
 	}
 	return quarantine.Record{
--- a/transport/relay/sendwatch.go
+++ b/transport/relay/sendwatch.go
@@ -93,6 +93,9 @@
 	// check that may have connected to the instance.
 	found                  upstream.Life
 	checkedAt, connectedAt time.Time
+	// ranAt is when a check last showed that the instance runs, before the first that showed
+	// that it may have ended; zero for never.
+	ranAt time.Time
 }
 
 // watch checks the instance again and again until it has ended or has run for long enough.
@@ -153,6 +156,9 @@
 	}
 	look.MaxAge = s.maxProbeAge()
 	s.found = s.handler.options.Upstream.Check(ctx, s.process, look)
+	if s.found == upstream.LifeContinues && !s.send.MayHaveEnded {
+		s.ranAt = s.checkedAt
+	}
 	if s.found == upstream.LifeSilent && s.assignment.IsUnlisted() {
 		return upstream.LifeEnded
 	}
@@ -211,7 +217,7 @@
 	now := s.handler.options.Now()
 	crash := quarantine.Crash{
 		Fingerprint: s.send.Fingerprint, Send: s.send.ID, Instance: s.send.Instance, SentAgo: now.Sub(s.sentAt),
-		EndedAgo: now.Sub(s.endedAt), SeenAfter: now.Sub(s.endedAt), Known: s.known,
+		EndedAgo: now.Sub(s.endedAt), RanAfter: s.ranAfter(), SeenAfter: now.Sub(s.endedAt), Known: s.known,
 	}
 	if s.isBroken && s.isNoted {
 		crash.SeenAfter = 0 // it had broken the exchange, and nothing has shown since that it ran on
@@ -224,13 +230,24 @@
 		zap.Duration("ran", now.Sub(s.sentAt)), zap.Duration("found_after", s.elapsed()))...)
 }
 
+// ranAfter returns how long after the exchange the instance was last seen to run. One that broke
+// the exchange may have ended then.
+func (s *watchedSend) ranAfter() time.Duration {
+	if s.isBroken || s.ranAt.Before(s.endedAt) {
+		return 0
+	}
+	return s.ranAt.Sub(s.endedAt)
+}
+
 // note notes that nothing shows whether the instance has ended. A send that counts already is
-// noted again only as its exchange has ended.
+// noted again only as its exchange has ended, and once the instance may have ended.
 func (s *watchedSend) note(ctx context.Context, found upstream.Life, lifetime time.Duration) {
-	if s.isNoted && !s.send.IsOpen {
+	mayHaveEnded := s.send.MayHaveEnded || found != upstream.LifeContinues
+	if s.isNoted && !s.send.IsOpen && s.send.MayHaveEnded == mayHaveEnded {
 		return
 	}
 	s.isNoted, s.send.IsOpen, s.send.IsBroken = true, false, s.isBroken
+	s.send.MayHaveEnded, s.send.RanAfter = mayHaveEnded, s.ranAfter()
 	now := s.handler.options.Now()
 	s.send.SentAgo, s.send.EndedAgo, s.send.Lifetime = now.Sub(s.sentAt), now.Sub(s.endedAt), lifetime
 	s.suspicion = s.handler.options.Crashes.Unresolve(ctx, s.send)
@@ -243,7 +260,7 @@
 	if !s.isNoted {
 		return
 	}
-	s.isNoted = false
+	s.isNoted, s.send.MayHaveEnded = false, false
 	s.handler.options.Crashes.Drop(ctx, s.send.Fingerprint, s.send.ID)
 	s.handler.options.Logger.Info("back end still runs after request", s.fields(zap.Duration("found_after", s.elapsed()))...)
 }
--- a/transport/relay/sendwatch_test.go
+++ b/transport/relay/sendwatch_test.go
@@ -44,6 +44,8 @@
 	Crashes
 	isSuspected bool
 	told        []string
+	// ranAfter is how long after the exchange the instance was last seen to run.
+	ranAfter time.Duration
 }
 
 func (c *recordedCrashes) IsSuspected(quarantine.Fingerprint) bool { return c.isSuspected }
@@ -54,11 +56,17 @@
 		told = "ended at the break"
 	}
 	c.told = append(c.told, told)
+	c.ranAfter = crash.RanAfter
 	return known
 }
 
-func (c *recordedCrashes) Unresolve(context.Context, quarantine.Send) (known quarantine.Suspicion) {
-	c.told = append(c.told, "unresolved")
+func (c *recordedCrashes) Unresolve(_ context.Context, send quarantine.Send) (known quarantine.Suspicion) {
+	told := "unresolved"
+	if send.MayHaveEnded {
+		told = "may have ended"
+	}
+	c.told = append(c.told, told)
+	c.ranAfter = send.RanAfter
 	return known
 }
 
@@ -85,21 +93,21 @@
 		isBroken    bool
 		wanted      []string
 	}{
-		"broke, unclear, has ended":   {process: until(late, upstream.LifeUnclear, upstream.LifeEnded), isBroken: true, wanted: []string{"unresolved", "ended at the break"}},
+		"broke, unclear, has ended":   {process: until(late, upstream.LifeUnclear, upstream.LifeEnded), isBroken: true, wanted: []string{"may have ended", "ended at the break"}},
 		"broke, ran on, ends":         {process: until(late, upstream.LifeContinues, upstream.LifeEnded), isBroken: true},
 		"runs on":                     {process: until(soon, upstream.LifeContinues, upstream.LifeContinues)},
 		"runs on, suspected":          {process: until(soon, upstream.LifeContinues, upstream.LifeContinues), isSuspected: true, wanted: []string{"unresolved", "dropped"}},
 		"ends soon":                   {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
 		"ends late":                   {process: until(late, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
 		"leaves as planned":           {process: until(late, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true},
-		"falls silent, suspected":     {process: until(soon, upstream.LifeContinues, upstream.LifeSilent), isSuspected: true, wanted: []string{"unresolved"}},
-		"silent while it is to leave": {process: until(late, upstream.LifeSilent, upstream.LifeEnded), isLeaving: true, wanted: []string{"unresolved", "ended"}},
+		"falls silent, suspected":     {process: until(soon, upstream.LifeContinues, upstream.LifeSilent), isSuspected: true, wanted: []string{"unresolved", "may have ended"}},
+		"silent while it is to leave": {process: until(late, upstream.LifeSilent, upstream.LifeEnded), isLeaving: true, wanted: []string{"may have ended", "ended"}},
 		"ends while it is to leave":   {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true, wanted: []string{"ended"}},
-		"silent, runs on":             {process: until(late, upstream.LifeSilent, upstream.LifeContinues), wanted: []string{"unresolved", "dropped"}},
-		"silent, has ended":           {process: until(10*time.Second, upstream.LifeSilent, upstream.LifeEnded), wanted: []string{"unresolved", "ended"}},
-		"silent":                      {process: until(soon, upstream.LifeSilent, upstream.LifeSilent), wanted: []string{"unresolved"}},
-		"unclear":                     {process: until(soon, upstream.LifeUnclear, upstream.LifeUnclear), wanted: []string{"unresolved"}},
-		"silent, then starts again":   {process: until(late, upstream.LifeSilent, upstream.LifeUnclear), wanted: []string{"unresolved"}},
+		"silent, runs on":             {process: until(late, upstream.LifeSilent, upstream.LifeContinues), wanted: []string{"may have ended", "dropped"}},
+		"silent, has ended":           {process: until(10*time.Second, upstream.LifeSilent, upstream.LifeEnded), wanted: []string{"may have ended", "ended"}},
+		"silent":                      {process: until(soon, upstream.LifeSilent, upstream.LifeSilent), wanted: []string{"may have ended"}},
+		"unclear":                     {process: until(soon, upstream.LifeUnclear, upstream.LifeUnclear), wanted: []string{"may have ended"}},
+		"silent, then starts again":   {process: until(late, upstream.LifeSilent, upstream.LifeUnclear), wanted: []string{"may have ended"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
