Count a connection as kept only if the process can have accepted it

Callers saw a fourth instance end under one request. A request that is suspected opens a second connection to its instance, which tells its end from a lost response. The instance ended 8 ms later, before it had accepted that connection; it waited in the accept queue for the next process at the address, looked kept, and the send was dropped as a lost response. A listener that outlives its process keeps such connections; the stand-in for a runner does as well.

A kept connection shows now that its process runs if that has answered on it before the exchange ended, or had 50 ms to accept it. Otherwise the send is unclear.

TestConnectionThatMayNotBeAcceptedShowsNoLife fails before ("continues" for "unclear").

--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -65,6 +65,7 @@
 // noteReceived records that bytes were received on the connection.
 func (c *Client) noteReceived(on *connection) {
 	now := c.now().UnixNano()
+	on.firstReceived.CompareAndSwap(0, now)
 	on.lastReceived.Store(now)
 	on.life.lastReceived.Store(now)
 	c.lastReceived.Store(now)
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -48,6 +48,9 @@
 	// idleLimit is how long after idleSince the connection may be reused.
 	idleSince time.Time
 	idleLimit time.Duration
+	// firstReceived is when bytes were first received, in nanoseconds since the Unix epoch;
+	// zero for never.
+	firstReceived atomic.Int64
 	// lastReceived is when bytes were last received or the last exchange began,
 	// whichever is later, in nanoseconds since the Unix epoch.
 	lastReceived atomic.Int64
--- a/transport/upstream/ended_test.go
+++ b/transport/upstream/ended_test.go
@@ -257,6 +257,38 @@
 	})
 }
 
+// TestConnectionThatMayNotBeAcceptedShowsNoLife guards against an end that counts as a lost response,
+// since a connection waits in the accept queue for the next process at the address.
+func TestConnectionThatMayNotBeAcceptedShowsNoLife(t *testing.T) {
+	for name, c := range map[string]struct {
+		age    time.Duration
+		wanted Life
+	}{
+		"just opened": {0, LifeUnclear},
+		"older":       {acceptTime, LifeContinues},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var connections accepted
+			listener := listen(t, func(_ int, opened net.Conn) {
+				connections.add(opened)
+				go answerAll(opened)
+			})
+			client, request := newEndClient(), requestTo(listener)
+			answer, err := client.Do(t.Context(), request)
+			assert.NilError(t, err)
+			client.keepSpare(t.Context(), endpointOf(request))
+			time.Sleep(c.age)
+			request.SentAt = client.now()
+			_, err = io.Copy(io.Discard, answer)
+			assert.NilError(t, err)
+			connections.reset(1)
+			look := Look{EndedAt: client.now(), IsBroken: true}
+			time.Sleep(endSkew)
+			assert.Equal(t, client.Check(t.Context(), request, look), c.wanted)
+		})
+	}
+}
+
 // TestLostResponsesShowNoEnd guards against a lost response that counts as the end of its process,
 // because the break of its connection is seen by several reads.
 func TestLostResponsesShowNoEnd(t *testing.T) {
--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -12,6 +12,8 @@
 const (
 	// endSkew is how far apart the connections of a process break that ends.
 	endSkew = 50 * time.Millisecond
+	// acceptTime is how long a process takes at most to accept a connection.
+	acceptTime = 50 * time.Millisecond
 	// minIdleClose is the shortest time after which a process closes a connection because it
 	// is idle.
 	minIdleClose = time.Second
@@ -150,15 +152,22 @@
 	return hasOpen, hasIdle
 }
 
-// keptOrBroke returns how many connections opened before the request was sent are still open,
-// and which ones the process has broken since its exchange ended. Those that it has closed
-// right after they were opened, or because they were idle, don't count.
+// isAcceptedBy reports whether the process had accepted the connection by then. The system opens
+// connections for it, and one that it hasn't accepted may outlive it.
+func (c *connection) isAcceptedBy(then time.Time) bool {
+	first := c.firstReceived.Load()
+	return first != 0 && first <= then.UnixNano() || then.Sub(c.opened) >= acceptTime
+}
+
+// keptOrBroke returns how many connections are still open that were opened before the request was
+// sent and accepted before its exchange ended, and which ones the process has broken since then.
+// Those that it has closed right after they were opened, or because they were idle, don't count.
 func (l *life) keptOrBroke(sent, ended, now time.Time) (kept int, broke []connectionBreak) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for candidate := range l.open {
 		if candidate.isOpen() {
-			if !candidate.opened.After(sent) {
+			if !candidate.opened.After(sent) && candidate.isAcceptedBy(ended) {
 				kept++
 			}
 			continue
