Decide on a kept connection before telling the storage nodes

Such a send is undecided now. Its gateway alone counts it, checks again once all connections would have broken, and tells the others what it finds then, before the client has its answer. A request that could go to too many instances meanwhile waits for that.

TestUndecidedSendIsSettledBeforeTheAnswer covers an end, an unclear send and a lost response, of which nobody is told.

--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -98,6 +98,10 @@
 	mayHaveRun bool
 	// settling are the reports of sends to the other gateways that run.
 	settling sync.WaitGroup
+	// undecided is the number of sends whose instances may be about to end, deciding are the
+	// checks of them that run.
+	undecided int
+	deciding  sync.WaitGroup
 }
 
 // record adds the outcome of an attempt.
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -158,15 +158,32 @@
 		c.handler.watcher.add(watched)
 		return
 	}
-	if found == upstream.LifeEnded {
+	switch found {
+	case upstream.LifeEnded:
 		c.attempts.suspicion = watched.settle(ctx, found)
+	case upstream.LifeUndecided:
+		c.attempts.deciding.Go(func() { watched.decide(context.WithoutCancel(ctx)) })
+		c.attempts.undecided++
+		c.awaitDecisions(ctx)
+	default:
+		c.attempts.suspicion.Suspected++
+		c.attempts.settling.Go(func() {
+			watched.settle(ctx, found)
+			c.handler.watcher.add(watched)
+		})
+	}
+}
+
+// awaitDecisions waits for the checks of undecided sends if the request could be sent to too many
+// instances otherwise. The other gateways needn't know of them before the client has its answer.
+func (c *call) awaitDecisions(ctx context.Context) {
+	if !quarantine.IsQuarantined(c.attempts.suspicion.Suspected + c.attempts.undecided) {
 		return
 	}
-	c.attempts.suspicion.Suspected++
-	c.attempts.settling.Go(func() {
-		watched.settle(ctx, found)
-		c.handler.watcher.add(watched)
-	})
+	c.attempts.settling.Wait()
+	c.attempts.deciding.Wait()
+	c.attempts.undecided = 0
+	c.attempts.suspicion = c.handler.options.Crashes.Suspicion(ctx, c.fingerprint())
 }
 
 // watchedSend returns what the SendWatcher needs to know of a send whose exchange has just
--- a/transport/relay/crash_test.go
+++ b/transport/relay/crash_test.go
@@ -77,6 +77,56 @@
 	assert.Equal(t, crashes.reports.Load(), int64(1))
 }
 
+// toldCrashes records what is told of sends.
+type toldCrashes struct {
+	noCrashes
+	reported, unresolved atomic.Int64
+}
+
+func (c *toldCrashes) Report(context.Context, quarantine.Crash) (known quarantine.Suspicion) {
+	c.reported.Add(1)
+	return known
+}
+
+func (c *toldCrashes) Unresolve(context.Context, quarantine.Send) (known quarantine.Suspicion) {
+	c.unresolved.Add(1)
+	return known
+}
+
+// undecidedUpstream breaks each exchange. What has become of the process shows later.
+type undecidedUpstream struct {
+	endedUpstream
+	later upstream.Life
+}
+
+func (u *undecidedUpstream) Check(_ context.Context, _ *upstream.Request, look upstream.Look) upstream.Life {
+	if time.Since(look.EndedAt) < upstream.EndSkew {
+		return upstream.LifeUndecided
+	}
+	return u.later
+}
+
+// TestUndecidedSendIsSettledBeforeTheAnswer guards against an end that other gateways hear of after
+// the next try, and against messages for each lost response.
+func TestUndecidedSendIsSettledBeforeTheAnswer(t *testing.T) {
+	for _, c := range []struct {
+		later                upstream.Life
+		reported, unresolved int64
+	}{
+		{upstream.LifeEnded, 1, 0},
+		{upstream.LifeUnclear, 0, 1},
+		{upstream.LifeContinues, 0, 0},
+	} {
+		t.Run(c.later.String(), func(t *testing.T) {
+			crashes := &toldCrashes{}
+			handler := newCrashHandler(t, crashes, &undecidedUpstream{later: c.later}, "i-1")
+			assert.Equal(t, serve(handler).Code, http.StatusBadGateway)
+			assert.Equal(t, crashes.reported.Load(), c.reported)
+			assert.Equal(t, crashes.unresolved.Load(), c.unresolved)
+		})
+	}
+}
+
 // lateDrops knows of two ends, and forgets no send while the request goes on.
 type lateDrops struct {
 	noCrashes
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -92,6 +92,7 @@
 // come to another gateway, which has to know of this one's sends.
 func (c *call) finish(step nextStep) {
 	c.attempts.settling.Wait()
+	c.attempts.deciding.Wait()
 	switch step := step.(type) {
 	case sendError:
 		c.fail(step.failure)
--- a/transport/upstream/ended_test.go
+++ b/transport/upstream/ended_test.go
@@ -188,7 +188,7 @@
 	request.SentAt = client.now()
 	connections.reset(1)
 	look := Look{EndedAt: client.now(), IsBroken: true}
-	assert.Equal(t, client.Check(t.Context(), request, look), LifeUnclear)
+	assert.Equal(t, client.Check(t.Context(), request, look), LifeUndecided)
 	connections.reset(2)
 	harness.Eventually(t, func() (bool, string) {
 		found := client.Check(t.Context(), request, look)
@@ -283,7 +283,7 @@
 			assert.NilError(t, err)
 			connections.reset(1)
 			look := Look{EndedAt: client.now(), IsBroken: true}
-			time.Sleep(endSkew)
+			time.Sleep(EndSkew)
 			assert.Equal(t, client.Check(t.Context(), request, look), c.wanted)
 		})
 	}
--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// endSkew is how far apart the connections of a process break that ends.
-	endSkew = 50 * time.Millisecond
+	// EndSkew is how far apart the connections of a process break that ends.
+	EndSkew = 50 * time.Millisecond
 	// acceptTime is how long a process takes at most to accept a connection.
 	acceptTime = 50 * time.Millisecond
 	// minIdleClose is the shortest time after which a process closes a connection because it
@@ -34,11 +34,14 @@
 	LifeEnded
 	// LifeSilent: connections to it hang.
 	LifeSilent
+	// LifeUndecided: it has kept a connection, but less than EndSkew after it broke the
+	// exchange, so that this one may be about to break as well.
+	LifeUndecided
 )
 
 // String returns the name of the result for log lines.
 func (l Life) String() string {
-	return [...]string{LifeUnclear: "unclear", LifeContinues: "continues", LifeEnded: "ended", LifeSilent: "silent"}[l]
+	return [...]string{LifeUnclear: "unclear", LifeContinues: "continues", LifeEnded: "ended", LifeSilent: "silent", LifeUndecided: "undecided"}[l]
 }
 
 // life is what the client has seen of one process. It is safe for concurrent use.
@@ -177,7 +180,7 @@
 		}
 	}
 	for _, one := range l.breaks {
-		if one.at.After(ended.Add(-endSkew)) && one.at.Sub(one.opened) > maxEndProbes*endGrace {
+		if one.at.After(ended.Add(-EndSkew)) && one.at.Sub(one.opened) > maxEndProbes*endGrace {
 			broke = append(broke, one)
 		}
 	}
@@ -196,7 +199,7 @@
 func brokeTogether(broke []connectionBreak) bool {
 	for index, one := range broke {
 		for _, other := range broke[index+1:] {
-			if (one.isIdle || other.isIdle) && one.at.Sub(other.at).Abs() <= endSkew {
+			if (one.isIdle || other.isIdle) && one.at.Sub(other.at).Abs() <= EndSkew {
 				return true
 			}
 		}
@@ -263,8 +266,8 @@
 	now := c.now()
 	kept, broke := known.keptOrBroke(request.SentAt, look.EndedAt, now)
 	switch {
-	case kept > 0 && look.IsBroken && now.Sub(look.EndedAt) < endSkew:
-		return LifeUnclear // those kept may be about to break as well
+	case kept > 0 && look.IsBroken && now.Sub(look.EndedAt) < EndSkew:
+		return LifeUndecided
 	case kept > 0:
 		return LifeContinues
 	case brokeTogether(broke):
