Remember a completed try where no crash was known before

A storage node that knew only sends without an outcome of a request forgot that a try of it was completed: its entry expires with the sends, and a cleared one has none. A gateway that told the node again of a crash from before then had it counted, and the node's answers didn't tell others that the try was completed. A harmless request was refused earlier.

A cleared entry is kept for as long as crashes are told again. TestCompletionIsRememberedWithoutCrashes fails before (ClearedAgo 0s for 3s).

--- a/coordination/quarantine/entry.go
+++ b/coordination/quarantine/entry.go
@@ -16,7 +16,7 @@
 	isResolved bool
 	// clearedAt is when a try was last completed; zero for never.
 	clearedAt time.Time
-	// expires is when the ends are forgotten.
+	// expires is when the ends, or that there was a completed try, are forgotten.
 	expires time.Time
 	// change is the number of the entry's last change, made at changedAt.
 	change    uint64
--- a/coordination/quarantine/pending_test.go
+++ b/coordination/quarantine/pending_test.go
@@ -145,6 +145,20 @@
 	assert.Equal(t, table.Report(crashAt("i-2", 0)).Crashes, 1)
 }
 
+// TestCompletionIsRememberedWithoutCrashes guards against a node that forgets a completed try, since
+// it knew of no crash before, and counts one from before that a gateway tells it of again.
+func TestCompletionIsRememberedWithoutCrashes(t *testing.T) {
+	c := newCluster(1)
+	table := c.tables["node-0"]
+	table.NoteSend(sendAt(1, "i-1", 10*time.Millisecond))
+	table.Clear(request)
+	c.now = c.now.Add(3 * time.Second)
+	assert.Equal(t, table.Find(request).ClearedAgo, 3*time.Second)
+	again := crashAt("i-2", 4*time.Second)
+	again.EndedAgo, again.Row = again.SentAgo, 1
+	assert.Equal(t, table.Report(again).Crashes, 0)
+}
+
 // TestLateSeenEndHidesNoLaterProcess guards against an instance that starts again twice, whose
 // last end doesn't count since its first one was seen after its last start.
 func TestLateSeenEndHidesNoLaterProcess(t *testing.T) {
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -153,10 +153,12 @@
 	return cleared
 }
 
-// clear forgets the crashes of the entry. The mutex must be held.
+// clear forgets the crashes of the entry, which is kept while gateways may tell of them again.
+// The mutex must be held.
 func (t *Table) clear(known *entry) {
+	now := t.now()
 	known.ends, known.crashes, known.pending, known.isResolved = nil, 0, nil, false
-	known.clearedAt = t.now()
+	known.clearedAt, known.expires = now, now.Add(suspectLifetime)
 	t.noteChange(known)
 }
 
