Give a leaving node its place again once it was wiped

Callers of bcuda got 503 for all turns after a closing wipe, and lines that had been stored were lost: a storage node was wiped within 2 s of the order to empty it. A leaving node is no candidate for a place in a set. One without a replacement keeps its place, but found it by its incarnation, and a wiped node has another: the sets stayed without a third copy for 17 s, until another disk was lost.

Plan gives a leaving node its place as a new incarnation while no other node can take it. TestPlan's case "new incarnation of a leaving node without a replacement" fails before (0 moves for 1); with a replacement it takes that, as before.

--- a/coordination/shard/plan.go
+++ b/coordination/shard/plan.go
@@ -252,12 +252,14 @@
 // successorMembers returns the best members that are available now. All of them answer,
 // since Drive requires that of every wanted member. Members that are gone or have a new
 // incarnation are replaced. The place of one that has only just stopped answering stays
-// empty until it returns or counts as gone. A leaving member stays while no other node can
-// take its place.
+// empty until it returns or counts as gone. A leaving node keeps its place, also as a new
+// incarnation, while no other node can take it.
 func (p planner) successorMembers(view register.View, statuses []memberStatus) []register.Member {
 	var kept, leaving []register.Member
 	for _, status := range statuses {
 		switch {
+		case p.isLeavingIncarnation(status):
+			leaving = append(leaving, p.nodes[status.member.Node].Member)
 		case !status.answers:
 		case status.reason == ReasonLeaving:
 			leaving = append(leaving, status.member)
@@ -272,6 +274,13 @@
 	return append(filled, leaving[:min(missing, len(leaving))]...)
 }
 
+// isLeavingIncarnation reports whether the member is a leaving node that has begun a new
+// incarnation.
+func (p planner) isLeavingIncarnation(status memberStatus) bool {
+	node := p.nodes[status.member.Node]
+	return status.reason == ReasonNewIncarnation && node.Leaving && node.GoneSince.IsZero()
+}
+
 // countUnresponsive counts the members that don't answer but haven't been gone long enough
 // to be replaced.
 func countUnresponsive(statuses []memberStatus) int {
--- a/coordination/shard/plan_test.go
+++ b/coordination/shard/plan_test.go
@@ -96,6 +96,14 @@
 			nodes[0].Member.Incarnation, nodes[1].Leaving = "n0-2", true
 			return nodes[:3]
 		}},
+		{name: "new incarnation of a leaving node", members: []int{0, 1, 2}, reason: shard.ReasonNewIncarnation, want: "[n1-1 n2-1 n3-1]", change: func(nodes []shard.Node) []shard.Node {
+			nodes[0].Member.Incarnation, nodes[0].Leaving = "n0-2", true
+			return nodes
+		}},
+		{name: "new incarnation of a leaving node without a replacement", members: []int{0, 1, 2}, reason: shard.ReasonNewIncarnation, want: "[n0-2 n1-1 n2-1]", change: func(nodes []shard.Node) []shard.Node {
+			nodes[0].Member.Incarnation, nodes[0].Leaving = "n0-2", true
+			return nodes[:3]
+		}},
 		{name: "leaving while another is unresponsive", members: []int{0, 1, 2}, change: func(nodes []shard.Node) []shard.Node {
 			nodes[0].Leaving, nodes[1].GoneSince = true, justGone
 			return nodes
