--- a/transport/relay/sendwatch_test.go
+++ b/transport/relay/sendwatch_test.go
@@ -92,15 +92,16 @@
 		isLeaving   bool
 		isBroken    bool
 		wanted      []string
+		ranAfter    time.Duration
 	}{
 		"broke, unclear, has ended":   {process: until(late, upstream.LifeUnclear, upstream.LifeEnded), isBroken: true, wanted: []string{"may have ended", "ended at the break"}},
 		"broke, ran on, ends":         {process: until(late, upstream.LifeContinues, upstream.LifeEnded), isBroken: true},
 		"runs on":                     {process: until(soon, upstream.LifeContinues, upstream.LifeContinues)},
 		"runs on, suspected":          {process: until(soon, upstream.LifeContinues, upstream.LifeContinues), isSuspected: true, wanted: []string{"unresolved", "dropped"}},
-		"ends soon":                   {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
+		"ends soon":                   {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}, ranAfter: soon - watchPause},
 		"ends late":                   {process: until(late, upstream.LifeContinues, upstream.LifeEnded), wanted: []string{"ended"}},
 		"leaves as planned":           {process: until(late, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true},
-		"falls silent, suspected":     {process: until(soon, upstream.LifeContinues, upstream.LifeSilent), isSuspected: true, wanted: []string{"unresolved", "may have ended"}},
+		"falls silent, suspected":     {process: until(soon, upstream.LifeContinues, upstream.LifeSilent), isSuspected: true, wanted: []string{"unresolved", "may have ended"}, ranAfter: soon - watchPause},
 		"silent while it is to leave": {process: until(late, upstream.LifeSilent, upstream.LifeEnded), isLeaving: true, wanted: []string{"may have ended", "ended"}},
 		"ends while it is to leave":   {process: until(soon, upstream.LifeContinues, upstream.LifeEnded), isLeaving: true, wanted: []string{"ended"}},
 		"silent, runs on":             {process: until(late, upstream.LifeSilent, upstream.LifeContinues), wanted: []string{"may have ended", "dropped"}},
@@ -126,6 +127,7 @@
 				}
 				watched.watch(t.Context())
 				assert.DeepEqual(t, crashes.told, c.wanted)
+				assert.Assert(t, crashes.ranAfter >= c.ranAfter && crashes.ranAfter < c.ranAfter+maxWatchPause, crashes.ranAfter)
 				assert.Assert(t, time.Since(watched.endedAt) <= silentWatchTimeout+maxWatchPause)
 			})
 		})
