Take connections for kept unless the request is suspected

Only a suspected request asks now whether the process can have accepted a kept connection. Its spare connection is opened 50 ms before it is sent, unless an older one is there, so that it tells. A request that waits for undecided sends takes what their own checks have found.

--- a/coordination/quarantine/client.go
+++ b/coordination/quarantine/client.go
@@ -167,7 +167,7 @@
 		before, _, isConfirmed := c.note(ctx, send)
 		return before, isConfirmed
 	}
-	return c.untilConfirmed(ctx, send.Fingerprint, note).most(local.Suspicion), true
+	return c.untilConfirmed(ctx, send.Fingerprint, note).Most(local.Suspicion), true
 }
 
 // untilConfirmed asks until a majority has answered, what is known is enough to refuse the
@@ -179,7 +179,7 @@
 			return known
 		}
 		// Those that don't answer may know more: what they have said last counts.
-		known = known.most(c.copies.suspicion(fingerprint))
+		known = known.Most(c.copies.suspicion(fingerprint))
 		if IsQuarantined(known.Crashes) {
 			return known
 		}
@@ -204,7 +204,7 @@
 		together.add(got.after)
 		return !IsQuarantined(together.suspicion().Crashes)
 	})
-	known = local.most(together.suspicion())
+	known = local.Most(together.suspicion())
 	return known, IsQuarantined(known.Crashes) || isMajority(answered, asked.quorum)
 }
 
@@ -248,7 +248,7 @@
 	_, known, isConfirmed := c.note(ctx, send)
 	if !isConfirmed {
 		c.copies.apply(localNode, Changes{Records: []Record{local}})
-		known = known.most(local.Suspicion)
+		known = known.Most(local.Suspicion)
 	}
 	return known
 }
@@ -284,7 +284,7 @@
 		most, counted, needed, err = c.reportOnce(ctx, crash)
 	}
 	if !isMajority(counted, needed) {
-		most = most.most(own.Suspicion)
+		most = most.Most(own.Suspicion)
 		c.copies.apply(localNode, Changes{Records: []Record{own}})
 		c.logger.Info("crash not confirmed by storage nodes", zap.Stringer("fingerprint", crash.Fingerprint),
 			zap.String("instance", crash.Instance), zap.Int("confirmed", counted), zap.Int("needed", needed), zap.Error(err))
--- a/coordination/quarantine/copies.go
+++ b/coordination/quarantine/copies.go
@@ -72,7 +72,7 @@
 	c.sweep(now)
 	for _, table := range c.byNode {
 		if known, found := table[fingerprint]; found && now.Before(known.expires) {
-			most = most.most(known.Suspicion)
+			most = most.Most(known.Suspicion)
 		}
 	}
 	return most
--- a/coordination/quarantine/merge.go
+++ b/coordination/quarantine/merge.go
@@ -16,7 +16,7 @@
 }
 
 func (m *merged) add(record Record) {
-	m.most = m.most.most(record.Suspicion)
+	m.most = m.most.Most(record.Suspicion)
 	if clearedAt := m.now.Add(-record.ClearedAgo); record.ClearedAgo > 0 && clearedAt.After(m.clearedAt) {
 		m.clearedAt = clearedAt
 	}
@@ -54,7 +54,7 @@
 			all = mergeEnd(all, send)
 		}
 	}
-	return m.most.most(Suspicion{Crashes: len(longestRow(crashes)), Suspected: len(longestSuspectedRow(all))})
+	return m.most.Most(Suspicion{Crashes: len(longestRow(crashes)), Suspected: len(longestSuspectedRow(all))})
 }
 
 // isForgotten reports whether the try was made before one that was completed. A node that
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -74,8 +74,8 @@
 	Suspected int
 }
 
-// most returns the greater of both counts of each.
-func (s Suspicion) most(other Suspicion) Suspicion {
+// Most returns the greater of both counts of each.
+func (s Suspicion) Most(other Suspicion) Suspicion {
 	return Suspicion{Crashes: max(s.Crashes, other.Crashes), Suspected: max(s.Suspected, other.Suspected)}
 }
 
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -98,9 +98,9 @@
 	mayHaveRun bool
 	// settling are the reports of sends to the other gateways that run.
 	settling sync.WaitGroup
-	// undecided is the number of sends whose instances may be about to end, deciding are the
-	// checks of them that run.
-	undecided int
+	// undecided are the sends whose instances may be about to end, deciding the checks of them
+	// that run.
+	undecided []*watchedSend
 	deciding  sync.WaitGroup
 }
 
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -163,8 +163,8 @@
 		c.attempts.suspicion = watched.settle(ctx, found)
 	case upstream.LifeUndecided:
 		c.attempts.deciding.Go(func() { watched.decide(context.WithoutCancel(ctx)) })
-		c.attempts.undecided++
-		c.awaitDecisions(ctx)
+		c.attempts.undecided = append(c.attempts.undecided, watched)
+		c.awaitDecisions()
 	default:
 		c.attempts.suspicion.Suspected++
 		c.attempts.settling.Go(func() {
@@ -176,14 +176,15 @@
 
 // awaitDecisions waits for the checks of undecided sends if the request could be sent to too many
 // instances otherwise. The other gateways needn't know of them before the client has its answer.
-func (c *call) awaitDecisions(ctx context.Context) {
-	if !quarantine.IsQuarantined(c.attempts.suspicion.Suspected + c.attempts.undecided) {
+func (c *call) awaitDecisions() {
+	if !quarantine.IsQuarantined(c.attempts.suspicion.Suspected + len(c.attempts.undecided)) {
 		return
 	}
-	c.attempts.settling.Wait()
 	c.attempts.deciding.Wait()
-	c.attempts.undecided = 0
-	c.attempts.suspicion = c.handler.options.Crashes.Suspicion(ctx, c.fingerprint())
+	for _, decided := range c.attempts.undecided {
+		c.attempts.suspicion = c.attempts.suspicion.Most(decided.suspicion)
+	}
+	c.attempts.undecided = nil
 }
 
 // watchedSend returns what the SendWatcher needs to know of a send whose exchange has just
@@ -195,7 +196,7 @@
 	return &watchedSend{
 		handler: c.handler, assignment: current.assignment, send: send, known: current.known,
 		sentAt: current.started, endedAt: c.handler.options.Now(), isBroken: how == sendBroken, isNoted: current.isAnnounced,
-		process:   &upstream.Request{Address: request.Address, Instance: request.Instance, Started: request.Started, SentAt: request.SentAt},
+		process:   &upstream.Request{Address: request.Address, Instance: request.Instance, Started: request.Started, SentAt: request.SentAt, KeepsSpare: request.KeepsSpare},
 		logFields: append(c.crashFields(), lifeFields(&current.assignment.Instance)...),
 		suspicion: c.attempts.suspicion,
 	}
--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/marblering/marblering/coordination/sleep"
 )
 
 const (
@@ -141,18 +143,16 @@
 
 func (l *life) hasReceivedSince(then time.Time) bool { return l.lastReceived.Load() >= then.UnixNano() }
 
-// hasOpen reports whether the process has an open connection, and hasIdle whether it has one
-// that no exchange uses.
-func (l *life) hasOpen() (hasOpen, hasIdle bool) {
+// hasOpen reports whether the process has an open connection.
+func (l *life) hasOpen() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for candidate := range l.open {
 		if candidate.isOpen() {
-			hasOpen = true
-			hasIdle = hasIdle || !candidate.inUse.Load()
+			return true
 		}
 	}
-	return hasOpen, hasIdle
+	return false
 }
 
 // isAcceptedBy reports whether the process had accepted the connection by then. The system opens
@@ -163,14 +163,15 @@
 }
 
 // keptOrBroke returns how many connections are still open that were opened before the request was
-// sent and accepted before its exchange ended, and which ones the process has broken since then.
+// sent, and for one with a spare connection accepted before its exchange ended, and which ones the
+// process has broken since then.
 // Those that it has closed right after they were opened, or because they were idle, don't count.
-func (l *life) keptOrBroke(sent, ended, now time.Time) (kept int, broke []connectionBreak) {
+func (l *life) keptOrBroke(request *Request, ended, now time.Time) (kept int, broke []connectionBreak) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for candidate := range l.open {
 		if candidate.isOpen() {
-			if !candidate.opened.After(sent) && candidate.isAcceptedBy(ended) {
+			if !candidate.opened.After(request.SentAt) && (!request.KeepsSpare || candidate.isAcceptedBy(ended)) {
 				kept++
 			}
 			continue
@@ -253,10 +254,10 @@
 func (c *Client) Check(ctx context.Context, request *Request, look Look) Life {
 	to := endpointOf(request)
 	known := c.lives.of(to)
-	_, broke := known.keptOrBroke(request.SentAt, look.EndedAt, c.now())
+	_, broke := known.keptOrBroke(request, look.EndedAt, c.now())
 	isHeard := !look.HeardSince.IsZero() && known.hasReceivedSince(look.HeardSince)
 	if !look.IsBroken && len(broke) == 0 && (look.IsPassive || isHeard) {
-		if hasOpen, _ := known.hasOpen(); hasOpen {
+		if known.hasOpen() {
 			return LifeContinues
 		}
 	}
@@ -264,7 +265,7 @@
 		return found
 	}
 	now := c.now()
-	kept, broke := known.keptOrBroke(request.SentAt, look.EndedAt, now)
+	kept, broke := known.keptOrBroke(request, look.EndedAt, now)
 	switch {
 	case kept > 0 && look.IsBroken && now.Sub(look.EndedAt) < EndSkew:
 		return LifeUndecided
@@ -278,15 +279,35 @@
 	return LifeContinues
 }
 
-// keepSpare opens another connection to the process unless there is an idle one. Whether it
-// breaks as well tells the end of the process from a lost response.
+// keepSpare opens another connection to the process unless there is an idle one, and waits until
+// the process can have accepted it. Whether it breaks as well tells the end of the process from a
+// lost response.
 func (c *Client) keepSpare(ctx context.Context, to endpoint) {
-	if _, hasIdle := c.lives.of(to).hasOpen(); hasIdle {
-		return
+	age, hasIdle := c.lives.of(to).idleAge(c.now())
+	if !hasIdle {
+		spare, err := c.dial(ctx, to)
+		if err != nil {
+			return
+		}
+		c.putIdle(to, spare)
 	}
-	spare, err := c.dial(ctx, to)
-	if err != nil {
-		return
+	_ = sleep.For(ctx, acceptTime-age)
+}
+
+// idleAge returns the age of the oldest open connection that no exchange uses, at least acceptTime
+// for one that the process has answered on.
+func (l *life) idleAge(now time.Time) (oldest time.Duration, hasIdle bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for candidate := range l.open {
+		if candidate.inUse.Load() || !candidate.isOpen() {
+			continue
+		}
+		hasIdle = true
+		oldest = max(oldest, now.Sub(candidate.opened))
+		if candidate.firstReceived.Load() != 0 {
+			oldest = max(oldest, acceptTime)
+		}
 	}
-	c.putIdle(to, spare)
+	return oldest, hasIdle
 }
