Send no request on a connection that broke while its spare was opened

A harmless request was refused (1022) after two ends: the third instance had ended in the 50 ms for which a suspected request waits for its spare connection, before a byte was sent, and counted as ended under it ("write: broken pipe", 0.052 s after the start of the send).

The connection is looked at after the wait; if it is closed, the request takes another one, or goes to another instance as one that wasn't sent.

TestRequestIsNotSentToAProcessThatHasEnded fails before.

--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -95,6 +95,16 @@
 	return c.dial(ctx, to)
 }
 
+// reconnect returns the connection, or another one if the process has closed it.
+func (c *Client) reconnect(ctx context.Context, to endpoint, opened *connection) (*connection, error) {
+	if opened.isOpen() {
+		return opened, nil
+	}
+	opened.noteBroken(c.now())
+	opened.close()
+	return c.connect(ctx, to)
+}
+
 // takeIdle removes an idle connection to the backend from the pool and returns it, or nil
 // if none is idle. It falls back to connections that were made before the process's
 // start time was known: they lead to the same process, or are closed already because
--- a/transport/upstream/ended_test.go
+++ b/transport/upstream/ended_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -294,6 +295,25 @@
 	}
 }
 
+// TestRequestIsNotSentToAProcessThatHasEnded guards against a harmless request under which an end
+// counts that came while it waited for its spare connection.
+func TestRequestIsNotSentToAProcessThatHasEnded(t *testing.T) {
+	var listener net.Listener
+	ready := make(chan struct{})
+	listener = listen(t, func(_ int, opened net.Conn) {
+		<-ready
+		time.Sleep(acceptTime / 2)
+		_ = listener.Close()
+		_ = opened.Close()
+	})
+	close(ready)
+	request := requestTo(listener)
+	request.KeepsSpare = true
+	_, err := newEndClient().Do(t.Context(), request)
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure) && !failure.Sent, "%v", err)
+}
+
 // TestLostResponsesShowNoEnd guards against a lost response that counts as the end of its process,
 // because the break of its connection is seen by several reads.
 func TestLostResponsesShowNoEnd(t *testing.T) {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -69,6 +69,9 @@
 	}
 	if request.KeepsSpare {
 		c.keepSpare(ctx, to)
+		if opened, err = c.reconnect(ctx, to, opened); err != nil {
+			return nil, &Error{Stage: StageDial, Cause: err}
+		}
 	}
 	request.SentAt = c.now()
 	current := &exchange{client: c, endpoint: to, connection: opened, written: make(chan struct{})}
