Take an answer beyond a limit for the outcome of its send

Three such sends of requests with the same content are a row.

An instance that sends too much runs. Its send has an outcome, as one with another invalid answer has. One that stops within the head may have ended.

TestExcessiveAnswerIsAnOutcome fails before in two of three cases.

--- a/transport/relay/crash_test.go
+++ b/transport/relay/crash_test.go
@@ -127,6 +127,32 @@
 	}
 }
 
+// excessiveUpstream gets answers that exceed a limit, from a process that may be another one.
+type excessiveUpstream struct{ limit upstream.Limit }
+
+func (u *excessiveUpstream) Do(context.Context, *upstream.Request) (*upstream.Response, error) {
+	return nil, &upstream.Error{Sent: true, Stage: upstream.StageHead, Cause: &upstream.LimitError{Limit: u.limit}}
+}
+
+func (*excessiveUpstream) Check(context.Context, *upstream.Request, upstream.Look) upstream.Life {
+	return upstream.LifeUnclear
+}
+
+// TestExcessiveAnswerIsAnOutcome guards against harmless requests that are refused since a faulty
+// instance, which runs, sent more than its answer. One that stops within an answer may have ended.
+func TestExcessiveAnswerIsAnOutcome(t *testing.T) {
+	for limit, unresolved := range map[upstream.Limit]int64{
+		upstream.LimitHeadBytes: 0, upstream.LimitInterimResponses: 0, upstream.LimitHeadTime: 1,
+	} {
+		t.Run(string(limit), func(t *testing.T) {
+			crashes := &toldCrashes{}
+			handler := newCrashHandler(t, crashes, &excessiveUpstream{limit}, "i-1")
+			assert.Equal(t, serve(handler).Code, http.StatusBadGateway)
+			assert.Equal(t, crashes.unresolved.Load(), unresolved)
+		})
+	}
+}
+
 // lateDrops knows of two ends, and forgets no send while the request goes on.
 type lateDrops struct {
 	noCrashes
--- a/transport/relay/sendend.go
+++ b/transport/relay/sendend.go
@@ -53,12 +53,22 @@
 		return sendTimedOut
 	case errors.Is(cause, upstream.ErrUnreachable):
 		return sendUnreachable
-	case errors.Is(cause, errInvalidResponse) || errors.Is(cause, errNotResumed):
+	case isInvalid(cause):
 		return sendInvalid
 	}
 	return sendBroken
 }
 
+// isInvalid reports whether the instance has answered, but not with a proper response. One that
+// stops within the head of a response may have ended.
+func isInvalid(cause error) bool {
+	var excess *upstream.LimitError
+	if errors.As(cause, &excess) {
+		return excess.Limit != upstream.LimitHeadTime
+	}
+	return errors.Is(cause, errInvalidResponse) || errors.Is(cause, errNotResumed)
+}
+
 // recordSendEnd counts how a send ended, and logs one without an outcome.
 func (c *call) recordSendEnd(current *attempt, how sendEnd, cause error) {
 	c.handler.options.Metrics.sends.WithLabelValues(string(how)).Inc()
