Derive the wait for a spare connection from when it is accepted

A check of kept connections and the wait for a spare one each knew when a process has accepted a connection. Both ask the connection now. No behaviour changes; the assertions are as they were.

--- a/transport/upstream/ended_test.go
+++ b/transport/upstream/ended_test.go
@@ -127,6 +127,16 @@
 	}
 }
 
+// listenAndAnswer answers all requests on a free port, and collects the connections.
+func listenAndAnswer(t *testing.T) (net.Listener, *accepted) {
+	t.Helper()
+	connections := &accepted{}
+	return listen(t, func(_ int, opened net.Conn) {
+		connections.add(opened)
+		go answerAll(opened)
+	}), connections
+}
+
 // openTwo exchanges a request on each of two connections, which are then idle.
 func openTwo(t *testing.T, client *Client, request *Request) {
 	t.Helper()
@@ -155,11 +165,7 @@
 		"all were closed as idle": {2, 2 * minIdleClose, LifeUnclear},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var connections accepted
-			listener := listen(t, func(_ int, opened net.Conn) {
-				connections.add(opened)
-				go answerAll(opened)
-			})
+			listener, connections := listenAndAnswer(t)
 			var skew atomic.Int64
 			client := NewClient(DefaultSettings(), func() time.Time { return time.Now().Add(time.Duration(skew.Load())) })
 			request := requestTo(listener)
@@ -179,11 +185,7 @@
 // TestConnectionThatBreaksLaterShowsNoLife guards against an end that counts as a lost response,
 // since another connection of the process broke a moment after that of the exchange.
 func TestConnectionThatBreaksLaterShowsNoLife(t *testing.T) {
-	var connections accepted
-	listener := listen(t, func(_ int, opened net.Conn) {
-		connections.add(opened)
-		go answerAll(opened)
-	})
+	listener, connections := listenAndAnswer(t)
 	client, request := newEndClient(), requestTo(listener)
 	openTwo(t, client, request)
 	request.SentAt = client.now()
@@ -223,7 +225,7 @@
 // TestSuspectedRequestKeepsASpareConnection guards against a request of which earlier sends are
 // suspected whose instance has no other connection that could show its end.
 func TestSuspectedRequestKeepsASpareConnection(t *testing.T) {
-	listener := listen(t, func(_ int, opened net.Conn) { go answerAll(opened) })
+	listener, _ := listenAndAnswer(t)
 	client, request := newEndClient(), requestTo(listener)
 	request.KeepsSpare = true
 	for range 3 {
@@ -238,11 +240,7 @@
 // TestConnectionOpenedAfterTheSendShowsNothing guards against a restart that isn't seen, since
 // another request has connected to the new process before the break was noticed.
 func TestConnectionOpenedAfterTheSendShowsNothing(t *testing.T) {
-	var connections accepted
-	listener := listen(t, func(_ int, opened net.Conn) {
-		connections.add(opened)
-		go answerAll(opened)
-	})
+	listener, connections := listenAndAnswer(t)
 	client, request := newEndClient(), requestTo(listener)
 	openTwo(t, client, request)
 	sent := *request
@@ -271,11 +269,7 @@
 		"of an unsuspected one": {0, false, LifeContinues},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var connections accepted
-			listener := listen(t, func(_ int, opened net.Conn) {
-				connections.add(opened)
-				go answerAll(opened)
-			})
+			listener, connections := listenAndAnswer(t)
 			client, request := newEndClient(), requestTo(listener)
 			answer, err := client.Do(t.Context(), request)
 			assert.NilError(t, err)
--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -138,7 +138,11 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	copy(l.breaks[1:], l.breaks[:])
-	l.breaks[0] = connectionBreak{opened: c.opened, at: now, isIdle: !c.inUse.Load()}
+	l.breaks[0] = c.breakAt(now)
+}
+
+func (c *connection) breakAt(at time.Time) connectionBreak {
+	return connectionBreak{opened: c.opened, at: at, isIdle: !c.inUse.Load()}
 }
 
 func (l *life) hasReceivedSince(then time.Time) bool { return l.lastReceived.Load() >= then.UnixNano() }
@@ -155,11 +159,14 @@
 	return false
 }
 
-// isAcceptedBy reports whether the process had accepted the connection by then. The system opens
+// acceptedAt returns by when the process has accepted the connection. The system opens
 // connections for it, and one that it hasn't accepted may outlive it.
-func (c *connection) isAcceptedBy(then time.Time) bool {
-	first := c.firstReceived.Load()
-	return first != 0 && first <= then.UnixNano() || then.Sub(c.opened) >= acceptTime
+func (c *connection) acceptedAt() time.Time {
+	latest := c.opened.Add(acceptTime)
+	if first := c.firstReceived.Load(); first != 0 && first < latest.UnixNano() {
+		return time.Unix(0, first)
+	}
+	return latest
 }
 
 // keptOrBroke returns how many connections are still open that were opened before the request was
@@ -171,13 +178,13 @@
 	defer l.mutex.Unlock()
 	for candidate := range l.open {
 		if candidate.isOpen() {
-			if !candidate.opened.After(request.SentAt) && (!request.KeepsSpare || candidate.isAcceptedBy(ended)) {
+			if !candidate.opened.After(request.SentAt) && (!request.KeepsSpare || !candidate.acceptedAt().After(ended)) {
 				kept++
 			}
 			continue
 		}
 		if at := candidate.noteClosed(now); at.Sub(candidate.lastUse()) < minIdleClose && !l.hasNoted(candidate, at) {
-			broke = append(broke, connectionBreak{opened: candidate.opened, at: at, isIdle: !candidate.inUse.Load()})
+			broke = append(broke, candidate.breakAt(at))
 		}
 	}
 	for _, one := range l.breaks {
@@ -256,10 +263,8 @@
 	known := c.lives.of(to)
 	_, broke := known.keptOrBroke(request, look.EndedAt, c.now())
 	isHeard := !look.HeardSince.IsZero() && known.hasReceivedSince(look.HeardSince)
-	if !look.IsBroken && len(broke) == 0 && (look.IsPassive || isHeard) {
-		if known.hasOpen() {
-			return LifeContinues
-		}
+	if !look.IsBroken && len(broke) == 0 && (look.IsPassive || isHeard) && known.hasOpen() {
+		return LifeContinues
 	}
 	if found := c.probeEnd(ctx, to, look.MaxAge); found != LifeUnclear {
 		return found
@@ -283,31 +288,29 @@
 // the process can have accepted it. Whether it breaks as well tells the end of the process from a
 // lost response.
 func (c *Client) keepSpare(ctx context.Context, to endpoint) {
-	age, hasIdle := c.lives.of(to).idleAge(c.now())
+	acceptedAt, hasIdle := c.lives.of(to).idleAcceptedAt()
 	if !hasIdle {
 		spare, err := c.dial(ctx, to)
 		if err != nil {
 			return
 		}
 		c.putIdle(to, spare)
+		acceptedAt = spare.acceptedAt()
 	}
-	_ = sleep.For(ctx, acceptTime-age)
+	_ = sleep.For(ctx, acceptedAt.Sub(c.now()))
 }
 
-// idleAge returns the age of the oldest open connection that no exchange uses, at least acceptTime
-// for one that the process has answered on.
-func (l *life) idleAge(now time.Time) (oldest time.Duration, hasIdle bool) {
+// idleAcceptedAt returns by when the process has accepted an open connection that no exchange uses.
+func (l *life) idleAcceptedAt() (earliest time.Time, hasIdle bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for candidate := range l.open {
 		if candidate.inUse.Load() || !candidate.isOpen() {
 			continue
 		}
-		hasIdle = true
-		oldest = max(oldest, now.Sub(candidate.opened))
-		if candidate.firstReceived.Load() != 0 {
-			oldest = max(oldest, acceptTime)
+		if at := candidate.acceptedAt(); !hasIdle || at.Before(earliest) {
+			earliest, hasIdle = at, true
 		}
 	}
-	return oldest, hasIdle
+	return earliest, hasIdle
 }
