Settle sends in one switch, and watch on in one place

settleUnknown had a condition on the check's result before its switch over the same result; settling and watching on was written twice. Two doubles of Crashes in the tests are one.

--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -150,27 +150,20 @@
 	case sendUnreachable:
 		found = watched.assume(upstream.LifeSilent)
 	}
-	if found == upstream.LifeContinues {
-		if how == sendBroken {
-			watched.settle(ctx, found)
-			return
-		}
+	switch {
+	case found == upstream.LifeContinues && how == sendBroken:
+		watched.settle(ctx, found)
+	case found == upstream.LifeContinues:
 		c.handler.watcher.add(watched)
-		return
-	}
-	switch found {
-	case upstream.LifeEnded:
+	case found == upstream.LifeEnded:
 		c.attempts.suspicion = watched.settle(ctx, found)
-	case upstream.LifeUndecided:
+	case found == upstream.LifeUndecided:
 		c.attempts.deciding.Go(func() { watched.decide(context.WithoutCancel(ctx)) })
 		c.attempts.undecided = append(c.attempts.undecided, watched)
 		c.awaitDecisions()
 	default:
 		c.attempts.suspicion.Suspected++
-		c.attempts.settling.Go(func() {
-			watched.settle(ctx, found)
-			c.handler.watcher.add(watched)
-		})
+		c.attempts.settling.Go(func() { watched.settleOrWatch(ctx, found) })
 	}
 }
 
--- a/transport/relay/crash_test.go
+++ b/transport/relay/crash_test.go
@@ -42,10 +42,10 @@
 }
 func (noCrashes) Completed(context.Context, quarantine.Fingerprint) {}
 
-// countedCrashes counts reports.
+// countedCrashes counts reports and sends without an outcome.
 type countedCrashes struct {
 	noCrashes
-	reports atomic.Int64
+	reports, unresolved atomic.Int64
 }
 
 func (c *countedCrashes) Report(context.Context, quarantine.Crash) quarantine.Suspicion {
@@ -53,6 +53,11 @@
 	return quarantine.Suspicion{Crashes: reports, Suspected: reports}
 }
 
+func (c *countedCrashes) Unresolve(context.Context, quarantine.Send) (known quarantine.Suspicion) {
+	c.unresolved.Add(1)
+	return known
+}
+
 // endedUpstream breaks each exchange. The first check of its end times out.
 type endedUpstream struct{ checks atomic.Int64 }
 
@@ -77,22 +82,6 @@
 	assert.Equal(t, crashes.reports.Load(), int64(1))
 }
 
-// toldCrashes records what is told of sends.
-type toldCrashes struct {
-	noCrashes
-	reported, unresolved atomic.Int64
-}
-
-func (c *toldCrashes) Report(context.Context, quarantine.Crash) (known quarantine.Suspicion) {
-	c.reported.Add(1)
-	return known
-}
-
-func (c *toldCrashes) Unresolve(context.Context, quarantine.Send) (known quarantine.Suspicion) {
-	c.unresolved.Add(1)
-	return known
-}
-
 // undecidedUpstream breaks each exchange. What has become of the process shows later.
 type undecidedUpstream struct {
 	endedUpstream
@@ -118,10 +107,10 @@
 		{upstream.LifeContinues, 0, 0},
 	} {
 		t.Run(c.later.String(), func(t *testing.T) {
-			crashes := &toldCrashes{}
+			crashes := &countedCrashes{}
 			handler := newCrashHandler(t, crashes, &undecidedUpstream{later: c.later}, "i-1")
 			assert.Equal(t, serve(handler).Code, http.StatusBadGateway)
-			assert.Equal(t, crashes.reported.Load(), c.reported)
+			assert.Equal(t, crashes.reports.Load(), c.reported)
 			assert.Equal(t, crashes.unresolved.Load(), c.unresolved)
 		})
 	}
@@ -145,7 +134,7 @@
 		upstream.LimitHeadBytes: 0, upstream.LimitInterimResponses: 0, upstream.LimitHeadTime: 1,
 	} {
 		t.Run(string(limit), func(t *testing.T) {
-			crashes := &toldCrashes{}
+			crashes := &countedCrashes{}
 			handler := newCrashHandler(t, crashes, &excessiveUpstream{limit}, "i-1")
 			assert.Equal(t, serve(handler).Code, http.StatusBadGateway)
 			assert.Equal(t, crashes.unresolved.Load(), unresolved)
--- a/transport/relay/sendwatch.go
+++ b/transport/relay/sendwatch.go
@@ -123,7 +123,12 @@
 // the exchange. Without an answer to that, it is watched on.
 func (s *watchedSend) decide(ctx context.Context) {
 	_ = sleep.For(ctx, upstream.EndSkew-s.elapsed())
-	s.settle(ctx, s.check(ctx, endProbeTimeout, false))
+	s.settleOrWatch(ctx, s.check(ctx, endProbeTimeout, false))
+}
+
+// settleOrWatch settles the send, and has it watched on unless its outcome is known then.
+func (s *watchedSend) settleOrWatch(ctx context.Context, found upstream.Life) {
+	s.settle(ctx, found)
 	if !s.isOver {
 		s.handler.watcher.add(s)
 	}
