Build the end of a try from a message in one place

A storage node that counts a crash and a gateway that counts nodes' answers together each turned the durations of a message into times. No behaviour changes.

--- a/coordination/quarantine/merge.go
+++ b/coordination/quarantine/merge.go
@@ -21,8 +21,7 @@
 		m.clearedAt = clearedAt
 	}
 	for _, try := range record.Tries {
-		added := end{send: try.Send, instance: try.Instance, sent: m.now.Add(-try.SentAgo), ended: m.now.Add(-try.EndedAgo)}
-		added.ran, added.seen = added.ended.Add(try.RanAfter), added.ended.Add(try.SeenAfter)
+		added := endOf(try, m.now)
 		if try.IsCrash {
 			m.crashes = mergeEnd(m.crashes, added)
 		} else {
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -39,6 +39,14 @@
 	Row int
 }
 
+// try returns the try under which the instance has ended.
+func (c Crash) try() Try {
+	return Try{
+		Send: c.Send, Instance: c.Instance, SentAgo: c.SentAgo, EndedAgo: c.EndedAgo,
+		RanAfter: c.RanAfter, SeenAfter: c.SeenAfter, IsCrash: true,
+	}
+}
+
 // SendID identifies one send of a request among those of all gateways.
 type SendID uint64
 
--- a/coordination/quarantine/row.go
+++ b/coordination/quarantine/row.go
@@ -23,6 +23,15 @@
 	ran, seen time.Time
 }
 
+// endOf returns the end of a try that a message told at the time.
+func endOf(try Try, at time.Time) end {
+	ended := at.Add(-try.EndedAgo)
+	return end{
+		send: try.Send, instance: try.Instance, sent: at.Add(-try.SentAgo), ended: ended,
+		ran: ended.Add(try.RanAfter), seen: ended.Add(try.SeenAfter),
+	}
+}
+
 // isSame reports whether both are the end of one send. Nodes of earlier builds don't tell the
 // send.
 func (e end) isSame(other end) bool {
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -61,8 +61,7 @@
 	now := t.now()
 	t.sweep(now)
 	known := t.entryOf(crash.Fingerprint, now)
-	added := end{send: crash.Send, instance: crash.Instance, sent: now.Add(-crash.SentAgo), ended: now.Add(-crash.EndedAgo)}
-	added.ran, added.seen = added.ended.Add(crash.RanAfter), added.ended.Add(crash.SeenAfter)
+	added := endOf(crash.try(), now)
 	// A gateway that hasn't heard of a completed try yet may report earlier crashes again.
 	isForgotten := crash.Row > 0 && added.ended.Before(known.clearedAt)
 	if isForgotten || slices.ContainsFunc(known.ends, added.isSame) {
