Log by what a gateway decides where a resumed stream goes on

A take-up's line told whether a record was found, not how old it was, whether all storage nodes had answered, nor which version the gateway knew alone and for how long. The counter of resumed streams tells those that went on by a record from those that went on at the only known version. No decision changes; one expectation of a test has the age as well.

--- a/coordination/streamorigin/client.go
+++ b/coordination/streamorigin/client.go
@@ -104,7 +104,7 @@
 			t.answers = append(t.answers, r.answer)
 		}
 		if newest, confirmed := t.newest(); confirmed {
-			return Finding{Known: true, Origin: newest.Origin}
+			return Finding{Known: true, Origin: newest.Origin, Age: newest.Age}
 		}
 	}
 	return Finding{Answered: len(t.answers) == t.members, Excluded: t.isExcluded()}
--- a/coordination/streamorigin/client_test.go
+++ b/coordination/streamorigin/client_test.go
@@ -70,7 +70,7 @@
 	c.stop("node-2")
 	assert.Assert(t, !client.Find(t.Context(), key, lifetime).Known)
 	c.tables["node-2"] = resumed
-	assert.DeepEqual(t, client.Find(t.Context(), key, lifetime), streamorigin.Finding{Known: true, Origin: v2})
+	assert.DeepEqual(t, client.Find(t.Context(), key, lifetime), streamorigin.Finding{Known: true, Origin: v2, Age: lifetime - 1})
 }
 
 // TestUnconfirmedRecordIsReported guards against a change that a majority doesn't have.
--- a/coordination/streamorigin/decide.go
+++ b/coordination/streamorigin/decide.go
@@ -31,6 +31,8 @@
 type Finding struct {
 	Known  bool
 	Origin Origin
+	// Age is the age of the record.
+	Age time.Duration
 	// Answered is set if all nodes have answered.
 	Answered bool
 	// Excluded is set if no node has a record and all of them would, had there been one.
--- a/transport/relay/origin.go
+++ b/transport/relay/origin.go
@@ -36,8 +36,10 @@
 	// recording is closed once storage nodes have been asked to record the origin; nil if
 	// they aren't asked.
 	recording chan struct{}
-	// finding is what storage nodes know of the stream that the client resumes.
+	// finding is what storage nodes know of the stream that the client resumes, sole the only
+	// version that this gateway knows.
 	finding streamorigin.Finding
+	sole    streamorigin.SoleVersion
 }
 
 // locateStream finds out where a stream that the client resumes began, or plans where a new
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -39,6 +39,10 @@
 		metrics.countResumption(versionGone)
 		return result.Errorf(result.StreamVersionGone, "the stream began at version %q of %s: %v", origin.Version, origin.Service, errVersionGone)
 	}
+	if !c.stream.finding.Known {
+		metrics.countResumption(originSole)
+		return nil
+	}
 	metrics.countResumption(originFound)
 	return nil
 }
@@ -50,7 +54,8 @@
 	if began != "" {
 		c.stream.finding = c.handler.options.Origins.Find(ctx, c.streamKey(began), lifetime)
 	}
-	origin, err := streamorigin.Decide(c.stream.finding, c.soleVersion(), lifetime)
+	c.stream.sole = c.soleVersion()
+	origin, err := streamorigin.Decide(c.stream.finding, c.stream.sole, lifetime)
 	if err != nil && began == "" {
 		return origin, streamorigin.ErrUnknown
 	}
@@ -97,5 +102,8 @@
 	return []zap.Field{
 		zap.String("resumes", c.input.info.Resumes), zap.String("last_event", c.input.info.LastEventID),
 		zap.String("began_at", c.stream.origin.Version), zap.Bool("on_record", c.stream.finding.Known),
+		zap.Duration("record_age", c.stream.finding.Age), zap.Bool("all_asked", c.stream.finding.Answered),
+		zap.String("sole_version", c.stream.sole.Origin.Version), zap.Duration("sole_for", c.stream.sole.For),
+		zap.Duration("list_age", c.stream.sole.List.Age),
 	}
 }
