Show streams joined from two versions once all gateways were killed

Real processes: all gateways are killed at once while 30 streams are under way, the version that began them leaves or stays, and the clients try for 8 s.

--- a/test/integration/streamclient_test.go
+++ b/test/integration/streamclient_test.go
@@ -99,10 +99,14 @@
 	http    *http.Client
 	random  *rand.Rand
 	program string
-	tries   int
+	// hasNoBudget is set if the program has no token budget.
+	hasNoBudget bool
+	tries       int
 	// began is the id of the try that brought the first event.
 	began string
-	// pieces are the data of the events received.
+
+	mutex sync.Mutex
+	// pieces are the data of the events received. Only the reader of the stream changes them.
 	pieces []string
 }
 
@@ -155,6 +159,9 @@
 	} {
 		request.Header.Set(name, value)
 	}
+	if s.hasNoBudget {
+		request.Header.Del("X-Token-Budget")
+	}
 	isResumption := len(s.pieces) > 0
 	if isResumption {
 		request.Header.Set(runner.HeaderLastEvent, strconv.Itoa(len(s.pieces)))
@@ -204,7 +211,7 @@
 		if len(s.pieces) == 0 {
 			s.began = id
 		}
-		s.pieces = append(s.pieces, piece)
+		s.add(piece)
 	}
 	if lines.Err() != nil {
 		return soakBroken
@@ -212,6 +219,12 @@
 	return soakWhole
 }
 
+func (s *soakStream) add(piece string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.pieces = append(s.pieces, piece)
+}
+
 // check reports a stream that misses or repeats a piece or joins two versions.
 func (s *soakStream) check() {
 	if len(s.pieces) == 0 {
