Continue a stream only where a record tells that it began

Callers got streams joined from two software versions: a stream without a record went on at the only version that its gateway had known for the route's timeout and 5 s, and records expired after the same time. Nothing bounds when a client comes back, nor how often, so that neither the missing record nor the elapsed time tells which version began it. While a service had one version, streams without a token budget weren't recorded at all.

Now only a record counts. Each resumable stream is recorded, also while there is one version. Storage nodes keep records for ten minutes while there is room (100,000, the oldest go first) in place of timeout + 5 s. Once the origin is fixed, the record is copied to all members of the replica set, so that the loss of the storage node that granted the reservation loses none; a resumption renews it.

--- a/coordination/backend/instance.go
+++ b/coordination/backend/instance.go
@@ -54,12 +54,10 @@
 	members []*member
 	// versions are the distinct software versions of the members, sorted.
 	versions []string
-	// soleSince is the time since which versions has had the one version that it has.
-	soleSince time.Time
-	health    *serviceHealth
+	health   *serviceHealth
 }
 
-func newSnapshot(instances []Instance, previous *snapshot, policy limit.EjectionPolicy, now time.Time) *snapshot {
+func newSnapshot(instances []Instance, previous *snapshot, policy limit.EjectionPolicy) *snapshot {
 	next := &snapshot{services: make(map[string]*service), byID: make(map[string]*member, len(instances))}
 	for _, instance := range instances {
 		added := &member{Instance: instance, load: previous.loadFor(instance), hash: hashString(instance.ID)}
@@ -72,10 +70,9 @@
 		svc.members = append(svc.members, added)
 		svc.health.ejector.Add(instance.ID)
 	}
-	for name, svc := range next.services {
+	for _, svc := range next.services {
 		slices.SortFunc(svc.members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
 		svc.versions = versionsOf(svc.members)
-		svc.soleSince = previous.soleSinceFor(name, svc.versions, now)
 	}
 	return next
 }
@@ -101,17 +98,6 @@
 	return newServiceHealth(policy)
 }
 
-// soleSinceFor returns the time since which the service has had only the given version, or
-// now if it has others or had others in the snapshot.
-func (s *snapshot) soleSinceFor(name string, versions []string, now time.Time) time.Time {
-	if s != nil {
-		if known, found := s.services[name]; found && len(versions) == 1 && slices.Equal(known.versions, versions) {
-			return known.soleSince
-		}
-	}
-	return now
-}
-
 // loadFor returns the load of the instance's incarnation from the snapshot, or a new one.
 // A process keeps its software version, so another version means another incarnation.
 func (s *snapshot) loadFor(instance Instance) *load {
--- a/coordination/backend/pool.go
+++ b/coordination/backend/pool.go
@@ -41,7 +41,7 @@
 		now: now, policy: policy, ended: make(map[string]endedIncarnation),
 		onEjected: func(Instance, Outcome) {}, onRestarted: func(Restart) {},
 	}
-	pool.current.Store(newSnapshot(nil, nil, policy, now()))
+	pool.current.Store(newSnapshot(nil, nil, policy))
 	return pool
 }
 
@@ -70,7 +70,7 @@
 	p.pruneEnded()
 	listed := p.resolveIncarnations(previous, p.listed)
 	retained := retainExpired(previous, listed, p.now())
-	next := newSnapshot(slices.Concat(listed, retained), previous, p.policy, p.now())
+	next := newSnapshot(slices.Concat(listed, retained), previous, p.policy)
 	for _, instance := range listed {
 		next.byID[instance.ID].load.clearExpiry()
 	}
@@ -147,16 +147,6 @@
 	return versions
 }
 
-// SoleVersion returns the only software version of the service's instances, and the time
-// since which this node has known no other. ok is false if there are several or none.
-func (p *Pool) SoleVersion(name string) (version string, since time.Time, ok bool) {
-	svc, found := p.current.Load().services[name]
-	if !found || len(svc.versions) != 1 {
-		return "", time.Time{}, false
-	}
-	return svc.versions[0], svc.soleSince, true
-}
-
 // AcceptsVersion reports whether an instance of the service accepts requests at the
 // software version.
 func (p *Pool) AcceptsVersion(name, version string) bool {
--- a/coordination/streamorigin/client.go
+++ b/coordination/streamorigin/client.go
@@ -37,12 +37,15 @@
 // Client records and finds the origins of streams for a gateway. It is safe for concurrent
 // use.
 type Client struct {
-	nodes Nodes
-	views Views
+	nodes  Nodes
+	views  Views
+	copies chan Record
 }
 
-// NewClient returns a client.
-func NewClient(nodes Nodes, views Views) *Client { return &Client{nodes: nodes, views: views} }
+// NewClient returns a client. It copies records while its Serve runs.
+func NewClient(nodes Nodes, views Views) *Client {
+	return &Client{nodes: nodes, views: views, copies: make(chan Record, maxCopies)}
+}
 
 func (c *Client) view(key Key) (register.View, bool) {
 	return c.views.View(c.views.Locate(key.location()))
@@ -59,11 +62,7 @@
 	ctx = context.WithoutCancel(ctx) // the other members get the record as well
 	results := make(chan error, len(view.Members))
 	for _, member := range view.Members {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
-			defer cancel()
-			results <- c.nodes.RecordStream(ctx, member.Address, record)
-		}()
+		go func() { results <- c.recordAt(ctx, member.Address, record) }()
 	}
 	confirmed := 0
 	var lastErr error
@@ -79,11 +78,16 @@
 	return merry.Prependf(ErrNotRecorded, "%v", lastErr)
 }
 
-// Find asks all members of the replica set for the stream, which may be as old as lifetime.
-// It returns a record once a majority confirms that it knows of no later one, since a
-// changed origin is recorded at a majority. Members that don't answer delay it by
-// nodeTimeout at most.
-func (c *Client) Find(ctx context.Context, key Key, lifetime time.Duration) Finding {
+func (c *Client) recordAt(ctx context.Context, address string, record Record) error {
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+	defer cancel()
+	return c.nodes.RecordStream(ctx, address, record)
+}
+
+// Find asks all members of the replica set for the stream. It returns a record once a
+// majority confirms that it knows of no later one, since a changed origin is recorded at a
+// majority. Members that don't answer delay it by nodeTimeout at most.
+func (c *Client) Find(ctx context.Context, key Key) Finding {
 	view, known := c.view(key)
 	if !known {
 		return Finding{}
@@ -97,17 +101,17 @@
 			replies <- reply{answer, err}
 		}()
 	}
-	t := tally{members: len(view.Members), quorum: view.Quorum(), lifetime: lifetime}
+	t := tally{quorum: view.Quorum()}
 	for range view.Members {
 		r := <-replies
 		if r.err == nil {
 			t.answers = append(t.answers, r.answer)
 		}
 		if newest, confirmed := t.newest(); confirmed {
-			return Finding{Known: true, Origin: newest.Origin, Age: newest.Age}
+			return Finding{Known: true, Origin: newest.Origin, Change: newest.Change, Age: newest.Age}
 		}
 	}
-	return Finding{Answered: len(t.answers) == t.members, Excluded: t.isExcluded()}
+	return Finding{Answered: len(t.answers) == len(view.Members)}
 }
 
 // reply is the answer of one member, or the error instead of it.
@@ -118,9 +122,8 @@
 
 // tally holds the answers of the members of a replica set.
 type tally struct {
-	members, quorum int
-	lifetime        time.Duration
-	answers         []Answer
+	quorum  int
+	answers []Answer
 }
 
 // newest returns the record with the latest change. It is confirmed if a majority has it,
@@ -141,15 +144,3 @@
 	}
 	return newest, newest.Known && confirming >= t.quorum
 }
-
-// isExcluded reports whether all members would have a record, had there been one, and have
-// none.
-func (t *tally) isExcluded() bool {
-	excluding := 0
-	for _, answer := range t.answers {
-		if !answer.Known && answer.RecordingFor >= t.lifetime {
-			excluding++
-		}
-	}
-	return excluding == t.members
-}
--- a/coordination/streamorigin/decide.go
+++ b/coordination/streamorigin/decide.go
@@ -31,38 +31,20 @@
 type Finding struct {
 	Known  bool
 	Origin Origin
+	Change uint32
 	// Age is the age of the record.
 	Age time.Duration
 	// Answered is set if all nodes have answered.
 	Answered bool
-	// Excluded is set if no node has a record and all of them would, had there been one.
-	Excluded bool
 }
 
-// SoleVersion is the only version of the service that a gateway knows.
-type SoleVersion struct {
-	Origin Origin
-	// Known is set if the gateway knows exactly one version, and it is the only service
-	// that the stream can have begun at.
-	Known bool
-	// For is how long the gateway has known no other version.
-	For time.Duration
-	// List is the age of the list of instances.
-	List ListAge
-}
-
-// Decide returns where a stream that may be as old as lifetime goes on.
-//
-// A record decides. Without one, the stream goes on only at a version that has been the
-// only one for as long as it can have lasted. Gateways don't always record streams of such
-// a service. Either the storage nodes confirm that there is no record, or the gateway's
-// list of instances is current.
-func Decide(finding Finding, sole SoleVersion, lifetime time.Duration) (Origin, error) {
+// Decide returns where a stream goes on. Only a record tells: a client may resume a stream
+// of any age, so that the versions that serve now, or have served for some time, don't
+// show which one began it.
+func Decide(finding Finding) (Origin, error) {
 	switch {
 	case finding.Known:
 		return finding.Origin, nil
-	case sole.Known && sole.For >= lifetime && (finding.Excluded || sole.List.IsCurrent()):
-		return sole.Origin, nil
 	case finding.Answered:
 		return Origin{}, ErrUnknown
 	}
--- a/coordination/streamorigin/record.go
+++ b/coordination/streamorigin/record.go
@@ -2,13 +2,8 @@
 
 import "time"
 
-// resumeGrace is how long after the latest end of a request its client may resume the
-// stream.
-const resumeGrace = 5 * time.Second
-
-// Lifetime returns how long after its beginning a stream may be resumed, given the time
-// allowed for the request that began it.
-func Lifetime(timeout time.Duration) time.Duration { return timeout + resumeGrace }
+// Retention is how long a storage node keeps a record while it has room.
+const Retention = 10 * time.Minute
 
 // Origin is where a stream began: it may be continued only there.
 type Origin struct {
@@ -43,8 +38,6 @@
 	// Change counts the changes of the origin before the first event. The record with the
 	// highest one holds.
 	Change uint32
-	// Lifetime is how long the stream may be resumed.
-	Lifetime time.Duration
 }
 
 // Answer is a storage node's answer to the question for a stream.
@@ -55,7 +48,7 @@
 	Change uint32
 	// Age is the time since the node got the record.
 	Age time.Duration
-	// RecordingFor is how long the node has kept all records that it got. It doesn't know
-	// of earlier ones.
+	// RecordingFor is how long the node has kept all records that it got. It may have
+	// dropped earlier ones.
 	RecordingFor time.Duration
 }
--- a/coordination/streamorigin/table.go
+++ b/coordination/streamorigin/table.go
@@ -1,86 +1,120 @@
 package streamorigin
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"sync"
 	"time"
+	"unique"
 )
 
-const (
-	// maxRecords bounds the memory of a table to about 15 MB.
-	maxRecords = 50_000
-	// sweepInterval is the shortest pause between two searches for expired records.
-	sweepInterval = time.Second
-)
+// MaxRecords bounds the memory of a table to about 10 MB. Beyond it the oldest record is
+// dropped.
+const MaxRecords = 100_000
 
 // Table holds the records of a storage node. It is safe for concurrent use.
 type Table struct {
-	now func() time.Time
+	now     func() time.Time
+	started time.Time
 
 	mutex   sync.Mutex
-	records map[Key]tableRecord
+	records map[digest]tableRecord
+	// queue holds the records in the order in which they were last received, with earlier
+	// receipts of the same records between them.
+	queue []receipt
 	// completeSince is the time since which the table has dropped no record.
-	completeSince time.Time
-	sweptAt       time.Time
+	completeSince time.Duration
 }
 
+// digest stands for a key. Clients choose their keys, so that it has to resist collisions.
+type digest [16]byte
+
+// tableRecord is a record. Its times are those since the table's start.
 type tableRecord struct {
-	origin   Origin
-	change   uint32
-	recorded time.Time
-	expires  time.Time
+	origin unique.Handle[Origin]
+	change uint32
+	// recorded is when the table first received this change, received when it last did.
+	recorded, received time.Duration
+}
+
+type receipt struct {
+	key digest
+	at  time.Duration
 }
 
 // NewTable returns an empty table.
 func NewTable(now func() time.Time) *Table {
-	return &Table{now: now, records: make(map[Key]tableRecord), completeSince: now()}
+	return &Table{now: now, started: now(), records: make(map[digest]tableRecord)}
 }
 
-// Record keeps the record for its lifetime, unless the table has it or one with a later
-// change.
+// elapsed returns the time since the table's start.
+func (t *Table) elapsed() time.Duration { return t.now().Sub(t.started) }
+
+// digestOf separates the parts of the key by their lengths.
+func digestOf(key Key) digest {
+	var buffer []byte
+	for _, part := range []string{key.Request, key.Program, key.Tenant} {
+		buffer = binary.AppendUvarint(buffer, uint64(len(part)))
+		buffer = append(buffer, part...)
+	}
+	sum := sha256.Sum256(buffer)
+	return digest(sum[:len(digest{})])
+}
+
+// Record keeps the record for the Retention, from the last time it was received on, unless
+// the table has one with a later change.
 func (t *Table) Record(record Record) {
+	key := digestOf(record.Key)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	now := t.now()
-	t.sweep(now)
-	known, found := t.records[record.Key]
-	if found && known.change >= record.Change {
-		return
-	}
-	if !found && len(t.records) >= maxRecords {
-		t.completeSince = now
+	now := t.elapsed()
+	known, found := t.records[key]
+	switch {
+	case found && known.change > record.Change:
 		return
+	case !found || known.change < record.Change:
+		known = tableRecord{origin: unique.Make(record.Origin), change: record.Change, recorded: now}
 	}
-	t.records[record.Key] = tableRecord{origin: record.Origin, change: record.Change, recorded: now, expires: now.Add(record.Lifetime)}
+	known.received = now
+	t.records[key] = known
+	t.queue = append(t.queue, receipt{key, now})
+	t.drop(now)
 }
 
 // Find returns what the table knows of the stream.
 func (t *Table) Find(key Key) Answer {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	now := t.now()
-	answer := Answer{RecordingFor: now.Sub(t.completeSince)}
-	if known, found := t.records[key]; found && now.Before(known.expires) {
-		answer.Known, answer.Origin, answer.Change, answer.Age = true, known.origin, known.change, now.Sub(known.recorded)
+	now := t.elapsed()
+	t.drop(now)
+	answer := Answer{RecordingFor: now - t.completeSince}
+	if known, found := t.records[digestOf(key)]; found {
+		answer.Known, answer.Origin, answer.Change, answer.Age = true, known.origin.Value(), known.change, now-known.recorded
 	}
 	return answer
 }
 
-// Len returns the number of records, including expired ones not dropped yet.
+// Len returns the number of records.
 func (t *Table) Len() int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return len(t.records)
 }
 
-// sweep drops the expired records, once a sweepInterval. The mutex must be held.
-func (t *Table) sweep(now time.Time) {
-	if now.Sub(t.sweptAt) < sweepInterval {
-		return
-	}
-	t.sweptAt = now
-	for key, record := range t.records {
-		if !now.Before(record.expires) {
-			delete(t.records, key)
+// drop drops the records that have expired, and the oldest ones beyond MaxRecords. The mutex
+// must be held.
+func (t *Table) drop(now time.Duration) {
+	for len(t.queue) > 0 {
+		oldest := t.queue[0]
+		known, found := t.records[oldest.key]
+		isLast := found && known.received == oldest.at
+		if isLast && len(t.records) <= MaxRecords && now-oldest.at < Retention {
+			return
+		}
+		t.queue = t.queue[1:]
+		if isLast {
+			delete(t.records, oldest.key)
+			t.completeSince = oldest.at + 1
 		}
 	}
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -133,7 +133,7 @@
 // services returns the background services for the supervisor.
 func (g *Gateway) services() []suture.Service {
 	return []suture.Service{
-		g.followers.configuration, g.followers.instances, g.followers.replicaSets, g.mirrorReader(), g.prober(), g.quotaAnnouncer(), g.storage.crashes.Follower(), g.relay.SendWatcher(),
+		g.followers.configuration, g.followers.instances, g.followers.replicaSets, g.mirrorReader(), g.prober(), g.quotaAnnouncer(), g.storage.crashes.Follower(), g.storage.origins, g.relay.SendWatcher(),
 		g.callers, g.operatorListener, idleCloser{g.upstream},
 	}
 }
--- a/test/integration/rejoin_test.go
+++ b/test/integration/rejoin_test.go
@@ -97,9 +97,22 @@
 	for _, version := range c.before {
 		r.addInstances(version)
 	}
+	r.awaitStorage(clients)
 	return r
 }
 
+// awaitStorage waits until the replica sets of all shards serve.
+func (r *rejoin) awaitStorage(clients *soakClients) {
+	r.t.Helper()
+	const programs = 8 // enough for every shard to keep some of them
+	for number := range programs {
+		first := &soakStream{clients: clients, http: &http.Client{}, random: r.random, program: fmt.Sprint("before-", number)}
+		harness.Eventually(r.t, func() (bool, string) {
+			return first.try(rejoinTimeout) == soakWhole, "no stream with a budget is served"
+		})
+	}
+}
+
 func (r *rejoin) addInstances(version string) {
 	for range 2 {
 		r.addInstanceOf(soakService{name: "app", version: version, events: rejoinEvents, pause: rejoinPause})
--- a/transport/peer/origin.go
+++ b/transport/peer/origin.go
@@ -65,7 +65,7 @@
 	return &peerv1.StreamOrigin{
 		Request: record.Request, Program: record.Program, Tenant: record.Tenant,
 		Service: record.Origin.Service, Version: record.Origin.Version,
-		Change: record.Change, LifetimeMs: record.Lifetime.Milliseconds(),
+		Change: record.Change, LifetimeMs: streamorigin.Retention.Milliseconds(),
 	}
 }
 
@@ -77,6 +77,6 @@
 	return &streamorigin.Record{
 		Key:    streamorigin.Key{Request: message.GetRequest(), Program: message.GetProgram(), Tenant: message.GetTenant()},
 		Origin: streamorigin.Origin{Service: message.GetService(), Version: message.GetVersion()},
-		Change: message.GetChange(), Lifetime: time.Duration(message.GetLifetimeMs()) * time.Millisecond,
+		Change: message.GetChange(),
 	}
 }
--- a/transport/relay/headercodec.go
+++ b/transport/relay/headercodec.go
@@ -92,8 +92,6 @@
 	Acquire(query backend.Query) (*backend.Assignment, error)
 	// PlanVersion returns the software version of the instance that Acquire would choose.
 	PlanVersion(query backend.Query) (version string, ok bool)
-	// SoleVersion returns the only software version of a service, and since when.
-	SoleVersion(service string) (version string, since time.Time, ok bool)
 	// AcceptsVersion reports whether an instance takes requests at a software version.
 	AcceptsVersion(service, version string) bool
 }
@@ -101,7 +99,9 @@
 // Origins records and finds where streams began. streamorigin.Client implements it.
 type Origins interface {
 	Record(ctx context.Context, record streamorigin.Record) error
-	Find(ctx context.Context, key streamorigin.Key, lifetime time.Duration) streamorigin.Finding
+	Find(ctx context.Context, key streamorigin.Key) streamorigin.Finding
+	// Copy copies a record to all storage nodes that should have it, unless there are too many.
+	Copy(record streamorigin.Record) bool
 }
 
 // Turns prepares turns of programs. conversation.Service implements it.
--- a/transport/relay/metrics.go
+++ b/transport/relay/metrics.go
@@ -71,7 +71,6 @@
 
 const (
 	originFound       resumptionOutcome = "found"
-	originSole        resumptionOutcome = "sole_version"
 	originUnknown     resumptionOutcome = "unknown"
 	originUnavailable resumptionOutcome = "unavailable"
 	versionGone       resumptionOutcome = "version_gone"
--- a/transport/relay/origin.go
+++ b/transport/relay/origin.go
@@ -36,10 +36,8 @@
 	// recording is closed once storage nodes have been asked to record the origin; nil if
 	// they aren't asked.
 	recording chan struct{}
-	// finding is what storage nodes know of the stream that the client resumes, sole the only
-	// version that this gateway knows.
+	// finding is what storage nodes know of the stream that the client resumes.
 	finding streamorigin.Finding
-	sole    streamorigin.SoleVersion
 }
 
 // locateStream finds out where a stream that the client resumes began, or plans where a new
@@ -90,9 +88,9 @@
 }
 
 // recordOrigin asks storage nodes to record the origin of a new stream that a client may
-// resume, if the service has several versions. It doesn't wait for them.
+// resume. It doesn't wait for them.
 func (c *call) recordOrigin(ctx context.Context) {
-	if _, _, isSole := c.handler.options.Backends.SoleVersion(c.stream.origin.Service); isSole || !c.isRecordable() {
+	if !c.isRecordable() {
 		return
 	}
 	c.stream.mayBeRecorded = true
@@ -107,12 +105,27 @@
 	}()
 }
 
+// copyOrigin has the record copied to all storage nodes that should have it, once the origin
+// can't change any more. A resumption renews the record.
+func (c *call) copyOrigin() {
+	if !c.stream.isKnown || !c.routing.route.Resumable || c.routing.route.Retained {
+		return
+	}
+	if record := c.originRecord(); !c.handler.options.Origins.Copy(record) {
+		c.handler.options.Logger.Info("stream origin not copied", zap.String("request", record.Request))
+	}
+}
+
 // awaitRecording waits until the origin is recorded, so that a client that has received an
 // event can resume the stream elsewhere. The back end is at work meanwhile.
 func (c *call) awaitRecording() {
+	if c.response.headerWritten {
+		return
+	}
 	if c.stream.recording != nil {
 		<-c.stream.recording
 	}
+	c.copyOrigin()
 }
 
 // isRecordable reports whether a client may resume the stream that the request begins.
@@ -136,11 +149,13 @@
 	return &record
 }
 
+// originRecord returns the record of the stream under the id of the request that began it.
 func (c *call) originRecord() streamorigin.Record {
-	return streamorigin.Record{
-		Key: c.streamKey(c.input.info.ID), Origin: c.stream.origin, Change: c.stream.changes,
-		Lifetime: streamorigin.Lifetime(c.timing.timeout()),
+	began := c.input.info.ID
+	if c.isResumption() {
+		began = c.input.info.Resumes
 	}
+	return streamorigin.Record{Key: c.streamKey(began), Origin: c.stream.origin, Change: c.stream.changes}
 }
 
 // streamKey returns the key of the stream that a request of this client's program began.
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -34,47 +34,23 @@
 		metrics.countResumption(originUnavailable)
 		return unreadableOrigin.errorf("%v", err)
 	}
-	c.stream.isKnown, c.stream.origin = true, origin
+	c.stream.isKnown, c.stream.origin, c.stream.changes = true, origin, c.stream.finding.Change
 	if c.isServiceGone() || c.isVersionGone() {
 		metrics.countResumption(versionGone)
 		return result.Errorf(result.StreamVersionGone, "the stream began at version %q of %s: %v", origin.Version, origin.Service, errVersionGone)
 	}
-	if !c.stream.finding.Known {
-		metrics.countResumption(originSole)
-		return nil
-	}
 	metrics.countResumption(originFound)
 	return nil
 }
 
 // decideOrigin returns where the stream that the client resumes began.
 func (c *call) decideOrigin(ctx context.Context) (streamorigin.Origin, error) {
-	lifetime := streamorigin.Lifetime(c.routing.route.Timeout)
 	began := c.input.info.Resumes
-	if began != "" {
-		c.stream.finding = c.handler.options.Origins.Find(ctx, c.streamKey(began), lifetime)
-	}
-	c.stream.sole = c.soleVersion()
-	origin, err := streamorigin.Decide(c.stream.finding, c.stream.sole, lifetime)
-	if err != nil && began == "" {
-		return origin, streamorigin.ErrUnknown
-	}
-	return origin, err
-}
-
-// soleVersion returns the only version at which the stream can have begun, as far as this
-// gateway knows.
-func (c *call) soleVersion() streamorigin.SoleVersion {
-	options := &c.handler.options
-	targets := c.routing.route.Targets
-	if len(targets) != 1 {
-		return streamorigin.SoleVersion{}
-	}
-	version, since, known := options.Backends.SoleVersion(targets[0].Service)
-	return streamorigin.SoleVersion{
-		Origin: streamorigin.Origin{Service: targets[0].Service, Version: version},
-		Known:  known, For: options.Now().Sub(since), List: c.listAge(),
+	if began == "" {
+		return streamorigin.Origin{}, streamorigin.ErrUnknown
 	}
+	c.stream.finding = c.handler.options.Origins.Find(ctx, c.streamKey(began))
+	return streamorigin.Decide(c.stream.finding)
 }
 
 func (c *call) listAge() streamorigin.ListAge {
@@ -103,7 +79,6 @@
 		zap.String("resumes", c.input.info.Resumes), zap.String("last_event", c.input.info.LastEventID),
 		zap.String("began_at", c.stream.origin.Version), zap.Bool("on_record", c.stream.finding.Known),
 		zap.Duration("record_age", c.stream.finding.Age), zap.Bool("all_asked", c.stream.finding.Answered),
-		zap.String("sole_version", c.stream.sole.Origin.Version), zap.Duration("sole_for", c.stream.sole.For),
-		zap.Duration("list_age", c.stream.sole.List.Age),
+		zap.Duration("list_age", c.listAge().Age),
 	}
 }
