Don't continue streams at an instance whose next process may not be listed

An instance that starts again under its id at another version is sent requests as the earlier version until its entry changes. Streams of before went on there, and streams that began there were recorded at the version of the old entry, to be taken up at that.

The gateway knows when a process has ended: all of its connections broke together, or its address refuses new ones. A connection opened after that leads to another process, whose entry is known once the list is 2 s newer than the end, or names another process. Until then a resumed stream isn't sent on such a connection (nothing was sent, the next instance of the version gets it), and a stream that begins on one is recorded as uncertain: it is served, and its client is told to begin anew if it breaks. A broken answer alone is no end, so that nothing changes beside runners that cut answers.

--- a/coordination/streamorigin/decide.go
+++ b/coordination/streamorigin/decide.go
@@ -43,9 +43,9 @@
 // show which one began it.
 func Decide(finding Finding) (Origin, error) {
 	switch {
-	case finding.Known:
+	case finding.Known && finding.Origin != (Origin{}):
 		return finding.Origin, nil
-	case finding.Answered:
+	case finding.Known || finding.Answered:
 		return Origin{}, ErrUnknown
 	}
 	return Origin{}, ErrUnavailable
--- a/coordination/streamorigin/decide_test.go
+++ b/coordination/streamorigin/decide_test.go
@@ -19,6 +19,7 @@
 	}{
 		{"on record", streamorigin.Finding{Known: true, Origin: v2}, v2, nil},
 		{"on record, all have answered", streamorigin.Finding{Known: true, Origin: v2, Answered: true}, v2, nil},
+		{"on record as uncertain", streamorigin.Finding{Known: true}, streamorigin.Origin{}, streamorigin.ErrUnknown},
 		{"no record", streamorigin.Finding{Answered: true}, streamorigin.Origin{}, streamorigin.ErrUnknown},
 		{"not all have answered", streamorigin.Finding{}, streamorigin.Origin{}, streamorigin.ErrUnavailable},
 	} {
--- a/coordination/streamorigin/record.go
+++ b/coordination/streamorigin/record.go
@@ -5,7 +5,8 @@
 // Retention is how long a storage node keeps a record while it has room.
 const Retention = 10 * time.Minute
 
-// Origin is where a stream began: it may be continued only there.
+// Origin is where a stream began: it may be continued only there. The zero value stands for an
+// uncertain origin: the stream can't be continued.
 type Origin struct {
 	Service string
 	// Version is the version of the instance's software. Versions have no order.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -50,6 +50,9 @@
 	accessLogRate       = 10
 	invalidEntryLogRate = 10
 	logBurst            = 100
+	// maxEntryDelay is the longest time from the start of an instance's process until the
+	// store has its entry: instances write it at each heartbeat.
+	maxEntryDelay = 2 * time.Second
 	// memoryLimitFraction of the configured memory limit is the soft memory limit of the
 	// Go runtime.
 	memoryLimitFraction = 0.8
@@ -178,9 +181,20 @@
 	g.backends.OnRestarted(g.onInstanceRestarted)
 	upstreamSettings := upstream.DefaultSettings()
 	upstreamSettings.IDHeader = g.dependencies.RequestIDHeader
+	upstreamSettings.ListedUntil = g.listedUntil
 	g.upstream = upstream.NewClient(upstreamSettings, time.Now)
 }
 
+// listedUntil returns a time such that the entries of all processes of instances that started
+// until then are known.
+func (g *Gateway) listedUntil() time.Time {
+	age, known := g.followers.instances.Age()
+	if !known {
+		return time.Time{}
+	}
+	return time.Now().Add(-age - maxEntryDelay)
+}
+
 // buildRelay creates the handler of requests.
 func (g *Gateway) buildRelay() {
 	g.relay = relay.New(relay.Options{
--- a/transport/relay/attempt.go
+++ b/transport/relay/attempt.go
@@ -21,6 +21,9 @@
 	known int
 	// isAnnounced is set if storage nodes know of the send.
 	isAnnounced bool
+	// isWithheld is set if the request wasn't sent since the instance may have been started
+	// again. That says nothing about its health.
+	isWithheld bool
 	// timeToFirst is the time to the first event of a stream, or to the complete body (or
 	// its buffered part) of another response; zero until then.
 	timeToFirst time.Duration
@@ -42,6 +45,9 @@
 	if a.status == http.StatusGatewayTimeout {
 		return backend.NoResponse{Wait: waited}
 	}
+	if a.isWithheld {
+		return backend.Inconclusive{}
+	}
 	switch ended {
 	case delivered, turnNotStored:
 		if a.timeToFirst == 0 {
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -104,6 +104,9 @@
 		var ended outcome
 		if next.hasField {
 			current.recordProgress(c.handler.options.Now())
+			if err := c.fixOrigin(ctx, current); err != nil {
+				return incomplete, err
+			}
 			ended, err = stream.deliver(next)
 		} else {
 			current.assignment.RecordActivity()
--- a/transport/relay/eventwriter.go
+++ b/transport/relay/eventwriter.go
@@ -19,7 +19,6 @@
 	if next.isAlreadySent(w.call.response.lastEventID) {
 		return delivered, nil
 	}
-	w.call.awaitRecording()
 	w.call.writeStreamHeader(w.response)
 	w.call.countEvent(next)
 	if held := w.comments.take(); len(held) > 0 {
--- a/transport/relay/origin.go
+++ b/transport/relay/origin.go
@@ -116,16 +116,33 @@
 	}
 }
 
-// awaitRecording waits until the origin is recorded, so that a client that has received an
-// event can resume the stream elsewhere. The back end is at work meanwhile.
-func (c *call) awaitRecording() {
+// fixOrigin is called before an event is sent. The origin is on record after it and doesn't
+// change any more, so that a client that has the event can resume the stream elsewhere.
+func (c *call) fixOrigin(ctx context.Context, current *attempt) error {
 	if c.response.headerWritten {
-		return
+		return nil
+	}
+	if current.request.MayBeUnlisted {
+		if err := c.disownOrigin(ctx, current); err != nil {
+			return err
+		}
 	}
 	if c.stream.recording != nil {
 		<-c.stream.recording
 	}
 	c.copyOrigin()
+	return nil
+}
+
+// disownOrigin records that nobody knows where the stream begins: the instance may have been
+// started again at another version.
+func (c *call) disownOrigin(ctx context.Context, current *attempt) error {
+	if !c.stream.isKnown || c.isOriginFixed() {
+		return nil
+	}
+	c.handler.options.Logger.Info("stream origin uncertain", append([]zap.Field{zap.String("request", c.input.info.ID)},
+		lifeFields(&current.assignment.Instance)...)...)
+	return c.changeOrigin(ctx, streamorigin.Origin{})
 }
 
 // isRecordable reports whether a client may resume the stream that the request begins.
@@ -189,20 +206,20 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.changeOrigin(ctx, assignment.Instance.Version); err != nil {
+	if err := c.changeOrigin(ctx, streamorigin.Origin{Service: query.Service, Version: assignment.Instance.Version}); err != nil {
 		assignment.Release(backend.Inconclusive{})
 		return nil, err
 	}
 	return assignment, nil
 }
 
-// changeOrigin records the version at which the stream begins after all. It fails if an
-// earlier record can't be superseded: another gateway might resume the stream by it.
-func (c *call) changeOrigin(ctx context.Context, version string) error {
-	if c.stream.origin.Version == version {
+// changeOrigin records where the stream begins after all. It fails if an earlier record can't
+// be superseded: another gateway might resume the stream by it.
+func (c *call) changeOrigin(ctx context.Context, origin streamorigin.Origin) error {
+	if c.stream.origin == origin {
 		return nil
 	}
-	c.stream.origin.Version = version
+	c.stream.origin = origin
 	if !c.isRecordable() {
 		return nil
 	}
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -144,6 +144,7 @@
 	current.request = c.upstreamRequest(current)
 	backendResponse, err := c.handler.options.Upstream.Do(ctx, current.request)
 	if err != nil {
+		current.isWithheld = errors.Is(err, upstream.ErrUnlisted)
 		return outcomeOfError(err), err
 	}
 	switch c.handler.options.HeaderCodec.Classify(backendResponse) {
@@ -175,7 +176,7 @@
 		Address: assignment.Instance.Address, Instance: assignment.Instance.ID, Started: assignment.Instance.Started,
 		Method: c.request.Method, Target: c.input.target, Host: c.request.Host,
 		Header: header, Body: c.input.body, ID: c.input.info.ID, Repeatable: c.routing.route.Repeatable(),
-		KeepsSpare: current.isAnnounced,
+		KeepsSpare: current.isAnnounced, NeedsListed: c.stream.isKnown && c.isOriginFixed(),
 	}
 }
 
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -73,6 +73,11 @@
 			return nil, &Error{Stage: StageDial, Cause: err}
 		}
 	}
+	request.MayBeUnlisted = opened.life.mayBeUnlisted(opened, c.settings.ListedUntil())
+	if request.MayBeUnlisted && request.NeedsListed {
+		c.putIdle(to, opened)
+		return nil, &Error{Stage: StageDial, Cause: ErrUnlisted}
+	}
 	request.SentAt = c.now()
 	current := &exchange{client: c, endpoint: to, connection: opened, written: make(chan struct{})}
 	current.stopContextWatch = context.AfterFunc(ctx, opened.close)
--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -59,6 +59,10 @@
 	probedAt time.Time
 	// breaks are the last connections that the process broke, the newest first.
 	breaks [4]connectionBreak
+	// firstEnd and lastEnd are the first and the last end of a process whose next one may not
+	// be listed yet, listedAt is when the instance last got the entry of another process; zero
+	// for never.
+	firstEnd, lastEnd, listedAt time.Time
 }
 
 // connectionBreak is the end that a process has made of a connection.
@@ -259,6 +263,14 @@
 // address, and looks at the other connections that the process had when it got the request:
 // later ones may lead to another process.
 func (c *Client) Check(ctx context.Context, request *Request, look Look) Life {
+	found := c.check(ctx, request, look)
+	if found == LifeEnded {
+		c.lives.of(endpointOf(request)).noteEnded(look.EndedAt, c.settings.ListedUntil())
+	}
+	return found
+}
+
+func (c *Client) check(ctx context.Context, request *Request, look Look) Life {
 	to := endpointOf(request)
 	known := c.lives.of(to)
 	_, broke := known.keptOrBroke(request, look.EndedAt, c.now())
