Let a stand-in runner start again as another version (runner.StartAgainAs)

The soak of streams needs an instance that starts again under its id and address at another software version, before its entry in the store says so. An Ending of a lethal request can't do that: the events of all its processes have the same mark.

StartAgainAs breaks all connections and takes new ones at once. The mark belongs to the connection, so that the next process sends nothing on a connection to the one before.

--- a/lab/runner/answer.go
+++ b/lab/runner/answer.go
@@ -93,13 +93,13 @@
 // stream sends events from the one after Last-Event-Id on.
 func (r *Runner) stream(w http.ResponseWriter, request *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	pause := r.currentPause()
+	pause, mark := r.currentPause(), r.markOf(request)
 	first := 1
 	if last, err := strconv.Atoi(request.Header.Get(HeaderLastEvent)); err == nil {
 		first = last + 1
 	}
 	for number := first; number <= r.Events; number++ {
-		text := fmt.Sprintf("id: %d\ndata: piece %d%s\n\n", number, number, r.Mark)
+		text := fmt.Sprintf("id: %d\ndata: piece %d%s\n\n", number, number, mark)
 		if fault == CutAnswer && number == first+r.Events/2 {
 			_, _ = w.Write([]byte(text[:len(text)/2]))
 			_ = http.NewResponseController(w).Flush()
--- a/lab/runner/crash.go
+++ b/lab/runner/crash.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -125,6 +127,33 @@
 	return true
 }
 
+// StartAgainAs breaks all connections and takes new ones at once, as another process under the
+// same id and address whose events have the mark. Its Mark stays that of the first process.
+func (r *Runner) StartAgainAs(mark string) {
+	if r.startAgain(r.Started()) {
+		r.noteCrash()
+		r.sockets.resetAs(mark)
+	}
+}
+
+type markKey struct{}
+
+// withMark adds the mark of the process that accepted the connection.
+func withMark(ctx context.Context, conn net.Conn) context.Context {
+	if accepted, ok := conn.(*acceptedConn); ok && accepted.mark != nil {
+		return context.WithValue(ctx, markKey{}, *accepted.mark)
+	}
+	return ctx
+}
+
+// markOf returns the mark of the process that the request was sent to.
+func (r *Runner) markOf(request *http.Request) string {
+	if mark, ok := request.Context().Value(markKey{}).(string); ok {
+		return mark
+	}
+	return r.Mark
+}
+
 // crashUnder ends the runner if the request is one that does so.
 func (r *Runner) crashUnder(request *http.Request, body string) {
 	r.mutex.Lock()
--- a/lab/runner/crash_test.go
+++ b/lab/runner/crash_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"os/exec"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -120,3 +122,36 @@
 	assert.NilError(t, err)
 	assert.Assert(t, started.Started().After(first))
 }
+
+// TestRunnerThatStartsAgainAsAnotherMarksByProcess guards against a stand-in that sends events
+// of the next process on a connection to the one before.
+func TestRunnerThatStartsAgainAsAnotherMarksByProcess(t *testing.T) {
+	const events, restarts = 1_000_000, 20
+	started, err := runner.Start("i-1", events)
+	assert.NilError(t, err)
+	defer started.Close()
+	started.Mark = " of v0"
+	for restart := range restarts {
+		open, err := net.Dial("tcp", started.Address)
+		assert.NilError(t, err)
+		_, err = open.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		assert.NilError(t, err)
+		before := started.Started()
+		lines := bufio.NewScanner(open)
+		pieces := 0
+		for lines.Scan() {
+			_, mark, isPiece := strings.Cut(lines.Text(), " of ")
+			if !isPiece {
+				continue
+			}
+			if pieces++; pieces == 1 {
+				go started.StartAgainAs(fmt.Sprint(" of v", restart+1))
+			}
+			assert.Assert(t, strings.HasPrefix(fmt.Sprint("v", restart), mark), "event of %s after %d", mark, pieces)
+		}
+		assert.Assert(t, lines.Err() != nil, "the connection ended in order")
+		assert.Assert(t, started.Started().After(before))
+		_ = open.Close()
+	}
+	assert.Equal(t, len(started.Ends()), restarts)
+}
--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -119,7 +119,7 @@
 		return nil, err
 	}
 	r := &Runner{Instance: instance, Address: socket.Addr().String(), Events: events, sockets: newSockets(socket), started: time.Now()}
-	r.server = &http.Server{Handler: r}
+	r.server = &http.Server{Handler: r, ConnContext: withMark}
 	go func() { _ = r.server.Serve(r.sockets) }()
 	return r, nil
 }
--- a/lab/runner/socket.go
+++ b/lab/runner/socket.go
@@ -29,6 +29,8 @@
 	closing    sync.Once
 	// fillers fill the accept queue of a silent runner.
 	fillers []net.Conn
+	// mark is that of the process that accepts now; nil for the Mark of the runner.
+	mark *string
 }
 
 func newSockets(listener net.Listener) *sockets {
@@ -50,7 +52,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	added := &acceptedConn{Conn: conn, sockets: s}
+	added := &acceptedConn{Conn: conn, sockets: s, mark: s.mark}
 	s.accepted[added] = struct{}{}
 	return added, nil
 }
@@ -83,6 +85,18 @@
 func (s *sockets) reset() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.resetLocked()
+}
+
+// resetAs resets all connections; those accepted from then on have the mark.
+func (s *sockets) resetAs(mark string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.mark = &mark
+	s.resetLocked()
+}
+
+func (s *sockets) resetLocked() {
 	for conn := range s.accepted {
 		if tcp, ok := conn.Conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
@@ -150,6 +164,8 @@
 type acceptedConn struct {
 	net.Conn
 	sockets *sockets
+	// mark is that of the process that accepted it; nil for the Mark of the runner.
+	mark *string
 }
 
 // Read implements net.Conn. It waits for the end of a silent runner.
