--- a/test/integration/rejoin_test.go
+++ b/test/integration/rejoin_test.go
@@ -102,12 +102,12 @@
 }
 
 // awaitStorage waits until the replica sets of all shards serve.
-func (r *rejoin) awaitStorage(clients *soakClients) {
-	r.t.Helper()
+func (s *soakSystem) awaitStorage(clients *soakClients) {
+	s.t.Helper()
 	const programs = 8 // enough for every shard to keep some of them
 	for number := range programs {
-		first := &soakStream{clients: clients, http: &http.Client{}, random: r.random, program: fmt.Sprint("before-", number)}
-		harness.Eventually(r.t, func() (bool, string) {
+		first := &soakStream{clients: clients, http: &http.Client{}, random: s.random, program: fmt.Sprint("before-", number)}
+		harness.Eventually(s.t, func() (bool, string) {
 			return first.try(rejoinTimeout) == soakWhole, "no stream with a budget is served"
 		})
 	}
--- a/test/integration/soakfaults_test.go
+++ b/test/integration/soakfaults_test.go
@@ -61,7 +61,10 @@
 }
 
 // takeGateway takes a random gateway from the clients, unless it is the only one.
-func (s *soakSystem) takeGateway() *soakGateway {
+func (s *soakSystem) takeGateway() *soakGateway { return s.takeServingGateway(2) }
+
+// takeServingGateway takes a random gateway from the clients if at least so many serve.
+func (s *soakSystem) takeServingGateway(least int) *soakGateway {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var serving []*soakGateway
@@ -70,7 +73,7 @@
 			serving = append(serving, g)
 		}
 	}
-	if len(serving) < 2 {
+	if len(serving) < least {
 		return nil
 	}
 	taken := serving[s.random.IntN(len(serving))]
@@ -109,6 +112,10 @@
 	address := g.process.WaitValue(s.t, "caller_address")
 	g.process.Pause(s.t)
 	return func() {
+		if g.process.HasEnded() { // killed while it was paused
+			s.startGateway(g)
+			return
+		}
 		g.process.Resume()
 		s.setAddress(g.index, address)
 		s.mutex.Lock()
--- a/test/integration/soaksystem_test.go
+++ b/test/integration/soaksystem_test.go
@@ -87,6 +87,10 @@
 type soakInstance struct {
 	*runner.Runner
 	service, version string
+	// readySince is when its entry was last written as ready.
+	readySince time.Time
+	// born is the start of its process that its entry tells; zero if it tells none.
+	born time.Time
 	// ending is how it ends under a lethal request.
 	ending runner.Ending
 	// closedAt is zero while it runs.
@@ -101,6 +105,8 @@
 	pause time.Duration
 	// padding is the size of each event in bytes.
 	padding int
+	// tellsStart is set if the entries tell when the process started.
+	tellsStart bool
 }
 
 // newSoakSystem starts the store, the storage nodes and the gateways, and waits until these
@@ -216,15 +222,22 @@
 		ending, delay = s.drawEnding()
 	}
 	started.EndOn(s.lethalText, delay, ending)
-	added := &soakInstance{Runner: started, service: service.name, version: service.version, ending: ending}
+	added := &soakInstance{Runner: started, service: service.name, version: service.version, ending: ending, readySince: time.Now()}
+	if service.tellsStart {
+		added.born = started.Started()
+	}
 	s.instances = append(s.instances, added)
 	s.putInstance(added, "ready")
 }
 
 func (s *soakSystem) putInstance(listed *soakInstance, state string) {
-	s.store.Put("servers", listed.Instance, map[string]any{
+	entry := map[string]any{
 		"service": listed.service, "address": listed.Address, "zone": "a", "capacity": 8, "state": state, "version": listed.version,
-	})
+	}
+	if !listed.born.IsZero() {
+		entry["born"] = listed.born.UnixMilli()
+	}
+	s.store.Put("servers", listed.Instance, entry)
 }
 
 // closeInstance ends an instance that was taken from the list.
