--- a/test/integration/streamclient_test.go
+++ b/test/integration/streamclient_test.go
@@ -117,6 +117,7 @@
 		switch s.try(time.Until(deadline)) {
 		case soakWhole:
 			s.check()
+			s.checkWhole()
 			s.clients.count(func(total *soakTotal) { total.whole++ })
 			return
 		case soakRejected:
@@ -241,6 +242,15 @@
 	}
 }
 
+// checkWhole reports a stream that ended as a whole one does before its last event.
+func (s *soakStream) checkWhole() {
+	if len(s.pieces) < soakEvents {
+		s.clients.count(func(total *soakTotal) {
+			total.faults = append(total.faults, fmt.Sprintf("stream %s ended as whole after %d of %d events", s.began, len(s.pieces), soakEvents))
+		})
+	}
+}
+
 // anyAddress returns the address of a gateway that serves, or "".
 func (s *soakSystem) anyAddress(random *rand.Rand) string {
 	s.mutex.Lock()
