--- /dev/null
+++ b/test/integration/streamsoaklatefaults_test.go
@@ -0,0 +1,159 @@
+package integration
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// lateFault begins at once and adds steps that end it. It begins nothing and returns false if
+// it doesn't fit the system's state.
+type lateFault struct {
+	name  string
+	begin func() bool
+}
+
+func (l *lateSoak) faults() []lateFault {
+	faults := []lateFault{
+		{"gateway killed", l.stepsOf((*soakSystem).killGateway, 400*time.Millisecond)},
+		{"gateway terminated", l.stepsOf((*soakSystem).terminateGateway, 300*time.Millisecond)},
+		{"gateway paused", l.stepsOf((*soakSystem).pauseGateway, 900*time.Millisecond)},
+		{"instance crashed", l.stepsOf((*soakSystem).crashInstance, 700*time.Millisecond)},
+		{"all gateways killed", l.killAllGateways},
+		{"all gateways killed", l.killAllGateways},
+		{"release", l.release},
+		{"release", l.release},
+		{"version leaves", l.removeVersion},
+		{"only one version stays", l.keepOneVersion},
+	}
+	if !l.sparesStorage {
+		faults = append(faults,
+			lateFault{"storage node killed", l.stepsOf((*soakSystem).killStorage, 500*time.Millisecond)},
+			lateFault{"all storage nodes killed", l.killAllStorage},
+			lateFault{"store silent", l.stepsOf((*soakSystem).silenceStore, time.Second)})
+	}
+	if *lateSoakRestarts {
+		faults = append(faults, lateFault{"instances start again as another version", l.restartAsAnother},
+			lateFault{"instances start again as another version", l.restartAsAnother})
+	}
+	return faults
+}
+
+// stepsOf makes a fault of one that ends after the duration.
+func (l *lateSoak) stepsOf(begin func(*soakSystem) func(), duration time.Duration) func() bool {
+	return func() bool {
+		end := begin(l.soakSystem)
+		if end != nil {
+			l.after(duration, end)
+		}
+		return end != nil
+	}
+}
+
+// killAllGateways kills those too that are paused or about to end. It may be the first of
+// several times.
+func (l *lateSoak) killAllGateways() bool {
+	var serving []*soakGateway
+	for g := l.takeServingGateway(1); g != nil; g = l.takeServingGateway(1) {
+		serving = append(serving, g)
+	}
+	if len(serving) == 0 {
+		return false
+	}
+	var killing sync.WaitGroup
+	for _, g := range l.gateways {
+		killing.Go(g.process.Kill)
+	}
+	killing.Wait()
+	l.after(l.upTo(800*time.Millisecond), func() {
+		for _, g := range serving {
+			l.startGateway(g)
+		}
+		if l.random.IntN(2) == 0 {
+			l.unlessQuiet(1500*time.Millisecond, func() { l.killAllGateways() })
+		}
+	})
+	return true
+}
+
+// unlessQuiet adds a step within the limit that is left out in quiet times.
+func (l *lateSoak) unlessQuiet(limit time.Duration, run func()) {
+	l.after(l.upTo(limit), func() {
+		if !l.isQuiet() {
+			run()
+		}
+	})
+}
+
+// killAllStorage kills the storage nodes that run.
+func (l *lateSoak) killAllStorage() bool {
+	var running []*storageMachine
+	var killing sync.WaitGroup
+	for _, m := range l.storage {
+		if !m.process.HasEnded() {
+			running = append(running, m)
+			killing.Go(m.process.Kill)
+		}
+	}
+	killing.Wait()
+	l.after(l.upTo(time.Second), func() {
+		for _, m := range running {
+			m.start(l.t)
+		}
+	})
+	return len(running) > 0
+}
+
+// lateEntryDelay is the longest time after which the entry of an instance follows that started
+// again as another version.
+const lateEntryDelay = time.Second
+
+// restartAsAnother lets one or more instances of a version start again as another one. Their
+// entries follow.
+func (l *lateSoak) restartAsAnother() bool {
+	l.mutex.Lock()
+	version := l.instances[l.random.IntN(len(l.instances))].version
+	l.mutex.Unlock()
+	other := l.otherVersion(version)
+	restarted := l.takeIf(1+l.random.IntN(3), func(instance *soakInstance) bool { return instance.version == version })
+	l.mutex.Lock()
+	l.restarts = append(l.restarts, time.Now())
+	l.mutex.Unlock()
+	for _, instance := range restarted {
+		instance.StartAgainAs(" of " + other)
+		l.after(lateEntryDelay-l.upTo(700*time.Millisecond), func() { l.listAs(instance, other) })
+	}
+	return len(restarted) > 0
+}
+
+// listAs changes the entry of an instance to that of its new process.
+func (l *lateSoak) listAs(instance *soakInstance, version string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	instance.version, instance.readySince = version, time.Now()
+	if !instance.born.IsZero() {
+		instance.born = instance.Started()
+	}
+	l.instances = append(l.instances, instance)
+	l.putInstance(instance, "ready")
+}
+
+// mayDiffer reports whether a stream that began then may be on record at another version than
+// that of its events, since an entry was wrong or a gateway had an earlier one.
+func (l *lateSoak) mayDiffer(begun time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.ContainsFunc(l.restarts, func(at time.Time) bool {
+		return begun.After(at) && begun.Before(at.Add(lateEntryDelay+lateListDelay))
+	})
+}
+
+// isServed reports whether an instance of the version has been in service, undisturbed, since
+// then.
+func (l *lateSoak) isServed(version string, since time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.ContainsFunc(slices.Concat(l.kept, l.instances), func(instance *soakInstance) bool {
+		return instance.version == version && instance.readySince.Before(since)
+	})
+}
