Report a retirement as completed only where all replica sets are known

A storage node that is to be emptied took a set that it doesn't know for one that doesn't need it. After a restart it learns the sets one after the other, from its disk, from the store and from answers, so that it could report itself as drained, and be taken away with its disk, while it was still a member of a set.

Now it is drained only if it knows the members of each set.

--- a/coordination/retirement/retirement.go
+++ b/coordination/retirement/retirement.go
@@ -43,7 +43,9 @@
 
 // Sets gives access to the replica sets known to this node.
 type Sets interface {
-	// Views returns the open views.
+	// Shards returns the number of replica sets; zero if it is unknown.
+	Shards() uint32
+	// Views returns the open views that are known, at most one of each set.
 	Views() []register.View
 	// HoldsAllData reports whether every member of the view holds all of its data.
 	HoldsAllData(ctx context.Context, view register.View) bool
@@ -160,9 +162,13 @@
 }
 
 // isDrained reports whether no replica set needs this node: it is a member of none, and
-// all members of each set hold its data. It is false if this node knows no sets.
+// all members of each set hold its data. It is false while this node doesn't know all sets:
+// it may be a member of one that it lacks.
 func (s *Service) isDrained(ctx context.Context) bool {
 	views := s.options.Sets.Views()
+	if shards := s.options.Sets.Shards(); shards == 0 || uint32(len(views)) < shards {
+		return false
+	}
 	for _, view := range views {
 		for _, member := range view.Members {
 			if member.Incarnation == s.options.Incarnation {
@@ -177,5 +183,5 @@
 			return false
 		}
 	}
-	return len(views) > 0
+	return true
 }
--- a/node/storage/sets.go
+++ b/node/storage/sets.go
@@ -71,6 +71,9 @@
 	installer *shard.Installer
 }
 
+// Shards returns the number of replica sets; zero if it is unknown.
+func (s heldSets) Shards() uint32 { return s.views.Count() }
+
 // Views returns the newest known view of each replica set.
 func (s heldSets) Views() []register.View { return s.views.Views() }
 
