Keep the keys of calls that have run beside any number of refusals

A program's record keeps the hashes of the keys of its older calls, bounded by its turn limit and 256. The oldest went first, whatever had become of its call: after enough refused calls the key of a finished one was forgotten, and a late duplicate of it, with no sequence number, was admitted as a new call. The absence of a key was taken for proof that its call hasn't run.

Now the oldest key of a refused call goes first. Those of others are at most as many as the turn limit. A refused call whose key has gone may still be admitted later.

TestRefusalsForgetNoFinishedCall: before, the finished call was admitted again after 1,000 refusals (Admitted in place of Dropped); now it is known.

--- a/state/program/program.go
+++ b/state/program/program.go
@@ -10,6 +10,7 @@
 package program
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -167,11 +168,18 @@
 		target.DroppedKeys = append(target.DroppedKeys, droppedKey(target.Calls[index]))
 		target.Calls = append(target.Calls[:index], target.Calls[index+1:]...)
 	}
-	if excess := len(target.DroppedKeys) - limit; excess > 0 {
-		target.DroppedKeys = target.DroppedKeys[excess:]
+	for len(target.DroppedKeys) > limit {
+		target.DroppedKeys = forgetKey(target.DroppedKeys)
 	}
 }
 
+// forgetKey removes the oldest key of a refused call. The turn limit bounds the others, whose
+// calls may have run and would run again.
+func forgetKey(dropped []uint64) []uint64 {
+	index := slices.IndexFunc(dropped, func(key uint64) bool { return key&refusedBit != 0 })
+	return slices.Delete(dropped, max(index, 0), max(index, 0)+1)
+}
+
 // firstFinal returns the index of the oldest call that has ended, or -1.
 func firstFinal(target *statev1.Program) int {
 	for index, call := range target.Calls {
--- a/state/program/program_test.go
+++ b/state/program/program_test.go
@@ -302,3 +302,20 @@
 	assert.Equal(t, again.Kind, program.Final)
 	assert.Equal(t, again.Refusal.Code.Info().Execution, result.NotRun)
 }
+
+// TestRefusalsForgetNoFinishedCall guards against a late duplicate of a finished call that
+// runs again, since the keys of refused calls have displaced its own.
+func TestRefusalsForgetNoFinishedCall(t *testing.T) {
+	tree := newTree(100000)
+	tree.TurnLimit = 10
+	first := mustAdmit(t, tree, request("first"))
+	_, changed := program.Finish(tree, reference(first.Call), program.Completion{TurnDigest: []byte("turn"), PromptTokens: 1, OutputTokens: 1})
+	assert.Assert(t, changed)
+	for number := range 1000 {
+		refused := request(fmt.Sprint("refused", number))
+		refused.DeadlineUnixMS, refused.NowUnixMS = 1, 2
+		assert.Equal(t, mustAdmit(t, tree, refused).Kind, program.Final)
+	}
+	assert.Equal(t, mustAdmit(t, tree, request("first")).Kind, program.Dropped, "the finished call runs again")
+	assert.Assert(t, len(tree.GetPrograms()[0].GetDroppedKeys()) <= 10+256, "the record grows with refusals")
+}
