Don't answer 404 for a stored turn that lacks an ancestor

A turn that was found was reported as unknown if a quorum lacked one of its ancestors, and its program ended with a 404. That the ancestor is absent proves nothing about the turn, which exists: an ancestor may be at a replica outside the quorum that answered, and replicas fetch what they lack from all others within seconds.

TestLackingAncestorIsNoUnknownTurn: before, ErrTurnNotFound; now ErrChainIncomplete, and the turn is found once the ancestor is back.

--- a/coordination/turnstore/store.go
+++ b/coordination/turnstore/store.go
@@ -32,6 +32,9 @@
 var (
 	// ErrTurnNotFound means that a quorum answered and no member of it has the turn.
 	ErrTurnNotFound = errors.New("no such turn")
+	// ErrChainIncomplete means that the turn is stored and a quorum lacks one of its
+	// ancestors, which replicas may still fetch from others.
+	ErrChainIncomplete = errors.New("an ancestor of the turn isn't found")
 	// ErrNoQuorum means that no quorum of the replicas answered.
 	ErrNoQuorum = errors.New("too few replicas answered")
 )
@@ -110,8 +113,9 @@
 
 // History returns the turn with the id and all its ancestors, the oldest first. It reads the
 // shard of the program first and then all others, since ancestors may belong to another
-// program. It returns ErrTurnNotFound, with the members that answered, if a turn isn't
-// stored, and ErrNoQuorum if that can't be determined in time.
+// program. It returns ErrTurnNotFound, with the members that answered, if the turn isn't
+// stored, ErrChainIncomplete if it is but an ancestor isn't found, and ErrNoQuorum if that
+// can't be determined in time.
 func (s *Store) History(ctx context.Context, program, id string) ([]*statev1.RetainedTurn, error) {
 	if err := s.awaitReplicaSetsForRead(ctx); err != nil {
 		return nil, err
@@ -123,6 +127,9 @@
 	}
 	last := found[0]
 	ancestors, err := s.find(ctx, home, last.GetAncestors())
+	if errors.Is(err, ErrTurnNotFound) {
+		return nil, merry.Prependf(ErrChainIncomplete, "turn %q: %v", id, err)
+	}
 	if err != nil {
 		return nil, merry.Prependf(err, "reading the ancestors of turn %q", id)
 	}
--- a/coordination/turnstore/store_test.go
+++ b/coordination/turnstore/store_test.go
@@ -193,6 +193,32 @@
 	assert.ErrorIs(t, err, turnstore.ErrNoQuorum)
 }
 
+// TestLackingAncestorIsNoUnknownTurn guards against a stored turn that is reported as unknown
+// because one of its ancestors is lacking: the turn exists, and members fetch what they lack.
+func TestLackingAncestorIsNoUnknownTurn(t *testing.T) {
+	m, v := newMembers(2)
+	writer := newStore(t, "z0", m, v)
+	assert.NilError(t, putTurns(writer, []string{"p", "p"}))
+	lacking := make(map[string]replica.Turn)
+	key := turnKey(register.Fence{Shard: v.Locate("p")}, "turn0")
+	for name, stored := range m.turns {
+		if copied, exists := stored[key]; exists {
+			lacking[name] = copied
+			delete(stored, key)
+		}
+	}
+	reader := newStore(t, "z0", m, v)
+	_, err := reader.History(t.Context(), "p", "turn1")
+	assert.ErrorIs(t, err, turnstore.ErrChainIncomplete)
+	assert.Assert(t, !errors.Is(err, turnstore.ErrTurnNotFound), "%v", err)
+	for name, copied := range lacking {
+		m.turns[name][key] = copied
+	}
+	line, err := reader.History(t.Context(), "p", "turn1")
+	assert.NilError(t, err)
+	assert.Equal(t, len(line), 2)
+}
+
 // TestPutNeedsAQuorum checks that Put uses other members if the preferred ones fail, and
 // that it fails without a quorum.
 func TestPutNeedsAQuorum(t *testing.T) {
