Count the age of a gateway's lists from what is applied

A follower took the store's answer for a confirmation of its view before it had applied what the answer holds, and also where it ignored the answer as older than the view. In between, a gateway that had lost the store before answered a request for a new route with 404, and could answer 1020 for a stream of a version whose instance the answer listed, both final, by the old list. Proofs of freshness were counted afterwards already.

Gateways now use ViewAge, which counts from the last answer that was applied. Storage nodes pass on Age as before: callers that are woken by a change are told that the store has just answered.

TestViewAgeIsThatOfTheAppliedView: on Age, which gateways used, it fails (age 0 s while the changes are being applied, 1 min wanted); on ViewAge it passes.

--- a/coordination/follow/follower.go
+++ b/coordination/follow/follower.go
@@ -36,6 +36,9 @@
 	// lastAnswer is when the store last answered, in nanoseconds since the Unix epoch;
 	// zero for never.
 	lastAnswer atomic.Int64
+	// confirmedAt is when the store last answered with the view, or with changes that have been
+	// applied since, in the same form.
+	confirmedAt atomic.Int64
 	// provedAt is the latest time before which the store is known to have had
 	// nothing newer than the view; nil if there is none.
 	provedAt atomic.Pointer[time.Time]
@@ -88,13 +91,15 @@
 	if err != nil {
 		return err
 	}
-	f.recordAnswer(f.options.Now().Add(-snapshot.Age))
+	answered := f.options.Now().Add(-snapshot.Age)
+	f.recordAnswer(answered)
 	f.logUnreadable(snapshot.Unnamed, snapshot.At)
 	if !f.replaceView(snapshot) {
 		f.options.Logger.Warn("outdated listing ignored", zap.String("objects", f.options.Name),
 			zap.Int64("revision", snapshot.At), zap.Int64("known_revision", f.revision()))
 		return fmt.Errorf("listing has revision %d, older than the known revision %d", snapshot.At, f.revision())
 	}
+	f.recordConfirmation(answered)
 	f.recordProof(snapshot.FreshAt)
 	f.relist = false
 	f.options.Logger.Info("objects listed", zap.String("objects", f.options.Name),
@@ -158,9 +163,11 @@
 	if err != nil {
 		return err
 	}
-	f.recordAnswer(f.options.Now().Add(-changes.Age))
+	answered := f.options.Now().Add(-changes.Age)
+	f.recordAnswer(answered)
 	f.logUnreadable(changes.Unnamed, changes.At)
 	changed := f.applyChanges(changes)
+	f.recordConfirmation(answered)
 	f.recordProof(changes.FreshAt)
 	if changed {
 		_ = sleep.For(ctx, settings.BatchDelay)
--- a/coordination/follow/follower_test.go
+++ b/coordination/follow/follower_test.go
@@ -120,6 +120,38 @@
 	assert.DeepEqual(t, applied, [][]string{{"a5"}, {"a8"}})
 }
 
+// TestViewAgeIsThatOfTheAppliedView guards against a view that counts as confirmed just now though
+// the answer that confirmed it holds changes that aren't applied yet, or is older than the view.
+func TestViewAgeIsThatOfTheAppliedView(t *testing.T) {
+	const silence = time.Minute
+	for name, next := range map[string]func() (Snapshot, Changes, error){
+		"list": listStep(7, object("a", 7)), "watch": changeStep(7, Event{Object: object("a", 7)}), "outdated list": listStep(4, object("a", 2)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			var follower *Follower
+			follower = New(Options{
+				Source: &scriptedSource{steps: []func() (Snapshot, Changes, error){listStep(5, object("a", 5)), next}},
+				Logger: zap.NewNop(), Now: func() time.Time { return now },
+				Settings: Settings{ListTimeout: time.Minute, WatchWait: time.Minute, WatchGrace: time.Minute},
+				Apply: func(snapshot Snapshot) {
+					if age, isKnown := follower.ViewAge(); isKnown {
+						assert.Equal(t, age, silence, "revision %d isn't applied yet", snapshot.At)
+					}
+				},
+			})
+			assert.NilError(t, follower.step(t.Context()))
+			now = now.Add(silence)
+			follower.relist = name != "watch"
+			isApplied := follower.step(t.Context()) == nil
+			assert.Equal(t, isApplied, name != "outdated list")
+			age, isKnown := follower.ViewAge()
+			assert.Assert(t, isKnown)
+			assert.Equal(t, age == 0, isApplied, "age %v", age)
+		})
+	}
+}
+
 // TestUnresponsiveStoreIsDetected checks that a watch without an answer times out.
 func TestUnresponsiveStoreIsDetected(t *testing.T) {
 	source := &scriptedSource{steps: []func() (Snapshot, Changes, error){listStep(5)}}
--- a/coordination/follow/freshness.go
+++ b/coordination/follow/freshness.go
@@ -7,13 +7,21 @@
 )
 
 // Age returns the time since the store last answered, directly or through another node,
-// by wall-clock time; ok is false before the first answer.
-func (f *Follower) Age() (age time.Duration, ok bool) {
-	answered := f.lastAnswer.Load()
-	if answered == 0 {
+// by wall-clock time; ok is false before the first answer. The answer may hold changes that
+// aren't applied yet.
+func (f *Follower) Age() (age time.Duration, ok bool) { return f.since(f.lastAnswer.Load()) }
+
+// ViewAge returns the time since the store last confirmed the view that is applied, as Age
+// does.
+func (f *Follower) ViewAge() (age time.Duration, ok bool) { return f.since(f.confirmedAt.Load()) }
+
+// since returns the time since a moment in nanoseconds since the Unix epoch; ok is false for
+// zero.
+func (f *Follower) since(moment int64) (age time.Duration, ok bool) {
+	if moment == 0 {
 		return 0, false
 	}
-	return f.options.Now().Sub(time.Unix(0, answered)), true
+	return f.options.Now().Sub(time.Unix(0, moment)), true
 }
 
 // Staleness returns the time since the view was last proven to be current, by this node's
@@ -43,6 +51,12 @@
 	}
 }
 
+// recordConfirmation advances the time from which ViewAge counts. It must be called after the
+// answer of that time was applied.
+func (f *Follower) recordConfirmation(at time.Time) {
+	f.confirmedAt.Store(max(f.confirmedAt.Load(), at.UnixNano()))
+}
+
 // recordAnswer records that the store answered at the given time, and so is available.
 func (f *Follower) recordAnswer(at time.Time) {
 	f.lastAnswer.Store(max(f.lastAnswer.Load(), at.UnixNano()))
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -186,8 +186,8 @@
 	g.relay = relay.New(relay.Options{
 		Tables: g.activeTable, Backends: g.backends, Upstream: g.upstream, HeaderCodec: g.dependencies.HeaderCodec,
 		Turns: g.storage.conversations, Origins: g.storage.origins, Quotas: g.storage.quotas, Crashes: g.storage.crashes,
-		InstancesAge:          g.followers.instances.Age,
-		IsConfigurationNewest: g.isConfigurationNewest, ConfigurationAge: g.followers.configuration.Age, Freshness: configurationFreshness{g},
+		InstancesAge:          g.followers.instances.ViewAge,
+		IsConfigurationNewest: g.isConfigurationNewest, ConfigurationAge: g.followers.configuration.ViewAge, Freshness: configurationFreshness{g},
 		IsUnready: g.isUnready, MaxInFlight: maxInFlight, OnInstanceGone: g.onInstanceGone,
 		Retries: limit.NewRetryBudget(relay.RetryPolicy(), time.Now()),
 		Metrics: relay.NewMetrics(g.metrics), Now: time.Now,
--- a/node/gateway/refusal.go
+++ b/node/gateway/refusal.go
@@ -27,7 +27,7 @@
 	isProved  bool
 	staleness time.Duration
 	// isConfirmed is set after the first answer of the store, directly or through a storage
-	// node. age is the time since the last one.
+	// node. age is the time since the last one that was applied.
 	isConfirmed bool
 	age         time.Duration
 	// lastCallFailed is set if the last call to follow the configuration failed.
@@ -82,7 +82,7 @@
 		needsProof: g.settings.RevokeLimit > 0,
 	}
 	freshness.staleness, freshness.isProved = configurationFreshness{g}.Staleness()
-	freshness.age, freshness.isConfirmed = g.followers.configuration.Age()
+	freshness.age, freshness.isConfirmed = g.followers.configuration.ViewAge()
 	freshness.lastCallFailed = g.followers.configuration.IsLost()
 	return freshness
 }
