Don't take a table for the newest beside an invalid newer one

Without a revoke limit, a gateway that couldn't use the newest configuration refused routes and keys that its older table lacks with 404 and 401 all the same, since the store had just answered. The newest one may have them.

TestDecideRefusal: before, "a newer configuration is invalid" was refused permanently; now temporarily.

--- a/node/gateway/configuration.go
+++ b/node/gateway/configuration.go
@@ -23,8 +23,10 @@
 		g.logger.Error("configuration refused", zap.Int64("revision", snapshot.At), zap.Error(err))
 		return
 	}
+	isInstalled := g.activeTable.Install(table)
+	// Cleared after the table was replaced, so that the earlier one never counts as the newest.
 	g.configurationInvalid.Store(false)
-	if !g.activeTable.Install(table) {
+	if !isInstalled {
 		return
 	}
 	g.applyLimits(table.Limits())
--- a/node/gateway/refusal.go
+++ b/node/gateway/refusal.go
@@ -32,6 +32,8 @@
 	age         time.Duration
 	// lastCallFailed is set if the last call to follow the configuration failed.
 	lastCallFailed bool
+	// isNewerInvalid is set if a newer configuration can't be used here.
+	isNewerInvalid bool
 }
 
 // decideRefusal decides how to refuse a request whose route or key is not in the table.
@@ -43,13 +45,14 @@
 //   - If proofs are needed, the staleness must be below the apply limit: later changes need
 //     not be applied yet.
 //   - Otherwise the last confirmation by the store must be younger than maxConfirmationAge.
-//   - Without any proof or confirmation the refusal is temporary.
+//   - Without any proof or confirmation, or while a newer configuration is invalid here, the
+//     refusal is temporary.
 func decideRefusal(table tableFreshness) refusal {
 	isNewest := table.isConfirmed && table.age < table.maxConfirmationAge()
 	if table.needsProof {
 		isNewest = table.isProved && table.staleness < table.applyLimit
 	}
-	if isNewest {
+	if isNewest && !table.isNewerInvalid {
 		return refusePermanently
 	}
 	return refuseTemporarily
@@ -84,5 +87,7 @@
 	freshness.staleness, freshness.isProved = configurationFreshness{g}.Staleness()
 	freshness.age, freshness.isConfirmed = g.followers.configuration.ViewAge()
 	freshness.lastCallFailed = g.followers.configuration.IsLost()
+	// Read last: the follower counts an answer only after it was applied or found invalid.
+	freshness.isNewerInvalid = g.configurationInvalid.Load()
 	return freshness
 }
--- a/node/gateway/refusal_test.go
+++ b/node/gateway/refusal_test.go
@@ -27,6 +27,7 @@
 		{"proven just now", tableFreshness{needsProof: true, isProved: true}, refusePermanently},
 		{"proven within the limit, the last call failed", tableFreshness{needsProof: true, isProved: true, lastCallFailed: true, staleness: 2900 * time.Millisecond}, refusePermanently},
 		{"proven so long ago that changes must be applied", tableFreshness{needsProof: true, isProved: true, isConfirmed: true, staleness: applyLimit}, refuseTemporarily},
+		{"a newer configuration is invalid", tableFreshness{isConfirmed: true, isNewerInvalid: true}, refuseTemporarily},
 		{"proven, though no proof is needed", tableFreshness{isProved: true}, refuseTemporarily},
 	}
 	for _, c := range cases {
