Tell a host of a turn's end until the turn's lifetime is over

A gateway gave up after five failed reports, about three seconds, and took a host that didn't answer for so long for one that would never count the end. The host, back later, charged the turn with its most once its lifetime was over, and the program was refused with a final 402 though its gateway knew what had been generated.

Now a report is repeated until the lifetime is over. Failed reports to a host that are due go out in one request, with pauses that double from 0.3 to 2.4 s, so that a host that doesn't answer gets fewer requests than before.

--- a/coordination/tokenbudget/client.go
+++ b/coordination/tokenbudget/client.go
@@ -55,18 +55,26 @@
 	logger  *zap.Logger
 
 	mutex sync.Mutex
-	// grantedBy maps the reservations in progress to the addresses of their hosts.
-	grantedBy map[string]string
+	// granted holds the reservations in progress by their names.
+	granted map[string]grant
 	// breakers holds the circuit breakers by shard.
 	breakers map[uint32]*circuitBreaker
 }
 
+// grant is a reservation in progress.
+type grant struct {
+	// address is that of the host that granted it.
+	address string
+	// until is when the lifetime of the turn is over.
+	until time.Time
+}
+
 // NewClient returns a client without reservations. It records in the tracker which hosts
 // answer.
 func NewClient(hosts HostClient, views Views, tracker *reach.Tracker, now func() time.Time, logger *zap.Logger) *Client {
 	return &Client{
-		hosts: hosts, views: views, tracker: tracker, ends: newEndReporter(hosts, logger), now: now, logger: logger,
-		grantedBy: make(map[string]string), breakers: make(map[uint32]*circuitBreaker),
+		hosts: hosts, views: views, tracker: tracker, ends: newEndReporter(hosts, now, logger), now: now, logger: logger,
+		granted: make(map[string]grant), breakers: make(map[uint32]*circuitBreaker),
 	}
 }
 
@@ -158,7 +166,7 @@
 	if err == nil {
 		c.tracker.RecordResponse(address)
 		c.mutex.Lock()
-		c.grantedBy[reservation.Name] = address
+		c.granted[reservation.Name] = grant{address: address, until: c.now().Add(reservation.Lifetime)}
 		c.mutex.Unlock()
 		c.ends.finish(address)
 		return nil
@@ -176,7 +184,7 @@
 	// The host may have reserved the tokens without having recorded the ended turns, so
 	// both are reported again.
 	unknown := EndedTurn{Program: reservation.Program, Reservation: reservation.Name}
-	c.ends.finish(address, append(reported, endReport{turn: unknown})...)
+	c.ends.finish(address, append(reported, endReport{turn: unknown, until: c.now().Add(reservation.Lifetime)})...)
 	return err
 }
 
@@ -199,11 +207,11 @@
 // the host.
 func (c *Client) End(ended EndedTurn) {
 	c.mutex.Lock()
-	address, found := c.grantedBy[ended.Reservation]
-	delete(c.grantedBy, ended.Reservation)
+	granted, found := c.granted[ended.Reservation]
+	delete(c.granted, ended.Reservation)
 	c.mutex.Unlock()
 	if found {
-		c.ends.add(address, endReport{turn: ended})
+		c.ends.add(granted.address, endReport{turn: ended, until: granted.until})
 	}
 }
 
--- a/coordination/tokenbudget/endreporter.go
+++ b/coordination/tokenbudget/endreporter.go
@@ -14,11 +14,10 @@
 
 const (
 	// endReportDelay is how long an ended turn waits for a reservation at its host that can
-	// carry it, which saves a request. A failed report is repeated after the same time.
-	endReportDelay = 300 * time.Millisecond
-	// maxEndReports bounds the requests that report the same ended turns. A host charges
-	// turns whose end isn't reported with all the tokens that they reserved.
-	maxEndReports = 5
+	// carry it, which saves a request. A failed report is repeated after the same time, which
+	// doubles with each failure in a row at the host up to maxEndReportPause.
+	endReportDelay    = 300 * time.Millisecond
+	maxEndReportPause = 8 * endReportDelay
 	// flushReportPause is the pause between two reports to a host during a flush.
 	flushReportPause = 50 * time.Millisecond
 )
@@ -26,19 +25,22 @@
 // endReport is an ended turn that its host doesn't know of yet.
 type endReport struct {
 	turn EndedTurn
-	// failures is the number of failed reports.
-	failures int
+	// until is when the turn's lifetime is over. The host then charges it with all the tokens
+	// that it reserved, whatever is reported later.
+	until time.Time
 }
 
 // failedReport holds the ended turns of one failed request.
 type failedReport struct {
-	address string
-	reports []endReport
+	address  string
+	reports  []endReport
+	failedAt time.Time
 }
 
 // endReporter reports ended turns to their hosts. It is safe for concurrent use.
 type endReporter struct {
 	hosts  HostClient
+	now    func() time.Time
 	logger *zap.Logger
 
 	mutex sync.Mutex
@@ -46,12 +48,17 @@
 	pending map[string][]endReport
 	// repeats holds the failed reports that wait for their next attempt.
 	repeats map[*failedReport]struct{}
+	// failures counts the failed reports in a row by the address of the host.
+	failures map[string]int
 	// underWay counts the requests that carry ended turns or may add some.
 	underWay int
 }
 
-func newEndReporter(hosts HostClient, logger *zap.Logger) *endReporter {
-	return &endReporter{hosts: hosts, logger: logger, pending: make(map[string][]endReport), repeats: make(map[*failedReport]struct{})}
+func newEndReporter(hosts HostClient, now func() time.Time, logger *zap.Logger) *endReporter {
+	return &endReporter{
+		hosts: hosts, now: now, logger: logger,
+		pending: make(map[string][]endReport), repeats: make(map[*failedReport]struct{}), failures: make(map[string]int),
+	}
 }
 
 // add keeps ended turns for the next reservation at their host, or reports them in a request
@@ -101,52 +108,88 @@
 }
 
 // send reports the ended turns, which were taken, in one request within attemptTimeout. If
-// it fails, they are reported again after endReportDelay.
+// it fails, they are reported again after a pause, until their lifetimes are over.
 func (r *endReporter) send(ctx context.Context, address string, reports []endReport) {
 	bounded, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	err := r.hosts.End(bounded, address, turnsOf(reports))
 	switch {
 	case err == nil:
-		r.finish(address)
+		r.finishReported(address)
 	case ctx.Err() != nil:
 		r.finish(address, reports...)
 	default:
-		r.finishFailed(&failedReport{address, r.countFailure(address, reports, err)})
+		r.finishFailed(&failedReport{address: address, reports: r.unexpired(address, reports, err), failedAt: r.now()})
 	}
 }
 
-// finishFailed ends a failed request and repeats it after endReportDelay.
+// finishReported ends a request that has reported its turns.
+func (r *endReporter) finishReported(address string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.underWay--
+	delete(r.failures, address)
+}
+
+// finishFailed ends a failed request and repeats it after a pause.
 func (r *endReporter) finishFailed(failed *failedReport) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.underWay--
-	if len(failed.reports) > 0 {
-		r.repeats[failed] = struct{}{}
-		time.AfterFunc(endReportDelay, func() { r.repeat(failed) })
+	if len(failed.reports) == 0 {
+		return
 	}
+	r.repeats[failed] = struct{}{}
+	time.AfterFunc(reportPause(r.failures[failed.address]), func() { r.repeat(failed) })
+	r.failures[failed.address]++
+}
+
+// reportPause returns the pause after a failed report, with the number of those in a row
+// before it.
+func reportPause(failures int) time.Duration {
+	pause := endReportDelay
+	for range failures {
+		if pause = 2 * pause; pause >= maxEndReportPause {
+			return maxEndReportPause
+		}
+	}
+	return pause
 }
 
-// repeat sends a failed report again unless a flush has taken it over.
+// repeat sends a failed report again unless a flush or another report has taken it over.
 func (r *endReporter) repeat(failed *failedReport) {
 	r.mutex.Lock()
 	_, isWaiting := r.repeats[failed]
+	var reports []endReport
 	if isWaiting {
-		delete(r.repeats, failed)
+		reports = r.takeRepeats(failed)
 		r.underWay++
 	}
 	r.mutex.Unlock()
 	if isWaiting {
-		r.send(context.Background(), failed.address, failed.reports)
+		r.send(context.Background(), failed.address, reports)
 	}
 }
 
-// countFailure returns the reports that are to be repeated after a failure.
-func (r *endReporter) countFailure(address string, reports []endReport, err error) []endReport {
-	for index := range reports {
-		reports[index].failures++
+// takeRepeats returns the ended turns of the report that is due, and of those to the same host
+// that have waited for endReportDelay, so that one request repeats them all. The mutex must be
+// held.
+func (r *endReporter) takeRepeats(due *failedReport) (reports []endReport) {
+	for failed := range r.repeats {
+		isReady := failed.address == due.address && r.now().Sub(failed.failedAt) >= endReportDelay
+		if failed == due || isReady {
+			delete(r.repeats, failed)
+			reports = append(reports, failed.reports...)
+		}
 	}
-	again := slices.DeleteFunc(slices.Clone(reports), func(report endReport) bool { return report.failures >= maxEndReports })
+	return reports
+}
+
+// unexpired returns the reports of turns that the host hasn't charged yet, which are to be
+// repeated.
+func (r *endReporter) unexpired(address string, reports []endReport, err error) []endReport {
+	now := r.now()
+	again := slices.DeleteFunc(slices.Clone(reports), func(report endReport) bool { return now.After(report.until) })
 	if dropped := len(reports) - len(again); dropped > 0 {
 		r.logLost(address, dropped, err)
 	}
