Don't call a tenant over its quota where its main slot has no holder

While a main slot has no holder, its requests ask the reserve slot. The bucket of a slot that has just been taken is empty, and a request that found no permit there was refused with 429, "over its quota, 0.0 permits are left", though its tenant had used nothing. Now it is 503 (2012), as where no slot has a holder, with the reserve slot's Retry-After.

--- a/coordination/quota/client.go
+++ b/coordination/quota/client.go
@@ -142,7 +142,8 @@
 func (c *Client) requestPermit(ctx context.Context, ask PermitRequest, plan Plan) (Permit, *result.Error) {
 	for waits := 0; ; {
 		answer, permit := c.askMainSlots(ctx, ask, plan)
-		if answer == nil && plan.HasReserve {
+		isVacant := answer == nil
+		if isVacant && plan.HasReserve {
 			answer, permit = c.askSlot(ctx, ask, plan.Reserve)
 		}
 		if _, isGranted := answer.(Granted); isGranted {
@@ -152,6 +153,9 @@
 			waits++
 			continue
 		}
+		if answer != nil && isVacant {
+			return Permit{}, vacantError(ask.Tenant, answer)
+		}
 		if answer != nil {
 			return Permit{}, refusalError(ask.Tenant, answer)
 		}
@@ -168,6 +172,20 @@
 	return isExhausted && exhausted.RetryAfter <= maxPermitWait && sleep.For(ctx, sleep.Jitter(exhausted.RetryAfter)) == nil
 }
 
+// vacantError returns the error for a caller whose request got no permit of the reserve slot
+// while a main slot has no holder. That the reserve slot has none, which is taken without
+// any, doesn't show that the tenant has used its quota.
+func vacantError(tenant string, answer PermitAnswer) *result.Error {
+	refusal := refusalError(tenant, nil)
+	switch grant := answer.(type) {
+	case Exhausted:
+		return refusal.WithRetryAfter(grant.RetryAfter)
+	case Reserved:
+		return refusal.WithRetryAfter(grant.RetryAfter)
+	}
+	return refusal
+}
+
 // refusalError returns the error for a caller whose request got no permit. The answer is
 // nil if no holder decided.
 func refusalError(tenant string, answer PermitAnswer) *result.Error {
