Refuse a missing route or key for good only by the table that is the newest

A request's route was looked up in one table, and whether that is the newest was asked afterwards: a table replaced in between let a route or key that the new one has be refused with a final 404 or 401. isVersionGone asked for the age of the list of instances after it had read the list, in the same way.

--- a/transport/relay/authorize.go
+++ b/transport/relay/authorize.go
@@ -20,7 +20,7 @@
 	table := c.handler.options.Tables.Table()
 	owner, known := table.Tenant(c.input.key)
 	if !known {
-		return missingKey.toError(table.Version(), c.handler.options.IsConfigurationNewest())
+		return missingKey.toError(table.Version(), c.handler.options.isNewest(table))
 	}
 	c.grants.tenant = owner
 	return nil
--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -56,6 +56,12 @@
 	Now        func() time.Time
 }
 
+// isNewest reports whether the table is known to be the newest. It may have been replaced
+// since it was read, and the freshness be that of the new one.
+func (o *Options) isNewest(table *routetable.Table) bool {
+	return o.IsConfigurationNewest() && o.Tables.Table() == table
+}
+
 // Handler serves the clients of a gateway. It is safe for concurrent use.
 type Handler struct {
 	options  Options
@@ -194,7 +200,7 @@
 	path, _, _ := strings.Cut(c.input.target, "?")
 	route, found := table.Match(c.request.Host, path)
 	if !found {
-		return missingRoute.toError(c.routing.configVersion, options.IsConfigurationNewest())
+		return missingRoute.toError(c.routing.configVersion, options.isNewest(table))
 	}
 	c.setRoute(route)
 	c.routing.needsKey = table.NeedsKey(route)
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -70,7 +70,8 @@
 // stream. With an outdated list of instances that isn't certain.
 func (c *call) isVersionGone() bool {
 	origin := c.stream.origin
-	return !c.handler.options.Backends.AcceptsVersion(origin.Service, origin.Version) && c.listAge().IsCurrent()
+	age := c.listAge() // of the list that is asked, or of an earlier one
+	return !c.handler.options.Backends.AcceptsVersion(origin.Service, origin.Version) && age.IsCurrent()
 }
 
 // originFields returns log fields that tell where the stream began that the client resumes.
