Let entries follow in time in the soak of late streams

Entries of instances that had started again as another version followed later than after 1 s, as the end of a gateway that was terminated held up the other faults. Neither waits for the other any more. 1020 is allowed for streams that began after such a start and up to 4 s after the entry said so, in place of 5 s after the start.

--- a/test/integration/streamsoaklate_test.go
+++ b/test/integration/streamsoaklate_test.go
@@ -40,7 +40,7 @@
 	steps       []lateStep
 	isReleasing bool
 	// restarts are when instances started again as another version.
-	restarts []time.Time
+	restarts []*lateRestart
 	// quietUntil is when the next fault may begin.
 	quietUntil time.Time
 }
--- a/test/integration/streamsoaklatefaults_test.go
+++ b/test/integration/streamsoaklatefaults_test.go
@@ -16,7 +16,7 @@
 func (l *lateSoak) faults() []lateFault {
 	faults := []lateFault{
 		{"gateway killed", l.stepsOf((*soakSystem).killGateway, 400*time.Millisecond)},
-		{"gateway terminated", l.stepsOf((*soakSystem).terminateGateway, 300*time.Millisecond)},
+		{"gateway terminated", l.terminateGateway},
 		{"gateway paused", l.stepsOf((*soakSystem).pauseGateway, 900*time.Millisecond)},
 		{"instance crashed", l.stepsOf((*soakSystem).crashInstance, 700*time.Millisecond)},
 		{"all gateways killed", l.killAllGateways},
@@ -50,6 +50,25 @@
 	}
 }
 
+// terminateGateway starts a gateway again once it has ended by itself.
+func (l *lateSoak) terminateGateway() bool {
+	g := l.takeGateway()
+	if g == nil {
+		return false
+	}
+	g.process.Terminate()
+	l.after(300*time.Millisecond, func() { l.startOnceEnded(g) })
+	return true
+}
+
+func (l *lateSoak) startOnceEnded(g *soakGateway) {
+	if g.process.HasEnded() {
+		l.startGateway(g)
+		return
+	}
+	l.after(50*time.Millisecond, func() { l.startOnceEnded(g) })
+}
+
 // killAllGateways kills those too that are paused or about to end. It may be the first of
 // several times.
 func (l *lateSoak) killAllGateways() bool {
@@ -104,6 +123,12 @@
 	return len(running) > 0
 }
 
+// lateRestart is the start of an instance as another version.
+type lateRestart struct {
+	// listed is when the entry said so; zero until then.
+	at, listed time.Time
+}
+
 // lateEntryDelay is the longest time after which the entry of an instance follows that started
 // again as another version.
 const lateEntryDelay = time.Second
@@ -111,26 +136,32 @@
 // restartAsAnother lets one or more instances of a version start again as another one. Their
 // entries follow.
 func (l *lateSoak) restartAsAnother() bool {
-	l.mutex.Lock()
-	version := l.instances[l.random.IntN(len(l.instances))].version
-	l.mutex.Unlock()
+	version := l.anyVersion()
 	other := l.otherVersion(version)
 	restarted := l.takeIf(1+l.random.IntN(3), func(instance *soakInstance) bool { return instance.version == version })
-	l.mutex.Lock()
-	l.restarts = append(l.restarts, time.Now())
-	l.mutex.Unlock()
 	for _, instance := range restarted {
+		restart := &lateRestart{at: time.Now()}
+		l.mutex.Lock()
+		l.restarts = append(l.restarts, restart)
+		l.mutex.Unlock()
 		instance.StartAgainAs(" of " + other)
-		l.after(lateEntryDelay-l.upTo(700*time.Millisecond), func() { l.listAs(instance, other) })
+		lag, listed := lateEntryDelay-l.upTo(700*time.Millisecond), make(chan struct{})
+		// Other steps may take longer than the entry.
+		time.AfterFunc(lag, func() {
+			defer close(listed)
+			l.listAs(instance, other, restart)
+		})
+		l.after(lag, func() { <-listed })
 	}
 	return len(restarted) > 0
 }
 
 // listAs changes the entry of an instance to that of its new process.
-func (l *lateSoak) listAs(instance *soakInstance, version string) {
+func (l *lateSoak) listAs(instance *soakInstance, version string, restart *lateRestart) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	instance.version, instance.readySince = version, time.Now()
+	restart.listed = time.Now()
+	instance.version, instance.readySince = version, restart.listed
 	if !instance.born.IsZero() {
 		instance.born = instance.Started()
 	}
@@ -143,8 +174,8 @@
 func (l *lateSoak) mayDiffer(begun time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return slices.ContainsFunc(l.restarts, func(at time.Time) bool {
-		return begun.After(at) && begun.Before(at.Add(lateEntryDelay+lateListDelay))
+	return slices.ContainsFunc(l.restarts, func(r *lateRestart) bool {
+		return begun.After(r.at) && (r.listed.IsZero() || begun.Before(r.listed.Add(lateListDelay)))
 	})
 }
 
--- a/test/integration/streamsoaklaterule_test.go
+++ b/test/integration/streamsoaklaterule_test.go
@@ -48,14 +48,15 @@
 	for _, c := range []struct {
 		name      string
 		instances []*soakInstance
-		restarts  []time.Time
+		restarts  []*lateRestart
 		spares    bool
 		gone      bool
 		unknown   bool
 	}{
 		{name: "version served", instances: instance("v1", 2*lateListDelay), gone: true},
-		{name: "entry was wrong", instances: instance("v1", 2*lateListDelay), restarts: []time.Time{now.Add(-time.Second)}},
-		{name: "entry was right again", instances: instance("v1", 2*lateListDelay), restarts: []time.Time{now.Add(-2 * lateListDelay)}, gone: true},
+		{name: "entry was wrong", instances: instance("v1", 2*lateListDelay), restarts: []*lateRestart{{at: now.Add(-time.Second)}}},
+		{name: "list may be old", instances: instance("v1", 2*lateListDelay), restarts: []*lateRestart{{at: now.Add(-time.Minute), listed: now.Add(-lateListDelay / 2)}}},
+		{name: "entry was right again", instances: instance("v1", 2*lateListDelay), restarts: []*lateRestart{{at: now.Add(-time.Minute), listed: now.Add(-2 * lateListDelay)}}, gone: true},
 		{name: "version came just now", instances: instance("v1", lateListDelay/2)},
 		{name: "other version served", instances: instance("v2", 2*lateListDelay)},
 		{name: "storage spared", spares: true, unknown: true},
--- a/test/integration/streamsoaklateversions_test.go
+++ b/test/integration/streamsoaklateversions_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"slices"
+	"math"
 	"time"
 )
 
@@ -81,12 +81,9 @@
 	if l.isReleasing {
 		return false
 	}
-	l.mutex.Lock()
-	version := l.instances[l.random.IntN(len(l.instances))].version
-	isOnly := !slices.ContainsFunc(l.instances, func(instance *soakInstance) bool { return instance.version != version })
-	l.mutex.Unlock()
+	version := l.anyVersion()
 	other := l.otherVersion(version)
-	if isOnly {
+	if !l.isServed(other, time.Now()) {
 		l.addInstance(other)
 	}
 	if l.random.IntN(2) == 0 {
@@ -102,10 +99,10 @@
 // replaceBy lets the chosen instances leave or crash and adds others.
 func (l *lateSoak) replaceBy(version string, isChosen func(*soakInstance) bool) {
 	leave := [](func(*soakInstance)){l.drain, l.end, l.crash}[l.random.IntN(3)]
-	for _, leaving := range l.takeIf(len(l.instances), isChosen) {
+	for _, leaving := range l.takeIf(math.MaxInt, isChosen) {
 		leave(leaving)
 	}
-	for len(l.instances) < soakInstances {
+	for l.countInstances() < soakInstances {
 		l.addInstance(version)
 	}
 }
@@ -116,7 +113,7 @@
 	if len(l.steps) > 0 {
 		return false
 	}
-	kept := l.instances[l.random.IntN(len(l.instances))].version
+	kept := l.anyVersion()
 	if len(l.kept) > 0 {
 		kept = l.kept[0].version
 	}
@@ -127,6 +124,19 @@
 	return true
 }
 
+func (l *lateSoak) countInstances() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.instances)
+}
+
+// anyVersion returns the version of a random instance.
+func (l *lateSoak) anyVersion() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.instances[l.random.IntN(len(l.instances))].version
+}
+
 // otherVersion returns another version, of an instance if there is one.
 func (l *lateSoak) otherVersion(version string) string {
 	l.mutex.Lock()
