Log which instances start again as another version in the soak

A fault of a stream is traced to the instance and to whether the gateway that sent the request there could know that it had started again.

Measured: go vet and staticcheck pass; nothing else changes.

--- a/test/integration/streamsoaklatefaults_test.go
+++ b/test/integration/streamsoaklatefaults_test.go
@@ -146,6 +146,8 @@
 		l.mutex.Unlock()
 		instance.StartAgainAs(" of " + other)
 		lag, listed := lateEntryDelay-l.upTo(700*time.Millisecond), make(chan struct{})
+		l.t.Logf("%s: %s of %s starts again as %s, listed after %v, tells its start: %v",
+			restart.at.Format(lateClock), instance.Instance, version, other, lag, !instance.born.IsZero())
 		// Other steps may take longer than the entry.
 		time.AfterFunc(lag, func() {
 			defer close(listed)
