End the soak of late streams after one last try of each stream

One last visit of 15 s decides. 1022, the refusal of requests under which instances have ended, is for good as in the soak of streams.

--- a/test/integration/streamsoaklateclient_test.go
+++ b/test/integration/streamsoaklateclient_test.go
@@ -38,7 +38,7 @@
 
 // lateTotal counts what the clients saw.
 type lateTotal struct {
-	// whole streams were received completely, ended ones were told that they can't go on, and
+	// whole streams were received completely, ended ones were refused for good, and
 	// given up ones got neither in time.
 	whole, ended, givenUp int
 	// resumed counts the tries that continued a stream, and resumedLate those whose last event
@@ -55,7 +55,7 @@
 	for _, code := range slices.Sorted(maps.Keys(t.refused)) {
 		refused = append(refused, fmt.Sprintf("%d: %d", code, t.refused[code]))
 	}
-	return fmt.Sprintf("%d whole, %d ended by 1020 or 1021, %d given up; tries to go on: %d resumed, %d of them late; refused %v; %d faults",
+	return fmt.Sprintf("%d whole, %d refused for good, %d given up; tries to go on: %d resumed, %d of them late; refused %v; %d faults",
 		t.whole, t.ended, t.givenUp, t.resumed, t.resumedLate, refused, len(t.faults))
 }
 
@@ -156,9 +156,9 @@
 	}
 }
 
-// goesOn reports whether the client comes back after the outcome.
+// goesOn reports whether the client comes back after the outcome of a visit.
 func (s *lateStream) goesOn(outcome soakOutcome) bool {
-	return s.hasBegun() && (outcome == soakBroken || outcome == soakRejected && s.isStubborn)
+	return s.hasBegun() && !s.isLastVisit && (outcome == soakBroken || outcome == soakRejected && s.isStubborn)
 }
 
 // stayAway waits, until the faults are over at the latest.
@@ -261,6 +261,8 @@
 	case result.StreamOriginUnknown:
 		s.checkUnknown(try)
 		return soakRejected
+	case result.RequestQuarantined:
+		return soakRejected
 	default:
 		return soakBroken
 	}
