--- a/test/integration/streamsoaklatefaults_test.go
+++ b/test/integration/streamsoaklatefaults_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/marblering/marblering/lab/runner"
 )
 
 // lateFault begins at once and adds steps that end it. It begins nothing and returns false if
@@ -16,7 +18,7 @@
 func (l *lateSoak) faults() []lateFault {
 	faults := []lateFault{
 		{"gateway killed", l.stepsOf((*soakSystem).killGateway, 400*time.Millisecond)},
-		{"gateway terminated", l.stepsOf((*soakSystem).terminateGateway, 300*time.Millisecond)},
+		{"gateway terminated", l.terminateGateway},
 		{"gateway paused", l.stepsOf((*soakSystem).pauseGateway, 900*time.Millisecond)},
 		{"instance crashed", l.stepsOf((*soakSystem).crashInstance, 700*time.Millisecond)},
 		{"all gateways killed", l.killAllGateways},
@@ -32,9 +34,9 @@
 			lateFault{"all storage nodes killed", l.killAllStorage},
 			lateFault{"store silent", l.stepsOf((*soakSystem).silenceStore, time.Second)})
 	}
-	if *lateSoakRestarts {
-		faults = append(faults, lateFault{"instances start again as another version", l.restartAsAnother},
-			lateFault{"instances start again as another version", l.restartAsAnother})
+	if l.restartsAsAnother {
+		restart := lateFault{"instances start again as another version", l.restartAsAnother}
+		faults = append(faults, slices.Repeat([]lateFault{restart}, len(faults)/2)...)
 	}
 	return faults
 }
@@ -50,6 +52,25 @@
 	}
 }
 
+// terminateGateway starts a gateway again once it has ended by itself.
+func (l *lateSoak) terminateGateway() bool {
+	g := l.takeGateway()
+	if g == nil {
+		return false
+	}
+	g.process.Terminate()
+	l.after(300*time.Millisecond, func() { l.startOnceEnded(g) })
+	return true
+}
+
+func (l *lateSoak) startOnceEnded(g *soakGateway) {
+	if g.process.HasEnded() {
+		l.startGateway(g)
+		return
+	}
+	l.after(50*time.Millisecond, func() { l.startOnceEnded(g) })
+}
+
 // killAllGateways kills those too that are paused or about to end. It may be the first of
 // several times.
 func (l *lateSoak) killAllGateways() bool {
@@ -104,6 +125,14 @@
 	return len(running) > 0
 }
 
+// lateRestart is the start of an instance as another version.
+type lateRestart struct {
+	// runs returns the requests that the instance has run.
+	runs func() []runner.Run
+	// listed is when the entry said so; zero until then.
+	at, listed time.Time
+}
+
 // lateEntryDelay is the longest time after which the entry of an instance follows that started
 // again as another version.
 const lateEntryDelay = time.Second
@@ -111,28 +140,36 @@
 // restartAsAnother lets one or more instances of a version start again as another one. Their
 // entries follow.
 func (l *lateSoak) restartAsAnother() bool {
-	l.mutex.Lock()
-	version := l.instances[l.random.IntN(len(l.instances))].version
-	l.mutex.Unlock()
+	version := l.anyVersion()
 	other := l.otherVersion(version)
 	restarted := l.takeIf(1+l.random.IntN(3), func(instance *soakInstance) bool {
 		return instance.version == version && !instance.born.IsZero()
 	})
-	l.mutex.Lock()
-	l.restarts = append(l.restarts, time.Now())
-	l.mutex.Unlock()
 	for _, instance := range restarted {
+		restart := &lateRestart{runs: instance.Runs, at: time.Now()}
+		l.mutex.Lock()
+		l.restarts = append(l.restarts, restart)
+		l.mutex.Unlock()
 		instance.StartAgainAs(" of " + other)
-		l.after(lateEntryDelay-l.upTo(700*time.Millisecond), func() { l.listAs(instance, other) })
+		lag, listed := lateEntryDelay-l.upTo(700*time.Millisecond), make(chan struct{})
+		l.t.Logf("%s: %s of %s starts again as %s, listed after %v, tells its start: %v",
+			restart.at.Format(lateClock), instance.Instance, version, other, lag, !instance.born.IsZero())
+		// Other steps may take longer than the entry.
+		time.AfterFunc(lag, func() {
+			defer close(listed)
+			l.listAs(instance, other, restart)
+		})
+		l.after(lag, func() { <-listed })
 	}
 	return len(restarted) > 0
 }
 
 // listAs changes the entry of an instance to that of its new process.
-func (l *lateSoak) listAs(instance *soakInstance, version string) {
+func (l *lateSoak) listAs(instance *soakInstance, version string, restart *lateRestart) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	instance.version, instance.readySince = version, time.Now()
+	restart.listed = time.Now()
+	instance.version, instance.readySince = version, restart.listed
 	if !instance.born.IsZero() {
 		instance.born = instance.Started()
 	}
@@ -140,13 +177,15 @@
 	l.putInstance(instance, "ready")
 }
 
-// mayDiffer reports whether a stream that began then may be on record at another version than
-// that of its events, since an entry was wrong or a gateway had an earlier one.
-func (l *lateSoak) mayDiffer(begun time.Time) bool {
+// mayDiffer reports whether the stream that the request began then may be on record as
+// uncertain or at another version than that of its events: it ran at an instance that had
+// started again as another version, and its entry was wrong or a gateway had an earlier one.
+func (l *lateSoak) mayDiffer(request string, begun time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return slices.ContainsFunc(l.restarts, func(at time.Time) bool {
-		return begun.After(at) && begun.Before(at.Add(lateEntryDelay+lateListDelay))
+	return slices.ContainsFunc(l.restarts, func(r *lateRestart) bool {
+		isRecent := begun.After(r.at) && (r.listed.IsZero() || begun.Before(r.listed.Add(lateListDelay)))
+		return isRecent && slices.ContainsFunc(r.runs(), func(run runner.Run) bool { return run.ID == request })
 	})
 }
 
