Limit the output that a gateway keeps of retained turns

Cause: a gateway keeps the data of all events of a retained turn until it stores the turn, without a limit. An instance that sends events without end took 600 MB of a gateway with a memory limit of 256 MiB until the deadlines of the turns, and got further turns: a deadline within a stream tells nothing of an instance.

Change: a turn that is too large to be stored (16 MiB with its input) ends, and one over 1 MiB does while all turns in progress keep more than an eighth of the memory limit. The attempt fails as at any other limit (turn_bytes): the connection to the caller is closed, the instance's health counts a failure, a log line and the counter name it. It isn't tried elsewhere. The output is kept in pieces. TestAnswersWithoutEnd... now also compares bodies of plain answers.

--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -54,6 +54,7 @@
 	isCutOff func() bool
 	logger   *zap.Logger
 	outage   outage
+	outputs  outputs
 	// random returns the suffix that makes the name of a reservation unique.
 	random func() uint64
 }
@@ -137,7 +138,7 @@
 	// reservation is the name of the turn's token reservation, empty if there is none.
 	reservation string
 	events      uint64
-	output      []byte
+	output      output
 }
 
 // readHistory reads the earlier turns. It refuses a turn of another tenant.
@@ -216,13 +217,16 @@
 }
 
 // Event counts an event that is about to be delivered, and keeps its data if the turn is
-// retained.
-func (t *Turn) Event(data []byte) {
-	t.events++
+// retained. An event with which the output is too large must not be delivered: the error is an
+// *OutputError.
+func (t *Turn) Event(data []byte) error {
 	if t.request.Retained {
-		t.output = append(t.output, data...)
-		t.output = append(t.output, '\n')
+		if err := t.keep(data); err != nil {
+			return err
+		}
 	}
+	t.events++
+	return nil
 }
 
 // Complete stores the turn. The answer may be ended as complete only if it returns nil.
@@ -235,13 +239,15 @@
 		ancestors = append(ancestors, earlier.GetId())
 	}
 	return t.service.turns.Put(ctx, t.request.Program, &statev1.RetainedTurn{
-		Id: t.request.ID, Ancestors: ancestors, Input: t.request.Input, Output: t.output,
+		Id: t.request.ID, Ancestors: ancestors, Input: t.request.Input, Output: t.output.join(),
 		RetentionMs: t.request.Retention.Milliseconds(), Tenant: t.request.Tenant, Route: t.request.Route,
 	}, t.history)
 }
 
-// End ends the turn's reservation and charges the budget with the delivered tokens.
+// End drops the output, ends the turn's reservation and charges the budget with the delivered
+// tokens.
 func (t *Turn) End() {
+	t.dropOutput()
 	if t.reservation == "" {
 		return
 	}
--- a/lab/runner/endless.go
+++ b/lab/runner/endless.go
@@ -13,6 +13,8 @@
 	slowHeadPause = 50 * time.Millisecond
 	// endlessPieceBytes is the least size of the pieces of other faults.
 	endlessPieceBytes = 64 << 10
+	// endlessEventBytes is the size of the data of one event of EndlessEvents.
+	endlessEventBytes = 1 << 10
 )
 
 func isEndless(fault Fault) bool { return fault >= EndlessBytes && fault <= SlowHead }
@@ -50,6 +52,12 @@
 		return "", fill("HTTP/1.1 100 Continue\r\n\r\n"), 0
 	case EndlessComments:
 		return "HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n", fill(": alive\n\n"), 0
+	case EndlessEvents:
+		return "HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n", fill("data: " + strings.Repeat("x", endlessEventBytes) + "\n\n"), 0
+	case EndlessChunks:
+		return "HTTP/1.1 200 OK\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n", fill("1\r\nx\r\n"), 0
+	case EndlessBody:
+		return "HTTP/1.1 200 OK\r\n" + head + "Connection: close\r\n\r\n", fill("x"), 0
 	default:
 		return "HTTP/1.1 200 OK\r\nX-Slow: ", "x", slowHeadPause
 	}
--- a/lab/runner/runner.go
+++ b/lab/runner/runner.go
@@ -65,6 +65,11 @@
 	EndlessHeaders
 	EndlessInterims
 	EndlessComments
+	// EndlessEvents sends a stream of events, EndlessChunks a body in chunks and EndlessBody one
+	// that the end of the connection would end.
+	EndlessEvents
+	EndlessChunks
+	EndlessBody
 	// SlowHead sends a byte of a head each slowHeadPause, until the client closes.
 	SlowHead
 )
--- a/node/gateway/storage.go
+++ b/node/gateway/storage.go
@@ -25,6 +25,9 @@
 	peerTimeout = time.Second
 	// turnCacheFraction of the memory limit is the size of the cache of recent turns.
 	turnCacheFraction = 0.15
+	// turnOutputFraction of the memory limit is what the turns in progress may keep of their
+	// output.
+	turnOutputFraction = 0.125
 )
 
 // storageClients are the clients for what storage nodes keep: the turns and token budgets
@@ -58,11 +61,13 @@
 	if err != nil {
 		return nil, err
 	}
+	conversations := conversation.New(turns, budgets, tracker.IsCutOff, time.Now, rand.Uint64, logger)
+	conversations.LimitOutputs(int64(turnOutputFraction * float64(loaded.MemoryLimit)))
 	return &storageClients{
 		lookup: lookup, peers: peers, reachability: tracker, budgets: budgets,
 		origins:       streamorigin.NewClient(peers, lookup),
 		crashes:       quarantine.NewClient(quarantine.FollowerID(rand.Uint64()), peers, lookup, time.Now, telemetry.RateLimitedForFollowers(logger)),
-		conversations: conversation.New(turns, budgets, tracker.IsCutOff, time.Now, rand.Uint64, logger),
+		conversations: conversations,
 		quotas: quota.NewClient(peers, lookup, tracker, quota.Tolerance{
 			Window: loaded.QuotaWindow, Fraction: loaded.QuotaOver, Slack: loaded.QuotaSlack,
 		}, quota.NewMetrics(metrics), time.Now, telemetry.RateLimitedForFollowers(logger)),
--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -29,7 +29,8 @@
 	maxHeadSent = 8 << 20
 )
 
-// endlessConfiguration has a route of plain requests and one of streams that may be resumed.
+// endlessConfiguration has a route of plain requests, one of streams that may be resumed and one
+// of retained turns.
 func endlessConfiguration() map[string]any {
 	route := func(name, kind string) map[string]any {
 		return map[string]any{
@@ -37,9 +38,11 @@
 			"service": name, "attempts": 3, "resumable": kind == "stream",
 		}
 	}
+	turns := route("turn", "stream")
+	turns["retain"], turns["retention_s"], turns["resumable"] = true, 60, false
 	return map[string]any{
-		"version": 1, "routes": []map[string]any{route("plain", "safe"), route("stream", "stream")},
-		"services": []map[string]any{{"name": "plain"}, {"name": "stream"}},
+		"version": 1, "routes": []map[string]any{route("plain", "safe"), route("stream", "stream"), turns},
+		"services": []map[string]any{{"name": "plain"}, {"name": "stream"}, {"name": "turn", "engine": map[string]any{"stream_stride": 25}}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
@@ -83,6 +86,32 @@
 	}
 }
 
+// TestTurnsWithoutEndHarmNoOtherTurn guards against a gateway that keeps all events of a retained
+// turn that has no end, and against a faulty instance that goes on getting turns.
+func TestTurnsWithoutEndHarmNoOtherTurn(t *testing.T) {
+	t.Parallel()
+	const (
+		// maxMemory is the most resident memory that the gateway may reach, in kB. Its setting is
+		// 256 MiB, of which an eighth is for the output of turns.
+		maxMemory = 200 << 10
+		// maxFailed is the most turns that may meet the faulty instance.
+		maxFailed = 15
+	)
+	s := newSoakSystem(t, 1, soakLayout{gateways: 1, storageNodes: soakStorageNodes, drainTimeout: 4 * time.Second, configuration: endlessConfiguration()})
+	for range 3 {
+		s.addInstanceOf(soakService{name: "turn", version: "v1", events: 4})
+	}
+	s.awaitAllServing("turn")
+	faulty := s.instances[0]
+	faulty.SetFault(runner.EndlessEvents, -1)
+	whole, slowest := s.askConcurrently("turn")
+	peak := peakMemory(t, s.gateways[0].process.PID())
+	t.Logf("%d of %d whole, the slowest in %v, gateway's peak memory %d kB, most sent on a connection %d bytes",
+		whole, endlessRequests, slowest.Round(time.Millisecond), peak, faulty.MostSent())
+	assert.Assert(t, whole >= endlessRequests-maxFailed)
+	assert.Assert(t, peak < maxMemory, "%d kB", peak)
+}
+
 // TestAnswersWithoutEndFromAllInstancesFailClearly guards against a gateway that runs out of memory
 // while no instance of a service sends proper answers, and against one that doesn't serve once they
 // do again.
@@ -201,6 +230,9 @@
 	}
 	request.Host = "desk.example"
 	request.Header.Set(runner.HeaderID, id)
+	if route == "turn" {
+		request.Header.Set("X-Program-Id", "program of "+id)
+	}
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(endlessDeadline.Milliseconds(), 10))
 	response, err := client.Do(request)
 	if err != nil {
@@ -214,7 +246,10 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: %w", id, &statusError{response.StatusCode, string(body)})
 	}
-	if route == "stream" && strings.Count(string(body), "data: ") != 4 {
+	if route == "plain" && string(body) != "ok" {
+		return fmt.Errorf("%s: %d bytes that aren't the body", id, len(body))
+	}
+	if route != "plain" && strings.Count(string(body), "data: ") != 4 {
 		return fmt.Errorf("%s: %d bytes without the events", id, len(body))
 	}
 	return nil
--- a/transport/relay/eventwriter.go
+++ b/transport/relay/eventwriter.go
@@ -20,8 +20,10 @@
 		return delivered, nil
 	}
 	w.call.awaitRecording()
+	if err := w.call.countEvent(next); err != nil {
+		return incomplete, err
+	}
 	w.call.writeStreamHeader(w.response)
-	w.call.countEvent(next)
 	if held := w.comments.take(); len(held) > 0 {
 		next.raw = append(held, next.raw...)
 	}
--- a/transport/relay/limit.go
+++ b/transport/relay/limit.go
@@ -17,6 +17,8 @@
 const (
 	limitEventBytes   upstream.Limit = "event_bytes"
 	limitCommentBytes upstream.Limit = "comment_bytes"
+	// limitTurnBytes is that of the output of a retained turn, see conversation.OutputError.
+	limitTurnBytes upstream.Limit = "turn_bytes"
 )
 
 // comments counts the comments of a stream since its last event, and holds those before the
@@ -45,6 +47,13 @@
 	return held
 }
 
+// isTurnTooLarge reports whether a retained turn ended since its output can't be stored. That of
+// another instance can't be either, since it would be added to it.
+func isTurnTooLarge(cause error) bool {
+	var exceeded *upstream.LimitError
+	return errors.As(cause, &exceeded) && exceeded.Limit == limitTurnBytes
+}
+
 // observeLimit logs and counts an attempt that ended since the instance exceeded a limit.
 func (c *call) observeLimit(assignment *backend.Assignment, cause error) {
 	var exceeded *upstream.LimitError
--- a/transport/relay/retry_test.go
+++ b/transport/relay/retry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/marblering/marblering/coordination/quarantine"
 	"github.com/marblering/marblering/state/result"
+	"github.com/marblering/marblering/transport/upstream"
 )
 
 // describeStep returns the name of a step and the result code that it reports.
@@ -73,6 +74,10 @@
 		{"turn not stored, header written", func(e *attemptResult) {
 			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = turnNotStored, true, true, true, true
 		}, "abort", result.BackendFailed},
+		{"turn too large", func(e *attemptResult) {
+			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = incomplete, true, true, true, true
+			e.cause = &upstream.LimitError{Limit: limitTurnBytes}
+		}, "abort", result.BackendFailed},
 		{"deadline passed, may have run", func(e *attemptResult) { e.outcome, e.isDone, e.mayHaveRun, e.repeatable = abandoned, true, true, true }, "send error", result.BackendTimeout},
 		{"deadline passed, never sent", func(e *attemptResult) { e.outcome, e.isDone, e.sends, e.unsent = abandoned, true, 0, 1 }, "send error", result.NoBackend},
 		{"deadline passed, refused", func(e *attemptResult) { e.outcome, e.isDone = refused, true }, "send error", result.BackendBusy},
--- a/transport/relay/turn.go
+++ b/transport/relay/turn.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 
 	"github.com/marblering/marblering/coordination/backend"
 	"github.com/marblering/marblering/coordination/conversation"
 	"github.com/marblering/marblering/coordination/routetable"
 	"github.com/marblering/marblering/state/result"
+	"github.com/marblering/marblering/transport/upstream"
 )
 
 // beginTurn prepares a request that is a turn of a program: it prepends the previous turns
@@ -37,14 +40,22 @@
 	return nil
 }
 
-// countEvent counts an event against the budget of the turn before it is sent.
-func (c *call) countEvent(sent event) {
+// countEvent counts an event against the budget of the turn before it is sent. The error wraps an
+// *upstream.LimitError if the turn is too large to be stored with it.
+func (c *call) countEvent(sent event) error {
 	if c.grants.turn == nil {
-		return
+		return nil
+	}
+	data, found := sent.data()
+	if !found {
+		return nil
 	}
-	if data, found := sent.data(); found {
-		c.grants.turn.Event(data)
+	err := c.grants.turn.Event(data)
+	var tooLarge *conversation.OutputError
+	if errors.As(err, &tooLarge) {
+		return fmt.Errorf("%w: %w", tooLarge, &upstream.LimitError{Limit: limitTurnBytes, Bytes: int(tooLarge.Bytes)})
 	}
+	return err
 }
 
 // completeTurn stores the turn. It must succeed before the response may end normally.
