Refuse requests whose body comes after the notice of a stop

Cause: a gateway that stops decides by the header whether it takes a request. One whose header came within the notice and whose body came later was passed on and had only the rest of the grace time; the end of the process cuts what lasts.

Change: the decision is made again once the body is whole; a request that isn't taken gets 503 (2005) and hasn't run.

Measured: TestStopRefusesRequestsWhoseBodyComesLate got a 200 from the runner before, 503 without a run now.

--- a/transport/relay/handler.go
+++ b/transport/relay/handler.go
@@ -75,8 +75,8 @@
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int64 { return h.inFlight.count() }
 
-// RefuseRequests refuses all requests that arrive from now on: the process may end before
-// their responses are complete.
+// RefuseRequests refuses all requests that arrive from now on, or whose body does: the process may
+// end before their responses are complete.
 func (h *Handler) RefuseRequests() { h.isRefusing.Store(true) }
 
 // AbortInFlight ends all requests in flight. Those whose response hasn't begun get an error
@@ -137,6 +137,11 @@
 		c.failUnsent(ctx, failure)
 		return
 	}
+	// The body may have come long after the header.
+	if c.handler.isRefusing.Load() {
+		c.fail(stopping.errorf("%v", errStopped))
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.timing.deadline)
 	defer cancel()
 	if failure := c.checkCrashes(ctx); failure != nil {
