Cut bodies of answers beyond answer_size_limit

Cause: a body that isn't a stream was passed on until the deadline, however long; so were a stream's events. A deadline within an answer that makes progress tells nothing of an instance, so that one which sends without end got further requests.

Change: a setting of gateways, answer_size_limit (1 GiB, 1 MiB to 1024 GiB). A body that goes beyond it fails the attempt (body_bytes): the caller's connection is closed without a last chunk, the instance's health counts a failure, a log line and the counter name it. One whose length says so fails before it begins, so that a request that may be repeated goes to another instance.

--- a/lab/runner/endless.go
+++ b/lab/runner/endless.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -55,7 +56,7 @@
 	case EndlessEvents:
 		return "HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n", fill("data: " + strings.Repeat("x", endlessEventBytes) + "\n\n"), 0
 	case EndlessChunks:
-		return "HTTP/1.1 200 OK\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n", fill("1\r\nx\r\n"), 0
+		return "HTTP/1.1 200 OK\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", endlessPieceBytes, strings.Repeat("x", endlessPieceBytes)), 0
 	case EndlessBody:
 		return "HTTP/1.1 200 OK\r\n" + head + "Connection: close\r\n\r\n", fill("x"), 0
 	default:
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -178,6 +178,7 @@
 	g.backends.OnRestarted(g.onInstanceRestarted)
 	upstreamSettings := upstream.DefaultSettings()
 	upstreamSettings.IDHeader = g.dependencies.RequestIDHeader
+	upstreamSettings.MaxBodyBytes = int64(g.settings.AnswerSizeLimit)
 	g.upstream = upstream.NewClient(upstreamSettings, time.Now)
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -44,6 +44,8 @@
 	QuotaSlack int `koanf:"quota_slack" validate:"min=0,max=100000"`
 	// DrainTimeout bounds a graceful shutdown, after which the process is killed.
 	DrainTimeout time.Duration `koanf:"drain_timeout" validate:"min=1s,max=25h"`
+	// AnswerSizeLimit is the largest body of an answer that is passed on.
+	AnswerSizeLimit ByteSize `koanf:"answer_size_limit" validate:"min=1048576,max=1099511627776"`
 	// MemoryLimit bounds the memory of the process.
 	MemoryLimit ByteSize `koanf:"memory_limit" validate:"min=16777216"`
 	// LogLevel is the minimum level that is logged.
@@ -160,6 +162,11 @@
 			Usage: "how long a planned stop may take; then the process is killed",
 			field: func(s *Gateway) any { return &s.DrainTimeout },
 		},
+		{
+			Key: "answer_size_limit", Default: "1GiB", Allowed: "size with unit from 1MiB to 1024GiB; units B, KiB, MiB, GiB",
+			Usage: "largest body of an answer of a back end; a longer one is cut by closing the connection to the caller, and the back end counts as failed",
+			field: func(s *Gateway) any { return &s.AnswerSizeLimit },
+		},
 		{
 			Key: "memory_limit", Default: "256MiB", Allowed: allowedMemory,
 			Usage: usageMemory,
--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -27,6 +27,8 @@
 	maxGatewayMemory = 60 << 10
 	// maxHeadSent is the most that a connection may take of a head without end, in bytes.
 	maxHeadSent = 8 << 20
+	// maxAnswerRead is more than any proper answer has, in bytes.
+	maxAnswerRead = 1 << 20
 )
 
 // endlessConfiguration has a route of plain requests, one of streams that may be resumed and one
@@ -112,6 +114,53 @@
 	assert.Assert(t, peak < maxMemory, "%d kB", peak)
 }
 
+// TestBodiesWithoutEndAreCut guards against a faulty instance that sends bodies until the deadline
+// and goes on getting requests, and against a body that looks whole though the gateway cut it.
+func TestBodiesWithoutEndAreCut(t *testing.T) {
+	t.Parallel()
+	const (
+		answerSizeLimit = 16 << 20
+		// maxFailed is the most requests that may meet the faulty instance.
+		maxFailed = 15
+	)
+	for _, tried := range []struct {
+		name, route string
+		fault       runner.Fault
+	}{
+		{"chunks", "plain", runner.EndlessChunks},
+		{"a body without a length", "plain", runner.EndlessBody},
+	} {
+		t.Run(tried.name, func(t *testing.T) {
+			s := newSoakSystem(t, 1, soakLayout{gateways: 1, drainTimeout: 4 * time.Second, configuration: endlessConfiguration()})
+			s.addSetting(s.gateways[0], fmt.Sprintf("answer_size_limit: %dB", answerSizeLimit))
+			for range 3 {
+				s.addInstanceOf(soakService{name: tried.route, version: "v1"})
+			}
+			s.awaitAllServing(tried.route)
+			faulty := s.instances[0]
+			faulty.SetFault(tried.fault, -1)
+			whole, slowest := s.askConcurrently(tried.route)
+			peak := peakMemory(t, s.gateways[0].process.PID())
+			t.Logf("%d of %d whole, the slowest in %v, gateway's peak memory %d kB, most sent on a connection %d bytes",
+				whole, endlessRequests, slowest.Round(time.Millisecond), peak, faulty.MostSent())
+			assert.Assert(t, whole >= endlessRequests-maxFailed)
+			assert.Assert(t, peak < maxGatewayMemory, "%d kB", peak)
+			assert.Assert(t, faulty.MostSent() < answerSizeLimit+maxHeadSent)
+		})
+	}
+}
+
+// addSetting adds a line to the settings of a gateway and restarts it. Requests go to its new
+// process.
+func (s *soakSystem) addSetting(g *soakGateway, line string) {
+	s.t.Helper()
+	settings, err := os.ReadFile(g.file)
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, os.WriteFile(g.file, append(settings, line+"\n"...), 0o600))
+	s.restartGateway(g)
+	s.lives = s.lives[1:]
+}
+
 // TestAnswersWithoutEndFromAllInstancesFailClearly guards against a gateway that runs out of memory
 // while no instance of a service sends proper answers, and against one that doesn't serve once they
 // do again.
@@ -239,10 +288,13 @@
 		return err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerRead))
 	if err != nil {
 		return fmt.Errorf("%s: %w", id, err)
 	}
+	if rest, err := io.Copy(io.Discard, response.Body); err != nil || rest > 0 {
+		return fmt.Errorf("%s: %d bytes too many, %w", id, rest, err)
+	}
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: %w", id, &statusError{response.StatusCode, string(body)})
 	}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -35,6 +35,7 @@
 
 	exchange *exchange
 	body     io.ReadCloser
+	limit    bodyLimit
 }
 
 // exchange is a request and its response on a connection.
@@ -128,12 +129,17 @@
 		}
 		return nil, false, nil
 	}
+	limit := bodyLimit{max: e.client.settings.MaxBodyBytes}
+	if request.Method != http.MethodHead && limit.isExceededBy(response.ContentLength) {
+		exceeded := &LimitError{Limit: LimitBodyBytes, Bytes: e.connection.head.read}
+		return nil, false, &Error{Sent: true, Stage: StageBody, Cause: exceeded}
+	}
 	e.connection.limitIdleTime(response.Header, e.client.settings)
 	return &Response{
 		Status: response.StatusCode, Header: response.Header,
 		HasID:            id != "",
 		closesConnection: response.Close || hasCloseDelimitedBody(response),
-		exchange:         e, body: response.Body,
+		exchange:         e, body: response.Body, limit: limit,
 	}, true, nil
 }
 
@@ -202,9 +208,13 @@
 	}
 }
 
-// Read reads the body. It returns io.EOF only after the whole body.
+// Read reads the body. It returns io.EOF only after the whole body, and a *LimitError in place of
+// bytes beyond MaxBodyBytes.
 func (a *Response) Read(buffer []byte) (int, error) {
 	count, err := a.body.Read(buffer)
+	if allowed, exceeded := a.limit.add(count); exceeded != nil {
+		return allowed, exceeded
+	}
 	if err == io.EOF {
 		a.exchange.finish(a.closesConnection)
 		return count, err
--- a/transport/upstream/limit.go
+++ b/transport/upstream/limit.go
@@ -21,11 +21,12 @@
 // Limit names a limit on what is read from a backend.
 type Limit string
 
-// Limits on the head of a response.
+// Limits on the head of a response, and on its body.
 const (
 	LimitHeadBytes        Limit = "head_bytes"
 	LimitHeadTime         Limit = "head_time"
 	LimitInterimResponses Limit = "interim_responses"
+	LimitBodyBytes        Limit = "body_bytes"
 )
 
 // LimitError is the cause of an exchange in which the backend exceeded a limit. What it
@@ -96,3 +97,22 @@
 	_ = e.connection.socket.SetReadDeadline(e.deadline)
 	return err
 }
+
+// bodyLimit limits the bytes of a body that are passed on.
+type bodyLimit struct {
+	max, read int64
+}
+
+// isExceededBy reports whether a body of the length, negative if unknown, exceeds the limit.
+func (l *bodyLimit) isExceededBy(length int64) bool { return l.max > 0 && length > l.max }
+
+// add counts bytes that were read. It returns how many of them the limit allows, and an error if
+// these are fewer.
+func (l *bodyLimit) add(count int) (allowed int, err error) {
+	l.read += int64(count)
+	if !l.isExceededBy(l.read) {
+		return count, nil
+	}
+	excess := l.read - l.max
+	return count - int(min(excess, int64(count))), &LimitError{Limit: LimitBodyBytes, Bytes: int(l.read)}
+}
--- a/transport/upstream/limit_test.go
+++ b/transport/upstream/limit_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -161,3 +162,74 @@
 		}
 	}
 }
+
+// bodyLimitBytes is the MaxBodyBytes of the tests.
+const bodyLimitBytes = 64 << 10
+
+func newLimitedClient() *Client {
+	settings := DefaultSettings()
+	settings.MaxBodyBytes = bodyLimitBytes
+	return NewClient(settings, time.Now)
+}
+
+// TestBodyBeyondTheLimitIsCut guards against a body without end that is passed on until the
+// deadline, and against one whose cut part looks whole.
+func TestBodyBeyondTheLimitIsCut(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for name, write := range map[string]func(opened net.Conn){
+		"chunks": func(opened net.Conn) {
+			_, _ = io.WriteString(opened, head+"Transfer-Encoding: chunked\r\n\r\n")
+			writeEndlessly(opened, "5\r\nbytes\r\n")
+		},
+		"no length": func(opened net.Conn) { _, _ = io.WriteString(opened, head+"\r\n"); writeEndlessly(opened, "bytes") },
+		"one byte too many": func(opened net.Conn) {
+			_, _ = io.WriteString(opened, head+"\r\n"+strings.Repeat("x", bodyLimitBytes+1))
+			_ = opened.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			answer, err := newLimitedClient().Do(ctx, requestTo(respond(t, write)))
+			assert.NilError(t, err)
+			defer answer.CloseBody()
+			body, err := io.ReadAll(answer)
+			var exceeded *LimitError
+			assert.Assert(t, errors.As(err, &exceeded) && exceeded.Limit == LimitBodyBytes, "%v", err)
+			assert.Equal(t, len(body), bodyLimitBytes)
+		})
+	}
+}
+
+// TestLengthBeyondTheLimitFailsTheExchange guards against a body that begins though its length says
+// that it will be cut: until then another backend can be tried.
+func TestLengthBeyondTheLimitFailsTheExchange(t *testing.T) {
+	_, err := newLimitedClient().Do(t.Context(), requestTo(respond(t, func(opened net.Conn) {
+		_, _ = fmt.Fprintf(opened, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", bodyLimitBytes+1)
+	})))
+	var exceeded *LimitError
+	assert.Assert(t, errors.As(err, &exceeded) && exceeded.Limit == LimitBodyBytes, "%v", err)
+}
+
+// TestBodyOfTheLimitIsRead guards against a limit that ends proper responses.
+func TestBodyOfTheLimitIsRead(t *testing.T) {
+	whole := strings.Repeat("x", bodyLimitBytes)
+	for name, text := range map[string]string{
+		"length":    fmt.Sprintf("Content-Length: %d\r\n\r\n%s", bodyLimitBytes, whole),
+		"chunks":    fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", bodyLimitBytes, whole),
+		"no length": "\r\n" + whole,
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer, err := newLimitedClient().Do(t.Context(), requestTo(respond(t, func(opened net.Conn) {
+				_, _ = io.WriteString(opened, "HTTP/1.1 200 OK\r\n"+text)
+				_ = opened.Close()
+			})))
+			assert.NilError(t, err)
+			defer answer.CloseBody()
+			body, err := io.ReadAll(answer)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), whole)
+		})
+	}
+}
--- a/transport/upstream/request.go
+++ b/transport/upstream/request.go
@@ -73,6 +73,8 @@
 	// MaxIdle is the maximum number of idle connections kept for each process of an
 	// instance.
 	MaxIdle int
+	// MaxBodyBytes limits the body of a response; zero for no limit.
+	MaxBodyBytes int64
 }
 
 // DefaultSettings returns settings for backends with a round-trip time of a few
