Continue no stream of which no passed event has an id

Cause: a resumable stream that breaks after its first event is continued at another instance by the id of the last event passed on. If no event had one, the other instance got none, began anew, and its run followed what the caller had: an answer of two runs that looks whole.

Change: such a break ends the answer, by closing the connection to the caller.

The test's clients now tell an answer that looks whole from one that is cut.

--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -129,12 +129,17 @@
 	}{
 		{"chunks", "plain", runner.EndlessChunks},
 		{"a body without a length", "plain", runner.EndlessBody},
+		{"events", "stream", runner.EndlessEvents},
 	} {
 		t.Run(tried.name, func(t *testing.T) {
 			s := newSoakSystem(t, 1, soakLayout{gateways: 1, drainTimeout: 4 * time.Second, configuration: endlessConfiguration()})
 			s.addSetting(s.gateways[0], fmt.Sprintf("answer_size_limit: %dB", answerSizeLimit))
+			events := 0
+			if tried.route == "stream" {
+				events = 4
+			}
 			for range 3 {
-				s.addInstanceOf(soakService{name: tried.route, version: "v1"})
+				s.addInstanceOf(soakService{name: tried.route, version: "v1", events: events})
 			}
 			s.awaitAllServing(tried.route)
 			faulty := s.instances[0]
@@ -292,9 +297,11 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", id, err)
 	}
-	if rest, err := io.Copy(io.Discard, response.Body); err != nil || rest > 0 {
+	rest, err := io.Copy(io.Discard, response.Body)
+	if err != nil {
 		return fmt.Errorf("%s: %d bytes too many, %w", id, rest, err)
 	}
+	assert.Check(s.t, rest == 0, "%s: %d bytes too many look whole", id, rest)
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: %w", id, &statusError{response.StatusCode, string(body)})
 	}
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"mime"
 	"net/http"
@@ -99,7 +100,7 @@
 			return c.endStream(ctx, backendResponse, stream.comments.held)
 		}
 		if err != nil {
-			return incomplete, err
+			return incomplete, c.streamError(err)
 		}
 		var ended outcome
 		if next.hasField {
@@ -110,11 +111,20 @@
 			ended, err = stream.deliverComment(next)
 		}
 		if err != nil {
-			return ended, err
+			return ended, c.streamError(err)
 		}
 	}
 }
 
+// streamError returns the error for what ended a stream. It wraps errNoEventID if the stream can't
+// be continued: another instance would begin it anew, after the events that the client has.
+func (c *call) streamError(cause error) error {
+	if c.response.headerWritten && c.response.lastEventID == "" {
+		return fmt.Errorf("%w: %w", errNoEventID, cause)
+	}
+	return cause
+}
+
 // endStream stores the turn, if there is one, and writes the header and the held comments of a
 // stream without events. If the turn can't be stored, the stream must not end normally.
 func (c *call) endStream(ctx context.Context, backendResponse *upstream.Response, held []byte) (outcome, error) {
--- a/transport/relay/outcome.go
+++ b/transport/relay/outcome.go
@@ -29,6 +29,8 @@
 	errMisdirected     = errors.New("another instance has the address")
 	errInvalidResponse = errors.New("the answer isn't one of a back end")
 	errNotResumed      = errors.New("the stream wasn't resumed")
+	// errNoEventID means that nothing tells another instance where to continue a stream.
+	errNoEventID = errors.New("no event that was passed on has an id")
 	// errStopped is the cause of contexts that the end of the process cancels.
 	errStopped        = errors.New("the gateway is stopping")
 	errTruncatedEvent = errors.New("the stream ended within an event")
--- a/transport/relay/retry.go
+++ b/transport/relay/retry.go
@@ -86,8 +86,8 @@
 // There is no retry if the client is gone, the deadline has passed or only the turn couldn't
 // be stored after a complete response. A request that wasn't sent is retried at up to
 // maxUnsent other instances. One that may have run is sent again only if its route is
-// repeatable, and one whose response has begun only if its stream is resumable. A turn that is too
-// large to be stored isn't. One under
+// repeatable, and one whose response has begun only if its stream is resumable and its events have ids.
+// A turn that is too large to be stored isn't. One under
 // which too many instances have crashed, or may have, isn't sent to another. The route's attempts and the
 // retry budget limit the additional load.
 func (e attemptResult) next() nextStep {
@@ -99,6 +99,7 @@
 	case e.outcome == unsent,
 		e.outcome == incomplete && !e.repeatable,
 		e.headerWritten && !e.resumable,
+		errors.Is(e.cause, errNoEventID),
 		isTurnTooLarge(e.cause),
 		quarantine.IsQuarantined(e.suspicion.Suspected),
 		e.sends >= e.maxAttempts:
--- a/transport/relay/retry_test.go
+++ b/transport/relay/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -74,6 +75,10 @@
 		{"turn not stored, header written", func(e *attemptResult) {
 			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = turnNotStored, true, true, true, true
 		}, "abort", result.BackendFailed},
+		{"stream without ids", func(e *attemptResult) {
+			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = incomplete, true, true, true, true
+			e.cause = fmt.Errorf("%w: broken", errNoEventID)
+		}, "abort", result.BackendFailed},
 		{"turn too large", func(e *attemptResult) {
 			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = incomplete, true, true, true, true
 			e.cause = &upstream.LimitError{Limit: limitTurnBytes}
