Continue no stream that went beyond answer_size_limit

Cause: a resumable stream that a gateway cuts at the limit is continued at another instance, which has nothing more to send after an id that the faulty one made up: the cut answer ends as a whole one.

Change: the answer ends there, by closing the connection to the caller. One whose length tells before it begins still goes to another instance.

Measured: TestNextStep, "body too large, begun": a retry before, the end of the connection now.

--- a/transport/relay/limit.go
+++ b/transport/relay/limit.go
@@ -47,11 +47,14 @@
 	return held
 }
 
-// isTurnTooLarge reports whether a retained turn ended since its output can't be stored. That of
-// another instance can't be either, since it would be added to it.
-func isTurnTooLarge(cause error) bool {
+// isAnswerTooLarge reports whether a limit on the whole answer ended an attempt. Another instance
+// would add to the part that the client has, or to the output of a retained turn.
+func isAnswerTooLarge(cause error, headerWritten bool) bool {
 	var exceeded *upstream.LimitError
-	return errors.As(cause, &exceeded) && exceeded.Limit == limitTurnBytes
+	if !errors.As(cause, &exceeded) {
+		return false
+	}
+	return exceeded.Limit == limitTurnBytes || headerWritten && exceeded.Limit == upstream.LimitBodyBytes
 }
 
 // observeLimit logs and counts an attempt that ended since the instance exceeded a limit.
--- a/transport/relay/retry.go
+++ b/transport/relay/retry.go
@@ -87,7 +87,7 @@
 // be stored after a complete response. A request that wasn't sent is retried at up to
 // maxUnsent other instances. One that may have run is sent again only if its route is
 // repeatable, and one whose response has begun only if its stream is resumable and its events have ids.
-// A turn that is too large to be stored isn't. One under
+// One whose answer is too large is given up. One under
 // which too many instances have crashed, or may have, isn't sent to another. The route's attempts and the
 // retry budget limit the additional load.
 func (e attemptResult) next() nextStep {
@@ -100,7 +100,7 @@
 		e.outcome == incomplete && !e.repeatable,
 		e.headerWritten && !e.resumable,
 		errors.Is(e.cause, errNoEventID),
-		isTurnTooLarge(e.cause),
+		isAnswerTooLarge(e.cause, e.headerWritten),
 		quarantine.IsQuarantined(e.suspicion.Suspected),
 		e.sends >= e.maxAttempts:
 		return e.giveUp()
--- a/transport/relay/retry_test.go
+++ b/transport/relay/retry_test.go
@@ -79,6 +79,14 @@
 			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = incomplete, true, true, true, true
 			e.cause = fmt.Errorf("%w: broken", errNoEventID)
 		}, "abort", result.BackendFailed},
+		{"body too large, begun", func(e *attemptResult) {
+			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = incomplete, true, true, true, true
+			e.cause = &upstream.LimitError{Limit: upstream.LimitBodyBytes}
+		}, "abort", result.BackendFailed},
+		{"body too large by its length", func(e *attemptResult) {
+			e.outcome, e.mayHaveRun, e.repeatable = incomplete, true, true
+			e.cause = &upstream.LimitError{Limit: upstream.LimitBodyBytes}
+		}, "retry", result.OK},
 		{"turn too large", func(e *attemptResult) {
 			e.outcome, e.mayHaveRun, e.repeatable, e.headerWritten, e.resumable = incomplete, true, true, true, true
 			e.cause = &upstream.LimitError{Limit: limitTurnBytes}
