Cut turns over 256 KiB where those in progress take too much memory

Cause: 1 MiB that a turn may always keep is too much where many turns have no end: 200 of them took more than the memory of a gateway with 112 MiB.

Change: 256 KiB.

--- a/coordination/conversation/output.go
+++ b/coordination/conversation/output.go
@@ -10,7 +10,7 @@
 
 // freeOutputBytes is the size up to which the output of a turn is kept however much all turns
 // keep together.
-const freeOutputBytes = 1 << 20
+const freeOutputBytes = 256 << 10
 
 // Sizes of the pieces in which an output is kept.
 const (
--- a/coordination/conversation/output_test.go
+++ b/coordination/conversation/output_test.go
@@ -60,7 +60,7 @@
 	kept, err := fill(t, large, 2*limit)
 	assert.Assert(t, err != nil)
 	assert.Equal(t, kept, limit)
-	_, err = fill(t, ordinary, 1<<20)
+	_, err = fill(t, ordinary, 256<<10)
 	assert.NilError(t, err)
 	large.End()
 	_, err = fill(t, ordinary, 2<<20)
--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -114,6 +114,45 @@
 	assert.Assert(t, peak < maxMemory, "%d kB", peak)
 }
 
+// TestTurnsWithoutEndFromAllInstancesAreBounded guards against a gateway that runs out of memory
+// while many retained turns have no end, and against one that serves no turn afterwards.
+func TestTurnsWithoutEndFromAllInstancesAreBounded(t *testing.T) {
+	t.Parallel()
+	const (
+		concurrency = 200
+		// maxMemory is the most resident memory that the gateway may reach, in kB: its setting.
+		maxMemory = 256 << 10
+	)
+	s := newSoakSystem(t, 1, soakLayout{gateways: 1, storageNodes: soakStorageNodes, drainTimeout: 4 * time.Second, configuration: endlessConfiguration()})
+	for range 3 {
+		s.addInstanceOf(soakService{name: "turn", version: "v1", events: 4})
+	}
+	for _, instance := range s.instances {
+		s.store.Put("servers", instance.Instance, map[string]any{
+			"service": instance.service, "address": instance.Address, "zone": "a", "capacity": concurrency, "state": "ready", "version": instance.version,
+		})
+	}
+	s.awaitAllServing("turn")
+	for _, instance := range s.instances {
+		instance.SetFault(runner.EndlessEvents, -1)
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: concurrency}}
+	defer client.CloseIdleConnections()
+	var running sync.WaitGroup
+	for number := range concurrency {
+		running.Go(func() { assert.Check(t, s.ask(client, "turn", fmt.Sprint("endless-", number)) != nil) })
+	}
+	running.Wait()
+	peak, ran := peakMemory(t, s.gateways[0].process.PID()), 0
+	for _, instance := range s.instances {
+		ran += len(instance.Runs())
+		instance.SetFault(runner.None, 0)
+	}
+	s.awaitAnswer("turn")
+	t.Logf("%d runs, gateway's peak memory %d kB", ran, peak)
+	assert.Assert(t, peak < maxMemory, "%d kB", peak)
+}
+
 // TestBodiesWithoutEndAreCut guards against a faulty instance that sends bodies until the deadline
 // and goes on getting requests, and against a body that looks whole though the gateway cut it.
 func TestBodiesWithoutEndAreCut(t *testing.T) {
