--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -181,6 +181,7 @@
 	upstreamSettings := upstream.DefaultSettings()
 	upstreamSettings.IDHeader = g.dependencies.RequestIDHeader
 	upstreamSettings.Identity = g.dependencies.Identity
+	upstreamSettings.MaxBodyBytes = int64(g.settings.AnswerSizeLimit)
 	g.upstream = upstream.NewClient(upstreamSettings, time.Now)
 }
 
--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -27,9 +27,12 @@
 	maxGatewayMemory = 60 << 10
 	// maxHeadSent is the most that a connection may take of a head without end, in bytes.
 	maxHeadSent = 8 << 20
+	// maxAnswerRead is more than any proper answer has, in bytes.
+	maxAnswerRead = 1 << 20
 )
 
-// endlessConfiguration has a route of plain requests and one of streams that may be resumed.
+// endlessConfiguration has a route of plain requests, one of streams that may be resumed and one
+// of retained turns.
 func endlessConfiguration() map[string]any {
 	route := func(name, kind string) map[string]any {
 		return map[string]any{
@@ -37,9 +40,11 @@
 			"service": name, "attempts": 3, "resumable": kind == "stream",
 		}
 	}
+	turns := route("turn", "stream")
+	turns["retain"], turns["retention_s"], turns["resumable"] = true, 60, false
 	return map[string]any{
-		"version": 1, "routes": []map[string]any{route("plain", "safe"), route("stream", "stream")},
-		"services": []map[string]any{{"name": "plain"}, {"name": "stream"}},
+		"version": 1, "routes": []map[string]any{route("plain", "safe"), route("stream", "stream"), turns},
+		"services": []map[string]any{{"name": "plain"}, {"name": "stream"}, {"name": "turn", "engine": map[string]any{"stream_stride": 25}}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
@@ -201,20 +206,31 @@
 	}
 	request.Host = "desk.example"
 	request.Header.Set(runner.HeaderID, id)
+	if route == "turn" {
+		request.Header.Set("X-Program-Id", "program of "+id)
+	}
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(endlessDeadline.Milliseconds(), 10))
 	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerRead))
 	if err != nil {
 		return fmt.Errorf("%s: %w", id, err)
 	}
+	rest, err := io.Copy(io.Discard, response.Body)
+	if err != nil {
+		return fmt.Errorf("%s: %d bytes too many, %w", id, rest, err)
+	}
+	assert.Check(s.t, rest == 0, "%s: %d bytes too many look whole", id, rest)
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: %w", id, &statusError{response.StatusCode, string(body)})
 	}
-	if route == "stream" && strings.Count(string(body), "data: ") != 4 {
+	if route == "plain" && string(body) != "ok" {
+		return fmt.Errorf("%s: %d bytes that aren't the body", id, len(body))
+	}
+	if route != "plain" && strings.Count(string(body), "data: ") != 4 {
 		return fmt.Errorf("%s: %d bytes without the events", id, len(body))
 	}
 	return nil
--- a/transport/relay/eventwriter.go
+++ b/transport/relay/eventwriter.go
@@ -19,8 +19,10 @@
 	if next.isAlreadySent(w.call.response.lastEventID) {
 		return delivered, nil
 	}
+	if err := w.call.countEvent(next); err != nil {
+		return incomplete, err
+	}
 	w.call.writeStreamHeader(w.response)
-	w.call.countEvent(next)
 	if held := w.comments.take(); len(held) > 0 {
 		next.raw = append(held, next.raw...)
 	}
--- a/transport/relay/limit.go
+++ b/transport/relay/limit.go
@@ -17,6 +17,8 @@
 const (
 	limitEventBytes   upstream.Limit = "event_bytes"
 	limitCommentBytes upstream.Limit = "comment_bytes"
+	// limitTurnBytes is that of the output of a retained turn, see conversation.OutputError.
+	limitTurnBytes upstream.Limit = "turn_bytes"
 )
 
 // comments counts the comments of a stream since its last event, and holds those before the
@@ -45,6 +47,16 @@
 	return held
 }
 
+// isAnswerTooLarge reports whether a limit on the whole answer ended an attempt. Another instance
+// would add to the part that the client has, or to the output of a retained turn.
+func isAnswerTooLarge(cause error, headerWritten bool) bool {
+	var exceeded *upstream.LimitError
+	if !errors.As(cause, &exceeded) {
+		return false
+	}
+	return exceeded.Limit == limitTurnBytes || headerWritten && exceeded.Limit == upstream.LimitBodyBytes
+}
+
 // observeLimit logs and counts an attempt that ended since the instance exceeded a limit.
 func (c *call) observeLimit(assignment *backend.Assignment, cause error) {
 	var exceeded *upstream.LimitError
--- a/transport/upstream/request.go
+++ b/transport/upstream/request.go
@@ -82,6 +82,8 @@
 	MaxIdle int
 	// Identity tells how to ask a process when it started; nil if that isn't known.
 	Identity *Identity
+	// MaxBodyBytes limits the body of a response; zero for no limit.
+	MaxBodyBytes int64
 }
 
 // DefaultSettings returns settings for backends with a round-trip time of a few
