--- a/transport/relay/origin.go
+++ b/transport/relay/origin.go
@@ -124,7 +124,7 @@
 		return nil
 	}
 	if current.request.IsUnlisted || current.assignment.IsReplaced() {
-		if err := c.disownOrigin(ctx, current); err != nil {
+		if err := c.recordUncertainOrigin(ctx, current); err != nil {
 			return err
 		}
 	}
@@ -135,9 +135,9 @@
 	return nil
 }
 
-// disownOrigin records that nobody knows where the stream begins: the instance was started again,
+// recordUncertainOrigin records that nobody knows where the stream begins: the instance was started again,
 // maybe at another version. A resumed stream can't go on there.
-func (c *call) disownOrigin(ctx context.Context, current *attempt) error {
+func (c *call) recordUncertainOrigin(ctx context.Context, current *attempt) error {
 	if !c.stream.isKnown {
 		return nil
 	}
