--- a/transport/relay/origin.go
+++ b/transport/relay/origin.go
@@ -135,8 +135,8 @@
 	return nil
 }
 
-// recordUncertainOrigin records that nobody knows where the stream begins: the instance was started again,
-// maybe at another version. A resumed stream can't go on there.
+// recordUncertainOrigin records that nobody knows where the stream begins: the instance was
+// started again, maybe at another version. A resumed stream can't go on there.
 func (c *call) recordUncertainOrigin(ctx context.Context, current *attempt) error {
 	if !c.stream.isKnown {
 		return nil
