Repair shards independently, and open a set before its new member has copied

Callers got 503 for whole shards for seconds to minutes after a disk was lost, and for good if the next one was lost meanwhile.

Cause: a maintainer's round waited for each of its copies, up to a minute, so that no other set was planned; a successor was proposed only once the new member had copied all turns, one shard after the other, though the next loss is tolerated as soon as the remaining members hold all of them; the driver could be the node that had just started.

A set that lost a member changes by Driver.Replace: the members that remain copy what they lack, the set opens, and the new member copies beside it. A member of the set drives.

--- a/coordination/repair/repair.go
+++ b/coordination/repair/repair.go
@@ -23,9 +23,6 @@
 )
 
 const (
-	// roundTimeout limits one round, so that a member that hangs during a copy doesn't
-	// stop the repair of other sets.
-	roundTimeout         = time.Minute
 	handoverPollInterval = 200 * time.Millisecond
 	// handoverTimeout limits how long a planned stop waits for other nodes to take over
 	// its replicas.
@@ -68,6 +65,7 @@
 
 // Serve runs rounds until the context ends.
 func (r *Service) Serve(ctx context.Context) error {
+	defer r.options.Maintainer.Wait()
 	ticker := time.NewTicker(r.options.Interval)
 	defer ticker.Stop()
 	for {
@@ -80,10 +78,9 @@
 	}
 }
 
-// runRound plans and executes one round of repair, and records if every set was complete.
+// runRound plans one round of repair and starts its work, and records if every set was
+// complete.
 func (r *Service) runRound(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
-	defer cancel()
 	plan := r.options.Maintainer.RunOnce(ctx, r.Situation())
 	if isComplete(plan) && len(r.options.Views.Views()) > 0 {
 		r.seenComplete.Store(true)
--- a/coordination/shard/catchup.go
+++ b/coordination/shard/catchup.go
@@ -15,12 +15,16 @@
 // has fewer copies than members.
 func (i *Installer) CatchUp(ctx context.Context) {
 	for _, missing := range i.replica.missingShards() {
-		if !missing.knowsPrevious() {
-			missing.Previous = i.fetchPreviousView(ctx, missing.View)
-		}
-		if missing.knowsPrevious() {
-			i.Install(ctx, InstallRequest{Previous: missing.Previous, Successor: missing.View})
-		}
+		i.catchUpShard(ctx, missing)
+	}
+}
+
+func (i *Installer) catchUpShard(ctx context.Context, missing shardState) {
+	if !missing.knowsPrevious() {
+		missing.Previous = i.fetchPreviousView(ctx, missing.View)
+	}
+	if missing.knowsPrevious() {
+		i.Install(ctx, InstallRequest{Previous: missing.Previous, Successor: missing.View})
 	}
 }
 
--- a/coordination/shard/driver.go
+++ b/coordination/shard/driver.go
@@ -52,10 +52,25 @@
 // opened, or a newer open view that it found. After a majority has installed the view,
 // Drive waits for the other members until ctx ends.
 func (d *Driver) Drive(ctx context.Context, current register.View, wanted []register.Member) (register.View, error) {
+	return d.drive(ctx, current, wanted, d.precopyTurns)
+}
+
+// Replace is like Drive, for a set that lost the data of a member. It doesn't wait for copies
+// to new members: the next loss is tolerated once the remaining members hold all data, which
+// takes less time.
+func (d *Driver) Replace(ctx context.Context, current register.View, wanted []register.Member) (register.View, error) {
+	return d.drive(ctx, current, wanted, d.shareTurns)
+}
+
+// preparation prepares the members of the proposed view before it is decided. If it fails, the
+// view isn't proposed.
+type preparation func(ctx context.Context, current, proposed register.View) error
+
+func (d *Driver) drive(ctx context.Context, current register.View, wanted []register.Member, prepare preparation) (register.View, error) {
 	if newest, found := d.views.View(current.Shard); found && newest.Epoch > current.Epoch {
 		return newest, nil
 	}
-	successor, err := d.decideSuccessor(ctx, current, wanted)
+	successor, err := d.decideSuccessor(ctx, current, wanted, prepare)
 	if err != nil {
 		return register.View{}, merry.Prependf(err, "decide the successor of epoch %d of shard %d", current.Epoch, current.Shard)
 	}
@@ -88,10 +103,9 @@
 	return successor, nil
 }
 
-// decideSuccessor returns the decided successor of the current view. If precopying to the
-// wanted members fails, it proposes nothing and returns a successor only if one was decided
-// already.
-func (d *Driver) decideSuccessor(ctx context.Context, current register.View, wanted []register.Member) (register.View, error) {
+// decideSuccessor returns the decided successor of the current view. If the preparation fails,
+// it proposes nothing and returns a successor only if one was decided already.
+func (d *Driver) decideSuccessor(ctx context.Context, current register.View, wanted []register.Member, prepare preparation) (register.View, error) {
 	if len(wanted) == 0 {
 		return d.runDecision(ctx, current, nil)
 	}
@@ -99,13 +113,13 @@
 	if err := proposed.Validate(); err != nil {
 		return register.View{}, err
 	}
-	precopyErr := d.precopyTurns(ctx, current, proposed)
-	if precopyErr == nil {
+	prepareErr := prepare(ctx, current, proposed)
+	if prepareErr == nil {
 		return d.propose(ctx, current, wanted)
 	}
 	decided, err := d.runDecision(ctx, current, nil)
 	if errors.Is(err, errUndecided) {
-		return register.View{}, merry.Prepend(precopyErr, "precopy turns")
+		return register.View{}, merry.Prepend(prepareErr, "precopy turns")
 	}
 	return decided, err
 }
--- a/coordination/shard/maintainer.go
+++ b/coordination/shard/maintainer.go
@@ -2,14 +2,24 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/marblering/marblering/coordination/register"
 )
 
-// Maintainer runs one node's part of the repair and reconfiguration of replica sets.
+// jobTimeout limits one job of a maintainer, so that a member that hangs doesn't keep it from
+// being tried again.
+const jobTimeout = time.Minute
+
+// failedInstallsBeforeRefresh is how often an installation must have failed before the node
+// asks for a new epoch with the same members.
+const failedInstallsBeforeRefresh = 2
+
+// Maintainer runs one node's part of the repair and reconfiguration of replica sets. Each
+// shard is worked on independently of the others.
 type Maintainer struct {
 	node      string
 	replica   *Replica
@@ -17,13 +27,23 @@
 	driver    *Driver
 	settings  PlanSettings
 	logger    *zap.Logger
-	// lastUnfinished and lastUnready map shards to the epochs found in the previous round.
-	// The maintainer acts only on what it finds twice, which leaves the node that is working
-	// on it the time between two rounds to finish.
+	jobs      *jobs
+	// lastUnfinished maps shards to the epochs found in the previous round. The maintainer
+	// acts only on what it finds twice, which leaves the node that is working on it the time
+	// between two rounds to finish.
 	lastUnfinished map[uint32]uint64
-	lastUnready    map[uint32]uint64
 	// lastLost holds the sets that were lost in the previous round, by shard.
 	lastLost map[uint32]lostSetState
+
+	mutex sync.Mutex
+	// failedInstalls counts the failed installations in a row, by shard.
+	failedInstalls map[uint32]failedInstall
+}
+
+// failedInstall counts the failed installations of one epoch.
+type failedInstall struct {
+	epoch uint64
+	count int
 }
 
 // NewMaintainer returns the maintainer of the named node.
@@ -35,40 +55,93 @@
 		driver:         driver,
 		settings:       settings,
 		logger:         logger,
+		jobs:           newJobs(),
 		lastUnfinished: make(map[uint32]uint64),
-		lastUnready:    make(map[uint32]uint64),
+		failedInstalls: make(map[uint32]failedInstall),
 	}
 }
 
-// RunOnce installs the shards that this node's replica missed, finishes changes that other
-// drivers left unfinished, drives the planned moves that are assigned to this node, and
-// drops data that is no longer needed. It returns the plan. Call it every few seconds;
-// calls must not overlap.
+// RunOnce starts jobs that install the shards that this node's replica missed, finish changes
+// that other drivers left unfinished, drive the planned moves that are assigned to this node,
+// and drop data that is no longer needed. It doesn't wait for them: they end with ctx or after
+// jobTimeout, and a shard that is copied holds up no other. It returns the plan. Call it every
+// few seconds; calls must not overlap.
 func (m *Maintainer) RunOnce(ctx context.Context, situation ClusterState) PlanResult {
-	m.installer.CatchUp(ctx)
-	outcome := Plan(situation, m.settings)
-	var group errgroup.Group
-	group.SetLimit(max(1, m.settings.MaxMoves))
+	for _, missing := range m.replica.missingShards() {
+		m.start(ctx, jobInstall, missing.View.Shard, func(ctx context.Context) { m.install(ctx, missing) })
+	}
 	for _, view := range m.stalledChanges() {
-		group.Go(func() error { return m.drive(ctx, view, nil, "unfinished") })
+		m.start(ctx, jobFinish, view.Shard, func(ctx context.Context) {
+			opened, err := m.driver.Drive(ctx, view, nil)
+			m.report(view, opened, "unfinished", err)
+		})
 	}
 	for _, view := range m.stalledInstalls() {
-		group.Go(func() error { return m.refresh(ctx, view) })
+		m.start(ctx, jobRefresh, view.Shard, func(ctx context.Context) {
+			opened, err := m.driver.Refresh(ctx, view)
+			m.report(view, opened, "this node doesn't hold the shard", err)
+		})
 	}
+	outcome := Plan(situation, m.settings)
 	for _, move := range outcome.Moves {
 		if move.Driver == m.node {
-			group.Go(func() error { return m.drive(ctx, move.View, move.Members, string(move.Reason)) })
+			m.startMove(ctx, move)
 		}
 	}
-	// Failures are logged; the next round retries.
-	_ = group.Wait()
-	if err := m.installer.DropUnneededShards(ctx); err != nil {
-		m.logger.Warn("shards not swept", zap.Error(err))
-	}
+	m.start(ctx, jobSweep, 0, func(ctx context.Context) {
+		if err := m.installer.DropUnneededShards(ctx); err != nil {
+			m.logger.Warn("shards not swept", zap.Error(err))
+		}
+	})
 	m.reportLost(outcome.Lost)
 	return outcome
 }
 
+// Wait waits until the jobs have ended that RunOnce started.
+func (m *Maintainer) Wait() { m.jobs.wait() }
+
+// start starts a job, unless one of its kind is running for the shard.
+func (m *Maintainer) start(ctx context.Context, kind jobKind, shard uint32, run func(context.Context)) {
+	m.jobs.start(jobKey{kind: kind, shard: shard}, func() {
+		ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+		defer cancel()
+		run(ctx)
+	})
+}
+
+// startMove starts to drive the move, unless MaxMoves moves are being driven. A move that
+// replaces a lost member doesn't wait for one that was planned for another reason.
+func (m *Maintainer) startMove(ctx context.Context, move Move) {
+	kind, drive := jobMove, m.driver.Drive
+	if move.Reason.isLoss() {
+		kind, drive = jobReplace, m.driver.Replace
+	}
+	if m.jobs.count(kind) >= max(1, m.settings.MaxMoves) {
+		return
+	}
+	m.start(ctx, kind, move.View.Shard, func(ctx context.Context) {
+		opened, err := drive(ctx, move.View, move.Members)
+		m.report(move.View, opened, string(move.Reason), err)
+	})
+}
+
+// install installs the missing shard and counts the failures in a row.
+func (m *Maintainer) install(ctx context.Context, missing shardState) {
+	m.installer.catchUpShard(ctx, missing)
+	isInstalled := m.replica.holdsData(missing.View)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	failed := m.failedInstalls[missing.View.Shard]
+	if failed.epoch != missing.View.Epoch {
+		failed = failedInstall{epoch: missing.View.Epoch}
+	}
+	failed.count++
+	if isInstalled {
+		failed = failedInstall{}
+	}
+	m.failedInstalls[missing.View.Shard] = failed
+}
+
 // reportLost logs each lost set whose state has changed since the previous round.
 func (m *Maintainer) reportLost(sets []LostSet) {
 	previous := m.lastLost
@@ -91,25 +164,14 @@
 	unreachable, wiped int
 }
 
-func (m *Maintainer) drive(ctx context.Context, view register.View, wanted []register.Member, reason string) error {
-	opened, err := m.driver.Drive(ctx, view, wanted)
-	return m.report(view, opened, reason, err)
-}
-
-func (m *Maintainer) refresh(ctx context.Context, view register.View) error {
-	opened, err := m.driver.Refresh(ctx, view)
-	return m.report(view, opened, "this node doesn't hold the shard", err)
-}
-
-func (m *Maintainer) report(view, opened register.View, reason string, err error) error {
+func (m *Maintainer) report(view, opened register.View, reason string, err error) {
 	if err != nil {
 		m.logger.Warn("replica set not changed", zap.Uint32("shard", view.Shard),
 			zap.Uint64("epoch", view.Epoch), zap.String("reason", reason), zap.Error(err))
-		return err
+		return
 	}
 	m.logger.Info("replica set changed", zap.Uint32("shard", view.Shard),
 		zap.Uint64("epoch", opened.Epoch), zap.String("reason", reason))
-	return nil
 }
 
 // stalledChanges returns the views whose change of epoch was unfinished in the previous
@@ -119,16 +181,21 @@
 }
 
 // stalledInstalls returns the views that this replica is a member of but couldn't install
-// in two rounds, because the sources are gone or unknown to it. A new epoch with the same
+// repeatedly, because the sources are gone or unknown to it. A new epoch with the same
 // members makes it a member with data.
 func (m *Maintainer) stalledInstalls() []register.View {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	var views []register.View
 	for _, shard := range m.replica.Unready() {
-		if view, found := m.replica.views.View(shard); found {
+		view, found := m.replica.views.View(shard)
+		failed := m.failedInstalls[shard]
+		if found && failed.epoch == view.Epoch && failed.count >= failedInstallsBeforeRefresh {
+			m.failedInstalls[shard] = failedInstall{}
 			views = append(views, view)
 		}
 	}
-	return seenAgain(&m.lastUnready, views)
+	return views
 }
 
 // seenAgain returns the views that are in seen with the same epoch, and replaces seen with
--- a/coordination/shard/plan.go
+++ b/coordination/shard/plan.go
@@ -62,6 +62,9 @@
 	ReasonZoneSpread     Reason = "the set can be spread over more zones"
 )
 
+// isLoss reports whether the data of a member is lost or out of reach.
+func (r Reason) isLoss() bool { return r == ReasonNewIncarnation || r == ReasonGone }
+
 var reasonsByUrgency = []Reason{ReasonNewIncarnation, ReasonGone, ReasonLeaving, ReasonAddressChanged, ReasonUndersized, ReasonZoneSpread}
 
 // Move is a planned change of the members of a replica set.
@@ -340,17 +343,22 @@
 	return fmt.Sprintf("%d/%d/%d", view.Shard, view.Epoch, slot)
 }
 
-// chooseDriver returns the answering node with the highest affinity to the change.
+// chooseDriver returns the answering node with the highest affinity to the change. Members of
+// the set come first: they know its view and hold its data.
 func (p planner) chooseDriver(view register.View) string {
 	key := p.slotKey(view)
 	var best string
+	var bestIsMember bool
 	for _, node := range p.situation.Nodes {
 		name := node.Member.Node
 		if !node.GoneSince.IsZero() || node.Leaving {
 			continue
 		}
-		if best == "" || program.Affinity(name, key) > program.Affinity(best, key) {
-			best = name
+		isMember := slices.Contains(view.Members, node.Member)
+		switch {
+		case best == "", isMember && !bestIsMember,
+			isMember == bestIsMember && program.Affinity(name, key) > program.Affinity(best, key):
+			best, bestIsMember = name, isMember
 		}
 	}
 	return best
--- a/coordination/shard/precopy.go
+++ b/coordination/shard/precopy.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -24,53 +26,130 @@
 // still be installing the current epoch: it could no longer reach its sources once the
 // epoch has ended.
 func (d *Driver) precopyTurns(ctx context.Context, current, proposed register.View) error {
+	copied := d.startPrecopies(ctx, current, proposed)
+	probed := d.probeMembers(ctx, current, proposed)
+	err := errors.Join(probed.failed, probed.notReady)
+	if err == nil {
+		d.backfillTurns(ctx, current, proposed)
+	}
+	copyErr := <-copied
+	if err != nil {
+		return err
+	}
+	return copyErr
+}
+
+// shareTurns has the members that remain copy the turns that they lack, as far as
+// backfillTimeout allows, while the new members copy as well. It doesn't wait for the new
+// members, but they must answer. Current members that lack the data of the epoch don't block
+// the change, since the successor's members can be copied from those that hold it.
+func (d *Driver) shareTurns(ctx context.Context, current, proposed register.View) error {
+	copied := d.startPrecopies(ctx, current, proposed)
+	probed := d.probeMembers(ctx, current, proposed)
+	if err := errors.Join(probed.failed, d.probeNewMembers(ctx, current, proposed)); err != nil {
+		return err
+	}
+	if probed.holding >= current.Quorum() {
+		d.backfillTurns(ctx, current, proposed)
+	}
+	select {
+	case err := <-copied:
+		if probed.holding >= current.Quorum() {
+			return err
+		}
+	default:
+	}
+	return nil
+}
+
+// startPrecopies has the new members of the proposed view copy turns. The channel receives
+// the first error, or nil, once all are done.
+func (d *Driver) startPrecopies(ctx context.Context, current, proposed register.View) <-chan error {
 	var copies errgroup.Group
 	request := InstallRequest{Previous: current, Successor: proposed, TurnsOnly: true}
-	for _, member := range proposed.Members {
-		if slices.Contains(current.Members, member) {
-			continue
-		}
+	for _, member := range newMembers(current, proposed) {
 		copies.Go(func() error {
 			reply, err := d.members.Install(ctx, member, request)
 			return merry.Prependf(replyError(reply, err), "node %s", member.Node)
 		})
 	}
-	probeErr := d.probeMembers(ctx, current, proposed)
-	if probeErr == nil {
-		d.backfillTurns(ctx, current, proposed)
+	copied := make(chan error, 1)
+	go func() { copied <- copies.Wait() }()
+	return copied
+}
+
+// newMembers returns the members of the proposed view that aren't in the current one.
+func newMembers(current, proposed register.View) []register.Member {
+	return slices.DeleteFunc(slices.Clone(proposed.Members), func(member register.Member) bool {
+		return slices.Contains(current.Members, member)
+	})
+}
+
+// probeNewMembers returns an error unless all new members of the proposed view answer.
+func (d *Driver) probeNewMembers(ctx context.Context, current, proposed register.View) error {
+	ctx, stop := d.withRequestTimeout(ctx)
+	defer stop()
+	var probes errgroup.Group
+	for _, member := range newMembers(current, proposed) {
+		probes.Go(func() error {
+			// A replica that isn't a member refuses to open the view, which changes nothing.
+			_, err := d.members.Open(ctx, member, OpenRequest{View: current})
+			return merry.Prependf(err, "node %s", member.Node)
+		})
 	}
-	copyErr := copies.Wait()
-	if probeErr != nil {
-		return probeErr
+	return probes.Wait()
+}
+
+// withRequestTimeout returns a context that ends after the timeout of one request, by the
+// driver's clock.
+func (d *Driver) withRequestTimeout(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	stopTimer := d.clock.AfterFunc(d.settings.RequestTimeout, cancel)
+	return ctx, func() {
+		stopTimer()
+		cancel()
 	}
-	return copyErr
+}
+
+// probeResult is what the members of the current view answered to a probe.
+type probeResult struct {
+	// holding is the number of members that hold the current epoch.
+	holding int
+	// notReady names a member that doesn't hold it yet; failed is the error of a member of the
+	// proposed view that didn't answer or refused.
+	notReady, failed error
 }
 
 // probeMembers asks the current members whether they hold the current epoch. It skips a
 // member whose node has another incarnation in the proposed view, since the address
 // belongs to that incarnation now.
-func (d *Driver) probeMembers(ctx context.Context, current, proposed register.View) error {
-	ctx, stop := context.WithCancel(ctx)
+func (d *Driver) probeMembers(ctx context.Context, current, proposed register.View) probeResult {
+	ctx, stop := d.withRequestTimeout(ctx)
 	defer stop()
-	defer d.clock.AfterFunc(d.settings.RequestTimeout, stop)()
 	request := InstallRequest{Previous: current, Successor: proposed, TurnsOnly: true}
-	var probes errgroup.Group
+	var result probeResult
+	var mutex sync.Mutex
+	var probes sync.WaitGroup
 	for _, member := range current.Members {
 		if isReplaced(member, proposed) {
 			continue
 		}
-		probes.Go(func() error {
+		probes.Go(func() {
 			reply, err := d.members.Install(ctx, member, request)
+			mutex.Lock()
+			defer mutex.Unlock()
 			switch {
+			case err == nil && reply.Refusal == register.RefusalNone:
+				result.holding++
 			case err == nil && reply.Refusal == register.RefusalNotReady:
-				return merry.Errorf("node %s doesn't hold epoch %d of shard %d yet", member.Node, current.Epoch, current.Shard)
+				result.notReady = merry.Errorf("node %s doesn't hold epoch %d of shard %d yet", member.Node, current.Epoch, current.Shard)
 			case slices.Contains(proposed.Members, member):
-				return merry.Prependf(replyError(reply, err), "node %s", member.Node)
+				result.failed = merry.Prependf(replyError(reply, err), "node %s", member.Node)
 			}
-			return nil
 		})
 	}
-	return probes.Wait()
+	probes.Wait()
+	return result
 }
 
 // isReplaced reports whether the view has another incarnation of the member's node.
