Let a set go on when one member holds its data and another never did

Callers of a shard got 503 for good though one member had all of its data: {whole, lost, copying} could neither decide a successor nor be copied, since a member counted in both only with the data of the epoch.

Cause: a member without the data was taken for one that doesn't answer. It has granted nothing in the epoch, so each quorum that granted something is among the others: its listing is empty and complete. And a decision about the successor needs no data.

Change: such a member votes on the successor; once sealed it answers a listing with RefusalNeverHeld. A copy needs a majority of listings, one of them with data. A replica remembers the epoch whose data it dropped, and doesn't say that it never held it.

Evidence: TestSetWithOneHolderOutlivesTheLossOfTheOther fails without the refusal ("0 of 3 members installed the shard") and without the vote ("no majority"); TestSetIsNotBegunFromMembersWithoutData fails without the check for one with data.

--- a/coordination/register/message.go
+++ b/coordination/register/message.go
@@ -27,11 +27,14 @@
 	RefusalNotReady Refusal = 6
 	// RefusalStorage: the replica's storage failed.
 	RefusalStorage Refusal = 7
+	// RefusalNeverHeld: the epoch has ended, and the replica never held its data.
+	RefusalNeverHeld Refusal = 8
 )
 
 // refusalNames holds the names of the refusals by value.
 var refusalNames = [...]string{
 	"none", "ballot", "epoch", "sealed", "configuration", "incarnation", "not ready", "storage",
+	"never held",
 }
 
 // String returns the refusal's name for logs and errors.
--- a/coordination/shard/listing.go
+++ b/coordination/shard/listing.go
@@ -17,7 +17,10 @@
 // listing is what one member of the previous view holds: its registers, and references to
 // its turns.
 type listing struct {
-	member    register.Member
+	member register.Member
+	// neverHeld is set if the member never held the data of the previous view. It took part in
+	// no quorum of that epoch, so its listing is complete though it is empty.
+	neverHeld bool
 	registers map[string]replica.Register
 	turns     map[TurnReference]struct{}
 }
@@ -33,6 +36,9 @@
 	return held
 }
 
+// holds reports whether the member held the data of the previous view.
+func (l *listing) holds() bool { return !l.neverHeld }
+
 // listHedgeDelay is how long to wait for listings before asking one more member. It is a
 // multiple of the time that listing a large shard takes.
 const listHedgeDelay = 500 * time.Millisecond
@@ -43,10 +49,10 @@
 	err     error
 }
 
-// listMajority returns the listings of a majority of the previous members. It asks only as
-// many members as it needs, and one more for each that fails or is late: a listing costs a
-// member as much as serving many turns, and all members of the successor request listings
-// at the same time.
+// listMajority returns the listings of a majority of the previous members, at least one of
+// which held the data. It asks only as many members as it needs, and one more for each that
+// fails, is late or has never held the data: a listing costs a member as much as serving many
+// turns, and all members of the successor request listings at the same time.
 func (i *Installer) listMajority(ctx context.Context, request InstallRequest) ([]*listing, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -78,20 +84,34 @@
 				continue
 			}
 			listings = append(listings, result.listing)
-			if len(listings) == request.Previous.Quorum() {
+			if len(listings) >= request.Previous.Quorum() && slices.ContainsFunc(listings, (*listing).holds) {
 				return listings, nil
 			}
+			if result.listing.neverHeld {
+				ask(1)
+			}
 		case <-hedge.C:
 			ask(1)
 		}
 	}
-	return nil, tooFewListings(request.Previous, len(listings), lastErr)
+	return nil, tooFewListings(request.Previous, listings, lastErr)
 }
 
+// errTooFewListings means that a shard can't be copied: too few members of the previous view
+// could be listed, or none of them held the data.
+var errTooFewListings = merry.Sentinel("too few members could be listed")
+
 // tooFewListings returns the error for a copy that lacks the listings of a majority.
-func tooFewListings(previous register.View, listed int, lastErr error) error {
-	return merry.Prependf(lastErr, "only %d of %d members of epoch %d of shard %d could be listed, need a majority",
-		listed, len(previous.Members), previous.Epoch, previous.Shard)
+func tooFewListings(previous register.View, listings []*listing, lastErr error) error {
+	holding := 0
+	for _, listed := range listings {
+		if listed.holds() {
+			holding++
+		}
+	}
+	return merry.Wrap(errTooFewListings, merry.AppendMessagef(
+		"only %d of %d members of epoch %d of shard %d could be listed, %d of them with the data, need a majority, last error: %v",
+		len(listings), len(previous.Members), previous.Epoch, previous.Shard, holding, lastErr))
 }
 
 // listingOrder returns the members in the order in which to list them: this replica first,
@@ -128,6 +148,10 @@
 		}
 		return ctx.Err()
 	})
+	if err == nil && reply.Refusal == register.RefusalNeverHeld {
+		result.neverHeld = true
+		return result, nil
+	}
 	if err := replyError(reply, err); err != nil {
 		return nil, merry.Prependf(err, "list shard %d of node %s", request.Previous.Shard, member.Node)
 	}
--- a/coordination/shard/message.go
+++ b/coordination/shard/message.go
@@ -34,6 +34,9 @@
 	Wanted []TurnReference
 }
 
+// isFullListing reports whether the request is for everything that the replica holds.
+func (p PullRequest) isFullListing() bool { return !p.TurnsOnly && len(p.Wanted) == 0 }
+
 // PullItem is either a register or a turn; the other field is nil.
 type PullItem struct {
 	Register *RegisterState
--- a/coordination/shard/shardreplica.go
+++ b/coordination/shard/shardreplica.go
@@ -127,9 +127,12 @@
 		return register.RefusalEpoch, open
 	case fence.Epoch < current.View.Epoch:
 		return register.RefusalSealed, nil
-	case fence.Epoch > current.View.Epoch, !current.isInstalled():
+	case fence.Epoch > current.View.Epoch:
 		return register.RefusalNotReady, nil
-	case !current.isOpen() && !isSuccessorKey(key):
+	case isSuccessorKey(key) && r.isMember(current.View):
+		// A member decides the successor of its epoch whether or not it holds the data.
+		return register.RefusalNone, nil
+	case !current.isOpen():
 		return register.RefusalNotReady, nil
 	}
 	return register.RefusalNone, nil
--- a/coordination/shard/state.go
+++ b/coordination/shard/state.go
@@ -31,6 +31,14 @@
 	Opened register.View
 	// DataEpoch is the newest epoch whose data the replica holds, or zero for none.
 	DataEpoch uint64
+	// DroppedEpoch is the newest epoch whose data the replica held and deleted.
+	DroppedEpoch uint64 `json:",omitempty"`
+}
+
+// neverHeld reports whether the epoch has ended on the replica, which never held its data
+// and therefore granted no request in it.
+func (s shardState) neverHeld(epoch uint64) bool {
+	return s.View.Epoch > epoch && max(s.DataEpoch, s.DroppedEpoch) < epoch
 }
 
 // isInstalled reports whether the replica holds the data of its view.
--- a/coordination/shard/sweep.go
+++ b/coordination/shard/sweep.go
@@ -72,6 +72,7 @@
 		return nil
 	}
 	next := local.state
+	next.DroppedEpoch = max(next.DroppedEpoch, next.DataEpoch)
 	next.DataEpoch = 0
 	if err := r.setState(view.Shard, local, next); err != nil {
 		return err
--- a/coordination/shard/transition.go
+++ b/coordination/shard/transition.go
@@ -84,7 +84,7 @@
 
 // Pull visits the data that the replica holds of the shard. It sends registers only once the
 // epoch of the fence has ended on this replica, so that no vote in that epoch can follow the
-// read.
+// read. A replica that never held the data of that epoch then refuses with RefusalNeverHeld.
 func (r *Replica) Pull(_ context.Context, request PullRequest, visit func(PullItem) error) (archive.Reply, error) {
 	shard := request.Fence.Shard
 	local, err := r.acquire(shard)
@@ -99,6 +99,8 @@
 		return archive.Reply{Refusal: register.RefusalIncarnation, View: r.openView(shard)}, nil
 	case request.Fence.Epoch == unknownEpoch:
 		return archive.Reply{Refusal: register.RefusalEpoch, View: &current.Previous}, nil
+	case request.isFullListing() && current.neverHeld(request.Fence.Epoch):
+		return archive.Reply{Refusal: register.RefusalNeverHeld}, nil
 	case current.DataEpoch < request.Fence.Epoch, !request.TurnsOnly && !hasEnded:
 		return archive.Reply{Refusal: register.RefusalNotReady}, nil
 	}
