Let a repeated lookup of a chain go on where the last one ended

Callers got 503 (history unavailable) for 15 s and more after all nodes restarted, though all replica sets were open again 1.6 s after the return.

Cause: the ancestors of a turn were read with one request, within 0.8 s; if it was late, nothing of it was kept, so that each try of each caller asked busy members for the whole chain again.

Change: a lookup reads at most 64 turns with a request. What was answered is in the cache for the next try, as all found turns were before.

--- a/coordination/turnstore/find.go
+++ b/coordination/turnstore/find.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	// for a change of the replica set. A lookup of several shards has no limit of its
 	// own: it fails early only if one of them can't be read.
 	shardReadTimeout = 800 * time.Millisecond
+	// maxTurnsPerRead is the maximum number of turns that one request reads. The turns of
+	// requests that were answered stay in the cache if the lookup as a whole times out.
+	maxTurnsPerRead = 64
 	// maxConcurrentShardReads is the maximum number of shards that one lookup reads
 	// concurrently.
 	maxConcurrentShardReads = 16
@@ -132,21 +136,25 @@
 	}
 }
 
-// readMember reads the turns from one member and adds them to the found turns. It returns
-// true once all turns are found.
+// readMember reads the turns that aren't found yet from one member, in requests of bounded
+// size, and adds them to the found turns. It returns true once all turns are found.
 func (s *Store) readMember(ctx context.Context, member register.Member, fence register.Fence, ids []string, found *foundTurns) (bool, archive.Reply, error) {
-	stored, reply, err := s.replicas.ReadMany(ctx, member, fence, ids)
-	if err != nil {
-		return false, reply, err
-	}
-	for _, storedTurn := range stored {
-		// The member counts as failed if a copy can't be decoded: others may have a valid
-		// one.
-		turn, err := s.codec.Decode(storedTurn.Program, storedTurn.Object, storedTurn.Digest)
-		if err != nil {
-			return false, reply, err
+	var reply archive.Reply
+	for batch := range slices.Chunk(found.without(ids), maxTurnsPerRead) {
+		stored, answer, err := s.replicas.ReadMany(ctx, member, fence, batch)
+		if err != nil || answer.Refusal != register.RefusalNone {
+			return false, answer, err
+		}
+		reply = answer
+		for _, storedTurn := range stored {
+			// The member counts as failed if a copy can't be decoded: others may have a valid
+			// one.
+			turn, err := s.codec.Decode(storedTurn.Program, storedTurn.Object, storedTurn.Digest)
+			if err != nil {
+				return false, reply, err
+			}
+			found.add(turn)
 		}
-		found.add(turn)
 	}
 	return found.isComplete(), reply, nil
 }
@@ -168,6 +176,13 @@
 	f.turns[whole.GetId()] = whole
 }
 
+// without returns those of the ids whose turns aren't found.
+func (f *foundTurns) without(ids []string) []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return f.turns[id] != nil })
+}
+
 func (f *foundTurns) addLacking(answered performers) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
