--- a/coordination/shard/model_test.go
+++ b/coordination/shard/model_test.go
@@ -50,8 +50,10 @@
 type modelRun struct {
 	*network
 	// hasDataLoss is set from the wipe of a node until every member holds the newest epoch
-	// again. No other node is wiped meanwhile, since a set survives only the loss of a minority.
+	// again. Meanwhile another node is wiped only if the set survives that.
 	hasDataLoss bool
+	// laterLosses counts the nodes wiped while a member lacked the data of the newest epoch.
+	laterLosses int
 	workers     sync.WaitGroup
 	// drivers counts the running drivers.
 	drivers atomic.Int32
@@ -89,6 +91,28 @@
 	return true
 }
 
+// survivesLossOf reports whether the newest view, which no driver is changing, keeps a majority
+// of its incarnations without the node, one of which serves it.
+func (m *modelRun) survivesLossOf(node string) bool {
+	if m.drivers.Load() > 0 || slices.ContainsFunc(m.names(), m.isChanging) {
+		return false
+	}
+	view := m.newestView()
+	kept, serving := 0, 0
+	for _, member := range view.Members {
+		p := m.process(member.Node)
+		if member.Node == node || p.member != member {
+			continue
+		}
+		kept++
+		fence := register.Fence{Epoch: view.Epoch, Replica: member.Incarnation}
+		if reply, err := p.replica.ReadTurns(context.Background(), fence, "none", 0, nil); err == nil && reply.Refusal == register.RefusalNone {
+			serving++
+		}
+	}
+	return kept >= view.Quorum() && serving > 0
+}
+
 func (m *modelRun) isChanging(node string) bool {
 	return len(m.process(node).replica.Unfinished()) > 0
 }
@@ -126,6 +150,22 @@
 	})
 }
 
+// replace starts a driver on the node that replaces members which lost their data.
+func (m *modelRun) replace(node string, wanted []register.Member, lifetime time.Duration) {
+	m.startDriver(node, lifetime, func(ctx context.Context, driver *shard.Driver, view register.View) {
+		_, _ = driver.Replace(ctx, view, wanted)
+	})
+}
+
+// newIncarnations returns the members of the view with the incarnations that are running.
+func (m *modelRun) newIncarnations(view register.View) []register.Member {
+	var members []register.Member
+	for _, member := range view.Members {
+		members = append(members, m.process(member.Node).member)
+	}
+	return members
+}
+
 // startDriver starts a driver on the node. The driver is stopped after the given lifetime, or
 // when the process of the node ends.
 func (m *modelRun) startDriver(node string, lifetime time.Duration, work func(context.Context, *shard.Driver, register.View)) {
@@ -155,10 +195,15 @@
 	eventDriveTwice
 	// eventRestart restarts a node with its data.
 	eventRestart
-	// eventWipe restarts a node without its data, if the set survives that.
+	// eventWipe restarts a member without its data, if the set survives that.
 	eventWipe
 	eventFreeze
 	eventSweep
+	// eventReplace starts a driver that replaces wiped members by their new incarnations.
+	eventReplace
+	// eventWipeTwo wipes a member, replaces it and wipes another one before the first has
+	// copied the shard, if the set survives that.
+	eventWipeTwo
 	eventKinds
 )
 
@@ -219,17 +264,51 @@
 	case eventRestart:
 		m.start(node, p.member.Zone, p)
 	case eventWipe:
-		if !m.hasDataLoss {
-			m.hasDataLoss = true
-			m.start(node, p.member.Zone, nil)
-		}
+		m.wipe(m.newestView().Members[next.node%modelSetSize].Node, 3*next.length)
 	case eventFreeze:
 		m.freeze(node, 3*next.length)
 	case eventSweep:
 		m.workers.Go(func() { _ = p.installer.DropUnneededShards(p.ctx) })
+	case eventReplace:
+		m.replace(node, m.newIncarnations(m.newestView()), 2*time.Second)
+	case eventWipeTwo:
+		m.wipeTwo(next)
 	}
 }
 
+// wipeTwo wipes a member whose copies are delayed, and another one once the first is replaced.
+func (m *modelRun) wipeTwo(next event) {
+	const copyDelay = 4 * time.Second
+	members := m.newestView().Members
+	first, second := members[next.node%modelSetSize], members[(next.node+1)%modelSetSize]
+	if m.hasDataLoss {
+		return
+	}
+	m.wipe(first.Node, copyDelay)
+	time.Sleep(next.pause)
+	m.replace(second.Node, m.newIncarnations(m.newestView()), time.Second)
+	for range 6 {
+		time.Sleep(copyDelay / 8)
+		if slices.Contains(m.newestView().Members, m.process(first.Node).member) && m.survivesLossOf(second.Node) {
+			m.wipe(second.Node, next.length)
+			return
+		}
+	}
+}
+
+// wipe restarts the node without its data, if the set survives that, and delays its copies.
+func (m *modelRun) wipe(node string, copyDelay time.Duration) {
+	if m.hasDataLoss && !m.survivesLossOf(node) {
+		return
+	}
+	if m.hasDataLoss && slices.Contains(m.newestView().Members, m.process(node).member) {
+		m.laterLosses++
+	}
+	m.hasDataLoss = true
+	m.start(node, m.process(node).member.Zone, nil)
+	m.delayCopies(node, copyDelay)
+}
+
 // gossip repeatedly exchanges the open views of two random nodes and a client.
 func (m *modelRun) gossip(ctx context.Context, clients []*shard.Map) {
 	for ctx.Err() == nil {
@@ -290,11 +369,15 @@
 
 // recover drives the shard until a set of live members serves it.
 func (m *modelRun) recover() error {
-	for range recoveryRounds {
+	for round := range recoveryRounds {
 		time.Sleep(time.Second)
 		if m.isHealthy() {
 			return nil
 		}
+		if round%2 == 0 {
+			m.replace(nodeName(m.randomInt(modelNodes)), m.newIncarnations(m.newestView()), 10*time.Second)
+			continue
+		}
 		var live []register.Member
 		for node := range modelSetSize {
 			live = append(live, m.process(nodeName(node)).member)
@@ -351,7 +434,7 @@
 // TestReconfigurationModel checks linearizability and the durability of turns while drivers,
 // messages and nodes fail.
 func TestReconfigurationModel(t *testing.T) {
-	operations, epochs := 0, uint64(0)
+	operations, epochs, laterLosses := 0, uint64(0), 0
 	rapid.Check(t, func(rt *rapid.T) {
 		var violation error
 		m := &modelRun{network: newNetwork(rapid.Uint64().Draw(rt, "seed"))}
@@ -360,8 +443,9 @@
 		bubble.Test(t, func(*testing.T) { violation = m.run(events) })
 		operations += len(m.history)
 		epochs += m.newestView().Epoch - shard.FirstEpoch
+		laterLosses += m.laterLosses
 		assert.NilError(rt, violation)
 	})
-	t.Logf("%d operations, %d changes of epoch", operations, epochs)
-	assert.Assert(t, operations > 0 && epochs > 0)
+	t.Logf("%d operations, %d changes of epoch, %d losses before the set was whole", operations, epochs, laterLosses)
+	assert.Assert(t, operations > 0 && epochs > 0 && laterLosses > 0)
 }
--- a/coordination/shard/network_test.go
+++ b/coordination/shard/network_test.go
@@ -46,15 +46,17 @@
 	faultRate float64
 	processes map[string]*process
 	// frozenUntil delays requests to a node and its replies until the given time.
-	frozenUntil  map[string]time.Time
-	incarnations int
+	frozenUntil map[string]time.Time
+	// copiesBeginAt delays the pulls of a node until the given time.
+	copiesBeginAt map[string]time.Time
+	incarnations  int
 }
 
 func newNetwork(seed uint64) *network {
 	return &network{
 		random:      rand.New(rand.NewPCG(seed, 0)),
 		processes:   make(map[string]*process),
-		frozenUntil: make(map[string]time.Time),
+		frozenUntil: make(map[string]time.Time), copiesBeginAt: make(map[string]time.Time),
 	}
 }
 
@@ -117,12 +119,33 @@
 	n.frozenUntil[node] = time.Now().Add(length)
 }
 
+// delayCopies makes the pulls of the node wait.
+func (n *network) delayCopies(node string, length time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.copiesBeginAt[node] = time.Now().Add(length)
+}
+
+// awaitCopies waits until the node may pull.
+func (n *network) awaitCopies(ctx context.Context, node string) error {
+	n.mutex.Lock()
+	wait := time.Until(n.copiesBeginAt[node])
+	n.mutex.Unlock()
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // stopFaults ends message loss, duplication and frozen nodes.
 func (n *network) stopFaults() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.faultRate = 0
 	clear(n.frozenUntil)
+	clear(n.copiesBeginAt)
 }
 
 // transmit waits for the delay of one message, or until its nodes are no longer frozen.
@@ -236,6 +259,9 @@
 }
 
 func (l link) Pull(ctx context.Context, to register.Member, request shard.PullRequest, visit func(shard.PullItem) error) (archive.Reply, error) {
+	if err := l.network.awaitCopies(ctx, l.node); err != nil {
+		return archive.Reply{}, err
+	}
 	result, err := call(ctx, l, to, func(ctx context.Context, p *process) (result pullResult) {
 		result.reply, result.err = p.replica.Pull(ctx, request, func(item shard.PullItem) error {
 			result.items = append(result.items, item)
