Fetch a shard's turns while others are written

A copy fetched 128 turns, wrote them, and fetched the next ones only then. Two pulls of 64 now run at a time from a member, so that the memory of a copy stays as it was.

--- a/coordination/shard/installer.go
+++ b/coordination/shard/installer.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
@@ -19,7 +20,10 @@
 	// concurrent writes into one sync.
 	maxParallelWrites = 256
 	// maxTurnsPerPull limits the turns that one pull requests.
-	maxTurnsPerPull = 128
+	maxTurnsPerPull = 64
+	// maxConcurrentPulls limits the concurrent pulls of one installation from one member, so
+	// that turns are fetched while others are written.
+	maxConcurrentPulls = 2
 )
 
 // Installer copies the data of shards from other members to this node's replica.
@@ -119,29 +123,55 @@
 
 // copyTurns fetches the turns that the replica lacks, each from a member that listed it.
 func (i *Installer) copyTurns(ctx context.Context, request InstallRequest, listings []*listing) error {
-	missing, err := i.replica.missingTurns(request.Successor.Shard, listings)
+	lacking, err := i.replica.missingTurns(request.Successor.Shard, listings)
 	if err != nil {
 		return err
 	}
+	missing := &missingTurns{turns: lacking}
 	for _, from := range listings {
-		wanted := from.intersect(missing)
-		for batch := range slices.Chunk(wanted, maxTurnsPerPull) {
-			if err := i.fetchTurns(ctx, request, from.member, batch, missing); err != nil {
-				i.logger.Info("turns not copied", zap.String("node", from.member.Node), zap.Error(err))
-				break
-			}
+		if err := i.copyFrom(ctx, request, from.member, from.intersect(lacking), missing); err != nil {
+			i.logger.Info("turns not copied", zap.String("node", from.member.Node), zap.Error(err))
 		}
 	}
-	if len(missing) > 0 {
+	if len(lacking) > 0 {
 		return merry.Errorf("could not fetch %d turns of shard %d from any member that listed them",
-			len(missing), request.Successor.Shard)
+			len(lacking), request.Successor.Shard)
 	}
 	return nil
 }
 
+// copyFrom fetches the wanted turns from one member, until a pull fails.
+func (i *Installer) copyFrom(ctx context.Context, request InstallRequest, member register.Member, wanted []TurnReference, missing *missingTurns) error {
+	pulls, ctx := errgroup.WithContext(ctx)
+	pulls.SetLimit(maxConcurrentPulls)
+	for batch := range slices.Chunk(wanted, maxTurnsPerPull) {
+		pulls.Go(func() error {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return i.fetchTurns(ctx, request, member, batch, missing)
+		})
+	}
+	return pulls.Wait()
+}
+
+// missingTurns are the turns that an installation still has to fetch.
+type missingTurns struct {
+	mutex sync.Mutex
+	turns map[TurnReference]struct{}
+}
+
+func (m *missingTurns) remove(received []replica.Turn) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, turn := range received {
+		delete(m.turns, referenceOf(turn))
+	}
+}
+
 // fetchTurns copies the wanted turns from one member and removes those that it received
 // from missing.
-func (i *Installer) fetchTurns(ctx context.Context, request InstallRequest, member register.Member, wanted []TurnReference, missing map[TurnReference]struct{}) error {
+func (i *Installer) fetchTurns(ctx context.Context, request InstallRequest, member register.Member, wanted []TurnReference, missing *missingTurns) error {
 	pull := PullRequest{Fence: fenceOf(request.Previous, member), TurnsOnly: request.TurnsOnly, Wanted: wanted}
 	var received []replica.Turn
 	reply, err := i.pull(ctx, member, pull, func(item PullItem) error {
@@ -153,13 +183,10 @@
 	if err := replyError(reply, err); err != nil {
 		return err
 	}
-	err = i.replica.putTurns(request.Successor.Shard, received)
-	if err != nil {
+	if err := i.replica.putTurns(request.Successor.Shard, received); err != nil {
 		return err
 	}
-	for _, turn := range received {
-		delete(missing, referenceOf(turn))
-	}
+	missing.remove(received)
 	return nil
 }
 
