Keep a set serving that needs its new members, and a copying node not ready

A set that loses a member while another one leaves keeps one member, so that it was sealed until a new one had copied everything. Replace now waits for the copies where the members that remain are no majority of the new set. TestReplaceWaitsForCopiesThatTheSetNeeds fails without that: nothing is served.

A node was reported ready once no member had to be replaced, which is now before it has copied its shards; a rolling restart would have stopped the next one. Its own shards have to be whole (TestSlowCopyDelaysNoOtherShard).

--- a/coordination/repair/repair.go
+++ b/coordination/repair/repair.go
@@ -82,7 +82,7 @@
 // complete.
 func (r *Service) runRound(ctx context.Context) {
 	plan := r.options.Maintainer.RunOnce(ctx, r.Situation())
-	if isComplete(plan) && len(r.options.Views.Views()) > 0 {
+	if isComplete(plan) && r.options.Maintainer.HoldsShards() && len(r.options.Views.Views()) > 0 {
 		r.seenComplete.Store(true)
 	}
 }
@@ -99,8 +99,8 @@
 	})
 }
 
-// Check is a readiness check. A node becomes ready once it has seen every set complete, so
-// that a rolling restart that waits for readiness never stops a second member of a set.
+// Check is a readiness check. A node becomes ready once it has seen every set complete and
+// holds the data of its shards, so that a rolling restart that waits for readiness never stops a second member of a set.
 // Afterwards it stays ready, since the loss of a member elsewhere must not make it
 // unavailable.
 func (r *Service) Check(context.Context) error {
--- a/coordination/shard/holder_test.go
+++ b/coordination/shard/holder_test.go
@@ -38,7 +38,7 @@
 		writeRegister(t, n, first, "first")
 		// n2 loses its disk and is replaced, but its new incarnation doesn't copy the shard.
 		replaced := restartEmpty(n, nodeName(2), first)
-		gated := gatedLink{link: link{n, "driver"}, gated: replaced.Incarnation, gate: make(chan struct{})}
+		gated := gatedLink{link: link{n, "driver"}, gated: []string{replaced.Incarnation}, gate: make(chan struct{})}
 		second := register.View{Epoch: first.Epoch + 1, Members: []register.Member{first.Members[0], first.Members[1], replaced}}
 		changing, stop := context.WithTimeout(t.Context(), 10*time.Second)
 		defer stop()
--- a/coordination/shard/maintainer.go
+++ b/coordination/shard/maintainer.go
@@ -97,6 +97,10 @@
 	return outcome
 }
 
+// HoldsShards reports whether this node's replica holds the data of each open view that
+// includes it.
+func (m *Maintainer) HoldsShards() bool { return len(m.replica.Unready()) == 0 }
+
 // Wait waits until the jobs have ended that RunOnce started.
 func (m *Maintainer) Wait() { m.jobs.wait() }
 
--- a/coordination/shard/maintainer_test.go
+++ b/coordination/shard/maintainer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,15 +17,15 @@
 	"github.com/marblering/marblering/test/bubble"
 )
 
-// gatedLink delays the installation of one incarnation until gate is closed.
+// gatedLink delays the installation of some incarnations until gate is closed.
 type gatedLink struct {
 	link
-	gated string
+	gated []string
 	gate  chan struct{}
 }
 
 func (l gatedLink) Install(ctx context.Context, to register.Member, request shard.InstallRequest) (archive.Reply, error) {
-	if to.Incarnation == l.gated {
+	if slices.Contains(l.gated, to.Incarnation) {
 		select {
 		case <-l.gate:
 		case <-ctx.Done():
@@ -62,7 +63,7 @@
 		n, first := newThreeMembers()
 		replaced := restartEmpty(n, nodeName(2), first)
 		own := n.process(nodeName(0))
-		gated := gatedLink{link: link{n, "driver"}, gated: replaced.Incarnation, gate: make(chan struct{})}
+		gated := gatedLink{link: link{n, "driver"}, gated: []string{replaced.Incarnation}, gate: make(chan struct{})}
 		driver := shard.NewDriver("driver", gated, own.views, register.SystemClock{}, rand.New(rand.NewPCG(1, 1)), register.DefaultSettings(), zap.NewNop())
 		settings := shard.PlanSettings{ReplicationFactor: 3, ReplaceAfter: time.Second, MaxMoves: 1}
 		maintainer := shard.NewMaintainer(nodeName(0), own.replica, own.installer, driver, settings, zap.NewNop())
@@ -79,7 +80,39 @@
 		time.Sleep(10 * time.Second)
 		opened, _ := own.views.View(0)
 		assert.Equal(t, opened.Epoch, first.Epoch+1, fmt.Sprint(opened))
+		copying := n.process(replaced.Node)
+		copying.views.Learn(opened)
+		itsMaintainer := shard.NewMaintainer(replaced.Node, copying.replica, copying.installer, driver, settings, zap.NewNop())
+		assert.Assert(t, !itsMaintainer.HoldsShards(), "a node that still copies must not be reported ready")
+		assert.Assert(t, maintainer.HoldsShards())
 		stop()
 		maintainer.Wait()
 	})
 }
+
+// TestReplaceWaitsForCopiesThatTheSetNeeds guards against sealing a set that can't open before
+// its new members have copied the shard.
+func TestReplaceWaitsForCopiesThatTheSetNeeds(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		n, first := newThreeMembers()
+		wanted := []register.Member{first.Members[0]}
+		gated := gatedLink{link: link{n, "driver"}, gate: make(chan struct{})}
+		for _, node := range []string{"n3", "n4"} {
+			wanted = append(wanted, restartEmpty(n, node, first))
+			gated.gated = append(gated.gated, n.process(node).member.Incarnation)
+		}
+		var opened register.View
+		var err error
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			opened, err = newTestDriver(gated, first).Replace(t.Context(), first, wanted)
+		}()
+		time.Sleep(10 * time.Second)
+		writeRegister(t, n, first, "served while the new members copy")
+		close(gated.gate)
+		<-done
+		assert.NilError(t, err)
+		assert.Equal(t, opened.Epoch, first.Epoch+1)
+	})
+}
--- a/coordination/shard/precopy.go
+++ b/coordination/shard/precopy.go
@@ -40,26 +40,30 @@
 }
 
 // shareTurns has the members that remain copy the turns that they lack, as far as
-// backfillTimeout allows, while the new members copy as well. It doesn't wait for the new
-// members, but they must answer. Current members that lack the data of the epoch don't block
-// the change, since the successor's members can be copied from those that hold it.
+// backfillTimeout allows, while the new members copy as well. The new members must answer, but
+// it waits for their copies only if the members that remain can't serve the proposed view
+// without them. Current members that lack the data of the epoch don't block the change, since
+// the successor's members can be copied from those that hold it.
 func (d *Driver) shareTurns(ctx context.Context, current, proposed register.View) error {
 	copied := d.startPrecopies(ctx, current, proposed)
 	probed := d.probeMembers(ctx, current, proposed)
 	if err := errors.Join(probed.failed, d.probeNewMembers(ctx, current, proposed)); err != nil {
 		return err
 	}
-	if probed.holding >= current.Quorum() {
-		d.backfillTurns(ctx, current, proposed)
+	if probed.holding < current.Quorum() {
+		// The set serves nothing, so that waiting for copies would only prolong that.
+		return nil
+	}
+	d.backfillTurns(ctx, current, proposed)
+	if probed.remaining < proposed.Quorum() {
+		return <-copied
 	}
 	select {
 	case err := <-copied:
-		if probed.holding >= current.Quorum() {
-			return err
-		}
+		return err
 	default:
+		return nil
 	}
-	return nil
 }
 
 // startPrecopies has the new members of the proposed view copy turns. The channel receives
@@ -113,8 +117,9 @@
 
 // probeResult is what the members of the current view answered to a probe.
 type probeResult struct {
-	// holding is the number of members that hold the current epoch.
-	holding int
+	// holding is the number of members that hold the current epoch; remaining is the number of
+	// those that are in the proposed view.
+	holding, remaining int
 	// notReady names a member that doesn't hold it yet; failed is the error of a member of the
 	// proposed view that didn't answer or refused.
 	notReady, failed error
@@ -141,6 +146,9 @@
 			switch {
 			case err == nil && reply.Refusal == register.RefusalNone:
 				result.holding++
+				if slices.Contains(proposed.Members, member) {
+					result.remaining++
+				}
 			case err == nil && reply.Refusal == register.RefusalNotReady:
 				result.notReady = merry.Errorf("node %s doesn't hold epoch %d of shard %d yet", member.Node, current.Epoch, current.Shard)
 			case slices.Contains(proposed.Members, member):
