Open an installed set after the loss of its driver, and repair the next loss at once

A successor that one member had installed stayed closed for good if the driver's disk went before it opened: the seal of the epoch before has no majority any more, though the installation proves that it had one.

A probe waited for the copy that it asks about, and counted as no answer. It is answered before the shard is locked; a precopy that waits for another shard's doesn't lock its own (TestReplaceGoesOnWhileAMemberCopies).

--- a/coordination/shard/driver.go
+++ b/coordination/shard/driver.go
@@ -94,11 +94,14 @@
 		return successor, nil
 	}
 	sealStarted := time.Now()
-	if err := d.seal(ctx, current, successor); err != nil {
-		return register.View{}, merry.Prependf(err, "seal epoch %d of shard %d", current.Epoch, current.Shard)
+	needed := successor.Quorum()
+	sealErr := d.seal(ctx, current, successor)
+	if sealErr != nil {
+		// A member that holds the successor's data copied it from a majority that was sealed.
+		needed = 1
 	}
-	if err := d.installAndOpen(ctx, current, successor, sealStarted); err != nil {
-		return register.View{}, merry.Prependf(err, "install epoch %d of shard %d", successor.Epoch, current.Shard)
+	if err := d.installAndOpen(ctx, current, successor, sealStarted, needed); err != nil {
+		return register.View{}, merry.Prependf(errors.Join(sealErr, err), "install epoch %d of shard %d", successor.Epoch, current.Shard)
 	}
 	return successor, nil
 }
@@ -183,9 +186,9 @@
 }
 
 // installAndOpen has every member of the successor copy the shard, opens the successor once
-// a majority has done so, and opens the other members as they finish. sealStarted is when
-// this driver began to seal the previous epoch.
-func (d *Driver) installAndOpen(ctx context.Context, current, successor register.View, sealStarted time.Time) error {
+// the needed number has done so, and opens the other members as they finish. sealStarted is
+// when this driver began to seal the previous epoch.
+func (d *Driver) installAndOpen(ctx context.Context, current, successor register.View, sealStarted time.Time, needed int) error {
 	installed := d.install(ctx, InstallRequest{Previous: current, Successor: successor})
 	var ready []register.Member
 	var lastErr error
@@ -202,7 +205,7 @@
 			continue
 		}
 		ready = append(ready, result.member)
-		if len(ready) >= successor.Quorum() {
+		if len(ready) >= needed {
 			if !isOpen {
 				openedAfter = time.Since(sealStarted)
 			}
--- a/coordination/shard/installer.go
+++ b/coordination/shard/installer.go
@@ -51,14 +51,14 @@
 	if request.Previous.Epoch+1 != request.Successor.Epoch || request.Previous.Shard != shard {
 		return archive.Reply{Refusal: register.RefusalEpoch}
 	}
+	if request.TurnsOnly {
+		return i.precopyTurns(ctx, request)
+	}
 	release, err := i.replica.beginInstall(ctx, shard)
 	if err != nil {
 		return archive.Reply{Refusal: register.RefusalNotReady}
 	}
 	defer release()
-	if request.TurnsOnly {
-		return i.precopyTurns(ctx, request)
-	}
 	// Adopting the successor ends the previous epoch on this replica. If a newer view has been
 	// decided already, the install still goes on: that view may need this replica as a source.
 	isFirstEpochMember := request.Previous.Epoch == FirstEpoch && i.replica.isMember(request.Previous)
@@ -81,7 +81,7 @@
 }
 
 // precopyTurns copies turns before the previous epoch is sealed. A member of the previous
-// view that isn't asked to backfill only reports whether it holds that epoch.
+// view that isn't asked to backfill only reports whether it holds that epoch, at once.
 func (i *Installer) precopyTurns(ctx context.Context, request InstallRequest) archive.Reply {
 	isMember := i.replica.isMember(request.Previous)
 	if isMember && !i.replica.holdsData(request.Previous) {
@@ -90,12 +90,18 @@
 	if isMember && !request.Backfill {
 		return archive.Reply{}
 	}
+	// The shard isn't locked while it waits for others to be precopied.
 	select {
 	case i.precopySlot <- struct{}{}:
 		defer func() { <-i.precopySlot }()
 	case <-ctx.Done():
 		return archive.Reply{Refusal: register.RefusalNotReady}
 	}
+	release, err := i.replica.beginInstall(ctx, request.Successor.Shard)
+	if err != nil {
+		return archive.Reply{Refusal: register.RefusalNotReady}
+	}
+	defer release()
 	return i.replyTo(request, i.copyShard(ctx, request))
 }
 
--- a/coordination/shard/jobs.go
+++ b/coordination/shard/jobs.go
@@ -14,10 +14,13 @@
 	jobSweep
 )
 
-// jobKey identifies a job. The shard of jobSweep is zero.
+// jobKey identifies a job. The shard of jobSweep is zero. The epoch is that of the view that
+// the job changes, and zero if it changes none: a set that has changed may need the next
+// change while the first one still waits for a copy.
 type jobKey struct {
 	kind  jobKind
 	shard uint32
+	epoch uint64
 }
 
 // jobs runs at most one job of each key at a time.
@@ -49,16 +52,14 @@
 	delete(j.running, key)
 }
 
-// count returns the number of running jobs of the kinds.
-func (j *jobs) count(kinds ...jobKind) int {
+// count returns the number of running jobs of the kind.
+func (j *jobs) count(kind jobKind) int {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
 	count := 0
 	for key := range j.running {
-		for _, kind := range kinds {
-			if key.kind == kind {
-				count++
-			}
+		if key.kind == kind {
+			count++
 		}
 	}
 	return count
--- a/coordination/shard/maintainer.go
+++ b/coordination/shard/maintainer.go
@@ -68,16 +68,16 @@
 // few seconds; calls must not overlap.
 func (m *Maintainer) RunOnce(ctx context.Context, situation ClusterState) PlanResult {
 	for _, missing := range m.replica.missingShards() {
-		m.start(ctx, jobInstall, missing.View.Shard, func(ctx context.Context) { m.install(ctx, missing) })
+		m.start(ctx, jobKey{kind: jobInstall, shard: missing.View.Shard}, func(ctx context.Context) { m.install(ctx, missing) })
 	}
 	for _, view := range m.stalledChanges() {
-		m.start(ctx, jobFinish, view.Shard, func(ctx context.Context) {
+		m.start(ctx, jobKey{kind: jobFinish, shard: view.Shard, epoch: view.Epoch}, func(ctx context.Context) {
 			opened, err := m.driver.Drive(ctx, view, nil)
 			m.report(view, opened, "unfinished", err)
 		})
 	}
 	for _, view := range m.stalledInstalls() {
-		m.start(ctx, jobRefresh, view.Shard, func(ctx context.Context) {
+		m.start(ctx, jobKey{kind: jobRefresh, shard: view.Shard, epoch: view.Epoch}, func(ctx context.Context) {
 			opened, err := m.driver.Refresh(ctx, view)
 			m.report(view, opened, "this node doesn't hold the shard", err)
 		})
@@ -88,7 +88,7 @@
 			m.startMove(ctx, move)
 		}
 	}
-	m.start(ctx, jobSweep, 0, func(ctx context.Context) {
+	m.start(ctx, jobKey{kind: jobSweep}, func(ctx context.Context) {
 		if err := m.installer.DropUnneededShards(ctx); err != nil {
 			m.logger.Warn("shards not swept", zap.Error(err))
 		}
@@ -104,26 +104,26 @@
 // Wait waits until the jobs have ended that RunOnce started.
 func (m *Maintainer) Wait() { m.jobs.wait() }
 
-// start starts a job, unless one of its kind is running for the shard.
-func (m *Maintainer) start(ctx context.Context, kind jobKind, shard uint32, run func(context.Context)) {
-	m.jobs.start(jobKey{kind: kind, shard: shard}, func() {
+// start starts a job, unless one of its key is running.
+func (m *Maintainer) start(ctx context.Context, key jobKey, run func(context.Context)) {
+	m.jobs.start(key, func() {
 		ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 		defer cancel()
 		run(ctx)
 	})
 }
 
-// startMove starts to drive the move, unless MaxMoves moves are being driven. A move that
-// replaces a lost member doesn't wait for one that was planned for another reason.
+// startMove starts to drive the move. At most MaxMoves moves are driven that don't replace a
+// lost member.
 func (m *Maintainer) startMove(ctx context.Context, move Move) {
 	kind, drive := jobMove, m.driver.Drive
 	if move.Reason.isLoss() {
 		kind, drive = jobReplace, m.driver.Replace
 	}
-	if m.jobs.count(kind) >= max(1, m.settings.MaxMoves) {
+	if kind == jobMove && m.jobs.count(kind) >= max(1, m.settings.MaxMoves) {
 		return
 	}
-	m.start(ctx, kind, move.View.Shard, func(ctx context.Context) {
+	m.start(ctx, jobKey{kind: kind, shard: move.View.Shard, epoch: move.View.Epoch}, func(ctx context.Context) {
 		opened, err := drive(ctx, move.View, move.Members)
 		m.report(move.View, opened, string(move.Reason), err)
 	})
--- a/coordination/shard/review_test.go
+++ b/coordination/shard/review_test.go
@@ -60,7 +60,7 @@
 		// n1 replaces n2, and loses its disk when both holders have installed the successor.
 		changing, stop := context.WithTimeout(t.Context(), 10*time.Second)
 		defer stop()
-		halted := haltedLink{gatedLink{link: link{n, "driver"}, gated: replaced.Incarnation, gate: make(chan struct{})}}
+		halted := haltedLink{gatedLink{link: link{n, "driver"}, gated: []string{replaced.Incarnation}, gate: make(chan struct{})}}
 		_, _ = newTestDriver(halted, first).Replace(changing, first, second.Members)
 		holder := n.process(nodeName(0))
 		assert.Equal(t, holder.installer.Install(t.Context(), shard.InstallRequest{Previous: first, Successor: second}).Refusal, register.RefusalNone,
@@ -147,7 +147,7 @@
 		second := register.View{Epoch: first.Epoch + 1, Members: []register.Member{first.Members[0], first.Members[1], replaced}}
 		changing, stop := context.WithTimeout(t.Context(), 10*time.Second)
 		defer stop()
-		gated := gatedLink{link: link{n, "driver"}, gated: replaced.Incarnation, gate: make(chan struct{})}
+		gated := gatedLink{link: link{n, "driver"}, gated: []string{replaced.Incarnation}, gate: make(chan struct{})}
 		opened, err := newTestDriver(gated, first).Replace(changing, first, second.Members)
 		assert.NilError(t, err)
 		for _, member := range opened.Members {
