Don't wait for the lost member when it is replaced

Change: a replacement probes the members that remain, others only if it matters; the members that remain are listed first. TestLostMemberIsNotWaitedFor: no waiting in virtual time; it fails before.

--- a/coordination/shard/listing.go
+++ b/coordination/shard/listing.go
@@ -56,7 +56,7 @@
 func (i *Installer) listMajority(ctx context.Context, request InstallRequest) ([]*listing, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	members := i.listingOrder(request.Previous.Members)
+	members := i.listingOrder(request)
 	results := make(chan listingResult, len(members))
 	asked := 0
 	ask := func(count int) {
@@ -114,20 +114,25 @@
 		len(listings), len(previous.Members), previous.Epoch, previous.Shard, holding, lastErr))
 }
 
-// listingOrder returns the members in the order in which to list them: this replica first,
-// since that needs no request, then the others in an order that differs between replicas,
-// which spreads the load.
-func (i *Installer) listingOrder(members []register.Member) []register.Member {
+// listingOrder returns the previous members in the order in which to list them: this replica
+// first, since that needs no request, then those that remain in the successor, since the
+// others may not answer, each in an order that differs between replicas, which spreads the
+// load.
+func (i *Installer) listingOrder(request InstallRequest) []register.Member {
 	own := i.replica.incarnation
-	ordered := slices.Clone(members)
-	slices.SortFunc(ordered, func(a, b register.Member) int {
-		switch own {
-		case a.Incarnation:
-			return -1
-		case b.Incarnation:
+	distance := func(member register.Member) int {
+		switch {
+		case member.Incarnation == own:
+			return 0
+		case slices.Contains(request.Successor.Members, member):
 			return 1
 		}
-		return cmp.Compare(register.Rank(b.Node, own), register.Rank(a.Node, own))
+		return 2
+	}
+	ordered := slices.Clone(request.Previous.Members)
+	slices.SortFunc(ordered, func(a, b register.Member) int {
+		return cmp.Or(cmp.Compare(distance(a), distance(b)),
+			cmp.Compare(register.Rank(b.Node, own), register.Rank(a.Node, own)))
 	})
 	return ordered
 }
--- a/coordination/shard/maintainer_test.go
+++ b/coordination/shard/maintainer_test.go
@@ -116,3 +116,53 @@
 		assert.Equal(t, opened.Epoch, first.Epoch+1)
 	})
 }
+
+// silentLink never answers for one node.
+type silentLink struct {
+	link
+	silent string
+}
+
+func (l silentLink) Install(ctx context.Context, to register.Member, request shard.InstallRequest) (archive.Reply, error) {
+	if to.Node == l.silent {
+		<-ctx.Done()
+		return archive.Reply{}, ctx.Err()
+	}
+	return l.link.Install(ctx, to, request)
+}
+
+func (l silentLink) Seal(ctx context.Context, to register.Member, request shard.SealRequest) (archive.Reply, error) {
+	if to.Node == l.silent {
+		<-ctx.Done()
+		return archive.Reply{}, ctx.Err()
+	}
+	return l.link.Seal(ctx, to, request)
+}
+
+func (l silentLink) Pull(ctx context.Context, to register.Member, request shard.PullRequest, visit func(shard.PullItem) error) (archive.Reply, error) {
+	if to.Node == l.silent {
+		<-ctx.Done()
+		return archive.Reply{}, ctx.Err()
+	}
+	return l.link.Pull(ctx, to, request, visit)
+}
+
+// TestLostMemberIsNotWaitedFor guards against a replacement that waits for the member that it
+// replaces, which doesn't answer.
+func TestLostMemberIsNotWaitedFor(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		n, first := newThreeMembers()
+		silent := silentLink{link: link{n, "driver"}, silent: nodeName(2)}
+		wanted := append(slices.Clone(first.Members[:2]), restartEmpty(n, "n3", first))
+		for _, member := range wanted {
+			p := n.process(member.Node)
+			p.installer = shard.NewInstaller(p.replica, silent, zap.NewNop())
+		}
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := newTestDriver(silent, first).Replace(ctx, first, wanted)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
--- a/coordination/shard/precopy.go
+++ b/coordination/shard/precopy.go
@@ -27,7 +27,7 @@
 // epoch has ended.
 func (d *Driver) precopyTurns(ctx context.Context, current, proposed register.View) error {
 	copied := d.startPrecopies(ctx, current, proposed)
-	probed := d.probeMembers(ctx, current, proposed)
+	probed := d.probeMembers(ctx, current, proposed, current.Members)
 	err := errors.Join(probed.failed, probed.notReady)
 	if err == nil {
 		d.backfillTurns(ctx, current, proposed)
@@ -46,16 +46,22 @@
 // the successor's members can be copied from those that hold it.
 func (d *Driver) shareTurns(ctx context.Context, current, proposed register.View) error {
 	copied := d.startPrecopies(ctx, current, proposed)
-	probed := d.probeMembers(ctx, current, proposed)
+	remaining := sharedMembers(current, proposed)
+	probed := d.probeMembers(ctx, current, proposed, remaining)
 	if err := errors.Join(probed.failed, d.probeNewMembers(ctx, current, proposed)); err != nil {
 		return err
 	}
-	if probed.holding < current.Quorum() {
+	holding := probed.holding
+	if holding < current.Quorum() {
+		// Members that are to be replaced may hang, so that they are asked only if it matters.
+		holding += d.probeMembers(ctx, current, proposed, newMembers(proposed, current)).holding
+	}
+	if holding < current.Quorum() {
 		// The set serves nothing, so that waiting for copies would only prolong that.
 		return nil
 	}
 	d.backfillTurns(ctx, current, proposed)
-	if probed.remaining < proposed.Quorum() {
+	if probed.holding < proposed.Quorum() {
 		return <-copied
 	}
 	select {
@@ -82,6 +88,13 @@
 	return copied
 }
 
+// sharedMembers returns the members of the current view that are in the proposed one.
+func sharedMembers(current, proposed register.View) []register.Member {
+	return slices.DeleteFunc(slices.Clone(current.Members), func(member register.Member) bool {
+		return !slices.Contains(proposed.Members, member)
+	})
+}
+
 // newMembers returns the members of the proposed view that aren't in the current one.
 func newMembers(current, proposed register.View) []register.Member {
 	return slices.DeleteFunc(slices.Clone(proposed.Members), func(member register.Member) bool {
@@ -117,25 +130,24 @@
 
 // probeResult is what the members of the current view answered to a probe.
 type probeResult struct {
-	// holding is the number of members that hold the current epoch; remaining is the number of
-	// those that are in the proposed view.
-	holding, remaining int
+	// holding is the number of members that hold the current epoch.
+	holding int
 	// notReady names a member that doesn't hold it yet; failed is the error of a member of the
 	// proposed view that didn't answer or refused.
 	notReady, failed error
 }
 
-// probeMembers asks the current members whether they hold the current epoch. It skips a
-// member whose node has another incarnation in the proposed view, since the address
+// probeMembers asks the given members of the current view whether they hold its epoch. It
+// skips a member whose node has another incarnation in the proposed view, since the address
 // belongs to that incarnation now.
-func (d *Driver) probeMembers(ctx context.Context, current, proposed register.View) probeResult {
+func (d *Driver) probeMembers(ctx context.Context, current, proposed register.View, members []register.Member) probeResult {
 	ctx, stop := d.withRequestTimeout(ctx)
 	defer stop()
 	request := InstallRequest{Previous: current, Successor: proposed, TurnsOnly: true}
 	var result probeResult
 	var mutex sync.Mutex
 	var probes sync.WaitGroup
-	for _, member := range current.Members {
+	for _, member := range members {
 		if isReplaced(member, proposed) {
 			continue
 		}
@@ -146,9 +158,6 @@
 			switch {
 			case err == nil && reply.Refusal == register.RefusalNone:
 				result.holding++
-				if slices.Contains(proposed.Members, member) {
-					result.remaining++
-				}
 			case err == nil && reply.Refusal == register.RefusalNotReady:
 				result.notReady = merry.Errorf("node %s doesn't hold epoch %d of shard %d yet", member.Node, current.Epoch, current.Shard)
 			case slices.Contains(proposed.Members, member):
