--- a/coordination/retirement/retirement_test.go
+++ b/coordination/retirement/retirement_test.go
@@ -68,3 +68,35 @@
 		})
 	}
 }
+
+// slowSets are replica sets whose members take some time to tell that they hold the data.
+type slowSets struct{ sets }
+
+func (s *slowSets) HoldsAllData(ctx context.Context, _ register.View) bool {
+	select {
+	case <-time.After(100 * time.Millisecond):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// TestSlowSetsDelayDrain guards against a node that is never reported as drained, since each
+// check asks the members of all sets anew and ends before the last one.
+func TestSlowSetsDelayDrain(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		known := &slowSets{sets{shards: 16}}
+		for shard := range known.shards {
+			known.views = append(known.views, viewOf(shard, "b", "c", "d"))
+		}
+		reported := &reports{}
+		service := retirement.New(retirement.Options{
+			Node: "a", Incarnation: "a", Sets: known, SetLeaving: func(bool) {}, Reporter: reported, Logger: zap.NewNop(),
+		})
+		service.Apply([]retirement.Order{{Node: "a"}})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_ = service.Serve(ctx)
+		assert.DeepEqual(t, reported.states, []retirement.State{retirement.Running, retirement.Completed})
+	})
+}
