Give each set its own time when a drained node is checked

A node that was to be emptied was never reported as drained where its sets took over a second together to answer: one limit covered all of them, and each check began anew.

--- a/coordination/retirement/retirement.go
+++ b/coordination/retirement/retirement.go
@@ -54,7 +54,7 @@
 const (
 	checkInterval = 250 * time.Millisecond
 	reportTimeout = 1500 * time.Millisecond
-	// holdsTimeout limits the queries to the members of all sets in one check.
+	// holdsTimeout limits the queries to the members of one set.
 	holdsTimeout = time.Second
 )
 
@@ -176,12 +176,16 @@
 			}
 		}
 	}
-	bounded, cancel := context.WithTimeout(ctx, holdsTimeout)
-	defer cancel()
 	for _, view := range views {
-		if !s.options.Sets.HoldsAllData(bounded, view) {
+		if !s.holdsAllData(ctx, view) {
 			return false
 		}
 	}
 	return true
 }
+
+func (s *Service) holdsAllData(ctx context.Context, view register.View) bool {
+	ctx, cancel := context.WithTimeout(ctx, holdsTimeout)
+	defer cancel()
+	return s.options.Sets.HoldsAllData(ctx, view)
+}
