Show what a storage node's copies of shards wait for

Cause: no metric, line or page told which members hold a shard's data, since when a member lacks it, and which members a copy waited for; only the last failure of a copy was logged.

Change: the replica records each change of its own state, and the requests of copies to other members, through a wrapper of the source. GET /shards at the operators' address lists the shards with the phase of a copy and each member's last answer; marblering_shard_* count them; `shard copy began`, `shard copied` and `shard left` are logged once a change.

Measured: coordination/shard, node/storage, test/document, test/imports and test/golden pass (-race, with the golden page of the storage metrics updated).

--- a/coordination/shard/network_test.go
+++ b/coordination/shard/network_test.go
@@ -71,7 +71,7 @@
 	}
 	next.ctx, next.kill = context.WithCancel(context.Background())
 	next.replica = shard.NewReplica(next.member.Incarnation, next.store, next.views, func() uint64 { return 0 })
-	next.installer = shard.NewInstaller(next.replica, link{n, node}, zap.NewNop())
+	next.installer = shard.NewInstaller(next.replica, next.replica.ObserveSource(link{n, node}), zap.NewNop())
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if previous := n.processes[node]; previous != nil {
--- a/coordination/shard/replica.go
+++ b/coordination/shard/replica.go
@@ -20,6 +20,7 @@
 	configuration func() uint64
 	acceptor      register.Acceptor
 	locks         *stripedLocks
+	copies        *copyTracker
 
 	// requests is read-locked while a vote is processed.
 	requests sync.RWMutex
@@ -41,6 +42,7 @@
 		views:         views,
 		configuration: configuration,
 		locks:         newStripedLocks(),
+		copies:        newCopyTracker(),
 		shards:        make(map[uint32]*shardReplica),
 	}
 }
--- a/coordination/shard/shardreplica.go
+++ b/coordination/shard/shardreplica.go
@@ -94,6 +94,7 @@
 	}
 	local.state = loaded
 	local.loaded = true
+	r.copies.restore(r, shard, loaded)
 	r.views.Learn(loaded.Opened)
 	return nil
 }
@@ -103,6 +104,7 @@
 	if err := saveState(r.store, shard, next); err != nil {
 		return err
 	}
+	r.copies.recordChange(r, shard, local.state, next)
 	local.state = next
 	return nil
 }
--- a/node/storage/storage.go
+++ b/node/storage/storage.go
@@ -149,6 +149,8 @@
 	// Replica sets of the directory don't depend on a version of the configuration.
 	noVersion := func() uint64 { return 0 }
 	n.replica = shard.NewReplica(n.self.Incarnation, n.turns, n.views, noVersion)
+	n.replica.LogCopies(n.logger)
+	n.metrics.MustRegister(NewShardMetrics(n.replica))
 	n.antiEntropy, err = antientropy.New(antientropy.Options{
 		Incarnation: n.self.Incarnation, Chains: n.turns, Writer: n.replica, Reader: n.peers, Views: n.views,
 		Interval: antientropy.DefaultInterval, Now: time.Now, Logger: n.logger,
@@ -156,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	n.installer = shard.NewInstaller(n.replica, n.peers, n.logger)
+	n.installer = shard.NewInstaller(n.replica, n.replica.ObserveSource(n.peers), n.logger)
 	return n.replica.Restore()
 }
 
@@ -208,10 +210,10 @@
 	}
 }
 
-// operatorServer returns the HTTP server for metrics, health, readiness and the quarantine.
+// operatorServer returns the HTTP server for metrics, health, readiness, the shards and the quarantine.
 func (n *Node) operatorServer() *http.Server {
 	readiness := telemetry.NewReadiness()
 	readiness.Add("replicas", n.repair.Check)
-	handler := n.withQuarantine(telemetry.NewHandler(n.metrics, readiness))
+	handler := n.withQuarantine(withShards(n.replica, telemetry.NewHandler(n.metrics, readiness)))
 	return &http.Server{Handler: handler, ReadHeaderTimeout: listener.HeaderTimeout}
 }
--- a/test/golden/metrics_test.go
+++ b/test/golden/metrics_test.go
@@ -23,6 +23,8 @@
 	"gotest.tools/v3/golden"
 
 	"github.com/marblering/marblering/coordination/quota"
+	"github.com/marblering/marblering/coordination/register"
+	"github.com/marblering/marblering/coordination/shard"
 	"github.com/marblering/marblering/lab/deployment"
 	"github.com/marblering/marblering/node"
 	"github.com/marblering/marblering/node/gateway"
@@ -200,9 +202,21 @@
 	found := forms{}
 	found.addRegistered(t, registry)
 	found.addGathered(t, metricsPage(t, addresses[1].String()))
+	shards := prometheus.NewRegistry()
+	shards.MustRegister(storage.NewShardMetrics(oneShard{}))
+	found.addRegistered(t, shards)
 	golden.Assert(t, found.String(), "metrics-storage.golden")
 }
 
+// oneShard implements storage.ShardReplica with one shard that has a view.
+type oneShard struct{}
+
+func (oneShard) Statuses() []shard.Status {
+	return []shard.Status{{View: register.View{Epoch: shard.FirstEpoch}}}
+}
+
+func (oneShard) CopiedTotal() (turns, bytes uint64) { return 0, 0 }
+
 // metricsPage returns the families on a daemon's page.
 func metricsPage(t *testing.T, address string) []*dto.MetricFamily {
 	t.Helper()
