Name each member's last answer when a turn finds no quorum

Cause: the error of a turn without a quorum had one member's error only, so that a set with a whole, a lost and a copying member looked like one that nobody answers for.

Change: ErrNoQuorum comes as a NoQuorumError with the shard, the epoch, the time tried and each member's last answer over all rounds. An answer that tells only that the caller's time is over doesn't replace an earlier one.

Measured: coordination/turnstore passes (-race).

--- a/coordination/turnstore/chain.go
+++ b/coordination/turnstore/chain.go
@@ -61,7 +61,7 @@
 	for position, id := range ids {
 		index := slices.IndexFunc(turns, func(turn *statev1.RetainedTurn) bool { return turn.GetId() == id })
 		if index < 0 {
-			return nil, merry.Errorf("the member lacks turn %q, which isn't a known ancestor", id)
+			return nil, merry.Prependf(errUnusable, "the member lacks turn %q, which isn't a known ancestor", id)
 		}
 		selected[position] = turns[index]
 	}
--- a/coordination/turnstore/find.go
+++ b/coordination/turnstore/find.go
@@ -144,7 +144,7 @@
 		// one.
 		turn, err := s.codec.Decode(storedTurn.Program, storedTurn.Object, storedTurn.Digest)
 		if err != nil {
-			return false, reply, err
+			return false, reply, errors.Join(errUnusable, err)
 		}
 		found.add(turn)
 	}
--- a/coordination/turnstore/quorum.go
+++ b/coordination/turnstore/quorum.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/marblering/marblering/coordination/register"
 	"github.com/marblering/marblering/coordination/sleep"
 )
@@ -46,20 +44,21 @@
 }
 
 // retryUntilQuorum repeats rounds until a quorum has performed the action or one answer
-// suffices, and returns who did. If the context ends first, it returns ErrNoQuorum with the
-// error of the last round.
+// suffices, and returns who did. If the context ends first, it returns a *NoQuorumError with
+// the last answer of each member.
 func (s *Store) retryUntilQuorum(ctx context.Context, shard uint32, act action, first fanOut) (performers, error) {
-	lastErr := error(ErrNoQuorum)
+	log := newAnswerLog(shard)
+	var lastErr error
 	for pause := minRoundPause; ; pause = min(2*pause, maxRoundPause) {
 		view, known := s.views.View(shard)
 		if known {
 			var nodes []string
-			if nodes, lastErr = s.round(ctx, view, act, first(view)); lastErr == nil {
+			if nodes, lastErr = s.round(ctx, view, act, first(view), log); lastErr == nil {
 				return performers{shard: shard, epoch: view.Epoch, nodes: nodes}, nil
 			}
 		}
 		if sleep.For(ctx, pause) != nil {
-			return performers{}, merry.Wrap(ErrNoQuorum, merry.WithCause(lastErr), merry.AppendMessagef("%v", lastErr))
+			return performers{}, log.fail(lastErr)
 		}
 	}
 }
--- a/coordination/turnstore/round.go
+++ b/coordination/turnstore/round.go
@@ -28,9 +28,11 @@
 type answer struct {
 	// memberIndex is the index of the member in the order of preference.
 	memberIndex int
-	node        string
+	member      register.Member
 	suffices    bool
-	err         error
+	reason      Reason
+	// err is set unless reason is ReasonNone; cause is err without the member.
+	err, cause error
 }
 
 // round performs an action at members of a view, in the order of preference.
@@ -47,15 +49,18 @@
 
 // round performs the action at the first members, and at others only if these fail or are
 // late, to save requests and traffic between zones. It returns the nodes that performed the
-// action once these are a quorum or one answer suffices.
-func (s *Store) round(ctx context.Context, view register.View, act action, first int) ([]string, error) {
-	r := s.newRound(ctx, view, act)
+// action once these are a quorum or one answer suffices, and records the members' answers in
+// the log.
+func (s *Store) round(ctx context.Context, view register.View, act action, first int, log *answerLog) ([]string, error) {
+	log.beginRound(view)
+	r := s.newRound(ctx, view, act, log)
 	r.requests.Begin(first)
 	hedge := time.NewTicker(hedgeDelay)
 	defer hedge.Stop()
 	for len(r.succeeded) < view.Quorum() {
 		select {
 		case answered := <-r.answers:
+			log.recordAnswer(answered.member, answered, ctx.Err() != nil)
 			isOver, err := r.handleAnswer(answered)
 			if isOver {
 				return r.succeeded, err
@@ -72,7 +77,7 @@
 	return r.succeeded, nil
 }
 
-func (s *Store) newRound(ctx context.Context, view register.View, act action) *round {
+func (s *Store) newRound(ctx context.Context, view register.View, act action, log *answerLog) *round {
 	ordered := s.orderByPreference(view.Members)
 	addresses := make([]string, len(ordered))
 	for index, member := range ordered {
@@ -80,6 +85,7 @@
 	}
 	answers := make(chan answer, len(ordered))
 	send := func(index int) {
+		log.recordAsked(ordered[index])
 		go func() {
 			answered := s.askMember(ctx, view, ordered[index], act)
 			answered.memberIndex = index
@@ -102,7 +108,7 @@
 		r.requests.Ask(1)
 		return false, nil
 	}
-	r.succeeded = append(r.succeeded, answered.node)
+	r.succeeded = append(r.succeeded, answered.member.Node)
 	r.requests.AvoidLate()
 	if answered.suffices {
 		return true, nil
@@ -120,13 +126,12 @@
 	if reply.View != nil {
 		s.views.Learn(*reply.View)
 	}
+	answered := answer{member: member, suffices: suffices, reason: reasonOf(reply, err), cause: err}
 	if err == nil && reply.Refusal != register.RefusalNone {
-		err = merry.Errorf("refused: %s", reply.Refusal)
+		answered.cause = merry.Errorf("refused: %s", reply.Refusal)
 	}
-	if err != nil {
-		err = merry.Prependf(err, "member %s, epoch %d of shard %d", member.Node, view.Epoch, view.Shard)
-	}
-	return answer{node: member.Node, suffices: suffices, err: err}
+	answered.err = merry.Prependf(answered.cause, "member %s, epoch %d of shard %d", member.Node, view.Epoch, view.Shard)
+	return answered
 }
 
 // reportReachability reports to the reachability tracker whether the member answered,
