Tell in a gateway's log line which replicas a refused turn lacked

Cause: `not answered` with 2007 or an unstored turn gave the text of one error; shard, epoch and members couldn't be searched or counted, and a turn whose store outlasted its deadline lost the error altogether.

Change: result.Error keeps its cause for logs; `not answered` has shard, epoch, members, rounds and quorum_tried, and marblering_gateway_missing_replicas_total counts the members by the reason of their last answer.

--- a/coordination/conversation/conversation.go
+++ b/coordination/conversation/conversation.go
@@ -150,7 +150,7 @@
 		return unknownTurn(t.request.Previous)
 	}
 	if err != nil {
-		return result.Errorf(result.HistoryUnavailable, "%v", err).WithRetryAfter(t.service.outage.retryAfter())
+		return result.Errorf(result.HistoryUnavailable, "%v", err).WithRetryAfter(t.service.outage.retryAfter()).WithCause(err)
 	}
 	if owner := history[len(history)-1].GetTenant(); owner != t.request.Tenant {
 		t.service.logger.Info("turn of another tenant", zap.String("request", t.request.ID), zap.String("previous", t.request.Previous),
--- a/coordination/conversation/state_time_test.go
+++ b/coordination/conversation/state_time_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -50,6 +51,7 @@
 			began := time.Now()
 			_, refusal := service.Begin(ctx, conversation.Request{ID: "t", Program: "p", Previous: "none", Retained: true})
 			assert.Equal(t, refusal.Code, c.code)
+			assert.Equal(t, errors.Is(refusal.Cause, turnstore.ErrNoQuorum), c.code == result.HistoryUnavailable)
 			assert.Equal(t, time.Since(began), c.wantElapsed)
 		})
 	}
--- a/state/result/code.go
+++ b/state/result/code.go
@@ -216,6 +216,9 @@
 	Message string
 	// RetryAfter is the delay before a retry, or zero if the error sets none.
 	RetryAfter time.Duration
+	// Cause is what the error stems from, for logs and metrics. It is nil if it isn't known,
+	// and never shown to whoever sent the request.
+	Cause error
 }
 
 // Errorf returns an error with the code and a formatted message.
@@ -230,6 +233,13 @@
 	return &delayed
 }
 
+// WithCause returns a copy of the error with the cause.
+func (e *Error) WithCause(cause error) *Error {
+	caused := *e
+	caused.Cause = cause
+	return &caused
+}
+
 // FromError converts any error into one that may be shown to a caller or operator:
 // the *Error that it wraps, unresolved if a context ended, since the outcome is then
 // unknown, or else Internal without the text of err, which may be confidential.
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -11,6 +11,7 @@
 	"github.com/marblering/marblering/coordination/quota"
 	"github.com/marblering/marblering/coordination/routetable"
 	"github.com/marblering/marblering/coordination/tenant"
+	"github.com/marblering/marblering/coordination/turnstore"
 	"github.com/marblering/marblering/state/result"
 )
 
@@ -129,6 +130,8 @@
 	code        result.Code
 	// reason is the error message of a failed request.
 	reason string
+	// noQuorum is set if the request's turn found no quorum of replicas.
+	noQuorum *turnstore.NoQuorumError
 }
 
 // timing holds the deadline of a request and the durations for its log line.
--- a/transport/relay/metrics.go
+++ b/transport/relay/metrics.go
@@ -17,8 +17,10 @@
 	unresolved *prometheus.CounterVec
 	limits     *prometheus.CounterVec
 	resumed    *prometheus.CounterVec
-	firstByte  *prometheus.HistogramVec
-	duration   *prometheus.HistogramVec
+	// missingReplicas counts the members that turns without a quorum lacked.
+	missingReplicas *prometheus.CounterVec
+	firstByte       *prometheus.HistogramVec
+	duration        *prometheus.HistogramVec
 }
 
 // NewMetrics creates and registers the metrics.
@@ -53,6 +55,10 @@
 			Name: "marblering_gateway_resumed_streams_total",
 			Help: "Streams that clients resumed, by whether the software version that began them is found.",
 		}, []string{"outcome"}),
+		missingReplicas: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marblering_gateway_missing_replicas_total",
+			Help: "Replicas that a turn lacked when it found no quorum, by the reason of each one's last answer.",
+		}, []string{"reason"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "marblering_gateway_first_byte_seconds",
 			Help: "Time from a request's arrival to the head of its answer.", Buckets: buckets,
@@ -62,7 +68,7 @@
 			Help: "Time from a request's arrival to the end of its answer.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.retries, m.crashes, m.sends, m.unresolved, m.limits, m.resumed, m.firstByte, m.duration)
+	registry.MustRegister(m.requests, m.retries, m.crashes, m.sends, m.unresolved, m.limits, m.resumed, m.missingReplicas, m.firstByte, m.duration)
 	return m
 }
 
--- a/transport/relay/turn.go
+++ b/transport/relay/turn.go
@@ -33,6 +33,7 @@
 	})
 	c.stream.reservationTime = c.handler.options.Now().Sub(started)
 	if failure != nil {
+		c.recordNoQuorum(failure.Cause)
 		return failure
 	}
 	c.grants.turn = turn
@@ -63,7 +64,9 @@
 	if c.grants.turn == nil {
 		return nil
 	}
-	return c.grants.turn.Complete(ctx)
+	err := c.grants.turn.Complete(ctx)
+	c.recordNoQuorum(err)
+	return err
 }
 
 // endTurn charges the budget for the tokens sent to the client.
