Keep a member's answer when the time is over within a round

Cause: a round that begins as the caller's time ends marked members as silent that had answered a moment before; TestNoQuorumNamesEachMembersAnswer failed once in 1 run for it.

Change: an earlier answer stands unless the member has been silent for the delay after which another one is asked; the text tells for how long.

--- a/coordination/turnstore/noquorum.go
+++ b/coordination/turnstore/noquorum.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/marblering/marblering/coordination/archive"
 	"github.com/marblering/marblering/coordination/register"
 )
@@ -124,11 +126,13 @@
 	began  time.Time
 	rounds int
 	view   register.View
-	last   map[string]MemberAnswer
+	// last has the last answers by incarnation, asked the times of the first requests since then.
+	last  map[string]MemberAnswer
+	asked map[string]time.Time
 }
 
 func newAnswerLog(shard uint32) *answerLog {
-	return &answerLog{shard: shard, began: time.Now(), last: make(map[string]MemberAnswer)}
+	return &answerLog{shard: shard, began: time.Now(), last: make(map[string]MemberAnswer), asked: make(map[string]time.Time)}
 }
 
 // beginRound records the view that the next round asks.
@@ -137,35 +141,45 @@
 	l.view = view
 }
 
-// errPending is the error of a member that hasn't answered yet.
-var errPending = errors.New("has not answered yet")
-
 // recordAsked records that a request is sent to a member.
 func (l *answerLog) recordAsked(member register.Member) {
-	if previous, found := l.last[member.Incarnation]; !found || previous.Reason == ReasonNone {
-		l.last[member.Incarnation] = MemberAnswer{Node: member.Node, Reason: ReasonNoAnswer, Epoch: l.view.Epoch, Err: errPending}
+	if _, found := l.asked[member.Incarnation]; !found {
+		l.asked[member.Incarnation] = time.Now()
 	}
 }
 
-// recordAnswer records the answer of a member. An answer that tells only that the caller's time
-// is over doesn't replace an earlier one.
-func (l *answerLog) recordAnswer(member register.Member, answered answer, isOver bool) {
-	previous, found := l.last[member.Incarnation]
-	if isOver && answered.reason == ReasonNoAnswer && found && previous.Err != errPending {
+// recordAnswer records the answer of a member. It ignores an error after the time of the
+// caller is over, which says nothing of the member.
+func (l *answerLog) recordAnswer(answered answer, isOver bool) {
+	if isOver && answered.reason == ReasonNoAnswer {
 		return
 	}
-	l.last[member.Incarnation] = MemberAnswer{Node: member.Node, Reason: answered.reason, Epoch: l.view.Epoch, Err: answered.cause}
+	delete(l.asked, answered.member.Incarnation)
+	l.last[answered.member.Incarnation] = MemberAnswer{
+		Node: answered.member.Node, Reason: answered.reason, Epoch: l.view.Epoch, Err: answered.cause,
+	}
 }
 
 // fail returns the error for rounds of which the last one failed with cause, or nil.
 func (l *answerLog) fail(cause error) *NoQuorumError {
 	failure := &NoQuorumError{Shard: l.shard, Epoch: l.view.Epoch, Rounds: l.rounds, Tried: time.Since(l.began), cause: cause}
 	for _, member := range l.view.Members {
-		last, found := l.last[member.Incarnation]
-		if !found {
-			last = MemberAnswer{Node: member.Node, Reason: ReasonNotAsked}
-		}
-		failure.Members = append(failure.Members, last)
+		failure.Members = append(failure.Members, l.answerOf(member))
 	}
 	return failure
 }
+
+// answerOf returns the last answer of the member, unless it has been silent for hedgeDelay
+// since.
+func (l *answerLog) answerOf(member register.Member) MemberAnswer {
+	last, hasAnswered := l.last[member.Incarnation]
+	asked, isPending := l.asked[member.Incarnation]
+	switch {
+	case isPending && (!hasAnswered || time.Since(asked) >= hedgeDelay):
+		silence := merry.Errorf("silent for %s", time.Since(asked).Round(time.Millisecond))
+		return MemberAnswer{Node: member.Node, Reason: ReasonNoAnswer, Epoch: l.view.Epoch, Err: silence}
+	case !hasAnswered:
+		return MemberAnswer{Node: member.Node, Reason: ReasonNotAsked}
+	}
+	return last
+}
--- a/coordination/turnstore/round.go
+++ b/coordination/turnstore/round.go
@@ -60,7 +60,7 @@
 	for len(r.succeeded) < view.Quorum() {
 		select {
 		case answered := <-r.answers:
-			log.recordAnswer(answered.member, answered, ctx.Err() != nil)
+			log.recordAnswer(answered, ctx.Err() != nil)
 			isOver, err := r.handleAnswer(answered)
 			if isOver {
 				return r.succeeded, err
