Take the answers of members that answer after their round

Cause: a round is over once too many members have refused, which takes less time than a whole member's answer; that member was then named as silent.

Change: each request records its answer itself, also after its round.

--- a/coordination/turnstore/noquorum.go
+++ b/coordination/turnstore/noquorum.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -120,10 +121,13 @@
 	return reasons
 }
 
-// answerLog keeps the last answer of each member over several rounds at one shard.
+// answerLog keeps the last answer of each member over several rounds at one shard, also of
+// members that answer after their round has ended. It is safe for concurrent use.
 type answerLog struct {
-	shard  uint32
-	began  time.Time
+	shard uint32
+	began time.Time
+
+	mutex  sync.Mutex
 	rounds int
 	view   register.View
 	// last has the last answers by incarnation, asked the times of the first requests since then.
@@ -137,12 +141,16 @@
 
 // beginRound records the view that the next round asks.
 func (l *answerLog) beginRound(view register.View) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	l.rounds++
 	l.view = view
 }
 
 // recordAsked records that a request is sent to a member.
 func (l *answerLog) recordAsked(member register.Member) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	if _, found := l.asked[member.Incarnation]; !found {
 		l.asked[member.Incarnation] = time.Now()
 	}
@@ -150,18 +158,22 @@
 
 // recordAnswer records the answer of a member. It ignores an error after the time of the
 // caller is over, which says nothing of the member.
-func (l *answerLog) recordAnswer(answered answer, isOver bool) {
+func (l *answerLog) recordAnswer(answered answer, epoch uint64, isOver bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	if isOver && answered.reason == ReasonNoAnswer {
 		return
 	}
 	delete(l.asked, answered.member.Incarnation)
 	l.last[answered.member.Incarnation] = MemberAnswer{
-		Node: answered.member.Node, Reason: answered.reason, Epoch: l.view.Epoch, Err: answered.cause,
+		Node: answered.member.Node, Reason: answered.reason, Epoch: epoch, Err: answered.cause,
 	}
 }
 
 // fail returns the error for rounds of which the last one failed with cause, or nil.
 func (l *answerLog) fail(cause error) *NoQuorumError {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	failure := &NoQuorumError{Shard: l.shard, Epoch: l.view.Epoch, Rounds: l.rounds, Tried: time.Since(l.began), cause: cause}
 	for _, member := range l.view.Members {
 		failure.Members = append(failure.Members, l.answerOf(member))
@@ -170,7 +182,7 @@
 }
 
 // answerOf returns the last answer of the member, unless it has been silent for hedgeDelay
-// since.
+// since. The caller holds the mutex.
 func (l *answerLog) answerOf(member register.Member) MemberAnswer {
 	last, hasAnswered := l.last[member.Incarnation]
 	asked, isPending := l.asked[member.Incarnation]
--- a/coordination/turnstore/round.go
+++ b/coordination/turnstore/round.go
@@ -60,7 +60,6 @@
 	for len(r.succeeded) < view.Quorum() {
 		select {
 		case answered := <-r.answers:
-			log.recordAnswer(answered, ctx.Err() != nil)
 			isOver, err := r.handleAnswer(answered)
 			if isOver {
 				return r.succeeded, err
@@ -89,6 +88,7 @@
 		go func() {
 			answered := s.askMember(ctx, view, ordered[index], act)
 			answered.memberIndex = index
+			log.recordAnswer(answered, view.Epoch, ctx.Err() != nil)
 			answers <- answered
 		}()
 	}
