Let a test put raw bytes into the store's stand-in

The stand-in wrote its lists and watches through encoding/json, which checks what it writes, so no test could list an entry that is nested too deeply or isn't JSON. Lists and watches now pass contents on byte for byte.

--- a/lab/platformstore/server.go
+++ b/lab/platformstore/server.go
@@ -1,7 +1,9 @@
 package platformstore
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -99,11 +101,30 @@
 	if err != nil {
 		panic(err)
 	}
+	s.PutRaw(kind, name, encoded)
+}
+
+// PutRaw writes an object whose content is listed byte for byte, valid JSON or not.
+func (s *Server) PutRaw(kind, name string, spec []byte) {
+	s.change(kind, name, func(object *Object) { object.Spec = spec })
+}
+
+// PutRawStatus replaces an object's status like PutRaw.
+func (s *Server) PutRawStatus(kind, name string, status []byte) {
+	s.change(kind, name, func(object *Object) { object.Status = status })
+}
+
+// PutRawObject writes an object that is listed in its place by name as these bytes.
+func (s *Server) PutRawObject(kind, name string, raw []byte) {
+	s.change(kind, name, func(object *Object) { object.raw = raw })
+}
+
+func (s *Server) change(kind, name string, apply func(object *Object)) {
 	s.data.mutex.Lock()
 	defer s.data.mutex.Unlock()
 	object := s.data.kinds[kind][name]
-	object.Metadata.Name = name
-	object.Spec = encoded
+	object.Metadata.Name, object.raw = name, nil
+	apply(&object)
 	s.data.write(kind, object, false)
 }
 
@@ -175,7 +196,11 @@
 		return
 	}
 	items, more, at := s.data.page(r.PathValue("kind"), query.Get("after"), pageSize)
-	standin.WriteJSON(w, http.StatusOK, map[string]any{"items": items, "more": more, "at": at})
+	encoded := make([][]byte, 0, len(items))
+	for _, item := range items {
+		encoded = append(encoded, item.wire())
+	}
+	writeRaw(w, fmt.Appendf(nil, `{"items":[%s],"more":%t,"at":%d}`, bytes.Join(encoded, []byte(",")), more, at))
 }
 
 // watch holds the call until there is a change or the wait is over.
@@ -217,11 +242,18 @@
 	if s.fails(w, r, mode) {
 		return
 	}
-	events := make([]map[string]any, 0, len(past))
+	events := make([][]byte, 0, len(past))
 	for _, one := range past {
-		events = append(events, map[string]any{"gone": one.gone, "object": one.object})
+		events = append(events, fmt.Appendf(nil, `{"gone":%t,"object":%s}`, one.gone, one.object.wire()))
 	}
-	standin.WriteJSON(w, http.StatusOK, map[string]any{"events": events, "at": at})
+	writeRaw(w, fmt.Appendf(nil, `{"events":[%s],"at":%d}`, bytes.Join(events, []byte(",")), at))
+}
+
+// writeRaw answers with a body that needn't be valid JSON. Where that fails, the client has
+// gone.
+func writeRaw(w http.ResponseWriter, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
@@ -253,7 +285,7 @@
 
 func (s *Server) replace(w http.ResponseWriter, r *http.Request) {
 	s.update(w, r, func(known *Object, sent Object) {
-		known.Spec = sent.Spec
+		known.Spec, known.raw = sent.Spec, nil
 		known.Metadata.Finalizers = sent.Metadata.Finalizers
 	})
 }
--- a/lab/platformstore/store.go
+++ b/lab/platformstore/store.go
@@ -14,6 +14,28 @@
 	Metadata Metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
 	Status   json.RawMessage `json:"status"`
+	// raw takes the place of the object in lists and watches if it is set.
+	raw []byte
+}
+
+// wire returns the object as listed, with its content as it was put, valid or not.
+func (o Object) wire() []byte {
+	if o.raw != nil {
+		return o.raw
+	}
+	metadata, err := json.Marshal(o.Metadata)
+	if err != nil {
+		panic(err)
+	}
+	return slices.Concat([]byte(`{"metadata":`), metadata,
+		[]byte(`,"spec":`), orNull(o.Spec), []byte(`,"status":`), orNull(o.Status), []byte(`}`))
+}
+
+func orNull(content []byte) []byte {
+	if content == nil {
+		return []byte("null")
+	}
+	return content
 }
 
 // Metadata names an object and its last change.
