Ask a client back whose stream is newer than the gateway's list

Cause: a gateway that stood still, or whose answers hung, took the absence of a version from a list of instances up to 3 s old for its end, and the absence of a service from a route of any age likewise. A stream that had begun meanwhile at a version that joined was refused for good (1020), though it serves.

Change: absence shows that a version has left only if the list is newer than the stream's record; the same with the configuration and the service. Otherwise the client is asked back (2009, 2006).

--- a/coordination/streamorigin/decide.go
+++ b/coordination/streamorigin/decide.go
@@ -27,6 +27,10 @@
 // IsCurrent reports whether hardly any change of the list can be unknown.
 func (a ListAge) IsCurrent() bool { return a.Known && a.Age <= maxListAge }
 
+// IsNewerThan reports whether the list was known to be current after the stream was recorded, so
+// that it has what the gateway knew that began the stream, unless that has left since.
+func (a ListAge) IsNewerThan(finding Finding) bool { return a.Known && a.Age < finding.Age }
+
 // Finding is what the storage nodes know of a stream.
 type Finding struct {
 	Known  bool
--- a/test/integration/outofstep_test.go
+++ b/test/integration/outofstep_test.go
@@ -88,7 +88,7 @@
 	if c.leaves {
 		after = []string{"v2"}
 	}
-	o.rejoin = newRejoin(t, rejoinCase{before: []string{"v1"}, after: after, hasBudget: random.IntN(2) == 0})
+	o.rejoin = newRejoin(t, rejoinCase{before: []string{"v1"}, after: after, hasBudget: random.IntN(2) == 0, tellsStart: c.restarts})
 	o.paused = o.gateways[len(o.gateways)-1]
 	return o
 }
--- a/test/integration/rejoin_test.go
+++ b/test/integration/rejoin_test.go
@@ -34,6 +34,8 @@
 	// before and after are the versions in service before and after that.
 	before, after []string
 	hasBudget     bool
+	// tellsStart is set if the entries tell when the processes started.
+	tellsStart bool
 	// comeBackAfter is how long after the gateways' start the clients come back.
 	comeBackAfter time.Duration
 	// goOn is set if all streams have to go on whose version is still there.
@@ -115,7 +117,7 @@
 
 func (r *rejoin) addInstances(version string) {
 	for range 2 {
-		r.addInstanceOf(soakService{name: "app", version: version, events: rejoinEvents, pause: rejoinPause})
+		r.addInstanceOf(soakService{name: "app", version: version, events: rejoinEvents, pause: rejoinPause, tellsStart: r.tellsStart})
 	}
 }
 
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -35,7 +35,12 @@
 		return unreadableOrigin.errorf("%v", err)
 	}
 	c.stream.isKnown, c.stream.origin, c.stream.changes = true, origin, c.stream.finding.Change
-	if c.isServiceGone() || c.isVersionGone() {
+	isServiceGone := c.isServiceGone()
+	if isServiceGone && !c.configurationAge().IsNewerThan(c.stream.finding) {
+		metrics.countResumption(originUnavailable)
+		return outdatedConfiguration.errorf("the stream began at %s, to which the route may lead in a newer configuration", origin.Service)
+	}
+	if isServiceGone || c.isVersionGone() {
 		metrics.countResumption(versionGone)
 		return result.Errorf(result.StreamVersionGone, "the stream began at version %q of %s: %v", origin.Version, origin.Service, errVersionGone)
 	}
@@ -58,6 +63,12 @@
 	return streamorigin.ListAge{Age: age, Known: known}
 }
 
+// configurationAge returns the age of the configuration that the request is routed by.
+func (c *call) configurationAge() streamorigin.ListAge {
+	since := c.handler.options.Now().Sub(c.timing.arrived)
+	return streamorigin.ListAge{Age: c.routing.configAge + since, Known: c.routing.configAgeKnown}
+}
+
 // isServiceGone reports whether the route no longer leads to the service that began the
 // stream.
 func (c *call) isServiceGone() bool {
@@ -67,11 +78,13 @@
 }
 
 // isVersionGone reports whether no instance takes requests at the version that began the
-// stream. With an outdated list of instances that isn't certain.
+// stream. With an outdated list of instances that isn't certain, nor with one that is older than
+// the stream that a client resumes: its version may have joined since.
 func (c *call) isVersionGone() bool {
 	origin := c.stream.origin
 	age := c.listAge() // of the list that is asked, or of an earlier one
-	return !c.handler.options.Backends.AcceptsVersion(origin.Service, origin.Version) && age.IsCurrent()
+	isListed := c.handler.options.Backends.AcceptsVersion(origin.Service, origin.Version)
+	return !isListed && age.IsCurrent() && (!c.isResumption() || age.IsNewerThan(c.stream.finding))
 }
 
 // originFields returns log fields that tell where the stream began that the client resumes.
