Reset the connection of an aborted answer to HTTP/1.0

Cause: an answer of unknown length to a client that speaks HTTP/1.0 has no chunks; the end of the connection ends it. An abort closed the connection, so that a stream cut by its instance looked whole to the client.

Change: where a handler doesn't return, the connection of such a request is reset.

--- a/transport/listener/connection.go
+++ b/transport/listener/connection.go
@@ -224,3 +224,11 @@
 	}
 	return c.Conn.Close()
 }
+
+// resetOnClose resets the connection when it is closed. The end of the connection is what ends
+// some responses to HTTP/1.0, so that one which is aborted would look whole.
+func (c *connection) resetOnClose() {
+	if socket, ok := c.Conn.(*net.TCPConn); ok {
+		_ = socket.SetLinger(0)
+	}
+}
--- a/transport/listener/listener.go
+++ b/transport/listener/listener.go
@@ -78,10 +78,17 @@
 // handle returns the handler of the server.
 func (l *Listener) handle(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		hasReturned := false
 		if c, ok := request.Context().Value(connectionKey{}).(*connection); ok {
 			c.noteHandler()
+			defer func() {
+				if !hasReturned && !request.ProtoAtLeast(1, 1) {
+					c.resetOnClose()
+				}
+			}()
 		}
 		handler.ServeHTTP(writer, request)
+		hasReturned = true
 	})
 }
 
