Leave the reset of a connection to its exchange

Cause: to tell whether an instance has ended, other requests look at all its connections, also those that an exchange uses, by recv with MSG_PEEK. That takes the pending error of a reset away, so that the exchange then reads a regular end. An answer without a length, which the end of the connection ends, was passed on as whole though it had been reset (200 with a short body, framed with a length).

Change: the look asks for the state of the connection (TCP_INFO), which takes nothing away; it peeks only where the peer has ended regularly.

--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/marblering/marblering/coordination/sleep"
 )
 
@@ -227,7 +229,9 @@
 // lastUse returns when an exchange last ended on the connection, or when it was opened.
 func (c *connection) lastUse() time.Time { return time.Unix(0, c.lastUsed.Load()) }
 
-// isOpen reports whether the peer hasn't closed the connection. An exchange may use it.
+// isOpen reports whether the peer hasn't closed the connection, or what it sent before isn't read.
+// An exchange may use it: a read, even one that only peeks, would take a reset from the exchange,
+// which would then read the end of a whole answer.
 func (c *connection) isOpen() bool {
 	raw, err := c.socket.SyscallConn()
 	if err != nil {
@@ -236,8 +240,15 @@
 	open := false
 	var peeked [1]byte
 	err = raw.Control(func(descriptor uintptr) {
-		count, _, failure := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = failure == syscall.EAGAIN || failure == nil && count > 0
+		info, failure := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		switch {
+		case failure != nil:
+		case info.State == unix.BPF_TCP_ESTABLISHED:
+			open = true
+		case info.State == unix.BPF_TCP_CLOSE_WAIT:
+			count, _, failure := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			open = failure == nil && count > 0
+		}
 	})
 	return err == nil && open
 }
