--- a/test/integration/soaksystem_test.go
+++ b/test/integration/soaksystem_test.go
@@ -24,6 +24,9 @@
 	// gatewayZone returns the zone of a gateway. If it is nil, all are in one zone without
 	// storage nodes.
 	gatewayZone func(index int) string
+	// shards is the number of shards of the storage nodes of a turnSoak; zero is
+	// turnSoakShards.
+	shards int
 	// drainTimeout is how long a gateway may take to stop.
 	drainTimeout time.Duration
 	// configuration is the object with the routes, the services and the limits.
--- a/test/integration/turnsoak_test.go
+++ b/test/integration/turnsoak_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"io"
@@ -34,6 +35,7 @@
 const (
 	turnSoakGateways = 3
 	turnSoakStorage  = 3
+	turnSoakShards   = 4
 	turnSoakClients  = 6
 	// turnSoakRetention is longer than a seed takes.
 	turnSoakRetention = 120 * time.Second
@@ -171,7 +173,8 @@
 		name:           fmt.Sprint("storage-", s.names),
 	}
 	settings := fmt.Sprintf("name: %s\nzone: %s\npeer_listen: %s\noperator_listen: 127.0.0.1:0\nstore_url: %s\n"+
-		"apply_limit: 2s\nlosses: 1\nshards: 4\ndata_folder: %s\n", m.name, turnSoakZone(s.names%s.zones), address, s.url, m.folder)
+		"apply_limit: 2s\nlosses: 1\nshards: %d\ndata_folder: %s\n", m.name, turnSoakZone(s.names%s.zones), address, s.url,
+		cmp.Or(s.layout.shards, turnSoakShards), m.folder)
 	s.names++
 	assert.NilError(s.t, os.WriteFile(m.file, []byte(settings), 0o600))
 	s.startMachine(m)
