--- a/test/integration/diskloss_test.go
+++ b/test/integration/diskloss_test.go
@@ -36,7 +36,7 @@
 		shards: *diskLossShards, lineTurns: *diskLossLine,
 	})
 	clients := newLossClients(s)
-	clients.awaitContinued(time.Now())
+	clients.awaitContinued(time.Now(), diskLossRecovery)
 	for round := range *diskLossRounds {
 		time.Sleep(*diskLossTraffic)
 		clients.hold(true)
@@ -56,7 +56,7 @@
 	s.t.Helper()
 	newWhole := make(chan int)
 	go func() { newWhole <- clients.awaitNew(diskLossNew, loss.returned) }()
-	after, missing := clients.awaitContinued(loss.returned)
+	after, missing := clients.awaitContinued(loss.returned, diskLossRecovery)
 	if len(after) > 0 {
 		slices.Sort(after)
 		s.log("loss %d: %d of %d programs went on, the last %.1f s after the return", len(s.losses), len(after), len(after)+len(missing),
@@ -66,6 +66,11 @@
 		clients.note("program %s didn't go on in %v after the loss of %s", program, diskLossRecovery, loss.node)
 	}
 	s.log("loss %d: %d of %d new programs began", len(s.losses), <-newWhole, diskLossNew)
+	if len(missing) > 0 {
+		_, never := clients.awaitContinued(loss.returned, diskLossLate)
+		s.log("loss %d: of those %d programs, all but %d went on until %.1f s after the return", len(s.losses), len(missing), len(never),
+			time.Since(loss.returned).Seconds())
+	}
 }
 
 // checkFinished checks that programs go on whose last turns were answered whole some time ago.
--- a/test/integration/disklossclient_test.go
+++ b/test/integration/disklossclient_test.go
@@ -184,10 +184,10 @@
 	return response.StatusCode, "", address
 }
 
-// awaitContinued waits until each client has had a whole turn since the time, at most until
-// diskLossRecovery after it. It returns the times of those, and the programs that had none.
-func (c *lossClients) awaitContinued(since time.Time) (after []time.Duration, missing []string) {
-	for deadline := since.Add(diskLossRecovery); ; time.Sleep(20 * time.Millisecond) {
+// awaitContinued waits until each client has had a whole turn since the time, at most for the
+// span after it. It returns the times of those, and the programs that had none.
+func (c *lossClients) awaitContinued(since time.Time, span time.Duration) (after []time.Duration, missing []string) {
+	for deadline := since.Add(span); ; time.Sleep(20 * time.Millisecond) {
 		after, missing = c.continuedSince(since)
 		if len(missing) == 0 || time.Now().After(deadline) {
 			return after, missing
--- a/test/integration/disklosssoak_test.go
+++ b/test/integration/disklosssoak_test.go
@@ -52,7 +52,7 @@
 	s := &lossSoak{diskLossSystem: newDiskLossSystem(t, seed, shapes[seed%uint64(len(shapes))])}
 	s.log("%+v", s.shape)
 	s.clients = newLossClients(s.diskLossSystem)
-	s.clients.awaitContinued(time.Now())
+	s.clients.awaitContinued(time.Now(), diskLossRecovery)
 	return s
 }
 
--- a/test/integration/disklosssystem_test.go
+++ b/test/integration/disklosssystem_test.go
@@ -15,6 +15,9 @@
 const (
 	// diskLossRecovery is the time after a restart of all in which each program goes on.
 	diskLossRecovery = 15 * time.Second
+	// diskLossLate is the time after which a program that hasn't gone on is taken for one that
+	// never does, within the retention.
+	diskLossLate = 45 * time.Second
 	// diskLossRetention is that of the route.
 	diskLossRetention = 60 * time.Second
 )
