--- a/test/integration/disklosssystem_test.go
+++ b/test/integration/disklosssystem_test.go
@@ -181,33 +181,40 @@
 	return line, true
 }
 
-// logRedundancy logs how long after the return from each loss the replica set of each shard had
-// its last whole installation before the next loss.
+// logRedundancy logs how long after the return from each loss the replica set of each shard was
+// first installed at all members, and the shards for which no node told so before the next loss. A
+// member that installs its shard later by itself tells nothing.
 func (s *diskLossSystem) logRedundancy() {
 	opened := s.openedLines()
 	var spans []time.Duration
+	partial := 0
 	for index, loss := range s.losses {
 		until := time.Now()
 		if index+1 < len(s.losses) {
 			until = s.losses[index+1].lost
 		}
-		whole := make(map[int]time.Duration)
+		best := make(map[int]openedLine)
 		for _, line := range opened {
-			if _, found := whole[line.shard]; !found && line.at.After(loss.lost) && line.at.Before(until) && line.installed == line.members {
-				whole[line.shard] = line.at.Sub(loss.returned)
-				spans = append(spans, whole[line.shard])
+			if known, found := best[line.shard]; line.at.After(loss.lost) && line.at.Before(until) && (!found || known.installed < known.members) {
+				best[line.shard] = line
 			}
 		}
 		var parts []string
-		for shard, span := range whole {
-			parts = append(parts, fmt.Sprintf("shard %d %.1f s", shard, span.Seconds()))
+		for shard, line := range best {
+			after := line.at.Sub(loss.returned)
+			parts = append(parts, fmt.Sprintf("shard %d %d of %d %.1f s", shard, line.installed, line.members, after.Seconds()))
+			if line.installed == line.members {
+				spans = append(spans, after)
+			} else {
+				partial++
+			}
 		}
 		slices.Sort(parts)
-		s.log("loss %d, %s: whole replica sets %.1f s until the next: %s", index+1, loss.node, until.Sub(loss.returned).Seconds(), strings.Join(parts, ", "))
+		s.log("loss %d, %s: replica sets until the next %.1f s later: %s", index+1, loss.node, until.Sub(loss.returned).Seconds(), strings.Join(parts, ", "))
 	}
 	if len(spans) > 0 {
 		slices.Sort(spans)
-		s.log("time to a whole replica set: %d values, %s", len(spans), describeSpans(spans))
+		s.log("time to a whole replica set: %d values, %s; %d sets were told of in part", len(spans), describeSpans(spans), partial)
 	}
 }
 
