--- a/test/integration/turnsoak_test.go
+++ b/test/integration/turnsoak_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"io"
@@ -34,6 +35,7 @@
 const (
 	turnSoakGateways = 3
 	turnSoakStorage  = 3
+	turnSoakShards   = 4
 	turnSoakClients  = 6
 	// turnSoakRetention is longer than a seed takes.
 	turnSoakRetention = 120 * time.Second
@@ -63,9 +65,11 @@
 // turnMachine is a storage node with the time of its last return.
 type turnMachine struct {
 	*storageMachine
-	name      string
-	disturbed bool
-	returned  time.Time
+	name, zone string
+	disturbed  bool
+	returned   time.Time
+	// emptied is when it was new or lost its disk.
+	emptied time.Time
 }
 
 func newTurnSoak(t *testing.T, seed uint64) *turnSoak {
@@ -159,8 +163,13 @@
 	return response.StatusCode
 }
 
-// newMachine starts an empty storage node at a new address.
+// newMachine starts an empty storage node at a new address, in the next zone.
 func (s *turnSoak) newMachine() *turnMachine {
+	s.t.Helper()
+	return s.newMachineIn(turnSoakZone(s.names % s.zones))
+}
+
+func (s *turnSoak) newMachineIn(zone string) *turnMachine {
 	s.t.Helper()
 	probe := httptest.NewServer(nil)
 	address := probe.Listener.Addr().String()
@@ -168,10 +177,11 @@
 	folder := s.t.TempDir()
 	m := &turnMachine{
 		storageMachine: &storageMachine{file: filepath.Join(folder, "storage.yaml"), folder: filepath.Join(folder, "data")},
-		name:           fmt.Sprint("storage-", s.names),
+		name:           fmt.Sprint("storage-", s.names), zone: zone, emptied: time.Now(),
 	}
 	settings := fmt.Sprintf("name: %s\nzone: %s\npeer_listen: %s\noperator_listen: 127.0.0.1:0\nstore_url: %s\n"+
-		"apply_limit: 2s\nlosses: 1\nshards: 4\ndata_folder: %s\n", m.name, turnSoakZone(s.names%s.zones), address, s.url, m.folder)
+		"apply_limit: 2s\nlosses: 1\nshards: %d\ndata_folder: %s\n", m.name, zone, address, s.url,
+		cmp.Or(s.layout.shards, turnSoakShards), m.folder)
 	s.names++
 	assert.NilError(s.t, os.WriteFile(m.file, []byte(settings), 0o600))
 	s.startMachine(m)
@@ -202,6 +212,7 @@
 
 func (m *turnMachine) wipe(t *testing.T) {
 	t.Helper()
+	m.emptied = time.Now()
 	assert.NilError(t, os.RemoveAll(m.folder))
 }
 
