--- a/coordination/shard/doc.go
+++ b/coordination/shard/doc.go
@@ -20,8 +20,11 @@
 // member of the new view copies the shard from a majority of sealed members,
 // and once a majority has finished, e+1 opens. Any node may drive any step at
 // any time, and every step is idempotent. Nodes and clients learn a view only
-// when it opens, so a majority of the members of a known epoch holds its data,
-// and a node that knows only the previous epoch can finish the change. See
+// when it opens, so members of a known epoch hold its data, and a node that
+// knows only the previous epoch can finish the change. An installed view proves
+// that the previous epoch has ended, so it opens even if a majority can't be
+// sealed any more. A member that never held the data of an ended epoch granted
+// nothing in it: it counts as listed, without data. See
 // L. Lamport, D. Malkhi, L. Zhou, "Vertical Paxos and
 // Primary-Backup Replication", 2009, and "Reconfiguring a State Machine", 2010.
 package shard
