Log which runs a stream's events come from, and how their ends are marked

Cause: a report of streams that missed, repeated or lost events can't be assigned: no line tells which request began a stream, which instances its events came from, nor whether anything but the end of a connection marked the end of an answer. Change: began_by and runs in the lines of streams, and marblering_gateway_answer_ends_total by framing and end. No decision changes.

--- a/transport/relay/answer.go
+++ b/transport/relay/answer.go
@@ -59,6 +59,7 @@
 	if c.isResumption() {
 		fields = append(fields, c.originFields()...)
 	}
+	fields = append(fields, c.streamFields()...)
 	fields = append(fields, c.quorumFields()...)
 	if c.response.code == result.OK {
 		c.handler.options.AccessLogger.Info("answered", fields...)
--- a/transport/relay/attempt.go
+++ b/transport/relay/attempt.go
@@ -29,6 +29,10 @@
 	timeToFirst time.Duration
 	// status is the status of a response that isn't a stream; zero until it has arrived.
 	status int
+	// passed is what the attempt added to the client's stream.
+	passed passedEvents
+	// framing is how the end of the response is marked; empty without a response.
+	framing upstream.Framing
 }
 
 // recordProgress records that an event, or a response that isn't a stream, has arrived.
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -84,6 +84,8 @@
 	instances []string
 	// versions are the software versions of these instances.
 	versions []string
+	// runs describes what each attempt added to a stream.
+	runs []streamRun
 	// sends counts the attempts in which the request was sent, unsent the others.
 	sends, unsent int
 	// reachedBackend tells that the request was sent to a backend that didn't refuse it.
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -30,6 +30,7 @@
 // deliver passes a response on to the client.
 func (c *call) deliver(ctx context.Context, backendResponse *upstream.Response, current *attempt) (outcome, error) {
 	defer backendResponse.CloseBody()
+	current.framing = backendResponse.Framing
 	if isEventStream(backendResponse) {
 		return c.deliverEvents(ctx, backendResponse, current)
 	}
@@ -93,7 +94,7 @@
 // if the stream breaks before it.
 func (c *call) deliverEvents(ctx context.Context, backendResponse *upstream.Response, current *attempt) (outcome, error) {
 	events := newEventReader(backendResponse)
-	stream := eventWriter{call: c, response: backendResponse, controller: http.NewResponseController(c.writer)}
+	stream := eventWriter{call: c, response: backendResponse, attempt: current, controller: http.NewResponseController(c.writer)}
 	for {
 		next, err := events.next()
 		if err == io.EOF {
--- a/transport/relay/eventwriter.go
+++ b/transport/relay/eventwriter.go
@@ -10,6 +10,7 @@
 type eventWriter struct {
 	call       *call
 	response   *upstream.Response
+	attempt    *attempt
 	controller *http.ResponseController
 	comments   comments
 }
@@ -29,6 +30,7 @@
 	if err := w.write(next.raw); err != nil {
 		return abandoned, err
 	}
+	w.attempt.passed.add(next.id)
 	if next.id != "" {
 		w.call.response.lastEventID = next.id
 	}
--- a/transport/relay/metrics.go
+++ b/transport/relay/metrics.go
@@ -16,7 +16,9 @@
 	// unresolved counts sends after which nothing shows whether the back end has ended.
 	unresolved *prometheus.CounterVec
 	limits     *prometheus.CounterVec
-	resumed    *prometheus.CounterVec
+	// ends counts the answers of back ends by how their end is marked and how they ended.
+	ends    *prometheus.CounterVec
+	resumed *prometheus.CounterVec
 	// missingReplicas counts the members that turns without a quorum lacked.
 	missingReplicas *prometheus.CounterVec
 	firstByte       *prometheus.HistogramVec
@@ -51,6 +53,10 @@
 			Name: "marblering_gateway_response_limits_total",
 			Help: "Answers of back ends that exceeded a limit, by limit.",
 		}, []string{"limit"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marblering_gateway_answer_ends_total",
+			Help: "Answers of back ends, by how their end is marked and by how they ended.",
+		}, []string{"framing", "ended"}),
 		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marblering_gateway_resumed_streams_total",
 			Help: "Streams that clients resumed, by whether the software version that began them is found.",
@@ -68,7 +74,7 @@
 			Help: "Time from a request's arrival to the end of its answer.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.retries, m.crashes, m.sends, m.unresolved, m.limits, m.resumed, m.missingReplicas, m.firstByte, m.duration)
+	registry.MustRegister(m.requests, m.retries, m.crashes, m.sends, m.unresolved, m.limits, m.ends, m.resumed, m.missingReplicas, m.firstByte, m.duration)
 	return m
 }
 
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -121,6 +121,7 @@
 	c.attempts.record(ended)
 	how := c.sendEndOf(ctx, ended, cause)
 	c.recordSendEnd(current, how, cause)
+	c.recordRun(current, how)
 	c.observeLimit(assignment, cause)
 	c.settleSend(ctx, current, how)
 	if c.isDone(ctx) && ended != delivered {
--- /dev/null
+++ b/transport/relay/streamrun.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"github.com/marblering/marblering/coordination/routetable"
+	"github.com/marblering/marblering/transport/upstream"
+)
+
+// passedEvents are the events of an attempt that were passed on to the client.
+type passedEvents struct {
+	count       int
+	first, last string // ids; empty for an event without one
+}
+
+func (p *passedEvents) add(id string) {
+	if p.count == 0 {
+		p.first = id
+	}
+	p.count++
+	p.last = id
+}
+
+// streamRun describes for the log what one attempt added to a stream.
+type streamRun struct {
+	instance, version string
+	passed            passedEvents
+	framing           upstream.Framing
+	ended             sendEnd
+}
+
+// String returns the run as it stands in log lines.
+func (r streamRun) String() string {
+	return fmt.Sprintf("%s version=%s events=%d first=%s last=%s framing=%s ended=%s",
+		r.instance, r.version, r.passed.count, r.passed.first, r.passed.last, r.framing, r.ended)
+}
+
+// recordRun notes how an attempt ended that got a response.
+func (c *call) recordRun(current *attempt, how sendEnd) {
+	if current.framing == "" {
+		return
+	}
+	c.handler.options.Metrics.ends.WithLabelValues(string(current.framing), string(how)).Inc()
+	if c.routing.route.Kind != routetable.Stream {
+		return
+	}
+	instance := &current.assignment.Instance
+	c.attempts.runs = append(c.attempts.runs, streamRun{
+		instance: instance.ID, version: instance.Version, passed: current.passed, framing: current.framing, ended: how,
+	})
+}
+
+// streamFields returns log fields that tell which request began a stream and which runs its events
+// come from; none for other requests.
+func (c *call) streamFields() []zap.Field {
+	if c.routing.route == nil || c.routing.route.Kind != routetable.Stream {
+		return nil
+	}
+	beganBy := c.input.info.ID
+	if c.isResumption() {
+		beganBy = c.input.info.Resumes
+	}
+	return []zap.Field{zap.String("began_by", beganBy), zap.Stringers("runs", c.attempts.runs)}
+}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -29,6 +29,8 @@
 	// HasID is set if the response repeats the request's ID. A response without an ID may
 	// belong to another request.
 	HasID bool
+	// Framing tells how the end of the body is marked.
+	Framing Framing
 
 	// closesConnection is set if the backend closes the connection after this response.
 	closesConnection bool
@@ -140,10 +142,11 @@
 		return nil, false, &Error{Sent: true, Stage: StageBody, Cause: exceeded}
 	}
 	e.connection.limitIdleTime(response.Header, e.client.settings)
+	framing := framingOf(response)
 	return &Response{
 		Status: response.StatusCode, Header: response.Header,
-		HasID:            id != "",
-		closesConnection: response.Close || hasCloseDelimitedBody(response),
+		HasID: id != "", Framing: framing,
+		closesConnection: response.Close || framing == FramingConnection,
 		exchange:         e, body: response.Body, limit: limit,
 	}, true, nil
 }
@@ -174,12 +177,6 @@
 	return response, err
 }
 
-// hasCloseDelimitedBody reports whether the end of the connection marks the end of the
-// body.
-func hasCloseDelimitedBody(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // abandon closes the connection, which tells the backend that the client is gone.
 func (e *exchange) abandon() {
 	e.once.Do(func() {
