Don't take a reset that ended the request for the end of its answer

Callers could get a success as whole of which the instance had reset the rest. Cause: the kernel reports a reset once. A body over 4 KiB is written beside the reading of the answer; if the writer is told of the reset, the reader gets an orderly end, which ends an answer without a length. Nothing looked at how the write had ended. Change: such an answer ends as whole only if its request was written.

--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -38,6 +38,8 @@
 	exchange *exchange
 	body     io.ReadCloser
 	limit    bodyLimit
+	// endErr is what Read returns after the body; nil until then.
+	endErr error
 }
 
 // exchange is a request and its response on a connection.
@@ -213,17 +215,32 @@
 // Read reads the body. It returns io.EOF only after the whole body, and a *LimitError in place of
 // bytes beyond MaxBodyBytes.
 func (a *Response) Read(buffer []byte) (int, error) {
+	if a.endErr != nil {
+		return 0, a.endErr
+	}
 	count, err := a.body.Read(buffer)
 	if allowed, exceeded := a.limit.add(count); exceeded != nil {
 		return allowed, exceeded
 	}
 	if err == io.EOF {
-		a.exchange.finish(a.closesConnection)
-		return count, err
+		a.endErr = a.end()
+		return count, a.endErr
 	}
 	return count, a.exchange.stall.errorFor(err)
 }
 
+// end ends the exchange after the body, and returns io.EOF unless the body may lack its rest.
+func (a *Response) end() error {
+	if a.Framing == FramingConnection {
+		if err := a.exchange.confirmEnd(); err != nil {
+			a.exchange.abandon()
+			return err
+		}
+	}
+	a.exchange.finish(a.closesConnection)
+	return io.EOF
+}
+
 // CloseBody discards the rest of the response. Unless the body was read to its end, it
 // closes the connection, which tells the backend that the client is gone.
 func (a *Response) CloseBody() { a.exchange.abandon() }
