Don't take the end of a connection for the end of a stream

Callers got 200 and a stream that ended as whole though its instance had broken it off between two events. Cause: nothing but the end of its connection marks the end of an answer without a length, and the system closes the connections of a process that was killed as it does after a whole answer. Change: the end of such an answer counts only if the process runs on: its address takes connections, and an idle connection to it hasn't broken. If the stream can be resumed it is continued at another instance even then, and is whole once that one has nothing to add. An answer without any event isn't a stream. What the process of an answer to another request does isn't asked, nor is one that has a length or comes in chunks.

--- a/transport/relay/attempt.go
+++ b/transport/relay/attempt.go
@@ -29,6 +29,8 @@
 	timeToFirst time.Duration
 	// status is the status of a response that isn't a stream; zero until it has arrived.
 	status int
+	// isContinuation is set if the client had events of the stream before.
+	isContinuation bool
 	// passed is what the attempt added to the client's stream.
 	passed passedEvents
 	// framing is how the end of the response is marked; empty without a response.
@@ -53,7 +55,7 @@
 		return backend.Inconclusive{}
 	}
 	switch ended {
-	case delivered, turnNotStored:
+	case delivered, turnNotStored, unconfirmed:
 		if a.timeToFirst == 0 {
 			a.timeToFirst = waited
 		}
--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -117,7 +117,7 @@
 	case delivered, abandoned:
 		a.sends++
 		a.reachedBackend = true
-	case incomplete, turnNotStored:
+	case incomplete, turnNotStored, unconfirmed:
 		a.sends++
 		a.reachedBackend, a.mayHaveRun = true, true
 	}
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -100,7 +100,9 @@
 // newAttempt returns a try at an instance. Its send takes the place of an announced one that the
 // request doesn't need any more, so that this doesn't count against it.
 func (c *call) newAttempt(assignment *backend.Assignment) *attempt {
-	current := &attempt{assignment: assignment, started: c.handler.options.Now(), id: newSendID()}
+	current := &attempt{
+		assignment: assignment, started: c.handler.options.Now(), id: newSendID(), isContinuation: c.response.lastEventID != "" || c.isResumption(),
+	}
 	if c.attempts.unused != 0 {
 		current.id, current.isAnnounced = c.attempts.unused, true
 		c.attempts.unused = 0
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -98,6 +98,9 @@
 	for {
 		next, err := events.next()
 		if err == io.EOF {
+			if ended, err := c.checkStreamEnd(current); err != nil {
+				return ended, err
+			}
 			return c.endStream(ctx, backendResponse, stream.comments.held)
 		}
 		if err != nil {
--- a/transport/relay/outcome.go
+++ b/transport/relay/outcome.go
@@ -20,6 +20,8 @@
 	incomplete
 	// turnNotStored: the response was complete, but its turn couldn't be stored.
 	turnNotStored
+	// unconfirmed: the stream ended, but only another instance can tell whether it was whole.
+	unconfirmed
 	// abandoned: the client is gone or the deadline has passed.
 	abandoned
 )
@@ -32,7 +34,10 @@
 	// errNoEventID means that nothing tells another instance where to continue a stream.
 	errNoEventID = errors.New("no event that was passed on has an id")
 	// errStopped is the cause of contexts that the end of the process cancels.
-	errStopped        = errors.New("the gateway is stopping")
+	errStopped = errors.New("the gateway is stopping")
+	// errEndUnmarked means that only the end of its connection marks the end of a stream.
+	errEndUnmarked    = errors.New("nothing but the end of its connection marks the end of the stream")
+	errNoEvents       = errors.New("the stream ended with its connection before its first event")
 	errTruncatedEvent = errors.New("the stream ended within an event")
 )
 
--- a/transport/relay/sendend.go
+++ b/transport/relay/sendend.go
@@ -19,6 +19,7 @@
 	sendRefused     sendEnd = "refused"
 	sendNotMade     sendEnd = "not_made"
 	sendInvalid     sendEnd = "invalid"
+	sendUnconfirmed sendEnd = "unconfirmed"
 	sendBroken      sendEnd = "broken"
 	sendUnreachable sendEnd = "unreachable"
 	sendLeft        sendEnd = "client_left"
@@ -30,7 +31,7 @@
 // it may end under the request later, or has ended unseen.
 func (e sendEnd) hasOutcome() bool {
 	switch e {
-	case sendAnswered, sendRefused, sendNotMade, sendInvalid:
+	case sendAnswered, sendRefused, sendNotMade, sendInvalid, sendUnconfirmed:
 		return true
 	}
 	return false
@@ -41,6 +42,8 @@
 	switch {
 	case ended == delivered || ended == turnNotStored:
 		return sendAnswered
+	case ended == unconfirmed:
+		return sendUnconfirmed
 	case ended == refused:
 		return sendRefused
 	case ended == unsent:
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -213,7 +213,9 @@
 }
 
 // Read reads the body. It returns io.EOF only after the whole body, and a *LimitError in place of
-// bytes beyond MaxBodyBytes.
+// bytes beyond MaxBodyBytes. Where only the end of the connection marks the end of the body, it
+// returns ErrProcessEnded if the process has ended as well. A process that goes on may have broken
+// the body off all the same.
 func (a *Response) Read(buffer []byte) (int, error) {
 	if a.endErr != nil {
 		return 0, a.endErr
--- a/transport/upstream/unmarkedend.go
+++ b/transport/upstream/unmarkedend.go
@@ -1,6 +1,20 @@
 package upstream
 
-import "errors"
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/marblering/marblering/coordination/sleep"
+)
+
+// endCheckTimeout bounds the check of a process whose response ended with its connection.
+const endCheckTimeout = 300 * time.Millisecond
+
+// ErrProcessEnded means that the process ended with the connection that alone marks the end of its
+// response: the system closes the connections of a process that was killed like those of one that
+// has said all.
+var ErrProcessEnded = errors.New("the process ended with the connection of its answer")
 
 var errRequestNotWritten = errors.New("the connection ended before the request was written")
 
@@ -10,5 +24,50 @@
 	if !e.wasWritten() {
 		return errRequestNotWritten
 	}
+	ended := e.client.now()
+	witnesses := e.connection.life.idleBefore(ended)
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	if found := e.client.probeEnd(ctx, e.endpoint, 0); found == LifeEnded || found == LifeSilent {
+		return ErrProcessEnded
+	}
+	if len(witnesses) == 0 {
+		return nil
+	}
+	// The connections of a process don't break at the same moment.
+	_ = sleep.For(ctx, EndSkew-e.client.now().Sub(ended))
+	if haveBroken(witnesses) {
+		return ErrProcessEnded
+	}
 	return nil
 }
+
+// idleBefore returns the idle connections that the process had accepted by then, and won't close
+// soon because they are idle. Only the end of the process breaks these.
+func (l *life) idleBefore(at time.Time) (idle []*connection) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for candidate := range l.open {
+		isIdle := !candidate.inUse.Load() && at.Sub(candidate.lastUse()) < minIdleClose
+		if isIdle && !candidate.acceptedAt().After(at) {
+			idle = append(idle, candidate)
+		}
+	}
+	return idle
+}
+
+// haveBroken reports whether the process has broken all of the connections that this process
+// hasn't closed, and there is one.
+func haveBroken(connections []*connection) bool {
+	broken := false
+	for _, candidate := range connections {
+		isEstablished := candidate.isEstablished()
+		switch {
+		case isEstablished:
+			return false
+		case !candidate.isClosed.Load():
+			broken = true
+		}
+	}
+	return broken
+}
--- a/transport/upstream/unmarkedend_test.go
+++ b/transport/upstream/unmarkedend_test.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +15,92 @@
 
 const unmarkedAnswer = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"
 
+// answerUnmarked accepts connections, and closes the first on which a request comes after the
+// answer, as the test says.
+func answerUnmarked(t *testing.T, end func(listener net.Listener, answered net.Conn)) net.Listener {
+	t.Helper()
+	var listener net.Listener
+	ready := make(chan struct{})
+	listener = listen(t, func(_ int, opened net.Conn) {
+		go func() {
+			<-ready
+			if _, err := http.ReadRequest(bufio.NewReader(opened)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(opened, unmarkedAnswer)
+			time.Sleep(20 * time.Millisecond) // until the answer was read
+			end(listener, opened)
+		}()
+	})
+	close(ready)
+	return listener
+}
+
+// openIdle gives the client an idle connection that the process has accepted.
+func openIdle(t *testing.T, client *Client, request *Request) *connection {
+	t.Helper()
+	idle, err := client.dial(t.Context(), endpointOf(request))
+	assert.NilError(t, err)
+	client.putIdle(endpointOf(request), idle)
+	time.Sleep(acceptTime)
+	return idle
+}
+
+// TestEndOfProcessIsNotTheEndOfItsAnswer guards against an answer that looks whole since the
+// system has closed the connections of a process that ended.
+func TestEndOfProcessIsNotTheEndOfItsAnswer(t *testing.T) {
+	t.Parallel()
+	closeAnswered := func(_ net.Listener, answered net.Conn) { _ = answered.Close() }
+	for _, c := range []struct {
+		name string
+		end  func(listener net.Listener, answered net.Conn)
+		err  error
+	}{
+		{"process runs on", closeAnswered, nil},
+		{"process ends", func(listener net.Listener, answered net.Conn) {
+			_ = listener.Close()
+			_ = answered.Close()
+		}, ErrProcessEnded},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			client, request := newEndClient(), requestTo(answerUnmarked(t, c.end))
+			answer, err := client.Do(t.Context(), request)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(answer)
+			assert.Equal(t, string(body), "half")
+			assert.Assert(t, errors.Is(err, c.err), "%v", err)
+			again, err := answer.Read(make([]byte, 1))
+			assert.Equal(t, again, 0)
+			assert.Assert(t, c.err != nil && errors.Is(err, c.err) || err == io.EOF, "%v", err)
+		})
+	}
+}
+
+// TestBrokenIdleConnectionShowsTheEndOfItsProcess guards against an answer that looks whole since
+// another process accepts connections at the address.
+func TestBrokenIdleConnectionShowsTheEndOfItsProcess(t *testing.T) {
+	t.Parallel()
+	for _, isBroken := range []bool{false, true} {
+		client := newEndClient()
+		accepted := make(chan net.Conn, 4)
+		listener := listen(t, func(_ int, opened net.Conn) { accepted <- opened })
+		request := requestTo(listener)
+		idle := openIdle(t, client, request)
+		used, err := client.dial(t.Context(), endpointOf(request))
+		assert.NilError(t, err)
+		current := &exchange{client: client, endpoint: endpointOf(request), connection: used, written: make(chan struct{})}
+		close(current.written)
+		if isBroken {
+			_ = (<-accepted).Close()
+			for idle.isEstablished() {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		assert.Equal(t, errors.Is(current.confirmEnd(), ErrProcessEnded), isBroken)
+	}
+}
+
 // TestResetThatEndsTheRequestIsNotTheEndOfTheAnswer guards against an answer that looks whole since
 // the writer of the request was told of the reset.
 func TestResetThatEndsTheRequestIsNotTheEndOfTheAnswer(t *testing.T) {
