--- a/coordination/turnstore/find.go
+++ b/coordination/turnstore/find.go
@@ -125,8 +125,10 @@
 func (s *Store) fill(ids []string, turns []*statev1.RetainedTurn, found *foundTurns) {
 	found.mutex.Lock()
 	defer found.mutex.Unlock()
-	for _, turn := range found.turns {
-		s.cache.put(turn)
+	for _, id := range ids {
+		if turn := found.turns[id]; turn != nil {
+			s.cache.put(turn)
+		}
 	}
 	// Taken from the found turns, since the cache may have evicted some of them.
 	for index, id := range ids {
