Pass on only what follows the last event of a stream

A stream could hold an event twice, lack one, or join two runs. Cause: an instance was trusted to go on after the last event. What it sent up to that id was dropped without a word, so that the later events of a run that begins anew were joined with the first run's, and an event of one run whose id didn't rise was lost. For a client that resumes a stream not even that was done: the events that it has came again. Ids that aren't numbers of 64 bits weren't compared, a continuation that skips an event was passed on, and one after an event without an id began before that event. Change: check, a function without I/O, says whether an event follows the last one that the client has or names. If it doesn't, the attempt is broken off with errNotContinued or errNotRising, which count as an improper answer and not as a crash; another instance may be tried. A stream whose last event has no number isn't continued within the answer. Numbers with steps, text and events without an id within one run are passed on as before; nothing is held back. An instance that repeats the last event alone is broken off as well: a run of which one event was passed on begins anew in the same way, and the protocol asks for no repetition. TestCutIDIsNoEvent covers cut ids, which were read properly before; it fails if the rest of a cut event is returned.

--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -126,10 +126,10 @@
 // response is the state of the response to the client.
 type response struct {
 	headerWritten bool
-	// lastEventID is the id of the last event sent to the client; empty for none.
-	lastEventID string
-	status      int
-	code        result.Code
+	// order is the place in the stream that the client has reached.
+	order  eventOrder
+	status int
+	code   result.Code
 	// reason is the error message of a failed request.
 	reason string
 	// noQuorum is set if the request's turn found no quorum of replicas.
--- a/transport/relay/crash.go
+++ b/transport/relay/crash.go
@@ -101,8 +101,9 @@
 // request doesn't need any more, so that this doesn't count against it.
 func (c *call) newAttempt(assignment *backend.Assignment) *attempt {
 	current := &attempt{
-		assignment: assignment, started: c.handler.options.Now(), id: newSendID(), isContinuation: c.response.lastEventID != "" || c.isResumption(),
+		assignment: assignment, started: c.handler.options.Now(), id: newSendID(), isContinuation: c.response.order.lastID != "" || c.isResumption(),
 	}
+	c.response.order.isJoin = current.isContinuation
 	if c.attempts.unused != 0 {
 		current.id, current.isAnnounced = c.attempts.unused, true
 		c.attempts.unused = 0
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -126,7 +126,7 @@
 // streamError returns the error for what ended a stream. It wraps errNoEventID if the stream can't
 // be continued: another instance would begin it anew, after the events that the client has.
 func (c *call) streamError(cause error) error {
-	if c.response.headerWritten && c.response.lastEventID == "" {
+	if c.response.headerWritten && c.response.order.lastID == "" {
 		return fmt.Errorf("%w: %w", errNoEventID, cause)
 	}
 	return cause
--- a/transport/relay/event.go
+++ b/transport/relay/event.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"strings"
 
 	"github.com/marblering/marblering/transport/upstream"
@@ -16,22 +15,9 @@
 type event struct {
 	raw []byte
 	id  string
-	// hasField is set unless all lines are comments.
-	hasField bool
-}
-
-// isAlreadySent tells whether the event isn't newer than the last one sent, given its id.
-// Only numeric ids can be compared.
-func (e event) isAlreadySent(lastID string) bool {
-	if lastID == "" || e.id == "" {
-		return false
-	}
-	number, err := strconv.ParseUint(e.id, 10, 64)
-	if err != nil {
-		return false
-	}
-	lastNumber, err := strconv.ParseUint(lastID, 10, 64)
-	return err == nil && number <= lastNumber
+	// hasField is set unless all lines are comments, hasData if there is a data field. Clients
+	// count nothing else as an event.
+	hasField, hasData bool
 }
 
 // eventReader splits a stream into events without changing any bytes.
@@ -70,6 +56,7 @@
 			current.id = id
 		}
 		current.hasField = current.hasField || line[0] != ':'
+		current.hasData = current.hasData || bytes.HasPrefix(line, []byte("data"))
 	}
 }
 
--- a/transport/relay/event_test.go
+++ b/transport/relay/event_test.go
@@ -39,6 +39,17 @@
 	}
 }
 
+// TestCutIDIsNoEvent guards against a cut id that is taken for that of a whole event.
+func TestCutIDIsNoEvent(t *testing.T) {
+	const whole, last = "id: 1\ndata: one\n\n", "id: 12\ndata: two\n\n"
+	for sent := range len(last) {
+		events, err := readEvents(strings.NewReader(whole + last[:sent]))
+		assert.Equal(t, len(events), 1, "%d bytes", sent)
+		assert.Equal(t, events[0].id, "1")
+		assert.Equal(t, err == io.EOF, sent == 0, "%d bytes: %v", sent, err)
+	}
+}
+
 // TestLongIDIsReadWhole guards against an id whose line is longer than the buffer.
 func TestLongIDIsReadWhole(t *testing.T) {
 	id := strings.Repeat("7", 2*eventBufferBytes)
--- a/transport/relay/eventwriter.go
+++ b/transport/relay/eventwriter.go
@@ -15,10 +15,10 @@
 	comments   comments
 }
 
-// deliver passes on an event after the comments that were held, unless the client has it.
+// deliver passes on an event after the comments that were held, if it follows the last one.
 func (w *eventWriter) deliver(next event) (outcome, error) {
-	if next.isAlreadySent(w.call.response.lastEventID) {
-		return delivered, nil
+	if err := w.call.response.order.check(next); err != nil {
+		return incomplete, err
 	}
 	if err := w.call.countEvent(next); err != nil {
 		return incomplete, err
@@ -31,9 +31,7 @@
 		return abandoned, err
 	}
 	w.attempt.passed.add(next.id)
-	if next.id != "" {
-		w.call.response.lastEventID = next.id
-	}
+	w.call.response.order.add(next)
 	return delivered, nil
 }
 
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -35,6 +35,7 @@
 		return unreadableOrigin.errorf("%v", err)
 	}
 	c.stream.isKnown, c.stream.origin, c.stream.changes = true, origin, c.stream.finding.Change
+	c.response.order.resume(c.input.info.LastEventID)
 	isServiceGone := c.isServiceGone()
 	if isServiceGone && !c.configurationAge().IsNewerThan(c.stream.finding) {
 		metrics.countResumption(originUnavailable)
--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -175,7 +175,7 @@
 		ID: c.input.info.ID, Tenant: c.tenantName(),
 		Remaining:   c.timing.deadline.Sub(c.handler.options.Now()),
 		Instance:    assignment.Instance.ID,
-		LastEventID: c.response.lastEventID,
+		LastEventID: c.response.order.lastID,
 	})
 	return &upstream.Request{
 		Address: assignment.Instance.Address, Instance: assignment.Instance.ID, Started: assignment.Instance.Started,
--- a/transport/relay/sendend.go
+++ b/transport/relay/sendend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,7 +70,9 @@
 	if errors.As(cause, &excess) {
 		return excess.Limit != upstream.LimitHeadTime
 	}
-	return errors.Is(cause, errInvalidResponse) || errors.Is(cause, errNotResumed)
+	return slices.ContainsFunc([]error{errInvalidResponse, errNotResumed, errNotContinued, errNotRising}, func(invalid error) bool {
+		return errors.Is(cause, invalid)
+	})
 }
 
 // recordSendEnd counts how a send ended, and logs one without an outcome.
--- a/transport/relay/streamend.go
+++ b/transport/relay/streamend.go
@@ -36,7 +36,7 @@
 // the end of the client's stream as well.
 func (c *call) checkStreamEnd(current *attempt) (outcome, error) {
 	end := streamEnd{
-		framing: current.framing, resumable: c.routing.route.Resumable && c.response.lastEventID != "",
+		framing: current.framing, resumable: c.routing.route.Resumable && c.response.order.lastID != "",
 		isContinuation: current.isContinuation, events: current.passed.count,
 	}
 	return end.verify()
