Don't take a late answer for that to the question for the start

A stream that may be resumed got the process's report, or a late answer without an id, in the place of its own answer: an attempt was lost that may have run, and the process counted as the listed one though it had told no start. Cause: whatever came first on the connection was read as the answer to the question for the start of the process, also a late second answer to the request before it. What told no start was taken for a process that tells none. Change: an answer that names a request, an interim one, one that more bytes follow, and on a connection that was used before one that tells no start, isn't trusted: the connection is closed, and a new one is asked once. On a new connection an answer without a start counts as before. A process whose entry tells a start and whose report doesn't costs one connection more, once.

--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -79,7 +79,7 @@
 		}
 	}
 	if request.ChecksProcess {
-		if err := c.checkProcess(ctx, to, request, opened); err != nil {
+		if opened, err = c.checkProcess(ctx, to, request, opened); err != nil {
 			return nil, &Error{Stage: StageDial, Cause: err}
 		}
 	}
--- a/transport/upstream/identity.go
+++ b/transport/upstream/identity.go
@@ -44,12 +44,15 @@
 	return false, nil
 }
 
-// askStart asks the process on the connection when it started.
+// askStart asks the process on the connection when it started. The error is errNoIdentity if the
+// answer may be a late one to a request before: only one that tells a start is known not to be, or
+// any that comes first on a connection.
 func (c *Client) askStart(ctx context.Context, to endpoint, used *connection) (started time.Time, known bool, err error) {
 	deadline := c.now().Add(identityTimeout)
 	if end, ok := ctx.Deadline(); ok && end.Before(deadline) {
 		deadline = end
 	}
+	isFirstUse := used.firstReceived.Load() == 0
 	_ = used.socket.SetDeadline(deadline)
 	defer func() { _ = used.socket.SetDeadline(time.Time{}) }()
 	if _, err := fmt.Fprintf(used.socket, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c.settings.Identity.Target, to.address); err != nil {
@@ -66,15 +69,23 @@
 	switch {
 	case err != nil:
 		return time.Time{}, false, err
-	case len(body) > maxIdentityBytes || response.Close:
+	case len(body) > maxIdentityBytes || response.Close || c.isOfRequest(response) || used.reader.Buffered() > 0:
+		return time.Time{}, false, errNoIdentity
+	case response.StatusCode == http.StatusOK:
+		started, known = c.settings.Identity.Started(body)
+	}
+	if !known && !isFirstUse {
 		return time.Time{}, false, errNoIdentity
-	case response.StatusCode != http.StatusOK:
-		return time.Time{}, false, nil
 	}
-	started, known = c.settings.Identity.Started(body)
 	return started, known, nil
 }
 
+// isOfRequest reports whether a response isn't to the question: it names a request, or is followed
+// by another one.
+func (c *Client) isOfRequest(response *http.Response) bool {
+	return response.Header.Get(c.settings.IDHeader) != "" || response.StatusCode < http.StatusOK
+}
+
 // hasIdentified reports whether a connection is open whose process is the listed one. Others that
 // are open lead to the same process, since one process at a time has the address.
 func (l *life) hasIdentified() bool {
