Reset HTTP/1.0 responses that the end of the process cuts

Cause: nothing but the end of the connection ends a response to HTTP/1.0 without a length. If the gateway is killed, its listener is closed, or the last bytes can't be written after the handler has returned, the connection was closed in an orderly way, so that a response that was cut looked whole. Only a panic of the handler set the connection to reset.

Change: the listener sets SO_LINGER 0 when a handler begins to respond to HTTP/1.0, so that the system resets the connection of a killed process as well, and clears it before the orderly end of a whole response or when the connection is kept for the next request. A failed write or the closing of the server leaves it set. Responses to HTTP/1.1 and HTTP/2 are as before.

Measured: TestKilledServerResetsOldClients, TestClosedServerResetsOldClients and TestFailedLastWriteResetsOldClients failed before (3 of 3: an orderly end after the first part of the response); now they pass, go test ./transport/listener -count=3. TestWholeResponseToOldClients and TestKeptConnectionOfOldClientsEndsOrderly passed before and pass now. A loss of power sends nothing and isn't tested.

--- a/transport/listener/connection.go
+++ b/transport/listener/connection.go
@@ -58,6 +58,11 @@
 	isUnhandled bool
 	// received is what was received so far of a preface of HTTP/2.
 	received []byte
+	// responseEnd is how far the response has come, if nothing but the end of the connection
+	// may end it.
+	responseEnd responseEnd
+	// isCut is set once a write has failed or the server was closed.
+	isCut bool
 }
 
 // Read implements net.Conn.
@@ -113,6 +118,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.isUsed = true
+	c.clearReset()
 	c.begin(waiting)
 }
 
@@ -203,9 +209,28 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// Write implements net.Conn.
+func (c *connection) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	if err != nil {
+		c.noteFailedWrite()
+	}
+	return count, err
+}
+
+// noteFailedWrite notes that the response can't become whole.
+func (c *connection) noteFailedWrite() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isCut = true
+}
+
 // CloseWrite closes the sending side, if the connection can. The server does so before it
 // closes a connection with unread bytes, so that the client receives the response.
 func (c *connection) CloseWrite() error {
+	if !c.endOrderly() {
+		return c.Conn.Close()
+	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -222,13 +247,6 @@
 	if isUnhandled {
 		c.owner.reportUnhandled(c)
 	}
+	c.endOrderly()
 	return c.Conn.Close()
 }
-
-// resetOnClose resets the connection when it is closed. The end of the connection is what ends
-// some responses to HTTP/1.0, so that one which is aborted would look whole.
-func (c *connection) resetOnClose() {
-	if socket, ok := c.Conn.(*net.TCPConn); ok {
-		_ = socket.SetLinger(0)
-	}
-}
--- a/transport/listener/listener.go
+++ b/transport/listener/listener.go
@@ -78,17 +78,15 @@
 // handle returns the handler of the server.
 func (l *Listener) handle(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		hasReturned := false
-		if c, ok := request.Context().Value(connectionKey{}).(*connection); ok {
-			c.noteHandler()
-			defer func() {
-				if !hasReturned && !request.ProtoAtLeast(1, 1) {
-					c.resetOnClose()
-				}
-			}()
+		c, ok := request.Context().Value(connectionKey{}).(*connection)
+		if !ok {
+			handler.ServeHTTP(writer, request)
+			return
 		}
+		c.noteHandler()
+		c.beginResponse(request)
 		handler.ServeHTTP(writer, request)
-		hasReturned = true
+		c.noteReturned()
 	})
 }
 
@@ -112,7 +110,7 @@
 // Serve serves requests until the context ends. After StopAccepting, it waits for the
 // context without accepting connections.
 func (l *Listener) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
+	stop := context.AfterFunc(ctx, l.close)
 	defer stop()
 	err := l.server.Serve(acceptor{l})
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
@@ -122,6 +120,14 @@
 	return err
 }
 
+// close closes all connections, whatever they still have to write.
+func (l *Listener) close() {
+	for _, c := range l.connections() {
+		c.noteAborted()
+	}
+	_ = l.server.Close()
+}
+
 // SetTimeouts changes the timeouts, also those of open connections: of one that waits at
 // once if they become longer, otherwise from its next request on.
 func (l *Listener) SetTimeouts(timeouts Timeouts) {
