Let marblering serve reset HTTP/1.0 responses that are aborted

Cause: marblering serve wraps its callers' connections to count their bytes. The listener didn't find a TCP connection below the wrapper, and so reset none.

Change: the wrapper passes SetLinger on.

Measured: TestAbortedResponseOnCountedConnectionIsReset failed before (an orderly end after a part of the response); now it passes, go test ./node -run CountedConnection -count=3.

--- a/node/connections.go
+++ b/node/connections.go
@@ -94,6 +94,14 @@
 	return count, err
 }
 
+// SetLinger has the same meaning as that of net.TCPConn. The listener resets connections by it.
+func (c *countedConn) SetLinger(seconds int) error {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return socket.SetLinger(seconds)
+	}
+	return nil
+}
+
 // countedListener counts the bytes of the connections it accepts.
 type countedListener struct {
 	net.Listener
