Don't show a value that the end of a log cuts

Cause: a log may end within a line, when its process was killed or its copy ends early. marblering explain took the rest of the line for a whole one, with a value such as request=r for r1, or a shorter duration.

Change: the last field of a line without an end is left out.

Measured: TestCutLogShowsNoCutValue failed before, with 23 cut values among all prefixes of a log of two nodes; now it passes, go test ./telemetry/logfile.

--- a/telemetry/logfile/logfile.go
+++ b/telemetry/logfile/logfile.go
@@ -146,13 +146,24 @@
 	return all, nil
 }
 
-// readLog returns the lines of one log and skips text that isn't a log line.
+// readLog returns the lines of one log and skips text that isn't a log line. It leaves out the last
+// field of a line without an end, since the value may be cut.
 func readLog(log io.Reader) ([]Line, error) {
 	var lines []Line
+	isCut := false
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(nil, maxLineBytes)
+	scanner.Split(func(data []byte, atEOF bool) (advance int, token []byte, err error) {
+		advance, token, err = bufio.ScanLines(data, atEOF)
+		isCut = advance > 0 && data[advance-1] != '\n'
+		return advance, token, err
+	})
 	for scanner.Scan() {
-		if l, ok := Parse(scanner.Text()); ok {
+		l, ok := Parse(scanner.Text())
+		if ok && isCut {
+			l.Fields = l.Fields[:len(l.Fields)-1]
+		}
+		if ok {
 			lines = append(lines, l)
 		}
 	}
