Keep the finish reason of a stream that broke before its end mark

Cause: when an engine's connection broke between the last chunk and the end mark, marblering serve resumed the stream and got the mark alone. The resumed part had no finish reason and no usage, and so a whole answer was lost and its call counted as failed.

Change: Resume takes the part that had arrived, and keeps its finish reason and usage.

--- a/lab/engine/server_test.go
+++ b/lab/engine/server_test.go
@@ -69,7 +69,7 @@
 	assert.Equal(t, answer.FinishReason, engineapi.FinishStop)
 	assert.Equal(t, answer.Usage.PromptTokens, engine.PromptTokens(question))
 
-	resumed, err := client.Resume(t.Context(), address, "a/b", 3, nil)
+	resumed, err := client.Resume(t.Context(), address, engineapi.Completion{ID: "a/b", Chunks: 3}, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, resumed.Content, answer.Content[12:])
 	assert.Equal(t, resumed.Chunks, answer.Chunks)
@@ -274,7 +274,7 @@
 	assert.ErrorIs(t, err, patience)
 	assert.Equal(t, kindOf(err), engineapi.Abandoned)
 	assert.NilError(t, client.Cancel(t.Context(), address, "r1"))
-	partial, err := client.Resume(t.Context(), address, "r1", 0, nil)
+	partial, err := client.Resume(t.Context(), address, engineapi.Completion{ID: "r1"}, nil)
 	assert.Equal(t, kindOf(err), engineapi.Cancelled)
 	assert.Assert(t, strings.HasPrefix(engine.ExpectedAnswer(seed, question, 0), partial.Content))
 	assert.Equal(t, server.Ledger().After(0)[0].Outcome, ledger.Cancelled)
@@ -287,7 +287,7 @@
 	server.SetFaults(engine.Faults{DropAfterChunks: &three})
 	partial, err := client.Complete(t.Context(), address, request("r1", question), nil)
 	assert.Equal(t, kindOf(err), engineapi.Truncated)
-	rest, err := client.Resume(t.Context(), address, "r1", partial.Chunks, nil)
+	rest, err := client.Resume(t.Context(), address, engineapi.Completion{ID: "r1", Chunks: partial.Chunks}, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, partial.Content+rest.Content, engine.ExpectedAnswer(seed, question, 0))
 }
--- a/node/engine.go
+++ b/node/engine.go
@@ -88,7 +88,7 @@
 			return partial, err
 		}
 		var rest engineapi.Completion
-		rest, err = e.client.Resume(ctx, address, partial.ID, partial.Chunks, onText)
+		rest, err = e.client.Resume(ctx, address, partial, onText)
 		rest.ID = partial.ID
 		rest.Content = partial.Content + rest.Content
 		rest.Chunks = max(rest.Chunks, partial.Chunks)
--- a/protocol/engineapi/completion.go
+++ b/protocol/engineapi/completion.go
@@ -85,11 +85,11 @@
 	return readStream(ctx, response.Body, &stream{exchange: ex, requestID: request.RequestID, onText: onText})
 }
 
-// Resume reads the stream of a running or recent request again, beginning with
-// the chunk numbered from, where the first chunk is zero. Content holds the text
-// of the chunks read here.
-func (c *Client) Resume(ctx context.Context, address, requestID string, from uint64, onText func(text string) error) (Completion, error) {
-	path := "/v1/requests/" + url.PathEscape(requestID) + "?from=" + strconv.FormatUint(from, 10)
+// Resume reads the stream of a running or recent request on from where it broke off. Of the part
+// that had arrived it needs the ID and the number of chunks; it keeps the finish reason and the
+// usage. Content holds the text of the chunks read here.
+func (c *Client) Resume(ctx context.Context, address string, partial Completion, onText func(text string) error) (Completion, error) {
+	path := "/v1/requests/" + url.PathEscape(partial.ID) + "?from=" + strconv.FormatUint(partial.Chunks, 10)
 	ex := &exchange{address: address, method: http.MethodGet, path: path}
 	response, err := c.send(ctx, ex, nil)
 	if err != nil {
@@ -98,9 +98,10 @@
 	defer response.Body.Close()
 	return readStream(ctx, response.Body, &stream{
 		exchange:   ex,
-		requestID:  requestID,
+		requestID:  partial.ID,
 		onText:     onText,
-		completion: Completion{Chunks: from},
+		completion: partial,
+		hasUsage:   partial.Usage != Usage{},
 	})
 }
 
--- a/protocol/engineapi/golden_test.go
+++ b/protocol/engineapi/golden_test.go
@@ -115,7 +115,7 @@
 	full := request
 	full.Adapter, full.MaxTokens, full.Hold, full.Priority = "a", 20, "p1", 2
 	read(client.Complete(ctx, address, full, nil))
-	read(client.Resume(ctx, address, "r/1", 3, nil))
+	read(client.Resume(ctx, address, engineapi.Completion{ID: "r/1", Chunks: 3}, nil))
 	read(nil, client.Cancel(ctx, address, "r/1"))
 	read(client.Holds(ctx, address))
 	read(nil, client.Release(ctx, address, "p/1"))
