Bring a list of several pages to one revision

Cause: the pages of a list are read one after another, and the list counted as the state of the first page's revision. An object that was removed before a later page was read was missing from it already. A storage node that keeps such a list for others didn't know of the removal: its watch got the removal of an object that it lacked. A node that had the object at that revision, from the store or another holder, and went on from this one kept the object for good, and so sent requests to an instance that had ended.

Change: if the last page is of another revision than the first, the changes since the first are read and applied, and the list is of their revision. If the store has forgotten them, the list is as before: the watch that follows fails for the same reason, and the follower lists again. That case stays open. The cost is one call more for a list of several pages during which the store changes; the watch that would have returned at once no longer does.

The cost on a large deployment wasn't measured.

--- a/coordination/follow/view.go
+++ b/coordination/follow/view.go
@@ -125,6 +125,16 @@
 	return changes
 }
 
+// Apply returns the snapshot with the changes since its revision, sorted by name.
+func (s Snapshot) Apply(changes Changes) Snapshot {
+	var v view
+	v.replace(s)
+	v.applyChanges(changes)
+	applied := v.snapshot()
+	applied.Unnamed, applied.Age, applied.FreshAt = s.Unnamed, s.Age, s.FreshAt
+	return applied
+}
+
 // applyEvent applies one event, unless it is older than the known object, and reports
 // whether the object changed.
 func (v *view) applyEvent(event Event) bool {
