Soak streams with instances that are processes

The soaks of streams had instances in the process of the test, which send all events in chunks and whose end doesn't close connections as the kernel does. Change: TestStreamsKeepTheirOrder runs four zones of gateways and storage nodes and instances as processes, on two stream routes (one resumable, one retained) and two of calls, under faults in series and at once. Instances mark the end of answers in all ways, and end, break off, lose, garble and repeat some.

--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -20,6 +20,7 @@
 )
 
 func TestMain(m *testing.M) {
+	serveOrderRunner()
 	folder, err := os.MkdirTemp("", "marblering-test-")
 	if err != nil {
 		fmt.Println(err)
--- /dev/null
+++ b/test/integration/ordersoak_test.go
@@ -0,0 +1,281 @@
+package integration
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marblering/marblering/test/harness"
+)
+
+var (
+	orderSoakSeeds = flag.Int("ordersoak.seeds", 2, "number of seeds of TestStreamsKeepTheirOrder")
+	orderSoakFirst = flag.Uint64("ordersoak.first", 1, "first of these seeds")
+	orderSoakTime  = flag.Duration("ordersoak.time", 14*time.Second, "how long faults begin for each seed")
+)
+
+const (
+	orderZones = 4
+	// orderRetention is longer than a seed takes.
+	orderRetention = 60 * time.Second
+	// orderSettleTime is how long clients go on after the last fault.
+	orderSettleTime = 2 * time.Second
+	orderEngines    = 9
+	orderTools      = 3
+)
+
+// Services: instances of turns, those that a split of the routes adds, and tools.
+const (
+	orderPool  = "lm-pool"
+	orderSplit = "lm-split"
+	orderAPI   = "desk-api"
+)
+
+// orderSoak is a system of four zones whose instances are processes too.
+type orderSoak struct {
+	*turnSoak
+	seed    uint64
+	clients *orderClientSet
+	// instances are those that are listed, or were when they ended by themselves; ended are
+	// the others. Only the test's own goroutine uses them.
+	listed, ended []*orderInstance
+	started       int
+	// software is the newest version of the instances.
+	software    int
+	isReleasing bool
+	steps       []lateStep
+	// split is the share of the service orderSplit in percent, timeout that of all routes.
+	config *orderConfiguration
+}
+
+// orderInstance is a process of an instance with its entry in the store.
+type orderInstance struct {
+	process                      *harness.Process
+	name, service, zone, version string
+	address                      string
+	isPaused                     bool
+}
+
+// orderConfiguration is what changes in the configuration.
+type orderConfiguration struct {
+	// splitPercent is the share of the service orderSplit.
+	splitPercent int
+	timeout      time.Duration
+}
+
+func (c *orderConfiguration) build(version int) map[string]any {
+	route := func(name, kind, service string) map[string]any {
+		return map[string]any{
+			"name": name, "host": "desk.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": c.timeout.Milliseconds(),
+			"attempts": 2, "service": service,
+		}
+	}
+	stream := func(name string) map[string]any {
+		streams := route(name, "stream", orderPool)
+		streams["gap_aim_ms"], streams["session_affinity"] = 300, true
+		if c.splitPercent > 0 {
+			delete(streams, "service")
+			streams["split"] = []map[string]any{
+				{"service": orderPool, "weight": 100 - c.splitPercent}, {"service": orderSplit, "weight": c.splitPercent},
+			}
+		}
+		return streams
+	}
+	drafts, turns := stream("drafts"), stream("turns")
+	drafts["resumable"], drafts["priority"] = true, 1
+	turns["retain"], turns["retention_s"] = true, orderRetention.Seconds()
+	engine := map[string]any{"stream_stride": 25}
+	return map[string]any{
+		"version": version,
+		"routes":  []map[string]any{drafts, turns, route("alerts", "safe", orderAPI), route("sync", "unsafe", orderAPI)},
+		"services": []map[string]any{
+			{"name": orderPool, "engine": engine}, {"name": orderSplit, "engine": engine}, {"name": orderAPI},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+}
+
+func newOrderSoak(t *testing.T, seed uint64) *orderSoak {
+	t.Helper()
+	config := &orderConfiguration{timeout: 3 * time.Second}
+	o := &orderSoak{seed: seed, software: 1, config: config}
+	o.turnSoak = newEmptyTurnSoak(t, seed, orderZones, orderZones, config.build, soakLayout{
+		drainTimeout: 4 * time.Second,
+		gatewayZone:  func(index int) string { return turnSoakZone(index % orderZones) },
+	})
+	for range orderEngines - 2 {
+		o.addInstance(orderPool, "")
+	}
+	for range 2 {
+		o.addInstance(orderSplit, "")
+	}
+	for range orderTools {
+		o.addInstance(orderAPI, "")
+	}
+	return o
+}
+
+// addInstance starts an instance of the newest version and adds its entry, which doesn't tell
+// when it started.
+func (o *orderSoak) addInstance(service, address string) {
+	o.t.Helper()
+	o.started++
+	i := &orderInstance{
+		name: fmt.Sprint("i-", o.started), service: service, zone: turnSoakZone(o.started % orderZones),
+		version: fmt.Sprintf("%s-v%d", service, o.software),
+	}
+	settings, err := json.Marshal(orderRunnerSettings{
+		Instance: i.name, Version: i.version, Seed: o.seed<<32 + uint64(o.started), Address: address, PauseMS: 4 + o.random.IntN(6), EndsOneIn: 250,
+	})
+	assert.NilError(o.t, err)
+	i.process = harness.Start(o.t, harness.Command{
+		Name: i.name, Path: os.Args[0], Environment: []string{orderRunnerVariable + "=" + string(settings)},
+	})
+	i.address = i.process.WaitValue(o.t, "address")
+	o.listed = append(o.listed, i)
+	o.list(i, "ready")
+}
+
+func (o *orderSoak) list(i *orderInstance, state string) {
+	o.store.Put("servers", i.name, map[string]any{
+		"service": i.service, "address": i.address, "zone": i.zone, "capacity": 12, "state": state, "version": i.version,
+	})
+}
+
+// TestStreamsKeepTheirOrder guards against streams that miss, repeat or join events of two runs,
+// or end as whole before their last event, and against turns that are stored so, while all
+// kinds of processes fail and change in series and at once.
+func TestStreamsKeepTheirOrder(t *testing.T) {
+	for index := range *orderSoakSeeds {
+		seed := *orderSoakFirst + uint64(index)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soakOrder(t, seed) })
+	}
+}
+
+func soakOrder(t *testing.T, seed uint64) {
+	o := newOrderSoak(t, seed)
+	for _, g := range o.gateways {
+		g.process.WaitHTTP(t, "http://"+g.process.WaitValue(t, "operator_address")+"/readyz")
+	}
+	o.clients = newOrderClientSet(o, seed)
+	o.injectOrderFaults(*orderSoakTime)
+	time.Sleep(orderSettleTime)
+	o.clients.stop()
+	runs := o.endInstances()
+	faults := append(o.clients.faults, checkOrderRuns(o.clients.expected, runs)...)
+	t.Logf("seed %d: %d runs, %d faults; %s", seed, len(runs), len(faults), o.clients.counts())
+	for _, fault := range faults {
+		t.Error(fault)
+	}
+	assert.Assert(t, o.clients.answers["stream: whole"] > 0)
+	assert.Assert(t, o.clients.answers["call: whole"] > 0)
+}
+
+// endInstances ends all instances and returns what they have run.
+func (o *orderSoak) endInstances() (runs []orderRun) {
+	for _, i := range append(o.listed, o.ended...) {
+		i.process.Kill()
+		runs = append(runs, orderRunsIn(i.process.Output())...)
+	}
+	return runs
+}
+
+// injectOrderFaults begins faults for the span, and returns once all have ended.
+func (o *orderSoak) injectOrderFaults(span time.Duration) {
+	faults, most := o.orderFaults(), 1+o.random.IntN(6)
+	pause, next := 100*time.Millisecond+randomUpTo(o.random, 900*time.Millisecond), time.Now()
+	for deadline := next.Add(span); time.Now().Before(deadline) || len(o.steps) > 0; time.Sleep(5 * time.Millisecond) {
+		o.runDueSteps()
+		o.replaceEnded()
+		now := time.Now()
+		if now.After(deadline) || now.Before(next) || len(o.steps) >= most {
+			continue
+		}
+		fault := faults[o.random.IntN(len(faults))]
+		if fault.begin() {
+			o.log("%s", fault.name)
+			next = time.Now().Add(randomUpTo(o.random, 2*pause))
+		}
+	}
+	o.awaitReady()
+}
+
+// awaitReady waits until all gateways are ready.
+func (o *orderSoak) awaitReady() {
+	o.t.Helper()
+	for _, g := range o.gateways {
+		g.process.WaitHTTP(o.t, "http://"+g.process.WaitValue(o.t, "operator_address")+"/readyz")
+	}
+}
+
+// after adds a step.
+func (o *orderSoak) after(pause time.Duration, run func()) {
+	o.steps = append(o.steps, lateStep{time.Now().Add(pause), run})
+}
+
+func (o *orderSoak) upTo(limit time.Duration) time.Duration { return randomUpTo(o.random, limit) }
+
+func (o *orderSoak) runDueSteps() {
+	now := time.Now()
+	steps := o.steps
+	o.steps = nil
+	for _, step := range steps {
+		if now.Before(step.at) {
+			o.steps = append(o.steps, step)
+		} else {
+			step.run()
+		}
+	}
+}
+
+// replaceEnded replaces instances that ended by themselves. Their entries stay for a while.
+func (o *orderSoak) replaceEnded() {
+	for _, i := range append([]*orderInstance(nil), o.listed...) {
+		if i.process.HasEnded() {
+			o.replaceDead(i)
+		}
+	}
+}
+
+// replaceDead starts another instance, in some cases at the address of the one that ended.
+func (o *orderSoak) replaceDead(i *orderInstance) {
+	o.take(i)
+	address := ""
+	if o.random.IntN(3) == 0 {
+		address = i.address
+	}
+	o.after(o.upTo(900*time.Millisecond), func() { o.store.Remove("servers", i.name) })
+	o.after(o.upTo(700*time.Millisecond), func() { o.addInstance(i.service, address) })
+}
+
+// take removes an instance from those that are listed.
+func (o *orderSoak) take(taken *orderInstance) {
+	var left []*orderInstance
+	for _, i := range o.listed {
+		if i != taken {
+			left = append(left, i)
+		}
+	}
+	o.listed = left
+	o.ended = append(o.ended, taken)
+}
+
+// anyInstance returns a random instance that runs, or nil if less than three of its service do.
+func (o *orderSoak) anyInstance() *orderInstance {
+	chosen := o.listed[o.random.IntN(len(o.listed))]
+	count := 0
+	for _, i := range o.listed {
+		if i.service == chosen.service && !i.isPaused {
+			count++
+		}
+	}
+	if count < 3 || chosen.isPaused || chosen.process.HasEnded() {
+		return nil
+	}
+	return chosen
+}
--- /dev/null
+++ b/test/integration/ordersoakanswer_test.go
@@ -0,0 +1,166 @@
+package integration
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"time"
+)
+
+// orderFraming is how a runner marks the end of an answer.
+type orderFraming int
+
+const (
+	orderChunks orderFraming = iota
+	orderLength
+	// orderClose and orderHTTP10 answers end with their connection.
+	orderClose
+	orderHTTP10
+	orderFramings
+)
+
+func (f orderFraming) endsWithConnection() bool { return f == orderClose || f == orderHTTP10 }
+
+// orderEnding is how a runner ends an answer.
+type orderEnding int
+
+const (
+	orderWhole orderEnding = iota
+	// orderExit ends the process between two events.
+	orderExit
+	// orderCut closes the connection in the middle of the answer, between two events or within
+	// one. An answer without a length is reset.
+	orderCut
+	orderReset
+	// orderNoAnswer closes the connection in place of the answer.
+	orderNoAnswer
+	// orderGarbage sends bytes that aren't HTTP in place of the answer.
+	orderGarbage
+	// orderBadChunk sends a broken chunk in the middle.
+	orderBadChunk
+	// orderSecond sends the answer again later, if the connection stays open, orderForeign one
+	// to another request.
+	orderSecond
+	orderForeign
+)
+
+func (r *orderRunner) drawEnding() orderEnding {
+	if r.draw(r.EndsOneIn) == 0 {
+		return orderExit
+	}
+	if r.draw(5) > 0 {
+		return orderWhole
+	}
+	return orderCut + orderEnding(r.draw(int(orderForeign-orderCut)+1))
+}
+
+// orderAnswer is one answer, of a part for each event.
+type orderAnswer struct {
+	*orderRunner
+	connection *net.TCPConn
+	head       string
+	framing    orderFraming
+	ending     orderEnding
+	parts      []string
+}
+
+// send reports whether the connection can take another request.
+func (a *orderAnswer) send() bool {
+	switch a.ending {
+	case orderNoAnswer:
+		return false
+	case orderGarbage:
+		a.write("these bytes are no answer\r\n\r\n")
+		return false
+	}
+	breaksAfter := -1
+	if a.ending == orderExit || a.ending == orderCut || a.ending == orderReset || a.ending == orderBadChunk {
+		breaksAfter = a.draw(len(a.parts) + 1)
+	}
+	if !a.write(a.begin()) {
+		return false
+	}
+	for index, part := range a.parts {
+		if index == breaksAfter {
+			return a.breakOff(part)
+		}
+		a.pause()
+		if !a.write(a.frame(part)) {
+			return false
+		}
+	}
+	if breaksAfter >= 0 {
+		return a.breakOff("")
+	}
+	return a.finish()
+}
+
+func (a *orderAnswer) write(text string) bool {
+	_, err := io.WriteString(a.connection, text)
+	return err == nil
+}
+
+// begin returns the head.
+func (a *orderAnswer) begin() string {
+	switch a.framing {
+	case orderChunks:
+		return "HTTP/1.1 200 OK\r\n" + a.head + "Transfer-Encoding: chunked\r\n\r\n"
+	case orderLength:
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", a.head, len(strings.Join(a.parts, "")))
+	case orderClose:
+		return "HTTP/1.1 200 OK\r\n" + a.head + "Connection: close\r\n\r\n"
+	default:
+		return "HTTP/1.0 200 OK\r\n" + a.head + "\r\n"
+	}
+}
+
+func (a *orderAnswer) frame(part string) string {
+	if a.framing == orderChunks {
+		return fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+	}
+	return part
+}
+
+func (a *orderAnswer) end() string {
+	if a.framing == orderChunks {
+		return "0\r\n\r\n"
+	}
+	return ""
+}
+
+// breakOff breaks the answer off before the part. What ends an answer without a length in an
+// orderly way while the process lives on is its end.
+func (a *orderAnswer) breakOff(part string) bool {
+	if a.ending == orderExit {
+		os.Exit(1)
+	}
+	if a.framing == orderChunks && a.ending == orderBadChunk {
+		a.write("no chunk\r\n")
+		return false
+	}
+	if a.draw(2) == 0 {
+		a.write(part[:len(part)/2])
+	}
+	if a.ending == orderReset || a.framing.endsWithConnection() {
+		_ = a.connection.SetLinger(0)
+	}
+	return false
+}
+
+// finish ends the answer as whole.
+func (a *orderAnswer) finish() bool {
+	if !a.write(a.end()) || a.framing.endsWithConnection() {
+		return false
+	}
+	if a.ending != orderSecond && a.ending != orderForeign {
+		return true
+	}
+	time.Sleep(time.Duration(a.draw(60)) * time.Millisecond)
+	second := *a
+	if a.ending == orderForeign {
+		second.head = strings.Replace(a.head, ": ", ": other-", 1)
+	}
+	return a.write(second.begin() + a.frame(strings.Join(a.parts, "")) + a.end())
+}
--- /dev/null
+++ b/test/integration/ordersoakcheck_test.go
@@ -0,0 +1,207 @@
+package integration
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// orderStream is what a client has of a stream, over all its tries.
+type orderStream struct {
+	// resumable streams may go on at another run. Others are of one try.
+	resumable bool
+	// last is the newest event.
+	last  orderEvent
+	data  []string
+	tries []*orderTry
+	wrong []string
+}
+
+// orderTry is one request of a stream.
+type orderTry struct {
+	id, gateway, outcome string
+	sent                 time.Time
+	numbers              []int
+}
+
+var errOrderLeft = errors.New("the client left")
+
+// read reads events until the answer ends or breaks, or until the client has so many of the
+// try if most isn't 0. It reports whether the stream ended as complete.
+func (s *orderStream) read(try *orderTry, body io.Reader, most int) (whole bool, err error) {
+	lines := bufio.NewScanner(body)
+	id, data := "", ""
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ": ")
+		switch name {
+		case "id":
+			id = value
+		case "data":
+			data = value
+		case "":
+			if data != "" {
+				s.receive(try, id, data)
+			}
+			id, data = "", ""
+			if most > 0 && len(try.numbers) == most {
+				return false, errOrderLeft
+			}
+		}
+	}
+	if lines.Err() != nil {
+		return false, lines.Err()
+	}
+	if s.last.number == 0 || s.last.number != s.last.of {
+		s.fault("ended as whole after event %d of %d", s.last.number, s.last.of)
+	}
+	return true, nil
+}
+
+// receive checks an event against the one before.
+func (s *orderStream) receive(try *orderTry, id, data string) {
+	event, err := parseOrderEvent(data)
+	if err != nil || id != strconv.Itoa(event.number) {
+		s.fault("event %q has data %q", id, withoutPadding(data))
+		return
+	}
+	last := s.last
+	if event.request != try.id {
+		s.fault("event %d is of request %s", event.number, event.request)
+	}
+	switch {
+	case event.number > last.number+1:
+		s.fault("events missing: %d after %d", event.number, last.number)
+	case event.number == last.number:
+		s.fault("event repeated: %d", event.number)
+	case event.number < last.number:
+		s.fault("events going back: %d after %d", event.number, last.number)
+	}
+	if last.number > 0 {
+		s.checkRun(last, event)
+	}
+	s.last = event
+	s.data = append(s.data, data)
+	try.numbers = append(try.numbers, event.number)
+}
+
+// checkRun checks that an event is of the run of the one before, or of one that goes on right
+// after it.
+func (s *orderStream) checkRun(last, event orderEvent) {
+	if event.version != last.version || event.of != last.of {
+		s.fault("event %d of version %s after one of %s", event.number, event.version, last.version)
+	}
+	if event.run != last.run && (!s.resumable || event.from != last.number) {
+		s.fault("event %d of run %s, which began after event %d, after one of run %s", event.number, event.run, event.from, last.run)
+	}
+}
+
+func (s *orderStream) fault(format string, values ...any) {
+	s.wrong = append(s.wrong, fmt.Sprintf(format, values...))
+}
+
+// describe returns what is wrong, with all tries.
+func (s *orderStream) describe() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "ORDER: %s (resumable: %v, run %s)", strings.Join(s.wrong, "; "), s.resumable, s.last.run)
+	for _, try := range s.tries {
+		fmt.Fprintf(&text, "\n  %s at %s sent %s: events %v, %s", try.id, try.gateway, clockTime(try.sent), try.numbers, try.outcome)
+	}
+	return text.String()
+}
+
+// orderTurn is a turn of a line whose outputs are retained.
+type orderTurn struct {
+	id string
+	at time.Time
+	// chain is what a runner gets before the input of the next turn.
+	chain string
+}
+
+// orderExpected is what a runner has to get for a request.
+type orderExpected struct {
+	path string
+	// body is what a turn has to get. It is empty for other requests, for which only the
+	// length is known.
+	body   string
+	length int
+	// broken is set if the turn before was broken off for the client, which has some of its
+	// events; body then begins with input and ends with newInput.
+	broken          *orderStream
+	input, newInput string
+}
+
+// check returns what is wrong with a run, or an empty string.
+func (e *orderExpected) check(run orderRun) string {
+	switch {
+	case run.Path != e.path:
+		return "path " + run.Path
+	case e.broken != nil:
+		return e.checkStored(run)
+	case run.Length != e.length:
+		return fmt.Sprintf("a body of %d bytes in place of %d", run.Length, e.length)
+	case e.body != "" && withoutPadding(e.body) != run.Text:
+		return fmt.Sprintf("the body %q in place of %q", run.Text, withoutPadding(e.body))
+	}
+	return ""
+}
+
+// checkStored checks that a turn that was broken off for the client is stored whole, as one run
+// whose events begin with those that the client has.
+func (e *orderExpected) checkStored(run orderRun) string {
+	text, hasInput := strings.CutPrefix(run.Text, withoutPadding(e.input))
+	text, hasNew := strings.CutSuffix(text, withoutPadding(e.newInput))
+	if !hasInput || !hasNew {
+		return fmt.Sprintf("the body %q lacks inputs", run.Text)
+	}
+	stored, try := &orderStream{}, &orderTry{}
+	for line := range strings.Lines(text) {
+		event, _ := parseOrderEvent(line)
+		try.id = event.request
+		stored.receive(try, strconv.Itoa(event.number), strings.TrimSuffix(line, "\n"))
+	}
+	if stored.last.number != stored.last.of || stored.last.number == 0 {
+		stored.fault("stored as whole after event %d of %d", stored.last.number, stored.last.of)
+	}
+	for index, data := range e.broken.data {
+		if index >= len(stored.data) || stored.data[index] != withoutPadding(data) {
+			stored.fault("the client has another event %d", index+1)
+		}
+	}
+	return strings.Join(stored.wrong, "; ")
+}
+
+// orderRunsIn returns the runs that the output of a runner tells of.
+func orderRunsIn(output string) (runs []orderRun) {
+	for line := range strings.Lines(output) {
+		text, found := strings.CutPrefix(line, orderRunPrefix)
+		var run orderRun
+		if found && json.Unmarshal([]byte(text), &run) == nil {
+			runs = append(runs, run)
+		}
+	}
+	return runs
+}
+
+// checkOrderRuns returns what is wrong with all runs.
+func checkOrderRuns(expected map[string]*orderExpected, runs []orderRun) (wrong []string) {
+	count := make(map[string]int, len(runs))
+	for _, run := range runs {
+		request := expected[run.ID]
+		if request == nil {
+			wrong = append(wrong, fmt.Sprintf("UNASKED: run of %q at %s", run.ID, run.Instance))
+			continue
+		}
+		if fault := request.check(run); fault != "" {
+			wrong = append(wrong, fmt.Sprintf("UNASKED: run of %s at %s: %s", run.ID, run.Instance, fault))
+		}
+		if count[run.ID]++; count[run.ID] == 2 && (run.Path == orderTurnsPath || run.Path == orderSyncPath) {
+			wrong = append(wrong, fmt.Sprintf("TWICE: request %s, also at %s", run.ID, run.Instance))
+		}
+	}
+	return wrong
+}
--- /dev/null
+++ b/test/integration/ordersoakrunner_test.go
@@ -0,0 +1,242 @@
+package integration
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/marblering/marblering/lab/runner"
+)
+
+// orderRunnerVariable holds the settings, in JSON, of a test binary that is started as a
+// runner.
+const orderRunnerVariable = "MARBLERING_ORDER_RUNNER"
+
+const (
+	// orderRunPrefix begins a line of a runner's output that describes a run.
+	orderRunPrefix = "RUN "
+	// orderSlowFactor multiplies the pauses of a runner that got SIGUSR1, until SIGUSR2.
+	orderSlowFactor = 5
+	// orderPadding is the padding of each event in bytes.
+	orderPadding = 120
+	// orderCallPadding is the padding of a plain answer in bytes.
+	orderCallPadding = 800
+	// orderKeepAlive is how long an idle connection stays open.
+	orderKeepAlive = 15 * time.Second
+)
+
+// orderRunnerSettings are those of a runner process.
+type orderRunnerSettings struct {
+	Instance, Version string
+	Seed              uint64
+	// Address is where the runner listens; empty for any free port of loopback.
+	Address string
+	// PauseMS is the pause before each event and each plain answer.
+	PauseMS int
+	// EndsOneIn is one in how many streams ends the process between two events.
+	EndsOneIn int
+}
+
+// orderRun is a request that a runner began to work on.
+type orderRun struct {
+	ID, Path, LastEvent, Instance string
+	// Length is that of the body in bytes. Text is the body without padding, only on the
+	// route of retained turns.
+	Length int
+	Text   string
+}
+
+// orderRunner is a process that answers streams and plain requests, in several forms and often
+// wrongly.
+type orderRunner struct {
+	orderRunnerSettings
+	mutex  sync.Mutex
+	random *rand.Rand
+	runs   atomic.Int64
+	isSlow atomic.Bool
+}
+
+// serveOrderRunner runs the runner if the process was started as one.
+func serveOrderRunner() {
+	text := os.Getenv(orderRunnerVariable)
+	if text == "" {
+		return
+	}
+	r := &orderRunner{}
+	if err := json.Unmarshal([]byte(text), &r.orderRunnerSettings); err != nil {
+		panic(err)
+	}
+	r.random = rand.New(rand.NewPCG(r.Seed, r.Seed))
+	listener, err := listenAgain(r.Address)
+	if err != nil {
+		panic(err)
+	}
+	go r.followSignals()
+	fmt.Printf("address=%s\n", listener.Addr())
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			panic(err)
+		}
+		go r.serve(connection.(*net.TCPConn))
+	}
+}
+
+// listenAgain falls back on any port if the address of an earlier process isn't free.
+func listenAgain(address string) (net.Listener, error) {
+	if address != "" {
+		if listener, err := net.Listen("tcp", address); err == nil {
+			return listener, nil
+		}
+	}
+	return net.Listen("tcp", "127.0.0.1:0")
+}
+
+func (r *orderRunner) followSignals() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2)
+	for received := range signals {
+		r.isSlow.Store(received == syscall.SIGUSR1)
+	}
+}
+
+// draw returns a random number below the limit.
+func (r *orderRunner) draw(limit int) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.random.IntN(limit)
+}
+
+func (r *orderRunner) pause() {
+	pause := time.Duration(r.PauseMS) * time.Millisecond
+	if r.isSlow.Load() {
+		pause *= orderSlowFactor
+	}
+	time.Sleep(pause)
+}
+
+// serve answers one request after the other.
+func (r *orderRunner) serve(connection *net.TCPConn) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		_ = connection.SetReadDeadline(time.Now().Add(orderKeepAlive))
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil || !r.answer(connection, request, string(body)) {
+			return
+		}
+	}
+}
+
+// answer reports whether the connection can take another request.
+func (r *orderRunner) answer(connection *net.TCPConn, request *http.Request, body string) bool {
+	id := request.Header.Get(runner.HeaderID)
+	write := func(text string) bool {
+		_, err := io.WriteString(connection, text)
+		return err == nil
+	}
+	brief := func(status, header, body string) bool {
+		return write(fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body))
+	}
+	echo := fmt.Sprintf("%s: %s\r\n", runner.HeaderID, id)
+	refusal := echo + runner.HeaderNotExecuted + ": 1\r\n"
+	expected := request.Header.Get(runner.HeaderExpect)
+	switch {
+	case expected != "" && expected != r.Instance:
+		return brief("421 Misdirected Request", refusal+"X-Instance-Id: "+r.Instance+"\r\n", "")
+	case request.URL.Path == "/report":
+		return brief("200 OK", "Content-Type: application/json\r\n",
+			`{"stage":"both","busy":false,"sequence":1,"num_waiting":0,"num_running":0,"kv_used":0,"kv_total":490370,"handles":0}`)
+	case request.URL.Path == "/health":
+		return brief("200 OK", "X-Instance-Id: "+r.Instance+"\r\n", "")
+	case id == "":
+		return brief("400 Bad Request", refusal, "")
+	case r.draw(40) == 0:
+		return brief("503 Service Unavailable", refusal, "")
+	}
+	run := orderRun{ID: id, Path: request.URL.Path, LastEvent: request.Header.Get(runner.HeaderLastEvent), Instance: r.Instance, Length: len(body)}
+	if run.Path == orderTurnsPath {
+		run.Text = withoutPadding(body)
+	}
+	r.note(run)
+	answer := &orderAnswer{
+		orderRunner: r, connection: connection, head: echo + runner.HeaderSeal + ": " + r.Instance + "\r\n",
+		framing: orderFraming(r.draw(int(orderFramings))), ending: r.drawEnding(),
+	}
+	if run.Path == orderTurnsPath || run.Path == orderDraftsPath {
+		answer.head += "Content-Type: text/event-stream\r\n"
+		answer.parts = r.events(run, body)
+	} else {
+		answer.parts = []string{orderCallBody(id)}
+	}
+	return answer.send()
+}
+
+// note writes a run to the output, which outlives the process.
+func (r *orderRunner) note(run orderRun) {
+	encoded, err := json.Marshal(run)
+	if err != nil {
+		panic(err)
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	fmt.Printf("%s%s\n", orderRunPrefix, encoded)
+}
+
+func orderCallBody(id string) string {
+	return "call " + id + strings.Repeat(".", orderCallPadding) + " end"
+}
+
+var orderPaddings = regexp.MustCompile(`\.{8,}`)
+
+func withoutPadding(text string) string { return orderPaddings.ReplaceAllString(text, "") }
+
+// events returns those after Last-Event-Id. Their number depends on the body alone, so that a
+// run can go on where another one was broken off.
+func (r *orderRunner) events(run orderRun, body string) (events []string) {
+	hash := fnv.New32a()
+	_, _ = io.WriteString(hash, body)
+	count := 6 + int(hash.Sum32()%10)
+	from, _ := strconv.Atoi(run.LastEvent)
+	name := fmt.Sprintf("%s/%d", r.Instance, r.runs.Add(1))
+	for number := from + 1; number <= count; number++ {
+		event := orderEvent{number: number, of: count, from: from, run: name, version: r.Version, request: run.ID}
+		events = append(events, fmt.Sprintf("id: %d\ndata: %s%s\n\n", number, event, strings.Repeat(".", orderPadding)))
+	}
+	return events
+}
+
+// orderEvent is the data of an event: its number, that of the last one, the number of the event
+// after which the run began, and whose event it is.
+type orderEvent struct {
+	number, of, from      int
+	run, version, request string
+}
+
+func (e orderEvent) String() string {
+	return fmt.Sprintf("event %d of %d from %d run %s version %s request %s ", e.number, e.of, e.from, e.run, e.version, e.request)
+}
+
+func parseOrderEvent(data string) (event orderEvent, err error) {
+	_, err = fmt.Sscanf(data, "event %d of %d from %d run %s version %s request %s ",
+		&event.number, &event.of, &event.from, &event.run, &event.version, &event.request)
+	return event, err
+}
--- a/test/integration/turnsoak_test.go
+++ b/test/integration/turnsoak_test.go
@@ -77,8 +77,22 @@
 	return newTurnSoakWith(t, seed, turnSoakStorage, turnSoakGateways, turnSoakConfiguration, soakLayout{drainTimeout: 4 * time.Second})
 }
 
-// newTurnSoakWith starts as many storage nodes, each in a zone of its own, and gateways.
+// newTurnSoakWith starts as many storage nodes, each in a zone of its own, and gateways, and
+// six instances.
 func newTurnSoakWith(t *testing.T, seed uint64, storageNodes, gateways int, configure func(version int) map[string]any, layout soakLayout) *turnSoak {
+	t.Helper()
+	s := newEmptyTurnSoak(t, seed, storageNodes, gateways, configure, layout)
+	for range 6 {
+		s.addInstance("v1")
+	}
+	for _, instance := range s.instances {
+		instance.SetPause(5 * time.Millisecond)
+	}
+	return s
+}
+
+// newEmptyTurnSoak starts no instances.
+func newEmptyTurnSoak(t *testing.T, seed uint64, storageNodes, gateways int, configure func(version int) map[string]any, layout soakLayout) *turnSoak {
 	t.Helper()
 	layout.configuration = configure(1)
 	s := &turnSoak{seed: seed, zones: storageNodes, version: 1, configure: configure, soakSystem: newSoakSystem(t, seed, layout)}
@@ -89,12 +103,6 @@
 	for index := range gateways {
 		s.addGateway(index)
 	}
-	for range 6 {
-		s.addInstance("v1")
-	}
-	for _, instance := range s.instances {
-		instance.SetPause(5 * time.Millisecond)
-	}
 	return s
 }
 
