--- a/test/integration/ordersoak_test.go
+++ b/test/integration/ordersoak_test.go
@@ -41,16 +41,19 @@
 	*turnSoak
 	seed    uint64
 	clients *orderClientSet
-	// instances are those that are listed, or were when they ended by themselves; ended are
-	// the others. Only the test's own goroutine uses them.
+	// listed are the instances whose entries say that they are ready, ended the others. Only
+	// the goroutine of the test uses them.
 	listed, ended []*orderInstance
 	started       int
 	// software is the newest version of the instances.
 	software    int
 	isReleasing bool
-	steps       []lateStep
-	// split is the share of the service orderSplit in percent, timeout that of all routes.
-	config *orderConfiguration
+	// endsOneIn is one in how many answers ends an instance.
+	endsOneIn int
+	// retiring is the storage node that is to leave, nil for none.
+	retiring *turnMachine
+	steps    []lateStep
+	config   *orderConfiguration
 }
 
 // orderInstance is a process of an instance with its entry in the store.
@@ -108,6 +111,7 @@
 		drainTimeout: 4 * time.Second,
 		gatewayZone:  func(index int) string { return turnSoakZone(index % orderZones) },
 	})
+	o.endsOneIn = 60 << (seed % 3)
 	for range orderEngines - 2 {
 		o.addInstance(orderPool, "")
 	}
@@ -130,7 +134,7 @@
 		version: fmt.Sprintf("%s-v%d", service, o.software),
 	}
 	settings, err := json.Marshal(orderRunnerSettings{
-		Instance: i.name, Version: i.version, Seed: o.seed<<32 + uint64(o.started), Address: address, PauseMS: 4 + o.random.IntN(6), EndsOneIn: 250,
+		Instance: i.name, Version: i.version, Seed: o.seed<<32 + uint64(o.started), Address: address, PauseMS: 4 + o.random.IntN(6), EndsOneIn: o.endsOneIn,
 	})
 	assert.NilError(o.t, err)
 	i.process = harness.Start(o.t, harness.Command{
@@ -168,7 +172,7 @@
 	o.clients.stop()
 	runs := o.endInstances()
 	faults := append(o.clients.faults, checkOrderRuns(o.clients.expected, runs)...)
-	t.Logf("seed %d: %d runs, %d faults; %s", seed, len(runs), len(faults), o.clients.counts())
+	t.Logf("seed %d, one in %d answers ends its instance: %d runs, %d faults; %s", seed, o.endsOneIn, len(runs), len(faults), o.clients.counts())
 	for _, fault := range faults {
 		t.Error(fault)
 	}
--- a/test/integration/ordersoakfaults_test.go
+++ b/test/integration/ordersoakfaults_test.go
@@ -1,6 +1,8 @@
 package integration
 
 import (
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -29,6 +31,7 @@
 		{"storage node terminated", o.stepsOf((*turnSoak).terminateMachine, time.Second)},
 		{"disk lost", o.stepsOf((*turnSoak).wipeMachine, time.Second)},
 		{"storage node replaced", o.stepsOf((*turnSoak).replaceMachine, time.Second)},
+		{"storage node added, another one retired", o.retireStorage},
 		{"store silent", o.stepsOf(disturbStore(platformstore.Silent), 3*time.Second)},
 		{"store busy", o.stepsOf(disturbStore(platformstore.Busy), 3*time.Second)},
 		{"store resets", o.stepsOf(disturbStore(platformstore.Reset), 3*time.Second)},
@@ -56,6 +59,39 @@
 	}
 }
 
+// orderRetirement is how long a storage node may take to leave before it stays.
+const orderRetirement = 6 * time.Second
+
+// retireStorage adds a storage node and orders another one of its zone to leave.
+func (o *orderSoak) retireStorage() bool {
+	m := o.machines[o.random.IntN(len(o.machines))]
+	if o.retiring != nil || m.disturbed {
+		return false
+	}
+	o.retiring = m
+	o.machines = append(o.machines, o.newMachineIn(m.zone))
+	o.store.Put("retirements", m.name, map[string]any{"duration_s": 5})
+	o.awaitRetirement(m, time.Now().Add(orderRetirement))
+	return true
+}
+
+// awaitRetirement takes a storage node away once its retirement is completed.
+func (o *orderSoak) awaitRetirement(m *turnMachine, until time.Time) {
+	object, _ := o.store.Get("retirements", m.name)
+	switch {
+	case strings.Contains(string(object.Status), "completed") && !m.disturbed:
+		o.retiring = nil
+		o.log("%s is retired", m.name)
+		m.disturbed = true
+		m.process.Kill()
+		o.machines = slices.DeleteFunc(o.machines, func(other *turnMachine) bool { return other == m })
+	case time.Now().Before(until):
+		o.after(50*time.Millisecond, func() { o.awaitRetirement(m, until) })
+	default:
+		o.log("%s is not retired in time", m.name)
+	}
+}
+
 // killInstances kills instances one right after the other.
 func (o *orderSoak) killInstances(count int) (found bool) {
 	for range count {
--- a/test/integration/ordersoakrunner_test.go
+++ b/test/integration/ordersoakrunner_test.go
@@ -47,7 +47,7 @@
 	Address string
 	// PauseMS is the pause before each event and each plain answer.
 	PauseMS int
-	// EndsOneIn is one in how many streams ends the process between two events.
+	// EndsOneIn is one in how many answers ends the process between two events.
 	EndsOneIn int
 }
 
