Expect no line feed for a turn without events in the soak of streams

Cause: the test added a line feed after the joined outputs, also after none. The runner is to get each event's data followed by one, so that its body was right. The turn itself is still reported (ended as whole after event 0 of 0).

--- a/test/integration/ordersoakcheck_test.go
+++ b/test/integration/ordersoakcheck_test.go
@@ -22,6 +22,14 @@
 	wrong []string
 }
 
+// outputs returns the data of the events, each followed by a line feed.
+func (s *orderStream) outputs() (text string) {
+	for _, data := range s.data {
+		text += data + "\n"
+	}
+	return text
+}
+
 // orderTry is one request of a stream.
 type orderTry struct {
 	id, gateway, outcome string
--- a/test/integration/ordersoakclient_test.go
+++ b/test/integration/ordersoakclient_test.go
@@ -194,7 +194,7 @@
 		id, whole, refused := c.tryTurn(line, stream, input)
 		if whole {
 			if line.retained {
-				line.last = orderTurn{id: id, at: time.Now(), chain: line.last.chain + input + strings.Join(stream.data, "\n") + "\n"}
+				line.last = orderTurn{id: id, at: time.Now(), chain: line.last.chain + input + stream.outputs()}
 			}
 			return true
 		}
