--- a/test/integration/ordersoakanswer_test.go
+++ b/test/integration/ordersoakanswer_test.go
@@ -28,7 +28,7 @@
 
 const (
 	orderWhole orderEnding = iota
-	// orderExit ends the process between two events.
+	// orderExit ends the process between two events, in some cases within one.
 	orderExit
 	// orderCut closes the connection in the middle of the answer, between two events or within
 	// one. An answer without a length is reset.
@@ -87,7 +87,7 @@
 			return a.breakOff(part)
 		}
 		a.pause()
-		if !a.write(a.frame(part)) {
+		if !a.writePart(part) {
 			return false
 		}
 	}
@@ -102,6 +102,22 @@
 	return err == nil
 }
 
+// writePart writes an event, in some cases in two pieces.
+func (a *orderAnswer) writePart(part string) bool {
+	if a.draw(4) > 0 {
+		return a.write(a.frame(part))
+	}
+	at := 1 + a.draw(len(part)-1)
+	first := a.write(a.frame(part[:at]))
+	time.Sleep(time.Millisecond)
+	return first && a.write(a.frame(part[at:]))
+}
+
+func (a *orderAnswer) writeHalf(part string) {
+	framed := a.frame(part)
+	a.write(framed[:len(framed)/2])
+}
+
 // begin returns the head.
 func (a *orderAnswer) begin() string {
 	switch a.framing {
@@ -134,6 +150,9 @@
 // orderly way while the process lives on is its end.
 func (a *orderAnswer) breakOff(part string) bool {
 	if a.ending == orderExit {
+		if a.draw(4) == 0 {
+			a.writeHalf(part)
+		}
 		os.Exit(1)
 	}
 	if a.framing == orderChunks && a.ending == orderBadChunk {
@@ -141,7 +160,7 @@
 		return false
 	}
 	if a.draw(2) == 0 {
-		a.write(part[:len(part)/2])
+		a.writeHalf(part)
 	}
 	if a.ending == orderReset || a.framing.endsWithConnection() {
 		_ = a.connection.SetLinger(0)
