Look again whether a process ended that accepts connections until it has

Cause: the gateway that reads the end of a connection looks whether its process takes new ones for 5 ms. Change: the process is looked at again after EndSkew also if no idle connection was there, or if this process has closed all of them since. Such an answer is 45 ms later, and costs another connection.

--- a/transport/upstream/unmarkedend.go
+++ b/transport/upstream/unmarkedend.go
@@ -28,20 +28,24 @@
 	witnesses := e.connection.life.idleBefore(ended)
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
-	if found := e.client.probeEnd(ctx, e.endpoint, 0); found == LifeEnded || found == LifeSilent {
+	if e.hasProcessEnded(ctx) {
 		return ErrProcessEnded
 	}
-	if len(witnesses) == 0 {
-		return nil
-	}
-	// The connections of a process don't break at the same moment.
+	// The connections of a process don't break at the same moment, and the system may accept new
+	// ones for it until all have.
 	_ = sleep.For(ctx, EndSkew-e.client.now().Sub(ended))
-	if haveBroken(witnesses) {
+	kept, broken := countOpen(witnesses)
+	if kept == 0 && (broken > 0 || e.hasProcessEnded(ctx)) {
 		return ErrProcessEnded
 	}
 	return nil
 }
 
+func (e *exchange) hasProcessEnded(ctx context.Context) bool {
+	found := e.client.probeEnd(ctx, e.endpoint, 0)
+	return found == LifeEnded || found == LifeSilent
+}
+
 // idleBefore returns the idle connections that the process had accepted by then, and won't close
 // soon because they are idle. Only the end of the process breaks these.
 func (l *life) idleBefore(at time.Time) (idle []*connection) {
@@ -56,18 +60,16 @@
 	return idle
 }
 
-// haveBroken reports whether the process has broken all of the connections that this process
-// hasn't closed, and there is one.
-func haveBroken(connections []*connection) bool {
-	broken := false
+// countOpen returns how many of the connections are open, and how many the process has broken
+// that this process hasn't closed.
+func countOpen(connections []*connection) (kept, broken int) {
 	for _, candidate := range connections {
-		isEstablished := candidate.isEstablished()
 		switch {
-		case isEstablished:
-			return false
+		case candidate.isEstablished():
+			kept++
 		case !candidate.isClosed.Load():
-			broken = true
+			broken++
 		}
 	}
-	return broken
+	return kept, broken
 }
--- a/transport/upstream/unmarkedend_test.go
+++ b/transport/upstream/unmarkedend_test.go
@@ -61,6 +61,11 @@
 			_ = listener.Close()
 			_ = answered.Close()
 		}, ErrProcessEnded},
+		{"process accepts connections until it has ended", func(listener net.Listener, answered net.Conn) {
+			_ = answered.Close()
+			time.Sleep(EndSkew / 2)
+			_ = listener.Close()
+		}, ErrProcessEnded},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
