Name the try that began a stream in the soak of streams

Cause: the client named its first try in Resumes, which had brought no event, in place of the try that brought the first one. The record of the former was of another version, at which its second send had run. The check stays.

--- a/test/integration/ordersoakcheck_test.go
+++ b/test/integration/ordersoakcheck_test.go
@@ -15,6 +15,8 @@
 type orderStream struct {
 	// resumable streams may go on at another run. Others are of one try.
 	resumable bool
+	// began is the id of the try that brought the first event.
+	began string
 	// last is the newest event.
 	last  orderEvent
 	data  []string
@@ -91,6 +93,8 @@
 	}
 	if last.number > 0 {
 		s.checkRun(last, event)
+	} else {
+		s.began = try.id
 	}
 	s.last = event
 	s.data = append(s.data, data)
--- a/test/integration/ordersoakclient_test.go
+++ b/test/integration/ordersoakclient_test.go
@@ -232,7 +232,7 @@
 		}
 	} else if stream.last.number > 0 {
 		headers[runner.HeaderLastEvent] = strconv.Itoa(stream.last.number)
-		headers["Resumes"] = stream.tries[0].id
+		headers["Resumes"] = stream.began
 	}
 	c.set.expect(id, expected)
 	status, whole := c.readStream(stream, id, path, input, headers)
