Don't count an instance that left after its answer as a crash

A request was refused for good (1022) since three instances that were leaving had stopped listening and ended after their answers to it, which had no length. Cause: that the process has ended was taken for a crash under the request. Change: not if the instance is listed as leaving. Result: platform.TestPlannedEndIsNoCrash failed before (the fourth request was refused) and passes. The answers themselves are still broken off: whether they were whole isn't known.

--- a/transport/relay/run.go
+++ b/transport/relay/run.go
@@ -119,7 +119,7 @@
 	c.logSend(assignment)
 	ended, cause := c.exchange(ctx, current)
 	c.attempts.record(ended)
-	how := c.sendEndOf(ctx, ended, cause)
+	how := c.sendEndOf(ctx, current, ended, cause)
 	c.recordSendEnd(current, how, cause)
 	c.recordRun(current, how)
 	c.observeLimit(assignment, cause)
--- a/transport/relay/sendend.go
+++ b/transport/relay/sendend.go
@@ -39,12 +39,12 @@
 }
 
 // sendEndOf returns how an attempt ended.
-func (c *call) sendEndOf(ctx context.Context, ended outcome, cause error) sendEnd {
+func (c *call) sendEndOf(ctx context.Context, current *attempt, ended outcome, cause error) sendEnd {
 	switch {
 	case ended == delivered || ended == turnNotStored:
 		return sendAnswered
-	case ended == unconfirmed:
-		return sendUnconfirmed
+	case ended == unconfirmed, errors.Is(cause, upstream.ErrProcessEnded) && current.assignment.IsLeaving():
+		return sendUnconfirmed // an instance that is leaving ends after its last answer
 	case ended == refused:
 		return sendRefused
 	case ended == unsent:
