Take an answer to a continuation for the end only if nothing came

A stream ended as whole after event 4 of 10 since the instance that continued it broke off after a comment; and a whole one was broken off since its continuation was answered 204. A refusal without a length is dropped unread.

--- a/transport/relay/attempt.go
+++ b/transport/relay/attempt.go
@@ -33,6 +33,8 @@
 	isContinuation bool
 	// passed is what the attempt added to the client's stream.
 	passed passedEvents
+	// hasReceived is set once an event or a comment has arrived, passed on or not.
+	hasReceived bool
 	// framing is how the end of the response is marked; empty without a response.
 	framing upstream.Framing
 }
--- a/transport/relay/deliver.go
+++ b/transport/relay/deliver.go
@@ -34,6 +34,9 @@
 	if isEventStream(backendResponse) {
 		return c.deliverEvents(ctx, backendResponse, current)
 	}
+	if c.response.headerWritten && backendResponse.Status == http.StatusNoContent {
+		return c.endStream(ctx, backendResponse, nil) // nothing follows
+	}
 	if c.response.headerWritten {
 		return incomplete, errNotResumed
 	}
@@ -106,6 +109,7 @@
 		if err != nil {
 			return incomplete, c.streamError(err)
 		}
+		current.hasReceived = true
 		var ended outcome
 		if next.hasField {
 			current.recordProgress(c.handler.options.Now())
@@ -184,8 +188,10 @@
 	_ = http.NewResponseController(c.writer).SetWriteDeadline(last.Add(lateWriteTimeout))
 }
 
-// drain discards a short response, so that its connection can be reused.
+// drain discards a short response, so that its connection can be reused if it doesn't end with it.
 func drain(backendResponse *upstream.Response) {
-	_, _ = io.CopyN(io.Discard, backendResponse, maxDrainedBytes)
+	if backendResponse.Framing != upstream.FramingConnection {
+		_, _ = io.CopyN(io.Discard, backendResponse, maxDrainedBytes)
+	}
 	backendResponse.CloseBody()
 }
