Refuse to resume a stream after an event whose id isn't a number

Cause: nothing tells what follows such an event, so the answer was broken off after the instance had run the request. Change: 1021 at once, so that the caller begins the stream anew.

--- a/transport/relay/eventorder.go
+++ b/transport/relay/eventorder.go
@@ -28,8 +28,11 @@
 	inRow int
 }
 
-// resume sets the place that the client names.
-func (o *eventOrder) resume(lastID string) { o.highest, _ = parseEventNumber(lastID) }
+// resume sets the place that the client names. It returns false if that has no number.
+func (o *eventOrder) resume(lastID string) (ok bool) {
+	o.highest, ok = parseEventNumber(lastID)
+	return ok
+}
 
 // check returns an error if the event doesn't follow the last one: errNotRising within a run,
 // errNotContinued between two. A run that skips numbers may do so, but a continuation that does is
--- a/transport/relay/resume.go
+++ b/transport/relay/resume.go
@@ -24,8 +24,12 @@
 // findOrigin sets the origin of the stream that the client resumes. It fails if that isn't
 // known, or if no instance can continue the stream.
 func (c *call) findOrigin(ctx context.Context) *result.Error {
-	origin, err := c.decideOrigin(ctx)
 	metrics := c.handler.options.Metrics
+	if !c.response.order.resume(c.input.info.LastEventID) {
+		metrics.countResumption(originUnknown)
+		return result.Errorf(result.StreamOriginUnknown, "nothing tells what follows an event whose id isn't a number")
+	}
+	origin, err := c.decideOrigin(ctx)
 	switch {
 	case errors.Is(err, streamorigin.ErrUnknown):
 		metrics.countResumption(originUnknown)
@@ -35,7 +39,6 @@
 		return unreadableOrigin.errorf("%v", err)
 	}
 	c.stream.isKnown, c.stream.origin, c.stream.changes = true, origin, c.stream.finding.Change
-	c.response.order.resume(c.input.info.LastEventID)
 	isServiceGone := c.isServiceGone()
 	if isServiceGone && !c.configurationAge().IsNewerThan(c.stream.finding) {
 		metrics.countResumption(originUnavailable)
