Heed a refused probe of another request for the end of an answer

Cause: a process ended, and another one had its address within 75 ms. The first look at the process still got a connection, the second one, 50 ms later, got one of the new process. In between a probe for another request of the same gateway had been refused, 8 ms after the end of the answer; nothing asked for it. Change: the time of the last refusal is kept for each address, and the process has ended if that is after the end of the answer. If no other request asks in between, such an answer still looks whole.

--- a/transport/upstream/life.go
+++ b/transport/upstream/life.go
@@ -61,6 +61,8 @@
 	// probed is what the last probe has found, at probedAt.
 	probed   Life
 	probedAt time.Time
+	// refusedAt is when a probe was last refused; zero if none was.
+	refusedAt time.Time
 	// breaks are the last connections that the process broke, the newest first.
 	breaks [4]connectionBreak
 }
@@ -132,6 +134,16 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.probed, l.probedAt = found, now
+	if found == LifeEnded {
+		l.refusedAt = now
+	}
+}
+
+// wasRefused reports whether a probe has been refused since then.
+func (l *life) wasRefused(since time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.refusedAt.After(since)
 }
 
 // noteBroken notes that the process has broken the connection. Later reads fail as well.
--- a/transport/upstream/unmarkedend.go
+++ b/transport/upstream/unmarkedend.go
@@ -35,7 +35,7 @@
 	// ones for it until all have.
 	_ = sleep.For(ctx, EndSkew-e.client.now().Sub(ended))
 	kept, broken := countOpen(witnesses)
-	if kept == 0 && (broken > 0 || e.hasProcessEnded(ctx)) {
+	if kept == 0 && (broken > 0 || e.connection.life.wasRefused(ended) || e.hasProcessEnded(ctx)) {
 		return ErrProcessEnded
 	}
 	return nil
--- a/transport/upstream/unmarkedend_test.go
+++ b/transport/upstream/unmarkedend_test.go
@@ -106,6 +106,26 @@
 	}
 }
 
+// TestRefusalShowsTheEndOfTheProcess guards against an answer that looks whole since another process
+// has taken the address after a probe for another request was refused.
+func TestRefusalShowsTheEndOfTheProcess(t *testing.T) {
+	t.Parallel()
+	for _, wasRefused := range []bool{false, true} {
+		client := newEndClient()
+		request := requestTo(listen(t, func(int, net.Conn) {}))
+		used, err := client.dial(t.Context(), endpointOf(request))
+		assert.NilError(t, err)
+		current := &exchange{client: client, endpoint: endpointOf(request), connection: used, written: make(chan struct{})}
+		close(current.written)
+		refusedAt := time.Now().Add(time.Minute)
+		if !wasRefused {
+			refusedAt = time.Now()
+		}
+		used.life.noteProbed(LifeEnded, refusedAt)
+		assert.Equal(t, errors.Is(current.confirmEnd(), ErrProcessEnded), wasRefused)
+	}
+}
+
 // TestResetThatEndsTheRequestIsNotTheEndOfTheAnswer guards against an answer that looks whole since
 // the writer of the request was told of the reset.
 func TestResetThatEndsTheRequestIsNotTheEndOfTheAnswer(t *testing.T) {
