Take the end of a probed connection for the end of its process

An answer without a length looked whole if its process was killed and another one had the address by the second look, 50 ms later, unless another request was refused in between. Cause: the connection that the first look had opened was accepted for the dying process, and nobody looked at how it went on. Change: if it has broken by then, the process has ended.

--- a/transport/upstream/unmarkedend.go
+++ b/transport/upstream/unmarkedend.go
@@ -22,7 +22,8 @@
 // reported once: if it ends the writing of the request, the reader gets an orderly end.
 func (e *exchange) confirmEnd() error {
 	ended := e.client.now()
-	witnesses := e.connection.life.idleBefore(ended)
+	known := e.connection.life
+	before := known.idleBefore(ended)
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
 	if !e.awaitWritten(ctx) {
@@ -31,11 +32,17 @@
 	if e.hasProcessEnded(ctx) {
 		return ErrProcessEnded
 	}
+	after := known.idleSince(ended.Add(-acceptTime))
 	// The connections of a process don't break at the same moment, and the system may accept new
 	// ones for it until all have.
 	_ = sleep.For(ctx, EndSkew-e.client.now().Sub(ended))
-	kept, broken := countOpen(witnesses)
-	if kept == 0 && (broken > 0 || e.connection.life.wasRefused(ended) || e.hasProcessEnded(ctx)) {
+	switch look(before) {
+	case runningSeen:
+		return nil
+	case endSeen:
+		return ErrProcessEnded
+	}
+	if known.wasRefused(ended) || look(after) == endSeen || e.hasProcessEnded(ctx) {
 		return ErrProcessEnded
 	}
 	return nil
@@ -82,18 +89,42 @@
 	return idle
 }
 
-// countOpen returns how many of the connections are open, and how many the process has broken. One
-// that was used since, or that this process has closed, tells nothing.
-func countOpen(witnesses []witness) (kept, broken int) {
+// idleSince returns the idle connections that were opened since then. The process that accepted them
+// may be about to end.
+func (l *life) idleSince(then time.Time) (idle []witness) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for candidate := range l.open {
+		if !candidate.inUse.Load() && !candidate.opened.Before(then) {
+			idle = append(idle, witness{candidate, candidate.lastUse()})
+		}
+	}
+	return idle
+}
+
+// sight is what connections to a process show of it.
+type sight int
+
+const (
+	nothingSeen sight = iota
+	runningSeen
+	endSeen
+)
+
+// look returns what the connections show: one that is open that the process runs, otherwise one
+// that is broken that it has ended. One that was used since, or that this process has closed, shows
+// nothing.
+func look(witnesses []witness) sight {
+	seen := nothingSeen
 	for _, one := range witnesses {
 		candidate := one.connection
 		isUsed := candidate.inUse.Load() || !candidate.lastUse().Equal(one.lastUse)
 		switch {
 		case candidate.isEstablished():
-			kept++
+			return runningSeen
 		case !isUsed && (!candidate.isClosed.Load() || candidate.closedAt.Load() != 0):
-			broken++
+			seen = endSeen
 		}
 	}
-	return kept, broken
+	return seen
 }
--- a/transport/upstream/unmarkedend_test.go
+++ b/transport/upstream/unmarkedend_test.go
@@ -149,3 +149,24 @@
 	_, err = io.ReadAll(answer)
 	assert.Assert(t, err != nil, "the answer looks whole")
 }
+
+// TestReplacedProcessDoesNotEndItsAnswer guards against an answer that looks whole since another
+// process has the address by the time of the second look.
+func TestReplacedProcessDoesNotEndItsAnswer(t *testing.T) {
+	t.Parallel()
+	accepted := make(chan net.Conn, 4)
+	listener := listen(t, func(_ int, opened net.Conn) { accepted <- opened })
+	client, request := newEndClient(), requestTo(listener)
+	used, err := client.dial(t.Context(), endpointOf(request))
+	assert.NilError(t, err)
+	current := &exchange{client: client, endpoint: endpointOf(request), connection: used, written: make(chan struct{})}
+	close(current.written)
+	answered := <-accepted
+	_ = answered.Close()
+	go func() { // the address takes connections all the time, but those to the earlier process break
+		probed := <-accepted
+		time.Sleep(EndSkew / 2)
+		_ = probed.Close()
+	}()
+	assert.Assert(t, errors.Is(current.confirmEnd(), ErrProcessEnded))
+}
