--- a/transport/relay/call.go
+++ b/transport/relay/call.go
@@ -111,11 +111,8 @@
 	deciding  sync.WaitGroup
 }
 
-// excluded returns the ids of the instances that aren't tried again.
-func (a *attempts) excluded() []string {
-	if !a.isUnconfirmed {
-		return a.instances
-	}
+// triedBeforeLast returns the ids of the instances that were tried, but for the last one.
+func (a *attempts) triedBeforeLast() []string {
 	last := a.instances[len(a.instances)-1]
 	return slices.DeleteFunc(slices.Clone(a.instances), func(id string) bool { return id == last })
 }
--- a/transport/relay/origin.go
+++ b/transport/relay/origin.go
@@ -197,7 +197,7 @@
 		query.Version = &c.stream.origin.Version
 		assignment, err := backends.Acquire(query)
 		if err != nil && c.attempts.isUnconfirmed {
-			query.Tried = c.attempts.excluded()
+			query.Tried = c.attempts.triedBeforeLast()
 			assignment, err = backends.Acquire(query)
 		}
 		switch {
