--- a/transport/upstream/answerend_test.go
+++ b/transport/upstream/answerend_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -143,6 +144,7 @@
 		for {
 			opened, err := listener.Accept()
 			if err != nil {
+				runtime.KeepAlive(kept)
 				return
 			}
 			kept = append(kept, opened)
